--- /dev/null
+++ b/crates/core/src/claim.rs
@@ -0,0 +1,89 @@
+//! Callers' idempotency keys, and what is known of the work done under each.
+
+use std::time::Duration;
+
+use indexmap::IndexMap;
+
+use crate::id::Moment;
+use crate::outcome::Outcome;
+
+/// What this node knows of one key.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum ClaimState {
+    /// A request with this key is being worked on here.
+    Open,
+    /// The work ended.
+    Settled(Outcome),
+}
+
+/// The keys this node has seen lately.
+///
+/// The book only spares table reads: a key that is not in it is still claimed in the table before
+/// any byte goes out, so forgetting an entry costs a read and never a second run.
+#[derive(Clone, Debug)]
+pub struct ClaimBook {
+    capacity: usize,
+    keep: Duration,
+    entries: IndexMap<String, (ClaimState, Moment)>,
+}
+
+impl ClaimBook {
+    /// Opens a book of at most `capacity` keys, each kept for `keep` after it settled.
+    pub fn open(capacity: usize, keep: Duration) -> Self {
+        Self {
+            capacity,
+            keep,
+            entries: IndexMap::new(),
+        }
+    }
+
+    /// Opens a key, or returns what is already known of it.
+    ///
+    /// ```
+    /// use briarswitch_core::prelude::*;
+    /// use std::time::Duration;
+    ///
+    /// let mut book = ClaimBook::open(8, Duration::from_secs(60));
+    /// assert_eq!(book.begin("order-1", Duration::ZERO), None);
+    /// assert_eq!(book.begin("order-1", Duration::ZERO), Some(ClaimState::Open));
+    /// ```
+    pub fn begin(&mut self, key: &str, now: Moment) -> Option<ClaimState> {
+        if let Some((state, _)) = self.entries.get(key) {
+            return Some(*state);
+        }
+        self.trim(now);
+        self.entries.insert(key.to_owned(), (ClaimState::Open, now));
+        None
+    }
+
+    /// Records how the work under a key ended.
+    pub fn settle(&mut self, key: &str, outcome: Outcome, now: Moment) {
+        if let Some(entry) = self.entries.get_mut(key) {
+            *entry = (ClaimState::Settled(outcome), now);
+        }
+    }
+
+    /// Forgets a key, so that it may be claimed anew.
+    pub fn forget(&mut self, key: &str) {
+        self.entries.swap_remove(key);
+    }
+
+    /// Returns the number of keys held.
+    pub fn len(&self) -> usize {
+        self.entries.len()
+    }
+
+    /// Returns whether no key is held.
+    pub fn is_empty(&self) -> bool {
+        self.entries.is_empty()
+    }
+
+    fn trim(&mut self, now: Moment) {
+        if self.entries.len() < self.capacity {
+            return;
+        }
+        let keep = self.keep;
+        self.entries
+            .retain(|_, (state, at)| *state == ClaimState::Open || now < *at + keep);
+    }
+}
--- /dev/null
+++ b/crates/core/src/config.rs
@@ -0,0 +1,250 @@
+//! The accepted configuration: entities, the log that builds them, and its version.
+
+use indexmap::IndexMap;
+
+use crate::deployment::Deployment;
+use crate::finding::Finding;
+use crate::id::{ConfigVersion, DeploymentId, OrganisationId};
+use crate::organisation::Organisation;
+use crate::rule::{Rule, RuleAction};
+
+/// Name of the only rule list.
+pub const RULE_LIST: &str = "main";
+
+/// Kinds of entities that operators edit.
+#[derive(Clone, Copy, Debug, Eq, Hash, PartialEq)]
+pub enum EntityKind {
+    /// An organisation.
+    Organisation,
+    /// A deployment.
+    Deployment,
+    /// The ordered rule list.
+    Rules,
+}
+
+/// Names one entity.
+#[derive(Clone, Debug, Eq, Hash, PartialEq)]
+pub struct EntityKey {
+    /// Kind of the entity.
+    pub kind: EntityKind,
+    /// Name within the kind.
+    pub id: String,
+}
+
+/// What one edit leaves behind.
+#[derive(Clone, Debug, PartialEq)]
+pub enum ConfigValue {
+    /// An organisation's new text.
+    Organisation(Organisation),
+    /// A deployment's new text.
+    Deployment(Deployment),
+    /// The whole rule list.
+    Rules(Vec<Rule>),
+    /// The entity is gone.
+    Deleted,
+}
+
+/// One accepted edit.
+#[derive(Clone, Debug, PartialEq)]
+pub struct ConfigEntry {
+    /// Version that the edit made.
+    pub version: ConfigVersion,
+    /// Entity edited.
+    pub key: EntityKey,
+    /// Its text after the edit.
+    pub value: ConfigValue,
+}
+
+/// The configuration at one version.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct ConfigBook {
+    version: ConfigVersion,
+    organisations: IndexMap<OrganisationId, Organisation>,
+    deployments: IndexMap<DeploymentId, Deployment>,
+    rules: Vec<Rule>,
+    edited: IndexMap<EntityKey, ConfigVersion>,
+}
+
+impl ConfigBook {
+    /// Rebuilds a book from the current entities of a snapshot.
+    pub fn restore(version: ConfigVersion, entries: Vec<ConfigEntry>) -> Self {
+        let mut book = Self::default();
+        for entry in entries {
+            book.place(entry);
+        }
+        book.version = version;
+        book
+    }
+
+    /// Returns the version in force.
+    pub fn version(&self) -> ConfigVersion {
+        self.version
+    }
+
+    /// Returns the version at which an entity was last edited; zero when it never was.
+    pub fn edited_at(&self, key: &EntityKey) -> ConfigVersion {
+        self.edited.get(key).copied().unwrap_or(0)
+    }
+
+    /// Returns the organisations by name.
+    pub fn organisations(&self) -> &IndexMap<OrganisationId, Organisation> {
+        &self.organisations
+    }
+
+    /// Returns the deployments by name.
+    pub fn deployments(&self) -> &IndexMap<DeploymentId, Deployment> {
+        &self.deployments
+    }
+
+    /// Returns the rules in order.
+    pub fn rules(&self) -> &[Rule] {
+        &self.rules
+    }
+
+    /// Returns the current entities as entries, as a snapshot holds them.
+    pub fn entries(&self) -> Vec<ConfigEntry> {
+        self.edited
+            .iter()
+            .map(|(key, version)| ConfigEntry {
+                version: *version,
+                key: key.clone(),
+                value: self.value(key).unwrap_or(ConfigValue::Deleted),
+            })
+            .collect()
+    }
+
+    /// Returns an entity's current text.
+    pub fn value(&self, key: &EntityKey) -> Option<ConfigValue> {
+        match key.kind {
+            EntityKind::Organisation => self
+                .organisations
+                .get(&key.id)
+                .cloned()
+                .map(ConfigValue::Organisation),
+            EntityKind::Deployment => self
+                .deployments
+                .get(&key.id)
+                .cloned()
+                .map(ConfigValue::Deployment),
+            EntityKind::Rules => {
+                (!self.rules.is_empty()).then(|| ConfigValue::Rules(self.rules.clone()))
+            }
+        }
+    }
+
+    /// Applies the entry that follows the version in force; any other is ignored.
+    ///
+    /// Refusing both lower and skipping entries keeps a node from going back to an older
+    /// configuration and from holding one with a hole in it, whatever order entries arrive in.
+    ///
+    /// ```
+    /// use briarswitch_core::prelude::*;
+    ///
+    /// let key = EntityKey { kind: EntityKind::Deployment, id: "old".into() };
+    /// let entry = ConfigEntry { version: 2, key, value: ConfigValue::Deleted };
+    /// assert!(!ConfigBook::default().apply(entry));
+    /// ```
+    pub fn apply(&mut self, entry: ConfigEntry) -> bool {
+        if entry.version != self.version + 1 {
+            return false;
+        }
+        self.version = entry.version;
+        self.place(entry);
+        true
+    }
+
+    /// Takes over a whole book if it is newer than this one.
+    pub fn adopt(&mut self, other: Self) -> bool {
+        if other.version <= self.version {
+            return false;
+        }
+        *self = other;
+        true
+    }
+
+    /// Checks what the configuration would be after an edit and reports every fault.
+    pub fn check_edit(&self, key: &EntityKey, value: &ConfigValue) -> Vec<Finding> {
+        let mut next = self.clone();
+        next.place(ConfigEntry {
+            version: self.version + 1,
+            key: key.clone(),
+            value: value.clone(),
+        });
+        next.check()
+    }
+
+    /// Checks the configuration as a whole.
+    pub fn check(&self) -> Vec<Finding> {
+        let mut findings = Vec::new();
+        for (id, organisation) in &self.organisations {
+            findings.extend(organisation.check(&format!("organisations.{id}")));
+        }
+        for (id, deployment) in &self.deployments {
+            findings.extend(deployment.check(&format!("deployments.{id}")));
+        }
+        for (index, rule) in self.rules.iter().enumerate() {
+            findings.extend(self.check_rule(index, rule));
+        }
+        findings
+    }
+
+    fn check_rule(&self, index: usize, rule: &Rule) -> Vec<Finding> {
+        let place = format!("rules[{index}]");
+        let mut findings = rule.check(&place);
+        if let RuleAction::Route { deployment, .. } = &rule.then {
+            if !self.deployments.contains_key(deployment) {
+                findings.push(Finding::new(
+                    format!("{place}.then.deployment"),
+                    format!("no deployment is named {deployment}"),
+                ));
+            }
+        }
+        let is_repeated = self.rules[..index]
+            .iter()
+            .any(|other| other.name == rule.name);
+        if is_repeated {
+            findings.push(Finding::new(
+                format!("{place}.name"),
+                format!("an earlier rule is also named {}", rule.name),
+            ));
+        }
+        findings
+    }
+
+    fn place(&mut self, entry: ConfigEntry) {
+        let ConfigEntry {
+            version,
+            key,
+            value,
+        } = entry;
+        let id = key.id.clone();
+        if value == ConfigValue::Deleted {
+            self.remove(&key);
+            return;
+        }
+        match value {
+            ConfigValue::Organisation(organisation) => {
+                self.organisations.insert(id, organisation);
+            }
+            ConfigValue::Deployment(deployment) => {
+                self.deployments.insert(id, deployment);
+            }
+            ConfigValue::Rules(rules) => self.rules = rules,
+            ConfigValue::Deleted => {}
+        }
+        self.edited.insert(key, version);
+    }
+
+    fn remove(&mut self, key: &EntityKey) {
+        self.edited.shift_remove(key);
+        match key.kind {
+            EntityKind::Organisation => {
+                self.organisations.shift_remove(&key.id);
+            }
+            EntityKind::Deployment => {
+                self.deployments.shift_remove(&key.id);
+            }
+            EntityKind::Rules => self.rules.clear(),
+        }
+    }
+}
--- /dev/null
+++ b/crates/core/src/deployment.rs
@@ -0,0 +1,71 @@
+//! Deployments: models served by replica groups, and plain services.
+
+use crate::finding::Finding;
+use crate::id::{DeploymentId, PoolId};
+use crate::planner::PlanWeights;
+
+/// What runs behind a deployment.
+#[derive(Clone, Debug, PartialEq)]
+pub enum DeploymentKind {
+    /// A model whose replicas span several machines of one fabric domain.
+    Model {
+        /// Machines in one replica.
+        vms_per_replica: u32,
+        /// Replicas wanted in each availability zone.
+        replicas_per_zone: u32,
+        /// Whether the engines refuse orders with an old fencing number.
+        checks_fencing: bool,
+        /// Whether a replica may span fabric domains.
+        spans_domains: bool,
+        /// What the operator weighs.
+        weights: PlanWeights,
+    },
+    /// A plain service; every live machine of the pool is a target.
+    Service,
+}
+
+/// One deployment, as operators edit it.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Deployment {
+    /// Name callers ask for.
+    pub id: DeploymentId,
+    /// Pool whose machines serve it.
+    pub pool: PoolId,
+    /// What runs behind it.
+    pub kind: DeploymentKind,
+    /// Requests in flight that one target takes from one node.
+    pub target_in_flight: u32,
+    /// Rank when machines or places in the queue are short; a higher one goes first.
+    pub priority: u8,
+}
+
+impl Deployment {
+    /// Checks the deployment and reports every fault under `place`.
+    pub fn check(&self, place: &str) -> Vec<Finding> {
+        let mut findings = Vec::new();
+        if self.pool.is_empty() {
+            findings.push(Finding::new(
+                format!("{place}.pool"),
+                "expected the name of a pool",
+            ));
+        }
+        if self.target_in_flight == 0 {
+            findings.push(Finding::new(
+                format!("{place}.target_in_flight"),
+                "expected 1 or more",
+            ));
+        }
+        if let DeploymentKind::Model {
+            vms_per_replica, ..
+        } = self.kind
+        {
+            if vms_per_replica == 0 {
+                findings.push(Finding::new(
+                    format!("{place}.vms_per_replica"),
+                    "expected 1 or more",
+                ));
+            }
+        }
+        findings
+    }
+}
--- /dev/null
+++ b/crates/core/src/evidence.rs
@@ -0,0 +1,164 @@
+//! Evidence that a machine is up and serves its group, good for a short time only.
+
+use std::time::Duration;
+
+use indexmap::IndexMap;
+
+use crate::group::GroupRecord;
+use crate::id::{Epoch, Generation, GroupId, Incarnation, Moment, VmId};
+
+/// What an engine says it is doing.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum MemberState {
+    /// It belongs to no group.
+    Idle,
+    /// It loads weights for its group.
+    Loading,
+    /// It serves its group.
+    Ready,
+}
+
+/// What a machine reported of itself.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct MemberReport {
+    /// Machine that reported.
+    pub vm: VmId,
+    /// Life of the machine that reported.
+    pub incarnation: Incarnation,
+    /// What it does.
+    pub state: MemberState,
+    /// Group it believes to be in.
+    pub group: Option<GroupId>,
+    /// Generation of that group.
+    pub generation: Generation,
+    /// Highest fencing number it was given.
+    pub fence: Epoch,
+    /// Requests it runs.
+    pub running: u32,
+    /// Requests it holds queued.
+    pub queued: u32,
+}
+
+impl MemberReport {
+    /// Returns whether the report shows a ready member of `group` as recorded.
+    pub fn confirms(&self, group: &GroupRecord) -> bool {
+        self.state == MemberState::Ready
+            && self.group.as_deref() == Some(group.id.as_str())
+            && self.generation == group.generation
+            && group
+                .member(&self.vm)
+                .is_some_and(|member| member.incarnation == self.incarnation)
+    }
+}
+
+/// One report and when it was true.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct Evidence {
+    /// What was reported.
+    pub report: MemberReport,
+    /// Local time before which the report was asked for.
+    pub asked: Moment,
+}
+
+/// The newest evidence for each machine.
+#[derive(Clone, Debug)]
+pub struct EvidenceLedger {
+    ttl: Duration,
+    entries: IndexMap<VmId, Evidence>,
+    revoked: IndexMap<VmId, Moment>,
+}
+
+impl EvidenceLedger {
+    /// Opens a ledger whose entries are good for `ttl`.
+    pub fn open(ttl: Duration) -> Self {
+        Self {
+            ttl,
+            entries: IndexMap::new(),
+            revoked: IndexMap::new(),
+        }
+    }
+
+    /// Takes in a report that was asked for at `asked`; an older one than is held is ignored.
+    ///
+    /// The time counts from before the question was sent, so a delayed answer only shortens the
+    /// evidence and never lengthens it. A report asked for before a revocation is ignored too:
+    /// a peer's older success must not undo what this node has since seen fail.
+    pub fn record(&mut self, report: MemberReport, asked: Moment) {
+        let is_revoked = self.revoked.get(&report.vm).is_some_and(|at| asked <= *at);
+        let is_older = self
+            .entries
+            .get(&report.vm)
+            .is_some_and(|held| held.asked >= asked);
+        if is_revoked || is_older {
+            return;
+        }
+        self.entries
+            .insert(report.vm.clone(), Evidence { report, asked });
+    }
+
+    /// Drops what is held for a machine that failed at `at`.
+    pub fn revoke(&mut self, vm: &str, at: Moment) {
+        let is_newer = self.entries.get(vm).is_some_and(|held| held.asked > at);
+        if is_newer {
+            return;
+        }
+        self.entries.shift_remove(vm);
+        self.revoked.insert(vm.to_owned(), at);
+    }
+
+    /// Returns the evidence for a machine that is still good at `now`.
+    pub fn fresh(&self, vm: &str, now: Moment) -> Option<&Evidence> {
+        self.entries
+            .get(vm)
+            .filter(|held| now < held.asked + self.ttl)
+    }
+
+    /// Returns when a piece of evidence runs out.
+    pub fn until(&self, evidence: &Evidence) -> Moment {
+        evidence.asked + self.ttl
+    }
+
+    /// Returns when the evidence for a group runs out, or `None` when it is not whole.
+    ///
+    /// A group is whole only while every member has confirmed the recorded group and generation.
+    ///
+    /// ```
+    /// use briarswitch_core::prelude::*;
+    /// use std::time::Duration;
+    ///
+    /// let ledger = EvidenceLedger::open(Duration::from_secs(1));
+    /// let group = GroupRecord::forming("g".into(), "d".into(), vec![], 1);
+    /// assert_eq!(ledger.whole_until(&group, Duration::ZERO), None);
+    /// ```
+    pub fn whole_until(&self, group: &GroupRecord, now: Moment) -> Option<Moment> {
+        let mut until = None;
+        for member in &group.members {
+            let evidence = self.fresh(&member.vm, now)?;
+            if !evidence.report.confirms(group) {
+                return None;
+            }
+            let end = evidence.asked + self.ttl;
+            until = Some(until.map_or(end, |least: Moment| least.min(end)));
+        }
+        until
+    }
+
+    /// Returns every entry that is still good at `now`.
+    pub fn fresh_entries(&self, now: Moment) -> impl Iterator<Item = &Evidence> {
+        self.entries
+            .values()
+            .filter(move |held| now < held.asked + self.ttl)
+    }
+
+    /// Returns the revocations and when they were made.
+    pub fn revocations(&self) -> impl Iterator<Item = (&VmId, &Moment)> {
+        self.revoked.iter()
+    }
+
+    /// Drops entries and revocations too old to matter at `now`.
+    pub fn trim(&mut self, now: Moment) {
+        let ttl = self.ttl;
+        self.entries.retain(|_, held| now < held.asked + ttl);
+        self.revoked.retain(|_, at| now < *at + ttl + ttl);
+    }
+}
--- /dev/null
+++ b/crates/core/src/fair.rs
@@ -0,0 +1,110 @@
+//! A queue that gives organisations service in proportion to their weights.
+//!
+//! Start-time fair queueing (Goyal, Vin and Cheng, 1996) within each priority class: an entry's
+//! start tag is the later of the class's virtual time and its organisation's last finish tag, and
+//! the smallest start tag goes first. An idle organisation therefore saves up nothing, and no
+//! capacity is left unused while anyone waits.
+
+use std::cmp::Reverse;
+use std::collections::{BTreeMap, BinaryHeap};
+
+use indexmap::IndexMap;
+
+use crate::id::OrganisationId;
+
+/// Scale of the virtual clock, so that division by a weight keeps its precision.
+const VIRTUAL_SCALE: u64 = 1 << 16;
+
+#[derive(Clone, Debug, Default)]
+struct PriorityClass<T> {
+    virtual_time: u64,
+    finish: IndexMap<OrganisationId, u64>,
+    heap: BinaryHeap<Reverse<(u64, u64)>>,
+    items: IndexMap<u64, T>,
+}
+
+/// Entries waiting for service.
+#[derive(Clone, Debug)]
+pub struct FairQueue<T> {
+    classes: BTreeMap<u8, PriorityClass<T>>,
+    next: u64,
+}
+
+impl<T> Default for FairQueue<T> {
+    fn default() -> Self {
+        Self {
+            classes: BTreeMap::new(),
+            next: 0,
+        }
+    }
+}
+
+impl<T> FairQueue<T> {
+    /// Adds an entry that will cost `tokens` of service and returns its ticket.
+    ///
+    /// ```
+    /// use briarswitch_core::fair::FairQueue;
+    ///
+    /// let mut queue = FairQueue::default();
+    /// queue.push(1, "kayal", 1, 100, "first");
+    /// queue.push(9, "kayal", 1, 100, "urgent");
+    /// assert_eq!(queue.pop(), Some("urgent"));
+    /// ```
+    pub fn push(
+        &mut self,
+        priority: u8,
+        organisation: &str,
+        weight: u32,
+        tokens: u64,
+        item: T,
+    ) -> u64 {
+        let ticket = self.next;
+        self.next += 1;
+        let class = self
+            .classes
+            .entry(priority)
+            .or_insert_with(|| PriorityClass {
+                virtual_time: 0,
+                finish: IndexMap::new(),
+                heap: BinaryHeap::new(),
+                items: IndexMap::new(),
+            });
+        let last = class.finish.get(organisation).copied().unwrap_or(0);
+        let start = last.max(class.virtual_time);
+        let cost = tokens.max(1) * VIRTUAL_SCALE / u64::from(weight.max(1));
+        class.finish.insert(organisation.to_owned(), start + cost);
+        class.heap.push(Reverse((start, ticket)));
+        class.items.insert(ticket, item);
+        ticket
+    }
+
+    /// Removes and returns the entry that is served next.
+    pub fn pop(&mut self) -> Option<T> {
+        for class in self.classes.values_mut().rev() {
+            while let Some(Reverse((start, ticket))) = class.heap.pop() {
+                class.virtual_time = class.virtual_time.max(start);
+                if let Some(item) = class.items.swap_remove(&ticket) {
+                    return Some(item);
+                }
+            }
+        }
+        None
+    }
+
+    /// Removes an entry that no longer waits.
+    pub fn cancel(&mut self, ticket: u64) -> Option<T> {
+        self.classes
+            .values_mut()
+            .find_map(|class| class.items.swap_remove(&ticket))
+    }
+
+    /// Returns the number of entries that wait.
+    pub fn len(&self) -> usize {
+        self.classes.values().map(|class| class.items.len()).sum()
+    }
+
+    /// Returns whether nothing waits.
+    pub fn is_empty(&self) -> bool {
+        self.len() == 0
+    }
+}
--- /dev/null
+++ b/crates/core/src/lib.rs
@@ -0,0 +1,34 @@
+//! Decisions of briarswitch as pure functions of state, event and time.
+//!
+//! Nothing here touches a socket, a clock or a thread: time and randomness come in as arguments, so
+//! that tests, replays and the model checker drive the same code as the node does.
+//!
+//! ```
+//! use briarswitch_core::prelude::*;
+//!
+//! let book = ConfigBook::default();
+//! assert_eq!(book.version(), 0);
+//! ```
+
+pub mod choice;
+pub mod claim;
+pub mod config;
+pub mod deployment;
+pub mod evidence;
+pub mod fair;
+pub mod finding;
+pub mod group;
+pub mod id;
+pub mod lease;
+pub mod limit;
+pub mod organisation;
+pub mod outcome;
+pub mod planner;
+pub mod prefix;
+pub mod prelude;
+pub mod retry;
+pub mod rule;
+pub mod stream;
+pub mod view;
+pub mod vm;
+pub mod watch;
--- /dev/null
+++ b/crates/core/src/planner.rs
@@ -0,0 +1,649 @@
+//! Which groups to form, mend and dissolve, decided from the state of one zone's fleet.
+//!
+//! The planner is pure: the controller carries its steps out, and a replay of fault sequences
+//! measures it. It never touches a machine that is claimed, unseen, leaving or in an unknown state,
+//! and it dissolves a group only to complete another one, because survivors that help nobody are
+//! stranded whether their group is dissolved or not.
+
+use std::cmp::Reverse;
+use std::collections::BTreeSet;
+use std::time::Duration;
+
+use indexmap::IndexMap;
+
+use crate::deployment::{Deployment, DeploymentKind};
+use crate::evidence::{MemberReport, MemberState};
+use crate::group::{GroupMember, GroupRecord, GroupState};
+use crate::id::{DeploymentId, DomainId, GroupId, Moment, PoolId, VmId};
+use crate::vm::{Vm, VmStanding};
+
+/// What an operator weighs for a deployment.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct PlanWeights {
+    /// Weight of a second in which a wanted group cannot serve.
+    pub downtime: u32,
+    /// Weight of a second in which an accelerator belongs to no working group.
+    pub stranded: u32,
+}
+
+impl Default for PlanWeights {
+    fn default() -> Self {
+        Self {
+            downtime: 1,
+            stranded: 1,
+        }
+    }
+}
+
+/// One machine as the controller sees it.
+#[derive(Clone, Debug)]
+pub struct VmFacts {
+    /// Machine as the platform lists it.
+    pub vm: Vm,
+    /// Group that the table says it belongs to.
+    pub claimed: Option<GroupId>,
+    /// Newest report that is still good.
+    pub report: Option<MemberReport>,
+    /// When it was last known to be lost; `None` while it is seen.
+    pub lost_since: Option<Moment>,
+}
+
+impl VmFacts {
+    /// Returns whether the machine may be claimed: listed as live, in no group by the table, and
+    /// idle by its own report in its present life.
+    pub fn is_free(&self) -> bool {
+        let is_idle = self.report.as_ref().is_some_and(|report| {
+            report.state == MemberState::Idle && report.incarnation == self.vm.incarnation
+        });
+        self.claimed.is_none() && self.vm.standing == VmStanding::Live && is_idle
+    }
+}
+
+/// What the planner looks at.
+#[derive(Clone, Debug, Default)]
+pub struct FleetState {
+    /// Machines by name.
+    pub vms: IndexMap<VmId, VmFacts>,
+    /// Groups by name.
+    pub groups: IndexMap<GroupId, GroupRecord>,
+    /// Deployments by name.
+    pub deployments: IndexMap<DeploymentId, Deployment>,
+    /// Loads of weights that may be begun now.
+    pub load_budget: usize,
+}
+
+/// One thing for the controller to do.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub enum PlanStep {
+    /// Claims free machines for a new group.
+    Form {
+        /// Deployment served.
+        deployment: DeploymentId,
+        /// Members by rank.
+        members: Vec<GroupMember>,
+        /// Whether they stand in several fabric domains.
+        spans_domains: bool,
+        /// Why.
+        reason: String,
+    },
+    /// Replaces members of a group and raises its generation.
+    Mend {
+        /// Group mended.
+        group: GroupId,
+        /// Members by rank after the change.
+        members: Vec<GroupMember>,
+        /// Why.
+        reason: String,
+    },
+    /// Lets a group's machines go.
+    Dissolve {
+        /// Group dissolved.
+        group: GroupId,
+        /// Why.
+        reason: String,
+    },
+}
+
+/// How long lost machines took to come back, and whether they did.
+#[derive(Clone, Debug, Default)]
+pub struct ReturnHistory {
+    delays: Vec<Duration>,
+    next: usize,
+}
+
+/// Absences remembered.
+const HISTORY_LENGTH: usize = 256;
+/// Absences needed before the history is believed.
+const HISTORY_LEAST: usize = 16;
+/// Absence recorded for a machine that never came back.
+const NEVER: Duration = Duration::from_secs(24 * 3600);
+
+impl ReturnHistory {
+    /// Records that a lost machine came back after `delay`.
+    pub fn returned(&mut self, delay: Duration) {
+        if self.delays.len() < HISTORY_LENGTH {
+            self.delays.push(delay);
+        } else {
+            self.delays[self.next] = delay;
+        }
+        self.next = (self.next + 1) % HISTORY_LENGTH;
+    }
+
+    /// Records that a lost machine was replaced without coming back.
+    pub fn replaced(&mut self) {
+        self.returned(NEVER);
+    }
+
+    /// Returns how long to await a lost member before a spare is loaded in its place.
+    ///
+    /// For each past absence taken as the limit, the mean outage is the absence itself where the
+    /// machine was back in time, else the limit plus the time to load a spare; the limit with the
+    /// least mean wins, and zero is always a candidate.
+    ///
+    /// ```
+    /// use briarswitch_core::planner::ReturnHistory;
+    /// use std::time::Duration;
+    ///
+    /// let mut history = ReturnHistory::default();
+    /// for _ in 0..20 {
+    ///     history.returned(Duration::from_secs(30));
+    /// }
+    /// let patience = history.patience(Duration::from_secs(120));
+    /// assert_eq!(patience, Duration::from_secs(30));
+    /// ```
+    pub fn patience(&self, load_time: Duration) -> Duration {
+        if self.delays.len() < HISTORY_LEAST {
+            return Duration::ZERO;
+        }
+        let mut sorted = self.delays.clone();
+        sorted.sort_unstable();
+        let count = sorted.len() as f64;
+        let load = load_time.as_secs_f64();
+        let mut best = (load, Duration::ZERO);
+        let mut sum_back = 0.0;
+        for (index, delay) in sorted.iter().enumerate() {
+            sum_back += delay.as_secs_f64();
+            let missing = count - (index + 1) as f64;
+            let mean = (sum_back + missing * (delay.as_secs_f64() + load)) / count;
+            if mean < best.0 {
+                best = (mean, *delay);
+            }
+        }
+        best.1
+    }
+}
+
+/// Plans one zone's groups.
+#[derive(Clone, Debug)]
+pub struct GroupPlanner {
+    /// How long lost machines took to come back.
+    pub history: ReturnHistory,
+    /// Time a machine takes to load weights it does not hold.
+    pub load_time: Duration,
+    /// Shortest time a machine must be unseen before its group is changed.
+    pub grace: Duration,
+}
+
+impl GroupPlanner {
+    /// Opens a planner that has seen nothing yet.
+    pub fn open(load_time: Duration, grace: Duration) -> Self {
+        Self {
+            history: ReturnHistory::default(),
+            load_time,
+            grace,
+        }
+    }
+
+    /// Returns the steps to take now, the most urgent first.
+    ///
+    /// ```
+    /// use briarswitch_core::prelude::*;
+    /// use std::time::Duration;
+    ///
+    /// let planner = GroupPlanner::open(Duration::from_secs(60), Duration::from_secs(1));
+    /// assert!(planner.plan(&FleetState::default(), Duration::ZERO).is_empty());
+    /// ```
+    pub fn plan(&self, fleet: &FleetState, now: Moment) -> Vec<PlanStep> {
+        let patience = self.grace.max(self.history.patience(self.load_time));
+        let mut draft = PlanDraft::open(fleet, now, patience, self.grace);
+        draft.drop_unwanted();
+        draft.mend_broken();
+        draft.form_wanted();
+        draft.form_extra();
+        draft.steps
+    }
+}
+
+/// A group that has lost members.
+struct BrokenGroup<'a> {
+    group: &'a GroupRecord,
+    priority: u8,
+    /// Members that stay.
+    kept: Vec<GroupMember>,
+    /// Whether every lost member has been gone for longer than patience allows.
+    is_overdue: bool,
+    domain: DomainId,
+    pool: PoolId,
+}
+
+/// Free machines of one pool in one fabric domain.
+type FreeKey = (PoolId, DomainId);
+
+struct PlanDraft<'a> {
+    fleet: &'a FleetState,
+    now: Moment,
+    patience: Duration,
+    grace: Duration,
+    free: IndexMap<FreeKey, Vec<&'a Vm>>,
+    ranked: Vec<&'a Deployment>,
+    dropped: BTreeSet<GroupId>,
+    budget: usize,
+    steps: Vec<PlanStep>,
+}
+
+impl<'a> PlanDraft<'a> {
+    fn open(fleet: &'a FleetState, now: Moment, patience: Duration, grace: Duration) -> Self {
+        let mut free: IndexMap<FreeKey, Vec<&Vm>> = IndexMap::new();
+        for facts in fleet.vms.values().filter(|facts| facts.is_free()) {
+            let key = (facts.vm.pool.clone(), facts.vm.domain.clone());
+            free.entry(key).or_default().push(&facts.vm);
+        }
+        let mut ranked: Vec<_> = fleet.deployments.values().collect();
+        ranked.sort_by_key(|deployment| Reverse(deployment.priority));
+        Self {
+            fleet,
+            now,
+            patience,
+            grace,
+            free,
+            ranked,
+            dropped: BTreeSet::new(),
+            budget: fleet.load_budget,
+            steps: Vec::new(),
+        }
+    }
+
+    /// Dissolves groups of deleted or changed deployments and those above the wanted number.
+    fn drop_unwanted(&mut self) {
+        let fleet = self.fleet;
+        let mut counts: IndexMap<&DeploymentId, u32> = IndexMap::new();
+        for group in active(fleet) {
+            let Some((size, wanted, weights)) = model_of(fleet, &group.deployment) else {
+                self.dissolve(&group.id, "its deployment is gone");
+                continue;
+            };
+            if group.members.len() != size {
+                self.dissolve(&group.id, "its deployment changed the size of a replica");
+                continue;
+            }
+            let count = counts.entry(&group.deployment).or_default();
+            *count += 1;
+            let keeps_extra = prefers_extra(weights) && wanted > 0;
+            if *count > wanted && !keeps_extra {
+                self.dissolve(&group.id, "more replicas stand than are wanted");
+            }
+        }
+    }
+
+    /// Replaces lost members from free machines, and breaks groups up where none are free.
+    fn mend_broken(&mut self) {
+        let mut broken: Vec<_> = active(self.fleet)
+            .filter(|group| !self.dropped.contains(&group.id))
+            .filter_map(|group| self.examine(group))
+            .collect();
+        // The group that lacks least is whole again soonest for the loads it takes.
+        broken.sort_by_key(|group| {
+            let lacking = group.group.members.len() - group.kept.len();
+            (Reverse(group.priority), lacking)
+        });
+        let mut waiting: Vec<BrokenGroup<'a>> = Vec::new();
+        for group in broken {
+            if !self.mend(&group) {
+                waiting.push(group);
+            }
+        }
+        self.break_up(waiting);
+    }
+
+    fn examine(&self, group: &'a GroupRecord) -> Option<BrokenGroup<'a>> {
+        let deployment = self.fleet.deployments.get(&group.deployment)?;
+        let mut kept = Vec::with_capacity(group.members.len());
+        let mut is_overdue = true;
+        let mut domain = None;
+        for member in &group.members {
+            let facts = self.fleet.vms.get(&member.vm);
+            if domain.is_none() {
+                domain = facts.map(|facts| facts.vm.domain.clone());
+            }
+            match self.member_loss(member, facts) {
+                None => kept.push(member.clone()),
+                Some(loss) => is_overdue &= loss,
+            }
+        }
+        let is_broken = kept.len() < group.members.len();
+        is_broken.then(|| BrokenGroup {
+            group,
+            priority: deployment.priority,
+            kept,
+            is_overdue,
+            domain: domain.unwrap_or_default(),
+            pool: deployment.pool.clone(),
+        })
+    }
+
+    /// Returns `None` for a member that stays, else whether it should be replaced by now.
+    fn member_loss(&self, member: &GroupMember, facts: Option<&VmFacts>) -> Option<bool> {
+        let Some(facts) = facts else {
+            return Some(true);
+        };
+        if facts.vm.incarnation != member.incarnation || facts.vm.standing == VmStanding::Leaving {
+            return Some(true);
+        }
+        let gone = self.now.saturating_sub(facts.lost_since?);
+        if gone < self.grace {
+            return None;
+        }
+        Some(gone >= self.patience)
+    }
+
+    fn mend(&mut self, broken: &BrokenGroup<'a>) -> bool {
+        if !broken.is_overdue {
+            return false;
+        }
+        let lacking = broken.group.members.len() - broken.kept.len();
+        if lacking > self.budget {
+            return false;
+        }
+        let Some(found) = self.take_for_mend(broken, lacking) else {
+            return false;
+        };
+        self.budget -= lacking;
+        let mut members = broken.kept.clone();
+        members.extend(found);
+        self.steps.push(PlanStep::Mend {
+            group: broken.group.id.clone(),
+            members,
+            reason: format!("{lacking} of its members were lost and machines are free"),
+        });
+        true
+    }
+
+    fn take_for_mend(
+        &mut self,
+        broken: &BrokenGroup<'a>,
+        lacking: usize,
+    ) -> Option<Vec<GroupMember>> {
+        let key = (broken.pool.clone(), broken.domain.clone());
+        let spans = may_span(self.fleet, &broken.group.deployment);
+        if let Some(found) = self.take(&key, lacking) {
+            return Some(found);
+        }
+        if spans {
+            return self.take_anywhere(&broken.pool, lacking);
+        }
+        None
+    }
+
+    /// Dissolves the weakest broken group of a domain where that completes stronger ones, or a
+    /// group that nobody asked for.
+    fn break_up(&mut self, waiting: Vec<BrokenGroup<'a>>) {
+        let mut places: IndexMap<FreeKey, Vec<BrokenGroup<'a>>> = IndexMap::new();
+        for group in waiting.into_iter().filter(|group| group.is_overdue) {
+            let key = (group.pool.clone(), group.domain.clone());
+            places.entry(key).or_default().push(group);
+        }
+        for (key, groups) in places {
+            self.break_up_place(&key, &groups);
+        }
+    }
+
+    fn break_up_place(&mut self, key: &FreeKey, groups: &[BrokenGroup<'a>]) {
+        if self.is_releasing(key) {
+            return;
+        }
+        let strongest = &groups[0];
+        let lacking = strongest.group.members.len() - strongest.kept.len();
+        let free = self.free.get(key).map_or(0, Vec::len);
+        let mut gained = free;
+        if let Some(spare) = self.expendable(key, strongest) {
+            let reason = format!("its machines complete {}", strongest.group.id);
+            self.dissolve(&spare, &reason);
+            return;
+        }
+        for weakest in groups[1..].iter().rev() {
+            if gained >= lacking {
+                break;
+            }
+            gained += weakest.kept.len();
+            let reason = format!("its survivors complete {}", strongest.group.id);
+            self.dissolve(&weakest.group.id, &reason);
+        }
+    }
+
+    /// Returns whether machines of the place are on their way to being free.
+    fn is_releasing(&self, (pool, domain): &FreeKey) -> bool {
+        self.fleet
+            .groups
+            .values()
+            .filter(|group| group.state == GroupState::Dissolving)
+            .flat_map(|group| &group.members)
+            .filter_map(|member| self.fleet.vms.get(&member.vm))
+            .any(|facts| {
+                facts.lost_since.is_none() && facts.vm.pool == *pool && facts.vm.domain == *domain
+            })
+    }
+
+    /// Finds a whole group in the place that matters less than the broken one: one beyond its
+    /// deployment's wanted number, or one of a lower priority.
+    fn expendable(&self, (pool, domain): &FreeKey, broken: &BrokenGroup<'_>) -> Option<GroupId> {
+        let mut counts: IndexMap<&DeploymentId, u32> = IndexMap::new();
+        for group in active(self.fleet).filter(|group| !self.dropped.contains(&group.id)) {
+            *counts.entry(&group.deployment).or_default() += 1;
+        }
+        active(self.fleet)
+            .filter(|group| !self.dropped.contains(&group.id) && group.id != broken.group.id)
+            .filter(|group| self.stands_in(group, pool, domain))
+            .filter(|group| self.examine(group).is_none())
+            .filter_map(|group| {
+                let deployment = self.fleet.deployments.get(&group.deployment)?;
+                let (_, wanted, _) = model_of(self.fleet, &group.deployment)?;
+                let is_extra = counts[&group.deployment] > wanted;
+                let is_lower = deployment.priority < broken.priority;
+                let rank = (!is_extra, deployment.priority);
+                (is_extra || is_lower).then_some((rank, group))
+            })
+            .min_by_key(|(rank, _)| *rank)
+            .map(|(_, group)| group.id.clone())
+    }
+
+    fn stands_in(&self, group: &GroupRecord, pool: &str, domain: &str) -> bool {
+        group
+            .members
+            .first()
+            .and_then(|member| self.fleet.vms.get(&member.vm))
+            .is_some_and(|facts| facts.vm.pool == pool && facts.vm.domain == domain)
+    }
+
+    /// Forms groups until each deployment has the number it wants.
+    fn form_wanted(&mut self) {
+        for deployment in self.ranked.clone() {
+            let Some((size, wanted, _)) = model_of(self.fleet, &deployment.id) else {
+                continue;
+            };
+            let mut standing = self.standing(&deployment.id);
+            while standing < wanted {
+                if !self.form(deployment, size, "fewer replicas stand than are wanted") {
+                    self.preempt_for(deployment, size);
+                    break;
+                }
+                standing += 1;
+            }
+        }
+    }
+
+    /// Forms groups beyond the wanted number where the operator weighs stranded accelerators more.
+    fn form_extra(&mut self) {
+        for deployment in self.ranked.clone() {
+            let Some((size, wanted, weights)) = model_of(self.fleet, &deployment.id) else {
+                continue;
+            };
+            if wanted == 0 || !prefers_extra(weights) {
+                continue;
+            }
+            while self.form(deployment, size, "free machines would be stranded") {}
+        }
+    }
+
+    fn standing(&self, deployment: &str) -> u32 {
+        let count = active(self.fleet)
+            .filter(|group| group.deployment == deployment && !self.dropped.contains(&group.id))
+            .count();
+        u32::try_from(count).unwrap_or(u32::MAX)
+    }
+
+    fn form(&mut self, deployment: &Deployment, size: usize, why: &str) -> bool {
+        if size > self.budget {
+            return false;
+        }
+        let single = self.tightest(&deployment.pool, size);
+        let (members, spans_domains) = match single.and_then(|key| self.take(&key, size)) {
+            Some(members) => (members, false),
+            None if may_span(self.fleet, &deployment.id) => {
+                match self.take_anywhere(&deployment.pool, size) {
+                    Some(members) => (members, true),
+                    None => return false,
+                }
+            }
+            None => return false,
+        };
+        self.budget -= size;
+        let reason = if spans_domains {
+            format!("{why}; no single fabric domain has {size} free machines")
+        } else {
+            why.to_owned()
+        };
+        self.steps.push(PlanStep::Form {
+            deployment: deployment.id.clone(),
+            members,
+            spans_domains,
+            reason,
+        });
+        true
+    }
+
+    /// Dissolves one group of a lower priority where its machines let a wanted group form.
+    fn preempt_for(&mut self, deployment: &Deployment, size: usize) {
+        if size > self.budget {
+            return;
+        }
+        let fleet = self.fleet;
+        let candidate = active(fleet)
+            .filter(|group| !self.dropped.contains(&group.id))
+            .filter_map(|group| {
+                let other = fleet.deployments.get(&group.deployment)?;
+                let facts = fleet.vms.get(&group.members.first()?.vm)?;
+                let key = (facts.vm.pool.clone(), facts.vm.domain.clone());
+                let free = self.free.get(&key).map_or(0, Vec::len);
+                let is_enough = free + group.members.len() >= size;
+                let is_lower = other.priority < deployment.priority;
+                let fits = is_lower && is_enough && facts.vm.pool == deployment.pool;
+                (fits && !self.is_releasing(&key)).then_some((other.priority, group))
+            })
+            .min_by_key(|(priority, _)| *priority);
+        if let Some((_, group)) = candidate {
+            let reason = format!(
+                "{} has a higher priority and lacks a replica",
+                deployment.id
+            );
+            self.dissolve(&group.id, &reason);
+        }
+    }
+
+    /// Returns the domain with the fewest free machines that still fit, which keeps large runs of
+    /// free machines whole for large replicas.
+    fn tightest(&self, pool: &str, size: usize) -> Option<FreeKey> {
+        self.free
+            .iter()
+            .filter(|((found, _), vms)| found == pool && vms.len() >= size)
+            .min_by_key(|(_, vms)| vms.len())
+            .map(|(key, _)| key.clone())
+    }
+
+    fn take(&mut self, key: &FreeKey, count: usize) -> Option<Vec<GroupMember>> {
+        let vms = self.free.get_mut(key).filter(|vms| vms.len() >= count)?;
+        let rest = vms.len() - count;
+        Some(vms.split_off(rest).into_iter().map(member_of).collect())
+    }
+
+    fn take_anywhere(&mut self, pool: &str, count: usize) -> Option<Vec<GroupMember>> {
+        let places: Vec<FreeKey> = self
+            .free
+            .keys()
+            .filter(|(found, _)| found == pool)
+            .cloned()
+            .collect();
+        let total: usize = places.iter().map(|key| self.free[key].len()).sum();
+        if total < count {
+            return None;
+        }
+        let mut members = Vec::with_capacity(count);
+        for key in places {
+            let share = (count - members.len()).min(self.free[&key].len());
+            members.extend(self.take(&key, share).unwrap_or_default());
+        }
+        Some(members)
+    }
+
+    fn dissolve(&mut self, group: &str, reason: &str) {
+        let is_new = self.dropped.insert(group.to_owned());
+        if is_new {
+            self.steps.push(PlanStep::Dissolve {
+                group: group.to_owned(),
+                reason: reason.to_owned(),
+            });
+        }
+    }
+}
+
+fn active(fleet: &FleetState) -> impl Iterator<Item = &GroupRecord> {
+    fleet
+        .groups
+        .values()
+        .filter(|group| group.state != GroupState::Dissolving)
+}
+
+fn model_of(fleet: &FleetState, deployment: &str) -> Option<(usize, u32, PlanWeights)> {
+    match fleet.deployments.get(deployment)?.kind {
+        DeploymentKind::Model {
+            vms_per_replica,
+            replicas_per_zone,
+            weights,
+            ..
+        } => Some((vms_per_replica as usize, replicas_per_zone, weights)),
+        DeploymentKind::Service => None,
+    }
+}
+
+fn may_span(fleet: &FleetState, deployment: &str) -> bool {
+    let kind = fleet.deployments.get(deployment).map(|found| &found.kind);
+    matches!(
+        kind,
+        Some(DeploymentKind::Model {
+            spans_domains: true,
+            ..
+        })
+    )
+}
+
+/// Returns whether free machines are better used than kept as spares.
+fn prefers_extra(weights: PlanWeights) -> bool {
+    weights.stranded > weights.downtime
+}
+
+fn member_of(vm: &Vm) -> GroupMember {
+    GroupMember {
+        vm: vm.id.clone(),
+        incarnation: vm.incarnation,
+        address: vm.address.clone(),
+    }
+}
--- /dev/null
+++ b/crates/core/src/prefix.rs
@@ -0,0 +1,93 @@
+//! Which prompts a target has likely cached, learned from what was sent to it.
+
+use indexmap::IndexSet;
+use xxhash_rust::xxh3::xxh3_64_with_seed;
+
+/// Bytes of a prompt that one block covers.
+const BLOCK_BYTES: usize = 256;
+/// Most blocks of a prompt that are looked at.
+const BLOCKS: usize = 64;
+
+/// Hashes of a prompt's leading blocks, each over everything before it.
+#[derive(Clone, Debug, Default, Eq, PartialEq)]
+pub struct PrefixChain {
+    hashes: Vec<u64>,
+}
+
+impl PrefixChain {
+    /// Hashes the leading blocks of a prompt.
+    ///
+    /// ```
+    /// use briarswitch_core::prefix::PrefixChain;
+    ///
+    /// assert!(PrefixChain::of(b"short").is_empty());
+    /// ```
+    pub fn of(prompt: &[u8]) -> Self {
+        let mut seed = 0;
+        let hashes = prompt
+            .chunks_exact(BLOCK_BYTES)
+            .take(BLOCKS)
+            .map(|block| {
+                seed = xxh3_64_with_seed(block, seed);
+                seed
+            })
+            .collect();
+        Self { hashes }
+    }
+
+    /// Returns whether the prompt is shorter than one block.
+    pub fn is_empty(&self) -> bool {
+        self.hashes.is_empty()
+    }
+}
+
+/// Blocks that one target was sent lately.
+#[derive(Clone, Debug)]
+pub struct PrefixBook {
+    capacity: usize,
+    blocks: IndexSet<u64>,
+}
+
+impl PrefixBook {
+    /// Opens a book of at most `capacity` blocks.
+    pub fn open(capacity: usize) -> Self {
+        Self {
+            capacity,
+            blocks: IndexSet::new(),
+        }
+    }
+
+    /// Returns the share of a prompt's blocks that the target has likely cached, 0 to 1.
+    pub fn share(&self, chain: &PrefixChain) -> f64 {
+        if chain.is_empty() {
+            return 0.0;
+        }
+        let held = chain
+            .hashes
+            .iter()
+            .take_while(|hash| self.blocks.contains(*hash))
+            .count();
+        held as f64 / chain.hashes.len() as f64
+    }
+
+    /// Notes that a prompt was sent to the target.
+    pub fn note(&mut self, chain: &PrefixChain) {
+        for hash in &chain.hashes {
+            self.blocks.shift_remove(hash);
+            self.blocks.insert(*hash);
+        }
+        let over = self.blocks.len().saturating_sub(self.capacity);
+        self.blocks.drain(..over);
+    }
+}
+
+/// Hashes bytes the same way on every node and in every life of a node.
+///
+/// ```
+/// use briarswitch_core::prefix::hash_of;
+///
+/// assert_eq!(hash_of(b"a"), hash_of(b"a"));
+/// ```
+pub fn hash_of(bytes: &[u8]) -> u64 {
+    xxh3_64_with_seed(bytes, 0)
+}
--- /dev/null
+++ b/crates/core/src/prelude.rs
@@ -0,0 +1,19 @@
+//! The types most modules need, imported together.
+
+pub use crate::choice::{TargetLoad, TargetPicker};
+pub use crate::claim::{ClaimBook, ClaimState};
+pub use crate::config::{ConfigBook, ConfigEntry, ConfigValue, EntityKey, EntityKind};
+pub use crate::deployment::{Deployment, DeploymentKind};
+pub use crate::evidence::{EvidenceLedger, MemberReport, MemberState};
+pub use crate::fair::FairQueue;
+pub use crate::finding::Finding;
+pub use crate::group::{GroupRecord, GroupState};
+pub use crate::id::*;
+pub use crate::lease::{LeaseKeeper, LeaseRecord, LeaseTiming};
+pub use crate::organisation::Organisation;
+pub use crate::outcome::{FailurePoint, Outcome};
+pub use crate::planner::{FleetState, GroupPlanner, PlanStep, PlanWeights};
+pub use crate::retry::RetryBudget;
+pub use crate::rule::{RequestFacts, Rule, RuleAction, RuleMatch};
+pub use crate::view::ZoneView;
+pub use crate::vm::{AvailabilityZone, Vm, VmStanding};
--- /dev/null
+++ b/crates/core/src/retry.rs
@@ -0,0 +1,50 @@
+//! A budget that keeps retries a fixed share of successful traffic.
+
+/// Thousandths of a retry that one retry costs.
+const RETRY_COST: u64 = 1000;
+
+/// Retries a node may spend, earned by successes.
+///
+/// Without it, a brown-out makes every request fail and be sent again, which multiplies load just
+/// when targets can bear least; one would notice attempts per request rising with the error rate.
+#[derive(Clone, Debug)]
+pub struct RetryBudget {
+    permille: u64,
+    balance: u64,
+    ceiling: u64,
+}
+
+impl RetryBudget {
+    /// Opens a budget that earns `permille` thousandths of a retry for each success and holds at
+    /// most `burst` retries; it starts full.
+    pub fn open(permille: u64, burst: u64) -> Self {
+        let ceiling = burst * RETRY_COST;
+        Self {
+            permille,
+            balance: ceiling,
+            ceiling,
+        }
+    }
+
+    /// Credits one success.
+    pub fn earn(&mut self) {
+        self.balance = (self.balance + self.permille).min(self.ceiling);
+    }
+
+    /// Takes one retry if there is one.
+    ///
+    /// ```
+    /// use briarswitch_core::retry::RetryBudget;
+    ///
+    /// let mut budget = RetryBudget::open(100, 1);
+    /// assert!(budget.spend());
+    /// assert!(!budget.spend());
+    /// ```
+    pub fn spend(&mut self) -> bool {
+        if self.balance < RETRY_COST {
+            return false;
+        }
+        self.balance -= RETRY_COST;
+        true
+    }
+}
--- /dev/null
+++ b/crates/core/src/rule.rs
@@ -0,0 +1,155 @@
+//! Ordered when-then rules: the first match decides what happens to a request.
+
+use crate::finding::Finding;
+use crate::id::{DeploymentId, OrganisationId, ZoneId};
+
+/// Highest value of a percentage.
+const FULL_PERCENT: u8 = 100;
+
+/// What is known of a request when the rules are read.
+#[derive(Clone, Debug, Default, Eq, PartialEq)]
+pub struct RequestFacts {
+    /// Organisation that the credential belongs to.
+    pub organisation: OrganisationId,
+    /// Deployment the caller asked for.
+    pub asked: DeploymentId,
+    /// Request headers, names in lower case.
+    pub headers: Vec<(String, String)>,
+    /// Bytes in the request's body.
+    pub body_bytes: u64,
+    /// Zone of the node that took the request.
+    pub zone: ZoneId,
+    /// Minute of the day in UTC, 0 to 1439.
+    pub minute_of_day: u16,
+    /// Draw from 0 to 99 made once per caller key, so that a caller stays on its side of a split.
+    pub draw: u8,
+}
+
+/// Conditions of a rule; every one that is given has to hold.
+#[derive(Clone, Debug, Default, Eq, PartialEq)]
+pub struct RuleMatch {
+    /// Organisation that calls.
+    pub organisation: Option<OrganisationId>,
+    /// Deployment asked for.
+    pub asked: Option<DeploymentId>,
+    /// Header that must carry this value.
+    pub header: Option<(String, String)>,
+    /// Smallest body in bytes.
+    pub min_body_bytes: Option<u64>,
+    /// Zone that took the request.
+    pub zone: Option<ZoneId>,
+    /// Minutes of the day, from (included) to (excluded); wraps over midnight.
+    pub minutes: Option<(u16, u16)>,
+    /// Share of callers, 0 to 100.
+    pub percent: Option<u8>,
+}
+
+impl RuleMatch {
+    /// Returns the first condition that does not hold, or `None` when all hold.
+    pub fn failing(&self, facts: &RequestFacts) -> Option<&'static str> {
+        let wants = |wanted: &Option<String>, found: &str| {
+            wanted.as_deref().is_none_or(|value| value == found)
+        };
+        if !wants(&self.organisation, &facts.organisation) {
+            return Some("organisation");
+        }
+        if !wants(&self.asked, &facts.asked) {
+            return Some("asked");
+        }
+        if !wants(&self.zone, &facts.zone) {
+            return Some("zone");
+        }
+        if let Some((name, value)) = &self.header {
+            let is_there = facts
+                .headers
+                .iter()
+                .any(|(found, text)| found.eq_ignore_ascii_case(name) && text == value);
+            if !is_there {
+                return Some("header");
+            }
+        }
+        if self
+            .min_body_bytes
+            .is_some_and(|least| facts.body_bytes < least)
+        {
+            return Some("min_body_bytes");
+        }
+        if let Some((from, to)) = self.minutes {
+            if !is_within(facts.minute_of_day, from, to) {
+                return Some("minutes");
+            }
+        }
+        if self.percent.is_some_and(|percent| facts.draw >= percent) {
+            return Some("percent");
+        }
+        None
+    }
+}
+
+fn is_within(minute: u16, from: u16, to: u16) -> bool {
+    if from <= to {
+        (from..to).contains(&minute)
+    } else {
+        minute >= from || minute < to
+    }
+}
+
+/// What a rule does with a request that it matches.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub enum RuleAction {
+    /// Sends it to a deployment.
+    Route {
+        /// Deployment that serves it.
+        deployment: DeploymentId,
+        /// Priority in place of the deployment's own.
+        priority: Option<u8>,
+    },
+    /// Refuses it.
+    Reject {
+        /// Text for the caller.
+        message: String,
+    },
+}
+
+/// One rule of the ordered list.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct Rule {
+    /// Name used in logs and by `briarctl rules try`.
+    pub name: String,
+    /// Conditions.
+    pub when: RuleMatch,
+    /// Action.
+    pub then: RuleAction,
+}
+
+impl Rule {
+    /// Checks the rule by itself and reports every fault under `place`.
+    pub fn check(&self, place: &str) -> Vec<Finding> {
+        let mut findings = Vec::new();
+        if self.name.is_empty() {
+            findings.push(Finding::new(format!("{place}.name"), "expected a name"));
+        }
+        if self
+            .when
+            .percent
+            .is_some_and(|percent| percent > FULL_PERCENT)
+        {
+            findings.push(Finding::new(
+                format!("{place}.when.percent"),
+                "expected 0 to 100",
+            ));
+        }
+        findings
+    }
+}
+
+/// Returns the first rule that matches.
+///
+/// ```
+/// use briarswitch_core::rule::{first_match, RequestFacts};
+///
+/// assert!(first_match(&[], &RequestFacts::default()).is_none());
+/// ```
+pub fn first_match<'a>(rules: &'a [Rule], facts: &RequestFacts) -> Option<&'a Rule> {
+    rules.iter().find(|rule| rule.when.failing(facts).is_none())
+}
--- /dev/null
+++ b/crates/core/src/watch.rs
@@ -0,0 +1,33 @@
+//! Which nodes watch which machine, by rendezvous hashing.
+
+use xxhash_rust::xxh3::xxh3_64;
+
+use crate::id::NodeId;
+
+/// Nodes that watch each machine, so that the loss of one watcher loses no evidence.
+pub const WATCHERS: usize = 2;
+
+/// Returns the nodes that watch `vm`, the first choice first.
+///
+/// Highest-random-weight hashing (Thaler and Ravishankar, 1998): when a node comes or goes, only
+/// the machines it watches change hands.
+///
+/// ```
+/// use briarswitch_core::watch::watchers;
+///
+/// let nodes = ["a".to_owned(), "b".to_owned(), "c".to_owned()];
+/// assert_eq!(watchers("vm-1", &nodes).len(), 2);
+/// ```
+pub fn watchers<'a>(vm: &str, nodes: &'a [NodeId]) -> Vec<&'a NodeId> {
+    let mut ranked: Vec<_> = nodes.iter().map(|node| (score(vm, node), node)).collect();
+    ranked.sort_by(|left, right| right.cmp(left));
+    ranked
+        .into_iter()
+        .take(WATCHERS)
+        .map(|(_, node)| node)
+        .collect()
+}
+
+fn score(vm: &str, node: &str) -> u64 {
+    xxh3_64(format!("{vm}\u{0}{node}").as_bytes())
+}
--- /dev/null
+++ b/crates/ctl/src/edit.rs
@@ -0,0 +1,243 @@
+//! Edits: building them from files and flags, and telling how they ended.
+
+use std::fs;
+use std::io::Read as _;
+
+use briarswitch_wire::config::{DeploymentDoc, EntryDoc, KindDoc, OrganisationDoc, ValueDoc};
+use briarswitch_wire::operator::{ConfigReply, EditReply, EditRequest, SettleReply};
+use sha2::{Digest, Sha256};
+
+use crate::cli::DocumentOptions;
+use crate::client::{NodeClient, NodeFailure};
+use crate::exit::ExitStatus;
+
+/// What a command prints and how it ends.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct CommandEnd {
+    /// Text to print.
+    pub text: String,
+    /// How it ended.
+    pub status: ExitStatus,
+}
+
+impl CommandEnd {
+    /// Makes the end of a command that did what was asked.
+    pub fn done(text: impl Into<String>) -> Self {
+        Self {
+            text: text.into(),
+            status: ExitStatus::Done,
+        }
+    }
+
+    /// Makes the end of a command that did not.
+    pub fn failed(status: ExitStatus, text: impl Into<String>) -> Self {
+        Self {
+            text: text.into(),
+            status,
+        }
+    }
+}
+
+impl From<NodeFailure> for CommandEnd {
+    fn from(failure: NodeFailure) -> Self {
+        Self::failed(ExitStatus::NoAnswer, failure.to_string())
+    }
+}
+
+/// One edit before its base is known.
+pub struct EditDraft {
+    /// Kind of the entity.
+    pub kind: KindDoc,
+    /// Name of the entity.
+    pub id: String,
+    /// Text wanted.
+    pub value: ValueDoc,
+    /// Version it was made against, if the operator said so.
+    pub base: Option<u64>,
+    /// Whether the entity must be new.
+    pub is_new: bool,
+}
+
+/// Sends an edit and tells how it ended.
+///
+/// Without a base the version that the node has in force now is taken, so an edit by somebody else
+/// in between still ends in a conflict.
+pub async fn send_edit(client: &NodeClient, draft: EditDraft, is_json: bool) -> CommandEnd {
+    let base = match draft.base {
+        Some(base) => base,
+        None if draft.is_new => 0,
+        None => match current(client, draft.kind, &draft.id).await {
+            Ok(Some(entry)) => entry.version,
+            Ok(None) => return missing(draft.kind, &draft.id),
+            Err(failure) => return failure.into(),
+        },
+    };
+    let request = EditRequest {
+        kind: draft.kind,
+        id: draft.id,
+        base,
+        value: draft.value,
+        write: format!("{:032x}", rand::random::<u128>()),
+    };
+    let write = request.write.clone();
+    match client.post::<_, EditReply>("/v1/edit", &request).await {
+        Ok(reply) => tell_edit(reply, is_json),
+        // The node may have written the edit before the connection broke.
+        Err(NodeFailure::NoAnswer { .. }) => tell_edit(EditReply::Unknown { write }, is_json),
+        Err(failure) => failure.into(),
+    }
+}
+
+/// Settles an edit whose answer was unknown.
+pub async fn settle(client: &NodeClient, write: &str, is_json: bool) -> CommandEnd {
+    let reply: SettleReply = match client.post("/v1/settle", &write).await {
+        Ok(reply) => reply,
+        Err(failure) => return failure.into(),
+    };
+    let (text, status) = match &reply {
+        SettleReply::Accepted { version } => {
+            (format!("accepted as version {version}"), ExitStatus::Done)
+        }
+        SettleReply::Void => (
+            "not in force, and it never will be; send the edit anew".to_owned(),
+            ExitStatus::Refused,
+        ),
+        SettleReply::Unknown => (
+            format!("the platform gives no answer; try again: briarctl settle {write}"),
+            ExitStatus::Unknown,
+        ),
+    };
+    end_with(&reply, text, status, is_json)
+}
+
+/// Finds an entity in the configuration that the node has in force.
+///
+/// # Errors
+///
+/// Returns [`NodeFailure`] when the node gave no usable answer.
+pub async fn current(
+    client: &NodeClient,
+    kind: KindDoc,
+    id: &str,
+) -> Result<Option<EntryDoc>, NodeFailure> {
+    let config: ConfigReply = client.get("/v1/config").await?;
+    let found = config
+        .entries
+        .into_iter()
+        .find(|entry| entry.kind == kind && entry.id == id);
+    Ok(found)
+}
+
+/// Tells that an entity is not there.
+pub fn missing(kind: KindDoc, id: &str) -> CommandEnd {
+    let kind = kind.name();
+    let text = format!("there is no {kind} named {id}; see: briarctl {kind} list");
+    CommandEnd::failed(ExitStatus::Missing, text)
+}
+
+fn tell_edit(reply: EditReply, is_json: bool) -> CommandEnd {
+    let (text, status) = match &reply {
+        EditReply::Accepted { version } => {
+            (format!("accepted as version {version}"), ExitStatus::Done)
+        }
+        EditReply::Refused { findings } => {
+            let lines = findings
+                .iter()
+                .map(|finding| format!("\n  {}: {}", finding.place, finding.message));
+            let text = format!("refused:{}", lines.collect::<String>());
+            (text, ExitStatus::Refused)
+        }
+        EditReply::Conflict {
+            version,
+            current,
+            wanted,
+        } => {
+            let current = current.as_ref().map(ToString::to_string);
+            let text = format!(
+                "conflict: edited by another operator, now at version {version}\n  in force: {}\n  \
+                 wanted:   {wanted}\nlook at it and edit again with --base {version}",
+                current.unwrap_or_else(|| "nothing".to_owned())
+            );
+            (text, ExitStatus::Conflict)
+        }
+        EditReply::Unknown { write } => (
+            format!("unknown: no answer from the platform; run: briarctl settle {write}"),
+            ExitStatus::Unknown,
+        ),
+    };
+    end_with(&reply, text, status, is_json)
+}
+
+fn end_with<T: serde::Serialize>(
+    reply: &T,
+    text: String,
+    status: ExitStatus,
+    is_json: bool,
+) -> CommandEnd {
+    let text = if is_json {
+        serde_json::to_string(reply).unwrap_or(text)
+    } else {
+        text
+    };
+    CommandEnd { text, status }
+}
+
+/// Reads a document for an entity from the flags.
+///
+/// # Errors
+///
+/// Returns the end of the command when the flags or the file can not be understood.
+pub fn read_value(kind: KindDoc, options: &DocumentOptions) -> Result<ValueDoc, CommandEnd> {
+    if let (KindDoc::Organisation, Some(key)) = (kind, &options.key) {
+        return Ok(ValueDoc::Organisation(OrganisationDoc {
+            key_hash: key_hash(key),
+            weight: options.weight.unwrap_or(1),
+            requests_per_second: None,
+        }));
+    }
+    let Some(file) = &options.file else {
+        let text = "give the document with --file FILE, or --file - for standard input";
+        return Err(CommandEnd::failed(ExitStatus::Usage, text));
+    };
+    let text = read_file(file)?;
+    match kind {
+        KindDoc::Organisation => parse::<OrganisationDoc>(file, &text).map(ValueDoc::Organisation),
+        KindDoc::Deployment => parse::<DeploymentDoc>(file, &text).map(ValueDoc::Deployment),
+        KindDoc::Rules => parse(file, &text).map(ValueDoc::Rules),
+    }
+}
+
+/// Reads a file, or standard input for `-`.
+///
+/// # Errors
+///
+/// Returns the end of the command when it can not be read.
+pub fn read_file(file: &str) -> Result<String, CommandEnd> {
+    let read = if file == "-" {
+        let mut text = String::new();
+        std::io::stdin().read_to_string(&mut text).map(|_| text)
+    } else {
+        fs::read_to_string(file)
+    };
+    read.map_err(|error| {
+        let text = format!("{file} can not be read: {error}");
+        CommandEnd::failed(ExitStatus::Usage, text)
+    })
+}
+
+/// Parses a document.
+///
+/// # Errors
+///
+/// Returns the end of the command with the place of the fault.
+pub fn parse<T: serde::de::DeserializeOwned>(file: &str, text: &str) -> Result<T, CommandEnd> {
+    serde_json::from_str(text).map_err(|error| {
+        let text = format!("{file}: {error}; see docs/INTERFACES.md for examples");
+        CommandEnd::failed(ExitStatus::Usage, text)
+    })
+}
+
+fn key_hash(key: &str) -> String {
+    let digest = Sha256::digest(key.as_bytes());
+    digest.iter().map(|byte| format!("{byte:02x}")).collect()
+}
--- /dev/null
+++ b/crates/ctl/src/exit.rs
@@ -0,0 +1,35 @@
+//! Exit codes, as `docs/OPERATING.md` lists them.
+
+/// How a command ended.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum ExitStatus {
+    /// It did what was asked.
+    Done,
+    /// The command line or a file could not be understood.
+    Usage,
+    /// The edit was refused with findings.
+    Refused,
+    /// Another edit came first.
+    Conflict,
+    /// Nobody can say yet whether the edit is in force.
+    Unknown,
+    /// No node answered, or it answered with an error.
+    NoAnswer,
+    /// What was asked for is not there.
+    Missing,
+}
+
+impl ExitStatus {
+    /// Returns the process's exit code.
+    pub fn code(self) -> u8 {
+        match self {
+            Self::Done => 0,
+            Self::Usage => 2,
+            Self::Refused => 3,
+            Self::Conflict => 4,
+            Self::Unknown => 5,
+            Self::NoAnswer => 6,
+            Self::Missing => 7,
+        }
+    }
+}
--- /dev/null
+++ b/crates/ctl/src/lib.rs
@@ -0,0 +1,17 @@
+//! The operator's command-line client as a library.
+//!
+//! ```
+//! use briarswitch_ctl::ExitStatus;
+//!
+//! assert_eq!(ExitStatus::Conflict.code(), 4);
+//! ```
+
+pub mod cli;
+pub mod client;
+pub mod edit;
+pub mod exit;
+pub mod show;
+
+pub use cli::{CtlOptions, Verb};
+pub use client::{NodeClient, NodeFailure};
+pub use exit::ExitStatus;
--- /dev/null
+++ b/crates/ctl/src/main.rs
@@ -0,0 +1,223 @@
+//! The operator's command-line client.
+
+use std::process::ExitCode;
+
+use briarswitch_ctl::cli::{EntityAction, RulesAction, RulesTrial};
+use briarswitch_ctl::edit::{
+    current, missing, parse, read_file, read_value, send_edit, settle, CommandEnd, EditDraft,
+};
+use briarswitch_ctl::{show, CtlOptions, ExitStatus, NodeClient, Verb};
+use briarswitch_wire::config::{HeaderDoc, KindDoc, ValueDoc};
+use briarswitch_wire::operator::{ConfigReply, StatusReply, TryReply, TryRequest, UsageRow};
+use gumdrop::Options;
+use serde::Serialize;
+use serde_json::Value;
+
+/// Name of the only rule list.
+const RULE_LIST: &str = "main";
+
+fn main() -> ExitCode {
+    let options = CtlOptions::parse_args_default_or_exit();
+    let runtime = tokio::runtime::Builder::new_current_thread()
+        .enable_all()
+        .build();
+    let end = match runtime {
+        Ok(runtime) => runtime.block_on(run(options)),
+        Err(error) => CommandEnd::failed(ExitStatus::NoAnswer, error.to_string()),
+    };
+    if end.status == ExitStatus::Done {
+        println!("{}", end.text);
+    } else {
+        eprintln!("{}", end.text);
+    }
+    ExitCode::from(end.status.code())
+}
+
+async fn run(options: CtlOptions) -> CommandEnd {
+    let token = options
+        .token
+        .or_else(|| std::env::var("BRIARCTL_TOKEN").ok());
+    let client = NodeClient::open(&options.node, token);
+    let is_json = options.json;
+    let Some(verb) = options.verb else {
+        let usage = CtlOptions::usage();
+        let commands = CtlOptions::command_list().unwrap_or_default();
+        let text = format!("briarctl [OPTIONS] COMMAND\n\n{usage}\n\n{commands}");
+        return CommandEnd::failed(ExitStatus::Usage, text);
+    };
+    let end = match verb {
+        Verb::Organisation(options) => {
+            entity(&client, KindDoc::Organisation, options.action, is_json).await
+        }
+        Verb::Deployment(options) => {
+            entity(&client, KindDoc::Deployment, options.action, is_json).await
+        }
+        Verb::Rules(options) => rules(&client, options.action, is_json).await,
+        Verb::Status(_) => read::<StatusReply>(&client, "/v1/status", is_json, show::status).await,
+        Verb::Plan(_) => read::<Value>(&client, "/v1/plan", is_json, show::plan).await,
+        Verb::Usage(_) => {
+            read::<Vec<UsageRow>>(&client, "/v1/usage", is_json, |rows| show::usage(rows)).await
+        }
+        Verb::Dump(_) => read::<Value>(&client, "/v1/dump", true, Value::to_string).await,
+        Verb::Settle(options) => Ok(settle(&client, &options.name, is_json).await),
+        Verb::LogLevel(options) => log_level(&client, &options.name).await,
+    };
+    end.unwrap_or_else(|end| end)
+}
+
+/// A command's end, or an early one.
+type Ending = Result<CommandEnd, CommandEnd>;
+
+async fn entity(
+    client: &NodeClient,
+    kind: KindDoc,
+    action: Option<EntityAction>,
+    is_json: bool,
+) -> Ending {
+    let Some(action) = action else {
+        let text = "expected create, show, edit, delete or list";
+        return Err(CommandEnd::failed(ExitStatus::Usage, text));
+    };
+    match action {
+        EntityAction::List(_) => {
+            let config: ConfigReply = client.get("/v1/config").await?;
+            let of_kind: Vec<_> = config
+                .entries
+                .into_iter()
+                .filter(|entry| entry.kind == kind)
+                .collect();
+            Ok(print(&of_kind, is_json, || show::entities(kind, &of_kind)))
+        }
+        EntityAction::Show(options) => {
+            let Some(entry) = current(client, kind, &options.name).await? else {
+                return Err(missing(kind, &options.name));
+            };
+            let text = || {
+                format!(
+                    "version {}\n{}",
+                    entry.version,
+                    show::value_text(&entry.value)
+                )
+            };
+            Ok(print(&entry, is_json, text))
+        }
+        EntityAction::Delete(options) => {
+            let draft = EditDraft {
+                kind,
+                id: options.name,
+                value: ValueDoc::Deleted,
+                base: options.base,
+                is_new: false,
+            };
+            Ok(send_edit(client, draft, is_json).await)
+        }
+        EntityAction::Create(options) => {
+            let value = read_value(kind, &options)?;
+            let draft = EditDraft {
+                kind,
+                id: options.name,
+                value,
+                base: options.base,
+                is_new: true,
+            };
+            Ok(send_edit(client, draft, is_json).await)
+        }
+        EntityAction::Edit(options) => {
+            let value = read_value(kind, &options)?;
+            let draft = EditDraft {
+                kind,
+                id: options.name,
+                value,
+                base: options.base,
+                is_new: false,
+            };
+            Ok(send_edit(client, draft, is_json).await)
+        }
+    }
+}
+
+async fn rules(client: &NodeClient, action: Option<RulesAction>, is_json: bool) -> Ending {
+    let Some(action) = action else {
+        let text = "expected show, set or try";
+        return Err(CommandEnd::failed(ExitStatus::Usage, text));
+    };
+    match action {
+        RulesAction::Show(_) => {
+            let Some(entry) = current(client, KindDoc::Rules, RULE_LIST).await? else {
+                let text = "there are no rules; set them with: briarctl rules set --file FILE";
+                return Err(CommandEnd::failed(ExitStatus::Missing, text));
+            };
+            let text = || {
+                format!(
+                    "version {}\n{}",
+                    entry.version,
+                    show::value_text(&entry.value)
+                )
+            };
+            Ok(print(&entry, is_json, text))
+        }
+        RulesAction::Set(options) => {
+            let text = read_file(&options.file)?;
+            let value = ValueDoc::Rules(parse(&options.file, &text)?);
+            let held = current(client, KindDoc::Rules, RULE_LIST).await?;
+            let draft = EditDraft {
+                kind: KindDoc::Rules,
+                id: RULE_LIST.to_owned(),
+                value,
+                base: options.base,
+                is_new: held.is_none(),
+            };
+            Ok(send_edit(client, draft, is_json).await)
+        }
+        RulesAction::Try(trial) => {
+            let request = trial_request(trial)?;
+            let reply: TryReply = client.post("/v1/rules/try", &request).await?;
+            Ok(print(&reply, is_json, || show::trial(&reply)))
+        }
+    }
+}
+
+fn trial_request(trial: RulesTrial) -> Result<TryRequest, CommandEnd> {
+    let mut headers = Vec::new();
+    for header in &trial.header {
+        let Some((name, value)) = header.split_once('=') else {
+            let text = format!("--header {header}: expected NAME=VALUE");
+            return Err(CommandEnd::failed(ExitStatus::Usage, text));
+        };
+        headers.push(HeaderDoc {
+            name: name.to_owned(),
+            value: value.to_owned(),
+        });
+    }
+    Ok(TryRequest {
+        organisation: trial.organisation,
+        asked: trial.asked,
+        headers,
+        body_bytes: trial.bytes,
+        zone: trial.zone,
+        minute_of_day: trial.minute,
+        draw: trial.draw,
+    })
+}
+
+async fn read<T: serde::de::DeserializeOwned + Serialize>(
+    client: &NodeClient,
+    path: &str,
+    is_json: bool,
+    show: impl FnOnce(&T) -> String,
+) -> Ending {
+    let reply: T = client.get(path).await?;
+    Ok(print(&reply, is_json, || show(&reply)))
+}
+
+async fn log_level(client: &NodeClient, level: &str) -> Ending {
+    let set: String = client.post("/v1/log-level", &level).await?;
+    Ok(CommandEnd::done(format!("log level {set}")))
+}
+
+fn print<T: Serialize>(value: &T, is_json: bool, text: impl FnOnce() -> String) -> CommandEnd {
+    if is_json {
+        return CommandEnd::done(serde_json::to_string_pretty(value).unwrap_or_default());
+    }
+    CommandEnd::done(text())
+}
--- /dev/null
+++ b/crates/ctl/src/show.rs
@@ -0,0 +1,165 @@
+//! Tables for people.
+
+use std::fmt::Write as _;
+
+use briarswitch_wire::config::{EntryDoc, KindDoc, ValueDoc};
+use briarswitch_wire::operator::{StatusReply, TryReply, UsageRow};
+use serde_json::Value;
+
+/// Lays rows out in columns as wide as their widest cell.
+///
+/// ```
+/// use briarswitch_ctl::show::table;
+///
+/// let text = table(&["a", "b"], &[vec!["1".into(), "22".into()]]);
+/// assert_eq!(text, "a  b\n1  22");
+/// ```
+pub fn table(heads: &[&str], rows: &[Vec<String>]) -> String {
+    let width = |column: usize| {
+        let cells = rows.iter().map(|row| row[column].chars().count());
+        cells.max().unwrap_or(0).max(heads[column].chars().count())
+    };
+    let widths: Vec<usize> = (0..heads.len()).map(width).collect();
+    let line = |cells: Vec<&str>| {
+        let mut line = String::new();
+        for (cell, width) in cells.iter().zip(&widths) {
+            let _ = write!(line, "{cell:<width$}  ");
+        }
+        line.trim_end().to_owned()
+    };
+    let mut lines = vec![line(heads.to_vec())];
+    lines.extend(
+        rows.iter()
+            .map(|row| line(row.iter().map(String::as_str).collect())),
+    );
+    lines.join("\n")
+}
+
+/// Lists the entities of one kind.
+pub fn entities(kind: KindDoc, entries: &[EntryDoc]) -> String {
+    let rows: Vec<Vec<String>> = entries
+        .iter()
+        .filter(|entry| entry.kind == kind)
+        .map(|entry| {
+            let text = value_text(&entry.value);
+            vec![entry.id.clone(), entry.version.to_string(), text]
+        })
+        .collect();
+    table(&["name", "version", "text"], &rows)
+}
+
+/// Returns an entity's text as JSON.
+pub fn value_text(value: &ValueDoc) -> String {
+    let text = match value {
+        ValueDoc::Organisation(doc) => serde_json::to_string(doc),
+        ValueDoc::Deployment(doc) => serde_json::to_string(doc),
+        ValueDoc::Rules(rules) => serde_json::to_string(rules),
+        ValueDoc::Deleted => Ok("deleted".to_owned()),
+    };
+    text.unwrap_or_default()
+}
+
+/// Shows the state of the system as one node sees it.
+pub fn status(status: &StatusReply) -> String {
+    let controller = status.controller.as_ref();
+    let mut text = format!(
+        "node {} in zone {}; controller {} at epoch {}\n",
+        status.node,
+        status.zone,
+        controller.map_or("nobody", |found| found.holder.as_str()),
+        controller.map_or(0, |found| found.epoch),
+    );
+    let _ = writeln!(
+        text,
+        "group downtime {:.1} s, stranded accelerators {}\n",
+        status.group_downtime_s, status.stranded_accelerators
+    );
+    let groups: Vec<Vec<String>> = status
+        .groups
+        .iter()
+        .map(|group| {
+            vec![
+                group.zone.clone(),
+                group.deployment.clone(),
+                group.group.clone(),
+                group.generation.to_string(),
+                group.state.clone(),
+                if group.is_routable { "yes" } else { "no" }.to_owned(),
+                group.members.join(","),
+            ]
+        })
+        .collect();
+    let heads = [
+        "zone",
+        "deployment",
+        "group",
+        "generation",
+        "state",
+        "routable",
+        "members",
+    ];
+    text.push_str(&table(&heads, &groups));
+    text.push_str("\n\n");
+    let versions: Vec<Vec<String>> = status
+        .versions
+        .iter()
+        .map(|node| {
+            vec![
+                node.node.clone(),
+                node.version.to_string(),
+                format!("{} ms", node.heard_ms),
+            ]
+        })
+        .collect();
+    text.push_str(&table(&["node", "config version", "heard"], &versions));
+    text
+}
+
+/// Shows metered use.
+pub fn usage(rows: &[UsageRow]) -> String {
+    let rows: Vec<Vec<String>> = rows
+        .iter()
+        .map(|row| {
+            vec![
+                row.organisation.clone(),
+                row.requests.to_string(),
+                row.tokens.to_string(),
+            ]
+        })
+        .collect();
+    table(&["organisation", "requests", "tokens"], &rows)
+}
+
+/// Shows which rule a request would meet.
+pub fn trial(reply: &TryReply) -> String {
+    let mut text = String::new();
+    for passed in &reply.passed_over {
+        let _ = writeln!(
+            text,
+            "{}: does not match on {}",
+            passed.rule, passed.failing
+        );
+    }
+    match (&reply.rule, &reply.then) {
+        (Some(rule), Some(then)) => {
+            let then = serde_json::to_string(then).unwrap_or_default();
+            let _ = write!(text, "{rule}: matches; {then}");
+        }
+        _ => text.push_str("no rule matches; the request would be refused with code no_rule"),
+    }
+    text
+}
+
+/// Shows the plan of a zone's controller.
+pub fn plan(plan: &Value) -> String {
+    let holder = plan["controller"].as_str().unwrap_or("nobody");
+    if plan["is_controller"] != true {
+        return format!("this node does not control its zone; ask {holder}");
+    }
+    let steps = plan["steps"].as_array().cloned().unwrap_or_default();
+    if steps.is_empty() {
+        return "nothing to do: every wanted group stands, or no machines are free".to_owned();
+    }
+    let lines: Vec<&str> = steps.iter().filter_map(Value::as_str).collect();
+    lines.join("\n")
+}
--- /dev/null
+++ b/crates/http/src/lib.rs
@@ -0,0 +1,27 @@
+//! HTTP for briarswitch: a server, a client for idempotent calls, and a client for targets.
+//!
+//! Servers and idempotent calls go through `volo-http`. Calls to targets go through `hyper`, the
+//! library under it, because a caller is told "not run" only if no byte of its request can have
+//! left, and `volo-http`'s pool does not say whether one has.
+//!
+//! ```
+//! use briarswitch_http::reply_text;
+//!
+//! assert_eq!(reply_text(http::StatusCode::OK, "ok").status(), 200);
+//! ```
+
+mod client;
+mod reply;
+mod server;
+mod target;
+
+pub use client::{CallError, CallerClient, Codec};
+pub use reply::{
+    read_body, reply_bytes, reply_json, reply_packed, reply_text, stream_body, unpack, BodyError,
+};
+pub use volo_http::body::Body;
+
+pub use server::{Handler, HttpServer, Request, Response, ServerGuard};
+pub use target::{
+    whole_body, SendFailure, TargetAddress, TargetBody, TargetClient, TargetLimits, TargetReply,
+};
--- /dev/null
+++ b/crates/kernel/src/service.rs
@@ -0,0 +1,233 @@
+//! Services, the registry of their names, and the thread that runs them.
+
+use std::any::Any;
+use std::future::Future;
+use std::io;
+use std::sync::{Arc, Mutex};
+use std::thread::JoinHandle;
+use std::time::Duration;
+
+use briarswitch_core::id::Moment;
+use futures::future::BoxFuture;
+use indexmap::IndexMap;
+use serde_json::Value;
+use tokio::sync::mpsc;
+use tokio::task::LocalSet;
+
+use crate::clock::BootClock;
+use crate::mailbox::{Envelope, Mailbox};
+
+/// Messages a mailbox holds.
+const MAILBOX_CAPACITY: usize = 4096;
+
+/// One part of the control state.
+pub trait Service: Send + 'static {
+    /// What it is sent.
+    type Message: Send + 'static;
+
+    /// Returns the name that others find it by.
+    fn name(&self) -> &'static str;
+
+    /// Begins its work, once, before the first message.
+    fn start(&mut self, link: &ServiceLink<Self::Message>);
+
+    /// Handles one message.
+    fn handle(&mut self, message: Self::Message, link: &ServiceLink<Self::Message>);
+
+    /// Shows its state.
+    fn dump(&self) -> Value;
+}
+
+/// What a service reaches the rest of the process by.
+pub struct ServiceLink<M> {
+    kernel: Kernel,
+    own: Mailbox<M>,
+}
+
+impl<M: Send + 'static> ServiceLink<M> {
+    /// Returns the present time.
+    pub fn now(&self) -> Moment {
+        BootClock::now()
+    }
+
+    /// Returns the kernel, to find other services by name.
+    pub fn kernel(&self) -> &Kernel {
+        &self.kernel
+    }
+
+    /// Returns the service's own mailbox.
+    pub fn own(&self) -> &Mailbox<M> {
+        &self.own
+    }
+
+    /// Runs `work` on the control thread and sends its result to the service.
+    ///
+    /// Input and output happen here, between messages, so the service's state is never borrowed
+    /// while something is awaited.
+    pub fn spawn(&self, work: impl Future<Output = M> + 'static) {
+        let own = self.own.clone();
+        tokio::task::spawn_local(async move {
+            let message = work.await;
+            let _ = own.send(message).await;
+        });
+    }
+
+    /// Sends the service a message after `delay`.
+    pub fn later(&self, delay: Duration, message: M) {
+        self.spawn(async move {
+            tokio::time::sleep(delay).await;
+            message
+        });
+    }
+}
+
+/// Why the kernel could not do what it was asked.
+#[derive(Debug, thiserror::Error)]
+pub enum KernelError {
+    /// The control thread could not be started.
+    #[error("the control thread could not be started: {0}")]
+    Thread(#[from] io::Error),
+    /// A service of that name is there already.
+    #[error("a service named {0} is there already")]
+    Taken(&'static str),
+}
+
+type DumpFn = Arc<dyn Fn() -> BoxFuture<'static, Value> + Send + Sync>;
+type MountFn = Box<dyn FnOnce() + Send>;
+
+struct Registration {
+    mailbox: Box<dyn Any + Send + Sync>,
+    dump: DumpFn,
+}
+
+struct KernelState {
+    registry: Mutex<IndexMap<&'static str, Registration>>,
+    mounts: mpsc::UnboundedSender<MountFn>,
+    thread: Mutex<Option<JoinHandle<()>>>,
+}
+
+/// Runs services and finds them by name.
+#[derive(Clone)]
+pub struct Kernel {
+    state: Arc<KernelState>,
+}
+
+impl Kernel {
+    /// Starts the control thread.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`KernelError::Thread`] when the thread cannot be started.
+    pub fn spawn() -> Result<Self, KernelError> {
+        let (mounts, receiver) = mpsc::unbounded_channel();
+        let runtime = tokio::runtime::Builder::new_current_thread()
+            .enable_all()
+            .build()?;
+        let thread = std::thread::Builder::new()
+            .name("control".to_owned())
+            .spawn(move || runtime.block_on(run_mounts(receiver)))?;
+        Ok(Self {
+            state: Arc::new(KernelState {
+                registry: Mutex::default(),
+                mounts,
+                thread: Mutex::new(Some(thread)),
+            }),
+        })
+    }
+
+    /// Registers a service under its name and runs it on the control thread.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`KernelError::Taken`] when the name is in use.
+    pub fn mount<S: Service>(&self, service: S) -> Result<Mailbox<S::Message>, KernelError> {
+        let name = service.name();
+        let (mailbox, receiver) = Mailbox::open(MAILBOX_CAPACITY);
+        let dumped = mailbox.clone();
+        let registration = Registration {
+            mailbox: Box::new(mailbox.clone()),
+            dump: Arc::new(move || {
+                let mailbox = dumped.clone();
+                Box::pin(async move { mailbox.dump().await })
+            }),
+        };
+        let mut registry = self.registry();
+        if registry.contains_key(name) {
+            return Err(KernelError::Taken(name));
+        }
+        registry.insert(name, registration);
+        drop(registry);
+        let link = ServiceLink {
+            kernel: self.clone(),
+            own: mailbox.clone(),
+        };
+        let run: MountFn = Box::new(move || {
+            tokio::task::spawn_local(run_service(service, receiver, link));
+        });
+        let _ = self.state.mounts.send(run);
+        Ok(mailbox)
+    }
+
+    /// Finds a service's mailbox by its name and the type of its messages.
+    pub fn find<M: Send + 'static>(&self, name: &str) -> Option<Mailbox<M>> {
+        self.registry()
+            .get(name)?
+            .mailbox
+            .downcast_ref::<Mailbox<M>>()
+            .cloned()
+    }
+
+    /// Returns every service's state by name.
+    pub async fn dump(&self) -> IndexMap<&'static str, Value> {
+        let dumps: Vec<(&'static str, DumpFn)> = self
+            .registry()
+            .iter()
+            .map(|(name, registration)| (*name, Arc::clone(&registration.dump)))
+            .collect();
+        let mut states = IndexMap::new();
+        for (name, dump) in dumps {
+            states.insert(name, dump().await);
+        }
+        states
+    }
+
+    /// Returns whether the control thread still runs.
+    pub fn is_running(&self) -> bool {
+        let thread = self.state.thread.lock();
+        thread.is_ok_and(|thread| thread.as_ref().is_some_and(|handle| !handle.is_finished()))
+    }
+
+    fn registry(&self) -> std::sync::MutexGuard<'_, IndexMap<&'static str, Registration>> {
+        self.state
+            .registry
+            .lock()
+            .unwrap_or_else(std::sync::PoisonError::into_inner)
+    }
+}
+
+async fn run_mounts(mut mounts: mpsc::UnboundedReceiver<MountFn>) {
+    let local = LocalSet::new();
+    local
+        .run_until(async move {
+            while let Some(mount) = mounts.recv().await {
+                mount();
+            }
+        })
+        .await;
+}
+
+async fn run_service<S: Service>(
+    mut service: S,
+    mut receiver: mpsc::Receiver<Envelope<S::Message>>,
+    link: ServiceLink<S::Message>,
+) {
+    service.start(&link);
+    while let Some(envelope) = receiver.recv().await {
+        match envelope {
+            Envelope::Message(message) => service.handle(message, &link),
+            Envelope::Dump(reply) => {
+                let _ = reply.send(service.dump());
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/kernel/src/snapshot.rs
@@ -0,0 +1,51 @@
+//! Immutable state that the control thread publishes to the traffic threads.
+
+use std::sync::Arc;
+
+use arc_swap::{ArcSwap, Guard};
+
+/// A value that is replaced as a whole and read without locks.
+#[derive(Debug)]
+pub struct Snapshot<T> {
+    value: Arc<ArcSwap<T>>,
+}
+
+impl<T> Clone for Snapshot<T> {
+    fn clone(&self) -> Self {
+        Self {
+            value: Arc::clone(&self.value),
+        }
+    }
+}
+
+impl<T> Snapshot<T> {
+    /// Opens a snapshot with a first value.
+    ///
+    /// ```
+    /// use briarswitch_kernel::Snapshot;
+    ///
+    /// let snapshot = Snapshot::open(1);
+    /// snapshot.publish(2);
+    /// assert_eq!(**snapshot.read(), 2);
+    /// ```
+    pub fn open(value: T) -> Self {
+        Self {
+            value: Arc::new(ArcSwap::from_pointee(value)),
+        }
+    }
+
+    /// Replaces the value.
+    pub fn publish(&self, value: T) {
+        self.value.store(Arc::new(value));
+    }
+
+    /// Borrows the present value for a short while.
+    pub fn read(&self) -> Guard<Arc<T>> {
+        self.value.load()
+    }
+
+    /// Returns the present value to keep.
+    pub fn load(&self) -> Arc<T> {
+        self.value.load_full()
+    }
+}
--- /dev/null
+++ b/crates/model/src/lib.rs
@@ -0,0 +1,1 @@
+//! placeholder
--- /dev/null
+++ b/crates/node/src/answer.rs
@@ -0,0 +1,105 @@
+//! The listener for other nodes: answers exchanges from published state.
+
+use std::sync::Arc;
+
+use briarswitch_http::{read_body, reply_packed, reply_text, Handler, Request, Response};
+use briarswitch_kernel::BootClock;
+use briarswitch_wire::config::{EntryDoc, SnapshotDoc};
+use briarswitch_wire::peer::{ExchangeReply, ExchangeRequest, ViewDoc};
+use futures::future::BoxFuture;
+use http::StatusCode;
+
+use crate::auth::is_bearer;
+use crate::peers::EXCHANGE_PATH;
+use crate::shared::{ConfigView, NodeShared, Phase};
+
+/// Largest request of a peer, in bytes.
+const BODY_LIMIT: usize = 1 << 20;
+
+/// Answers other nodes.
+pub struct PeerSurface {
+    shared: Arc<NodeShared>,
+}
+
+impl PeerSurface {
+    /// Opens the surface.
+    pub fn open(shared: Arc<NodeShared>) -> Arc<Self> {
+        Arc::new(Self { shared })
+    }
+
+    fn answer(&self, request: ExchangeRequest) -> ExchangeReply {
+        let settings = &self.shared.settings;
+        let config = self.shared.config.load();
+        let (entries, snapshot) = missing_config(&config, request.config);
+        let views = self.shared.views.read();
+        let newer = views.values().filter(|view| {
+            let held = request.views.iter().find(|mark| mark.zone == view.zone);
+            held.is_none_or(|mark| (view.epoch, view.sequence) > (mark.epoch, mark.sequence))
+        });
+        let now = BootClock::now();
+        // A node of the same zone gathers its own evidence from each watcher; one of another zone
+        // asks only two nodes, so it is told what this node knows of the whole zone.
+        let evidence = if request.zone == settings.zone {
+            self.shared
+                .own_evidence
+                .read()
+                .answer(request.evidence, now)
+        } else {
+            self.shared
+                .zone_evidence
+                .read()
+                .answer(request.evidence, now)
+        };
+        ExchangeReply {
+            node: settings.node.clone(),
+            zone: settings.zone.clone(),
+            incarnation: self.shared.incarnation,
+            config: config.book.version(),
+            has_floor: config.floor.is_some(),
+            entries,
+            snapshot,
+            views: newer.map(ViewDoc::from).collect(),
+            evidence,
+            is_leaving: self.shared.phase() != Phase::Running,
+        }
+    }
+}
+
+/// Returns what an asker at `version` lacks: entries where they are still held, else everything.
+fn missing_config(config: &ConfigView, version: u64) -> (Vec<EntryDoc>, Option<SnapshotDoc>) {
+    if version >= config.book.version() {
+        return (Vec::new(), None);
+    }
+    let first = config.log.front().map(|entry| entry.version);
+    if first.is_none_or(|first| first > version + 1) {
+        return (Vec::new(), Some(SnapshotDoc::from(&config.book)));
+    }
+    let entries = config.log.iter().filter(|entry| entry.version > version);
+    (entries.cloned().collect(), None)
+}
+
+impl Handler for PeerSurface {
+    fn handle(&self, request: Request) -> BoxFuture<'_, Response> {
+        Box::pin(async move {
+            let (head, body) = request.into_parts();
+            if !is_bearer(&head.headers, &self.shared.settings.peer_token) {
+                return reply_text(StatusCode::UNAUTHORIZED, "unknown credential");
+            }
+            if head.uri.path() != EXCHANGE_PATH {
+                return reply_text(StatusCode::NOT_FOUND, "no such path");
+            }
+            let Ok(bytes) = read_body(body, BODY_LIMIT).await else {
+                return reply_text(StatusCode::BAD_REQUEST, "unreadable body");
+            };
+            self.shared.metrics.add_peer_bytes(bytes.len());
+            match rmp_from(&bytes) {
+                Some(request) => reply_packed(StatusCode::OK, &self.answer(request)),
+                None => reply_text(StatusCode::BAD_REQUEST, "unreadable request"),
+            }
+        })
+    }
+}
+
+fn rmp_from(bytes: &[u8]) -> Option<ExchangeRequest> {
+    briarswitch_http::unpack(bytes).ok()
+}
--- /dev/null
+++ b/crates/node/src/cli.rs
@@ -0,0 +1,105 @@
+//! The daemon's command line.
+
+use std::fmt::Write as _;
+use std::fs;
+
+use briarswitch_core::prelude::*;
+use gumdrop::Options;
+
+use crate::fields::{FieldDefault, FIELDS};
+use crate::settings::{NodeSettings, SettingsLayers};
+
+/// Options of `briarswitch-node`.
+#[derive(Debug, Options)]
+pub struct NodeOptions {
+    /// Prints the usage.
+    #[options(help = "print this help")]
+    pub help: bool,
+    /// Prints the version.
+    #[options(help = "print the version")]
+    pub version: bool,
+    /// Settings files, later ones laid over earlier ones.
+    #[options(
+        help = "read settings from a JSON file; may be repeated",
+        meta = "FILE"
+    )]
+    pub settings: Vec<String>,
+    /// Checks a settings file and ends.
+    #[options(help = "only check a settings file", meta = "FILE")]
+    pub check: Option<String>,
+    /// Settings given on the command line.
+    #[options(help = "set one setting; may be repeated", meta = "PATH=VALUE")]
+    pub set: Vec<String>,
+    /// Prints every setting and ends.
+    #[options(no_short, help = "print every setting, its default and its meaning")]
+    pub list_settings: bool,
+}
+
+/// What the command line asks for.
+#[derive(Debug)]
+pub enum Startup {
+    /// Run a node.
+    Run(Box<NodeSettings>),
+    /// Print a text and end well.
+    Print(String),
+    /// Print findings and end badly.
+    Refuse(Vec<Finding>),
+}
+
+impl NodeOptions {
+    /// Reads the command line and the files it names.
+    pub fn startup(&self) -> Startup {
+        if self.help {
+            let usage = Self::usage();
+            return Startup::Print(format!("briarswitch-node [OPTIONS]\n\n{usage}"));
+        }
+        if self.version {
+            return Startup::Print(format!("briarswitch-node {}", env!("CARGO_PKG_VERSION")));
+        }
+        if self.list_settings {
+            return Startup::Print(settings_table());
+        }
+        let is_check = self.check.is_some();
+        match self.load() {
+            Ok(_) if is_check => Startup::Print("settings are valid".to_owned()),
+            Ok(settings) => Startup::Run(Box::new(settings)),
+            Err(findings) => Startup::Refuse(findings),
+        }
+    }
+
+    fn load(&self) -> Result<NodeSettings, Vec<Finding>> {
+        let mut layers = SettingsLayers::open();
+        let mut unread = Vec::new();
+        for name in self.settings.iter().chain(&self.check) {
+            match fs::read_to_string(name) {
+                Ok(text) => layers.add_file(name, &text),
+                Err(error) => unread.push(Finding::new(name, format!("can not be read: {error}"))),
+            }
+        }
+        for flag in &self.set {
+            layers.add_flag(flag);
+        }
+        match layers.build() {
+            Ok(settings) if unread.is_empty() => Ok(settings),
+            Ok(_) => Err(unread),
+            Err(findings) => Err(unread.into_iter().chain(findings).collect()),
+        }
+    }
+}
+
+fn settings_table() -> String {
+    let mut table = String::new();
+    for field in FIELDS {
+        let default = match field.default {
+            FieldDefault::Text(text) => text.to_owned(),
+            FieldDefault::Number(number) => number.to_string(),
+        };
+        let accepted = field.kind.accepted();
+        let _ = writeln!(
+            table,
+            "{:<36} {:<24} {} ({accepted})",
+            field.path, default, field.meaning
+        );
+    }
+    table
+}
--- /dev/null
+++ b/crates/node/src/controller.rs
@@ -0,0 +1,724 @@
+//! The service that holds the zone's lease, plans its groups and orders its engines.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use briarswitch_core::lease::{LeaseAnswer, LeaseWrite};
+use briarswitch_core::planner::VmFacts;
+use briarswitch_core::prelude::*;
+use briarswitch_http::{CallError, CallerClient, Codec};
+use briarswitch_kernel::{Service, ServiceLink};
+use briarswitch_platform::{StoreError, TransactBuilder};
+use briarswitch_wire::engine::{OrderDoc, ReportDoc};
+use briarswitch_wire::platform::{EpochDoc, LeaseDoc, ReadReply, ReadRequest, TransactReply};
+use http::Method;
+use indexmap::{IndexMap, IndexSet};
+use serde_json::{json, Value};
+use tokio::sync::oneshot;
+
+use crate::config::row_value;
+use crate::keys::{epoch_key, group_prefix, lease_key, vm_prefix};
+use crate::orders::orders_due;
+use crate::reign::{ControllerReign, RowChange, RowChanges};
+use crate::shared::{ControlView, FleetView, NodeShared};
+use crate::watch::{WatchMessage, WATCH_SERVICE};
+
+/// Name of the service.
+pub const CONTROLLER_SERVICE: &str = "controller";
+/// Steps of a plan carried out in one transaction.
+const STEPS_PER_WRITE: usize = 8;
+/// Reads of the lease row by a challenger in the time of one lease.
+const READS_PER_LEASE: u32 = 6;
+/// Loads assumed possible when the planner is only asked what it would do.
+const UNLIMITED_LOADS: usize = usize::MAX;
+
+/// What the service is sent.
+#[derive(Debug)]
+pub enum ControllerMessage {
+    /// Time for the next round.
+    Tick,
+    /// What was read of the lease.
+    LeaseRead(Result<ReadReply, StoreError>),
+    /// What became of a write of the lease.
+    LeaseWritten(Result<TransactReply, StoreError>),
+    /// The zone's rows.
+    Loaded {
+        /// Epoch they were read for.
+        epoch: Epoch,
+        /// Rows.
+        rows: Result<ReadReply, StoreError>,
+    },
+    /// Loads that may begin.
+    Permitted(usize),
+    /// What became of a change.
+    Changed {
+        /// Epoch it was made in.
+        epoch: Epoch,
+        /// Rows changed.
+        changes: RowChanges,
+        /// What the table said.
+        result: Result<TransactReply, StoreError>,
+    },
+    /// What an engine said to an order.
+    Ordered {
+        /// Machine.
+        vm: VmId,
+        /// Its report after the order.
+        result: Result<ReportDoc, CallError>,
+    },
+    /// The process ends: give the lease up.
+    Release(oneshot::Sender<()>),
+}
+
+/// Controls one zone while it holds the lease.
+pub struct ZoneController {
+    shared: Arc<NodeShared>,
+    client: CallerClient,
+    keeper: LeaseKeeper,
+    planner: GroupPlanner,
+    reign: Option<ControllerReign>,
+    is_lease_busy: bool,
+    is_table_busy: bool,
+    is_loading: bool,
+    is_leaving: bool,
+    last_read: Moment,
+    writes: u64,
+    lost: IndexMap<VmId, Moment>,
+    ordering: IndexSet<VmId>,
+    downtime: Duration,
+    stranded: u32,
+    accounted: Option<Moment>,
+    plan: Vec<String>,
+}
+
+impl ZoneController {
+    /// Opens a controller that holds nothing.
+    pub fn open(shared: Arc<NodeShared>) -> Self {
+        let settings = &shared.settings;
+        let control = settings.control;
+        Self {
+            keeper: LeaseKeeper::open(settings.node.clone(), shared.incarnation, settings.lease),
+            planner: GroupPlanner::open(control.load_time, control.member_grace),
+            client: CallerClient::open(Codec::Json, None),
+            reign: None,
+            is_lease_busy: false,
+            is_table_busy: false,
+            is_loading: false,
+            is_leaving: false,
+            last_read: Moment::ZERO,
+            writes: 0,
+            lost: IndexMap::new(),
+            ordering: IndexSet::new(),
+            downtime: Duration::ZERO,
+            stranded: 0,
+            accounted: None,
+            plan: Vec::new(),
+            shared,
+        }
+    }
+
+    fn tick(&mut self, link: &ServiceLink<ControllerMessage>) {
+        let now = link.now();
+        self.tend_lease(now, link);
+        self.tend_reign(now, link);
+        if self.is_reigning(now) {
+            self.account(now);
+            self.send_orders(now, link);
+            self.advance(now, link);
+        } else {
+            self.accounted = None;
+        }
+        self.publish(now);
+    }
+
+    fn zone(&self) -> &str {
+        &self.shared.settings.zone
+    }
+
+    /// Returns whether this node holds the lease now and knows the zone's rows.
+    fn is_reigning(&self, now: Moment) -> bool {
+        let held = self.keeper.epoch(now);
+        held.is_some() && self.reign.as_ref().map(|reign| reign.epoch) == held
+    }
+
+    fn tend_lease(&mut self, now: Moment, link: &ServiceLink<ControllerMessage>) {
+        if self.is_lease_busy || self.is_leaving {
+            return;
+        }
+        self.writes += 1;
+        let settings = &self.shared.settings;
+        let write = format!(
+            "{}-{}-{}",
+            settings.node, self.shared.incarnation, self.writes
+        );
+        if let Some(proposal) = self.keeper.propose(write, now) {
+            self.write_lease(&proposal, link);
+            return;
+        }
+        let pause = settings.lease.duration / READS_PER_LEASE;
+        let is_due = self.keeper.epoch(now).is_none() && now >= self.last_read + pause;
+        if is_due || self.keeper.is_unsettled() {
+            self.read_lease(now, link);
+        }
+    }
+
+    fn read_lease(&mut self, now: Moment, link: &ServiceLink<ControllerMessage>) {
+        self.is_lease_busy = true;
+        self.last_read = now;
+        let shared = Arc::clone(&self.shared);
+        let key = lease_key(self.zone());
+        link.spawn(async move {
+            let request = ReadRequest {
+                keys: vec![key],
+                prefixes: Vec::new(),
+            };
+            ControllerMessage::LeaseRead(shared.platform.table.read(request).await)
+        });
+    }
+
+    fn write_lease(&mut self, write: &LeaseWrite, link: &ServiceLink<ControllerMessage>) {
+        self.is_lease_busy = true;
+        let request = self.lease_transaction(write);
+        let shared = Arc::clone(&self.shared);
+        link.spawn(async move {
+            ControllerMessage::LeaseWritten(shared.platform.table.transact(request).await)
+        });
+    }
+
+    fn lease_transaction(&self, write: &LeaseWrite) -> briarswitch_wire::platform::TransactRequest {
+        let key = lease_key(self.zone());
+        let mut builder = TransactBuilder::default()
+            .check(&key, write.expected)
+            .put(key, &LeaseDoc::from(write.record.clone()));
+        if write.takes_over {
+            let doc = EpochDoc {
+                epoch: write.record.epoch,
+                holder: write.record.holder.clone(),
+            };
+            builder = builder.put(epoch_key(self.zone()), &doc);
+        }
+        builder.build()
+    }
+
+    fn take_lease_read(&mut self, reply: &ReadReply, now: Moment) {
+        let row = reply.rows.first();
+        let record = row
+            .and_then(|row| row_value::<LeaseDoc>(&row.value))
+            .map(LeaseRecord::from);
+        let version = row.map_or(0, |row| row.version);
+        self.keeper.observe(record, version, now);
+    }
+
+    fn take_lease_written(&mut self, result: Result<TransactReply, StoreError>, now: Moment) {
+        let answer = match result {
+            Ok(TransactReply::Committed { versions }) => {
+                LeaseAnswer::Written(versions.first().copied().unwrap_or_default())
+            }
+            Ok(TransactReply::Conflict { .. }) => LeaseAnswer::Conflict,
+            Err(_) => LeaseAnswer::Lost,
+        };
+        self.keeper.answer(answer, now);
+    }
+
+    /// Begins a reign when the lease was won, and ends it when the lease is over.
+    fn tend_reign(&mut self, now: Moment, link: &ServiceLink<ControllerMessage>) {
+        let held = self.keeper.epoch(now);
+        let reigned = self.reign.as_ref().map(|reign| reign.epoch);
+        if reigned.is_some() && reigned != held {
+            log::warn!(epoch = reigned; "lease_lost");
+            self.end_reign();
+        }
+        let Some(epoch) = held else {
+            return;
+        };
+        if self.reign.is_none() && !self.is_loading {
+            self.is_loading = true;
+            self.load(epoch, link);
+        }
+    }
+
+    fn end_reign(&mut self) {
+        self.reign = None;
+        self.lost.clear();
+        self.plan.clear();
+    }
+
+    fn load(&self, epoch: Epoch, link: &ServiceLink<ControllerMessage>) {
+        let shared = Arc::clone(&self.shared);
+        let zone = self.zone().to_owned();
+        link.spawn(async move {
+            let request = ReadRequest {
+                keys: vec![epoch_key(&zone)],
+                prefixes: vec![group_prefix(&zone), vm_prefix(&zone)],
+            };
+            let rows = shared.platform.table.read(request).await;
+            ControllerMessage::Loaded { epoch, rows }
+        });
+    }
+
+    fn take_loaded(
+        &mut self,
+        epoch: Epoch,
+        rows: Result<ReadReply, StoreError>,
+        link: &ServiceLink<ControllerMessage>,
+    ) {
+        self.is_loading = false;
+        let now = link.now();
+        let Ok(rows) = rows else {
+            return;
+        };
+        if self.keeper.epoch(now) != Some(epoch) {
+            return;
+        }
+        let orders_from = now + self.order_wait();
+        self.reign = ControllerReign::open(self.zone(), epoch, &rows, orders_from);
+        if let Some(reign) = &self.reign {
+            log::info!(epoch = epoch, groups = reign.groups.len(); "lease_won");
+        }
+        self.spread_view(link);
+    }
+
+    /// Returns how long a new holder waits before its first order.
+    ///
+    /// Engines that ignore fencing numbers would take an order that the last holder sent just
+    /// before its lease ended, so that one has to have arrived or died first. Where every engine
+    /// checks, nothing needs waiting for.
+    fn order_wait(&self) -> Duration {
+        let config = self.shared.config.read();
+        let all_check = config.book.deployments().values().all(|deployment| {
+            matches!(
+                deployment.kind,
+                DeploymentKind::Service
+                    | DeploymentKind::Model {
+                        checks_fencing: true,
+                        ..
+                    }
+            )
+        });
+        let control = self.shared.settings.control;
+        if all_check {
+            Duration::ZERO
+        } else {
+            control.order_deadline + control.transport_bound
+        }
+    }
+
+    fn spread_view(&self, link: &ServiceLink<ControllerMessage>) {
+        let Some(reign) = &self.reign else {
+            return;
+        };
+        if let Some(watch) = link.kernel().find(WATCH_SERVICE) {
+            let _ = watch.post(WatchMessage::View(reign.view()));
+        }
+    }
+
+    /// Returns the zone's fleet as the planner sees it, and learns from who came back.
+    fn fleet(&mut self, now: Moment, load_budget: usize) -> FleetState {
+        let view = self.shared.fleet.load();
+        let ttl = self.shared.settings.gate.evidence_ttl;
+        let Some(reign) = self.reign.take() else {
+            return FleetState::default();
+        };
+        let mut vms = IndexMap::new();
+        for vm in view.vms.values() {
+            let report = fresh_report(&view, &vm.id, now, ttl);
+            // A claim of an earlier life says nothing of the machine that took its name.
+            let claim = reign.claims.get(&vm.id).map(|row| &row.value);
+            let claimed = claim
+                .filter(|claim| claim.incarnation == vm.incarnation)
+                .map(|claim| claim.group.clone());
+            if claimed.is_some() {
+                self.note_presence(&vm.id, report.is_some(), now);
+            }
+            let facts = VmFacts {
+                vm: vm.clone(),
+                claimed,
+                report,
+                lost_since: self.lost.get(&vm.id).copied(),
+            };
+            vms.insert(vm.id.clone(), facts);
+        }
+        let config = self.shared.config.load();
+        let groups = reign.records();
+        self.reign = Some(reign);
+        FleetState {
+            vms,
+            groups,
+            deployments: config.book.deployments().clone(),
+            load_budget,
+        }
+    }
+
+    fn note_presence(&mut self, vm: &VmId, is_seen: bool, now: Moment) {
+        if !is_seen {
+            self.lost.entry(vm.clone()).or_insert(now);
+            return;
+        }
+        if let Some(since) = self.lost.swap_remove(vm) {
+            self.planner.history.returned(now.saturating_sub(since));
+        }
+    }
+
+    /// Takes the next change: groups that are complete or empty first, then the plan.
+    fn advance(&mut self, now: Moment, link: &ServiceLink<ControllerMessage>) {
+        let is_listed = self.shared.fleet.read().is_listed;
+        if self.is_table_busy || !is_listed {
+            return;
+        }
+        let fleet = self.fleet(now, UNLIMITED_LOADS);
+        let finished = self.finished(&fleet);
+        if !finished.rows.is_empty() {
+            self.change(finished, link);
+            return;
+        }
+        let steps = self.planner.plan(&fleet, now);
+        self.plan = steps.iter().map(describe_step).collect();
+        if steps.is_empty() {
+            return;
+        }
+        let loads = steps.iter().map(loads_of).sum::<usize>();
+        self.is_table_busy = true;
+        let shared = Arc::clone(&self.shared);
+        link.spawn(async move {
+            let granted = match loads {
+                0 => 0,
+                _ => shared.platform.weights.permit(loads).await.unwrap_or(0),
+            };
+            ControllerMessage::Permitted(granted)
+        });
+    }
+
+    /// Plans again within the loads granted, and writes the first steps.
+    fn take_permit(&mut self, granted: usize, link: &ServiceLink<ControllerMessage>) {
+        self.is_table_busy = false;
+        let now = link.now();
+        if !self.is_reigning(now) {
+            return;
+        }
+        let fleet = self.fleet(now, granted);
+        let steps = self.planner.plan(&fleet, now);
+        let mut changes = RowChanges::default();
+        let Some(reign) = self.reign.as_mut() else {
+            return;
+        };
+        for step in steps.iter().take(STEPS_PER_WRITE) {
+            log::info!(epoch = reign.epoch, step = describe_step(step).as_str(); "plan_step");
+            reign.add_step(step, &mut changes);
+        }
+        if !changes.rows.is_empty() {
+            self.change(changes, link);
+        }
+    }
+
+    /// Returns the changes that reports have made due: groups that became whole, and machines of
+    /// dissolved groups that reported that they left, or that were replaced.
+    fn finished(&self, fleet: &FleetState) -> RowChanges {
+        let mut changes = RowChanges::default();
+        for group in fleet.groups.values() {
+            match group.state {
+                GroupState::Forming if is_confirmed(group, fleet) => {
+                    let mut group = group.clone();
+                    group.state = GroupState::Serving;
+                    changes.rows.push(RowChange::Group(group));
+                }
+                GroupState::Dissolving => self.release_members(group, fleet, &mut changes),
+                _ => {}
+            }
+        }
+        changes
+    }
+
+    fn release_members(&self, group: &GroupRecord, fleet: &FleetState, changes: &mut RowChanges) {
+        let Some(reign) = &self.reign else {
+            return;
+        };
+        let held: Vec<_> = group
+            .members
+            .iter()
+            .filter(|member| {
+                let claim = reign.claims.get(&member.vm);
+                claim.is_some_and(|row| row.value.group == group.id)
+            })
+            .collect();
+        let (left, stays): (Vec<_>, Vec<_>) = held
+            .into_iter()
+            .partition(|member| has_left(fleet.vms.get(&member.vm), member.incarnation));
+        for member in left {
+            changes.rows.push(RowChange::DropClaim(member.vm.clone()));
+        }
+        if stays.is_empty() {
+            changes.rows.push(RowChange::DropGroup(group.id.clone()));
+        }
+    }
+
+    fn change(&mut self, changes: RowChanges, link: &ServiceLink<ControllerMessage>) {
+        let Some(reign) = &self.reign else {
+            return;
+        };
+        self.is_table_busy = true;
+        let request = reign.transaction(&changes);
+        let epoch = reign.epoch;
+        let shared = Arc::clone(&self.shared);
+        link.spawn(async move {
+            let result = shared.platform.table.transact(request).await;
+            ControllerMessage::Changed {
+                epoch,
+                changes,
+                result,
+            }
+        });
+    }
+
+    fn take_changed(
+        &mut self,
+        epoch: Epoch,
+        changes: RowChanges,
+        result: Result<TransactReply, StoreError>,
+        link: &ServiceLink<ControllerMessage>,
+    ) {
+        self.is_table_busy = false;
+        let Some(reign) = self.reign.as_mut().filter(|reign| reign.epoch == epoch) else {
+            return;
+        };
+        match result {
+            Ok(TransactReply::Committed { versions }) => {
+                reign.apply(changes, &versions);
+                self.spread_view(link);
+            }
+            // The rows are not what this reign believed, or nobody can say: they are read anew
+            // before anything else is changed or ordered.
+            Ok(TransactReply::Conflict { .. }) | Err(_) => {
+                log::warn!(epoch = epoch; "change_unsettled");
+                self.reign = None;
+            }
+        }
+    }
+
+    fn send_orders(&mut self, now: Moment, link: &ServiceLink<ControllerMessage>) {
+        let view = self.shared.fleet.load();
+        let ttl = self.shared.settings.gate.evidence_ttl;
+        let deadline = self.shared.settings.control.order_deadline;
+        let Some(reign) = self.reign.as_mut() else {
+            return;
+        };
+        if now < reign.orders_from {
+            return;
+        }
+        let reports = |vm: &str| fresh_report(&view, vm, now, ttl);
+        for order in orders_due(reign, &view, &reports) {
+            if !self.ordering.insert(order.vm.clone()) {
+                continue;
+            }
+            let doc = OrderDoc {
+                fence: reign.next_fence(),
+                action: order.action,
+            };
+            log::info!(vm = order.vm.as_str(), fence = doc.fence, order = order.reason; "order_sent");
+            let client = self.client.clone();
+            link.spawn(async move {
+                let url = format!("http://{}/order", order.address);
+                let result = client.call(Method::POST, &url, Some(&doc), deadline).await;
+                ControllerMessage::Ordered {
+                    vm: order.vm,
+                    result,
+                }
+            });
+        }
+    }
+
+    /// Adds up the two measures the users weigh.
+    fn account(&mut self, now: Moment) {
+        let routes = self.shared.routes.read();
+        let config = self.shared.config.load();
+        let elapsed = self.accounted.map_or(Duration::ZERO, |at| now - at);
+        self.accounted = Some(now);
+        let Some(reign) = &self.reign else {
+            return;
+        };
+        let mut working: IndexSet<&VmId> = IndexSet::new();
+        let mut serving: IndexMap<&DeploymentId, u32> = IndexMap::new();
+        for row in reign.groups.values() {
+            let group = &row.value;
+            if routes.is_routable(&group.id, now) {
+                *serving.entry(&group.deployment).or_default() += 1;
+                working.extend(group.members.iter().map(|member| &member.vm));
+            }
+        }
+        let mut pools: IndexSet<&PoolId> = IndexSet::new();
+        for deployment in config.book.deployments().values() {
+            let DeploymentKind::Model {
+                replicas_per_zone, ..
+            } = deployment.kind
+            else {
+                continue;
+            };
+            pools.insert(&deployment.pool);
+            let standing = serving.get(&deployment.id).copied().unwrap_or(0);
+            self.downtime += elapsed * replicas_per_zone.saturating_sub(standing);
+        }
+        let fleet = self.shared.fleet.read();
+        self.stranded = fleet
+            .vms
+            .values()
+            .filter(|vm| pools.contains(&vm.pool) && !working.contains(&vm.id))
+            .map(|vm| vm.accelerators)
+            .sum();
+        self.shared.metrics.set_fleet(self.stranded, self.downtime);
+    }
+
+    fn publish(&self, now: Moment) {
+        let epoch = self.keeper.epoch(now);
+        let record = self.keeper.record().cloned();
+        let seen = record.as_ref().map_or(0, |record| record.epoch);
+        self.shared.metrics.set_lease(seen, epoch.is_some());
+        self.shared.control.publish(ControlView {
+            record,
+            epoch: epoch.filter(|_| self.reign.is_some()),
+            stranded: self.stranded,
+            downtime: self.downtime,
+            plan: self.plan.clone(),
+        });
+    }
+
+    fn release(&mut self, reply: oneshot::Sender<()>, link: &ServiceLink<ControllerMessage>) {
+        self.is_leaving = true;
+        self.end_reign();
+        let write = format!("{}-{}-release", self.zone(), self.shared.incarnation);
+        let Some(write) = self.keeper.release(write, link.now()) else {
+            let _ = reply.send(());
+            return;
+        };
+        let request = self.lease_transaction(&write);
+        let shared = Arc::clone(&self.shared);
+        link.spawn(async move {
+            let result = shared.platform.table.transact(request).await;
+            let _ = reply.send(());
+            ControllerMessage::LeaseWritten(result)
+        });
+    }
+}
+
+impl Service for ZoneController {
+    type Message = ControllerMessage;
+
+    fn name(&self) -> &'static str {
+        CONTROLLER_SERVICE
+    }
+
+    fn start(&mut self, link: &ServiceLink<ControllerMessage>) {
+        link.later(Duration::ZERO, ControllerMessage::Tick);
+    }
+
+    fn handle(&mut self, message: ControllerMessage, link: &ServiceLink<ControllerMessage>) {
+        match message {
+            ControllerMessage::Tick => {
+                self.tick(link);
+                let interval = self.shared.settings.control.plan_interval;
+                link.later(interval, ControllerMessage::Tick);
+            }
+            ControllerMessage::LeaseRead(result) => {
+                self.is_lease_busy = false;
+                if let Ok(reply) = result {
+                    self.take_lease_read(&reply, link.now());
+                }
+            }
+            ControllerMessage::LeaseWritten(result) => {
+                self.is_lease_busy = false;
+                self.take_lease_written(result, link.now());
+            }
+            ControllerMessage::Loaded { epoch, rows } => self.take_loaded(epoch, rows, link),
+            ControllerMessage::Permitted(granted) => self.take_permit(granted, link),
+            ControllerMessage::Changed {
+                epoch,
+                changes,
+                result,
+            } => self.take_changed(epoch, changes, result, link),
+            ControllerMessage::Ordered { vm, result } => {
+                self.ordering.swap_remove(&vm);
+                if let Err(error) = result {
+                    log::warn!(vm = vm.as_str(), error:% = error; "order_failed");
+                }
+            }
+            ControllerMessage::Release(reply) => self.release(reply, link),
+        }
+    }
+
+    fn dump(&self) -> Value {
+        let now = briarswitch_kernel::BootClock::now();
+        let record = self.keeper.record();
+        json!({
+            "holder": record.map(|record| &record.holder),
+            "epoch": record.map(|record| record.epoch),
+            "held_epoch": self.keeper.epoch(now),
+            "lease_remaining_ms": self.keeper.remaining(now).as_millis(),
+            "groups": self.reign.as_ref().map_or(0, |reign| reign.groups.len()),
+            "claimed_vms": self.reign.as_ref().map_or(0, |reign| reign.claims.len()),
+            "plan": self.plan,
+            "group_downtime_s": self.downtime.as_secs_f64(),
+            "stranded_accelerators": self.stranded,
+        })
+    }
+}
+
+fn fresh_report(view: &FleetView, vm: &str, now: Moment, ttl: Duration) -> Option<MemberReport> {
+    let (report, asked) = view.reports.get(vm)?;
+    (now < *asked + ttl).then(|| report.clone())
+}
+
+fn is_confirmed(group: &GroupRecord, fleet: &FleetState) -> bool {
+    group.members.iter().all(|member| {
+        let report = fleet
+            .vms
+            .get(&member.vm)
+            .and_then(|facts| facts.report.as_ref());
+        report.is_some_and(|report| report.confirms(group))
+    })
+}
+
+/// Returns whether a machine has left its group by its own word, or lives no more.
+fn has_left(facts: Option<&VmFacts>, incarnation: Incarnation) -> bool {
+    let Some(facts) = facts else {
+        return true;
+    };
+    let is_replaced = facts.vm.incarnation != incarnation;
+    let is_idle = facts.report.as_ref().is_some_and(|report| {
+        report.state == MemberState::Idle && report.incarnation == incarnation
+    });
+    is_replaced || is_idle
+}
+
+fn loads_of(step: &PlanStep) -> usize {
+    match step {
+        PlanStep::Form { members, .. } | PlanStep::Mend { members, .. } => members.len(),
+        PlanStep::Dissolve { .. } => 0,
+    }
+}
+
+/// Returns a step as operators read it.
+fn describe_step(step: &PlanStep) -> String {
+    let names = |members: &[briarswitch_core::group::GroupMember]| {
+        let names: Vec<&str> = members.iter().map(|member| member.vm.as_str()).collect();
+        names.join(",")
+    };
+    match step {
+        PlanStep::Form {
+            deployment,
+            members,
+            spans_domains,
+            reason,
+        } => {
+            let spans = if *spans_domains {
+                " across fabric domains"
+            } else {
+                ""
+            };
+            format!("form {deployment} from {}{spans}: {reason}", names(members))
+        }
+        PlanStep::Mend {
+            group,
+            members,
+            reason,
+        } => format!("mend {group} with {}: {reason}", names(members)),
+        PlanStep::Dissolve { group, reason } => format!("dissolve {group}: {reason}"),
+    }
+}
--- /dev/null
+++ b/crates/node/src/dispatch.rs
@@ -0,0 +1,480 @@
+//! Takes an identified request through admission, attempts and settlement.
+
+use std::collections::HashMap;
+use std::sync::{Arc, Mutex, PoisonError, RwLock};
+
+use briarswitch_core::limit::RateShare;
+use briarswitch_core::prelude::*;
+use briarswitch_http::{stream_body, Response};
+use briarswitch_kernel::BootClock;
+use briarswitch_wire::caller::OUTCOME_HEADER;
+use bytes::Bytes;
+use http::header::{CONTENT_LENGTH, CONTENT_TYPE};
+use http::{HeaderValue, StatusCode};
+use serde::Deserialize;
+
+use crate::attempt::{read_whole, AttemptReply, AttemptRunner, TargetAsk};
+use crate::claims::{outcome_of, ClaimVerdict, ClaimWriter};
+use crate::flight::FlightGuard;
+use crate::gate::{AdmitAsk, DeploymentGate, TargetPermit};
+use crate::keys::claim_key;
+use crate::metrics::RequestLabels;
+use crate::relay::StreamRelay;
+use crate::reply::{mark_reply, set_header, CallerFailure};
+use crate::routes::TargetId;
+use crate::shared::NodeShared;
+
+/// Time a key that settled is remembered.
+const KEY_MEMORY: std::time::Duration = std::time::Duration::from_secs(3600);
+
+/// A request that was identified and matched by a rule.
+pub struct MatchedRequest {
+    /// What admission needs.
+    pub admit: AdmitAsk,
+    /// What targets are sent.
+    pub ask: TargetAsk,
+    /// Caller's idempotency key.
+    pub key: Option<String>,
+    /// Whether the answer is a stream of events.
+    pub is_stream: bool,
+    /// Request id.
+    pub request: RequestId,
+    /// Counts the request as in flight until its answer is over.
+    pub flight: FlightGuard,
+}
+
+/// What is counted of a request when it ends.
+pub struct RequestTrace {
+    shared: Arc<NodeShared>,
+    /// Request id.
+    pub request: RequestId,
+    organisation: OrganisationId,
+    deployment: DeploymentId,
+    started: Moment,
+    /// Tokens delivered so far.
+    pub tokens: u64,
+    target: String,
+    attempts: u32,
+    settled: Option<Outcome>,
+    key: Option<OpenKey>,
+    _flight: FlightGuard,
+}
+
+/// A key claimed for a request that is still going on.
+struct OpenKey {
+    book: Arc<Mutex<ClaimBook>>,
+    key: String,
+}
+
+/// Carries requests out.
+pub struct RequestDispatcher {
+    shared: Arc<NodeShared>,
+    runner: AttemptRunner,
+    claims: ClaimWriter,
+    keys: Arc<Mutex<ClaimBook>>,
+    budget: Mutex<RetryBudget>,
+    gates: RwLock<HashMap<DeploymentId, Arc<DeploymentGate>>>,
+    rates: Mutex<HashMap<OrganisationId, (u32, RateShare)>>,
+}
+
+/// Tokens that an answer reports.
+#[derive(Deserialize)]
+struct UsageProbe {
+    usage: Option<UsageTokens>,
+}
+
+#[derive(Deserialize)]
+struct UsageTokens {
+    #[serde(default)]
+    completion_tokens: u64,
+}
+
+impl RequestDispatcher {
+    /// Opens a dispatcher.
+    pub fn open(shared: Arc<NodeShared>, runner: AttemptRunner, claims: ClaimWriter) -> Arc<Self> {
+        let settings = shared.settings.requests;
+        Arc::new(Self {
+            runner,
+            claims,
+            keys: Arc::new(Mutex::new(ClaimBook::open(settings.keys, KEY_MEMORY))),
+            budget: Mutex::new(RetryBudget::open(
+                settings.retry_permille,
+                settings.retry_burst,
+            )),
+            gates: RwLock::default(),
+            rates: Mutex::default(),
+            shared,
+        })
+    }
+
+    /// Returns the node's state.
+    pub fn shared(&self) -> &Arc<NodeShared> {
+        &self.shared
+    }
+
+    /// Returns what sends attempts.
+    pub fn runner(&self) -> &AttemptRunner {
+        &self.runner
+    }
+
+    /// Returns each deployment's queue length and requests in flight.
+    pub fn loads(&self) -> Vec<(DeploymentId, usize, u32)> {
+        let gates = self.gates.read().unwrap_or_else(PoisonError::into_inner);
+        let loads = gates.iter().map(|(id, gate)| {
+            let (queued, in_flight) = gate.load();
+            (id.clone(), queued, in_flight)
+        });
+        loads.collect()
+    }
+
+    /// Carries a request out and builds its reply.
+    pub async fn run(self: &Arc<Self>, matched: MatchedRequest) -> Response {
+        let trace = RequestTrace {
+            shared: Arc::clone(&self.shared),
+            request: matched.request.clone(),
+            organisation: matched.admit.organisation.clone(),
+            deployment: matched.admit.deployment.clone(),
+            started: BootClock::now(),
+            tokens: 0,
+            target: String::new(),
+            attempts: 0,
+            settled: None,
+            key: None,
+            _flight: matched.flight.clone(),
+        };
+        let request = matched.request.clone();
+        let result = self.run_limited(matched, trace).await;
+        let node = &self.shared.settings.node;
+        match result {
+            Ok(reply) => reply,
+            Err(failure) => {
+                let mut reply = failure.reply();
+                mark_reply(&mut reply, &request, node, "");
+                reply
+            }
+        }
+    }
+
+    async fn run_limited(
+        self: &Arc<Self>,
+        matched: MatchedRequest,
+        mut trace: RequestTrace,
+    ) -> Result<Response, CallerFailure> {
+        if let Err(failure) = self.take_rate(&matched.admit.organisation) {
+            return Err(trace.fail(failure));
+        }
+        if let Some(key) = &matched.key {
+            let row = claim_key(&matched.admit.organisation, key);
+            if let Err(failure) = self.claim(&row, &mut trace).await {
+                return Err(trace.fail(failure));
+            }
+        }
+        self.attempt_all(matched, trace).await
+    }
+
+    fn take_rate(&self, organisation: &str) -> Result<(), CallerFailure> {
+        let config = self.shared.config.read();
+        let limit = config
+            .book
+            .organisations()
+            .get(organisation)
+            .and_then(|organisation| organisation.requests_per_second);
+        let Some(limit) = limit else {
+            return Ok(());
+        };
+        let now = BootClock::now();
+        let nodes = self.shared.settings.peers.len() + 1;
+        let mut rates = self.rates.lock().unwrap_or_else(PoisonError::into_inner);
+        let entry = rates
+            .entry(organisation.to_owned())
+            .or_insert_with(|| (limit, RateShare::open(limit, nodes, now)));
+        if entry.0 != limit {
+            *entry = (limit, RateShare::open(limit, nodes, now));
+        }
+        entry.1.take(now).map_err(|seconds| {
+            let failure = CallerFailure::refused(
+                StatusCode::TOO_MANY_REQUESTS,
+                "rate_limit",
+                "the organisation's request rate is used up",
+            );
+            failure.retry_after(std::time::Duration::from_secs_f64(seconds))
+        })
+    }
+
+    /// Claims a caller's key, so that work under it is begun at most once on all nodes.
+    async fn claim(&self, row: &str, trace: &mut RequestTrace) -> Result<(), CallerFailure> {
+        let now = BootClock::now();
+        let known = self.lock_keys().begin(row, now);
+        if let Some(state) = known {
+            return Err(claimed_failure(state));
+        }
+        match self.claims.claim(row.to_owned()).await {
+            ClaimVerdict::Won => {
+                trace.key = Some(OpenKey {
+                    book: Arc::clone(&self.keys),
+                    key: row.to_owned(),
+                });
+                Ok(())
+            }
+            ClaimVerdict::Taken => {
+                let mut keys = self.lock_keys();
+                keys.settle(row, Outcome::Unknown, now);
+                Err(CallerFailure::at(FailurePoint::KeyClaimed))
+            }
+            ClaimVerdict::Unsettled => {
+                self.lock_keys().forget(row);
+                let failure = CallerFailure::at(FailurePoint::ClaimStore);
+                Err(failure.retry_after(std::time::Duration::from_secs(1)))
+            }
+        }
+    }
+
+    fn lock_keys(&self) -> std::sync::MutexGuard<'_, ClaimBook> {
+        self.keys.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    fn gate(&self, deployment: &str) -> Arc<DeploymentGate> {
+        let gates = self.gates.read().unwrap_or_else(PoisonError::into_inner);
+        if let Some(gate) = gates.get(deployment) {
+            return Arc::clone(gate);
+        }
+        drop(gates);
+        let mut gates = self.gates.write().unwrap_or_else(PoisonError::into_inner);
+        let gate = gates
+            .entry(deployment.to_owned())
+            .or_insert_with(|| DeploymentGate::open(Arc::clone(&self.shared), deployment));
+        Arc::clone(gate)
+    }
+
+    async fn attempt_all(
+        self: &Arc<Self>,
+        matched: MatchedRequest,
+        mut trace: RequestTrace,
+    ) -> Result<Response, CallerFailure> {
+        let gate = self.gate(&matched.admit.deployment);
+        let mut tried: Vec<TargetId> = Vec::new();
+        let mut last: Option<FailurePoint> = None;
+        loop {
+            let permit = match gate.admit(&matched.admit, &tried).await {
+                Ok(permit) => permit,
+                Err(refusal) => {
+                    // Once an attempt may have run, running out of targets does not undo that.
+                    let point = worst(last, refusal.point);
+                    let failure = CallerFailure::at(point).retry_after(refusal.retry_after);
+                    return Err(self.end_failed(failure, trace).await);
+                }
+            };
+            let point = match self.attempt_once(&matched, permit, &mut trace).await {
+                Ok(AttemptEnd::Whole(reply)) => return Ok(reply),
+                Ok(AttemptEnd::Stream(start)) => return Ok(self.stream(matched, *start, trace)),
+                Err((point, target)) => {
+                    tried.push(target);
+                    point
+                }
+            };
+            let may_retry = point.allows_retry(matched.ask.is_repeatable);
+            let point = worst(last, point);
+            last = Some(point);
+            if !may_retry || !self.spend_retry(&trace) {
+                let failure = CallerFailure::at(point);
+                let failure = failure.retry_after(std::time::Duration::from_secs(1));
+                return Err(self.end_failed(failure, trace).await);
+            }
+        }
+    }
+
+    fn spend_retry(&self, trace: &RequestTrace) -> bool {
+        let is_left = self
+            .budget
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner)
+            .spend();
+        if is_left {
+            self.shared.metrics.count_retry(&trace.deployment);
+        }
+        is_left
+    }
+
+    async fn attempt_once(
+        &self,
+        matched: &MatchedRequest,
+        permit: TargetPermit,
+        trace: &mut RequestTrace,
+    ) -> Result<AttemptEnd, (FailurePoint, TargetId)> {
+        trace.attempts += 1;
+        trace.target.clone_from(&permit.target.label);
+        let attempt = format!("{}.{}", trace.request, trace.attempts);
+        let target = Arc::clone(&permit.target);
+        let failed = |point| (point, target.id.clone());
+        let reply = self
+            .runner
+            .begin(&matched.ask, &target, &attempt, None)
+            .await
+            .map_err(failed)?;
+        if matched.is_stream && reply.head.status == StatusCode::OK {
+            let start = StreamStart {
+                permit,
+                attempt,
+                reply,
+            };
+            return Ok(AttemptEnd::Stream(Box::new(start)));
+        }
+        let AttemptReply { head, body } = reply;
+        let bytes = read_whole(body, matched.ask.deadline)
+            .await
+            .map_err(failed)?;
+        trace.tokens = tokens_of(&bytes);
+        trace.settle(Outcome::Answered);
+        self.earn_retry();
+        Ok(AttemptEnd::Whole(self.whole(&head, bytes, trace)))
+    }
+
+    fn earn_retry(&self) {
+        self.budget
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner)
+            .earn();
+    }
+
+    fn whole(&self, head: &http::response::Parts, bytes: Bytes, trace: &RequestTrace) -> Response {
+        let length = HeaderValue::from(bytes.len() as u64);
+        let mut reply = Response::new(bytes.into());
+        *reply.status_mut() = head.status;
+        if let Some(kind) = head.headers.get(CONTENT_TYPE) {
+            reply.headers_mut().insert(CONTENT_TYPE, kind.clone());
+        }
+        reply.headers_mut().insert(CONTENT_LENGTH, length);
+        set_header(&mut reply, OUTCOME_HEADER, Outcome::Answered.name());
+        let node = &self.shared.settings.node;
+        mark_reply(&mut reply, &trace.request, node, &trace.target);
+        reply
+    }
+
+    fn stream(
+        self: &Arc<Self>,
+        matched: MatchedRequest,
+        start: StreamStart,
+        trace: RequestTrace,
+    ) -> Response {
+        self.earn_retry();
+        let (request, target) = (trace.request.clone(), trace.target.clone());
+        let kind = start.reply.head.headers.get(CONTENT_TYPE).cloned();
+        let relay = StreamRelay::spawn(
+            Arc::clone(self),
+            matched.ask,
+            start.permit,
+            start.attempt,
+            start.reply.body,
+            trace,
+        );
+        let mut reply = Response::new(stream_body(relay));
+        if let Some(kind) = kind {
+            reply.headers_mut().insert(CONTENT_TYPE, kind);
+        }
+        mark_reply(&mut reply, &request, &self.shared.settings.node, &target);
+        reply
+    }
+
+    /// Ends a request that failed; a key under which nothing ran is given back first.
+    async fn end_failed(&self, failure: CallerFailure, mut trace: RequestTrace) -> CallerFailure {
+        let key = trace.key.as_ref().map(|open| open.key.clone());
+        if let (Outcome::NotRun, Some(key)) = (failure.outcome(), key) {
+            self.claims.release(&key).await;
+            trace.key = None;
+            self.lock_keys().forget(&key);
+        }
+        trace.fail(failure)
+    }
+}
+
+enum AttemptEnd {
+    Whole(Response),
+    Stream(Box<StreamStart>),
+}
+
+struct StreamStart {
+    permit: TargetPermit,
+    attempt: AttemptId,
+    reply: AttemptReply,
+}
+
+impl RequestTrace {
+    /// Notes that the first token came.
+    pub fn note_first_token(&self, permit: &TargetPermit) {
+        let latency = BootClock::now().saturating_sub(self.started);
+        self.shared
+            .metrics
+            .record_first_token(&self.deployment, latency);
+        permit.note_latency(latency);
+    }
+
+    /// Counts the request with its outcome, once.
+    pub fn settle(&mut self, outcome: Outcome) {
+        if self.settled.is_some() {
+            return;
+        }
+        self.settled = Some(outcome);
+        let now = BootClock::now();
+        let latency = now.saturating_sub(self.started);
+        let labels = RequestLabels {
+            organisation: &self.organisation,
+            deployment: &self.deployment,
+            outcome,
+        };
+        self.shared.metrics.count_request(labels, latency);
+        if outcome == Outcome::Answered || self.tokens > 0 {
+            self.shared.usage.charge(&self.organisation, self.tokens);
+        }
+        if let Some(open) = self.key.take() {
+            let mut book = open.book.lock().unwrap_or_else(PoisonError::into_inner);
+            book.settle(&open.key, outcome, now);
+        }
+        log::info!(
+            request = self.request.as_str(),
+            organisation = self.organisation.as_str(),
+            deployment = self.deployment.as_str(),
+            target = self.target.as_str(),
+            outcome = outcome.name(),
+            attempts = self.attempts,
+            tokens = self.tokens,
+            ms = latency.as_millis() as u64;
+            "request_settled"
+        );
+    }
+
+    fn fail(&mut self, failure: CallerFailure) -> CallerFailure {
+        self.settle(failure.outcome());
+        failure
+    }
+}
+
+impl Drop for RequestTrace {
+    /// A caller that left before its answer was over leaves the outcome open.
+    fn drop(&mut self) {
+        self.settle(Outcome::Unknown);
+    }
+}
+
+fn claimed_failure(state: ClaimState) -> CallerFailure {
+    let mut failure = CallerFailure::at(FailurePoint::KeyClaimed);
+    if outcome_of(state) == Outcome::Answered {
+        failure.message =
+            "the idempotency key was used before; that request ran and was answered".to_owned();
+    }
+    failure
+}
+
+/// Returns the point to report after several failures: one that leaves the outcome open stays.
+fn worst(earlier: Option<FailurePoint>, later: FailurePoint) -> FailurePoint {
+    match earlier {
+        Some(point) if point.outcome() == Outcome::Unknown => point,
+        _ => later,
+    }
+}
+
+fn tokens_of(answer: &[u8]) -> u64 {
+    serde_json::from_slice::<UsageProbe>(answer)
+        .ok()
+        .and_then(|probe| probe.usage)
+        .map_or(0, |usage| usage.completion_tokens)
+}
--- /dev/null
+++ b/crates/node/src/editor.rs
@@ -0,0 +1,262 @@
+//! Edits of the configuration by conditional writes, and the settling of lost answers.
+
+use std::sync::Arc;
+
+use briarswitch_core::prelude::*;
+use briarswitch_platform::{StoreError, TransactBuilder};
+use briarswitch_wire::config::{EntryDoc, ValueDoc};
+use briarswitch_wire::operator::{EditReply, EditRequest, FindingDoc, SettleReply};
+use briarswitch_wire::platform::{HeadDoc, LogDoc, ReadReply, ReadRequest, RowDoc, TransactReply};
+use serde_json::Value;
+
+use crate::config::{head_of, read_whole, row_value};
+use crate::keys::{entity_key, log_key, log_prefix, void_key, HEAD_KEY};
+use crate::shared::NodeShared;
+
+/// Rows of the log kept in the table.
+const LOG_ROWS: u64 = 1024;
+/// Times an edit is tried again because unrelated edits came first.
+const EDIT_TRIES: usize = 64;
+
+/// Carries out operators' edits.
+pub struct ConfigEditor {
+    shared: Arc<NodeShared>,
+}
+
+/// Rows that decide an edit, read at one moment.
+struct EditGround {
+    head: ConfigVersion,
+    head_row: RowVersion,
+    entity: Option<EntryDoc>,
+    entity_row: RowVersion,
+    is_void: bool,
+}
+
+impl ConfigEditor {
+    /// Opens an editor.
+    pub fn open(shared: Arc<NodeShared>) -> Self {
+        Self { shared }
+    }
+
+    /// Carries out one edit and returns its entry too when it was accepted.
+    ///
+    /// An edit races others only for the head row; when an unrelated one comes first it is checked
+    /// against the configuration that results and tried again.
+    pub async fn edit(&self, request: EditRequest) -> (EditReply, Option<EntryDoc>) {
+        let mut sent: Vec<ConfigVersion> = Vec::new();
+        for _ in 0..EDIT_TRIES {
+            match self.try_edit(&request, &mut sent).await {
+                Ok(Some(answer)) => return answer,
+                Ok(None) => {}
+                Err(_) => break,
+            }
+        }
+        let write = request.write;
+        (EditReply::Unknown { write }, None)
+    }
+
+    async fn try_edit(
+        &self,
+        request: &EditRequest,
+        sent: &mut Vec<ConfigVersion>,
+    ) -> Result<Option<(EditReply, Option<EntryDoc>)>, StoreError> {
+        let ground = self.read_ground(request).await?;
+        // A conflict, or a lost answer, may stand for this edit's own earlier write.
+        if let Some(entry) = self.find_own(request, sent).await? {
+            let version = entry.version;
+            return Ok(Some((EditReply::Accepted { version }, Some(entry))));
+        }
+        if let Some(reply) = refuse(request, &ground) {
+            return Ok(Some((reply, None)));
+        }
+        let findings = self.findings(request, ground.head).await?;
+        if !findings.is_empty() {
+            return Ok(Some((EditReply::Refused { findings }, None)));
+        }
+        self.write(request, &ground, sent).await
+    }
+
+    async fn write(
+        &self,
+        request: &EditRequest,
+        ground: &EditGround,
+        sent: &mut Vec<ConfigVersion>,
+    ) -> Result<Option<(EditReply, Option<EntryDoc>)>, StoreError> {
+        let version = ground.head + 1;
+        let entry = EntryDoc {
+            version,
+            kind: request.kind,
+            id: request.id.clone(),
+            value: request.value.clone(),
+        };
+        let key = entity_key(request.kind, &request.id);
+        let log = LogDoc {
+            entry: entry.clone(),
+            write: request.write.clone(),
+        };
+        let mut builder = TransactBuilder::default()
+            .check(HEAD_KEY, ground.head_row)
+            .check(&key, ground.entity_row)
+            .check(void_key(&request.write), 0)
+            .put(HEAD_KEY, &HeadDoc { version })
+            .put(log_key(version), &log);
+        builder = match request.value {
+            ValueDoc::Deleted => builder.delete(key),
+            _ => builder.put(key, &entry),
+        };
+        if version > LOG_ROWS {
+            builder = builder.delete(log_key(version - LOG_ROWS));
+        }
+        sent.push(version);
+        match self.shared.platform.table.transact(builder.build()).await {
+            Ok(TransactReply::Committed { .. }) => {
+                Ok(Some((EditReply::Accepted { version }, Some(entry))))
+            }
+            Ok(TransactReply::Conflict { .. }) | Err(StoreError::Lost) => Ok(None),
+            Err(StoreError::Refused(text)) => {
+                log::warn!(text = text.as_str(); "config_edit_turned_away");
+                Ok(None)
+            }
+        }
+    }
+
+    async fn read_ground(&self, request: &EditRequest) -> Result<EditGround, StoreError> {
+        let key = entity_key(request.kind, &request.id);
+        let void = void_key(&request.write);
+        let read = ReadRequest {
+            keys: vec![HEAD_KEY.to_owned(), key.clone(), void.clone()],
+            prefixes: Vec::new(),
+        };
+        let reply = self.shared.platform.table.read(read).await?;
+        let entity = find_row(&reply, &key);
+        Ok(EditGround {
+            head: head_of(&reply),
+            head_row: find_row(&reply, HEAD_KEY).map_or(0, |row| row.version),
+            entity: entity.and_then(|row| row_value(&row.value)),
+            entity_row: entity.map_or(0, |row| row.version),
+            is_void: find_row(&reply, &void).is_some(),
+        })
+    }
+
+    /// Looks in the log for this edit among the versions it was sent as.
+    async fn find_own(
+        &self,
+        request: &EditRequest,
+        sent: &[ConfigVersion],
+    ) -> Result<Option<EntryDoc>, StoreError> {
+        if sent.is_empty() {
+            return Ok(None);
+        }
+        let read = ReadRequest {
+            keys: sent.iter().map(|version| log_key(*version)).collect(),
+            prefixes: Vec::new(),
+        };
+        let reply = self.shared.platform.table.read(read).await?;
+        Ok(find_write(&reply, &request.write))
+    }
+
+    /// Checks the edit against the configuration at the head.
+    async fn findings(
+        &self,
+        request: &EditRequest,
+        head: ConfigVersion,
+    ) -> Result<Vec<FindingDoc>, StoreError> {
+        let entry = EntryDoc {
+            version: head + 1,
+            kind: request.kind,
+            id: request.id.clone(),
+            value: request.value.clone(),
+        };
+        let entry = match ConfigEntry::try_from(entry) {
+            Ok(entry) => entry,
+            Err(mismatch) => {
+                let finding = Finding::new("value", mismatch.to_string());
+                return Ok(vec![finding.into()]);
+            }
+        };
+        let held = self.shared.config.load();
+        let findings = if held.book.version() == head {
+            held.book.check_edit(&entry.key, &entry.value)
+        } else {
+            let snapshot = read_whole(&self.shared).await?;
+            let book = ConfigBook::try_from(snapshot).unwrap_or_default();
+            book.check_edit(&entry.key, &entry.value)
+        };
+        Ok(findings.into_iter().map(FindingDoc::from).collect())
+    }
+
+    /// Settles an edit whose answer was lost.
+    ///
+    /// If it is not in the log, a row is written that bars it for good, on the condition that the
+    /// head has not moved since; the edit's own transaction demands that the row is absent, so it
+    /// can not take effect afterwards, however late it arrives.
+    pub async fn settle(&self, write: &str) -> SettleReply {
+        for _ in 0..EDIT_TRIES {
+            match self.try_settle(write).await {
+                Ok(Some(reply)) => return reply,
+                Ok(None) => {}
+                Err(_) => return SettleReply::Unknown,
+            }
+        }
+        SettleReply::Unknown
+    }
+
+    async fn try_settle(&self, write: &str) -> Result<Option<SettleReply>, StoreError> {
+        let void = void_key(write);
+        let read = ReadRequest {
+            keys: vec![HEAD_KEY.to_owned(), void.clone()],
+            prefixes: vec![log_prefix()],
+        };
+        let reply = self.shared.platform.table.read(read).await?;
+        if let Some(entry) = find_write(&reply, write) {
+            let version = entry.version;
+            return Ok(Some(SettleReply::Accepted { version }));
+        }
+        if find_row(&reply, &void).is_some() {
+            return Ok(Some(SettleReply::Void));
+        }
+        let head_row = find_row(&reply, HEAD_KEY).map_or(0, |row| row.version);
+        let request = TransactBuilder::default()
+            .check(HEAD_KEY, head_row)
+            .check(&void, 0)
+            .put(void, &Value::Bool(true))
+            .build();
+        match self.shared.platform.table.transact(request).await {
+            Ok(TransactReply::Committed { .. }) => Ok(Some(SettleReply::Void)),
+            Ok(TransactReply::Conflict { .. }) => Ok(None),
+            Err(error) => Err(error),
+        }
+    }
+}
+
+fn refuse(request: &EditRequest, ground: &EditGround) -> Option<EditReply> {
+    if ground.is_void {
+        let finding = Finding::new("write", "this write was settled as void; send it anew");
+        return Some(EditReply::Refused {
+            findings: vec![finding.into()],
+        });
+    }
+    let version = ground.entity.as_ref().map_or(0, |entry| entry.version);
+    if version != request.base {
+        let current = ground.entity.as_ref();
+        return Some(EditReply::Conflict {
+            version,
+            current: current.and_then(|entry| serde_json::to_value(&entry.value).ok()),
+            wanted: serde_json::to_value(&request.value).unwrap_or_default(),
+        });
+    }
+    None
+}
+
+fn find_row<'a>(reply: &'a ReadReply, key: &str) -> Option<&'a RowDoc> {
+    reply.rows.iter().find(|row| row.key == key)
+}
+
+fn find_write(reply: &ReadReply, write: &str) -> Option<EntryDoc> {
+    reply
+        .rows
+        .iter()
+        .filter_map(|row| row_value::<LogDoc>(&row.value))
+        .find(|log| log.write == write)
+        .map(|log| log.entry)
+}
--- /dev/null
+++ b/crates/node/src/health.rs
@@ -0,0 +1,44 @@
+//! The listener for the balancer's checks and the metrics scraper.
+
+use std::sync::Arc;
+
+use briarswitch_http::{reply_bytes, reply_text, Handler, Request, Response};
+use briarswitch_kernel::Kernel;
+use futures::future::BoxFuture;
+use http::StatusCode;
+
+use crate::shared::NodeShared;
+
+/// Answers health checks and scrapes.
+pub struct HealthSurface {
+    shared: Arc<NodeShared>,
+    kernel: Kernel,
+}
+
+impl HealthSurface {
+    /// Opens the surface.
+    pub fn open(shared: Arc<NodeShared>, kernel: Kernel) -> Arc<Self> {
+        Arc::new(Self { shared, kernel })
+    }
+
+    fn answer(&self, path: &str) -> Response {
+        match path {
+            "/live" if self.kernel.is_running() => reply_text(StatusCode::OK, "live"),
+            "/live" => reply_text(StatusCode::SERVICE_UNAVAILABLE, "control thread ended"),
+            "/ready" if self.shared.is_ready() => reply_text(StatusCode::OK, "ready"),
+            "/ready" => reply_text(StatusCode::SERVICE_UNAVAILABLE, "not ready"),
+            "/metrics" => {
+                let page = self.shared.metrics.page();
+                reply_bytes(StatusCode::OK, "text/plain; version=0.0.4", page.into())
+            }
+            _ => reply_text(StatusCode::NOT_FOUND, "no such path"),
+        }
+    }
+}
+
+impl Handler for HealthSurface {
+    fn handle(&self, request: Request) -> BoxFuture<'_, Response> {
+        let reply = self.answer(request.uri().path());
+        Box::pin(async move { reply })
+    }
+}
--- /dev/null
+++ b/crates/node/src/lib.rs
@@ -0,0 +1,48 @@
+//! The briarswitch daemon as a library: everything that runs on an entry VM.
+//!
+//! ```no_run
+//! use briarswitch_node::{Node, SettingsLayers};
+//!
+//! # async fn example() -> Result<(), Box<dyn std::error::Error>> {
+//! let settings = SettingsLayers::open().build().map_err(|_| "bad settings")?;
+//! let node = Node::spawn(settings).await?;
+//! println!("callers are served at {}", node.addresses().callers);
+//! node.shutdown().await;
+//! # Ok(())
+//! # }
+//! ```
+
+pub mod answer;
+pub mod attempt;
+pub mod auth;
+pub mod board;
+pub mod caller;
+pub mod claims;
+pub mod cli;
+pub mod config;
+pub mod controller;
+pub mod dispatch;
+pub mod editor;
+pub mod fields;
+pub mod flight;
+pub mod gate;
+pub mod health;
+pub mod keys;
+pub mod logging;
+pub mod metrics;
+pub mod node;
+pub mod operator;
+pub mod orders;
+pub mod peers;
+pub mod reign;
+pub mod relay;
+pub mod reply;
+pub mod routes;
+pub mod settings;
+pub mod shared;
+pub mod usage;
+pub mod watch;
+
+pub use cli::{NodeOptions, Startup};
+pub use node::{Node, NodeAddresses, NodeError};
+pub use settings::{NodeSettings, SettingsLayers};
--- /dev/null
+++ b/crates/node/src/logging.rs
@@ -0,0 +1,78 @@
+//! Logs: one line of key=value pairs for each event.
+
+use std::fmt::Write as _;
+
+use log::kv::{Key, Value, VisitSource};
+use log::{LevelFilter, Record};
+
+/// Appends pairs to a line, quoting values that need it.
+struct PairWriter<'a> {
+    line: &'a mut String,
+}
+
+impl<'kvs> VisitSource<'kvs> for PairWriter<'_> {
+    fn visit_pair(&mut self, key: Key<'kvs>, value: Value<'kvs>) -> Result<(), log::kv::Error> {
+        let _ = write!(self.line, " {key}={}", quoted(&value.to_string()));
+        Ok(())
+    }
+}
+
+/// Starts logging to standard error.
+///
+/// # Errors
+///
+/// Returns the library's error when a logger is set already.
+pub fn start(level: LevelFilter, node: &str) -> Result<(), log::SetLoggerError> {
+    let node = node.to_owned();
+    fern::Dispatch::new()
+        .format(move |out, _, record| out.finish(format_args!("{}", line_of(record, &node))))
+        .level(LevelFilter::Trace)
+        .level_for("tracing", LevelFilter::Warn)
+        .filter(|metadata| metadata.target().starts_with("briarswitch"))
+        .chain(std::io::stderr())
+        .apply()?;
+    log::set_max_level(level);
+    Ok(())
+}
+
+/// Returns the line that stands for a record.
+///
+/// ```
+/// use briarswitch_node::logging::line_of;
+///
+/// let record = log::Record::builder()
+///     .args(format_args!("node_started"))
+///     .level(log::Level::Info)
+///     .build();
+/// assert!(line_of(&record, "n1").ends_with("level=info node=n1 event=node_started"));
+/// ```
+pub fn line_of(record: &Record<'_>, node: &str) -> String {
+    let since = std::time::SystemTime::now()
+        .duration_since(std::time::UNIX_EPOCH)
+        .unwrap_or_default();
+    let mut line = format!(
+        "ts={}.{:03} level={} node={} event={}",
+        since.as_secs(),
+        since.subsec_millis(),
+        record.level().as_str().to_lowercase(),
+        quoted(node),
+        quoted(&record.args().to_string()),
+    );
+    let _ = record
+        .key_values()
+        .visit(&mut PairWriter { line: &mut line });
+    line
+}
+
+/// Quotes a value that holds anything but plain characters, so that a line stays one line.
+fn quoted(text: &str) -> String {
+    let is_plain = !text.is_empty()
+        && text
+            .bytes()
+            .all(|byte| byte.is_ascii_graphic() && byte != b'"' && byte != b'=');
+    if is_plain {
+        text.to_owned()
+    } else {
+        format!("{text:?}")
+    }
+}
--- /dev/null
+++ b/crates/node/src/orders.rs
@@ -0,0 +1,100 @@
+//! Which orders are due, from the difference between the table and the engines' reports.
+
+use briarswitch_core::prelude::*;
+use briarswitch_wire::engine::{JoinDoc, OrderAction};
+
+use crate::reign::ControllerReign;
+use crate::shared::FleetView;
+
+/// An order that one machine needs.
+#[derive(Clone, Debug, PartialEq)]
+pub struct DueOrder {
+    /// Machine.
+    pub vm: VmId,
+    /// Address as `ip:port`.
+    pub address: String,
+    /// What to do.
+    pub action: OrderAction,
+    /// Why, for the log.
+    pub reason: &'static str,
+}
+
+/// Returns every order that is due.
+///
+/// Orders follow from the table and the reports alone, never from what this node remembers having
+/// ordered: a member that returns after it was given up on is told what the table says of it now.
+pub fn orders_due(
+    reign: &ControllerReign,
+    fleet: &FleetView,
+    report_of: &dyn Fn(&str) -> Option<MemberReport>,
+) -> Vec<DueOrder> {
+    let mut orders = Vec::new();
+    for row in reign.groups.values() {
+        let group = &row.value;
+        if group.state == GroupState::Dissolving {
+            continue;
+        }
+        for (rank, member) in group.members.iter().enumerate() {
+            let Some(report) = report_of(&member.vm) else {
+                continue;
+            };
+            if report.incarnation == member.incarnation && needs_join(group, &report) {
+                orders.push(join_order(group, rank));
+            }
+        }
+    }
+    for vm in fleet.vms.values() {
+        let Some(report) = report_of(&vm.id) else {
+            continue;
+        };
+        if needs_leave(reign, &report) {
+            orders.push(DueOrder {
+                vm: vm.id.clone(),
+                address: vm.address.clone(),
+                action: OrderAction::Leave,
+                reason: "leave",
+            });
+        }
+    }
+    orders
+}
+
+fn needs_join(group: &GroupRecord, report: &MemberReport) -> bool {
+    let is_there =
+        report.group.as_deref() == Some(group.id.as_str()) && report.generation == group.generation;
+    !is_there || report.state == MemberState::Idle
+}
+
+/// Returns whether a machine is in a group that the table does not have it in.
+fn needs_leave(reign: &ControllerReign, report: &MemberReport) -> bool {
+    let Some(group) = &report.group else {
+        return false;
+    };
+    let claim = reign.claims.get(&report.vm).map(|row| &row.value);
+    let Some(claim) = claim else {
+        return true;
+    };
+    let row = reign.groups.get(&claim.group);
+    let is_dissolving = row.is_none_or(|row| row.value.state == GroupState::Dissolving);
+    is_dissolving && *group == claim.group
+}
+
+fn join_order(group: &GroupRecord, rank: usize) -> DueOrder {
+    let member = &group.members[rank];
+    DueOrder {
+        vm: member.vm.clone(),
+        address: member.address.clone(),
+        action: OrderAction::Join(JoinDoc {
+            group: group.id.clone(),
+            generation: group.generation,
+            deployment: group.deployment.clone(),
+            rank,
+            members: group
+                .members
+                .iter()
+                .map(|member| member.address.clone())
+                .collect(),
+        }),
+        reason: "join",
+    }
+}
--- /dev/null
+++ b/crates/node/src/relay.rs
@@ -0,0 +1,188 @@
+//! Passes a stream on to its caller, resuming it where the engine can.
+
+use std::io;
+use std::sync::Arc;
+use std::time::Duration;
+
+use briarswitch_core::prelude::*;
+use briarswitch_core::stream::EventScanner;
+use briarswitch_http::TargetBody;
+use bytes::Bytes;
+use futures::Stream;
+
+use crate::attempt::TargetAsk;
+use crate::dispatch::{RequestDispatcher, RequestTrace};
+use crate::gate::TargetPermit;
+use crate::reply::error_event;
+
+/// Times a stream is resumed at its target before it is given up.
+const RESUMES: usize = 3;
+
+/// A stream on its way to a caller.
+pub struct StreamRelay {
+    dispatcher: Arc<RequestDispatcher>,
+    ask: TargetAsk,
+    permit: TargetPermit,
+    attempt: AttemptId,
+    body: Option<TargetBody>,
+    scanner: EventScanner,
+    pending: Option<Bytes>,
+    resumes: usize,
+    stage: RelayStage,
+    trace: RequestTrace,
+}
+
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+enum RelayStage {
+    Flowing,
+    /// The whole answer was passed on.
+    Done,
+    /// The caller was told that the stream is broken; the connection is cut next.
+    Told,
+    Over,
+}
+
+/// What the target's side of the stream did next.
+enum RelayStep {
+    Piece(Bytes),
+    End,
+    Broken,
+}
+
+impl StreamRelay {
+    /// Starts to relay the answer to an attempt.
+    pub fn spawn(
+        dispatcher: Arc<RequestDispatcher>,
+        ask: TargetAsk,
+        permit: TargetPermit,
+        attempt: AttemptId,
+        body: TargetBody,
+        trace: RequestTrace,
+    ) -> impl Stream<Item = Result<Bytes, io::Error>> + Send + 'static {
+        let relay = Self {
+            dispatcher,
+            ask,
+            permit,
+            attempt,
+            body: Some(body),
+            scanner: EventScanner::default(),
+            pending: None,
+            resumes: 0,
+            stage: RelayStage::Flowing,
+            trace,
+        };
+        futures::stream::unfold(relay, |mut relay| async move {
+            relay.next().await.map(|item| (item, relay))
+        })
+    }
+
+    async fn next(&mut self) -> Option<Result<Bytes, io::Error>> {
+        if let Some(piece) = self.pending.take() {
+            return Some(Ok(piece));
+        }
+        match self.stage {
+            RelayStage::Flowing => self.flow().await,
+            RelayStage::Done | RelayStage::Over => None,
+            RelayStage::Told => {
+                self.stage = RelayStage::Over;
+                Some(Err(io::Error::other("the stream is broken")))
+            }
+        }
+    }
+
+    async fn flow(&mut self) -> Option<Result<Bytes, io::Error>> {
+        loop {
+            match self.step().await {
+                RelayStep::Piece(piece) => {
+                    if let Some(whole) = self.take_piece(&piece) {
+                        return Some(Ok(whole));
+                    }
+                }
+                RelayStep::End if self.scanner.is_ended() => {
+                    self.stage = RelayStage::Done;
+                    return None;
+                }
+                // A clean end of the body without the end mark is no end of the answer.
+                RelayStep::End | RelayStep::Broken => {
+                    if !self.resume().await {
+                        return Some(Ok(self.give_up()));
+                    }
+                }
+            }
+        }
+    }
+
+    async fn step(&mut self) -> RelayStep {
+        let silence = self.dispatcher.shared().settings.requests.stream_silence;
+        let Some(body) = self.body.as_mut() else {
+            return RelayStep::Broken;
+        };
+        match tokio::time::timeout(silence, body.next()).await {
+            Ok(Ok(Some(piece))) => RelayStep::Piece(piece),
+            Ok(Ok(None)) => RelayStep::End,
+            Ok(Err(_)) | Err(_) => RelayStep::Broken,
+        }
+    }
+
+    /// Takes a piece and returns what of it and of earlier ones may be passed on.
+    fn take_piece(&mut self, piece: &Bytes) -> Option<Bytes> {
+        let before = self.scanner.events();
+        let (held, scanned) = self.scanner.scan(piece);
+        let fresh = piece.slice(..scanned.whole);
+        let events = self.scanner.events();
+        if before == 0 && events > 0 {
+            self.trace.note_first_token(&self.permit);
+        }
+        self.trace.tokens = events as u64;
+        if self.scanner.is_ended() {
+            // Settled at the end mark, which is the engine's word that the answer is whole.
+            self.trace.settle(Outcome::Answered);
+            self.stage = RelayStage::Done;
+            self.finish_body();
+        }
+        match (held.is_empty(), fresh.is_empty()) {
+            (true, true) => None,
+            (true, false) => Some(fresh),
+            (false, _) => Some(Bytes::from(held)),
+        }
+    }
+
+    /// Reads the body to its end in the background, so that its connection can be kept.
+    fn finish_body(&mut self) {
+        if let Some(mut body) = self.body.take() {
+            tokio::spawn(async move {
+                let _ = tokio::time::timeout(Duration::from_secs(1), body.next()).await;
+            });
+        }
+    }
+
+    /// Asks the target to go on after the events already passed on.
+    async fn resume(&mut self) -> bool {
+        self.body = None;
+        self.scanner.drop_tail();
+        if self.resumes >= RESUMES {
+            return false;
+        }
+        self.resumes += 1;
+        let events = self.scanner.events();
+        let runner = self.dispatcher.runner();
+        let target = Arc::clone(&self.permit.target);
+        match runner
+            .begin(&self.ask, &target, &self.attempt, Some(events))
+            .await
+        {
+            Ok(reply) => {
+                log::info!(request = self.trace.request.as_str(), events = events; "stream_resumed");
+                self.body = Some(reply.body);
+                true
+            }
+            Err(_) => false,
+        }
+    }
+
+    fn give_up(&mut self) -> Bytes {
+        self.trace.settle(Outcome::Unknown);
+        self.stage = RelayStage::Told;
+        error_event(FailurePoint::Truncated)
+    }
+}
--- /dev/null
+++ b/crates/node/src/reply.rs
@@ -0,0 +1,193 @@
+//! Replies to callers: errors in the shape their clients expect, and the headers of answers.
+
+use std::time::Duration;
+
+use briarswitch_core::prelude::*;
+use briarswitch_http::{reply_json, Response};
+use briarswitch_wire::caller::{
+    ErrorDetail, ErrorDoc, NODE_HEADER, OUTCOME_HEADER, REQUEST_HEADER, TARGET_HEADER,
+};
+use bytes::Bytes;
+use http::header::{HeaderName, RETRY_AFTER};
+use http::{HeaderValue, StatusCode};
+
+/// Why a caller gets no answer.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct CallerFailure {
+    /// Status of the reply.
+    pub status: StatusCode,
+    /// Point of failure.
+    pub point: FailurePoint,
+    /// Code in place of the point's own.
+    pub code: Option<&'static str>,
+    /// Text for a person.
+    pub message: String,
+    /// When to come back.
+    pub retry_after: Option<Duration>,
+}
+
+impl CallerFailure {
+    /// Makes the failure of a request that was refused before anything was tried.
+    pub fn refused(status: StatusCode, code: &'static str, message: impl Into<String>) -> Self {
+        Self {
+            status,
+            point: FailurePoint::Refused,
+            code: Some(code),
+            message: message.into(),
+            retry_after: None,
+        }
+    }
+
+    /// Makes the failure that belongs to a point.
+    pub fn at(point: FailurePoint) -> Self {
+        let (status, message) = describe(point);
+        Self {
+            status,
+            point,
+            code: None,
+            message: message.to_owned(),
+            retry_after: None,
+        }
+    }
+
+    /// Adds the time to come back.
+    #[must_use]
+    pub fn retry_after(mut self, delay: Duration) -> Self {
+        self.retry_after = Some(delay);
+        self
+    }
+
+    /// Returns what the caller is told.
+    pub fn outcome(&self) -> Outcome {
+        self.point.outcome()
+    }
+
+    /// Builds the reply.
+    pub fn reply(&self) -> Response {
+        let doc = ErrorDoc {
+            error: ErrorDetail {
+                message: self.message.clone(),
+                kind: kind_of(self.status).to_owned(),
+                code: self.code.unwrap_or(self.point.code()).to_owned(),
+                outcome: self.outcome().name().to_owned(),
+                retry_after_ms: self.retry_after.map(millis),
+            },
+        };
+        let mut reply = reply_json(self.status, &doc);
+        if let Some(delay) = self.retry_after {
+            let seconds = delay.as_millis().div_ceil(1000);
+            let value = u64::try_from(seconds).unwrap_or(u64::MAX);
+            reply
+                .headers_mut()
+                .insert(RETRY_AFTER, HeaderValue::from(value));
+        }
+        set_header(&mut reply, OUTCOME_HEADER, self.outcome().name());
+        reply
+    }
+}
+
+/// Names an answer's request, node and target in its headers.
+pub fn mark_reply(reply: &mut Response, request: &str, node: &str, target: &str) {
+    set_header(reply, REQUEST_HEADER, request);
+    set_header(reply, NODE_HEADER, node);
+    if !target.is_empty() {
+        set_header(reply, TARGET_HEADER, target);
+    }
+}
+
+/// Sets one header, leaving it out when its value can not stand in a header.
+pub fn set_header(reply: &mut Response, name: &'static str, value: &str) {
+    if let Ok(value) = HeaderValue::from_str(value) {
+        reply
+            .headers_mut()
+            .insert(HeaderName::from_static(name), value);
+    }
+}
+
+/// Builds the last event of a stream that broke.
+///
+/// ```
+/// use briarswitch_core::outcome::FailurePoint;
+/// use briarswitch_node::reply::error_event;
+///
+/// let event = error_event(FailurePoint::Truncated);
+/// assert!(event.ends_with(b"\n\n") && !event.ends_with(b"[DONE]\n\n"));
+/// ```
+pub fn error_event(point: FailurePoint) -> Bytes {
+    let (status, message) = describe(point);
+    let doc = ErrorDoc {
+        error: ErrorDetail {
+            message: message.to_owned(),
+            kind: kind_of(status).to_owned(),
+            code: point.code().to_owned(),
+            outcome: point.outcome().name().to_owned(),
+            retry_after_ms: None,
+        },
+    };
+    let text = serde_json::to_string(&doc).unwrap_or_default();
+    Bytes::from(format!("data: {text}\n\n"))
+}
+
+fn millis(delay: Duration) -> u64 {
+    u64::try_from(delay.as_millis()).unwrap_or(u64::MAX)
+}
+
+fn kind_of(status: StatusCode) -> &'static str {
+    match status {
+        StatusCode::UNAUTHORIZED | StatusCode::FORBIDDEN => "authentication_error",
+        StatusCode::TOO_MANY_REQUESTS => "rate_limit_error",
+        status if status.is_client_error() => "invalid_request_error",
+        StatusCode::SERVICE_UNAVAILABLE => "overloaded_error",
+        _ => "server_error",
+    }
+}
+
+fn describe(point: FailurePoint) -> (StatusCode, &'static str) {
+    match point {
+        FailurePoint::Refused => (StatusCode::BAD_REQUEST, "the request was refused"),
+        FailurePoint::NoTarget => (
+            StatusCode::SERVICE_UNAVAILABLE,
+            "no target can take the request now",
+        ),
+        FailurePoint::QueueDeadline => (
+            StatusCode::SERVICE_UNAVAILABLE,
+            "the time limit came before a target was free",
+        ),
+        FailurePoint::Connect | FailurePoint::ClosedBeforeSend => (
+            StatusCode::SERVICE_UNAVAILABLE,
+            "no target could be reached",
+        ),
+        FailurePoint::TargetRefused => (
+            StatusCode::SERVICE_UNAVAILABLE,
+            "the target did not run the request",
+        ),
+        FailurePoint::BrokenBeforeHead => (
+            StatusCode::BAD_GATEWAY,
+            "the connection to the target broke; the request may have run",
+        ),
+        FailurePoint::AnswerDeadline => (
+            StatusCode::GATEWAY_TIMEOUT,
+            "no answer came in time; the request may have run",
+        ),
+        FailurePoint::ForeignAnswer => (
+            StatusCode::BAD_GATEWAY,
+            "the target answered another request; this one may have run",
+        ),
+        FailurePoint::Truncated => (
+            StatusCode::BAD_GATEWAY,
+            "the answer broke off; the request may have run",
+        ),
+        FailurePoint::TargetError => (
+            StatusCode::BAD_GATEWAY,
+            "the target failed; the request may have run",
+        ),
+        FailurePoint::KeyClaimed => (
+            StatusCode::CONFLICT,
+            "the idempotency key was used before; that request may have run",
+        ),
+        FailurePoint::ClaimStore => (
+            StatusCode::SERVICE_UNAVAILABLE,
+            "the idempotency key could not be recorded; nothing was run",
+        ),
+    }
+}
--- /dev/null
+++ b/crates/standins/examples/platform.rs
@@ -0,0 +1,14 @@
+//! Runs the platform stand-in until it is ended.
+//!
+//! Usage: `platform ADDRESS`
+
+use briarswitch_standins::PlatformStandin;
+
+fn main() -> Result<(), Box<dyn std::error::Error>> {
+    let address = std::env::args().nth(1).ok_or("usage: platform ADDRESS")?;
+    let platform = PlatformStandin::spawn(&address)?;
+    println!("platform at {}", platform.address());
+    loop {
+        std::thread::park();
+    }
+}
--- /dev/null
+++ b/crates/standins/src/host.rs
@@ -0,0 +1,71 @@
+//! A thread of its own for each stand-in, so that one can be killed without the others.
+
+use std::future::Future;
+use std::io;
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+use briarswitch_http::{Handler, HttpServer, ServerGuard};
+use tokio::runtime::Runtime;
+use tokio::sync::watch;
+
+/// One listener on a runtime of its own; dropping or killing it closes every connection.
+pub struct StandinHost {
+    address: SocketAddr,
+    runtime: Option<Runtime>,
+    server: Option<ServerGuard>,
+    _stop: watch::Sender<bool>,
+}
+
+impl StandinHost {
+    /// Starts a handler at an address; port 0 lets the operating system choose.
+    ///
+    /// # Errors
+    ///
+    /// Returns the operating system's error when a thread or the address cannot be had.
+    pub fn spawn(address: &str, handler: Arc<dyn Handler>) -> io::Result<Self> {
+        let runtime = tokio::runtime::Builder::new_multi_thread()
+            .worker_threads(1)
+            .enable_all()
+            .build()?;
+        let (stop_sender, stop) = watch::channel(false);
+        let server = runtime.block_on(HttpServer::bind(address))?;
+        let address = server.address();
+        let guard = {
+            let _context = runtime.enter();
+            server.spawn(handler, stop)
+        };
+        Ok(Self {
+            address,
+            runtime: Some(runtime),
+            server: Some(guard),
+            _stop: stop_sender,
+        })
+    }
+
+    /// Returns the address it listens at.
+    pub fn address(&self) -> SocketAddr {
+        self.address
+    }
+
+    /// Runs work on the stand-in's runtime.
+    pub fn run(&self, work: impl Future<Output = ()> + Send + 'static) {
+        if let Some(runtime) = &self.runtime {
+            runtime.spawn(work);
+        }
+    }
+
+    /// Ends the stand-in at once, as a machine that loses power.
+    pub fn kill(&mut self) {
+        self.server.take();
+        if let Some(runtime) = self.runtime.take() {
+            runtime.shutdown_background();
+        }
+    }
+}
+
+impl Drop for StandinHost {
+    fn drop(&mut self) {
+        self.kill();
+    }
+}
--- /dev/null
+++ b/crates/standins/src/lib.rs
@@ -0,0 +1,24 @@
+//! Stand-ins for what briarswitch runs against: the platform, engines, plain services and links.
+//!
+//! They serve tests, measurements and the quick start, record what they saw, and can be made to fail
+//! on purpose. None of it ships.
+//!
+//! ```
+//! use briarswitch_standins::PlatformStandin;
+//!
+//! let platform = PlatformStandin::spawn("127.0.0.1:0").unwrap();
+//! assert!(platform.address().port() > 0);
+//! ```
+
+mod engine;
+mod host;
+mod plain;
+mod platform;
+mod relay;
+mod slots;
+
+pub use engine::{EngineFaults, EngineRecord, EngineSettings, EngineStandin, Execution};
+pub use host::StandinHost;
+pub use plain::{PlainFaults, PlainStandin, ServiceCall};
+pub use platform::{PlatformFaults, PlatformStandin, WriteRecord};
+pub use relay::{LinkMode, LinkRelay};
