--- a/crates/standins/examples/platform.rs
+++ b/crates/standins/examples/platform.rs
@@ -2,13 +2,12 @@
 //!
 //! Usage: `platform ADDRESS`
 
-use briarswitch_standins::PlatformStandin;
+use briarswitch_standins::{wait_for_end, PlatformStandin};
 
 fn main() -> Result<(), Box<dyn std::error::Error>> {
     let address = std::env::args().nth(1).ok_or("usage: platform ADDRESS")?;
     let platform = PlatformStandin::spawn(&address)?;
     println!("platform at {}", platform.address());
-    loop {
-        std::thread::park();
-    }
+    wait_for_end()?;
+    Ok(())
 }
--- a/crates/standins/src/host.rs
+++ b/crates/standins/src/host.rs
@@ -7,8 +7,32 @@
 
 use briarswitch_http::{Handler, HttpServer, ServerGuard};
 use tokio::runtime::Runtime;
+use tokio::signal::unix::{signal, SignalKind};
 use tokio::sync::watch;
 
+/// Waits until the process is told to end.
+///
+/// The HTTP library takes the signals that end a process for itself, so a stand-in that only parked
+/// its thread would never end.
+///
+/// # Errors
+///
+/// Returns the operating system's error when signals can not be received.
+pub fn wait_for_end() -> io::Result<()> {
+    let runtime = tokio::runtime::Builder::new_current_thread()
+        .enable_all()
+        .build()?;
+    runtime.block_on(async {
+        let mut terminate = signal(SignalKind::terminate())?;
+        let mut interrupt = signal(SignalKind::interrupt())?;
+        tokio::select! {
+            _ = terminate.recv() => {}
+            _ = interrupt.recv() => {}
+        }
+        Ok(())
+    })
+}
+
 /// One listener on a runtime of its own; dropping or killing it closes every connection.
 pub struct StandinHost {
     address: SocketAddr,
--- a/crates/standins/src/lib.rs
+++ b/crates/standins/src/lib.rs
@@ -18,7 +18,7 @@
 mod slots;
 
 pub use engine::{EngineFaults, EngineRecord, EngineSettings, EngineStandin, Execution};
-pub use host::StandinHost;
+pub use host::{wait_for_end, StandinHost};
 pub use plain::{PlainFaults, PlainStandin, ServiceCall};
 pub use platform::{PlatformFaults, PlatformStandin, WriteRecord};
 pub use relay::{LinkMode, LinkRelay};
