Prove groups and leases on real processes; keep counts across lapses

Symptom: after a platform outage longer than a lease, a mended group never became routable.

Cause: the same holder won its lapsed lease again, which keeps the epoch, but its counts of orders, view changes and groups began anew. Engines refused the repeated fencing numbers as old and nodes ignored the views as not newer. Ruled out: the list of machines (it was read), the weight store (it granted), the planner (it planned the mend at once).

Change: the counts live as long as the process and are handed from reign to reign. An engine's answer to an order now counts as evidence, so it is not ordered again before its next probe.

Before: whole_groups_serve_through_a_platform_outage failed after its 60 s limit, and the order log showed 409 old fencing number. Also changed: a dead group is given up when another fabric domain can hold a whole one; it used to count as standing for ever.

--- a/crates/core/src/choice.rs
+++ b/crates/core/src/choice.rs
@@ -49,7 +49,9 @@
     ///
     /// Power of two choices (Mitzenmacher, 2001) over the blend: taking the best of all would make
     /// every node herd to the same target while reports lag. The target with the longest cached
-    /// prefix is a candidate as well, since two random draws would mostly miss it.
+    /// prefix is a candidate as well, since two random draws would mostly miss it, and the first draw
+    /// is from the near zone's targets where there are any, since among many zones two draws from
+    /// all would mostly miss those too.
     ///
     /// ```
     /// use briarswitch_core::choice::{TargetLoad, TargetPicker};
@@ -69,7 +71,14 @@
             .unwrap_or_default();
         let cached = (0..loads.len())
             .max_by(|left, right| loads[*left].prefix.total_cmp(&loads[*right].prefix))?;
-        [draws[0] % loads.len(), draws[1] % loads.len(), cached]
+        let near: Vec<usize> = (0..loads.len())
+            .filter(|index| !loads[*index].is_remote)
+            .collect();
+        let first = match near.len() {
+            0 => draws[0] % loads.len(),
+            count => near[draws[0] % count],
+        };
+        [first, draws[1] % loads.len(), cached]
             .into_iter()
             .min_by(|left, right| {
                 let left = self.cost(&loads[*left], fastest);
--- a/crates/core/src/planner.rs
+++ b/crates/core/src/planner.rs
@@ -298,7 +298,7 @@
         });
         let mut waiting: Vec<BrokenGroup<'a>> = Vec::new();
         for group in broken {
-            if !self.mend(&group) {
+            if !self.mend(&group) && !self.relocate(&group) {
                 waiting.push(group);
             }
         }
@@ -368,6 +368,21 @@
         true
     }
 
+    /// Gives up a group that can not be mended where it stands when another fabric domain can hold a
+    /// whole new one, as when its own domain went dark; the new one is formed in the same round.
+    fn relocate(&mut self, broken: &BrokenGroup<'a>) -> bool {
+        let size = broken.group.members.len();
+        let is_elsewhere = self.tightest(&broken.pool, size).is_some();
+        if !broken.is_overdue || size > self.budget || !is_elsewhere {
+            return false;
+        }
+        self.dissolve(
+            &broken.group.id,
+            "another fabric domain can hold a whole group",
+        );
+        true
+    }
+
     fn take_for_mend(
         &mut self,
         broken: &BrokenGroup<'a>,
--- a/crates/http/src/server.rs
+++ b/crates/http/src/server.rs
@@ -53,6 +53,18 @@
         Ok(Self { listener, address })
     }
 
+    /// Takes over a listener bound by the standard library, on the present runtime.
+    ///
+    /// # Errors
+    ///
+    /// Returns the operating system's error when the listener can not be used.
+    pub fn adopt(listener: std::net::TcpListener) -> io::Result<Self> {
+        listener.set_nonblocking(true)?;
+        let address = listener.local_addr()?;
+        let listener = TcpListener::from_std(listener)?;
+        Ok(Self { listener, address })
+    }
+
     /// Returns the address bound.
     pub fn address(&self) -> SocketAddr {
         self.address
--- a/crates/node/src/controller.rs
+++ b/crates/node/src/controller.rs
@@ -7,7 +7,7 @@
 use briarswitch_core::planner::VmFacts;
 use briarswitch_core::prelude::*;
 use briarswitch_http::{CallError, CallerClient, Codec};
-use briarswitch_kernel::{Service, ServiceLink};
+use briarswitch_kernel::{BootClock, Service, ServiceLink};
 use briarswitch_platform::{StoreError, TransactBuilder};
 use briarswitch_wire::engine::{OrderDoc, ReportDoc};
 use briarswitch_wire::platform::{EpochDoc, LeaseDoc, ReadReply, ReadRequest, TransactReply};
@@ -19,9 +19,9 @@
 use crate::config::row_value;
 use crate::keys::{epoch_key, group_prefix, lease_key, vm_prefix};
 use crate::orders::orders_due;
-use crate::reign::{ControllerReign, RowChange, RowChanges};
+use crate::reign::{ControllerReign, ReignCounts, RowChange, RowChanges};
 use crate::shared::{ControlView, FleetView, NodeShared};
-use crate::watch::{WatchMessage, WATCH_SERVICE};
+use crate::watch::{ProbeResult, WatchMessage, WATCH_SERVICE};
 
 /// Name of the service.
 pub const CONTROLLER_SERVICE: &str = "controller";
@@ -65,6 +65,8 @@
         vm: VmId,
         /// Its report after the order.
         result: Result<ReportDoc, CallError>,
+        /// Local time before the order was sent.
+        asked: Moment,
     },
     /// The process ends: give the lease up.
     Release(oneshot::Sender<()>),
@@ -77,6 +79,7 @@
     keeper: LeaseKeeper,
     planner: GroupPlanner,
     reign: Option<ControllerReign>,
+    counts: ReignCounts,
     is_lease_busy: bool,
     is_table_busy: bool,
     is_loading: bool,
@@ -101,6 +104,7 @@
             planner: GroupPlanner::open(control.load_time, control.member_grace),
             client: CallerClient::open(Codec::Json, None),
             reign: None,
+            counts: ReignCounts::default(),
             is_lease_busy: false,
             is_table_busy: false,
             is_loading: false,
@@ -238,11 +242,17 @@
     }
 
     fn end_reign(&mut self) {
-        self.reign = None;
+        self.drop_reign();
         self.lost.clear();
         self.plan.clear();
     }
 
+    fn drop_reign(&mut self) {
+        if let Some(reign) = self.reign.take() {
+            self.counts = reign.counts();
+        }
+    }
+
     fn load(&self, epoch: Epoch, link: &ServiceLink<ControllerMessage>) {
         let shared = Arc::clone(&self.shared);
         let zone = self.zone().to_owned();
@@ -271,7 +281,7 @@
             return;
         }
         let orders_from = now + self.order_wait();
-        self.reign = ControllerReign::open(self.zone(), epoch, &rows, orders_from);
+        self.reign = ControllerReign::open(self.zone(), epoch, &rows, orders_from, self.counts);
         if let Some(reign) = &self.reign {
             log::info!(epoch = epoch, groups = reign.groups.len(); "lease_won");
         }
@@ -489,7 +499,7 @@
             // before anything else is changed or ordered.
             Ok(TransactReply::Conflict { .. }) | Err(_) => {
                 log::warn!(epoch = epoch; "change_unsettled");
-                self.reign = None;
+                self.drop_reign();
             }
         }
     }
@@ -516,16 +526,41 @@
             log::info!(vm = order.vm.as_str(), fence = doc.fence, order = order.reason; "order_sent");
             let client = self.client.clone();
             link.spawn(async move {
+                let asked = BootClock::now();
                 let url = format!("http://{}/order", order.address);
                 let result = client.call(Method::POST, &url, Some(&doc), deadline).await;
                 ControllerMessage::Ordered {
                     vm: order.vm,
                     result,
+                    asked,
                 }
             });
         }
     }
 
+    /// Passes an engine's answer on as evidence, so that it is not ordered again before its next
+    /// probe.
+    fn take_ordered(
+        &mut self,
+        vm: VmId,
+        report: Result<ReportDoc, CallError>,
+        asked: Moment,
+        link: &ServiceLink<ControllerMessage>,
+    ) {
+        self.ordering.swap_remove(&vm);
+        match report {
+            Ok(report) => {
+                if let Some(watch) = link.kernel().find(WATCH_SERVICE) {
+                    let report = Ok(report);
+                    let _ = watch.post(WatchMessage::Probed(ProbeResult { vm, report, asked }));
+                }
+            }
+            Err(error) => {
+                log::warn!(vm = vm.as_str(), error:% = error; "order_failed");
+            }
+        }
+    }
+
     /// Adds up the two measures the users weigh.
     fn account(&mut self, now: Moment) {
         let routes = self.shared.routes.read();
@@ -633,18 +668,15 @@
                 changes,
                 result,
             } => self.take_changed(epoch, changes, result, link),
-            ControllerMessage::Ordered { vm, result } => {
-                self.ordering.swap_remove(&vm);
-                if let Err(error) = result {
-                    log::warn!(vm = vm.as_str(), error:% = error; "order_failed");
-                }
+            ControllerMessage::Ordered { vm, result, asked } => {
+                self.take_ordered(vm, result, asked, link);
             }
             ControllerMessage::Release(reply) => self.release(reply, link),
         }
     }
 
     fn dump(&self) -> Value {
-        let now = briarswitch_kernel::BootClock::now();
+        let now = BootClock::now();
         let record = self.keeper.record();
         json!({
             "holder": record.map(|record| &record.holder),
--- a/crates/node/src/operator.rs
+++ b/crates/node/src/operator.rs
@@ -86,7 +86,7 @@
     async fn edit(&self, bytes: &Bytes) -> Response {
         let request = match parse::<EditRequest>(bytes) {
             Ok(request) => request,
-            Err(reply) => return reply,
+            Err(reply) => return *reply,
         };
         let (kind, id) = (request.kind.name(), request.id.clone());
         let (reply, entry) = self.editor.edit(request).await;
@@ -103,14 +103,14 @@
     async fn settle(&self, bytes: &Bytes) -> Response {
         match parse::<String>(bytes) {
             Ok(write) => reply_json(StatusCode::OK, &self.editor.settle(&write).await),
-            Err(reply) => reply,
+            Err(reply) => *reply,
         }
     }
 
     fn try_rules(&self, bytes: &Bytes) -> Response {
         let request = match parse::<TryRequest>(bytes) {
             Ok(request) => request,
-            Err(reply) => return reply,
+            Err(reply) => return *reply,
         };
         let config = self.shared.config.load();
         let facts = self.facts(request);
@@ -276,9 +276,9 @@
     }
 }
 
-fn parse<T: DeserializeOwned>(bytes: &Bytes) -> Result<T, Response> {
+fn parse<T: DeserializeOwned>(bytes: &Bytes) -> Result<T, Box<Response>> {
     serde_json::from_slice(bytes)
-        .map_err(|error| reply_text(StatusCode::BAD_REQUEST, error.to_string()))
+        .map_err(|error| Box::new(reply_text(StatusCode::BAD_REQUEST, error.to_string())))
 }
 
 fn set_log_level(bytes: &Bytes) -> Response {
@@ -292,6 +292,6 @@
             StatusCode::BAD_REQUEST,
             "expected one of off, error, warn, info, debug, trace",
         ),
-        Err(reply) => reply,
+        Err(reply) => *reply,
     }
 }
--- a/crates/node/src/reign.rs
+++ b/crates/node/src/reign.rs
@@ -51,6 +51,18 @@
     }
 }
 
+/// Counts that never go back while the process lives.
+///
+/// A lease that lapsed and was won again by the same holder keeps its epoch, so counts that began
+/// anew would repeat fencing numbers, views and group names of the same epoch: engines would refuse
+/// the orders and nodes ignore the views.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct ReignCounts {
+    sequence: u64,
+    orders: u64,
+    formed: u64,
+}
+
 /// The zone's rows as the holder of one epoch knows them.
 #[derive(Clone, Debug)]
 pub struct ControllerReign {
@@ -66,14 +78,18 @@
     pub claims: IndexMap<VmId, HeldRow<VmClaimDoc>>,
     /// Local time before which no order is sent.
     pub orders_from: Moment,
-    sequence: u64,
-    orders: u64,
-    formed: u64,
+    counts: ReignCounts,
 }
 
 impl ControllerReign {
     /// Opens a reign from the zone's rows, or returns `None` when they show another holder.
-    pub fn open(zone: &str, epoch: Epoch, reply: &ReadReply, orders_from: Moment) -> Option<Self> {
+    pub fn open(
+        zone: &str,
+        epoch: Epoch,
+        reply: &ReadReply,
+        orders_from: Moment,
+        counts: ReignCounts,
+    ) -> Option<Self> {
         let epoch_row = reply.rows.iter().find(|row| row.key == epoch_key(zone))?;
         let holder: briarswitch_wire::platform::EpochDoc = row_value(&epoch_row.value)?;
         if holder.epoch != epoch {
@@ -86,9 +102,10 @@
             groups: IndexMap::new(),
             claims: IndexMap::new(),
             orders_from,
-            sequence: 0,
-            orders: 0,
-            formed: 0,
+            counts: ReignCounts {
+                sequence: counts.sequence + 1,
+                ..counts
+            },
         };
         let (groups, vms) = (group_prefix(zone), vm_prefix(zone));
         for row in &reply.rows {
@@ -108,11 +125,16 @@
         Some(reign)
     }
 
+    /// Returns the counts, for the next reign of this process.
+    pub fn counts(&self) -> ReignCounts {
+        self.counts
+    }
+
     /// Returns the next fencing number: it rises with each order, so that an order held up on its
     /// way is refused once a later one of the same epoch has arrived.
     pub fn next_fence(&mut self) -> Epoch {
-        self.orders += 1;
-        (self.epoch << ORDER_BITS) | self.orders
+        self.counts.orders += 1;
+        (self.epoch << ORDER_BITS) | self.counts.orders
     }
 
     /// Returns the groups without their row versions.
@@ -128,7 +150,7 @@
         ZoneView {
             zone: self.zone.clone(),
             epoch: self.epoch,
-            sequence: self.sequence,
+            sequence: self.counts.sequence,
             groups: self.records(),
         }
     }
@@ -141,8 +163,11 @@
                 members,
                 ..
             } => {
-                self.formed += 1;
-                let id = format!("{}-{deployment}-{}-{}", self.zone, self.epoch, self.formed);
+                self.counts.formed += 1;
+                let id = format!(
+                    "{}-{deployment}-{}-{}",
+                    self.zone, self.epoch, self.counts.formed
+                );
                 let deployment = deployment.clone();
                 let group = GroupRecord::forming(id, deployment, members.clone(), self.epoch);
                 claim_members(&group, &group.members, changes);
@@ -201,7 +226,7 @@
                 }
             }
         }
-        self.sequence += 1;
+        self.counts.sequence += 1;
     }
 
     /// Gives a group new members. A machine that leaves it is free only once it reports itself
--- /dev/null
+++ b/crates/node/tests/support/mod.rs
@@ -0,0 +1,690 @@
+//! Real node processes against stand-ins that live in the test.
+#![allow(dead_code)]
+
+use std::collections::BTreeMap;
+use std::fs::File;
+use std::net::TcpListener;
+use std::process::{Child, Command, Stdio};
+use std::time::{Duration, Instant};
+
+use briarswitch_http::{whole_body, TargetAddress, TargetBody, TargetClient, TargetLimits};
+use briarswitch_node::auth::key_hash;
+use briarswitch_standins::{EngineSettings, EngineStandin, PlainStandin, PlatformStandin};
+use briarswitch_wire::config::{
+    DeploymentDoc, KindDoc, ModelDoc, OrganisationDoc, RouteDoc, RuleDoc, ThenDoc, ValueDoc,
+    WhenDoc,
+};
+use briarswitch_wire::operator::{EditReply, EditRequest, StatusReply};
+use briarswitch_wire::peer::{GroupDoc, GroupStateDoc};
+use briarswitch_wire::platform::{VmClaimDoc, VmDoc};
+use bytes::Bytes;
+use nix::sys::signal::{kill, Signal};
+use nix::unistd::Pid;
+use serde_json::Value;
+
+/// Longest time a condition may take to come about.
+pub const LIMIT: Duration = Duration::from_secs(60);
+pub const MODEL: &str = "vilakku-lm";
+pub const SERVICE: &str = "kaunter-app";
+pub const MODEL_POOL: &str = "vilakku-pool";
+pub const SERVICE_POOL: &str = "kaunter-pool";
+pub const KEY: &str = "kayal-key";
+pub const ZONES: [&str; 3] = ["kakkanad", "edappally", "vyttila"];
+
+/// Short times, so that tests wait little; conditions never depend on them.
+const QUICK: &[&str] = &[
+    "lease.duration_ms=1500",
+    "lease.margin_ms=200",
+    "lease.renew_ms=300",
+    "gate.evidence_ttl_ms=700",
+    "gate.probe_interval_ms=100",
+    "gate.probe_timeout_ms=200",
+    "gate.exchange_interval_ms=80",
+    "gate.remote_exchange_interval_ms=150",
+    "gate.peer_timeout_ms=800",
+    "control.plan_interval_ms=50",
+    "control.member_grace_ms=300",
+    "control.config_poll_ms=150",
+    "control.list_poll_ms=150",
+    "control.order_deadline_ms=300",
+    "control.transport_bound_ms=100",
+    "control.platform_timeout_ms=500",
+    "control.usage_flush_ms=200",
+    "shutdown.notice_ms=300",
+];
+
+pub struct Ports {
+    pub callers: u16,
+    pub operators: u16,
+    pub peers: u16,
+    pub health: u16,
+}
+
+pub struct NodeProcess {
+    pub name: String,
+    pub zone: String,
+    pub ports: Ports,
+    arguments: Vec<String>,
+    child: Option<Child>,
+}
+
+impl NodeProcess {
+    fn start(&mut self) {
+        let log = std::env::temp_dir().join(format!(
+            "briarswitch-{}-{}.log",
+            self.name, self.ports.callers
+        ));
+        let child = Command::new(env!("CARGO_BIN_EXE_briarswitch-node"))
+            .args(&self.arguments)
+            .stderr(File::create(log).map_or(Stdio::null(), Stdio::from))
+            .spawn()
+            .expect("the node starts");
+        self.child = Some(child);
+    }
+
+    pub fn kill(&mut self) {
+        if let Some(mut child) = self.child.take() {
+            let _ = child.kill();
+            let _ = child.wait();
+        }
+    }
+
+    pub fn restart(&mut self) {
+        self.kill();
+        self.start();
+    }
+
+    pub fn signal(&self, signal: Signal) {
+        if let Some(child) = &self.child {
+            kill(Pid::from_raw(child.id() as i32), signal).expect("the process is there");
+        }
+    }
+
+    pub fn has_ended(&mut self) -> bool {
+        let child = self.child.as_mut();
+        child.is_none_or(|child| child.try_wait().is_ok_and(|status| status.is_some()))
+    }
+}
+
+impl Drop for NodeProcess {
+    fn drop(&mut self) {
+        self.kill();
+    }
+}
+
+/// One answer as the test's client saw it.
+#[derive(Clone, Debug)]
+pub struct Answer {
+    pub status: u16,
+    pub headers: BTreeMap<String, String>,
+    pub body: String,
+    /// Whether the body came to its end.
+    pub is_whole: bool,
+}
+
+impl Answer {
+    pub fn outcome(&self) -> String {
+        self.headers.get("x-outcome").cloned().unwrap_or_default()
+    }
+
+    pub fn code(&self) -> String {
+        let body: Value = serde_json::from_str(&self.body).unwrap_or_default();
+        body["error"]["code"]
+            .as_str()
+            .unwrap_or_default()
+            .to_owned()
+    }
+
+    /// Returns the stream events before the end mark.
+    pub fn events(&self) -> Vec<String> {
+        self.body
+            .split("\n\n")
+            .filter_map(|event| event.strip_prefix("data: "))
+            .filter(|event| *event != "[DONE]")
+            .map(str::to_owned)
+            .collect()
+    }
+
+    pub fn has_end_mark(&self) -> bool {
+        self.body.contains("data: [DONE]")
+    }
+}
+
+pub struct Cluster {
+    pub platform: PlatformStandin,
+    pub engines: BTreeMap<String, EngineStandin>,
+    pub services: BTreeMap<String, PlainStandin>,
+    pub nodes: Vec<NodeProcess>,
+    client: TargetClient,
+}
+
+/// What a cluster consists of.
+pub struct Plan {
+    pub zones: usize,
+    pub nodes_per_zone: usize,
+    pub engines_per_zone: usize,
+    pub services_per_zone: usize,
+    pub vms_per_replica: u32,
+    pub replicas_per_zone: u32,
+    pub checks_fencing: bool,
+    pub settings: Vec<String>,
+}
+
+impl Default for Plan {
+    fn default() -> Self {
+        Self {
+            zones: 1,
+            nodes_per_zone: 1,
+            engines_per_zone: 2,
+            services_per_zone: 0,
+            vms_per_replica: 2,
+            replicas_per_zone: 1,
+            checks_fencing: true,
+            settings: Vec::new(),
+        }
+    }
+}
+
+impl Cluster {
+    /// Starts everything and waits until every wanted group serves.
+    pub async fn start(plan: Plan) -> Self {
+        let cluster = Self::start_bare(&plan).await;
+        cluster.configure(&plan).await;
+        let groups = plan.zones * plan.replicas_per_zone as usize;
+        if plan.engines_per_zone > 0 {
+            cluster.wait_routable(groups).await;
+        }
+        if plan.services_per_zone > 0 {
+            cluster
+                .wait("the service answers", async |cluster| {
+                    let answer = cluster.call(0, "/ping", &[]).await;
+                    answer.is_some_and(|answer| answer.status == 200)
+                })
+                .await;
+        }
+        cluster
+    }
+
+    /// Starts processes and stand-ins without any configuration.
+    pub async fn start_bare(plan: &Plan) -> Self {
+        let mut cluster = Self {
+            platform: PlatformStandin::spawn("127.0.0.1:0").expect("a platform"),
+            engines: BTreeMap::new(),
+            services: BTreeMap::new(),
+            nodes: Vec::new(),
+            client: TargetClient::open(TargetLimits {
+                connect: Duration::from_secs(5),
+                idle: 0,
+            }),
+        };
+        for zone in &ZONES[..plan.zones] {
+            for index in 0..plan.engines_per_zone {
+                let name = format!("{zone}-gpu-{index}");
+                let mut settings = EngineSettings::quick(&name);
+                settings.checks_fencing = plan.checks_fencing;
+                cluster.add_engine(zone, &format!("{zone}-fabric"), settings);
+            }
+            for index in 0..plan.services_per_zone {
+                cluster.add_service(zone, &format!("{zone}-app-{index}"), 1, "127.0.0.1:0");
+            }
+        }
+        cluster.add_nodes(plan);
+        for node in &mut cluster.nodes {
+            node.start();
+        }
+        cluster.wait_ready().await;
+        cluster
+    }
+
+    pub fn add_engine(&mut self, zone: &str, domain: &str, settings: EngineSettings) {
+        let name = settings.vm.clone();
+        let incarnation = settings.incarnation;
+        let engine = EngineStandin::spawn("127.0.0.1:0", settings).expect("an engine");
+        self.platform.list_vm(VmDoc {
+            id: name.clone(),
+            zone: zone.to_owned(),
+            domain: domain.to_owned(),
+            pool: MODEL_POOL.to_owned(),
+            address: engine.address().to_string(),
+            incarnation,
+            accelerators: 2,
+            leaving: false,
+        });
+        self.engines.insert(name, engine);
+    }
+
+    pub fn add_service(&mut self, zone: &str, name: &str, incarnation: u64, address: &str) {
+        let service = PlainStandin::spawn(address, name, incarnation).expect("a service");
+        self.platform.list_vm(VmDoc {
+            id: name.to_owned(),
+            zone: zone.to_owned(),
+            domain: format!("{zone}-fabric"),
+            pool: SERVICE_POOL.to_owned(),
+            address: service.address().to_string(),
+            incarnation,
+            accelerators: 0,
+            leaving: false,
+        });
+        self.services.insert(name.to_owned(), service);
+    }
+
+    fn add_nodes(&mut self, plan: &Plan) {
+        let count = plan.zones * plan.nodes_per_zone;
+        let mut ports = free_ports(count * 4).into_iter();
+        let mut next = || ports.next().expect("a port");
+        let members: Vec<(String, String, Ports)> = (0..count)
+            .map(|index| {
+                let zone = ZONES[index / plan.nodes_per_zone];
+                let name = format!("{zone}-{}", index % plan.nodes_per_zone + 1);
+                let ports = Ports {
+                    callers: next(),
+                    operators: next(),
+                    peers: next(),
+                    health: next(),
+                };
+                (name, zone.to_owned(), ports)
+            })
+            .collect();
+        let platform = self.platform.address().to_string();
+        let peer_ports: Vec<_> = members
+            .iter()
+            .map(|(name, zone, ports)| (name.clone(), zone.clone(), ports.peers))
+            .collect();
+        for (name, zone, ports) in members {
+            let arguments = arguments(&name, &zone, &ports, &platform, &peer_ports, plan);
+            self.nodes.push(NodeProcess {
+                name,
+                zone,
+                ports,
+                arguments,
+                child: None,
+            });
+        }
+    }
+
+    /// Points one node at another platform address, for the next start.
+    pub fn reroute_platform(&mut self, node: usize, address: &str) {
+        for service in ["table", "objects", "vms", "weights"] {
+            let flag = format!("platform.{service}=http://{address}");
+            self.nodes[node]
+                .arguments
+                .extend(["--set".to_owned(), flag]);
+        }
+    }
+
+    pub async fn wait_ready(&self) {
+        for index in 0..self.nodes.len() {
+            self.wait("the node is ready", async |cluster| {
+                cluster.is_ready(index).await
+            })
+            .await;
+        }
+    }
+
+    pub async fn is_ready(&self, node: usize) -> bool {
+        let address = format!("127.0.0.1:{}", self.nodes[node].ports.health);
+        let answer = self.send(&address, "GET", "/ready", &[], "").await;
+        answer.is_some_and(|answer| answer.status == 200)
+    }
+
+    async fn configure(&self, plan: &Plan) {
+        self.must_edit(KindDoc::Organisation, "kayal", organisation(KEY))
+            .await;
+        let model = ValueDoc::Deployment(DeploymentDoc {
+            pool: MODEL_POOL.to_owned(),
+            model: Some(ModelDoc {
+                vms_per_replica: plan.vms_per_replica,
+                replicas_per_zone: plan.replicas_per_zone,
+                checks_fencing: plan.checks_fencing,
+                spans_domains: false,
+                downtime_weight: 2,
+                stranded_weight: 1,
+            }),
+            target_in_flight: 64,
+            priority: 0,
+        });
+        self.must_edit(KindDoc::Deployment, MODEL, model).await;
+        let service = ValueDoc::Deployment(DeploymentDoc {
+            pool: SERVICE_POOL.to_owned(),
+            model: None,
+            target_in_flight: 64,
+            priority: 0,
+        });
+        self.must_edit(KindDoc::Deployment, SERVICE, service).await;
+        let rules = [MODEL, SERVICE].map(route_rule).to_vec();
+        self.must_edit(KindDoc::Rules, "main", ValueDoc::Rules(rules))
+            .await;
+        let versions = 4;
+        for index in 0..self.nodes.len() {
+            self.wait("the configuration is in force", async |cluster| {
+                cluster.version(index).await >= Some(versions)
+            })
+            .await;
+        }
+    }
+
+    pub async fn must_edit(&self, kind: KindDoc, id: &str, value: ValueDoc) -> u64 {
+        match self.edit(0, kind, id, 0, value).await {
+            Some(EditReply::Accepted { version }) => version,
+            other => panic!("the edit of {id} was not accepted: {other:?}"),
+        }
+    }
+
+    pub async fn edit(
+        &self,
+        node: usize,
+        kind: KindDoc,
+        id: &str,
+        base: u64,
+        value: ValueDoc,
+    ) -> Option<EditReply> {
+        let request = EditRequest {
+            kind,
+            id: id.to_owned(),
+            base,
+            value,
+            write: format!("test-{id}-{node}-{base}-{}", rand_suffix()),
+        };
+        let text = serde_json::to_string(&request).expect("an edit");
+        self.operate(node, "POST", "/v1/edit", &text).await
+    }
+
+    pub async fn operate<T: serde::de::DeserializeOwned>(
+        &self,
+        node: usize,
+        method: &str,
+        path: &str,
+        body: &str,
+    ) -> Option<T> {
+        let address = format!("127.0.0.1:{}", self.nodes[node].ports.operators);
+        let headers = [("authorization", "Bearer operator")];
+        let answer = self.send(&address, method, path, &headers, body).await?;
+        serde_json::from_str(&answer.body).ok()
+    }
+
+    /// Configures a cluster that was started bare.
+    pub async fn configured(self, plan: &Plan) -> Self {
+        self.configure(plan).await;
+        self
+    }
+
+    /// Returns one service's part of a node's state dump.
+    pub async fn dump(&self, node: usize, service: &str) -> Value {
+        let dump: Option<Value> = self.operate(node, "GET", "/v1/dump", "").await;
+        dump.unwrap_or_default()["services"][service].clone()
+    }
+
+    pub async fn status(&self, node: usize) -> Option<StatusReply> {
+        self.operate(node, "GET", "/v1/status", "").await
+    }
+
+    pub async fn version(&self, node: usize) -> Option<u64> {
+        Some(self.status(node).await?.versions.first()?.version)
+    }
+
+    /// Returns the groups that a node would send requests to.
+    pub async fn routable(&self, node: usize) -> usize {
+        let status = self.status(node).await;
+        status.map_or(0, |status| {
+            status
+                .groups
+                .iter()
+                .filter(|group| group.is_routable)
+                .count()
+        })
+    }
+
+    pub async fn wait_routable(&self, groups: usize) {
+        for index in 0..self.nodes.len() {
+            self.wait("the groups are routable", async |cluster| {
+                cluster.routable(index).await == groups
+            })
+            .await;
+        }
+    }
+
+    /// Waits until a condition holds.
+    pub async fn wait(&self, what: &str, holds: impl AsyncFn(&Self) -> bool) {
+        let start = Instant::now();
+        while !holds(self).await {
+            assert!(start.elapsed() < LIMIT, "{what}: did not come about");
+            tokio::time::sleep(Duration::from_millis(20)).await;
+        }
+    }
+
+    pub fn callers(&self, node: usize) -> String {
+        format!("127.0.0.1:{}", self.nodes[node].ports.callers)
+    }
+
+    /// Sends a chat request for `tokens` tokens.
+    pub async fn chat(&self, node: usize, tokens: u32, is_stream: bool) -> Option<Answer> {
+        self.chat_with(node, tokens, is_stream, &[]).await
+    }
+
+    pub async fn chat_with(
+        &self,
+        node: usize,
+        tokens: u32,
+        is_stream: bool,
+        headers: &[(&str, &str)],
+    ) -> Option<Answer> {
+        let body = chat_body(tokens, is_stream);
+        let mut all = vec![("authorization", "Bearer kayal-key")];
+        all.extend_from_slice(headers);
+        let path = "/v1/chat/completions";
+        self.send(&self.callers(node), "POST", path, &all, &body)
+            .await
+    }
+
+    /// Calls the plain service.
+    pub async fn call(&self, node: usize, path: &str, headers: &[(&str, &str)]) -> Option<Answer> {
+        let mut all = vec![("authorization", "Bearer kayal-key")];
+        all.extend_from_slice(headers);
+        let path = format!("/services/{SERVICE}{path}");
+        self.send(&self.callers(node), "POST", &path, &all, "{}")
+            .await
+    }
+
+    /// Sends one request on a connection of its own; `None` when no head of an answer came.
+    pub async fn send(
+        &self,
+        address: &str,
+        method: &str,
+        path: &str,
+        headers: &[(&str, &str)],
+        body: &str,
+    ) -> Option<Answer> {
+        let (head, body) = self.begin(address, method, path, headers, body).await?;
+        Some(finish(head, body).await)
+    }
+
+    /// Sends one request and returns with the head of its answer.
+    pub async fn begin(
+        &self,
+        address: &str,
+        method: &str,
+        path: &str,
+        headers: &[(&str, &str)],
+        body: &str,
+    ) -> Option<(http::response::Parts, TargetBody)> {
+        let mut request = http::Request::builder()
+            .method(method)
+            .uri(path)
+            .header("host", address);
+        for (name, value) in headers {
+            request = request.header(*name, *value);
+        }
+        let body = whole_body(Bytes::copy_from_slice(body.as_bytes()));
+        let request = request.body(body).expect("a request");
+        let target = TargetAddress {
+            address: address.to_owned(),
+            incarnation: 0,
+        };
+        let sending = self.client.send(&target, request, true);
+        let reply = tokio::time::timeout(LIMIT, sending).await.ok()?.ok()?;
+        Some((reply.head, reply.body))
+    }
+
+    /// Counts the requests that engines ran.
+    pub fn executions(&self) -> usize {
+        let records = self.engines.values().map(EngineStandin::record);
+        records.map(|record| record.executions.len()).sum()
+    }
+
+    /// Counts the calls that plain services ran on a path.
+    pub fn calls(&self, path: &str) -> usize {
+        let calls = self.services.values().flat_map(PlainStandin::calls);
+        calls.filter(|call| call.path == path).count()
+    }
+}
+
+/// Reads an answer to its end, or to where it broke.
+pub async fn finish(head: http::response::Parts, mut body: TargetBody) -> Answer {
+    let mut bytes = Vec::new();
+    let is_whole = loop {
+        match tokio::time::timeout(LIMIT, body.next()).await {
+            Ok(Ok(Some(piece))) => bytes.extend_from_slice(&piece),
+            Ok(Ok(None)) => break true,
+            Ok(Err(_)) | Err(_) => break false,
+        }
+    };
+    let headers = head.headers.iter().map(|(name, value)| {
+        let text = value.to_str().unwrap_or_default().to_owned();
+        (name.as_str().to_owned(), text)
+    });
+    Answer {
+        status: head.status.as_u16(),
+        headers: headers.collect(),
+        body: String::from_utf8_lossy(&bytes).into_owned(),
+        is_whole,
+    }
+}
+
+pub fn chat_body(tokens: u32, is_stream: bool) -> String {
+    format!(
+        r#"{{"model":"{MODEL}","stream":{is_stream},"max_tokens":{tokens},"messages":[{{"role":"user","content":"price of rice"}}]}}"#
+    )
+}
+
+pub fn organisation(key: &str) -> ValueDoc {
+    ValueDoc::Organisation(OrganisationDoc {
+        key_hash: key_hash(key),
+        weight: 1,
+        requests_per_second: None,
+    })
+}
+
+pub fn route_rule(name: &str) -> RuleDoc {
+    RuleDoc {
+        name: name.to_owned(),
+        when: WhenDoc {
+            asked: Some(name.to_owned()),
+            ..WhenDoc::default()
+        },
+        then: ThenDoc::Route(RouteDoc {
+            deployment: name.to_owned(),
+            priority: None,
+        }),
+    }
+}
+
+/// Checks from the platform's own history that no machine was ever in two groups.
+///
+/// It never looks at what nodes say: after each transaction, every machine's row names one group,
+/// and no two groups that are not dissolving name the same life of a machine as a member.
+pub fn check_history(platform: &PlatformStandin) {
+    let mut groups: BTreeMap<String, GroupDoc> = BTreeMap::new();
+    let mut claims: BTreeMap<String, VmClaimDoc> = BTreeMap::new();
+    for write in platform.history() {
+        for key in write.deleted {
+            groups.remove(&key);
+            claims.remove(&key);
+        }
+        for row in write.rows {
+            if row.key.starts_with("group/") {
+                let group = serde_json::from_value(row.value).expect("a group row");
+                groups.insert(row.key, group);
+            } else if row.key.starts_with("vm/") {
+                let claim = serde_json::from_value(row.value).expect("a claim row");
+                claims.insert(row.key, claim);
+            }
+        }
+        let mut owners: BTreeMap<(String, u64), String> = BTreeMap::new();
+        for group in groups.values() {
+            if group.state == GroupStateDoc::Dissolving {
+                continue;
+            }
+            for member in &group.members {
+                let life = (member.vm.clone(), member.incarnation);
+                let other = owners.insert(life, group.id.clone());
+                assert_eq!(other, None, "{} is in two groups", member.vm);
+                let zone = group.id.split('-').next().unwrap_or_default();
+                let claim = claims.get(&format!("vm/{zone}/{}", member.vm));
+                if let Some(claim) = claim {
+                    let is_own = claim.group == group.id;
+                    let is_other_life = claim.incarnation != member.incarnation;
+                    assert!(
+                        is_own || is_other_life,
+                        "{} is claimed by another",
+                        member.vm
+                    );
+                }
+            }
+        }
+    }
+}
+
+fn rand_suffix() -> u64 {
+    use std::sync::atomic::{AtomicU64, Ordering};
+    static NEXT: AtomicU64 = AtomicU64::new(0);
+    NEXT.fetch_add(1, Ordering::Relaxed)
+}
+
+fn free_ports(count: usize) -> Vec<u16> {
+    let held: Vec<_> = (0..count)
+        .map(|_| TcpListener::bind("127.0.0.1:0").expect("a port"))
+        .collect();
+    held.iter()
+        .map(|listener| listener.local_addr().expect("an address").port())
+        .collect()
+}
+
+fn arguments(
+    name: &str,
+    zone: &str,
+    ports: &Ports,
+    platform: &str,
+    nodes: &[(String, String, u16)],
+    plan: &Plan,
+) -> Vec<String> {
+    let peers: Vec<Value> = nodes
+        .iter()
+        .filter(|(other, _, _)| other != name)
+        .map(|(node, zone, port)| {
+            serde_json::json!({"node": node, "zone": zone, "address": format!("127.0.0.1:{port}")})
+        })
+        .collect();
+    let file = std::env::temp_dir().join(format!("briarswitch-{name}-{}.json", ports.callers));
+    let text = serde_json::json!({"peers": peers}).to_string();
+    std::fs::write(&file, text).expect("a settings file");
+    let mut flags = vec![
+        format!("node={name}"),
+        format!("zone={zone}"),
+        format!("listen.callers=127.0.0.1:{}", ports.callers),
+        format!("listen.operators=127.0.0.1:{}", ports.operators),
+        format!("listen.peers=127.0.0.1:{}", ports.peers),
+        format!("listen.health=127.0.0.1:{}", ports.health),
+        "operator_token=operator".to_owned(),
+        "peer_token=peer".to_owned(),
+    ];
+    for service in ["table", "objects", "vms", "weights"] {
+        flags.push(format!("platform.{service}=http://{platform}"));
+    }
+    flags.extend(QUICK.iter().map(|flag| (*flag).to_owned()));
+    flags.extend(plan.settings.iter().cloned());
+    let mut arguments = vec!["--settings".to_owned(), file.display().to_string()];
+    for flag in flags {
+        arguments.extend(["--set".to_owned(), flag]);
+    }
+    arguments
+}
--- a/crates/standins/src/host.rs
+++ b/crates/standins/src/host.rs
@@ -2,7 +2,7 @@
 
 use std::future::Future;
 use std::io;
-use std::net::SocketAddr;
+use std::net::{SocketAddr, TcpListener};
 use std::sync::Arc;
 
 use briarswitch_http::{Handler, HttpServer, ServerGuard};
@@ -53,11 +53,11 @@
             .enable_all()
             .build()?;
         let (stop_sender, stop) = watch::channel(false);
-        let server = runtime.block_on(HttpServer::bind(address))?;
-        let address = server.address();
+        let listener = TcpListener::bind(address)?;
+        let address = listener.local_addr()?;
         let guard = {
             let _context = runtime.enter();
-            server.spawn(handler, stop)
+            HttpServer::adopt(listener)?.spawn(handler, stop)
         };
         Ok(Self {
             address,
--- a/crates/standins/src/relay.rs
+++ b/crates/standins/src/relay.rs
@@ -46,8 +46,13 @@
             .worker_threads(1)
             .enable_all()
             .build()?;
-        let listener = runtime.block_on(TcpListener::bind("127.0.0.1:0"))?;
+        let listener = std::net::TcpListener::bind("127.0.0.1:0")?;
+        listener.set_nonblocking(true)?;
         let address = listener.local_addr()?;
+        let listener = {
+            let _context = runtime.enter();
+            TcpListener::from_std(listener)?
+        };
         let (mode, watched) = watch::channel(LinkMode::Open);
         runtime.spawn(accept(listener, far.to_owned(), watched));
         Ok(Self {
