Search the protocol exhaustively; let a machine go only when it says so

Cause: the search of the first specification of orders found, in nine steps, a machine let go while an order to join was still on its way: a report that it was idle was older than that order, and was believed after the group was dissolved. The machine was then claimed for another group while it joined the first.

Ruled out: fencing alone (the late order has a higher number than any the machine had seen) and incarnations (the machine was never replaced).

Change: a dissolved group's machine is let go only when it acknowledged an order to leave, whose higher number bars the earlier order. After an order that was not answered, none is sent to that machine, nor is it claimed, until the order has arrived or died. Requests name the group and generation they are meant for, and engines in another refuse them. Two organisations with one key are now a finding.

--- a/crates/core/src/config.rs
+++ b/crates/core/src/config.rs
@@ -176,8 +176,9 @@
     /// Checks the configuration as a whole.
     pub fn check(&self) -> Vec<Finding> {
         let mut findings = Vec::new();
-        for (id, organisation) in &self.organisations {
+        for (index, (id, organisation)) in self.organisations.iter().enumerate() {
             findings.extend(organisation.check(&format!("organisations.{id}")));
+            findings.extend(self.check_key(index, organisation));
         }
         for (id, deployment) in &self.deployments {
             findings.extend(deployment.check(&format!("deployments.{id}")));
@@ -188,6 +189,16 @@
         findings
     }
 
+    /// Finds an earlier organisation with the same key, whose calls would be charged to this one.
+    fn check_key(&self, index: usize, organisation: &Organisation) -> Option<Finding> {
+        let mut earlier = self.organisations.values().take(index);
+        let other = earlier.find(|other| other.key_hash == organisation.key_hash)?;
+        Some(Finding::new(
+            format!("organisations.{}.key_hash", organisation.id),
+            format!("{} has the same key", other.id),
+        ))
+    }
+
     fn check_rule(&self, index: usize, rule: &Rule) -> Vec<Finding> {
         let place = format!("rules[{index}]");
         let mut findings = rule.check(&place);
--- a/crates/core/src/lease.rs
+++ b/crates/core/src/lease.rs
@@ -9,7 +9,7 @@
 use crate::id::{Epoch, Incarnation, Moment, NodeId, RowVersion, WriteId};
 
 /// Durations of the lease.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+#[derive(Clone, Copy, Debug, Eq, Hash, PartialEq)]
 pub struct LeaseTiming {
     /// Time a renewal is good for.
     pub duration: Duration,
@@ -20,7 +20,7 @@
 }
 
 /// What the lease row says.
-#[derive(Clone, Debug, Eq, PartialEq)]
+#[derive(Clone, Debug, Eq, Hash, PartialEq)]
 pub struct LeaseRecord {
     /// Node that holds the lease.
     pub holder: NodeId,
@@ -40,7 +40,7 @@
 }
 
 /// A write the keeper asks for.
-#[derive(Clone, Debug, Eq, PartialEq)]
+#[derive(Clone, Debug, Eq, Hash, PartialEq)]
 pub struct LeaseWrite {
     /// Row to write.
     pub record: LeaseRecord,
@@ -51,7 +51,7 @@
 }
 
 /// What the table service said to a write.
-#[derive(Clone, Debug, Eq, PartialEq)]
+#[derive(Clone, Debug, Eq, Hash, PartialEq)]
 pub enum LeaseAnswer {
     /// The write is in force at this version.
     Written(RowVersion),
@@ -61,14 +61,14 @@
     Lost,
 }
 
-#[derive(Clone, Debug)]
+#[derive(Clone, Debug, Eq, Hash, PartialEq)]
 struct PendingWrite {
     record: LeaseRecord,
     sent: Moment,
     is_lost: bool,
 }
 
-#[derive(Clone, Debug)]
+#[derive(Clone, Debug, Eq, Hash, PartialEq)]
 struct SeenRow {
     record: Option<LeaseRecord>,
     version: RowVersion,
@@ -76,7 +76,7 @@
 }
 
 /// One node's part in the contest for its zone's lease.
-#[derive(Clone, Debug)]
+#[derive(Clone, Debug, Eq, Hash, PartialEq)]
 pub struct LeaseKeeper {
     node: NodeId,
     incarnation: Incarnation,
--- /dev/null
+++ b/crates/model/examples/check.rs
@@ -0,0 +1,141 @@
+//! Searches every specification, and shows that every seeded defect is caught.
+//!
+//! Exits 0 only if every property holds in every state, no state is stuck, and every defect yields
+//! a counterexample.
+
+use std::process::ExitCode;
+
+use briarswitch_model::{
+    search, stuck_states, ConfigDefect, ConfigSpec, GateDefect, GateSpec, KeyDefect, KeySpec,
+    LeaseDefect, LeaseSpec, OrderDefect, OrderSpec, Specification,
+};
+
+/// Counts what was not as it should be.
+#[derive(Default)]
+struct CheckTally {
+    failures: usize,
+}
+
+impl CheckTally {
+    fn holds<S: Specification>(&mut self, name: &str, spec: &S) {
+        let report = search(spec);
+        let is_sound = report.violation.is_none() && report.is_exhausted;
+        println!(
+            "{} {name}: {} states, exhausted {}",
+            if is_sound { "holds " } else { "BROKEN" },
+            report.states,
+            report.is_exhausted,
+        );
+        if let Some(violation) = report.violation {
+            println!("    {}: {}", violation.property, violation.trace.join("; "));
+        }
+        self.failures += usize::from(!is_sound);
+    }
+
+    fn progresses<S: Specification>(&mut self, name: &str, spec: &S) {
+        let stuck = stuck_states(spec);
+        let word = if stuck == 0 { "lives " } else { "STUCK " };
+        println!("{word} {name}: {stuck} states from which nothing good is reached");
+        self.failures += usize::from(stuck > 0);
+    }
+
+    fn catches<S: Specification>(&mut self, name: &str, spec: &S) {
+        let report = search(spec);
+        match report.violation {
+            Some(violation) => {
+                println!(
+                    "caught {name}: {} steps break \"{}\"",
+                    violation.trace.len(),
+                    violation.property
+                );
+                println!("    {}", violation.trace.join("; "));
+            }
+            None => {
+                println!("MISSED {name}: {} states", report.states);
+                self.failures += 1;
+            }
+        }
+    }
+}
+
+fn main() -> ExitCode {
+    let mut tally = CheckTally::default();
+    tally.holds("lease, contest alone", &LeaseSpec::contest());
+    tally.holds("lease, engines that check fencing", &LeaseSpec::sound(true));
+    tally.holds(
+        "lease, engines that ignore fencing",
+        &LeaseSpec::sound(false),
+    );
+    tally.holds(
+        "orders, engines that check fencing",
+        &OrderSpec::sound(true),
+    );
+    tally.holds(
+        "orders, engines that ignore fencing",
+        &OrderSpec::sound(false),
+    );
+    tally.holds("serving gate", &GateSpec::sound());
+    tally.holds("accepted configuration", &ConfigSpec::sound());
+    tally.holds("at most once by key", &KeySpec::sound());
+    tally.progresses("lease", &LeaseSpec::short());
+    tally.progresses(
+        "orders, engines that check fencing",
+        &OrderSpec::sound(true),
+    );
+    tally.progresses(
+        "orders, engines that ignore fencing",
+        &OrderSpec::sound(false),
+    );
+    tally.progresses("serving gate", &GateSpec::sound());
+    tally.progresses("accepted configuration", &ConfigSpec::sound());
+    tally.progresses("at most once by key", &KeySpec::sound());
+    for (checks, defect) in [
+        (true, LeaseDefect::CountedFromAnswer),
+        (true, LeaseDefect::HastyChallenger),
+        (true, LeaseDefect::NoFencing),
+        (false, LeaseDefect::NoOrderWait),
+        (false, LeaseDefect::UncheckedOrder),
+    ] {
+        let name = format!("lease with {defect:?}");
+        tally.catches(&name, &LeaseSpec::defective(checks, defect));
+    }
+    for defect in [
+        OrderDefect::NoFencing,
+        OrderDefect::NoReport,
+        OrderDefect::UnacknowledgedLeave,
+        OrderDefect::SameFence,
+    ] {
+        let name = format!("orders with {defect:?}");
+        tally.catches(&name, &OrderSpec::defective(defect));
+    }
+    for defect in [
+        GateDefect::NeverExpires,
+        GateDefect::CountedFromAnswer,
+        GateDefect::OlderUndoesRevocation,
+        GateDefect::AnyGeneration,
+    ] {
+        let name = format!("gate with {defect:?}");
+        tally.catches(&name, &GateSpec::defective(defect));
+    }
+    for defect in [
+        ConfigDefect::LowerAccepted,
+        ConfigDefect::BlindRetry,
+        ConfigDefect::SettleBarsNothing,
+        ConfigDefect::UnconditionalHead,
+    ] {
+        let name = format!("configuration with {defect:?}");
+        tally.catches(&name, &ConfigSpec::defective(defect));
+    }
+    for defect in [
+        KeyDefect::SentUnsettled,
+        KeyDefect::RetriedUnknown,
+        KeyDefect::ReleasedUnknown,
+        KeyDefect::UnconditionalClaim,
+        KeyDefect::BrokenToldNotRun,
+    ] {
+        let name = format!("keys with {defect:?}");
+        tally.catches(&name, &KeySpec::defective(defect));
+    }
+    println!("{} not as it should be", tally.failures);
+    ExitCode::from(u8::from(tally.failures > 0))
+}
--- /dev/null
+++ b/crates/model/src/lease.rs
@@ -0,0 +1,353 @@
+//! Two nodes contest one lease; the holder orders an engine.
+//!
+//! The nodes run the real [`LeaseKeeper`]. The store applies writes late, loses answers, or both;
+//! a pause is a node that takes no step while time passes; orders to engines that check fencing numbers may be held up for ever, those
+//! to engines that ignore them for as long as the transport bound.
+
+use std::time::Duration;
+
+use briarswitch_core::lease::{LeaseAnswer, LeaseKeeper, LeaseRecord, LeaseTiming, LeaseWrite};
+
+use crate::search::{Specification, Step};
+
+/// Last moment of a bounded run, in ticks.
+const END: u64 = 5;
+/// The same where every state is kept to look for stuck ones.
+const SHORT_END: u64 = 4;
+/// Lost answers and late writes in a run without orders.
+const CONTEST_FAULTS: u8 = 2;
+/// The same in a run with orders, which multiply the states.
+const ORDER_FAULTS: u8 = 1;
+/// Orders in one run.
+const ORDERS: u8 = 2;
+/// Ticks after which an order to an engine that ignores fencing has arrived or died.
+const ORDER_LIFE: u64 = 3;
+/// Writes one node sends at most.
+const WRITES: u8 = 2;
+const DURATION: u64 = 2;
+const MARGIN: u64 = 1;
+/// Ticks a new holder waits before it orders engines that ignore fencing: the last holder's last
+/// order is at least two margins old when the lease changes hands. The node waits the whole life of
+/// an order, which is longer.
+const ORDER_WAIT: u64 = ORDER_LIFE - 2 * MARGIN;
+
+/// A defect put in on purpose.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum LeaseDefect {
+    /// The holder counts its lease from the answer instead of from before the write.
+    CountedFromAnswer,
+    /// A challenger waits less than the lease's duration.
+    HastyChallenger,
+    /// Engines do not check fencing numbers though orders may be held up for ever.
+    NoFencing,
+    /// A new holder orders engines that ignore fencing at once.
+    NoOrderWait,
+    /// The holder does not check its lease before it sends an order.
+    UncheckedOrder,
+}
+
+/// The lease protocol.
+#[derive(Clone, Copy, Debug)]
+pub struct LeaseSpec {
+    checks_fencing: bool,
+    sends_orders: bool,
+    renew: u64,
+    end: u64,
+    defect: Option<LeaseDefect>,
+}
+
+#[derive(Clone, Debug, Eq, Hash, PartialEq)]
+enum Flight {
+    Sent(LeaseWrite),
+    Done(LeaseAnswer),
+}
+
+/// State of the contest.
+#[derive(Clone, Debug, Eq, Hash, PartialEq)]
+pub struct LeaseState {
+    now: u64,
+    keepers: [LeaseKeeper; 2],
+    flights: [Option<Flight>; 2],
+    late: Vec<LeaseWrite>,
+    /// Epoch and end of the lease as a defective holder counts it.
+    beliefs: [Option<(u64, u64)>; 2],
+    /// Writes each node has sent, which name the next one.
+    writes: [u8; 2],
+    orders_from: [u64; 2],
+    last_epoch: [u64; 2],
+    row: Option<LeaseRecord>,
+    version: u64,
+    orders: Vec<(u64, u64)>,
+    orders_left: u8,
+    faults_left: u8,
+    engine_epoch: u64,
+    is_order_old: bool,
+}
+
+impl LeaseSpec {
+    /// Makes the sound contest for the lease alone, with more faults.
+    pub fn contest() -> Self {
+        Self {
+            checks_fencing: true,
+            sends_orders: false,
+            renew: 1,
+            end: END,
+            defect: None,
+        }
+    }
+
+    /// Makes the sound protocol for engines that check fencing numbers, or ignore them.
+    pub fn sound(checks_fencing: bool) -> Self {
+        Self {
+            checks_fencing,
+            sends_orders: true,
+            renew: 2,
+            end: END,
+            defect: None,
+        }
+    }
+
+    /// Makes a shorter contest, small enough to keep every state.
+    pub fn short() -> Self {
+        Self {
+            end: SHORT_END,
+            ..Self::contest()
+        }
+    }
+
+    /// Makes the protocol with one defect.
+    pub fn defective(checks_fencing: bool, defect: LeaseDefect) -> Self {
+        Self {
+            checks_fencing,
+            sends_orders: true,
+            renew: 2,
+            end: END,
+            defect: Some(defect),
+        }
+    }
+
+    fn has(&self, defect: LeaseDefect) -> bool {
+        self.defect == Some(defect)
+    }
+
+    fn epoch(&self, state: &LeaseState, node: usize) -> Option<u64> {
+        if self.has(LeaseDefect::UncheckedOrder) {
+            let epoch = state.last_epoch[node];
+            return (epoch > 0).then_some(epoch);
+        }
+        if self.has(LeaseDefect::CountedFromAnswer) {
+            let belief = state.beliefs[node].filter(|(_, until)| state.now < *until);
+            return belief.map(|(epoch, _)| epoch);
+        }
+        state.keepers[node].epoch(ticks(state.now))
+    }
+
+    fn node_steps(&self, state: &LeaseState, node: usize, steps: &mut Vec<Step<LeaseState>>) {
+        if state.flights[node].is_none() && state.writes[node] < WRITES {
+            let mut next = state.clone();
+            next.keepers[node].observe(state.row.clone(), state.version, ticks(state.now));
+            self.note_hold(&mut next, node);
+            steps.push(Step::of(format!("node {node} reads the row"), next.clone()));
+            let write = format!("{node}.{}", state.writes[node]);
+            if let Some(write) = next.keepers[node].propose(write, ticks(state.now)) {
+                next.writes[node] += 1;
+                next.flights[node] = Some(Flight::Sent(write));
+                steps.push(Step::of(
+                    format!("node {node} reads the row and sends a write"),
+                    next,
+                ));
+            }
+        }
+        if let Some(Flight::Done(answer)) = &state.flights[node] {
+            let mut next = state.clone();
+            next.flights[node] = None;
+            next.keepers[node].answer(answer.clone(), ticks(state.now));
+            if let (LeaseAnswer::Written(_), Some(record)) = (answer, next.keepers[node].record()) {
+                next.beliefs[node] = Some((record.epoch, state.now + DURATION - MARGIN));
+            }
+            self.note_hold(&mut next, node);
+            steps.push(Step::of(format!("node {node} gets its answer"), next));
+        }
+        self.order_step(state, node, steps);
+        if state.faults_left > 0 {
+            self.loss_steps(state, node, steps);
+        }
+    }
+
+    fn loss_steps(&self, state: &LeaseState, node: usize, steps: &mut Vec<Step<LeaseState>>) {
+        let Some(flight) = &state.flights[node] else {
+            return;
+        };
+        let mut next = state.clone();
+        next.faults_left -= 1;
+        next.flights[node] = None;
+        next.keepers[node].answer(LeaseAnswer::Lost, ticks(state.now));
+        if let Flight::Sent(write) = flight {
+            next.late.push(write.clone());
+        }
+        steps.push(Step::fault(format!("node {node} loses its answer"), next));
+    }
+
+    fn order_step(&self, state: &LeaseState, node: usize, steps: &mut Vec<Step<LeaseState>>) {
+        let Some(epoch) = self.epoch(state, node) else {
+            return;
+        };
+        let is_early = state.now < state.orders_from[node];
+        if state.orders_left == 0 || is_early {
+            return;
+        }
+        let mut next = state.clone();
+        next.orders_left -= 1;
+        next.orders.push((epoch, state.now));
+        next.orders.sort_unstable();
+        steps.push(Step::of(
+            format!("node {node} sends an order of epoch {epoch}"),
+            next,
+        ));
+    }
+
+    /// Notes that a node holds a new epoch, and from when it sends orders.
+    fn note_hold(&self, state: &mut LeaseState, node: usize) {
+        let Some(epoch) = state.keepers[node].epoch(ticks(state.now)) else {
+            return;
+        };
+        if epoch == state.last_epoch[node] {
+            return;
+        }
+        state.last_epoch[node] = epoch;
+        let waits = !self.checks_fencing && !self.has(LeaseDefect::NoOrderWait);
+        let wait = if waits { ORDER_WAIT } else { 0 };
+        state.orders_from[node] = state.now + wait;
+    }
+
+    fn store_steps(&self, state: &LeaseState, steps: &mut Vec<Step<LeaseState>>) {
+        for node in 0..2 {
+            if let Some(Flight::Sent(write)) = &state.flights[node] {
+                let mut next = state.clone();
+                let answer = apply(&mut next, write);
+                next.flights[node] = Some(Flight::Done(answer));
+                steps.push(Step::of(
+                    format!("the store takes node {node}'s write"),
+                    next,
+                ));
+            }
+        }
+        for index in 0..state.late.len() {
+            let mut next = state.clone();
+            let write = next.late.remove(index);
+            apply(&mut next, &write);
+            steps.push(Step::of("the store takes a late write", next));
+        }
+    }
+
+    fn engine_steps(&self, state: &LeaseState, steps: &mut Vec<Step<LeaseState>>) {
+        for index in 0..state.orders.len() {
+            let mut next = state.clone();
+            let (epoch, _) = next.orders.remove(index);
+            let is_old = epoch < state.engine_epoch;
+            let is_refused = is_old && self.checks_fencing && !self.has(LeaseDefect::NoFencing);
+            if !is_refused {
+                next.is_order_old |= is_old;
+                next.engine_epoch = epoch;
+            }
+            steps.push(Step::of(
+                format!("the engine gets an order of epoch {epoch}"),
+                next,
+            ));
+        }
+    }
+}
+
+impl Specification for LeaseSpec {
+    type State = LeaseState;
+
+    fn initial(&self) -> LeaseState {
+        let timing = |duration| LeaseTiming {
+            duration: ticks(duration),
+            margin: ticks(MARGIN.min(duration - 1)),
+            renew: ticks(self.renew),
+        };
+        let is_hasty = self.has(LeaseDefect::HastyChallenger);
+        let (first, second) = if is_hasty {
+            (4, 1)
+        } else {
+            (DURATION, DURATION)
+        };
+        LeaseState {
+            now: 0,
+            keepers: [
+                LeaseKeeper::open("a".to_owned(), 1, timing(first)),
+                LeaseKeeper::open("b".to_owned(), 1, timing(second)),
+            ],
+            flights: [None, None],
+            late: Vec::new(),
+            beliefs: [None; 2],
+            writes: [0; 2],
+            orders_from: [0; 2],
+            last_epoch: [0; 2],
+            row: None,
+            version: 0,
+            orders: Vec::new(),
+            orders_left: if self.sends_orders { ORDERS } else { 0 },
+            faults_left: if self.sends_orders {
+                ORDER_FAULTS
+            } else {
+                CONTEST_FAULTS
+            },
+            engine_epoch: 0,
+            is_order_old: false,
+        }
+    }
+
+    fn steps(&self, state: &LeaseState) -> Vec<Step<LeaseState>> {
+        let mut steps = Vec::new();
+        for node in 0..2 {
+            self.node_steps(state, node, &mut steps);
+        }
+        self.store_steps(state, &mut steps);
+        self.engine_steps(state, &mut steps);
+        if state.now < self.end {
+            let mut next = state.clone();
+            next.now += 1;
+            if !self.checks_fencing {
+                let now = next.now;
+                next.orders.retain(|(_, sent)| sent + ORDER_LIFE >= now);
+            }
+            steps.push(Step::of("time passes", next));
+        }
+        steps
+    }
+
+    fn broken(&self, state: &LeaseState) -> Option<&'static str> {
+        let holds = |node: usize| self.epoch(state, node).is_some();
+        let is_checked = !self.has(LeaseDefect::UncheckedOrder);
+        if is_checked && holds(0) && holds(1) {
+            return Some("at most one node holds the lease");
+        }
+        state
+            .is_order_old
+            .then_some("no order of an earlier epoch takes effect after a later one's")
+    }
+
+    fn is_goal(&self, state: &LeaseState) -> bool {
+        // Near the end of the bounded run there is no time left to wait a lease out, and a node
+        // that has used up its writes can not win it.
+        let is_late = state.now + DURATION + MARGIN >= self.end;
+        let is_used_up = state.writes.contains(&WRITES);
+        let is_held = (0..2).any(|node| state.keepers[node].epoch(ticks(state.now)).is_some());
+        is_held || is_late || is_used_up
+    }
+}
+
+fn apply(state: &mut LeaseState, write: &LeaseWrite) -> LeaseAnswer {
+    if state.version != write.expected {
+        return LeaseAnswer::Conflict;
+    }
+    state.version += 1;
+    state.row = Some(write.record.clone());
+    LeaseAnswer::Written(state.version)
+}
+
+fn ticks(count: u64) -> Duration {
+    Duration::from_secs(count)
+}
--- /dev/null
+++ b/crates/model/src/orders.rs
@@ -0,0 +1,286 @@
+//! One controller lets a machine go from one group and claims it for another.
+//!
+//! Orders are held up and delivered in any order, answers are lost, reports arrive late, and the
+//! machine is replaced. The property is about the machine itself: once it has joined the group that
+//! the table says, no earlier order takes it back.
+
+use crate::search::{Specification, Step};
+
+/// Losses and replacements in one run.
+const FAULTS: u8 = 3;
+/// Times the machine is claimed in one run.
+const CLAIMS: u8 = 3;
+
+/// A defect put in on purpose.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum OrderDefect {
+    /// Engines take orders whatever their fencing number, and nothing waits for that.
+    NoFencing,
+    /// The machine is claimed again without its own report that it is idle.
+    NoReport,
+    /// A report that it is idle is believed though it may be older than an order to join.
+    UnacknowledgedLeave,
+    /// Every order of an epoch carries the same fencing number.
+    SameFence,
+}
+
+/// Claim, order, report and release of one machine.
+#[derive(Clone, Copy, Debug)]
+pub struct OrderSpec {
+    checks_fencing: bool,
+    defect: Option<OrderDefect>,
+}
+
+type Group = u8;
+
+#[derive(Clone, Copy, Debug, Eq, Hash, Ord, PartialEq, PartialOrd)]
+struct Order {
+    fence: u8,
+    join: Option<Group>,
+}
+
+#[derive(Clone, Copy, Debug, Eq, Hash, PartialEq)]
+struct Report {
+    life: u8,
+    group: Option<Group>,
+    /// Fencing number of the last order obeyed.
+    fence: u8,
+}
+
+/// State of the machine and its controller.
+#[derive(Clone, Debug, Eq, Hash, PartialEq)]
+pub struct OrderState {
+    /// Group that the table says the machine belongs to.
+    claim: Option<Group>,
+    claim_life: u8,
+    is_dissolving: bool,
+    next_group: Group,
+    next_fence: u8,
+    orders: Vec<Order>,
+    vm_life: u8,
+    vm_group: Option<Group>,
+    vm_fence: u8,
+    /// Newest report on its way, and the one the controller has.
+    sent: Option<Report>,
+    seen: Option<Report>,
+    faults_left: u8,
+    claims_left: u8,
+    /// Whether the machine had joined the claimed group since it was claimed.
+    has_joined: bool,
+    is_taken_back: bool,
+    is_claimed_busy: bool,
+}
+
+impl OrderSpec {
+    /// Makes the sound protocol for engines that check fencing numbers, whose orders may be held up
+    /// for ever, or for those that ignore them, to which no order is sent until the one before has
+    /// arrived or died.
+    pub fn sound(checks_fencing: bool) -> Self {
+        Self {
+            checks_fencing,
+            defect: None,
+        }
+    }
+
+    /// Makes the protocol with one defect.
+    pub fn defective(defect: OrderDefect) -> Self {
+        Self {
+            checks_fencing: true,
+            defect: Some(defect),
+        }
+    }
+
+    fn has(&self, defect: OrderDefect) -> bool {
+        self.defect == Some(defect)
+    }
+
+    fn send(&self, state: &mut OrderState, join: Option<Group>) {
+        if !self.has(OrderDefect::SameFence) {
+            state.next_fence += 1;
+        }
+        state.orders.push(Order {
+            fence: state.next_fence,
+            join,
+        });
+        state.orders.sort_unstable();
+    }
+
+    fn is_free(&self, state: &OrderState) -> bool {
+        if state.claim.is_some() {
+            return false;
+        }
+        if self.has(OrderDefect::NoReport) {
+            return true;
+        }
+        state
+            .seen
+            .is_some_and(|report| self.is_idle_now(state, report))
+    }
+
+    fn is_idle_now(&self, state: &OrderState, report: Report) -> bool {
+        // The platform's list tells the controller which life the machine is in.
+        let is_present = report.life == state.vm_life;
+        is_present && report.group.is_none()
+    }
+
+    /// Returns whether a report shows that the last order, the one to leave, was obeyed.
+    fn has_left(&self, state: &OrderState, report: Report) -> bool {
+        let is_obeyed =
+            report.fence >= state.next_fence || self.has(OrderDefect::UnacknowledgedLeave);
+        is_obeyed && self.is_idle_now(state, report)
+    }
+
+    /// Returns whether an order may be sent.
+    fn can_send(&self, state: &OrderState) -> bool {
+        self.checks_fencing || state.orders.is_empty()
+    }
+
+    fn controller_steps(&self, state: &OrderState, steps: &mut Vec<Step<OrderState>>) {
+        if self.is_free(state) && self.can_send(state) && state.claims_left > 0 {
+            let mut next = state.clone();
+            next.claims_left -= 1;
+            next.claim = Some(state.next_group);
+            next.claim_life = state.vm_life;
+            next.next_group += 1;
+            next.has_joined = false;
+            next.is_dissolving = false;
+            next.seen = None;
+            next.is_claimed_busy |= state.vm_group.is_some();
+            self.send(&mut next, Some(state.next_group));
+            steps.push(Step::of("the machine is claimed and ordered to join", next));
+        }
+        if let Some(group) = state.claim {
+            self.claimed_steps(state, group, steps);
+        }
+    }
+
+    fn claimed_steps(&self, state: &OrderState, group: Group, steps: &mut Vec<Step<OrderState>>) {
+        if !state.is_dissolving {
+            if !self.can_send(state) {
+                return;
+            }
+            let mut next = state.clone();
+            next.is_dissolving = true;
+            self.send(&mut next, None);
+            steps.push(Step::of(format!("group {group} is dissolved"), next));
+            return;
+        }
+        let is_left = state.seen.is_some_and(|report| {
+            let is_replaced = state.vm_life != state.claim_life;
+            is_replaced || self.has_left(state, report)
+        });
+        if is_left || self.has(OrderDefect::NoReport) {
+            let mut next = state.clone();
+            next.claim = None;
+            steps.push(Step::of(
+                format!("the claim of group {group} is dropped"),
+                next,
+            ));
+        }
+        if state.orders.is_empty() && state.vm_fence < state.next_fence {
+            let mut next = state.clone();
+            self.send(&mut next, None);
+            steps.push(Step::of("the order to leave is sent again", next));
+        }
+    }
+
+    fn machine_steps(&self, state: &OrderState, steps: &mut Vec<Step<OrderState>>) {
+        for index in 0..state.orders.len() {
+            let mut next = state.clone();
+            let order = next.orders.remove(index);
+            let ignores = !self.checks_fencing || self.has(OrderDefect::NoFencing);
+            let is_refused = order.fence < state.vm_fence && !ignores;
+            if !is_refused {
+                self.obey(&mut next, order);
+            }
+            steps.push(Step::of(format!("order {order:?} arrives"), next));
+        }
+        let mut next = state.clone();
+        next.sent = Some(Report {
+            life: state.vm_life,
+            group: state.vm_group,
+            fence: state.vm_fence,
+        });
+        steps.push(Step::of("the machine reports", next));
+        if state.sent.is_some() {
+            let mut next = state.clone();
+            next.seen = next.sent.take();
+            steps.push(Step::of("the report arrives", next));
+        }
+    }
+
+    fn obey(&self, state: &mut OrderState, order: Order) {
+        state.vm_fence = state.vm_fence.max(order.fence);
+        let is_own = state.claim_life == state.vm_life && !state.is_dissolving;
+        if is_own && state.has_joined && order.join != state.claim {
+            state.is_taken_back = true;
+        }
+        state.vm_group = order.join;
+        if order.join.is_some() && order.join == state.claim {
+            state.has_joined = true;
+        }
+    }
+}
+
+impl Specification for OrderSpec {
+    type State = OrderState;
+
+    fn initial(&self) -> OrderState {
+        OrderState {
+            claim: None,
+            claim_life: 0,
+            is_dissolving: false,
+            next_group: 0,
+            next_fence: 1,
+            orders: Vec::new(),
+            vm_life: 0,
+            vm_group: None,
+            vm_fence: 0,
+            sent: None,
+            seen: None,
+            faults_left: FAULTS,
+            claims_left: CLAIMS,
+            has_joined: false,
+            is_taken_back: false,
+            is_claimed_busy: false,
+        }
+    }
+
+    fn steps(&self, state: &OrderState) -> Vec<Step<OrderState>> {
+        let mut steps = Vec::new();
+        self.controller_steps(state, &mut steps);
+        self.machine_steps(state, &mut steps);
+        if state.faults_left == 0 {
+            return steps;
+        }
+        if !state.orders.is_empty() {
+            let mut next = state.clone();
+            next.faults_left -= 1;
+            next.orders.remove(0);
+            steps.push(Step::fault("an order is lost", next));
+        }
+        let mut next = state.clone();
+        next.faults_left -= 1;
+        next.vm_life += 1;
+        next.vm_group = None;
+        next.vm_fence = 0;
+        // What was under way to the old life dies with its connections.
+        next.orders.clear();
+        steps.push(Step::fault("the machine is replaced", next));
+        steps
+    }
+
+    fn broken(&self, state: &OrderState) -> Option<&'static str> {
+        if state.is_taken_back {
+            return Some("no earlier order takes a machine out of the group the table gives it");
+        }
+        state
+            .is_claimed_busy
+            .then_some("a machine is claimed only when it is in no group")
+    }
+
+    fn is_goal(&self, state: &OrderState) -> bool {
+        let is_serving = state.claim.is_some() && state.vm_group == state.claim;
+        is_serving || state.claims_left == 0 || state.claim.is_some()
+    }
+}
--- a/crates/node/src/attempt.rs
+++ b/crates/node/src/attempt.rs
@@ -6,7 +6,8 @@
 use briarswitch_http::{whole_body, SendFailure, TargetBody, TargetClient, TargetReply};
 use briarswitch_kernel::{BootClock, Mailbox};
 use briarswitch_wire::engine::{
-    ATTEMPT_HEADER, LEAVING_HEADER, NOT_RUN_HEADER, PRIORITY_HEADER, RESUME_HEADER, TIMEOUT_HEADER,
+    ATTEMPT_HEADER, GROUP_HEADER, LEAVING_HEADER, NOT_RUN_HEADER, PRIORITY_HEADER, RESUME_HEADER,
+    TIMEOUT_HEADER,
 };
 use bytes::{Bytes, BytesMut};
 use http::{HeaderMap, HeaderValue, Method, Uri};
@@ -178,6 +179,7 @@
     headers.clone_from(&ask.headers);
     insert(headers, "host", &target.address.address);
     insert(headers, ATTEMPT_HEADER, attempt);
+    insert(headers, GROUP_HEADER, &target.id);
     insert(headers, PRIORITY_HEADER, &ask.priority.to_string());
     insert(headers, TIMEOUT_HEADER, &left.as_millis().to_string());
     if let Some(events) = resume {
--- a/crates/node/src/controller.rs
+++ b/crates/node/src/controller.rs
@@ -9,7 +9,7 @@
 use briarswitch_http::{CallError, CallerClient, Codec};
 use briarswitch_kernel::{BootClock, Service, ServiceLink};
 use briarswitch_platform::{StoreError, TransactBuilder};
-use briarswitch_wire::engine::{OrderDoc, ReportDoc};
+use briarswitch_wire::engine::{OrderDoc, ReportDoc, StateDoc};
 use briarswitch_wire::platform::{EpochDoc, LeaseDoc, ReadReply, ReadRequest, TransactReply};
 use http::Method;
 use indexmap::{IndexMap, IndexSet};
@@ -68,6 +68,8 @@
         /// Local time before the order was sent.
         asked: Moment,
     },
+    /// An order that was not answered has arrived or died by now.
+    OrderDied(VmId),
     /// The process ends: give the lease up.
     Release(oneshot::Sender<()>),
 }
@@ -340,6 +342,9 @@
             if claimed.is_some() {
                 self.note_presence(&vm.id, report.is_some(), now);
             }
+            // An unanswered order may still put the machine into a group.
+            let is_settled = claimed.is_some() || !self.ordering.contains(&vm.id);
+            let report = report.filter(|_| is_settled);
             let facts = VmFacts {
                 vm: vm.clone(),
                 claimed,
@@ -420,8 +425,8 @@
         }
     }
 
-    /// Returns the changes that reports have made due: groups that became whole, and machines of
-    /// dissolved groups that reported that they left, or that were replaced.
+    /// Returns the changes that have become due: groups that became whole, and machines of dissolved
+    /// groups that acknowledged that they left, or that were replaced.
     fn finished(&self, fleet: &FleetState) -> RowChanges {
         let mut changes = RowChanges::default();
         for group in fleet.groups.values() {
@@ -450,9 +455,10 @@
                 claim.is_some_and(|row| row.value.group == group.id)
             })
             .collect();
-        let (left, stays): (Vec<_>, Vec<_>) = held
-            .into_iter()
-            .partition(|member| has_left(fleet.vms.get(&member.vm), member.incarnation));
+        let (left, stays): (Vec<_>, Vec<_>) = held.into_iter().partition(|member| {
+            let facts = fleet.vms.get(&member.vm);
+            is_gone(facts, member.incarnation) || reign.has_left(&member.vm)
+        });
         for member in left {
             changes.rows.push(RowChange::DropClaim(member.vm.clone()));
         }
@@ -524,6 +530,7 @@
                 action: order.action,
             };
             log::info!(vm = order.vm.as_str(), fence = doc.fence, order = order.reason; "order_sent");
+            reign.note_left(&order.vm, false);
             let client = self.client.clone();
             link.spawn(async move {
                 let asked = BootClock::now();
@@ -547,9 +554,13 @@
         asked: Moment,
         link: &ServiceLink<ControllerMessage>,
     ) {
-        self.ordering.swap_remove(&vm);
         match report {
             Ok(report) => {
+                self.ordering.swap_remove(&vm);
+                let is_idle = report.state == StateDoc::Idle;
+                if let (true, Some(reign)) = (is_idle, self.reign.as_mut()) {
+                    reign.note_left(&vm, true);
+                }
                 if let Some(watch) = link.kernel().find(WATCH_SERVICE) {
                     let report = Ok(report);
                     let _ = watch.post(WatchMessage::Probed(ProbeResult { vm, report, asked }));
@@ -557,6 +568,10 @@
             }
             Err(error) => {
                 log::warn!(vm = vm.as_str(), error:% = error; "order_failed");
+                // The order may still arrive; an engine that ignores fencing numbers would take it
+                // after the next one, so that one waits until it has arrived or died.
+                let bound = self.shared.settings.control.transport_bound;
+                link.later(bound, ControllerMessage::OrderDied(vm));
             }
         }
     }
@@ -671,6 +686,9 @@
             ControllerMessage::Ordered { vm, result, asked } => {
                 self.take_ordered(vm, result, asked, link);
             }
+            ControllerMessage::OrderDied(vm) => {
+                self.ordering.swap_remove(&vm);
+            }
             ControllerMessage::Release(reply) => self.release(reply, link),
         }
     }
@@ -707,16 +725,9 @@
     })
 }
 
-/// Returns whether a machine has left its group by its own word, or lives no more.
-fn has_left(facts: Option<&VmFacts>, incarnation: Incarnation) -> bool {
-    let Some(facts) = facts else {
-        return true;
-    };
-    let is_replaced = facts.vm.incarnation != incarnation;
-    let is_idle = facts.report.as_ref().is_some_and(|report| {
-        report.state == MemberState::Idle && report.incarnation == incarnation
-    });
-    is_replaced || is_idle
+/// Returns whether a machine's life has ended.
+fn is_gone(facts: Option<&VmFacts>, incarnation: Incarnation) -> bool {
+    facts.is_none_or(|facts| facts.vm.incarnation != incarnation)
 }
 
 fn loads_of(step: &PlanStep) -> usize {
--- a/crates/node/src/orders.rs
+++ b/crates/node/src/orders.rs
@@ -27,6 +27,15 @@
     reign: &ControllerReign,
     fleet: &FleetView,
     report_of: &dyn Fn(&str) -> Option<MemberReport>,
+) -> Vec<DueOrder> {
+    let mut orders = join_orders(reign, report_of);
+    orders.extend(leave_orders(reign, fleet, report_of));
+    orders
+}
+
+fn join_orders(
+    reign: &ControllerReign,
+    report_of: &dyn Fn(&str) -> Option<MemberReport>,
 ) -> Vec<DueOrder> {
     let mut orders = Vec::new();
     for row in reign.groups.values() {
@@ -43,6 +52,15 @@
             }
         }
     }
+    orders
+}
+
+fn leave_orders(
+    reign: &ControllerReign,
+    fleet: &FleetView,
+    report_of: &dyn Fn(&str) -> Option<MemberReport>,
+) -> Vec<DueOrder> {
+    let mut orders = Vec::new();
     for vm in fleet.vms.values() {
         let Some(report) = report_of(&vm.id) else {
             continue;
@@ -65,18 +83,22 @@
     !is_there || report.state == MemberState::Idle
 }
 
-/// Returns whether a machine is in a group that the table does not have it in.
+/// Returns whether a machine has to be told to leave: it is in a group that the table does not have
+/// it in, or its group is being dissolved and it has not acknowledged an order to leave.
+///
+/// A report that it is idle is not enough for the latter: it may be older than an order to join that
+/// is still on its way, and the machine would be let go while it joins. The order to leave carries
+/// a higher fencing number, so once it is acknowledged the earlier one is refused.
 fn needs_leave(reign: &ControllerReign, report: &MemberReport) -> bool {
-    let Some(group) = &report.group else {
-        return false;
-    };
     let claim = reign.claims.get(&report.vm).map(|row| &row.value);
+    let is_in_group = report.group.is_some();
     let Some(claim) = claim else {
-        return true;
+        return is_in_group;
     };
     let row = reign.groups.get(&claim.group);
     let is_dissolving = row.is_none_or(|row| row.value.state == GroupState::Dissolving);
-    is_dissolving && *group == claim.group
+    let is_same_life = claim.incarnation == report.incarnation;
+    is_dissolving && is_same_life && !reign.has_left(&report.vm)
 }
 
 fn join_order(group: &GroupRecord, rank: usize) -> DueOrder {
--- a/crates/node/src/reign.rs
+++ b/crates/node/src/reign.rs
@@ -5,7 +5,7 @@
 use briarswitch_platform::TransactBuilder;
 use briarswitch_wire::peer::GroupDoc;
 use briarswitch_wire::platform::{ReadReply, TransactRequest, VmClaimDoc};
-use indexmap::IndexMap;
+use indexmap::{IndexMap, IndexSet};
 
 use crate::config::row_value;
 use crate::keys::{epoch_key, group_key, group_prefix, vm_key, vm_prefix};
@@ -78,6 +78,8 @@
     pub claims: IndexMap<VmId, HeldRow<VmClaimDoc>>,
     /// Local time before which no order is sent.
     pub orders_from: Moment,
+    /// Machines that acknowledged an order to leave and were not ordered to join since.
+    left: IndexSet<VmId>,
     counts: ReignCounts,
 }
 
@@ -102,6 +104,7 @@
             groups: IndexMap::new(),
             claims: IndexMap::new(),
             orders_from,
+            left: IndexSet::new(),
             counts: ReignCounts {
                 sequence: counts.sequence + 1,
                 ..counts
@@ -137,6 +140,20 @@
         (self.epoch << ORDER_BITS) | self.counts.orders
     }
 
+    /// Notes that a machine acknowledged an order to leave, or is about to be ordered to join.
+    pub fn note_left(&mut self, vm: &str, has_left: bool) {
+        if has_left {
+            self.left.insert(vm.to_owned());
+        } else {
+            self.left.swap_remove(vm);
+        }
+    }
+
+    /// Returns whether a machine acknowledged an order to leave and was not ordered to join since.
+    pub fn has_left(&self, vm: &str) -> bool {
+        self.left.contains(vm)
+    }
+
     /// Returns the groups without their row versions.
     pub fn records(&self) -> IndexMap<GroupId, GroupRecord> {
         self.groups
--- a/crates/node/src/settings.rs
+++ b/crates/node/src/settings.rs
@@ -204,7 +204,7 @@
     /// use briarswitch_node::settings::SettingsLayers;
     ///
     /// let mut layers = SettingsLayers::open();
-    /// layers.add_file("node.json", r#"{"colour": 1, "lease": {"margin_ms": 60000}}"#);
+    /// layers.add_file("node.json", r#"{"colour": 1, "log_level": "loud"}"#);
     /// let findings = layers.build().unwrap_err();
     /// assert_eq!(findings.len(), 2);
     /// ```
--- a/crates/wire/src/engine.rs
+++ b/crates/wire/src/engine.rs
@@ -9,6 +9,9 @@
 pub const RESUME_HEADER: &str = "x-resume-from";
 /// Header that carries a request's priority.
 pub const PRIORITY_HEADER: &str = "x-priority";
+/// Header that names the group and generation a request is meant for, as `GROUP@GENERATION`; an
+/// engine that is in another refuses the request as not run.
+pub const GROUP_HEADER: &str = "x-group";
 /// Header by which a target says that it did not run the request.
 pub const NOT_RUN_HEADER: &str = "x-not-run";
 /// Header by which a target says that it is leaving.
