--- a/crates/core/src/planner.rs
+++ b/crates/core/src/planner.rs
@@ -237,6 +237,7 @@
     free: IndexMap<FreeKey, Vec<&'a Vm>>,
     ranked: Vec<&'a Deployment>,
     dropped: BTreeSet<GroupId>,
+    mended: BTreeSet<GroupId>,
     budget: usize,
     steps: Vec<PlanStep>,
 }
@@ -258,6 +259,7 @@
             free,
             ranked,
             dropped: BTreeSet::new(),
+            mended: BTreeSet::new(),
             budget: fleet.load_budget,
             steps: Vec::new(),
         }
@@ -358,6 +360,7 @@
             return false;
         };
         self.budget -= lacking;
+        self.mended.insert(broken.group.id.clone());
         let mut members = broken.kept.clone();
         members.extend(found);
         self.steps.push(PlanStep::Mend {
@@ -456,7 +459,7 @@
             *counts.entry(&group.deployment).or_default() += 1;
         }
         active(self.fleet)
-            .filter(|group| !self.dropped.contains(&group.id) && group.id != broken.group.id)
+            .filter(|group| !self.is_changed(group) && group.id != broken.group.id)
             .filter(|group| self.stands_in(group, pool, domain))
             .filter(|group| self.examine(group).is_none())
             .filter_map(|group| {
@@ -471,6 +474,11 @@
             .map(|(_, group)| group.id.clone())
     }
 
+    /// Returns whether a step of this plan changes a group already.
+    fn is_changed(&self, group: &GroupRecord) -> bool {
+        self.dropped.contains(&group.id) || self.mended.contains(&group.id)
+    }
+
     fn stands_in(&self, group: &GroupRecord, pool: &str, domain: &str) -> bool {
         group
             .members
@@ -553,7 +561,7 @@
         }
         let fleet = self.fleet;
         let candidate = active(fleet)
-            .filter(|group| !self.dropped.contains(&group.id))
+            .filter(|group| !self.is_changed(group))
             .filter_map(|group| {
                 let other = fleet.deployments.get(&group.deployment)?;
                 let facts = fleet.vms.get(&group.members.first()?.vm)?;
--- a/crates/node/src/settings.rs
+++ b/crates/node/src/settings.rs
@@ -264,6 +264,7 @@
                 self.note(name, &place, "expected an object");
                 continue;
             };
+            let given: Vec<String> = object.keys().cloned().collect();
             let mut peer = BTreeMap::new();
             for (key, value) in object {
                 let place = format!("{place}.{key}");
@@ -278,7 +279,7 @@
                 }
             }
             for field in PEER_FIELDS {
-                if !peer.contains_key(field.path) {
+                if !given.iter().any(|key| key == field.path) {
                     let fault = format!("missing; expected {}", field.kind.accepted());
                     self.note(name, &format!("{place}.{}", field.path), &fault);
                 }
