--- a/crates/core/src/evidence.rs
+++ b/crates/core/src/evidence.rs
@@ -5,7 +5,7 @@
 use indexmap::IndexMap;
 
 use crate::group::GroupRecord;
-use crate::id::{Epoch, Generation, GroupId, Incarnation, Moment, VmId};
+use crate::id::{DeploymentId, Epoch, Generation, GroupId, Incarnation, Moment, VmId};
 
 /// What an engine says it is doing.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
@@ -33,6 +33,8 @@
     pub generation: Generation,
     /// Highest fencing number it was given.
     pub fence: Epoch,
+    /// Deployment whose weights it holds, whether or not it is in a group.
+    pub weights: Option<DeploymentId>,
     /// Requests it runs.
     pub running: u32,
     /// Requests it holds queued.
--- a/crates/core/src/planner.rs
+++ b/crates/core/src/planner.rs
@@ -95,6 +95,15 @@
         /// Why.
         reason: String,
     },
+    /// Loads weights on a free machine, so that it can stand in for a lost one at once.
+    Preload {
+        /// Machine.
+        vm: VmId,
+        /// Deployment whose weights it loads.
+        deployment: DeploymentId,
+        /// Why.
+        reason: String,
+    },
     /// Lets a group's machines go.
     Dissolve {
         /// Group dissolved.
@@ -210,6 +219,7 @@
         draft.mend_broken();
         draft.form_wanted();
         draft.form_extra();
+        draft.preload_spares();
         draft.steps
     }
 }
@@ -349,17 +359,20 @@
     }
 
     fn mend(&mut self, broken: &BrokenGroup<'a>) -> bool {
-        if !broken.is_overdue {
+        let lacking = broken.group.members.len() - broken.kept.len();
+        let warm = self.count_warm(broken);
+        // A spare that holds the weights already is worth more than any return awaited.
+        if !broken.is_overdue && warm < lacking {
             return false;
         }
-        let lacking = broken.group.members.len() - broken.kept.len();
-        if lacking > self.budget {
+        let loads = lacking.saturating_sub(warm);
+        if loads > self.budget {
             return false;
         }
         let Some(found) = self.take_for_mend(broken, lacking) else {
             return false;
         };
-        self.budget -= lacking;
+        self.budget -= loads;
         self.mended.insert(broken.group.id.clone());
         let mut members = broken.kept.clone();
         members.extend(found);
@@ -386,6 +399,64 @@
         true
     }
 
+    /// Counts the free machines of a group's domain that hold its weights.
+    fn count_warm(&self, broken: &BrokenGroup<'_>) -> usize {
+        let key = (broken.pool.clone(), broken.domain.clone());
+        let vms = self.free.get(&key).map_or(&[][..], Vec::as_slice);
+        let is_warm = |vm: &&&Vm| self.holds(&vm.id, &broken.group.deployment);
+        vms.iter().filter(is_warm).count()
+    }
+
+    fn holds(&self, vm: &str, deployment: &str) -> bool {
+        let report = self
+            .fleet
+            .vms
+            .get(vm)
+            .and_then(|facts| facts.report.as_ref());
+        report.is_some_and(|report| report.weights.as_deref() == Some(deployment))
+    }
+
+    /// Loads weights on free machines, for the deployment of the pool that weighs downtime most.
+    fn preload_spares(&mut self) {
+        let mut steps = Vec::new();
+        for ((pool, _), vms) in &self.free {
+            let Some(deployment) = self.neediest(pool) else {
+                continue;
+            };
+            for vm in vms {
+                let report = self
+                    .fleet
+                    .vms
+                    .get(&vm.id)
+                    .and_then(|facts| facts.report.as_ref());
+                let is_empty = report.is_some_and(|report| report.weights.is_none());
+                if !is_empty || self.budget == steps.len() {
+                    continue;
+                }
+                steps.push(PlanStep::Preload {
+                    vm: vm.id.clone(),
+                    deployment: deployment.clone(),
+                    reason: "a spare that holds the weights ends an outage sooner".to_owned(),
+                });
+            }
+        }
+        self.steps.extend(steps);
+    }
+
+    fn neediest(&self, pool: &str) -> Option<DeploymentId> {
+        let models = self
+            .ranked
+            .iter()
+            .filter(|deployment| deployment.pool == pool);
+        models
+            .filter_map(|deployment| {
+                let (_, wanted, weights) = model_of(self.fleet, &deployment.id)?;
+                (wanted > 0).then_some((weights.downtime, &deployment.id))
+            })
+            .max_by_key(|(weight, _)| *weight)
+            .map(|(_, id)| id.clone())
+    }
+
     fn take_for_mend(
         &mut self,
         broken: &BrokenGroup<'a>,
@@ -393,11 +464,11 @@
     ) -> Option<Vec<GroupMember>> {
         let key = (broken.pool.clone(), broken.domain.clone());
         let spans = may_span(self.fleet, &broken.group.deployment);
-        if let Some(found) = self.take(&key, lacking) {
+        if let Some(found) = self.take(&key, lacking, &broken.group.deployment) {
             return Some(found);
         }
         if spans {
-            return self.take_anywhere(&broken.pool, lacking);
+            return self.take_anywhere(&broken.pool, lacking, &broken.group.deployment);
         }
         None
     }
@@ -529,16 +600,17 @@
             return false;
         }
         let single = self.tightest(&deployment.pool, size);
-        let (members, spans_domains) = match single.and_then(|key| self.take(&key, size)) {
-            Some(members) => (members, false),
-            None if may_span(self.fleet, &deployment.id) => {
-                match self.take_anywhere(&deployment.pool, size) {
-                    Some(members) => (members, true),
-                    None => return false,
+        let (members, spans_domains) =
+            match single.and_then(|key| self.take(&key, size, &deployment.id)) {
+                Some(members) => (members, false),
+                None if may_span(self.fleet, &deployment.id) => {
+                    match self.take_anywhere(&deployment.pool, size, &deployment.id) {
+                        Some(members) => (members, true),
+                        None => return false,
+                    }
                 }
-            }
-            None => return false,
-        };
+                None => return false,
+            };
         self.budget -= size;
         let reason = if spans_domains {
             format!("{why}; no single fabric domain has {size} free machines")
@@ -592,13 +664,24 @@
             .map(|(key, _)| key.clone())
     }
 
-    fn take(&mut self, key: &FreeKey, count: usize) -> Option<Vec<GroupMember>> {
-        let vms = self.free.get_mut(key).filter(|vms| vms.len() >= count)?;
-        let rest = vms.len() - count;
-        Some(vms.split_off(rest).into_iter().map(member_of).collect())
+    /// Takes free machines, those that hold the deployment's weights first.
+    fn take(&mut self, key: &FreeKey, count: usize, deployment: &str) -> Option<Vec<GroupMember>> {
+        let mut vms = std::mem::take(self.free.get_mut(key)?);
+        let is_enough = vms.len() >= count;
+        let taken = is_enough.then(|| {
+            vms.sort_by_cached_key(|vm| self.holds(&vm.id, deployment));
+            vms.split_off(vms.len() - count)
+        });
+        self.free.insert(key.clone(), vms);
+        Some(taken?.into_iter().map(member_of).collect())
     }
 
-    fn take_anywhere(&mut self, pool: &str, count: usize) -> Option<Vec<GroupMember>> {
+    fn take_anywhere(
+        &mut self,
+        pool: &str,
+        count: usize,
+        deployment: &str,
+    ) -> Option<Vec<GroupMember>> {
         let places: Vec<FreeKey> = self
             .free
             .keys()
@@ -612,7 +695,7 @@
         let mut members = Vec::with_capacity(count);
         for key in places {
             let share = (count - members.len()).min(self.free[&key].len());
-            members.extend(self.take(&key, share).unwrap_or_default());
+            members.extend(self.take(&key, share, deployment).unwrap_or_default());
         }
         Some(members)
     }
--- a/crates/core/tests/properties.rs
+++ b/crates/core/tests/properties.rs
@@ -324,6 +324,7 @@
         group: is_claimed.then(|| group_id.clone()),
         generation: 1,
         fence: 1,
+        weights: None,
         running: 0,
         queued: 0,
     };
@@ -351,6 +352,12 @@
                 *touched.entry(group.clone()).or_insert(0) += 1;
                 (members, fleet.groups[group].members.clone(), false)
             }
+            PlanStep::Preload { vm, .. } => {
+                prop_assert!(taken.insert(vm.clone()), "{vm} is used twice");
+                prop_assert!(fleet.vms[vm].is_free(), "{vm} is not free");
+                loads += 1;
+                continue;
+            }
             PlanStep::Dissolve { group, .. } => {
                 *touched.entry(group.clone()).or_insert(0) += 1;
                 prop_assert!(fleet.groups.contains_key(group));
--- a/crates/model/src/gate.rs
+++ b/crates/model/src/gate.rs
@@ -234,6 +234,7 @@
         group: Some("g".to_owned()),
         generation,
         fence: 1,
+        weights: None,
         running: 0,
         queued: 0,
     }
--- a/crates/node/src/board.rs
+++ b/crates/node/src/board.rs
@@ -161,5 +161,6 @@
         && left.state == right.state
         && left.group == right.group
         && left.generation == right.generation
+        && left.weights == right.weights
         && bucket(left) == bucket(right)
 }
--- a/crates/node/src/controller.rs
+++ b/crates/node/src/controller.rs
@@ -9,7 +9,7 @@
 use briarswitch_http::{CallError, CallerClient, Codec};
 use briarswitch_kernel::{BootClock, Service, ServiceLink};
 use briarswitch_platform::{StoreError, TransactBuilder};
-use briarswitch_wire::engine::{OrderDoc, ReportDoc, StateDoc};
+use briarswitch_wire::engine::{OrderAction, OrderDoc, ReportDoc, StateDoc};
 use briarswitch_wire::platform::{EpochDoc, LeaseDoc, ReadReply, ReadRequest, TransactReply};
 use http::Method;
 use indexmap::{IndexMap, IndexSet};
@@ -18,7 +18,7 @@
 
 use crate::config::row_value;
 use crate::keys::{epoch_key, group_prefix, lease_key, vm_prefix};
-use crate::orders::orders_due;
+use crate::orders::{orders_due, DueOrder};
 use crate::reign::{ControllerReign, ReignCounts, RowChange, RowChanges};
 use crate::shared::{ControlView, FleetView, NodeShared};
 use crate::watch::{ProbeResult, WatchMessage, WATCH_SERVICE};
@@ -370,7 +370,9 @@
             return;
         }
         if let Some(since) = self.lost.swap_remove(vm) {
-            self.planner.history.returned(now.saturating_sub(since));
+            // What counts is when its group could serve again, which is after it has loaded anew.
+            let absence = now.saturating_sub(since) + self.planner.load_time;
+            self.planner.history.returned(absence);
         }
     }
 
@@ -413,12 +415,18 @@
         let fleet = self.fleet(now, granted);
         let steps = self.planner.plan(&fleet, now);
         let mut changes = RowChanges::default();
-        let Some(reign) = self.reign.as_mut() else {
-            return;
-        };
         for step in steps.iter().take(STEPS_PER_WRITE) {
-            log::info!(epoch = reign.epoch, step = describe_step(step).as_str(); "plan_step");
-            reign.add_step(step, &mut changes);
+            log::info!(step = describe_step(step).as_str(); "plan_step");
+            match step {
+                PlanStep::Preload { vm, deployment, .. } => {
+                    self.preload(vm, deployment, &fleet, link);
+                }
+                _ => {
+                    if let Some(reign) = self.reign.as_mut() {
+                        reign.add_step(step, &mut changes);
+                    }
+                }
+            }
         }
         if !changes.rows.is_empty() {
             self.change(changes, link);
@@ -510,21 +518,49 @@
         }
     }
 
+    /// Orders a free machine to load weights. It stays free: the table is not changed.
+    fn preload(
+        &mut self,
+        vm: &VmId,
+        deployment: &DeploymentId,
+        fleet: &FleetState,
+        link: &ServiceLink<ControllerMessage>,
+    ) {
+        let Some(facts) = fleet.vms.get(vm) else {
+            return;
+        };
+        let order = DueOrder {
+            vm: vm.clone(),
+            address: facts.vm.address.clone(),
+            action: OrderAction::Preload(deployment.clone()),
+            reason: "preload",
+        };
+        self.send_order(order, link);
+    }
+
     fn send_orders(&mut self, now: Moment, link: &ServiceLink<ControllerMessage>) {
         let view = self.shared.fleet.load();
         let ttl = self.shared.settings.gate.evidence_ttl;
-        let deadline = self.shared.settings.control.order_deadline;
-        let Some(reign) = self.reign.as_mut() else {
+        let Some(reign) = self.reign.as_ref() else {
             return;
         };
-        if now < reign.orders_from {
-            return;
-        }
         let reports = |vm: &str| fresh_report(&view, vm, now, ttl);
         for order in orders_due(reign, &view, &reports) {
-            if !self.ordering.insert(order.vm.clone()) {
-                continue;
-            }
+            self.send_order(order, link);
+        }
+    }
+
+    /// Sends an order unless the lease is over, it is too early, or another one to the machine is
+    /// not settled.
+    fn send_order(&mut self, order: DueOrder, link: &ServiceLink<ControllerMessage>) {
+        let now = link.now();
+        let deadline = self.shared.settings.control.order_deadline;
+        let is_held = self.is_reigning(now);
+        let Some(reign) = self.reign.as_mut() else {
+            return;
+        };
+        let is_due = is_held && now >= reign.orders_from;
+        if is_due && self.ordering.insert(order.vm.clone()) {
             let doc = OrderDoc {
                 fence: reign.next_fence(),
                 action: order.action,
@@ -733,6 +769,7 @@
 fn loads_of(step: &PlanStep) -> usize {
     match step {
         PlanStep::Form { members, .. } | PlanStep::Mend { members, .. } => members.len(),
+        PlanStep::Preload { .. } => 1,
         PlanStep::Dissolve { .. } => 0,
     }
 }
@@ -762,6 +799,11 @@
             members,
             reason,
         } => format!("mend {group} with {}: {reason}", names(members)),
+        PlanStep::Preload {
+            vm,
+            deployment,
+            reason,
+        } => format!("preload {deployment} on {vm}: {reason}"),
         PlanStep::Dissolve { group, reason } => format!("dissolve {group}: {reason}"),
     }
 }
--- a/crates/node/src/reign.rs
+++ b/crates/node/src/reign.rs
@@ -196,6 +196,8 @@
                     self.mend(&group, members, changes);
                 }
             }
+            // Weights are loaded by an order alone.
+            PlanStep::Preload { .. } => {}
             PlanStep::Dissolve { group, .. } => {
                 if let Some(row) = self.groups.get(group) {
                     let mut group = row.value.clone();
--- a/crates/node/tests/groups.rs
+++ b/crates/node/tests/groups.rs
@@ -324,3 +324,37 @@
         .expect("an answer");
     support::finish(reply.head, reply.body).await.outcome()
 }
+
+/// Symptom: a group was down for as long as loading weights takes, although a spare stood idle.
+/// Sequence: a spare stands by; a member dies; loading takes longer than the test waits.
+/// Cause: spares held no weights; they are loaded while nothing is wrong.
+#[tokio::test(flavor = "multi_thread")]
+async fn spare_holds_the_weights_before_it_is_needed() {
+    let mut cluster = Cluster::start(Plan {
+        engines_per_zone: 3,
+        ..Plan::default()
+    })
+    .await;
+    let leader = leader(&cluster, 0).await;
+    cluster
+        .wait("the spare holds the weights", async |cluster| {
+            let orders = cluster
+                .engines
+                .values()
+                .map(|engine| engine.record().orders);
+            let mut orders = orders.flatten();
+            orders.any(|(_, order)| matches!(order.action, OrderAction::Preload(_)))
+        })
+        .await;
+    cluster.engines.get_mut(&leader).expect("the leader").kill();
+    cluster
+        .wait("the group is mended", async |cluster| {
+            let status = cluster.status(0).await;
+            status.is_some_and(|status| {
+                let mut groups = status.groups.iter();
+                groups.any(|group| group.generation == 2 && group.is_routable)
+            })
+        })
+        .await;
+    check_history(&cluster.platform);
+}
--- a/crates/standins/src/engine.rs
+++ b/crates/standins/src/engine.rs
@@ -312,6 +312,7 @@
             group: state.group.as_ref().map(|join| join.group.clone()),
             generation: state.group.as_ref().map_or(0, |join| join.generation),
             fence: state.fence,
+            weights: state.weights.clone(),
             running,
             queued,
         }
@@ -331,6 +332,7 @@
                 state.group = None;
             }
             OrderAction::Join(join) => self.join(&mut state, join),
+            OrderAction::Preload(deployment) => self.load(&mut state, deployment),
         }
         drop(state);
         reply_json(StatusCode::OK, &self.report())
@@ -344,6 +346,11 @@
             state.state = StateDoc::Ready;
             return;
         }
+        self.load(state, deployment);
+    }
+
+    /// Loads weights; the engine is ready after that if it is in a group, else idle.
+    fn load(&self, state: &mut EngineState, deployment: DeploymentId) {
         state.state = StateDoc::Loading;
         state.loads += 1;
         let load = state.loads;
@@ -352,9 +359,16 @@
         tokio::spawn(async move {
             tokio::time::sleep(time).await;
             let mut state = shared.lock().expect("engine state");
-            if state.loads == load && state.state == StateDoc::Loading {
+            if state.loads == load {
                 state.weights = Some(deployment);
-                state.state = StateDoc::Ready;
+                if state.state == StateDoc::Loading {
+                    let is_member = state.group.is_some();
+                    state.state = if is_member {
+                        StateDoc::Ready
+                    } else {
+                        StateDoc::Idle
+                    };
+                }
             }
         });
     }
--- a/crates/standins/src/plain.rs
+++ b/crates/standins/src/plain.rs
@@ -177,6 +177,7 @@
             group: None,
             generation: 0,
             fence: 0,
+            weights: None,
             running: 0,
             queued: 0,
         }
--- a/crates/wire/src/engine.rs
+++ b/crates/wire/src/engine.rs
@@ -38,8 +38,10 @@
 pub enum OrderAction {
     /// Join a group and load its weights.
     Join(JoinDoc),
-    /// Leave whatever group it is in.
+    /// Leave whatever group it is in, keeping its weights.
     Leave,
+    /// Load a deployment's weights without joining a group.
+    Preload(DeploymentId),
 }
 
 /// Which group to join, and how.
@@ -87,6 +89,9 @@
     /// Highest fencing number it was given.
     #[serde(default)]
     pub fence: Epoch,
+    /// Deployment whose weights it holds, whether or not it is in a group.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub weights: Option<DeploymentId>,
     /// Requests it runs.
     #[serde(default)]
     pub running: u32,
@@ -108,6 +113,7 @@
             group: doc.group,
             generation: doc.generation,
             fence: doc.fence,
+            weights: doc.weights,
             running: doc.running,
             queued: doc.queued,
         }
@@ -127,6 +133,7 @@
             group: report.group,
             generation: report.generation,
             fence: report.fence,
+            weights: report.weights,
             running: report.running,
             queued: report.queued,
         }
