Set a stream's silence alarm once instead of for each event

Cause: each event of a stream set and cleared a timer. Ruled out as the larger part: parsing (a search for two bytes) and logging (off).

Change: one timer a stream, set anew only when it fires early. The overhead example measures rising load, and paced streams.

--- a/crates/node/src/relay.rs
+++ b/crates/node/src/relay.rs
@@ -1,6 +1,7 @@
 //! Passes a stream on to its caller, resuming it where the engine can.
 
 use std::io;
+use std::pin::Pin;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -9,6 +10,7 @@
 use briarswitch_http::TargetBody;
 use bytes::Bytes;
 use futures::Stream;
+use tokio::time::{Instant, Sleep};
 
 use crate::attempt::TargetAsk;
 use crate::dispatch::{RequestDispatcher, RequestTrace};
@@ -30,6 +32,10 @@
     resumes: usize,
     stage: RelayStage,
     trace: RequestTrace,
+    /// Wakes the relay when the stream has been silent for too long. It is set anew only when it
+    /// fires early, since setting it for each event would cost more than passing the event on.
+    alarm: Pin<Box<Sleep>>,
+    last_piece: Instant,
 }
 
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
@@ -59,7 +65,10 @@
         body: TargetBody,
         trace: RequestTrace,
     ) -> impl Stream<Item = Result<Bytes, io::Error>> + Send + 'static {
+        let silence = dispatcher.shared().settings.requests.stream_silence;
         let relay = Self {
+            alarm: Box::pin(tokio::time::sleep(silence)),
+            last_piece: Instant::now(),
             dispatcher,
             ask,
             permit,
@@ -120,10 +129,26 @@
         let Some(body) = self.body.as_mut() else {
             return RelayStep::Broken;
         };
-        match tokio::time::timeout(silence, body.next()).await {
-            Ok(Ok(Some(piece))) => RelayStep::Piece(piece),
-            Ok(Ok(None)) => RelayStep::End,
-            Ok(Err(_)) | Err(_) => RelayStep::Broken,
+        loop {
+            tokio::select! {
+                biased;
+                piece = body.next() => {
+                    self.last_piece = Instant::now();
+                    return match piece {
+                        Ok(Some(piece)) => RelayStep::Piece(piece),
+                        Ok(None) => RelayStep::End,
+                        Err(_) => RelayStep::Broken,
+                    };
+                }
+                () = self.alarm.as_mut() => {
+                    let end = self.last_piece + silence;
+                    let is_silent = Instant::now() >= end;
+                    self.alarm.as_mut().reset(if is_silent { Instant::now() + silence } else { end });
+                    if is_silent {
+                        return RelayStep::Broken;
+                    }
+                }
+            }
         }
     }
 
--- a/crates/standins/examples/overhead.rs
+++ b/crates/standins/examples/overhead.rs
@@ -25,9 +25,13 @@
 use hdrhistogram::Histogram;
 use http::Method;
 
+/// Time between the tokens of a paced stream.
+const PACE: Duration = Duration::from_millis(20);
 const MODEL: &str = "m";
 /// SHA-256 of the key `key`.
 const KEY_HASH: &str = "2c70e12b7a0646f92279f427c7b38e7334d8e5389cff167a1dc30e73f826b683";
+/// Slowest request that is told apart, in microseconds.
+const SLOWEST_US: u64 = 60_000_000;
 const LIMIT: Duration = Duration::from_secs(10);
 /// Clock ticks a second in the kernel's accounting.
 const TICKS: f64 = 100.0;
@@ -73,6 +77,34 @@
         }
     }
     println!("node memory: {} kB resident", resident_kb(pid)?);
+    measure_paced(&bench, time).await
+}
+
+/// Measures many streams at once whose tokens come at the pace of a real engine.
+async fn measure_paced(bench: &Bench, time: Duration) -> Result<(), Failure> {
+    println!("\nstreams of one token every {PACE:?}");
+    bench.engine.pace(PACE);
+    let pid = bench.node.id();
+    let idle = resident_kb(pid)?;
+    for streams in [100, 500, 1000] {
+        let address = bench.callers.clone();
+        let load = tokio::spawn(async move { run_load(&address, 200, true, streams, time).await });
+        tokio::time::sleep(time / 2).await;
+        let before = cpu_seconds(pid)?;
+        let from = Instant::now();
+        tokio::time::sleep(time).await;
+        let spent = cpu_seconds(pid)? - before;
+        let rate = streams as f64 / PACE.as_secs_f64();
+        let events = rate * from.elapsed().as_secs_f64();
+        let resident = resident_kb(pid)?;
+        load.await??;
+        println!(
+            "{streams:>5} streams, about {rate:.0} events/s: {:.2} cores, {:.1} us/event, {:.1} kB a stream",
+            spent / time.as_secs_f64(),
+            spent * 1e6 / events,
+            (resident.saturating_sub(idle)) as f64 / streams as f64,
+        );
+    }
     Ok(())
 }
 
@@ -111,7 +143,9 @@
     clients: usize,
     time: Duration,
 ) -> Result<LoadResult, Failure> {
-    let shared = Arc::new(Mutex::new(Histogram::<u64>::new(3)?));
+    let shared = Arc::new(Mutex::new(Histogram::<u64>::new_with_bounds(
+        1, SLOWEST_US, 3,
+    )?));
     let events = Arc::new(AtomicU64::new(0));
     let failures = Arc::new(AtomicU64::new(0));
     let end = Instant::now() + time;
@@ -131,7 +165,7 @@
                 connect: LIMIT,
                 idle: 1,
             });
-            let mut own = Histogram::<u64>::new(3).expect("a histogram");
+            let mut own = Histogram::<u64>::new_with_bounds(1, SLOWEST_US, 3).expect("a histogram");
             while Instant::now() < end {
                 let start = Instant::now();
                 match ask(&client, &target, tokens, is_stream).await {
--- a/crates/standins/src/engine.rs
+++ b/crates/standins/src/engine.rs
@@ -132,6 +132,7 @@
     faults: EngineFaults,
     record: EngineRecord,
     attempts: HashMap<AttemptId, ()>,
+    token_time: Duration,
 }
 
 struct EngineHandler {
@@ -183,6 +184,7 @@
             faults: EngineFaults::default(),
             record: EngineRecord::default(),
             attempts: HashMap::new(),
+            token_time: settings.token_time,
         }));
         let frozen = Arc::new(FreezeGate::default());
         let handler = EngineHandler {
@@ -209,6 +211,11 @@
         change(&mut self.lock().faults);
     }
 
+    /// Changes the time to generate one token, for streams that begin from now on.
+    pub fn pace(&self, token_time: Duration) {
+        self.lock().token_time = token_time;
+    }
+
     /// Returns what the engine saw so far.
     pub fn record(&self) -> EngineRecord {
         self.lock().record.clone()
@@ -398,7 +405,8 @@
             let body = self.stream(plan, slot);
             return stream_reply(body, &shown);
         }
-        sleep_for(self.settings.token_time * tokens as u32).await;
+        let pace = self.lock().token_time;
+        sleep_for(pace * tokens as u32).await;
         drop(slot);
         self.whole(&chat, &prompt, tokens, &shown)
     }
@@ -519,7 +527,7 @@
             state: Arc::clone(&self.state),
             is_done: false,
         };
-        let token_time = self.settings.token_time;
+        let token_time = self.lock().token_time;
         let frozen = Arc::clone(&self.frozen);
         let start = StreamCursor {
             next: plan.from,
