--- a/crates/core/examples/policies.rs
+++ b/crates/core/examples/policies.rs
@@ -9,7 +9,6 @@
 use std::time::{Duration, Instant};
 
 use briarswitch_core::group::GroupMember;
-use briarswitch_core::planner::VmFacts;
 use briarswitch_core::prelude::*;
 use rand::rngs::StdRng;
 use rand::{Rng, SeedableRng};
--- a/crates/core/src/deployment.rs
+++ b/crates/core/src/deployment.rs
@@ -1,8 +1,8 @@
 //! Deployments: models served by replica groups, and plain services.
 
 use crate::finding::Finding;
+use crate::fleet::PlanWeights;
 use crate::id::{DeploymentId, PoolId};
-use crate::planner::PlanWeights;
 
 /// What runs behind a deployment.
 #[derive(Clone, Debug, PartialEq)]
--- /dev/null
+++ b/crates/core/src/draft.rs
@@ -0,0 +1,549 @@
+//! One round of the planner.
+
+use std::cmp::Reverse;
+use std::collections::BTreeSet;
+use std::time::Duration;
+
+use indexmap::IndexMap;
+
+use crate::deployment::{Deployment, DeploymentKind};
+use crate::fleet::{FleetState, PlanStep, PlanWeights, VmFacts};
+use crate::group::{GroupMember, GroupRecord, GroupState};
+use crate::id::{DeploymentId, DomainId, GroupId, Moment, PoolId};
+use crate::vm::{Vm, VmStanding};
+
+/// A group that has lost members.
+struct BrokenGroup<'a> {
+    group: &'a GroupRecord,
+    priority: u8,
+    /// Members that stay.
+    kept: Vec<GroupMember>,
+    /// Whether every lost member has been gone for longer than patience allows.
+    is_overdue: bool,
+    domain: DomainId,
+    pool: PoolId,
+}
+
+/// Free machines of one pool in one fabric domain.
+type FreeKey = (PoolId, DomainId);
+
+/// One round of planning: what is still free, what was changed, and the steps so far.
+pub(crate) struct PlanDraft<'a> {
+    fleet: &'a FleetState,
+    now: Moment,
+    patience: Duration,
+    grace: Duration,
+    free: IndexMap<FreeKey, Vec<&'a Vm>>,
+    ranked: Vec<&'a Deployment>,
+    dropped: BTreeSet<GroupId>,
+    mended: BTreeSet<GroupId>,
+    budget: usize,
+    pub(crate) steps: Vec<PlanStep>,
+}
+
+impl<'a> PlanDraft<'a> {
+    pub(crate) fn open(
+        fleet: &'a FleetState,
+        now: Moment,
+        patience: Duration,
+        grace: Duration,
+    ) -> Self {
+        let mut free: IndexMap<FreeKey, Vec<&Vm>> = IndexMap::new();
+        for facts in fleet.vms.values().filter(|facts| facts.is_free()) {
+            let key = (facts.vm.pool.clone(), facts.vm.domain.clone());
+            free.entry(key).or_default().push(&facts.vm);
+        }
+        let mut ranked: Vec<_> = fleet.deployments.values().collect();
+        ranked.sort_by_key(|deployment| Reverse(deployment.priority));
+        Self {
+            fleet,
+            now,
+            patience,
+            grace,
+            free,
+            ranked,
+            dropped: BTreeSet::new(),
+            mended: BTreeSet::new(),
+            budget: fleet.load_budget,
+            steps: Vec::new(),
+        }
+    }
+
+    /// Dissolves groups of deleted or changed deployments and those above the wanted number.
+    pub(crate) fn drop_unwanted(&mut self) {
+        let fleet = self.fleet;
+        let mut counts: IndexMap<&DeploymentId, u32> = IndexMap::new();
+        for group in active(fleet) {
+            let Some((size, wanted, weights)) = model_of(fleet, &group.deployment) else {
+                self.dissolve(&group.id, "its deployment is gone");
+                continue;
+            };
+            if group.members.len() != size {
+                self.dissolve(&group.id, "its deployment changed the size of a replica");
+                continue;
+            }
+            let count = counts.entry(&group.deployment).or_default();
+            *count += 1;
+            let keeps_extra = prefers_extra(weights) && wanted > 0;
+            if *count > wanted && !keeps_extra {
+                self.dissolve(&group.id, "more replicas stand than are wanted");
+            }
+        }
+    }
+
+    /// Replaces lost members from free machines, and breaks groups up where none are free.
+    pub(crate) fn mend_broken(&mut self) {
+        let mut broken: Vec<_> = active(self.fleet)
+            .filter(|group| !self.dropped.contains(&group.id))
+            .filter_map(|group| self.examine(group))
+            .collect();
+        // The group that lacks least is whole again soonest for the loads it takes.
+        broken.sort_by_key(|group| {
+            let lacking = group.group.members.len() - group.kept.len();
+            (Reverse(group.priority), lacking)
+        });
+        let mut waiting: Vec<BrokenGroup<'a>> = Vec::new();
+        for group in broken {
+            if !self.mend(&group) && !self.relocate(&group) {
+                waiting.push(group);
+            }
+        }
+        self.break_up(waiting);
+    }
+
+    fn examine(&self, group: &'a GroupRecord) -> Option<BrokenGroup<'a>> {
+        let deployment = self.fleet.deployments.get(&group.deployment)?;
+        let mut kept = Vec::with_capacity(group.members.len());
+        let mut is_overdue = true;
+        let mut domain = None;
+        for member in &group.members {
+            let facts = self.fleet.vms.get(&member.vm);
+            if domain.is_none() {
+                domain = facts.map(|facts| facts.vm.domain.clone());
+            }
+            match self.member_loss(member, facts) {
+                None => kept.push(member.clone()),
+                Some(loss) => is_overdue &= loss,
+            }
+        }
+        let is_broken = kept.len() < group.members.len();
+        is_broken.then(|| BrokenGroup {
+            group,
+            priority: deployment.priority,
+            kept,
+            is_overdue,
+            domain: domain.unwrap_or_default(),
+            pool: deployment.pool.clone(),
+        })
+    }
+
+    /// Returns `None` for a member that stays, else whether it should be replaced by now.
+    fn member_loss(&self, member: &GroupMember, facts: Option<&VmFacts>) -> Option<bool> {
+        let Some(facts) = facts else {
+            return Some(true);
+        };
+        if facts.vm.incarnation != member.incarnation || facts.vm.standing == VmStanding::Leaving {
+            return Some(true);
+        }
+        let gone = self.now.saturating_sub(facts.lost_since?);
+        if gone < self.grace {
+            return None;
+        }
+        Some(gone >= self.patience)
+    }
+
+    fn mend(&mut self, broken: &BrokenGroup<'a>) -> bool {
+        let lacking = broken.group.members.len() - broken.kept.len();
+        let warm = self.count_warm(broken);
+        // A spare that holds the weights already is worth more than any return awaited.
+        if !broken.is_overdue && warm < lacking {
+            return false;
+        }
+        let loads = lacking.saturating_sub(warm);
+        if loads > self.budget {
+            return false;
+        }
+        let Some(found) = self.take_for_mend(broken, lacking) else {
+            return false;
+        };
+        self.budget -= loads;
+        self.mended.insert(broken.group.id.clone());
+        let mut members = broken.kept.clone();
+        members.extend(found);
+        self.steps.push(PlanStep::Mend {
+            group: broken.group.id.clone(),
+            members,
+            reason: format!("{lacking} of its members were lost and machines are free"),
+        });
+        true
+    }
+
+    /// Gives up a group that can not be mended where it stands when another fabric domain can hold a
+    /// whole new one, as when its own domain went dark; the new one is formed in the same round.
+    fn relocate(&mut self, broken: &BrokenGroup<'a>) -> bool {
+        let size = broken.group.members.len();
+        let is_elsewhere = self.tightest(&broken.pool, size).is_some();
+        if !broken.is_overdue || size > self.budget || !is_elsewhere {
+            return false;
+        }
+        self.dissolve(
+            &broken.group.id,
+            "another fabric domain can hold a whole group",
+        );
+        true
+    }
+
+    /// Counts the free machines of a group's domain that hold its weights.
+    fn count_warm(&self, broken: &BrokenGroup<'_>) -> usize {
+        let key = (broken.pool.clone(), broken.domain.clone());
+        let vms = self.free.get(&key).map_or(&[][..], Vec::as_slice);
+        let is_warm = |vm: &&&Vm| self.holds(&vm.id, &broken.group.deployment);
+        vms.iter().filter(is_warm).count()
+    }
+
+    fn holds(&self, vm: &str, deployment: &str) -> bool {
+        let report = self
+            .fleet
+            .vms
+            .get(vm)
+            .and_then(|facts| facts.report.as_ref());
+        report.is_some_and(|report| report.weights.as_deref() == Some(deployment))
+    }
+
+    /// Loads weights on free machines, for the deployment of the pool that weighs downtime most.
+    pub(crate) fn preload_spares(&mut self) {
+        let mut steps = Vec::new();
+        for ((pool, _), vms) in &self.free {
+            let Some(deployment) = self.neediest(pool) else {
+                continue;
+            };
+            for vm in vms {
+                let report = self
+                    .fleet
+                    .vms
+                    .get(&vm.id)
+                    .and_then(|facts| facts.report.as_ref());
+                let is_empty = report.is_some_and(|report| report.weights.is_none());
+                if !is_empty || self.budget == steps.len() {
+                    continue;
+                }
+                steps.push(PlanStep::Preload {
+                    vm: vm.id.clone(),
+                    deployment: deployment.clone(),
+                    reason: "a spare that holds the weights ends an outage sooner".to_owned(),
+                });
+            }
+        }
+        self.steps.extend(steps);
+    }
+
+    fn neediest(&self, pool: &str) -> Option<DeploymentId> {
+        let models = self
+            .ranked
+            .iter()
+            .filter(|deployment| deployment.pool == pool);
+        models
+            .filter_map(|deployment| {
+                let (_, wanted, weights) = model_of(self.fleet, &deployment.id)?;
+                (wanted > 0).then_some((weights.downtime, &deployment.id))
+            })
+            .max_by_key(|(weight, _)| *weight)
+            .map(|(_, id)| id.clone())
+    }
+
+    fn take_for_mend(
+        &mut self,
+        broken: &BrokenGroup<'a>,
+        lacking: usize,
+    ) -> Option<Vec<GroupMember>> {
+        let key = (broken.pool.clone(), broken.domain.clone());
+        let spans = may_span(self.fleet, &broken.group.deployment);
+        if let Some(found) = self.take(&key, lacking, &broken.group.deployment) {
+            return Some(found);
+        }
+        if spans {
+            return self.take_anywhere(&broken.pool, lacking, &broken.group.deployment);
+        }
+        None
+    }
+
+    /// Dissolves the weakest broken group of a domain where that completes stronger ones, or a
+    /// group that nobody asked for.
+    fn break_up(&mut self, waiting: Vec<BrokenGroup<'a>>) {
+        let mut places: IndexMap<FreeKey, Vec<BrokenGroup<'a>>> = IndexMap::new();
+        for group in waiting.into_iter().filter(|group| group.is_overdue) {
+            let key = (group.pool.clone(), group.domain.clone());
+            places.entry(key).or_default().push(group);
+        }
+        for (key, groups) in places {
+            self.break_up_place(&key, &groups);
+        }
+    }
+
+    fn break_up_place(&mut self, key: &FreeKey, groups: &[BrokenGroup<'a>]) {
+        if self.is_releasing(key) {
+            return;
+        }
+        let strongest = &groups[0];
+        let lacking = strongest.group.members.len() - strongest.kept.len();
+        let free = self.free.get(key).map_or(0, Vec::len);
+        let mut gained = free;
+        if let Some(spare) = self.expendable(key, strongest) {
+            let reason = format!("its machines complete {}", strongest.group.id);
+            self.dissolve(&spare, &reason);
+            return;
+        }
+        for weakest in groups[1..].iter().rev() {
+            if gained >= lacking {
+                break;
+            }
+            gained += weakest.kept.len();
+            let reason = format!("its survivors complete {}", strongest.group.id);
+            self.dissolve(&weakest.group.id, &reason);
+        }
+    }
+
+    /// Returns whether machines of the place are on their way to being free.
+    fn is_releasing(&self, (pool, domain): &FreeKey) -> bool {
+        self.fleet
+            .groups
+            .values()
+            .filter(|group| group.state == GroupState::Dissolving)
+            .flat_map(|group| &group.members)
+            .filter_map(|member| self.fleet.vms.get(&member.vm))
+            .any(|facts| {
+                facts.lost_since.is_none() && facts.vm.pool == *pool && facts.vm.domain == *domain
+            })
+    }
+
+    /// Finds a whole group in the place that matters less than the broken one: one beyond its
+    /// deployment's wanted number, or one of a lower priority.
+    fn expendable(&self, (pool, domain): &FreeKey, broken: &BrokenGroup<'_>) -> Option<GroupId> {
+        let mut counts: IndexMap<&DeploymentId, u32> = IndexMap::new();
+        for group in active(self.fleet).filter(|group| !self.dropped.contains(&group.id)) {
+            *counts.entry(&group.deployment).or_default() += 1;
+        }
+        active(self.fleet)
+            .filter(|group| !self.is_changed(group) && group.id != broken.group.id)
+            .filter(|group| self.stands_in(group, pool, domain))
+            .filter(|group| self.examine(group).is_none())
+            .filter_map(|group| {
+                let deployment = self.fleet.deployments.get(&group.deployment)?;
+                let (_, wanted, _) = model_of(self.fleet, &group.deployment)?;
+                let is_extra = counts[&group.deployment] > wanted;
+                let is_lower = deployment.priority < broken.priority;
+                let rank = (!is_extra, deployment.priority);
+                (is_extra || is_lower).then_some((rank, group))
+            })
+            .min_by_key(|(rank, _)| *rank)
+            .map(|(_, group)| group.id.clone())
+    }
+
+    /// Returns whether a step of this plan changes a group already.
+    fn is_changed(&self, group: &GroupRecord) -> bool {
+        self.dropped.contains(&group.id) || self.mended.contains(&group.id)
+    }
+
+    fn stands_in(&self, group: &GroupRecord, pool: &str, domain: &str) -> bool {
+        group
+            .members
+            .first()
+            .and_then(|member| self.fleet.vms.get(&member.vm))
+            .is_some_and(|facts| facts.vm.pool == pool && facts.vm.domain == domain)
+    }
+
+    /// Forms groups until each deployment has the number it wants.
+    pub(crate) fn form_wanted(&mut self) {
+        for deployment in self.ranked.clone() {
+            let Some((size, wanted, _)) = model_of(self.fleet, &deployment.id) else {
+                continue;
+            };
+            let mut standing = self.standing(&deployment.id);
+            while standing < wanted {
+                if !self.form(deployment, size, "fewer replicas stand than are wanted") {
+                    self.preempt_for(deployment, size);
+                    break;
+                }
+                standing += 1;
+            }
+        }
+    }
+
+    /// Forms groups beyond the wanted number where the operator weighs stranded accelerators more.
+    pub(crate) fn form_extra(&mut self) {
+        for deployment in self.ranked.clone() {
+            let Some((size, wanted, weights)) = model_of(self.fleet, &deployment.id) else {
+                continue;
+            };
+            if wanted == 0 || !prefers_extra(weights) {
+                continue;
+            }
+            while self.form(deployment, size, "free machines would be stranded") {}
+        }
+    }
+
+    fn standing(&self, deployment: &str) -> u32 {
+        let count = active(self.fleet)
+            .filter(|group| group.deployment == deployment && !self.dropped.contains(&group.id))
+            .count();
+        u32::try_from(count).unwrap_or(u32::MAX)
+    }
+
+    fn form(&mut self, deployment: &Deployment, size: usize, why: &str) -> bool {
+        if size > self.budget {
+            return false;
+        }
+        let single = self.tightest(&deployment.pool, size);
+        let (members, spans_domains) =
+            match single.and_then(|key| self.take(&key, size, &deployment.id)) {
+                Some(members) => (members, false),
+                None if may_span(self.fleet, &deployment.id) => {
+                    match self.take_anywhere(&deployment.pool, size, &deployment.id) {
+                        Some(members) => (members, true),
+                        None => return false,
+                    }
+                }
+                None => return false,
+            };
+        self.budget -= size;
+        let reason = if spans_domains {
+            format!("{why}; no single fabric domain has {size} free machines")
+        } else {
+            why.to_owned()
+        };
+        self.steps.push(PlanStep::Form {
+            deployment: deployment.id.clone(),
+            members,
+            spans_domains,
+            reason,
+        });
+        true
+    }
+
+    /// Dissolves one group of a lower priority where its machines let a wanted group form.
+    fn preempt_for(&mut self, deployment: &Deployment, size: usize) {
+        if size > self.budget {
+            return;
+        }
+        let fleet = self.fleet;
+        let candidate = active(fleet)
+            .filter(|group| !self.is_changed(group))
+            .filter_map(|group| {
+                let other = fleet.deployments.get(&group.deployment)?;
+                let facts = fleet.vms.get(&group.members.first()?.vm)?;
+                let key = (facts.vm.pool.clone(), facts.vm.domain.clone());
+                let free = self.free.get(&key).map_or(0, Vec::len);
+                let is_enough = free + group.members.len() >= size;
+                let is_lower = other.priority < deployment.priority;
+                let fits = is_lower && is_enough && facts.vm.pool == deployment.pool;
+                (fits && !self.is_releasing(&key)).then_some((other.priority, group))
+            })
+            .min_by_key(|(priority, _)| *priority);
+        if let Some((_, group)) = candidate {
+            let reason = format!(
+                "{} has a higher priority and lacks a replica",
+                deployment.id
+            );
+            self.dissolve(&group.id, &reason);
+        }
+    }
+
+    /// Returns the domain with the fewest free machines that still fit, which keeps large runs of
+    /// free machines whole for large replicas.
+    fn tightest(&self, pool: &str, size: usize) -> Option<FreeKey> {
+        self.free
+            .iter()
+            .filter(|((found, _), vms)| found == pool && vms.len() >= size)
+            .min_by_key(|(_, vms)| vms.len())
+            .map(|(key, _)| key.clone())
+    }
+
+    /// Takes free machines, those that hold the deployment's weights first.
+    fn take(&mut self, key: &FreeKey, count: usize, deployment: &str) -> Option<Vec<GroupMember>> {
+        let mut vms = std::mem::take(self.free.get_mut(key)?);
+        let is_enough = vms.len() >= count;
+        let taken = is_enough.then(|| {
+            vms.sort_by_cached_key(|vm| self.holds(&vm.id, deployment));
+            vms.split_off(vms.len() - count)
+        });
+        self.free.insert(key.clone(), vms);
+        Some(taken?.into_iter().map(member_of).collect())
+    }
+
+    fn take_anywhere(
+        &mut self,
+        pool: &str,
+        count: usize,
+        deployment: &str,
+    ) -> Option<Vec<GroupMember>> {
+        let places: Vec<FreeKey> = self
+            .free
+            .keys()
+            .filter(|(found, _)| found == pool)
+            .cloned()
+            .collect();
+        let total: usize = places.iter().map(|key| self.free[key].len()).sum();
+        if total < count {
+            return None;
+        }
+        let mut members = Vec::with_capacity(count);
+        for key in places {
+            let share = (count - members.len()).min(self.free[&key].len());
+            members.extend(self.take(&key, share, deployment).unwrap_or_default());
+        }
+        Some(members)
+    }
+
+    fn dissolve(&mut self, group: &str, reason: &str) {
+        let is_new = self.dropped.insert(group.to_owned());
+        if is_new {
+            self.steps.push(PlanStep::Dissolve {
+                group: group.to_owned(),
+                reason: reason.to_owned(),
+            });
+        }
+    }
+}
+
+fn active(fleet: &FleetState) -> impl Iterator<Item = &GroupRecord> {
+    fleet
+        .groups
+        .values()
+        .filter(|group| group.state != GroupState::Dissolving)
+}
+
+fn model_of(fleet: &FleetState, deployment: &str) -> Option<(usize, u32, PlanWeights)> {
+    match fleet.deployments.get(deployment)?.kind {
+        DeploymentKind::Model {
+            vms_per_replica,
+            replicas_per_zone,
+            weights,
+            ..
+        } => Some((vms_per_replica as usize, replicas_per_zone, weights)),
+        DeploymentKind::Service => None,
+    }
+}
+
+fn may_span(fleet: &FleetState, deployment: &str) -> bool {
+    let kind = fleet.deployments.get(deployment).map(|found| &found.kind);
+    matches!(
+        kind,
+        Some(DeploymentKind::Model {
+            spans_domains: true,
+            ..
+        })
+    )
+}
+
+/// Returns whether free machines are better used than kept as spares.
+fn prefers_extra(weights: PlanWeights) -> bool {
+    weights.stranded > weights.downtime
+}
+
+fn member_of(vm: &Vm) -> GroupMember {
+    GroupMember {
+        vm: vm.id.clone(),
+        incarnation: vm.incarnation,
+        address: vm.address.clone(),
+    }
+}
--- /dev/null
+++ b/crates/core/src/returns.rs
@@ -0,0 +1,72 @@
+//! How long lost machines stay away, and how long to wait for one.
+
+use std::time::Duration;
+
+/// How long lost machines took to come back, and whether they did.
+#[derive(Clone, Debug, Default)]
+pub struct ReturnHistory {
+    delays: Vec<Duration>,
+    next: usize,
+}
+
+/// Absences remembered.
+const HISTORY_LENGTH: usize = 256;
+/// Absences needed before the history is believed.
+const HISTORY_LEAST: usize = 16;
+/// Absence recorded for a machine that never came back.
+const NEVER: Duration = Duration::from_secs(24 * 3600);
+
+impl ReturnHistory {
+    /// Records that a lost machine came back after `delay`.
+    pub fn returned(&mut self, delay: Duration) {
+        if self.delays.len() < HISTORY_LENGTH {
+            self.delays.push(delay);
+        } else {
+            self.delays[self.next] = delay;
+        }
+        self.next = (self.next + 1) % HISTORY_LENGTH;
+    }
+
+    /// Records that a lost machine was replaced without coming back.
+    pub fn replaced(&mut self) {
+        self.returned(NEVER);
+    }
+
+    /// Returns how long to await a lost member before a spare is loaded in its place.
+    ///
+    /// For each past absence taken as the limit, the mean outage is the absence itself where the
+    /// machine was back in time, else the limit plus the time to load a spare; the limit with the
+    /// least mean wins, and zero is always a candidate.
+    ///
+    /// ```
+    /// use briarswitch_core::returns::ReturnHistory;
+    /// use std::time::Duration;
+    ///
+    /// let mut history = ReturnHistory::default();
+    /// for _ in 0..20 {
+    ///     history.returned(Duration::from_secs(30));
+    /// }
+    /// let patience = history.patience(Duration::from_secs(120));
+    /// assert_eq!(patience, Duration::from_secs(30));
+    /// ```
+    pub fn patience(&self, load_time: Duration) -> Duration {
+        if self.delays.len() < HISTORY_LEAST {
+            return Duration::ZERO;
+        }
+        let mut sorted = self.delays.clone();
+        sorted.sort_unstable();
+        let count = sorted.len() as f64;
+        let load = load_time.as_secs_f64();
+        let mut best = (load, Duration::ZERO);
+        let mut sum_back = 0.0;
+        for (index, delay) in sorted.iter().enumerate() {
+            sum_back += delay.as_secs_f64();
+            let missing = count - (index + 1) as f64;
+            let mean = (sum_back + missing * (delay.as_secs_f64() + load)) / count;
+            if mean < best.0 {
+                best = (mean, *delay);
+            }
+        }
+        best.1
+    }
+}
--- a/crates/core/tests/properties.rs
+++ b/crates/core/tests/properties.rs
@@ -4,7 +4,6 @@
 use std::time::Duration;
 
 use briarswitch_core::lease::{LeaseAnswer, LeaseWrite};
-use briarswitch_core::planner::VmFacts;
 use briarswitch_core::prelude::*;
 use briarswitch_core::stream::EventScanner;
 use briarswitch_core::watch::watchers;
--- a/crates/ctl/src/main.rs
+++ b/crates/ctl/src/main.rs
@@ -2,7 +2,7 @@
 
 use std::process::ExitCode;
 
-use briarswitch_ctl::cli::{EntityAction, RulesAction, RulesTrial};
+use briarswitch_ctl::cli::{DocumentOptions, EntityAction, RulesAction, RulesTrial};
 use briarswitch_ctl::edit::{
     current, missing, parse, read_file, read_value, send_edit, settle, CommandEnd, EditDraft,
 };
@@ -111,31 +111,29 @@
             };
             Ok(send_edit(client, draft, is_json).await)
         }
-        EntityAction::Create(options) => {
-            let value = read_value(kind, &options)?;
-            let draft = EditDraft {
-                kind,
-                id: options.name,
-                value,
-                base: options.base,
-                is_new: true,
-            };
-            Ok(send_edit(client, draft, is_json).await)
-        }
-        EntityAction::Edit(options) => {
-            let value = read_value(kind, &options)?;
-            let draft = EditDraft {
-                kind,
-                id: options.name,
-                value,
-                base: options.base,
-                is_new: false,
-            };
-            Ok(send_edit(client, draft, is_json).await)
-        }
+        EntityAction::Create(options) => write_document(client, kind, options, true, is_json).await,
+        EntityAction::Edit(options) => write_document(client, kind, options, false, is_json).await,
     }
 }
 
+async fn write_document(
+    client: &NodeClient,
+    kind: KindDoc,
+    options: DocumentOptions,
+    is_new: bool,
+    is_json: bool,
+) -> Ending {
+    let value = read_value(kind, &options)?;
+    let draft = EditDraft {
+        kind,
+        id: options.name,
+        value,
+        base: options.base,
+        is_new,
+    };
+    Ok(send_edit(client, draft, is_json).await)
+}
+
 async fn rules(client: &NodeClient, action: Option<RulesAction>, is_json: bool) -> Ending {
     let Some(action) = action else {
         let text = "expected show, set or try";
--- /dev/null
+++ b/crates/node/src/account.rs
@@ -0,0 +1,62 @@
+//! Adds up the two measures the users weigh: group downtime and stranded accelerators.
+
+use std::time::Duration;
+
+use briarswitch_core::prelude::*;
+use indexmap::{IndexMap, IndexSet};
+
+use crate::reign::ControllerReign;
+use crate::shared::NodeShared;
+
+/// The measures of one zone since this process began to control it.
+#[derive(Clone, Debug, Default)]
+pub struct FleetAccount {
+    /// Time that wanted groups could not serve, summed over groups.
+    pub downtime: Duration,
+    /// Accelerators that belong to no working group now.
+    pub stranded: u32,
+    counted: Option<Moment>,
+}
+
+impl FleetAccount {
+    /// Stops counting time until the next call of [`FleetAccount::count`].
+    pub fn pause(&mut self) {
+        self.counted = None;
+    }
+
+    /// Counts the time since the last call.
+    pub fn count(&mut self, shared: &NodeShared, reign: &ControllerReign, now: Moment) {
+        let elapsed = self.counted.map_or(Duration::ZERO, |at| now - at);
+        self.counted = Some(now);
+        let routes = shared.routes.read();
+        let config = shared.config.load();
+        let mut working: IndexSet<&VmId> = IndexSet::new();
+        let mut serving: IndexMap<&DeploymentId, u32> = IndexMap::new();
+        for row in reign.groups.values() {
+            let group = &row.value;
+            if routes.is_routable(&group.id, now) {
+                *serving.entry(&group.deployment).or_default() += 1;
+                working.extend(group.members.iter().map(|member| &member.vm));
+            }
+        }
+        let mut pools: IndexSet<&PoolId> = IndexSet::new();
+        for deployment in config.book.deployments().values() {
+            let DeploymentKind::Model {
+                replicas_per_zone, ..
+            } = deployment.kind
+            else {
+                continue;
+            };
+            pools.insert(&deployment.pool);
+            let standing = serving.get(&deployment.id).copied().unwrap_or(0);
+            self.downtime += elapsed * replicas_per_zone.saturating_sub(standing);
+        }
+        let fleet = shared.fleet.read();
+        let idle = fleet
+            .vms
+            .values()
+            .filter(|vm| pools.contains(&vm.pool) && !working.contains(&vm.id));
+        self.stranded = idle.map(|vm| vm.accelerators).sum();
+        shared.metrics.set_fleet(self.stranded, self.downtime);
+    }
+}
--- a/crates/node/src/caller.rs
+++ b/crates/node/src/caller.rs
@@ -9,13 +9,10 @@
 use briarswitch_core::stream::json_depth;
 use briarswitch_http::{read_body, Body, BodyError, Handler, Request, Response};
 use briarswitch_kernel::BootClock;
-use briarswitch_wire::caller::{
-    DEADLINE_HEADER, KEY_HEADER, REPEATABLE_HEADER, REQUEST_HEADER, SERVICE_PREFIX,
-};
+use briarswitch_wire::caller::{DEADLINE_HEADER, SERVICE_PREFIX};
 use briarswitch_wire::engine::{ChatDoc, CHAT_PATH};
 use bytes::Bytes;
 use futures::future::BoxFuture;
-use http::header::{AUTHORIZATION, CONNECTION, CONTENT_LENGTH, HOST, TRANSFER_ENCODING};
 use http::request::Parts;
 use http::{HeaderMap, Method, StatusCode};
 
@@ -24,17 +21,14 @@
 use crate::dispatch::{MatchedRequest, RequestDispatcher};
 use crate::flight::FlightGuard;
 use crate::gate::AdmitAsk;
-use crate::reply::{mark_reply, CallerFailure};
+use crate::headers::{draw_of, passed_headers, read_key, read_repeatable, request_id};
+use crate::reply::{bad_request, mark_reply, CallerFailure};
 use crate::shared::{ConfigView, NodeShared, Phase};
 
 /// Tokens a request is taken to cost when it does not say.
 const DEFAULT_TOKENS: u64 = 256;
-/// Longest idempotency key and request id, in bytes.
-const ID_LIMIT: usize = 128;
 /// Time after which a caller of a node that is going away should try another.
 const LEAVING_RETRY: Duration = Duration::from_millis(100);
-/// Share of callers that a percentage is out of.
-const PERCENT: u64 = 100;
 
 /// Answers callers.
 pub struct CallerSurface {
@@ -321,81 +315,6 @@
         .retry_after(LEAVING_RETRY)
 }
 
-fn bad_request(code: &'static str, message: impl Into<String>) -> CallerFailure {
-    CallerFailure::refused(StatusCode::BAD_REQUEST, code, message)
-}
-
-/// Takes the caller's request id, or makes one.
-fn request_id(headers: &HeaderMap) -> RequestId {
-    let given = headers
-        .get(REQUEST_HEADER)
-        .and_then(|value| value.to_str().ok())
-        .filter(|text| !text.is_empty() && text.len() <= ID_LIMIT);
-    // The caller's id alone would not tell two requests apart that carry the same one.
-    match given {
-        Some(text) => format!("{text}.{:08x}", rand::random::<u32>()),
-        None => format!("{:016x}", rand::random::<u64>()),
-    }
-}
-
-fn read_key(headers: &HeaderMap) -> Result<Option<String>, CallerFailure> {
-    let Some(value) = headers.get(KEY_HEADER) else {
-        return Ok(None);
-    };
-    let is_plain = |text: &&str| {
-        let fits = !text.is_empty() && text.len() <= ID_LIMIT;
-        fits && text
-            .bytes()
-            .all(|byte| byte.is_ascii_graphic() && byte != b'/')
-    };
-    match value.to_str().ok().filter(is_plain) {
-        Some(text) => Ok(Some(text.to_owned())),
-        None => Err(bad_request(
-            "bad_key",
-            format!("{KEY_HEADER} takes 1 to {ID_LIMIT} printable characters without a slash"),
-        )),
-    }
-}
-
-fn read_repeatable(headers: &HeaderMap) -> Result<Option<bool>, CallerFailure> {
-    let Some(value) = headers.get(REPEATABLE_HEADER) else {
-        return Ok(None);
-    };
-    match value.as_bytes() {
-        b"true" => Ok(Some(true)),
-        b"false" => Ok(Some(false)),
-        _ => Err(bad_request(
-            "bad_repeatable",
-            format!("{REPEATABLE_HEADER} takes true or false"),
-        )),
-    }
-}
-
-/// Leaves out what belongs to one connection, and the caller's credential.
-fn passed_headers(headers: &HeaderMap) -> HeaderMap {
-    let mut passed = headers.clone();
-    for name in [
-        AUTHORIZATION,
-        CONNECTION,
-        CONTENT_LENGTH,
-        HOST,
-        TRANSFER_ENCODING,
-    ] {
-        passed.remove(name);
-    }
-    for name in [
-        "keep-alive",
-        "te",
-        "trailer",
-        "upgrade",
-        "expect",
-        "proxy-connection",
-    ] {
-        passed.remove(name);
-    }
-    passed
-}
-
 fn prompt_of(chat: &ChatDoc) -> String {
     let parts = chat.messages.iter().map(|message| message.content.as_str());
     parts.collect()
@@ -407,15 +326,3 @@
     let minutes = since.unwrap_or_default().as_secs() / 60 % 1440;
     u16::try_from(minutes).unwrap_or(0)
 }
-
-/// Draws a number from 0 to 99 that stays the same for one caller of an organisation.
-fn draw_of(organisation: &str, headers: &HeaderMap) -> u8 {
-    let caller = headers
-        .get("x-caller")
-        .map_or(&b""[..], |value| value.as_bytes());
-    let mut text = organisation.as_bytes().to_vec();
-    text.push(0);
-    text.extend_from_slice(caller);
-    let hash = briarswitch_core::prefix::hash_of(&text);
-    u8::try_from(hash % PERCENT).unwrap_or(0)
-}
--- a/crates/node/src/cli.rs
+++ b/crates/node/src/cli.rs
@@ -7,7 +7,8 @@
 use gumdrop::Options;
 
 use crate::fields::{FieldDefault, FIELDS};
-use crate::settings::{NodeSettings, SettingsLayers};
+use crate::layers::SettingsLayers;
+use crate::settings::NodeSettings;
 
 /// Options of `briarswitch-node`.
 #[derive(Debug, Options)]
--- a/crates/node/src/controller.rs
+++ b/crates/node/src/controller.rs
@@ -3,21 +3,20 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use briarswitch_core::lease::{LeaseAnswer, LeaseWrite};
-use briarswitch_core::planner::VmFacts;
 use briarswitch_core::prelude::*;
 use briarswitch_http::{CallError, CallerClient, Codec};
 use briarswitch_kernel::{BootClock, Service, ServiceLink};
-use briarswitch_platform::{StoreError, TransactBuilder};
+use briarswitch_platform::StoreError;
 use briarswitch_wire::engine::{OrderAction, OrderDoc, ReportDoc, StateDoc};
-use briarswitch_wire::platform::{EpochDoc, LeaseDoc, ReadReply, ReadRequest, TransactReply};
+use briarswitch_wire::platform::{ReadReply, ReadRequest, TransactReply};
 use http::Method;
 use indexmap::{IndexMap, IndexSet};
 use serde_json::{json, Value};
 use tokio::sync::oneshot;
 
-use crate::config::row_value;
-use crate::keys::{epoch_key, group_prefix, lease_key, vm_prefix};
+use crate::account::FleetAccount;
+use crate::keys::{epoch_key, group_prefix, vm_prefix};
+use crate::lease::{LeaseCall, LeaseTender};
 use crate::orders::{orders_due, DueOrder};
 use crate::reign::{ControllerReign, ReignCounts, RowChange, RowChanges};
 use crate::shared::{ControlView, FleetView, NodeShared};
@@ -27,8 +26,6 @@
 pub const CONTROLLER_SERVICE: &str = "controller";
 /// Steps of a plan carried out in one transaction.
 const STEPS_PER_WRITE: usize = 8;
-/// Reads of the lease row by a challenger in the time of one lease.
-const READS_PER_LEASE: u32 = 6;
 /// Loads assumed possible when the planner is only asked what it would do.
 const UNLIMITED_LOADS: usize = usize::MAX;
 
@@ -78,21 +75,15 @@
 pub struct ZoneController {
     shared: Arc<NodeShared>,
     client: CallerClient,
-    keeper: LeaseKeeper,
+    lease: LeaseTender,
     planner: GroupPlanner,
     reign: Option<ControllerReign>,
     counts: ReignCounts,
-    is_lease_busy: bool,
     is_table_busy: bool,
     is_loading: bool,
-    is_leaving: bool,
-    last_read: Moment,
-    writes: u64,
     lost: IndexMap<VmId, Moment>,
     ordering: IndexSet<VmId>,
-    downtime: Duration,
-    stranded: u32,
-    accounted: Option<Moment>,
+    account: FleetAccount,
     plan: Vec<String>,
 }
 
@@ -102,22 +93,16 @@
         let settings = &shared.settings;
         let control = settings.control;
         Self {
-            keeper: LeaseKeeper::open(settings.node.clone(), shared.incarnation, settings.lease),
+            lease: LeaseTender::open(settings, shared.incarnation),
             planner: GroupPlanner::open(control.load_time, control.member_grace),
             client: CallerClient::open(Codec::Json, None),
             reign: None,
             counts: ReignCounts::default(),
-            is_lease_busy: false,
             is_table_busy: false,
             is_loading: false,
-            is_leaving: false,
-            last_read: Moment::ZERO,
-            writes: 0,
             lost: IndexMap::new(),
             ordering: IndexSet::new(),
-            downtime: Duration::ZERO,
-            stranded: 0,
-            accounted: None,
+            account: FleetAccount::default(),
             plan: Vec::new(),
             shared,
         }
@@ -128,11 +113,13 @@
         self.tend_lease(now, link);
         self.tend_reign(now, link);
         if self.is_reigning(now) {
-            self.account(now);
+            if let Some(reign) = &self.reign {
+                self.account.count(&self.shared, reign, now);
+            }
             self.send_orders(now, link);
             self.advance(now, link);
         } else {
-            self.accounted = None;
+            self.account.pause();
         }
         self.publish(now);
     }
@@ -143,92 +130,30 @@
 
     /// Returns whether this node holds the lease now and knows the zone's rows.
     fn is_reigning(&self, now: Moment) -> bool {
-        let held = self.keeper.epoch(now);
+        let held = self.lease.epoch(now);
         held.is_some() && self.reign.as_ref().map(|reign| reign.epoch) == held
     }
 
+    /// Reads or writes the lease's row when that is due.
     fn tend_lease(&mut self, now: Moment, link: &ServiceLink<ControllerMessage>) {
-        if self.is_lease_busy || self.is_leaving {
-            return;
-        }
-        self.writes += 1;
-        let settings = &self.shared.settings;
-        let write = format!(
-            "{}-{}-{}",
-            settings.node, self.shared.incarnation, self.writes
-        );
-        if let Some(proposal) = self.keeper.propose(write, now) {
-            self.write_lease(&proposal, link);
+        let Some(call) = self.lease.next_call(now) else {
             return;
-        }
-        let pause = settings.lease.duration / READS_PER_LEASE;
-        let is_due = self.keeper.epoch(now).is_none() && now >= self.last_read + pause;
-        if is_due || self.keeper.is_unsettled() {
-            self.read_lease(now, link);
-        }
-    }
-
-    fn read_lease(&mut self, now: Moment, link: &ServiceLink<ControllerMessage>) {
-        self.is_lease_busy = true;
-        self.last_read = now;
-        let shared = Arc::clone(&self.shared);
-        let key = lease_key(self.zone());
-        link.spawn(async move {
-            let request = ReadRequest {
-                keys: vec![key],
-                prefixes: Vec::new(),
-            };
-            ControllerMessage::LeaseRead(shared.platform.table.read(request).await)
-        });
-    }
-
-    fn write_lease(&mut self, write: &LeaseWrite, link: &ServiceLink<ControllerMessage>) {
-        self.is_lease_busy = true;
-        let request = self.lease_transaction(write);
+        };
         let shared = Arc::clone(&self.shared);
         link.spawn(async move {
-            ControllerMessage::LeaseWritten(shared.platform.table.transact(request).await)
-        });
-    }
-
-    fn lease_transaction(&self, write: &LeaseWrite) -> briarswitch_wire::platform::TransactRequest {
-        let key = lease_key(self.zone());
-        let mut builder = TransactBuilder::default()
-            .check(&key, write.expected)
-            .put(key, &LeaseDoc::from(write.record.clone()));
-        if write.takes_over {
-            let doc = EpochDoc {
-                epoch: write.record.epoch,
-                holder: write.record.holder.clone(),
-            };
-            builder = builder.put(epoch_key(self.zone()), &doc);
-        }
-        builder.build()
-    }
-
-    fn take_lease_read(&mut self, reply: &ReadReply, now: Moment) {
-        let row = reply.rows.first();
-        let record = row
-            .and_then(|row| row_value::<LeaseDoc>(&row.value))
-            .map(LeaseRecord::from);
-        let version = row.map_or(0, |row| row.version);
-        self.keeper.observe(record, version, now);
-    }
-
-    fn take_lease_written(&mut self, result: Result<TransactReply, StoreError>, now: Moment) {
-        let answer = match result {
-            Ok(TransactReply::Committed { versions }) => {
-                LeaseAnswer::Written(versions.first().copied().unwrap_or_default())
+            let table = &shared.platform.table;
+            match call {
+                LeaseCall::Read(request) => ControllerMessage::LeaseRead(table.read(request).await),
+                LeaseCall::Write(request) => {
+                    ControllerMessage::LeaseWritten(table.transact(request).await)
+                }
             }
-            Ok(TransactReply::Conflict { .. }) => LeaseAnswer::Conflict,
-            Err(_) => LeaseAnswer::Lost,
-        };
-        self.keeper.answer(answer, now);
+        });
     }
 
     /// Begins a reign when the lease was won, and ends it when the lease is over.
     fn tend_reign(&mut self, now: Moment, link: &ServiceLink<ControllerMessage>) {
-        let held = self.keeper.epoch(now);
+        let held = self.lease.epoch(now);
         let reigned = self.reign.as_ref().map(|reign| reign.epoch);
         if reigned.is_some() && reigned != held {
             log::warn!(epoch = reigned; "lease_lost");
@@ -279,7 +204,7 @@
         let Ok(rows) = rows else {
             return;
         };
-        if self.keeper.epoch(now) != Some(epoch) {
+        if self.lease.epoch(now) != Some(epoch) {
             return;
         }
         let orders_from = now + self.order_wait();
@@ -612,69 +537,26 @@
         }
     }
 
-    /// Adds up the two measures the users weigh.
-    fn account(&mut self, now: Moment) {
-        let routes = self.shared.routes.read();
-        let config = self.shared.config.load();
-        let elapsed = self.accounted.map_or(Duration::ZERO, |at| now - at);
-        self.accounted = Some(now);
-        let Some(reign) = &self.reign else {
-            return;
-        };
-        let mut working: IndexSet<&VmId> = IndexSet::new();
-        let mut serving: IndexMap<&DeploymentId, u32> = IndexMap::new();
-        for row in reign.groups.values() {
-            let group = &row.value;
-            if routes.is_routable(&group.id, now) {
-                *serving.entry(&group.deployment).or_default() += 1;
-                working.extend(group.members.iter().map(|member| &member.vm));
-            }
-        }
-        let mut pools: IndexSet<&PoolId> = IndexSet::new();
-        for deployment in config.book.deployments().values() {
-            let DeploymentKind::Model {
-                replicas_per_zone, ..
-            } = deployment.kind
-            else {
-                continue;
-            };
-            pools.insert(&deployment.pool);
-            let standing = serving.get(&deployment.id).copied().unwrap_or(0);
-            self.downtime += elapsed * replicas_per_zone.saturating_sub(standing);
-        }
-        let fleet = self.shared.fleet.read();
-        self.stranded = fleet
-            .vms
-            .values()
-            .filter(|vm| pools.contains(&vm.pool) && !working.contains(&vm.id))
-            .map(|vm| vm.accelerators)
-            .sum();
-        self.shared.metrics.set_fleet(self.stranded, self.downtime);
-    }
-
     fn publish(&self, now: Moment) {
-        let epoch = self.keeper.epoch(now);
-        let record = self.keeper.record().cloned();
+        let epoch = self.lease.epoch(now);
+        let record = self.lease.record().cloned();
         let seen = record.as_ref().map_or(0, |record| record.epoch);
         self.shared.metrics.set_lease(seen, epoch.is_some());
         self.shared.control.publish(ControlView {
             record,
             epoch: epoch.filter(|_| self.reign.is_some()),
-            stranded: self.stranded,
-            downtime: self.downtime,
+            stranded: self.account.stranded,
+            downtime: self.account.downtime,
             plan: self.plan.clone(),
         });
     }
 
     fn release(&mut self, reply: oneshot::Sender<()>, link: &ServiceLink<ControllerMessage>) {
-        self.is_leaving = true;
         self.end_reign();
-        let write = format!("{}-{}-release", self.zone(), self.shared.incarnation);
-        let Some(write) = self.keeper.release(write, link.now()) else {
+        let Some(request) = self.lease.release(link.now()) else {
             let _ = reply.send(());
             return;
         };
-        let request = self.lease_transaction(&write);
         let shared = Arc::clone(&self.shared);
         link.spawn(async move {
             let result = shared.platform.table.transact(request).await;
@@ -703,14 +585,10 @@
                 link.later(interval, ControllerMessage::Tick);
             }
             ControllerMessage::LeaseRead(result) => {
-                self.is_lease_busy = false;
-                if let Ok(reply) = result {
-                    self.take_lease_read(&reply, link.now());
-                }
+                self.lease.take_read(result, link.now());
             }
             ControllerMessage::LeaseWritten(result) => {
-                self.is_lease_busy = false;
-                self.take_lease_written(result, link.now());
+                self.lease.take_written(result, link.now());
             }
             ControllerMessage::Loaded { epoch, rows } => self.take_loaded(epoch, rows, link),
             ControllerMessage::Permitted(granted) => self.take_permit(granted, link),
@@ -731,17 +609,17 @@
 
     fn dump(&self) -> Value {
         let now = BootClock::now();
-        let record = self.keeper.record();
+        let record = self.lease.record();
         json!({
             "holder": record.map(|record| &record.holder),
             "epoch": record.map(|record| record.epoch),
-            "held_epoch": self.keeper.epoch(now),
-            "lease_remaining_ms": self.keeper.remaining(now).as_millis(),
+            "held_epoch": self.lease.epoch(now),
+            "lease_remaining_ms": self.lease.remaining(now).as_millis(),
             "groups": self.reign.as_ref().map_or(0, |reign| reign.groups.len()),
             "claimed_vms": self.reign.as_ref().map_or(0, |reign| reign.claims.len()),
             "plan": self.plan,
-            "group_downtime_s": self.downtime.as_secs_f64(),
-            "stranded_accelerators": self.stranded,
+            "group_downtime_s": self.account.downtime.as_secs_f64(),
+            "stranded_accelerators": self.account.stranded,
         })
     }
 }
--- a/crates/node/src/dispatch.rs
+++ b/crates/node/src/dispatch.rs
@@ -18,11 +18,11 @@
 use crate::flight::FlightGuard;
 use crate::gate::{AdmitAsk, DeploymentGate, TargetPermit};
 use crate::keys::claim_key;
-use crate::metrics::RequestLabels;
 use crate::relay::StreamRelay;
 use crate::reply::{mark_reply, set_header, CallerFailure};
 use crate::routes::TargetId;
 use crate::shared::NodeShared;
+use crate::trace::RequestTrace;
 
 /// Time a key that settled is remembered.
 const KEY_MEMORY: std::time::Duration = std::time::Duration::from_secs(3600);
@@ -43,29 +43,6 @@
     pub flight: FlightGuard,
 }
 
-/// What is counted of a request when it ends.
-pub struct RequestTrace {
-    shared: Arc<NodeShared>,
-    /// Request id.
-    pub request: RequestId,
-    organisation: OrganisationId,
-    deployment: DeploymentId,
-    started: Moment,
-    /// Tokens delivered so far.
-    pub tokens: u64,
-    target: String,
-    attempts: u32,
-    settled: Option<Outcome>,
-    key: Option<OpenKey>,
-    _flight: FlightGuard,
-}
-
-/// A key claimed for a request that is still going on.
-struct OpenKey {
-    book: Arc<Mutex<ClaimBook>>,
-    key: String,
-}
-
 /// Carries requests out.
 pub struct RequestDispatcher {
     shared: Arc<NodeShared>,
@@ -129,19 +106,7 @@
 
     /// Carries a request out and builds its reply.
     pub async fn run(self: &Arc<Self>, matched: MatchedRequest) -> Response {
-        let trace = RequestTrace {
-            shared: Arc::clone(&self.shared),
-            request: matched.request.clone(),
-            organisation: matched.admit.organisation.clone(),
-            deployment: matched.admit.deployment.clone(),
-            started: BootClock::now(),
-            tokens: 0,
-            target: String::new(),
-            attempts: 0,
-            settled: None,
-            key: None,
-            _flight: matched.flight.clone(),
-        };
+        let trace = RequestTrace::open(&self.shared, &matched);
         let request = matched.request.clone();
         let result = self.run_limited(matched, trace).await;
         let node = &self.shared.settings.node;
@@ -210,10 +175,7 @@
         }
         match self.claims.claim(row.to_owned()).await {
             ClaimVerdict::Won => {
-                trace.key = Some(OpenKey {
-                    book: Arc::clone(&self.keys),
-                    key: row.to_owned(),
-                });
+                trace.hold_key(&self.keys, row);
                 Ok(())
             }
             ClaimVerdict::Taken => {
@@ -377,11 +339,11 @@
 
     /// Ends a request that failed; a key under which nothing ran is given back first.
     async fn end_failed(&self, failure: CallerFailure, mut trace: RequestTrace) -> CallerFailure {
-        let key = trace.key.as_ref().map(|open| open.key.clone());
-        if let (Outcome::NotRun, Some(key)) = (failure.outcome(), key) {
-            self.claims.release(&key).await;
-            trace.key = None;
-            self.lock_keys().forget(&key);
+        if failure.outcome() == Outcome::NotRun {
+            if let Some(key) = trace.drop_key() {
+                self.claims.release(&key).await;
+                self.lock_keys().forget(&key);
+            }
         }
         trace.fail(failure)
     }
@@ -398,63 +360,6 @@
     reply: AttemptReply,
 }
 
-impl RequestTrace {
-    /// Notes that the first token came.
-    pub fn note_first_token(&self, permit: &TargetPermit) {
-        let latency = BootClock::now().saturating_sub(self.started);
-        self.shared
-            .metrics
-            .record_first_token(&self.deployment, latency);
-        permit.note_latency(latency);
-    }
-
-    /// Counts the request with its outcome, once.
-    pub fn settle(&mut self, outcome: Outcome) {
-        if self.settled.is_some() {
-            return;
-        }
-        self.settled = Some(outcome);
-        let now = BootClock::now();
-        let latency = now.saturating_sub(self.started);
-        let labels = RequestLabels {
-            organisation: &self.organisation,
-            deployment: &self.deployment,
-            outcome,
-        };
-        self.shared.metrics.count_request(labels, latency);
-        if outcome == Outcome::Answered || self.tokens > 0 {
-            self.shared.usage.charge(&self.organisation, self.tokens);
-        }
-        if let Some(open) = self.key.take() {
-            let mut book = open.book.lock().unwrap_or_else(PoisonError::into_inner);
-            book.settle(&open.key, outcome, now);
-        }
-        log::info!(
-            request = self.request.as_str(),
-            organisation = self.organisation.as_str(),
-            deployment = self.deployment.as_str(),
-            target = self.target.as_str(),
-            outcome = outcome.name(),
-            attempts = self.attempts,
-            tokens = self.tokens,
-            ms = latency.as_millis() as u64;
-            "request_settled"
-        );
-    }
-
-    fn fail(&mut self, failure: CallerFailure) -> CallerFailure {
-        self.settle(failure.outcome());
-        failure
-    }
-}
-
-impl Drop for RequestTrace {
-    /// A caller that left before its answer was over leaves the outcome open.
-    fn drop(&mut self) {
-        self.settle(Outcome::Unknown);
-    }
-}
-
 fn claimed_failure(state: ClaimState) -> CallerFailure {
     let mut failure = CallerFailure::at(FailurePoint::KeyClaimed);
     if outcome_of(state) == Outcome::Answered {
--- a/crates/node/src/fields.rs
+++ b/crates/node/src/fields.rs
@@ -23,6 +23,24 @@
 }
 
 impl FieldKind {
+    /// Returns what is wrong with a value, or `None` when it is accepted.
+    pub fn fault(self, value: &Value) -> Option<String> {
+        let is_accepted = match self {
+            Self::Name => value.as_str().is_some_and(|text| !text.is_empty()),
+            Self::Address => value
+                .as_str()
+                .is_some_and(|text| text.parse::<std::net::SocketAddr>().is_ok()),
+            Self::Url => value.as_str().is_some_and(is_url),
+            Self::Number { least, most } => value
+                .as_u64()
+                .is_some_and(|number| (least..=most).contains(&number)),
+            Self::Level => value
+                .as_str()
+                .is_some_and(|text| text.parse::<log::LevelFilter>().is_ok()),
+        };
+        (!is_accepted).then(|| format!("expected {}, found {value}", self.accepted()))
+    }
+
     /// Returns what is accepted, in words.
     pub fn accepted(self) -> String {
         match self {
@@ -35,6 +53,11 @@
     }
 }
 
+fn is_url(text: &str) -> bool {
+    text.strip_prefix("http://")
+        .is_some_and(|rest| rest.parse::<std::net::SocketAddr>().is_ok())
+}
+
 /// Default of a setting.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum FieldDefault {
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -12,6 +12,7 @@
 //! # }
 //! ```
 
+pub mod account;
 pub mod answer;
 pub mod attempt;
 pub mod auth;
@@ -26,8 +27,11 @@
 pub mod fields;
 pub mod flight;
 pub mod gate;
+pub mod headers;
 pub mod health;
 pub mod keys;
+pub mod layers;
+pub mod lease;
 pub mod logging;
 pub mod metrics;
 pub mod node;
@@ -40,9 +44,11 @@
 pub mod routes;
 pub mod settings;
 pub mod shared;
+pub mod trace;
 pub mod usage;
 pub mod watch;
 
 pub use cli::{NodeOptions, Startup};
+pub use layers::SettingsLayers;
 pub use node::{Node, NodeAddresses, NodeError};
-pub use settings::{NodeSettings, SettingsLayers};
+pub use settings::NodeSettings;
--- a/crates/node/src/relay.rs
+++ b/crates/node/src/relay.rs
@@ -13,9 +13,10 @@
 use tokio::time::{Instant, Sleep};
 
 use crate::attempt::TargetAsk;
-use crate::dispatch::{RequestDispatcher, RequestTrace};
+use crate::dispatch::RequestDispatcher;
 use crate::gate::TargetPermit;
 use crate::reply::error_event;
+use crate::trace::RequestTrace;
 
 /// Times a stream is resumed at its target before it is given up.
 const RESUMES: usize = 3;
--- a/crates/node/src/reply.rs
+++ b/crates/node/src/reply.rs
@@ -86,6 +86,11 @@
     }
 }
 
+/// Makes the failure of a request that can not be understood.
+pub fn bad_request(code: &'static str, message: impl Into<String>) -> CallerFailure {
+    CallerFailure::refused(StatusCode::BAD_REQUEST, code, message)
+}
+
 /// Names an answer's request, node and target in its headers.
 pub fn mark_reply(reply: &mut Response, request: &str, node: &str, target: &str) {
     set_header(reply, REQUEST_HEADER, request);
--- a/crates/node/tests/support/mod.rs
+++ b/crates/node/tests/support/mod.rs
@@ -480,6 +480,33 @@
         }
     }
 
+    /// Returns a node's processor time in seconds and its resident memory in kB.
+    pub fn usage_of(&self, node: usize) -> (f64, u64) {
+        let child = self.nodes[node].child.as_ref().expect("a running node");
+        let read = |file: &str| {
+            std::fs::read_to_string(format!("/proc/{}/{file}", child.id())).unwrap_or_default()
+        };
+        let stat = read("stat");
+        let fields: Vec<&str> = stat
+            .rsplit(')')
+            .next()
+            .unwrap_or("")
+            .split_whitespace()
+            .collect();
+        let ticks = |index: usize| fields.get(index).and_then(|text| text.parse().ok());
+        let spent: f64 = ticks(11).unwrap_or(0.0) + ticks(12).unwrap_or(0.0);
+        let status = read("status");
+        let resident = status.lines().find_map(|line| line.strip_prefix("VmRSS:"));
+        let resident = resident.and_then(|text| text.split_whitespace().next()?.parse().ok());
+        (spent / 100.0, resident.unwrap_or(0))
+    }
+
+    /// Returns the bytes of questions a node took from its peers.
+    pub async fn peer_bytes(&self, node: usize) -> u64 {
+        let dump: Option<Value> = self.operate(node, "GET", "/v1/dump", "").await;
+        dump.unwrap_or_default()["peer_bytes"].as_u64().unwrap_or(0)
+    }
+
     /// Waits until a condition holds.
     pub async fn wait(&self, what: &str, holds: impl AsyncFn(&Self) -> bool) {
         let start = Instant::now();
--- a/crates/standins/src/engine.rs
+++ b/crates/standins/src/engine.rs
@@ -3,7 +3,6 @@
 use std::collections::HashMap;
 use std::io;
 use std::net::SocketAddr;
-use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard};
 use std::time::{Duration, Instant};
 
@@ -14,16 +13,18 @@
 use briarswitch_wire::caller::KEY_HEADER;
 use briarswitch_wire::engine::{
     ChatDoc, JoinDoc, OrderAction, OrderDoc, ReportDoc, StateDoc, ATTEMPT_HEADER, CHAT_PATH,
-    GROUP_HEADER, LEAVING_HEADER, NOT_RUN_HEADER, PRIORITY_HEADER, RESUME_HEADER, STREAM_END,
+    GROUP_HEADER, LEAVING_HEADER, NOT_RUN_HEADER, PRIORITY_HEADER, RESUME_HEADER,
 };
 use bytes::Bytes;
 use futures::future::BoxFuture;
 use futures::{Stream, StreamExt};
 use http::{HeaderMap, HeaderValue, StatusCode};
-use tokio::sync::Notify;
 
+use crate::freeze::FreezeGate;
+use crate::headers::text_of;
 use crate::host::StandinHost;
 use crate::slots::SlotQueue;
+use crate::tokens::{token_text, CancelGuard, StreamCursor, StreamPlan};
 
 const BODY_LIMIT: usize = 16 << 20;
 /// Time before a break, so that what was sent before it has left.
@@ -122,7 +123,7 @@
     pub cancelled: usize,
 }
 
-struct EngineState {
+pub(crate) struct EngineState {
     state: StateDoc,
     group: Option<JoinDoc>,
     fence: Epoch,
@@ -130,7 +131,7 @@
     loads: u64,
     cache: Vec<u64>,
     faults: EngineFaults,
-    record: EngineRecord,
+    pub(crate) record: EngineRecord,
     attempts: HashMap<AttemptId, ()>,
     token_time: Duration,
 }
@@ -142,24 +143,6 @@
     frozen: Arc<FreezeGate>,
 }
 
-/// Holds every handler while the machine is frozen.
-#[derive(Default)]
-struct FreezeGate {
-    is_frozen: AtomicBool,
-    thaw: Notify,
-}
-
-impl FreezeGate {
-    async fn pass(&self) {
-        while self.is_frozen.load(Ordering::SeqCst) {
-            let thawed = self.thaw.notified();
-            if self.is_frozen.load(Ordering::SeqCst) {
-                thawed.await;
-            }
-        }
-    }
-}
-
 /// A running engine.
 pub struct EngineStandin {
     host: StandinHost,
@@ -234,13 +217,12 @@
 
     /// Stops every answer until [`EngineStandin::thaw`].
     pub fn freeze(&self) {
-        self.frozen.is_frozen.store(true, Ordering::SeqCst);
+        self.frozen.close();
     }
 
     /// Lets the engine go on where it was frozen.
     pub fn thaw(&self) {
-        self.frozen.is_frozen.store(false, Ordering::SeqCst);
-        self.frozen.thaw.notify_waiters();
+        self.frozen.open();
     }
 
     fn lock(&self) -> MutexGuard<'_, EngineState> {
@@ -550,80 +532,12 @@
     }
 }
 
-struct StreamPlan {
-    attempt: String,
-    from: usize,
-    tokens: usize,
-    break_at: Option<usize>,
-    is_marked: bool,
-}
-
-struct StreamCursor {
-    plan: StreamPlan,
-    next: usize,
-    is_ended: bool,
-    guard: CancelGuard,
-    _slot: crate::slots::SlotGuard,
-}
-
-impl StreamCursor {
-    fn advance(&mut self) -> Option<Result<Bytes, io::Error>> {
-        if self.is_ended {
-            return None;
-        }
-        if self.plan.break_at == Some(self.next) {
-            self.is_ended = true;
-            self.guard.is_done = true;
-            return Some(Err(io::Error::other("broken on purpose")));
-        }
-        if self.next < self.plan.tokens {
-            let index = self.next;
-            self.next += 1;
-            let event = serde_json::json!({
-                "id": self.plan.attempt,
-                "object": "chat.completion.chunk",
-                "choices": [{"index": 0, "delta": {"content": token_text(index)}}],
-            });
-            return Some(Ok(Bytes::from(format!("data: {event}\n\n"))));
-        }
-        self.is_ended = true;
-        self.guard.is_done = true;
-        self.plan.is_marked.then(|| Ok(Bytes::from(STREAM_END)))
-    }
-}
-
-/// Counts a stream whose reader left before its end.
-struct CancelGuard {
-    state: Arc<Mutex<EngineState>>,
-    is_done: bool,
-}
-
-impl Drop for CancelGuard {
-    fn drop(&mut self) {
-        if !self.is_done {
-            if let Ok(mut state) = self.state.lock() {
-                state.record.cancelled += 1;
-            }
-        }
-    }
-}
-
-/// Returns the text of one token.
-fn token_text(index: usize) -> String {
-    format!("w{index} ")
-}
-
 fn use_up(counter: &mut u32) -> bool {
     let is_left = *counter > 0;
     *counter = counter.saturating_sub(1);
     is_left
 }
 
-fn text_of(headers: &HeaderMap, name: &str) -> Option<String> {
-    let value = headers.get(name)?.to_str().ok()?;
-    Some(value.to_owned())
-}
-
 async fn sleep_for(time: Duration) {
     if !time.is_zero() {
         tokio::time::sleep(time).await;
--- a/crates/standins/src/lib.rs
+++ b/crates/standins/src/lib.rs
@@ -11,11 +11,14 @@
 //! ```
 
 mod engine;
+mod freeze;
+mod headers;
 mod host;
 mod plain;
 mod platform;
 mod relay;
 mod slots;
+mod tokens;
 
 pub use engine::{EngineFaults, EngineRecord, EngineSettings, EngineStandin, Execution};
 pub use host::{wait_for_end, StandinHost};
--- a/crates/standins/src/plain.rs
+++ b/crates/standins/src/plain.rs
@@ -2,7 +2,6 @@
 
 use std::io;
 use std::net::SocketAddr;
-use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard};
 use std::time::{Duration, Instant};
 
@@ -14,8 +13,9 @@
 };
 use futures::future::BoxFuture;
 use http::{HeaderMap, HeaderValue, StatusCode};
-use tokio::sync::Notify;
 
+use crate::freeze::FreezeGate;
+use crate::headers::text_of;
 use crate::host::StandinHost;
 
 const BODY_LIMIT: usize = 16 << 20;
@@ -56,14 +56,14 @@
     vm: VmId,
     incarnation: Incarnation,
     state: Arc<Mutex<PlainState>>,
-    frozen: Arc<(AtomicBool, Notify)>,
+    frozen: Arc<FreezeGate>,
 }
 
 /// A running plain service.
 pub struct PlainStandin {
     host: StandinHost,
     state: Arc<Mutex<PlainState>>,
-    frozen: Arc<(AtomicBool, Notify)>,
+    frozen: Arc<FreezeGate>,
 }
 
 impl PlainStandin {
@@ -74,7 +74,7 @@
     /// Returns the operating system's error when the address cannot be had.
     pub fn spawn(address: &str, vm: &str, incarnation: Incarnation) -> io::Result<Self> {
         let state = Arc::new(Mutex::new(PlainState::default()));
-        let frozen = Arc::new((AtomicBool::new(false), Notify::new()));
+        let frozen = Arc::new(FreezeGate::default());
         let handler = PlainHandler {
             vm: vm.to_owned(),
             incarnation,
@@ -111,13 +111,12 @@
 
     /// Stops every answer until [`PlainStandin::thaw`].
     pub fn freeze(&self) {
-        self.frozen.0.store(true, Ordering::SeqCst);
+        self.frozen.close();
     }
 
     /// Lets the service go on where it was frozen.
     pub fn thaw(&self) {
-        self.frozen.0.store(false, Ordering::SeqCst);
-        self.frozen.1.notify_waiters();
+        self.frozen.open();
     }
 
     fn lock(&self) -> MutexGuard<'_, PlainState> {
@@ -137,15 +136,6 @@
         self.state.lock().expect("service state")
     }
 
-    async fn pass(&self) {
-        while self.frozen.0.load(Ordering::SeqCst) {
-            let thawed = self.frozen.1.notified();
-            if self.frozen.0.load(Ordering::SeqCst) {
-                thawed.await;
-            }
-        }
-    }
-
     fn run(&self, headers: &HeaderMap, path: &str) -> (CallFate, Duration) {
         let mut state = self.lock();
         let work = state.faults.work;
@@ -187,7 +177,7 @@
 impl Handler for PlainHandler {
     fn handle(&self, request: Request) -> BoxFuture<'_, Response> {
         Box::pin(async move {
-            self.pass().await;
+            self.frozen.pass().await;
             let (head, body) = request.into_parts();
             let Ok(bytes) = read_body(body, BODY_LIMIT).await else {
                 return reply_text(StatusCode::BAD_REQUEST, "broken body");
@@ -233,8 +223,3 @@
     headers.insert(LEAVING_HEADER, HeaderValue::from_static("1"));
     reply
 }
-
-fn text_of(headers: &HeaderMap, name: &str) -> Option<String> {
-    let value = headers.get(name)?.to_str().ok()?;
-    Some(value.to_owned())
-}
--- a/crates/standins/src/relay.rs
+++ b/crates/standins/src/relay.rs
@@ -2,6 +2,8 @@
 
 use std::io;
 use std::net::SocketAddr;
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::Arc;
 use std::time::Duration;
 
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
@@ -32,6 +34,7 @@
 pub struct LinkRelay {
     address: SocketAddr,
     mode: watch::Sender<LinkMode>,
+    carried: Arc<AtomicU64>,
     runtime: Option<Runtime>,
 }
 
@@ -54,10 +57,13 @@
             TcpListener::from_std(listener)?
         };
         let (mode, watched) = watch::channel(LinkMode::Open);
-        runtime.spawn(accept(listener, far.to_owned(), watched));
+        let carried = Arc::new(AtomicU64::new(0));
+        let counter = Arc::clone(&carried);
+        runtime.spawn(accept(listener, far.to_owned(), watched, counter));
         Ok(Self {
             address,
             mode,
+            carried,
             runtime: Some(runtime),
         })
     }
@@ -67,6 +73,11 @@
         self.address
     }
 
+    /// Returns the bytes carried, both ways.
+    pub fn carried(&self) -> u64 {
+        self.carried.load(Ordering::Relaxed)
+    }
+
     /// Changes what the link does, for open connections too.
     pub fn set(&self, mode: LinkMode) {
         let _ = self.mode.send(mode);
@@ -81,16 +92,26 @@
     }
 }
 
-async fn accept(listener: TcpListener, far: String, mode: watch::Receiver<LinkMode>) {
+async fn accept(
+    listener: TcpListener,
+    far: String,
+    mode: watch::Receiver<LinkMode>,
+    carried: Arc<AtomicU64>,
+) {
     while let Ok((near, _)) = listener.accept().await {
         if *mode.borrow() == LinkMode::Reset {
             continue;
         }
-        tokio::spawn(carry(near, far.clone(), mode.clone()));
+        tokio::spawn(carry(near, far.clone(), mode.clone(), Arc::clone(&carried)));
     }
 }
 
-async fn carry(near: TcpStream, far: String, mode: watch::Receiver<LinkMode>) {
+async fn carry(
+    near: TcpStream,
+    far: String,
+    mode: watch::Receiver<LinkMode>,
+    carried: Arc<AtomicU64>,
+) {
     let Ok(far) = TcpStream::connect(far).await else {
         return;
     };
@@ -99,8 +120,8 @@
     let (near_read, near_write) = near.into_split();
     let (far_read, far_write) = far.into_split();
     let mut reset = mode.clone();
-    let out = pump(near_read, far_write, mode.clone(), false);
-    let back = pump(far_read, near_write, mode, true);
+    let out = pump(near_read, far_write, mode.clone(), false, &carried);
+    let back = pump(far_read, near_write, mode, true, &carried);
     tokio::select! {
         _ = out => {}
         _ = back => {}
@@ -113,12 +134,14 @@
     mut to: OwnedWriteHalf,
     mode: watch::Receiver<LinkMode>,
     is_back: bool,
+    carried: &AtomicU64,
 ) {
     let mut chunk = vec![0; CHUNK];
     while let Ok(count) = from.read(&mut chunk).await {
         if count == 0 {
             return;
         }
+        carried.fetch_add(count as u64, Ordering::Relaxed);
         let present = *mode.borrow();
         match present {
             LinkMode::Cut => continue,
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -12,6 +12,7 @@
 
 pub mod caller;
 pub mod config;
+pub mod convert;
 pub mod engine;
 pub mod operator;
 pub mod peer;
