--- a/crates/node/tests/support/mod.rs
+++ b/crates/node/tests/support/mod.rs
@@ -171,6 +171,7 @@
     pub vms_per_replica: u32,
     pub replicas_per_zone: u32,
     pub checks_fencing: bool,
+    pub target_in_flight: u32,
     pub settings: Vec<String>,
 }
 
@@ -184,6 +185,7 @@
             vms_per_replica: 2,
             replicas_per_zone: 1,
             checks_fencing: true,
+            target_in_flight: 64,
             settings: Vec::new(),
         }
     }
@@ -395,7 +397,7 @@
                 downtime_weight: 2,
                 stranded_weight: 1,
             }),
-            target_in_flight: 64,
+            target_in_flight: plan.target_in_flight,
             priority: 0,
         });
         self.must_edit(KindDoc::Deployment, MODEL, model).await;
