Mint keys that need no platform, and pass them on to their node

Cause: in a platform outage calls with a key were refused as not run, though billing has to go on as far as it safely can.

Weighed again: claim rows (need the table), minted keys, owner nodes (a dead owner can not be told from one that ran the work). Change: a node mints keys bound to its life; only it begins work under them, without a write, and the others pass such requests on to it. When that life is over, or out of reach, the key is unknown. Ruled out: handing the keys of a dying node to a peer, since a frozen node may still act on them.

Before: a keyed call in an outage was refused with claim_store. Conclusion: keyed billing goes on in an outage of the platform while the minting node lives.

--- a/crates/core/src/claim.rs
+++ b/crates/core/src/claim.rs
@@ -10,6 +10,8 @@
 /// What this node knows of one key.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum ClaimState {
+    /// The key was minted here and nothing was begun under it.
+    Minted,
     /// A request with this key is being worked on here.
     Open,
     /// The work ended.
@@ -56,6 +58,37 @@
         None
     }
 
+    /// Adds a key minted here; false when there is no room.
+    pub fn mint(&mut self, key: &str, now: Moment) -> bool {
+        self.trim(now);
+        let has_room = self.entries.len() < self.capacity;
+        if has_room {
+            self.entries
+                .insert(key.to_owned(), (ClaimState::Minted, now));
+        }
+        has_room
+    }
+
+    /// Opens a key that was minted here, or returns what is known of it; a minted key that is not
+    /// in the book any more may have run.
+    pub fn begin_minted(&mut self, key: &str, now: Moment) -> Option<ClaimState> {
+        match self.entries.get_mut(key) {
+            Some(entry) if entry.0 == ClaimState::Minted => {
+                *entry = (ClaimState::Open, now);
+                None
+            }
+            Some((state, _)) => Some(*state),
+            None => Some(ClaimState::Settled(Outcome::Unknown)),
+        }
+    }
+
+    /// Makes a minted key usable again, nothing having run under it.
+    pub fn restore(&mut self, key: &str, now: Moment) {
+        if let Some(entry) = self.entries.get_mut(key) {
+            *entry = (ClaimState::Minted, now);
+        }
+    }
+
     /// Records how the work under a key ended.
     pub fn settle(&mut self, key: &str, outcome: Outcome, now: Moment) {
         if let Some(entry) = self.entries.get_mut(key) {
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -23,6 +23,7 @@
 pub mod id;
 pub mod lease;
 pub mod limit;
+pub mod mint;
 pub mod organisation;
 pub mod outcome;
 pub mod planner;
--- a/crates/node/src/answer.rs
+++ b/crates/node/src/answer.rs
@@ -5,11 +5,14 @@
 use briarswitch_http::{read_body, reply_packed, reply_text, Handler, Request, Response};
 use briarswitch_kernel::BootClock;
 use briarswitch_wire::config::{EntryDoc, SnapshotDoc};
-use briarswitch_wire::peer::{ExchangeReply, ExchangeRequest, ViewDoc};
+use briarswitch_wire::peer::{
+    ExchangeReply, ExchangeRequest, ViewDoc, FORWARD_PREFIX, FORWARD_TOKEN_HEADER,
+};
 use futures::future::BoxFuture;
 use http::StatusCode;
 
-use crate::auth::is_bearer;
+use crate::auth::{is_bearer, is_token};
+use crate::caller::CallerSurface;
 use crate::peers::EXCHANGE_PATH;
 use crate::shared::{ConfigView, NodeShared, Phase};
 
@@ -19,12 +22,29 @@
 /// Answers other nodes.
 pub struct PeerSurface {
     shared: Arc<NodeShared>,
+    callers: Arc<CallerSurface>,
 }
 
 impl PeerSurface {
     /// Opens the surface.
-    pub fn open(shared: Arc<NodeShared>) -> Arc<Self> {
-        Arc::new(Self { shared })
+    pub fn open(shared: Arc<NodeShared>, callers: Arc<CallerSurface>) -> Arc<Self> {
+        Arc::new(Self { shared, callers })
+    }
+
+    /// Carries out a caller's request that another node passed on.
+    async fn forwarded(&self, mut request: Request) -> Response {
+        let token = request.headers_mut().remove(FORWARD_TOKEN_HEADER);
+        let token = token.as_ref().and_then(|token| token.to_str().ok());
+        if !token.is_some_and(|token| is_token(token, &self.shared.settings.peer_token)) {
+            return reply_text(StatusCode::UNAUTHORIZED, "unknown credential");
+        }
+        let path = request.uri().path_and_query().map(|path| path.as_str());
+        let inner = path.and_then(|path| path.strip_prefix(FORWARD_PREFIX)?.parse().ok());
+        let Some(inner) = inner else {
+            return reply_text(StatusCode::NOT_FOUND, "no such path");
+        };
+        *request.uri_mut() = inner;
+        self.callers.handle(request).await
     }
 
     fn answer(&self, request: ExchangeRequest) -> ExchangeReply {
@@ -81,6 +101,9 @@
 impl Handler for PeerSurface {
     fn handle(&self, request: Request) -> BoxFuture<'_, Response> {
         Box::pin(async move {
+            if request.uri().path().starts_with(FORWARD_PREFIX) {
+                return self.forwarded(request).await;
+            }
             let (head, body) = request.into_parts();
             if !is_bearer(&head.headers, &self.shared.settings.peer_token) {
                 return reply_text(StatusCode::UNAUTHORIZED, "unknown credential");
--- a/crates/node/src/auth.rs
+++ b/crates/node/src/auth.rs
@@ -13,11 +13,14 @@
 
 /// Returns whether a request carries a token, comparing in constant time.
 pub fn is_bearer(headers: &HeaderMap, token: &str) -> bool {
-    bearer(headers).is_some_and(|found| {
-        let found = Sha256::digest(found.as_bytes());
-        let wanted = Sha256::digest(token.as_bytes());
-        bool::from(found.ct_eq(&wanted))
-    })
+    bearer(headers).is_some_and(|found| is_token(found, token))
+}
+
+/// Returns whether a text is a token, comparing in constant time.
+pub fn is_token(found: &str, token: &str) -> bool {
+    let found = Sha256::digest(found.as_bytes());
+    let wanted = Sha256::digest(token.as_bytes());
+    bool::from(found.ct_eq(&wanted))
 }
 
 /// Returns the SHA-256 of a key in lower-case hexadecimal, as organisations store it.
--- a/crates/node/src/caller.rs
+++ b/crates/node/src/caller.rs
@@ -3,13 +3,14 @@
 use std::sync::Arc;
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
 
+use briarswitch_core::mint::MintedKey;
 use briarswitch_core::prefix::PrefixChain;
 use briarswitch_core::prelude::*;
 use briarswitch_core::rule::first_match;
 use briarswitch_core::stream::json_depth;
-use briarswitch_http::{read_body, Body, BodyError, Handler, Request, Response};
+use briarswitch_http::{read_body, reply_json, Body, BodyError, Handler, Request, Response};
 use briarswitch_kernel::BootClock;
-use briarswitch_wire::caller::{DEADLINE_HEADER, SERVICE_PREFIX};
+use briarswitch_wire::caller::{MintReply, DEADLINE_HEADER, KEY_HEADER, MINT_PATH, SERVICE_PREFIX};
 use briarswitch_wire::engine::{ChatDoc, CHAT_PATH};
 use bytes::Bytes;
 use futures::future::BoxFuture;
@@ -20,6 +21,7 @@
 use crate::auth::{bearer, key_hash};
 use crate::dispatch::{MatchedRequest, RequestDispatcher};
 use crate::flight::FlightGuard;
+use crate::forward::KeyForwarder;
 use crate::gate::AdmitAsk;
 use crate::headers::{draw_of, passed_headers, read_key, read_repeatable, request_id};
 use crate::reply::{bad_request, mark_reply, CallerFailure};
@@ -34,6 +36,7 @@
 pub struct CallerSurface {
     shared: Arc<NodeShared>,
     dispatcher: Arc<RequestDispatcher>,
+    forwarder: KeyForwarder,
 }
 
 /// What a path asks for.
@@ -54,12 +57,22 @@
 impl CallerSurface {
     /// Opens the surface.
     pub fn open(shared: Arc<NodeShared>, dispatcher: Arc<RequestDispatcher>) -> Arc<Self> {
-        Arc::new(Self { shared, dispatcher })
+        Arc::new(Self {
+            forwarder: KeyForwarder::open(Arc::clone(&shared)),
+            shared,
+            dispatcher,
+        })
     }
 
     async fn answer(&self, request: Request) -> Response {
         let (head, body) = request.into_parts();
         let id = request_id(&head.headers);
+        if let Some(key) = self.foreign_key(&head.headers) {
+            return self.forwarder.forward(key, head, body, &id).await;
+        }
+        if head.uri.path() == MINT_PATH {
+            return self.mint(&head.headers, &id);
+        }
         let matched = self.accept(head, body, &id).await;
         match matched {
             Ok(matched) => self.dispatcher.run(matched).await,
@@ -77,6 +90,32 @@
         }
     }
 
+    /// Returns the request's key if another life of a node minted it.
+    fn foreign_key(&self, headers: &HeaderMap) -> Option<MintedKey> {
+        let text = headers.get(KEY_HEADER)?.to_str().ok()?;
+        let key = MintedKey::parse(text)?;
+        let is_own =
+            key.node == self.shared.settings.node && key.incarnation == self.shared.incarnation;
+        (!is_own).then_some(key)
+    }
+
+    fn mint(&self, headers: &HeaderMap, id: &str) -> Response {
+        let config = self.shared.config.load();
+        let minted = identify(&config, headers).and_then(|organisation| {
+            let key = self.dispatcher.mint(&organisation);
+            key.ok_or_else(|| unavailable("overloaded", "too many keys are out"))
+        });
+        let mut reply = match minted {
+            Ok(key) => {
+                let key = key.to_string();
+                reply_json(StatusCode::OK, &MintReply { key })
+            }
+            Err(failure) => failure.reply(),
+        };
+        mark_reply(&mut reply, id, &self.shared.settings.node, "");
+        reply
+    }
+
     async fn accept(
         &self,
         head: Parts,
--- a/crates/node/src/dispatch.rs
+++ b/crates/node/src/dispatch.rs
@@ -4,6 +4,7 @@
 use std::sync::{Arc, Mutex, PoisonError, RwLock};
 
 use briarswitch_core::limit::RateShare;
+use briarswitch_core::mint::MintedKey;
 use briarswitch_core::prelude::*;
 use briarswitch_http::{stream_body, Response};
 use briarswitch_kernel::BootClock;
@@ -130,7 +131,8 @@
         }
         if let Some(key) = &matched.key {
             let row = claim_key(&matched.admit.organisation, key);
-            if let Err(failure) = self.claim(&row, &mut trace).await {
+            let is_minted = MintedKey::parse(key).is_some();
+            if let Err(failure) = self.claim(&row, is_minted, &mut trace).await {
                 return Err(trace.fail(failure));
             }
         }
@@ -167,8 +169,24 @@
     }
 
     /// Claims a caller's key, so that work under it is begun at most once on all nodes.
-    async fn claim(&self, row: &str, trace: &mut RequestTrace) -> Result<(), CallerFailure> {
+    ///
+    /// A key that this node minted needs no claim in the table: nobody else may begin work under it.
+    async fn claim(
+        &self,
+        row: &str,
+        is_minted: bool,
+        trace: &mut RequestTrace,
+    ) -> Result<(), CallerFailure> {
         let now = BootClock::now();
+        if is_minted {
+            return match self.lock_keys().begin_minted(row, now) {
+                None => {
+                    trace.hold_key(&self.keys, row);
+                    Ok(())
+                }
+                Some(state) => Err(claimed_failure(state)),
+            };
+        }
         let known = self.lock_keys().begin(row, now);
         if let Some(state) = known {
             return Err(claimed_failure(state));
@@ -341,14 +359,41 @@
     async fn end_failed(&self, failure: CallerFailure, mut trace: RequestTrace) -> CallerFailure {
         if failure.outcome() == Outcome::NotRun {
             if let Some(key) = trace.drop_key() {
-                self.claims.release(&key).await;
-                self.lock_keys().forget(&key);
+                self.give_back(&key).await;
             }
         }
         trace.fail(failure)
     }
 }
 
+impl RequestDispatcher {
+    /// Mints a key for an organisation; `None` when as many as are kept are out already.
+    pub fn mint(&self, organisation: &str) -> Option<MintedKey> {
+        let key = MintedKey {
+            node: self.shared.settings.node.clone(),
+            incarnation: self.shared.incarnation,
+            nonce: rand::random(),
+        };
+        let row = claim_key(organisation, &key.to_string());
+        let is_kept = self.lock_keys().mint(&row, BootClock::now());
+        is_kept.then_some(key)
+    }
+
+    /// Makes a key usable again, nothing having run under it.
+    async fn give_back(&self, row: &str) {
+        let is_minted = row
+            .rsplit('/')
+            .next()
+            .is_some_and(|key| MintedKey::parse(key).is_some());
+        if is_minted {
+            self.lock_keys().restore(row, BootClock::now());
+            return;
+        }
+        self.claims.release(row).await;
+        self.lock_keys().forget(row);
+    }
+}
+
 enum AttemptEnd {
     Whole(Response),
     Stream(Box<StreamStart>),
--- /dev/null
+++ b/crates/node/src/forward.rs
@@ -0,0 +1,134 @@
+//! Passes requests with minted keys on to the node that minted them.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use briarswitch_core::mint::MintedKey;
+use briarswitch_core::prelude::*;
+use briarswitch_http::{
+    read_body, stream_body, whole_body, Body, Response, SendFailure, TargetAddress, TargetBody,
+    TargetClient, TargetLimits, TargetReply,
+};
+use briarswitch_wire::peer::{FORWARD_PREFIX, FORWARD_TOKEN_HEADER};
+use bytes::Bytes;
+use futures::Stream;
+use http::header::{CONTENT_LENGTH, HOST, TRANSFER_ENCODING};
+use http::request::Parts;
+use http::HeaderValue;
+
+use crate::reply::{mark_reply, CallerFailure};
+use crate::shared::NodeShared;
+
+/// Connections kept to one node.
+const IDLE: usize = 0;
+
+/// Sends requests to the nodes whose keys they carry.
+pub struct KeyForwarder {
+    shared: Arc<NodeShared>,
+    client: TargetClient,
+}
+
+impl KeyForwarder {
+    /// Opens a forwarder.
+    pub fn open(shared: Arc<NodeShared>) -> Self {
+        let connect = shared.settings.requests.connect_timeout;
+        Self {
+            shared,
+            client: TargetClient::open(TargetLimits {
+                connect,
+                idle: IDLE,
+            }),
+        }
+    }
+
+    /// Passes a request on once and its answer back.
+    ///
+    /// When the node that minted the key can not be reached, nobody can tell what ran under it, so
+    /// the caller is told "unknown" even though nothing was sent now.
+    pub async fn forward(&self, key: MintedKey, head: Parts, body: Body, id: &str) -> Response {
+        match self.exchange(&key, head, body).await {
+            Ok(reply) => pass_back(reply),
+            Err(point) => {
+                let mut reply = CallerFailure::at(point).reply();
+                mark_reply(&mut reply, id, &self.shared.settings.node, "");
+                reply
+            }
+        }
+    }
+
+    async fn exchange(
+        &self,
+        key: &MintedKey,
+        head: Parts,
+        body: Body,
+    ) -> Result<TargetReply, FailurePoint> {
+        let settings = &self.shared.settings;
+        let peers = &settings.peers;
+        let peer = peers.iter().find(|peer| peer.node == key.node);
+        let peer = peer.ok_or(FailurePoint::KeyClaimed)?;
+        let limits = settings.requests;
+        let reading = read_body(body, limits.body_bytes);
+        let bytes = match tokio::time::timeout(limits.body_timeout, reading).await {
+            Ok(Ok(bytes)) => bytes,
+            _ => return Err(FailurePoint::Refused),
+        };
+        let target = TargetAddress {
+            address: peer.address.clone(),
+            incarnation: key.incarnation,
+        };
+        let request = build(&head, bytes, &peer.address, &settings.peer_token);
+        let limit = limits.longest_deadline + Duration::from_secs(1);
+        let sending = self.client.send(&target, request, true);
+        match tokio::time::timeout(limit, sending).await {
+            Ok(Ok(reply)) => Ok(reply),
+            Ok(Err(SendFailure::Connect | SendFailure::ClosedBeforeSend)) => {
+                Err(FailurePoint::KeyClaimed)
+            }
+            Ok(Err(SendFailure::Broken)) => Err(FailurePoint::BrokenBeforeHead),
+            Err(_) => Err(FailurePoint::AnswerDeadline),
+        }
+    }
+}
+
+fn build(
+    head: &Parts,
+    bytes: Bytes,
+    address: &str,
+    token: &str,
+) -> http::Request<http_body_util::Full<Bytes>> {
+    let path = head.uri.path_and_query().map_or("/", |path| path.as_str());
+    let mut request = http::Request::new(whole_body(bytes));
+    *request.method_mut() = head.method.clone();
+    *request.uri_mut() = format!("{FORWARD_PREFIX}{path}")
+        .parse()
+        .unwrap_or_default();
+    let headers = request.headers_mut();
+    headers.clone_from(&head.headers);
+    headers.remove(CONTENT_LENGTH);
+    headers.remove(TRANSFER_ENCODING);
+    if let (Ok(host), Ok(token)) = (HeaderValue::from_str(address), HeaderValue::from_str(token)) {
+        headers.insert(HOST, host);
+        headers.insert(FORWARD_TOKEN_HEADER, token);
+    }
+    request
+}
+
+fn pass_back(reply: TargetReply) -> Response {
+    let TargetReply { head, body } = reply;
+    let mut response = Response::new(stream_body(pieces(body)));
+    *response.status_mut() = head.status;
+    *response.headers_mut() = head.headers;
+    // A whole body keeps its announced length, so one that is cut short is seen to be.
+    response.headers_mut().remove(TRANSFER_ENCODING);
+    response
+}
+
+fn pieces(body: TargetBody) -> impl Stream<Item = Result<Bytes, std::io::Error>> + Send + 'static {
+    futures::stream::unfold(body, |mut body| async move {
+        match body.next().await {
+            Ok(Some(piece)) => Some((Ok(piece), body)),
+            Ok(None) => None,
+            Err(error) => Some((Err(std::io::Error::other(error)), body)),
+        }
+    })
+}
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -26,6 +26,7 @@
 pub mod editor;
 pub mod fields;
 pub mod flight;
+pub mod forward;
 pub mod gate;
 pub mod headers;
 pub mod health;
--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -111,16 +111,15 @@
         let claims = ClaimWriter::spawn(Arc::clone(&shared));
         let dispatcher = RequestDispatcher::open(Arc::clone(&shared), runner, claims);
         let (stop, stopped) = watch::channel(false);
+        let surface = CallerSurface::open(Arc::clone(&shared), Arc::clone(&dispatcher));
+        let peer_surface = PeerSurface::open(Arc::clone(&shared), Arc::clone(&surface));
         let servers = [
-            callers.spawn(
-                CallerSurface::open(Arc::clone(&shared), Arc::clone(&dispatcher)),
-                stopped.clone(),
-            ),
+            callers.spawn(surface, stopped.clone()),
             operators.spawn(
                 OperatorSurface::open(Arc::clone(&shared), kernel.clone(), dispatcher),
                 stopped.clone(),
             ),
-            peers.spawn(PeerSurface::open(Arc::clone(&shared)), stopped.clone()),
+            peers.spawn(peer_surface, stopped.clone()),
             health.spawn(HealthSurface::open(Arc::clone(&shared), kernel), stopped),
         ];
         log::info!(
--- a/crates/wire/src/caller.rs
+++ b/crates/wire/src/caller.rs
@@ -19,6 +19,16 @@
 /// Path prefix of plain services: `/services/NAME/...`.
 pub const SERVICE_PREFIX: &str = "/services/";
 
+/// Path at which a node mints an idempotency key.
+pub const MINT_PATH: &str = "/v1/keys";
+
+/// A minted key.
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
+pub struct MintReply {
+    /// Key to send in the idempotency header, through any node.
+    pub key: String,
+}
+
 /// Body of every error.
 #[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
 pub struct ErrorDoc {
--- a/crates/wire/src/peer.rs
+++ b/crates/wire/src/peer.rs
@@ -13,6 +13,11 @@
 use crate::config::{EntryDoc, SnapshotDoc};
 use crate::engine::ReportDoc;
 
+/// Path before that of a caller's request that another node passes on.
+pub const FORWARD_PREFIX: &str = "/peer/forward";
+/// Header that carries the nodes' credential beside the caller's own.
+pub const FORWARD_TOKEN_HEADER: &str = "x-peer-token";
+
 /// What one node asks another.
 #[derive(Clone, Debug, Default, Deserialize, PartialEq, Serialize)]
 pub struct ExchangeRequest {
