--- a/crates/http/src/server.rs
+++ b/crates/http/src/server.rs
@@ -16,6 +16,10 @@
 use volo_http::context::ServerContext;
 use volo_http::server::Server;
 
+/// Headers the library parses at most; more are answered by it with a bare status 431. Handlers
+/// that set a lower limit answer in their own shape.
+const MOST_HEADERS: usize = 256;
+
 /// A request as handlers get it.
 pub type Request = http::Request<Body>;
 /// A reply as handlers give it.
@@ -77,7 +81,9 @@
     /// still accepted while the balancer takes notice.
     pub fn spawn(self, handler: Arc<dyn Handler>, mut stop: watch::Receiver<bool>) -> ServerGuard {
         let incoming = DefaultIncoming::from(self.listener);
-        let server = Server::new(HandlerService { handler }).register_shutdown_hook(move || {
+        let mut server = Server::new(HandlerService { handler });
+        server.http1_config().set_max_headers(MOST_HEADERS);
+        let server = server.register_shutdown_hook(move || {
             Box::pin(async move {
                 let _ = stop.wait_for(|stopped| *stopped).await;
             })
--- a/crates/node/src/caller.rs
+++ b/crates/node/src/caller.rs
@@ -132,6 +132,7 @@
         let Some(flight) = FlightGuard::open(&self.shared) else {
             return Err(unavailable("overloaded", "too many requests are in flight"));
         };
+        self.check_headers(&head.headers)?;
         let organisation = identify(&config, &head.headers)?;
         let bytes = self.read(body).await?;
         let asked = self.parse(&head, &bytes)?;
@@ -146,6 +147,26 @@
         })
     }
 
+    fn check_headers(&self, headers: &HeaderMap) -> Result<(), CallerFailure> {
+        let limits = self.shared.settings.requests;
+        let sizes = headers
+            .iter()
+            .map(|(name, value)| name.as_str().len() + value.len());
+        let is_within =
+            headers.len() <= limits.headers && sizes.sum::<usize>() <= limits.header_bytes;
+        if is_within {
+            return Ok(());
+        }
+        Err(CallerFailure::refused(
+            StatusCode::REQUEST_HEADER_FIELDS_TOO_LARGE,
+            "headers_too_large",
+            format!(
+                "expected at most {} headers and {} bytes of them",
+                limits.headers, limits.header_bytes
+            ),
+        ))
+    }
+
     async fn read(&self, body: Body) -> Result<Bytes, CallerFailure> {
         let limits = self.shared.settings.requests;
         let reading = read_body(body, limits.body_bytes);
--- a/crates/node/src/fields.rs
+++ b/crates/node/src/fields.rs
@@ -181,6 +181,8 @@
     millis("control.usage_flush_ms", 10, 5_000, "Time between writes of usage."),
     millis("control.platform_timeout_ms", 10, 1_000, "Time to wait for the platform."),
     number("requests.body_bytes", 1, 1 << 30, 4 << 20, "Largest body in bytes."),
+    number("requests.header_bytes", 256, 65_536, 16_384, "Largest headers in bytes, names and values together."),
+    number("requests.headers", 8, 250, 100, "Most headers of a request."),
     number("requests.json_depth", 1, 128, 32, "Deepest nesting of a JSON body."),
     millis("requests.body_timeout_ms", 10, 10_000, "Time for a caller to send its body."),
     millis("requests.default_deadline_ms", 10, 60_000, "Time limit of a request that names none."),
--- a/crates/node/src/layers.rs
+++ b/crates/node/src/layers.rs
@@ -321,6 +321,8 @@
     fn assemble_requests(&self) -> RequestSettings {
         RequestSettings {
             body_bytes: self.count("requests.body_bytes"),
+            header_bytes: self.count("requests.header_bytes"),
+            headers: self.count("requests.headers"),
             json_depth: self.count("requests.json_depth"),
             body_timeout: self.time("requests.body_timeout_ms"),
             default_deadline: self.time("requests.default_deadline_ms"),
--- a/crates/node/src/settings.rs
+++ b/crates/node/src/settings.rs
@@ -74,6 +74,10 @@
 pub struct RequestSettings {
     /// Largest body in bytes.
     pub body_bytes: usize,
+    /// Largest headers in bytes, names and values together.
+    pub header_bytes: usize,
+    /// Most headers of a request.
+    pub headers: usize,
     /// Deepest nesting of a JSON body.
     pub json_depth: usize,
     /// Time for a caller to send its body.
--- a/crates/node/tests/limits.rs
+++ b/crates/node/tests/limits.rs
@@ -91,11 +91,12 @@
         .filter(|answer| answer.outcome() == "answered");
     assert_that!(answered.count(), eq(160));
 
-    // The first few ran before both had a backlog; after that three to one.
+    // The first few ran before both had a backlog. After that both wait for long enough that three
+    // to one gives the small one 15 of 60, and equal turns would give it 30.
     let order = order_of(&cluster);
-    let window = &order[order.len() - 130..order.len() - 50];
+    let window = &order[20..80];
     let small = window.iter().filter(|name| *name == "small").count();
-    assert_that!(small, all!(ge(14), le(26)));
+    assert_that!(small, all!(ge(10), le(21)));
 }
 
 /// Symptom: fin design waited behind ordinary assistant traffic.
--- a/crates/node/tests/minted.rs
+++ b/crates/node/tests/minted.rs
@@ -86,6 +86,26 @@
     assert_that!(cluster.calls("/bill"), eq(1));
 }
 
+/// Symptom: work ran under a key that nobody had minted, or that was forgotten after it ran.
+/// Sequence: a key of the right node and life comes that is not in the node's book.
+/// Cause: a key that is not known was taken for a new one; it may have run.
+#[tokio::test(flavor = "multi_thread")]
+async fn minted_key_that_is_not_known_runs_nothing() {
+    let cluster = cluster_of(1).await;
+    let key = mint(&cluster, 0).await;
+    let (life, _) = key.rsplit_once('.').expect("three parts");
+    let forged = format!("{life}.1");
+    for node in 0..2 {
+        let headers = [("idempotency-key", forged.as_str())];
+        let answer = cluster
+            .call(node, "/bill", &headers)
+            .await
+            .expect("an answer");
+        assert_that!(answer.outcome(), eq("unknown"));
+    }
+    assert_that!(cluster.calls("/bill"), eq(0));
+}
+
 /// Symptom: a stranger ran a caller's request through the nodes' own listener.
 /// Sequence: a request is passed on with a wrong credential of the nodes.
 /// Cause: the listener trusted the network; it checks before it looks at anything else.
--- a/crates/node/tests/requests.rs
+++ b/crates/node/tests/requests.rs
@@ -325,6 +325,35 @@
     assert_that!(cluster.calls("/bill"), eq(1));
 }
 
+/// Symptom: a call went out on a connection to a machine that had been replaced.
+/// Sequence: calls that may be repeated keep a connection; the machine is replaced at its very
+/// address; more calls come.
+/// Cause: connections were kept by address alone; they are kept by the machine's life.
+#[tokio::test(flavor = "multi_thread")]
+async fn kept_connections_die_with_the_machine() {
+    let mut cluster = Cluster::start(service_plan()).await;
+    let name = cluster.services.keys().next().expect("a service").clone();
+    let address = cluster.services[&name].address().to_string();
+    let headers = [("x-repeatable", "true")];
+    for _ in 0..5 {
+        let answer = cluster.call(0, "/look", &headers).await.expect("an answer");
+        assert_that!(answer.outcome(), eq("answered"));
+    }
+    cluster.services.get_mut(&name).expect("a service").kill();
+    cluster.add_service("kakkanad", &name, 2, &address);
+    cluster
+        .wait("the new life answers", async |cluster| {
+            let answer = cluster.call(0, "/ping", &headers).await;
+            answer.is_some_and(|answer| answer.outcome() == "answered")
+        })
+        .await;
+    for _ in 0..5 {
+        let answer = cluster.call(0, "/look", &headers).await.expect("an answer");
+        assert_that!(answer.outcome(), eq("answered"));
+    }
+    assert_that!(cluster.calls("/look"), eq(5));
+}
+
 /// Symptom: billing ran twice, or stopped altogether, while the platform was away.
 /// Sequence: the platform goes down; calls come with and without a key.
 /// Cause: without the table a key can not be claimed, so keyed calls are refused as not run; calls
@@ -569,6 +598,25 @@
             "bad_key",
         ),
     ];
+    let many: Vec<(String, String)> = (0..120)
+        .map(|index| (format!("x-h{index}"), "v".to_owned()))
+        .collect();
+    let wide = "w".repeat(20_000);
+    let mut cases = cases;
+    let mut crowd = vec![key];
+    crowd.extend(
+        many.iter()
+            .map(|(name, value)| (name.as_str(), value.as_str())),
+    );
+    cases.push(("POST", chat, crowd, &good, 431, "headers_too_large"));
+    cases.push((
+        "POST",
+        chat,
+        vec![key, ("x-wide", &wide)],
+        &good,
+        431,
+        "headers_too_large",
+    ));
     for (method, path, headers, body, status, code) in cases {
         let address = cluster.callers(0);
         let answer = cluster.send(&address, method, path, &headers, body).await;
@@ -584,6 +632,43 @@
     assert_that!(answer.outcome(), eq("answered"));
 }
 
+/// What is no HTTP at all, or breaks off, costs its connection and nothing more.
+#[tokio::test(flavor = "multi_thread")]
+async fn broken_http_costs_only_its_connection() {
+    use tokio::io::{AsyncReadExt, AsyncWriteExt};
+
+    let cluster = Cluster::start(Plan::default()).await;
+    let head =
+        "POST /v1/chat/completions HTTP/1.1\r\nhost: n\r\nauthorization: Bearer kayal-key\r\n";
+    let texts = [
+        "\0\0\0 no http\r\n\r\n".to_owned(),
+        "GET / HTTP/9.9\r\n\r\n".to_owned(),
+        format!("{head}content-length: -1\r\n\r\n"),
+        format!("{head}content-length: 5\r\ncontent-length: 7\r\n\r\nhello"),
+        format!("{head}transfer-encoding: chunked\r\n\r\nzz\r\nhello"),
+        format!("{head}content-length: 500\r\n\r\n{{\"model\""),
+        format!("{head}{}\r\n\r\n", "x: y\r\n".repeat(400)),
+    ];
+    for text in texts {
+        let stream = tokio::net::TcpStream::connect(cluster.callers(0)).await;
+        let mut stream = stream.expect("a connection");
+        let _ = stream.write_all(text.as_bytes()).await;
+        let _ = stream.shutdown().await;
+        let mut answer = Vec::new();
+        let reading = stream.read_to_end(&mut answer);
+        let _ = tokio::time::timeout(support::LIMIT, reading)
+            .await
+            .expect("the node lets go");
+        assert_that!(
+            String::from_utf8_lossy(&answer),
+            not(contains_substring("200 OK"))
+        );
+    }
+    assert_that!(cluster.executions(), eq(0));
+    let answer = cluster.chat(0, 2, false).await.expect("an answer");
+    assert_that!(answer.outcome(), eq("answered"));
+}
+
 /// Symptom: a request that could not be served was held until its deadline.
 /// Sequence: every group is gone; a request with a long deadline arrives.
 /// Cause: it waited for a target to appear; it is refused at once and told when to come back.
--- a/crates/standins/src/engine.rs
+++ b/crates/standins/src/engine.rs
@@ -42,6 +42,8 @@
     pub incarnation: Incarnation,
     /// Whether orders with an old fencing number are refused.
     pub checks_fencing: bool,
+    /// Time by which the load in reports lags.
+    pub report_lag: Duration,
     /// Time to load weights it does not hold.
     pub load_time: Duration,
     /// Time to read one uncached block of a prompt.
@@ -61,6 +63,7 @@
             vm: vm.to_owned(),
             incarnation: 1,
             checks_fencing: true,
+            report_lag: Duration::from_millis(100),
             load_time: Duration::from_millis(20),
             block_time: Duration::ZERO,
             token_time: Duration::ZERO,
@@ -134,6 +137,8 @@
     pub(crate) record: EngineRecord,
     attempts: HashMap<AttemptId, ()>,
     token_time: Duration,
+    /// Load that reports show, and since when.
+    load_shown: Option<(Instant, (u32, u32))>,
 }
 
 struct EngineHandler {
@@ -168,6 +173,7 @@
             record: EngineRecord::default(),
             attempts: HashMap::new(),
             token_time: settings.token_time,
+            load_shown: None,
         }));
         let frozen = Arc::new(FreezeGate::default());
         let handler = EngineHandler {
@@ -292,8 +298,15 @@
     }
 
     fn report(&self) -> ReportDoc {
-        let (running, queued) = self.slots.load();
-        let state = self.lock();
+        let load = self.slots.load();
+        let mut state = self.lock();
+        let is_due = state
+            .load_shown
+            .is_none_or(|(at, _)| at.elapsed() >= self.settings.report_lag);
+        let (running, queued) = state.load_shown.map_or(load, |(_, shown)| shown);
+        if is_due {
+            state.load_shown = Some((Instant::now(), load));
+        }
         ReportDoc {
             vm: self.settings.vm.clone(),
             incarnation: self.settings.incarnation,
