Split the planner's free machines and the controller's due changes off

Read as a newcomer: the controller mixed what reports make due and how steps are described with its calls; a round of planning mixed the machines it may use with what it does with them. Each has a file now. Ruled out: splitting the controller's calls themselves, which share its state.

--- a/crates/core/src/draft.rs
+++ b/crates/core/src/draft.rs
@@ -8,9 +8,10 @@
 
 use crate::deployment::{Deployment, DeploymentKind};
 use crate::fleet::{FleetState, PlanStep, PlanWeights, VmFacts};
+use crate::free::{FreeKey, FreePool};
 use crate::group::{GroupMember, GroupRecord, GroupState};
 use crate::id::{DeploymentId, DomainId, GroupId, Moment, PoolId};
-use crate::vm::{Vm, VmStanding};
+use crate::vm::VmStanding;
 
 /// A group that has lost members.
 struct BrokenGroup<'a> {
@@ -24,16 +25,13 @@
     pool: PoolId,
 }
 
-/// Free machines of one pool in one fabric domain.
-type FreeKey = (PoolId, DomainId);
-
 /// One round of planning: what is still free, what was changed, and the steps so far.
 pub(crate) struct PlanDraft<'a> {
     fleet: &'a FleetState,
     now: Moment,
     patience: Duration,
     grace: Duration,
-    free: IndexMap<FreeKey, Vec<&'a Vm>>,
+    free: FreePool<'a>,
     ranked: Vec<&'a Deployment>,
     dropped: BTreeSet<GroupId>,
     mended: BTreeSet<GroupId>,
@@ -48,11 +46,6 @@
         patience: Duration,
         grace: Duration,
     ) -> Self {
-        let mut free: IndexMap<FreeKey, Vec<&Vm>> = IndexMap::new();
-        for facts in fleet.vms.values().filter(|facts| facts.is_free()) {
-            let key = (facts.vm.pool.clone(), facts.vm.domain.clone());
-            free.entry(key).or_default().push(&facts.vm);
-        }
         let mut ranked: Vec<_> = fleet.deployments.values().collect();
         ranked.sort_by_key(|deployment| Reverse(deployment.priority));
         Self {
@@ -60,7 +53,7 @@
             now,
             patience,
             grace,
-            free,
+            free: FreePool::open(fleet),
             ranked,
             dropped: BTreeSet::new(),
             mended: BTreeSet::new(),
@@ -154,7 +147,8 @@
 
     fn mend(&mut self, broken: &BrokenGroup<'a>) -> bool {
         let lacking = broken.group.members.len() - broken.kept.len();
-        let warm = self.count_warm(broken);
+        let key = (broken.pool.clone(), broken.domain.clone());
+        let warm = self.free.count_warm(&key, &broken.group.deployment);
         // A spare that holds the weights already is worth more than any return awaited.
         if !broken.is_overdue && warm < lacking {
             return false;
@@ -182,7 +176,7 @@
     /// whole new one, as when its own domain went dark; the new one is formed in the same round.
     fn relocate(&mut self, broken: &BrokenGroup<'a>) -> bool {
         let size = broken.group.members.len();
-        let is_elsewhere = self.tightest(&broken.pool, size).is_some();
+        let is_elsewhere = self.free.tightest(&broken.pool, size).is_some();
         if !broken.is_overdue || size > self.budget || !is_elsewhere {
             return false;
         }
@@ -193,27 +187,10 @@
         true
     }
 
-    /// Counts the free machines of a group's domain that hold its weights.
-    fn count_warm(&self, broken: &BrokenGroup<'_>) -> usize {
-        let key = (broken.pool.clone(), broken.domain.clone());
-        let vms = self.free.get(&key).map_or(&[][..], Vec::as_slice);
-        let is_warm = |vm: &&&Vm| self.holds(&vm.id, &broken.group.deployment);
-        vms.iter().filter(is_warm).count()
-    }
-
-    fn holds(&self, vm: &str, deployment: &str) -> bool {
-        let report = self
-            .fleet
-            .vms
-            .get(vm)
-            .and_then(|facts| facts.report.as_ref());
-        report.is_some_and(|report| report.weights.as_deref() == Some(deployment))
-    }
-
     /// Loads weights on free machines, for the deployment of the pool that weighs downtime most.
     pub(crate) fn preload_spares(&mut self) {
         let mut steps = Vec::new();
-        for ((pool, _), vms) in &self.free {
+        for ((pool, _), vms) in self.free.places() {
             let Some(deployment) = self.neediest(pool) else {
                 continue;
             };
@@ -258,11 +235,13 @@
     ) -> Option<Vec<GroupMember>> {
         let key = (broken.pool.clone(), broken.domain.clone());
         let spans = may_span(self.fleet, &broken.group.deployment);
-        if let Some(found) = self.take(&key, lacking, &broken.group.deployment) {
+        if let Some(found) = self.free.take(&key, lacking, &broken.group.deployment) {
             return Some(found);
         }
         if spans {
-            return self.take_anywhere(&broken.pool, lacking, &broken.group.deployment);
+            return self
+                .free
+                .take_anywhere(&broken.pool, lacking, &broken.group.deployment);
         }
         None
     }
@@ -286,7 +265,7 @@
         }
         let strongest = &groups[0];
         let lacking = strongest.group.members.len() - strongest.kept.len();
-        let free = self.free.get(key).map_or(0, Vec::len);
+        let free = self.free.count(key);
         let mut gained = free;
         if let Some(spare) = self.expendable(key, strongest) {
             let reason = format!("its machines complete {}", strongest.group.id);
@@ -393,12 +372,15 @@
         if size > self.budget {
             return false;
         }
-        let single = self.tightest(&deployment.pool, size);
+        let single = self.free.tightest(&deployment.pool, size);
         let (members, spans_domains) =
-            match single.and_then(|key| self.take(&key, size, &deployment.id)) {
+            match single.and_then(|key| self.free.take(&key, size, &deployment.id)) {
                 Some(members) => (members, false),
                 None if may_span(self.fleet, &deployment.id) => {
-                    match self.take_anywhere(&deployment.pool, size, &deployment.id) {
+                    match self
+                        .free
+                        .take_anywhere(&deployment.pool, size, &deployment.id)
+                    {
                         Some(members) => (members, true),
                         None => return false,
                     }
@@ -432,7 +414,7 @@
                 let other = fleet.deployments.get(&group.deployment)?;
                 let facts = fleet.vms.get(&group.members.first()?.vm)?;
                 let key = (facts.vm.pool.clone(), facts.vm.domain.clone());
-                let free = self.free.get(&key).map_or(0, Vec::len);
+                let free = self.free.count(&key);
                 let is_enough = free + group.members.len() >= size;
                 let is_lower = other.priority < deployment.priority;
                 let fits = is_lower && is_enough && facts.vm.pool == deployment.pool;
@@ -448,52 +430,6 @@
         }
     }
 
-    /// Returns the domain with the fewest free machines that still fit, which keeps large runs of
-    /// free machines whole for large replicas.
-    fn tightest(&self, pool: &str, size: usize) -> Option<FreeKey> {
-        self.free
-            .iter()
-            .filter(|((found, _), vms)| found == pool && vms.len() >= size)
-            .min_by_key(|(_, vms)| vms.len())
-            .map(|(key, _)| key.clone())
-    }
-
-    /// Takes free machines, those that hold the deployment's weights first.
-    fn take(&mut self, key: &FreeKey, count: usize, deployment: &str) -> Option<Vec<GroupMember>> {
-        let mut vms = std::mem::take(self.free.get_mut(key)?);
-        let is_enough = vms.len() >= count;
-        let taken = is_enough.then(|| {
-            vms.sort_by_cached_key(|vm| self.holds(&vm.id, deployment));
-            vms.split_off(vms.len() - count)
-        });
-        self.free.insert(key.clone(), vms);
-        Some(taken?.into_iter().map(member_of).collect())
-    }
-
-    fn take_anywhere(
-        &mut self,
-        pool: &str,
-        count: usize,
-        deployment: &str,
-    ) -> Option<Vec<GroupMember>> {
-        let places: Vec<FreeKey> = self
-            .free
-            .keys()
-            .filter(|(found, _)| found == pool)
-            .cloned()
-            .collect();
-        let total: usize = places.iter().map(|key| self.free[key].len()).sum();
-        if total < count {
-            return None;
-        }
-        let mut members = Vec::with_capacity(count);
-        for key in places {
-            let share = (count - members.len()).min(self.free[&key].len());
-            members.extend(self.take(&key, share, deployment).unwrap_or_default());
-        }
-        Some(members)
-    }
-
     fn dissolve(&mut self, group: &str, reason: &str) {
         let is_new = self.dropped.insert(group.to_owned());
         if is_new {
@@ -539,11 +475,3 @@
 fn prefers_extra(weights: PlanWeights) -> bool {
     weights.stranded > weights.downtime
 }
-
-fn member_of(vm: &Vm) -> GroupMember {
-    GroupMember {
-        vm: vm.id.clone(),
-        incarnation: vm.incarnation,
-        address: vm.address.clone(),
-    }
-}
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -19,6 +19,7 @@
 pub mod fair;
 pub mod finding;
 pub mod fleet;
+mod free;
 pub mod group;
 pub mod id;
 pub mod lease;
--- a/crates/node/src/controller.rs
+++ b/crates/node/src/controller.rs
@@ -18,8 +18,10 @@
 use crate::keys::{epoch_key, group_prefix, vm_prefix};
 use crate::lease::{LeaseCall, LeaseTender};
 use crate::orders::{orders_due, DueOrder};
-use crate::reign::{ControllerReign, ReignCounts, RowChange, RowChanges};
+use crate::progress::finished_changes;
+use crate::reign::{ControllerReign, ReignCounts, RowChanges};
 use crate::shared::{ControlView, FleetView, NodeShared};
+use crate::steps::{describe_step, loads_of};
 use crate::watch::{ProbeResult, WatchMessage, WATCH_SERVICE};
 
 /// Name of the service.
@@ -308,7 +310,10 @@
             return;
         }
         let fleet = self.fleet(now, UNLIMITED_LOADS);
-        let finished = self.finished(&fleet);
+        let finished = match &self.reign {
+            Some(reign) => finished_changes(reign, &fleet),
+            None => return,
+        };
         if !finished.rows.is_empty() {
             self.change(finished, link);
             return;
@@ -358,48 +363,6 @@
         }
     }
 
-    /// Returns the changes that have become due: groups that became whole, and machines of dissolved
-    /// groups that acknowledged that they left, or that were replaced.
-    fn finished(&self, fleet: &FleetState) -> RowChanges {
-        let mut changes = RowChanges::default();
-        for group in fleet.groups.values() {
-            match group.state {
-                GroupState::Forming if is_confirmed(group, fleet) => {
-                    let mut group = group.clone();
-                    group.state = GroupState::Serving;
-                    changes.rows.push(RowChange::Group(group));
-                }
-                GroupState::Dissolving => self.release_members(group, fleet, &mut changes),
-                _ => {}
-            }
-        }
-        changes
-    }
-
-    fn release_members(&self, group: &GroupRecord, fleet: &FleetState, changes: &mut RowChanges) {
-        let Some(reign) = &self.reign else {
-            return;
-        };
-        let held: Vec<_> = group
-            .members
-            .iter()
-            .filter(|member| {
-                let claim = reign.claims.get(&member.vm);
-                claim.is_some_and(|row| row.value.group == group.id)
-            })
-            .collect();
-        let (left, stays): (Vec<_>, Vec<_>) = held.into_iter().partition(|member| {
-            let facts = fleet.vms.get(&member.vm);
-            is_gone(facts, member.incarnation) || reign.has_left(&member.vm)
-        });
-        for member in left {
-            changes.rows.push(RowChange::DropClaim(member.vm.clone()));
-        }
-        if stays.is_empty() {
-            changes.rows.push(RowChange::DropGroup(group.id.clone()));
-        }
-    }
-
     fn change(&mut self, changes: RowChanges, link: &ServiceLink<ControllerMessage>) {
         let Some(reign) = &self.reign else {
             return;
@@ -628,60 +591,3 @@
     let (report, asked) = view.reports.get(vm)?;
     (now < *asked + ttl).then(|| report.clone())
 }
-
-fn is_confirmed(group: &GroupRecord, fleet: &FleetState) -> bool {
-    group.members.iter().all(|member| {
-        let report = fleet
-            .vms
-            .get(&member.vm)
-            .and_then(|facts| facts.report.as_ref());
-        report.is_some_and(|report| report.confirms(group))
-    })
-}
-
-/// Returns whether a machine's life has ended.
-fn is_gone(facts: Option<&VmFacts>, incarnation: Incarnation) -> bool {
-    facts.is_none_or(|facts| facts.vm.incarnation != incarnation)
-}
-
-fn loads_of(step: &PlanStep) -> usize {
-    match step {
-        PlanStep::Form { members, .. } | PlanStep::Mend { members, .. } => members.len(),
-        PlanStep::Preload { .. } => 1,
-        PlanStep::Dissolve { .. } => 0,
-    }
-}
-
-/// Returns a step as operators read it.
-fn describe_step(step: &PlanStep) -> String {
-    let names = |members: &[briarswitch_core::group::GroupMember]| {
-        let names: Vec<&str> = members.iter().map(|member| member.vm.as_str()).collect();
-        names.join(",")
-    };
-    match step {
-        PlanStep::Form {
-            deployment,
-            members,
-            spans_domains,
-            reason,
-        } => {
-            let spans = if *spans_domains {
-                " across fabric domains"
-            } else {
-                ""
-            };
-            format!("form {deployment} from {}{spans}: {reason}", names(members))
-        }
-        PlanStep::Mend {
-            group,
-            members,
-            reason,
-        } => format!("mend {group} with {}: {reason}", names(members)),
-        PlanStep::Preload {
-            vm,
-            deployment,
-            reason,
-        } => format!("preload {deployment} on {vm}: {reason}"),
-        PlanStep::Dissolve { group, reason } => format!("dissolve {group}: {reason}"),
-    }
-}
--- /dev/null
+++ b/crates/node/src/progress.rs
@@ -0,0 +1,64 @@
+//! Changes that reports have made due, whatever the plan.
+
+use briarswitch_core::prelude::*;
+
+use crate::reign::{ControllerReign, RowChange, RowChanges};
+
+/// Returns the changes that have become due: groups that became whole, and machines of dissolved
+/// groups that acknowledged that they left, or that were replaced.
+pub fn finished_changes(reign: &ControllerReign, fleet: &FleetState) -> RowChanges {
+    let mut changes = RowChanges::default();
+    for group in fleet.groups.values() {
+        match group.state {
+            GroupState::Forming if is_confirmed(group, fleet) => {
+                let mut group = group.clone();
+                group.state = GroupState::Serving;
+                changes.rows.push(RowChange::Group(group));
+            }
+            GroupState::Dissolving => release_members(reign, group, fleet, &mut changes),
+            _ => {}
+        }
+    }
+    changes
+}
+
+fn release_members(
+    reign: &ControllerReign,
+    group: &GroupRecord,
+    fleet: &FleetState,
+    changes: &mut RowChanges,
+) {
+    let held: Vec<_> = group
+        .members
+        .iter()
+        .filter(|member| {
+            let claim = reign.claims.get(&member.vm);
+            claim.is_some_and(|row| row.value.group == group.id)
+        })
+        .collect();
+    let (left, stays): (Vec<_>, Vec<_>) = held.into_iter().partition(|member| {
+        let facts = fleet.vms.get(&member.vm);
+        is_gone(facts, member.incarnation) || reign.has_left(&member.vm)
+    });
+    for member in left {
+        changes.rows.push(RowChange::DropClaim(member.vm.clone()));
+    }
+    if stays.is_empty() {
+        changes.rows.push(RowChange::DropGroup(group.id.clone()));
+    }
+}
+
+fn is_confirmed(group: &GroupRecord, fleet: &FleetState) -> bool {
+    group.members.iter().all(|member| {
+        let report = fleet
+            .vms
+            .get(&member.vm)
+            .and_then(|facts| facts.report.as_ref());
+        report.is_some_and(|report| report.confirms(group))
+    })
+}
+
+/// Returns whether a machine's life has ended.
+fn is_gone(facts: Option<&VmFacts>, incarnation: Incarnation) -> bool {
+    facts.is_none_or(|facts| facts.vm.incarnation != incarnation)
+}
