Remove three public items of the decisions that nothing calls

Cause: the list of revocations, the record of a machine that never came back with its constant, and a second name of the rule list were left from earlier shapes; the command-line client names the list itself.

Ruled out: wiring them in, which would change behaviour. Left for that reason: TargetClient::retain and Mailbox::refused, which have no caller yet but should get one.

--- a/crates/core/src/config.rs
+++ b/crates/core/src/config.rs
@@ -8,9 +8,6 @@
 use crate::organisation::Organisation;
 use crate::rule::{Rule, RuleAction};
 
-/// Name of the only rule list.
-pub const RULE_LIST: &str = "main";
-
 /// Kinds of entities that operators edit.
 #[derive(Clone, Copy, Debug, Eq, Hash, PartialEq)]
 pub enum EntityKind {
--- a/crates/core/src/evidence.rs
+++ b/crates/core/src/evidence.rs
@@ -163,11 +163,6 @@
             .filter(move |held| now < held.asked + self.ttl)
     }
 
-    /// Returns the revocations and when they were made.
-    pub fn revocations(&self) -> impl Iterator<Item = (&VmId, &Moment)> {
-        self.revoked.iter()
-    }
-
     /// Drops entries and revocations too old to matter at `now`.
     pub fn trim(&mut self, now: Moment) {
         let ttl = self.ttl;
--- a/crates/core/src/returns.rs
+++ b/crates/core/src/returns.rs
@@ -13,8 +13,6 @@
 const HISTORY_LENGTH: usize = 256;
 /// Absences needed before the history is believed.
 const HISTORY_LEAST: usize = 16;
-/// Absence recorded for a machine that never came back.
-const NEVER: Duration = Duration::from_secs(24 * 3600);
 
 impl ReturnHistory {
     /// Records that a lost machine came back after `delay`.
@@ -27,11 +25,6 @@
         self.next = (self.next + 1) % HISTORY_LENGTH;
     }
 
-    /// Records that a lost machine was replaced without coming back.
-    pub fn replaced(&mut self) {
-        self.returned(NEVER);
-    }
-
     /// Returns how long to await a lost member before a spare is loaded in its place.
     ///
     /// For each past absence taken as the limit, the mean outage is the absence itself where the
