--- /dev/null
+++ b/crates/core/src/assembly.rs
@@ -0,0 +1,706 @@
+//! Keeps the replica groups of one fabric domain whole, by conditional orders to targets.
+//!
+//! Every order names the life of the target and the count of orders it has begun. The target is
+//! therefore the arbiter: of two controllers that saw the same state one is obeyed and the other is
+//! told to look again, and an order that arrives late is void once anything else has begun there.
+//! No lease has to be waited out before a successor acts.
+
+use std::time::Duration;
+
+use indexmap::{IndexMap, IndexSet};
+
+use crate::engine::{EngineModel, ModelSpec};
+use crate::id::{Epoch, GroupId, ModelId, Moment, TargetId};
+use crate::target::{Membership, MembershipState};
+
+/// Time that members may be missing from a group that is being formed by somebody else.
+///
+/// A predecessor may have died between two orders to join; what it began is finished by nobody.
+const FORMING_GRACE: Duration = Duration::from_millis(1_500);
+/// Time to join again for the model of the last group; engines keep its weights in place.
+const REJOIN_TIME: Duration = Duration::from_millis(200);
+/// Time added to each candidate's time to serve, so that small differences weigh little.
+const CHOICE_OFFSET: Duration = Duration::from_millis(1_000);
+
+/// Weight of completing a group from survivors against keeping spares for whole ones.
+const COMPLETION_WEIGHT: f64 = 100.0;
+
+/// What a target is told to do.
+#[derive(Clone, Debug, Eq, Hash, PartialEq)]
+pub enum TargetAction {
+    /// Become a member of a group.
+    Join {
+        /// Group, named anew for every attempt.
+        group: GroupId,
+        /// Higher than any epoch the members have seen.
+        epoch: Epoch,
+        /// Model to serve.
+        model: ModelId,
+        /// Members in order of rank.
+        members: Vec<TargetId>,
+    },
+    /// Begin to serve; for the first member only.
+    Open {
+        /// Group.
+        group: GroupId,
+        /// Its epoch.
+        epoch: Epoch,
+    },
+    /// Finish what was accepted and take nothing new; for the first member only.
+    Close {
+        /// Group.
+        group: GroupId,
+        /// Its epoch.
+        epoch: Epoch,
+    },
+    /// Leave the group at once.
+    Leave {
+        /// Group.
+        group: GroupId,
+        /// Its epoch.
+        epoch: Epoch,
+    },
+    /// Load a model's weights onto the host.
+    Stage {
+        /// Model.
+        model: ModelId,
+    },
+}
+
+/// One conditional order.
+#[derive(Clone, Debug, Eq, Hash, PartialEq)]
+pub struct TargetOrder {
+    /// Life of the target that may carry it out.
+    pub target: TargetId,
+    /// Orders that the target must have begun so far.
+    pub expected: u64,
+    /// What to do.
+    pub action: TargetAction,
+    /// Why, for the logs.
+    pub reason: &'static str,
+}
+
+/// What a target said to an order.
+#[derive(Clone, Copy, Debug, Eq, Hash, PartialEq)]
+pub enum OrderResult {
+    /// It has begun.
+    Begun,
+    /// The state was there already.
+    Held,
+    /// Another order came first, or the order does not fit the state.
+    Conflict,
+    /// Another life answers at the address.
+    Gone,
+    /// The target does not know the order or refuses it for good.
+    Refused,
+    /// No answer came; the order may still be carried out.
+    Lost,
+}
+
+/// Whether a target can be counted on.
+#[derive(Clone, Copy, Debug, Eq, Hash, PartialEq)]
+pub enum TargetStanding {
+    /// Answers, and asked for nothing else.
+    Live,
+    /// Answers, and wants to leave.
+    Draining,
+    /// Has not answered lately.
+    Silent,
+}
+
+/// One target as its controller sees it.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct TargetFacts {
+    /// Whether it can be counted on.
+    pub standing: TargetStanding,
+    /// Its group.
+    pub membership: Option<Membership>,
+    /// Model of its group.
+    pub model: Option<ModelId>,
+    /// Models on its host.
+    pub staged: Vec<ModelId>,
+    /// Orders it has begun, as of the same report as the membership.
+    pub sequence: u64,
+    /// Whether an order is under way there.
+    pub is_busy: bool,
+    /// Highest epoch it is known to have seen.
+    pub epoch_seen: Epoch,
+}
+
+/// What the planner is told of the domain and of the rest of the fleet.
+#[derive(Clone, Copy, Debug)]
+pub struct DomainView<'a> {
+    /// Targets of the domain.
+    pub targets: &'a IndexMap<TargetId, TargetFacts>,
+    /// Speeds and models.
+    pub engine: &'a EngineModel,
+    /// Requests a second that groups elsewhere can finish, by model.
+    pub supply: &'a IndexMap<ModelId, f64>,
+    /// Requests a second that callers ask for, by model.
+    pub demand: &'a IndexMap<ModelId, f64>,
+    /// Loads from the weight store that may begin now.
+    pub load_budget: usize,
+}
+
+#[derive(Clone, Debug, Default)]
+struct SeenGroup {
+    epoch: Epoch,
+    model: Option<ModelId>,
+    members: IndexMap<usize, TargetId>,
+}
+
+/// The controller's memory of one domain.
+#[derive(Clone, Debug)]
+pub struct DomainKeeper {
+    prefix: String,
+    count: u64,
+    in_flight: IndexMap<TargetId, TargetOrder>,
+    unsure: IndexSet<TargetId>,
+    forming: IndexMap<GroupId, ModelId>,
+    incomplete: IndexMap<GroupId, Moment>,
+    released: IndexSet<GroupId>,
+    last_model: IndexMap<TargetId, ModelId>,
+}
+
+struct Candidate {
+    model: ModelId,
+    members: Vec<TargetId>,
+    loads: usize,
+    score: f64,
+}
+
+impl DomainKeeper {
+    /// Opens a keeper whose group names begin with `prefix`.
+    ///
+    /// The prefix has to differ between controllers and between the lives of one: a name used twice
+    /// with other members would let a late order put a target into a group it was not chosen for.
+    pub fn open(prefix: impl Into<String>) -> Self {
+        Self {
+            prefix: prefix.into(),
+            count: 0,
+            in_flight: IndexMap::new(),
+            unsure: IndexSet::new(),
+            forming: IndexMap::new(),
+            incomplete: IndexMap::new(),
+            released: IndexSet::new(),
+            last_model: IndexMap::new(),
+        }
+    }
+
+    /// Returns whether a target has to be asked before it is ordered again.
+    pub fn is_unsure(&self, target: &str) -> bool {
+        self.unsure.contains(target)
+    }
+
+    /// Returns the targets with an order that was not answered yet.
+    pub fn ordered(&self) -> impl Iterator<Item = &TargetId> {
+        self.in_flight.keys()
+    }
+
+    /// Takes in that a target was asked for its state after its last order.
+    pub fn note_report(&mut self, target: &str) {
+        self.unsure.swap_remove(target);
+    }
+
+    /// Takes in what became of an order.
+    ///
+    /// After anything but a clear acceptance the target has to report before it is ordered again,
+    /// so that the next order's condition rests on what it says and not on a guess.
+    pub fn note_result(&mut self, target: &str, result: OrderResult) {
+        let Some(order) = self.in_flight.swap_remove(target) else {
+            return;
+        };
+        let is_accepted = matches!(result, OrderResult::Begun | OrderResult::Held);
+        if !is_accepted || result == OrderResult::Held {
+            self.unsure.insert(target.to_owned());
+        }
+        if let (true, TargetAction::Leave { group, .. }) = (is_accepted, &order.action) {
+            self.released.insert(group.clone());
+        }
+    }
+
+    /// Returns the orders to send at `now`.
+    pub fn plan(&mut self, view: DomainView<'_>, now: Moment) -> Vec<TargetOrder> {
+        self.forget_gone(&view);
+        let groups = self.groups(&view);
+        let mut orders = Vec::new();
+        for (group, seen) in &groups {
+            orders.extend(self.tend(group, seen, &view, now));
+        }
+        let mut free = self.free(&view, &orders);
+        let mut budget = view.load_budget;
+        let mut supply = self.supply(&groups, &view);
+        while let Some(candidate) = self.best(&free, &view, &supply, budget) {
+            budget -= candidate.loads;
+            free.retain(|id| !candidate.members.contains(id));
+            if let Some(model) = view.engine.models.get(&candidate.model) {
+                *supply.entry(model.id.clone()).or_insert(0.0) += view.engine.group_rate(model);
+            }
+            orders.extend(self.form(candidate, &view));
+        }
+        orders.extend(self.stage(&free, &groups, &view, budget));
+        for order in &orders {
+            self.in_flight.insert(order.target.clone(), order.clone());
+        }
+        orders
+    }
+
+    fn forget_gone(&mut self, view: &DomainView<'_>) {
+        let is_there = |id: &TargetId| view.targets.contains_key(id);
+        self.in_flight.retain(|id, _| is_there(id));
+        self.unsure.retain(is_there);
+        self.last_model.retain(|id, _| is_there(id));
+        for (id, facts) in view.targets {
+            if let (Some(_), Some(model)) = (&facts.membership, &facts.model) {
+                self.last_model.insert(id.clone(), model.clone());
+            }
+        }
+        let named: IndexSet<&GroupId> = view
+            .targets
+            .values()
+            .filter_map(|facts| facts.membership.as_ref().map(|held| &held.group))
+            .collect();
+        self.incomplete.retain(|group, _| named.contains(group));
+        let ordered: IndexSet<GroupId> = self
+            .in_flight
+            .values()
+            .filter_map(|order| order.action.group().cloned())
+            .collect();
+        self.released.retain(|group| named.contains(group));
+        self.forming
+            .retain(|group, _| named.contains(group) || ordered.contains(group));
+    }
+
+    fn groups(&self, view: &DomainView<'_>) -> IndexMap<GroupId, SeenGroup> {
+        let mut groups: IndexMap<GroupId, SeenGroup> = IndexMap::new();
+        for (id, facts) in view.targets {
+            let Some(held) = &facts.membership else {
+                continue;
+            };
+            let seen = groups.entry(held.group.clone()).or_default();
+            seen.epoch = seen.epoch.max(held.epoch);
+            if seen.model.is_none() {
+                seen.model.clone_from(&facts.model);
+            }
+            seen.members.insert(held.rank, id.clone());
+        }
+        for (group, seen) in &mut groups {
+            if let Some(model) = self.forming.get(group) {
+                seen.model = Some(model.clone());
+            }
+        }
+        groups.sort_keys();
+        groups
+    }
+
+    fn tend(
+        &mut self,
+        group: &GroupId,
+        seen: &SeenGroup,
+        view: &DomainView<'_>,
+        now: Moment,
+    ) -> Vec<TargetOrder> {
+        if self.released.contains(group) {
+            return Vec::new();
+        }
+        let head = seen
+            .members
+            .get(&0)
+            .filter(|id| view.targets[*id].standing != TargetStanding::Silent);
+        let Some(head) = head else {
+            if self.is_awaited(group, now) {
+                return Vec::new();
+            }
+            return self.abandon(group, seen, view);
+        };
+        let Some(held) = &view.targets[head].membership else {
+            return Vec::new();
+        };
+        let (epoch, state) = (held.epoch, held.state);
+        let leave = |reason| {
+            let action = TargetAction::Leave {
+                group: group.clone(),
+                epoch,
+            };
+            (action, reason)
+        };
+        let next = if state == MembershipState::Broken {
+            Some(leave("head_broken"))
+        } else if !is_whole(seen, view) {
+            let is_lost = seen
+                .members
+                .values()
+                .any(|id| view.targets[id].standing == TargetStanding::Silent);
+            let is_served = matches!(state, MembershipState::Open | MembershipState::Closing);
+            if !is_lost && !is_served && self.is_awaited(group, now) {
+                None
+            } else {
+                Some(leave("member_lost"))
+            }
+        } else {
+            self.incomplete.swap_remove(group);
+            self.tend_whole(group, seen, view, state, epoch)
+        };
+        next.and_then(|(action, reason)| self.order(head, action, reason, view))
+            .into_iter()
+            .collect()
+    }
+
+    fn tend_whole(
+        &self,
+        group: &GroupId,
+        seen: &SeenGroup,
+        view: &DomainView<'_>,
+        state: MembershipState,
+        epoch: Epoch,
+    ) -> Option<(TargetAction, &'static str)> {
+        let group = group.clone();
+        let is_draining = seen
+            .members
+            .values()
+            .any(|id| view.targets[id].standing == TargetStanding::Draining);
+        let are_ready = seen.members.iter().all(|(rank, id)| {
+            let held = view.targets[id].membership.as_ref();
+            *rank == 0 || held.is_some_and(|held| held.state == MembershipState::Ready)
+        });
+        match (state, is_draining) {
+            (MembershipState::Open, true) => {
+                Some((TargetAction::Close { group, epoch }, "member_draining"))
+            }
+            (MembershipState::Ready | MembershipState::Joining, true) => {
+                Some((TargetAction::Leave { group, epoch }, "member_draining"))
+            }
+            (MembershipState::Ready, false) if are_ready => {
+                Some((TargetAction::Open { group, epoch }, "all_ready"))
+            }
+            _ => None,
+        }
+    }
+
+    /// Returns whether a group that is not whole may still become so.
+    fn is_awaited(&mut self, group: &GroupId, now: Moment) -> bool {
+        let is_ordered = self
+            .in_flight
+            .values()
+            .any(|order| order.action.group() == Some(group));
+        let since = *self.incomplete.entry(group.clone()).or_insert(now);
+        is_ordered || now < since + FORMING_GRACE
+    }
+
+    /// Orders every member out of a group whose first member can not be asked.
+    ///
+    /// Were they told to join elsewhere at once, a first member that is only out of reach would
+    /// still count them as its own. Once one of them has left, that first member can do no work.
+    fn abandon(
+        &mut self,
+        group: &GroupId,
+        seen: &SeenGroup,
+        view: &DomainView<'_>,
+    ) -> Vec<TargetOrder> {
+        let mut orders = Vec::new();
+        for id in seen.members.values() {
+            let facts = &view.targets[id];
+            let Some(held) = facts.membership.as_ref() else {
+                continue;
+            };
+            if facts.standing == TargetStanding::Silent {
+                continue;
+            }
+            let action = TargetAction::Leave {
+                group: group.clone(),
+                epoch: held.epoch,
+            };
+            orders.extend(self.order(id, action, "head_lost", view));
+        }
+        orders
+    }
+
+    fn order(
+        &self,
+        target: &TargetId,
+        action: TargetAction,
+        reason: &'static str,
+        view: &DomainView<'_>,
+    ) -> Option<TargetOrder> {
+        if self.in_flight.contains_key(target) || self.unsure.contains(target) {
+            return None;
+        }
+        Some(TargetOrder {
+            target: target.clone(),
+            expected: view.targets[target].sequence,
+            action,
+            reason,
+        })
+    }
+
+    fn free(&self, view: &DomainView<'_>, orders: &[TargetOrder]) -> Vec<TargetId> {
+        let is_free = |id: &TargetId, facts: &TargetFacts| {
+            let is_out = match &facts.membership {
+                None => true,
+                Some(held) => self.released.contains(&held.group) && held.rank != 0,
+            };
+            is_out
+                && facts.standing == TargetStanding::Live
+                && !self.in_flight.contains_key(id)
+                && !self.unsure.contains(id)
+                && !orders.iter().any(|order| order.target == *id)
+        };
+        let free = view.targets.iter().filter(|(id, facts)| is_free(id, facts));
+        free.map(|(id, _)| id.clone()).collect()
+    }
+
+    fn supply(
+        &self,
+        groups: &IndexMap<GroupId, SeenGroup>,
+        view: &DomainView<'_>,
+    ) -> IndexMap<ModelId, f64> {
+        let mut supply = view.supply.clone();
+        for (group, seen) in groups {
+            let model = seen
+                .model
+                .as_ref()
+                .and_then(|id| view.engine.models.get(id));
+            if let (Some(model), false) = (model, self.released.contains(group)) {
+                let rate = view.engine.group_rate(model);
+                *supply.entry(model.id.clone()).or_insert(0.0) += rate;
+            }
+        }
+        supply
+    }
+
+    /// Returns the group most worth forming: how badly its model is needed, over how soon it serves.
+    fn best(
+        &self,
+        free: &[TargetId],
+        view: &DomainView<'_>,
+        supply: &IndexMap<ModelId, f64>,
+        budget: usize,
+    ) -> Option<Candidate> {
+        let candidates = view.engine.models.values().filter_map(|model| {
+            let candidate = self.candidate(model, free, view, supply)?;
+            (candidate.loads <= budget).then_some(candidate)
+        });
+        candidates.max_by(|left, right| left.score.total_cmp(&right.score))
+    }
+
+    fn candidate(
+        &self,
+        model: &ModelSpec,
+        free: &[TargetId],
+        view: &DomainView<'_>,
+        supply: &IndexMap<ModelId, f64>,
+    ) -> Option<Candidate> {
+        if free.len() < model.size || model.size == 0 {
+            return None;
+        }
+        let mut ranked: Vec<(Duration, &TargetId)> = free
+            .iter()
+            .map(|id| (self.join_time(id, model, view), id))
+            .collect();
+        ranked.sort_by_key(|(time, _)| *time);
+        ranked.truncate(model.size);
+        let (slowest, _) = *ranked.last()?;
+        let loads = ranked
+            .iter()
+            .filter(|(time, _)| *time >= model.load_time)
+            .count();
+        let rate = view.engine.group_rate(model);
+        let supply = supply.get(&model.id).copied().unwrap_or(0.0);
+        let demand = view.demand.get(&model.id).copied().unwrap_or(model.share);
+        let wait = slowest + view.engine.open_time + CHOICE_OFFSET;
+        Some(Candidate {
+            model: model.id.clone(),
+            members: ranked.into_iter().map(|(_, id)| id.clone()).collect(),
+            loads,
+            score: demand / (supply + rate) / wait.as_secs_f64(),
+        })
+    }
+
+    fn join_time(&self, id: &TargetId, model: &ModelSpec, view: &DomainView<'_>) -> Duration {
+        if self.last_model.get(id) == Some(&model.id) {
+            REJOIN_TIME
+        } else if view.targets[id].staged.contains(&model.id) {
+            model.warmup
+        } else {
+            model.load_time
+        }
+    }
+
+    fn form(&mut self, candidate: Candidate, view: &DomainView<'_>) -> Vec<TargetOrder> {
+        self.count += 1;
+        let group = format!("{}-{}", self.prefix, self.count);
+        let seen = view.targets.values().map(|facts| facts.epoch_seen);
+        let epoch = seen.max().unwrap_or(0) + 1;
+        let orders = candidate.members.iter().map(|id| TargetOrder {
+            target: id.clone(),
+            expected: view.targets[id].sequence,
+            action: TargetAction::Join {
+                group: group.clone(),
+                epoch,
+                model: candidate.model.clone(),
+                members: candidate.members.clone(),
+            },
+            reason: "form",
+        });
+        let orders = orders.collect();
+        self.forming.insert(group, candidate.model);
+        orders
+    }
+
+    /// Has free targets without weights load the model that most needs a spare here.
+    fn stage(
+        &self,
+        free: &[TargetId],
+        groups: &IndexMap<GroupId, SeenGroup>,
+        view: &DomainView<'_>,
+        budget: usize,
+    ) -> Vec<TargetOrder> {
+        let mut spares: IndexMap<ModelId, f64> = IndexMap::new();
+        let mut users: IndexMap<ModelId, f64> = IndexMap::new();
+        for id in free {
+            for model in &view.targets[id].staged {
+                *spares.entry(model.clone()).or_insert(0.0) += 1.0;
+            }
+        }
+        for model in groups.values().filter_map(|seen| seen.model.as_ref()) {
+            let size = view.engine.models.get(model).map_or(0, |model| model.size);
+            *users.entry(model.clone()).or_insert(0.0) += size as f64;
+        }
+        let empties = free.iter().filter(|id| view.targets[*id].staged.is_empty());
+        let empties = empties.count() as f64;
+        let mut orders = Vec::new();
+        for id in free {
+            let facts = &view.targets[id];
+            let is_empty = facts.staged.is_empty() && !facts.is_busy;
+            if !is_empty || orders.len() >= budget {
+                continue;
+            }
+            let need = |model: &ModelSpec| {
+                let users = users.get(&model.id).copied().unwrap_or(0.0);
+                let spares = spares.get(&model.id).copied().unwrap_or(0.0);
+                let lacking = model.size as f64 - spares;
+                if spares > 0.0 && lacking > 0.0 && lacking <= empties {
+                    // Survivors of a group wait for as many as it lacks.
+                    return COMPLETION_WEIGHT / lacking;
+                }
+                users / (1.0 + spares)
+            };
+            let models = view.engine.models.values();
+            let wanted = models.max_by(|left, right| need(left).total_cmp(&need(right)));
+            let Some(model) = wanted else {
+                continue;
+            };
+            *spares.entry(model.id.clone()).or_insert(0.0) += 1.0;
+            let action = TargetAction::Stage {
+                model: model.id.clone(),
+            };
+            orders.extend(self.order(id, action, "spare", view));
+        }
+        orders
+    }
+}
+
+impl TargetAction {
+    /// Returns the group the action is about.
+    pub fn group(&self) -> Option<&GroupId> {
+        match self {
+            Self::Join { group, .. }
+            | Self::Open { group, .. }
+            | Self::Close { group, .. }
+            | Self::Leave { group, .. } => Some(group),
+            Self::Stage { .. } => None,
+        }
+    }
+
+    /// Returns the name used in logs.
+    pub fn name(&self) -> &'static str {
+        match self {
+            Self::Join { .. } => "join",
+            Self::Open { .. } => "open",
+            Self::Close { .. } => "close",
+            Self::Leave { .. } => "leave",
+            Self::Stage { .. } => "stage",
+        }
+    }
+
+    /// Returns the membership that a target has right after it began the action.
+    pub fn effect(&self, target: &str, held: Option<&Membership>) -> Option<Membership> {
+        let with_state = |state| {
+            held.map(|held| Membership {
+                state,
+                ..held.clone()
+            })
+        };
+        match self {
+            Self::Join {
+                group,
+                epoch,
+                members,
+                ..
+            } => Some(Membership {
+                group: group.clone(),
+                epoch: *epoch,
+                rank: members.iter().position(|id| id == target).unwrap_or(0),
+                state: MembershipState::Joining,
+            }),
+            Self::Open { .. } => with_state(MembershipState::Open),
+            Self::Close { .. } => with_state(MembershipState::Closing),
+            Self::Leave { .. } => None,
+            Self::Stage { .. } => held.cloned(),
+        }
+    }
+}
+
+/// Returns the supply that domains with these numbers of free targets will form from nothing.
+///
+/// Several controllers begin at once and see none of each other's groups yet. Each counts on the
+/// domains before its own to do what it would do itself, so that the mix of models comes out right.
+pub fn expected_supply(
+    engine: &EngineModel,
+    demand: &IndexMap<ModelId, f64>,
+    free: impl IntoIterator<Item = usize>,
+) -> IndexMap<ModelId, f64> {
+    let mut supply: IndexMap<ModelId, f64> = IndexMap::new();
+    for count in free {
+        let mut left = count;
+        loop {
+            let fitting = engine
+                .models
+                .values()
+                .filter(|model| model.size > 0 && model.size <= left);
+            let worth = |model: &ModelSpec| {
+                let rate = engine.group_rate(model);
+                let supply = supply.get(&model.id).copied().unwrap_or(0.0);
+                let demand = demand.get(&model.id).copied().unwrap_or(model.share);
+                let wait = model.load_time + engine.open_time + CHOICE_OFFSET;
+                demand / (supply + rate) / wait.as_secs_f64()
+            };
+            let best = fitting.max_by(|left, right| worth(left).total_cmp(&worth(right)));
+            let Some(model) = best else {
+                break;
+            };
+            left -= model.size;
+            *supply.entry(model.id.clone()).or_insert(0.0) += engine.group_rate(model);
+        }
+    }
+    supply
+}
+
+/// Returns whether every rank is taken by a target that answers, at one epoch.
+fn is_whole(seen: &SeenGroup, view: &DomainView<'_>) -> bool {
+    let model = seen
+        .model
+        .as_ref()
+        .and_then(|id| view.engine.models.get(id));
+    let Some(model) = model else {
+        return false;
+    };
+    (0..model.size).all(|rank| {
+        let facts = seen.members.get(&rank).map(|id| &view.targets[id]);
+        facts.is_some_and(|facts| {
+            let held = facts.membership.as_ref();
+            facts.standing != TargetStanding::Silent
+                && held.is_some_and(|held| held.epoch == seen.epoch)
+        })
+    })
+}
--- /dev/null
+++ b/crates/core/src/engine.rs
@@ -0,0 +1,92 @@
+//! How fast a model engine works, as its operator declares it.
+
+use std::time::Duration;
+
+use indexmap::IndexMap;
+
+use crate::id::{ModelId, ZoneId};
+
+/// One model that an engine's targets can be joined to serve.
+#[derive(Clone, Debug, PartialEq)]
+pub struct ModelSpec {
+    /// Name.
+    pub id: ModelId,
+    /// Targets in one group.
+    pub size: usize,
+    /// Share of the work that was expected of it; a guess until demand is seen.
+    pub share: f64,
+    /// Factor on all times of its groups; less is faster.
+    pub pace: f64,
+    /// Time to load the weights from the weight store.
+    pub load_time: Duration,
+    /// Time to join when the weights are on the host.
+    pub warmup: Duration,
+}
+
+/// Speeds and limits of one service's engines.
+#[derive(Clone, Debug, PartialEq)]
+pub struct EngineModel {
+    /// Requests a group works on at once.
+    pub slots: u32,
+    /// Tokens that a group's memory holds.
+    pub memory_tokens: u64,
+    /// Token steps in one pass.
+    pub stride: u32,
+    /// Time of a token step without any request.
+    pub step: Duration,
+    /// Time that each writing request adds to a step.
+    pub step_per_request: Duration,
+    /// Prompt tokens read in a second.
+    pub read_per_second: f64,
+    /// Mean tokens of a prompt.
+    pub usual_prompt: f64,
+    /// Mean tokens of an answer.
+    pub usual_answer: f64,
+    /// Age of what a target reports about its load.
+    pub report_lag: Duration,
+    /// Loads from the weight store that may begin in a second.
+    pub loads_per_second: f64,
+    /// Loads beyond which each takes longer.
+    pub loads_at_once: usize,
+    /// Time from an order to open until the group serves.
+    pub open_time: Duration,
+    /// Time after which work that depends on a lost member is cut off.
+    pub stall: Duration,
+    /// Models by name.
+    pub models: IndexMap<ModelId, ModelSpec>,
+    /// Delay between two zones, where it is known.
+    pub delays: Vec<ZoneDelay>,
+}
+
+/// One-way delay between two zones.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct ZoneDelay {
+    /// One zone.
+    pub from: ZoneId,
+    /// The other.
+    pub to: ZoneId,
+    /// One-way delay.
+    pub delay: Duration,
+}
+
+impl EngineModel {
+    /// Returns the expected time from one event of a stream to the next with `writers` at work.
+    pub fn pass_time(&self, model: &ModelSpec, writers: u32) -> Duration {
+        let step = self.step + self.step_per_request * writers;
+        step.mul_f64(f64::from(self.stride) * model.pace)
+    }
+
+    /// Returns the requests a group can finish in a second with every slot taken.
+    pub fn group_rate(&self, model: &ModelSpec) -> f64 {
+        let step = self.step + self.step_per_request * self.slots;
+        let write = step.mul_f64(self.usual_answer * model.pace);
+        let read = self.usual_prompt / self.read_per_second * model.pace;
+        let slots = f64::from(self.slots);
+        slots / (write.as_secs_f64() + read * slots)
+    }
+
+    /// Returns the time to read a prompt of `tokens` with nothing else to do.
+    pub fn read_time(&self, model: &ModelSpec, tokens: u64) -> Duration {
+        Duration::from_secs_f64(tokens as f64 / self.read_per_second * model.pace)
+    }
+}
--- a/crates/core/src/id.rs
+++ b/crates/core/src/id.rs
@@ -16,6 +16,12 @@
 pub type DeploymentId = String;
 /// Names an organisation.
 pub type OrganisationId = String;
+/// Names one life of a target; a restart has another.
+pub type TargetId = String;
+/// Names a service whose targets take requests.
+pub type ServiceId = String;
+/// Names a model.
+pub type ModelId = String;
 /// Names a pool of machines in the platform's list.
 pub type PoolId = String;
 /// Names one request of a caller.
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -10,11 +10,14 @@
 //! assert_eq!(book.version(), 0);
 //! ```
 
+pub mod assembly;
 pub mod choice;
 pub mod claim;
 pub mod config;
 pub mod deployment;
 mod draft;
+pub mod engine;
+pub mod events;
 pub mod evidence;
 pub mod fair;
 pub mod finding;
@@ -27,6 +30,7 @@
 pub mod mint;
 pub mod organisation;
 pub mod outcome;
+pub mod placement;
 pub mod planner;
 pub mod prefix;
 pub mod prelude;
@@ -34,6 +38,8 @@
 pub mod returns;
 pub mod rule;
 pub mod stream;
+pub mod target;
+pub mod traffic;
 pub mod view;
 pub mod vm;
 pub mod watch;
--- /dev/null
+++ b/crates/core/src/placement.rs
@@ -0,0 +1,65 @@
+//! Which group takes a request: the one expected to send the first event soonest.
+
+use std::time::Duration;
+
+use crate::engine::{EngineModel, ModelSpec};
+
+/// Part of a pass that a new request waits for on average before its prompt is read.
+const PASS_WAIT: f64 = 0.5;
+/// Relative difference below which two groups count as equally good.
+///
+/// Six nodes that all pick the very best one would send a burst to it before any sees the others'
+/// choices.
+const TIE: f64 = 0.1;
+
+/// What is known of one group when a request is placed.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct GroupLoad {
+    /// Requests at work there, this node's own and those other nodes told of.
+    pub writers: u32,
+    /// Prompt tokens sent there of which no event has come yet.
+    pub unread_tokens: u64,
+    /// One-way delay to the group.
+    pub delay: Duration,
+    /// Measured slowness against the model; one is as declared.
+    pub slowness: f64,
+}
+
+/// Returns the expected time to the first event.
+pub fn first_event(
+    engine: &EngineModel,
+    model: &ModelSpec,
+    load: &GroupLoad,
+    prompt: u64,
+) -> Duration {
+    let pass = engine.pass_time(model, load.writers.min(engine.slots));
+    let read = engine.read_time(model, load.unread_tokens + prompt);
+    let work = pass.mul_f64(PASS_WAIT + 1.0) + read;
+    work.mul_f64(load.slowness.max(1.0)) + load.delay * 2
+}
+
+/// Returns the index of the group to use, or `None` when every one is full.
+///
+/// `draw` breaks ties.
+pub fn pick_group(
+    engine: &EngineModel,
+    model: &ModelSpec,
+    loads: &[GroupLoad],
+    prompt: u64,
+    draw: usize,
+) -> Option<usize> {
+    let times: Vec<(usize, Duration)> = loads
+        .iter()
+        .enumerate()
+        .filter(|(_, load)| load.writers < engine.slots)
+        .map(|(index, load)| (index, first_event(engine, model, load, prompt)))
+        .collect();
+    let best = times.iter().map(|(_, time)| *time).min()?;
+    let limit = best.mul_f64(1.0 + TIE);
+    let near: Vec<usize> = times
+        .into_iter()
+        .filter(|(_, time)| *time <= limit)
+        .map(|(index, _)| index)
+        .collect();
+    Some(near[draw % near.len()])
+}
--- a/crates/core/src/retry.rs
+++ b/crates/core/src/retry.rs
@@ -26,6 +26,22 @@
         }
     }
 
+    /// Opens a budget without anything saved up.
+    ///
+    /// A process that restarts must not find a full burst each time.
+    ///
+    /// ```
+    /// use briarswitch_core::retry::RetryBudget;
+    ///
+    /// assert!(!RetryBudget::open_empty(200, 10).spend());
+    /// ```
+    pub fn open_empty(permille: u64, burst: u64) -> Self {
+        Self {
+            balance: 0,
+            ..Self::open(permille, burst)
+        }
+    }
+
     /// Credits one success.
     pub fn earn(&mut self) {
         self.balance = (self.balance + self.permille).min(self.ceiling);
--- /dev/null
+++ b/crates/core/src/target.rs
@@ -0,0 +1,135 @@
+//! Targets as the platform's directory lists them, and the groups they say they are in.
+
+use indexmap::IndexMap;
+
+use crate::id::{DomainId, Epoch, GroupId, ModelId, Moment, ServiceId, TargetId, ZoneId};
+
+/// How far a member of a group has come.
+#[derive(Clone, Copy, Debug, Eq, Hash, PartialEq)]
+pub enum MembershipState {
+    /// Weights or peers are not there yet.
+    Joining,
+    /// Whole as far as this member knows, and not serving.
+    Ready,
+    /// The first member serves requests.
+    Open,
+    /// The first member finishes what it has and takes nothing new.
+    Closing,
+    /// A member was lost and the group serves no more.
+    Broken,
+}
+
+/// What a target says of its own place in a group.
+#[derive(Clone, Debug, Eq, Hash, PartialEq)]
+pub struct Membership {
+    /// Group.
+    pub group: GroupId,
+    /// Attempt at forming it.
+    pub epoch: Epoch,
+    /// Place in the list of members; zero takes the requests.
+    pub rank: usize,
+    /// How far the member has come.
+    pub state: MembershipState,
+}
+
+/// One target as the directory lists it.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct TargetRecord {
+    /// Life of the target; a restart has another.
+    pub id: TargetId,
+    /// Service it belongs to.
+    pub service: ServiceId,
+    /// Address of its listener.
+    pub address: String,
+    /// Zone.
+    pub zone: ZoneId,
+    /// Whether it asked for no new work.
+    pub is_draining: bool,
+    /// Requests it works on at once.
+    pub slots: u32,
+    /// Fabric domain; empty where it has none.
+    pub domain: DomainId,
+    /// Models whose weights are on its host.
+    pub staged: Vec<ModelId>,
+    /// Models it serves.
+    pub models: Vec<ModelId>,
+    /// Its group.
+    pub membership: Option<Membership>,
+}
+
+/// One change of the directory.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub enum TargetChange {
+    /// The entry is new or has changed.
+    Put(Box<TargetRecord>),
+    /// The entry is gone.
+    Removed(TargetId),
+}
+
+/// What the directory lists, with departures held back while the directory itself was away.
+#[derive(Clone, Debug, Default)]
+pub struct TargetBook {
+    targets: IndexMap<TargetId, TargetRecord>,
+    lapsed: IndexMap<TargetId, Moment>,
+}
+
+impl TargetBook {
+    /// Returns the targets by id.
+    pub fn targets(&self) -> &IndexMap<TargetId, TargetRecord> {
+        &self.targets
+    }
+
+    /// Takes in one change.
+    ///
+    /// Entries lapse while the directory is away though their targets live. Dropping them at once
+    /// would empty the routing table just when the directory returns. With `keep_until` set, a
+    /// removed entry is kept until then, and stays if it is put back.
+    pub fn apply(&mut self, change: TargetChange, keep_until: Option<Moment>) {
+        match change {
+            TargetChange::Put(record) => {
+                self.lapsed.swap_remove(&record.id);
+                self.targets.insert(record.id.clone(), *record);
+            }
+            TargetChange::Removed(id) => match keep_until {
+                Some(until) if self.targets.contains_key(&id) => {
+                    self.lapsed.insert(id, until);
+                }
+                _ => {
+                    self.targets.swap_remove(&id);
+                    self.lapsed.swap_remove(&id);
+                }
+            },
+        }
+    }
+
+    /// Takes in a whole list; what it does not hold is removed.
+    pub fn replace(&mut self, records: Vec<TargetRecord>, keep_until: Option<Moment>) {
+        let listed: Vec<TargetId> = records.iter().map(|record| record.id.clone()).collect();
+        let missing: Vec<TargetId> = self
+            .targets
+            .keys()
+            .filter(|id| !listed.contains(id))
+            .cloned()
+            .collect();
+        for id in missing {
+            self.apply(TargetChange::Removed(id), keep_until);
+        }
+        for record in records {
+            self.apply(TargetChange::Put(Box::new(record)), None);
+        }
+    }
+
+    /// Drops entries that were not put back in time, and returns whether there were any.
+    pub fn expire(&mut self, now: Moment) -> bool {
+        let due: Vec<TargetId> = self
+            .lapsed
+            .iter()
+            .filter(|(_, until)| now >= **until)
+            .map(|(id, _)| id.clone())
+            .collect();
+        for id in &due {
+            self.apply(TargetChange::Removed(id.clone()), None);
+        }
+        !due.is_empty()
+    }
+}
--- /dev/null
+++ b/crates/fleet/src/controller.rs
@@ -0,0 +1,499 @@
+//! Forms and mends the groups of the domains that this node is responsible for.
+
+use std::sync::atomic::Ordering;
+use std::sync::Arc;
+use std::time::Duration;
+
+use briarswitch_core::assembly::{
+    expected_supply, DomainKeeper, DomainView, OrderResult, TargetAction, TargetFacts, TargetOrder,
+    TargetStanding,
+};
+use briarswitch_core::engine::EngineModel;
+use briarswitch_core::id::*;
+use briarswitch_core::target::{MembershipState, TargetRecord};
+use briarswitch_kernel::{BootClock, Service, ServiceLink};
+use indexmap::{IndexMap, IndexSet};
+use serde_json::{json, Value};
+use xxhash_rust::xxh3::xxh3_64;
+
+use crate::peers::PEER_SILENCE;
+use crate::ports::{ReportError, TargetReport};
+use crate::shared::FleetShared;
+use crate::tracker::TargetTracker;
+
+/// Time between rounds.
+const ROUND: Duration = Duration::from_millis(50);
+/// Time after the start in which nodes find each other before any of them gives an order.
+const SETTLE_TIME: Duration = Duration::from_millis(900);
+/// Time to wait for a report; a healthy target answers in a few milliseconds.
+const REPORT_TIME: Duration = Duration::from_millis(160);
+/// Lateness of the node's own timer beyond which a missing report proves nothing.
+const OWN_LATENESS: Duration = Duration::from_millis(60);
+/// Time to wait for the answer to an order.
+const ORDER_TIME: Duration = Duration::from_millis(400);
+/// Loads from the weight store that one domain may have under way once callers are served.
+///
+/// Each load beyond what the weight store does at once slows all the others; one for each domain
+/// keeps the sum near that number.
+const LOADS_AT_ONCE: usize = 1;
+
+/// Name of the controller.
+pub const CONTROLLER_SERVICE: &str = "controller";
+
+/// Keeps groups whole.
+pub struct GroupController {
+    shared: Arc<FleetShared>,
+    tracker: TargetTracker,
+    keepers: IndexMap<DomainId, DomainKeeper>,
+    loads: IndexMap<TargetId, ModelId>,
+    suspected: IndexSet<TargetId>,
+    started: Moment,
+}
+
+/// Message to [`GroupController`].
+pub enum ControllerMessage {
+    /// Look at everything again.
+    Round,
+    /// A target reported or did not.
+    Reported {
+        /// Target.
+        target: TargetId,
+        /// What it said.
+        report: Result<TargetReport, ReportError>,
+        /// Whether the node's own timer ran late.
+        is_late: bool,
+    },
+    /// A target answered an order or did not.
+    Ordered {
+        /// The order.
+        order: TargetOrder,
+        /// What became of it.
+        result: OrderResult,
+        /// When it was sent.
+        sent: Moment,
+    },
+}
+
+impl GroupController {
+    /// Opens a controller that is responsible for nothing yet.
+    pub fn open(shared: Arc<FleetShared>) -> Self {
+        Self {
+            shared,
+            tracker: TargetTracker::default(),
+            keepers: IndexMap::new(),
+            loads: IndexMap::new(),
+            suspected: IndexSet::new(),
+            started: BootClock::now(),
+        }
+    }
+
+    fn round(&mut self, link: &ServiceLink<ControllerMessage>) {
+        let now = link.now();
+        let book = self.shared.book.load();
+        let directory = self.shared.directory.load();
+        let is_settled = now >= self.started + SETTLE_TIME;
+        let Some(book) = book
+            .as_ref()
+            .as_ref()
+            .filter(|_| directory.is_listed && is_settled)
+        else {
+            return;
+        };
+        for service in book.services.values() {
+            let Some(engine) = &service.engine else {
+                continue;
+            };
+            let records: Vec<&TargetRecord> = directory
+                .book
+                .targets()
+                .values()
+                .filter(|record| record.service == service.id)
+                .collect();
+            self.tend(engine, &records, now, link);
+        }
+    }
+
+    fn tend(
+        &mut self,
+        engine: &EngineModel,
+        records: &[&TargetRecord],
+        now: Moment,
+        link: &ServiceLink<ControllerMessage>,
+    ) {
+        let domains = domains_of(records);
+        let own: IndexSet<DomainId> = domains
+            .iter()
+            .filter(|(domain, zone)| self.is_responsible(domain, zone, now))
+            .map(|(domain, _)| (*domain).clone())
+            .collect();
+        self.update_keepers(&own);
+        let mine = records.iter().filter(|record| own.contains(&record.domain));
+        self.tracker.sync(mine.copied(), now);
+        self.look_at_suspects(now);
+        for (target, address) in self.tracker.due(now) {
+            self.ask(target, address, link);
+        }
+        let demand = self.demand(now);
+        for domain in own {
+            self.plan(&domain, engine, records, &demand, now, link);
+        }
+    }
+
+    /// Returns whether this node gives the orders in a domain.
+    ///
+    /// The domain's own zone goes first, since a zone that is cut off has to mend itself. Two nodes
+    /// that both believe it do no harm: the targets obey only one of them.
+    fn is_responsible(&self, domain: &str, zone: &str, now: Moment) -> bool {
+        let settings = &self.shared.settings;
+        let rank = |node: &str, own_zone: &str| {
+            let hash = xxh3_64(format!("{domain}\u{0}{node}").as_bytes());
+            (own_zone != zone, hash)
+        };
+        let own = rank(&settings.node, &settings.zone);
+        let peers = self.shared.peers.read();
+        let mut others = peers.values().filter(|peer| {
+            let is_heard = peer.heard.is_some_and(|at| now < at + PEER_SILENCE);
+            is_heard && !peer.is_leaving
+        });
+        !others.any(|peer| rank(&peer.entry.node, &peer.entry.zone) < own)
+    }
+
+    fn update_keepers(&mut self, own: &IndexSet<DomainId>) {
+        let lost = self.keepers.keys().filter(|domain| !own.contains(*domain));
+        for domain in lost {
+            log::info!(domain = domain.as_str(); "domain_left");
+        }
+        self.keepers.retain(|domain, _| own.contains(domain));
+        for domain in own {
+            if !self.keepers.contains_key(domain) {
+                log::info!(domain = domain.as_str(); "domain_taken");
+                let hash = xxh3_64(domain.as_bytes()) as u16;
+                let since = BootClock::now().as_millis();
+                let incarnation = self.shared.incarnation;
+                let prefix = format!(
+                    "{}-{incarnation:x}-{hash:x}-{since:x}",
+                    self.shared.settings.node
+                );
+                self.keepers
+                    .insert(domain.clone(), DomainKeeper::open(prefix));
+            }
+        }
+    }
+
+    /// Has every member of a group asked whose first member fell silent towards a request.
+    fn look_at_suspects(&mut self, now: Moment) {
+        let suspects: IndexSet<TargetId> = self.shared.gauges.suspects(now).into_iter().collect();
+        let table = self.shared.table.load();
+        for group in table.all_groups() {
+            if !suspects.contains(&group.id) || self.suspected.contains(&group.id) {
+                continue;
+            }
+            for member in group.group.iter().flat_map(|group| &group.members) {
+                self.tracker.hasten(member, now);
+            }
+        }
+        self.suspected = suspects;
+    }
+
+    fn ask(&self, target: TargetId, address: String, link: &ServiceLink<ControllerMessage>) {
+        let shared = Arc::clone(&self.shared);
+        link.spawn(async move {
+            let asked = BootClock::now();
+            let targets = &shared.platform.targets;
+            let report = targets.report(&target, &address, REPORT_TIME).await;
+            let took = BootClock::now().saturating_sub(asked);
+            ControllerMessage::Reported {
+                target,
+                report,
+                is_late: took > REPORT_TIME + OWN_LATENESS,
+            }
+        });
+    }
+
+    fn demand(&self, now: Moment) -> IndexMap<ModelId, f64> {
+        let mut demand = self.shared.demand.rates(now);
+        for peer in self.shared.peers.read().values() {
+            for (model, rate) in &peer.demand {
+                *demand.entry(model.clone()).or_insert(0.0) += rate;
+            }
+        }
+        demand
+    }
+
+    fn plan(
+        &mut self,
+        domain: &DomainId,
+        engine: &EngineModel,
+        records: &[&TargetRecord],
+        demand: &IndexMap<ModelId, f64>,
+        now: Moment,
+        link: &ServiceLink<ControllerMessage>,
+    ) {
+        let members = |tracker: &TargetTracker| {
+            let of_domain = tracker.targets().iter();
+            of_domain
+                .filter(|(_, tracked)| tracked.record.domain == *domain)
+                .map(|(id, tracked)| (id.clone(), tracked.clone()))
+                .collect::<Vec<_>>()
+        };
+        let tracked = members(&self.tracker);
+        if tracked.iter().any(|(_, tracked)| !tracked.is_resolved) {
+            return;
+        }
+        let facts: IndexMap<TargetId, TargetFacts> = tracked
+            .into_iter()
+            .map(|(id, tracked)| (id, tracked.facts))
+            .collect();
+        let has_traffic = self.shared.has_traffic.load(Ordering::Relaxed);
+        let (supply, demand) = self.balance(domain, engine, records, demand, has_traffic);
+        let load_budget = self.load_budget(&facts, has_traffic);
+        let Some(keeper) = self.keepers.get_mut(domain) else {
+            return;
+        };
+        let view = DomainView {
+            targets: &facts,
+            engine,
+            supply: &supply,
+            demand: &demand,
+            load_budget,
+        };
+        for order in keeper.plan(view, now) {
+            self.send(order, link);
+        }
+    }
+
+    /// Returns what groups elsewhere supply and what callers ask for.
+    fn balance(
+        &self,
+        domain: &DomainId,
+        engine: &EngineModel,
+        records: &[&TargetRecord],
+        demand: &IndexMap<ModelId, f64>,
+        has_traffic: bool,
+    ) -> (IndexMap<ModelId, f64>, IndexMap<ModelId, f64>) {
+        if !has_traffic {
+            let shares = engine.models.values();
+            let shares = shares
+                .map(|model| (model.id.clone(), model.share))
+                .collect();
+            let mut sizes: IndexMap<&DomainId, usize> = IndexMap::new();
+            for record in records {
+                *sizes.entry(&record.domain).or_insert(0) += 1;
+            }
+            let earlier = sizes.iter().filter(|(other, _)| **other < domain);
+            let supply = expected_supply(engine, &shares, earlier.map(|(_, count)| *count));
+            return (supply, shares);
+        }
+        let mut supply: IndexMap<ModelId, f64> = IndexMap::new();
+        for record in records.iter().filter(|record| record.domain != *domain) {
+            let held = record.membership.as_ref();
+            let is_head =
+                held.is_some_and(|held| held.rank == 0 && held.state != MembershipState::Broken);
+            let model = record.models.first().and_then(|id| engine.models.get(id));
+            if let (true, Some(model)) = (is_head, model) {
+                *supply.entry(model.id.clone()).or_insert(0.0) += engine.group_rate(model);
+            }
+        }
+        (supply, demand.clone())
+    }
+
+    fn load_budget(&mut self, facts: &IndexMap<TargetId, TargetFacts>, has_traffic: bool) -> usize {
+        if !has_traffic && self.shared.settings.is_first_start {
+            // Before the first caller the weight store has nothing else to do.
+            return facts.len();
+        }
+        let is_loading = |id: &TargetId, model: &ModelId| {
+            facts.get(id).is_none_or(|facts| {
+                facts.standing != TargetStanding::Silent && !facts.staged.contains(model)
+            })
+        };
+        let tracker = &self.tracker;
+        self.loads
+            .retain(|id, model| tracker.targets().contains_key(id) && is_loading(id, model));
+        let active = self.loads.keys().filter(|id| facts.contains_key(*id));
+        LOADS_AT_ONCE.saturating_sub(active.count())
+    }
+
+    fn send(&mut self, order: TargetOrder, link: &ServiceLink<ControllerMessage>) {
+        let Some(tracked) = self.tracker.targets().get(&order.target) else {
+            return;
+        };
+        let address = tracked.record.address.clone();
+        let loaded = match &order.action {
+            TargetAction::Join { model, .. } | TargetAction::Stage { model } => {
+                (!tracked.facts.staged.contains(model)).then(|| model.clone())
+            }
+            _ => None,
+        };
+        if let Some(model) = loaded {
+            self.loads.insert(order.target.clone(), model);
+        }
+        log::info!(
+            target_id = order.target.as_str(),
+            order = order.action.name(),
+            group = order.action.group().map_or("", String::as_str),
+            expected = order.expected,
+            reason = order.reason;
+            "order_sent"
+        );
+        let shared = Arc::clone(&self.shared);
+        link.spawn(async move {
+            let sent = BootClock::now();
+            let targets = &shared.platform.targets;
+            let result = targets
+                .order(
+                    &order.target,
+                    &address,
+                    order.expected,
+                    &order.action,
+                    ORDER_TIME,
+                )
+                .await;
+            ControllerMessage::Ordered {
+                order,
+                result,
+                sent,
+            }
+        });
+    }
+
+    fn take_report(
+        &mut self,
+        target: &str,
+        report: Result<TargetReport, ReportError>,
+        is_late: bool,
+        now: Moment,
+    ) {
+        let book = self.shared.book.load();
+        let Some(book) = book.as_ref() else {
+            return;
+        };
+        let service = self
+            .tracker
+            .targets()
+            .get(target)
+            .map(|tracked| tracked.record.service.clone());
+        let engine = service
+            .and_then(|service| book.services.get(&service))
+            .and_then(|service| service.engine.as_ref());
+        let Some(engine) = engine else {
+            return;
+        };
+        let is_answer = report.is_ok();
+        let fell = self
+            .tracker
+            .note_report(target, report, is_late, engine, now);
+        if fell {
+            log::warn!(target_id = target; "target_silent");
+        }
+        if is_answer {
+            for keeper in self.keepers.values_mut() {
+                keeper.note_report(target);
+            }
+        }
+    }
+
+    fn take_ordered(
+        &mut self,
+        order: &TargetOrder,
+        result: OrderResult,
+        sent: Moment,
+        now: Moment,
+    ) {
+        let name = result_name(result);
+        self.shared.metrics.count_order(order.action.name(), name);
+        log::info!(
+            target_id = order.target.as_str(),
+            order = order.action.name(),
+            group = order.action.group().map_or("", String::as_str),
+            result = name,
+            ms = now.saturating_sub(sent).as_millis() as u64;
+            "order_answered"
+        );
+        if result != OrderResult::Begun {
+            self.loads.swap_remove(&order.target);
+        }
+        self.tracker.note_order(order, result, now);
+        for keeper in self.keepers.values_mut() {
+            keeper.note_result(&order.target, result);
+        }
+    }
+}
+
+fn result_name(result: OrderResult) -> &'static str {
+    match result {
+        OrderResult::Begun => "begun",
+        OrderResult::Held => "held",
+        OrderResult::Conflict => "conflict",
+        OrderResult::Gone => "gone",
+        OrderResult::Refused => "refused",
+        OrderResult::Lost => "lost",
+    }
+}
+
+/// Returns the domains with the zone of most of their targets.
+fn domains_of<'a>(records: &[&'a TargetRecord]) -> IndexMap<&'a DomainId, &'a ZoneId> {
+    let mut counts: IndexMap<&DomainId, IndexMap<&ZoneId, usize>> = IndexMap::new();
+    for record in records {
+        let zones = counts.entry(&record.domain).or_default();
+        *zones.entry(&record.zone).or_insert(0) += 1;
+    }
+    let largest = counts.into_iter().filter_map(|(domain, zones)| {
+        let (zone, _) = zones.into_iter().max_by_key(|(_, count)| *count)?;
+        Some((domain, zone))
+    });
+    let mut domains: IndexMap<&DomainId, &ZoneId> = largest.collect();
+    domains.sort_keys();
+    domains
+}
+
+impl Service for GroupController {
+    type Message = ControllerMessage;
+
+    fn name(&self) -> &'static str {
+        CONTROLLER_SERVICE
+    }
+
+    fn start(&mut self, link: &ServiceLink<ControllerMessage>) {
+        link.later(ROUND, ControllerMessage::Round);
+    }
+
+    fn handle(&mut self, message: ControllerMessage, link: &ServiceLink<ControllerMessage>) {
+        match message {
+            ControllerMessage::Round => {
+                self.round(link);
+                link.later(ROUND, ControllerMessage::Round);
+            }
+            ControllerMessage::Reported {
+                target,
+                report,
+                is_late,
+            } => self.take_report(&target, report, is_late, link.now()),
+            ControllerMessage::Ordered {
+                order,
+                result,
+                sent,
+            } => self.take_ordered(&order, result, sent, link.now()),
+        }
+    }
+
+    fn dump(&self) -> Value {
+        let targets = self.tracker.targets().iter().map(|(id, tracked)| {
+            let held = tracked.facts.membership.as_ref();
+            json!({
+                "target": id,
+                "domain": tracked.record.domain,
+                "group": held.map(|held| &held.group),
+                "rank": held.map(|held| held.rank),
+                "state": held.map(|held| format!("{:?}", held.state)),
+                "standing": format!("{:?}", tracked.facts.standing),
+                "staged": tracked.facts.staged,
+                "sequence": tracked.facts.sequence,
+            })
+        });
+        json!({
+            "domains": self.keepers.keys().collect::<Vec<_>>(),
+            "targets": targets.collect::<Vec<_>>(),
+        })
+    }
+}
--- /dev/null
+++ b/crates/fleet/src/gauge.rs
@@ -0,0 +1,175 @@
+//! What a node knows at any moment about the load and the liveness of each target.
+
+use std::collections::HashMap;
+use std::sync::atomic::{AtomicU32, AtomicU64, Ordering};
+use std::sync::{Arc, PoisonError, RwLock};
+use std::time::Duration;
+
+use briarswitch_core::id::{Moment, TargetId};
+
+/// Weight of the newest sample in the smoothed share of failures.
+const FAILURE_SMOOTHING: u32 = 4;
+/// Value that stands for a target all of whose requests fail.
+const FAILURE_FULL: u32 = 1024;
+
+/// Counters of one life of a target.
+#[derive(Debug, Default)]
+pub struct TargetGauge {
+    own: AtomicU32,
+    remote: AtomicU32,
+    unread: AtomicU64,
+    heard: AtomicU64,
+    suspect_until: AtomicU64,
+    failing: AtomicU32,
+}
+
+fn micros(moment: Moment) -> u64 {
+    u64::try_from(moment.as_micros()).unwrap_or(u64::MAX)
+}
+
+impl TargetGauge {
+    /// Returns the requests of this node at work there.
+    pub fn own(&self) -> u32 {
+        self.own.load(Ordering::Relaxed)
+    }
+
+    /// Returns the requests of all nodes at work there, as far as they are known.
+    pub fn writers(&self) -> u32 {
+        self.own() + self.remote.load(Ordering::Relaxed)
+    }
+
+    /// Returns the prompt tokens sent there that were not answered by an event yet.
+    pub fn unread(&self) -> u64 {
+        self.unread.load(Ordering::Relaxed)
+    }
+
+    /// Sets the requests that other nodes say they have there.
+    pub fn set_remote(&self, requests: u32) {
+        self.remote.store(requests, Ordering::Relaxed);
+    }
+
+    /// Notes that bytes came from the target, which takes any suspicion from it.
+    pub fn note_heard(&self, now: Moment) {
+        self.heard.store(micros(now), Ordering::Relaxed);
+        self.suspect_until.store(0, Ordering::Relaxed);
+    }
+
+    /// Returns how long the target has been silent towards this node.
+    pub fn silence(&self, now: Moment) -> Duration {
+        let heard = self.heard.load(Ordering::Relaxed);
+        Duration::from_micros(micros(now).saturating_sub(heard))
+    }
+
+    /// Keeps new work away until a moment, unless the target is heard before.
+    pub fn suspect(&self, until: Moment) {
+        self.suspect_until
+            .fetch_max(micros(until), Ordering::Relaxed);
+    }
+
+    /// Returns whether new work is kept away at `now`.
+    pub fn is_suspect(&self, now: Moment) -> bool {
+        micros(now) < self.suspect_until.load(Ordering::Relaxed)
+    }
+
+    /// Notes whether a request was served or failed there.
+    pub fn note_outcome(&self, is_failure: bool) {
+        let sample = if is_failure { FAILURE_FULL } else { 0 };
+        let held = self.failing.load(Ordering::Relaxed);
+        let next = (held * (FAILURE_SMOOTHING - 1) + sample) / FAILURE_SMOOTHING;
+        self.failing.store(next, Ordering::Relaxed);
+    }
+
+    /// Returns the smoothed share of failed requests, 0 to 1.
+    pub fn failing(&self) -> f64 {
+        f64::from(self.failing.load(Ordering::Relaxed)) / f64::from(FAILURE_FULL)
+    }
+}
+
+/// A place at a target, given back when dropped.
+#[derive(Debug)]
+pub struct GaugePlace {
+    gauge: Arc<TargetGauge>,
+    unread: u64,
+}
+
+impl GaugePlace {
+    /// Takes a place for a request with a prompt of `tokens`.
+    pub fn open(gauge: &Arc<TargetGauge>, tokens: u64, now: Moment) -> Self {
+        if gauge.own.fetch_add(1, Ordering::Relaxed) == 0 {
+            // Silence counts only while there is something to hear.
+            gauge.heard.store(micros(now), Ordering::Relaxed);
+        }
+        gauge.unread.fetch_add(tokens, Ordering::Relaxed);
+        Self {
+            gauge: Arc::clone(gauge),
+            unread: tokens,
+        }
+    }
+
+    /// Returns the target's counters.
+    pub fn gauge(&self) -> &Arc<TargetGauge> {
+        &self.gauge
+    }
+
+    /// Notes that the prompt was read, which the first event shows.
+    pub fn note_read(&mut self) {
+        self.gauge.unread.fetch_sub(self.unread, Ordering::Relaxed);
+        self.unread = 0;
+    }
+}
+
+impl Drop for GaugePlace {
+    fn drop(&mut self) {
+        self.note_read();
+        self.gauge.own.fetch_sub(1, Ordering::Relaxed);
+    }
+}
+
+/// The gauges of all targets, shared by the control thread and traffic.
+#[derive(Debug, Default)]
+pub struct GaugeBoard {
+    gauges: RwLock<HashMap<TargetId, Arc<TargetGauge>>>,
+}
+
+impl GaugeBoard {
+    /// Returns a target's gauge, opening it if there is none.
+    pub fn of(&self, target: &str) -> Arc<TargetGauge> {
+        if let Some(gauge) = self.read().get(target) {
+            return Arc::clone(gauge);
+        }
+        let mut gauges = self.gauges.write().unwrap_or_else(PoisonError::into_inner);
+        Arc::clone(gauges.entry(target.to_owned()).or_default())
+    }
+
+    /// Returns each target at which this node has work, with its requests and unread tokens.
+    pub fn busy(&self) -> Vec<(TargetId, u32, u64)> {
+        let gauges = self.read();
+        let busy = gauges.iter().filter(|(_, gauge)| gauge.own() > 0);
+        busy.map(|(id, gauge)| (id.clone(), gauge.own(), gauge.unread()))
+            .collect()
+    }
+
+    /// Returns the targets that are kept from new work.
+    pub fn suspects(&self, now: Moment) -> Vec<TargetId> {
+        let gauges = self.read();
+        let suspects = gauges.iter().filter(|(_, gauge)| gauge.is_suspect(now));
+        suspects.map(|(id, _)| id.clone()).collect()
+    }
+
+    /// Calls `visit` for every gauge.
+    pub fn each(&self, mut visit: impl FnMut(&TargetId, &TargetGauge)) {
+        for (id, gauge) in self.read().iter() {
+            visit(id, gauge);
+        }
+    }
+
+    /// Drops the gauges of targets that are gone and without work.
+    pub fn retain(&self, keep: impl Fn(&str) -> bool) {
+        let mut gauges = self.gauges.write().unwrap_or_else(PoisonError::into_inner);
+        gauges.retain(|id, gauge| gauge.own() > 0 || keep(id));
+    }
+
+    fn read(&self) -> std::sync::RwLockReadGuard<'_, HashMap<TargetId, Arc<TargetGauge>>> {
+        self.gauges.read().unwrap_or_else(PoisonError::into_inner)
+    }
+}
--- /dev/null
+++ b/crates/fleet/src/keeper.rs
@@ -0,0 +1,300 @@
+//! Keeps the configuration and the directory up to date from their sources.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use briarswitch_core::id::Moment;
+use briarswitch_core::traffic::TrafficBook;
+use briarswitch_kernel::{Service, ServiceLink};
+use serde_json::{json, Value};
+
+use crate::ports::{ConfigNews, DirectoryNews, FeedMark, SourceError};
+use crate::shared::{DirectoryView, FleetShared};
+
+/// Longest time one question for a newer configuration is held open.
+///
+/// A connection that fell silent is noticed after this and the time for an answer, and has to be
+/// noticed within the three seconds after which every node must know a new version again.
+const CONFIG_WAIT: Duration = Duration::from_millis(1_200);
+/// Longest time one question for changes of the directory is held open.
+const DIRECTORY_WAIT: Duration = Duration::from_millis(1_500);
+/// Least time between two questions for changes of the directory.
+///
+/// Targets renew their entries all the time; without a pause every renewal would be a call.
+const DIRECTORY_PACE: Duration = Duration::from_millis(200);
+/// Time to wait after a source failed; the longest and the shortest.
+const RETRY_PACE: (Duration, Duration) = (Duration::from_millis(250), Duration::from_millis(450));
+/// Time for which lapsed entries are kept after the directory was away.
+const LAPSE_GRACE: Duration = Duration::from_millis(2_300);
+/// Time after a failure for which the directory counts as having been away.
+const AWAY_MEMORY: Duration = Duration::from_millis(3_000);
+
+/// Name of the configuration's keeper.
+pub const CONFIG_SERVICE: &str = "config";
+/// Name of the directory's keeper.
+pub const DIRECTORY_SERVICE: &str = "directory";
+
+fn retry_pause() -> Duration {
+    let (least, most) = RETRY_PACE;
+    least + (most - least).mul_f64(rand::random::<f64>())
+}
+
+/// Tells when a source is lost and regained, once each.
+#[derive(Debug, Default)]
+struct SourceHealth {
+    lost: Option<Moment>,
+    failed: Option<Moment>,
+}
+
+impl SourceHealth {
+    fn note(&mut self, name: &'static str, error: Option<&SourceError>, now: Moment) {
+        match (error, self.lost) {
+            (Some(error), None) => {
+                self.lost = Some(now);
+                log::warn!(source = name, error:% = error; "dependency_lost");
+            }
+            (None, Some(since)) => {
+                self.lost = None;
+                let ms = now.saturating_sub(since).as_millis() as u64;
+                log::info!(source = name, away_ms = ms; "dependency_regained");
+            }
+            _ => {}
+        }
+        if error.is_some() {
+            self.failed = Some(now);
+        }
+    }
+
+    fn was_away(&self, now: Moment) -> bool {
+        self.failed.is_some_and(|at| now < at + AWAY_MEMORY)
+    }
+}
+
+/// Keeps the configuration.
+pub struct BookKeeper {
+    shared: Arc<FleetShared>,
+    mark: Option<FeedMark>,
+    health: SourceHealth,
+}
+
+/// Message to [`BookKeeper`].
+pub enum BookMessage {
+    /// Ask the source.
+    Ask,
+    /// The source answered a question asked at this moment.
+    News(Moment, Result<ConfigNews, SourceError>),
+}
+
+impl BookKeeper {
+    /// Opens a keeper that knows no configuration.
+    pub fn open(shared: Arc<FleetShared>) -> Self {
+        Self {
+            shared,
+            mark: None,
+            health: SourceHealth::default(),
+        }
+    }
+
+    fn ask(&self, link: &ServiceLink<BookMessage>) {
+        let shared = Arc::clone(&self.shared);
+        let (mark, asked) = (self.mark, link.now());
+        link.spawn(async move {
+            let news = shared.platform.config.next(mark, CONFIG_WAIT).await;
+            BookMessage::News(asked, news)
+        });
+    }
+
+    fn take(&mut self, asked: Moment, news: ConfigNews) {
+        self.mark = Some(news.mark);
+        if let Some(book) = news.book {
+            self.adopt(book);
+        }
+        if self.shared.book.read().is_some() {
+            self.shared.confirm_book(asked);
+        }
+    }
+
+    /// Takes a configuration over if it is newer; an older one read late changes nothing.
+    fn adopt(&self, book: TrafficBook) {
+        let held = self
+            .shared
+            .book
+            .read()
+            .as_ref()
+            .as_ref()
+            .map(|book| book.version);
+        if held.is_some_and(|version| version >= book.version) {
+            return;
+        }
+        log::info!(
+            version = book.version,
+            from = held.unwrap_or(0),
+            hosts = book.hosts.len(),
+            services = book.services.len();
+            "config_adopted"
+        );
+        self.shared.metrics.set_config(book.version);
+        self.shared.book.publish(Some(book));
+        self.shared.rebuild_table();
+    }
+}
+
+impl Service for BookKeeper {
+    type Message = BookMessage;
+
+    fn name(&self) -> &'static str {
+        CONFIG_SERVICE
+    }
+
+    fn start(&mut self, link: &ServiceLink<BookMessage>) {
+        self.ask(link);
+    }
+
+    fn handle(&mut self, message: BookMessage, link: &ServiceLink<BookMessage>) {
+        match message {
+            BookMessage::Ask => self.ask(link),
+            BookMessage::News(asked, Ok(news)) => {
+                self.health.note(CONFIG_SERVICE, None, link.now());
+                self.take(asked, news);
+                self.ask(link);
+            }
+            BookMessage::News(_, Err(error)) => {
+                self.health.note(CONFIG_SERVICE, Some(&error), link.now());
+                if error == SourceError::HistoryGone {
+                    self.mark = None;
+                    self.ask(link);
+                } else {
+                    link.later(retry_pause(), BookMessage::Ask);
+                }
+            }
+        }
+    }
+
+    fn dump(&self) -> Value {
+        let version = self
+            .shared
+            .book
+            .read()
+            .as_ref()
+            .as_ref()
+            .map(|book| book.version);
+        json!({
+            "version": version,
+            "age_ms": self.shared.book_age().as_millis() as u64,
+            "mark": self.mark,
+        })
+    }
+}
+
+/// Keeps the directory.
+pub struct DirectoryKeeper {
+    shared: Arc<FleetShared>,
+    mark: Option<FeedMark>,
+    view: DirectoryView,
+    health: SourceHealth,
+}
+
+/// Message to [`DirectoryKeeper`].
+pub enum DirectoryMessage {
+    /// Ask the source.
+    Ask,
+    /// The source answered.
+    News(Result<DirectoryNews, SourceError>),
+    /// Look for lapsed entries whose time is over.
+    Expire,
+}
+
+impl DirectoryKeeper {
+    /// Opens a keeper that knows no target.
+    pub fn open(shared: Arc<FleetShared>) -> Self {
+        Self {
+            shared,
+            mark: None,
+            view: DirectoryView::default(),
+            health: SourceHealth::default(),
+        }
+    }
+
+    fn ask(&self, link: &ServiceLink<DirectoryMessage>) {
+        let shared = Arc::clone(&self.shared);
+        let mark = self.mark;
+        link.spawn(async move {
+            DirectoryMessage::News(shared.platform.directory.next(mark, DIRECTORY_WAIT).await)
+        });
+    }
+
+    fn take(&mut self, news: DirectoryNews, now: Moment, link: &ServiceLink<DirectoryMessage>) {
+        let keep = self.health.was_away(now).then(|| now + LAPSE_GRACE);
+        if keep.is_some() {
+            link.later(LAPSE_GRACE, DirectoryMessage::Expire);
+        }
+        match news {
+            DirectoryNews::Whole(mark, records) => {
+                self.mark = Some(mark);
+                self.view.book.replace(records, keep);
+            }
+            DirectoryNews::Changes(mark, changes) => {
+                self.mark = Some(mark);
+                if changes.is_empty() {
+                    return;
+                }
+                for change in changes {
+                    self.view.book.apply(change, keep);
+                }
+            }
+        }
+        self.view.is_listed = true;
+        self.publish();
+    }
+
+    fn publish(&self) {
+        self.shared.directory.publish(self.view.clone());
+        self.shared.rebuild_table();
+    }
+}
+
+impl Service for DirectoryKeeper {
+    type Message = DirectoryMessage;
+
+    fn name(&self) -> &'static str {
+        DIRECTORY_SERVICE
+    }
+
+    fn start(&mut self, link: &ServiceLink<DirectoryMessage>) {
+        self.ask(link);
+    }
+
+    fn handle(&mut self, message: DirectoryMessage, link: &ServiceLink<DirectoryMessage>) {
+        let now = link.now();
+        match message {
+            DirectoryMessage::Ask => self.ask(link),
+            DirectoryMessage::News(Ok(news)) => {
+                self.health.note(DIRECTORY_SERVICE, None, now);
+                self.take(news, now, link);
+                link.later(DIRECTORY_PACE, DirectoryMessage::Ask);
+            }
+            DirectoryMessage::News(Err(error)) => {
+                self.health.note(DIRECTORY_SERVICE, Some(&error), now);
+                if error == SourceError::HistoryGone {
+                    self.mark = None;
+                }
+                link.later(retry_pause(), DirectoryMessage::Ask);
+            }
+            DirectoryMessage::Expire => {
+                // While the directory is still away, nobody can put an entry back.
+                if self.health.lost.is_some() {
+                    link.later(LAPSE_GRACE, DirectoryMessage::Expire);
+                } else if self.view.book.expire(now) {
+                    self.publish();
+                }
+            }
+        }
+    }
+
+    fn dump(&self) -> Value {
+        json!({
+            "targets": self.view.book.targets().len(),
+            "mark": self.mark,
+        })
+    }
+}
--- /dev/null
+++ b/crates/fleet/src/lib.rs
@@ -0,0 +1,25 @@
+//! Serves a fleet of targets: takes callers' requests to them, and forms and mends their groups.
+//!
+//! The platform below is seen through the traits in [`ports`] only.
+
+pub mod controller;
+pub mod demand;
+pub mod dispatch;
+pub mod gauge;
+pub mod keeper;
+pub mod metrics;
+pub mod node;
+pub mod note;
+pub mod peers;
+pub mod ports;
+pub mod refusal;
+pub mod relay;
+pub mod settings;
+pub mod shared;
+pub mod surface;
+pub mod table;
+pub mod trace;
+pub mod tracker;
+
+pub use node::{FleetError, FleetNode};
+pub use settings::FleetSettings;
--- /dev/null
+++ b/crates/fleet/src/metrics.rs
@@ -0,0 +1,122 @@
+//! Counters and latency histograms of a fleet's node.
+
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::Arc;
+use std::time::Duration;
+
+use opentelemetry::metrics::{Counter, Histogram, MeterProvider};
+use opentelemetry::KeyValue;
+use opentelemetry_sdk::metrics::SdkMeterProvider;
+use prometheus::{Encoder, Registry, TextEncoder};
+
+/// Bounds of the latency histograms, in seconds; the objectives lie between 0.15 and 0.4.
+const LATENCY_BOUNDS: [f64; 12] = [
+    0.005, 0.01, 0.025, 0.05, 0.1, 0.15, 0.2, 0.3, 0.4, 1.0, 2.5, 10.0,
+];
+
+/// Counts what a node does.
+pub struct FleetMetrics {
+    registry: Registry,
+    _provider: SdkMeterProvider,
+    requests: Counter<u64>,
+    resumes: Counter<u64>,
+    orders: Counter<u64>,
+    latency: Histogram<f64>,
+    first: Histogram<f64>,
+    config: Arc<AtomicU64>,
+}
+
+/// Labels of one request.
+#[derive(Clone, Copy, Debug)]
+pub struct RequestLabels<'a> {
+    /// Organisation that called; empty where no key is asked for.
+    pub organisation: &'a str,
+    /// Service that the request was for.
+    pub service: &'a str,
+    /// What became of it.
+    pub outcome: &'static str,
+}
+
+impl FleetMetrics {
+    /// Opens the instruments.
+    ///
+    /// # Panics
+    ///
+    /// Panics when the exporter refuses an empty registry, which it never does.
+    pub fn open() -> Self {
+        let registry = Registry::new();
+        let exporter = opentelemetry_prometheus::exporter()
+            .with_registry(registry.clone())
+            .build()
+            .expect("an empty registry takes an exporter");
+        let provider = SdkMeterProvider::builder().with_reader(exporter).build();
+        let meter = provider.meter("briarswitch");
+        let histogram = |name: &'static str| {
+            let builder = meter.f64_histogram(name);
+            builder.with_boundaries(LATENCY_BOUNDS.to_vec()).build()
+        };
+        let config = Arc::new(AtomicU64::new(0));
+        let observed = Arc::clone(&config);
+        meter
+            .u64_observable_gauge("config_version")
+            .with_callback(move |observer| {
+                observer.observe(observed.load(Ordering::Relaxed), &[]);
+            })
+            .build();
+        Self {
+            requests: meter.u64_counter("requests").build(),
+            resumes: meter.u64_counter("stream_resumes").build(),
+            orders: meter.u64_counter("orders").build(),
+            latency: histogram("request_seconds"),
+            first: histogram("first_event_seconds"),
+            registry,
+            _provider: provider,
+            config,
+        }
+    }
+
+    /// Counts one request and its latency.
+    pub fn count_request(&self, labels: RequestLabels<'_>, latency: Duration) {
+        let attributes = [
+            KeyValue::new("organisation", labels.organisation.to_owned()),
+            KeyValue::new("service", labels.service.to_owned()),
+            KeyValue::new("outcome", labels.outcome),
+        ];
+        self.requests.add(1, &attributes);
+        self.latency.record(latency.as_secs_f64(), &attributes[1..]);
+    }
+
+    /// Records the time to a stream's first event.
+    pub fn record_first_event(&self, service: &str, latency: Duration) {
+        let attributes = [KeyValue::new("service", service.to_owned())];
+        self.first.record(latency.as_secs_f64(), &attributes);
+    }
+
+    /// Counts one stream that went on at another target.
+    pub fn count_resume(&self, service: &str) {
+        self.resumes
+            .add(1, &[KeyValue::new("service", service.to_owned())]);
+    }
+
+    /// Counts one order to a target.
+    pub fn count_order(&self, kind: &'static str, result: &'static str) {
+        self.orders.add(
+            1,
+            &[KeyValue::new("kind", kind), KeyValue::new("result", result)],
+        );
+    }
+
+    /// Sets the version of the configuration in force.
+    pub fn set_config(&self, version: u64) {
+        self.config.store(version, Ordering::Relaxed);
+    }
+
+    /// Returns the page for the scraper.
+    pub fn page(&self) -> Vec<u8> {
+        let mut page = Vec::new();
+        if let Err(error) = TextEncoder::new().encode(&self.registry.gather(), &mut page) {
+            log::error!(error:% = error; "metrics_unreadable");
+        }
+        page
+    }
+}
--- /dev/null
+++ b/crates/fleet/src/ports.rs
@@ -0,0 +1,237 @@
+//! Traits at the border to the platform that the fleet runs on.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use briarswitch_core::assembly::{OrderResult, TargetAction};
+use briarswitch_core::id::*;
+use briarswitch_core::target::{Membership, TargetChange, TargetRecord};
+use briarswitch_core::traffic::TrafficBook;
+use futures::future::BoxFuture;
+use http::request::Parts;
+use http::{HeaderMap, StatusCode};
+
+/// Why a call to the platform's store gave nothing.
+#[derive(Clone, Debug, Eq, PartialEq, thiserror::Error)]
+pub enum SourceError {
+    /// The store turned the call away or did not answer it.
+    #[error("unavailable: {0}")]
+    Unavailable(String),
+    /// The changes asked for are no longer kept; everything has to be read anew.
+    #[error("the change history is gone")]
+    HistoryGone,
+    /// What was stored can not be understood.
+    #[error("unreadable: {0}")]
+    Unreadable(String),
+}
+
+/// Answer of a source.
+pub type SourceFuture<'a, T> = BoxFuture<'a, Result<T, SourceError>>;
+
+/// Point in the store's history up to which changes were read.
+pub type FeedMark = u64;
+
+/// Answer of [`ConfigSource`].
+#[derive(Clone, Debug)]
+pub struct ConfigNews {
+    /// Where to go on.
+    pub mark: FeedMark,
+    /// Newest configuration, if there is one that was not read yet.
+    pub book: Option<TrafficBook>,
+}
+
+/// Answer of [`TargetDirectory`].
+#[derive(Clone, Debug)]
+pub enum DirectoryNews {
+    /// Everything that is listed.
+    Whole(FeedMark, Vec<TargetRecord>),
+    /// What changed since the mark asked for.
+    Changes(FeedMark, Vec<TargetChange>),
+}
+
+/// Answer of [`NodeRegistry`].
+#[derive(Clone, Debug)]
+pub struct NodeNews {
+    /// Where to go on.
+    pub mark: FeedMark,
+    /// Nodes that are new or have changed.
+    pub nodes: Vec<NodeEntry>,
+}
+
+/// One node as it registers itself.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct NodeEntry {
+    /// Name.
+    pub node: NodeId,
+    /// Zone.
+    pub zone: ZoneId,
+    /// Address for other nodes.
+    pub address: String,
+    /// Life of its process.
+    pub incarnation: Incarnation,
+}
+
+/// Where whole configurations come from.
+pub trait ConfigSource: Send + Sync {
+    /// Reads the newest configuration, or waits up to `wait` for one after the mark.
+    fn next(&self, mark: Option<FeedMark>, wait: Duration) -> SourceFuture<'_, ConfigNews>;
+}
+
+/// Where the list of targets comes from.
+pub trait TargetDirectory: Send + Sync {
+    /// Reads the whole list, or waits up to `wait` for changes after the mark.
+    fn next(&self, mark: Option<FeedMark>, wait: Duration) -> SourceFuture<'_, DirectoryNews>;
+}
+
+/// Where nodes find each other.
+pub trait NodeRegistry: Send + Sync {
+    /// Writes this node's entry.
+    fn register(&self, entry: NodeEntry) -> SourceFuture<'_, ()>;
+
+    /// Reads all entries, or waits up to `wait` for changes after the mark.
+    fn next(&self, mark: Option<FeedMark>, wait: Duration) -> SourceFuture<'_, NodeNews>;
+}
+
+/// What a target says of itself.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct TargetReport {
+    /// Its group.
+    pub membership: Option<Membership>,
+    /// Model of its group.
+    pub model: Option<ModelId>,
+    /// Models on its host.
+    pub staged: Vec<ModelId>,
+    /// Orders it has begun.
+    pub sequence: u64,
+    /// Whether an order is under way.
+    pub is_busy: bool,
+    /// Requests it works on.
+    pub active: u32,
+    /// Requests that wait there.
+    pub queued: u32,
+}
+
+/// Why a target gave no report.
+#[derive(Clone, Copy, Debug, Eq, PartialEq, thiserror::Error)]
+pub enum ReportError {
+    /// No answer came in time.
+    #[error("no answer")]
+    Silent,
+    /// Another life answers at the address.
+    #[error("another life answers")]
+    Gone,
+    /// The answer can not be understood.
+    #[error("unreadable answer")]
+    Unreadable,
+}
+
+/// Asks and orders targets.
+pub trait TargetControl: Send + Sync {
+    /// Asks one life of a target for its state.
+    fn report<'a>(
+        &'a self,
+        target: &'a TargetId,
+        address: &'a str,
+        limit: Duration,
+    ) -> BoxFuture<'a, Result<TargetReport, ReportError>>;
+
+    /// Gives one life of a target an order, on the condition that it has begun `expected` so far.
+    fn order<'a>(
+        &'a self,
+        target: &'a TargetId,
+        address: &'a str,
+        expected: u64,
+        action: &'a TargetAction,
+        limit: Duration,
+    ) -> BoxFuture<'a, OrderResult>;
+}
+
+/// What a caller's request says, in this project's words.
+#[derive(Clone, Debug, Default, Eq, PartialEq)]
+pub struct CallerAsk {
+    /// Id of this attempt, chosen by the caller.
+    pub attempt: RequestId,
+    /// Host asked for, without a port.
+    pub host: String,
+    /// Key, if there is one.
+    pub key: Option<String>,
+    /// Time the caller will wait.
+    pub patience: Option<Duration>,
+    /// Model asked for.
+    pub model: Option<ModelId>,
+    /// Tokens in the prompt.
+    pub prompt_tokens: u64,
+    /// Most tokens of the answer.
+    pub answer_tokens: u64,
+    /// Last event the caller has already, where it resumes a stream.
+    pub last_event: Option<String>,
+}
+
+/// What is added to a request for a target.
+#[derive(Clone, Copy, Debug)]
+pub struct TargetMark<'a> {
+    /// Life that may run it.
+    pub target: &'a TargetId,
+    /// Organisation, if a key was asked for.
+    pub organisation: Option<&'a str>,
+    /// Time that is left.
+    pub left: Duration,
+    /// Rank at the target, zero first.
+    pub priority: u8,
+    /// Event after which a stream goes on.
+    pub last_event: Option<&'a str>,
+}
+
+/// What a target's answer says about itself.
+#[derive(Clone, Debug, Default, Eq, PartialEq)]
+pub struct AnswerFacts {
+    /// Attempt that the target says it answers.
+    pub attempt: Option<String>,
+    /// Whether the answer bears proof that a target made it.
+    pub is_signed: bool,
+    /// Whether the target says that it did not run the request.
+    pub is_not_run: bool,
+    /// Whether another life than the one meant answered.
+    pub is_other_life: bool,
+    /// Member to which the target puts the failure down.
+    pub at_fault: Option<TargetId>,
+    /// Requests at work there.
+    pub running: Option<u32>,
+    /// Requests that wait there.
+    pub waiting: Option<u32>,
+    /// Whether the body is not as the target made it.
+    pub is_recoded: bool,
+}
+
+/// How callers and targets spell what the fleet has to know.
+pub trait CallerDialect: Send + Sync {
+    /// Reads a caller's request.
+    fn ask(&self, head: &Parts) -> CallerAsk;
+
+    /// Returns the headers that a target is sent.
+    fn to_target(&self, head: &HeaderMap, mark: TargetMark<'_>) -> HeaderMap;
+
+    /// Reads a target's answer.
+    fn facts(&self, status: StatusCode, headers: &HeaderMap) -> AnswerFacts;
+
+    /// Returns the headers that a caller is sent with a target's answer.
+    fn to_caller(&self, headers: &HeaderMap) -> HeaderMap;
+
+    /// Returns the header that carries the attempt's id, for answers of the node's own.
+    fn mark_own(&self, headers: &mut HeaderMap, attempt: &str);
+}
+
+/// The platform as the fleet sees it.
+#[derive(Clone)]
+pub struct FleetPlatform {
+    /// Configurations.
+    pub config: Arc<dyn ConfigSource>,
+    /// Targets.
+    pub directory: Arc<dyn TargetDirectory>,
+    /// Nodes.
+    pub nodes: Arc<dyn NodeRegistry>,
+    /// Orders and reports.
+    pub targets: Arc<dyn TargetControl>,
+    /// Spelling of requests and answers.
+    pub dialect: Arc<dyn CallerDialect>,
+}
--- /dev/null
+++ b/crates/fleet/src/relay.rs
@@ -0,0 +1,209 @@
+//! Passes a stream on to its caller, and goes on elsewhere when its group falls silent or breaks.
+
+use std::io;
+use std::sync::Arc;
+use std::time::Duration;
+
+use briarswitch_core::events::EventSplitter;
+use briarswitch_core::id::*;
+use briarswitch_kernel::BootClock;
+use bytes::Bytes;
+use futures::Stream;
+
+use crate::dispatch::{BegunAnswer, FleetDispatcher, RequestJob};
+use crate::trace::{RequestEnd, RequestTrace};
+
+/// Time between looks at whether a stream's group has fallen silent.
+const SILENCE_CHECK: Duration = Duration::from_millis(40);
+/// Lateness of the node's own timer beyond which silence proves nothing about the target.
+const OWN_LATENESS: Duration = Duration::from_millis(60);
+
+/// A stream under way.
+pub struct StreamRelay {
+    dispatcher: Arc<FleetDispatcher>,
+    job: RequestJob,
+    current: BegunAnswer,
+    splitter: EventSplitter,
+    trace: RequestTrace,
+    tried: Vec<TargetId>,
+    heard: Moment,
+    is_over: bool,
+}
+
+enum RelayStep {
+    Piece(Bytes),
+    End,
+    Broken,
+    Silent,
+}
+
+impl StreamRelay {
+    /// Returns the body of the caller's response.
+    pub fn spawn(
+        dispatcher: Arc<FleetDispatcher>,
+        job: RequestJob,
+        begun: BegunAnswer,
+        mut trace: RequestTrace,
+    ) -> impl Stream<Item = Result<Bytes, io::Error>> + Send + 'static {
+        trace.sent += 1;
+        let relay = Self {
+            tried: vec![begun.target.id.clone()],
+            dispatcher,
+            job,
+            current: begun,
+            splitter: EventSplitter::default(),
+            trace,
+            heard: BootClock::now(),
+            is_over: false,
+        };
+        futures::stream::unfold(relay, |mut relay| async move {
+            relay.next().await.map(|item| (item, relay))
+        })
+    }
+
+    async fn next(&mut self) -> Option<Result<Bytes, io::Error>> {
+        if self.is_over {
+            return None;
+        }
+        loop {
+            match self.step().await {
+                RelayStep::Piece(piece) => {
+                    let whole = self.splitter.push(&piece);
+                    if !whole.is_empty() {
+                        self.note_events();
+                        return Some(Ok(whole));
+                    }
+                }
+                RelayStep::End => return self.end(),
+                RelayStep::Broken => {
+                    self.trace.reason = "stream_broken";
+                    if !self.resume().await {
+                        return Some(Err(self.give_up()));
+                    }
+                }
+                RelayStep::Silent => {
+                    self.trace.reason = "stream_silent";
+                    self.resume().await;
+                }
+            }
+        }
+    }
+
+    async fn step(&mut self) -> RelayStep {
+        loop {
+            let timer = tokio::time::timeout(SILENCE_CHECK, self.current.body.next());
+            let begun = BootClock::now();
+            match timer.await {
+                Ok(Ok(Some(piece))) => return RelayStep::Piece(piece),
+                Ok(Ok(None)) => return RelayStep::End,
+                Ok(Err(_)) => return RelayStep::Broken,
+                Err(_) => {}
+            }
+            let now = BootClock::now();
+            if now >= self.job.deadline {
+                return RelayStep::Broken;
+            }
+            let is_late = now.saturating_sub(begun) > SILENCE_CHECK + OWN_LATENESS;
+            if !is_late && self.is_silent(now) {
+                return RelayStep::Silent;
+            }
+        }
+    }
+
+    /// Returns whether the whole group has been silent for longer than its passes explain.
+    fn is_silent(&self, now: Moment) -> bool {
+        let target = &self.current.target;
+        let limit = self.dispatcher.silence_limit(&self.job, target);
+        let is_silent = now.saturating_sub(self.heard) > limit && target.gauge.silence(now) > limit;
+        if is_silent {
+            self.dispatcher.suspect(target, now);
+        }
+        is_silent && self.may_resume()
+    }
+
+    fn may_resume(&self) -> bool {
+        self.job.rule.is_repeatable() && self.trace.sent < self.job.rule.max_attempts
+    }
+
+    fn note_events(&mut self) {
+        let now = BootClock::now();
+        if self.trace.events == 0 {
+            self.current.place.note_read();
+            self.trace.note_first();
+        } else {
+            self.trace.pause = self.trace.pause.max(now.saturating_sub(self.heard));
+        }
+        self.heard = now;
+        self.current.target.gauge.note_heard(now);
+        self.trace.events = self.splitter.events();
+    }
+
+    /// Ends the caller's stream; bytes of an event that never ended are passed on as they came.
+    fn end(&mut self) -> Option<Result<Bytes, io::Error>> {
+        self.is_over = true;
+        self.trace.end(RequestEnd::Answered);
+        let rest = Bytes::copy_from_slice(self.splitter.held());
+        (!rest.is_empty()).then_some(Ok(rest))
+    }
+
+    /// Goes on after the last whole event at another target, if there is one with a place.
+    ///
+    /// The old answer is kept until the new one has begun: a group that was only slow goes on.
+    async fn resume(&mut self) -> bool {
+        if !self.may_resume() {
+            return false;
+        }
+        let Some((target, place)) = self.dispatcher.pick(&self.job, &self.tried) else {
+            return false;
+        };
+        if !self.dispatcher.spend(&self.job.service) {
+            return false;
+        }
+        self.trace.sent += 1;
+        let last = self.splitter.last().map(str::to_owned);
+        let last = last.or_else(|| self.job.ask.last_event.clone());
+        self.tried.push(target.id.clone());
+        log::info!(
+            request = self.trace.request.as_str(),
+            from = self.current.target.id.as_str(),
+            to = target.id.as_str(),
+            reason = self.trace.reason,
+            after_event = last.as_deref().unwrap_or(""),
+            silence_ms = BootClock::now().saturating_sub(self.heard).as_millis() as u64;
+            "stream_resumed"
+        );
+        let begun = self
+            .dispatcher
+            .begin(&self.job, target, place, last.as_deref())
+            .await;
+        match begun {
+            Ok(begun) => {
+                self.dispatcher
+                    .shared()
+                    .metrics
+                    .count_resume(&self.job.service);
+                self.trace.target.clone_from(&begun.target.id);
+                self.current = begun;
+                self.splitter.drop_tail();
+                true
+            }
+            Err(failed) => {
+                self.trace.reason = failed.point.code();
+                false
+            }
+        }
+    }
+
+    /// Ends the caller's connection without the end mark, so that the answer does not look whole.
+    fn give_up(&mut self) -> io::Error {
+        self.is_over = true;
+        self.trace.end(RequestEnd::Unknown);
+        io::Error::other("the stream is broken")
+    }
+}
+
+impl Drop for StreamRelay {
+    fn drop(&mut self) {
+        self.dispatcher.shared().placed.notify_one();
+    }
+}
--- /dev/null
+++ b/crates/fleet/src/settings.rs
@@ -0,0 +1,178 @@
+//! Settings of a node that serves a fleet, checked in one pass.
+
+use std::time::Duration;
+
+use briarswitch_core::finding::Finding;
+use briarswitch_core::id::{NodeId, ZoneId};
+use serde_json::Value;
+
+/// Everything a fleet's node is told.
+#[derive(Clone, Debug, PartialEq)]
+pub struct FleetSettings {
+    /// Name of the node.
+    pub node: NodeId,
+    /// Its zone.
+    pub zone: ZoneId,
+    /// Address for callers.
+    pub callers: String,
+    /// Address for the balancer's check.
+    pub health: String,
+    /// Address for other nodes.
+    pub peers: String,
+    /// Address for the metrics scraper.
+    pub metrics: String,
+    /// Address of the platform's store.
+    pub store: String,
+    /// Whether the whole system starts for the first time.
+    pub is_first_start: bool,
+    /// Whether callers' keys are refused while nobody can say that they still hold.
+    pub fails_closed: bool,
+    /// Time for which a key is good after it was last known to hold.
+    pub key_validity: Duration,
+    /// Retries that may be sent for each request.
+    pub retry_ratio: f64,
+    /// Retries beyond that which all nodes together may send in a burst.
+    pub retry_burst: u64,
+    /// Time after a signal to end within which the process has to be gone.
+    pub grace: Duration,
+    /// Time after which work that depends on a lost member is cut off.
+    pub stall: Duration,
+    /// Least severe log level written.
+    pub log_level: log::LevelFilter,
+}
+
+/// Reads the fields of one settings file and collects what is wrong with them.
+struct FieldReader<'a> {
+    name: &'a str,
+    value: Value,
+    known: Vec<&'static str>,
+    findings: Vec<Finding>,
+}
+
+impl FleetSettings {
+    /// Reads settings from JSON text and reports every fault with its place.
+    ///
+    /// # Errors
+    ///
+    /// Returns the findings when a field is missing, unknown or out of range.
+    ///
+    /// ```
+    /// use briarswitch_fleet::FleetSettings;
+    ///
+    /// let findings = FleetSettings::parse("node.json", "{\"node\": 3}").unwrap_err();
+    /// assert!(findings.iter().any(|finding| finding.to_string().contains("node")));
+    /// ```
+    pub fn parse(name: &str, text: &str) -> Result<Self, Vec<Finding>> {
+        let value = match serde_json::from_str::<Value>(text) {
+            Ok(value @ Value::Object(_)) => value,
+            Ok(_) => return Err(vec![Finding::new(name, "expected a JSON object")]),
+            Err(error) => return Err(vec![Finding::new(name, format!("not valid JSON: {error}"))]),
+        };
+        let mut reader = FieldReader {
+            name,
+            value,
+            known: Vec::new(),
+            findings: Vec::new(),
+        };
+        let settings = Self {
+            node: reader.text("node"),
+            zone: reader.text("zone"),
+            callers: reader.address("callers"),
+            health: reader.address("health"),
+            peers: reader.address("peers"),
+            metrics: reader.address("metrics"),
+            store: reader.address("store"),
+            is_first_start: reader.flag("is_first_start"),
+            fails_closed: reader.flag("fails_closed"),
+            key_validity: reader.millis("key_validity_ms"),
+            retry_ratio: reader.number("retry_ratio"),
+            retry_burst: reader.number("retry_burst") as u64,
+            grace: Duration::from_secs_f64(reader.number("grace_s")),
+            stall: reader.millis("stall_ms"),
+            log_level: reader.level("log_level"),
+        };
+        reader.finish(settings)
+    }
+}
+
+impl FieldReader<'_> {
+    fn take(&mut self, field: &'static str) -> Value {
+        self.known.push(field);
+        self.value.get(field).cloned().unwrap_or(Value::Null)
+    }
+
+    fn note(&mut self, field: &str, found: &Value, expected: &str) {
+        let place = format!("{}: {field}", self.name);
+        let message = match found {
+            Value::Null => format!("missing; expected {expected}"),
+            found => format!("expected {expected}, found {found}"),
+        };
+        self.findings.push(Finding::new(place, message));
+    }
+
+    fn text(&mut self, field: &'static str) -> String {
+        let found = self.take(field);
+        match found.as_str() {
+            Some(text) if !text.is_empty() => text.to_owned(),
+            _ => {
+                self.note(field, &found, "a text that is not empty");
+                String::new()
+            }
+        }
+    }
+
+    fn address(&mut self, field: &'static str) -> String {
+        let found = self.take(field);
+        let text = found.as_str().unwrap_or_default();
+        if text.parse::<std::net::SocketAddr>().is_err() {
+            self.note(field, &found, "an IP address with a port");
+        }
+        text.to_owned()
+    }
+
+    fn flag(&mut self, field: &'static str) -> bool {
+        let found = self.take(field);
+        found.as_bool().unwrap_or_else(|| {
+            self.note(field, &found, "true or false");
+            false
+        })
+    }
+
+    fn number(&mut self, field: &'static str) -> f64 {
+        let found = self.take(field);
+        match found.as_f64() {
+            Some(number) if number >= 0.0 => number,
+            _ => {
+                self.note(field, &found, "a number of 0 or more");
+                0.0
+            }
+        }
+    }
+
+    fn millis(&mut self, field: &'static str) -> Duration {
+        Duration::from_secs_f64(self.number(field) / 1000.0)
+    }
+
+    fn level(&mut self, field: &'static str) -> log::LevelFilter {
+        let found = self.take(field);
+        let level = found.as_str().and_then(|text| text.parse().ok());
+        level.unwrap_or_else(|| {
+            self.note(field, &found, "off, error, warn, info, debug or trace");
+            log::LevelFilter::Info
+        })
+    }
+
+    fn finish(mut self, settings: FleetSettings) -> Result<FleetSettings, Vec<Finding>> {
+        let given = self.value.as_object().cloned().unwrap_or_default();
+        for field in given.keys() {
+            if !self.known.contains(&field.as_str()) {
+                let place = format!("{}: {field}", self.name);
+                self.findings.push(Finding::new(place, "no such setting"));
+            }
+        }
+        if self.findings.is_empty() {
+            return Ok(settings);
+        }
+        Err(self.findings)
+    }
+}
--- /dev/null
+++ b/crates/fleet/src/shared.rs
@@ -0,0 +1,178 @@
+//! What the control thread publishes and the traffic threads read.
+
+use std::sync::atomic::{AtomicBool, AtomicU64, AtomicU8, AtomicUsize, Ordering};
+use std::sync::Arc;
+use std::time::Duration;
+
+use briarswitch_core::id::*;
+use briarswitch_core::target::TargetBook;
+use briarswitch_core::traffic::TrafficBook;
+use briarswitch_kernel::{BootClock, Snapshot};
+use indexmap::IndexMap;
+use tokio::sync::Notify;
+
+use crate::demand::DemandMeter;
+use crate::gauge::GaugeBoard;
+use crate::metrics::FleetMetrics;
+use crate::ports::{FleetPlatform, NodeEntry};
+use crate::settings::FleetSettings;
+use crate::table::TargetTable;
+
+/// Part of a key's validity after which it is no longer trusted.
+///
+/// The rest covers what passes between the check and the request's dispatch.
+const KEY_MARGIN: f64 = 0.95;
+
+/// How far a node is in its life.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+#[repr(u8)]
+pub enum FleetPhase {
+    /// It serves.
+    Running = 0,
+    /// It serves, and asks the balancer and callers to go elsewhere.
+    Leaving = 1,
+}
+
+/// The directory as last read.
+#[derive(Clone, Debug, Default)]
+pub struct DirectoryView {
+    /// Targets.
+    pub book: TargetBook,
+    /// Whether it was ever read.
+    pub is_listed: bool,
+}
+
+/// Another node as it was last heard of.
+#[derive(Clone, Debug)]
+pub struct PeerView {
+    /// Its entry.
+    pub entry: NodeEntry,
+    /// When it was last heard.
+    pub heard: Option<Moment>,
+    /// Whether it is leaving.
+    pub is_leaving: bool,
+    /// Requests a second that it sees, by model.
+    pub demand: IndexMap<ModelId, f64>,
+}
+
+/// Other nodes by name.
+pub type PeerBook = IndexMap<NodeId, PeerView>;
+
+/// A node's shared state.
+pub struct FleetShared {
+    /// Settings.
+    pub settings: FleetSettings,
+    /// Life of this process.
+    pub incarnation: Incarnation,
+    /// The platform.
+    pub platform: FleetPlatform,
+    /// Configuration in force.
+    pub book: Snapshot<Option<TrafficBook>>,
+    /// Directory.
+    pub directory: Snapshot<DirectoryView>,
+    /// Where requests may go.
+    pub table: Snapshot<TargetTable>,
+    /// Load and liveness of targets.
+    pub gauges: GaugeBoard,
+    /// Other nodes.
+    pub peers: Snapshot<PeerBook>,
+    /// What callers ask for.
+    pub demand: DemandMeter,
+    /// Counters and histograms.
+    pub metrics: FleetMetrics,
+    /// Requests that were read and not answered to the end.
+    pub in_flight: AtomicUsize,
+    /// Whether any caller's request has been seen, here or at a peer.
+    pub has_traffic: AtomicBool,
+    /// Wakes requests that wait for a place.
+    pub placed: Notify,
+    /// Wakes the exchange with other nodes when a target falls under suspicion.
+    pub suspected: Notify,
+    confirmed: AtomicU64,
+    phase: AtomicU8,
+}
+
+impl FleetShared {
+    /// Opens the state of a node that knows nothing yet.
+    pub fn open(
+        settings: FleetSettings,
+        incarnation: Incarnation,
+        platform: FleetPlatform,
+    ) -> Arc<Self> {
+        Arc::new(Self {
+            settings,
+            incarnation,
+            platform,
+            book: Snapshot::open(None),
+            directory: Snapshot::open(DirectoryView::default()),
+            table: Snapshot::open(TargetTable::default()),
+            gauges: GaugeBoard::default(),
+            peers: Snapshot::open(PeerBook::default()),
+            demand: DemandMeter::default(),
+            metrics: FleetMetrics::open(),
+            in_flight: AtomicUsize::new(0),
+            has_traffic: AtomicBool::new(false),
+            placed: Notify::new(),
+            suspected: Notify::new(),
+            confirmed: AtomicU64::new(0),
+            phase: AtomicU8::new(FleetPhase::Running as u8),
+        })
+    }
+
+    /// Returns how far the node is in its life.
+    pub fn phase(&self) -> FleetPhase {
+        match self.phase.load(Ordering::SeqCst) {
+            0 => FleetPhase::Running,
+            _ => FleetPhase::Leaving,
+        }
+    }
+
+    /// Moves the node on in its life.
+    pub fn enter(&self, phase: FleetPhase) {
+        self.phase.store(phase as u8, Ordering::SeqCst);
+    }
+
+    /// Notes that the configuration held was the newest when the store was asked at `asked`.
+    pub fn confirm_book(&self, asked: Moment) {
+        let millis = u64::try_from(asked.as_millis()).unwrap_or(u64::MAX);
+        self.confirmed.fetch_max(millis, Ordering::SeqCst);
+    }
+
+    /// Returns how long ago the configuration was last known to be the newest.
+    pub fn book_age(&self) -> Duration {
+        let confirmed = Duration::from_millis(self.confirmed.load(Ordering::SeqCst));
+        BootClock::now().saturating_sub(confirmed)
+    }
+
+    /// Returns whether callers' keys can be trusted.
+    ///
+    /// A key may have been taken away while this node could not be told. The age counts from before
+    /// the store was asked, on the clock that goes on during suspension, so that neither a slow
+    /// answer nor a frozen machine lengthens the time for which a removed key works.
+    pub fn trusts_keys(&self) -> bool {
+        let limit = self.settings.key_validity.mul_f64(KEY_MARGIN);
+        !self.settings.fails_closed || self.book_age() < limit
+    }
+
+    /// Returns whether the balancer may send callers here.
+    pub fn is_ready(&self) -> bool {
+        self.phase() == FleetPhase::Running
+            && self.book.read().is_some()
+            && self.directory.read().is_listed
+            && self.trusts_keys()
+    }
+
+    /// Rebuilds the table of targets from the directory and the configuration in force.
+    pub fn rebuild_table(&self) {
+        let book = self.book.load();
+        let Some(book) = book.as_ref() else {
+            return;
+        };
+        let directory = self.directory.load();
+        let targets = directory.book.targets();
+        let table = TargetTable::build(book, targets, &self.gauges);
+        self.table.publish(table);
+        self.gauges.retain(|id| targets.contains_key(id));
+        self.placed.notify_waiters();
+    }
+}
--- /dev/null
+++ b/crates/fleet/src/surface.rs
@@ -0,0 +1,183 @@
+//! The listener for callers: identifies, checks and matches requests.
+
+use std::sync::atomic::Ordering;
+use std::sync::Arc;
+
+use briarswitch_core::id::*;
+use briarswitch_core::traffic::{TrafficBook, TrafficRule};
+use briarswitch_http::{read_body, Body, BodyError, Handler, Request, Response};
+use briarswitch_kernel::BootClock;
+use bytes::Bytes;
+use futures::future::BoxFuture;
+use http::header::CONNECTION;
+use http::request::Parts;
+use http::{HeaderValue, StatusCode};
+use xxhash_rust::xxh3::xxh3_64;
+
+use crate::dispatch::{FleetDispatcher, RequestJob};
+use crate::ports::CallerAsk;
+use crate::refusal::OwnAnswer;
+use crate::shared::{FleetPhase, FleetShared};
+use crate::trace::{RequestEnd, RequestTrace};
+
+/// Takes callers' requests.
+pub struct CallerSurface {
+    shared: Arc<FleetShared>,
+    dispatcher: Arc<FleetDispatcher>,
+}
+
+impl CallerSurface {
+    /// Opens the surface.
+    pub fn open(shared: Arc<FleetShared>, dispatcher: Arc<FleetDispatcher>) -> Arc<Self> {
+        Arc::new(Self { shared, dispatcher })
+    }
+
+    async fn answer(&self, request: Request) -> Response {
+        let arrived = BootClock::now();
+        let (head, body) = request.into_parts();
+        let ask = self.shared.platform.dialect.ask(&head);
+        let mut trace = RequestTrace::open(&self.shared, &ask.attempt, arrived);
+        let accepted = self.accept(head, body, ask, &mut trace).await;
+        let mut response = match accepted {
+            Ok(job) => self.dispatcher.run(job, trace).await,
+            Err(answer) => {
+                trace.reason = answer.text;
+                trace.end(match answer.retry_after {
+                    Some(_) => RequestEnd::NotRun,
+                    None => RequestEnd::Rejected,
+                });
+                let mut response = answer.response();
+                let dialect = &self.shared.platform.dialect;
+                dialect.mark_own(response.headers_mut(), &trace.request);
+                response
+            }
+        };
+        if self.shared.phase() == FleetPhase::Leaving {
+            response
+                .headers_mut()
+                .insert(CONNECTION, HeaderValue::from_static("close"));
+        }
+        response
+    }
+
+    async fn accept(
+        &self,
+        head: Parts,
+        body: Body,
+        ask: CallerAsk,
+        trace: &mut RequestTrace,
+    ) -> Result<RequestJob, OwnAnswer> {
+        let book = self.shared.book.load();
+        let Some(known) = book.as_ref() else {
+            return Err(OwnAnswer::not_run("no configuration is known yet"));
+        };
+        trace.version = known.version;
+        let rule = self.match_rule(known, &ask, &head)?;
+        trace.rule.clone_from(&rule.name);
+        let holder = self.identify(known, rule, &ask)?;
+        let (organisation, priority) = match holder {
+            Some((organisation, priority)) => (Some(organisation), priority),
+            None => (None, None),
+        };
+        trace.organisation = organisation.clone().unwrap_or_default();
+        let bytes = self.read(known, &head, body).await?;
+        let draw = xxh3_64(ask.attempt.as_bytes()) as u32;
+        let service = rule.service(draw).cloned();
+        let service = service.ok_or_else(|| OwnAnswer::not_run("the rule names no service"))?;
+        trace.service.clone_from(&service);
+        let patience = ask
+            .patience
+            .map_or(rule.timeout, |own| own.min(rule.timeout));
+        if let Some(model) = &ask.model {
+            self.shared.demand.count(model, trace.arrived);
+        }
+        self.shared.has_traffic.store(true, Ordering::Relaxed);
+        let path = head.uri.path_and_query();
+        Ok(RequestJob {
+            path: path.map_or("/", |path| path.as_str()).to_owned(),
+            method: head.method,
+            headers: head.headers,
+            body: bytes,
+            priority: priority.unwrap_or(rule.priority),
+            rule: rule.clone(),
+            service,
+            organisation,
+            deadline: trace.arrived + patience,
+            ask,
+            book: Arc::clone(&book),
+        })
+    }
+
+    fn match_rule<'a>(
+        &self,
+        book: &'a TrafficBook,
+        ask: &CallerAsk,
+        head: &Parts,
+    ) -> Result<&'a TrafficRule, OwnAnswer> {
+        let rule = book.rule(&ask.host, head.uri.path());
+        rule.ok_or_else(|| self.reject(StatusCode::NOT_FOUND, "no rule takes this host and path"))
+    }
+
+    /// Rejects a request, unless the configuration that says so may be out of date.
+    fn reject(&self, status: StatusCode, text: &'static str) -> OwnAnswer {
+        if self.shared.trusts_keys() {
+            OwnAnswer::rejected(status, text)
+        } else {
+            OwnAnswer::not_run("the configuration may be out of date")
+        }
+    }
+
+    fn identify(
+        &self,
+        book: &TrafficBook,
+        rule: &TrafficRule,
+        ask: &CallerAsk,
+    ) -> Result<Option<(OrganisationId, Option<u8>)>, OwnAnswer> {
+        if book.keys.is_none() || rule.is_public {
+            return Ok(None);
+        }
+        if !self.shared.trusts_keys() {
+            return Err(OwnAnswer::not_run(
+                "nobody can say whether the key still holds",
+            ));
+        }
+        let holder = ask.key.as_deref().and_then(|key| book.holder(key));
+        let holder = holder
+            .ok_or_else(|| OwnAnswer::rejected(StatusCode::UNAUTHORIZED, "the key is not known"))?;
+        Ok(Some((holder.organisation.clone(), holder.priority)))
+    }
+
+    async fn read(&self, book: &TrafficBook, head: &Parts, body: Body) -> Result<Bytes, OwnAnswer> {
+        let limits = book.limits;
+        let sizes = head
+            .headers
+            .iter()
+            .map(|(name, value)| name.as_str().len() + value.len());
+        if sizes.sum::<usize>() > limits.header_bytes {
+            let status = StatusCode::REQUEST_HEADER_FIELDS_TOO_LARGE;
+            return Err(OwnAnswer::rejected(status, "the headers are too large"));
+        }
+        let reading = read_body(body, limits.body_bytes);
+        match tokio::time::timeout(limits.send_time, reading).await {
+            Ok(Ok(bytes)) => Ok(bytes),
+            Ok(Err(BodyError::TooLarge { .. })) => Err(OwnAnswer::rejected(
+                StatusCode::PAYLOAD_TOO_LARGE,
+                "the body is too large",
+            )),
+            Ok(Err(BodyError::Broken)) => Err(OwnAnswer::rejected(
+                StatusCode::BAD_REQUEST,
+                "the body ended too early",
+            )),
+            Err(_) => Err(OwnAnswer::rejected(
+                StatusCode::REQUEST_TIMEOUT,
+                "the body did not arrive in time",
+            )),
+        }
+    }
+}
+
+impl Handler for CallerSurface {
+    fn handle(&self, request: Request) -> BoxFuture<'_, Response> {
+        Box::pin(self.answer(request))
+    }
+}
--- /dev/null
+++ b/crates/fleet/src/table.rs
@@ -0,0 +1,150 @@
+//! Where requests may go, rebuilt when the directory or the configuration changes.
+
+use std::sync::Arc;
+
+use briarswitch_core::id::*;
+use briarswitch_core::target::{MembershipState, TargetRecord};
+use briarswitch_core::traffic::TrafficBook;
+use indexmap::IndexMap;
+
+use crate::gauge::{GaugeBoard, TargetGauge};
+
+/// One target that takes requests: a single one, or the first member of a whole group.
+#[derive(Clone, Debug)]
+pub struct RouteTarget {
+    /// Life that has to run the request.
+    pub id: TargetId,
+    /// Address of its listener.
+    pub address: String,
+    /// Zone.
+    pub zone: ZoneId,
+    /// Requests it works on at once.
+    pub slots: u32,
+    /// Group, and its members in order of rank.
+    pub group: Option<RouteGroup>,
+    /// Load and liveness.
+    pub gauge: Arc<TargetGauge>,
+}
+
+/// The group behind a target.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct RouteGroup {
+    /// Name.
+    pub id: GroupId,
+    /// Attempt at forming it.
+    pub epoch: Epoch,
+    /// Model.
+    pub model: ModelId,
+    /// Members in order of rank.
+    pub members: Vec<TargetId>,
+}
+
+/// Targets by service, and by model where a service's targets are engines.
+#[derive(Clone, Debug, Default)]
+pub struct TargetTable {
+    plain: IndexMap<ServiceId, Vec<Arc<RouteTarget>>>,
+    models: IndexMap<ServiceId, IndexMap<ModelId, Vec<Arc<RouteTarget>>>>,
+}
+
+impl TargetTable {
+    /// Builds the table.
+    pub fn build(
+        book: &TrafficBook,
+        targets: &IndexMap<TargetId, TargetRecord>,
+        gauges: &GaugeBoard,
+    ) -> Self {
+        let mut table = Self::default();
+        for service in book.services.values() {
+            let of_service = targets
+                .values()
+                .filter(|record| record.service == service.id);
+            match &service.engine {
+                None => {
+                    let open = of_service.filter(|record| !record.is_draining);
+                    let plain = open.map(|record| route(record, None, gauges)).collect();
+                    table.plain.insert(service.id.clone(), plain);
+                }
+                Some(engine) => {
+                    let records: Vec<&TargetRecord> = of_service.collect();
+                    let mut models: IndexMap<ModelId, Vec<Arc<RouteTarget>>> = IndexMap::new();
+                    for head in &records {
+                        let Some(group) = whole_group(head, &records, engine) else {
+                            continue;
+                        };
+                        let of_model = models.entry(group.model.clone()).or_default();
+                        of_model.push(route(head, Some(group), gauges));
+                    }
+                    table.models.insert(service.id.clone(), models);
+                }
+            }
+        }
+        table
+    }
+
+    /// Returns the single targets of a service.
+    pub fn plain(&self, service: &str) -> &[Arc<RouteTarget>] {
+        self.plain.get(service).map_or(&[], Vec::as_slice)
+    }
+
+    /// Returns the groups that serve a model.
+    pub fn groups(&self, service: &str, model: &str) -> &[Arc<RouteTarget>] {
+        let models = self.models.get(service);
+        models
+            .and_then(|models| models.get(model))
+            .map_or(&[], Vec::as_slice)
+    }
+
+    /// Returns all groups.
+    pub fn all_groups(&self) -> impl Iterator<Item = &Arc<RouteTarget>> {
+        self.models.values().flat_map(IndexMap::values).flatten()
+    }
+}
+
+fn route(
+    record: &TargetRecord,
+    group: Option<RouteGroup>,
+    gauges: &GaugeBoard,
+) -> Arc<RouteTarget> {
+    Arc::new(RouteTarget {
+        id: record.id.clone(),
+        address: record.address.clone(),
+        zone: record.zone.clone(),
+        slots: record.slots,
+        group,
+        gauge: gauges.of(&record.id),
+    })
+}
+
+/// Returns the group that a target heads, if every member is listed under its name and epoch.
+///
+/// An engine accepts requests while members are missing, and they then stall; the directory drops
+/// a member that died after some seconds, and this keeps requests away from then on.
+fn whole_group(
+    head: &TargetRecord,
+    records: &[&TargetRecord],
+    engine: &briarswitch_core::engine::EngineModel,
+) -> Option<RouteGroup> {
+    let held = head.membership.as_ref()?;
+    let is_open = held.rank == 0 && held.state == MembershipState::Open && !head.is_draining;
+    if !is_open {
+        return None;
+    }
+    let model = head.models.first()?;
+    let size = engine.models.get(model)?.size;
+    let mut members = vec![head.id.clone()];
+    for rank in 1..size {
+        let member = records.iter().find(|record| {
+            let other = record.membership.as_ref();
+            other.is_some_and(|other| {
+                other.rank == rank && other.group == held.group && other.epoch == held.epoch
+            })
+        })?;
+        members.push(member.id.clone());
+    }
+    Some(RouteGroup {
+        id: held.group.clone(),
+        epoch: held.epoch,
+        model: model.clone(),
+        members,
+    })
+}
--- /dev/null
+++ b/crates/fleet/src/trace.rs
@@ -0,0 +1,146 @@
+//! What is known of one request, told in one line when it is over.
+
+use std::sync::atomic::Ordering;
+use std::sync::Arc;
+use std::time::Duration;
+
+use briarswitch_core::id::*;
+use briarswitch_kernel::BootClock;
+
+use crate::metrics::RequestLabels;
+use crate::shared::FleetShared;
+
+/// How a request ended.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum RequestEnd {
+    /// The caller got a target's whole answer.
+    Answered,
+    /// The caller got a failure that a target made.
+    Failed,
+    /// No target ran it, and the caller was told so.
+    NotRun,
+    /// It may have run; the caller got no whole answer.
+    Unknown,
+    /// It was wrong or not allowed.
+    Rejected,
+    /// The caller went away first.
+    CallerLeft,
+}
+
+impl RequestEnd {
+    /// Returns the name used in logs and metrics.
+    pub fn name(self) -> &'static str {
+        match self {
+            Self::Answered => "answered",
+            Self::Failed => "failed",
+            Self::NotRun => "not_run",
+            Self::Unknown => "unknown",
+            Self::Rejected => "rejected",
+            Self::CallerLeft => "caller_left",
+        }
+    }
+}
+
+/// One request from its arrival to its end.
+pub struct RequestTrace {
+    shared: Arc<FleetShared>,
+    /// Id that the caller gave the attempt.
+    pub request: RequestId,
+    /// When its head was read.
+    pub arrived: Moment,
+    /// Organisation.
+    pub organisation: OrganisationId,
+    /// Rule that matched.
+    pub rule: String,
+    /// Configuration that the rule is from.
+    pub version: ConfigVersion,
+    /// Service.
+    pub service: ServiceId,
+    /// Target of the last attempt.
+    pub target: TargetId,
+    /// Group of the last attempt.
+    pub group: GroupId,
+    /// Attempts sent.
+    pub sent: u32,
+    /// Why the last attempt or the request failed.
+    pub reason: &'static str,
+    /// Time to the first event.
+    pub first: Option<Duration>,
+    /// Longest pause between events.
+    pub pause: Duration,
+    /// Events delivered.
+    pub events: u64,
+    end: Option<RequestEnd>,
+}
+
+impl RequestTrace {
+    /// Begins a request.
+    pub fn open(shared: &Arc<FleetShared>, request: &str, arrived: Moment) -> Self {
+        shared.in_flight.fetch_add(1, Ordering::SeqCst);
+        Self {
+            shared: Arc::clone(shared),
+            request: request.to_owned(),
+            arrived,
+            organisation: OrganisationId::new(),
+            rule: String::new(),
+            version: 0,
+            service: ServiceId::new(),
+            target: TargetId::new(),
+            group: GroupId::new(),
+            sent: 0,
+            reason: "",
+            first: None,
+            pause: Duration::ZERO,
+            events: 0,
+            end: None,
+        }
+    }
+
+    /// Notes how the request ended.
+    pub fn end(&mut self, end: RequestEnd) {
+        self.end.get_or_insert(end);
+    }
+
+    /// Notes that the first event went to the caller.
+    pub fn note_first(&mut self) {
+        if self.first.is_none() {
+            let latency = BootClock::now().saturating_sub(self.arrived);
+            self.first = Some(latency);
+            self.shared
+                .metrics
+                .record_first_event(&self.service, latency);
+        }
+    }
+}
+
+impl Drop for RequestTrace {
+    fn drop(&mut self) {
+        self.shared.in_flight.fetch_sub(1, Ordering::SeqCst);
+        let end = self.end.unwrap_or(RequestEnd::CallerLeft);
+        let latency = BootClock::now().saturating_sub(self.arrived);
+        let labels = RequestLabels {
+            organisation: &self.organisation,
+            service: &self.service,
+            outcome: end.name(),
+        };
+        self.shared.metrics.count_request(labels, latency);
+        log::info!(
+            request = self.request.as_str(),
+            organisation = self.organisation.as_str(),
+            rule = self.rule.as_str(),
+            config = self.version,
+            config_age_ms = self.shared.book_age().as_millis() as u64,
+            service = self.service.as_str(),
+            target_id = self.target.as_str(),
+            group = self.group.as_str(),
+            outcome = end.name(),
+            reason = self.reason,
+            sent = self.sent,
+            events = self.events,
+            first_ms = self.first.map_or(0, |first| first.as_millis() as u64),
+            pause_ms = self.pause.as_millis() as u64,
+            ms = latency.as_millis() as u64;
+            "request_ended"
+        );
+    }
+}
--- /dev/null
+++ b/crates/fleet/src/tracker.rs
@@ -0,0 +1,240 @@
+//! What a controller knows of each target: its last report, its orders, and whether it answers.
+
+use std::time::Duration;
+
+use briarswitch_core::assembly::{OrderResult, TargetFacts, TargetOrder, TargetStanding};
+use briarswitch_core::engine::EngineModel;
+use briarswitch_core::id::*;
+use briarswitch_core::target::{MembershipState, TargetRecord};
+use indexmap::IndexMap;
+
+use crate::ports::{ReportError, TargetReport};
+
+/// Time between two questions to a target about which nothing is in doubt.
+const IDLE_INTERVAL: Duration = Duration::from_millis(2_500);
+/// Time between questions to a target that is joining, once its expected time is over.
+const JOINING_INTERVAL: Duration = Duration::from_millis(250);
+/// Least time between two questions to one target.
+const LEAST_INTERVAL: Duration = Duration::from_millis(80);
+/// Questions in a row without an answer after which a target counts as silent.
+const SILENT_AFTER: u32 = 2;
+/// Time to join again for the model of the last group, and a little more.
+const REJOIN_CHECK: Duration = Duration::from_millis(220);
+/// Time that is added to an expected one before it is checked.
+const CHECK_SLACK: Duration = Duration::from_millis(30);
+
+/// One target.
+#[derive(Clone, Debug)]
+pub struct TrackedTarget {
+    /// The directory's entry.
+    pub record: TargetRecord,
+    /// What the planner is told.
+    pub facts: TargetFacts,
+    /// Whether it has answered or is known to be silent.
+    pub is_resolved: bool,
+    failures: u32,
+    is_asked: bool,
+    next: Moment,
+    last: Moment,
+    joining_since: Option<Moment>,
+}
+
+impl TrackedTarget {
+    fn open(record: TargetRecord, now: Moment) -> Self {
+        Self {
+            facts: TargetFacts {
+                standing: TargetStanding::Live,
+                membership: None,
+                model: None,
+                staged: record.staged.clone(),
+                sequence: 0,
+                is_busy: false,
+                epoch_seen: 0,
+            },
+            record,
+            is_resolved: false,
+            failures: 0,
+            is_asked: false,
+            next: now,
+            last: Moment::ZERO,
+            joining_since: None,
+        }
+    }
+
+    fn hasten(&mut self, at: Moment) {
+        let at = at.max(self.last + LEAST_INTERVAL);
+        self.next = self.next.min(at);
+    }
+
+    fn standing(&self) -> TargetStanding {
+        if self.failures >= SILENT_AFTER {
+            TargetStanding::Silent
+        } else if self.record.is_draining {
+            TargetStanding::Draining
+        } else {
+            TargetStanding::Live
+        }
+    }
+}
+
+/// All targets of the domains that a controller is responsible for.
+#[derive(Clone, Debug, Default)]
+pub struct TargetTracker {
+    targets: IndexMap<TargetId, TrackedTarget>,
+}
+
+impl TargetTracker {
+    /// Returns the targets by id.
+    pub fn targets(&self) -> &IndexMap<TargetId, TrackedTarget> {
+        &self.targets
+    }
+
+    /// Takes in the directory's entries.
+    ///
+    /// An entry that disagrees with the last report only hastens the next question: entries are
+    /// older than reports, and a condition must rest on what the target itself said.
+    pub fn sync<'a>(&mut self, records: impl Iterator<Item = &'a TargetRecord>, now: Moment) {
+        let mut listed = Vec::new();
+        for record in records {
+            listed.push(record.id.clone());
+            let tracked = self
+                .targets
+                .entry(record.id.clone())
+                .or_insert_with(|| TrackedTarget::open(record.clone(), now));
+            let is_news = tracked.record != *record;
+            if is_news {
+                tracked.record = record.clone();
+                let differs = tracked.facts.membership != record.membership
+                    || tracked.facts.staged != record.staged;
+                if differs {
+                    tracked.hasten(now);
+                }
+            }
+            tracked.facts.standing = tracked.standing();
+        }
+        self.targets.retain(|id, _| listed.contains(id));
+    }
+
+    /// Returns the targets to ask now, and marks them as asked.
+    pub fn due(&mut self, now: Moment) -> Vec<(TargetId, String)> {
+        let due = self
+            .targets
+            .iter_mut()
+            .filter(|(_, tracked)| !tracked.is_asked && now >= tracked.next);
+        due.map(|(id, tracked)| {
+            tracked.is_asked = true;
+            tracked.last = now;
+            (id.clone(), tracked.record.address.clone())
+        })
+        .collect()
+    }
+
+    /// Has a target asked at once.
+    pub fn hasten(&mut self, target: &str, now: Moment) {
+        if let Some(tracked) = self.targets.get_mut(target) {
+            tracked.hasten(now);
+        }
+    }
+
+    /// Takes in a report, or that there was none; returns whether the target fell silent by it.
+    ///
+    /// A question whose own timer ran late proves nothing and is asked again.
+    pub fn note_report(
+        &mut self,
+        target: &str,
+        report: Result<TargetReport, ReportError>,
+        is_late: bool,
+        engine: &EngineModel,
+        now: Moment,
+    ) -> bool {
+        let Some(tracked) = self.targets.get_mut(target) else {
+            return false;
+        };
+        tracked.is_asked = false;
+        let before = tracked.standing();
+        match report {
+            Ok(report) => {
+                tracked.failures = 0;
+                tracked.is_resolved = true;
+                tracked.take(report);
+                tracked.next = tracked.next_question(engine, now);
+            }
+            Err(_) if is_late => tracked.next = now + LEAST_INTERVAL,
+            Err(_) => {
+                tracked.failures += 1;
+                if tracked.failures >= SILENT_AFTER {
+                    tracked.is_resolved = true;
+                    tracked.next = now + JOINING_INTERVAL * 2;
+                } else {
+                    tracked.next = now;
+                }
+            }
+        }
+        tracked.facts.standing = tracked.standing();
+        before != TargetStanding::Silent && tracked.facts.standing == TargetStanding::Silent
+    }
+
+    /// Takes in what became of an order.
+    pub fn note_order(&mut self, order: &TargetOrder, result: OrderResult, now: Moment) {
+        let Some(tracked) = self.targets.get_mut(&order.target) else {
+            return;
+        };
+        if result != OrderResult::Begun {
+            tracked.hasten(now);
+            return;
+        }
+        let facts = &mut tracked.facts;
+        facts.sequence = facts.sequence.max(order.expected + 1);
+        let effect = order
+            .action
+            .effect(&order.target, facts.membership.as_ref());
+        if let briarswitch_core::assembly::TargetAction::Join { model, epoch, .. } = &order.action {
+            facts.model = Some(model.clone());
+            facts.epoch_seen = facts.epoch_seen.max(*epoch);
+            tracked.joining_since = Some(now);
+            tracked.next = now + REJOIN_CHECK;
+        }
+        facts.membership = effect;
+        if facts.membership.is_none() {
+            facts.model = None;
+        }
+    }
+}
+
+impl TrackedTarget {
+    fn take(&mut self, report: TargetReport) {
+        let facts = &mut self.facts;
+        // Reports may be a little old; what an acknowledged order told is not forgotten.
+        if report.sequence < facts.sequence {
+            return;
+        }
+        if let Some(held) = &report.membership {
+            facts.epoch_seen = facts.epoch_seen.max(held.epoch);
+        }
+        facts.membership = report.membership;
+        facts.model = report.model;
+        facts.staged = report.staged;
+        facts.sequence = report.sequence;
+        facts.is_busy = report.is_busy;
+    }
+
+    fn next_question(&mut self, engine: &EngineModel, now: Moment) -> Moment {
+        let is_joining = self
+            .facts
+            .membership
+            .as_ref()
+            .is_some_and(|held| held.state == MembershipState::Joining);
+        if !is_joining {
+            self.joining_since = None;
+            return now + IDLE_INTERVAL;
+        }
+        let since = *self.joining_since.get_or_insert(now);
+        let model = self.facts.model.as_ref();
+        let model = model.and_then(|id| engine.models.get(id));
+        let expected = model.map(|model| since + model.warmup + CHECK_SLACK);
+        match expected {
+            Some(at) if now < at => at,
+            _ => now + JOINING_INTERVAL,
+        }
+    }
+}
--- a/crates/http/src/target.rs
+++ b/crates/http/src/target.rs
@@ -11,6 +11,8 @@
 use hyper_util::rt::TokioIo;
 use tokio::net::TcpStream;
 
+use crate::reply::{read_body, BodyError};
+
 /// A target's address in one of its lives.
 ///
 /// The life is part of the key so that a connection to a machine that was replaced under the same
@@ -203,6 +205,17 @@
         }
     }
 
+    /// Reads the rest of the body; the connection is kept if it ends cleanly.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`BodyError`] when the body is larger than `limit` or ends too early.
+    pub async fn read_whole(mut self, limit: usize) -> Result<Bytes, BodyError> {
+        let bytes = read_body(&mut self.incoming, limit).await?;
+        self.give_back();
+        Ok(bytes)
+    }
+
     fn give_back(&mut self) {
         let Some(mut sender) = self.sender.take() else {
             return;
--- a/crates/node/src/attempt.rs
+++ b/crates/node/src/attempt.rs
@@ -9,7 +9,7 @@
     ATTEMPT_HEADER, GROUP_HEADER, LEAVING_HEADER, NOT_RUN_HEADER, PRIORITY_HEADER, RESUME_HEADER,
     TIMEOUT_HEADER,
 };
-use bytes::{Bytes, BytesMut};
+use bytes::Bytes;
 use http::{HeaderMap, HeaderValue, Method, Uri};
 
 use crate::routes::Target;
@@ -138,33 +138,12 @@
 /// [`FailurePoint::AnswerDeadline`] when it is not whole in time.
 pub async fn read_whole(body: TargetBody, deadline: Moment) -> Result<Bytes, FailurePoint> {
     let left = deadline.saturating_sub(BootClock::now());
-    match tokio::time::timeout(left, read_to_end(body)).await {
-        Ok(result) => result,
+    match tokio::time::timeout(left, body.read_whole(ANSWER_LIMIT)).await {
+        Ok(result) => result.map_err(|_| FailurePoint::Truncated),
         Err(_) => Err(FailurePoint::AnswerDeadline),
     }
 }
 
-async fn read_to_end(mut body: TargetBody) -> Result<Bytes, FailurePoint> {
-    let Some(first) = body.next().await.map_err(|_| FailurePoint::Truncated)? else {
-        return Ok(Bytes::new());
-    };
-    let mut rest = BytesMut::new();
-    while let Some(piece) = body.next().await.map_err(|_| FailurePoint::Truncated)? {
-        if rest.is_empty() {
-            rest.extend_from_slice(&first);
-        }
-        if rest.len() + piece.len() > ANSWER_LIMIT {
-            return Err(FailurePoint::Truncated);
-        }
-        rest.extend_from_slice(&piece);
-    }
-    Ok(if rest.is_empty() {
-        first
-    } else {
-        rest.freeze()
-    })
-}
-
 fn build_request(
     ask: &TargetAsk,
     target: &Target,
--- a/crates/node/src/cli.rs
+++ b/crates/node/src/cli.rs
@@ -4,6 +4,7 @@
 use std::fs;
 
 use briarswitch_core::prelude::*;
+use briarswitch_fleet::FleetSettings;
 use gumdrop::Options;
 
 use crate::fields::{FieldDefault, FIELDS};
@@ -28,6 +29,16 @@
     /// Checks a settings file and ends.
     #[options(help = "only check a settings file", meta = "FILE")]
     pub check: Option<String>,
+    /// Settings file of a node that serves a fleet.
+    #[options(
+        no_short,
+        help = "serve a fleet, with settings from a JSON file",
+        meta = "FILE"
+    )]
+    pub fleet: Option<String>,
+    /// Whether a fleet's settings are only checked.
+    #[options(no_short, help = "with --fleet: only check the settings")]
+    pub dry_run: bool,
     /// Settings given on the command line.
     #[options(help = "set one setting; may be repeated", meta = "PATH=VALUE")]
     pub set: Vec<String>,
@@ -41,6 +52,8 @@
 pub enum Startup {
     /// Run a node.
     Run(Box<NodeSettings>),
+    /// Run a node that serves a fleet.
+    RunFleet(Box<FleetSettings>),
     /// Print a text and end well.
     Print(String),
     /// Print findings and end badly.
@@ -60,6 +73,9 @@
         if self.list_settings {
             return Startup::Print(settings_table());
         }
+        if let Some(name) = &self.fleet {
+            return self.fleet_startup(name);
+        }
         let is_check = self.check.is_some();
         match self.load() {
             Ok(_) if is_check => Startup::Print("settings are valid".to_owned()),
@@ -68,6 +84,21 @@
         }
     }
 
+    fn fleet_startup(&self, name: &str) -> Startup {
+        let text = match fs::read_to_string(name) {
+            Ok(text) => text,
+            Err(error) => {
+                let finding = Finding::new(name, format!("can not be read: {error}"));
+                return Startup::Refuse(vec![finding]);
+            }
+        };
+        match FleetSettings::parse(name, &text) {
+            Ok(_) if self.dry_run => Startup::Print("settings are valid".to_owned()),
+            Ok(settings) => Startup::RunFleet(Box::new(settings)),
+            Err(findings) => Startup::Refuse(findings),
+        }
+    }
+
     fn load(&self) -> Result<NodeSettings, Vec<Finding>> {
         let mut layers = SettingsLayers::open();
         let mut unread = Vec::new();
--- a/crates/node/src/logging.rs
+++ b/crates/node/src/logging.rs
@@ -1,10 +1,13 @@
 //! Logs: one line of key=value pairs for each event.
 
 use std::fmt::Write as _;
+use std::io::Write;
 
 use log::kv::{Key, Value, VisitSource};
 use log::{LevelFilter, Record};
 
+use crate::pipe::LogPipe;
+
 /// Appends pairs to a line, quoting values that need it.
 struct PairWriter<'a> {
     line: &'a mut String,
@@ -29,7 +32,7 @@
         .level(LevelFilter::Trace)
         .level_for("tracing", LevelFilter::Warn)
         .filter(|metadata| metadata.target().starts_with("briarswitch"))
-        .chain(std::io::stderr())
+        .chain(Box::new(LogPipe::spawn(std::io::stdout())) as Box<dyn Write + Send>)
         .apply()?;
     log::set_max_level(level);
     Ok(())
--- a/crates/node/src/main.rs
+++ b/crates/node/src/main.rs
@@ -1,16 +1,21 @@
 //! The briarswitch daemon.
 
+use std::future::Future;
 use std::process::ExitCode;
 
-use briarswitch_node::logging;
-use briarswitch_node::{Node, NodeOptions, NodeSettings, Startup};
+use briarswitch_fleet::{FleetNode, FleetSettings};
+use briarswitch_node::pipe::GATHER;
+use briarswitch_node::signals::NodeSignals;
+use briarswitch_node::{logging, Node, NodeOptions, NodeSettings, StartError, Startup};
 use gumdrop::Options;
-use tokio::signal::unix::{signal, SignalKind};
+use log::LevelFilter;
 
 /// Exit code for settings that are not valid.
 const BAD_SETTINGS: u8 = 2;
 /// Exit code for a node that could not start.
 const NO_START: u8 = 1;
+/// Threads that carry a fleet's traffic; its machines have one core.
+const FLEET_THREADS: usize = 1;
 
 fn main() -> ExitCode {
     let options = NodeOptions::parse_args_default_or_exit();
@@ -25,21 +30,41 @@
             }
             ExitCode::from(BAD_SETTINGS)
         }
-        Startup::Run(settings) => run(*settings),
+        Startup::Run(settings) => run(
+            settings.log_level,
+            &settings.node.clone(),
+            settings.traffic_threads,
+            serve(*settings),
+        ),
+        Startup::RunFleet(settings) => run(
+            settings.log_level,
+            &settings.node.clone(),
+            FLEET_THREADS,
+            serve_fleet(*settings),
+        ),
     }
 }
 
-fn run(settings: NodeSettings) -> ExitCode {
-    if let Err(error) = logging::start(settings.log_level, &settings.node) {
-        eprintln!("{error}");
-        return ExitCode::from(NO_START);
-    }
+fn run(
+    level: LevelFilter,
+    node: &str,
+    threads: usize,
+    work: impl Future<Output = Result<(), StartError>>,
+) -> ExitCode {
+    let begun = logging::start(level, node).map_err(StartError::from);
     let runtime = tokio::runtime::Builder::new_multi_thread()
-        .worker_threads(settings.traffic_threads)
+        .worker_threads(threads)
         .enable_all()
         .build();
-    match runtime {
-        Ok(runtime) => runtime.block_on(serve(settings)),
+    let done = match (begun, runtime) {
+        (Ok(()), Ok(runtime)) => runtime.block_on(work),
+        (Err(error), _) => Err(error),
+        (_, Err(error)) => Err(error.into()),
+    };
+    // The last lines are still on their way to the output.
+    std::thread::sleep(GATHER * 2);
+    match done {
+        Ok(()) => ExitCode::SUCCESS,
         Err(error) => {
             eprintln!("{error}");
             ExitCode::from(NO_START)
@@ -47,26 +72,19 @@
     }
 }
 
-async fn serve(settings: NodeSettings) -> ExitCode {
-    let signals = (
-        signal(SignalKind::terminate()),
-        signal(SignalKind::interrupt()),
-    );
-    let (Ok(mut terminate), Ok(mut interrupt)) = signals else {
-        eprintln!("signals can not be received");
-        return ExitCode::from(NO_START);
-    };
-    let node = match Node::spawn(settings).await {
-        Ok(node) => node,
-        Err(error) => {
-            eprintln!("{error}");
-            return ExitCode::from(NO_START);
-        }
-    };
-    tokio::select! {
-        _ = terminate.recv() => {}
-        _ = interrupt.recv() => {}
-    }
+async fn serve(settings: NodeSettings) -> Result<(), StartError> {
+    let mut signals = NodeSignals::open()?;
+    let node = Node::spawn(settings).await?;
+    signals.end().await;
+    node.shutdown().await;
+    Ok(())
+}
+
+async fn serve_fleet(settings: FleetSettings) -> Result<(), StartError> {
+    let mut signals = NodeSignals::open()?;
+    let platform = briarswitch_adapter::open(&settings.store, settings.stall);
+    let node = FleetNode::spawn(settings, platform).await?;
+    signals.end().await;
     node.shutdown().await;
-    ExitCode::SUCCESS
+    Ok(())
 }
