Do not order a target to stage again while it stages

Cause: an accepted order to stage left the target looking idle, so each round sent it again; a second acceptance that the target did not count made the next condition wrong for good. Ruled out: conflicts between nodes; all refused orders came from one node each. Change: an accepted order marks the target busy until it reports; a lower count in a report is believed once the report can not be older than the last order.

--- a/crates/fleet/src/tracker.rs
+++ b/crates/fleet/src/tracker.rs
@@ -37,6 +37,7 @@
     next: Moment,
     last: Moment,
     joining_since: Option<Moment>,
+    acknowledged: Moment,
 }
 
 impl TrackedTarget {
@@ -58,6 +59,7 @@
             next: now,
             last: Moment::ZERO,
             joining_since: None,
+            acknowledged: Moment::ZERO,
         }
     }
 
@@ -156,7 +158,7 @@
             Ok(report) => {
                 tracked.failures = 0;
                 tracked.is_resolved = true;
-                tracked.take(report);
+                tracked.take(report, engine.report_lag, now);
                 tracked.next = tracked.next_question(engine, now);
             }
             Err(_) if is_late => tracked.next = now + LEAST_INTERVAL,
@@ -185,6 +187,8 @@
         }
         let facts = &mut tracked.facts;
         facts.sequence = facts.sequence.max(order.expected + 1);
+        facts.is_busy = true;
+        tracked.acknowledged = now;
         let effect = order
             .action
             .effect(&order.target, facts.membership.as_ref());
@@ -202,10 +206,14 @@
 }
 
 impl TrackedTarget {
-    fn take(&mut self, report: TargetReport) {
+    /// Takes a report over, unless it is older than the last order that was acknowledged.
+    ///
+    /// Reports lag. For a moment after an order one may show the count before it; an order on that
+    /// condition would be refused for nothing. Later the report is right, whatever was believed.
+    fn take(&mut self, report: TargetReport, lag: Duration, now: Moment) {
         let facts = &mut self.facts;
-        // Reports may be a little old; what an acknowledged order told is not forgotten.
-        if report.sequence < facts.sequence {
+        let is_recent = now < self.acknowledged + lag * 2;
+        if is_recent && report.sequence < facts.sequence {
             return;
         }
         if let Some(held) = &report.membership {
