Weigh supply and demand of models in groups, and wait for the whole list

Cause: groups were formed from the first targets listed, so ten of thirteen were of the model that needs three targets, and requests of the other were refused from the first second. Change: demand is the sum of the time for which requests occupy a group, supply the number of groups; no group is formed at the first start before the list has been the same for 0.7 s; a node sends a group only its share of the places that others can not know to be taken.

--- a/crates/core/src/assembly.rs
+++ b/crates/core/src/assembly.rs
@@ -134,9 +134,9 @@
     pub targets: &'a IndexMap<TargetId, TargetFacts>,
     /// Speeds and models.
     pub engine: &'a EngineModel,
-    /// Requests a second that groups elsewhere can finish, by model.
+    /// Groups elsewhere, by model.
     pub supply: &'a IndexMap<ModelId, f64>,
-    /// Requests a second that callers ask for, by model.
+    /// Groups that callers would fill, by model.
     pub demand: &'a IndexMap<ModelId, f64>,
     /// Loads from the weight store that may begin now.
     pub load_budget: usize,
@@ -233,9 +233,7 @@
         while let Some(candidate) = self.best(&free, &view, &supply, budget) {
             budget -= candidate.loads;
             free.retain(|id| !candidate.members.contains(id));
-            if let Some(model) = view.engine.models.get(&candidate.model) {
-                *supply.entry(model.id.clone()).or_insert(0.0) += view.engine.group_rate(model);
-            }
+            *supply.entry(candidate.model.clone()).or_insert(0.0) += 1.0;
             orders.extend(self.form(candidate, &view));
         }
         orders.extend(self.stage(&free, &groups, &view, budget));
@@ -456,13 +454,8 @@
     ) -> IndexMap<ModelId, f64> {
         let mut supply = view.supply.clone();
         for (group, seen) in groups {
-            let model = seen
-                .model
-                .as_ref()
-                .and_then(|id| view.engine.models.get(id));
-            if let (Some(model), false) = (model, self.released.contains(group)) {
-                let rate = view.engine.group_rate(model);
-                *supply.entry(model.id.clone()).or_insert(0.0) += rate;
+            if let (Some(model), false) = (&seen.model, self.released.contains(group)) {
+                *supply.entry(model.clone()).or_insert(0.0) += 1.0;
             }
         }
         supply
@@ -504,7 +497,6 @@
             .iter()
             .filter(|(time, _)| *time >= model.load_time)
             .count();
-        let rate = view.engine.group_rate(model);
         let supply = supply.get(&model.id).copied().unwrap_or(0.0);
         let demand = view.demand.get(&model.id).copied().unwrap_or(model.share);
         let wait = slowest + view.engine.open_time + CHOICE_OFFSET;
@@ -512,7 +504,7 @@
             model: model.id.clone(),
             members: ranked.into_iter().map(|(_, id)| id.clone()).collect(),
             loads,
-            score: demand / (supply + rate) / wait.as_secs_f64(),
+            score: demand / (supply + 1.0) / wait.as_secs_f64(),
         })
     }
 
@@ -669,18 +661,17 @@
                 .values()
                 .filter(|model| model.size > 0 && model.size <= left);
             let worth = |model: &ModelSpec| {
-                let rate = engine.group_rate(model);
                 let supply = supply.get(&model.id).copied().unwrap_or(0.0);
                 let demand = demand.get(&model.id).copied().unwrap_or(model.share);
                 let wait = model.load_time + engine.open_time + CHOICE_OFFSET;
-                demand / (supply + rate) / wait.as_secs_f64()
+                demand / (supply + 1.0) / wait.as_secs_f64()
             };
             let best = fitting.max_by(|left, right| worth(left).total_cmp(&worth(right)));
             let Some(model) = best else {
                 break;
             };
             left -= model.size;
-            *supply.entry(model.id.clone()).or_insert(0.0) += engine.group_rate(model);
+            *supply.entry(model.id.clone()).or_insert(0.0) += 1.0;
         }
     }
     supply
--- a/crates/core/src/engine.rs
+++ b/crates/core/src/engine.rs
@@ -7,7 +7,7 @@
 use crate::id::{ModelId, ZoneId};
 
 /// One model that an engine's targets can be joined to serve.
-#[derive(Clone, Debug, PartialEq)]
+#[derive(Clone, Debug, Default, PartialEq)]
 pub struct ModelSpec {
     /// Name.
     pub id: ModelId,
@@ -24,7 +24,7 @@
 }
 
 /// Speeds and limits of one service's engines.
-#[derive(Clone, Debug, PartialEq)]
+#[derive(Clone, Debug, Default, PartialEq)]
 pub struct EngineModel {
     /// Requests a group works on at once.
     pub slots: u32,
@@ -76,17 +76,34 @@
         step.mul_f64(f64::from(self.stride) * model.pace)
     }
 
-    /// Returns the requests a group can finish in a second with every slot taken.
-    pub fn group_rate(&self, model: &ModelSpec) -> f64 {
-        let step = self.step + self.step_per_request * self.slots;
-        let write = step.mul_f64(self.usual_answer * model.pace);
-        let read = self.usual_prompt / self.read_per_second * model.pace;
-        let slots = f64::from(self.slots);
-        slots / (write.as_secs_f64() + read * slots)
+    /// Returns the time for which a request occupies a whole group that has every slot taken.
+    ///
+    /// The sum over a second's requests is the number of groups that the demand fills.
+    ///
+    /// ```
+    /// use std::time::Duration;
+    ///
+    /// use briarswitch_core::engine::{EngineModel, ModelSpec};
+    ///
+    /// let model = ModelSpec { size: 4, pace: 1.0, ..ModelSpec::default() };
+    /// let engine = EngineModel {
+    ///     slots: 10,
+    ///     step: Duration::from_millis(5),
+    ///     read_per_second: 1000.0,
+    ///     ..EngineModel::default()
+    /// };
+    /// assert_eq!(engine.work_time(&model, 100, 20), Duration::from_millis(110));
+    /// ```
+    pub fn work_time(&self, model: &ModelSpec, prompt: u64, answer: u64) -> Duration {
+        let slots = self.slots.max(1);
+        let step = self.step + self.step_per_request * slots;
+        let write = step.mul_f64(answer as f64 * model.pace / f64::from(slots));
+        self.read_time(model, prompt) + write
     }
 
     /// Returns the time to read a prompt of `tokens` with nothing else to do.
     pub fn read_time(&self, model: &ModelSpec, tokens: u64) -> Duration {
-        Duration::from_secs_f64(tokens as f64 / self.read_per_second * model.pace)
+        let seconds = tokens as f64 / self.read_per_second.max(1.0) * model.pace;
+        Duration::from_secs_f64(seconds)
     }
 }
--- a/crates/core/src/placement.rs
+++ b/crates/core/src/placement.rs
@@ -17,6 +17,10 @@
 pub struct GroupLoad {
     /// Requests at work there, this node's own and those other nodes told of.
     pub writers: u32,
+    /// Requests of this node that other nodes can not know of yet.
+    pub fresh: u32,
+    /// Nodes that choose among the same groups.
+    pub nodes: u32,
     /// Prompt tokens sent there of which no event has come yet.
     pub unread_tokens: u64,
     /// One-way delay to the group.
@@ -38,6 +42,17 @@
     work.mul_f64(load.slowness.max(1.0)) + load.delay * 2
 }
 
+/// Returns whether a group has a free place, as far as this node may count on it.
+///
+/// All nodes see a group that has just opened as empty. Without a share for each they fill it several
+/// times over before they hear of each other's requests, and every one of those is late.
+pub fn has_room(engine: &EngineModel, load: &GroupLoad) -> bool {
+    let others_see = load.writers.saturating_sub(load.fresh);
+    let free = engine.slots.saturating_sub(others_see);
+    let share = free / load.nodes.max(1) + 1;
+    load.writers < engine.slots && load.fresh < share
+}
+
 /// Returns the index of the group to use, or `None` when every one is full.
 ///
 /// `draw` breaks ties.
@@ -51,7 +66,7 @@
     let times: Vec<(usize, Duration)> = loads
         .iter()
         .enumerate()
-        .filter(|(_, load)| load.writers < engine.slots)
+        .filter(|(_, load)| has_room(engine, load))
         .map(|(index, load)| (index, first_event(engine, model, load, prompt)))
         .collect();
     let best = times.iter().map(|(_, time)| *time).min()?;
--- a/crates/core/src/retry.rs
+++ b/crates/core/src/retry.rs
@@ -47,6 +47,11 @@
         self.balance = (self.balance + self.permille).min(self.ceiling);
     }
 
+    /// Returns whether a retry could be taken now.
+    pub fn has_any(&self) -> bool {
+        self.balance >= RETRY_COST
+    }
+
     /// Takes one retry if there is one.
     ///
     /// ```
--- a/crates/fleet/src/controller.rs
+++ b/crates/fleet/src/controller.rs
@@ -16,7 +16,6 @@
 use serde_json::{json, Value};
 use xxhash_rust::xxh3::xxh3_64;
 
-use crate::peers::PEER_SILENCE;
 use crate::ports::{ReportError, TargetReport};
 use crate::shared::FleetShared;
 use crate::tracker::TargetTracker;
@@ -25,6 +24,11 @@
 const ROUND: Duration = Duration::from_millis(50);
 /// Time after the start in which nodes find each other before any of them gives an order.
 const SETTLE_TIME: Duration = Duration::from_millis(900);
+/// Time without a new target after which the directory counts as complete at the first start.
+///
+/// Targets register one after the other; groups formed from the first few would be of whichever
+/// model needs the fewest.
+const LISTING_TIME: Duration = Duration::from_millis(700);
 /// Time to wait for a report; a healthy target answers in a few milliseconds.
 const REPORT_TIME: Duration = Duration::from_millis(160);
 /// Lateness of the node's own timer beyond which a missing report proves nothing.
@@ -48,6 +52,7 @@
     loads: IndexMap<TargetId, ModelId>,
     suspected: IndexSet<TargetId>,
     started: Moment,
+    listed: (usize, Moment),
 }
 
 /// Message to [`GroupController`].
@@ -84,6 +89,7 @@
             loads: IndexMap::new(),
             suspected: IndexSet::new(),
             started: BootClock::now(),
+            listed: (0, BootClock::now()),
         }
     }
 
@@ -133,12 +139,23 @@
         for (target, address) in self.tracker.due(now) {
             self.ask(target, address, link);
         }
+        if !self.is_listing_done(records.len(), now) {
+            return;
+        }
         let demand = self.demand(now);
         for domain in own {
             self.plan(&domain, engine, records, &demand, now, link);
         }
     }
 
+    fn is_listing_done(&mut self, count: usize, now: Moment) -> bool {
+        if count != self.listed.0 {
+            self.listed = (count, now);
+        }
+        let has_traffic = self.shared.has_traffic.load(Ordering::Relaxed);
+        has_traffic || now >= self.listed.1 + LISTING_TIME
+    }
+
     /// Returns whether this node gives the orders in a domain.
     ///
     /// The domain's own zone goes first, since a zone that is cut off has to mend itself. Two nodes
@@ -151,10 +168,7 @@
         };
         let own = rank(&settings.node, &settings.zone);
         let peers = self.shared.peers.read();
-        let mut others = peers.values().filter(|peer| {
-            let is_heard = peer.heard.is_some_and(|at| now < at + PEER_SILENCE);
-            is_heard && !peer.is_leaving
-        });
+        let mut others = peers.values().filter(|peer| peer.is_live(now));
         !others.any(|peer| rank(&peer.entry.node, &peer.entry.zone) < own)
     }
 
@@ -289,9 +303,8 @@
             let held = record.membership.as_ref();
             let is_head =
                 held.is_some_and(|held| held.rank == 0 && held.state != MembershipState::Broken);
-            let model = record.models.first().and_then(|id| engine.models.get(id));
-            if let (true, Some(model)) = (is_head, model) {
-                *supply.entry(model.id.clone()).or_insert(0.0) += engine.group_rate(model);
+            if let (true, Some(model)) = (is_head, record.models.first()) {
+                *supply.entry(model.clone()).or_insert(0.0) += 1.0;
             }
         }
         (supply, demand.clone())
--- a/crates/fleet/src/dispatch.rs
+++ b/crates/fleet/src/dispatch.rs
@@ -162,7 +162,10 @@
             };
             note_target(&mut trace, &target);
             let last_event = job.ask.last_event.clone();
-            let begun = self.begin(&job, target, place, last_event.as_deref()).await;
+            let may_move = trace.sent + 1 < job.rule.max_attempts;
+            let begun = self
+                .begin(&job, target, place, last_event.as_deref(), may_move)
+                .await;
             let failed = match begun {
                 Ok(begun) if job.is_stream() => return self.stream(job, begun, trace),
                 Ok(begun) => match self.finish(&job, begun).await {
@@ -264,6 +267,8 @@
         });
         GroupLoad {
             writers: group.gauge.writers(),
+            fresh: group.gauge.fresh(),
+            nodes: self.shared.live_nodes(BootClock::now()),
             unread_tokens: group.gauge.unread(),
             delay: delay.map_or(Duration::ZERO, |delay| delay.delay),
             slowness: 1.0,
@@ -301,6 +306,7 @@
         target: Arc<RouteTarget>,
         place: GaugePlace,
         last_event: Option<&str>,
+        may_move: bool,
     ) -> Result<BegunAnswer, FailedAttempt> {
         let now = BootClock::now();
         let left = job.deadline.saturating_sub(now);
@@ -316,7 +322,7 @@
         // fate of a request that runs at most once open.
         let is_fresh = !job.rule.is_repeatable();
         let sending = self.client.send(&address, request, is_fresh);
-        let reply = match self.wait_head(sending, job, &target, now).await {
+        let reply = match self.wait_head(sending, job, &target, now, may_move).await {
             Ok(reply) => reply,
             Err(point) => {
                 target.gauge.note_outcome(true);
@@ -332,6 +338,7 @@
         job: &RequestJob,
         target: &RouteTarget,
         sent: Moment,
+        may_move: bool,
     ) -> Result<TargetReply, FailurePoint> {
         tokio::pin!(sending);
         let patience = (job.rule.objective * 2).max(LEAST_PATIENCE);
@@ -348,13 +355,24 @@
             let waited = now.saturating_sub(sent);
             let limit = self.silence_limit(job, target);
             let is_silent = waited > limit && target.gauge.silence(now) > limit && limit < patience;
-            if job.rule.is_repeatable() && (is_silent || waited > patience) {
+            if is_silent {
                 self.suspect(target, now);
+            }
+            let is_worth_moving = is_silent || waited > patience;
+            if is_worth_moving && may_move && self.can_move(job, target) {
                 return Err(FailurePoint::BrokenBeforeHead);
             }
         }
     }
 
+    /// Returns whether a request can go on elsewhere; if not, the slow target is still the best.
+    fn can_move(&self, job: &RequestJob, from: &RouteTarget) -> bool {
+        let tried = [from.id.clone()];
+        job.rule.is_repeatable()
+            && self.with_budget(&job.service, |budget| budget.has_any())
+            && self.pick(job, &tried).is_some()
+    }
+
     /// Returns the silence of a target after which it has lost a member or is cut off.
     ///
     /// Every running stream of a group yields an event in each pass, so silence of all of them for
--- a/crates/fleet/src/gauge.rs
+++ b/crates/fleet/src/gauge.rs
@@ -17,6 +17,7 @@
 pub struct TargetGauge {
     own: AtomicU32,
     remote: AtomicU32,
+    fresh: AtomicU32,
     unread: AtomicU64,
     heard: AtomicU64,
     suspect_until: AtomicU64,
@@ -48,6 +49,16 @@
         self.remote.store(requests, Ordering::Relaxed);
     }
 
+    /// Returns the requests sent there that other nodes can not know of yet.
+    pub fn fresh(&self) -> u32 {
+        self.fresh.load(Ordering::Relaxed)
+    }
+
+    /// Notes that other nodes know of all requests sent there.
+    pub fn clear_fresh(&self) {
+        self.fresh.store(0, Ordering::Relaxed);
+    }
+
     /// Notes that bytes came from the target, which takes any suspicion from it.
     pub fn note_heard(&self, now: Moment) {
         self.heard.store(micros(now), Ordering::Relaxed);
@@ -100,6 +111,7 @@
             gauge.heard.store(micros(now), Ordering::Relaxed);
         }
         gauge.unread.fetch_add(tokens, Ordering::Relaxed);
+        gauge.fresh.fetch_add(1, Ordering::Relaxed);
         Self {
             gauge: Arc::clone(gauge),
             unread: tokens,
--- a/crates/fleet/src/note.rs
+++ b/crates/fleet/src/note.rs
@@ -19,7 +19,7 @@
     pub loads: Vec<NotedLoad>,
     /// Targets that fell silent towards it.
     pub suspects: Vec<TargetId>,
-    /// Requests a second that it sees, by model.
+    /// Groups that the requests it sees would fill, by model.
     pub demand: IndexMap<ModelId, f64>,
 }
 
--- a/crates/fleet/src/peers.rs
+++ b/crates/fleet/src/peers.rs
@@ -18,7 +18,7 @@
 
 use crate::note::{NotedLoad, PeerNote, PeerNoteDoc};
 use crate::ports::{FeedMark, NodeEntry, NodeNews, SourceError};
-use crate::shared::{FleetPhase, FleetShared, PeerBook, PeerView};
+use crate::shared::{FleetPhase, FleetShared, PeerBook, PeerView, PEER_SILENCE};
 
 /// Path of the exchange.
 const EXCHANGE_PATH: &str = "/exchange";
@@ -28,8 +28,6 @@
 const FAR_INTERVAL: Duration = Duration::from_millis(400);
 /// Time to wait for an answer; longer than any healthy delay, shorter than a node is missed.
 const EXCHANGE_TIME: Duration = Duration::from_millis(500);
-/// Silence after which a node counts as gone.
-pub const PEER_SILENCE: Duration = Duration::from_millis(1_300);
 /// Time for which a peer's suspicion of a target is shared.
 const SHARED_SUSPICION: Duration = Duration::from_millis(600);
 /// Own silence of a target without which a peer's suspicion is not shared.
@@ -70,6 +68,7 @@
     asked: IndexMap<NodeId, Moment>,
     mark: Option<FeedMark>,
     is_registered: bool,
+    cleared: Moment,
 }
 
 /// Message to [`PeerExchange`].
@@ -99,6 +98,7 @@
             asked: IndexMap::new(),
             mark: None,
             is_registered: false,
+            cleared: Moment::ZERO,
         }
     }
 
@@ -244,7 +244,12 @@
     fn handle(&mut self, message: PeerMessage, link: &ServiceLink<PeerMessage>) {
         match message {
             PeerMessage::Tick => {
-                self.ask_peers(link.now(), link);
+                let now = link.now();
+                self.ask_peers(now, link);
+                if now >= self.cleared + FAR_INTERVAL {
+                    self.cleared = now;
+                    self.shared.gauges.each(|_, gauge| gauge.clear_fresh());
+                }
                 link.later(NEAR_INTERVAL / 2, PeerMessage::Tick);
             }
             PeerMessage::Heard(note, at) => self.hear(note, at),
--- a/crates/fleet/src/relay.rs
+++ b/crates/fleet/src/relay.rs
@@ -174,7 +174,7 @@
         );
         let begun = self
             .dispatcher
-            .begin(&self.job, target, place, last.as_deref())
+            .begin(&self.job, target, place, last.as_deref(), false)
             .await;
         match begun {
             Ok(begun) => {
--- a/crates/fleet/src/shared.rs
+++ b/crates/fleet/src/shared.rs
@@ -23,6 +23,9 @@
 /// The rest covers what passes between the check and the request's dispatch.
 const KEY_MARGIN: f64 = 0.95;
 
+/// Silence after which a node counts as gone; several of the exchange's intervals.
+pub const PEER_SILENCE: Duration = Duration::from_millis(1_300);
+
 /// How far a node is in its life.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 #[repr(u8)]
@@ -51,10 +54,17 @@
     pub heard: Option<Moment>,
     /// Whether it is leaving.
     pub is_leaving: bool,
-    /// Requests a second that it sees, by model.
+    /// Groups that the requests it sees would fill, by model.
     pub demand: IndexMap<ModelId, f64>,
 }
 
+impl PeerView {
+    /// Returns whether the node was heard lately and stays.
+    pub fn is_live(&self, now: Moment) -> bool {
+        !self.is_leaving && self.heard.is_some_and(|at| now < at + PEER_SILENCE)
+    }
+}
+
 /// Other nodes by name.
 pub type PeerBook = IndexMap<NodeId, PeerView>;
 
@@ -162,6 +172,13 @@
             && self.trusts_keys()
     }
 
+    /// Returns the number of nodes that serve, this one included.
+    pub fn live_nodes(&self, now: Moment) -> u32 {
+        let peers = self.peers.read();
+        let live = peers.values().filter(|peer| peer.is_live(now));
+        live.count() as u32 + 1
+    }
+
     /// Rebuilds the table of targets from the directory and the configuration in force.
     pub fn rebuild_table(&self) {
         let book = self.book.load();
--- a/crates/fleet/src/surface.rs
+++ b/crates/fleet/src/surface.rs
@@ -88,9 +88,7 @@
         let patience = ask
             .patience
             .map_or(rule.timeout, |own| own.min(rule.timeout));
-        if let Some(model) = &ask.model {
-            self.shared.demand.count(model, trace.arrived);
-        }
+        self.count_demand(known, &service, &ask, trace.arrived);
         self.shared.has_traffic.store(true, Ordering::Relaxed);
         let path = head.uri.path_and_query();
         Ok(RequestJob {
@@ -108,6 +106,20 @@
         })
     }
 
+    fn count_demand(&self, book: &TrafficBook, service: &str, ask: &CallerAsk, now: Moment) {
+        let engine = book.services.get(service);
+        let engine = engine.and_then(|service| service.engine.as_ref());
+        let model = ask.model.as_deref();
+        let Some((engine, model)) = engine.zip(model) else {
+            return;
+        };
+        if let Some(spec) = engine.models.get(model) {
+            let answer = ask.expected_tokens.unwrap_or(engine.usual_answer as u64);
+            let work = engine.work_time(spec, ask.prompt_tokens, answer);
+            self.shared.demand.count(model, work, now);
+        }
+    }
+
     fn match_rule<'a>(
         &self,
         book: &'a TrafficBook,
