Give each fabric domain one model, so that its survivors form groups at once

Cause: in a domain with groups of both models the rest of one could not complete the other without a load of 12 to 16 s, and failures are 3 s apart; a target that had left was also taken for a member until its next report, and a group with one refused member was waited for. Change: the model of a domain follows from the weights its targets hold, or from a deterministic assignment (first what the zone lacks, then demand for each group); leaving is in force when answered; a group whose member refused, or whose first member is silent, is given up at once.

--- a/crates/core/src/assembly.rs
+++ b/crates/core/src/assembly.rs
@@ -19,11 +19,6 @@
 const FORMING_GRACE: Duration = Duration::from_millis(1_500);
 /// Time to join again for the model of the last group; engines keep its weights in place.
 const REJOIN_TIME: Duration = Duration::from_millis(200);
-/// Time added to each candidate's time to serve, so that small differences weigh little.
-const CHOICE_OFFSET: Duration = Duration::from_millis(1_000);
-
-/// Weight of completing a group from survivors against keeping spares for whole ones.
-const COMPLETION_WEIGHT: f64 = 100.0;
 
 /// What a target is told to do.
 #[derive(Clone, Debug, Eq, Hash, PartialEq)]
@@ -134,10 +129,8 @@
     pub targets: &'a IndexMap<TargetId, TargetFacts>,
     /// Speeds and models.
     pub engine: &'a EngineModel,
-    /// Groups elsewhere, by model.
-    pub supply: &'a IndexMap<ModelId, f64>,
-    /// Groups that callers would fill, by model.
-    pub demand: &'a IndexMap<ModelId, f64>,
+    /// Model that the domain serves.
+    pub model: &'a ModelSpec,
     /// Loads from the weight store that may begin now.
     pub load_budget: usize,
 }
@@ -163,10 +156,8 @@
 }
 
 struct Candidate {
-    model: ModelId,
     members: Vec<TargetId>,
     loads: usize,
-    score: f64,
 }
 
 impl DomainKeeper {
@@ -211,11 +202,18 @@
             return;
         };
         let is_accepted = matches!(result, OrderResult::Begun | OrderResult::Held);
-        if !is_accepted || result == OrderResult::Held {
+        if !is_accepted {
             self.unsure.insert(target.to_owned());
         }
-        if let (true, TargetAction::Leave { group, .. }) = (is_accepted, &order.action) {
-            self.released.insert(group.clone());
+        match order.action {
+            TargetAction::Leave { group, .. } if is_accepted => {
+                self.released.insert(group);
+            }
+            // Without this member the group can not become whole; there is nothing to wait for.
+            TargetAction::Join { group, .. } if !is_accepted => {
+                self.incomplete.insert(group, Moment::ZERO);
+            }
+            _ => {}
         }
     }
 
@@ -229,14 +227,12 @@
         }
         let mut free = self.free(&view, &orders);
         let mut budget = view.load_budget;
-        let mut supply = self.supply(&groups, &view);
-        while let Some(candidate) = self.best(&free, &view, &supply, budget) {
+        while let Some(candidate) = self.candidate(&free, &view, budget) {
             budget -= candidate.loads;
             free.retain(|id| !candidate.members.contains(id));
-            *supply.entry(candidate.model.clone()).or_insert(0.0) += 1.0;
             orders.extend(self.form(candidate, &view));
         }
-        orders.extend(self.stage(&free, &groups, &view, budget));
+        orders.extend(self.stage(&free, &view, budget));
         for order in &orders {
             self.in_flight.insert(order.target.clone(), order.clone());
         }
@@ -301,12 +297,12 @@
         if self.released.contains(group) {
             return Vec::new();
         }
-        let head = seen
-            .members
-            .get(&0)
-            .filter(|id| view.targets[*id].standing != TargetStanding::Silent);
-        let Some(head) = head else {
-            if self.is_awaited(group, now) {
+        let head = seen.members.get(&0);
+        let is_head_silent =
+            head.is_some_and(|id| view.targets[id].standing == TargetStanding::Silent);
+        let Some(head) = head.filter(|_| !is_head_silent) else {
+            // A first member that is not there may still be joining.
+            if !is_head_silent && self.is_awaited(group, now) {
                 return Vec::new();
             }
             return self.abandon(group, seen, view);
@@ -447,42 +443,14 @@
         free.map(|(id, _)| id.clone()).collect()
     }
 
-    fn supply(
-        &self,
-        groups: &IndexMap<GroupId, SeenGroup>,
-        view: &DomainView<'_>,
-    ) -> IndexMap<ModelId, f64> {
-        let mut supply = view.supply.clone();
-        for (group, seen) in groups {
-            if let (Some(model), false) = (&seen.model, self.released.contains(group)) {
-                *supply.entry(model.clone()).or_insert(0.0) += 1.0;
-            }
-        }
-        supply
-    }
-
-    /// Returns the group most worth forming: how badly its model is needed, over how soon it serves.
-    fn best(
-        &self,
-        free: &[TargetId],
-        view: &DomainView<'_>,
-        supply: &IndexMap<ModelId, f64>,
-        budget: usize,
-    ) -> Option<Candidate> {
-        let candidates = view.engine.models.values().filter_map(|model| {
-            let candidate = self.candidate(model, free, view, supply)?;
-            (candidate.loads <= budget).then_some(candidate)
-        });
-        candidates.max_by(|left, right| left.score.total_cmp(&right.score))
-    }
-
+    /// Returns the members of the next group, those first that can serve soonest.
     fn candidate(
         &self,
-        model: &ModelSpec,
         free: &[TargetId],
         view: &DomainView<'_>,
-        supply: &IndexMap<ModelId, f64>,
+        budget: usize,
     ) -> Option<Candidate> {
+        let model = view.model;
         if free.len() < model.size || model.size == 0 {
             return None;
         }
@@ -492,19 +460,11 @@
             .collect();
         ranked.sort_by_key(|(time, _)| *time);
         ranked.truncate(model.size);
-        let (slowest, _) = *ranked.last()?;
-        let loads = ranked
-            .iter()
-            .filter(|(time, _)| *time >= model.load_time)
-            .count();
-        let supply = supply.get(&model.id).copied().unwrap_or(0.0);
-        let demand = view.demand.get(&model.id).copied().unwrap_or(model.share);
-        let wait = slowest + view.engine.open_time + CHOICE_OFFSET;
-        Some(Candidate {
-            model: model.id.clone(),
+        let loading = ranked.iter().filter(|(time, _)| *time >= model.load_time);
+        let loads = loading.count();
+        (loads <= budget).then(|| Candidate {
             members: ranked.into_iter().map(|(_, id)| id.clone()).collect(),
             loads,
-            score: demand / (supply + 1.0) / wait.as_secs_f64(),
         })
     }
 
@@ -529,66 +489,30 @@
             action: TargetAction::Join {
                 group: group.clone(),
                 epoch,
-                model: candidate.model.clone(),
+                model: view.model.id.clone(),
                 members: candidate.members.clone(),
             },
             reason: "form",
         });
         let orders = orders.collect();
-        self.forming.insert(group, candidate.model);
+        self.forming.insert(group, view.model.id.clone());
         orders
     }
 
-    /// Has free targets without weights load the model that most needs a spare here.
-    fn stage(
-        &self,
-        free: &[TargetId],
-        groups: &IndexMap<GroupId, SeenGroup>,
-        view: &DomainView<'_>,
-        budget: usize,
-    ) -> Vec<TargetOrder> {
-        let mut spares: IndexMap<ModelId, f64> = IndexMap::new();
-        let mut users: IndexMap<ModelId, f64> = IndexMap::new();
-        for id in free {
-            for model in &view.targets[id].staged {
-                *spares.entry(model.clone()).or_insert(0.0) += 1.0;
-            }
-        }
-        for model in groups.values().filter_map(|seen| seen.model.as_ref()) {
-            let size = view.engine.models.get(model).map_or(0, |model| model.size);
-            *users.entry(model.clone()).or_insert(0.0) += size as f64;
-        }
-        let empties = free.iter().filter(|id| view.targets[*id].staged.is_empty());
-        let empties = empties.count() as f64;
-        let mut orders = Vec::new();
-        for id in free {
-            let facts = &view.targets[id];
-            let is_empty = facts.staged.is_empty() && !facts.is_busy;
-            if !is_empty || orders.len() >= budget {
-                continue;
-            }
-            let need = |model: &ModelSpec| {
-                let users = users.get(&model.id).copied().unwrap_or(0.0);
-                let spares = spares.get(&model.id).copied().unwrap_or(0.0);
-                let lacking = model.size as f64 - spares;
-                if spares > 0.0 && lacking > 0.0 && lacking <= empties {
-                    // Survivors of a group wait for as many as it lacks.
-                    return COMPLETION_WEIGHT / lacking;
-                }
-                users / (1.0 + spares)
-            };
-            let models = view.engine.models.values();
-            let wanted = models.max_by(|left, right| need(left).total_cmp(&need(right)));
-            let Some(model) = wanted else {
-                continue;
-            };
-            *spares.entry(model.id.clone()).or_insert(0.0) += 1.0;
+    /// Has free targets load the domain's model, so that they can replace a lost member at once.
+    fn stage(&self, free: &[TargetId], view: &DomainView<'_>, budget: usize) -> Vec<TargetOrder> {
+        let model = &view.model.id;
+        let lacking = free.iter().filter(|id| {
+            let facts = &view.targets[*id];
+            !facts.is_busy && !facts.staged.contains(model)
+        });
+        let orders = lacking.filter_map(|id| {
             let action = TargetAction::Stage {
-                model: model.id.clone(),
+                model: model.clone(),
             };
-            orders.extend(self.order(id, action, "spare", view));
-        }
-        orders
+            self.order(id, action, "spare", view)
+        });
+        orders.take(budget).collect()
     }
 }
 
@@ -643,40 +567,6 @@
     }
 }
 
-/// Returns the supply that domains with these numbers of free targets will form from nothing.
-///
-/// Several controllers begin at once and see none of each other's groups yet. Each counts on the
-/// domains before its own to do what it would do itself, so that the mix of models comes out right.
-pub fn expected_supply(
-    engine: &EngineModel,
-    demand: &IndexMap<ModelId, f64>,
-    free: impl IntoIterator<Item = usize>,
-) -> IndexMap<ModelId, f64> {
-    let mut supply: IndexMap<ModelId, f64> = IndexMap::new();
-    for count in free {
-        let mut left = count;
-        loop {
-            let fitting = engine
-                .models
-                .values()
-                .filter(|model| model.size > 0 && model.size <= left);
-            let worth = |model: &ModelSpec| {
-                let supply = supply.get(&model.id).copied().unwrap_or(0.0);
-                let demand = demand.get(&model.id).copied().unwrap_or(model.share);
-                let wait = model.load_time + engine.open_time + CHOICE_OFFSET;
-                demand / (supply + 1.0) / wait.as_secs_f64()
-            };
-            let best = fitting.max_by(|left, right| worth(left).total_cmp(&worth(right)));
-            let Some(model) = best else {
-                break;
-            };
-            left -= model.size;
-            *supply.entry(model.id.clone()).or_insert(0.0) += 1.0;
-        }
-    }
-    supply
-}
-
 /// Returns whether every rank is taken by a target that answers, at one epoch.
 fn is_whole(seen: &SeenGroup, view: &DomainView<'_>) -> bool {
     let model = seen
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -11,6 +11,7 @@
 //! ```
 
 pub mod assembly;
+pub mod assignment;
 pub mod choice;
 pub mod claim;
 pub mod config;
--- a/crates/fleet/src/controller.rs
+++ b/crates/fleet/src/controller.rs
@@ -5,12 +5,12 @@
 use std::time::Duration;
 
 use briarswitch_core::assembly::{
-    expected_supply, DomainKeeper, DomainView, OrderResult, TargetAction, TargetFacts, TargetOrder,
-    TargetStanding,
+    DomainKeeper, DomainView, OrderResult, TargetAction, TargetFacts, TargetOrder, TargetStanding,
 };
-use briarswitch_core::engine::EngineModel;
+use briarswitch_core::assignment::{assign_models, DomainStock};
+use briarswitch_core::engine::{EngineModel, ModelSpec};
 use briarswitch_core::id::*;
-use briarswitch_core::target::{MembershipState, TargetRecord};
+use briarswitch_core::target::TargetRecord;
 use briarswitch_kernel::{BootClock, Service, ServiceLink};
 use indexmap::{IndexMap, IndexSet};
 use serde_json::{json, Value};
@@ -142,9 +142,12 @@
         if !self.is_listing_done(records.len(), now) {
             return;
         }
-        let demand = self.demand(now);
+        let models = assign_models(engine, &self.demand(now), &stock_of(records, &domains));
         for domain in own {
-            self.plan(&domain, engine, records, &demand, now, link);
+            let model = models.get(&domain).and_then(|id| engine.models.get(id));
+            if let Some(model) = model {
+                self.plan(&domain, engine, model, now, link);
+            }
         }
     }
 
@@ -238,8 +241,7 @@
         &mut self,
         domain: &DomainId,
         engine: &EngineModel,
-        records: &[&TargetRecord],
-        demand: &IndexMap<ModelId, f64>,
+        model: &ModelSpec,
         now: Moment,
         link: &ServiceLink<ControllerMessage>,
     ) {
@@ -259,7 +261,6 @@
             .map(|(id, tracked)| (id, tracked.facts))
             .collect();
         let has_traffic = self.shared.has_traffic.load(Ordering::Relaxed);
-        let (supply, demand) = self.balance(domain, engine, records, demand, has_traffic);
         let load_budget = self.load_budget(&facts, has_traffic);
         let Some(keeper) = self.keepers.get_mut(domain) else {
             return;
@@ -267,8 +268,7 @@
         let view = DomainView {
             targets: &facts,
             engine,
-            supply: &supply,
-            demand: &demand,
+            model,
             load_budget,
         };
         for order in keeper.plan(view, now) {
@@ -276,40 +276,6 @@
         }
     }
 
-    /// Returns what groups elsewhere supply and what callers ask for.
-    fn balance(
-        &self,
-        domain: &DomainId,
-        engine: &EngineModel,
-        records: &[&TargetRecord],
-        demand: &IndexMap<ModelId, f64>,
-        has_traffic: bool,
-    ) -> (IndexMap<ModelId, f64>, IndexMap<ModelId, f64>) {
-        if !has_traffic {
-            let shares = engine.models.values();
-            let shares = shares
-                .map(|model| (model.id.clone(), model.share))
-                .collect();
-            let mut sizes: IndexMap<&DomainId, usize> = IndexMap::new();
-            for record in records {
-                *sizes.entry(&record.domain).or_insert(0) += 1;
-            }
-            let earlier = sizes.iter().filter(|(other, _)| **other < domain);
-            let supply = expected_supply(engine, &shares, earlier.map(|(_, count)| *count));
-            return (supply, shares);
-        }
-        let mut supply: IndexMap<ModelId, f64> = IndexMap::new();
-        for record in records.iter().filter(|record| record.domain != *domain) {
-            let held = record.membership.as_ref();
-            let is_head =
-                held.is_some_and(|held| held.rank == 0 && held.state != MembershipState::Broken);
-            if let (true, Some(model)) = (is_head, record.models.first()) {
-                *supply.entry(model.clone()).or_insert(0.0) += 1.0;
-            }
-        }
-        (supply, demand.clone())
-    }
-
     fn load_budget(&mut self, facts: &IndexMap<TargetId, TargetFacts>, has_traffic: bool) -> usize {
         if !has_traffic && self.shared.settings.is_first_start {
             // Before the first caller the weight store has nothing else to do.
@@ -460,6 +426,28 @@
     domains
 }
 
+/// Returns what each domain holds, in an order that all controllers agree on.
+fn stock_of(records: &[&TargetRecord], domains: &IndexMap<&DomainId, &ZoneId>) -> Vec<DomainStock> {
+    let stock = domains.iter().map(|(domain, zone)| {
+        let members = records.iter().filter(|record| record.domain == **domain);
+        let mut staged: IndexMap<ModelId, usize> = IndexMap::new();
+        let mut targets = 0;
+        for record in members {
+            targets += 1;
+            for model in &record.staged {
+                *staged.entry(model.clone()).or_insert(0) += 1;
+            }
+        }
+        DomainStock {
+            domain: (*domain).clone(),
+            zone: (*zone).clone(),
+            targets,
+            staged,
+        }
+    });
+    stock.collect()
+}
+
 impl Service for GroupController {
     type Message = ControllerMessage;
 
--- a/crates/fleet/src/tracker.rs
+++ b/crates/fleet/src/tracker.rs
@@ -2,7 +2,9 @@
 
 use std::time::Duration;
 
-use briarswitch_core::assembly::{OrderResult, TargetFacts, TargetOrder, TargetStanding};
+use briarswitch_core::assembly::{
+    OrderResult, TargetAction, TargetFacts, TargetOrder, TargetStanding,
+};
 use briarswitch_core::engine::EngineModel;
 use briarswitch_core::id::*;
 use briarswitch_core::target::{MembershipState, TargetRecord};
@@ -181,18 +183,23 @@
         let Some(tracked) = self.targets.get_mut(&order.target) else {
             return;
         };
-        if result != OrderResult::Begun {
+        let facts = &mut tracked.facts;
+        let is_leave = matches!(order.action, TargetAction::Leave { .. });
+        let was_member = facts.membership.as_ref().map(|held| &held.group) == order.action.group();
+        // Leaving is over when it is answered, so it is told as done and not as begun.
+        let is_in_force =
+            result == OrderResult::Begun || (result == OrderResult::Held && is_leave && was_member);
+        if !is_in_force {
             tracked.hasten(now);
             return;
         }
-        let facts = &mut tracked.facts;
         facts.sequence = facts.sequence.max(order.expected + 1);
-        facts.is_busy = true;
+        facts.is_busy = !is_leave;
         tracked.acknowledged = now;
         let effect = order
             .action
             .effect(&order.target, facts.membership.as_ref());
-        if let briarswitch_core::assembly::TargetAction::Join { model, epoch, .. } = &order.action {
+        if let TargetAction::Join { model, epoch, .. } = &order.action {
             facts.model = Some(model.clone());
             facts.epoch_seen = facts.epoch_seen.max(*epoch);
             tracked.joining_since = Some(now);
