Tell only first-hand suspicion on, and take its limit from the pauses seen

Ruled out: the placement's weights; with no suspicion all six groups get equal shares. Change: hearsay has its own, shorter time and is not told on; the limit of silence is also one and a half times the longest of the last pauses.

--- a/crates/fleet/src/dispatch.rs
+++ b/crates/fleet/src/dispatch.rs
@@ -49,8 +49,12 @@
 const SILENT_PASSES: f64 = 4.0;
 /// Least silence of a group that means anything; below it the network's delays show.
 const LEAST_SILENCE: Duration = Duration::from_millis(180);
+/// Factor on the longest of the last intervals between events.
+const INTERVAL_FACTOR: f64 = 1.5;
+/// Longest interval that counts as usual; a group that stalled must not teach patience.
+const LONGEST_INTERVAL: Duration = Duration::from_millis(250);
 /// Time for which a silent target gets no new work.
-const SUSPECT_TIME: Duration = Duration::from_millis(1_500);
+const SUSPECT_TIME: Duration = Duration::from_millis(900);
 /// Share of the bursts that the nodes' budgets add up to; the rest is kept for nodes unknown here.
 const BURST_SHARE: f64 = 0.7;
 /// Fewest nodes among which the burst of retries is divided.
@@ -387,7 +391,10 @@
         };
         let pass = engine.pass_time(model, target.gauge.writers());
         let read = engine.read_time(model, target.gauge.unread());
-        (pass.mul_f64(SILENT_PASSES) + read).max(LEAST_SILENCE)
+        let usual = target.gauge.interval().min(LONGEST_INTERVAL);
+        (pass.mul_f64(SILENT_PASSES) + read)
+            .max(usual.mul_f64(INTERVAL_FACTOR))
+            .max(LEAST_SILENCE)
     }
 
     /// Keeps new work from a target that fell silent, and has it looked at.
--- a/crates/fleet/src/gauge.rs
+++ b/crates/fleet/src/gauge.rs
@@ -12,6 +12,9 @@
 /// Value that stands for a target all of whose requests fail.
 const FAILURE_FULL: u32 = 1024;
 
+/// Part of the longest interval that each new sign of life takes from it.
+const INTERVAL_FADING: u64 = 64;
+
 /// Counters of one life of a target.
 #[derive(Debug, Default)]
 pub struct TargetGauge {
@@ -21,6 +24,8 @@
     unread: AtomicU64,
     heard: AtomicU64,
     suspect_until: AtomicU64,
+    hearsay_until: AtomicU64,
+    interval: AtomicU64,
     failing: AtomicU32,
 }
 
@@ -61,8 +66,19 @@
 
     /// Notes that bytes came from the target, which takes any suspicion from it.
     pub fn note_heard(&self, now: Moment) {
-        self.heard.store(micros(now), Ordering::Relaxed);
+        let before = self.heard.swap(micros(now), Ordering::Relaxed);
+        let interval = micros(now).saturating_sub(before);
+        // The longest of the last intervals, forgotten slowly.
+        let held = self.interval.load(Ordering::Relaxed);
+        let faded = held - held / INTERVAL_FADING;
+        self.interval.store(interval.max(faded), Ordering::Relaxed);
         self.suspect_until.store(0, Ordering::Relaxed);
+        self.hearsay_until.store(0, Ordering::Relaxed);
+    }
+
+    /// Returns the longest of the last intervals between signs of life.
+    pub fn interval(&self) -> Duration {
+        Duration::from_micros(self.interval.load(Ordering::Relaxed))
     }
 
     /// Returns how long the target has been silent towards this node.
@@ -77,8 +93,27 @@
             .fetch_max(micros(until), Ordering::Relaxed);
     }
 
+    /// Keeps new work away because another node suspects the target.
+    ///
+    /// This is not told on: two nodes that repeat each other's word would never stop.
+    pub fn suspect_by_hearsay(&self, until: Moment) {
+        self.hearsay_until
+            .fetch_max(micros(until), Ordering::Relaxed);
+    }
+
+    /// Takes any suspicion from the target.
+    pub fn clear_suspicion(&self) {
+        self.suspect_until.store(0, Ordering::Relaxed);
+        self.hearsay_until.store(0, Ordering::Relaxed);
+    }
+
     /// Returns whether new work is kept away at `now`.
     pub fn is_suspect(&self, now: Moment) -> bool {
+        self.is_suspected_here(now) || micros(now) < self.hearsay_until.load(Ordering::Relaxed)
+    }
+
+    /// Returns whether this node itself suspects the target.
+    pub fn is_suspected_here(&self, now: Moment) -> bool {
         micros(now) < self.suspect_until.load(Ordering::Relaxed)
     }
 
@@ -161,10 +196,12 @@
             .collect()
     }
 
-    /// Returns the targets that are kept from new work.
+    /// Returns the targets that this node itself suspects.
     pub fn suspects(&self, now: Moment) -> Vec<TargetId> {
         let gauges = self.read();
-        let suspects = gauges.iter().filter(|(_, gauge)| gauge.is_suspect(now));
+        let suspects = gauges
+            .iter()
+            .filter(|(_, gauge)| gauge.is_suspected_here(now));
         suspects.map(|(id, _)| id.clone()).collect()
     }
 
--- a/crates/fleet/src/peers.rs
+++ b/crates/fleet/src/peers.rs
@@ -29,7 +29,7 @@
 /// Time to wait for an answer; longer than any healthy delay, shorter than a node is missed.
 const EXCHANGE_TIME: Duration = Duration::from_millis(500);
 /// Time for which a peer's suspicion of a target is shared.
-const SHARED_SUSPICION: Duration = Duration::from_millis(600);
+const SHARED_SUSPICION: Duration = Duration::from_millis(500);
 /// Own silence of a target without which a peer's suspicion is not shared.
 const OWN_SILENCE: Duration = Duration::from_millis(120);
 /// Longest time one question for new nodes is held open.
@@ -207,7 +207,7 @@
             let gauge = self.shared.gauges.of(target);
             // A target that this node hears is only cut off from the other.
             if gauge.own() == 0 || gauge.silence(now) > OWN_SILENCE {
-                gauge.suspect(now + SHARED_SUSPICION);
+                gauge.suspect_by_hearsay(now + SHARED_SUSPICION);
             }
         }
     }
