Take members of an abandoned group only after each has left it

Events: the first member was out of reach; the members were ordered to leave; the first to do so made the whole group count as released, and another was joined elsewhere without having left. Cause: any accepted order to leave released the group; only the first member's may.

--- a/crates/core/src/assembly.rs
+++ b/crates/core/src/assembly.rs
@@ -151,6 +151,7 @@
     unsure: IndexSet<TargetId>,
     forming: IndexMap<GroupId, ModelId>,
     incomplete: IndexMap<GroupId, Moment>,
+    dissolving: IndexMap<GroupId, TargetId>,
     released: IndexSet<GroupId>,
     last_model: IndexMap<TargetId, ModelId>,
 }
@@ -173,6 +174,7 @@
             unsure: IndexSet::new(),
             forming: IndexMap::new(),
             incomplete: IndexMap::new(),
+            dissolving: IndexMap::new(),
             released: IndexSet::new(),
             last_model: IndexMap::new(),
         }
@@ -206,8 +208,11 @@
             self.unsure.insert(target.to_owned());
         }
         match order.action {
+            // Only when the first member has left can the others be taken as they are.
             TargetAction::Leave { group, .. } if is_accepted => {
-                self.released.insert(group);
+                if self.dissolving.get(&group) == Some(&order.target) {
+                    self.released.insert(group);
+                }
             }
             // Without this member the group can not become whole; there is nothing to wait for.
             TargetAction::Join { group, .. } if !is_accepted => {
@@ -260,6 +265,7 @@
             .values()
             .filter_map(|order| order.action.group().cloned())
             .collect();
+        self.dissolving.retain(|group, _| named.contains(group));
         self.released.retain(|group| named.contains(group));
         self.forming
             .retain(|group, _| named.contains(group) || ordered.contains(group));
@@ -335,6 +341,9 @@
             self.incomplete.swap_remove(group);
             self.tend_whole(group, seen, view, state, epoch)
         };
+        if let Some((TargetAction::Leave { .. }, _)) = &next {
+            self.dissolving.insert(group.clone(), head.clone());
+        }
         next.and_then(|(action, reason)| self.order(head, action, reason, view))
             .into_iter()
             .collect()
--- /dev/null
+++ b/crates/fleet/tests/assembly.rs
@@ -0,0 +1,511 @@
+//! Two controllers that both believe they are responsible for one domain, against targets that
+//! obey conditional orders. Orders are lost, answered to nobody, and carried out seconds late;
+//! targets die, restart and are cut off from one controller; reports and the directory lag.
+//!
+//! Whatever happens, a group opens only after every member was ready in it, and a target is joined
+//! to another group only after its old one can not serve. Once the faults stop, as many groups serve
+//! as there are whole sets of targets.
+
+use std::time::Duration;
+
+use briarswitch_core::assembly::{
+    DomainKeeper, DomainView, OrderResult, TargetAction, TargetFacts, TargetOrder,
+};
+use briarswitch_core::engine::{EngineModel, ModelSpec};
+use briarswitch_core::id::*;
+use briarswitch_core::target::{Membership, MembershipState, TargetRecord};
+use briarswitch_fleet::ports::{ReportError, TargetReport};
+use briarswitch_fleet::tracker::TargetTracker;
+use googletest::prelude::*;
+use indexmap::IndexMap;
+use rand::rngs::StdRng;
+use rand::{Rng, SeedableRng};
+
+/// Targets of the domain; two groups of three and two spares.
+const TARGETS: usize = 8;
+/// Targets of a group.
+const SIZE: usize = 3;
+/// Time of one step.
+const STEP: Duration = Duration::from_millis(50);
+/// Time during which things go wrong.
+const FAULTY: Duration = Duration::from_secs(25);
+/// Time given to recover; late orders are carried out up to 12 s after they were sent.
+const CALM: Duration = Duration::from_secs(30);
+/// Time after which a group with a lost member serves no more.
+const STALL: Duration = Duration::from_secs(4);
+/// Lag of the count of orders in reports.
+const REPORT_LAG: Duration = Duration::from_millis(200);
+
+#[derive(Clone, Debug)]
+struct HeldGroup {
+    held: Membership,
+    members: Vec<TargetId>,
+    ready_at: Moment,
+    stalled_since: Option<Moment>,
+}
+
+#[derive(Clone, Debug)]
+struct SimTarget {
+    is_alive: bool,
+    group: Option<HeldGroup>,
+    sequence: u64,
+    sequence_log: Vec<(Moment, u64)>,
+    epoch_seen: Epoch,
+    last_model: bool,
+}
+
+struct LateOrder {
+    at: Moment,
+    order: TargetOrder,
+}
+
+struct Controller {
+    tracker: TargetTracker,
+    keeper: DomainKeeper,
+    cut: Vec<TargetId>,
+}
+
+struct World {
+    rng: StdRng,
+    now: Moment,
+    targets: IndexMap<TargetId, SimTarget>,
+    directory: Vec<(Moment, Vec<TargetRecord>)>,
+    late: Vec<LateOrder>,
+    ever_ready: Vec<(TargetId, GroupId, Epoch)>,
+    controllers: Vec<Controller>,
+    engine: EngineModel,
+    is_faulty: bool,
+    lives: usize,
+    broken: Vec<String>,
+}
+
+fn engine() -> EngineModel {
+    let model = ModelSpec {
+        id: "m".to_owned(),
+        size: SIZE,
+        share: 1.0,
+        pace: 1.0,
+        load_time: Duration::from_secs(3),
+        warmup: Duration::from_millis(800),
+    };
+    EngineModel {
+        slots: 8,
+        open_time: Duration::from_millis(300),
+        report_lag: REPORT_LAG,
+        stall: STALL,
+        models: IndexMap::from([(model.id.clone(), model)]),
+        ..EngineModel::default()
+    }
+}
+
+impl World {
+    fn open(seed: u64) -> Self {
+        let controllers = ["a", "b"].map(|name| Controller {
+            tracker: TargetTracker::default(),
+            keeper: DomainKeeper::open(format!("{name}-{seed}")),
+            cut: Vec::new(),
+        });
+        let mut world = Self {
+            rng: StdRng::seed_from_u64(seed),
+            now: Duration::from_secs(100),
+            targets: IndexMap::new(),
+            directory: Vec::new(),
+            late: Vec::new(),
+            ever_ready: Vec::new(),
+            controllers: controllers.into(),
+            engine: engine(),
+            is_faulty: true,
+            lives: 0,
+            broken: Vec::new(),
+        };
+        for _ in 0..TARGETS {
+            world.start_target();
+        }
+        world
+    }
+
+    fn start_target(&mut self) {
+        self.lives += 1;
+        let target = SimTarget {
+            is_alive: true,
+            group: None,
+            sequence: 0,
+            sequence_log: Vec::new(),
+            epoch_seen: 0,
+            last_model: false,
+        };
+        self.targets.insert(format!("t{}", self.lives), target);
+    }
+
+    fn chance(&mut self, share: f64) -> bool {
+        self.is_faulty && self.rng.random::<f64>() < share
+    }
+
+    fn step(&mut self) {
+        self.now += STEP;
+        self.disturb();
+        self.move_targets();
+        self.carry_out_late();
+        self.list();
+        for index in 0..self.controllers.len() {
+            self.control(index);
+        }
+        self.check_open_groups();
+    }
+
+    fn disturb(&mut self) {
+        if self.chance(0.02) {
+            let index = self.rng.random_range(0..self.targets.len());
+            self.targets[index].is_alive = false;
+        }
+        if self.chance(0.03) {
+            let dead = self.targets.iter().find(|(_, target)| !target.is_alive);
+            if let Some(id) = dead.map(|(id, _)| id.clone()) {
+                self.targets.swap_remove(&id);
+                self.start_target();
+            }
+        }
+        if self.chance(0.01) {
+            let index = self.rng.random_range(0..self.targets.len());
+            let id = self.targets.get_index(index).map(|(id, _)| id.clone());
+            let side = self.rng.random_range(0..2);
+            self.controllers[side].cut.extend(id);
+        }
+        if self.chance(0.02) || !self.is_faulty {
+            for controller in &mut self.controllers {
+                controller.cut.clear();
+            }
+        }
+    }
+
+    fn move_targets(&mut self) {
+        let now = self.now;
+        let standing: Vec<(TargetId, Option<(GroupId, Epoch)>)> = self
+            .targets
+            .iter()
+            .filter(|(_, target)| target.is_alive)
+            .map(|(id, target)| {
+                let held = target.group.as_ref().map(|group| &group.held);
+                (id.clone(), held.map(|held| (held.group.clone(), held.epoch)))
+            })
+            .collect();
+        for (id, target) in &mut self.targets {
+            let Some(group) = target.group.as_mut().filter(|_| target.is_alive) else {
+                continue;
+            };
+            if group.held.state == MembershipState::Joining && now >= group.ready_at {
+                group.held.state = MembershipState::Ready;
+                let held = &group.held;
+                self.ever_ready
+                    .push((id.clone(), held.group.clone(), held.epoch));
+            }
+            if group.held.state != MembershipState::Open {
+                continue;
+            }
+            let key = (group.held.group.clone(), group.held.epoch);
+            let is_whole = group.members.iter().all(|member| {
+                standing
+                    .iter()
+                    .any(|(other, held)| other == member && held.as_ref() == Some(&key))
+            });
+            if is_whole {
+                group.stalled_since = None;
+            } else if now >= *group.stalled_since.get_or_insert(now) + STALL {
+                group.held.state = MembershipState::Broken;
+            }
+        }
+    }
+
+    fn carry_out_late(&mut self) {
+        let now = self.now;
+        let (due, rest) = std::mem::take(&mut self.late)
+            .into_iter()
+            .partition::<Vec<_>, _>(|late| now >= late.at);
+        self.late = rest;
+        for late in due {
+            self.obey(&late.order);
+        }
+    }
+
+    /// Keeps the directory's past, which controllers see some hundred milliseconds late.
+    fn list(&mut self) {
+        let records = self.targets.iter().filter(|(_, target)| target.is_alive);
+        let records = records.map(|(id, target)| TargetRecord {
+            id: id.clone(),
+            service: "s".to_owned(),
+            address: id.clone(),
+            zone: "z".to_owned(),
+            is_draining: false,
+            slots: 8,
+            domain: "d".to_owned(),
+            staged: vec!["m".to_owned()],
+            models: vec!["m".to_owned()],
+            membership: target.group.as_ref().map(|group| group.held.clone()),
+        });
+        let records = records.collect();
+        self.directory.push((self.now, records));
+        if self.directory.len() > 12 {
+            self.directory.remove(0);
+        }
+    }
+
+    fn control(&mut self, index: usize) {
+        let age = self.rng.random_range(0..self.directory.len().min(8));
+        let records = self.directory[self.directory.len() - 1 - age].1.clone();
+        let now = self.now;
+        let due = {
+            let controller = &mut self.controllers[index];
+            controller.tracker.sync(records.iter(), now);
+            controller.tracker.due(now)
+        };
+        for (id, _) in due {
+            let report = self.report(&id, index);
+            let is_answer = report.is_ok();
+            let controller = &mut self.controllers[index];
+            controller
+                .tracker
+                .note_report(&id, report, false, &self.engine, now);
+            if is_answer {
+                controller.keeper.note_report(&id);
+            }
+        }
+        let orders = self.plan(index);
+        for order in orders {
+            let result = self.send(&order, index);
+            let controller = &mut self.controllers[index];
+            controller.tracker.note_order(&order, result, now);
+            controller.keeper.note_result(&order.target, result);
+        }
+    }
+
+    fn plan(&mut self, index: usize) -> Vec<TargetOrder> {
+        let controller = &mut self.controllers[index];
+        let tracked = controller.tracker.targets();
+        if tracked.values().any(|tracked| !tracked.is_resolved) {
+            return Vec::new();
+        }
+        let facts: IndexMap<TargetId, TargetFacts> = tracked
+            .iter()
+            .map(|(id, tracked)| (id.clone(), tracked.facts.clone()))
+            .collect();
+        let view = DomainView {
+            targets: &facts,
+            engine: &self.engine,
+            model: &self.engine.models["m"],
+            load_budget: SIZE,
+        };
+        controller.keeper.plan(view, self.now)
+    }
+
+    fn report(
+        &mut self,
+        id: &TargetId,
+        index: usize,
+    ) -> std::result::Result<TargetReport, ReportError> {
+        let is_cut = self.controllers[index].cut.contains(id);
+        let target = self.targets.get(id).filter(|target| target.is_alive);
+        let Some(target) = target.filter(|_| !is_cut) else {
+            return Err(ReportError::Silent);
+        };
+        let before = self.now - REPORT_LAG;
+        let lagged = target.sequence_log.iter().rfind(|(at, _)| *at <= before);
+        Ok(TargetReport {
+            membership: target.group.as_ref().map(|group| group.held.clone()),
+            model: target.group.as_ref().map(|_| "m".to_owned()),
+            staged: vec!["m".to_owned()],
+            sequence: lagged.map_or(0, |(_, sequence)| *sequence),
+            is_busy: false,
+            active: 0,
+            queued: 0,
+        })
+    }
+
+    fn send(&mut self, order: &TargetOrder, index: usize) -> OrderResult {
+        if self.controllers[index].cut.contains(&order.target) {
+            return OrderResult::Lost;
+        }
+        if self.chance(0.1) {
+            let delay = Duration::from_millis(self.rng.random_range(50..12_000));
+            self.late.push(LateOrder {
+                at: self.now + delay,
+                order: order.clone(),
+            });
+            return OrderResult::Lost;
+        }
+        let result = self.obey(order);
+        if self.chance(0.1) {
+            return OrderResult::Lost;
+        }
+        result
+    }
+
+    fn obey(&mut self, order: &TargetOrder) -> OrderResult {
+        let now = self.now;
+        let serving = self.serving_head(&order.target);
+        let Some(target) = self.targets.get_mut(&order.target) else {
+            return OrderResult::Lost;
+        };
+        if !target.is_alive {
+            return OrderResult::Lost;
+        }
+        if target.sequence != order.expected {
+            return OrderResult::Conflict;
+        }
+        let result = match &order.action {
+            TargetAction::Join {
+                group,
+                epoch,
+                members,
+                ..
+            } => {
+                if *epoch < target.epoch_seen {
+                    return OrderResult::Conflict;
+                }
+                let is_other = target
+                    .group
+                    .as_ref()
+                    .is_some_and(|held| held.held.group != *group);
+                if let (true, Some(head)) = (is_other, serving) {
+                    self.broken
+                        .push(format!("{} joins {group} while {head} serves", order.target));
+                }
+                let time = if target.last_model { 200 } else { 800 };
+                target.epoch_seen = *epoch;
+                target.last_model = true;
+                target.group = Some(HeldGroup {
+                    held: Membership {
+                        group: group.clone(),
+                        epoch: *epoch,
+                        rank: members.iter().position(|id| *id == order.target).unwrap_or(0),
+                        state: MembershipState::Joining,
+                    },
+                    members: members.clone(),
+                    ready_at: now + Duration::from_millis(time),
+                    stalled_since: None,
+                });
+                OrderResult::Begun
+            }
+            TargetAction::Open { group, epoch } => {
+                let held = target.group.as_mut();
+                let Some(held) = held.filter(|held| held.is(group, *epoch)) else {
+                    return OrderResult::Conflict;
+                };
+                if held.held.rank != 0 || held.held.state != MembershipState::Ready {
+                    return OrderResult::Conflict;
+                }
+                held.held.state = MembershipState::Open;
+                let unready: Vec<&TargetId> = held
+                    .members
+                    .iter()
+                    .filter(|id| {
+                        let key = ((*id).clone(), group.clone(), *epoch);
+                        !self.ever_ready.contains(&key)
+                    })
+                    .collect();
+                if !unready.is_empty() {
+                    self.broken
+                        .push(format!("{group} opens before {unready:?} were ready"));
+                }
+                OrderResult::Begun
+            }
+            TargetAction::Close { .. } => OrderResult::Conflict,
+            TargetAction::Leave { group, epoch } => {
+                let is_in = target
+                    .group
+                    .as_ref()
+                    .is_some_and(|held| held.is(group, *epoch));
+                if !is_in {
+                    return OrderResult::Held;
+                }
+                target.group = None;
+                OrderResult::Held
+            }
+            TargetAction::Stage { .. } => return OrderResult::Held,
+        };
+        target.sequence += 1;
+        target.sequence_log.push((now, target.sequence));
+        result
+    }
+
+    /// Returns the first member of a target's group, if it is open or stalled and not broken.
+    fn serving_head(&self, id: &TargetId) -> Option<TargetId> {
+        let held = self.targets.get(id)?.group.as_ref()?;
+        let head_id = held.members.first()?;
+        let head = self.targets.get(head_id).filter(|head| head.is_alive)?;
+        let group = head.group.as_ref()?;
+        let is_same = group.is(&held.held.group, held.held.epoch);
+        (is_same && group.held.state == MembershipState::Open).then(|| head_id.clone())
+    }
+
+    fn check_open_groups(&mut self) {
+        let open: Vec<&HeldGroup> = self
+            .targets
+            .values()
+            .filter(|target| target.is_alive)
+            .filter_map(|target| target.group.as_ref())
+            .filter(|group| group.held.state == MembershipState::Open && group.held.rank == 0)
+            .filter(|group| group.stalled_since.is_none())
+            .collect();
+        for (index, group) in open.iter().enumerate() {
+            for other in &open[index + 1..] {
+                if group.members.iter().any(|id| other.members.contains(id)) {
+                    let names = (&group.held.group, &other.held.group);
+                    self.broken.push(format!("{names:?} share a member"));
+                }
+            }
+        }
+    }
+
+    fn whole_groups(&self) -> usize {
+        let heads = self.targets.values().filter(|target| target.is_alive);
+        heads
+            .filter_map(|target| target.group.as_ref())
+            .filter(|group| {
+                group.held.rank == 0
+                    && group.held.state == MembershipState::Open
+                    && group.stalled_since.is_none()
+            })
+            .count()
+    }
+}
+
+impl HeldGroup {
+    fn is(&self, group: &GroupId, epoch: Epoch) -> bool {
+        self.held.group == *group && self.held.epoch == epoch
+    }
+}
+
+fn run(seed: u64) -> World {
+    let mut world = World::open(seed);
+    let end = world.now + FAULTY;
+    while world.now < end {
+        world.step();
+    }
+    world.is_faulty = false;
+    let end = world.now + CALM;
+    while world.now < end {
+        world.step();
+    }
+    world
+}
+
+/// A group that opened early would begin requests with a member missing; a member taken from a
+/// group that still serves would belong to two. Both come from orders that rest on old knowledge.
+#[gtest]
+fn orders_on_old_knowledge_never_open_early_or_take_a_serving_member() {
+    for seed in 0..300 {
+        let world = run(seed);
+        expect_that!(world.broken, is_empty(), "seed {seed}");
+    }
+}
+
+/// Targets stay idle for ever if the controllers undo each other's work, or if one waits for an
+/// answer that never comes.
+#[gtest]
+fn every_whole_set_of_targets_serves_once_faults_stop() {
+    for seed in 0..300 {
+        let world = run(seed);
+        let live = world.targets.values().filter(|target| target.is_alive);
+        expect_that!(world.whole_groups(), eq(live.count() / SIZE), "seed {seed}");
+    }
+}
