Refuse new requests once the balancer has had time to notice a shutdown

Events: SIGTERM at 3.7 s; a request on a kept connection at 9.0 s; the process ended at 11.0 s in the middle of its answer.

--- a/crates/fleet/src/node.rs
+++ b/crates/fleet/src/node.rs
@@ -25,7 +25,10 @@
 
 /// Time for the balancer to notice that the node is no longer ready: two checks a second apart,
 /// each with time to be missed.
-const NOTICE_TIME: Duration = Duration::from_millis(2_600);
+///
+/// Requests are taken for that long. One that is taken later might not be finished before the
+/// process has to be gone, and its caller would see the connection end in the middle of the answer.
+const NOTICE_TIME: Duration = Duration::from_millis(2_800);
 /// Time kept at the end of the grace for the process to go.
 const EXIT_MARGIN: Duration = Duration::from_millis(700);
 /// Time between looks at whether the last request has ended.
@@ -104,14 +107,15 @@
     /// Ends the node without cutting off a request.
     ///
     /// The balancer's check fails first, and requests are still taken until it has had time to
-    /// notice; each answer asks its caller to use another connection. Then requests in flight are
-    /// finished, as long as the grace allows.
+    /// notice; each answer asks its caller to use another connection. Then new ones are refused as
+    /// not run, and those in flight are finished, as long as the grace allows.
     pub async fn shutdown(self) {
         let grace = self.shared.settings.grace;
         log::info!(grace_ms = grace.as_millis() as u64; "shutdown_begun");
         self.shared.enter(FleetPhase::Leaving);
         let notice = NOTICE_TIME.min(grace / 2);
         tokio::time::sleep(notice).await;
+        self.shared.enter(FleetPhase::Draining);
         let left = grace.saturating_sub(notice + EXIT_MARGIN);
         let drained = tokio::time::timeout(left, self.drain()).await;
         let open = self.shared.in_flight.load(Ordering::SeqCst);
--- a/crates/fleet/src/peers.rs
+++ b/crates/fleet/src/peers.rs
@@ -49,7 +49,7 @@
     PeerNote {
         node: shared.settings.node.clone(),
         incarnation: shared.incarnation,
-        is_leaving: shared.phase() == FleetPhase::Leaving,
+        is_leaving: shared.phase() != FleetPhase::Running,
         has_traffic: shared.has_traffic.load(Ordering::Relaxed),
         loads: loads
             .map(|(target, requests, _)| NotedLoad { target, requests })
--- a/crates/fleet/src/shared.rs
+++ b/crates/fleet/src/shared.rs
@@ -34,6 +34,8 @@
     Running = 0,
     /// It serves, and asks the balancer and callers to go elsewhere.
     Leaving = 1,
+    /// It finishes what it has and turns new requests away.
+    Draining = 2,
 }
 
 /// The directory as last read.
@@ -133,7 +135,8 @@
     pub fn phase(&self) -> FleetPhase {
         match self.phase.load(Ordering::SeqCst) {
             0 => FleetPhase::Running,
-            _ => FleetPhase::Leaving,
+            1 => FleetPhase::Leaving,
+            _ => FleetPhase::Draining,
         }
     }
 
--- a/crates/fleet/src/surface.rs
+++ b/crates/fleet/src/surface.rs
@@ -52,7 +52,7 @@
                 response
             }
         };
-        if self.shared.phase() == FleetPhase::Leaving {
+        if self.shared.phase() != FleetPhase::Running {
             response
                 .headers_mut()
                 .insert(CONNECTION, HeaderValue::from_static("close"));
@@ -67,6 +67,9 @@
         ask: CallerAsk,
         trace: &mut RequestTrace,
     ) -> Result<RequestJob, OwnAnswer> {
+        if self.shared.phase() == FleetPhase::Draining {
+            return Err(OwnAnswer::not_run("this node is shutting down"));
+        }
         let book = self.shared.book.load();
         let Some(known) = book.as_ref() else {
             return Err(OwnAnswer::not_run("no configuration is known yet"));
--- a/crates/fleet/tests/assembly.rs
+++ b/crates/fleet/tests/assembly.rs
@@ -186,7 +186,10 @@
             .filter(|(_, target)| target.is_alive)
             .map(|(id, target)| {
                 let held = target.group.as_ref().map(|group| &group.held);
-                (id.clone(), held.map(|held| (held.group.clone(), held.epoch)))
+                (
+                    id.clone(),
+                    held.map(|held| (held.group.clone(), held.epoch)),
+                )
             })
             .collect();
         for (id, target) in &mut self.targets {
@@ -366,8 +369,10 @@
                     .as_ref()
                     .is_some_and(|held| held.held.group != *group);
                 if let (true, Some(head)) = (is_other, serving) {
-                    self.broken
-                        .push(format!("{} joins {group} while {head} serves", order.target));
+                    self.broken.push(format!(
+                        "{} joins {group} while {head} serves",
+                        order.target
+                    ));
                 }
                 let time = if target.last_model { 200 } else { 800 };
                 target.epoch_seen = *epoch;
@@ -376,7 +381,10 @@
                     held: Membership {
                         group: group.clone(),
                         epoch: *epoch,
-                        rank: members.iter().position(|id| *id == order.target).unwrap_or(0),
+                        rank: members
+                            .iter()
+                            .position(|id| *id == order.target)
+                            .unwrap_or(0),
                         state: MembershipState::Joining,
                     },
                     members: members.clone(),
