Share a group's places among nodes, and give them first to who can still be on time

Cause: with groups missing, six nodes filled the rest beyond their places, since each heard of the others' requests 0.2 to 0.4 s late; what queued at the group was late. Change: a node has its share of a full group's places and exceeds it only while the group is far from full; what a target tells of its load with each answer counts; requests wait at the node in one order, first those that can be on time.

--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -43,4 +43,5 @@
 pub mod traffic;
 pub mod view;
 pub mod vm;
+pub mod waiting;
 pub mod watch;
--- a/crates/core/src/placement.rs
+++ b/crates/core/src/placement.rs
@@ -12,11 +12,16 @@
 /// choices.
 const TIE: f64 = 0.1;
 
+/// Part of the places up to which nodes need not keep to their shares.
+const FREE_USE: f64 = 0.75;
+
 /// What is known of one group when a request is placed.
-#[derive(Clone, Copy, Debug, PartialEq)]
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
 pub struct GroupLoad {
     /// Requests at work there, this node's own and those other nodes told of.
     pub writers: u32,
+    /// This node's own requests at work there.
+    pub own: u32,
     /// Requests of this node that other nodes can not know of yet.
     pub fresh: u32,
     /// Nodes that choose among the same groups.
@@ -25,6 +30,8 @@
     pub unread_tokens: u64,
     /// One-way delay to the group.
     pub delay: Duration,
+    /// Whether requests wait there for a place.
+    pub is_queueing: bool,
     /// Measured slowness against the model; one is as declared.
     pub slowness: f64,
 }
@@ -44,13 +51,19 @@
 
 /// Returns whether a group has a free place, as far as this node may count on it.
 ///
-/// All nodes see a group that has just opened as empty. Without a share for each they fill it several
-/// times over before they hear of each other's requests, and every one of those is late.
+/// All nodes see a group that has just opened as empty, and one that is full as full only after they
+/// have heard of each other's requests. Without a share for each they fill it several times over, and
+/// what waits at the group is late. Up to its share of the places a node may always send; beyond it
+/// only while the group is far from full.
 pub fn has_room(engine: &EngineModel, load: &GroupLoad) -> bool {
+    let nodes = load.nodes.max(1);
+    let share = engine.slots.div_ceil(nodes);
     let others_see = load.writers.saturating_sub(load.fresh);
     let free = engine.slots.saturating_sub(others_see);
-    let share = free / load.nodes.max(1) + 1;
-    load.writers < engine.slots && load.fresh < share
+    let is_far_from_full = f64::from(load.writers) < f64::from(engine.slots) * FREE_USE;
+    let may_exceed = is_far_from_full && load.fresh < free / nodes + 1;
+    let is_in_share = load.own < share && load.writers < engine.slots;
+    !load.is_queueing && (is_in_share || may_exceed)
 }
 
 /// Returns the index of the group to use, or `None` when every one is full.
--- /dev/null
+++ b/crates/core/src/waiting.rs
@@ -0,0 +1,101 @@
+//! Requests that wait for a place at a target, and who of them goes next.
+//!
+//! The load this answers: groups are lost faster than they are mended, and for tens of seconds
+//! callers ask for more than is left. Served in order of arrival, every request waits as long as the
+//! queue is and all of them are late, which is worth a quarter of an answer on time. Served by who can
+//! still be on time, as many are on time as there are places, and the others are told to come back.
+
+use std::time::Duration;
+
+use crate::id::Moment;
+
+/// A request that waits.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct WaitingRequest {
+    /// When it came.
+    pub arrived: Moment,
+    /// Last moment at which a place would still give an answer on time.
+    pub useful_until: Moment,
+    /// Moment at which it is given up and refused.
+    pub refused_at: Moment,
+    /// Rank; zero goes first.
+    pub priority: u8,
+}
+
+/// What to do with a waiting request.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum WaitVerdict {
+    /// It goes on waiting.
+    Wait,
+    /// It is refused now.
+    Refuse,
+}
+
+impl WaitingRequest {
+    /// Returns a waiting request.
+    ///
+    /// A place that is free at once is useful as long as the first event can come within the
+    /// objective; `first` is the time from the place to the first event.
+    pub fn open(
+        arrived: Moment,
+        objective: Duration,
+        first: Duration,
+        deadline: Moment,
+        priority: u8,
+    ) -> Self {
+        let useful = objective.saturating_sub(first);
+        Self {
+            arrived,
+            useful_until: arrived + useful,
+            refused_at: (arrived + objective + LATE_WAIT).min(deadline),
+            priority,
+        }
+    }
+
+    /// Returns whether the request still waits at `now`.
+    pub fn verdict(&self, now: Moment) -> WaitVerdict {
+        if now >= self.refused_at {
+            WaitVerdict::Refuse
+        } else {
+            WaitVerdict::Wait
+        }
+    }
+
+    /// Returns the key by which requests are ordered; the lowest goes next.
+    ///
+    /// Those that can be on time go first, by rank and then by who runs out of time first; then the
+    /// late ones by rank and arrival.
+    fn key(&self, now: Moment) -> (bool, u8, Moment) {
+        let is_late = now > self.useful_until;
+        let moment = if is_late {
+            self.arrived
+        } else {
+            self.useful_until
+        };
+        (is_late, self.priority, moment)
+    }
+}
+
+/// Time for which a request is kept that can not be on time any more.
+///
+/// A late answer is worth a quarter of one on time, and a caller that was told to come back is late as
+/// well; but a request that is held and then refused has lost that time.
+const LATE_WAIT: Duration = Duration::from_millis(500);
+
+/// Returns the index of the request that goes next.
+///
+/// ```
+/// use std::time::Duration;
+///
+/// use briarswitch_core::waiting::{next_waiting, WaitingRequest};
+///
+/// let at = Duration::from_millis;
+/// let open = |arrived| WaitingRequest::open(at(arrived), at(300), at(100), at(9_000), 1);
+/// // At 250 ms the first can not be on time any more and the second can.
+/// assert_eq!(next_waiting(&[open(0), open(150)], at(250)), Some(1));
+/// ```
+pub fn next_waiting(waiting: &[WaitingRequest], now: Moment) -> Option<usize> {
+    let keys = waiting.iter().map(|request| request.key(now));
+    let (index, _) = keys.enumerate().min_by_key(|(_, key)| *key)?;
+    Some(index)
+}
--- a/crates/fleet/src/dispatch.rs
+++ b/crates/fleet/src/dispatch.rs
@@ -6,9 +6,10 @@
 use briarswitch_core::engine::EngineModel;
 use briarswitch_core::id::*;
 use briarswitch_core::outcome::{FailurePoint, Outcome};
-use briarswitch_core::placement::{pick_group, GroupLoad};
+use briarswitch_core::placement::{first_event, pick_group, GroupLoad};
 use briarswitch_core::retry::RetryBudget;
 use briarswitch_core::traffic::{AnswerKind, TrafficBook, TrafficRule};
+use briarswitch_core::waiting::WaitingRequest;
 use briarswitch_http::{
     stream_body, whole_body, Response, SendFailure, TargetAddress, TargetBody, TargetClient,
     TargetLimits, TargetReply,
@@ -21,6 +22,7 @@
 
 use crate::gauge::GaugePlace;
 use crate::ports::{AnswerFacts, CallerAsk, TargetMark};
+use crate::queue::{wait_for_place, PlaceAsk, PlaceQueue, PlacedTarget, QueueKey};
 use crate::refusal::OwnAnswer;
 use crate::relay::StreamRelay;
 use crate::shared::FleetShared;
@@ -33,8 +35,6 @@
 const CONNECT_TIME: Duration = Duration::from_millis(400);
 /// Time between looks at whether the target that a request waits for has fallen silent.
 const SILENCE_CHECK: Duration = Duration::from_millis(40);
-/// Time a request waits for a free place before it is refused.
-const PLACE_WAIT: Duration = Duration::from_millis(1_000);
 /// Time between looks for a free place while nothing wakes the request.
 const PLACE_CHECK: Duration = Duration::from_millis(25);
 /// Attempts of one request that reached nobody, after which it is given up.
@@ -82,6 +82,8 @@
     pub organisation: Option<OrganisationId>,
     /// Rank; zero goes first.
     pub priority: u8,
+    /// When its head was read.
+    pub arrived: Moment,
     /// When the answer has to be there.
     pub deadline: Moment,
 }
@@ -93,6 +95,16 @@
         book.services.get(&self.service)?.engine.as_ref()
     }
 
+    /// Returns what the request needs of a target.
+    pub fn place_ask(&self, tried: &[TargetId]) -> PlaceAsk {
+        let model = self.engine().and(self.ask.model.clone());
+        PlaceAsk {
+            key: (self.service.clone(), model),
+            prompt_tokens: self.ask.prompt_tokens,
+            tried: tried.to_vec(),
+        }
+    }
+
     fn is_stream(&self) -> bool {
         matches!(self.rule.answer, AnswerKind::Events { .. })
     }
@@ -102,8 +114,8 @@
 pub struct BegunAnswer {
     /// Target.
     pub target: Arc<RouteTarget>,
-    /// Place there.
-    pub place: GaugePlace,
+    /// Place there, until the answer is over.
+    pub place: Option<GaugePlace>,
     /// Status and headers.
     pub head: http::response::Parts,
     /// Body.
@@ -132,6 +144,20 @@
     shared: Arc<FleetShared>,
     client: TargetClient,
     budgets: Mutex<IndexMap<ServiceId, RetryBudget>>,
+    queue: PlaceQueue,
+}
+
+/// Takes a request out of the queue when its caller leaves or its place is found.
+struct QueueGuard<'a> {
+    queue: &'a PlaceQueue,
+    key: &'a QueueKey,
+    ticket: u64,
+}
+
+impl Drop for QueueGuard<'_> {
+    fn drop(&mut self) {
+        self.queue.cancel(self.key, self.ticket);
+    }
 }
 
 impl FleetDispatcher {
@@ -145,6 +171,7 @@
             shared,
             client,
             budgets: Mutex::default(),
+            queue: PlaceQueue::default(),
         })
     }
 
@@ -217,65 +244,98 @@
         &self,
         job: &RequestJob,
         tried: &[TargetId],
-    ) -> Result<(Arc<RouteTarget>, GaugePlace), FailurePoint> {
-        let until = (BootClock::now() + PLACE_WAIT).min(job.deadline);
-        loop {
-            let waiting = self.shared.placed.notified();
-            if let Some(placed) = self.pick(job, tried) {
+    ) -> Result<PlacedTarget, FailurePoint> {
+        let ask = job.place_ask(tried);
+        // Nobody overtakes those who wait and can still be on time.
+        if !self.queue.has_waiters(&ask.key) {
+            if let Some(placed) = self.pick(&ask) {
                 return Ok(placed);
             }
-            if BootClock::now() >= until {
-                return Err(FailurePoint::NoTarget);
-            }
-            let _ = tokio::time::timeout(PLACE_CHECK, waiting).await;
+        }
+        let request = self.waiting(job);
+        let key = ask.key.clone();
+        let (ticket, place) = self.queue.push(ask, request);
+        self.serve_queue();
+        let _guard = QueueGuard {
+            queue: &self.queue,
+            key: &key,
+            ticket,
+        };
+        let placed = wait_for_place(place, request, PLACE_CHECK, || self.serve_queue()).await;
+        placed.ok_or(FailurePoint::NoTarget)
+    }
+
+    /// Gives places that came free to those who wait.
+    pub fn serve_queue(&self) {
+        if !self.queue.is_empty() {
+            self.queue.serve(|ask| self.pick(ask));
         }
     }
 
+    fn waiting(&self, job: &RequestJob) -> WaitingRequest {
+        let model = job.ask.model.as_ref();
+        let first = job.engine().and_then(|engine| {
+            let model = engine.models.get(model?)?;
+            let load = GroupLoad {
+                writers: engine.slots,
+                ..GroupLoad::default()
+            };
+            Some(first_event(engine, model, &load, job.ask.prompt_tokens))
+        });
+        WaitingRequest::open(
+            job.arrived,
+            job.rule.objective,
+            first.unwrap_or_default(),
+            job.deadline,
+            job.priority,
+        )
+    }
+
     /// Picks a target now; `None` when each is full, suspect or tried.
-    pub fn pick(
-        &self,
-        job: &RequestJob,
-        tried: &[TargetId],
-    ) -> Option<(Arc<RouteTarget>, GaugePlace)> {
+    pub fn pick(&self, ask: &PlaceAsk) -> Option<PlacedTarget> {
         let table = self.shared.table.load();
+        let book = self.shared.book.load();
         let now = BootClock::now();
-        let target = match job.engine() {
+        let (service, model) = &ask.key;
+        let service_spec = book.as_ref().as_ref()?.services.get(service);
+        let engine = service_spec.and_then(|spec| spec.engine.as_ref());
+        let target = match engine {
             Some(engine) => {
-                let model = job.ask.model.as_deref()?;
-                let model = engine.models.get(model)?;
-                let groups = table.groups(&job.service, &model.id);
+                let model = engine.models.get(model.as_ref()?)?;
+                let groups = table.groups(service, &model.id);
                 let open: Vec<&Arc<RouteTarget>> = groups
                     .iter()
-                    .filter(|group| !tried.contains(&group.id) && !group.gauge.is_suspect(now))
+                    .filter(|group| !ask.tried.contains(&group.id) && !group.gauge.is_suspect(now))
                     .collect();
                 let loads: Vec<GroupLoad> = open
                     .iter()
-                    .map(|group| self.load_of(engine, group))
+                    .map(|group| self.load_of(engine, group, now))
                     .collect();
                 let draw = rand::random::<u32>() as usize;
-                let index = pick_group(engine, model, &loads, job.ask.prompt_tokens, draw)?;
+                let index = pick_group(engine, model, &loads, ask.prompt_tokens, draw)?;
                 open[index]
             }
-            None => self.pick_plain(table.plain(&job.service), tried, now)?,
+            None => self.pick_plain(table.plain(service), &ask.tried, now)?,
         };
-        let tokens = job.ask.prompt_tokens;
-        let place = GaugePlace::open(&target.gauge, tokens, now);
+        let place = GaugePlace::open(&target.gauge, ask.prompt_tokens, now);
         Some((Arc::clone(target), place))
     }
 
-    fn load_of(&self, engine: &EngineModel, group: &RouteTarget) -> GroupLoad {
+    fn load_of(&self, engine: &EngineModel, group: &RouteTarget, now: Moment) -> GroupLoad {
         let own = &self.shared.settings.zone;
         let delay = engine.delays.iter().find(|delay| {
             (&delay.from == own && delay.to == group.zone)
                 || (&delay.to == own && delay.from == group.zone)
         });
         GroupLoad {
-            writers: group.gauge.writers(),
+            writers: group.gauge.load_at(now),
+            own: group.gauge.own(),
             fresh: group.gauge.fresh(),
-            nodes: self.shared.live_nodes(BootClock::now()),
+            nodes: self.shared.live_nodes(now),
             unread_tokens: group.gauge.unread(),
             delay: delay.map_or(Duration::ZERO, |delay| delay.delay),
             slowness: 1.0,
+            is_queueing: group.gauge.is_queueing(now),
         }
     }
 
@@ -371,10 +431,10 @@
 
     /// Returns whether a request can go on elsewhere; if not, the slow target is still the best.
     fn can_move(&self, job: &RequestJob, from: &RouteTarget) -> bool {
-        let tried = [from.id.clone()];
+        let ask = job.place_ask(std::slice::from_ref(&from.id));
         job.rule.is_repeatable()
             && self.with_budget(&job.service, |budget| budget.has_any())
-            && self.pick(job, &tried).is_some()
+            && self.pick(&ask).is_some()
     }
 
     /// Returns the silence of a target after which it has lost a member or is cut off.
@@ -433,6 +493,9 @@
             return Err(FailurePoint::TargetRefused.into());
         }
         target.gauge.note_heard(now);
+        if let (Some(running), Some(waiting)) = (facts.running, facts.waiting) {
+            target.gauge.note_load(running, waiting, now);
+        }
         let is_ours = facts.attempt.as_deref() == Some(job.ask.attempt.as_str());
         if !is_ours {
             return Err(FailurePoint::ForeignAnswer.into());
@@ -441,7 +504,7 @@
             target.gauge.note_outcome(false);
             return Ok(BegunAnswer {
                 target,
-                place,
+                place: Some(place),
                 head,
                 body,
             });
@@ -489,7 +552,7 @@
         let left = job.deadline.saturating_sub(BootClock::now());
         let read = tokio::time::timeout(left, body.read_whole(ANSWER_BYTES)).await;
         drop(place);
-        self.shared.placed.notify_one();
+        self.serve_queue();
         match read {
             Ok(Ok(bytes)) => Ok((head, bytes)),
             Ok(Err(_)) => {
--- a/crates/fleet/src/gauge.rs
+++ b/crates/fleet/src/gauge.rs
@@ -15,6 +15,9 @@
 /// Part of the longest interval that each new sign of life takes from it.
 const INTERVAL_FADING: u64 = 64;
 
+/// Time for which the load that a target told counts; a few passes.
+const TOLD_FRESH: Duration = Duration::from_millis(150);
+
 /// Counters of one life of a target.
 #[derive(Debug, Default)]
 pub struct TargetGauge {
@@ -26,6 +29,9 @@
     suspect_until: AtomicU64,
     hearsay_until: AtomicU64,
     interval: AtomicU64,
+    told: AtomicU32,
+    told_waiting: AtomicU32,
+    told_at: AtomicU64,
     failing: AtomicU32,
 }
 
@@ -44,6 +50,34 @@
         self.own() + self.remote.load(Ordering::Relaxed)
     }
 
+    /// Notes the load that the target told with an answer.
+    pub fn note_load(&self, running: u32, waiting: u32, now: Moment) {
+        self.told.store(running + waiting, Ordering::Relaxed);
+        self.told_waiting.store(waiting, Ordering::Relaxed);
+        self.told_at.store(micros(now), Ordering::Relaxed);
+    }
+
+    /// Returns the requests at work there: what is known of all nodes, or what the target told if
+    /// that is more and fresh.
+    pub fn load_at(&self, now: Moment) -> u32 {
+        let told = self.told.load(Ordering::Relaxed);
+        if self.told_age(now) < TOLD_FRESH {
+            self.writers().max(told)
+        } else {
+            self.writers()
+        }
+    }
+
+    /// Returns whether requests have just waited there for a place.
+    pub fn is_queueing(&self, now: Moment) -> bool {
+        self.told_waiting.load(Ordering::Relaxed) > 0 && self.told_age(now) < TOLD_FRESH
+    }
+
+    fn told_age(&self, now: Moment) -> Duration {
+        let at = self.told_at.load(Ordering::Relaxed);
+        Duration::from_micros(micros(now).saturating_sub(at))
+    }
+
     /// Returns the prompt tokens sent there that were not answered by an event yet.
     pub fn unread(&self) -> u64 {
         self.unread.load(Ordering::Relaxed)
--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -12,6 +12,7 @@
 pub mod note;
 pub mod peers;
 pub mod ports;
+pub mod queue;
 pub mod refusal;
 pub mod relay;
 pub mod settings;
--- /dev/null
+++ b/crates/fleet/src/queue.rs
@@ -0,0 +1,145 @@
+//! The requests of a node that wait for a place at a target.
+
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::Duration;
+
+use briarswitch_core::id::*;
+use briarswitch_core::waiting::{next_waiting, WaitVerdict, WaitingRequest};
+use briarswitch_kernel::BootClock;
+use indexmap::IndexMap;
+use tokio::sync::oneshot;
+
+use crate::gauge::GaugePlace;
+use crate::table::RouteTarget;
+
+/// Names the targets that requests compete for: a service, and a model where it has several.
+pub type QueueKey = (ServiceId, Option<ModelId>);
+/// A place at a target.
+pub type PlacedTarget = (Arc<RouteTarget>, GaugePlace);
+
+/// What a waiting request needs of its target.
+#[derive(Clone, Debug)]
+pub struct PlaceAsk {
+    /// Targets it competes for.
+    pub key: QueueKey,
+    /// Tokens of its prompt.
+    pub prompt_tokens: u64,
+    /// Targets it has been sent to.
+    pub tried: Vec<TargetId>,
+}
+
+struct Waiter {
+    ticket: u64,
+    ask: PlaceAsk,
+    request: WaitingRequest,
+    reply: oneshot::Sender<PlacedTarget>,
+}
+
+#[derive(Default)]
+struct QueueState {
+    waiters: IndexMap<QueueKey, Vec<Waiter>>,
+    next: u64,
+}
+
+/// Requests in order of who goes next.
+#[derive(Default)]
+pub struct PlaceQueue {
+    state: Mutex<QueueState>,
+}
+
+impl PlaceQueue {
+    /// Returns whether anybody waits for these targets.
+    pub fn has_waiters(&self, key: &QueueKey) -> bool {
+        let state = self.lock();
+        state
+            .waiters
+            .get(key)
+            .is_some_and(|waiters| !waiters.is_empty())
+    }
+
+    /// Returns how many wait.
+    pub fn len(&self) -> usize {
+        self.lock().waiters.values().map(Vec::len).sum()
+    }
+
+    /// Returns whether nobody waits.
+    pub fn is_empty(&self) -> bool {
+        self.len() == 0
+    }
+
+    /// Puts a request in the queue; the receiver yields its place.
+    pub fn push(
+        &self,
+        ask: PlaceAsk,
+        request: WaitingRequest,
+    ) -> (u64, oneshot::Receiver<PlacedTarget>) {
+        let (reply, place) = oneshot::channel();
+        let mut state = self.lock();
+        let ticket = state.next;
+        state.next += 1;
+        let key = ask.key.clone();
+        state.waiters.entry(key).or_default().push(Waiter {
+            ticket,
+            ask,
+            request,
+            reply,
+        });
+        (ticket, place)
+    }
+
+    /// Takes a request out that waits no more.
+    pub fn cancel(&self, key: &QueueKey, ticket: u64) {
+        let mut state = self.lock();
+        if let Some(waiters) = state.waiters.get_mut(key) {
+            waiters.retain(|waiter| waiter.ticket != ticket);
+        }
+    }
+
+    /// Gives out places as long as `pick` finds one for whoever goes next.
+    pub fn serve(&self, pick: impl Fn(&PlaceAsk) -> Option<PlacedTarget>) {
+        let now = BootClock::now();
+        let mut state = self.lock();
+        for waiters in state.waiters.values_mut() {
+            waiters.retain(|waiter| !waiter.reply.is_closed());
+            loop {
+                let requests: Vec<WaitingRequest> =
+                    waiters.iter().map(|waiter| waiter.request).collect();
+                let Some(index) = next_waiting(&requests, now) else {
+                    break;
+                };
+                let Some(placed) = pick(&waiters[index].ask) else {
+                    break;
+                };
+                let waiter = waiters.remove(index);
+                // A waiter that left in between gives its place back by dropping it.
+                let _ = waiter.reply.send(placed);
+            }
+        }
+        state.waiters.retain(|_, waiters| !waiters.is_empty());
+    }
+
+    fn lock(&self) -> MutexGuard<'_, QueueState> {
+        self.state.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+/// Waits for a place until the request is to be refused.
+///
+/// `look` is called now and then, for places that come free without this node hearing of it.
+pub async fn wait_for_place(
+    mut place: oneshot::Receiver<PlacedTarget>,
+    request: WaitingRequest,
+    interval: Duration,
+    mut look: impl FnMut(),
+) -> Option<PlacedTarget> {
+    loop {
+        match tokio::time::timeout(interval, &mut place).await {
+            Ok(placed) => return placed.ok(),
+            Err(_) => look(),
+        }
+        if request.verdict(BootClock::now()) == WaitVerdict::Refuse {
+            // A place given in the last moment is not let go.
+            return place.try_recv().ok();
+        }
+    }
+}
--- a/crates/fleet/src/relay.rs
+++ b/crates/fleet/src/relay.rs
@@ -11,6 +11,7 @@
 use futures::Stream;
 
 use crate::dispatch::{BegunAnswer, FleetDispatcher, RequestJob};
+use crate::gauge::GaugePlace;
 use crate::trace::{RequestEnd, RequestTrace};
 
 /// Time between looks at whether a stream's group has fallen silent.
@@ -128,7 +129,10 @@
     fn note_events(&mut self) {
         let now = BootClock::now();
         if self.trace.events == 0 {
-            self.current.place.note_read();
+            self.current
+                .place
+                .iter_mut()
+                .for_each(GaugePlace::note_read);
             self.trace.note_first();
         } else {
             self.trace.pause = self.trace.pause.max(now.saturating_sub(self.heard));
@@ -153,7 +157,7 @@
         if !self.may_resume() {
             return false;
         }
-        let Some((target, place)) = self.dispatcher.pick(&self.job, &self.tried) else {
+        let Some((target, place)) = self.dispatcher.pick(&self.job.place_ask(&self.tried)) else {
             return false;
         };
         if !self.dispatcher.spend(&self.job.service) {
@@ -204,6 +208,7 @@
 
 impl Drop for StreamRelay {
     fn drop(&mut self) {
-        self.dispatcher.shared().placed.notify_one();
+        self.current.place = None;
+        self.dispatcher.serve_queue();
     }
 }
--- a/crates/fleet/src/shared.rs
+++ b/crates/fleet/src/shared.rs
@@ -96,8 +96,6 @@
     pub in_flight: AtomicUsize,
     /// Whether any caller's request has been seen, here or at a peer.
     pub has_traffic: AtomicBool,
-    /// Wakes requests that wait for a place.
-    pub placed: Notify,
     /// Wakes the exchange with other nodes when a target falls under suspicion.
     pub suspected: Notify,
     confirmed: AtomicU64,
@@ -124,7 +122,6 @@
             metrics: FleetMetrics::open(),
             in_flight: AtomicUsize::new(0),
             has_traffic: AtomicBool::new(false),
-            placed: Notify::new(),
             suspected: Notify::new(),
             confirmed: AtomicU64::new(0),
             phase: AtomicU8::new(FleetPhase::Running as u8),
@@ -193,6 +190,5 @@
         let table = TargetTable::build(book, targets, &self.gauges);
         self.table.publish(table);
         self.gauges.retain(|id| targets.contains_key(id));
-        self.placed.notify_waiters();
     }
 }
--- a/crates/fleet/src/surface.rs
+++ b/crates/fleet/src/surface.rs
@@ -103,6 +103,7 @@
             rule: rule.clone(),
             service,
             organisation,
+            arrived: trace.arrived,
             deadline: trace.arrived + patience,
             ask,
             book: Arc::clone(&book),
