Limit loads for all domains together, repeat unanswered joins, back off after conflicts

Change: the nodes tell each other their loads; a join is repeated on its first condition only; after a conflict a controller waits, longer each time and differently from the other.

--- a/crates/core/src/assembly.rs
+++ b/crates/core/src/assembly.rs
@@ -8,6 +8,7 @@
 use std::time::Duration;
 
 use indexmap::{IndexMap, IndexSet};
+use xxhash_rust::xxh3::xxh3_64;
 
 use crate::engine::{EngineModel, ModelSpec};
 use crate::id::{Epoch, GroupId, ModelId, Moment, TargetId};
@@ -20,6 +21,14 @@
 /// Time to join again for the model of the last group; engines keep its weights in place.
 const REJOIN_TIME: Duration = Duration::from_millis(200);
 
+/// Shortest time for which no group is formed after another controller came first.
+///
+/// Two controllers that begin again at the same moment refuse each other's orders for ever. The time
+/// doubles with each conflict in a row and is drawn differently by each.
+const CONFLICT_PAUSE: Duration = Duration::from_millis(100);
+/// Conflicts in a row after which the pause grows no more.
+const LONGEST_BACKOFF: u32 = 4;
+
 /// What a target is told to do.
 #[derive(Clone, Debug, Eq, Hash, PartialEq)]
 pub enum TargetAction {
@@ -135,6 +144,15 @@
     pub load_budget: usize,
 }
 
+#[derive(Clone, Debug)]
+struct FormingGroup {
+    epoch: Epoch,
+    model: ModelId,
+    members: Vec<TargetId>,
+    /// Orders that each member had begun when it was chosen.
+    expected: Vec<u64>,
+}
+
 #[derive(Clone, Debug, Default)]
 struct SeenGroup {
     epoch: Epoch,
@@ -149,8 +167,11 @@
     count: u64,
     in_flight: IndexMap<TargetId, TargetOrder>,
     unsure: IndexSet<TargetId>,
-    forming: IndexMap<GroupId, ModelId>,
+    forming: IndexMap<GroupId, FormingGroup>,
     incomplete: IndexMap<GroupId, Moment>,
+    conflicts: u32,
+    is_conflict_new: bool,
+    paused_until: Moment,
     dissolving: IndexMap<GroupId, TargetId>,
     released: IndexSet<GroupId>,
     last_model: IndexMap<TargetId, ModelId>,
@@ -174,6 +195,9 @@
             unsure: IndexSet::new(),
             forming: IndexMap::new(),
             incomplete: IndexMap::new(),
+            conflicts: 0,
+            is_conflict_new: false,
+            paused_until: Moment::ZERO,
             dissolving: IndexMap::new(),
             released: IndexSet::new(),
             last_model: IndexMap::new(),
@@ -215,9 +239,11 @@
                 }
             }
             // Without this member the group can not become whole; there is nothing to wait for.
-            TargetAction::Join { group, .. } if !is_accepted => {
+            TargetAction::Join { group, .. } if !is_accepted && result != OrderResult::Lost => {
                 self.incomplete.insert(group, Moment::ZERO);
+                self.is_conflict_new = result == OrderResult::Conflict;
             }
+            TargetAction::Open { .. } if is_accepted => self.conflicts = 0,
             _ => {}
         }
     }
@@ -230,8 +256,13 @@
         for (group, seen) in &groups {
             orders.extend(self.tend(group, seen, &view, now));
         }
+        orders.extend(self.join_again(&view, &orders));
         let mut free = self.free(&view, &orders);
         let mut budget = view.load_budget;
+        self.back_off(now);
+        if now < self.paused_until {
+            free.clear();
+        }
         while let Some(candidate) = self.candidate(&free, &view, budget) {
             budget -= candidate.loads;
             free.retain(|id| !candidate.members.contains(id));
@@ -244,6 +275,17 @@
         orders
     }
 
+    fn back_off(&mut self, now: Moment) {
+        if !std::mem::take(&mut self.is_conflict_new) {
+            return;
+        }
+        self.conflicts = (self.conflicts + 1).min(LONGEST_BACKOFF);
+        let draw = xxh3_64(format!("{}-{}", self.prefix, self.count).as_bytes());
+        let share = 0.5 + (draw % 1_000) as f64 / 1_000.0;
+        let pause = CONFLICT_PAUSE * 2_u32.pow(self.conflicts - 1);
+        self.paused_until = now + pause.mul_f64(share);
+    }
+
     fn forget_gone(&mut self, view: &DomainView<'_>) {
         let is_there = |id: &TargetId| view.targets.contains_key(id);
         self.in_flight.retain(|id, _| is_there(id));
@@ -285,8 +327,8 @@
             seen.members.insert(held.rank, id.clone());
         }
         for (group, seen) in &mut groups {
-            if let Some(model) = self.forming.get(group) {
-                seen.model = Some(model.clone());
+            if let Some(forming) = self.forming.get(group) {
+                seen.model = Some(forming.model.clone());
             }
         }
         groups.sort_keys();
@@ -380,6 +422,37 @@
         }
     }
 
+    /// Repeats orders to join that were not answered and, by the target's report, not carried out.
+    ///
+    /// The same order on the same condition takes effect at most once, and only if nothing else has
+    /// begun at the target since. On a newer condition it could bring a target back into a group that
+    /// it was ordered out of, whose other members are already taken.
+    fn join_again(&self, view: &DomainView<'_>, orders: &[TargetOrder]) -> Vec<TargetOrder> {
+        let mut again = Vec::new();
+        for (group, forming) in &self.forming {
+            let is_given_up = self.incomplete.get(group) == Some(&Moment::ZERO);
+            let is_ending = self.released.contains(group) || self.dissolving.contains_key(group);
+            if is_given_up || is_ending {
+                continue;
+            }
+            let due = forming.orders(group, "join_again").filter(|order| {
+                let facts = view.targets.get(&order.target);
+                let is_unmoved = facts.is_some_and(|facts| {
+                    let held = facts.membership.as_ref();
+                    facts.standing == TargetStanding::Live
+                        && facts.sequence == order.expected
+                        && held.is_none_or(|held| held.group != *group)
+                });
+                is_unmoved
+                    && !self.in_flight.contains_key(&order.target)
+                    && !self.unsure.contains(&order.target)
+                    && !orders.iter().any(|other| other.target == order.target)
+            });
+            again.extend(due);
+        }
+        again
+    }
+
     /// Returns whether a group that is not whole may still become so.
     fn is_awaited(&mut self, group: &GroupId, now: Moment) -> bool {
         let is_ordered = self
@@ -492,19 +565,15 @@
         let group = format!("{}-{}", self.prefix, self.count);
         let seen = view.targets.values().map(|facts| facts.epoch_seen);
         let epoch = seen.max().unwrap_or(0) + 1;
-        let orders = candidate.members.iter().map(|id| TargetOrder {
-            target: id.clone(),
-            expected: view.targets[id].sequence,
-            action: TargetAction::Join {
-                group: group.clone(),
-                epoch,
-                model: view.model.id.clone(),
-                members: candidate.members.clone(),
-            },
-            reason: "form",
-        });
-        let orders = orders.collect();
-        self.forming.insert(group, view.model.id.clone());
+        let sequences = candidate.members.iter().map(|id| view.targets[id].sequence);
+        let forming = FormingGroup {
+            epoch,
+            model: view.model.id.clone(),
+            expected: sequences.collect(),
+            members: candidate.members,
+        };
+        let orders = forming.orders(&group, "form").collect();
+        self.forming.insert(group, forming);
         orders
     }
 
@@ -525,6 +594,27 @@
     }
 }
 
+impl FormingGroup {
+    fn orders<'a>(
+        &'a self,
+        group: &'a GroupId,
+        reason: &'static str,
+    ) -> impl Iterator<Item = TargetOrder> + 'a {
+        let members = self.members.iter().zip(&self.expected);
+        members.map(move |(id, expected)| TargetOrder {
+            target: id.clone(),
+            expected: *expected,
+            action: TargetAction::Join {
+                group: group.clone(),
+                epoch: self.epoch,
+                model: self.model.clone(),
+                members: self.members.clone(),
+            },
+            reason,
+        })
+    }
+}
+
 impl TargetAction {
     /// Returns the group the action is about.
     pub fn group(&self) -> Option<&GroupId> {
--- a/crates/core/src/waiting.rs
+++ b/crates/core/src/waiting.rs
@@ -69,7 +69,11 @@
     fn key(&self, now: Moment) -> (bool, u8, i128) {
         let is_late = now > self.useful_until;
         let arrival = self.arrived.as_nanos() as i128;
-        (is_late, self.priority, if is_late { arrival } else { -arrival })
+        (
+            is_late,
+            self.priority,
+            if is_late { arrival } else { -arrival },
+        )
     }
 }
 
--- a/crates/fleet/src/controller.rs
+++ b/crates/fleet/src/controller.rs
@@ -10,7 +10,7 @@
 use briarswitch_core::assignment::{assign_models, DomainStock};
 use briarswitch_core::engine::{EngineModel, ModelSpec};
 use briarswitch_core::id::*;
-use briarswitch_core::target::TargetRecord;
+use briarswitch_core::target::{MembershipState, TargetRecord};
 use briarswitch_kernel::{BootClock, Service, ServiceLink};
 use indexmap::{IndexMap, IndexSet};
 use serde_json::{json, Value};
@@ -35,11 +35,10 @@
 const OWN_LATENESS: Duration = Duration::from_millis(60);
 /// Time to wait for the answer to an order.
 const ORDER_TIME: Duration = Duration::from_millis(400);
-/// Loads from the weight store that one domain may have under way once callers are served.
+/// Loads under way beyond what the weight store does at once.
 ///
-/// Each load beyond what the weight store does at once slows all the others; one for each domain
-/// keeps the sum near that number.
-const LOADS_AT_ONCE: usize = 1;
+/// Each of them slows all the others, but none waits for the news of one that has ended.
+const EXTRA_LOADS: usize = 1;
 
 /// Name of the controller.
 pub const CONTROLLER_SERVICE: &str = "controller";
@@ -142,6 +141,10 @@
         if !self.is_listing_done(records.len(), now) {
             return;
         }
+        let tracker = &self.tracker;
+        self.loads
+            .retain(|id, _| tracker.targets().contains_key(id));
+        self.count_loads();
         let models = assign_models(engine, &self.demand(now), &stock_of(records, &domains));
         for domain in own {
             let model = models.get(&domain).and_then(|id| engine.models.get(id));
@@ -261,7 +264,7 @@
             .map(|(id, tracked)| (id, tracked.facts))
             .collect();
         let has_traffic = self.shared.has_traffic.load(Ordering::Relaxed);
-        let load_budget = self.load_budget(&facts, has_traffic);
+        let load_budget = self.load_budget(engine, has_traffic);
         let Some(keeper) = self.keepers.get_mut(domain) else {
             return;
         };
@@ -274,23 +277,43 @@
         for order in keeper.plan(view, now) {
             self.send(order, link);
         }
+        self.count_loads();
     }
 
-    fn load_budget(&mut self, facts: &IndexMap<TargetId, TargetFacts>, has_traffic: bool) -> usize {
+    /// Returns how many loads from the weight store may begin in a round.
+    ///
+    /// The limit holds for all domains together; what other nodes have under way is known from the
+    /// exchange. A load under way shows in the target itself, so a successor sees it too.
+    fn load_budget(&self, engine: &EngineModel, has_traffic: bool) -> usize {
         if !has_traffic && self.shared.settings.is_first_start {
             // Before the first caller the weight store has nothing else to do.
-            return facts.len();
+            return usize::MAX;
         }
-        let is_loading = |id: &TargetId, model: &ModelId| {
-            facts.get(id).is_none_or(|facts| {
-                facts.standing != TargetStanding::Silent && !facts.staged.contains(model)
-            })
+        let peers = self.shared.peers.read();
+        let elsewhere: u32 = peers.values().map(|peer| peer.loading).sum();
+        let own = self.shared.loading.load(Ordering::Relaxed);
+        let limit = engine.loads_at_once + EXTRA_LOADS;
+        limit.saturating_sub((own + elsewhere) as usize)
+    }
+
+    /// Counts the loads under way in this node's domains.
+    fn count_loads(&self) {
+        let is_loading = |facts: &TargetFacts, record: &TargetRecord| {
+            let is_joining = facts
+                .membership
+                .as_ref()
+                .is_some_and(|held| held.state == MembershipState::Joining);
+            let model = facts.model.as_ref().filter(|_| is_joining);
+            let lacks = match (model, self.loads.get(&record.id)) {
+                (Some(model), _) | (None, Some(model)) => !facts.staged.contains(model),
+                (None, None) => false,
+            };
+            lacks && facts.standing != TargetStanding::Silent
         };
-        let tracker = &self.tracker;
-        self.loads
-            .retain(|id, model| tracker.targets().contains_key(id) && is_loading(id, model));
-        let active = self.loads.keys().filter(|id| facts.contains_key(*id));
-        LOADS_AT_ONCE.saturating_sub(active.count())
+        let tracked = self.tracker.targets().values();
+        let loading = tracked.filter(|tracked| is_loading(&tracked.facts, &tracked.record));
+        let count = u32::try_from(loading.count()).unwrap_or(u32::MAX);
+        self.shared.loading.store(count, Ordering::Relaxed);
     }
 
     fn send(&mut self, order: TargetOrder, link: &ServiceLink<ControllerMessage>) {
--- a/crates/fleet/src/note.rs
+++ b/crates/fleet/src/note.rs
@@ -17,6 +17,8 @@
     pub has_traffic: bool,
     /// Its own requests at targets.
     pub loads: Vec<NotedLoad>,
+    /// Loads from the weight store that its targets have under way.
+    pub loading: u32,
     /// Targets that fell silent towards it.
     pub suspects: Vec<TargetId>,
     /// Groups that the requests it sees would fill, by model.
@@ -40,6 +42,8 @@
     leaving: bool,
     traffic: bool,
     loads: Vec<(TargetId, u32)>,
+    #[serde(default)]
+    loading: u32,
     suspects: Vec<TargetId>,
     demand: Vec<(ModelId, f64)>,
 }
@@ -53,6 +57,7 @@
             leaving: note.is_leaving,
             traffic: note.has_traffic,
             loads: loads.map(|load| (load.target, load.requests)).collect(),
+            loading: note.loading,
             suspects: note.suspects,
             demand: note.demand.into_iter().collect(),
         }
@@ -70,6 +75,7 @@
             loads: loads
                 .map(|(target, requests)| NotedLoad { target, requests })
                 .collect(),
+            loading: doc.loading,
             suspects: doc.suspects,
             demand: doc.demand.into_iter().collect(),
         }
--- a/crates/fleet/src/peers.rs
+++ b/crates/fleet/src/peers.rs
@@ -54,6 +54,7 @@
         loads: loads
             .map(|(target, requests, _)| NotedLoad { target, requests })
             .collect(),
+        loading: shared.loading.load(Ordering::Relaxed),
         suspects: shared.gauges.suspects(now),
         demand: shared.demand.rates(now),
     }
@@ -140,6 +141,7 @@
                 heard: None,
                 is_leaving: false,
                 demand: IndexMap::new(),
+                loading: 0,
             };
             self.book.insert(entry.node, view);
         }
@@ -192,6 +194,7 @@
         peer.heard = Some(peer.heard.map_or(at, |heard| heard.max(at)));
         peer.is_leaving = note.is_leaving;
         peer.demand.clone_from(&note.demand);
+        peer.loading = note.loading;
         if note.has_traffic {
             self.shared.has_traffic.store(true, Ordering::Relaxed);
         }
--- a/crates/fleet/src/shared.rs
+++ b/crates/fleet/src/shared.rs
@@ -1,6 +1,6 @@
 //! What the control thread publishes and the traffic threads read.
 
-use std::sync::atomic::{AtomicBool, AtomicU64, AtomicU8, AtomicUsize, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU32, AtomicU64, AtomicU8, AtomicUsize, Ordering};
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -58,6 +58,8 @@
     pub is_leaving: bool,
     /// Groups that the requests it sees would fill, by model.
     pub demand: IndexMap<ModelId, f64>,
+    /// Loads from the weight store that its targets have under way.
+    pub loading: u32,
 }
 
 impl PeerView {
@@ -94,6 +96,8 @@
     pub metrics: FleetMetrics,
     /// Requests that were read and not answered to the end.
     pub in_flight: AtomicUsize,
+    /// Loads from the weight store under way in this node's domains.
+    pub loading: AtomicU32,
     /// Whether any caller's request has been seen, here or at a peer.
     pub has_traffic: AtomicBool,
     /// Wakes the exchange with other nodes when a target falls under suspicion.
@@ -121,6 +125,7 @@
             demand: DemandMeter::default(),
             metrics: FleetMetrics::open(),
             in_flight: AtomicUsize::new(0),
+            loading: AtomicU32::new(0),
             has_traffic: AtomicBool::new(false),
             suspected: Notify::new(),
             confirmed: AtomicU64::new(0),
