Let targets load before they join, so that survivors stay free

Change: after the start a target without the weights is told to load them and joins when it has them.

--- a/crates/core/src/assembly.rs
+++ b/crates/core/src/assembly.rs
@@ -142,6 +142,12 @@
     pub model: &'a ModelSpec,
     /// Loads from the weight store that may begin now.
     pub load_budget: usize,
+    /// Whether members may load while they join.
+    ///
+    /// Before the first caller that is the soonest way to serve. Later a target that loads for many
+    /// seconds would bind the others of its group, which could complete another one at once; it
+    /// loads first, and joins when it is needed.
+    pub joins_load: bool,
 }
 
 #[derive(Clone, Debug)]
@@ -544,7 +550,8 @@
         ranked.truncate(model.size);
         let loading = ranked.iter().filter(|(time, _)| *time >= model.load_time);
         let loads = loading.count();
-        (loads <= budget).then(|| Candidate {
+        let is_allowed = loads == 0 || (view.joins_load && loads <= budget);
+        is_allowed.then(|| Candidate {
             members: ranked.into_iter().map(|(_, id)| id.clone()).collect(),
             loads,
         })
--- a/crates/fleet/src/controller.rs
+++ b/crates/fleet/src/controller.rs
@@ -48,12 +48,62 @@
     shared: Arc<FleetShared>,
     tracker: TargetTracker,
     keepers: IndexMap<DomainId, DomainKeeper>,
+    census: IndexMap<DomainId, DomainCensus>,
     loads: IndexMap<TargetId, ModelId>,
     suspected: IndexSet<TargetId>,
     started: Moment,
     listed: (usize, Moment),
 }
 
+/// How many targets of a domain are in which state.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+struct DomainCensus {
+    live: usize,
+    silent: usize,
+    draining: usize,
+    open: usize,
+    grouped: usize,
+    spare: usize,
+    unstaged: usize,
+}
+
+impl DomainCensus {
+    fn of(targets: &IndexMap<TargetId, TargetFacts>, model: &ModelId) -> Self {
+        let mut census = Self::default();
+        for facts in targets.values() {
+            match facts.standing {
+                TargetStanding::Live => census.live += 1,
+                TargetStanding::Silent => census.silent += 1,
+                TargetStanding::Draining => census.draining += 1,
+            }
+            let held = facts.membership.as_ref();
+            let is_open = held.is_some_and(|held| held.state == MembershipState::Open);
+            census.open += usize::from(is_open);
+            census.grouped += usize::from(held.is_some());
+            let is_free = held.is_none() && facts.standing == TargetStanding::Live;
+            let is_staged = facts.staged.contains(model);
+            census.spare += usize::from(is_free && is_staged);
+            census.unstaged += usize::from(is_free && !is_staged);
+        }
+        census
+    }
+
+    fn log(&self, domain: &str, model: &str) {
+        log::info!(
+            domain = domain,
+            model = model,
+            live = self.live,
+            silent = self.silent,
+            draining = self.draining,
+            open_groups = self.open,
+            grouped = self.grouped,
+            spare = self.spare,
+            unstaged = self.unstaged;
+            "domain_state"
+        );
+    }
+}
+
 /// Message to [`GroupController`].
 pub enum ControllerMessage {
     /// Look at everything again.
@@ -85,6 +135,7 @@
             shared,
             tracker: TargetTracker::default(),
             keepers: IndexMap::new(),
+            census: IndexMap::new(),
             loads: IndexMap::new(),
             suspected: IndexSet::new(),
             started: BootClock::now(),
@@ -264,6 +315,10 @@
             .map(|(id, tracked)| (id, tracked.facts))
             .collect();
         let has_traffic = self.shared.has_traffic.load(Ordering::Relaxed);
+        let census = DomainCensus::of(&facts, &model.id);
+        if self.census.insert(domain.clone(), census) != Some(census) {
+            census.log(domain, &model.id);
+        }
         let load_budget = self.load_budget(engine, has_traffic);
         let Some(keeper) = self.keepers.get_mut(domain) else {
             return;
@@ -273,6 +328,7 @@
             engine,
             model,
             load_budget,
+            joins_load: !has_traffic && self.shared.settings.is_first_start,
         };
         for order in keeper.plan(view, now) {
             self.send(order, link);
--- a/crates/fleet/tests/assembly.rs
+++ b/crates/fleet/tests/assembly.rs
@@ -296,6 +296,7 @@
             engine: &self.engine,
             model: &self.engine.models["m"],
             load_budget: SIZE,
+            joins_load: false,
         };
         controller.keeper.plan(view, self.now)
     }
