Leave half of a full group's places to requests that can be on time

Cause: while groups are missing, places went to whoever was there, mostly requests that were late already or had come back after a refusal (half of what arrives then); those that came next waited behind them and were late too. With four groups left 31 of 90 arrivals were on time each two seconds. Change: a caller that comes back is known by the patience it has left, and its objective counts from its first attempt; late requests take a place only while half of a node's share is free; one that has come back already may wait longer, for it is its last chance.

--- a/crates/core/src/placement.rs
+++ b/crates/core/src/placement.rs
@@ -32,6 +32,8 @@
     pub delay: Duration,
     /// Whether requests wait there for a place.
     pub is_queueing: bool,
+    /// Whether the request to be placed can not be on time any more.
+    pub is_for_late: bool,
     /// Measured slowness against the model; one is as declared.
     pub slowness: f64,
 }
@@ -55,9 +57,15 @@
 /// have heard of each other's requests. Without a share for each they fill it several times over, and
 /// what waits at the group is late. Up to its share of the places a node may always send; beyond it
 /// only while the group is far from full.
+///
+/// A request that is late already takes a place only while half of them are free. Given every place
+/// that comes free, the late ones would always be there first, and those that come next late too.
 pub fn has_room(engine: &EngineModel, load: &GroupLoad) -> bool {
     let nodes = load.nodes.max(1);
     let share = (engine.slots / nodes).max(1);
+    if load.is_for_late && load.own * 2 >= share {
+        return false;
+    }
     let others_see = load.writers.saturating_sub(load.fresh);
     let free = engine.slots.saturating_sub(others_see);
     let is_far_from_full = f64::from(load.writers) < f64::from(engine.slots) * FREE_USE;
--- a/crates/core/src/waiting.rs
+++ b/crates/core/src/waiting.rs
@@ -9,6 +9,16 @@
 
 use crate::id::Moment;
 
+/// Time for which a request is kept that can not be on time any more.
+///
+/// A late answer is worth a quarter of one on time, and a caller that was told to come back is late as
+/// well; but a request that is held and then refused has lost that time.
+const LATE_WAIT: Duration = Duration::from_millis(500);
+/// Part of the time it has left for which a request is kept that has come back already.
+///
+/// Its caller comes back only once, so refusing it again is the end of it.
+const RETURNED_WAIT: f64 = 0.3;
+
 /// A request that waits.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub struct WaitingRequest {
@@ -22,6 +32,23 @@
     pub priority: u8,
 }
 
+/// What is known of a request when it begins to wait.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub struct WaitTerms {
+    /// When it came.
+    pub arrived: Moment,
+    /// Time its caller had waited before, at another node or for an earlier answer.
+    pub waited_before: Duration,
+    /// Time to the first event that callers were promised.
+    pub objective: Duration,
+    /// Time that usually passes from a place to the first event.
+    pub first: Duration,
+    /// When the answer has to be there.
+    pub deadline: Moment,
+    /// Rank; zero goes first.
+    pub priority: u8,
+}
+
 /// What to do with a waiting request.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum WaitVerdict {
@@ -34,24 +61,32 @@
 impl WaitingRequest {
     /// Returns a waiting request.
     ///
-    /// A place that is free at once is useful as long as the first event can come within the
-    /// objective; `first` is the time from the place to the first event.
-    pub fn open(
-        arrived: Moment,
-        objective: Duration,
-        first: Duration,
-        deadline: Moment,
-        priority: u8,
-    ) -> Self {
-        let useful = objective.saturating_sub(first);
+    /// A place is useful as long as the first event can come within the objective, counted from the
+    /// caller's first attempt.
+    pub fn open(terms: WaitTerms) -> Self {
+        let slack = terms
+            .objective
+            .saturating_sub(terms.first + terms.waited_before);
+        let useful_until = terms.arrived + slack;
+        let late = if terms.waited_before.is_zero() {
+            terms.objective + LATE_WAIT
+        } else {
+            let left = terms.deadline.saturating_sub(terms.arrived);
+            left.mul_f64(RETURNED_WAIT)
+        };
         Self {
-            arrived,
-            useful_until: arrived + useful,
-            refused_at: (arrived + objective + LATE_WAIT).min(deadline),
-            priority,
+            arrived: terms.arrived,
+            useful_until,
+            refused_at: (terms.arrived + late).min(terms.deadline),
+            priority: terms.priority,
         }
     }
 
+    /// Returns whether it can not be on time any more.
+    pub fn is_late(&self, now: Moment) -> bool {
+        now > self.useful_until
+    }
+
     /// Returns whether the request still waits at `now`.
     pub fn verdict(&self, now: Moment) -> WaitVerdict {
         if now >= self.refused_at {
@@ -67,7 +102,7 @@
     /// is left, whoever is served at the last moment is late by the least thing, and so would be all.
     /// The late ones follow by rank and arrival.
     fn key(&self, now: Moment) -> (bool, u8, i128) {
-        let is_late = now > self.useful_until;
+        let is_late = self.is_late(now);
         let arrival = self.arrived.as_nanos() as i128;
         (
             is_late,
@@ -77,21 +112,23 @@
     }
 }
 
-/// Time for which a request is kept that can not be on time any more.
-///
-/// A late answer is worth a quarter of one on time, and a caller that was told to come back is late as
-/// well; but a request that is held and then refused has lost that time.
-const LATE_WAIT: Duration = Duration::from_millis(500);
-
 /// Returns the index of the request that goes next.
 ///
 /// ```
 /// use std::time::Duration;
 ///
-/// use briarswitch_core::waiting::{next_waiting, WaitingRequest};
+/// use briarswitch_core::waiting::{next_waiting, WaitTerms, WaitingRequest};
 ///
 /// let at = Duration::from_millis;
-/// let open = |arrived| WaitingRequest::open(at(arrived), at(300), at(100), at(9_000), 1);
+/// let open = |arrived| {
+///     WaitingRequest::open(WaitTerms {
+///         arrived: at(arrived),
+///         objective: at(300),
+///         first: at(100),
+///         deadline: at(9_000),
+///         ..WaitTerms::default()
+///     })
+/// };
 /// // At 250 ms the first can not be on time any more and the second can.
 /// assert_eq!(next_waiting(&[open(0), open(150)], at(250)), Some(1));
 /// ```
--- a/crates/fleet/src/dispatch.rs
+++ b/crates/fleet/src/dispatch.rs
@@ -6,10 +6,10 @@
 use briarswitch_core::engine::EngineModel;
 use briarswitch_core::id::*;
 use briarswitch_core::outcome::{FailurePoint, Outcome};
-use briarswitch_core::placement::{first_event, pick_group, GroupLoad};
+use briarswitch_core::placement::{pick_group, GroupLoad};
 use briarswitch_core::retry::RetryBudget;
 use briarswitch_core::traffic::{AnswerKind, TrafficBook, TrafficRule};
-use briarswitch_core::waiting::WaitingRequest;
+use briarswitch_core::waiting::{WaitTerms, WaitingRequest};
 use briarswitch_http::{
     stream_body, whole_body, Response, SendFailure, TargetAddress, TargetBody, TargetClient,
     TargetLimits, TargetReply,
@@ -84,6 +84,8 @@
     pub priority: u8,
     /// When its head was read.
     pub arrived: Moment,
+    /// Time its caller had waited before it came here.
+    pub waited_before: Duration,
     /// When the answer has to be there.
     pub deadline: Moment,
 }
@@ -102,6 +104,7 @@
             key: (self.service.clone(), model),
             prompt_tokens: self.ask.prompt_tokens,
             tried: tried.to_vec(),
+            is_late: false,
         }
     }
 
@@ -246,14 +249,15 @@
         job: &RequestJob,
         tried: &[TargetId],
     ) -> Result<PlacedTarget, FailurePoint> {
-        let ask = job.place_ask(tried);
+        let mut ask = job.place_ask(tried);
+        let request = self.waiting(job, &ask.key);
+        ask.is_late = request.is_late(BootClock::now());
         // Nobody overtakes those who wait and can still be on time.
         if !self.queue.has_waiters(&ask.key) {
             if let Some(placed) = self.pick(&ask) {
                 return Ok(placed);
             }
         }
-        let request = self.waiting(job);
         let key = ask.key.clone();
         let (ticket, place) = self.queue.push(ask, request);
         self.serve_queue();
@@ -273,23 +277,20 @@
         }
     }
 
-    fn waiting(&self, job: &RequestJob) -> WaitingRequest {
-        let model = job.ask.model.as_ref();
-        let first = job.engine().and_then(|engine| {
-            let model = engine.models.get(model?)?;
-            let load = GroupLoad {
-                writers: engine.slots,
-                ..GroupLoad::default()
-            };
-            Some(first_event(engine, model, &load, job.ask.prompt_tokens))
-        });
-        WaitingRequest::open(
-            job.arrived,
-            job.rule.objective,
-            first.unwrap_or_default(),
-            job.deadline,
-            job.priority,
-        )
+    fn waiting(&self, job: &RequestJob, key: &QueueKey) -> WaitingRequest {
+        WaitingRequest::open(WaitTerms {
+            arrived: job.arrived,
+            waited_before: job.waited_before,
+            objective: job.rule.objective,
+            first: self.queue.usual_first(key),
+            deadline: job.deadline,
+            priority: job.priority,
+        })
+    }
+
+    /// Notes the time from a place to the first event there.
+    pub fn note_first(&self, job: &RequestJob, time: Duration) {
+        self.queue.note_first(&job.place_ask(&[]).key, time);
     }
 
     /// Picks a target now; `None` when each is full, suspect or tried.
@@ -310,7 +311,10 @@
                     .collect();
                 let loads: Vec<GroupLoad> = open
                     .iter()
-                    .map(|group| self.load_of(engine, group, now))
+                    .map(|group| GroupLoad {
+                        is_for_late: ask.is_late,
+                        ..self.load_of(engine, group, now)
+                    })
                     .collect();
                 let draw = rand::random::<u32>() as usize;
                 let index = pick_group(engine, model, &loads, ask.prompt_tokens, draw)?;
@@ -337,6 +341,7 @@
             delay: delay.map_or(Duration::ZERO, |delay| delay.delay),
             slowness: 1.0,
             is_queueing: group.gauge.is_queueing(now),
+            is_for_late: false,
         }
     }
 
--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -10,6 +10,7 @@
 pub mod metrics;
 pub mod node;
 pub mod note;
+pub mod patience;
 pub mod peers;
 pub mod ports;
 pub mod queue;
--- a/crates/fleet/src/queue.rs
+++ b/crates/fleet/src/queue.rs
@@ -12,6 +12,9 @@
 use crate::gauge::GaugePlace;
 use crate::table::RouteTarget;
 
+/// Weight of the newest sample in the usual time to the first event.
+const FIRST_SMOOTHING: f64 = 0.1;
+
 /// Names the targets that requests compete for: a service, and a model where it has several.
 pub type QueueKey = (ServiceId, Option<ModelId>);
 /// A place at a target.
@@ -26,6 +29,8 @@
     pub prompt_tokens: u64,
     /// Targets it has been sent to.
     pub tried: Vec<TargetId>,
+    /// Whether it can not be on time any more.
+    pub is_late: bool,
 }
 
 struct Waiter {
@@ -38,6 +43,7 @@
 #[derive(Default)]
 struct QueueState {
     waiters: IndexMap<QueueKey, Vec<Waiter>>,
+    first: IndexMap<QueueKey, Duration>,
     next: u64,
 }
 
@@ -57,6 +63,18 @@
             .is_some_and(|waiters| !waiters.is_empty())
     }
 
+    /// Notes the time from a place to the first event there.
+    pub fn note_first(&self, key: &QueueKey, time: Duration) {
+        let mut state = self.lock();
+        let held = state.first.entry(key.clone()).or_insert(time);
+        *held = held.mul_f64(1.0 - FIRST_SMOOTHING) + time.mul_f64(FIRST_SMOOTHING);
+    }
+
+    /// Returns the time that usually passes from a place to the first event there.
+    pub fn usual_first(&self, key: &QueueKey) -> Duration {
+        self.lock().first.get(key).copied().unwrap_or_default()
+    }
+
     /// Returns how many wait.
     pub fn len(&self) -> usize {
         self.lock().waiters.values().map(Vec::len).sum()
@@ -107,6 +125,7 @@
                 let Some(index) = next_waiting(&requests, now) else {
                     break;
                 };
+                waiters[index].ask.is_late = requests[index].is_late(now);
                 let Some(placed) = pick(&waiters[index].ask) else {
                     break;
                 };
--- a/crates/fleet/src/relay.rs
+++ b/crates/fleet/src/relay.rs
@@ -134,6 +134,11 @@
                 .iter_mut()
                 .for_each(GaugePlace::note_read);
             self.trace.note_first();
+            if self.trace.sent == 1 {
+                let placed = self.trace.arrived + self.trace.waited.unwrap_or_default();
+                let time = now.saturating_sub(placed);
+                self.dispatcher.note_first(&self.job, time);
+            }
         } else {
             self.trace.pause = self.trace.pause.max(now.saturating_sub(self.heard));
         }
--- a/crates/fleet/src/surface.rs
+++ b/crates/fleet/src/surface.rs
@@ -15,6 +15,7 @@
 use xxhash_rust::xxh3::xxh3_64;
 
 use crate::dispatch::{FleetDispatcher, RequestJob};
+use crate::patience::PatienceBook;
 use crate::ports::CallerAsk;
 use crate::refusal::OwnAnswer;
 use crate::shared::{FleetPhase, FleetShared};
@@ -24,12 +25,17 @@
 pub struct CallerSurface {
     shared: Arc<FleetShared>,
     dispatcher: Arc<FleetDispatcher>,
+    patience: PatienceBook,
 }
 
 impl CallerSurface {
     /// Opens the surface.
     pub fn open(shared: Arc<FleetShared>, dispatcher: Arc<FleetDispatcher>) -> Arc<Self> {
-        Arc::new(Self { shared, dispatcher })
+        Arc::new(Self {
+            shared,
+            dispatcher,
+            patience: PatienceBook::default(),
+        })
     }
 
     async fn answer(&self, request: Request) -> Response {
@@ -103,6 +109,7 @@
             rule: rule.clone(),
             service,
             organisation,
+            waited_before: self.patience.waited(&rule.name, ask.patience),
             arrived: trace.arrived,
             deadline: trace.arrived + patience,
             ask,
