--- a/crates/fleet/src/dispatch.rs
+++ b/crates/fleet/src/dispatch.rs
@@ -493,6 +493,7 @@
             .facts(head.status, &head.headers);
         let now = BootClock::now();
         if facts.is_not_run || facts.is_other_life {
+            target.gauge.note_outcome(true);
             if facts.is_other_life || facts.at_fault.is_some() {
                 self.suspect(&target, now);
             }
