Let a fleet's node choose its ports, so that tests can not collide

Cause: the tests picked free ports, let them go, and another test of the same process bound one first. Change: a port of 0 is replaced by the one bound, also in what the node registers.

--- a/crates/fleet/src/node.rs
+++ b/crates/fleet/src/node.rs
@@ -69,12 +69,13 @@
         settings: FleetSettings,
         platform: FleetPlatform,
     ) -> Result<Self, FleetError> {
+        let mut settings = settings;
+        let callers = bind("callers", &mut settings.callers).await?;
+        let health = bind("health", &mut settings.health).await?;
+        let peers = bind("peers", &mut settings.peers).await?;
+        let metrics = bind("metrics", &mut settings.metrics).await?;
         let shared = FleetShared::open(settings, new_incarnation(), platform);
         let settings = &shared.settings;
-        let callers = bind("callers", &settings.callers).await?;
-        let health = bind("health", &settings.health).await?;
-        let peers = bind("peers", &settings.peers).await?;
-        let metrics = bind("metrics", &settings.metrics).await?;
         let kernel = Kernel::spawn()?;
         kernel.mount(BookKeeper::open(Arc::clone(&shared)))?;
         kernel.mount(DirectoryKeeper::open(Arc::clone(&shared)))?;
@@ -104,6 +105,11 @@
         })
     }
 
+    /// Returns the settings in force, with the ports that were bound.
+    pub fn settings(&self) -> &FleetSettings {
+        &self.shared.settings
+    }
+
     /// Ends the node without cutting off a request.
     ///
     /// The balancer's check fails first, and requests are still taken until it has had time to
@@ -130,14 +136,17 @@
     }
 }
 
-async fn bind(surface: &'static str, address: &str) -> Result<HttpServer, FleetError> {
-    HttpServer::bind(address)
+/// Binds a listener, and puts the port that it got in place of one left open.
+async fn bind(surface: &'static str, address: &mut String) -> Result<HttpServer, FleetError> {
+    let server = HttpServer::bind(address)
         .await
         .map_err(|source| FleetError::Bind {
             surface,
-            address: address.to_owned(),
+            address: address.clone(),
             source,
-        })
+        })?;
+    *address = server.address().to_string();
+    Ok(server)
 }
 
 /// Returns a number that is higher for each later life of a process on one machine.
