--- a/crates/fleet/tests/assembly.rs
+++ b/crates/fleet/tests/assembly.rs
@@ -6,6 +6,7 @@
 //! to another group only after its old one can not serve. Once the faults stop, as many groups serve
 //! as there are whole sets of targets.
 
+use std::sync::LazyLock;
 use std::time::Duration;
 
 use briarswitch_core::assembly::{
@@ -498,23 +499,51 @@
     world
 }
 
+/// What a run ended with.
+struct RunResult {
+    seed: u64,
+    broken: Vec<String>,
+    groups: usize,
+    whole_sets: usize,
+}
+
+/// Seeds played; both checks read the same runs.
+const SEEDS: u64 = 300;
+
+static RUNS: LazyLock<Vec<RunResult>> = LazyLock::new(|| {
+    let runs = (0..SEEDS).map(|seed| {
+        let world = run(seed);
+        let live = world.targets.values().filter(|target| target.is_alive);
+        RunResult {
+            seed,
+            groups: world.whole_groups(),
+            whole_sets: live.count() / SIZE,
+            broken: world.broken,
+        }
+    });
+    runs.collect()
+});
+
 /// A group that opened early would begin requests with a member missing; a member taken from a
 /// group that still serves would belong to two. Both come from orders that rest on old knowledge.
+///
+/// Seed 284: members of a group whose first one was out of reach were taken before they had left.
+/// Seeds 10 and 28: an order to join, repeated on a newer condition, brought a target back into a
+/// group that it had been ordered out of.
 #[gtest]
 fn orders_on_old_knowledge_never_open_early_or_take_a_serving_member() {
-    for seed in 0..300 {
-        let world = run(seed);
-        expect_that!(world.broken, is_empty(), "seed {seed}");
+    for run in RUNS.iter() {
+        expect_that!(run.broken, is_empty(), "seed {}", run.seed);
     }
 }
 
 /// Targets stay idle for ever if the controllers undo each other's work, or if one waits for an
 /// answer that never comes.
+///
+/// Seed 211: two controllers in step refused each other's orders to join for ever.
 #[gtest]
 fn every_whole_set_of_targets_serves_once_faults_stop() {
-    for seed in 0..300 {
-        let world = run(seed);
-        let live = world.targets.values().filter(|target| target.is_alive);
-        expect_that!(world.whole_groups(), eq(live.count() / SIZE), "seed {seed}");
+    for run in RUNS.iter() {
+        expect_that!(run.groups, eq(run.whole_sets), "seed {}", run.seed);
     }
 }
--- a/crates/model/examples/check.rs
+++ b/crates/model/examples/check.rs
@@ -6,8 +6,8 @@
 use std::process::ExitCode;
 
 use briarswitch_model::{
-    search, stuck_states, ConfigDefect, ConfigSpec, GateDefect, GateSpec, KeyDefect, KeySpec,
-    LeaseDefect, LeaseSpec, OrderDefect, OrderSpec, Specification,
+    search, stuck_states, AssemblyDefect, AssemblySpec, ConfigDefect, ConfigSpec, GateDefect,
+    GateSpec, KeyDefect, KeySpec, LeaseDefect, LeaseSpec, OrderDefect, OrderSpec, Specification,
 };
 
 /// Counts what was not as it should be.
@@ -74,6 +74,7 @@
         "orders, engines that ignore fencing",
         &OrderSpec::sound(false),
     );
+    tally.holds("groups by conditional orders", &AssemblySpec::sound());
     tally.holds("serving gate", &GateSpec::sound());
     tally.holds("accepted configuration", &ConfigSpec::sound());
     tally.holds("at most once by key", &KeySpec::sound());
@@ -108,6 +109,16 @@
         let name = format!("orders with {defect:?}");
         tally.catches(&name, &OrderSpec::defective(defect));
     }
+    for defect in [
+        AssemblyDefect::NoSequence,
+        AssemblyDefect::NoInstance,
+        AssemblyDefect::ReusedBeforeStop,
+        AssemblyDefect::OpenedUnseen,
+        AssemblyDefect::UnsettledBelieved,
+    ] {
+        let name = format!("groups with {defect:?}");
+        tally.catches(&name, &AssemblySpec::defective(defect));
+    }
     for defect in [
         GateDefect::NeverExpires,
         GateDefect::CountedFromAnswer,
--- a/crates/model/src/lib.rs
+++ b/crates/model/src/lib.rs
@@ -10,6 +10,7 @@
 //! assert!(report.violation.is_none() && report.is_exhausted);
 //! ```
 
+mod assembly;
 mod config;
 mod gate;
 mod keys;
@@ -17,6 +18,7 @@
 mod orders;
 mod search;
 
+pub use assembly::{AssemblyDefect, AssemblySpec};
 pub use config::{ConfigDefect, ConfigSpec};
 pub use gate::{GateDefect, GateSpec};
 pub use keys::{KeyDefect, KeySpec};
--- a/crates/node/tests/support/mod.rs
+++ b/crates/node/tests/support/mod.rs
@@ -80,7 +80,7 @@
         ));
         let child = Command::new(env!("CARGO_BIN_EXE_briarswitch-node"))
             .args(&self.arguments)
-            .stderr(File::create(log).map_or(Stdio::null(), Stdio::from))
+            .stdout(File::create(log).map_or(Stdio::null(), Stdio::from))
             .spawn()
             .expect("the node starts");
         self.child = Some(child);
