--- /dev/null
+++ b/crates/node/tests/signals.rs
@@ -0,0 +1,33 @@
+//! Signals that a node obeys.
+
+mod support;
+
+use nix::sys::signal::Signal;
+use std::time::Duration;
+use support::{Cluster, Plan};
+
+/// Symptom: nodes end when their settings file changes.
+/// Events: a signal to reload arrives, several times in a row.
+/// Cause guarded against: the signal's default action, which ends the process.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_signal_to_reload_ends_nothing() {
+    let mut cluster = Cluster::start(Plan {
+        zones: 1,
+        nodes_per_zone: 1,
+        engines_per_zone: 0,
+        services_per_zone: 1,
+        ..Plan::default()
+    })
+    .await;
+    for _ in 0..5 {
+        cluster.nodes[0].signal(Signal::SIGHUP);
+        tokio::time::sleep(Duration::from_millis(20)).await;
+    }
+    let address = cluster.callers(0);
+    let authorization = ("authorization", "Bearer kayal-key");
+    let answer = cluster
+        .send(&address, "POST", "/v1/keys", &[authorization], "")
+        .await;
+    assert_eq!(answer.expect("an answer").status, 200);
+    assert!(!cluster.nodes[0].has_ended());
+}
--- a/crates/node/tests/support/mod.rs
+++ b/crates/node/tests/support/mod.rs
@@ -1,10 +1,11 @@
 //! Real node processes against stand-ins that live in the test.
 #![allow(dead_code)]
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::fs::File;
 use std::net::TcpListener;
 use std::process::{Child, Command, Stdio};
+use std::sync::Mutex;
 use std::time::{Duration, Instant};
 
 use briarswitch_http::{whole_body, TargetAddress, TargetBody, TargetClient, TargetLimits};
@@ -753,13 +754,25 @@
     NEXT.fetch_add(1, Ordering::Relaxed)
 }
 
+/// Ports handed out in this process.
+///
+/// Tests run at once. A port that one of them has chosen and not yet bound looks free to the next; its
+/// node then answers for the other's, which has ended, and the other test waits for it in vain.
+static TAKEN_PORTS: Mutex<BTreeSet<u16>> = Mutex::new(BTreeSet::new());
+
 fn free_ports(count: usize) -> Vec<u16> {
-    let held: Vec<_> = (0..count)
-        .map(|_| TcpListener::bind("127.0.0.1:0").expect("a port"))
-        .collect();
-    held.iter()
-        .map(|listener| listener.local_addr().expect("an address").port())
-        .collect()
+    let mut taken = TAKEN_PORTS.lock().expect("no test panics here");
+    let mut held = Vec::new();
+    let mut ports = Vec::new();
+    while ports.len() < count {
+        let listener = TcpListener::bind("127.0.0.1:0").expect("a port");
+        let port = listener.local_addr().expect("an address").port();
+        held.push(listener);
+        if taken.insert(port) {
+            ports.push(port);
+        }
+    }
+    ports
 }
 
 fn arguments(
