--- a/crates/core/src/assembly.rs
+++ b/crates/core/src/assembly.rs
@@ -239,10 +239,10 @@
         }
         match order.action {
             // Only when the first member has left can the others be taken as they are.
-            TargetAction::Leave { group, .. } if is_accepted => {
-                if self.dissolving.get(&group) == Some(&order.target) {
-                    self.released.insert(group);
-                }
+            TargetAction::Leave { group, .. }
+                if is_accepted && self.dissolving.get(&group) == Some(&order.target) =>
+            {
+                self.released.insert(group);
             }
             // Without this member the group can not become whole; there is nothing to wait for.
             TargetAction::Join { group, .. } if !is_accepted && result != OrderResult::Lost => {
--- a/crates/fleet/src/keeper.rs
+++ b/crates/fleet/src/keeper.rs
@@ -107,7 +107,7 @@
     fn take(&mut self, asked: Moment, news: ConfigNews) {
         self.mark = Some(news.mark);
         if let Some(book) = news.book {
-            self.adopt(book);
+            self.adopt(*book);
         }
         if self.shared.book.read().is_some() {
             self.shared.confirm_book(asked);
--- a/crates/fleet/src/ports.rs
+++ b/crates/fleet/src/ports.rs
@@ -37,7 +37,7 @@
     /// Where to go on.
     pub mark: FeedMark,
     /// Newest configuration, if there is one that was not read yet.
-    pub book: Option<TrafficBook>,
+    pub book: Option<Box<TrafficBook>>,
 }
 
 /// Answer of [`TargetDirectory`].
