Tell a request's or a group's story from the logs

briarctl explain and timeline gather the lines of all nodes, order them and name the cause; each failed attempt is a line of its own.

--- a/crates/ctl/src/cli.rs
+++ b/crates/ctl/src/cli.rs
@@ -53,6 +53,12 @@
     /// Settling of a lost answer.
     #[options(help = "settle an edit whose answer was unknown")]
     Settle(NameOptions),
+    /// One request's story from the logs.
+    #[options(help = "tell from the nodes' logs what became of a request, and why")]
+    Explain(StoryOptions),
+    /// One group's story from the logs.
+    #[options(help = "tell from the nodes' logs what became of a group")]
+    Timeline(StoryOptions),
     /// Log level.
     #[options(help = "change the node's log level")]
     LogLevel(NameOptions),
@@ -77,6 +83,20 @@
     pub name: String,
 }
 
+/// What to look for in the logs, and where.
+#[derive(Debug, Options)]
+pub struct StoryOptions {
+    /// Whether to print help.
+    #[options(help = "print this help")]
+    pub help: bool,
+    /// A request's id or a group's name.
+    #[options(free, required)]
+    pub name: String,
+    /// Log files; standard input where none is named.
+    #[options(free)]
+    pub files: Vec<String>,
+}
+
 /// What is done with an organisation or deployment.
 #[derive(Debug, Options)]
 pub struct EntityOptions {
--- a/crates/ctl/src/lib.rs
+++ b/crates/ctl/src/lib.rs
@@ -10,6 +10,7 @@
 pub mod client;
 pub mod edit;
 pub mod exit;
+pub mod explain;
 pub mod show;
 
 pub use cli::{CtlOptions, Verb};
--- a/crates/ctl/src/main.rs
+++ b/crates/ctl/src/main.rs
@@ -2,10 +2,11 @@
 
 use std::process::ExitCode;
 
-use briarswitch_ctl::cli::{DocumentOptions, EntityAction, RulesAction, RulesTrial};
+use briarswitch_ctl::cli::{DocumentOptions, EntityAction, RulesAction, RulesTrial, StoryOptions};
 use briarswitch_ctl::edit::{
     current, missing, parse, read_file, read_value, send_edit, settle, CommandEnd, EditDraft,
 };
+use briarswitch_ctl::explain::{explain, read_logs, timeline, LogLine};
 use briarswitch_ctl::{show, CtlOptions, ExitStatus, NodeClient, Verb};
 use briarswitch_wire::config::{HeaderDoc, KindDoc, ValueDoc};
 use briarswitch_wire::operator::{ConfigReply, StatusReply, TryReply, TryRequest, UsageRow};
@@ -60,11 +61,27 @@
         }
         Verb::Dump(_) => read::<Value>(&client, "/v1/dump", true, Value::to_string).await,
         Verb::Settle(options) => Ok(settle(&client, &options.name, is_json).await),
+        Verb::Explain(options) => Ok(story(&options, explain)),
+        Verb::Timeline(options) => Ok(story(&options, timeline)),
         Verb::LogLevel(options) => log_level(&client, &options.name).await,
     };
     end.unwrap_or_else(|end| end)
 }
 
+/// Tells a story from the logs, which needs no node.
+fn story(options: &StoryOptions, tell: impl Fn(&[LogLine], &str) -> Option<String>) -> CommandEnd {
+    match read_logs(&options.files) {
+        Err(error) => CommandEnd::failed(ExitStatus::Usage, error),
+        Ok(lines) => match tell(&lines, &options.name) {
+            Some(text) => CommandEnd::done(text),
+            None => {
+                let text = format!("no line names {}", options.name);
+                CommandEnd::failed(ExitStatus::Missing, text)
+            }
+        },
+    }
+}
+
 /// A command's end, or an early one.
 type Ending = Result<CommandEnd, CommandEnd>;
 
--- a/crates/fleet/src/dispatch.rs
+++ b/crates/fleet/src/dispatch.rs
@@ -213,7 +213,7 @@
                 Err(failed) => failed,
             };
             let point = failed.point;
-            trace.reason = point.code();
+            trace.note_failed(point.code());
             tried.push(trace.target.clone());
             let reached = !matches!(
                 point,
--- a/crates/fleet/src/trace.rs
+++ b/crates/fleet/src/trace.rs
@@ -104,6 +104,20 @@
         self.end.get_or_insert(end);
     }
 
+    /// Notes that an attempt failed, and why.
+    pub fn note_failed(&mut self, reason: &'static str) {
+        self.reason = reason;
+        log::info!(
+            request = self.request.as_str(),
+            target_id = self.target.as_str(),
+            group = self.group.as_str(),
+            reason = reason,
+            attempt = self.sent + 1,
+            ms = BootClock::now().saturating_sub(self.arrived).as_millis() as u64;
+            "attempt_failed"
+        );
+    }
+
     /// Notes that a place at a target was found.
     pub fn note_placed(&mut self) {
         let waited = BootClock::now().saturating_sub(self.arrived);
