--- a/crates/ctl/src/exit.rs
+++ b/crates/ctl/src/exit.rs
@@ -1,4 +1,4 @@
-//! Exit codes, as `docs/OPERATING.md` lists them.
+//! Exit codes, as `docs/OPERATIONS.md` lists them.
 
 /// How a command ended.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
--- a/crates/fleet/src/dispatch.rs
+++ b/crates/fleet/src/dispatch.rs
@@ -248,9 +248,44 @@
         &self,
         job: &RequestJob,
         tried: &[TargetId],
+    ) -> Result<PlacedTarget, FailurePoint> {
+        self.place_since(job, tried, job.arrived, job.waited_before)
+            .await
+    }
+
+    /// Finds a target for a stream that broke off and is to go on.
+    ///
+    /// It counts from now: what was delivered of it is lost if it ends here, so it does not stand
+    /// behind those that come now.
+    ///
+    /// # Errors
+    ///
+    /// Returns the point to tell the caller when no place came free in time.
+    pub async fn place_again(
+        &self,
+        job: &RequestJob,
+        tried: &[TargetId],
+    ) -> Result<PlacedTarget, FailurePoint> {
+        self.place_since(job, tried, BootClock::now(), Duration::ZERO)
+            .await
+    }
+
+    async fn place_since(
+        &self,
+        job: &RequestJob,
+        tried: &[TargetId],
+        arrived: Moment,
+        waited_before: Duration,
     ) -> Result<PlacedTarget, FailurePoint> {
         let mut ask = job.place_ask(tried);
-        let request = self.waiting(job, &ask.key);
+        let request = WaitingRequest::open(WaitTerms {
+            arrived,
+            waited_before,
+            objective: job.rule.objective,
+            first: self.queue.usual_first(&ask.key),
+            deadline: job.deadline,
+            priority: job.priority,
+        });
         ask.is_late = request.is_late(BootClock::now());
         // Nobody overtakes those who wait and can still be on time.
         if !self.queue.has_waiters(&ask.key) {
@@ -277,17 +312,6 @@
         }
     }
 
-    fn waiting(&self, job: &RequestJob, key: &QueueKey) -> WaitingRequest {
-        WaitingRequest::open(WaitTerms {
-            arrived: job.arrived,
-            waited_before: job.waited_before,
-            objective: job.rule.objective,
-            first: self.queue.usual_first(key),
-            deadline: job.deadline,
-            priority: job.priority,
-        })
-    }
-
     /// Notes the time from a place to the first event there.
     pub fn note_first(&self, job: &RequestJob, time: Duration) {
         self.queue.note_first(&job.place_ask(&[]).key, time);
--- a/crates/fleet/src/relay.rs
+++ b/crates/fleet/src/relay.rs
@@ -12,6 +12,7 @@
 
 use crate::dispatch::{BegunAnswer, FleetDispatcher, RequestJob};
 use crate::gauge::GaugePlace;
+use crate::queue::PlacedTarget;
 use crate::trace::{RequestEnd, RequestTrace};
 
 /// Time between looks at whether a stream's group has fallen silent.
@@ -78,7 +79,7 @@
                 RelayStep::End => return self.end(),
                 RelayStep::Broken => {
                     self.trace.reason = "stream_broken";
-                    if !self.resume().await {
+                    if !self.resume_broken().await {
                         return Some(Err(self.give_up()));
                     }
                 }
@@ -162,9 +163,25 @@
         if !self.may_resume() {
             return false;
         }
-        let Some((target, place)) = self.dispatcher.pick(&self.job.place_ask(&self.tried)) else {
+        let Some(placed) = self.dispatcher.pick(&self.job.place_ask(&self.tried)) else {
             return false;
         };
+        self.go_on(placed).await
+    }
+
+    /// Goes on elsewhere after the old answer has ended, waiting for a place if none is free.
+    async fn resume_broken(&mut self) -> bool {
+        if !self.may_resume() {
+            return false;
+        }
+        self.current.place = None;
+        match self.dispatcher.place_again(&self.job, &self.tried).await {
+            Ok(placed) => self.go_on(placed).await,
+            Err(_) => false,
+        }
+    }
+
+    async fn go_on(&mut self, (target, place): PlacedTarget) -> bool {
         if !self.dispatcher.spend(&self.job.service) {
             return false;
         }
