--- a/crates/core/src/placement.rs
+++ b/crates/core/src/placement.rs
@@ -63,7 +63,8 @@
 pub fn has_room(engine: &EngineModel, load: &GroupLoad) -> bool {
     let nodes = load.nodes.max(1);
     let share = (engine.slots / nodes).max(1);
-    if load.is_for_late && load.own * 2 >= share {
+    let is_half_full = load.own * 2 >= share && load.writers * 2 >= engine.slots;
+    if load.is_for_late && is_half_full {
         return false;
     }
     let others_see = load.writers.saturating_sub(load.fresh);
--- a/crates/fleet/tests/logs.rs
+++ b/crates/fleet/tests/logs.rs
@@ -25,12 +25,7 @@
     let ends = body
         .match_indices(')')
         .map(|(end, _)| body[..end].trim_end());
-    let name_of = |call: &str| {
-        call.ends_with('"')
-            .then(|| call.rsplit('"').nth(1))
-            .flatten()
-    };
-    let mut named = ends.filter_map(|call| Some((call, name_of(call)?.to_owned())));
+    let mut named = ends.filter_map(|call| Some((call, last_literal(call)?)));
     let (call, name) = named.find(|(_, name)| !name.is_empty())?;
     let fields = call.split(" = ").filter_map(|part| {
         let last = part
@@ -42,7 +37,13 @@
             .all(|letter| letter.is_ascii_lowercase() || letter == '_');
         (is_name && !field.is_empty()).then(|| field.to_owned())
     });
-    Some((name, fields.collect()))
+    Some((name.to_owned(), fields.collect()))
+}
+
+/// Returns the literal that a text ends with.
+fn last_literal(text: &str) -> Option<&str> {
+    let inner = text.strip_suffix('"')?;
+    inner.rsplit('"').next()
 }
 
 fn logged() -> Vec<(String, Vec<String>)> {
