--- /dev/null
+++ b/crates/core/tests/fleet.rs
@@ -0,0 +1,189 @@
+//! The pure parts that serve a fleet: placement, assignment, events, the directory.
+
+use std::time::Duration;
+
+use briarswitch_core::assignment::{assign_models, DomainStock};
+use briarswitch_core::engine::{EngineModel, ModelSpec};
+use briarswitch_core::events::EventSplitter;
+use briarswitch_core::id::*;
+use briarswitch_core::placement::{has_room, pick_group, GroupLoad};
+use briarswitch_core::target::{TargetBook, TargetChange, TargetRecord};
+use googletest::prelude::*;
+use indexmap::IndexMap;
+use rand::rngs::StdRng;
+use rand::{Rng, SeedableRng};
+
+fn model(id: &str, size: usize, share: f64, pace: f64) -> ModelSpec {
+    ModelSpec {
+        id: id.to_owned(),
+        size,
+        share,
+        pace,
+        load_time: Duration::from_secs(16),
+        warmup: Duration::from_millis(1_600),
+    }
+}
+
+fn engine() -> EngineModel {
+    let models = [model("large", 4, 0.57, 1.0), model("small", 3, 0.43, 0.6)];
+    EngineModel {
+        slots: 26,
+        stride: 7,
+        step: Duration::from_micros(5_950),
+        step_per_request: Duration::from_nanos(44_500),
+        read_per_second: 50_700.0,
+        models: models
+            .map(|spec| (spec.id.clone(), spec))
+            .into_iter()
+            .collect(),
+        ..EngineModel::default()
+    }
+}
+
+fn stock(domain: &str, zone: &str, staged: &[(&str, usize)]) -> DomainStock {
+    let staged = staged
+        .iter()
+        .map(|(model, count)| ((*model).to_owned(), *count));
+    DomainStock {
+        domain: domain.to_owned(),
+        zone: zone.to_owned(),
+        targets: 9,
+        staged: staged.collect(),
+    }
+}
+
+#[gtest]
+fn every_zone_gets_every_model_before_one_gets_a_model_twice() {
+    let domains = ["a0", "a1", "b0", "b1", "c0", "c1"].map(|name| stock(name, &name[..1], &[]));
+    let assigned = assign_models(&engine(), &IndexMap::new(), &domains);
+    for zone in ["a", "b", "c"] {
+        let of_zone = assigned
+            .iter()
+            .filter(|(domain, _)| domain.starts_with(zone));
+        let models: Vec<&str> = of_zone.map(|(_, model)| model.as_str()).collect();
+        expect_that!(models, unordered_elements_are![eq(&"large"), eq(&"small")]);
+    }
+}
+
+#[gtest]
+fn a_domain_keeps_the_model_that_its_hosts_hold() {
+    let domains = [
+        stock("a0", "a", &[("small", 5), ("large", 2)]),
+        stock("a1", "a", &[("small", 3)]),
+    ];
+    let assigned = assign_models(&engine(), &IndexMap::new(), &domains);
+    expect_that!(assigned["a0"], eq("small"));
+    expect_that!(assigned["a1"], eq("small"));
+}
+
+/// Symptom: a group that has just opened is sent several times what it can take.
+/// Events: six nodes see it empty at the same moment, and each has callers waiting.
+/// Cause guarded against: counting on every place that looks free.
+#[gtest]
+fn six_nodes_that_can_not_see_each_other_do_not_overfill_a_group() {
+    let engine = engine();
+    let mut sent = 0;
+    for _ in 0..6 {
+        let mut load = GroupLoad {
+            nodes: 6,
+            ..GroupLoad::default()
+        };
+        while has_room(&engine, &load) {
+            load.own += 1;
+            load.fresh += 1;
+            load.writers += 1;
+            sent += 1;
+        }
+    }
+    expect_that!(sent, all!(ge(20), le(30)));
+}
+
+#[gtest]
+fn late_requests_leave_half_of_a_full_group_to_the_others() {
+    let load = GroupLoad {
+        own: 2,
+        writers: 14,
+        nodes: 6,
+        ..GroupLoad::default()
+    };
+    let late = GroupLoad {
+        is_for_late: true,
+        ..load
+    };
+    expect_true!(has_room(&engine(), &load));
+    expect_false!(has_room(&engine(), &late));
+}
+
+#[gtest]
+fn the_least_loaded_group_is_picked_and_a_full_one_never() {
+    let engine = engine();
+    let spec = &engine.models["large"];
+    let load = |writers| GroupLoad {
+        writers,
+        nodes: 1,
+        ..GroupLoad::default()
+    };
+    let loads = [load(26), load(20), load(2)];
+    for draw in 0..10 {
+        expect_that!(pick_group(&engine, spec, &loads, 100, draw), some(eq(2)));
+    }
+    expect_that!(pick_group(&engine, spec, &[load(26)], 100, 0), none());
+}
+
+/// Symptom: a piece of a stream is lost or comes twice after it went on elsewhere.
+/// Cause guarded against: an event's border that falls between two pieces.
+#[gtest]
+fn events_are_whole_however_the_bytes_are_cut() {
+    let stream: String = (1..=40)
+        .map(|id| format!("id: {id}\ndata: text {id}\n\n"))
+        .collect();
+    let mut rng = StdRng::seed_from_u64(1);
+    for _ in 0..200 {
+        let mut splitter = EventSplitter::default();
+        let mut passed = Vec::new();
+        let mut rest = stream.as_bytes();
+        while !rest.is_empty() {
+            let cut = rng.random_range(1..=rest.len().min(30));
+            passed.extend_from_slice(&splitter.push(&rest[..cut]));
+            let shown = String::from_utf8_lossy(&passed);
+            assert!(shown.is_empty() || shown.ends_with("\n\n"));
+            rest = &rest[cut..];
+        }
+        assert_eq!(passed, stream.as_bytes());
+        assert_eq!(splitter.last(), Some("40"));
+        assert_eq!(splitter.events(), 40);
+    }
+}
+
+fn record(id: &str) -> TargetRecord {
+    TargetRecord {
+        id: id.to_owned(),
+        service: "s".to_owned(),
+        address: "127.0.0.1:1".to_owned(),
+        zone: "z".to_owned(),
+        is_draining: false,
+        slots: 1,
+        domain: DomainId::new(),
+        staged: Vec::new(),
+        models: Vec::new(),
+        membership: None,
+    }
+}
+
+#[gtest]
+fn a_lapsed_entry_is_kept_for_its_time_and_stays_if_it_is_put_back() {
+    let at = Duration::from_millis;
+    let mut book = TargetBook::default();
+    for id in ["a", "b", "c"] {
+        book.apply(TargetChange::Put(Box::new(record(id))), None);
+    }
+    book.apply(TargetChange::Removed("a".to_owned()), None);
+    book.apply(TargetChange::Removed("b".to_owned()), Some(at(2_000)));
+    book.replace(vec![record("d")], Some(at(2_000)));
+    expect_that!(book.targets().len(), eq(3));
+    book.apply(TargetChange::Put(Box::new(record("c"))), None);
+    expect_false!(book.expire(at(1_999)));
+    expect_true!(book.expire(at(2_000)));
+    let left: Vec<&TargetId> = book.targets().keys().collect();
+    expect_that!(left, unordered_elements_are![eq(&"c"), eq(&"d")]);
+}
--- a/crates/ctl/src/explain.rs
+++ b/crates/ctl/src/explain.rs
@@ -201,7 +201,7 @@
     let meaning = REASONS.iter().find(|(code, _)| *code == reason);
     match (meaning, reason) {
         (Some((_, meaning)), _) => format!("{outcome}, because of {reason}: {meaning}"),
-        (None, "") => format!("{outcome}"),
+        (None, "") => outcome.to_owned(),
         (None, reason) => format!("{outcome}, because of {reason}"),
     }
 }
--- a/crates/fleet/src/keeper.rs
+++ b/crates/fleet/src/keeper.rs
@@ -18,10 +18,17 @@
 const CONFIG_WAIT: Duration = Duration::from_millis(1_200);
 /// Longest time one question for changes of the directory is held open.
 const DIRECTORY_WAIT: Duration = Duration::from_millis(1_500);
-/// Least time between two questions for changes of the directory.
+/// Least and longest time between two questions for changes of the directory.
 ///
-/// Targets renew their entries all the time; without a pause every renewal would be a call.
-const DIRECTORY_PACE: Duration = Duration::from_millis(200);
+/// Targets renew their entries all the time; without a pause every renewal would be a call. The
+/// longest stays well below the two seconds within which a leaving target gets nothing new.
+const DIRECTORY_PACE: (Duration, Duration) =
+    (Duration::from_millis(200), Duration::from_millis(1_000));
+/// Time between questions that each node adds, so that all together ask thirty times a second.
+///
+/// The store answers two thousand calls a second and is paid by the call; 71 nodes at the shortest pace
+/// made 13,416 calls in a day of 56 s.
+const DIRECTORY_SHARE: Duration = Duration::from_millis(33);
 /// Time to wait after a source failed; the longest and the shortest.
 const RETRY_PACE: (Duration, Duration) = (Duration::from_millis(250), Duration::from_millis(450));
 /// Time for which lapsed entries are kept after the directory was away.
@@ -247,6 +254,12 @@
         self.publish();
     }
 
+    fn pace(&self, now: Moment) -> Duration {
+        let (least, longest) = DIRECTORY_PACE;
+        let nodes = self.shared.live_nodes(now);
+        (DIRECTORY_SHARE * nodes).clamp(least, longest)
+    }
+
     fn publish(&self) {
         self.shared.directory.publish(self.view.clone());
         self.shared.rebuild_table();
@@ -271,7 +284,7 @@
             DirectoryMessage::News(Ok(news)) => {
                 self.health.note(DIRECTORY_SERVICE, None, now);
                 self.take(news, now, link);
-                link.later(DIRECTORY_PACE, DirectoryMessage::Ask);
+                link.later(self.pace(now), DirectoryMessage::Ask);
             }
             DirectoryMessage::News(Err(error)) => {
                 self.health.note(DIRECTORY_SERVICE, Some(&error), now);
