--- a/crates/fleet/src/tracker.rs
+++ b/crates/fleet/src/tracker.rs
@@ -13,7 +13,10 @@
 use crate::ports::{ReportError, TargetReport};
 
 /// Time between two questions to a target about which nothing is in doubt.
-const IDLE_INTERVAL: Duration = Duration::from_millis(2_500);
+///
+/// A group at work shows by its streams that it lives, and what changes in a target shows in the
+/// directory; this finds members that die while nothing runs. Questions are paid for.
+const IDLE_INTERVAL: Duration = Duration::from_millis(5_000);
 /// Time between questions to a target that is joining, once its expected time is over.
 const JOINING_INTERVAL: Duration = Duration::from_millis(250);
 /// Least time between two questions to one target.
