Keep idle connections within what a target takes

Cause: each node kept 16 connections, six nodes 96; the target takes 48 and resets what comes beyond. Ruled out: the choice among targets; there was no other. Change: all nodes together keep four tenths of a target's limit, which the configuration gives.

--- a/crates/fleet/src/dispatch.rs
+++ b/crates/fleet/src/dispatch.rs
@@ -29,8 +29,14 @@
 use crate::table::RouteTarget;
 use crate::trace::{RequestEnd, RequestTrace};
 
-/// Idle connections kept for one target.
+/// Most idle connections kept for one target.
 const IDLE_CONNECTIONS: usize = 16;
+/// Part of a target's connections that all nodes together may hold without using them.
+///
+/// A target resets what comes beyond its limit, and a request that runs at most once is then lost, for
+/// nobody can say whether it ran. Six nodes that keep 16 each hold twice the 48 that the smallest
+/// services take.
+const IDLE_SHARE: f64 = 0.4;
 /// Time to open a connection to a target; a healthy one takes a few milliseconds.
 const CONNECT_TIME: Duration = Duration::from_millis(400);
 /// Time between looks at whether the target that a request waits for has fallen silent.
@@ -415,7 +421,8 @@
         // A kept connection may be closed by the target just when it is used, which would leave the
         // fate of a request that runs at most once open.
         let is_fresh = !job.rule.is_repeatable();
-        let sending = self.client.send(&address, request, is_fresh);
+        let client = self.client.keeping(self.idle_limit(job, now));
+        let sending = client.send(&address, request, is_fresh);
         let reply = match self.wait_head(sending, job, &target, now, may_move).await {
             Ok(reply) => reply,
             Err(point) => {
@@ -426,6 +433,14 @@
         self.check(job, target, place, reply).await
     }
 
+    fn idle_limit(&self, job: &RequestJob, now: Moment) -> usize {
+        let book = job.book.as_ref().as_ref();
+        let service = book.and_then(|book| book.services.get(&job.service));
+        let most = service.map_or(0, |service| service.max_connections);
+        let share = f64::from(most) * IDLE_SHARE / f64::from(self.shared.live_nodes(now));
+        (share as usize).clamp(1, IDLE_CONNECTIONS)
+    }
+
     async fn wait_head(
         &self,
         sending: impl std::future::Future<Output = Result<TargetReply, SendFailure>>,
--- a/crates/http/src/target.rs
+++ b/crates/http/src/target.rs
@@ -1,7 +1,7 @@
 //! A client for targets that knows whether any byte of a request can have left.
 
 use std::collections::HashMap;
-use std::sync::{Arc, Mutex};
+use std::sync::{Arc, Mutex, PoisonError};
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -86,6 +86,24 @@
         }
     }
 
+    /// Returns how many idle connections to a target are kept.
+    pub fn idle(&self, target: &TargetAddress) -> usize {
+        let idle = self.idle.lock().unwrap_or_else(PoisonError::into_inner);
+        idle.get(target).map_or(0, Vec::len)
+    }
+
+    /// Returns a client of the same connections that keeps at most `idle` of one target.
+    #[must_use]
+    pub fn keeping(&self, idle: usize) -> Self {
+        Self {
+            limits: TargetLimits {
+                idle,
+                ..self.limits
+            },
+            idle: Arc::clone(&self.idle),
+        }
+    }
+
     /// Sends one request once.
     ///
     /// A request that may not be repeated should ask for a `fresh` connection: a kept one can be
