Split the dispatcher, the controller and the planner's orders

Places, budgets, requests on their way, orders, domains and their census have files of their own; nothing else changes. A wake-up that nobody waited for is gone, and the registration stands once.

--- a/crates/core/src/assembly.rs
+++ b/crates/core/src/assembly.rs
@@ -12,6 +12,7 @@
 
 use crate::engine::{EngineModel, ModelSpec};
 use crate::id::{Epoch, GroupId, ModelId, Moment, TargetId};
+use crate::order::{OrderResult, TargetAction, TargetOrder};
 use crate::target::{Membership, MembershipState};
 
 /// Time that members may be missing from a group that is being formed by somebody else.
@@ -29,78 +30,6 @@
 /// Conflicts in a row after which the pause grows no more.
 const LONGEST_BACKOFF: u32 = 4;
 
-/// What a target is told to do.
-#[derive(Clone, Debug, Eq, Hash, PartialEq)]
-pub enum TargetAction {
-    /// Become a member of a group.
-    Join {
-        /// Group, named anew for every attempt.
-        group: GroupId,
-        /// Higher than any epoch the members have seen.
-        epoch: Epoch,
-        /// Model to serve.
-        model: ModelId,
-        /// Members in order of rank.
-        members: Vec<TargetId>,
-    },
-    /// Begin to serve; for the first member only.
-    Open {
-        /// Group.
-        group: GroupId,
-        /// Its epoch.
-        epoch: Epoch,
-    },
-    /// Finish what was accepted and take nothing new; for the first member only.
-    Close {
-        /// Group.
-        group: GroupId,
-        /// Its epoch.
-        epoch: Epoch,
-    },
-    /// Leave the group at once.
-    Leave {
-        /// Group.
-        group: GroupId,
-        /// Its epoch.
-        epoch: Epoch,
-    },
-    /// Load a model's weights onto the host.
-    Stage {
-        /// Model.
-        model: ModelId,
-    },
-}
-
-/// One conditional order.
-#[derive(Clone, Debug, Eq, Hash, PartialEq)]
-pub struct TargetOrder {
-    /// Life of the target that may carry it out.
-    pub target: TargetId,
-    /// Orders that the target must have begun so far.
-    pub expected: u64,
-    /// What to do.
-    pub action: TargetAction,
-    /// Why, for the logs.
-    pub reason: &'static str,
-}
-
-/// What a target said to an order.
-#[derive(Clone, Copy, Debug, Eq, Hash, PartialEq)]
-pub enum OrderResult {
-    /// It has begun.
-    Begun,
-    /// The state was there already.
-    Held,
-    /// Another order came first, or the order does not fit the state.
-    Conflict,
-    /// Another life answers at the address.
-    Gone,
-    /// The target does not know the order or refuses it for good.
-    Refused,
-    /// No answer came; the order may still be carried out.
-    Lost,
-}
-
 /// Whether a target can be counted on.
 #[derive(Clone, Copy, Debug, Eq, Hash, PartialEq)]
 pub enum TargetStanding {
@@ -622,57 +551,6 @@
     }
 }
 
-impl TargetAction {
-    /// Returns the group the action is about.
-    pub fn group(&self) -> Option<&GroupId> {
-        match self {
-            Self::Join { group, .. }
-            | Self::Open { group, .. }
-            | Self::Close { group, .. }
-            | Self::Leave { group, .. } => Some(group),
-            Self::Stage { .. } => None,
-        }
-    }
-
-    /// Returns the name used in logs.
-    pub fn name(&self) -> &'static str {
-        match self {
-            Self::Join { .. } => "join",
-            Self::Open { .. } => "open",
-            Self::Close { .. } => "close",
-            Self::Leave { .. } => "leave",
-            Self::Stage { .. } => "stage",
-        }
-    }
-
-    /// Returns the membership that a target has right after it began the action.
-    pub fn effect(&self, target: &str, held: Option<&Membership>) -> Option<Membership> {
-        let with_state = |state| {
-            held.map(|held| Membership {
-                state,
-                ..held.clone()
-            })
-        };
-        match self {
-            Self::Join {
-                group,
-                epoch,
-                members,
-                ..
-            } => Some(Membership {
-                group: group.clone(),
-                epoch: *epoch,
-                rank: members.iter().position(|id| id == target).unwrap_or(0),
-                state: MembershipState::Joining,
-            }),
-            Self::Open { .. } => with_state(MembershipState::Open),
-            Self::Close { .. } => with_state(MembershipState::Closing),
-            Self::Leave { .. } => None,
-            Self::Stage { .. } => held.cloned(),
-        }
-    }
-}
-
 /// Returns whether every rank is taken by a target that answers, at one epoch.
 fn is_whole(seen: &SeenGroup, view: &DomainView<'_>) -> bool {
     let model = seen
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -29,6 +29,7 @@
 pub mod lease;
 pub mod limit;
 pub mod mint;
+pub mod order;
 pub mod organisation;
 pub mod outcome;
 pub mod placement;
--- a/crates/fleet/src/controller.rs
+++ b/crates/fleet/src/controller.rs
@@ -4,18 +4,19 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use briarswitch_core::assembly::{
-    DomainKeeper, DomainView, OrderResult, TargetAction, TargetFacts, TargetOrder, TargetStanding,
-};
-use briarswitch_core::assignment::{assign_models, DomainStock};
+use briarswitch_core::assembly::{DomainKeeper, DomainView, TargetFacts, TargetStanding};
+use briarswitch_core::assignment::assign_models;
 use briarswitch_core::engine::{EngineModel, ModelSpec};
 use briarswitch_core::id::*;
+use briarswitch_core::order::{OrderResult, TargetAction, TargetOrder};
 use briarswitch_core::target::{MembershipState, TargetRecord};
 use briarswitch_kernel::{BootClock, Service, ServiceLink};
 use indexmap::{IndexMap, IndexSet};
 use serde_json::{json, Value};
 use xxhash_rust::xxh3::xxh3_64;
 
+use crate::census::DomainCensus;
+use crate::domains::{domains_of, stock_of};
 use crate::ports::{ReportError, TargetReport};
 use crate::shared::FleetShared;
 use crate::tracker::TargetTracker;
@@ -55,55 +56,6 @@
     listed: (usize, Moment),
 }
 
-/// How many targets of a domain are in which state.
-#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
-struct DomainCensus {
-    live: usize,
-    silent: usize,
-    draining: usize,
-    open: usize,
-    grouped: usize,
-    spare: usize,
-    unstaged: usize,
-}
-
-impl DomainCensus {
-    fn of(targets: &IndexMap<TargetId, TargetFacts>, model: &ModelId) -> Self {
-        let mut census = Self::default();
-        for facts in targets.values() {
-            match facts.standing {
-                TargetStanding::Live => census.live += 1,
-                TargetStanding::Silent => census.silent += 1,
-                TargetStanding::Draining => census.draining += 1,
-            }
-            let held = facts.membership.as_ref();
-            let is_open = held.is_some_and(|held| held.state == MembershipState::Open);
-            census.open += usize::from(is_open);
-            census.grouped += usize::from(held.is_some());
-            let is_free = held.is_none() && facts.standing == TargetStanding::Live;
-            let is_staged = facts.staged.contains(model);
-            census.spare += usize::from(is_free && is_staged);
-            census.unstaged += usize::from(is_free && !is_staged);
-        }
-        census
-    }
-
-    fn log(&self, domain: &str, model: &str) {
-        log::info!(
-            domain = domain,
-            model = model,
-            live = self.live,
-            silent = self.silent,
-            draining = self.draining,
-            open_groups = self.open,
-            grouped = self.grouped,
-            spare = self.spare,
-            unstaged = self.unstaged;
-            "domain_state"
-        );
-    }
-}
-
 /// Message to [`GroupController`].
 pub enum ControllerMessage {
     /// Look at everything again.
@@ -489,44 +441,6 @@
     }
 }
 
-/// Returns the domains with the zone of most of their targets.
-fn domains_of<'a>(records: &[&'a TargetRecord]) -> IndexMap<&'a DomainId, &'a ZoneId> {
-    let mut counts: IndexMap<&DomainId, IndexMap<&ZoneId, usize>> = IndexMap::new();
-    for record in records {
-        let zones = counts.entry(&record.domain).or_default();
-        *zones.entry(&record.zone).or_insert(0) += 1;
-    }
-    let largest = counts.into_iter().filter_map(|(domain, zones)| {
-        let (zone, _) = zones.into_iter().max_by_key(|(_, count)| *count)?;
-        Some((domain, zone))
-    });
-    let mut domains: IndexMap<&DomainId, &ZoneId> = largest.collect();
-    domains.sort_keys();
-    domains
-}
-
-/// Returns what each domain holds, in an order that all controllers agree on.
-fn stock_of(records: &[&TargetRecord], domains: &IndexMap<&DomainId, &ZoneId>) -> Vec<DomainStock> {
-    let stock = domains.iter().map(|(domain, zone)| {
-        let members = records.iter().filter(|record| record.domain == **domain);
-        let mut staged: IndexMap<ModelId, usize> = IndexMap::new();
-        let mut targets = 0;
-        for record in members {
-            targets += 1;
-            for model in &record.staged {
-                *staged.entry(model.clone()).or_insert(0) += 1;
-            }
-        }
-        DomainStock {
-            domain: (*domain).clone(),
-            zone: (*zone).clone(),
-            targets,
-            staged,
-        }
-    });
-    stock.collect()
-}
-
 impl Service for GroupController {
     type Message = ControllerMessage;
 
--- a/crates/fleet/src/dispatch.rs
+++ b/crates/fleet/src/dispatch.rs
@@ -1,15 +1,10 @@
 //! Takes an identified request to a target, and to another where that is allowed.
 
-use std::sync::{Arc, Mutex, PoisonError};
+use std::sync::Arc;
 use std::time::Duration;
 
-use briarswitch_core::engine::EngineModel;
 use briarswitch_core::id::*;
 use briarswitch_core::outcome::{FailurePoint, Outcome};
-use briarswitch_core::placement::{pick_group, GroupLoad};
-use briarswitch_core::retry::RetryBudget;
-use briarswitch_core::traffic::{AnswerKind, TrafficBook, TrafficRule};
-use briarswitch_core::waiting::{WaitTerms, WaitingRequest};
 use briarswitch_http::{
     stream_body, whole_body, Response, SendFailure, TargetAddress, TargetBody, TargetClient,
     TargetLimits, TargetReply,
@@ -17,12 +12,13 @@
 use briarswitch_kernel::BootClock;
 use bytes::Bytes;
 use http::header::{CONTENT_LENGTH, HOST};
-use http::{HeaderMap, HeaderValue, Method, StatusCode, Uri};
-use indexmap::IndexMap;
+use http::{HeaderValue, StatusCode, Uri};
 
+use crate::budget::RetryBudgets;
 use crate::gauge::GaugePlace;
-use crate::ports::{AnswerFacts, CallerAsk, TargetMark};
-use crate::queue::{wait_for_place, PlaceAsk, PlaceQueue, PlacedTarget, QueueKey};
+use crate::job::{BegunAnswer, FailedAttempt, RequestJob};
+use crate::placer::TargetPlacer;
+use crate::ports::{AnswerFacts, TargetMark};
 use crate::refusal::OwnAnswer;
 use crate::relay::StreamRelay;
 use crate::shared::FleetShared;
@@ -41,8 +37,6 @@
 const CONNECT_TIME: Duration = Duration::from_millis(400);
 /// Time between looks at whether the target that a request waits for has fallen silent.
 const SILENCE_CHECK: Duration = Duration::from_millis(40);
-/// Time between looks for a free place while nothing wakes the request.
-const PLACE_CHECK: Duration = Duration::from_millis(25);
 /// Attempts of one request that reached nobody, after which it is given up.
 const UNREACHED_LIMIT: u32 = 4;
 /// Least time without an answer after which a request that may be repeated is sent elsewhere.
@@ -61,112 +55,13 @@
 const LONGEST_INTERVAL: Duration = Duration::from_millis(250);
 /// Time for which a silent target gets no new work.
 const SUSPECT_TIME: Duration = Duration::from_millis(900);
-/// Share of the bursts that the nodes' budgets add up to; the rest is kept for nodes unknown here.
-const BURST_SHARE: f64 = 0.7;
-/// Fewest nodes among which the burst of retries is divided.
-const LEAST_NODES: usize = 6;
-
-/// A request that was identified and matched by a rule.
-pub struct RequestJob {
-    /// What the caller asks.
-    pub ask: CallerAsk,
-    /// Method.
-    pub method: Method,
-    /// Path and query.
-    pub path: String,
-    /// Headers as received.
-    pub headers: HeaderMap,
-    /// Body.
-    pub body: Bytes,
-    /// Rule that matched.
-    pub rule: TrafficRule,
-    /// Configuration that the rule is from.
-    pub book: Arc<Option<TrafficBook>>,
-    /// Service chosen.
-    pub service: ServiceId,
-    /// Organisation, if a key was asked for.
-    pub organisation: Option<OrganisationId>,
-    /// Rank; zero goes first.
-    pub priority: u8,
-    /// When its head was read.
-    pub arrived: Moment,
-    /// Time its caller had waited before it came here.
-    pub waited_before: Duration,
-    /// When the answer has to be there.
-    pub deadline: Moment,
-}
-
-impl RequestJob {
-    /// Returns the engine behind the service.
-    pub fn engine(&self) -> Option<&EngineModel> {
-        let book = self.book.as_ref().as_ref()?;
-        book.services.get(&self.service)?.engine.as_ref()
-    }
-
-    /// Returns what the request needs of a target.
-    pub fn place_ask(&self, tried: &[TargetId]) -> PlaceAsk {
-        let model = self.engine().and(self.ask.model.clone());
-        PlaceAsk {
-            key: (self.service.clone(), model),
-            prompt_tokens: self.ask.prompt_tokens,
-            tried: tried.to_vec(),
-            is_late: false,
-        }
-    }
-
-    fn is_stream(&self) -> bool {
-        matches!(self.rule.answer, AnswerKind::Events { .. })
-    }
-}
-
-/// An answer that has begun.
-pub struct BegunAnswer {
-    /// Target.
-    pub target: Arc<RouteTarget>,
-    /// Place there, until the answer is over.
-    pub place: Option<GaugePlace>,
-    /// Status and headers.
-    pub head: http::response::Parts,
-    /// Body.
-    pub body: TargetBody,
-}
-
-/// A failed attempt.
-pub struct FailedAttempt {
-    /// Point of failure.
-    pub point: FailurePoint,
-    /// The target's own answer, if it made one that may be passed on.
-    pub answer: Option<Box<(http::response::Parts, Bytes)>>,
-}
-
-impl From<FailurePoint> for FailedAttempt {
-    fn from(point: FailurePoint) -> Self {
-        Self {
-            point,
-            answer: None,
-        }
-    }
-}
 
 /// Carries requests out.
 pub struct FleetDispatcher {
     shared: Arc<FleetShared>,
     client: TargetClient,
-    budgets: Mutex<IndexMap<ServiceId, RetryBudget>>,
-    queue: PlaceQueue,
-}
-
-/// Takes a request out of the queue when its caller leaves or its place is found.
-struct QueueGuard<'a> {
-    queue: &'a PlaceQueue,
-    key: &'a QueueKey,
-    ticket: u64,
-}
-
-impl Drop for QueueGuard<'_> {
-    fn drop(&mut self) {
-        self.queue.cancel(self.key, self.ticket);
-    }
+    budgets: RetryBudgets,
+    placer: TargetPlacer,
 }
 
 impl FleetDispatcher {
@@ -177,10 +72,10 @@
             idle: IDLE_CONNECTIONS,
         });
         Arc::new(Self {
+            budgets: RetryBudgets::open(Arc::clone(&shared)),
+            placer: TargetPlacer::open(Arc::clone(&shared)),
             shared,
             client,
-            budgets: Mutex::default(),
-            queue: PlaceQueue::default(),
         })
     }
 
@@ -189,14 +84,24 @@
         &self.shared
     }
 
+    /// Returns what finds places.
+    pub fn placer(&self) -> &TargetPlacer {
+        &self.placer
+    }
+
+    /// Returns the budgets of retries.
+    pub fn budgets(&self) -> &RetryBudgets {
+        &self.budgets
+    }
+
     /// Carries a request out and builds its response.
     pub async fn run(self: &Arc<Self>, job: RequestJob, mut trace: RequestTrace) -> Response {
-        self.earn(&job.service);
+        self.budgets.earn(&job.service);
         let mut tried: Vec<TargetId> = Vec::new();
         let mut unreached = 0;
         let mut worst: Option<FailurePoint> = None;
         loop {
-            let (target, place) = match self.place(&job, &tried).await {
+            let (target, place) = match self.placer.place(&job, &tried).await {
                 Ok(placed) => placed,
                 Err(point) => return self.give_up(worst_of(worst, point), &mut trace),
             };
@@ -234,7 +139,7 @@
                 && trace.sent < job.rule.max_attempts
                 && unreached < UNREACHED_LIMIT
                 && BootClock::now() < job.deadline;
-            if !may_repeat || (reached && !self.spend(&job.service)) {
+            if !may_repeat || (reached && !self.budgets.spend(&job.service)) {
                 if let Some(answer) = failed.answer {
                     trace.end(RequestEnd::Failed);
                     return self.whole(answer.0, answer.1);
@@ -245,156 +150,6 @@
         }
     }
 
-    /// Finds a target with a free place, waiting a little while there is none.
-    ///
-    /// # Errors
-    ///
-    /// Returns the point to tell the caller when no place came free in time.
-    pub async fn place(
-        &self,
-        job: &RequestJob,
-        tried: &[TargetId],
-    ) -> Result<PlacedTarget, FailurePoint> {
-        self.place_since(job, tried, job.arrived, job.waited_before)
-            .await
-    }
-
-    /// Finds a target for a stream that broke off and is to go on.
-    ///
-    /// It counts from now: what was delivered of it is lost if it ends here, so it does not stand
-    /// behind those that come now.
-    ///
-    /// # Errors
-    ///
-    /// Returns the point to tell the caller when no place came free in time.
-    pub async fn place_again(
-        &self,
-        job: &RequestJob,
-        tried: &[TargetId],
-    ) -> Result<PlacedTarget, FailurePoint> {
-        self.place_since(job, tried, BootClock::now(), Duration::ZERO)
-            .await
-    }
-
-    async fn place_since(
-        &self,
-        job: &RequestJob,
-        tried: &[TargetId],
-        arrived: Moment,
-        waited_before: Duration,
-    ) -> Result<PlacedTarget, FailurePoint> {
-        let mut ask = job.place_ask(tried);
-        let request = WaitingRequest::open(WaitTerms {
-            arrived,
-            waited_before,
-            objective: job.rule.objective,
-            first: self.queue.usual_first(&ask.key),
-            deadline: job.deadline,
-            priority: job.priority,
-        });
-        ask.is_late = request.is_late(BootClock::now());
-        // Nobody overtakes those who wait and can still be on time.
-        if !self.queue.has_waiters(&ask.key) {
-            if let Some(placed) = self.pick(&ask) {
-                return Ok(placed);
-            }
-        }
-        let key = ask.key.clone();
-        let (ticket, place) = self.queue.push(ask, request);
-        self.serve_queue();
-        let _guard = QueueGuard {
-            queue: &self.queue,
-            key: &key,
-            ticket,
-        };
-        let placed = wait_for_place(place, request, PLACE_CHECK, || self.serve_queue()).await;
-        placed.ok_or(FailurePoint::NoTarget)
-    }
-
-    /// Gives places that came free to those who wait.
-    pub fn serve_queue(&self) {
-        if !self.queue.is_empty() {
-            self.queue.serve(|ask| self.pick(ask));
-        }
-    }
-
-    /// Notes the time from a place to the first event there.
-    pub fn note_first(&self, job: &RequestJob, time: Duration) {
-        self.queue.note_first(&job.place_ask(&[]).key, time);
-    }
-
-    /// Picks a target now; `None` when each is full, suspect or tried.
-    pub fn pick(&self, ask: &PlaceAsk) -> Option<PlacedTarget> {
-        let table = self.shared.table.load();
-        let book = self.shared.book.load();
-        let now = BootClock::now();
-        let (service, model) = &ask.key;
-        let service_spec = book.as_ref().as_ref()?.services.get(service);
-        let engine = service_spec.and_then(|spec| spec.engine.as_ref());
-        let target = match engine {
-            Some(engine) => {
-                let model = engine.models.get(model.as_ref()?)?;
-                let groups = table.groups(service, &model.id);
-                let open: Vec<&Arc<RouteTarget>> = groups
-                    .iter()
-                    .filter(|group| !ask.tried.contains(&group.id) && !group.gauge.is_suspect(now))
-                    .collect();
-                let loads: Vec<GroupLoad> = open
-                    .iter()
-                    .map(|group| GroupLoad {
-                        is_for_late: ask.is_late,
-                        ..self.load_of(engine, group, now)
-                    })
-                    .collect();
-                let draw = rand::random::<u32>() as usize;
-                let index = pick_group(engine, model, &loads, ask.prompt_tokens, draw)?;
-                open[index]
-            }
-            None => self.pick_plain(table.plain(service), &ask.tried, now)?,
-        };
-        let place = GaugePlace::open(&target.gauge, ask.prompt_tokens, now);
-        Some((Arc::clone(target), place))
-    }
-
-    fn load_of(&self, engine: &EngineModel, group: &RouteTarget, now: Moment) -> GroupLoad {
-        let own = &self.shared.settings.zone;
-        let delay = engine.delays.iter().find(|delay| {
-            (&delay.from == own && delay.to == group.zone)
-                || (&delay.to == own && delay.from == group.zone)
-        });
-        GroupLoad {
-            writers: group.gauge.load_at(now),
-            own: group.gauge.own(),
-            fresh: group.gauge.fresh(),
-            nodes: self.shared.live_nodes(now),
-            unread_tokens: group.gauge.unread(),
-            delay: delay.map_or(Duration::ZERO, |delay| delay.delay),
-            slowness: 1.0,
-            is_queueing: group.gauge.is_queueing(now),
-            is_for_late: false,
-        }
-    }
-
-    /// Picks the single target with the least work, counting failures as work.
-    fn pick_plain<'a>(
-        &self,
-        targets: &'a [Arc<RouteTarget>],
-        tried: &[TargetId],
-        now: Moment,
-    ) -> Option<&'a Arc<RouteTarget>> {
-        let cost = |target: &RouteTarget| {
-            let slots = f64::from(target.slots.max(1));
-            let load = f64::from(target.gauge.writers()) / slots;
-            let is_far = target.zone != self.shared.settings.zone;
-            let away = if is_far { 0.5 / slots } else { 0.0 };
-            load + away + target.gauge.failing() * 2.0
-        };
-        let open = targets
-            .iter()
-            .filter(|target| !tried.contains(&target.id) && !target.gauge.is_suspect(now));
-        open.min_by(|left, right| cost(left).total_cmp(&cost(right)))
-    }
-
     /// Sends a request and waits for the answer's head.
     ///
     /// # Errors
@@ -478,8 +233,8 @@
     fn can_move(&self, job: &RequestJob, from: &RouteTarget) -> bool {
         let ask = job.place_ask(std::slice::from_ref(&from.id));
         job.rule.is_repeatable()
-            && self.with_budget(&job.service, |budget| budget.has_any())
-            && self.pick(&ask).is_some()
+            && self.budgets.has_any(&job.service)
+            && self.placer.pick(&ask).is_some()
     }
 
     /// Returns the silence of a target after which it has lost a member or is cut off.
@@ -514,7 +269,6 @@
             );
         }
         target.gauge.suspect(now + SUSPECT_TIME);
-        self.shared.suspected.notify_one();
     }
 
     async fn check(
@@ -598,7 +352,7 @@
         let left = job.deadline.saturating_sub(BootClock::now());
         let read = tokio::time::timeout(left, body.read_whole(ANSWER_BYTES)).await;
         drop(place);
-        self.serve_queue();
+        self.placer.serve_queue();
         match read {
             Ok(Ok(bytes)) => Ok((head, bytes)),
             Ok(Err(_)) => {
@@ -670,38 +424,6 @@
         }
         request
     }
-
-    /// Counts a request towards the retries that may be sent to its service.
-    fn earn(&self, service: &str) {
-        self.with_budget(service, RetryBudget::earn);
-    }
-
-    /// Takes one retry from the service's budget.
-    pub fn spend(&self, service: &str) -> bool {
-        let is_left = self.with_budget(service, RetryBudget::spend);
-        if !is_left {
-            log::info!(service = service; "retry_budget_empty");
-        }
-        is_left
-    }
-
-    /// Uses the budget of one service.
-    ///
-    /// Each node earns from its own requests only, and the burst is divided among the nodes, so
-    /// the sum over all nodes holds whoever can talk to whom. A new budget begins empty, or
-    /// restarts would refill it.
-    fn with_budget<R>(&self, service: &str, act: impl FnOnce(&mut RetryBudget) -> R) -> R {
-        let mut budgets = self.budgets.lock().unwrap_or_else(PoisonError::into_inner);
-        if !budgets.contains_key(service) {
-            let settings = &self.shared.settings;
-            let nodes = (self.shared.peers.read().len() + 1).max(LEAST_NODES);
-            let burst = settings.retry_burst as f64 * BURST_SHARE / nodes as f64;
-            let permille = (settings.retry_ratio * 1000.0) as u64;
-            let budget = RetryBudget::open_empty(permille, burst as u64);
-            budgets.insert(service.to_owned(), budget);
-        }
-        act(&mut budgets[service])
-    }
 }
 
 fn note_target(trace: &mut RequestTrace, target: &RouteTarget) {
--- /dev/null
+++ b/crates/fleet/src/job.rs
@@ -0,0 +1,100 @@
+//! A request on its way to a target, and what became of one attempt.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use briarswitch_core::engine::EngineModel;
+use briarswitch_core::id::*;
+use briarswitch_core::outcome::FailurePoint;
+use briarswitch_core::traffic::{AnswerKind, TrafficBook, TrafficRule};
+use briarswitch_http::TargetBody;
+use bytes::Bytes;
+use http::{HeaderMap, Method};
+
+use crate::gauge::GaugePlace;
+use crate::ports::CallerAsk;
+use crate::queue::PlaceAsk;
+use crate::table::RouteTarget;
+
+/// A request that was identified and matched by a rule.
+pub struct RequestJob {
+    /// What the caller asks.
+    pub ask: CallerAsk,
+    /// Method.
+    pub method: Method,
+    /// Path and query.
+    pub path: String,
+    /// Headers as received.
+    pub headers: HeaderMap,
+    /// Body.
+    pub body: Bytes,
+    /// Rule that matched.
+    pub rule: TrafficRule,
+    /// Configuration that the rule is from.
+    pub book: Arc<Option<TrafficBook>>,
+    /// Service chosen.
+    pub service: ServiceId,
+    /// Organisation, if a key was asked for.
+    pub organisation: Option<OrganisationId>,
+    /// Rank; zero goes first.
+    pub priority: u8,
+    /// When its head was read.
+    pub arrived: Moment,
+    /// Time its caller had waited before it came here.
+    pub waited_before: Duration,
+    /// When the answer has to be there.
+    pub deadline: Moment,
+}
+
+impl RequestJob {
+    /// Returns the engine behind the service.
+    pub fn engine(&self) -> Option<&EngineModel> {
+        let book = self.book.as_ref().as_ref()?;
+        book.services.get(&self.service)?.engine.as_ref()
+    }
+
+    /// Returns what the request needs of a target.
+    pub fn place_ask(&self, tried: &[TargetId]) -> PlaceAsk {
+        let model = self.engine().and(self.ask.model.clone());
+        PlaceAsk {
+            key: (self.service.clone(), model),
+            prompt_tokens: self.ask.prompt_tokens,
+            tried: tried.to_vec(),
+            is_late: false,
+        }
+    }
+
+    /// Returns whether the answer is a stream of events.
+    pub fn is_stream(&self) -> bool {
+        matches!(self.rule.answer, AnswerKind::Events { .. })
+    }
+}
+
+/// An answer that has begun.
+pub struct BegunAnswer {
+    /// Target.
+    pub target: Arc<RouteTarget>,
+    /// Place there, until the answer is over.
+    pub place: Option<GaugePlace>,
+    /// Status and headers.
+    pub head: http::response::Parts,
+    /// Body.
+    pub body: TargetBody,
+}
+
+/// A failed attempt.
+pub struct FailedAttempt {
+    /// Point of failure.
+    pub point: FailurePoint,
+    /// The target's own answer, if it made one that may be passed on.
+    pub answer: Option<Box<(http::response::Parts, Bytes)>>,
+}
+
+impl From<FailurePoint> for FailedAttempt {
+    fn from(point: FailurePoint) -> Self {
+        Self {
+            point,
+            answer: None,
+        }
+    }
+}
--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -2,16 +2,21 @@
 //!
 //! The platform below is seen through the traits in [`ports`] only.
 
+pub mod budget;
+pub mod census;
 pub mod controller;
 pub mod demand;
 pub mod dispatch;
+pub mod domains;
 pub mod gauge;
+pub mod job;
 pub mod keeper;
 pub mod metrics;
 pub mod node;
 pub mod note;
 pub mod patience;
 pub mod peers;
+pub mod placer;
 pub mod ports;
 pub mod queue;
 pub mod refusal;
--- a/crates/fleet/src/peers.rs
+++ b/crates/fleet/src/peers.rs
@@ -103,7 +103,7 @@
         }
     }
 
-    fn register(&self, link: &ServiceLink<PeerMessage>) {
+    fn register(&self, after: Duration, link: &ServiceLink<PeerMessage>) {
         let shared = Arc::clone(&self.shared);
         let entry = NodeEntry {
             node: shared.settings.node.clone(),
@@ -111,9 +111,10 @@
             address: shared.settings.peers.clone(),
             incarnation: shared.incarnation,
         };
-        link.spawn(
-            async move { PeerMessage::Registered(shared.platform.nodes.register(entry).await) },
-        );
+        link.spawn(async move {
+            tokio::time::sleep(after).await;
+            PeerMessage::Registered(shared.platform.nodes.register(entry).await)
+        });
     }
 
     fn ask_registry(&self, link: &ServiceLink<PeerMessage>) {
@@ -239,7 +240,7 @@
     }
 
     fn start(&mut self, link: &ServiceLink<PeerMessage>) {
-        self.register(link);
+        self.register(Duration::ZERO, link);
         self.ask_registry(link);
         link.later(NEAR_INTERVAL, PeerMessage::Tick);
     }
@@ -263,17 +264,7 @@
             PeerMessage::Registered(Ok(())) => self.is_registered = true,
             PeerMessage::Registered(Err(error)) => {
                 log::warn!(error:% = error; "registration_failed");
-                let shared = Arc::clone(&self.shared);
-                let entry = NodeEntry {
-                    node: shared.settings.node.clone(),
-                    zone: shared.settings.zone.clone(),
-                    address: shared.settings.peers.clone(),
-                    incarnation: shared.incarnation,
-                };
-                link.spawn(async move {
-                    tokio::time::sleep(REGISTRY_RETRY).await;
-                    PeerMessage::Registered(shared.platform.nodes.register(entry).await)
-                });
+                self.register(REGISTRY_RETRY, link);
             }
             PeerMessage::News(Ok(news)) => {
                 self.take_news(news);
--- a/crates/fleet/src/ports.rs
+++ b/crates/fleet/src/ports.rs
@@ -3,8 +3,8 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use briarswitch_core::assembly::{OrderResult, TargetAction};
 use briarswitch_core::id::*;
+use briarswitch_core::order::{OrderResult, TargetAction};
 use briarswitch_core::target::{Membership, TargetChange, TargetRecord};
 use briarswitch_core::traffic::TrafficBook;
 use futures::future::BoxFuture;
--- a/crates/fleet/src/relay.rs
+++ b/crates/fleet/src/relay.rs
@@ -10,8 +10,9 @@
 use bytes::Bytes;
 use futures::Stream;
 
-use crate::dispatch::{BegunAnswer, FleetDispatcher, RequestJob};
+use crate::dispatch::FleetDispatcher;
 use crate::gauge::GaugePlace;
+use crate::job::{BegunAnswer, RequestJob};
 use crate::queue::PlacedTarget;
 use crate::trace::{RequestEnd, RequestTrace};
 
@@ -138,7 +139,7 @@
             if self.trace.sent == 1 {
                 let placed = self.trace.arrived + self.trace.waited.unwrap_or_default();
                 let time = now.saturating_sub(placed);
-                self.dispatcher.note_first(&self.job, time);
+                self.dispatcher.placer().note_first(&self.job, time);
             }
         } else {
             self.trace.pause = self.trace.pause.max(now.saturating_sub(self.heard));
@@ -163,7 +164,11 @@
         if !self.may_resume() {
             return false;
         }
-        let Some(placed) = self.dispatcher.pick(&self.job.place_ask(&self.tried)) else {
+        let Some(placed) = self
+            .dispatcher
+            .placer()
+            .pick(&self.job.place_ask(&self.tried))
+        else {
             return false;
         };
         self.go_on(placed).await
@@ -175,14 +180,19 @@
             return false;
         }
         self.current.place = None;
-        match self.dispatcher.place_again(&self.job, &self.tried).await {
+        match self
+            .dispatcher
+            .placer()
+            .place_again(&self.job, &self.tried)
+            .await
+        {
             Ok(placed) => self.go_on(placed).await,
             Err(_) => false,
         }
     }
 
     async fn go_on(&mut self, (target, place): PlacedTarget) -> bool {
-        if !self.dispatcher.spend(&self.job.service) {
+        if !self.dispatcher.budgets().spend(&self.job.service) {
             return false;
         }
         self.trace.sent += 1;
@@ -231,6 +241,6 @@
 impl Drop for StreamRelay {
     fn drop(&mut self) {
         self.current.place = None;
-        self.dispatcher.serve_queue();
+        self.dispatcher.placer().serve_queue();
     }
 }
--- a/crates/fleet/src/shared.rs
+++ b/crates/fleet/src/shared.rs
@@ -9,7 +9,6 @@
 use briarswitch_core::traffic::TrafficBook;
 use briarswitch_kernel::{BootClock, Snapshot};
 use indexmap::IndexMap;
-use tokio::sync::Notify;
 
 use crate::demand::DemandMeter;
 use crate::gauge::GaugeBoard;
@@ -100,8 +99,6 @@
     pub loading: AtomicU32,
     /// Whether any caller's request has been seen, here or at a peer.
     pub has_traffic: AtomicBool,
-    /// Wakes the exchange with other nodes when a target falls under suspicion.
-    pub suspected: Notify,
     confirmed: AtomicU64,
     phase: AtomicU8,
 }
@@ -127,7 +124,6 @@
             in_flight: AtomicUsize::new(0),
             loading: AtomicU32::new(0),
             has_traffic: AtomicBool::new(false),
-            suspected: Notify::new(),
             confirmed: AtomicU64::new(0),
             phase: AtomicU8::new(FleetPhase::Running as u8),
         })
--- a/crates/fleet/src/surface.rs
+++ b/crates/fleet/src/surface.rs
@@ -14,7 +14,8 @@
 use http::{HeaderValue, StatusCode};
 use xxhash_rust::xxh3::xxh3_64;
 
-use crate::dispatch::{FleetDispatcher, RequestJob};
+use crate::dispatch::FleetDispatcher;
+use crate::job::RequestJob;
 use crate::patience::PatienceBook;
 use crate::ports::CallerAsk;
 use crate::refusal::OwnAnswer;
--- a/crates/fleet/src/tracker.rs
+++ b/crates/fleet/src/tracker.rs
@@ -2,11 +2,10 @@
 
 use std::time::Duration;
 
-use briarswitch_core::assembly::{
-    OrderResult, TargetAction, TargetFacts, TargetOrder, TargetStanding,
-};
+use briarswitch_core::assembly::{TargetFacts, TargetStanding};
 use briarswitch_core::engine::EngineModel;
 use briarswitch_core::id::*;
+use briarswitch_core::order::{OrderResult, TargetAction, TargetOrder};
 use briarswitch_core::target::{MembershipState, TargetRecord};
 use indexmap::IndexMap;
 
--- a/crates/fleet/tests/assembly.rs
+++ b/crates/fleet/tests/assembly.rs
@@ -9,11 +9,10 @@
 use std::sync::LazyLock;
 use std::time::Duration;
 
-use briarswitch_core::assembly::{
-    DomainKeeper, DomainView, OrderResult, TargetAction, TargetFacts, TargetOrder,
-};
+use briarswitch_core::assembly::{DomainKeeper, DomainView, TargetFacts};
 use briarswitch_core::engine::{EngineModel, ModelSpec};
 use briarswitch_core::id::*;
+use briarswitch_core::order::{OrderResult, TargetAction, TargetOrder};
 use briarswitch_core::target::{Membership, MembershipState, TargetRecord};
 use briarswitch_fleet::ports::{ReportError, TargetReport};
 use briarswitch_fleet::tracker::TargetTracker;
