Ask a lost store without holding the question open

Cause: the question asked during the cut could be held open 1.2 s and was waited for 0.9 s longer, with no sign of the healing. Change: until a source has answered again, questions ask for an answer at once.

--- a/crates/fleet/src/keeper.rs
+++ b/crates/fleet/src/keeper.rs
@@ -72,6 +72,19 @@
         }
     }
 
+    /// Returns how long the next question may be held open.
+    ///
+    /// A question that is held open while its connection is cut ends only with its own time. Until the
+    /// source has answered again questions ask for an answer at once, or a cut that has healed would be
+    /// noticed two seconds later than it could, and callers' keys be refused so long.
+    fn wait(&self, usual: Duration) -> Duration {
+        if self.lost.is_some() {
+            Duration::ZERO
+        } else {
+            usual
+        }
+    }
+
     fn was_away(&self, now: Moment) -> bool {
         self.failed.is_some_and(|at| now < at + AWAY_MEMORY)
     }
@@ -105,8 +118,9 @@
     fn ask(&self, link: &ServiceLink<BookMessage>) {
         let shared = Arc::clone(&self.shared);
         let (mark, asked) = (self.mark, link.now());
+        let wait = self.health.wait(CONFIG_WAIT);
         link.spawn(async move {
-            let news = shared.platform.config.next(mark, CONFIG_WAIT).await;
+            let news = shared.platform.config.next(mark, wait).await;
             BookMessage::News(asked, news)
         });
     }
@@ -225,8 +239,9 @@
     fn ask(&self, link: &ServiceLink<DirectoryMessage>) {
         let shared = Arc::clone(&self.shared);
         let mark = self.mark;
+        let wait = self.health.wait(DIRECTORY_WAIT);
         link.spawn(async move {
-            DirectoryMessage::News(shared.platform.directory.next(mark, DIRECTORY_WAIT).await)
+            DirectoryMessage::News(shared.platform.directory.next(mark, wait).await)
         });
     }
 
