Drop settings and engine figures that nothing reads

The time for which engines stall, their memory and the mean prompt were decoded and passed through five places without a reader; the factor for slow groups was one everywhere.

--- a/crates/core/src/engine.rs
+++ b/crates/core/src/engine.rs
@@ -28,8 +28,6 @@
 pub struct EngineModel {
     /// Requests a group works on at once.
     pub slots: u32,
-    /// Tokens that a group's memory holds.
-    pub memory_tokens: u64,
     /// Token steps in one pass.
     pub stride: u32,
     /// Time of a token step without any request.
@@ -38,8 +36,6 @@
     pub step_per_request: Duration,
     /// Prompt tokens read in a second.
     pub read_per_second: f64,
-    /// Mean tokens of a prompt.
-    pub usual_prompt: f64,
     /// Mean tokens of an answer.
     pub usual_answer: f64,
     /// Age of what a target reports about its load.
@@ -50,8 +46,6 @@
     pub loads_at_once: usize,
     /// Time from an order to open until the group serves.
     pub open_time: Duration,
-    /// Time after which work that depends on a lost member is cut off.
-    pub stall: Duration,
     /// Models by name.
     pub models: IndexMap<ModelId, ModelSpec>,
     /// Delay between two zones, where it is known.
--- a/crates/core/src/placement.rs
+++ b/crates/core/src/placement.rs
@@ -34,8 +34,6 @@
     pub is_queueing: bool,
     /// Whether the request to be placed can not be on time any more.
     pub is_for_late: bool,
-    /// Measured slowness against the model; one is as declared.
-    pub slowness: f64,
 }
 
 /// Returns the expected time to the first event.
@@ -48,7 +46,7 @@
     let pass = engine.pass_time(model, load.writers.min(engine.slots));
     let read = engine.read_time(model, load.unread_tokens + prompt);
     let work = pass.mul_f64(PASS_WAIT + 1.0) + read;
-    work.mul_f64(load.slowness.max(1.0)) + load.delay * 2
+    work + load.delay * 2
 }
 
 /// Returns whether a group has a free place, as far as this node may count on it.
--- a/crates/fleet/src/placer.rs
+++ b/crates/fleet/src/placer.rs
@@ -175,7 +175,6 @@
             nodes: self.shared.live_nodes(now),
             unread_tokens: group.gauge.unread(),
             delay: delay.map_or(Duration::ZERO, |delay| delay.delay),
-            slowness: 1.0,
             is_queueing: group.gauge.is_queueing(now),
             is_for_late: false,
         }
--- a/crates/fleet/src/settings.rs
+++ b/crates/fleet/src/settings.rs
@@ -35,8 +35,6 @@
     pub retry_burst: u64,
     /// Time after a signal to end within which the process has to be gone.
     pub grace: Duration,
-    /// Time after which work that depends on a lost member is cut off.
-    pub stall: Duration,
     /// Least severe log level written.
     pub log_level: log::LevelFilter,
 }
@@ -88,7 +86,6 @@
             retry_ratio: reader.number("retry_ratio"),
             retry_burst: reader.number("retry_burst") as u64,
             grace: Duration::from_secs_f64(reader.number("grace_s")),
-            stall: reader.millis("stall_ms"),
             log_level: reader.level("log_level"),
         };
         reader.finish(settings)
--- a/crates/fleet/tests/assembly.rs
+++ b/crates/fleet/tests/assembly.rs
@@ -92,7 +92,6 @@
         slots: 8,
         open_time: Duration::from_millis(300),
         report_lag: REPORT_LAG,
-        stall: STALL,
         models: IndexMap::from([(model.id.clone(), model)]),
         ..EngineModel::default()
     }
--- a/crates/node/src/main.rs
+++ b/crates/node/src/main.rs
@@ -82,7 +82,7 @@
 
 async fn serve_fleet(settings: FleetSettings) -> Result<(), StartError> {
     let mut signals = NodeSignals::open()?;
-    let platform = briarswitch_adapter::open(&settings.store, settings.stall);
+    let platform = briarswitch_adapter::open(&settings.store);
     let node = FleetNode::spawn(settings, platform).await?;
     signals.end().await;
     node.shutdown().await;
--- a/crates/node/src/peers.rs
+++ b/crates/node/src/peers.rs
@@ -38,7 +38,7 @@
     },
 }
 
-/// Keeps in touch with the other nodes.
+/// Exchanges state with the other nodes.
 pub struct PeerExchange {
     shared: Arc<NodeShared>,
     client: CallerClient,
