Keep the targets of all services of engines at once

Symptom: with two services of engines neither ever gets a group. Cause: each service's part of a round took its own targets and domains for all there are and forgot the other's, so none was ever asked for its state. Change: domains are known by service, and targets and domains of all services are brought up to date once for each round.

--- a/crates/fleet/src/controller.rs
+++ b/crates/fleet/src/controller.rs
@@ -10,6 +10,7 @@
 use briarswitch_core::id::*;
 use briarswitch_core::order::{OrderResult, TargetAction, TargetOrder};
 use briarswitch_core::target::{MembershipState, TargetRecord};
+use briarswitch_core::traffic::ServiceSpec;
 use briarswitch_kernel::{BootClock, Service, ServiceLink};
 use indexmap::{IndexMap, IndexSet};
 use serde_json::{json, Value};
@@ -19,7 +20,7 @@
 use crate::domains::{domains_of, stock_of};
 use crate::ports::{ReportError, TargetReport};
 use crate::shared::FleetShared;
-use crate::tracker::TargetTracker;
+use crate::tracker::{TargetTracker, TrackedTarget};
 
 /// Time between rounds.
 const ROUND: Duration = Duration::from_millis(50);
@@ -48,14 +49,30 @@
 pub struct GroupController {
     shared: Arc<FleetShared>,
     tracker: TargetTracker,
-    keepers: IndexMap<DomainId, DomainKeeper>,
-    census: IndexMap<DomainId, DomainCensus>,
+    keepers: IndexMap<DomainKey, DomainKeeper>,
+    census: IndexMap<DomainKey, DomainCensus>,
     loads: IndexMap<TargetId, ModelId>,
     suspected: IndexSet<TargetId>,
     started: Moment,
     listed: (usize, Moment),
 }
 
+/// One service's part of a fabric domain.
+#[derive(Clone, Debug, Eq, Hash, PartialEq)]
+struct DomainKey {
+    service: ServiceId,
+    domain: DomainId,
+}
+
+impl DomainKey {
+    fn of(record: &TargetRecord) -> Self {
+        Self {
+            service: record.service.clone(),
+            domain: record.domain.clone(),
+        }
+    }
+}
+
 /// Message to [`GroupController`].
 pub enum ControllerMessage {
     /// Look at everything again.
@@ -107,35 +124,22 @@
         else {
             return;
         };
-        for service in book.services.values() {
-            let Some(engine) = &service.engine else {
-                continue;
-            };
-            let records: Vec<&TargetRecord> = directory
-                .book
-                .targets()
-                .values()
-                .filter(|record| record.service == service.id)
-                .collect();
-            self.tend(engine, &records, now, link);
-        }
-    }
-
-    fn tend(
-        &mut self,
-        engine: &EngineModel,
-        records: &[&TargetRecord],
-        now: Moment,
-        link: &ServiceLink<ControllerMessage>,
-    ) {
-        let domains = domains_of(records);
-        let own: IndexSet<DomainId> = domains
-            .iter()
-            .filter(|(domain, zone)| self.is_responsible(domain, zone, now))
-            .map(|(domain, _)| (*domain).clone())
+        let services: Vec<&ServiceSpec> = book
+            .services
+            .values()
+            .filter(|service| service.engine.is_some())
             .collect();
+        let is_engine = |record: &&TargetRecord| {
+            let mut ids = services.iter().map(|service| &service.id);
+            ids.any(|id| *id == record.service)
+        };
+        let targets = directory.book.targets().values();
+        let records: Vec<&TargetRecord> = targets.filter(is_engine).collect();
+        let own = self.own_domains(&services, &records, now);
         self.update_keepers(&own);
-        let mine = records.iter().filter(|record| own.contains(&record.domain));
+        let mine = records
+            .iter()
+            .filter(|record| own.contains(&DomainKey::of(record)));
         self.tracker.sync(mine.copied(), now);
         self.look_at_suspects(now);
         for (target, address) in self.tracker.due(now) {
@@ -148,11 +152,53 @@
         self.loads
             .retain(|id, _| tracker.targets().contains_key(id));
         self.count_loads();
-        let models = assign_models(engine, &self.demand(now), &stock_of(records, &domains));
-        for domain in own {
-            let model = models.get(&domain).and_then(|id| engine.models.get(id));
+        for service in services {
+            self.tend(service, &records, &own, now, link);
+        }
+    }
+
+    /// Returns the domains of all services in which this node gives the orders.
+    fn own_domains(
+        &self,
+        services: &[&ServiceSpec],
+        records: &[&TargetRecord],
+        now: Moment,
+    ) -> IndexSet<DomainKey> {
+        let mut own = IndexSet::new();
+        for service in services {
+            let of_service = of_service(records, &service.id);
+            for (domain, zone) in domains_of(&of_service) {
+                if self.is_responsible(domain, zone, now) {
+                    own.insert(DomainKey {
+                        service: service.id.clone(),
+                        domain: domain.clone(),
+                    });
+                }
+            }
+        }
+        own
+    }
+
+    /// Plans the groups of one service in the domains that are this node's.
+    fn tend(
+        &mut self,
+        service: &ServiceSpec,
+        records: &[&TargetRecord],
+        own: &IndexSet<DomainKey>,
+        now: Moment,
+        link: &ServiceLink<ControllerMessage>,
+    ) {
+        let Some(engine) = &service.engine else {
+            return;
+        };
+        let of_service = of_service(records, &service.id);
+        let stock = stock_of(&of_service, &domains_of(&of_service));
+        let models = assign_models(engine, &self.demand(now), &stock);
+        for key in own.iter().filter(|key| key.service == service.id) {
+            let model = models.get(&key.domain);
+            let model = model.and_then(|id| engine.models.get(id));
             if let Some(model) = model {
-                self.plan(&domain, engine, model, now, link);
+                self.plan(key, engine, model, now, link);
             }
         }
     }
@@ -181,24 +227,24 @@
         !others.any(|peer| rank(&peer.entry.node, &peer.entry.zone) < own)
     }
 
-    fn update_keepers(&mut self, own: &IndexSet<DomainId>) {
-        let lost = self.keepers.keys().filter(|domain| !own.contains(*domain));
-        for domain in lost {
-            log::info!(domain = domain.as_str(); "domain_left");
+    fn update_keepers(&mut self, own: &IndexSet<DomainKey>) {
+        let lost = self.keepers.keys().filter(|key| !own.contains(*key));
+        for key in lost {
+            log::info!(domain = key.domain.as_str(); "domain_left");
         }
-        self.keepers.retain(|domain, _| own.contains(domain));
-        for domain in own {
-            if !self.keepers.contains_key(domain) {
-                log::info!(domain = domain.as_str(); "domain_taken");
-                let hash = xxh3_64(domain.as_bytes()) as u16;
+        self.keepers.retain(|key, _| own.contains(key));
+        self.census.retain(|key, _| own.contains(key));
+        for key in own {
+            if !self.keepers.contains_key(key) {
+                log::info!(domain = key.domain.as_str(); "domain_taken");
+                let hash = xxh3_64(format!("{}\u{0}{}", key.service, key.domain).as_bytes()) as u16;
                 let since = BootClock::now().as_millis();
                 let incarnation = self.shared.incarnation;
                 let prefix = format!(
                     "{}-{incarnation:x}-{hash:x}-{since:x}",
                     self.shared.settings.node
                 );
-                self.keepers
-                    .insert(domain.clone(), DomainKeeper::open(prefix));
+                self.keepers.insert(key.clone(), DomainKeeper::open(prefix));
             }
         }
     }
@@ -245,20 +291,17 @@
 
     fn plan(
         &mut self,
-        domain: &DomainId,
+        key: &DomainKey,
         engine: &EngineModel,
         model: &ModelSpec,
         now: Moment,
         link: &ServiceLink<ControllerMessage>,
     ) {
-        let members = |tracker: &TargetTracker| {
-            let of_domain = tracker.targets().iter();
-            of_domain
-                .filter(|(_, tracked)| tracked.record.domain == *domain)
-                .map(|(id, tracked)| (id.clone(), tracked.clone()))
-                .collect::<Vec<_>>()
-        };
-        let tracked = members(&self.tracker);
+        let of_domain = self.tracker.targets().iter();
+        let tracked: Vec<(TargetId, TrackedTarget)> = of_domain
+            .filter(|(_, tracked)| DomainKey::of(&tracked.record) == *key)
+            .map(|(id, tracked)| (id.clone(), tracked.clone()))
+            .collect();
         if tracked.iter().any(|(_, tracked)| !tracked.is_resolved) {
             return;
         }
@@ -268,11 +311,11 @@
             .collect();
         let has_traffic = self.shared.has_traffic.load(Ordering::Relaxed);
         let census = DomainCensus::of(&facts, &model.id);
-        if self.census.insert(domain.clone(), census) != Some(census) {
-            census.log(domain, &model.id);
+        if self.census.insert(key.clone(), census) != Some(census) {
+            census.log(&key.domain, &model.id);
         }
         let load_budget = self.load_budget(engine, has_traffic);
-        let Some(keeper) = self.keepers.get_mut(domain) else {
+        let Some(keeper) = self.keepers.get_mut(key) else {
             return;
         };
         let view = DomainView {
@@ -430,6 +473,11 @@
     }
 }
 
+fn of_service<'a>(records: &[&'a TargetRecord], service: &str) -> Vec<&'a TargetRecord> {
+    let of_service = records.iter().filter(|record| record.service == service);
+    of_service.copied().collect()
+}
+
 fn result_name(result: OrderResult) -> &'static str {
     match result {
         OrderResult::Begun => "begun",
@@ -486,7 +534,7 @@
             })
         });
         json!({
-            "domains": self.keepers.keys().collect::<Vec<_>>(),
+            "domains": self.keepers.keys().map(|key| &key.domain).collect::<Vec<_>>(),
             "targets": targets.collect::<Vec<_>>(),
         })
     }
