Delete unused accessors and share the pace of the silence check

Cause: TargetAssembly's is_unsure and ordered and GaugePlace's gauge had no caller; note_heard repeated clear_suspicion; the pace of the silence check stood in both the dispatcher and the relay; a comment named a range's bounds in the wrong order. Ruled out: any change of behaviour; values and calls are the same, no test was touched. Change: the unused items go, note_heard calls clear_suspicion, which is now private, and the relay uses the dispatcher's constant.

--- a/crates/core/src/assembly.rs
+++ b/crates/core/src/assembly.rs
@@ -139,16 +139,6 @@
         }
     }
 
-    /// Returns whether a target has to be asked before it is ordered again.
-    pub fn is_unsure(&self, target: &str) -> bool {
-        self.unsure.contains(target)
-    }
-
-    /// Returns the targets with an order that was not answered yet.
-    pub fn ordered(&self) -> impl Iterator<Item = &TargetId> {
-        self.in_flight.keys()
-    }
-
     /// Takes in that a target was asked for its state after its last order.
     pub fn note_report(&mut self, target: &str) {
         self.unsure.swap_remove(target);
--- a/crates/fleet/src/dispatch.rs
+++ b/crates/fleet/src/dispatch.rs
@@ -35,8 +35,8 @@
 const IDLE_SHARE: f64 = 0.4;
 /// Time to open a connection to a target; a healthy one takes a few milliseconds.
 const CONNECT_TIME: Duration = Duration::from_millis(400);
-/// Time between looks at whether the target that a request waits for has fallen silent.
-const SILENCE_CHECK: Duration = Duration::from_millis(40);
+/// Time between looks at whether a target that an answer or stream is awaited from is silent.
+pub(crate) const SILENCE_CHECK: Duration = Duration::from_millis(40);
 /// Attempts of one request that reached nobody, after which it is given up.
 const UNREACHED_LIMIT: u32 = 4;
 /// Least time without an answer after which a request that may be repeated is sent elsewhere.
--- a/crates/fleet/src/gauge.rs
+++ b/crates/fleet/src/gauge.rs
@@ -106,8 +106,7 @@
         let held = self.interval.load(Ordering::Relaxed);
         let faded = held - held / INTERVAL_FADING;
         self.interval.store(interval.max(faded), Ordering::Relaxed);
-        self.suspect_until.store(0, Ordering::Relaxed);
-        self.hearsay_until.store(0, Ordering::Relaxed);
+        self.clear_suspicion();
     }
 
     /// Returns the longest of the last intervals between signs of life.
@@ -136,7 +135,7 @@
     }
 
     /// Takes any suspicion from the target.
-    pub fn clear_suspicion(&self) {
+    fn clear_suspicion(&self) {
         self.suspect_until.store(0, Ordering::Relaxed);
         self.hearsay_until.store(0, Ordering::Relaxed);
     }
@@ -187,11 +186,6 @@
         }
     }
 
-    /// Returns the target's counters.
-    pub fn gauge(&self) -> &Arc<TargetGauge> {
-        &self.gauge
-    }
-
     /// Notes that the prompt was read, which the first event shows.
     pub fn note_read(&mut self) {
         self.gauge.unread.fetch_sub(self.unread, Ordering::Relaxed);
--- a/crates/fleet/src/keeper.rs
+++ b/crates/fleet/src/keeper.rs
@@ -30,7 +30,7 @@
 /// The store answers two thousand calls a second and is paid by the call; 71 nodes at the shortest pace
 /// made 13,416 calls in a day of 56 s.
 const DIRECTORY_SHARE: Duration = Duration::from_millis(33);
-/// Time to wait after a source failed; the longest and the shortest.
+/// Time to wait after a source failed; the shortest and the longest.
 const RETRY_PACE: (Duration, Duration) = (Duration::from_millis(250), Duration::from_millis(450));
 /// Time between looks for lapsed entries whose time is over.
 const EXPIRE_INTERVAL: Duration = Duration::from_millis(200);
--- a/crates/fleet/src/relay.rs
+++ b/crates/fleet/src/relay.rs
@@ -10,14 +10,12 @@
 use bytes::Bytes;
 use futures::Stream;
 
-use crate::dispatch::FleetDispatcher;
+use crate::dispatch::{FleetDispatcher, SILENCE_CHECK};
 use crate::gauge::GaugePlace;
 use crate::job::{BegunAnswer, RequestJob};
 use crate::queue::PlacedTarget;
 use crate::trace::{RequestEnd, RequestTrace};
 
-/// Time between looks at whether a stream's group has fallen silent.
-const SILENCE_CHECK: Duration = Duration::from_millis(40);
 /// Lateness of the node's own timer beyond which silence proves nothing about the target.
 const OWN_LATENESS: Duration = Duration::from_millis(60);
 
