Let the limit of silence cover the longest pass of a sound group

Cause: on 71 nodes the larger model's groups were suspected by turns, though all were there. A group that reads prompts of many nodes needs up to stride x chunk tokens for a pass (370 ms); each node knows only its own prompts and took 205 ms of silence for a lost member. All nodes then left for another group at once, which got all prompts and looked silent next.

Ruled out: too few groups (six, 1.9 of them filled by reading, before any loss); waiting in the nodes (0).

Change: the decision moves to core::silence, with the engine's chunk as a bound for what others may have sent. Test: silence.rs, fails on the old limit.

--- a/crates/core/src/engine.rs
+++ b/crates/core/src/engine.rs
@@ -36,6 +36,8 @@
     pub step_per_request: Duration,
     /// Prompt tokens read in a second.
     pub read_per_second: f64,
+    /// Most prompt tokens read in one step; zero if the operator does not say.
+    pub read_per_step: u64,
     /// Mean tokens of an answer.
     pub usual_answer: f64,
     /// Age of what a target reports about its load.
@@ -70,6 +72,14 @@
         step.mul_f64(f64::from(self.stride) * model.pace)
     }
 
+    /// Returns the time from one event to the next while prompts are read in every step of a pass.
+    ///
+    /// No pass of a sound group takes longer, however many prompts wait there.
+    pub fn longest_pass(&self, model: &ModelSpec, writers: u32) -> Duration {
+        let tokens = self.read_per_step * u64::from(self.stride);
+        self.pass_time(model, writers) + self.read_time(model, tokens)
+    }
+
     /// Returns the time for which a request occupies a whole group that has every slot taken.
     ///
     /// The sum over a second's requests is the number of groups that the demand fills.
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -39,6 +39,7 @@
 pub mod retry;
 pub mod returns;
 pub mod rule;
+pub mod silence;
 pub mod stream;
 pub mod target;
 pub mod traffic;
--- /dev/null
+++ b/crates/core/src/silence.rs
@@ -0,0 +1,44 @@
+//! How long a group at work may be silent before it counts as having lost a member.
+//!
+//! Every running stream of a group yields an event in each pass, so silence of all of them for several
+//! passes is seen long before the engine gives up.
+
+use std::time::Duration;
+
+use crate::engine::{EngineModel, ModelSpec};
+
+/// Passes without any event after which a group counts as silent.
+const SILENT_PASSES: f64 = 4.0;
+/// Least silence of a group that means anything; below it the network's delays show.
+const LEAST_SILENCE: Duration = Duration::from_millis(180);
+/// Factor on the longest of the last intervals between events, and on the longest pass.
+const INTERVAL_FACTOR: f64 = 1.5;
+/// Factor on the longest pass that a sound group can have.
+const LONGEST_PASS_FACTOR: f64 = 1.15;
+/// Longest interval that counts as usual; a group that stalled must not teach patience.
+const LONGEST_INTERVAL: Duration = Duration::from_millis(250);
+
+/// What a node knows of a group's work.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub struct GroupWork {
+    /// Requests at work there, of all nodes.
+    pub writers: u32,
+    /// This node's own requests among them.
+    pub own: u32,
+    /// Prompt tokens of this node's requests of which no event has come yet.
+    pub unread_tokens: u64,
+    /// Longest of the last intervals between events that this node saw.
+    pub interval: Duration,
+}
+
+/// Returns the silence after which a group has lost a member or is cut off.
+pub fn silence_limit(engine: &EngineModel, model: &ModelSpec, work: &GroupWork) -> Duration {
+    let pass = engine.pass_time(model, work.writers);
+    let read = engine.read_time(model, work.unread_tokens);
+    let usual = work.interval.min(LONGEST_INTERVAL);
+    let longest = engine.longest_pass(model, work.writers);
+    (pass.mul_f64(SILENT_PASSES) + read)
+        .max(usual.mul_f64(INTERVAL_FACTOR))
+        .max(longest.mul_f64(LONGEST_PASS_FACTOR))
+        .max(LEAST_SILENCE)
+}
--- /dev/null
+++ b/crates/core/tests/silence.rs
@@ -0,0 +1,62 @@
+//! When a group at work counts as having lost a member.
+
+use std::time::Duration;
+
+use briarswitch_core::engine::{EngineModel, ModelSpec};
+use briarswitch_core::silence::{silence_limit, GroupWork};
+use googletest::prelude::*;
+
+fn engine() -> EngineModel {
+    EngineModel {
+        slots: 30,
+        stride: 8,
+        step: Duration::from_micros(5_950),
+        step_per_request: Duration::from_nanos(44_500),
+        read_per_second: 50_700.0,
+        read_per_step: 2_048,
+        ..EngineModel::default()
+    }
+}
+
+fn model() -> ModelSpec {
+    ModelSpec {
+        size: 16,
+        pace: 1.0,
+        ..ModelSpec::default()
+    }
+}
+
+/// Symptom: nodes leave a sound group all at once, the next one gets the prompts of all of them, looks
+/// silent as well, and so on; the larger model's first events took 0.5 to 1 s with every group there.
+/// Events: other nodes' prompts make a group read a full chunk in each step of a pass, 370 ms.
+/// Cause: the limit knew of this node's own prompts only and was 205 ms.
+#[gtest]
+fn a_group_that_reads_other_nodes_prompts_is_not_silent() {
+    let (engine, model) = (engine(), model());
+    let work = GroupWork {
+        writers: 10,
+        own: 1,
+        ..GroupWork::default()
+    };
+    let longest = engine.longest_pass(&model, work.writers);
+    expect_that!(longest, gt(Duration::from_millis(370)));
+    expect_that!(silence_limit(&engine, &model, &work), gt(longest));
+}
+
+/// Symptom: callers wait until the engine gives up, after seconds.
+/// Events: a member is lost; nothing comes any more.
+/// Cause guarded against: a limit that grows with whatever interval was seen last.
+#[gtest]
+fn a_group_that_has_stalled_before_is_not_waited_for_longer() {
+    let (engine, model) = (engine(), model());
+    let work = GroupWork {
+        writers: 30,
+        own: 5,
+        unread_tokens: 1_460,
+        interval: Duration::from_secs(4),
+    };
+    expect_that!(
+        silence_limit(&engine, &model, &work),
+        lt(Duration::from_millis(500))
+    );
+}
--- a/crates/fleet/src/dispatch.rs
+++ b/crates/fleet/src/dispatch.rs
@@ -5,6 +5,7 @@
 
 use briarswitch_core::id::*;
 use briarswitch_core::outcome::{FailurePoint, Outcome};
+use briarswitch_core::silence::{silence_limit, GroupWork};
 use briarswitch_http::{
     stream_body, whole_body, Response, SendFailure, TargetAddress, TargetBody, TargetClient,
     TargetLimits, TargetReply,
@@ -45,14 +46,6 @@
 const ANSWER_BYTES: usize = 64 << 20;
 /// Largest rank that targets know; zero goes first.
 const LAST_RANK: u8 = 9;
-/// Passes without any event after which a group counts as silent.
-const SILENT_PASSES: f64 = 4.0;
-/// Least silence of a group that means anything; below it the network's delays show.
-const LEAST_SILENCE: Duration = Duration::from_millis(180);
-/// Factor on the longest of the last intervals between events.
-const INTERVAL_FACTOR: f64 = 1.5;
-/// Longest interval that counts as usual; a group that stalled must not teach patience.
-const LONGEST_INTERVAL: Duration = Duration::from_millis(250);
 /// Time for which a silent target gets no new work.
 const SUSPECT_TIME: Duration = Duration::from_millis(900);
 
@@ -238,9 +231,6 @@
     }
 
     /// Returns the silence of a target after which it has lost a member or is cut off.
-    ///
-    /// Every running stream of a group yields an event in each pass, so silence of all of them for
-    /// several passes is seen long before the engine gives up.
     pub fn silence_limit(&self, job: &RequestJob, target: &RouteTarget) -> Duration {
         let model = target.group.as_ref().and_then(|group| {
             let engine = job.engine()?;
@@ -249,12 +239,14 @@
         let Some((engine, model)) = model else {
             return (job.rule.objective * 2).max(LEAST_PATIENCE);
         };
-        let pass = engine.pass_time(model, target.gauge.writers());
-        let read = engine.read_time(model, target.gauge.unread());
-        let usual = target.gauge.interval().min(LONGEST_INTERVAL);
-        (pass.mul_f64(SILENT_PASSES) + read)
-            .max(usual.mul_f64(INTERVAL_FACTOR))
-            .max(LEAST_SILENCE)
+        let gauge = &target.gauge;
+        let work = GroupWork {
+            writers: gauge.writers(),
+            own: gauge.own(),
+            unread_tokens: gauge.unread(),
+            interval: gauge.interval(),
+        };
+        silence_limit(engine, model, &work)
     }
 
     /// Keeps new work from a target that fell silent, and has it looked at.
