Divide and spread a group's places among any number of nodes

Cause: placing was made for six nodes. Of 71 each had a share of at least one place at every group, 71 for 30 places, so that in the worst seconds requests queued inside the groups; and all of them took the group that looked best by notes 0.2 to 0.4 s old, which got 24 requests in one second and 1 in the next.

Change: shares are whole numbers that add up to the places, by rank among the live nodes; a request goes to each group with the share that it would take of what the other nodes send unseen (arrivals are told in the notes). With nothing unseen that is the quickest group, as before. Tests: fleet.rs in crates/core/tests.

--- a/crates/core/src/placement.rs
+++ b/crates/core/src/placement.rs
@@ -6,12 +6,6 @@
 
 /// Part of a pass that a new request waits for on average before its prompt is read.
 const PASS_WAIT: f64 = 0.5;
-/// Relative difference below which two groups count as equally good.
-///
-/// Six nodes that all pick the very best one would send a burst to it before any sees the others'
-/// choices.
-const TIE: f64 = 0.1;
-
 /// Part of the places up to which nodes need not keep to their shares.
 const FREE_USE: f64 = 0.75;
 
@@ -26,6 +20,8 @@
     pub fresh: u32,
     /// Nodes that choose among the same groups.
     pub nodes: u32,
+    /// Places of the group that are this node's.
+    pub share: u32,
     /// Prompt tokens sent there of which no event has come yet.
     pub unread_tokens: u64,
     /// One-way delay to the group.
@@ -49,6 +45,22 @@
     work + load.delay * 2
 }
 
+/// Returns the places of a group that are one node's, of `nodes` that agree on each other's ranks.
+///
+/// The shares add up to the group's places. Were the least share one, 71 nodes would send 71 requests
+/// to a group that has 30 places.
+///
+/// ```
+/// use briarswitch_core::placement::place_share;
+///
+/// let shares = (0..71).map(|rank| place_share(30, 71, rank));
+/// assert_eq!(shares.sum::<u32>(), 30);
+/// ```
+pub fn place_share(slots: u32, nodes: u32, rank: u32) -> u32 {
+    let nodes = nodes.max(1);
+    slots / nodes + u32::from(rank < slots % nodes)
+}
+
 /// Returns whether a group has a free place, as far as this node may count on it.
 ///
 /// All nodes see a group that has just opened as empty, and one that is full as full only after they
@@ -60,8 +72,7 @@
 /// that comes free, the late ones would always be there first, and those that come next late too.
 pub fn has_room(engine: &EngineModel, load: &GroupLoad) -> bool {
     let nodes = load.nodes.max(1);
-    let share = (engine.slots / nodes).max(1);
-    let is_half_full = load.own * 2 >= share && load.writers * 2 >= engine.slots;
+    let is_half_full = load.own * 2 >= load.share.max(1) && load.writers * 2 >= engine.slots;
     if load.is_for_late && is_half_full {
         return false;
     }
@@ -69,32 +80,72 @@
     let free = engine.slots.saturating_sub(others_see);
     let is_far_from_full = f64::from(load.writers) < f64::from(engine.slots) * FREE_USE;
     let may_exceed = is_far_from_full && load.fresh < free / nodes + 1;
-    let is_in_share = load.own < share && load.writers < engine.slots;
+    let is_in_share = load.own < load.share && load.writers < engine.slots;
     !load.is_queueing && (is_in_share || may_exceed)
 }
 
+/// What is asked of a group, and what else is on its way to the same groups.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct PlaceTerms {
+    /// Tokens of the request's prompt.
+    pub prompt: u64,
+    /// Requests that other nodes have sent since this node heard of their load.
+    pub unseen: f64,
+    /// A number from 0 to 1, drawn anew for each request.
+    pub draw: f64,
+}
+
 /// Returns the index of the group to use, or `None` when every one is full.
 ///
-/// `draw` breaks ties.
+/// What a node knows of the others is some tenths of a second old. If all of them took the group that
+/// looked best, it would get all requests of that time: of 71 nodes a group with six equals got 24
+/// requests in one second and 1 in the next, and first events came after 0.5 s instead of 0.13 s. So the
+/// unseen requests are thought to fill the groups that are quickest until all of those are equally
+/// quick, and this request goes to each with the share of them that it takes. With nothing unseen that
+/// is the quickest group.
 pub fn pick_group(
     engine: &EngineModel,
     model: &ModelSpec,
     loads: &[GroupLoad],
-    prompt: u64,
-    draw: usize,
+    terms: &PlaceTerms,
 ) -> Option<usize> {
-    let times: Vec<(usize, Duration)> = loads
+    let mut times: Vec<(usize, f64)> = loads
         .iter()
         .enumerate()
         .filter(|(_, load)| has_room(engine, load))
-        .map(|(index, load)| (index, first_event(engine, model, load, prompt)))
+        .map(|(index, load)| {
+            let time = first_event(engine, model, load, terms.prompt);
+            (index, time.as_secs_f64())
+        })
         .collect();
-    let best = times.iter().map(|(_, time)| *time).min()?;
-    let limit = best.mul_f64(1.0 + TIE);
-    let near: Vec<usize> = times
-        .into_iter()
-        .filter(|(_, time)| *time <= limit)
+    times.sort_by(|left, right| left.1.total_cmp(&right.1));
+    let each = engine.read_time(model, terms.prompt.max(1)).as_secs_f64();
+    let level = fill_level(&times, terms.unseen * each);
+    let rooms = times
+        .iter()
+        .map(|(index, time)| (*index, (level - time).max(0.0)));
+    let total: f64 = rooms.clone().map(|(_, room)| room).sum();
+    let mut left = terms.draw * total;
+    let chosen = rooms.clone().find(|(_, room)| {
+        left -= room;
+        left < 0.0
+    });
+    // Rounding may leave the largest draw without a group; the quickest is right then too.
+    chosen
+        .or_else(|| rooms.clone().next())
         .map(|(index, _)| index)
-        .collect();
-    Some(near[draw % near.len()])
+}
+
+/// Returns the time up to which `work` fills the quickest of some groups, given in order of time.
+fn fill_level(times: &[(usize, f64)], work: f64) -> f64 {
+    let mut sum = work;
+    let mut level = f64::INFINITY;
+    for (count, (_, time)) in times.iter().enumerate() {
+        if *time >= level {
+            break;
+        }
+        sum += time;
+        level = sum / (count + 1) as f64;
+    }
+    level
 }
--- a/crates/core/tests/fleet.rs
+++ b/crates/core/tests/fleet.rs
@@ -6,7 +6,7 @@
 use briarswitch_core::engine::{EngineModel, ModelSpec};
 use briarswitch_core::events::EventSplitter;
 use briarswitch_core::id::*;
-use briarswitch_core::placement::{has_room, pick_group, GroupLoad};
+use briarswitch_core::placement::{has_room, pick_group, place_share, GroupLoad, PlaceTerms};
 use briarswitch_core::target::{LapseWindow, TargetBook, TargetChange, TargetRecord};
 use googletest::prelude::*;
 use indexmap::IndexMap;
@@ -81,11 +81,18 @@
 /// Cause guarded against: counting on every place that looks free.
 #[gtest]
 fn six_nodes_that_can_not_see_each_other_do_not_overfill_a_group() {
+    expect_that!(fill_unseen(6, 0), all!(ge(20), le(30)));
+}
+
+/// Returns what `nodes` nodes that see nothing of each other send to a group with `writers` at work.
+fn fill_unseen(nodes: u32, writers: u32) -> u32 {
     let engine = engine();
     let mut sent = 0;
-    for _ in 0..6 {
+    for rank in 0..nodes {
         let mut load = GroupLoad {
-            nodes: 6,
+            nodes,
+            share: place_share(engine.slots, nodes, rank),
+            writers,
             ..GroupLoad::default()
         };
         while has_room(&engine, &load) {
@@ -95,7 +102,16 @@
             sent += 1;
         }
     }
-    expect_that!(sent, all!(ge(20), le(30)));
+    sent
+}
+
+/// Symptom: while fewer groups are left than are needed, requests wait longer inside the groups than
+/// before them, and all are late.
+/// Events: 71 nodes have callers waiting and hear of a few free places.
+/// Cause: each node's share of 26 places was one, 71 in all.
+#[gtest]
+fn more_nodes_than_places_do_not_overfill_a_group() {
+    expect_that!(fill_unseen(71, 20), le(26));
 }
 
 #[gtest]
@@ -104,6 +120,7 @@
         own: 2,
         writers: 14,
         nodes: 6,
+        share: 4,
         ..GroupLoad::default()
     };
     let late = GroupLoad {
@@ -121,13 +138,47 @@
     let load = |writers| GroupLoad {
         writers,
         nodes: 1,
+        share: 26,
         ..GroupLoad::default()
     };
     let loads = [load(26), load(20), load(2)];
     for draw in 0..10 {
-        expect_that!(pick_group(&engine, spec, &loads, 100, draw), some(eq(2)));
+        let terms = place_terms(0.0, f64::from(draw) / 10.0);
+        expect_that!(pick_group(&engine, spec, &loads, &terms), some(eq(2)));
+    }
+    let terms = place_terms(0.0, 0.0);
+    expect_that!(pick_group(&engine, spec, &[load(26)], &terms), none());
+}
+
+fn place_terms(unseen: f64, draw: f64) -> PlaceTerms {
+    PlaceTerms {
+        prompt: 1_460,
+        unseen,
+        draw,
+    }
+}
+
+/// Symptom: first events of a model with six groups, none of them full, come after 0.5 s.
+/// Events: 71 nodes hear at the same time that one group has the least work; until they hear of each
+/// other's choices 20 requests come.
+/// Cause: all of them took the group that looked best.
+#[gtest]
+fn requests_that_nodes_can_not_see_are_spread() {
+    let engine = engine();
+    let spec = &engine.models["large"];
+    let loads = [4, 9, 12, 14, 17, 19].map(|writers| GroupLoad {
+        writers,
+        nodes: 71,
+        share: 1,
+        ..GroupLoad::default()
+    });
+    let mut sent = [0; 6];
+    for request in 0..20 {
+        let terms = place_terms(20.0, (f64::from(request) + 0.5) / 20.0);
+        sent[pick_group(&engine, spec, &loads, &terms).expect("none is full")] += 1;
     }
-    expect_that!(pick_group(&engine, spec, &[load(26)], 100, 0), none());
+    expect_that!(sent.iter().max(), some(le(&6)));
+    expect_that!(sent.iter().min(), some(ge(&2)));
 }
 
 /// Symptom: a piece of a stream is lost or comes twice after it went on elsewhere.
--- a/crates/fleet/src/controller.rs
+++ b/crates/fleet/src/controller.rs
@@ -216,15 +216,7 @@
     /// The domain's own zone goes first, since a zone that is cut off has to mend itself. Two nodes
     /// that both believe it do no harm: the targets obey only one of them.
     fn is_responsible(&self, domain: &str, zone: &str, now: Moment) -> bool {
-        let settings = &self.shared.settings;
-        let rank = |node: &str, own_zone: &str| {
-            let hash = xxh3_64(format!("{domain}\u{0}{node}").as_bytes());
-            (own_zone != zone, hash)
-        };
-        let own = rank(&settings.node, &settings.zone);
-        let peers = self.shared.peers.read();
-        let mut others = peers.values().filter(|peer| peer.is_live(now));
-        !others.any(|peer| rank(&peer.entry.node, &peer.entry.zone) < own)
+        self.shared.rank_for(domain, Some(zone), now) == 0
     }
 
     fn update_keepers(&mut self, own: &IndexSet<DomainKey>) {
--- a/crates/fleet/src/demand.rs
+++ b/crates/fleet/src/demand.rs
@@ -19,14 +19,15 @@
 struct MeterState {
     since: Moment,
     work: IndexMap<ModelId, f64>,
+    requests: IndexMap<ModelId, f64>,
 }
 
 impl MeterState {
     fn decay(&mut self, now: Moment) {
         let passed = now.saturating_sub(self.since);
         let factor = (-passed.as_secs_f64() / WINDOW.as_secs_f64()).exp();
-        for work in self.work.values_mut() {
-            *work *= factor;
+        for sum in self.work.values_mut().chain(self.requests.values_mut()) {
+            *sum *= factor;
         }
         self.since = now;
     }
@@ -38,16 +39,27 @@
         let mut state = self.state.lock().unwrap_or_else(PoisonError::into_inner);
         state.decay(now);
         *state.work.entry(model.to_owned()).or_insert(0.0) += work.as_secs_f64();
+        *state.requests.entry(model.to_owned()).or_insert(0.0) += 1.0;
     }
 
     /// Returns the groups that each model's requests fill.
     pub fn rates(&self, now: Moment) -> IndexMap<ModelId, f64> {
         let mut state = self.state.lock().unwrap_or_else(PoisonError::into_inner);
         state.decay(now);
-        let rates = state
-            .work
-            .iter()
-            .map(|(model, work)| (model.clone(), work / WINDOW.as_secs_f64()));
-        rates.collect()
+        per_second(&state.work)
     }
+
+    /// Returns the requests in a second by model.
+    pub fn arrivals(&self, now: Moment) -> IndexMap<ModelId, f64> {
+        let mut state = self.state.lock().unwrap_or_else(PoisonError::into_inner);
+        state.decay(now);
+        per_second(&state.requests)
+    }
+}
+
+fn per_second(sums: &IndexMap<ModelId, f64>) -> IndexMap<ModelId, f64> {
+    let rates = sums
+        .iter()
+        .map(|(model, sum)| (model.clone(), sum / WINDOW.as_secs_f64()));
+    rates.collect()
 }
--- a/crates/fleet/src/gauge.rs
+++ b/crates/fleet/src/gauge.rs
@@ -26,6 +26,7 @@
     remote: AtomicU32,
     fresh: AtomicU32,
     unread: AtomicU64,
+    unread_requests: AtomicU32,
     heard: AtomicU64,
     suspect_until: AtomicU64,
     hearsay_until: AtomicU64,
@@ -34,8 +35,13 @@
     told_waiting: AtomicU32,
     told_at: AtomicU64,
     failing: AtomicU32,
+    rank: AtomicU32,
+    ranked_at: AtomicU64,
 }
 
+/// Time for which a rank among the live nodes is used; a node is missed after longer than this.
+const RANK_FRESH: Duration = Duration::from_millis(300);
+
 fn micros(moment: Moment) -> u64 {
     u64::try_from(moment.as_micros()).unwrap_or(u64::MAX)
 }
@@ -84,6 +90,11 @@
         self.unread.load(Ordering::Relaxed)
     }
 
+    /// Returns the requests sent there that were not answered by an event yet.
+    pub fn unread_requests(&self) -> u32 {
+        self.unread_requests.load(Ordering::Relaxed)
+    }
+
     /// Sets the requests that other nodes say they have there.
     pub fn set_remote(&self, requests: u32) {
         self.remote.store(requests, Ordering::Relaxed);
@@ -99,6 +110,17 @@
         self.fresh.store(0, Ordering::Relaxed);
     }
 
+    /// Returns this node's rank among those that use the target, asking `rank` if it may have changed.
+    pub fn rank(&self, now: Moment, rank: impl FnOnce() -> u32) -> u32 {
+        let before = self.ranked_at.load(Ordering::Relaxed);
+        let age = Duration::from_micros(micros(now).saturating_sub(before));
+        if before == 0 || age > RANK_FRESH {
+            self.rank.store(rank(), Ordering::Relaxed);
+            self.ranked_at.store(micros(now), Ordering::Relaxed);
+        }
+        self.rank.load(Ordering::Relaxed)
+    }
+
     /// Notes that bytes came from the target, which takes any suspicion from it.
     pub fn note_heard(&self, now: Moment) {
         let before = self.heard.swap(micros(now), Ordering::Relaxed);
@@ -169,7 +191,8 @@
 #[derive(Debug)]
 pub struct GaugePlace {
     gauge: Arc<TargetGauge>,
-    unread: u64,
+    /// Tokens of the prompt until it is read.
+    unread: Option<u64>,
 }
 
 impl GaugePlace {
@@ -180,17 +203,20 @@
             gauge.heard.store(micros(now), Ordering::Relaxed);
         }
         gauge.unread.fetch_add(tokens, Ordering::Relaxed);
+        gauge.unread_requests.fetch_add(1, Ordering::Relaxed);
         gauge.fresh.fetch_add(1, Ordering::Relaxed);
         Self {
             gauge: Arc::clone(gauge),
-            unread: tokens,
+            unread: Some(tokens),
         }
     }
 
     /// Notes that the prompt was read, which the first event shows.
     pub fn note_read(&mut self) {
-        self.gauge.unread.fetch_sub(self.unread, Ordering::Relaxed);
-        self.unread = 0;
+        if let Some(tokens) = self.unread.take() {
+            self.gauge.unread.fetch_sub(tokens, Ordering::Relaxed);
+            self.gauge.unread_requests.fetch_sub(1, Ordering::Relaxed);
+        }
     }
 }
 
--- a/crates/fleet/src/note.rs
+++ b/crates/fleet/src/note.rs
@@ -23,6 +23,8 @@
     pub suspects: Vec<TargetId>,
     /// Groups that the requests it sees would fill, by model.
     pub demand: IndexMap<ModelId, f64>,
+    /// Requests that it sees in a second, by model.
+    pub arrivals: IndexMap<ModelId, f64>,
 }
 
 /// A node's requests at one target.
@@ -46,6 +48,8 @@
     loading: u32,
     suspects: Vec<TargetId>,
     demand: Vec<(ModelId, f64)>,
+    #[serde(default)]
+    arrivals: Vec<(ModelId, f64)>,
 }
 
 impl From<PeerNote> for PeerNoteDoc {
@@ -60,6 +64,7 @@
             loading: note.loading,
             suspects: note.suspects,
             demand: note.demand.into_iter().collect(),
+            arrivals: note.arrivals.into_iter().collect(),
         }
     }
 }
@@ -78,6 +83,7 @@
             loading: doc.loading,
             suspects: doc.suspects,
             demand: doc.demand.into_iter().collect(),
+            arrivals: doc.arrivals.into_iter().collect(),
         }
     }
 }
--- a/crates/fleet/src/peers.rs
+++ b/crates/fleet/src/peers.rs
@@ -23,7 +23,7 @@
 /// Path of the exchange.
 const EXCHANGE_PATH: &str = "/exchange";
 /// Time between exchanges with a node of the same zone.
-const NEAR_INTERVAL: Duration = Duration::from_millis(200);
+pub const NEAR_INTERVAL: Duration = Duration::from_millis(200);
 /// Time between exchanges with a node of another zone, where each byte is paid for.
 const FAR_INTERVAL: Duration = Duration::from_millis(400);
 /// Time to wait for an answer; longer than any healthy delay, shorter than a node is missed.
@@ -57,6 +57,7 @@
         loading: shared.loading.load(Ordering::Relaxed),
         suspects: shared.gauges.suspects(now),
         demand: shared.demand.rates(now),
+        arrivals: shared.demand.arrivals(now),
     }
 }
 
@@ -142,6 +143,7 @@
                 heard: None,
                 is_leaving: false,
                 demand: IndexMap::new(),
+                arrivals: IndexMap::new(),
                 loading: 0,
             };
             self.book.insert(entry.node, view);
@@ -195,6 +197,7 @@
         peer.heard = Some(peer.heard.map_or(at, |heard| heard.max(at)));
         peer.is_leaving = note.is_leaving;
         peer.demand.clone_from(&note.demand);
+        peer.arrivals.clone_from(&note.arrivals);
         peer.loading = note.loading;
         if note.has_traffic {
             self.shared.has_traffic.store(true, Ordering::Relaxed);
--- a/crates/fleet/src/placer.rs
+++ b/crates/fleet/src/placer.rs
@@ -6,12 +6,13 @@
 use briarswitch_core::engine::EngineModel;
 use briarswitch_core::id::*;
 use briarswitch_core::outcome::FailurePoint;
-use briarswitch_core::placement::{pick_group, GroupLoad};
+use briarswitch_core::placement::{pick_group, place_share, GroupLoad, PlaceTerms};
 use briarswitch_core::waiting::{WaitTerms, WaitingRequest};
 use briarswitch_kernel::BootClock;
 
 use crate::gauge::GaugePlace;
 use crate::job::RequestJob;
+use crate::peers::NEAR_INTERVAL;
 use crate::queue::{wait_for_place, PlaceAsk, PlaceQueue, PlacedTarget, QueueKey};
 use crate::shared::FleetShared;
 use crate::table::RouteTarget;
@@ -152,8 +153,13 @@
                         ..self.load_of(engine, group, now)
                     })
                     .collect();
-                let draw = rand::random::<u32>() as usize;
-                let index = pick_group(engine, model, &loads, ask.prompt_tokens, draw)?;
+                let elsewhere = self.shared.arrivals_elsewhere(&model.id, now);
+                let terms = PlaceTerms {
+                    prompt: ask.prompt_tokens,
+                    unseen: elsewhere * NEAR_INTERVAL.as_secs_f64(),
+                    draw: rand::random(),
+                };
+                let index = pick_group(engine, model, &loads, &terms)?;
                 open[index]
             }
             None => self.pick_plain(table.plain(service), &ask.tried, now)?,
@@ -168,11 +174,15 @@
             (&delay.from == own && delay.to == group.zone)
                 || (&delay.to == own && delay.from == group.zone)
         });
+        let nodes = self.shared.live_nodes(now);
+        // Whatever the zone: one that lost its own groups lives on the shares of others'.
+        let rank = || self.shared.rank_for(&group.id, None, now);
         GroupLoad {
+            share: place_share(engine.slots, nodes, group.gauge.rank(now, rank)),
             writers: group.gauge.load_at(now),
             own: group.gauge.own(),
             fresh: group.gauge.fresh(),
-            nodes: self.shared.live_nodes(now),
+            nodes,
             unread_tokens: group.gauge.unread(),
             delay: delay.map_or(Duration::ZERO, |delay| delay.delay),
             is_queueing: group.gauge.is_queueing(now),
--- a/crates/fleet/src/shared.rs
+++ b/crates/fleet/src/shared.rs
@@ -9,6 +9,7 @@
 use briarswitch_core::traffic::TrafficBook;
 use briarswitch_kernel::{BootClock, Snapshot};
 use indexmap::IndexMap;
+use xxhash_rust::xxh3::{xxh3_64, xxh3_64_with_seed};
 
 use crate::demand::DemandMeter;
 use crate::gauge::GaugeBoard;
@@ -57,6 +58,8 @@
     pub is_leaving: bool,
     /// Groups that the requests it sees would fill, by model.
     pub demand: IndexMap<ModelId, f64>,
+    /// Requests that it sees in a second, by model.
+    pub arrivals: IndexMap<ModelId, f64>,
     /// Loads from the weight store that its targets have under way.
     pub loading: u32,
 }
@@ -173,6 +176,30 @@
             && self.trusts_keys()
     }
 
+    /// Returns how many live nodes rank before this one for something.
+    ///
+    /// Nodes of `first`, if it is given, rank before all others. The order is the same at all nodes that
+    /// see each other.
+    pub fn rank_for(&self, thing: &str, first: Option<&str>, now: Moment) -> u32 {
+        let seed = xxh3_64(thing.as_bytes());
+        let rank = |node: &str, zone: &str| {
+            let hash = xxh3_64_with_seed(node.as_bytes(), seed);
+            (first.is_some_and(|first| first != zone), hash)
+        };
+        let own = rank(&self.settings.node, &self.settings.zone);
+        let peers = self.peers.read();
+        let others = peers.values().filter(|peer| peer.is_live(now));
+        let before = others.filter(|peer| rank(&peer.entry.node, &peer.entry.zone) < own);
+        before.count() as u32
+    }
+
+    /// Returns the requests for a model that the other nodes see in a second.
+    pub fn arrivals_elsewhere(&self, model: &str, now: Moment) -> f64 {
+        let peers = self.peers.read();
+        let live = peers.values().filter(|peer| peer.is_live(now));
+        live.filter_map(|peer| peer.arrivals.get(model)).sum()
+    }
+
     /// Returns the number of nodes that serve, this one included.
     pub fn live_nodes(&self, now: Moment) -> u32 {
         let peers = self.peers.read();
