Ask one node of each other zone for a digest of it

Cause: every node exchanged notes with every other.

Ruled out: the callers' own traffic as the larger part of it (what is left now is that and the digests).

Change: each node still hears every node of its zone; of another zone it asks one node at a time, by turns, which answers with the life, work and suspicions of its whole zone. Sums of what others told live in HearsayBook; the controller and the placer read one sum. A missed answer is followed by a question to the next node at once.

--- a/crates/fleet/src/controller.rs
+++ b/crates/fleet/src/controller.rs
@@ -277,10 +277,8 @@
 
     fn demand(&self, now: Moment) -> IndexMap<ModelId, f64> {
         let mut demand = self.shared.demand.rates(now);
-        for peer in self.shared.peers.read().values() {
-            for (model, rate) in &peer.demand {
-                *demand.entry(model.clone()).or_insert(0.0) += rate;
-            }
+        for (model, rate) in &self.shared.elsewhere.read().demand {
+            *demand.entry(model.clone()).or_insert(0.0) += rate;
         }
         demand
     }
@@ -336,8 +334,7 @@
             // Before the first caller the weight store has nothing else to do.
             return usize::MAX;
         }
-        let peers = self.shared.peers.read();
-        let elsewhere: u32 = peers.values().map(|peer| peer.loading).sum();
+        let elsewhere = self.shared.elsewhere.read().loading;
         let own = self.shared.loading.load(Ordering::Relaxed);
         let limit = engine.loads_at_once + EXTRA_LOADS;
         limit.saturating_sub((own + elsewhere) as usize)
--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -9,6 +9,7 @@
 pub mod dispatch;
 pub mod domains;
 pub mod gauge;
+pub mod hearsay;
 pub mod job;
 pub mod keeper;
 pub mod metrics;
--- a/crates/fleet/src/peers.rs
+++ b/crates/fleet/src/peers.rs
@@ -1,8 +1,7 @@
 //! The exchange between nodes: who is alive, who has sent how much where, and what fell silent.
 
-use std::collections::HashMap;
 use std::sync::atomic::Ordering;
-use std::sync::Arc;
+use std::sync::{Arc, PoisonError};
 use std::time::Duration;
 
 use briarswitch_core::id::*;
@@ -16,7 +15,7 @@
 use indexmap::IndexMap;
 use serde_json::{json, Value};
 
-use crate::note::{NotedLoad, PeerNote, PeerNoteDoc};
+use crate::note::{NodeWork, PeerNote, PeerNoteDoc, ZoneDigest};
 use crate::ports::{FeedMark, NodeEntry, NodeNews, SourceError};
 use crate::shared::{FleetPhase, FleetShared, PeerBook, PeerView, PEER_SILENCE};
 
@@ -51,34 +50,63 @@
         incarnation: shared.incarnation,
         is_leaving: shared.phase() != FleetPhase::Running,
         has_traffic: shared.has_traffic.load(Ordering::Relaxed),
-        loads: loads
-            .map(|(target, requests, _)| NotedLoad { target, requests })
-            .collect(),
-        loading: shared.loading.load(Ordering::Relaxed),
+        work: NodeWork {
+            loads: loads
+                .map(|(target, requests, _)| (target, requests))
+                .collect(),
+            loading: shared.loading.load(Ordering::Relaxed),
+            demand: shared.demand.rates(now),
+            arrivals: shared.demand.arrivals(now),
+        },
         suspects: shared.gauges.suspects(now),
-        demand: shared.demand.rates(now),
-        arrivals: shared.demand.arrivals(now),
+        zone: None,
     }
 }
 
+/// Returns what this node tells one that asked: of its whole zone, if that one stands in another.
+fn answer_note(shared: &FleetShared, asker: &str) -> PeerNote {
+    let mut note = own_note(shared);
+    let zone = &shared.settings.zone;
+    let peers = shared.peers.read();
+    let is_far = peers
+        .get(asker)
+        .is_some_and(|peer| peer.entry.zone != *zone);
+    if is_far {
+        let hearsay = shared
+            .hearsay
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner);
+        let digest = hearsay.digest(zone, &note, BootClock::now());
+        note.zone = Some(Box::new(digest));
+    }
+    note
+}
+
 /// Exchanges notes with the other nodes.
 pub struct PeerExchange {
     shared: Arc<FleetShared>,
     client: CallerClient,
     book: PeerBook,
-    notes: IndexMap<NodeId, (PeerNote, Moment)>,
     asked: IndexMap<NodeId, Moment>,
+    zones: IndexMap<ZoneId, ZoneTurn>,
     mark: Option<FeedMark>,
     is_registered: bool,
     cleared: Moment,
 }
 
+/// Whose turn it is among the nodes of another zone.
+#[derive(Debug, Default)]
+struct ZoneTurn {
+    asked: Moment,
+    count: usize,
+}
+
 /// Message to [`PeerExchange`].
 pub enum PeerMessage {
     /// Ask whom it is time to ask.
     Tick,
     /// A node's note, heard at this moment at the earliest.
-    Heard(PeerNote, Moment),
+    Heard(Box<PeerNote>, Moment),
     /// A node did not answer.
     Missed(NodeId),
     /// This node's entry was written or not.
@@ -96,8 +124,8 @@
             shared,
             client: CallerClient::open(Codec::Packed, None),
             book: PeerBook::new(),
-            notes: IndexMap::new(),
             asked: IndexMap::new(),
+            zones: IndexMap::new(),
             mark: None,
             is_registered: false,
             cleared: Moment::ZERO,
@@ -142,32 +170,17 @@
                 entry: entry.clone(),
                 heard: None,
                 is_leaving: false,
-                demand: IndexMap::new(),
-                arrivals: IndexMap::new(),
-                loading: 0,
             };
             self.book.insert(entry.node, view);
         }
         self.shared.peers.publish(self.book.clone());
     }
 
-    /// Asks every node whose turn it is; of two nodes the one with the lower name asks.
+    /// Asks every node whose turn it is.
     fn ask_peers(&mut self, now: Moment, link: &ServiceLink<PeerMessage>) {
-        let own = &self.shared.settings;
-        let due: Vec<NodeEntry> = self
-            .book
-            .values()
-            .filter(|peer| own.node < peer.entry.node)
-            .filter(|peer| {
-                let is_near = peer.entry.zone == own.zone;
-                let interval = if is_near { NEAR_INTERVAL } else { FAR_INTERVAL };
-                let asked = self.asked.get(&peer.entry.node);
-                asked.is_none_or(|at| now >= *at + interval)
-            })
-            .map(|peer| peer.entry.clone())
-            .collect();
+        let mut due = self.near_due(now);
+        due.extend(self.far_due(now));
         for entry in due {
-            self.asked.insert(entry.node.clone(), now);
             let client = self.client.clone();
             let doc = PeerNoteDoc::from(own_note(&self.shared));
             link.spawn(async move {
@@ -176,41 +189,121 @@
                     .call(Method::POST, &url, Some(&doc), EXCHANGE_TIME)
                     .await;
                 match answer {
-                    Ok(doc) => PeerMessage::Heard(doc.into(), now),
+                    Ok(doc) => PeerMessage::Heard(Box::new(doc.into()), now),
                     Err(_) => PeerMessage::Missed(entry.node),
                 }
             });
         }
     }
 
-    fn hear(&mut self, note: PeerNote, at: Moment) {
-        let Some(peer) = self.book.get_mut(&note.node) else {
+    /// Returns the nodes of the own zone to ask; of two nodes the one with the lower name asks.
+    fn near_due(&mut self, now: Moment) -> Vec<NodeEntry> {
+        let own = &self.shared.settings;
+        let asked = &self.asked;
+        let due = self.book.values().filter(|peer| {
+            let before = asked.get(&peer.entry.node);
+            peer.entry.zone == own.zone
+                && own.node < peer.entry.node
+                && before.is_none_or(|at| now >= *at + NEAR_INTERVAL)
+        });
+        let due: Vec<NodeEntry> = due.map(|peer| peer.entry.clone()).collect();
+        for entry in &due {
+            self.asked.insert(entry.node.clone(), now);
+        }
+        due
+    }
+
+    /// Returns one node of each other zone whose turn it is, by turns among those that live.
+    fn far_due(&mut self, now: Moment) -> Vec<NodeEntry> {
+        let own = &self.shared.settings.zone;
+        let mut zones: IndexMap<ZoneId, Vec<&PeerView>> = IndexMap::new();
+        for peer in self.book.values().filter(|peer| peer.entry.zone != *own) {
+            zones.entry(peer.entry.zone.clone()).or_default().push(peer);
+        }
+        let mut due = Vec::new();
+        for (zone, peers) in zones {
+            let turn = self.zones.entry(zone).or_insert_with(|| ZoneTurn {
+                asked: Moment::ZERO,
+                count: rand::random::<u32>() as usize,
+            });
+            if now < turn.asked + FAR_INTERVAL {
+                continue;
+            }
+            turn.asked = now;
+            turn.count = turn.count.wrapping_add(1);
+            let live: Vec<&&PeerView> = peers.iter().filter(|peer| peer.is_live(now)).collect();
+            // A zone of which nothing is heard is asked all the same, or a cut would never heal.
+            let chosen = match live.len() {
+                0 => peers[turn.count % peers.len()],
+                count => live[turn.count % count],
+            };
+            due.push(chosen.entry.clone());
+        }
+        due
+    }
+
+    fn hear(&mut self, mut note: PeerNote, at: Moment) {
+        let Some(peer) = self.book.get(&note.node) else {
             return;
         };
         if note.incarnation < peer.entry.incarnation {
             return;
         }
-        let was_lost = peer.heard.is_none_or(|heard| heard + PEER_SILENCE < at);
-        if was_lost {
-            log::info!(peer = note.node.as_str(), incarnation = note.incarnation; "peer_heard");
-        }
-        peer.heard = Some(peer.heard.map_or(at, |heard| heard.max(at)));
-        peer.is_leaving = note.is_leaving;
-        peer.demand.clone_from(&note.demand);
-        peer.arrivals.clone_from(&note.arrivals);
-        peer.loading = note.loading;
+        let is_near = peer.entry.zone == self.shared.settings.zone;
+        self.note_sign(&note.node, note.is_leaving, at);
         if note.has_traffic {
             self.shared.has_traffic.store(true, Ordering::Relaxed);
         }
-        self.share_suspicion(&note);
-        self.notes.insert(note.node.clone(), (note, at));
-        self.spread_loads(at);
+        self.share_suspicions(&note.suspects);
+        let digest = note.zone.take();
+        self.take_work(note, digest.map(|digest| *digest), is_near, at);
         self.shared.peers.publish(self.book.clone());
     }
 
-    fn share_suspicion(&self, note: &PeerNote) {
+    fn take_work(&mut self, note: PeerNote, digest: Option<ZoneDigest>, is_near: bool, at: Moment) {
+        if let Some(digest) = &digest {
+            self.share_suspicions(&digest.suspects);
+            for sign in &digest.members {
+                let held = self.book.get(&sign.node);
+                if held.is_some_and(|peer| peer.entry.incarnation <= sign.incarnation) {
+                    self.note_sign(&sign.node, sign.is_leaving, at.saturating_sub(sign.age));
+                }
+            }
+        }
+        let hearsay = &self.shared.hearsay;
+        let mut hearsay = hearsay.lock().unwrap_or_else(PoisonError::into_inner);
+        match digest {
+            Some(digest) => hearsay.hear_zone(digest, at),
+            None if is_near => hearsay.hear_near(note, at),
+            // Its work is in the digest of its zone, which this node asks for itself.
+            None => {}
+        }
+        let work = hearsay.work(at);
+        drop(hearsay);
+        self.shared.gauges.each(|id, gauge| {
+            gauge.set_remote(work.loads.get(id).copied().unwrap_or(0));
+        });
+        self.shared.elsewhere.publish(work);
+    }
+
+    /// Notes that a node lived at a moment.
+    fn note_sign(&mut self, node: &str, is_leaving: bool, at: Moment) {
+        let Some(peer) = self.book.get_mut(node) else {
+            return;
+        };
+        let was_lost = peer.heard.is_none_or(|heard| heard + PEER_SILENCE < at);
+        if was_lost {
+            log::info!(peer = node; "peer_heard");
+        }
+        if peer.heard.is_none_or(|heard| heard <= at) {
+            peer.heard = Some(at);
+            peer.is_leaving = is_leaving;
+        }
+    }
+
+    fn share_suspicions(&self, suspects: &[TargetId]) {
         let now = BootClock::now();
-        for target in &note.suspects {
+        for target in suspects {
             let gauge = self.shared.gauges.of(target);
             // A target that this node hears is only cut off from the other.
             if gauge.own() == 0 || gauge.silence(now) > OWN_SILENCE {
@@ -218,21 +311,6 @@
             }
         }
     }
-
-    fn spread_loads(&self, now: Moment) {
-        let mut sums: HashMap<&TargetId, u32> = HashMap::new();
-        for (note, at) in self.notes.values() {
-            if now > *at + PEER_SILENCE {
-                continue;
-            }
-            for load in &note.loads {
-                *sums.entry(&load.target).or_insert(0) += load.requests;
-            }
-        }
-        self.shared.gauges.each(|id, gauge| {
-            gauge.set_remote(sums.get(id).copied().unwrap_or(0));
-        });
-    }
 }
 
 impl Service for PeerExchange {
@@ -259,8 +337,14 @@
                 }
                 link.later(NEAR_INTERVAL / 2, PeerMessage::Tick);
             }
-            PeerMessage::Heard(note, at) => self.hear(note, at),
+            PeerMessage::Heard(note, at) => self.hear(*note, at),
             PeerMessage::Missed(node) => {
+                if let Some(peer) = self.book.get(&node) {
+                    // Another node of that zone is asked at once.
+                    if let Some(turn) = self.zones.get_mut(&peer.entry.zone) {
+                        turn.asked = Moment::ZERO;
+                    }
+                }
                 let heard = self.book.get(&node).and_then(|peer| peer.heard);
                 log::debug!(peer = node.as_str(), ever_heard = heard.is_some(); "peer_missed");
             }
@@ -323,11 +407,13 @@
         let Some(doc) = doc else {
             return reply_text(StatusCode::BAD_REQUEST, "expected a note");
         };
-        let heard = PeerMessage::Heard(doc.into(), BootClock::now());
+        let note = PeerNote::from(doc);
+        let answer = PeerNoteDoc::from(answer_note(&self.shared, &note.node));
+        let heard = PeerMessage::Heard(Box::new(note), BootClock::now());
         if self.exchange.post(heard).is_err() {
             log::debug!("peer_note_dropped");
         }
-        reply_packed(StatusCode::OK, &PeerNoteDoc::from(own_note(&self.shared)))
+        reply_packed(StatusCode::OK, &answer)
     }
 }
 
--- a/crates/fleet/src/placer.rs
+++ b/crates/fleet/src/placer.rs
@@ -153,10 +153,11 @@
                         ..self.load_of(engine, group, now)
                     })
                     .collect();
-                let elsewhere = self.shared.arrivals_elsewhere(&model.id, now);
+                let elsewhere = self.shared.elsewhere.read();
+                let arrivals = elsewhere.arrivals.get(&model.id).copied();
                 let terms = PlaceTerms {
                     prompt: ask.prompt_tokens,
-                    unseen: elsewhere * NEAR_INTERVAL.as_secs_f64(),
+                    unseen: arrivals.unwrap_or_default() * NEAR_INTERVAL.as_secs_f64(),
                     draw: rand::random(),
                 };
                 let index = pick_group(engine, model, &loads, &terms)?;
--- a/crates/fleet/src/shared.rs
+++ b/crates/fleet/src/shared.rs
@@ -1,7 +1,7 @@
 //! What the control thread publishes and the traffic threads read.
 
 use std::sync::atomic::{AtomicBool, AtomicU32, AtomicU64, AtomicU8, AtomicUsize, Ordering};
-use std::sync::Arc;
+use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
 use briarswitch_core::id::*;
@@ -13,7 +13,9 @@
 
 use crate::demand::DemandMeter;
 use crate::gauge::GaugeBoard;
+use crate::hearsay::HearsayBook;
 use crate::metrics::FleetMetrics;
+use crate::note::NodeWork;
 use crate::ports::{FleetPlatform, NodeEntry};
 use crate::settings::FleetSettings;
 use crate::table::TargetTable;
@@ -56,12 +58,6 @@
     pub heard: Option<Moment>,
     /// Whether it is leaving.
     pub is_leaving: bool,
-    /// Groups that the requests it sees would fill, by model.
-    pub demand: IndexMap<ModelId, f64>,
-    /// Requests that it sees in a second, by model.
-    pub arrivals: IndexMap<ModelId, f64>,
-    /// Loads from the weight store that its targets have under way.
-    pub loading: u32,
 }
 
 impl PeerView {
@@ -92,6 +88,10 @@
     pub gauges: GaugeBoard,
     /// Other nodes.
     pub peers: Snapshot<PeerBook>,
+    /// What other nodes told, for those who ask this one.
+    pub hearsay: Mutex<HearsayBook>,
+    /// Work of all other nodes.
+    pub elsewhere: Snapshot<NodeWork>,
     /// What callers ask for.
     pub demand: DemandMeter,
     /// Counters and histograms.
@@ -122,6 +122,8 @@
             table: Snapshot::open(TargetTable::default()),
             gauges: GaugeBoard::default(),
             peers: Snapshot::open(PeerBook::default()),
+            hearsay: Mutex::default(),
+            elsewhere: Snapshot::open(NodeWork::default()),
             demand: DemandMeter::default(),
             metrics: FleetMetrics::open(),
             in_flight: AtomicUsize::new(0),
@@ -193,13 +195,6 @@
         before.count() as u32
     }
 
-    /// Returns the requests for a model that the other nodes see in a second.
-    pub fn arrivals_elsewhere(&self, model: &str, now: Moment) -> f64 {
-        let peers = self.peers.read();
-        let live = peers.values().filter(|peer| peer.is_live(now));
-        live.filter_map(|peer| peer.arrivals.get(model)).sum()
-    }
-
     /// Returns the number of nodes that serve, this one included.
     pub fn live_nodes(&self, now: Moment) -> u32 {
         let peers = self.peers.read();
