Let two nodes of a zone ask the store for changes, and the others ask them

Ruled out: longer waits alone (keys have to be confirmed within 4.75 s, leaving targets within 2 s).

Change: FeedRelay. In zones of six nodes or more the two first by rank ask the store; the others' questions wait at one of them for the same answer. An answer says how old it was when the question came, so a key's validity still counts from before the store was asked. A node whose reader fails asks the store at once, and goes on doing so for two seconds. Smaller zones are as before.

--- a/crates/fleet/src/keeper.rs
+++ b/crates/fleet/src/keeper.rs
@@ -9,6 +9,7 @@
 use briarswitch_kernel::{Service, ServiceLink};
 use serde_json::{json, Value};
 
+use crate::feed::askers;
 use crate::ports::{ConfigNews, DirectoryNews, FeedMark, SourceError};
 use crate::shared::{DirectoryView, FleetShared};
 
@@ -111,7 +112,14 @@
         let (mark, asked) = (self.mark, link.now());
         let wait = self.health.wait(CONFIG_WAIT);
         link.spawn(async move {
-            let news = shared.platform.config.next(mark, wait).await;
+            let config = &shared.platform.config;
+            let news = match mark {
+                None => config.whole().await,
+                Some(mark) => {
+                    let answer = shared.changes(config.table(), mark, wait).await;
+                    answer.and_then(|answer| config.news(&answer))
+                }
+            };
             BookMessage::News(asked, news)
         });
     }
@@ -122,7 +130,7 @@
             self.adopt(*book);
         }
         if self.shared.book.read().is_some() {
-            self.shared.confirm_book(asked);
+            self.shared.confirm_book(asked.saturating_sub(news.age));
         }
     }
 
@@ -234,7 +242,15 @@
         let mark = self.mark;
         let wait = self.health.wait(DIRECTORY_WAIT);
         link.spawn(async move {
-            DirectoryMessage::News(shared.platform.directory.next(mark, wait).await)
+            let directory = &shared.platform.directory;
+            let news = match mark {
+                None => directory.whole().await,
+                Some(mark) => {
+                    let answer = shared.changes(directory.table(), mark, wait).await;
+                    answer.map(|answer| directory.news(&answer))
+                }
+            };
+            DirectoryMessage::News(news)
         });
     }
 
@@ -265,8 +281,7 @@
 
     fn pace(&self, now: Moment) -> Duration {
         let (least, longest) = DIRECTORY_PACE;
-        let nodes = self.shared.live_nodes(now);
-        (DIRECTORY_SHARE * nodes).clamp(least, longest)
+        (DIRECTORY_SHARE * askers(&self.shared, now)).clamp(least, longest)
     }
 
     fn publish(&self) {
--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -8,6 +8,7 @@
 pub mod demand;
 pub mod dispatch;
 pub mod domains;
+pub mod feed;
 pub mod gauge;
 pub mod hearsay;
 pub mod job;
--- a/crates/fleet/src/peers.rs
+++ b/crates/fleet/src/peers.rs
@@ -15,6 +15,7 @@
 use indexmap::IndexMap;
 use serde_json::{json, Value};
 
+use crate::feed::{FeedAnswerDoc, FeedQuestionDoc, FEED_PATH};
 use crate::note::{NodeWork, PeerNote, PeerNoteDoc, ZoneDigest};
 use crate::ports::{FeedMark, NodeEntry, NodeNews, SourceError};
 use crate::shared::{FleetPhase, FleetShared, PeerBook, PeerView, PEER_SILENCE};
@@ -397,9 +398,29 @@
     }
 
     async fn answer(&self, request: Request) -> Response {
-        if request.uri().path() != EXCHANGE_PATH {
-            return reply_text(StatusCode::NOT_FOUND, "no such path");
+        match request.uri().path() {
+            EXCHANGE_PATH => self.exchange(request).await,
+            FEED_PATH => self.feed(request).await,
+            _ => reply_text(StatusCode::NOT_FOUND, "no such path"),
         }
+    }
+
+    async fn feed(&self, request: Request) -> Response {
+        let arrived = BootClock::now();
+        let bytes = read_body(request.into_body(), NOTE_BYTES).await;
+        let doc = bytes
+            .ok()
+            .and_then(|bytes| unpack::<FeedQuestionDoc>(&bytes).ok());
+        let Some(doc) = doc else {
+            return reply_text(StatusCode::BAD_REQUEST, "expected a question");
+        };
+        match self.shared.feed.serve(doc.into(), arrived).await {
+            Ok(answer) => reply_packed(StatusCode::OK, &FeedAnswerDoc::from(answer)),
+            Err(error) => reply_text(StatusCode::SERVICE_UNAVAILABLE, error.to_string()),
+        }
+    }
+
+    async fn exchange(&self, request: Request) -> Response {
         let bytes = read_body(request.into_body(), NOTE_BYTES).await;
         let doc = bytes
             .ok()
--- a/crates/fleet/src/ports.rs
+++ b/crates/fleet/src/ports.rs
@@ -31,6 +31,43 @@
 /// Point in the store's history up to which changes were read.
 pub type FeedMark = u64;
 
+/// Question for the changes of one table of the store.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct FeedQuestion {
+    /// Table, as the platform calls it.
+    pub table: String,
+    /// Point after which changes are asked for.
+    pub mark: FeedMark,
+    /// Longest time that the question may be held open.
+    pub wait: Duration,
+}
+
+/// One row that has changed.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct FeedRow {
+    /// Name within its table.
+    pub key: String,
+    /// Content; `None` when the row was dropped.
+    pub value: Option<Vec<u8>>,
+}
+
+/// Rows of one table, and the point in history they are from.
+#[derive(Clone, Debug, Default, Eq, PartialEq)]
+pub struct FeedAnswer {
+    /// Where to go on.
+    pub mark: FeedMark,
+    /// Rows in order.
+    pub rows: Vec<FeedRow>,
+    /// How long before the question was sent the store may have been asked.
+    pub age: Duration,
+}
+
+/// Where changes of the store's tables come from.
+pub trait FeedSource: Send + Sync {
+    /// Returns the changes after a mark as soon as there are any, or none when the wait is over.
+    fn changes(&self, question: FeedQuestion) -> SourceFuture<'static, FeedAnswer>;
+}
+
 /// Answer of [`ConfigSource`].
 #[derive(Clone, Debug)]
 pub struct ConfigNews {
@@ -38,6 +75,8 @@
     pub mark: FeedMark,
     /// Newest configuration, if there is one that was not read yet.
     pub book: Option<Box<TrafficBook>>,
+    /// How long before the question was sent the store may have been asked.
+    pub age: Duration,
 }
 
 /// Answer of [`TargetDirectory`].
@@ -73,14 +112,30 @@
 
 /// Where whole configurations come from.
 pub trait ConfigSource: Send + Sync {
-    /// Reads the newest configuration, or waits up to `wait` for one after the mark.
-    fn next(&self, mark: Option<FeedMark>, wait: Duration) -> SourceFuture<'_, ConfigNews>;
+    /// Returns the table whose changes hold them.
+    fn table(&self) -> &'static str;
+
+    /// Reads the newest configuration.
+    fn whole(&self) -> SourceFuture<'_, ConfigNews>;
+
+    /// Reads changes of the table.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`SourceError::Unreadable`] when a configuration can not be understood.
+    fn news(&self, answer: &FeedAnswer) -> Result<ConfigNews, SourceError>;
 }
 
 /// Where the list of targets comes from.
 pub trait TargetDirectory: Send + Sync {
-    /// Reads the whole list, or waits up to `wait` for changes after the mark.
-    fn next(&self, mark: Option<FeedMark>, wait: Duration) -> SourceFuture<'_, DirectoryNews>;
+    /// Returns the table whose changes hold it.
+    fn table(&self) -> &'static str;
+
+    /// Reads the whole list.
+    fn whole(&self) -> SourceFuture<'_, DirectoryNews>;
+
+    /// Reads changes of the table.
+    fn news(&self, answer: &FeedAnswer) -> DirectoryNews;
 }
 
 /// Where nodes find each other.
@@ -224,6 +279,8 @@
 /// The platform as the fleet sees it.
 #[derive(Clone)]
 pub struct FleetPlatform {
+    /// Changes of the store's tables.
+    pub feed: Arc<dyn FeedSource>,
     /// Configurations.
     pub config: Arc<dyn ConfigSource>,
     /// Targets.
--- a/crates/fleet/src/shared.rs
+++ b/crates/fleet/src/shared.rs
@@ -12,11 +12,12 @@
 use xxhash_rust::xxh3::{xxh3_64, xxh3_64_with_seed};
 
 use crate::demand::DemandMeter;
+use crate::feed::FeedRelay;
 use crate::gauge::GaugeBoard;
 use crate::hearsay::HearsayBook;
 use crate::metrics::FleetMetrics;
 use crate::note::NodeWork;
-use crate::ports::{FleetPlatform, NodeEntry};
+use crate::ports::{FeedAnswer, FeedMark, FeedQuestion, FleetPlatform, NodeEntry, SourceError};
 use crate::settings::FleetSettings;
 use crate::table::TargetTable;
 
@@ -78,6 +79,8 @@
     pub incarnation: Incarnation,
     /// The platform.
     pub platform: FleetPlatform,
+    /// Changes of the store's tables, asked for together with other nodes.
+    pub feed: FeedRelay,
     /// Configuration in force.
     pub book: Snapshot<Option<TrafficBook>>,
     /// Directory.
@@ -116,6 +119,7 @@
         Arc::new(Self {
             settings,
             incarnation,
+            feed: FeedRelay::open(Arc::clone(&platform.feed)),
             platform,
             book: Snapshot::open(None),
             directory: Snapshot::open(DirectoryView::default()),
@@ -178,6 +182,25 @@
             && self.trusts_keys()
     }
 
+    /// Returns the changes of a table after a mark, from another node of the zone where one reads for all.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`SourceError`] when nobody answered.
+    pub async fn changes(
+        &self,
+        table: &str,
+        mark: FeedMark,
+        wait: Duration,
+    ) -> Result<FeedAnswer, SourceError> {
+        let question = FeedQuestion {
+            table: table.to_owned(),
+            mark,
+            wait,
+        };
+        self.feed.changes(self, question).await
+    }
+
     /// Returns how many live nodes rank before this one for something.
     ///
     /// Nodes of `first`, if it is given, rank before all others. The order is the same at all nodes that
@@ -195,6 +218,46 @@
         before.count() as u32
     }
 
+    /// Returns the number of nodes of this node's zone that serve, this one included.
+    pub fn zone_nodes(&self, now: Moment) -> u32 {
+        let zone = &self.settings.zone;
+        let peers = self.peers.read();
+        let near = peers
+            .values()
+            .filter(|peer| peer.entry.zone == *zone && peer.is_live(now));
+        near.count() as u32 + 1
+    }
+
+    /// Returns the addresses of the first `count` live nodes of this node's zone for something; `None`
+    /// when this node is one of them, or the zone has fewer than `least` nodes.
+    pub fn zone_readers(
+        &self,
+        thing: &str,
+        count: u32,
+        least: u32,
+        now: Moment,
+    ) -> Option<Vec<String>> {
+        let zone = &self.settings.zone;
+        let seed = xxh3_64(thing.as_bytes());
+        let rank = |node: &str| xxh3_64_with_seed(node.as_bytes(), seed);
+        let peers = self.peers.read();
+        let near = peers
+            .values()
+            .filter(|peer| peer.entry.zone == *zone && peer.is_live(now));
+        let mut ranked: Vec<(u64, &str)> = near
+            .map(|peer| (rank(&peer.entry.node), peer.entry.address.as_str()))
+            .collect();
+        if ranked.len() as u32 + 1 < least {
+            return None;
+        }
+        ranked.sort_unstable();
+        ranked.truncate(count as usize);
+        let own = rank(&self.settings.node);
+        let is_reader = ranked.last().is_none_or(|(last, _)| own < *last);
+        let addresses = ranked.iter().map(|(_, address)| (*address).to_owned());
+        (!is_reader).then(|| addresses.collect())
+    }
+
     /// Returns the number of nodes that serve, this one included.
     pub fn live_nodes(&self, now: Moment) -> u32 {
         let peers = self.peers.read();
