Divide places by what each node's callers ask

Cause: the balancer hashes clients, so nodes see very different numbers of requests: of 71 nodes 6 to 43 of one model in four seconds. Shares counted nodes; busy nodes let callers wait while places of idle ones stayed empty.

Ruled out: overfull groups (inside them a first event takes 82 ms at the median in those seconds, as it should).

Change: the shares of a group follow the requests a second that each node tells of; they still add up to the group's places. The sign of life of a node carries the figure between zones. Tests: fleet.rs (shares follow and add up; 71 nodes still do not overfill).

--- a/crates/core/src/placement.rs
+++ b/crates/core/src/placement.rs
@@ -9,6 +9,9 @@
 /// Part of the places up to which nodes need not keep to their shares.
 const FREE_USE: f64 = 0.75;
 
+/// Part of a place that sums of weights may lack by rounding.
+const ROUNDING: f64 = 1e-6;
+
 /// What is known of one group when a request is placed.
 #[derive(Clone, Copy, Debug, Default, PartialEq)]
 pub struct GroupLoad {
@@ -45,20 +48,40 @@
     work + load.delay * 2
 }
 
-/// Returns the places of a group that are one node's, of `nodes` that agree on each other's ranks.
+/// One node's part of what all nodes ask of some groups.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct NodeWeight {
+    /// Weight of the nodes that rank before it.
+    pub before: f64,
+    /// Its own weight.
+    pub own: f64,
+    /// Weight of all nodes.
+    pub total: f64,
+}
+
+/// Returns the places of a group that are one node's.
 ///
-/// The shares add up to the group's places. Were the least share one, 71 nodes would send 71 requests
-/// to a group that has 30 places.
+/// The shares of nodes that agree on ranks and weights add up to the group's places. Were the least
+/// share one, 71 nodes would send 71 requests to a group that has 30 places. A node's weight is what its
+/// callers ask for: the balancer sends some nodes seven times as many requests as others, and with equal
+/// shares the ones wait while places of the others stay empty.
 ///
 /// ```
-/// use briarswitch_core::placement::place_share;
+/// use briarswitch_core::placement::{place_share, NodeWeight};
 ///
-/// let shares = (0..71).map(|rank| place_share(30, 71, rank));
-/// assert_eq!(shares.sum::<u32>(), 30);
+/// let weights = [1.0, 5.0, 2.0];
+/// let mut before = 0.0;
+/// let shares = weights.map(|own| {
+///     let share = place_share(16, NodeWeight { before, own, total: 8.0 });
+///     before += own;
+///     share
+/// });
+/// assert_eq!(shares, [2, 10, 4]);
 /// ```
-pub fn place_share(slots: u32, nodes: u32, rank: u32) -> u32 {
-    let nodes = nodes.max(1);
-    slots / nodes + u32::from(rank < slots % nodes)
+pub fn place_share(slots: u32, weight: NodeWeight) -> u32 {
+    let scale = f64::from(slots) / weight.total.max(f64::MIN_POSITIVE);
+    let until = |sum: f64| (sum * scale + ROUNDING).floor() as u32;
+    until(weight.before + weight.own) - until(weight.before)
 }
 
 /// Returns whether a group has a free place, as far as this node may count on it.
--- a/crates/core/tests/fleet.rs
+++ b/crates/core/tests/fleet.rs
@@ -6,7 +6,9 @@
 use briarswitch_core::engine::{EngineModel, ModelSpec};
 use briarswitch_core::events::EventSplitter;
 use briarswitch_core::id::*;
-use briarswitch_core::placement::{has_room, pick_group, place_share, GroupLoad, PlaceTerms};
+use briarswitch_core::placement::{
+    has_room, pick_group, place_share, GroupLoad, NodeWeight, PlaceTerms,
+};
 use briarswitch_core::target::{LapseWindow, TargetBook, TargetChange, TargetRecord};
 use googletest::prelude::*;
 use indexmap::IndexMap;
@@ -84,6 +86,37 @@
     expect_that!(fill_unseen(6, 0), all!(ge(20), le(30)));
 }
 
+fn equal_weight(nodes: u32, rank: u32) -> NodeWeight {
+    NodeWeight {
+        before: f64::from(rank),
+        own: 1.0,
+        total: f64::from(nodes),
+    }
+}
+
+/// Symptom: one of 71 nodes refuses while places of others stay empty.
+/// Events: the balancer gives it 10 requests a second and others 1.5.
+/// Cause: shares counted nodes and not what their callers ask.
+#[gtest]
+fn shares_follow_what_callers_ask_and_add_up() {
+    let weights: Vec<f64> = (0..71).map(|node| f64::from(node % 10) + 1.3).collect();
+    let total: f64 = weights.iter().sum();
+    let mut before = 0.0;
+    let mut shares = Vec::new();
+    for own in &weights {
+        let weight = NodeWeight {
+            before,
+            own: *own,
+            total,
+        };
+        shares.push(place_share(30, weight));
+        before += own;
+    }
+    expect_that!(shares.iter().sum::<u32>(), eq(30));
+    let of = |class: usize| shares.iter().skip(class).step_by(10).sum::<u32>();
+    expect_that!(of(9), gt(of(0)));
+}
+
 /// Returns what `nodes` nodes that see nothing of each other send to a group with `writers` at work.
 fn fill_unseen(nodes: u32, writers: u32) -> u32 {
     let engine = engine();
@@ -91,7 +124,7 @@
     for rank in 0..nodes {
         let mut load = GroupLoad {
             nodes,
-            share: place_share(engine.slots, nodes, rank),
+            share: place_share(engine.slots, equal_weight(nodes, rank)),
             writers,
             ..GroupLoad::default()
         };
--- a/crates/fleet/src/controller.rs
+++ b/crates/fleet/src/controller.rs
@@ -216,7 +216,7 @@
     /// The domain's own zone goes first, since a zone that is cut off has to mend itself. Two nodes
     /// that both believe it do no harm: the targets obey only one of them.
     fn is_responsible(&self, domain: &str, zone: &str, now: Moment) -> bool {
-        self.shared.rank_for(domain, Some(zone), now) == 0
+        self.shared.is_first_for(domain, zone, now)
     }
 
     fn update_keepers(&mut self, own: &IndexSet<DomainKey>) {
--- a/crates/fleet/src/gauge.rs
+++ b/crates/fleet/src/gauge.rs
@@ -35,12 +35,12 @@
     told_waiting: AtomicU32,
     told_at: AtomicU64,
     failing: AtomicU32,
-    rank: AtomicU32,
-    ranked_at: AtomicU64,
+    share: AtomicU32,
+    shared_at: AtomicU64,
 }
 
-/// Time for which a rank among the live nodes is used; a node is missed after longer than this.
-const RANK_FRESH: Duration = Duration::from_millis(300);
+/// Time for which a share of places is used; nodes tell each other what they see about as often.
+const SHARE_FRESH: Duration = Duration::from_millis(300);
 
 fn micros(moment: Moment) -> u64 {
     u64::try_from(moment.as_micros()).unwrap_or(u64::MAX)
@@ -110,15 +110,15 @@
         self.fresh.store(0, Ordering::Relaxed);
     }
 
-    /// Returns this node's rank among those that use the target, asking `rank` if it may have changed.
-    pub fn rank(&self, now: Moment, rank: impl FnOnce() -> u32) -> u32 {
-        let before = self.ranked_at.load(Ordering::Relaxed);
+    /// Returns this node's places at the target, asking `share` if they may have changed.
+    pub fn share(&self, now: Moment, share: impl FnOnce() -> u32) -> u32 {
+        let before = self.shared_at.load(Ordering::Relaxed);
         let age = Duration::from_micros(micros(now).saturating_sub(before));
-        if before == 0 || age > RANK_FRESH {
-            self.rank.store(rank(), Ordering::Relaxed);
-            self.ranked_at.store(micros(now), Ordering::Relaxed);
+        if before == 0 || age > SHARE_FRESH {
+            self.share.store(share(), Ordering::Relaxed);
+            self.shared_at.store(micros(now), Ordering::Relaxed);
         }
-        self.rank.load(Ordering::Relaxed)
+        self.share.load(Ordering::Relaxed)
     }
 
     /// Notes that bytes came from the target, which takes any suspicion from it.
--- a/crates/fleet/src/hearsay.rs
+++ b/crates/fleet/src/hearsay.rs
@@ -4,10 +4,12 @@
 //! knows of all of that zone; were all pairs to talk, the exchange of 71 nodes would carry ten times
 //! the bytes between zones.
 
+use std::time::Duration;
+
 use briarswitch_core::id::*;
 use indexmap::{IndexMap, IndexSet};
 
-use crate::note::{MemberSign, NodeWork, PeerNote, ZoneDigest};
+use crate::note::{NodeWork, PeerNote, ZoneDigest};
 use crate::shared::PEER_SILENCE;
 
 /// Notes and digests with the moment from which they are at the latest.
@@ -51,7 +53,7 @@
     pub fn digest(&self, zone: &str, own: &PeerNote, now: Moment) -> ZoneDigest {
         let mut digest = ZoneDigest {
             zone: zone.to_owned(),
-            members: vec![sign(own, now, now)],
+            members: vec![own.sign(Duration::ZERO)],
             work: own.work.clone(),
             suspects: Vec::new(),
         };
@@ -61,7 +63,7 @@
             .values()
             .filter(|(_, at)| now <= *at + PEER_SILENCE)
         {
-            digest.members.push(sign(note, *at, now));
+            digest.members.push(note.sign(now.saturating_sub(*at)));
             digest.work.add(&note.work);
             suspects.extend(&note.suspects);
         }
@@ -76,12 +78,3 @@
             .map(|(note, _)| note)
     }
 }
-
-fn sign(note: &PeerNote, heard: Moment, now: Moment) -> MemberSign {
-    MemberSign {
-        node: note.node.clone(),
-        incarnation: note.incarnation,
-        age: now.saturating_sub(heard),
-        is_leaving: note.is_leaving,
-    }
-}
--- a/crates/fleet/src/note.rs
+++ b/crates/fleet/src/note.rs
@@ -41,6 +41,24 @@
     }
 }
 
+impl PeerNote {
+    /// Returns the sign of life that the note is, `age` after it was heard.
+    pub fn sign(&self, age: Duration) -> MemberSign {
+        MemberSign {
+            node: self.node.clone(),
+            incarnation: self.incarnation,
+            age,
+            is_leaving: self.is_leaving,
+            arrivals: self.arrivals(),
+        }
+    }
+
+    /// Returns the requests that the node sees in a second.
+    pub fn arrivals(&self) -> f64 {
+        self.work.arrivals.values().sum()
+    }
+}
+
 fn add_rates(sums: &mut IndexMap<ModelId, f64>, rates: &IndexMap<ModelId, f64>) {
     for (model, rate) in rates {
         *sums.entry(model.clone()).or_insert(0.0) += rate;
@@ -80,7 +98,7 @@
 }
 
 /// Sign of life of one node.
-#[derive(Clone, Debug, Eq, PartialEq)]
+#[derive(Clone, Debug, PartialEq)]
 pub struct MemberSign {
     /// Node.
     pub node: NodeId,
@@ -90,6 +108,8 @@
     pub age: Duration,
     /// Whether it is leaving.
     pub is_leaving: bool,
+    /// Requests that it sees in a second.
+    pub arrivals: f64,
 }
 
 #[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
@@ -102,11 +122,19 @@
     arrivals: Vec<(ModelId, f64)>,
 }
 
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
+struct MemberDoc {
+    node: NodeId,
+    incarnation: Incarnation,
+    age_ms: u64,
+    leaving: bool,
+    arrivals: f64,
+}
+
 #[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
 struct ZoneDoc {
     zone: ZoneId,
-    /// Node, life, milliseconds since it was heard, whether it is leaving.
-    members: Vec<(NodeId, Incarnation, u64, bool)>,
+    members: Vec<MemberDoc>,
     work: WorkDoc,
     suspects: Vec<TargetId>,
 }
@@ -146,12 +174,33 @@
     }
 }
 
+impl From<MemberSign> for MemberDoc {
+    fn from(sign: MemberSign) -> Self {
+        Self {
+            node: sign.node,
+            incarnation: sign.incarnation,
+            age_ms: u64::try_from(sign.age.as_millis()).unwrap_or(u64::MAX),
+            leaving: sign.is_leaving,
+            arrivals: sign.arrivals,
+        }
+    }
+}
+
+impl From<MemberDoc> for MemberSign {
+    fn from(doc: MemberDoc) -> Self {
+        Self {
+            node: doc.node,
+            incarnation: doc.incarnation,
+            age: Duration::from_millis(doc.age_ms),
+            is_leaving: doc.leaving,
+            arrivals: doc.arrivals,
+        }
+    }
+}
+
 impl From<ZoneDigest> for ZoneDoc {
     fn from(digest: ZoneDigest) -> Self {
-        let members = digest.members.into_iter().map(|sign| {
-            let age = u64::try_from(sign.age.as_millis()).unwrap_or(u64::MAX);
-            (sign.node, sign.incarnation, age, sign.is_leaving)
-        });
+        let members = digest.members.into_iter().map(MemberDoc::from);
         Self {
             zone: digest.zone,
             members: members.collect(),
@@ -163,17 +212,10 @@
 
 impl From<ZoneDoc> for ZoneDigest {
     fn from(doc: ZoneDoc) -> Self {
-        let members = doc.members.into_iter();
+        let members = doc.members.into_iter().map(MemberSign::from);
         Self {
             zone: doc.zone,
-            members: members
-                .map(|(node, incarnation, age, is_leaving)| MemberSign {
-                    node,
-                    incarnation,
-                    age: Duration::from_millis(age),
-                    is_leaving,
-                })
-                .collect(),
+            members: members.collect(),
             work: doc.work.into(),
             suspects: doc.suspects,
         }
--- a/crates/fleet/src/peers.rs
+++ b/crates/fleet/src/peers.rs
@@ -16,7 +16,7 @@
 use serde_json::{json, Value};
 
 use crate::feed::{FeedAnswerDoc, FeedQuestionDoc, FEED_PATH};
-use crate::note::{NodeWork, PeerNote, PeerNoteDoc, ZoneDigest};
+use crate::note::{MemberSign, NodeWork, PeerNote, PeerNoteDoc, ZoneDigest};
 use crate::ports::{FeedMark, NodeEntry, NodeNews, SourceError};
 use crate::shared::{FleetPhase, FleetShared, PeerBook, PeerView, PEER_SILENCE};
 
@@ -171,6 +171,7 @@
                 entry: entry.clone(),
                 heard: None,
                 is_leaving: false,
+                arrivals: 0.0,
             };
             self.book.insert(entry.node, view);
         }
@@ -251,7 +252,7 @@
             return;
         }
         let is_near = peer.entry.zone == self.shared.settings.zone;
-        self.note_sign(&note.node, note.is_leaving, at);
+        self.note_sign(&note.sign(Duration::ZERO), at);
         if note.has_traffic {
             self.shared.has_traffic.store(true, Ordering::Relaxed);
         }
@@ -267,7 +268,7 @@
             for sign in &digest.members {
                 let held = self.book.get(&sign.node);
                 if held.is_some_and(|peer| peer.entry.incarnation <= sign.incarnation) {
-                    self.note_sign(&sign.node, sign.is_leaving, at.saturating_sub(sign.age));
+                    self.note_sign(sign, at.saturating_sub(sign.age));
                 }
             }
         }
@@ -288,17 +289,18 @@
     }
 
     /// Notes that a node lived at a moment.
-    fn note_sign(&mut self, node: &str, is_leaving: bool, at: Moment) {
-        let Some(peer) = self.book.get_mut(node) else {
+    fn note_sign(&mut self, sign: &MemberSign, at: Moment) {
+        let Some(peer) = self.book.get_mut(&sign.node) else {
             return;
         };
         let was_lost = peer.heard.is_none_or(|heard| heard + PEER_SILENCE < at);
         if was_lost {
-            log::info!(peer = node; "peer_heard");
+            log::info!(peer = sign.node.as_str(), incarnation = sign.incarnation; "peer_heard");
         }
         if peer.heard.is_none_or(|heard| heard <= at) {
             peer.heard = Some(at);
-            peer.is_leaving = is_leaving;
+            peer.is_leaving = sign.is_leaving;
+            peer.arrivals = sign.arrivals;
         }
     }
 
--- a/crates/fleet/src/placer.rs
+++ b/crates/fleet/src/placer.rs
@@ -175,15 +175,14 @@
             (&delay.from == own && delay.to == group.zone)
                 || (&delay.to == own && delay.from == group.zone)
         });
-        let nodes = self.shared.live_nodes(now);
         // Whatever the zone: one that lost its own groups lives on the shares of others'.
-        let rank = || self.shared.rank_for(&group.id, None, now);
+        let share = || place_share(engine.slots, self.shared.weight_for(&group.id, now));
         GroupLoad {
-            share: place_share(engine.slots, nodes, group.gauge.rank(now, rank)),
+            share: group.gauge.share(now, share),
             writers: group.gauge.load_at(now),
             own: group.gauge.own(),
             fresh: group.gauge.fresh(),
-            nodes,
+            nodes: self.shared.live_nodes(now),
             unread_tokens: group.gauge.unread(),
             delay: delay.map_or(Duration::ZERO, |delay| delay.delay),
             is_queueing: group.gauge.is_queueing(now),
--- a/crates/fleet/src/shared.rs
+++ b/crates/fleet/src/shared.rs
@@ -5,6 +5,7 @@
 use std::time::Duration;
 
 use briarswitch_core::id::*;
+use briarswitch_core::placement::NodeWeight;
 use briarswitch_core::target::TargetBook;
 use briarswitch_core::traffic::TrafficBook;
 use briarswitch_kernel::{BootClock, Snapshot};
@@ -29,6 +30,9 @@
 /// Silence after which a node counts as gone; several of the exchange's intervals.
 pub const PEER_SILENCE: Duration = Duration::from_millis(1_300);
 
+/// Requests in a second that every node is taken to see, so that one whose first callers come finds places.
+const LEAST_ARRIVALS: f64 = 1.0;
+
 /// How far a node is in its life.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 #[repr(u8)]
@@ -59,6 +63,8 @@
     pub heard: Option<Moment>,
     /// Whether it is leaving.
     pub is_leaving: bool,
+    /// Requests that it sees in a second.
+    pub arrivals: f64,
 }
 
 impl PeerView {
@@ -201,21 +207,42 @@
         self.feed.changes(self, question).await
     }
 
-    /// Returns how many live nodes rank before this one for something.
+    /// Returns whether this node ranks before all other live nodes for something that stands in `zone`.
     ///
-    /// Nodes of `first`, if it is given, rank before all others. The order is the same at all nodes that
-    /// see each other.
-    pub fn rank_for(&self, thing: &str, first: Option<&str>, now: Moment) -> u32 {
+    /// Nodes of that zone go first, since a zone that is cut off has to do without the others. The order
+    /// is the same at all nodes that see each other.
+    pub fn is_first_for(&self, thing: &str, zone: &str, now: Moment) -> bool {
         let seed = xxh3_64(thing.as_bytes());
-        let rank = |node: &str, zone: &str| {
+        let rank = |node: &str, own_zone: &str| {
             let hash = xxh3_64_with_seed(node.as_bytes(), seed);
-            (first.is_some_and(|first| first != zone), hash)
+            (own_zone != zone, hash)
         };
         let own = rank(&self.settings.node, &self.settings.zone);
         let peers = self.peers.read();
-        let others = peers.values().filter(|peer| peer.is_live(now));
-        let before = others.filter(|peer| rank(&peer.entry.node, &peer.entry.zone) < own);
-        before.count() as u32
+        let mut others = peers.values().filter(|peer| peer.is_live(now));
+        !others.any(|peer| rank(&peer.entry.node, &peer.entry.zone) < own)
+    }
+
+    /// Returns this node's part of what all live nodes ask, among ranks for something.
+    pub fn weight_for(&self, thing: &str, now: Moment) -> NodeWeight {
+        let seed = xxh3_64(thing.as_bytes());
+        let rank = |node: &str| xxh3_64_with_seed(node.as_bytes(), seed);
+        let own_rank = rank(&self.settings.node);
+        let peers = self.peers.read();
+        let live = peers.values().filter(|peer| peer.is_live(now));
+        let mut weight = NodeWeight {
+            own: self.demand.arrivals(now).values().sum::<f64>() + LEAST_ARRIVALS,
+            ..NodeWeight::default()
+        };
+        weight.total = weight.own;
+        for peer in live {
+            let arrivals = peer.arrivals + LEAST_ARRIVALS;
+            weight.total += arrivals;
+            if rank(&peer.entry.node) < own_rank {
+                weight.before += arrivals;
+            }
+        }
+        weight
     }
 
     /// Returns the number of nodes of this node's zone that serve, this one included.
