--- a/crates/fleet/src/note.rs
+++ b/crates/fleet/src/note.rs
@@ -122,14 +122,12 @@
     arrivals: Vec<(ModelId, f64)>,
 }
 
+/// Node, life, milliseconds since it was heard, whether it is leaving, requests in a second.
+///
+/// Without names of fields: a digest has one for each node of a zone, and names were a quarter of what
+/// zones tell each other.
 #[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
-struct MemberDoc {
-    node: NodeId,
-    incarnation: Incarnation,
-    age_ms: u64,
-    leaving: bool,
-    arrivals: f64,
-}
+struct MemberDoc(NodeId, Incarnation, u64, bool, f32);
 
 #[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
 struct ZoneDoc {
@@ -176,24 +174,26 @@
 
 impl From<MemberSign> for MemberDoc {
     fn from(sign: MemberSign) -> Self {
-        Self {
-            node: sign.node,
-            incarnation: sign.incarnation,
-            age_ms: u64::try_from(sign.age.as_millis()).unwrap_or(u64::MAX),
-            leaving: sign.is_leaving,
-            arrivals: sign.arrivals,
-        }
+        let age = u64::try_from(sign.age.as_millis()).unwrap_or(u64::MAX);
+        Self(
+            sign.node,
+            sign.incarnation,
+            age,
+            sign.is_leaving,
+            sign.arrivals as f32,
+        )
     }
 }
 
 impl From<MemberDoc> for MemberSign {
     fn from(doc: MemberDoc) -> Self {
+        let MemberDoc(node, incarnation, age, is_leaving, arrivals) = doc;
         Self {
-            node: doc.node,
-            incarnation: doc.incarnation,
-            age: Duration::from_millis(doc.age_ms),
-            is_leaving: doc.leaving,
-            arrivals: doc.arrivals,
+            node,
+            incarnation,
+            age: Duration::from_millis(age),
+            is_leaving,
+            arrivals: f64::from(arrivals),
         }
     }
 }
