Share the readers' own questions to the store as well

Ruled out: followers that go to the store directly (none did once the nodes had found each other).

Change: a reader's own question waits for the same answer. Questions count as the same only if they are held open for the same time, so one that wants an answer at once does not wait behind one that is held.

--- a/crates/fleet/src/feed.rs
+++ b/crates/fleet/src/feed.rs
@@ -17,7 +17,7 @@
 use serde::{Deserialize, Serialize};
 
 use crate::ports::{FeedAnswer, FeedMark, FeedQuestion, FeedRow, FeedSource, SourceError};
-use crate::shared::FleetShared;
+use crate::shared::{FleetShared, ZonePart};
 
 /// Path at which a reader is asked.
 pub const FEED_PATH: &str = "/feed";
@@ -63,7 +63,7 @@
 pub struct FeedRelay {
     direct: Arc<dyn FeedSource>,
     client: CallerClient,
-    flights: Mutex<IndexMap<(String, FeedMark), FeedFlight>>,
+    flights: Mutex<IndexMap<FeedQuestion, FeedFlight>>,
     direct_until: Mutex<Moment>,
 }
 
@@ -149,8 +149,10 @@
         question: FeedQuestion,
     ) -> Result<FeedAnswer, SourceError> {
         let now = BootClock::now();
-        let Some(reader) = self.reader(shared, now) else {
-            return self.direct.changes(question).await;
+        let reader = match self.part(shared, now) {
+            ZonePart::Alone => return self.direct.changes(question).await,
+            ZonePart::First => return self.serve(question, now).await,
+            ZonePart::Other(readers) => choose(&shared.settings.node, &readers),
         };
         let url = format!("http://{reader}{FEED_PATH}");
         let limit = question.wait + READER_TIME;
@@ -171,7 +173,7 @@
         }
     }
 
-    /// Answers another node's question; what many ask is asked of the store once.
+    /// Answers a question of this or another node; what many ask is asked of the store once.
     ///
     /// The answer's age counts up to `arrived`, when the question came, and so dates it for the node that
     /// asked: the store was asked at most that long before the question was sent.
@@ -193,8 +195,7 @@
     fn flight(&self, question: FeedQuestion, now: Moment) -> FeedFlight {
         let mut flights = lock(&self.flights);
         flights.retain(|_, flight| flight.is_useful(now));
-        let key = (question.table.clone(), question.mark);
-        let flight = flights.entry(key).or_insert_with(|| {
+        let flight = flights.entry(question.clone()).or_insert_with(|| {
             let direct = Arc::clone(&self.direct);
             let answer = async move { direct.changes(question).await };
             FeedFlight {
@@ -205,18 +206,20 @@
         flight.clone()
     }
 
-    /// Returns whom to ask; `None` when this node asks the store itself.
-    fn reader(&self, shared: &FleetShared, now: Moment) -> Option<String> {
+    fn part(&self, shared: &FleetShared, now: Moment) -> ZonePart {
         if now < *lock(&self.direct_until) {
-            return None;
+            return ZonePart::Alone;
         }
-        let readers = shared.zone_readers(READER_RANK, READERS, RELAYED_ZONE, now)?;
-        let own = &shared.settings.node;
-        let choice = own.bytes().map(usize::from).sum::<usize>() % readers.len();
-        Some(readers[choice].clone())
+        shared.zone_part(READER_RANK, READERS, RELAYED_ZONE, now)
     }
 }
 
+/// Returns the reader of a node, the same one every time while the readers stay.
+fn choose(node: &str, readers: &[String]) -> String {
+    let choice = node.bytes().map(usize::from).sum::<usize>() % readers.len();
+    readers[choice].clone()
+}
+
 /// Returns how many nodes ask the store, of zones of this one's size.
 pub fn askers(shared: &FleetShared, now: Moment) -> u32 {
     let nodes = shared.live_nodes(now);
--- a/crates/fleet/src/ports.rs
+++ b/crates/fleet/src/ports.rs
@@ -32,7 +32,7 @@
 pub type FeedMark = u64;
 
 /// Question for the changes of one table of the store.
-#[derive(Clone, Debug, Eq, PartialEq)]
+#[derive(Clone, Debug, Eq, Hash, PartialEq)]
 pub struct FeedQuestion {
     /// Table, as the platform calls it.
     pub table: String,
--- a/crates/fleet/src/shared.rs
+++ b/crates/fleet/src/shared.rs
@@ -74,6 +74,17 @@
     }
 }
 
+/// A node's part in something that a few nodes of a zone do for all.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub enum ZonePart {
+    /// The zone is so small that each does it for itself.
+    Alone,
+    /// This node is one of the few.
+    First,
+    /// Others do it, at these addresses.
+    Other(Vec<String>),
+}
+
 /// Other nodes by name.
 pub type PeerBook = IndexMap<NodeId, PeerView>;
 
@@ -255,15 +266,8 @@
         near.count() as u32 + 1
     }
 
-    /// Returns the addresses of the first `count` live nodes of this node's zone for something; `None`
-    /// when this node is one of them, or the zone has fewer than `least` nodes.
-    pub fn zone_readers(
-        &self,
-        thing: &str,
-        count: u32,
-        least: u32,
-        now: Moment,
-    ) -> Option<Vec<String>> {
+    /// Returns this node's part in something that the first `count` live nodes of its zone do for all.
+    pub fn zone_part(&self, thing: &str, count: u32, least: u32, now: Moment) -> ZonePart {
         let zone = &self.settings.zone;
         let seed = xxh3_64(thing.as_bytes());
         let rank = |node: &str| xxh3_64_with_seed(node.as_bytes(), seed);
@@ -275,14 +279,16 @@
             .map(|peer| (rank(&peer.entry.node), peer.entry.address.as_str()))
             .collect();
         if ranked.len() as u32 + 1 < least {
-            return None;
+            return ZonePart::Alone;
         }
         ranked.sort_unstable();
         ranked.truncate(count as usize);
         let own = rank(&self.settings.node);
-        let is_reader = ranked.last().is_none_or(|(last, _)| own < *last);
+        if ranked.last().is_none_or(|(last, _)| own < *last) {
+            return ZonePart::First;
+        }
         let addresses = ranked.iter().map(|(_, address)| (*address).to_owned());
-        (!is_reader).then(|| addresses.collect())
+        ZonePart::Other(addresses.collect())
     }
 
     /// Returns the number of nodes that serve, this one included.
