--- a/crates/node/tests/support/mod.rs
+++ b/crates/node/tests/support/mod.rs
@@ -4,7 +4,7 @@
 use std::collections::{BTreeMap, BTreeSet};
 use std::fs::File;
 use std::net::TcpListener;
-use std::process::{Child, Command, Stdio};
+use std::process::{Child, ChildStdout, Command, Stdio};
 use std::sync::Mutex;
 use std::time::{Duration, Instant};
 
@@ -99,6 +99,19 @@
         self.start();
     }
 
+    /// Starts the node anew with a standard output that is read only by who holds what is returned.
+    pub fn restart_unread(&mut self) -> ChildStdout {
+        self.kill();
+        let mut child = Command::new(env!("CARGO_BIN_EXE_briarswitch-node"))
+            .args(&self.arguments)
+            .stdout(Stdio::piped())
+            .spawn()
+            .expect("the node starts");
+        let output = child.stdout.take().expect("its output is a pipe");
+        self.child = Some(child);
+        output
+    }
+
     pub fn signal(&self, signal: Signal) {
         if let Some(child) = &self.child {
             kill(Pid::from_raw(child.id() as i32), signal).expect("the process is there");
