--- a/crates/core/src/placement.rs
+++ b/crates/core/src/placement.rs
@@ -121,9 +121,8 @@
 /// Returns the index of the group to use, or `None` when every one is full.
 ///
 /// What a node knows of the others is some tenths of a second old. If all of them took the group that
-/// looked best, it would get all requests of that time: of 71 nodes a group with six equals got 24
-/// requests in one second and 1 in the next, and first events came after 0.5 s instead of 0.13 s. So the
-/// unseen requests are thought to fill the groups that are quickest until all of those are equally
+/// looked best, it would get all requests of that time: before 71 nodes one of six equal groups got 24
+/// requests in one second and 1 in the next, where 10 were its part. So the unseen requests are thought to fill the groups that are quickest until all of those are equally
 /// quick, and this request goes to each with the share of them that it takes. With nothing unseen that
 /// is the quickest group.
 pub fn pick_group(
--- a/crates/core/tests/fleet.rs
+++ b/crates/core/tests/fleet.rs
@@ -191,7 +191,7 @@
     }
 }
 
-/// Symptom: first events of a model with six groups, none of them full, come after 0.5 s.
+/// Symptom: of six equal groups, none of them full, one gets 24 requests in one second and 1 in the next.
 /// Events: 71 nodes hear at the same time that one group has the least work; until they hear of each
 /// other's choices 20 requests come.
 /// Cause: all of them took the group that looked best.
