Date the configuration only by an answer that nothing can follow

Cause: the store bounds its answers to rows-feed without saying so. Ruled out: relayed and kept answers (the nodes asked the store themselves, reader_failed), an old answer delivered late (each answer's mark grows). Change: only an answer without changes, or a whole read, confirms. After an answer with changes the next question is answered at once; a second one with changes in a row means a long history, and the newest is read whole.

--- a/crates/fleet/src/keeper.rs
+++ b/crates/fleet/src/keeper.rs
@@ -82,10 +82,36 @@
     }
 }
 
+/// What the configuration's keeper asks next.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+enum BookQuestion {
+    /// The newest configuration, without its history.
+    #[default]
+    Whole,
+    /// Changes after a mark, held open until there are any.
+    Held(FeedMark),
+    /// Changes after a mark, answered at once: whether more follows what has just come.
+    AtOnce(FeedMark),
+}
+
+impl BookQuestion {
+    /// Returns what to ask after an answer.
+    ///
+    /// A second answer with changes in a row means a long history, of which only the end matters. Read part
+    /// by part, versions of half a megabyte in quick succession took a node eight seconds.
+    fn after(self, news: &ConfigNews) -> Self {
+        match self {
+            _ if news.is_newest => Self::Held(news.mark),
+            Self::Held(_) => Self::AtOnce(news.mark),
+            Self::AtOnce(_) | Self::Whole => Self::Whole,
+        }
+    }
+}
+
 /// Keeps the configuration.
 pub struct BookKeeper {
     shared: Arc<FleetShared>,
-    mark: Option<FeedMark>,
+    question: BookQuestion,
     health: SourceHealth,
 }
 
@@ -102,34 +128,33 @@
     pub fn open(shared: Arc<FleetShared>) -> Self {
         Self {
             shared,
-            mark: None,
+            question: BookQuestion::default(),
             health: SourceHealth::default(),
         }
     }
 
     fn ask(&self, link: &ServiceLink<BookMessage>) {
         let shared = Arc::clone(&self.shared);
-        let (mark, asked) = (self.mark, link.now());
+        let (question, asked) = (self.question, link.now());
         let wait = self.health.wait(CONFIG_WAIT);
         link.spawn(async move {
             let config = &shared.platform.config;
-            let news = match mark {
-                None => config.whole().await,
-                Some(mark) => {
-                    let answer = shared.changes(config.table(), mark, wait).await;
-                    answer.and_then(|answer| config.news(&answer))
-                }
+            let (mark, wait) = match question {
+                BookQuestion::Whole => return BookMessage::News(asked, config.whole().await),
+                BookQuestion::Held(mark) => (mark, wait),
+                BookQuestion::AtOnce(mark) => (mark, Duration::ZERO),
             };
-            BookMessage::News(asked, news)
+            let answer = shared.changes(config.table(), mark, wait).await;
+            BookMessage::News(asked, answer.and_then(|answer| config.news(&answer)))
         });
     }
 
     fn take(&mut self, asked: Moment, news: ConfigNews) {
-        self.mark = Some(news.mark);
+        self.question = self.question.after(&news);
         if let Some(book) = news.book {
             self.adopt(*book);
         }
-        if self.shared.book.read().is_some() {
+        if news.is_newest && self.shared.book.read().is_some() {
             self.shared.confirm_book(asked.saturating_sub(news.age));
         }
     }
@@ -181,7 +206,7 @@
             BookMessage::News(_, Err(error)) => {
                 self.health.note(CONFIG_SERVICE, Some(&error), link.now());
                 if error == SourceError::HistoryGone {
-                    self.mark = None;
+                    self.question = BookQuestion::Whole;
                     self.ask(link);
                 } else {
                     link.later(retry_pause(), BookMessage::Ask);
@@ -201,7 +226,7 @@
         json!({
             "version": version,
             "age_ms": self.shared.book_age().as_millis() as u64,
-            "mark": self.mark,
+            "question": format!("{:?}", self.question),
         })
     }
 }
--- a/crates/fleet/src/ports.rs
+++ b/crates/fleet/src/ports.rs
@@ -62,6 +62,17 @@
     pub age: Duration,
 }
 
+impl FeedAnswer {
+    /// Returns whether nothing had changed after these rows when the store was asked.
+    ///
+    /// The store bounds its answers and does not say that one was cut short. Taken for all there is, the
+    /// first part of a long history would date what a node holds as new: keys that a later part takes away
+    /// were used for 5.4 s. Only an answer without changes proves that there are no more.
+    pub fn is_complete(&self) -> bool {
+        self.rows.is_empty()
+    }
+}
+
 /// Where changes of the store's tables come from.
 pub trait FeedSource: Send + Sync {
     /// Returns the changes after a mark as soon as there are any, or none when the wait is over.
@@ -75,6 +86,8 @@
     pub mark: FeedMark,
     /// Newest configuration, if there is one that was not read yet.
     pub book: Option<Box<TrafficBook>>,
+    /// Whether no newer one can have been there when the store was asked.
+    pub is_newest: bool,
     /// How long before the question was sent the store may have been asked.
     pub age: Duration,
 }
