Share weights out by the groups that losses leave

Hypothesis: with one model to a domain, three of seven targets stand idle after the first loss, and the model of large groups is short while the other has twice what it needs. Change: core::layout decides for all domains together how many targets hold which weights, by the groups expected to be left while up to a quarter of a domain's targets is lost (hypergeometric), each group being worth more the less of its model's demand is covered. Before the first caller the whole is searched; later only targets that hold nothing load what is worth most. Keepers form every group that the weights allow, of several models in one domain. core::assignment goes.

--- a/crates/core/src/assembly.rs
+++ b/crates/core/src/assembly.rs
@@ -14,6 +14,7 @@
 
 use crate::engine::{EngineModel, ModelSpec};
 use crate::id::{Epoch, GroupId, Incarnation, ModelId, Moment, TargetId};
+use crate::layout::DomainLayout;
 use crate::order::{OrderResult, TargetAction, TargetOrder};
 use crate::target::{Membership, MembershipState};
 
@@ -71,8 +72,10 @@
     pub targets: &'a IndexMap<TargetId, TargetFacts>,
     /// Speeds and models.
     pub engine: &'a EngineModel,
-    /// Model that the domain serves.
-    pub model: &'a ModelSpec,
+    /// What the domain should hold.
+    pub layout: &'a DomainLayout,
+    /// Weights that targets are loading, as far as this controller ordered it.
+    pub loading: &'a IndexMap<TargetId, ModelId>,
     /// Loads from the weight store that may begin now.
     pub load_budget: usize,
     /// Whether members may load while they join.
@@ -129,6 +132,7 @@
 }
 
 struct Candidate {
+    model: ModelId,
     members: Vec<TargetId>,
     loads: usize,
 }
@@ -204,9 +208,13 @@
         if now < self.paused_until {
             free.clear();
         }
-        while let Some(candidate) = self.candidate(&free, &view, budget) {
+        let mut wanted = self.wanted(&groups, &view);
+        while let Some(candidate) = self.next_candidate(&wanted, &free, &view, budget) {
             budget -= candidate.loads;
             free.retain(|id| !candidate.members.contains(id));
+            if let Some(count) = wanted.get_mut(&candidate.model) {
+                *count -= 1;
+            }
             orders.extend(self.form(candidate, &view));
         }
         orders.extend(self.stage(&free, &view, budget));
@@ -474,27 +482,61 @@
         free.map(|(id, _)| id.clone()).collect()
     }
 
-    /// Returns the members of the next group, those first that can serve soonest.
+    /// Returns how many groups of each model the domain lacks.
+    fn wanted(
+        &self,
+        groups: &IndexMap<GroupId, SeenGroup>,
+        view: &DomainView<'_>,
+    ) -> IndexMap<ModelId, usize> {
+        let is_staying = |group: &GroupId| {
+            !self.released.contains(group) && !self.dissolving.contains_key(group)
+        };
+        let lacking = view.layout.holders.iter().map(|(model, holders)| {
+            let size = view.engine.models.get(model).map_or(1, |model| model.size);
+            let held = groups
+                .iter()
+                .filter(|(group, seen)| seen.model.as_ref() == Some(model) && is_staying(group));
+            let count = holders / size.max(1);
+            (model.clone(), count.saturating_sub(held.count()))
+        });
+        lacking.collect()
+    }
+
+    fn next_candidate(
+        &self,
+        wanted: &IndexMap<ModelId, usize>,
+        free: &[TargetId],
+        view: &DomainView<'_>,
+        budget: usize,
+    ) -> Option<Candidate> {
+        let lacking = wanted.iter().filter(|(_, count)| **count > 0);
+        let mut models = lacking.filter_map(|(id, _)| view.engine.models.get(id));
+        models.find_map(|model| self.candidate(model, free, view, budget))
+    }
+
+    /// Returns the members of the next group of a model, those first that can serve soonest.
     fn candidate(
         &self,
+        model: &ModelSpec,
         free: &[TargetId],
         view: &DomainView<'_>,
         budget: usize,
     ) -> Option<Candidate> {
-        let model = view.model;
-        if free.len() < model.size || model.size == 0 {
-            return None;
-        }
-        let mut ranked: Vec<(Duration, &TargetId)> = free
-            .iter()
+        // One that is loading would keep the others of its group waiting.
+        let idle = free.iter().filter(|id| !view.targets[*id].is_busy);
+        let mut ranked: Vec<(Duration, &TargetId)> = idle
             .map(|id| (self.join_time(id, model, view), id))
             .collect();
+        if ranked.len() < model.size || model.size == 0 {
+            return None;
+        }
         ranked.sort_by_key(|(time, _)| *time);
         ranked.truncate(model.size);
         let loading = ranked.iter().filter(|(time, _)| *time >= model.load_time);
         let loads = loading.count();
         let is_allowed = loads == 0 || (view.joins_load && loads <= budget);
         is_allowed.then(|| Candidate {
+            model: model.id.clone(),
             members: ranked.into_iter().map(|(_, id)| id.clone()).collect(),
             loads,
         })
@@ -527,7 +569,7 @@
         });
         let forming = FormingGroup {
             epoch,
-            model: view.model.id.clone(),
+            model: candidate.model,
             expected: expected.collect(),
             members: candidate.members,
         };
@@ -536,21 +578,80 @@
         orders
     }
 
-    /// Has free targets load the domain's model, so that they can replace a lost member at once.
+    /// Has free targets load the weights that the domain lacks.
     fn stage(&self, free: &[TargetId], view: &DomainView<'_>, budget: usize) -> Vec<TargetOrder> {
-        let model = &view.model.id;
-        let lacking = free.iter().filter(|id| {
-            let facts = &view.targets[*id];
-            !facts.is_busy && !facts.staged.contains(model)
-        });
-        let orders = lacking.filter_map(|id| {
-            let action = TargetAction::Stage {
-                model: model.clone(),
-            };
-            self.order(id, action, "spare", view)
-        });
-        orders.take(budget).collect()
+        let mut idle: Vec<&TargetId> = free.iter().collect();
+        let mut orders = Vec::new();
+        for (model, holders) in &view.layout.holders {
+            let members = view.targets.iter().filter(|(id, facts)| {
+                let is_member = facts.membership.is_some() && !free.contains(*id);
+                is_member && facts.model.as_ref() == Some(model)
+            });
+            let lacking = holders.saturating_sub(members.count());
+            let chosen = take_holders(&mut idle, model, lacking, view);
+            let staging = chosen.into_iter();
+            orders.extend(staging.filter_map(|id| self.stage_order(id, model, view)));
+        }
+        orders.truncate(budget);
+        orders
     }
+
+    fn stage_order(
+        &self,
+        id: &TargetId,
+        model: &ModelId,
+        view: &DomainView<'_>,
+    ) -> Option<TargetOrder> {
+        let action = TargetAction::Stage {
+            model: model.clone(),
+        };
+        self.order(id, action, "spare", view)
+    }
+}
+
+impl DomainView<'_> {
+    /// Returns whether a target holds a model's weights, or will when it has loaded.
+    fn will_hold(&self, id: &TargetId, model: &ModelId) -> bool {
+        match self.loading.get(id) {
+            Some(loading) if self.targets[id].is_busy => loading == model,
+            _ => self.targets[id].staged.contains(model),
+        }
+    }
+
+    /// Returns whether a target loads weights that somebody else ordered.
+    fn is_loading_unknown(&self, id: &TargetId) -> bool {
+        self.targets[id].is_busy && !self.loading.contains_key(id)
+    }
+
+    /// Returns whether a target's weights are of use in the domain as it should be.
+    fn is_of_use(&self, id: &TargetId) -> bool {
+        let mut models = self.layout.holders.keys();
+        models.any(|model| self.will_hold(id, model))
+    }
+}
+
+/// Takes `count` targets out of a list to hold a model's weights, and returns those that have to load.
+///
+/// Those that hold them or are loading are taken first, then those whose weights are of no use.
+fn take_holders<'a>(
+    idle: &mut Vec<&'a TargetId>,
+    model: &ModelId,
+    count: usize,
+    view: &DomainView<'_>,
+) -> Vec<&'a TargetId> {
+    let mut lacking = count;
+    idle.retain(|id| {
+        let is_holder = view.will_hold(id, model) || view.is_loading_unknown(id);
+        let is_taken = lacking > 0 && is_holder;
+        lacking -= usize::from(is_taken);
+        !is_taken
+    });
+    let mut movable = idle.clone();
+    movable.retain(|id| !view.targets[*id].is_busy);
+    movable.sort_by_key(|id| view.is_of_use(id));
+    movable.truncate(lacking);
+    idle.retain(|id| !movable.contains(id));
+    movable
 }
 
 impl FormingGroup {
--- /dev/null
+++ b/crates/core/src/layout.rs
@@ -0,0 +1,374 @@
+//! How many targets of each fabric domain should hold which model's weights.
+//!
+//! Targets that hold a model's weights form as many whole groups of it as their number allows, at once,
+//! and the rest stand by as spares. What counts is therefore not how many groups a domain holds now, but
+//! how many it still holds after it has lost some of its targets: eight targets that make two groups of
+//! four make one after the first loss, and no other model can use the three that are over until they
+//! have loaded its weights. Loads are what is short once callers come: at sixteen seconds each and six at
+//! a time the store ends about as many as targets are lost. Before the first caller they are cheap.
+//!
+//! So weights are shared out by the groups that are expected to be left, each group being worth more the
+//! less of its model's demand is covered. Every controller computes the same from the same list.
+
+use std::cmp::Reverse;
+use std::collections::HashMap;
+
+use indexmap::IndexMap;
+
+use crate::engine::{EngineModel, ModelSpec};
+use crate::id::{DomainId, ModelId, ZoneId};
+
+/// Part of a domain's targets that may be lost before loads have replaced them.
+const LOSS_SHARE: f64 = 0.25;
+/// Part of the worth of weights that counts within each zone for itself.
+///
+/// A zone that is cut off has to serve its callers alone.
+const ZONE_SHARE: f64 = 0.1;
+/// Cover that stands for none at all, in groups for each that the demand fills.
+const LEAST_COVER: f64 = 0.05;
+/// Sweeps over all domains before the first caller; the second and third change little.
+const SWEEPS: usize = 4;
+
+/// What is known of one domain.
+#[derive(Clone, Debug, Default, Eq, PartialEq)]
+pub struct DomainStock {
+    /// Domain.
+    pub domain: DomainId,
+    /// Zone of most of its targets.
+    pub zone: ZoneId,
+    /// Targets that live and hold each model's weights, or are loading them.
+    pub holders: IndexMap<ModelId, usize>,
+    /// Targets that live and hold none.
+    pub empty: usize,
+}
+
+impl DomainStock {
+    fn targets(&self) -> usize {
+        self.empty + self.holders.values().sum::<usize>()
+    }
+}
+
+/// What one domain should hold.
+#[derive(Clone, Debug, Default, Eq, PartialEq)]
+pub struct DomainLayout {
+    /// Targets that should hold each model's weights, the model that is covered least first.
+    pub holders: IndexMap<ModelId, usize>,
+}
+
+/// When weights are shared out.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum LayoutPhase {
+    /// Before the first caller: every target may load what it is best to hold.
+    Start,
+    /// While callers come: only targets that hold nothing load.
+    Serving,
+}
+
+/// Shares weights out over all domains.
+///
+/// ```
+/// use briarswitch_core::engine::{EngineModel, ModelSpec};
+/// use briarswitch_core::layout::{plan_layout, DomainStock, LayoutPhase};
+/// use indexmap::IndexMap;
+///
+/// let model = |id: &str, size, share| {
+///     let id = id.to_owned();
+///     (id.clone(), ModelSpec { id, size, share, ..ModelSpec::default() })
+/// };
+/// let models = IndexMap::from([model("large", 4, 0.67), model("small", 2, 0.33)]);
+/// let engine = EngineModel { models, ..EngineModel::default() };
+/// let domain = DomainStock { empty: 8, ..DomainStock::default() };
+/// let layouts = plan_layout(&engine, &IndexMap::new(), &[domain], LayoutPhase::Start);
+/// assert_eq!(layouts[""].holders.values().sum::<usize>(), 8);
+/// assert!(layouts[""].holders["large"] >= 4);
+/// ```
+pub fn plan_layout(
+    engine: &EngineModel,
+    demand: &IndexMap<ModelId, f64>,
+    domains: &[DomainStock],
+    phase: LayoutPhase,
+) -> IndexMap<DomainId, DomainLayout> {
+    let mut draft = LayoutDraft::open(engine, demand, domains, phase);
+    draft.fill_empty();
+    if phase == LayoutPhase::Start {
+        draft.improve();
+        draft.order_alike();
+    }
+    draft.finish()
+}
+
+/// Targets of one domain by the model whose weights they hold, in the order of the engine's models.
+type HolderCounts = Vec<usize>;
+
+struct LayoutDraft<'a> {
+    models: Vec<&'a ModelSpec>,
+    demand: Vec<f64>,
+    domains: Vec<DomainDraft<'a>>,
+    zones: Vec<&'a ZoneId>,
+    /// Groups expected to be left of each model, by zone.
+    left: Vec<Vec<f64>>,
+    table: GroupTable,
+}
+
+struct DomainDraft<'a> {
+    stock: &'a DomainStock,
+    zone: usize,
+    targets: usize,
+    holders: HolderCounts,
+    empty: usize,
+}
+
+impl<'a> LayoutDraft<'a> {
+    fn open(
+        engine: &'a EngineModel,
+        demand: &IndexMap<ModelId, f64>,
+        domains: &'a [DomainStock],
+        phase: LayoutPhase,
+    ) -> Self {
+        let sized = engine.models.values().filter(|model| model.size > 0);
+        let models: Vec<&ModelSpec> = sized.collect();
+        let mut zones: Vec<&ZoneId> = domains.iter().map(|stock| &stock.zone).collect();
+        zones.sort_unstable();
+        zones.dedup();
+        let drafts = domains.iter().map(|stock| {
+            let zone = zones.iter().position(|zone| **zone == stock.zone);
+            DomainDraft::open(stock, zone.unwrap_or_default(), &models, phase)
+        });
+        let mut draft = Self {
+            demand: demand_of(&models, demand),
+            domains: drafts.collect(),
+            left: vec![vec![0.0; models.len()]; zones.len()],
+            models,
+            zones,
+            table: GroupTable::default(),
+        };
+        for index in 0..draft.domains.len() {
+            draft.count(index, 1.0);
+        }
+        draft
+    }
+
+    /// Adds or takes away the groups that a domain is expected to have left.
+    fn count(&mut self, index: usize, sign: f64) {
+        let domain = &self.domains[index];
+        for (model, spec) in self.models.iter().enumerate() {
+            let holders = domain.holders[model];
+            let left = self.table.left(domain.targets, holders, spec.size);
+            self.left[domain.zone][model] += sign * left;
+        }
+    }
+
+    /// Gives each target that holds nothing the weights that are worth most there.
+    fn fill_empty(&mut self) {
+        loop {
+            let mut is_done = true;
+            for index in 0..self.domains.len() {
+                if self.domains[index].empty > 0 && !self.models.is_empty() {
+                    self.fill_one(index);
+                    is_done = false;
+                }
+            }
+            if is_done {
+                return;
+            }
+        }
+    }
+
+    fn fill_one(&mut self, index: usize) {
+        let domain = &self.domains[index];
+        // Of what is worth the same, what the domain holds most of brings its next group nearer.
+        let mut models: Vec<usize> = (0..self.models.len()).collect();
+        models.sort_by_key(|model| Reverse(domain.holders[*model]));
+        let options = models.into_iter().map(|model| {
+            let mut holders = domain.holders.clone();
+            holders[model] += 1;
+            holders
+        });
+        let options: Vec<HolderCounts> = options.collect();
+        self.domains[index].empty -= 1;
+        self.take_best(index, options);
+    }
+
+    /// Moves targets of one domain at a time from one model to another, as long as that gains.
+    fn improve(&mut self) {
+        for _ in 0..SWEEPS {
+            for index in 0..self.domains.len() {
+                let options = self.domains[index].neighbours();
+                self.take_best(index, options);
+            }
+        }
+    }
+
+    /// Orders what equal domains of a zone hold, the first models in the first domains.
+    ///
+    /// Which of them holds what is worth the same. Were it left to the way the search went, a domain
+    /// that registers a little later would change what the others were told to load.
+    fn order_alike(&mut self) {
+        let mut alike: IndexMap<(usize, usize), Vec<usize>> = IndexMap::new();
+        for (index, domain) in self.domains.iter().enumerate() {
+            let key = (domain.zone, domain.targets);
+            alike.entry(key).or_default().push(index);
+        }
+        for indices in alike.into_values() {
+            let held = indices
+                .iter()
+                .map(|index| self.domains[*index].holders.clone());
+            let mut held: Vec<HolderCounts> = held.collect();
+            held.sort_unstable_by(|left, right| right.cmp(left));
+            for (index, holders) in indices.into_iter().zip(held) {
+                self.domains[index].holders = holders;
+            }
+        }
+    }
+
+    fn take_best(&mut self, index: usize, options: Vec<HolderCounts>) {
+        self.count(index, -1.0);
+        let mut best: Option<(f64, HolderCounts)> = None;
+        for holders in options {
+            self.domains[index].holders = holders;
+            self.count(index, 1.0);
+            let worth = self.worth();
+            self.count(index, -1.0);
+            let holders = std::mem::take(&mut self.domains[index].holders);
+            if best.as_ref().is_none_or(|(most, _)| worth > *most) {
+                best = Some((worth, holders));
+            }
+        }
+        if let Some((_, holders)) = best {
+            self.domains[index].holders = holders;
+        }
+        self.count(index, 1.0);
+    }
+
+    /// Returns what the groups left are worth: each more, the less of its model's demand is covered.
+    fn worth(&self) -> f64 {
+        let zones = self.zones.len() as f64;
+        let of_model = self.demand.iter().enumerate().map(|(model, demand)| {
+            let all: f64 = self.left.iter().map(|left| left[model]).sum();
+            let of_zones = self.left.iter();
+            let of_zones = of_zones.map(|left| cover_worth(left[model] * zones, *demand));
+            let mean = of_zones.sum::<f64>() / zones.max(1.0);
+            (1.0 - ZONE_SHARE) * cover_worth(all, *demand) + ZONE_SHARE * mean
+        });
+        of_model.sum()
+    }
+
+    fn finish(self) -> IndexMap<DomainId, DomainLayout> {
+        let mut order: Vec<usize> = (0..self.models.len()).collect();
+        let cover = |model: &usize| {
+            let groups = self.domains.iter();
+            let groups = groups.map(|domain| domain.holders[*model] / self.models[*model].size);
+            groups.sum::<usize>() as f64 / self.demand[*model].max(f64::MIN_POSITIVE)
+        };
+        order.sort_by(|left, right| cover(left).total_cmp(&cover(right)));
+        let layouts = self.domains.iter().map(|domain| {
+            let holders = order.iter().map(|model| {
+                let id = self.models[*model].id.clone();
+                (id, domain.holders[*model])
+            });
+            let holders = holders.filter(|(_, count)| *count > 0).collect();
+            (domain.stock.domain.clone(), DomainLayout { holders })
+        });
+        layouts.collect()
+    }
+}
+
+impl<'a> DomainDraft<'a> {
+    fn open(
+        stock: &'a DomainStock,
+        zone: usize,
+        models: &[&ModelSpec],
+        phase: LayoutPhase,
+    ) -> Self {
+        let held = models.iter().map(|model| stock.holders.get(&model.id));
+        let held: HolderCounts = held.map(|count| count.copied().unwrap_or(0)).collect();
+        let holders = match phase {
+            LayoutPhase::Start => vec![0; models.len()],
+            LayoutPhase::Serving => held,
+        };
+        let targets = stock.targets();
+        Self {
+            stock,
+            zone,
+            targets,
+            empty: targets - holders.iter().sum::<usize>(),
+            holders,
+        }
+    }
+
+    /// Returns the counts after any number of targets went from one model to another.
+    fn neighbours(&self) -> Vec<HolderCounts> {
+        let mut options = vec![self.holders.clone()];
+        for from in 0..self.holders.len() {
+            for to in (0..self.holders.len()).filter(|to| *to != from) {
+                for moved in 1..=self.holders[from] {
+                    let mut holders = self.holders.clone();
+                    holders[from] -= moved;
+                    holders[to] += moved;
+                    options.push(holders);
+                }
+            }
+        }
+        options
+    }
+}
+
+/// Groups that are expected to be left after losses, computed once for each case.
+#[derive(Default)]
+struct GroupTable {
+    left: HashMap<(usize, usize, usize), f64>,
+}
+
+impl GroupTable {
+    /// Returns the groups of `size` that `holders` of `targets` are expected to make after losses.
+    fn left(&mut self, targets: usize, holders: usize, size: usize) -> f64 {
+        let key = (targets, holders, size);
+        let left = self.left.entry(key);
+        *left.or_insert_with(|| expected_left(targets, holders, size))
+    }
+}
+
+/// Returns the mean of the groups that are left while up to a part of the targets is lost at random.
+fn expected_left(targets: usize, holders: usize, size: usize) -> f64 {
+    let most = (targets as f64 * LOSS_SHARE).round() as usize;
+    let cases = (0..=most).map(|losses| left_after(losses, targets, holders, size));
+    cases.sum::<f64>() / (most + 1) as f64
+}
+
+/// Returns the mean of the groups that are left after a number of losses.
+///
+/// Losses are drawn without replacement, so the lost holders follow a hypergeometric distribution.
+fn left_after(losses: usize, targets: usize, holders: usize, size: usize) -> f64 {
+    let most = losses.min(holders);
+    let cases = (0..=most).map(|lost| {
+        let ways = choose(holders, lost) * choose(targets - holders, losses - lost);
+        ways * ((holders - lost) / size) as f64
+    });
+    cases.sum::<f64>() / choose(targets, losses).max(f64::MIN_POSITIVE)
+}
+
+fn choose(from: usize, count: usize) -> f64 {
+    if count > from {
+        return 0.0;
+    }
+    let factors = (0..count).map(|index| (from - index) as f64 / (index + 1) as f64);
+    factors.product()
+}
+
+/// Returns the worth of a number of groups: a model's demand times how well it is covered.
+fn cover_worth(groups: f64, demand: f64) -> f64 {
+    let cover = groups / demand.max(f64::MIN_POSITIVE);
+    -demand / (cover + LEAST_COVER)
+}
+
+/// Returns how many groups each model's requests fill, by what was seen or, before that, declared.
+fn demand_of(models: &[&ModelSpec], demand: &IndexMap<ModelId, f64>) -> Vec<f64> {
+    let seen = models.iter().map(|model| demand.get(&model.id).copied());
+    let seen: Vec<f64> = seen.map(Option::unwrap_or_default).collect();
+    if seen.iter().any(|rate| *rate > 0.0) {
+        return seen;
+    }
+    // The declared share is of the targets' work, so a model of large groups fills fewer of them.
+    let declared = models.iter().map(|model| model.share / model.size as f64);
+    declared.collect()
+}
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -11,7 +11,6 @@
 //! ```
 
 pub mod assembly;
-pub mod assignment;
 pub mod choice;
 pub mod claim;
 pub mod config;
@@ -26,6 +25,7 @@
 mod free;
 pub mod group;
 pub mod id;
+pub mod layout;
 pub mod lease;
 pub mod limit;
 pub mod mint;
--- a/crates/core/tests/fleet.rs
+++ b/crates/core/tests/fleet.rs
@@ -1,8 +1,7 @@
-//! The pure parts that serve a fleet: placement, assignment, events, the directory.
+//! The pure parts that serve a fleet: placement, events, the directory.
 
 use std::time::Duration;
 
-use briarswitch_core::assignment::{assign_models, DomainStock};
 use briarswitch_core::engine::{EngineModel, ModelSpec};
 use briarswitch_core::events::EventSplitter;
 use briarswitch_core::id::*;
@@ -11,7 +10,6 @@
 };
 use briarswitch_core::target::{LapseWindow, TargetBook, TargetChange, TargetRecord};
 use googletest::prelude::*;
-use indexmap::IndexMap;
 use rand::rngs::StdRng;
 use rand::{Rng, SeedableRng};
 
@@ -42,42 +40,6 @@
     }
 }
 
-fn stock(domain: &str, zone: &str, staged: &[(&str, usize)]) -> DomainStock {
-    let staged = staged
-        .iter()
-        .map(|(model, count)| ((*model).to_owned(), *count));
-    DomainStock {
-        domain: domain.to_owned(),
-        zone: zone.to_owned(),
-        targets: 9,
-        staged: staged.collect(),
-    }
-}
-
-#[gtest]
-fn every_zone_gets_every_model_before_one_gets_a_model_twice() {
-    let domains = ["a0", "a1", "b0", "b1", "c0", "c1"].map(|name| stock(name, &name[..1], &[]));
-    let assigned = assign_models(&engine(), &IndexMap::new(), &domains);
-    for zone in ["a", "b", "c"] {
-        let of_zone = assigned
-            .iter()
-            .filter(|(domain, _)| domain.starts_with(zone));
-        let models: Vec<&str> = of_zone.map(|(_, model)| model.as_str()).collect();
-        expect_that!(models, unordered_elements_are![eq(&"large"), eq(&"small")]);
-    }
-}
-
-#[gtest]
-fn a_domain_keeps_the_model_that_its_hosts_hold() {
-    let domains = [
-        stock("a0", "a", &[("small", 5), ("large", 2)]),
-        stock("a1", "a", &[("small", 3)]),
-    ];
-    let assigned = assign_models(&engine(), &IndexMap::new(), &domains);
-    expect_that!(assigned["a0"], eq("small"));
-    expect_that!(assigned["a1"], eq("small"));
-}
-
 /// Symptom: a group that has just opened is sent several times what it can take.
 /// Events: six nodes see it empty at the same moment, and each has callers waiting.
 /// Cause guarded against: counting on every place that looks free.
--- a/crates/fleet/src/census.rs
+++ b/crates/fleet/src/census.rs
@@ -2,24 +2,25 @@
 
 use briarswitch_core::assembly::{TargetFacts, TargetStanding};
 use briarswitch_core::id::{ModelId, TargetId};
+use briarswitch_core::layout::DomainLayout;
 use briarswitch_core::target::MembershipState;
 use indexmap::IndexMap;
 
 /// Counts of one domain.
-#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+#[derive(Clone, Debug, Default, Eq, PartialEq)]
 pub struct DomainCensus {
     live: usize,
     silent: usize,
     draining: usize,
-    open: usize,
+    open: IndexMap<ModelId, usize>,
     grouped: usize,
     spare: usize,
     unstaged: usize,
 }
 
 impl DomainCensus {
-    /// Counts the targets of a domain that serves a model.
-    pub fn of(targets: &IndexMap<TargetId, TargetFacts>, model: &ModelId) -> Self {
+    /// Counts the targets of a domain that should hold the groups of a layout.
+    pub fn of(targets: &IndexMap<TargetId, TargetFacts>, layout: &DomainLayout) -> Self {
         let mut census = Self::default();
         for facts in targets.values() {
             match facts.standing {
@@ -29,10 +30,15 @@
             }
             let held = facts.membership.as_ref();
             let is_open = held.is_some_and(|held| held.state == MembershipState::Open);
-            census.open += usize::from(is_open);
+            if let Some(model) = facts.model.as_ref().filter(|_| is_open) {
+                *census.open.entry(model.clone()).or_insert(0) += 1;
+            }
             census.grouped += usize::from(held.is_some());
             let is_free = held.is_none() && facts.standing == TargetStanding::Live;
-            let is_staged = facts.staged.contains(model);
+            let is_staged = facts
+                .staged
+                .iter()
+                .any(|model| layout.holders.contains_key(model));
             census.spare += usize::from(is_free && is_staged);
             census.unstaged += usize::from(is_free && !is_staged);
         }
@@ -40,14 +46,14 @@
     }
 
     /// Writes the counts to the log.
-    pub fn log(&self, domain: &str, model: &str) {
+    pub fn log(&self, domain: &str, layout: &DomainLayout) {
         log::info!(
             domain = domain,
-            model = model,
+            holders = counts_text(&layout.holders),
             live = self.live,
             silent = self.silent,
             draining = self.draining,
-            open_groups = self.open,
+            open_groups = counts_text(&self.open),
             grouped = self.grouped,
             spare = self.spare,
             unstaged = self.unstaged;
@@ -55,3 +61,11 @@
         );
     }
 }
+
+fn counts_text(counts: &IndexMap<ModelId, usize>) -> String {
+    let counts = counts.iter();
+    let texts: Vec<String> = counts
+        .map(|(model, count)| format!("{model}:{count}"))
+        .collect();
+    texts.join(",")
+}
--- a/crates/fleet/src/controller.rs
+++ b/crates/fleet/src/controller.rs
@@ -5,9 +5,9 @@
 use std::time::Duration;
 
 use briarswitch_core::assembly::{DomainKeeper, DomainView, TargetFacts, TargetStanding};
-use briarswitch_core::assignment::assign_models;
-use briarswitch_core::engine::{EngineModel, ModelSpec};
+use briarswitch_core::engine::EngineModel;
 use briarswitch_core::id::*;
+use briarswitch_core::layout::{plan_layout, DomainLayout, LayoutPhase};
 use briarswitch_core::order::{OrderResult, TargetAction, TargetOrder};
 use briarswitch_core::target::{MembershipState, TargetRecord};
 use briarswitch_core::traffic::ServiceSpec;
@@ -17,7 +17,7 @@
 use xxhash_rust::xxh3::xxh3_64;
 
 use crate::census::DomainCensus;
-use crate::domains::{domains_of, stock_of};
+use crate::domains::{domains_of, stock_of, StockItem};
 use crate::ports::{ReportError, TargetReport};
 use crate::shared::FleetShared;
 use crate::tracker::{TargetTracker, TrackedTarget};
@@ -192,17 +192,52 @@
             return;
         };
         let of_service = of_service(records, &service.id);
-        let stock = stock_of(&of_service, &domains_of(&of_service));
-        let models = assign_models(engine, &self.demand(now), &stock);
+        let items = self.stock_items(&of_service, own);
+        let stock = stock_of(engine, &domains_of(&of_service), &items);
+        let phase = if self.is_start() {
+            LayoutPhase::Start
+        } else {
+            LayoutPhase::Serving
+        };
+        let layouts = plan_layout(engine, &self.demand(now), &stock, phase);
         for key in own.iter().filter(|key| key.service == service.id) {
-            let model = models.get(&key.domain);
-            let model = model.and_then(|id| engine.models.get(id));
-            if let Some(model) = model {
-                self.plan(key, engine, model, now, link);
+            if let Some(layout) = layouts.get(&key.domain) {
+                self.plan(key, engine, layout, now, link);
             }
         }
     }
 
+    /// Returns what targets hold: by their own reports in this node's domains, else by the directory.
+    fn stock_items<'a>(
+        &'a self,
+        records: &[&'a TargetRecord],
+        own: &IndexSet<DomainKey>,
+    ) -> Vec<StockItem<'a>> {
+        let staying = records.iter().filter(|record| !record.is_draining);
+        let items = staying.filter_map(|record| {
+            let listed = StockItem::from(*record);
+            if !own.contains(&DomainKey::of(record)) {
+                return Some(listed);
+            }
+            let facts = &self.tracker.targets().get(&record.id)?.facts;
+            let loading = self.loads.get(&record.id).filter(|_| facts.is_busy);
+            (facts.standing == TargetStanding::Live).then_some(StockItem {
+                membership: facts.membership.as_ref(),
+                model: facts.model.as_ref(),
+                staged: &facts.staged,
+                loading,
+                ..listed
+            })
+        });
+        items.collect()
+    }
+
+    /// Returns whether the whole system starts and no caller has come yet.
+    fn is_start(&self) -> bool {
+        let has_traffic = self.shared.has_traffic.load(Ordering::Relaxed);
+        !has_traffic && self.shared.settings.is_first_start
+    }
+
     fn is_listing_done(&mut self, count: usize, now: Moment) -> bool {
         if count != self.listed.0 {
             self.listed = (count, now);
@@ -287,7 +322,7 @@
         &mut self,
         key: &DomainKey,
         engine: &EngineModel,
-        model: &ModelSpec,
+        layout: &DomainLayout,
         now: Moment,
         link: &ServiceLink<ControllerMessage>,
     ) {
@@ -303,21 +338,23 @@
             .into_iter()
             .map(|(id, tracked)| (id, tracked.facts))
             .collect();
-        let has_traffic = self.shared.has_traffic.load(Ordering::Relaxed);
-        let census = DomainCensus::of(&facts, &model.id);
-        if self.census.insert(key.clone(), census) != Some(census) {
-            census.log(&key.domain, &model.id);
+        let census = DomainCensus::of(&facts, layout);
+        if self.census.get(key) != Some(&census) {
+            census.log(&key.domain, layout);
+            self.census.insert(key.clone(), census);
         }
-        let load_budget = self.load_budget(engine, has_traffic);
+        let load_budget = self.load_budget(engine);
+        let joins_load = self.is_start();
         let Some(keeper) = self.keepers.get_mut(key) else {
             return;
         };
         let view = DomainView {
             targets: &facts,
             engine,
-            model,
+            layout,
+            loading: &self.loads,
             load_budget,
-            joins_load: !has_traffic && self.shared.settings.is_first_start,
+            joins_load,
             epoch_floor: self.shared.platform.clock.millis(),
         };
         for order in keeper.plan(view, now) {
@@ -330,8 +367,8 @@
     ///
     /// The limit holds for all domains together; what other nodes have under way is known from the
     /// exchange. A load under way shows in the target itself, so a successor sees it too.
-    fn load_budget(&self, engine: &EngineModel, has_traffic: bool) -> usize {
-        if !has_traffic && self.shared.settings.is_first_start {
+    fn load_budget(&self, engine: &EngineModel) -> usize {
+        if self.is_start() {
             // Before the first caller the weight store has nothing else to do.
             return usize::MAX;
         }
--- a/crates/fleet/src/domains.rs
+++ b/crates/fleet/src/domains.rs
@@ -1,10 +1,51 @@
-//! The fabric domains that a list of targets makes up.
+//! The fabric domains that a list of targets makes up, and what each of them holds.
 
-use briarswitch_core::assignment::DomainStock;
+use briarswitch_core::engine::EngineModel;
 use briarswitch_core::id::{DomainId, ModelId, ZoneId};
-use briarswitch_core::target::TargetRecord;
+use briarswitch_core::layout::DomainStock;
+use briarswitch_core::target::{Membership, TargetRecord};
 use indexmap::IndexMap;
 
+/// One target that can be counted on, as the directory or its own report tells of it.
+#[derive(Clone, Copy, Debug)]
+pub struct StockItem<'a> {
+    /// Domain.
+    pub domain: &'a DomainId,
+    /// Zone.
+    pub zone: &'a ZoneId,
+    /// Its group.
+    pub membership: Option<&'a Membership>,
+    /// Model of its group.
+    pub model: Option<&'a ModelId>,
+    /// Models on its host.
+    pub staged: &'a [ModelId],
+    /// Model that it is loading.
+    pub loading: Option<&'a ModelId>,
+}
+
+impl<'a> StockItem<'a> {
+    /// Returns the model of the target's group, or else the one whose weights it holds or loads.
+    fn held(&self, engine: &EngineModel) -> Option<&'a ModelId> {
+        let member = self.model.filter(|_| self.membership.is_some());
+        let staged = self.staged.last();
+        let held = member.or(self.loading).or(staged)?;
+        engine.models.contains_key(held).then_some(held)
+    }
+}
+
+impl<'a> From<&'a TargetRecord> for StockItem<'a> {
+    fn from(record: &'a TargetRecord) -> Self {
+        Self {
+            domain: &record.domain,
+            zone: &record.zone,
+            membership: record.membership.as_ref(),
+            model: record.models.first(),
+            staged: &record.staged,
+            loading: None,
+        }
+    }
+}
+
 /// Returns the domains with the zone of most of their targets.
 pub fn domains_of<'a>(records: &[&'a TargetRecord]) -> IndexMap<&'a DomainId, &'a ZoneId> {
     let mut counts: IndexMap<&DomainId, IndexMap<&ZoneId, usize>> = IndexMap::new();
@@ -23,25 +64,27 @@
 
 /// Returns what each domain holds, in an order that all controllers agree on.
 pub fn stock_of(
-    records: &[&TargetRecord],
+    engine: &EngineModel,
     domains: &IndexMap<&DomainId, &ZoneId>,
+    items: &[StockItem<'_>],
 ) -> Vec<DomainStock> {
     let stock = domains.iter().map(|(domain, zone)| {
-        let members = records.iter().filter(|record| record.domain == **domain);
-        let mut staged: IndexMap<ModelId, usize> = IndexMap::new();
-        let mut targets = 0;
-        for record in members {
-            targets += 1;
-            for model in &record.staged {
-                *staged.entry(model.clone()).or_insert(0) += 1;
-            }
-        }
-        DomainStock {
+        let stock = DomainStock {
             domain: (*domain).clone(),
             zone: (*zone).clone(),
-            targets,
-            staged,
-        }
+            ..DomainStock::default()
+        };
+        (*domain, stock)
     });
-    stock.collect()
+    let mut stock: IndexMap<&DomainId, DomainStock> = stock.collect();
+    for item in items {
+        let Some(stock) = stock.get_mut(item.domain) else {
+            continue;
+        };
+        match item.held(engine) {
+            Some(model) => *stock.holders.entry(model.clone()).or_insert(0) += 1,
+            None => stock.empty += 1,
+        }
+    }
+    stock.into_values().collect()
 }
--- a/crates/fleet/src/surface.rs
+++ b/crates/fleet/src/surface.rs
@@ -98,6 +98,9 @@
         let patience = ask
             .patience
             .map_or(rule.timeout, |own| own.min(rule.timeout));
+        let waited_before = self.patience.waited(&rule.name, ask.patience);
+        trace.patience = patience;
+        trace.waited_before = waited_before;
         self.count_demand(known, &service, &ask, trace.arrived);
         self.shared.has_traffic.store(true, Ordering::Relaxed);
         let path = head.uri.path_and_query();
@@ -110,7 +113,7 @@
             rule: rule.clone(),
             service,
             organisation,
-            waited_before: self.patience.waited(&rule.name, ask.patience),
+            waited_before,
             arrived: trace.arrived,
             deadline: trace.arrived + patience,
             ask,
--- a/crates/fleet/src/trace.rs
+++ b/crates/fleet/src/trace.rs
@@ -60,6 +60,10 @@
     pub target: TargetId,
     /// Group of the last attempt.
     pub group: GroupId,
+    /// Time that the caller said it would wait.
+    pub patience: Duration,
+    /// Time for which the caller is thought to have waited before.
+    pub waited_before: Duration,
     /// Attempts sent.
     pub sent: u32,
     /// Why the last attempt or the request failed.
@@ -89,6 +93,8 @@
             service: ServiceId::new(),
             target: TargetId::new(),
             group: GroupId::new(),
+            patience: Duration::ZERO,
+            waited_before: Duration::ZERO,
             sent: 0,
             reason: "",
             waited: None,
@@ -160,6 +166,8 @@
             reason = self.reason,
             sent = self.sent,
             events = self.events,
+            patience_ms = self.patience.as_millis() as u64,
+            before_ms = self.waited_before.as_millis() as u64,
             wait_ms = self.waited.map_or(0, |waited| waited.as_millis() as u64),
             first_ms = self.first.map_or(0, |first| first.as_millis() as u64),
             pause_ms = self.pause.as_millis() as u64,
--- a/crates/fleet/tests/assembly.rs
+++ b/crates/fleet/tests/assembly.rs
@@ -12,6 +12,7 @@
 use briarswitch_core::assembly::{DomainKeeper, DomainView, TargetFacts};
 use briarswitch_core::engine::{EngineModel, ModelSpec};
 use briarswitch_core::id::*;
+use briarswitch_core::layout::DomainLayout;
 use briarswitch_core::order::{OrderResult, TargetAction, TargetOrder};
 use briarswitch_core::target::{Membership, MembershipState, TargetRecord};
 use briarswitch_fleet::ports::{ReportError, TargetReport};
@@ -318,10 +319,14 @@
             .iter()
             .map(|(id, tracked)| (id.clone(), tracked.facts.clone()))
             .collect();
+        let layout = DomainLayout {
+            holders: IndexMap::from([("m".to_owned(), TARGETS)]),
+        };
         let view = DomainView {
             targets: &facts,
             engine: &self.engine,
-            model: &self.engine.models["m"],
+            layout: &layout,
+            loading: &IndexMap::new(),
             load_budget: SIZE,
             joins_load: false,
             epoch_floor: self.now.as_millis() as Epoch,
--- a/crates/fleet/tests/patience.rs
+++ b/crates/fleet/tests/patience.rs
@@ -60,7 +60,11 @@
     let mut found = 0;
     for index in 0..REQUESTS {
         let is_back = index % 3 == 2;
-        let waited = if is_back { rng.random_range(200..900) } else { 0 };
+        let waited = if is_back {
+            rng.random_range(200..900)
+        } else {
+            0
+        };
         let patience = Duration::from_millis(5_000 - waited);
         let told = book.waited("chat", Some(patience));
         if is_back {
