--- a/crates/core/src/layout.rs
+++ b/crates/core/src/layout.rs
@@ -355,10 +355,13 @@
     factors.product()
 }
 
-/// Returns the worth of a number of groups: a model's demand times how well it is covered.
+/// Returns the worth of a number of groups, which are worth less the more of a model's demand is covered.
+///
+/// With the square, what a model lacks weighs more than what another has over: a model whose groups are
+/// just filled loses callers with each loss, one that has twice its need loses none.
 fn cover_worth(groups: f64, demand: f64) -> f64 {
     let cover = groups / demand.max(f64::MIN_POSITIVE);
-    -demand / (cover + LEAST_COVER)
+    -demand / (cover + LEAST_COVER).powi(2)
 }
 
 /// Returns how many groups each model's requests fill, by what was seen or, before that, declared.
