Search the restart of a member under its name

One of the defects is what the node does: it may choose a member by a report of an ended life, up to 5 s old.

--- a/crates/model/examples/check.rs
+++ b/crates/model/examples/check.rs
@@ -7,7 +7,8 @@
 
 use briarswitch_model::{
     search, stuck_states, AssemblyDefect, AssemblySpec, ConfigDefect, ConfigSpec, GateDefect,
-    GateSpec, KeyDefect, KeySpec, LeaseDefect, LeaseSpec, OrderDefect, OrderSpec, Specification,
+    GateSpec, KeyDefect, KeySpec, LeaseDefect, LeaseSpec, OrderDefect, OrderSpec, RestartDefect,
+    RestartSpec, Specification,
 };
 
 /// Counts what was not as it should be.
@@ -75,6 +76,7 @@
         &OrderSpec::sound(false),
     );
     tally.holds("groups by conditional orders", &AssemblySpec::sound());
+    tally.holds("a member that restarts", &RestartSpec::sound());
     tally.holds("serving gate", &GateSpec::sound());
     tally.holds("accepted configuration", &ConfigSpec::sound());
     tally.holds("at most once by key", &KeySpec::sound());
@@ -119,6 +121,16 @@
         let name = format!("groups with {defect:?}");
         tally.catches(&name, &AssemblySpec::defective(defect));
     }
+    for defect in [
+        RestartDefect::EpochOfSeen,
+        RestartDefect::NoEpoch,
+        RestartDefect::ChosenByOldReport,
+        RestartDefect::OpenedOtherLife,
+        RestartDefect::NoSequence,
+    ] {
+        let name = format!("restart with {defect:?}");
+        tally.catches(&name, &RestartSpec::defective(defect));
+    }
     for defect in [
         GateDefect::NeverExpires,
         GateDefect::CountedFromAnswer,
--- a/crates/model/src/lib.rs
+++ b/crates/model/src/lib.rs
@@ -16,6 +16,7 @@
 mod keys;
 mod lease;
 mod orders;
+mod restart;
 mod search;
 
 pub use assembly::{AssemblyDefect, AssemblySpec};
@@ -24,4 +25,5 @@
 pub use keys::{KeyDefect, KeySpec};
 pub use lease::{LeaseDefect, LeaseSpec};
 pub use orders::{OrderDefect, OrderSpec};
+pub use restart::{RestartDefect, RestartSpec};
 pub use search::{search, stuck_states, SearchReport, Specification, Step, Violation};
