Choose members by reports younger than half a second

Cause: the search of restarts catches a controller that chooses a member by a report of an ended life; ours were up to 5 s old. Change: a candidate whose report is older is asked at once and chosen in a later round.

--- a/crates/core/src/assembly.rs
+++ b/crates/core/src/assembly.rs
@@ -63,6 +63,8 @@
     pub is_busy: bool,
     /// Highest epoch it is known to have seen.
     pub epoch_seen: Epoch,
+    /// Whether it has reported so lately that nothing can have come of a restart since.
+    pub is_fresh: bool,
 }
 
 /// What the planner is told of the domain and of the rest of the fleet.
@@ -122,6 +124,7 @@
     dissolving: IndexMap<GroupId, TargetId>,
     released: IndexSet<GroupId>,
     last_model: IndexMap<TargetId, LastModel>,
+    doubtful: IndexSet<TargetId>,
 }
 
 /// Model of the last group that a life of a target was in.
@@ -156,9 +159,15 @@
             dissolving: IndexMap::new(),
             released: IndexSet::new(),
             last_model: IndexMap::new(),
+            doubtful: IndexSet::new(),
         }
     }
 
+    /// Returns the targets that have to report before they can be chosen, each once.
+    pub fn take_doubtful(&mut self) -> IndexSet<TargetId> {
+        std::mem::take(&mut self.doubtful)
+    }
+
     /// Takes in that a target was asked for its state after its last order.
     pub fn note_report(&mut self, target: &str) {
         self.unsure.swap_remove(target);
@@ -210,12 +219,20 @@
         }
         let mut wanted = self.wanted(&groups, &view);
         while let Some(candidate) = self.next_candidate(&wanted, &free, &view, budget) {
-            budget -= candidate.loads;
             free.retain(|id| !candidate.members.contains(id));
             if let Some(count) = wanted.get_mut(&candidate.model) {
                 *count -= 1;
             }
-            orders.extend(self.form(candidate, &view));
+            // Chosen by what an ended life last said, a target that restarted under its name could be
+            // taken out of the group that another controller has since put it into.
+            let members = candidate.members.iter();
+            let stale = members.filter(|id| !view.targets[*id].is_fresh);
+            let stale: Vec<TargetId> = stale.cloned().collect();
+            if stale.is_empty() {
+                budget -= candidate.loads;
+                orders.extend(self.form(candidate, &view));
+            }
+            self.doubtful.extend(stale);
         }
         orders.extend(self.stage(&free, &view, budget));
         for order in &orders {
--- a/crates/fleet/src/controller.rs
+++ b/crates/fleet/src/controller.rs
@@ -382,7 +382,7 @@
         }
         let facts: IndexMap<TargetId, TargetFacts> = tracked
             .into_iter()
-            .map(|(id, tracked)| (id, tracked.facts))
+            .map(|(id, tracked)| (id, tracked.facts_at(now)))
             .collect();
         let census = DomainCensus::of(&facts, layout);
         if self.census.get(key) != Some(&census) {
@@ -403,7 +403,11 @@
             joins_load,
             epoch_floor: self.shared.platform.clock.millis(),
         };
-        for order in keeper.plan(view, now) {
+        let orders = keeper.plan(view, now);
+        for target in keeper.take_doubtful() {
+            self.tracker.hasten(&target, now);
+        }
+        for order in orders {
             self.send(order, link);
         }
         self.count_loads();
--- a/crates/fleet/src/tracker.rs
+++ b/crates/fleet/src/tracker.rs
@@ -24,6 +24,10 @@
 const SILENT_AFTER: u32 = 2;
 /// Time to join again for the model of the last group, and a little more.
 const REJOIN_CHECK: Duration = Duration::from_millis(220);
+/// Age of a report by which a target may be chosen for a group.
+///
+/// A target that has restarted since needs its warmup, over a second, before a group with it can serve.
+const FRESH_TIME: Duration = Duration::from_millis(500);
 /// Time that is added to an expected one before it is checked.
 const CHECK_SLACK: Duration = Duration::from_millis(30);
 
@@ -42,9 +46,18 @@
     last: Moment,
     joining_since: Option<Moment>,
     acknowledged: Moment,
+    reported: Option<Moment>,
 }
 
 impl TrackedTarget {
+    /// Returns what the planner is told at `now`.
+    pub fn facts_at(&self, now: Moment) -> TargetFacts {
+        TargetFacts {
+            is_fresh: self.reported.is_some_and(|at| now < at + FRESH_TIME),
+            ..self.facts.clone()
+        }
+    }
+
     fn open(record: TargetRecord, now: Moment) -> Self {
         Self {
             facts: TargetFacts {
@@ -56,6 +69,7 @@
                 sequence: 0,
                 is_busy: false,
                 epoch_seen: 0,
+                is_fresh: false,
             },
             record,
             is_resolved: false,
@@ -65,6 +79,7 @@
             last: Moment::ZERO,
             joining_since: None,
             acknowledged: Moment::ZERO,
+            reported: None,
         }
     }
 
@@ -164,6 +179,7 @@
             Ok(report) => {
                 tracked.failures = 0;
                 tracked.is_resolved = true;
+                tracked.reported = Some(now);
                 tracked.take(report, engine.report_lag, now);
                 tracked.next = tracked.next_question(engine, now);
             }
--- a/crates/fleet/tests/assembly.rs
+++ b/crates/fleet/tests/assembly.rs
@@ -317,7 +317,7 @@
         }
         let facts: IndexMap<TargetId, TargetFacts> = tracked
             .iter()
-            .map(|(id, tracked)| (id.clone(), tracked.facts.clone()))
+            .map(|(id, tracked)| (id.clone(), tracked.facts_at(self.now)))
             .collect();
         let layout = DomainLayout {
             holders: IndexMap::from([("m".to_owned(), TARGETS)]),
@@ -331,7 +331,11 @@
             joins_load: false,
             epoch_floor: self.now.as_millis() as Epoch,
         };
-        controller.keeper.plan(view, self.now)
+        let orders = controller.keeper.plan(view, self.now);
+        for target in controller.keeper.take_doubtful() {
+            controller.tracker.hasten(&target, self.now);
+        }
+        orders
     }
 
     fn report(
