--- a/crates/core/src/target.rs
+++ b/crates/core/src/target.rs
@@ -1,5 +1,6 @@
 //! Targets as the platform's directory lists them, and the groups they say they are in.
 
+use std::sync::Arc;
 use std::time::Duration;
 
 use indexmap::{IndexMap, IndexSet};
@@ -131,16 +132,19 @@
     }
 }
 
+/// Targets by id; records are shared, since every change makes a new list that others read.
+pub type TargetList = IndexMap<TargetId, Arc<TargetRecord>>;
+
 /// What the directory lists, with departures held back while the directory itself was away.
 #[derive(Clone, Debug, Default)]
 pub struct TargetBook {
-    targets: IndexMap<TargetId, TargetRecord>,
+    targets: TargetList,
     lapsed: IndexMap<TargetId, Moment>,
 }
 
 impl TargetBook {
     /// Returns the targets by id.
-    pub fn targets(&self) -> &IndexMap<TargetId, TargetRecord> {
+    pub fn targets(&self) -> &TargetList {
         &self.targets
     }
 
@@ -153,7 +157,7 @@
         match change {
             TargetChange::Put(record) => {
                 self.lapsed.swap_remove(&record.id);
-                self.targets.insert(record.id.clone(), *record);
+                self.targets.insert(record.id.clone(), Arc::from(record));
             }
             TargetChange::Removed(id) => match keep_until {
                 Some(until) if self.targets.contains_key(&id) => {
--- a/crates/fleet/src/budget.rs
+++ b/crates/fleet/src/budget.rs
@@ -56,7 +56,7 @@
         let mut budgets = self.budgets.lock().unwrap_or_else(PoisonError::into_inner);
         if !budgets.contains_key(service) {
             let settings = &self.shared.settings;
-            let nodes = (self.shared.peers.read().len() + 1).max(LEAST_NODES);
+            let nodes = self.shared.live.read().known_nodes().max(LEAST_NODES);
             let burst = settings.retry_burst as f64 * BURST_SHARE / nodes as f64;
             let permille = (settings.retry_ratio * 1000.0) as u64;
             let budget = RetryBudget::open_empty(permille, burst as u64);
--- a/crates/fleet/src/controller.rs
+++ b/crates/fleet/src/controller.rs
@@ -10,16 +10,18 @@
 use briarswitch_core::layout::{plan_layout, DomainLayout, DomainStock, LayoutPhase};
 use briarswitch_core::order::{OrderResult, TargetAction, TargetOrder};
 use briarswitch_core::target::{MembershipState, TargetRecord};
-use briarswitch_core::traffic::ServiceSpec;
+use briarswitch_core::traffic::{ServiceSpec, TrafficBook};
 use briarswitch_kernel::{BootClock, Service, ServiceLink};
 use indexmap::{IndexMap, IndexSet};
 use serde_json::{json, Value};
 use xxhash_rust::xxh3::xxh3_64;
 
 use crate::census::DomainCensus;
+use crate::costs::CostKind;
 use crate::domains::{domains_of, stock_of, StockItem};
 use crate::ports::{ReportError, TargetReport};
-use crate::shared::FleetShared;
+use crate::scope::{ControlScope, DomainKey};
+use crate::shared::{DirectoryView, FleetShared};
 use crate::tracker::{TargetTracker, TrackedTarget};
 
 /// Time between rounds.
@@ -59,6 +61,7 @@
     loads: IndexMap<TargetId, ModelId>,
     layouts: IndexMap<ServiceId, ServiceLayouts>,
     suspected: IndexSet<TargetId>,
+    scope: Option<Arc<ControlScope>>,
     started: Moment,
     listed: (usize, Moment),
 }
@@ -71,22 +74,6 @@
     of_domain: IndexMap<DomainId, DomainLayout>,
 }
 
-/// One service's part of a fabric domain.
-#[derive(Clone, Debug, Eq, Hash, PartialEq)]
-struct DomainKey {
-    service: ServiceId,
-    domain: DomainId,
-}
-
-impl DomainKey {
-    fn of(record: &TargetRecord) -> Self {
-        Self {
-            service: record.service.clone(),
-            domain: record.domain.clone(),
-        }
-    }
-}
-
 /// Message to [`GroupController`].
 pub enum ControllerMessage {
     /// Look at everything again.
@@ -122,6 +109,7 @@
             loads: IndexMap::new(),
             layouts: IndexMap::new(),
             suspected: IndexSet::new(),
+            scope: None,
             started: BootClock::now(),
             listed: (0, BootClock::now()),
         }
@@ -139,59 +127,43 @@
         else {
             return;
         };
-        let services: Vec<&ServiceSpec> = book
-            .services
-            .values()
-            .filter(|service| service.engine.is_some())
-            .collect();
-        let is_engine = |record: &&TargetRecord| {
-            let mut ids = services.iter().map(|service| &service.id);
-            ids.any(|id| *id == record.service)
-        };
-        let targets = directory.book.targets().values();
-        let records: Vec<&TargetRecord> = targets.filter(is_engine).collect();
-        let own = self.own_domains(&services, &records, now);
-        self.update_keepers(&own);
-        let mine = records
-            .iter()
-            .filter(|record| own.contains(&DomainKey::of(record)));
-        self.tracker.sync(mine.copied(), now);
-        self.look_at_suspects(now);
+        let scope = self.scope(book, &directory);
+        self.update_keepers(&scope.own);
+        self.tracker.sync(scope.mine.iter().map(Arc::as_ref), now);
+        if !scope.own.is_empty() {
+            self.look_at_suspects(now);
+        }
         for (target, address) in self.tracker.due(now) {
             self.ask(target, address, link);
         }
-        if !self.is_listing_done(records.len(), now) {
-            return;
-        }
+        let is_listed = self.is_listing_done(scope.engines.len(), now);
         let tracker = &self.tracker;
         self.loads
             .retain(|id, _| tracker.targets().contains_key(id));
         self.count_loads();
+        if !is_listed || scope.own.is_empty() {
+            return;
+        }
+        let services = book.services.values();
+        let services = services.filter(|service| service.engine.is_some());
+        let records: Vec<&TargetRecord> = scope.engines.iter().map(Arc::as_ref).collect();
         for service in services {
-            self.tend(service, &records, &own, now, link);
+            self.tend(service, &records, &scope.own, now, link);
         }
     }
 
-    /// Returns the domains of all services in which this node gives the orders.
-    fn own_domains(
-        &self,
-        services: &[&ServiceSpec],
-        records: &[&TargetRecord],
-        now: Moment,
-    ) -> IndexSet<DomainKey> {
-        let mut own = IndexSet::new();
-        for service in services {
-            let of_service = of_service(records, &service.id);
-            for (domain, zone) in domains_of(&of_service) {
-                if self.is_responsible(domain, zone, now) {
-                    own.insert(DomainKey {
-                        service: service.id.clone(),
-                        domain: domain.clone(),
-                    });
-                }
-            }
+    /// Returns what this node is responsible for, worked out again only when something has changed.
+    ///
+    /// Few of the nodes give orders at all, and all look at every target twenty times a second.
+    fn scope(&mut self, book: &TrafficBook, directory: &Arc<DirectoryView>) -> Arc<ControlScope> {
+        let live = self.shared.live.load();
+        let basis = (book.version, Arc::clone(directory), live);
+        if let Some(scope) = self.scope.as_ref().filter(|scope| scope.is_of(&basis)) {
+            return Arc::clone(scope);
         }
-        own
+        let scope = Arc::new(ControlScope::open(book, basis));
+        self.scope = Some(Arc::clone(&scope));
+        scope
     }
 
     /// Plans the groups of one service in the domains that are this node's.
@@ -262,7 +234,7 @@
         let staying = records.iter().filter(|record| !record.is_draining);
         let items = staying.filter_map(|record| {
             let listed = StockItem::from(*record);
-            if !own.contains(&DomainKey::of(record)) {
+            if !own.iter().any(|key| key.holds(record)) {
                 return Some(listed);
             }
             let facts = &self.tracker.targets().get(&record.id)?.facts;
@@ -292,14 +264,6 @@
         has_traffic || now >= self.listed.1 + LISTING_TIME
     }
 
-    /// Returns whether this node gives the orders in a domain.
-    ///
-    /// The domain's own zone goes first, since a zone that is cut off has to mend itself. Two nodes
-    /// that both believe it do no harm: the targets obey only one of them.
-    fn is_responsible(&self, domain: &str, zone: &str, now: Moment) -> bool {
-        self.shared.is_first_for(domain, zone, now)
-    }
-
     fn update_keepers(&mut self, own: &IndexSet<DomainKey>) {
         let lost = self.keepers.keys().filter(|key| !own.contains(*key));
         for key in lost {
@@ -342,6 +306,7 @@
     }
 
     fn ask(&self, target: TargetId, address: String, link: &ServiceLink<ControllerMessage>) {
+        self.shared.costs.count(CostKind::ReportAsked);
         let shared = Arc::clone(&self.shared);
         link.spawn(async move {
             let asked = BootClock::now();
@@ -374,7 +339,7 @@
     ) {
         let of_domain = self.tracker.targets().iter();
         let tracked: Vec<(&TargetId, &TrackedTarget)> = of_domain
-            .filter(|(_, tracked)| DomainKey::of(&tracked.record) == *key)
+            .filter(|(_, tracked)| key.holds(&tracked.record))
             .collect();
         if tracked.iter().any(|(_, tracked)| !tracked.is_resolved) {
             return;
@@ -469,6 +434,7 @@
             reason = order.reason;
             "order_sent"
         );
+        self.shared.costs.count(CostKind::OrderSent);
         let shared = Arc::clone(&self.shared);
         link.spawn(async move {
             let sent = BootClock::now();
@@ -583,7 +549,10 @@
     fn handle(&mut self, message: ControllerMessage, link: &ServiceLink<ControllerMessage>) {
         match message {
             ControllerMessage::Round => {
+                let begun = link.now();
                 self.round(link);
+                let took = link.now().saturating_sub(begun);
+                self.shared.costs.count_time(CostKind::ControlRound, took);
                 link.later(ROUND, ControllerMessage::Round);
             }
             ControllerMessage::Reported {
--- a/crates/fleet/src/dispatch.rs
+++ b/crates/fleet/src/dispatch.rs
@@ -10,7 +10,7 @@
     stream_body, whole_body, Response, SendFailure, TargetAddress, TargetBody, TargetClient,
     TargetLimits, TargetReply,
 };
-use briarswitch_kernel::BootClock;
+use briarswitch_kernel::{BootClock, Mailbox};
 use bytes::Bytes;
 use http::header::{CONTENT_LENGTH, HOST};
 use http::{HeaderValue, StatusCode, Uri};
@@ -18,6 +18,7 @@
 use crate::budget::RetryBudgets;
 use crate::gauge::GaugePlace;
 use crate::job::{BegunAnswer, FailedAttempt, RequestJob};
+use crate::peers::{PeerMessage, SilentTarget};
 use crate::placer::TargetPlacer;
 use crate::ports::{AnswerFacts, TargetMark};
 use crate::refusal::OwnAnswer;
@@ -55,11 +56,12 @@
     client: TargetClient,
     budgets: RetryBudgets,
     placer: TargetPlacer,
+    peers: Mailbox<PeerMessage>,
 }
 
 impl FleetDispatcher {
-    /// Opens a dispatcher.
-    pub fn open(shared: Arc<FleetShared>) -> Arc<Self> {
+    /// Opens a dispatcher that tells `peers` of targets that fall silent.
+    pub fn open(shared: Arc<FleetShared>, peers: Mailbox<PeerMessage>) -> Arc<Self> {
         let client = TargetClient::open(TargetLimits {
             connect: CONNECT_TIME,
             idle: IDLE_CONNECTIONS,
@@ -69,6 +71,7 @@
             placer: TargetPlacer::open(Arc::clone(&shared)),
             shared,
             client,
+            peers,
         })
     }
 
@@ -169,7 +172,7 @@
         // A kept connection may be closed by the target just when it is used, which would leave the
         // fate of a request that runs at most once open.
         let is_fresh = !job.rule.is_repeatable();
-        let client = self.client.keeping(self.idle_limit(job, now));
+        let client = self.client.keeping(self.idle_limit(job));
         let sending = client.send(&address, request, is_fresh);
         let reply = match self.wait_head(sending, job, &target, now, may_move).await {
             Ok(reply) => reply,
@@ -181,11 +184,11 @@
         self.check(job, target, place, reply).await
     }
 
-    fn idle_limit(&self, job: &RequestJob, now: Moment) -> usize {
+    fn idle_limit(&self, job: &RequestJob) -> usize {
         let book = job.book.as_ref().as_ref();
         let service = book.and_then(|book| book.services.get(&job.service));
         let most = service.map_or(0, |service| service.max_connections);
-        let share = f64::from(most) * IDLE_SHARE / f64::from(self.shared.live_nodes(now));
+        let share = f64::from(most) * IDLE_SHARE / f64::from(self.shared.live.read().live_nodes());
         (share as usize).clamp(1, IDLE_CONNECTIONS)
     }
 
@@ -261,10 +264,26 @@
                 writers = target.gauge.writers();
                 "target_suspected"
             );
+            self.tell_suspicion(target);
         }
         target.gauge.suspect(now + SUSPECT_TIME);
     }
 
+    /// Has the node told that gives the group its orders; a single target has none.
+    fn tell_suspicion(&self, target: &RouteTarget) {
+        if target.group.is_none() {
+            return;
+        }
+        let silent = SilentTarget {
+            target: target.id.clone(),
+            domain: target.domain.clone(),
+            zone: target.zone.clone(),
+        };
+        if let Err(error) = self.peers.post(PeerMessage::Suspected(silent)) {
+            log::warn!(target_id = target.id.as_str(), error:% = error; "suspicion_dropped");
+        }
+    }
+
     async fn check(
         &self,
         job: &RequestJob,
--- a/crates/fleet/src/feed.rs
+++ b/crates/fleet/src/feed.rs
@@ -1,42 +1,66 @@
 //! Lets a few nodes of each zone ask the store for changes, and the others ask them.
 //!
 //! Every node needs the configuration and the list of targets within a second or two, and a question
-//! held open by each is paid for by the call: 71 nodes made 167 calls a second. Two nodes of each zone
-//! ask the store; the questions of the others wait at them for the same answer. A node whose reader does
-//! not answer, or can not reach the store, asks the store itself.
+//! held open by each is paid for by the call: 71 nodes made 167 calls a second. One node of each zone
+//! asks the store; the questions of the others wait there for the same answer. A node whose reader does
+//! not answer, or can not reach the store, asks the next best of its zone, and only then the store.
 
+use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::{Arc, Mutex, PoisonError};
 use std::time::Duration;
 
 use briarswitch_core::id::*;
-use briarswitch_http::{CallerClient, Codec};
+use briarswitch_http::{CallError, CallerClient, Codec};
 use briarswitch_kernel::BootClock;
+use briarswitch_membership::{NodeEntry, ZonePart};
 use futures::future::{BoxFuture, FutureExt, Shared};
 use http::Method;
 use indexmap::IndexMap;
 use serde::{Deserialize, Serialize};
+use serde_bytes::ByteBuf;
 
+use crate::costs::{CostKind, CostLedger};
 use crate::ports::{FeedAnswer, FeedMark, FeedQuestion, FeedRow, FeedSource, SourceError};
-use crate::shared::{FleetShared, ZonePart};
+use crate::shared::FleetShared;
 
+/// Status of an answer that the changes asked for are no longer kept.
+pub const HISTORY_GONE: u16 = 410;
 /// Path at which a reader is asked.
 pub const FEED_PATH: &str = "/feed";
-/// Nodes of a zone that ask the store; one of them may be lost at any time.
-const READERS: u32 = 2;
+/// Nodes of a zone that are asked one after the other; two may be lost at once.
+const READERS: usize = 3;
 /// Nodes of a zone from which on not all of them ask the store.
 ///
 /// Below it there is nothing to win, and a reader that freezes costs its followers a second and a half.
-const RELAYED_ZONE: u32 = 6;
+const RELAYED_ZONE: u32 = 3;
 /// Time beyond the time that a question is held open after which a reader has failed.
-const READER_TIME: Duration = Duration::from_millis(300);
-/// Time for which the store is asked directly after a reader failed.
-const DIRECT_TIME: Duration = Duration::from_secs(2);
+///
+/// The store answers in a quarter of a second on its slowest days.
+const READER_TIME: Duration = Duration::from_millis(700);
+/// Part of that time in which a reader says that the store has not answered.
+///
+/// Its followers would take it for lost otherwise, and each ask a store that is away.
+const STORE_TIME: Duration = Duration::from_millis(500);
+/// Time after a question that failed in which no other one is asked of the same table.
+///
+/// The questions of 58 followers that retry would otherwise each be a call to a store that is away.
+const FAILURE_PAUSE: Duration = Duration::from_millis(400);
+/// Seconds between two questions of a node whose readers do not reach the store, about.
+const RETRY_TIME: f64 = 0.4;
+/// Time after which a reader that is asked for a whole table has failed; the store may need several calls.
+const WHOLE_TIME: Duration = Duration::from_millis(1_500);
+/// Time for which a reader that failed is not asked.
+const AVOIDED_TIME: Duration = Duration::from_secs(2);
 /// Time for which an answer is kept for others that ask the same.
 const KEPT_TIME: Duration = Duration::from_secs(3);
 /// Time for which an answer without changes is kept for others that ask without waiting.
 const DATED_TIME: Duration = Duration::from_millis(250);
-/// Rank of the readers; any word does, if all nodes use the same.
-const READER_RANK: &str = "feed";
+/// Questions in a second that the nodes of a zone together ask the store while its readers do not reach it.
+///
+/// Those that do reach it are found so, and become its readers.
+const PROBES: f64 = 8.0;
+/// Time for which an answer of the store shows that this node reaches it; longer than a held question.
+const REACHED_TIME: Duration = Duration::from_millis(1_600);
 
 type FlightResult = Result<FeedAnswer, SourceError>;
 type FlightFuture = Shared<BoxFuture<'static, FlightResult>>;
@@ -57,6 +81,7 @@
     fn is_useful(&self, question: &FeedQuestion, now: Moment) -> bool {
         match self.answer.peek() {
             None => true,
+            Some(Ok(answer)) if answer.is_whole => now < self.begun + DATED_TIME,
             Some(Ok(answer)) if !answer.rows.is_empty() => now < self.begun + KEPT_TIME,
             Some(Ok(_)) => question.wait.is_zero() && now < self.begun + DATED_TIME,
             Some(Err(_)) => false,
@@ -64,19 +89,34 @@
     }
 }
 
+/// How often the changes of a table are asked for.
+#[derive(Debug, Default)]
+struct FeedPace {
+    pause: Mutex<Duration>,
+    /// When the next question may be held open.
+    next: Mutex<Moment>,
+    /// When the next question may be sent after one failed.
+    retry: Mutex<Moment>,
+}
+
 /// Answers questions for changes, from the store or from another node.
 pub struct FeedRelay {
     direct: Arc<dyn FeedSource>,
     client: CallerClient,
     flights: Mutex<IndexMap<FeedQuestion, FeedFlight>>,
-    direct_until: Mutex<Moment>,
+    /// Readers that failed, and until when they are not asked.
+    avoided: Mutex<IndexMap<NodeId, Moment>>,
+    paces: Mutex<IndexMap<String, Arc<FeedPace>>>,
+    /// Milliseconds of the clock at which the store last answered.
+    reached: Arc<AtomicU64>,
+    costs: Arc<CostLedger>,
 }
 
 /// [`FeedQuestion`] on the wire.
 #[derive(Clone, Debug, Deserialize, Serialize)]
 pub struct FeedQuestionDoc {
     table: String,
-    mark: FeedMark,
+    mark: Option<FeedMark>,
     wait_ms: u64,
 }
 
@@ -85,8 +125,9 @@
 pub struct FeedAnswerDoc {
     mark: FeedMark,
     /// Key, and content unless the row was dropped.
-    rows: Vec<(String, Option<Vec<u8>>)>,
+    rows: Vec<(String, Option<ByteBuf>)>,
     age_ms: u64,
+    whole: bool,
 }
 
 impl From<FeedQuestion> for FeedQuestionDoc {
@@ -111,12 +152,16 @@
 
 impl From<FeedAnswer> for FeedAnswerDoc {
     fn from(answer: FeedAnswer) -> Self {
-        let rows = answer.rows.into_iter().map(|row| (row.key, row.value));
+        let rows = answer
+            .rows
+            .into_iter()
+            .map(|row| (row.key, row.value.map(ByteBuf::from)));
         Self {
             mark: answer.mark,
             rows: rows.collect(),
             // Rounded up, so that an age is never told as less than it is.
             age_ms: answer.age.as_millis() as u64 + 1,
+            whole: answer.is_whole,
         }
     }
 }
@@ -126,23 +171,42 @@
         let rows = doc.rows.into_iter();
         Self {
             mark: doc.mark,
-            rows: rows.map(|(key, value)| FeedRow { key, value }).collect(),
+            rows: rows
+                .map(|(key, value)| FeedRow {
+                    key,
+                    value: value.map(ByteBuf::into_vec),
+                })
+                .collect(),
             age: Duration::from_millis(doc.age_ms),
+            is_whole: doc.whole,
         }
     }
 }
 
 impl FeedRelay {
     /// Opens a relay before the store.
-    pub fn open(direct: Arc<dyn FeedSource>) -> Self {
+    pub fn open(direct: Arc<dyn FeedSource>, costs: Arc<CostLedger>) -> Self {
         Self {
             direct,
             client: CallerClient::open(Codec::Packed, None),
             flights: Mutex::default(),
-            direct_until: Mutex::new(Moment::ZERO),
+            avoided: Mutex::default(),
+            paces: Mutex::default(),
+            reached: Arc::default(),
+            costs,
         }
     }
 
+    /// Sets the least time between two held questions for changes of a table.
+    ///
+    /// The questions of many nodes come at any time. Without a pace here each change is a call of its own,
+    /// whatever pause each node makes.
+    pub fn set_pace(&self, table: &str, pace: Duration) {
+        let mut paces = lock(&self.paces);
+        let held = paces.entry(table.to_owned()).or_default();
+        *lock(&held.pause) = pace;
+    }
+
     /// Returns the changes after a mark as soon as there are any, or none when the wait is over.
     ///
     /// # Errors
@@ -154,31 +218,97 @@
         question: FeedQuestion,
     ) -> Result<FeedAnswer, SourceError> {
         let now = BootClock::now();
-        let reader = match self.part(shared, now) {
-            ZonePart::Alone => return self.direct.changes(question).await,
-            ZonePart::First => return self.serve(question, now).await,
-            ZonePart::Other(readers) => choose(&shared.settings.node, &readers),
-        };
-        let url = format!("http://{reader}{FEED_PATH}");
-        let limit = question.wait + READER_TIME;
-        let doc = FeedQuestionDoc::from(question.clone());
-        let answer: Result<FeedAnswerDoc, _> = self
-            .client
-            .call(Method::POST, &url, Some(&doc), limit)
-            .await;
-        match answer {
-            Ok(doc) => Ok(doc.into()),
-            Err(error) => {
-                log::info!(reader = reader.as_str(), error:% = error; "reader_failed");
-                *lock(&self.direct_until) = BootClock::now() + DIRECT_TIME;
-                // Time was lost already, so this one is not held open.
-                let wait = Duration::ZERO;
-                self.direct.changes(FeedQuestion { wait, ..question }).await
+        let live = shared.live.read();
+        let part = live.reader_part(READERS, RELAYED_ZONE, self.reads_store());
+        let nodes = live.zone_nodes();
+        drop(live);
+        match part {
+            ZonePart::Alone | ZonePart::First => self.serve(question, now).await,
+            ZonePart::Other(readers) => {
+                let is_prober = rand::random::<f64>() < PROBES * RETRY_TIME / f64::from(nodes);
+                self.ask_readers(&readers, question, is_prober).await
             }
         }
     }
 
-    /// Answers a question of this or another node; what many ask is asked of the store once.
+    /// Asks the readers of the zone, best first, and the store where none of them answers.
+    ///
+    /// One that answers without having reached the store may be the only one turned away, so another is
+    /// asked. Where that says so too the store is likely to be away, and only a few nodes of the zone ask it:
+    /// calls of all would be paid for in vain, and those of none would leave a zone whose readers are cut off
+    /// with keys that were taken away.
+    async fn ask_readers(
+        &self,
+        readers: &[Arc<NodeEntry>],
+        question: FeedQuestion,
+        is_prober: bool,
+    ) -> Result<FeedAnswer, SourceError> {
+        let mut question = question;
+        let mut turned_away: Vec<&NodeId> = Vec::new();
+        for reader in readers {
+            if self.is_avoided(&reader.node) {
+                continue;
+            }
+            match self.ask_reader(reader, &question).await {
+                Ok(answer) => {
+                    turned_away.into_iter().for_each(|node| self.avoid(node));
+                    return Ok(answer);
+                }
+                Err(CallError::Status {
+                    status: HISTORY_GONE,
+                    ..
+                }) => return Err(SourceError::HistoryGone),
+                Err(CallError::Status { text, .. }) if !turned_away.is_empty() && !is_prober => {
+                    return Err(SourceError::Unavailable(text));
+                }
+                Err(CallError::Status { .. }) if !turned_away.is_empty() => break,
+                Err(CallError::Status { .. }) => turned_away.push(&reader.node),
+                Err(error) => {
+                    log::info!(reader = reader.node.as_str(), error:% = error; "reader_failed");
+                    self.avoid(&reader.node);
+                }
+            }
+            // Time was lost already, so the next question is not held open.
+            question.wait = Duration::ZERO;
+        }
+        self.serve(question, BootClock::now()).await
+    }
+
+    /// Returns whether the store has lately answered this node itself.
+    pub fn reads_store(&self) -> bool {
+        let reached = Duration::from_millis(self.reached.load(Ordering::Relaxed));
+        !reached.is_zero() && BootClock::now() < reached + REACHED_TIME
+    }
+
+    fn avoid(&self, node: &NodeId) {
+        let until = BootClock::now() + AVOIDED_TIME;
+        lock(&self.avoided).insert(node.clone(), until);
+    }
+
+    async fn ask_reader(
+        &self,
+        reader: &NodeEntry,
+        question: &FeedQuestion,
+    ) -> Result<FeedAnswer, CallError> {
+        self.costs.count(CostKind::ReaderAsked);
+        let url = format!("http://{}{FEED_PATH}", reader.address);
+        let limit = match question.mark {
+            Some(_) => question.wait + READER_TIME,
+            None => WHOLE_TIME,
+        };
+        let doc = FeedQuestionDoc::from(question.clone());
+        let call = self.client.call(Method::POST, &url, Some(&doc), limit);
+        let answer: FeedAnswerDoc = call.await?;
+        Ok(answer.into())
+    }
+
+    fn is_avoided(&self, node: &str) -> bool {
+        let now = BootClock::now();
+        let avoided = lock(&self.avoided);
+        avoided.get(node).is_some_and(|until| now < *until)
+    }
+
+    /// Answers a question of another node, in the time that it will wait.
     ///
     /// The answer's age counts up to `arrived`, when the question came, and so dates it for the node that
     /// asked: the store was asked at most that long before the question was sent.
@@ -186,6 +316,25 @@
     /// # Errors
     ///
     /// Returns [`SourceError`] when the store did not answer.
+    pub async fn answer(
+        &self,
+        question: FeedQuestion,
+        arrived: Moment,
+    ) -> Result<FeedAnswer, SourceError> {
+        let limit = match question.mark {
+            Some(_) => question.wait + STORE_TIME,
+            None => WHOLE_TIME,
+        };
+        let answer = self.serve(question, arrived);
+        let answered = tokio::time::timeout(limit, answer).await;
+        answered.unwrap_or_else(|_| Err(SourceError::Unavailable("no answer yet".to_owned())))
+    }
+
+    /// Answers a question; what many ask is asked of the store once.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`SourceError`] when the store did not answer.
     pub async fn serve(
         &self,
         question: FeedQuestion,
@@ -201,8 +350,11 @@
         let mut flights = lock(&self.flights);
         flights.retain(|question, flight| flight.is_useful(question, now));
         let flight = flights.entry(question.clone()).or_insert_with(|| {
+            self.costs.count(kind_of(&question));
             let direct = Arc::clone(&self.direct);
-            let answer = async move { direct.changes(question).await };
+            let pace = Arc::clone(lock(&self.paces).entry(question.table.clone()).or_default());
+            let reached = Arc::clone(&self.reached);
+            let answer = ask_at_pace(direct, question, pace, reached);
             FeedFlight {
                 begun: now,
                 answer: answer.boxed().shared(),
@@ -210,29 +362,55 @@
         });
         flight.clone()
     }
+}
 
-    fn part(&self, shared: &FleetShared, now: Moment) -> ZonePart {
-        if now < *lock(&self.direct_until) {
-            return ZonePart::Alone;
-        }
-        shared.zone_part(READER_RANK, READERS, RELAYED_ZONE, now)
+fn kind_of(question: &FeedQuestion) -> CostKind {
+    match question.mark {
+        None => CostKind::TableWhole,
+        Some(_) if question.wait.is_zero() => CostKind::TableAtOnce,
+        Some(_) => CostKind::TableHeld,
     }
 }
 
-/// Returns the reader of a node, the same one every time while the readers stay.
-fn choose(node: &str, readers: &[String]) -> String {
-    let choice = node.bytes().map(usize::from).sum::<usize>() % readers.len();
-    readers[choice].clone()
+/// Asks the store, not sooner than the pace after the last answer or failure allows.
+async fn ask_at_pace(
+    direct: Arc<dyn FeedSource>,
+    question: FeedQuestion,
+    pace: Arc<FeedPace>,
+    reached: Arc<AtomicU64>,
+) -> FlightResult {
+    let now = BootClock::now();
+    let is_held = question.mark.is_some() && !question.wait.is_zero();
+    let pause = if is_held {
+        let pause = lock(&pace.next).saturating_sub(now);
+        pause.min(question.wait)
+    } else {
+        lock(&pace.retry).saturating_sub(now)
+    };
+    tokio::time::sleep(pause).await;
+    let wait = question.wait.saturating_sub(pause);
+    let answer = direct.changes(FeedQuestion { wait, ..question }).await;
+    let now = BootClock::now();
+    if answer.is_ok() {
+        reached.store(now.as_millis() as u64, Ordering::Relaxed);
+    }
+    let pause = *lock(&pace.pause);
+    *lock(&pace.next) = now + pause;
+    if matches!(answer, Err(SourceError::Unavailable(_))) {
+        *lock(&pace.retry) = now + FAILURE_PAUSE;
+    }
+    answer
 }
 
 /// Returns how many nodes ask the store, of zones of this one's size.
-pub fn askers(shared: &FleetShared, now: Moment) -> u32 {
-    let nodes = shared.live_nodes(now);
-    let in_zone = shared.zone_nodes(now).max(1);
+pub fn askers(shared: &FleetShared) -> u32 {
+    let live = shared.live.read();
+    let nodes = live.live_nodes();
+    let in_zone = live.zone_nodes();
     if in_zone < RELAYED_ZONE {
         nodes
     } else {
-        (nodes / in_zone).max(1) * READERS
+        (nodes / in_zone).max(1)
     }
 }
 
--- a/crates/fleet/src/gauge.rs
+++ b/crates/fleet/src/gauge.rs
@@ -6,6 +6,7 @@
 use std::time::Duration;
 
 use briarswitch_core::id::{Moment, TargetId};
+use briarswitch_membership::{target_key, LoadMap, TargetKey};
 use indexmap::IndexSet;
 
 /// Weight of the newest sample in the smoothed share of failures.
@@ -22,6 +23,7 @@
 /// Counters of one life of a target.
 #[derive(Debug, Default)]
 pub struct TargetGauge {
+    key: TargetKey,
     own: AtomicU32,
     remote: AtomicU32,
     fresh: AtomicU32,
@@ -29,7 +31,7 @@
     unread_requests: AtomicU32,
     heard: AtomicU64,
     suspect_until: AtomicU64,
-    hearsay_until: AtomicU64,
+    told_suspect_until: AtomicU64,
     interval: AtomicU64,
     told: AtomicU32,
     told_waiting: AtomicU32,
@@ -47,6 +49,18 @@
 }
 
 impl TargetGauge {
+    fn open(target: &str) -> Self {
+        Self {
+            key: target_key(target),
+            ..Self::default()
+        }
+    }
+
+    /// Returns what stands for the target in messages between nodes.
+    pub fn key(&self) -> TargetKey {
+        self.key
+    }
+
     /// Returns the requests of this node at work there.
     pub fn own(&self) -> u32 {
         self.own.load(Ordering::Relaxed)
@@ -152,20 +166,20 @@
     /// Keeps new work away because another node suspects the target.
     ///
     /// This is not told on: two nodes that repeat each other's word would never stop.
-    pub fn suspect_by_hearsay(&self, until: Moment) {
-        self.hearsay_until
+    pub fn suspect_as_told(&self, until: Moment) {
+        self.told_suspect_until
             .fetch_max(micros(until), Ordering::Relaxed);
     }
 
     /// Takes any suspicion from the target.
     fn clear_suspicion(&self) {
         self.suspect_until.store(0, Ordering::Relaxed);
-        self.hearsay_until.store(0, Ordering::Relaxed);
+        self.told_suspect_until.store(0, Ordering::Relaxed);
     }
 
     /// Returns whether new work is kept away at `now`.
     pub fn is_suspect(&self, now: Moment) -> bool {
-        self.is_suspected_here(now) || micros(now) < self.hearsay_until.load(Ordering::Relaxed)
+        self.is_suspected_here(now) || micros(now) < self.told_suspect_until.load(Ordering::Relaxed)
     }
 
     /// Returns whether this node itself suspects the target.
@@ -240,15 +254,15 @@
             return Arc::clone(gauge);
         }
         let mut gauges = self.gauges.write().unwrap_or_else(PoisonError::into_inner);
-        Arc::clone(gauges.entry(target.to_owned()).or_default())
+        let gauge = gauges.entry(target.to_owned());
+        Arc::clone(gauge.or_insert_with(|| Arc::new(TargetGauge::open(target))))
     }
 
-    /// Returns each target at which this node has work, with its requests and unread tokens.
-    pub fn busy(&self) -> Vec<(TargetId, u32, u64)> {
+    /// Returns this node's requests at each target where it has any.
+    pub fn loads(&self) -> LoadMap {
         let gauges = self.read();
-        let busy = gauges.iter().filter(|(_, gauge)| gauge.own() > 0);
-        busy.map(|(id, gauge)| (id.clone(), gauge.own(), gauge.unread()))
-            .collect()
+        let loads = gauges.values().map(|gauge| (gauge.key(), gauge.own()));
+        loads.filter(|(_, requests)| *requests > 0).collect()
     }
 
     /// Returns the targets that this node itself suspects.
@@ -268,9 +282,9 @@
     }
 
     /// Calls `visit` for every gauge.
-    pub fn each(&self, mut visit: impl FnMut(&TargetId, &TargetGauge)) {
-        for (id, gauge) in self.read().iter() {
-            visit(id, gauge);
+    pub fn each(&self, mut visit: impl FnMut(&TargetGauge)) {
+        for gauge in self.read().values() {
+            visit(gauge);
         }
     }
 
--- a/crates/fleet/src/keeper.rs
+++ b/crates/fleet/src/keeper.rs
@@ -17,14 +17,17 @@
 ///
 /// A connection that fell silent is noticed after this and the time for an answer, and has to be
 /// noticed within the three seconds after which every node must know a new version again.
-const CONFIG_WAIT: Duration = Duration::from_millis(1_200);
+const CONFIG_WAIT: Duration = Duration::from_millis(1_000);
 /// Age of the last confirmation from which on an answer with changes is followed by a question that is not
 /// held open.
 ///
 /// Keys are trusted for 4.75 s where they are valid for five; a held question and its answer take two.
 const CONFIRM_AGE: Duration = Duration::from_millis(1_500);
 /// Longest time one question for changes of the directory is held open.
-const DIRECTORY_WAIT: Duration = Duration::from_millis(1_500);
+///
+/// A reader that freezes is noticed after this and [`READER_TIME`](crate::feed), and a leaving target has to be
+/// known within two seconds.
+const DIRECTORY_WAIT: Duration = Duration::from_millis(1_000);
 /// Least and longest time between two questions for changes of the directory.
 ///
 /// Targets renew their entries all the time; without a pause every renewal would be a call. The
@@ -36,6 +39,8 @@
 /// The store answers two thousand calls a second and is paid by the call; 71 nodes at the shortest pace
 /// made 13,416 calls in a day of 56 s.
 const DIRECTORY_SHARE: Duration = Duration::from_millis(33);
+/// Least time between two questions for the directory, so that a source that holds none open is not flooded.
+const LEAST_PAUSE: Duration = Duration::from_millis(20);
 /// Time to wait after a source failed; the shortest and the longest.
 const RETRY_PACE: (Duration, Duration) = (Duration::from_millis(250), Duration::from_millis(450));
 /// Time between looks for lapsed entries whose time is over.
@@ -148,9 +153,9 @@
         link.spawn(async move {
             let config = &shared.platform.config;
             let (mark, wait) = match question {
-                BookQuestion::Whole => return BookMessage::News(asked, config.whole().await),
-                BookQuestion::Held(mark) => (mark, wait),
-                BookQuestion::AtOnce(mark) => (mark, Duration::ZERO),
+                BookQuestion::Whole => (None, Duration::ZERO),
+                BookQuestion::Held(mark) => (Some(mark), wait),
+                BookQuestion::AtOnce(mark) => (Some(mark), Duration::ZERO),
             };
             let answer = shared.changes(config.table(), mark, wait).await;
             BookMessage::News(asked, answer.and_then(|answer| config.news(&answer)))
@@ -275,16 +280,12 @@
         let shared = Arc::clone(&self.shared);
         let mark = self.mark;
         let wait = self.health.wait(DIRECTORY_WAIT);
+        let table = self.shared.platform.directory.table();
+        self.shared.feed.set_pace(table, self.pace());
         link.spawn(async move {
             let directory = &shared.platform.directory;
-            let news = match mark {
-                None => directory.whole().await,
-                Some(mark) => {
-                    let answer = shared.changes(directory.table(), mark, wait).await;
-                    answer.map(|answer| directory.news(&answer))
-                }
-            };
-            DirectoryMessage::News(news)
+            let answer = shared.changes(directory.table(), mark, wait).await;
+            DirectoryMessage::News(answer.map(|answer| directory.news(&answer)))
         });
     }
 
@@ -313,9 +314,9 @@
         self.publish();
     }
 
-    fn pace(&self, now: Moment) -> Duration {
+    fn pace(&self) -> Duration {
         let (least, longest) = DIRECTORY_PACE;
-        (DIRECTORY_SHARE * askers(&self.shared, now)).clamp(least, longest)
+        (DIRECTORY_SHARE * askers(&self.shared)).clamp(least, longest)
     }
 
     fn publish(&self) {
@@ -342,7 +343,7 @@
             DirectoryMessage::News(Ok(news)) => {
                 self.health.note(DIRECTORY_SERVICE, None, now);
                 self.take(news, now, link);
-                link.later(self.pace(now), DirectoryMessage::Ask);
+                link.later(LEAST_PAUSE, DirectoryMessage::Ask);
             }
             DirectoryMessage::News(Err(error)) => {
                 self.health.note(DIRECTORY_SERVICE, Some(&error), now);
--- a/crates/fleet/src/node.rs
+++ b/crates/fleet/src/node.rs
@@ -81,10 +81,10 @@
         kernel.mount(DirectoryKeeper::open(Arc::clone(&shared)))?;
         let exchange = kernel.mount(PeerExchange::open(Arc::clone(&shared)))?;
         kernel.mount(GroupController::open(Arc::clone(&shared)))?;
-        let dispatcher = FleetDispatcher::open(Arc::clone(&shared));
+        let dispatcher = FleetDispatcher::open(Arc::clone(&shared), exchange);
         let (stop, stopped) = watch::channel(false);
         let surface = CallerSurface::open(Arc::clone(&shared), dispatcher);
-        let peer_surface = PeerSurface::open(Arc::clone(&shared), exchange);
+        let peer_surface = PeerSurface::open(Arc::clone(&shared));
         let state = StateSurface::open(Arc::clone(&shared), kernel);
         let servers = vec![
             callers.spawn(surface, stopped.clone()),
@@ -124,6 +124,7 @@
         self.shared.enter(FleetPhase::Draining);
         let left = grace.saturating_sub(notice + EXIT_MARGIN);
         let drained = tokio::time::timeout(left, self.drain()).await;
+        self.shared.log_costs();
         let open = self.shared.in_flight.load(Ordering::SeqCst);
         log::info!(complete = drained.is_ok(), in_flight = open; "shutdown_ended");
         let _ = self.stop.send(true);
@@ -174,6 +175,7 @@
                 let page = self.shared.metrics.page();
                 reply_bytes(StatusCode::OK, "text/plain; version=0.0.4", page.into())
             }
+            "/costs" => reply_json(StatusCode::OK, &self.shared.costs.lines()),
             "/state" => reply_json(StatusCode::OK, &self.kernel.dump().await),
             _ => reply_text(StatusCode::NOT_FOUND, "no such path"),
         }
--- a/crates/fleet/src/peers.rs
+++ b/crates/fleet/src/peers.rs
@@ -1,115 +1,160 @@
-//! The exchange between nodes: who is alive, who has sent how much where, and what fell silent.
+//! Carries the messages by which nodes know each other: who is alive, who has sent how much where, and what
+//! fell silent.
 
 use std::sync::atomic::Ordering;
-use std::sync::{Arc, PoisonError};
+use std::sync::{Arc, Mutex, PoisonError};
 use std::time::Duration;
 
 use briarswitch_core::id::*;
 use briarswitch_http::{
-    read_body, reply_packed, reply_text, unpack, CallError, CallerClient, Codec, Handler, Request,
-    Response,
+    pack, read_body, reply_packed, reply_text, unpack, CallError, CallerClient, Codec, Handler,
+    Request, Response,
 };
-use briarswitch_kernel::{BootClock, Mailbox, Service, ServiceLink};
+use briarswitch_kernel::{BootClock, Service, ServiceLink};
+use briarswitch_membership::{Gossip, GossipDoc, GossipTarget, LiveView, Standing, WorkSum};
 use futures::future::BoxFuture;
 use http::{Method, StatusCode};
-use indexmap::IndexMap;
+use serde::{Deserialize, Serialize};
 use serde_json::{json, Value};
 
+use crate::costs::CostKind;
 use crate::feed::{FeedAnswerDoc, FeedQuestionDoc, FEED_PATH};
-use crate::note::{MemberSign, NodeWork, PeerNote, PeerNoteDoc, ZoneDigest};
-use crate::ports::{FeedMark, NodeEntry, NodeNews, SourceError};
-use crate::shared::{FleetPhase, FleetShared, PeerBook, PeerView, PEER_SILENCE};
-
-/// Path of the exchange.
-const EXCHANGE_PATH: &str = "/exchange";
-/// Time between exchanges with a node of the same zone.
-pub const NEAR_INTERVAL: Duration = Duration::from_millis(200);
-/// Time between exchanges with a node of another zone, where each byte is paid for.
-const FAR_INTERVAL: Duration = Duration::from_millis(400);
+use crate::ports::{FeedMark, NodeNews, SourceError};
+use crate::shared::{FleetPhase, FleetShared};
+
+/// Path of the messages between nodes.
+const GOSSIP_PATH: &str = "/gossip";
+/// Path at which a node is told of a target that fell silent.
+const SUSPICION_PATH: &str = "/suspicion";
+/// Time between looks at whom to ask; half of the shortest interval between two messages.
+const TICK: Duration = Duration::from_millis(50);
+/// Time between two sums of what others told.
+const FOLD_INTERVAL: Duration = Duration::from_millis(100);
+/// Time in which other nodes come to know of a request that was sent: report, hub and answer.
+pub const KNOWN_TIME: Duration = Duration::from_millis(200);
+/// Time between two times at which sent requests count as known to others.
+const FRESH_INTERVAL: Duration = Duration::from_millis(400);
 /// Time to wait for an answer; longer than any healthy delay, shorter than a node is missed.
-const EXCHANGE_TIME: Duration = Duration::from_millis(500);
+const ANSWER_TIME: Duration = Duration::from_millis(400);
 /// Time for which a peer's suspicion of a target is shared.
 const SHARED_SUSPICION: Duration = Duration::from_millis(500);
 /// Own silence of a target without which a peer's suspicion is not shared.
 const OWN_SILENCE: Duration = Duration::from_millis(120);
+/// Time for which what this node tells of itself is used again; hubs are asked many times a second.
+const STANDING_TIME: Duration = Duration::from_millis(40);
+/// Time that all nodes have to register before the first of them reads who has, at the first start.
+const REGISTRATION_TIME: Duration = Duration::from_millis(500);
 /// Longest time one question for new nodes is held open.
 const REGISTRY_WAIT: Duration = Duration::from_secs(8);
+/// Time between two questions for new nodes.
+///
+/// Each registration answers every question that is held open; nodes that start together would make a call
+/// for each pair of them.
+const REGISTRY_PACE: Duration = Duration::from_secs(1);
 /// Time to wait after the registry failed.
 const REGISTRY_RETRY: Duration = Duration::from_millis(700);
-/// Largest note in bytes.
-const NOTE_BYTES: usize = 1 << 20;
+/// Time between two lines that tell what was spent.
+const COST_INTERVAL: Duration = Duration::from_secs(10);
+/// Largest message in bytes.
+const MESSAGE_BYTES: usize = 1 << 20;
 
 /// Name of the exchange.
 pub const PEER_SERVICE: &str = "peers";
 
-/// Returns what this node tells others.
-pub fn own_note(shared: &FleetShared) -> PeerNote {
+/// Returns what this node tells of itself.
+pub fn own_standing(shared: &FleetShared) -> Standing {
     let now = BootClock::now();
-    let loads = shared.gauges.busy().into_iter();
-    PeerNote {
-        node: shared.settings.node.clone(),
-        incarnation: shared.incarnation,
+    Standing {
         is_leaving: shared.phase() != FleetPhase::Running,
+        reads_store: shared.feed.reads_store(),
         has_traffic: shared.has_traffic.load(Ordering::Relaxed),
-        work: NodeWork {
-            loads: loads
-                .map(|(target, requests, _)| (target, requests))
-                .collect(),
+        work: WorkSum {
+            loads: shared.gauges.loads(),
             loading: shared.loading.load(Ordering::Relaxed),
             demand: shared.demand.rates(now),
             arrivals: shared.demand.arrivals(now),
         },
         suspects: shared.gauges.suspects(now),
-        zone: None,
     }
 }
 
-/// Returns what this node tells one that asked: of its whole zone, if that one stands in another.
-fn answer_note(shared: &FleetShared, asker: &str) -> PeerNote {
-    let mut note = own_note(shared);
-    let zone = &shared.settings.zone;
-    let peers = shared.peers.read();
-    let is_far = peers
-        .get(asker)
-        .is_some_and(|peer| peer.entry.zone != *zone);
-    if is_far {
-        let hearsay = shared
-            .hearsay
-            .lock()
-            .unwrap_or_else(PoisonError::into_inner);
-        let digest = hearsay.digest(zone, &note, BootClock::now());
-        note.zone = Some(Box::new(digest));
+/// Sends a message; returns the answer and the bytes of both.
+async fn exchange(
+    client: &CallerClient,
+    target: &GossipTarget,
+) -> Result<(Gossip, usize), CallError> {
+    let url = format!("http://{}{GOSSIP_PATH}", target.address);
+    let unreadable = |error: String| CallError::Unreadable(error);
+    let sent = pack(&GossipDoc::from(&target.gossip)).map_err(|e| unreadable(e.to_string()))?;
+    let size = sent.len();
+    let answer = client
+        .call_raw(Method::POST, &url, sent, ANSWER_TIME)
+        .await?;
+    let doc: GossipDoc = unpack(&answer).map_err(|e| unreadable(e.to_string()))?;
+    Ok((doc.into(), size + answer.len()))
+}
+
+/// Takes in others' suspicions.
+fn share_suspicions<'a>(shared: &FleetShared, suspects: impl Iterator<Item = &'a TargetId>) {
+    let now = BootClock::now();
+    for target in suspects {
+        let gauge = shared.gauges.of(target);
+        // A target that this node hears is only cut off from the other.
+        if gauge.own() == 0 || gauge.silence(now) > OWN_SILENCE {
+            gauge.suspect_as_told(now + SHARED_SUSPICION);
+        }
     }
-    note
 }
 
-/// Exchanges notes with the other nodes.
+/// Takes in what any message tells beside sums and signs of life.
+fn take_hints(shared: &FleetShared, gossip: &Gossip) {
+    if gossip.has_traffic() {
+        shared.has_traffic.store(true, Ordering::Relaxed);
+    }
+    share_suspicions(shared, gossip.suspects());
+}
+
+/// A target that fell silent, told to the node that gives its group orders.
+#[derive(Clone, Debug, Deserialize, Serialize)]
+struct SuspicionDoc {
+    target: TargetId,
+}
+
+/// A target that fell silent towards a request.
+#[derive(Clone, Debug)]
+pub struct SilentTarget {
+    /// Target.
+    pub target: TargetId,
+    /// Its domain.
+    pub domain: DomainId,
+    /// Zone of the target.
+    pub zone: ZoneId,
+}
+
+/// Keeps in touch with the other nodes.
 pub struct PeerExchange {
     shared: Arc<FleetShared>,
     client: CallerClient,
-    book: PeerBook,
-    asked: IndexMap<NodeId, Moment>,
-    zones: IndexMap<ZoneId, ZoneTurn>,
     mark: Option<FeedMark>,
     is_registered: bool,
+    published: u64,
+    folded: Moment,
     cleared: Moment,
-}
-
-/// Whose turn it is among the nodes of another zone.
-#[derive(Debug, Default)]
-struct ZoneTurn {
-    asked: Moment,
-    count: usize,
+    reported: Moment,
 }
 
 /// Message to [`PeerExchange`].
 pub enum PeerMessage {
     /// Ask whom it is time to ask.
     Tick,
-    /// A node's note, heard at this moment at the earliest.
-    Heard(Box<PeerNote>, Moment),
+    /// A node answered a message that was sent at this moment.
+    Answered(Box<(GossipTarget, Gossip)>, Moment),
     /// A node did not answer.
-    Missed(NodeId),
+    Missed(NodeId, CallError),
+    /// A target fell silent towards a request.
+    Suspected(SilentTarget),
+    /// The node that gives its group orders was told, or did not answer.
+    Told(Option<CallError>),
     /// This node's entry was written or not.
     Registered(Result<(), SourceError>),
     /// The registry answered.
@@ -124,195 +169,145 @@
         Self {
             shared,
             client: CallerClient::open(Codec::Packed, None),
-            book: PeerBook::new(),
-            asked: IndexMap::new(),
-            zones: IndexMap::new(),
             mark: None,
             is_registered: false,
+            published: 0,
+            folded: Moment::ZERO,
             cleared: Moment::ZERO,
+            reported: BootClock::now(),
         }
     }
 
     fn register(&self, after: Duration, link: &ServiceLink<PeerMessage>) {
         let shared = Arc::clone(&self.shared);
-        let entry = NodeEntry {
-            node: shared.settings.node.clone(),
-            zone: shared.settings.zone.clone(),
-            address: shared.settings.peers.clone(),
-            incarnation: shared.incarnation,
-        };
         link.spawn(async move {
             tokio::time::sleep(after).await;
+            shared.costs.count(CostKind::RegistryWrite);
+            let entry = shared.own_entry();
             PeerMessage::Registered(shared.platform.nodes.register(entry).await)
         });
     }
 
+    /// Asks the registry for new nodes, if that is this node's part; the others hear of them from hubs.
     fn ask_registry(&self, link: &ServiceLink<PeerMessage>) {
+        let is_asked = self.mark.is_none() || self.shared.membership().is_hub(link.now());
+        if !is_asked {
+            link.later(REGISTRY_PACE, PeerMessage::Ask);
+            return;
+        }
         let shared = Arc::clone(&self.shared);
         let mark = self.mark;
+        shared.costs.count(CostKind::RegistryRead);
         link.spawn(async move {
             PeerMessage::News(shared.platform.nodes.next(mark, REGISTRY_WAIT).await)
         });
     }
 
-    fn take_news(&mut self, news: NodeNews) {
+    fn take_news(&mut self, news: &NodeNews, now: Moment) {
         self.mark = Some(news.mark);
-        for entry in news.nodes {
-            if entry.node == self.shared.settings.node {
-                continue;
+        let mut membership = self.shared.membership();
+        for entry in &news.nodes {
+            if membership.learn(entry, now) {
+                log::info!(peer = entry.node.as_str(), address = entry.address.as_str(); "peer_known");
             }
-            let held = self.book.get(&entry.node);
-            let is_same = held.is_some_and(|peer| peer.entry == entry);
-            if is_same {
-                continue;
-            }
-            log::info!(peer = entry.node.as_str(), address = entry.address.as_str(); "peer_known");
-            let view = PeerView {
-                entry: entry.clone(),
-                heard: None,
-                is_leaving: false,
-                arrivals: 0.0,
-            };
-            self.book.insert(entry.node, view);
         }
-        self.shared.peers.publish(self.book.clone());
+        drop(membership);
+        self.publish(now);
     }
 
-    /// Asks every node whose turn it is.
-    fn ask_peers(&mut self, now: Moment, link: &ServiceLink<PeerMessage>) {
-        let mut due = self.near_due(now);
-        due.extend(self.far_due(now));
-        for entry in due {
-            let client = self.client.clone();
-            let doc = PeerNoteDoc::from(own_note(&self.shared));
-            link.spawn(async move {
-                let url = format!("http://{}{EXCHANGE_PATH}", entry.address);
-                let answer: Result<PeerNoteDoc, CallError> = client
-                    .call(Method::POST, &url, Some(&doc), EXCHANGE_TIME)
-                    .await;
-                match answer {
-                    Ok(doc) => PeerMessage::Heard(Box::new(doc.into()), now),
-                    Err(_) => PeerMessage::Missed(entry.node),
-                }
-            });
+    fn tick(&mut self, now: Moment, link: &ServiceLink<PeerMessage>) {
+        let standing = own_standing(&self.shared);
+        let due = self.shared.membership().due(&standing, now);
+        for target in due {
+            self.send(target, now, link);
         }
-    }
-
-    /// Returns the nodes of the own zone to ask; of two nodes the one with the lower name asks.
-    fn near_due(&mut self, now: Moment) -> Vec<NodeEntry> {
-        let own = &self.shared.settings;
-        let asked = &self.asked;
-        let due = self.book.values().filter(|peer| {
-            let before = asked.get(&peer.entry.node);
-            peer.entry.zone == own.zone
-                && own.node < peer.entry.node
-                && before.is_none_or(|at| now >= *at + NEAR_INTERVAL)
-        });
-        let due: Vec<NodeEntry> = due.map(|peer| peer.entry.clone()).collect();
-        for entry in &due {
-            self.asked.insert(entry.node.clone(), now);
+        if now >= self.folded + FOLD_INTERVAL {
+            self.fold(now);
         }
-        due
-    }
-
-    /// Returns one node of each other zone whose turn it is, by turns among those that live.
-    fn far_due(&mut self, now: Moment) -> Vec<NodeEntry> {
-        let own = &self.shared.settings.zone;
-        let mut zones: IndexMap<ZoneId, Vec<&PeerView>> = IndexMap::new();
-        for peer in self.book.values().filter(|peer| peer.entry.zone != *own) {
-            zones.entry(peer.entry.zone.clone()).or_default().push(peer);
+        if now >= self.reported + COST_INTERVAL {
+            self.reported = now;
+            self.shared.log_costs();
         }
-        let mut due = Vec::new();
-        for (zone, peers) in zones {
-            let turn = self.zones.entry(zone).or_insert_with(|| ZoneTurn {
-                asked: Moment::ZERO,
-                count: rand::random::<u32>() as usize,
-            });
-            if now < turn.asked + FAR_INTERVAL {
-                continue;
-            }
-            turn.asked = now;
-            turn.count = turn.count.wrapping_add(1);
-            let live: Vec<&&PeerView> = peers.iter().filter(|peer| peer.is_live(now)).collect();
-            // A zone of which nothing is heard is asked all the same, or a cut would never heal.
-            let chosen = match live.len() {
-                0 => peers[turn.count % peers.len()],
-                count => live[turn.count % count],
-            };
-            due.push(chosen.entry.clone());
+        if now >= self.cleared + FRESH_INTERVAL {
+            self.cleared = now;
+            self.shared.gauges.each(|gauge| gauge.clear_fresh());
         }
-        due
     }
 
-    fn hear(&mut self, mut note: PeerNote, at: Moment) {
-        let Some(peer) = self.book.get(&note.node) else {
-            return;
+    fn send(&self, target: GossipTarget, now: Moment, link: &ServiceLink<PeerMessage>) {
+        let client = self.client.clone();
+        let costs = Arc::clone(&self.shared.costs);
+        let kind = if target.is_near {
+            CostKind::GossipNear
+        } else {
+            CostKind::GossipFar
         };
-        if note.incarnation < peer.entry.incarnation {
-            return;
-        }
-        let is_near = peer.entry.zone == self.shared.settings.zone;
-        self.note_sign(&note.sign(Duration::ZERO), at);
-        if note.has_traffic {
-            self.shared.has_traffic.store(true, Ordering::Relaxed);
-        }
-        self.share_suspicions(&note.suspects);
-        let digest = note.zone.take();
-        self.take_work(note, digest.map(|digest| *digest), is_near, at);
-        self.shared.peers.publish(self.book.clone());
-    }
-
-    fn take_work(&mut self, note: PeerNote, digest: Option<ZoneDigest>, is_near: bool, at: Moment) {
-        if let Some(digest) = &digest {
-            self.share_suspicions(&digest.suspects);
-            for sign in &digest.members {
-                let held = self.book.get(&sign.node);
-                if held.is_some_and(|peer| peer.entry.incarnation <= sign.incarnation) {
-                    self.note_sign(sign, at.saturating_sub(sign.age));
+        link.spawn(async move {
+            match exchange(&client, &target).await {
+                Ok((answer, bytes)) => {
+                    costs.count_bytes(kind, bytes);
+                    PeerMessage::Answered(Box::new((target, answer)), now)
+                }
+                Err(error) => {
+                    costs.count(kind);
+                    PeerMessage::Missed(target.node, error)
                 }
             }
-        }
-        let hearsay = &self.shared.hearsay;
-        let mut hearsay = hearsay.lock().unwrap_or_else(PoisonError::into_inner);
-        match digest {
-            Some(digest) => hearsay.hear_zone(digest, at),
-            None if is_near => hearsay.hear_near(note, at),
-            // Its work is in the digest of its zone, which this node asks for itself.
-            None => {}
-        }
-        let work = hearsay.work(at);
-        drop(hearsay);
-        self.shared.gauges.each(|id, gauge| {
-            gauge.set_remote(work.loads.get(id).copied().unwrap_or(0));
+        });
+    }
+
+    /// Sums up what others told, for placing and planning.
+    fn fold(&mut self, now: Moment) {
+        self.folded = now;
+        let begun = BootClock::now();
+        let work = self.shared.membership().work_elsewhere(now);
+        let gauges = &self.shared.gauges;
+        gauges.each(|gauge| {
+            let requests = work.loads.get(&gauge.key()).copied();
+            gauge.set_remote(requests.unwrap_or(0));
         });
         self.shared.elsewhere.publish(work);
+        self.publish(now);
+        let took = BootClock::now().saturating_sub(begun);
+        self.shared.costs.count_time(CostKind::WorkFolded, took);
     }
 
-    /// Notes that a node lived at a moment.
-    fn note_sign(&mut self, sign: &MemberSign, at: Moment) {
-        let Some(peer) = self.book.get_mut(&sign.node) else {
-            return;
-        };
-        let was_lost = peer.heard.is_none_or(|heard| heard + PEER_SILENCE < at);
-        if was_lost {
-            log::info!(peer = sign.node.as_str(), incarnation = sign.incarnation; "peer_heard");
+    /// Publishes who lives, if that has changed.
+    fn publish(&mut self, now: Moment) {
+        let mut membership = self.shared.membership();
+        for node in membership.take_returned() {
+            log::info!(peer = node.as_str(); "peer_heard");
         }
-        if peer.heard.is_none_or(|heard| heard <= at) {
-            peer.heard = Some(at);
-            peer.is_leaving = sign.is_leaving;
-            peer.arrivals = sign.arrivals;
+        let version = membership.refresh(now);
+        if version == self.published {
+            return;
         }
+        self.published = version;
+        let view = LiveView::of(&membership, now);
+        drop(membership);
+        self.shared.live.publish(view);
     }
 
-    fn share_suspicions(&self, suspects: &[TargetId]) {
-        let now = BootClock::now();
-        for target in suspects {
-            let gauge = self.shared.gauges.of(target);
-            // A target that this node hears is only cut off from the other.
-            if gauge.own() == 0 || gauge.silence(now) > OWN_SILENCE {
-                gauge.suspect_by_hearsay(now + SHARED_SUSPICION);
-            }
-        }
+    /// Tells the node that gives a silent target's group orders, at once.
+    ///
+    /// Through hubs it would hear of it up to half a second later, and the group serves nobody meanwhile.
+    fn tell_suspicion(&self, silent: SilentTarget, link: &ServiceLink<PeerMessage>) {
+        let live = self.shared.live.read();
+        let Some(entry) = live.first_for(&silent.domain, &silent.zone) else {
+            return;
+        };
+        let url = format!("http://{}{SUSPICION_PATH}", entry.address);
+        let client = self.client.clone();
+        self.shared.costs.count(CostKind::SuspicionTold);
+        link.spawn(async move {
+            let doc = SuspicionDoc {
+                target: silent.target,
+            };
+            let told: Result<(), CallError> = client
+                .call(Method::POST, &url, Some(&doc), ANSWER_TIME)
+                .await;
+            PeerMessage::Told(told.err())
+        });
     }
 }
 
@@ -325,45 +320,50 @@
 
     fn start(&mut self, link: &ServiceLink<PeerMessage>) {
         self.register(Duration::ZERO, link);
-        self.ask_registry(link);
-        link.later(NEAR_INTERVAL, PeerMessage::Tick);
+        let first = if self.shared.settings.is_first_start {
+            REGISTRATION_TIME
+        } else {
+            Duration::ZERO
+        };
+        link.later(first, PeerMessage::Ask);
+        link.later(TICK, PeerMessage::Tick);
     }
 
     fn handle(&mut self, message: PeerMessage, link: &ServiceLink<PeerMessage>) {
+        let now = link.now();
         match message {
             PeerMessage::Tick => {
-                let now = link.now();
-                self.ask_peers(now, link);
-                if now >= self.cleared + FAR_INTERVAL {
-                    self.cleared = now;
-                    self.shared.gauges.each(|_, gauge| gauge.clear_fresh());
-                }
-                link.later(NEAR_INTERVAL / 2, PeerMessage::Tick);
+                self.tick(now, link);
+                link.later(TICK, PeerMessage::Tick);
             }
-            PeerMessage::Heard(note, at) => self.hear(*note, at),
-            PeerMessage::Missed(node) => {
-                if let Some(peer) = self.book.get(&node) {
-                    // Another node of that zone is asked at once.
-                    if let Some(turn) = self.zones.get_mut(&peer.entry.zone) {
-                        turn.asked = Moment::ZERO;
-                    }
-                }
-                let heard = self.book.get(&node).and_then(|peer| peer.heard);
-                log::debug!(peer = node.as_str(), ever_heard = heard.is_some(); "peer_missed");
+            PeerMessage::Answered(answered, asked) => {
+                let (target, gossip) = *answered;
+                take_hints(&self.shared, &gossip);
+                let mut membership = self.shared.membership();
+                membership.take_answer(&target, &gossip, asked, now);
+            }
+            PeerMessage::Missed(node, error) => {
+                self.shared.membership().note_failure(&node, now);
+                log::debug!(peer = node.as_str(), error:% = error; "peer_missed");
             }
+            PeerMessage::Suspected(silent) => self.tell_suspicion(silent, link),
+            PeerMessage::Told(None) => {}
+            PeerMessage::Told(Some(error)) => log::info!(error:% = error; "suspicion_untold"),
             PeerMessage::Registered(Ok(())) => self.is_registered = true,
             PeerMessage::Registered(Err(error)) => {
                 log::warn!(error:% = error; "registration_failed");
                 self.register(REGISTRY_RETRY, link);
             }
             PeerMessage::News(Ok(news)) => {
-                self.take_news(news);
-                link.later(NEAR_INTERVAL, PeerMessage::Ask);
+                self.take_news(&news, now);
+                self.shared.peers_known.send_replace(true);
+                link.later(REGISTRY_PACE, PeerMessage::Ask);
             }
             PeerMessage::News(Err(error)) => {
                 if error == SourceError::HistoryGone {
                     self.mark = None;
                 }
+                self.shared.peers_known.send_replace(true);
                 link.later(REGISTRY_RETRY, PeerMessage::Ask);
             }
             PeerMessage::Ask => self.ask_registry(link),
@@ -372,7 +372,9 @@
 
     fn dump(&self) -> Value {
         let now = BootClock::now();
-        let peers = self.book.values().map(|peer| {
+        let membership = self.shared.membership();
+        let members = membership.roster().members().values();
+        let peers = members.map(|peer| {
             let silence = peer
                 .heard
                 .map(|heard| now.saturating_sub(heard).as_millis() as u64);
@@ -383,25 +385,35 @@
                 "leaving": peer.is_leaving,
             })
         });
-        json!({ "registered": self.is_registered, "peers": peers.collect::<Vec<_>>() })
+        let age = membership.knowledge_age(now);
+        json!({
+            "registered": self.is_registered,
+            "hub": membership.is_hub(now),
+            "knowledge_age_ms": age.map(|age| age.as_millis() as u64),
+            "peers": peers.collect::<Vec<_>>(),
+        })
     }
 }
 
-/// Answers other nodes' notes with this node's own.
+/// Answers other nodes.
 pub struct PeerSurface {
     shared: Arc<FleetShared>,
-    exchange: Mailbox<PeerMessage>,
+    standing: Mutex<(Moment, Standing)>,
 }
 
 impl PeerSurface {
     /// Opens the surface.
-    pub fn open(shared: Arc<FleetShared>, exchange: Mailbox<PeerMessage>) -> Arc<Self> {
-        Arc::new(Self { shared, exchange })
+    pub fn open(shared: Arc<FleetShared>) -> Arc<Self> {
+        Arc::new(Self {
+            shared,
+            standing: Mutex::default(),
+        })
     }
 
     async fn answer(&self, request: Request) -> Response {
         match request.uri().path() {
-            EXCHANGE_PATH => self.exchange(request).await,
+            GOSSIP_PATH => self.gossip(request).await,
+            SUSPICION_PATH => self.suspicion(request).await,
             FEED_PATH => self.feed(request).await,
             _ => reply_text(StatusCode::NOT_FOUND, "no such path"),
         }
@@ -409,35 +421,47 @@
 
     async fn feed(&self, request: Request) -> Response {
         let arrived = BootClock::now();
-        let bytes = read_body(request.into_body(), NOTE_BYTES).await;
-        let doc = bytes
-            .ok()
-            .and_then(|bytes| unpack::<FeedQuestionDoc>(&bytes).ok());
-        let Some(doc) = doc else {
+        let Some(doc) = read_doc::<FeedQuestionDoc>(request).await else {
             return reply_text(StatusCode::BAD_REQUEST, "expected a question");
         };
-        match self.shared.feed.serve(doc.into(), arrived).await {
+        self.shared.costs.count(CostKind::ReaderAnswered);
+        match self.shared.feed.answer(doc.into(), arrived).await {
             Ok(answer) => reply_packed(StatusCode::OK, &FeedAnswerDoc::from(answer)),
+            // The asker has to read everything anew; told as an outage it would ask the same for ever.
+            Err(SourceError::HistoryGone) => reply_text(StatusCode::GONE, "history gone"),
             Err(error) => reply_text(StatusCode::SERVICE_UNAVAILABLE, error.to_string()),
         }
     }
 
-    async fn exchange(&self, request: Request) -> Response {
-        let bytes = read_body(request.into_body(), NOTE_BYTES).await;
-        let doc = bytes
-            .ok()
-            .and_then(|bytes| unpack::<PeerNoteDoc>(&bytes).ok());
-        let Some(doc) = doc else {
-            return reply_text(StatusCode::BAD_REQUEST, "expected a note");
+    async fn gossip(&self, request: Request) -> Response {
+        let Some(doc) = read_doc::<GossipDoc>(request).await else {
+            return reply_text(StatusCode::BAD_REQUEST, "expected a message");
         };
-        let note = PeerNote::from(doc);
-        let answer = PeerNoteDoc::from(answer_note(&self.shared, &note.node));
-        let heard = PeerMessage::Heard(Box::new(note), BootClock::now());
-        if self.exchange.post(heard).is_err() {
-            log::debug!("peer_note_dropped");
+        self.shared.costs.count(CostKind::GossipAnswered);
+        let gossip = Gossip::from(doc);
+        take_hints(&self.shared, &gossip);
+        let now = BootClock::now();
+        let mut held = self.standing.lock().unwrap_or_else(PoisonError::into_inner);
+        if now >= held.0 + STANDING_TIME {
+            *held = (now, own_standing(&self.shared));
         }
-        reply_packed(StatusCode::OK, &answer)
+        let answer = self.shared.membership().answer(&gossip, &held.1, now);
+        drop(held);
+        reply_packed(StatusCode::OK, &GossipDoc::from(&answer))
     }
+
+    async fn suspicion(&self, request: Request) -> Response {
+        let Some(doc) = read_doc::<SuspicionDoc>(request).await else {
+            return reply_text(StatusCode::BAD_REQUEST, "expected a target");
+        };
+        share_suspicions(&self.shared, std::iter::once(&doc.target));
+        reply_packed(StatusCode::OK, &())
+    }
+}
+
+async fn read_doc<T: serde::de::DeserializeOwned>(request: Request) -> Option<T> {
+    let bytes = read_body(request.into_body(), MESSAGE_BYTES).await.ok()?;
+    unpack::<T>(&bytes).ok()
 }
 
 impl Handler for PeerSurface {
--- a/crates/fleet/src/placer.rs
+++ b/crates/fleet/src/placer.rs
@@ -12,7 +12,7 @@
 
 use crate::gauge::GaugePlace;
 use crate::job::RequestJob;
-use crate::peers::NEAR_INTERVAL;
+use crate::peers::KNOWN_TIME;
 use crate::queue::{wait_for_place, PlaceAsk, PlaceQueue, PlacedTarget, QueueKey};
 use crate::shared::FleetShared;
 use crate::table::RouteTarget;
@@ -157,7 +157,7 @@
                 let arrivals = elsewhere.arrivals.get(&model.id).copied();
                 let terms = PlaceTerms {
                     prompt: ask.prompt_tokens,
-                    unseen: arrivals.unwrap_or_default() * NEAR_INTERVAL.as_secs_f64(),
+                    unseen: arrivals.unwrap_or_default() * KNOWN_TIME.as_secs_f64(),
                     draw: rand::random(),
                 };
                 let index = pick_group(engine, model, &loads, &terms)?;
@@ -182,7 +182,7 @@
             writers: group.gauge.load_at(now),
             own: group.gauge.own(),
             fresh: group.gauge.fresh(),
-            nodes: self.shared.live_nodes(now),
+            nodes: self.shared.live.read().live_nodes(),
             unread_tokens: group.gauge.unread(),
             delay: delay.map_or(Duration::ZERO, |delay| delay.delay),
             is_queueing: group.gauge.is_queueing(now),
--- a/crates/fleet/src/ports.rs
+++ b/crates/fleet/src/ports.rs
@@ -11,6 +11,8 @@
 use http::request::Parts;
 use http::{HeaderMap, StatusCode};
 
+pub use briarswitch_membership::NodeEntry;
+
 /// Why a call to the platform's store gave nothing.
 #[derive(Clone, Debug, Eq, PartialEq, thiserror::Error)]
 pub enum SourceError {
@@ -36,8 +38,8 @@
 pub struct FeedQuestion {
     /// Table, as the platform calls it.
     pub table: String,
-    /// Point after which changes are asked for.
-    pub mark: FeedMark,
+    /// Point after which changes are asked for; without one the whole table is.
+    pub mark: Option<FeedMark>,
     /// Longest time that the question may be held open.
     pub wait: Duration,
 }
@@ -60,6 +62,8 @@
     pub rows: Vec<FeedRow>,
     /// How long before the question was sent the store may have been asked.
     pub age: Duration,
+    /// Whether the rows are the whole table and not changes of it.
+    pub is_whole: bool,
 }
 
 impl FeedAnswer {
@@ -67,15 +71,16 @@
     ///
     /// The store bounds its answers and does not say that one was cut short. Taken for all there is, the
     /// first part of a long history would date what a node holds as new: keys that a later part takes away
-    /// were used for 5.4 s. Only an answer without changes proves that there are no more.
+    /// were used for 5.4 s. Only an answer without changes, or the whole table, proves that there are no more.
     pub fn is_complete(&self) -> bool {
-        self.rows.is_empty()
+        self.is_whole || self.rows.is_empty()
     }
 }
 
 /// Where changes of the store's tables come from.
 pub trait FeedSource: Send + Sync {
-    /// Returns the changes after a mark as soon as there are any, or none when the wait is over.
+    /// Returns the whole table, or the changes after a mark as soon as there are any, or none when the wait
+    /// is over.
     fn changes(&self, question: FeedQuestion) -> SourceFuture<'static, FeedAnswer>;
 }
 
@@ -110,28 +115,12 @@
     pub nodes: Vec<NodeEntry>,
 }
 
-/// One node as it registers itself.
-#[derive(Clone, Debug, Eq, PartialEq)]
-pub struct NodeEntry {
-    /// Name.
-    pub node: NodeId,
-    /// Zone.
-    pub zone: ZoneId,
-    /// Address for other nodes.
-    pub address: String,
-    /// Life of its process.
-    pub incarnation: Incarnation,
-}
-
 /// Where whole configurations come from.
 pub trait ConfigSource: Send + Sync {
     /// Returns the table whose changes hold them.
     fn table(&self) -> &'static str;
 
-    /// Reads the newest configuration.
-    fn whole(&self) -> SourceFuture<'_, ConfigNews>;
-
-    /// Reads changes of the table.
+    /// Reads the table or changes of it.
     ///
     /// # Errors
     ///
@@ -144,10 +133,7 @@
     /// Returns the table whose changes hold it.
     fn table(&self) -> &'static str;
 
-    /// Reads the whole list.
-    fn whole(&self) -> SourceFuture<'_, DirectoryNews>;
-
-    /// Reads changes of the table.
+    /// Reads the table or changes of it.
     fn news(&self, answer: &FeedAnswer) -> DirectoryNews;
 }
 
--- a/crates/fleet/src/settings.rs
+++ b/crates/fleet/src/settings.rs
@@ -23,6 +23,8 @@
     pub metrics: String,
     /// Address of the platform's store.
     pub store: String,
+    /// Bandwidth of its link in Mbit/s; of a zone's nodes those with more do what one does for all.
+    pub link_mbps: u32,
     /// Whether the whole system starts for the first time.
     pub is_first_start: bool,
     /// Whether callers' keys are refused while nobody can say that they still hold.
@@ -80,6 +82,7 @@
             peers: reader.address("peers"),
             metrics: reader.address("metrics"),
             store: reader.address("store"),
+            link_mbps: reader.number("link_mbps") as u32,
             is_first_start: reader.flag("is_first_start"),
             fails_closed: reader.flag("fails_closed"),
             key_validity: reader.millis("key_validity_ms"),
--- a/crates/fleet/src/shared.rs
+++ b/crates/fleet/src/shared.rs
@@ -1,7 +1,7 @@
 //! What the control thread publishes and the traffic threads read.
 
 use std::sync::atomic::{AtomicBool, AtomicU32, AtomicU64, AtomicU8, AtomicUsize, Ordering};
-use std::sync::{Arc, Mutex};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
 use briarswitch_core::id::*;
@@ -9,15 +9,15 @@
 use briarswitch_core::target::TargetBook;
 use briarswitch_core::traffic::TrafficBook;
 use briarswitch_kernel::{BootClock, Snapshot};
-use indexmap::IndexMap;
-use xxhash_rust::xxh3::{xxh3_64, xxh3_64_with_seed};
+use tokio::sync::watch;
 
+use briarswitch_membership::{LiveView, Membership, WorkSum};
+
+use crate::costs::{CostKind, CostLedger};
 use crate::demand::DemandMeter;
 use crate::feed::FeedRelay;
 use crate::gauge::GaugeBoard;
-use crate::hearsay::HearsayBook;
 use crate::metrics::FleetMetrics;
-use crate::note::NodeWork;
 use crate::ports::{FeedAnswer, FeedMark, FeedQuestion, FleetPlatform, NodeEntry, SourceError};
 use crate::settings::FleetSettings;
 use crate::table::TargetTable;
@@ -27,11 +27,8 @@
 /// The rest covers what passes between the check and the request's dispatch.
 const KEY_MARGIN: f64 = 0.95;
 
-/// Silence after which a node counts as gone; several of the exchange's intervals.
-pub const PEER_SILENCE: Duration = Duration::from_millis(1_300);
-
-/// Requests in a second that every node is taken to see, so that one whose first callers come finds places.
-const LEAST_ARRIVALS: f64 = 1.0;
+/// Longest time to wait at the start for the registry of nodes.
+const PEERS_TIME: Duration = Duration::from_secs(2);
 
 /// How far a node is in its life.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
@@ -54,40 +51,6 @@
     pub is_listed: bool,
 }
 
-/// Another node as it was last heard of.
-#[derive(Clone, Debug)]
-pub struct PeerView {
-    /// Its entry.
-    pub entry: NodeEntry,
-    /// When it was last heard.
-    pub heard: Option<Moment>,
-    /// Whether it is leaving.
-    pub is_leaving: bool,
-    /// Requests that it sees in a second.
-    pub arrivals: f64,
-}
-
-impl PeerView {
-    /// Returns whether the node was heard lately and stays.
-    pub fn is_live(&self, now: Moment) -> bool {
-        !self.is_leaving && self.heard.is_some_and(|at| now < at + PEER_SILENCE)
-    }
-}
-
-/// A node's part in something that a few nodes of a zone do for all.
-#[derive(Clone, Debug, Eq, PartialEq)]
-pub enum ZonePart {
-    /// The zone is so small that each does it for itself.
-    Alone,
-    /// This node is one of the few.
-    First,
-    /// Others do it, at these addresses.
-    Other(Vec<String>),
-}
-
-/// Other nodes by name.
-pub type PeerBook = IndexMap<NodeId, PeerView>;
-
 /// A node's shared state.
 pub struct FleetShared {
     /// Settings.
@@ -106,14 +69,16 @@
     pub table: Snapshot<TargetTable>,
     /// Load and liveness of targets.
     pub gauges: GaugeBoard,
-    /// Other nodes.
-    pub peers: Snapshot<PeerBook>,
-    /// What other nodes told, for those who ask this one.
-    pub hearsay: Mutex<HearsayBook>,
+    /// The other nodes that live.
+    pub live: Snapshot<LiveView>,
     /// Work of all other nodes.
-    pub elsewhere: Snapshot<NodeWork>,
+    pub elsewhere: Snapshot<WorkSum>,
+    /// Whether the registry of nodes was read, or could not be.
+    pub peers_known: watch::Sender<bool>,
     /// What callers ask for.
     pub demand: DemandMeter,
+    /// What it spends on knowing what it knows.
+    pub costs: Arc<CostLedger>,
     /// Counters and histograms.
     pub metrics: FleetMetrics,
     /// Requests that were read and not answered to the end.
@@ -122,6 +87,7 @@
     pub loading: AtomicU32,
     /// Whether any caller's request has been seen, here or at a peer.
     pub has_traffic: AtomicBool,
+    membership: Mutex<Membership>,
     confirmed: AtomicU64,
     phase: AtomicU8,
 }
@@ -133,19 +99,29 @@
         incarnation: Incarnation,
         platform: FleetPlatform,
     ) -> Arc<Self> {
+        let costs = Arc::new(CostLedger::default());
+        let own = NodeEntry {
+            node: settings.node.clone(),
+            zone: settings.zone.clone(),
+            address: settings.peers.clone(),
+            incarnation,
+            link_mbps: settings.link_mbps,
+        };
         Arc::new(Self {
             settings,
             incarnation,
-            feed: FeedRelay::open(Arc::clone(&platform.feed)),
+            feed: FeedRelay::open(Arc::clone(&platform.feed), Arc::clone(&costs)),
             platform,
             book: Snapshot::open(None),
             directory: Snapshot::open(DirectoryView::default()),
             table: Snapshot::open(TargetTable::default()),
             gauges: GaugeBoard::default(),
-            peers: Snapshot::open(PeerBook::default()),
-            hearsay: Mutex::default(),
-            elsewhere: Snapshot::open(NodeWork::default()),
+            live: Snapshot::open(LiveView::open(own.clone())),
+            membership: Mutex::new(Membership::open(own)),
+            peers_known: watch::Sender::new(false),
+            elsewhere: Snapshot::open(WorkSum::default()),
             demand: DemandMeter::default(),
+            costs,
             metrics: FleetMetrics::open(),
             in_flight: AtomicUsize::new(0),
             loading: AtomicU32::new(0),
@@ -199,7 +175,7 @@
             && self.trusts_keys()
     }
 
-    /// Returns the changes of a table after a mark, from another node of the zone where one reads for all.
+    /// Returns a table, or its changes after a mark, from another node of the zone where one reads for all.
     ///
     /// # Errors
     ///
@@ -207,7 +183,7 @@
     pub async fn changes(
         &self,
         table: &str,
-        mark: FeedMark,
+        mark: Option<FeedMark>,
         wait: Duration,
     ) -> Result<FeedAnswer, SourceError> {
         let question = FeedQuestion {
@@ -215,87 +191,43 @@
             mark,
             wait,
         };
+        self.await_peers().await;
         self.feed.changes(self, question).await
     }
 
-    /// Returns whether this node ranks before all other live nodes for something that stands in `zone`.
-    ///
-    /// Nodes of that zone go first, since a zone that is cut off has to do without the others. The order
-    /// is the same at all nodes that see each other.
-    pub fn is_first_for(&self, thing: &str, zone: &str, now: Moment) -> bool {
-        let seed = xxh3_64(thing.as_bytes());
-        let rank = |node: &str, own_zone: &str| {
-            let hash = xxh3_64_with_seed(node.as_bytes(), seed);
-            (own_zone != zone, hash)
-        };
-        let own = rank(&self.settings.node, &self.settings.zone);
-        let peers = self.peers.read();
-        let mut others = peers.values().filter(|peer| peer.is_live(now));
-        !others.any(|peer| rank(&peer.entry.node, &peer.entry.zone) < own)
+    /// Writes what was spent so far to the log.
+    pub fn log_costs(&self) {
+        let costs = self.costs.text();
+        log::info!(costs = costs.as_str(); "node_costs");
     }
 
-    /// Returns this node's part of what all live nodes ask, among ranks for something.
-    pub fn weight_for(&self, thing: &str, now: Moment) -> NodeWeight {
-        let seed = xxh3_64(thing.as_bytes());
-        let rank = |node: &str| xxh3_64_with_seed(node.as_bytes(), seed);
-        let own_rank = rank(&self.settings.node);
-        let peers = self.peers.read();
-        let live = peers.values().filter(|peer| peer.is_live(now));
-        let mut weight = NodeWeight {
-            own: self.demand.arrivals(now).values().sum::<f64>() + LEAST_ARRIVALS,
-            ..NodeWeight::default()
-        };
-        weight.total = weight.own;
-        for peer in live {
-            let arrivals = peer.arrivals + LEAST_ARRIVALS;
-            weight.total += arrivals;
-            if rank(&peer.entry.node) < own_rank {
-                weight.before += arrivals;
-            }
-        }
-        weight
+    /// Returns this node's entry.
+    pub fn own_entry(&self) -> NodeEntry {
+        self.membership().own().clone()
     }
 
-    /// Returns the number of nodes of this node's zone that serve, this one included.
-    pub fn zone_nodes(&self, now: Moment) -> u32 {
-        let zone = &self.settings.zone;
-        let peers = self.peers.read();
-        let near = peers
-            .values()
-            .filter(|peer| peer.entry.zone == *zone && peer.is_live(now));
-        near.count() as u32 + 1
+    /// Returns what is known of the other nodes, for a moment.
+    pub fn membership(&self) -> MutexGuard<'_, Membership> {
+        self.membership
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner)
     }
 
-    /// Returns this node's part in something that the first `count` live nodes of its zone do for all.
-    pub fn zone_part(&self, thing: &str, count: u32, least: u32, now: Moment) -> ZonePart {
-        let zone = &self.settings.zone;
-        let seed = xxh3_64(thing.as_bytes());
-        let rank = |node: &str| xxh3_64_with_seed(node.as_bytes(), seed);
-        let peers = self.peers.read();
-        let near = peers
-            .values()
-            .filter(|peer| peer.entry.zone == *zone && peer.is_live(now));
-        let mut ranked: Vec<(u64, &str)> = near
-            .map(|peer| (rank(&peer.entry.node), peer.entry.address.as_str()))
-            .collect();
-        if ranked.len() as u32 + 1 < least {
-            return ZonePart::Alone;
-        }
-        ranked.sort_unstable();
-        ranked.truncate(count as usize);
-        let own = rank(&self.settings.node);
-        if ranked.last().is_none_or(|(last, _)| own < *last) {
-            return ZonePart::First;
-        }
-        let addresses = ranked.iter().map(|(_, address)| (*address).to_owned());
-        ZonePart::Other(addresses.collect())
+    /// Waits until this node knows whom it can ask in place of the store.
+    ///
+    /// Were nodes that start together to read everything themselves, 295 of them would read the list of
+    /// targets, half a megabyte, within a second.
+    async fn await_peers(&self) {
+        let mut known = self.peers_known.subscribe();
+        let known = known.wait_for(|is_known| *is_known);
+        // Nobody may be found; the store is asked then.
+        let _ = tokio::time::timeout(PEERS_TIME, known).await;
     }
 
-    /// Returns the number of nodes that serve, this one included.
-    pub fn live_nodes(&self, now: Moment) -> u32 {
-        let peers = self.peers.read();
-        let live = peers.values().filter(|peer| peer.is_live(now));
-        live.count() as u32 + 1
+    /// Returns this node's part of what all live nodes ask, among ranks for something.
+    pub fn weight_for(&self, thing: &str, now: Moment) -> NodeWeight {
+        let own = self.demand.arrivals(now).values().sum();
+        self.live.read().weight_for(thing, own)
     }
 
     /// Rebuilds the table of targets from the directory and the configuration in force.
@@ -304,10 +236,13 @@
         let Some(book) = book.as_ref() else {
             return;
         };
+        let begun = BootClock::now();
         let directory = self.directory.load();
         let targets = directory.book.targets();
         let table = TargetTable::build(book, targets, &self.gauges);
         self.table.publish(table);
         self.gauges.retain(|id| targets.contains_key(id));
+        let took = BootClock::now().saturating_sub(begun);
+        self.costs.count_time(CostKind::TableBuilt, took);
     }
 }
--- a/crates/fleet/src/table.rs
+++ b/crates/fleet/src/table.rs
@@ -2,10 +2,12 @@
 
 use std::sync::Arc;
 
+use briarswitch_core::engine::EngineModel;
 use briarswitch_core::id::*;
-use briarswitch_core::target::{MembershipState, TargetRecord};
+use briarswitch_core::target::{Membership, MembershipState, TargetList, TargetRecord};
 use briarswitch_core::traffic::TrafficBook;
 use indexmap::IndexMap;
+use rustc_hash::FxBuildHasher;
 
 use crate::gauge::{GaugeBoard, TargetGauge};
 
@@ -18,6 +20,8 @@
     pub address: String,
     /// Zone.
     pub zone: ZoneId,
+    /// Fabric domain; empty where it has none.
+    pub domain: DomainId,
     /// Requests it works on at once.
     pub slots: u32,
     /// Group, and its members in order of rank.
@@ -48,11 +52,7 @@
 
 impl TargetTable {
     /// Builds the table.
-    pub fn build(
-        book: &TrafficBook,
-        targets: &IndexMap<TargetId, TargetRecord>,
-        gauges: &GaugeBoard,
-    ) -> Self {
+    pub fn build(book: &TrafficBook, targets: &TargetList, gauges: &GaugeBoard) -> Self {
         let mut table = Self::default();
         for service in book.services.values() {
             let of_service = targets
@@ -65,15 +65,7 @@
                     table.plain.insert(service.id.clone(), plain);
                 }
                 Some(engine) => {
-                    let records: Vec<&TargetRecord> = of_service.collect();
-                    let mut models: IndexMap<ModelId, Vec<Arc<RouteTarget>>> = IndexMap::new();
-                    for head in &records {
-                        let Some(group) = whole_group(head, &records, engine) else {
-                            continue;
-                        };
-                        let of_model = models.entry(group.model.clone()).or_default();
-                        of_model.push(route(head, Some(group), gauges));
-                    }
+                    let models = whole_groups(of_service.map(Arc::as_ref), engine, gauges);
                     table.models.insert(service.id.clone(), models);
                 }
             }
@@ -109,42 +101,62 @@
         id: record.id.clone(),
         address: record.address.clone(),
         zone: record.zone.clone(),
+        domain: record.domain.clone(),
         slots: record.slots,
         group,
         gauge: gauges.of(&record.id),
     })
 }
 
+/// Members by group, epoch and rank.
+type MemberMap<'a> = IndexMap<(&'a GroupId, Epoch, usize), &'a TargetId, FxBuildHasher>;
+
+/// Returns the groups of a service that take requests, by model.
+fn whole_groups<'a>(
+    records: impl Iterator<Item = &'a TargetRecord>,
+    engine: &EngineModel,
+    gauges: &GaugeBoard,
+) -> IndexMap<ModelId, Vec<Arc<RouteTarget>>> {
+    let mut members = MemberMap::default();
+    let mut heads = Vec::new();
+    for record in records {
+        let Some(held) = &record.membership else {
+            continue;
+        };
+        members.insert((&held.group, held.epoch, held.rank), &record.id);
+        let is_open = held.rank == 0 && held.state == MembershipState::Open;
+        if is_open && !record.is_draining {
+            heads.push((record, held));
+        }
+    }
+    let mut models: IndexMap<ModelId, Vec<Arc<RouteTarget>>> = IndexMap::new();
+    for (head, held) in heads {
+        if let Some(group) = whole_group(head, held, &members, engine) {
+            let of_model = models.entry(group.model.clone()).or_default();
+            of_model.push(route(head, Some(group), gauges));
+        }
+    }
+    models
+}
+
 /// Returns the group that a target heads, if every member is listed under its name and epoch.
 ///
 /// An engine accepts requests while members are missing, and they then stall; the directory drops
 /// a member that died after some seconds, and this keeps requests away from then on.
 fn whole_group(
     head: &TargetRecord,
-    records: &[&TargetRecord],
-    engine: &briarswitch_core::engine::EngineModel,
+    held: &Membership,
+    members: &MemberMap<'_>,
+    engine: &EngineModel,
 ) -> Option<RouteGroup> {
-    let held = head.membership.as_ref()?;
-    let is_open = held.rank == 0 && held.state == MembershipState::Open && !head.is_draining;
-    if !is_open {
-        return None;
-    }
     let model = head.models.first()?;
     let size = engine.models.get(model)?.size;
-    let mut members = vec![head.id.clone()];
-    for rank in 1..size {
-        let member = records.iter().find(|record| {
-            let other = record.membership.as_ref();
-            other.is_some_and(|other| {
-                other.rank == rank && other.group == held.group && other.epoch == held.epoch
-            })
-        })?;
-        members.push(member.id.clone());
-    }
+    let member = |rank| members.get(&(&held.group, held.epoch, rank));
+    let ranks = std::iter::once(Some(&head.id)).chain((1..size).map(|rank| member(rank).copied()));
     Some(RouteGroup {
         id: held.group.clone(),
         epoch: held.epoch,
         model: model.clone(),
-        members,
+        members: ranks.map(|id| id.cloned()).collect::<Option<Vec<_>>>()?,
     })
 }
--- a/crates/fleet/src/tracker.rs
+++ b/crates/fleet/src/tracker.rs
@@ -7,7 +7,8 @@
 use briarswitch_core::id::*;
 use briarswitch_core::order::{OrderResult, TargetAction, TargetOrder};
 use briarswitch_core::target::{MembershipState, TargetRecord};
-use indexmap::IndexMap;
+use indexmap::{IndexMap, IndexSet};
+use rustc_hash::FxBuildHasher;
 
 use crate::ports::{ReportError, TargetReport};
 
@@ -116,9 +117,9 @@
     /// An entry that disagrees with the last report only hastens the next question: entries are
     /// older than reports, and a condition must rest on what the target itself said.
     pub fn sync<'a>(&mut self, records: impl Iterator<Item = &'a TargetRecord>, now: Moment) {
-        let mut listed = Vec::new();
+        let mut listed: IndexSet<&str, FxBuildHasher> = IndexSet::default();
         for record in records {
-            listed.push(record.id.clone());
+            listed.insert(&record.id);
             let tracked = self
                 .targets
                 .entry(record.id.clone())
@@ -135,7 +136,7 @@
             }
             tracked.facts.standing = tracked.standing();
         }
-        self.targets.retain(|id, _| listed.contains(id));
+        self.targets.retain(|id, _| listed.contains(id.as_str()));
     }
 
     /// Returns the targets to ask now, and marks them as asked.
--- a/crates/fleet/tests/gauge.rs
+++ b/crates/fleet/tests/gauge.rs
@@ -16,7 +16,7 @@
     let target = "t1".to_owned();
     gauges
         .of(&target)
-        .suspect_by_hearsay(now + Duration::from_millis(500));
+        .suspect_as_told(now + Duration::from_millis(500));
     expect_true!(gauges.suspected_anywhere(now).contains(&target));
     // Told on, two nodes would keep each other's word alive.
     expect_that!(gauges.suspects(now), is_empty());
--- a/crates/http/src/lib.rs
+++ b/crates/http/src/lib.rs
@@ -17,7 +17,8 @@
 
 pub use client::{CallError, CallerClient, Codec};
 pub use reply::{
-    read_body, reply_bytes, reply_json, reply_packed, reply_text, stream_body, unpack, BodyError,
+    pack, read_body, reply_bytes, reply_json, reply_packed, reply_text, stream_body, unpack,
+    BodyError,
 };
 pub use volo_http::body::Body;
 
--- a/crates/http/src/reply.rs
+++ b/crates/http/src/reply.rs
@@ -107,6 +107,20 @@
     }
 }
 
+/// Writes a MessagePack body, as nodes exchange them.
+///
+/// # Errors
+///
+/// Returns an error when the value can not be written.
+///
+/// ```
+/// let bytes = briarswitch_http::pack(&7).unwrap();
+/// assert_eq!(briarswitch_http::unpack::<u32>(&bytes).unwrap(), 7);
+/// ```
+pub fn pack<T: Serialize>(value: &T) -> Result<Bytes, rmp_serde::encode::Error> {
+    rmp_serde::to_vec_named(value).map(Bytes::from)
+}
+
 /// Reads a MessagePack body, as nodes exchange them.
 ///
 /// # Errors
--- /dev/null
+++ b/crates/membership/src/lib.rs
@@ -0,0 +1,27 @@
+//! What the nodes of a fleet know of each other: who lives, and how much work is where.
+//!
+//! Nothing here opens a socket or reads a clock, and nothing knows of callers' requests. [`Membership`]
+//! takes messages in, answers them and says whom to ask next; whoever holds it carries the messages.
+//!
+//! A few nodes of each zone are its *hubs*, by rank among those that live. Every other node reports to one
+//! hub and gets back the sum of what all nodes told. Hubs of a zone tell each other, and one hub of a zone
+//! speaks to one of each other zone. So a node's cost does not grow with the number of nodes, and no
+//! agreement is needed: whoever is reported to acts as a hub.
+
+mod digest;
+mod membership;
+mod node;
+mod rank;
+mod roster;
+mod view;
+mod wire;
+mod work;
+
+pub use digest::{Digest, DigestOrigin, MemberSign};
+pub use membership::{Gossip, GossipTarget, Membership, Standing};
+pub use node::NodeEntry;
+pub use rank::{node_hash, rank_of, ThingRank};
+pub use roster::{Roster, RosterDelta, RosterMark, RosterMember, RosterSign, MEMBER_SILENCE};
+pub use view::{LiveView, ZonePart};
+pub use wire::GossipDoc;
+pub use work::{target_key, LoadMap, TargetKey, WorkSum};
--- /dev/null
+++ b/crates/membership/src/rank.rs
@@ -0,0 +1,34 @@
+//! Ranks by rendezvous hashing, on which nodes that know of each other agree without a word.
+
+use xxhash_rust::xxh3::xxh3_64;
+
+/// Multiplier that spreads the bits of two hashes; the golden ratio of 64 bits.
+const SPREAD: u64 = 0x9e37_79b9_7f4a_7c15;
+
+/// Hash of something that nodes rank for.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct ThingRank(u64);
+
+impl From<&str> for ThingRank {
+    fn from(thing: &str) -> Self {
+        Self(xxh3_64(thing.as_bytes()))
+    }
+}
+
+/// Returns the hash of a node's name, made once since it is ranked for many things.
+pub fn node_hash(node: &str) -> u64 {
+    xxh3_64(node.as_bytes())
+}
+
+/// Returns a node's rank for a thing; the lowest goes first.
+///
+/// ```
+/// use briarswitch_membership::{node_hash, rank_of, ThingRank};
+///
+/// let thing = ThingRank::from("domain-1");
+/// assert_ne!(rank_of(node_hash("n1"), thing), rank_of(node_hash("n2"), thing));
+/// ```
+pub fn rank_of(node_hash: u64, thing: ThingRank) -> u64 {
+    let mixed = (node_hash ^ thing.0).wrapping_mul(SPREAD);
+    (mixed ^ (mixed >> 29)).wrapping_mul(SPREAD) ^ (mixed >> 32)
+}
--- /dev/null
+++ b/crates/membership/src/view.rs
@@ -0,0 +1,183 @@
+//! The live nodes as traffic reads them: ranks and parts among them.
+
+use std::sync::Arc;
+
+use briarswitch_core::id::{Moment, NodeId};
+use briarswitch_core::placement::NodeWeight;
+
+use crate::membership::Membership;
+use crate::node::NodeEntry;
+use crate::rank::{node_hash, rank_of, ThingRank};
+
+/// Requests in a second that every node is taken to see, so that one whose first callers come finds places.
+const LEAST_ARRIVALS: f64 = 1.0;
+
+/// Rank of the nodes that ask the store; any word does, if all nodes use the same.
+const READER_RANK: &str = "feed";
+
+/// A node's part in something that one node of a zone does for all.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub enum ZonePart {
+    /// The zone is so small that each does it for itself.
+    Alone,
+    /// This node does it.
+    First,
+    /// Others do it, the best first.
+    Other(Vec<Arc<NodeEntry>>),
+}
+
+/// One live node.
+#[derive(Clone, Debug)]
+struct LiveMember {
+    entry: Arc<NodeEntry>,
+    hash: u64,
+    arrivals: f64,
+    is_near: bool,
+    reads_store: bool,
+}
+
+/// The live nodes at one moment, this one not included.
+#[derive(Clone, Debug, Default)]
+pub struct LiveView {
+    own: NodeEntry,
+    own_hash: u64,
+    live: Vec<LiveMember>,
+    near: u32,
+    known: usize,
+    composition: u64,
+}
+
+impl LiveView {
+    /// Opens the view of a node that knows no other.
+    ///
+    /// ```
+    /// use briarswitch_membership::{LiveView, NodeEntry};
+    ///
+    /// assert_eq!(LiveView::open(NodeEntry::default()).live_nodes(), 1);
+    /// ```
+    pub fn open(own: NodeEntry) -> Self {
+        Self {
+            own_hash: node_hash(&own.node),
+            own,
+            ..Self::default()
+        }
+    }
+
+    /// Returns the view of what is known at `now`.
+    pub fn of(membership: &Membership, now: Moment) -> Self {
+        let own = membership.own().clone();
+        let members = membership.roster().members();
+        let live = members.values().filter(|member| member.is_live(now));
+        let live: Vec<LiveMember> = live
+            .map(|member| LiveMember {
+                entry: Arc::clone(&member.entry),
+                hash: member.hash,
+                arrivals: member.arrivals,
+                is_near: member.entry.zone == own.zone,
+                reads_store: member.reads_store,
+            })
+            .collect();
+        Self {
+            composition: live.iter().fold(0, |sum, member| {
+                let life = member.entry.incarnation.wrapping_mul(member.hash);
+                sum ^ member.hash ^ life
+            }),
+            near: live.iter().filter(|member| member.is_near).count() as u32,
+            live,
+            known: members.len(),
+            ..Self::open(own)
+        }
+    }
+
+    /// Returns a number that differs for other nodes, or other lives of them, whatever they see of callers.
+    pub fn composition(&self) -> u64 {
+        self.composition
+    }
+
+    /// Returns the number of nodes that live, this one included.
+    pub fn live_nodes(&self) -> u32 {
+        self.live.len() as u32 + 1
+    }
+
+    /// Returns the number of nodes that live in this node's zone, this one included.
+    pub fn zone_nodes(&self) -> u32 {
+        self.near + 1
+    }
+
+    /// Returns the number of nodes that are known, living or not, this one included.
+    pub fn known_nodes(&self) -> usize {
+        self.known + 1
+    }
+
+    /// Returns the live node that ranks first for something in `zone`; `None` where that is this node.
+    ///
+    /// Nodes of that zone go first, since a zone that is cut off has to do without the others; among them
+    /// those with more bandwidth. The order is the same at all nodes that see each other.
+    pub fn first_for(&self, thing: &str, zone: &str) -> Option<&Arc<NodeEntry>> {
+        let thing = ThingRank::from(thing);
+        let rank = |entry: &NodeEntry, hash: u64| {
+            let is_far = entry.zone != zone;
+            (is_far, u32::MAX - entry.link_mbps, rank_of(hash, thing))
+        };
+        let own = rank(&self.own, self.own_hash);
+        let ranked = self
+            .live
+            .iter()
+            .map(|member| (rank(&member.entry, member.hash), member));
+        let first = ranked.min_by_key(|(rank, _)| *rank)?;
+        (first.0 < own).then_some(&first.1.entry)
+    }
+
+    /// Returns this node's part of what all live nodes ask, among ranks for something.
+    pub fn weight_for(&self, thing: &str, own_arrivals: f64) -> NodeWeight {
+        let thing = ThingRank::from(thing);
+        let own_rank = rank_of(self.own_hash, thing);
+        let own = own_arrivals + LEAST_ARRIVALS;
+        let mut weight = NodeWeight {
+            own,
+            total: own,
+            ..NodeWeight::default()
+        };
+        for member in &self.live {
+            let arrivals = member.arrivals + LEAST_ARRIVALS;
+            weight.total += arrivals;
+            if rank_of(member.hash, thing) < own_rank {
+                weight.before += arrivals;
+            }
+        }
+        weight
+    }
+
+    /// Returns this node's part in asking the store, which one node of a zone does for all.
+    ///
+    /// Who has lately been answered by the store goes on; where nobody has, those with more bandwidth go
+    /// first. The `count` best are named, so that there is another when the first one fails.
+    pub fn reader_part(&self, count: usize, least: u32, own_reads: bool) -> ZonePart {
+        if self.zone_nodes() < least {
+            return ZonePart::Alone;
+        }
+        let thing = ThingRank::from(READER_RANK);
+        let rank = |reads: bool, entry: &NodeEntry, hash| {
+            (!reads, u32::MAX - entry.link_mbps, rank_of(hash, thing))
+        };
+        let near = self.live.iter().filter(|member| member.is_near);
+        let mut ranked: Vec<_> = near
+            .map(|member| {
+                let rank = rank(member.reads_store, &member.entry, member.hash);
+                (rank, &member.entry)
+            })
+            .collect();
+        ranked.sort_unstable_by_key(|(rank, _)| *rank);
+        let own = rank(own_reads, &self.own, self.own_hash);
+        if ranked.first().is_none_or(|(first, _)| own < *first) {
+            return ZonePart::First;
+        }
+        let best = ranked.into_iter().take(count);
+        ZonePart::Other(best.map(|(_, entry)| Arc::clone(entry)).collect())
+    }
+
+    /// Returns the names of the live nodes.
+    pub fn names(&self) -> impl Iterator<Item = &NodeId> {
+        self.live.iter().map(|member| &member.entry.node)
+    }
+}
--- /dev/null
+++ b/crates/membership/src/work.rs
@@ -0,0 +1,109 @@
+//! Sums of work.
+
+use std::hash::BuildHasherDefault;
+
+use briarswitch_core::id::ModelId;
+use indexmap::IndexMap;
+use rustc_hash::FxHasher;
+use xxhash_rust::xxh3::xxh3_64;
+
+/// Stands for a target's id in what nodes tell each other.
+///
+/// A hash needs no numbering that all nodes would have to agree on. Two of 12,000 targets have the same
+/// with a chance of 2 in 100, and then each looks as loaded as both, which costs a little balance.
+pub type TargetKey = u32;
+
+/// Requests by target.
+pub type LoadMap = IndexMap<TargetKey, u32, BuildHasherDefault<FxHasher>>;
+
+/// Returns the key of a target.
+///
+/// ```
+/// use briarswitch_membership::target_key;
+///
+/// assert_eq!(target_key("t1"), target_key("t1"));
+/// assert_ne!(target_key("t1"), target_key("t2"));
+/// ```
+pub fn target_key(target: &str) -> TargetKey {
+    xxh3_64(target.as_bytes()) as TargetKey
+}
+
+/// Work that one or several nodes have or see.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct WorkSum {
+    /// Requests at targets.
+    pub loads: LoadMap,
+    /// Loads from the weight store under way.
+    pub loading: u32,
+    /// Groups that the requests would fill, by model.
+    pub demand: IndexMap<ModelId, f64>,
+    /// Requests in a second, by model.
+    pub arrivals: IndexMap<ModelId, f64>,
+}
+
+impl WorkSum {
+    /// Adds other work.
+    ///
+    /// ```
+    /// use briarswitch_membership::WorkSum;
+    ///
+    /// let mut sum = WorkSum::default();
+    /// let other = WorkSum { loading: 2, ..WorkSum::default() };
+    /// sum.add(&other);
+    /// sum.add(&other);
+    /// assert_eq!(sum.loading, 4);
+    /// ```
+    pub fn add(&mut self, other: &Self) {
+        for (target, requests) in &other.loads {
+            *self.loads.entry(*target).or_insert(0) += requests;
+        }
+        self.loading += other.loading;
+        add_rates(&mut self.demand, &other.demand);
+        add_rates(&mut self.arrivals, &other.arrivals);
+    }
+
+    /// Takes work out of a sum that contains it.
+    ///
+    /// ```
+    /// use briarswitch_membership::WorkSum;
+    ///
+    /// let own = WorkSum { loading: 2, ..WorkSum::default() };
+    /// let mut sum = WorkSum { loading: 5, ..WorkSum::default() };
+    /// sum.subtract(&own);
+    /// assert_eq!(sum.loading, 3);
+    /// ```
+    pub fn subtract(&mut self, other: &Self) {
+        for (target, requests) in &other.loads {
+            if let Some(sum) = self.loads.get_mut(target) {
+                *sum = sum.saturating_sub(*requests);
+            }
+        }
+        self.loading = self.loading.saturating_sub(other.loading);
+        subtract_rates(&mut self.demand, &other.demand);
+        subtract_rates(&mut self.arrivals, &other.arrivals);
+    }
+
+    /// Returns the requests in a second for all models.
+    pub fn all_arrivals(&self) -> f64 {
+        self.arrivals.values().sum()
+    }
+}
+
+fn add_rates(sums: &mut IndexMap<ModelId, f64>, rates: &IndexMap<ModelId, f64>) {
+    for (model, rate) in rates {
+        match sums.get_mut(model) {
+            Some(sum) => *sum += rate,
+            None => {
+                sums.insert(model.clone(), *rate);
+            }
+        }
+    }
+}
+
+fn subtract_rates(sums: &mut IndexMap<ModelId, f64>, rates: &IndexMap<ModelId, f64>) {
+    for (model, rate) in rates {
+        if let Some(sum) = sums.get_mut(model) {
+            *sum = (*sum - rate).max(0.0);
+        }
+    }
+}
