--- a/crates/ctl/src/cli.rs
+++ b/crates/ctl/src/cli.rs
@@ -47,6 +47,11 @@
     /// Usage.
     #[options(help = "show metered use by organisation")]
     Usage(PlainOptions),
+    /// Costs of what a fleet's node knows.
+    #[options(
+        help = "show what knowing the other nodes costs a fleet's node; --node is its metrics listener"
+    )]
+    Costs(PlainOptions),
     /// State dump.
     #[options(help = "dump the node's state as JSON")]
     Dump(PlainOptions),
--- a/crates/ctl/src/main.rs
+++ b/crates/ctl/src/main.rs
@@ -9,7 +9,9 @@
 use briarswitch_ctl::explain::{explain, read_logs, timeline, LogLine};
 use briarswitch_ctl::{show, CtlOptions, ExitStatus, NodeClient, Verb};
 use briarswitch_wire::config::{HeaderDoc, KindDoc, ValueDoc};
-use briarswitch_wire::operator::{ConfigReply, StatusReply, TryReply, TryRequest, UsageRow};
+use briarswitch_wire::operator::{
+    ConfigReply, CostLine, StatusReply, TryReply, TryRequest, UsageRow,
+};
 use gumdrop::Options;
 use serde::Serialize;
 use serde_json::Value;
@@ -59,6 +61,9 @@
         Verb::Usage(_) => {
             read::<Vec<UsageRow>>(&client, "/v1/usage", is_json, |rows| show::usage(rows)).await
         }
+        Verb::Costs(_) => {
+            read::<Vec<CostLine>>(&client, "/costs", is_json, |lines| show::costs(lines)).await
+        }
         Verb::Dump(_) => read::<Value>(&client, "/v1/dump", true, Value::to_string).await,
         Verb::Settle(options) => Ok(settle(&client, &options.name, is_json).await),
         Verb::Explain(options) => Ok(story(&options, explain)),
--- a/crates/ctl/src/show.rs
+++ b/crates/ctl/src/show.rs
@@ -1,9 +1,10 @@
 //! Tables for people.
 
+use std::cmp::Reverse;
 use std::fmt::Write as _;
 
 use briarswitch_wire::config::{EntryDoc, KindDoc, ValueDoc};
-use briarswitch_wire::operator::{StatusReply, TryReply, UsageRow};
+use briarswitch_wire::operator::{CostLine, StatusReply, TryReply, UsageRow};
 use serde_json::Value;
 
 /// Lays rows out in columns as wide as their widest cell.
@@ -130,6 +131,21 @@
     table(&["organisation", "requests", "tokens"], &rows)
 }
 
+/// Shows what a node's knowledge has cost, the most frequent cause first.
+pub fn costs(lines: &[CostLine]) -> String {
+    let mut lines: Vec<&CostLine> = lines.iter().collect();
+    lines.sort_by_key(|line| Reverse(line.count));
+    let rows: Vec<Vec<String>> = lines
+        .into_iter()
+        .map(|line| {
+            let numbers = [line.count, line.bytes, line.micros];
+            let numbers = numbers.iter().map(u64::to_string);
+            std::iter::once(line.name.clone()).chain(numbers).collect()
+        })
+        .collect();
+    table(&["cause", "count", "bytes", "microseconds"], &rows)
+}
+
 /// Shows which rule a request would meet.
 pub fn trial(reply: &TryReply) -> String {
     let mut text = String::new();
--- /dev/null
+++ b/crates/ctl/tests/costs.rs
@@ -0,0 +1,44 @@
+//! What a fleet's node has spent, as operators see it.
+
+use std::process::Command;
+
+use briarswitch_ctl::show;
+use briarswitch_wire::operator::CostLine;
+use googletest::prelude::*;
+
+fn line(name: &str, count: u64) -> CostLine {
+    CostLine {
+        name: name.to_owned(),
+        count,
+        bytes: count * 10,
+        micros: 3,
+    }
+}
+
+#[gtest]
+fn costs_are_shown_with_the_most_frequent_first() {
+    let text = show::costs(&[line("gossip_far", 2), line("gossip_near", 40)]);
+    let lines: Vec<Vec<&str>> = text
+        .lines()
+        .map(|line| line.split_whitespace().collect())
+        .collect();
+    expect_that!(
+        lines,
+        elements_are![
+            eq(&["cause", "count", "bytes", "microseconds"]),
+            eq(&["gossip_near", "40", "400", "3"]),
+            eq(&["gossip_far", "2", "20", "3"]),
+        ]
+    );
+}
+
+#[gtest]
+fn a_node_that_can_not_be_reached_is_named() {
+    let output = Command::new(env!("CARGO_BIN_EXE_briarctl"))
+        .args(["--node", "127.0.0.1:1", "costs"])
+        .output()
+        .expect("the program runs");
+    expect_false!(output.status.success());
+    let text = String::from_utf8_lossy(&output.stderr).into_owned();
+    expect_that!(text, contains_substring("127.0.0.1:1"));
+}
--- a/crates/fleet/src/costs.rs
+++ b/crates/fleet/src/costs.rs
@@ -3,7 +3,7 @@
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::time::Duration;
 
-use serde::{Deserialize, Serialize};
+use briarswitch_wire::operator::CostLine;
 
 /// Cause of a cost.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
@@ -77,19 +77,6 @@
     sums: [CostSum; NAMES.len()],
 }
 
-/// One kind's sums as they are shown.
-#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
-pub struct CostLine {
-    /// Cause.
-    pub name: String,
-    /// How often.
-    pub count: u64,
-    /// Bytes sent and received, where they are counted.
-    pub bytes: u64,
-    /// Time that the work itself took in microseconds, where it is measured.
-    pub micros: u64,
-}
-
 impl CostLedger {
     /// Counts one occurrence.
     ///
--- a/crates/fleet/src/metrics.rs
+++ b/crates/fleet/src/metrics.rs
@@ -9,6 +9,8 @@
 use opentelemetry_sdk::metrics::SdkMeterProvider;
 use prometheus::{Encoder, Registry, TextEncoder};
 
+use crate::costs::CostLedger;
+
 /// Bounds of the latency histograms, in seconds; the objectives lie between 0.15 and 0.4.
 const LATENCY_BOUNDS: [f64; 12] = [
     0.005, 0.01, 0.025, 0.05, 0.1, 0.15, 0.2, 0.3, 0.4, 1.0, 2.5, 10.0,
@@ -38,12 +40,12 @@
 }
 
 impl FleetMetrics {
-    /// Opens the instruments.
+    /// Opens the instruments; costs are shown by cause.
     ///
     /// # Panics
     ///
     /// Panics when the exporter refuses an empty registry, which it never does.
-    pub fn open() -> Self {
+    pub fn open(costs: Arc<CostLedger>) -> Self {
         let registry = Registry::new();
         let exporter = opentelemetry_prometheus::exporter()
             .with_registry(registry.clone())
@@ -63,6 +65,14 @@
                 observer.observe(observed.load(Ordering::Relaxed), &[]);
             })
             .build();
+        meter
+            .u64_observable_counter("costs")
+            .with_callback(move |observer| {
+                for line in costs.lines() {
+                    observer.observe(line.count, &[KeyValue::new("cause", line.name)]);
+                }
+            })
+            .build();
         Self {
             requests: meter.u64_counter("requests").build(),
             resumes: meter.u64_counter("stream_resumes").build(),
--- a/crates/model/examples/check.rs
+++ b/crates/model/examples/check.rs
@@ -7,8 +7,8 @@
 
 use briarswitch_model::{
     search, stuck_states, AssemblyDefect, AssemblySpec, ConfigDefect, ConfigSpec, GateDefect,
-    GateSpec, KeyDefect, KeySpec, LeaseDefect, LeaseSpec, OrderDefect, OrderSpec, RestartDefect,
-    RestartSpec, Specification,
+    GateSpec, KeyDefect, KeySpec, LeaseDefect, LeaseSpec, OrderDefect, OrderSpec, RelayDefect,
+    RelaySpec, RestartDefect, RestartSpec, Specification,
 };
 
 /// Counts what was not as it should be.
@@ -77,6 +77,7 @@
     );
     tally.holds("groups by conditional orders", &AssemblySpec::sound());
     tally.holds("a member that restarts", &RestartSpec::sound());
+    tally.holds("configuration through readers", &RelaySpec::sound());
     tally.holds("serving gate", &GateSpec::sound());
     tally.holds("accepted configuration", &ConfigSpec::sound());
     tally.holds("at most once by key", &KeySpec::sound());
@@ -131,6 +132,15 @@
         let name = format!("restart with {defect:?}");
         tally.catches(&name, &RestartSpec::defective(defect));
     }
+    for defect in [
+        RelayDefect::AgeForgotten,
+        RelayDefect::CutShortDates,
+        RelayDefect::OlderAdopted,
+        RelayDefect::DatedByArrival,
+    ] {
+        let name = format!("readers with {defect:?}");
+        tally.catches(&name, &RelaySpec::defective(defect));
+    }
     for defect in [
         GateDefect::NeverExpires,
         GateDefect::CountedFromAnswer,
--- a/crates/model/src/lib.rs
+++ b/crates/model/src/lib.rs
@@ -16,6 +16,7 @@
 mod keys;
 mod lease;
 mod orders;
+mod relay;
 mod restart;
 mod search;
 
@@ -25,5 +26,6 @@
 pub use keys::{KeyDefect, KeySpec};
 pub use lease::{LeaseDefect, LeaseSpec};
 pub use orders::{OrderDefect, OrderSpec};
+pub use relay::{RelayDefect, RelaySpec};
 pub use restart::{RestartDefect, RestartSpec};
 pub use search::{search, stuck_states, SearchReport, Specification, Step, Violation};
--- a/crates/wire/src/operator.rs
+++ b/crates/wire/src/operator.rs
@@ -203,3 +203,16 @@
     /// Tokens delivered.
     pub tokens: u64,
 }
+
+/// What one cause has cost a node since its start.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct CostLine {
+    /// Cause.
+    pub name: String,
+    /// How often.
+    pub count: u64,
+    /// Bytes sent and received, where they are counted.
+    pub bytes: u64,
+    /// Time that the work itself took in microseconds, where it is measured.
+    pub micros: u64,
+}
