--- a/crates/membership/src/lib.rs
+++ b/crates/membership/src/lib.rs
@@ -8,17 +8,21 @@
 //! speaks to one of each other zone. So a node's cost does not grow with the number of nodes, and no
 //! agreement is needed: whoever is reported to acts as a hub.
 
+mod asking;
 mod digest;
+mod gossip;
 mod membership;
 mod node;
 mod rank;
 mod roster;
+mod sums;
 mod view;
 mod wire;
 mod work;
 
 pub use digest::{Digest, DigestOrigin, MemberSign};
-pub use membership::{Gossip, GossipTarget, Membership, Standing};
+pub use gossip::{Gossip, GossipTarget, Standing};
+pub use membership::Membership;
 pub use node::NodeEntry;
 pub use rank::{node_hash, rank_of, ThingRank};
 pub use roster::{Roster, RosterDelta, RosterMark, RosterMember, RosterSign, MEMBER_SILENCE};
--- /dev/null
+++ b/crates/membership/src/sums.rs
@@ -0,0 +1,102 @@
+//! What a node tells of itself and of those it speaks for.
+
+use std::time::Duration;
+
+use briarswitch_core::id::Moment;
+
+use crate::digest::{Digest, DigestOrigin, MemberSign};
+use crate::gossip::{Gossip, Standing};
+use crate::membership::Membership;
+
+/// Age up to which what another zone told is passed on inside the own one; later all have heard it.
+const RELAYED_AGE: Duration = Duration::from_millis(250);
+/// Time for which one sum answers all that ask.
+const FOLD_TIME: Duration = Duration::from_millis(20);
+
+impl Membership {
+    pub(crate) fn own_digest(&self, standing: &Standing) -> Digest {
+        Digest {
+            origin: DigestOrigin::Node(self.own.node.clone()),
+            age: Duration::ZERO,
+            has_traffic: standing.has_traffic,
+            members: vec![MemberSign {
+                node: self.own.node.clone(),
+                incarnation: self.own.incarnation,
+                age: Duration::ZERO,
+                is_leaving: standing.is_leaving,
+                reads_store: standing.reads_store,
+                arrivals: standing.work.all_arrivals(),
+            }],
+            work: standing.work.clone(),
+            suspects: standing.suspects.clone(),
+        }
+    }
+
+    /// Returns the sum of this node and those digests that `keep` names.
+    fn sum(
+        &self,
+        origin: DigestOrigin,
+        standing: &Standing,
+        now: Moment,
+        keep: impl Fn(&DigestOrigin) -> bool,
+    ) -> Digest {
+        let mut sum = Digest {
+            origin,
+            ..self.own_digest(standing)
+        };
+        for (origin, held) in &self.digests {
+            if keep(origin) {
+                sum.add(&held.digest, now.saturating_sub(held.at));
+            }
+        }
+        sum
+    }
+
+    pub(crate) fn hub_gossip(&self, standing: &Standing, now: Moment) -> Gossip {
+        let origin = DigestOrigin::Hub(self.own.node.clone());
+        let digest = self.sum(origin, standing, now, |origin| {
+            matches!(origin, DigestOrigin::Node(_))
+        });
+        let relayed = self.digests.iter().filter(|(origin, held)| {
+            let is_new = now < held.at + RELAYED_AGE;
+            matches!(origin, DigestOrigin::Zone(_)) && held.is_direct && is_new
+        });
+        Gossip {
+            relayed: relayed
+                .map(|(_, held)| Digest {
+                    age: now.saturating_sub(held.at),
+                    ..held.digest.clone()
+                })
+                .collect(),
+            ..self.gossip(digest)
+        }
+    }
+
+    pub(crate) fn zone_digest(&self, standing: &Standing, now: Moment) -> Digest {
+        let origin = DigestOrigin::Zone(self.own.zone.clone());
+        self.sum(origin, standing, now, |origin| {
+            matches!(origin, DigestOrigin::Hub(_) | DigestOrigin::Node(_))
+        })
+    }
+
+    /// Returns the sum of all nodes, made anew only every [`FOLD_TIME`].
+    pub(crate) fn everything(&mut self, standing: &Standing, now: Moment) -> Digest {
+        let held = self.fold.as_ref();
+        if let Some((_, digest)) = held.filter(|(at, _)| now < *at + FOLD_TIME) {
+            return digest.clone();
+        }
+        self.drop_old(now);
+        self.roster.refresh(now);
+        let mut digest = self.sum(DigestOrigin::Fleet, standing, now, |_| true);
+        let told = self.followed.as_ref().and_then(|hub| hub.told.as_ref());
+        if let Some((told, reported, _)) = told {
+            digest.has_traffic |= told.has_traffic;
+            digest.work.add(&told.work);
+            digest.work.subtract(reported);
+        }
+        // Only the node that speaks; of the others the roster tells.
+        digest.members.truncate(1);
+        self.fold = Some((now, digest.clone()));
+        digest
+    }
+}
--- a/crates/membership/src/wire.rs
+++ b/crates/membership/src/wire.rs
@@ -9,7 +9,7 @@
 use serde::{Deserialize, Serialize};
 
 use crate::digest::{Digest, DigestOrigin, MemberSign};
-use crate::membership::Gossip;
+use crate::gossip::Gossip;
 use crate::node::NodeEntry;
 use crate::roster::{RosterDelta, RosterMark, RosterSign};
 use crate::work::{TargetKey, WorkSum};
