--- a/crates/fleet/src/feed.rs
+++ b/crates/fleet/src/feed.rs
@@ -1,4 +1,4 @@
-//! Lets a few nodes of each zone ask the store for changes, and the others ask them.
+//! Lets one node of each zone ask the store for changes, and the others ask it.
 //!
 //! Every node needs the configuration and the list of targets within a second or two, and a question
 //! held open by each is paid for by the call: 71 nodes made 167 calls a second. One node of each zone
