--- a/crates/core/src/placement.rs
+++ b/crates/core/src/placement.rs
@@ -118,6 +118,16 @@
 /// see the same few free places and each sends one request there before it hears of the others: with 295
 /// nodes one request in twelve was turned away by a group that had 22 at work and 44 waiting. So as many
 /// nodes go there at a time as there are places, and the others keep to their shares.
+///
+/// ```
+/// use briarswitch_core::engine::EngineModel;
+/// use briarswitch_core::placement::{exceed_chance, GroupLoad};
+///
+/// let engine = EngineModel { slots: 20, ..EngineModel::default() };
+/// let load = GroupLoad { nodes: 300, writers: 14, ..GroupLoad::default() };
+/// // Five of 20 places may be used, and ten requests are on their way.
+/// assert_eq!(exceed_chance(&engine, &[load], 10.0), 0.5);
+/// ```
 pub fn exceed_chance(engine: &EngineModel, loads: &[GroupLoad], unseen: f64) -> f64 {
     let rooms = loads.iter().filter(|load| !load.is_queueing);
     let room: f64 = rooms
