--- a/crates/fleet/src/controller.rs
+++ b/crates/fleet/src/controller.rs
@@ -20,7 +20,7 @@
 use crate::costs::CostKind;
 use crate::domains::{domains_of, stock_of, StockItem};
 use crate::ports::{ReportError, TargetReport};
-use crate::scope::{ControlScope, DomainKey};
+use crate::scope::{ControlScope, DomainKey, ScopeBasis};
 use crate::shared::{DirectoryView, FleetShared};
 use crate::tracker::{TargetTracker, TrackedTarget};
 
@@ -156,8 +156,11 @@
     ///
     /// Few of the nodes give orders at all, and all look at every target twenty times a second.
     fn scope(&mut self, book: &TrafficBook, directory: &Arc<DirectoryView>) -> Arc<ControlScope> {
-        let live = self.shared.live.load();
-        let basis = (book.version, Arc::clone(directory), live);
+        let basis = ScopeBasis {
+            version: book.version,
+            directory: Arc::clone(directory),
+            live: self.shared.live.load(),
+        };
         if let Some(scope) = self.scope.as_ref().filter(|scope| scope.is_of(&basis)) {
             return Arc::clone(scope);
         }
--- a/crates/fleet/src/scope.rs
+++ b/crates/fleet/src/scope.rs
@@ -27,8 +27,16 @@
     }
 }
 
-/// What a scope follows from: version of the configuration, targets, live nodes.
-pub type ScopeBasis = (ConfigVersion, Arc<DirectoryView>, Arc<LiveView>);
+/// What a scope follows from.
+#[derive(Debug)]
+pub struct ScopeBasis {
+    /// Version of the configuration.
+    pub version: ConfigVersion,
+    /// Targets.
+    pub directory: Arc<DirectoryView>,
+    /// Nodes that live.
+    pub live: Arc<LiveView>,
+}
 
 /// What a node is responsible for.
 #[derive(Debug)]
@@ -48,7 +56,9 @@
     /// The domain's own zone goes first, since a zone that is cut off has to mend itself. Two nodes that
     /// both believe a domain theirs do no harm: the targets obey only one of them.
     pub fn open(book: &TrafficBook, basis: ScopeBasis) -> Self {
-        let (_, directory, live) = &basis;
+        let ScopeBasis {
+            directory, live, ..
+        } = &basis;
         let mut engines = Vec::new();
         let mut own = IndexSet::new();
         for service in book
@@ -84,9 +94,9 @@
 
     /// Returns whether the scope follows from the same; what nodes see of callers decides nothing.
     pub fn is_of(&self, basis: &ScopeBasis) -> bool {
-        let (version, directory, live) = &self.basis;
-        *version == basis.0
-            && Arc::ptr_eq(directory, &basis.1)
-            && live.composition() == basis.2.composition()
+        let held = &self.basis;
+        held.version == basis.version
+            && Arc::ptr_eq(&held.directory, &basis.directory)
+            && held.live.composition() == basis.live.composition()
     }
 }
--- a/crates/membership/src/asking.rs
+++ b/crates/membership/src/asking.rs
@@ -21,7 +21,7 @@
 const HUB_INTERVAL: Duration = Duration::from_millis(50);
 /// Time after which a hub asks another zone, where each byte is paid for.
 const ZONE_INTERVAL: Duration = Duration::from_millis(100);
-/// Part of an interval that the side with the higher name waits longer, so that one of two asks.
+/// Factor on an interval for the side with the higher name, so that one of two asks.
 const YIELDING: u32 = 2;
 /// Time between two questions to nodes of the own zone that were lost.
 ///
--- a/crates/membership/src/membership.rs
+++ b/crates/membership/src/membership.rs
@@ -12,7 +12,7 @@
 use crate::roster::{Roster, RosterDelta, RosterMark};
 use crate::work::WorkSum;
 
-/// Age up to which the work that one node told counts; three reports.
+/// Age up to which the work that one node told counts; six reports.
 pub(crate) const REPORT_FRESH: Duration = Duration::from_millis(600);
 /// Age up to which the work of other zones counts.
 const ZONE_FRESH: Duration = Duration::from_millis(1_300);
