One order of nodes for what one does for all; fresh digests told in one place

Read again: that nodes with more bandwidth go first, then by rank, stood in three places (hubs, readers, who gives a domain orders), the first of some nodes for a thing in three, whether a digest still counts and whether this node is a hub in two each. Each stands once now (duty_rank, first_of, HeldDigest::is_fresh, is_hub_among, Roster::learn_all). A tuple of a hub's answer became ToldSum. The roster was brought up to date twice for each report answered; once is enough, since the delta is made right after. LiveView::names had no caller and goes. Behaviour is meant to stay; no test or bound was touched.

--- a/crates/membership/src/asking.rs
+++ b/crates/membership/src/asking.rs
@@ -1,6 +1,5 @@
 //! Whom a node asks, and when.
 
-use std::cmp::Reverse;
 use std::time::Duration;
 
 use briarswitch_core::id::{Moment, NodeId, ZoneId};
@@ -8,8 +7,8 @@
 
 use crate::digest::DigestOrigin;
 use crate::gossip::{Gossip, GossipTarget, Standing};
-use crate::membership::{FollowedHub, Membership, REPORT_FRESH};
-use crate::rank::{node_hash, rank_of, ThingRank};
+use crate::membership::{FollowedHub, HeldDigest, Membership};
+use crate::rank::{duty_rank, first_of, ThingRank};
 
 /// Hubs of a zone; two may be lost at once and the third is known to all.
 const HUBS: usize = 3;
@@ -35,9 +34,8 @@
         self.drop_old(now);
         let zone = self.own.zone.clone();
         let hubs = self.hubs(&zone, now);
-        let is_hub = hubs.contains(&self.own.node) || self.has_reporters(now);
         let mut due = Vec::new();
-        if !is_hub {
+        if !self.is_hub_among(&hubs, now) {
             due.extend(self.report_due(&hubs, standing, now));
             return due;
         }
@@ -61,28 +59,26 @@
         let thing = ThingRank::from(HUB_RANK);
         let members = self.roster.members().values();
         let usable = members.filter(|member| member.entry.zone == zone && member.is_usable(now));
-        let mut ranked: Vec<(Reverse<u32>, u64, &NodeId)> = usable
+        let mut ranked: Vec<_> = usable
             .map(|member| {
-                let rank = rank_of(member.hash, thing);
-                (Reverse(member.entry.link_mbps), rank, &member.entry.node)
+                let rank = duty_rank(&member.entry, member.hash, thing);
+                (rank, &member.entry.node)
             })
             .collect();
         if zone == self.own.zone {
-            let rank = rank_of(self.own_hash, thing);
-            ranked.push((Reverse(self.own.link_mbps), rank, &self.own.node));
+            let rank = duty_rank(&self.own, self.own_hash, thing);
+            ranked.push((rank, &self.own.node));
         }
         ranked.sort_unstable();
         ranked.truncate(HUBS);
-        ranked
-            .into_iter()
-            .map(|(_, _, node)| node.clone())
-            .collect()
+        ranked.into_iter().map(|(_, node)| node.clone()).collect()
     }
 
-    pub(crate) fn has_reporters(&self, now: Moment) -> bool {
-        self.digests.iter().any(|(origin, held)| {
-            matches!(origin, DigestOrigin::Node(_)) && now < held.at + REPORT_FRESH
-        })
+    /// Returns whether this node speaks for others: it is one of its zone's hubs, or is reported to.
+    pub(crate) fn is_hub_among(&self, hubs: &[NodeId], now: Moment) -> bool {
+        let mut digests = self.digests.values();
+        let is_report = |held: &HeldDigest| matches!(held.digest.origin, DigestOrigin::Node(_));
+        hubs.contains(&self.own.node) || digests.any(|held| is_report(held) && held.is_fresh(now))
     }
 
     fn other_zones(&self) -> IndexSet<ZoneId> {
@@ -96,11 +92,7 @@
 
     /// Returns whether this node is the one of its hubs that speaks to a zone.
     fn speaks_to(&self, zone: &str, hubs: &[NodeId]) -> bool {
-        let thing = ThingRank::from(zone);
-        let first = hubs
-            .iter()
-            .min_by_key(|node| rank_of(node_hash(node), thing));
-        first.is_none_or(|node| *node == self.own.node)
+        first_of(hubs, zone).is_none_or(|node| *node == self.own.node)
     }
 
     /// Returns whether something is to be asked at `now`, and notes that it is.
@@ -134,10 +126,7 @@
         standing: &Standing,
         now: Moment,
     ) -> Option<GossipTarget> {
-        let thing = ThingRank::from(self.own.node.as_str());
-        let node = hubs
-            .iter()
-            .min_by_key(|node| rank_of(node_hash(node), thing))?;
+        let node = first_of(hubs, &self.own.node)?;
         let is_same = self.followed.as_ref().is_some_and(|hub| hub.node == *node);
         if !is_same {
             let told = self.followed.take().and_then(|hub| hub.told);
@@ -178,12 +167,8 @@
         ) {
             return None;
         }
-        let thing = ThingRank::from(self.own.zone.as_str());
         let hubs = self.hubs(zone, now);
-        let first = hubs
-            .iter()
-            .min_by_key(|node| rank_of(node_hash(node), thing));
-        let node = match first {
+        let node = match first_of(&hubs, &self.own.zone) {
             Some(node) => node.clone(),
             // A zone of which nothing is heard is asked all the same, or a cut would never heal.
             None => self.next_lost(zone, now)?,
--- a/crates/membership/src/membership.rs
+++ b/crates/membership/src/membership.rs
@@ -13,7 +13,7 @@
 use crate::work::WorkSum;
 
 /// Age up to which the work that one node told counts; six reports.
-pub(crate) const REPORT_FRESH: Duration = Duration::from_millis(600);
+const REPORT_FRESH: Duration = Duration::from_millis(600);
 /// Age up to which the work of other zones counts.
 const ZONE_FRESH: Duration = Duration::from_millis(1_300);
 
@@ -25,13 +25,33 @@
     pub(crate) is_direct: bool,
 }
 
+impl HeldDigest {
+    /// Returns whether the work that it tells of still counts.
+    pub(crate) fn is_fresh(&self, now: Moment) -> bool {
+        let fresh = match self.digest.origin {
+            DigestOrigin::Zone(_) => ZONE_FRESH,
+            _ => REPORT_FRESH,
+        };
+        now < self.at + fresh
+    }
+}
+
+/// The sum of all nodes' work, as a hub answered a report.
+#[derive(Clone, Debug)]
+pub(crate) struct ToldSum {
+    pub(crate) digest: Digest,
+    /// Own work that it contains.
+    pub(crate) reported: WorkSum,
+    /// When the report was sent.
+    pub(crate) asked: Moment,
+}
+
 /// The hub that a node reports to.
 #[derive(Clone, Debug)]
 pub(crate) struct FollowedHub {
     pub(crate) node: NodeId,
     pub(crate) mark: Option<RosterMark>,
-    /// The last answer with the own work that it contains, and when it was asked for.
-    pub(crate) told: Option<(Digest, WorkSum, Moment)>,
+    pub(crate) told: Option<ToldSum>,
 }
 
 /// What a node knows of the others.
@@ -116,14 +136,13 @@
 
     /// Returns whether this node speaks for others at `now`.
     pub fn is_hub(&self, now: Moment) -> bool {
-        let hubs = self.hubs(&self.own.zone.clone(), now);
-        hubs.contains(&self.own.node) || self.has_reporters(now)
+        self.is_hub_among(&self.hubs(&self.own.zone, now), now)
     }
 
     /// Returns how old what is known of the other nodes' work is at most, where anything is known.
     pub fn knowledge_age(&self, now: Moment) -> Option<Duration> {
-        if let Some((_, _, at)) = self.followed.as_ref().and_then(|hub| hub.told.as_ref()) {
-            return Some(now.saturating_sub(*at));
+        if let Some(told) = self.told() {
+            return Some(now.saturating_sub(told.asked));
         }
         let ages = self.digests.values();
         ages.map(|held| now.saturating_sub(held.at)).max()
@@ -194,8 +213,11 @@
                     return;
                 }
                 hub.mark = Some(delta.mark);
-                let reported = sent.gossip.digest.work.clone();
-                hub.told = Some((answer.digest.clone(), reported, asked));
+                hub.told = Some(ToldSum {
+                    digest: answer.digest.clone(),
+                    reported: sent.gossip.digest.work.clone(),
+                    asked,
+                });
                 self.roster.apply(delta, &own, now);
                 self.roster.confirm(asked);
             }
@@ -208,12 +230,10 @@
     pub fn work_elsewhere(&mut self, now: Moment) -> WorkSum {
         self.drop_old(now);
         let mut sum = WorkSum::default();
-        let told = self.followed.as_ref().and_then(|hub| hub.told.as_ref());
-        if let Some((digest, reported, at)) = told {
-            if now < *at + ZONE_FRESH {
-                sum = digest.work.clone();
-                sum.subtract(reported);
-            }
+        let told = self.told();
+        if let Some(told) = told.filter(|told| now < told.asked + ZONE_FRESH) {
+            sum = told.digest.work.clone();
+            sum.subtract(&told.reported);
         }
         for held in self.digests.values() {
             sum.add(&held.digest.work);
@@ -221,6 +241,11 @@
         sum
     }
 
+    /// Returns the last sum that the followed hub told.
+    pub(crate) fn told(&self) -> Option<&ToldSum> {
+        self.followed.as_ref()?.told.as_ref()
+    }
+
     pub(crate) fn gossip(&self, digest: Digest) -> Gossip {
         Gossip {
             sender: self.own.clone(),
@@ -276,12 +301,6 @@
     }
 
     pub(crate) fn drop_old(&mut self, now: Moment) {
-        self.digests.retain(|origin, held| {
-            let fresh = match origin {
-                DigestOrigin::Zone(_) => ZONE_FRESH,
-                _ => REPORT_FRESH,
-            };
-            now < held.at + fresh
-        });
+        self.digests.retain(|_, held| held.is_fresh(now));
     }
 }
--- a/crates/membership/src/rank.rs
+++ b/crates/membership/src/rank.rs
@@ -1,7 +1,12 @@
 //! Ranks by rendezvous hashing, on which nodes that know of each other agree without a word.
 
+use std::cmp::Reverse;
+
+use briarswitch_core::id::NodeId;
 use xxhash_rust::xxh3::xxh3_64;
 
+use crate::node::NodeEntry;
+
 /// Multiplier that spreads the bits of two hashes; the golden ratio of 64 bits.
 const SPREAD: u64 = 0x9e37_79b9_7f4a_7c15;
 
@@ -32,3 +37,18 @@
     let mixed = (node_hash ^ thing.0).wrapping_mul(SPREAD);
     (mixed ^ (mixed >> 29)).wrapping_mul(SPREAD) ^ (mixed >> 32)
 }
+
+/// Returns the place of a node among those that may do something for others; the lowest goes first.
+///
+/// Nodes with more bandwidth go first: what one of them does for a zone would fill the links of the others.
+pub(crate) fn duty_rank(entry: &NodeEntry, hash: u64, thing: ThingRank) -> (Reverse<u32>, u64) {
+    (Reverse(entry.link_mbps), rank_of(hash, thing))
+}
+
+/// Returns the node that ranks first for a thing.
+pub(crate) fn first_of<'a>(nodes: &'a [NodeId], thing: &str) -> Option<&'a NodeId> {
+    let thing = ThingRank::from(thing);
+    nodes
+        .iter()
+        .min_by_key(|node| rank_of(node_hash(node), thing))
+}
--- a/crates/membership/src/roster.rs
+++ b/crates/membership/src/roster.rs
@@ -170,6 +170,12 @@
         true
     }
 
+    fn learn_all(&mut self, entries: &[NodeEntry], own: &str, now: Moment) {
+        for entry in entries.iter().filter(|entry| entry.node != own) {
+            self.learn(entry, now);
+        }
+    }
+
     /// Takes in a sign of life from a moment; returns whether the node had been lost or never heard.
     pub(crate) fn note_sign(&mut self, sign: &MemberSign, at: Moment) -> bool {
         let Some(member) = self.members.get_mut(&sign.node) else {
@@ -246,9 +252,7 @@
 
     /// Takes in what another node's roster tells.
     pub(crate) fn apply(&mut self, delta: &RosterDelta, own: &str, now: Moment) {
-        for entry in delta.entries.iter().filter(|entry| entry.node != own) {
-            self.learn(entry, now);
-        }
+        self.learn_all(&delta.entries, own, now);
         if delta.is_whole {
             for member in self.members.values_mut() {
                 member.is_vouched = false;
@@ -275,9 +279,7 @@
     /// What it believes may be seconds old. Held for live on its word alone and told on, nodes that are gone
     /// were kept alive for good by two halves of a fleet that told each other of them.
     pub(crate) fn take_hints(&mut self, delta: &RosterDelta, own: &str, now: Moment) {
-        for entry in delta.entries.iter().filter(|entry| entry.node != own) {
-            self.learn(entry, now);
-        }
+        self.learn_all(&delta.entries, own, now);
         for sign in delta.signs.iter().filter(|sign| sign.is_live) {
             if let Some(member) = self.members.get_mut(&sign.node) {
                 member.hinted_until = now + PRESUMED_TIME;
--- a/crates/membership/src/sums.rs
+++ b/crates/membership/src/sums.rs
@@ -86,13 +86,11 @@
             return digest.clone();
         }
         self.drop_old(now);
-        self.roster.refresh(now);
         let mut digest = self.sum(DigestOrigin::Fleet, standing, now, |_| true);
-        let told = self.followed.as_ref().and_then(|hub| hub.told.as_ref());
-        if let Some((told, reported, _)) = told {
-            digest.has_traffic |= told.has_traffic;
-            digest.work.add(&told.work);
-            digest.work.subtract(reported);
+        if let Some(told) = self.told() {
+            digest.has_traffic |= told.digest.has_traffic;
+            digest.work.add(&told.digest.work);
+            digest.work.subtract(&told.reported);
         }
         // Only the node that speaks; of the others the roster tells.
         digest.members.truncate(1);
--- a/crates/membership/src/view.rs
+++ b/crates/membership/src/view.rs
@@ -2,12 +2,12 @@
 
 use std::sync::Arc;
 
-use briarswitch_core::id::{Moment, NodeId};
+use briarswitch_core::id::Moment;
 use briarswitch_core::placement::NodeWeight;
 
 use crate::membership::Membership;
 use crate::node::NodeEntry;
-use crate::rank::{node_hash, rank_of, ThingRank};
+use crate::rank::{duty_rank, node_hash, rank_of, ThingRank};
 
 /// Requests in a second that every node is taken to see, so that one whose first callers come finds places.
 const LEAST_ARRIVALS: f64 = 1.0;
@@ -117,7 +117,7 @@
         let thing = ThingRank::from(thing);
         let rank = |entry: &NodeEntry, hash: u64| {
             let is_far = entry.zone != zone;
-            (is_far, u32::MAX - entry.link_mbps, rank_of(hash, thing))
+            (is_far, duty_rank(entry, hash, thing))
         };
         let own = rank(&self.own, self.own_hash);
         let ranked = self
@@ -157,9 +157,7 @@
             return ZonePart::Alone;
         }
         let thing = ThingRank::from(READER_RANK);
-        let rank = |reads: bool, entry: &NodeEntry, hash| {
-            (!reads, u32::MAX - entry.link_mbps, rank_of(hash, thing))
-        };
+        let rank = |reads: bool, entry: &NodeEntry, hash| (!reads, duty_rank(entry, hash, thing));
         let near = self.live.iter().filter(|member| member.is_near);
         let mut ranked: Vec<_> = near
             .map(|member| {
@@ -175,9 +173,4 @@
         let best = ranked.into_iter().take(count);
         ZonePart::Other(best.map(|(_, entry)| Arc::clone(entry)).collect())
     }
-
-    /// Returns the names of the live nodes.
-    pub fn names(&self) -> impl Iterator<Item = &NodeId> {
-        self.live.iter().map(|member| &member.entry.node)
-    }
 }
