Feed knows live nodes and not the shared state; answers to nodes in a file of their own

Read again: FeedRelay took the whole shared state, which holds it, for the list of live nodes; it takes that list now, so feed.rs and shared.rs no longer import each other. A pace had three locks for three fields that are used together; it has one, and says itself how long a question waits. The time limit of an answer stood twice. Behaviour is meant to stay; no test or bound was touched.

--- a/crates/fleet/src/feed.rs
+++ b/crates/fleet/src/feed.rs
@@ -12,19 +12,17 @@
 use briarswitch_core::id::*;
 use briarswitch_http::{CallError, CallerClient, Codec};
 use briarswitch_kernel::BootClock;
-use briarswitch_membership::{NodeEntry, ZonePart};
+use briarswitch_membership::{LiveView, NodeEntry, ZonePart};
 use futures::future::{BoxFuture, FutureExt, Shared};
 use http::Method;
 use indexmap::IndexMap;
-use serde::{Deserialize, Serialize};
-use serde_bytes::ByteBuf;
 
 use crate::costs::{CostKind, CostLedger};
-use crate::ports::{FeedAnswer, FeedMark, FeedQuestion, FeedRow, FeedSource, SourceError};
-use crate::shared::FleetShared;
+use crate::feed_doc::{FeedAnswerDoc, FeedQuestionDoc};
+use crate::ports::{FeedAnswer, FeedQuestion, FeedSource, SourceError};
 
 /// Status of an answer that the changes asked for are no longer kept.
-pub const HISTORY_GONE: u16 = 410;
+const HISTORY_GONE: u16 = 410;
 /// Path at which a reader is asked.
 pub const FEED_PATH: &str = "/feed";
 /// Nodes of a zone that are asked one after the other; two may be lost at once.
@@ -89,14 +87,32 @@
     }
 }
 
-/// How often the changes of a table are asked for.
+/// How often a table is asked for.
 #[derive(Debug, Default)]
 struct FeedPace {
-    pause: Mutex<Duration>,
+    /// Least time between two questions that are held open.
+    pause: Duration,
     /// When the next question may be held open.
-    next: Mutex<Moment>,
+    next: Moment,
     /// When the next question may be sent after one failed.
-    retry: Mutex<Moment>,
+    retry: Moment,
+}
+
+impl FeedPace {
+    /// Returns how long a question has to wait before it may be sent.
+    fn pause_before(&self, question: &FeedQuestion, now: Moment) -> Duration {
+        match kind_of(question) {
+            CostKind::TableHeld => self.next.saturating_sub(now).min(question.wait),
+            _ => self.retry.saturating_sub(now),
+        }
+    }
+
+    fn note(&mut self, answer: &FlightResult, now: Moment) {
+        self.next = now + self.pause;
+        if matches!(answer, Err(SourceError::Unavailable(_))) {
+            self.retry = now + FAILURE_PAUSE;
+        }
+    }
 }
 
 /// Answers questions for changes, from the store or from another node.
@@ -106,83 +122,12 @@
     flights: Mutex<IndexMap<FeedQuestion, FeedFlight>>,
     /// Readers that failed, and until when they are not asked.
     avoided: Mutex<IndexMap<NodeId, Moment>>,
-    paces: Mutex<IndexMap<String, Arc<FeedPace>>>,
+    paces: Mutex<IndexMap<String, Arc<Mutex<FeedPace>>>>,
     /// Milliseconds of the clock at which the store last answered.
     reached: Arc<AtomicU64>,
     costs: Arc<CostLedger>,
 }
 
-/// [`FeedQuestion`] on the wire.
-#[derive(Clone, Debug, Deserialize, Serialize)]
-pub struct FeedQuestionDoc {
-    table: String,
-    mark: Option<FeedMark>,
-    wait_ms: u64,
-}
-
-/// [`FeedAnswer`] on the wire.
-#[derive(Clone, Debug, Deserialize, Serialize)]
-pub struct FeedAnswerDoc {
-    mark: FeedMark,
-    /// Key, and content unless the row was dropped.
-    rows: Vec<(String, Option<ByteBuf>)>,
-    age_ms: u64,
-    whole: bool,
-}
-
-impl From<FeedQuestion> for FeedQuestionDoc {
-    fn from(question: FeedQuestion) -> Self {
-        Self {
-            table: question.table,
-            mark: question.mark,
-            wait_ms: question.wait.as_millis() as u64,
-        }
-    }
-}
-
-impl From<FeedQuestionDoc> for FeedQuestion {
-    fn from(doc: FeedQuestionDoc) -> Self {
-        Self {
-            table: doc.table,
-            mark: doc.mark,
-            wait: Duration::from_millis(doc.wait_ms),
-        }
-    }
-}
-
-impl From<FeedAnswer> for FeedAnswerDoc {
-    fn from(answer: FeedAnswer) -> Self {
-        let rows = answer
-            .rows
-            .into_iter()
-            .map(|row| (row.key, row.value.map(ByteBuf::from)));
-        Self {
-            mark: answer.mark,
-            rows: rows.collect(),
-            // Rounded up, so that an age is never told as less than it is.
-            age_ms: answer.age.as_millis() as u64 + 1,
-            whole: answer.is_whole,
-        }
-    }
-}
-
-impl From<FeedAnswerDoc> for FeedAnswer {
-    fn from(doc: FeedAnswerDoc) -> Self {
-        let rows = doc.rows.into_iter();
-        Self {
-            mark: doc.mark,
-            rows: rows
-                .map(|(key, value)| FeedRow {
-                    key,
-                    value: value.map(ByteBuf::into_vec),
-                })
-                .collect(),
-            age: Duration::from_millis(doc.age_ms),
-            is_whole: doc.whole,
-        }
-    }
-}
-
 impl FeedRelay {
     /// Opens a relay before the store.
     pub fn open(direct: Arc<dyn FeedSource>, costs: Arc<CostLedger>) -> Self {
@@ -202,9 +147,12 @@
     /// The questions of many nodes come at any time. Without a pace here each change is a call of its own,
     /// whatever pause each node makes.
     pub fn set_pace(&self, table: &str, pace: Duration) {
+        lock(&self.pace_of(table)).pause = pace;
+    }
+
+    fn pace_of(&self, table: &str) -> Arc<Mutex<FeedPace>> {
         let mut paces = lock(&self.paces);
-        let held = paces.entry(table.to_owned()).or_default();
-        *lock(&held.pause) = pace;
+        Arc::clone(paces.entry(table.to_owned()).or_default())
     }
 
     /// Returns the changes after a mark as soon as there are any, or none when the wait is over.
@@ -214,18 +162,14 @@
     /// Returns [`SourceError`] when neither a reader nor the store answered.
     pub async fn changes(
         &self,
-        shared: &FleetShared,
+        live: &LiveView,
         question: FeedQuestion,
     ) -> Result<FeedAnswer, SourceError> {
-        let now = BootClock::now();
-        let live = shared.live.read();
-        let part = live.reader_part(READERS, RELAYED_ZONE, self.reads_store());
-        let nodes = live.zone_nodes();
-        drop(live);
-        match part {
-            ZonePart::Alone | ZonePart::First => self.serve(question, now).await,
+        match live.reader_part(READERS, RELAYED_ZONE, self.reads_store()) {
+            ZonePart::Alone | ZonePart::First => self.serve(question, BootClock::now()).await,
             ZonePart::Other(readers) => {
-                let is_prober = rand::random::<f64>() < PROBES * RETRY_TIME / f64::from(nodes);
+                let nodes = f64::from(live.zone_nodes());
+                let is_prober = rand::random::<f64>() < PROBES * RETRY_TIME / nodes;
                 self.ask_readers(&readers, question, is_prober).await
             }
         }
@@ -292,10 +236,7 @@
     ) -> Result<FeedAnswer, CallError> {
         self.costs.count(CostKind::ReaderAsked);
         let url = format!("http://{}{FEED_PATH}", reader.address);
-        let limit = match question.mark {
-            Some(_) => question.wait + READER_TIME,
-            None => WHOLE_TIME,
-        };
+        let limit = limit_of(question, READER_TIME);
         let doc = FeedQuestionDoc::from(question.clone());
         let call = self.client.call(Method::POST, &url, Some(&doc), limit);
         let answer: FeedAnswerDoc = call.await?;
@@ -321,10 +262,7 @@
         question: FeedQuestion,
         arrived: Moment,
     ) -> Result<FeedAnswer, SourceError> {
-        let limit = match question.mark {
-            Some(_) => question.wait + STORE_TIME,
-            None => WHOLE_TIME,
-        };
+        let limit = limit_of(&question, STORE_TIME);
         let answer = self.serve(question, arrived);
         let answered = tokio::time::timeout(limit, answer).await;
         answered.unwrap_or_else(|_| Err(SourceError::Unavailable("no answer yet".to_owned())))
@@ -352,7 +290,7 @@
         let flight = flights.entry(question.clone()).or_insert_with(|| {
             self.costs.count(kind_of(&question));
             let direct = Arc::clone(&self.direct);
-            let pace = Arc::clone(lock(&self.paces).entry(question.table.clone()).or_default());
+            let pace = self.pace_of(&question.table);
             let reached = Arc::clone(&self.reached);
             let answer = ask_at_pace(direct, question, pace, reached);
             FeedFlight {
@@ -364,6 +302,14 @@
     }
 }
 
+/// Returns the time for an answer; `beyond` the time that the question is held open.
+fn limit_of(question: &FeedQuestion, beyond: Duration) -> Duration {
+    match question.mark {
+        Some(_) => question.wait + beyond,
+        None => WHOLE_TIME,
+    }
+}
+
 fn kind_of(question: &FeedQuestion) -> CostKind {
     match question.mark {
         None => CostKind::TableWhole,
@@ -376,17 +322,10 @@
 async fn ask_at_pace(
     direct: Arc<dyn FeedSource>,
     question: FeedQuestion,
-    pace: Arc<FeedPace>,
+    pace: Arc<Mutex<FeedPace>>,
     reached: Arc<AtomicU64>,
 ) -> FlightResult {
-    let now = BootClock::now();
-    let is_held = question.mark.is_some() && !question.wait.is_zero();
-    let pause = if is_held {
-        let pause = lock(&pace.next).saturating_sub(now);
-        pause.min(question.wait)
-    } else {
-        lock(&pace.retry).saturating_sub(now)
-    };
+    let pause = lock(&pace).pause_before(&question, BootClock::now());
     tokio::time::sleep(pause).await;
     let wait = question.wait.saturating_sub(pause);
     let answer = direct.changes(FeedQuestion { wait, ..question }).await;
@@ -394,17 +333,12 @@
     if answer.is_ok() {
         reached.store(now.as_millis() as u64, Ordering::Relaxed);
     }
-    let pause = *lock(&pace.pause);
-    *lock(&pace.next) = now + pause;
-    if matches!(answer, Err(SourceError::Unavailable(_))) {
-        *lock(&pace.retry) = now + FAILURE_PAUSE;
-    }
+    lock(&pace).note(&answer, now);
     answer
 }
 
 /// Returns how many nodes ask the store, of zones of this one's size.
-pub fn askers(shared: &FleetShared) -> u32 {
-    let live = shared.live.read();
+pub fn askers(live: &LiveView) -> u32 {
     let nodes = live.live_nodes();
     let in_zone = live.zone_nodes();
     if in_zone < RELAYED_ZONE {
--- /dev/null
+++ b/crates/fleet/src/feed_doc.rs
@@ -0,0 +1,79 @@
+//! Questions for changes and their answers on the wire between nodes.
+
+use std::time::Duration;
+
+use serde::{Deserialize, Serialize};
+use serde_bytes::ByteBuf;
+
+use crate::ports::{FeedAnswer, FeedMark, FeedQuestion, FeedRow};
+
+/// [`FeedQuestion`] on the wire.
+#[derive(Clone, Debug, Deserialize, Serialize)]
+pub struct FeedQuestionDoc {
+    table: String,
+    mark: Option<FeedMark>,
+    wait_ms: u64,
+}
+
+/// [`FeedAnswer`] on the wire.
+#[derive(Clone, Debug, Deserialize, Serialize)]
+pub struct FeedAnswerDoc {
+    mark: FeedMark,
+    /// Key, and content unless the row was dropped.
+    rows: Vec<(String, Option<ByteBuf>)>,
+    age_ms: u64,
+    whole: bool,
+}
+
+impl From<FeedQuestion> for FeedQuestionDoc {
+    fn from(question: FeedQuestion) -> Self {
+        Self {
+            table: question.table,
+            mark: question.mark,
+            wait_ms: question.wait.as_millis() as u64,
+        }
+    }
+}
+
+impl From<FeedQuestionDoc> for FeedQuestion {
+    fn from(doc: FeedQuestionDoc) -> Self {
+        Self {
+            table: doc.table,
+            mark: doc.mark,
+            wait: Duration::from_millis(doc.wait_ms),
+        }
+    }
+}
+
+impl From<FeedAnswer> for FeedAnswerDoc {
+    fn from(answer: FeedAnswer) -> Self {
+        let rows = answer
+            .rows
+            .into_iter()
+            .map(|row| (row.key, row.value.map(ByteBuf::from)));
+        Self {
+            mark: answer.mark,
+            rows: rows.collect(),
+            // Rounded up, so that an age is never told as less than it is.
+            age_ms: answer.age.as_millis() as u64 + 1,
+            whole: answer.is_whole,
+        }
+    }
+}
+
+impl From<FeedAnswerDoc> for FeedAnswer {
+    fn from(doc: FeedAnswerDoc) -> Self {
+        let rows = doc.rows.into_iter();
+        Self {
+            mark: doc.mark,
+            rows: rows
+                .map(|(key, value)| FeedRow {
+                    key,
+                    value: value.map(ByteBuf::into_vec),
+                })
+                .collect(),
+            age: Duration::from_millis(doc.age_ms),
+            is_whole: doc.whole,
+        }
+    }
+}
--- a/crates/fleet/src/keeper.rs
+++ b/crates/fleet/src/keeper.rs
@@ -316,7 +316,7 @@
 
     fn pace(&self) -> Duration {
         let (least, longest) = DIRECTORY_PACE;
-        (DIRECTORY_SHARE * askers(&self.shared)).clamp(least, longest)
+        (DIRECTORY_SHARE * askers(&self.shared.live.read())).clamp(least, longest)
     }
 
     fn publish(&self) {
--- a/crates/fleet/src/peers.rs
+++ b/crates/fleet/src/peers.rs
@@ -1,31 +1,26 @@
-//! Carries the messages by which nodes know each other: who is alive, who has sent how much where, and what
+//! Sends the messages by which nodes know each other: who is alive, who has sent how much where, and what
 //! fell silent.
 
 use std::sync::atomic::Ordering;
-use std::sync::{Arc, Mutex, PoisonError};
+use std::sync::Arc;
 use std::time::Duration;
 
 use briarswitch_core::id::*;
-use briarswitch_http::{
-    pack, read_body, reply_packed, reply_text, unpack, CallError, CallerClient, Codec, Handler,
-    Request, Response,
-};
+use briarswitch_http::{pack, unpack, CallError, CallerClient, Codec};
 use briarswitch_kernel::{BootClock, Service, ServiceLink};
 use briarswitch_membership::{Gossip, GossipDoc, GossipTarget, LiveView, Standing, WorkSum};
-use futures::future::BoxFuture;
-use http::{Method, StatusCode};
+use http::Method;
 use serde::{Deserialize, Serialize};
 use serde_json::{json, Value};
 
 use crate::costs::CostKind;
-use crate::feed::{FeedAnswerDoc, FeedQuestionDoc, FEED_PATH};
 use crate::ports::{FeedMark, NodeNews, SourceError};
 use crate::shared::{FleetPhase, FleetShared};
 
 /// Path of the messages between nodes.
-const GOSSIP_PATH: &str = "/gossip";
+pub const GOSSIP_PATH: &str = "/gossip";
 /// Path at which a node is told of a target that fell silent.
-const SUSPICION_PATH: &str = "/suspicion";
+pub const SUSPICION_PATH: &str = "/suspicion";
 /// Time between looks at whom to ask; half of the shortest interval between two messages.
 const TICK: Duration = Duration::from_millis(25);
 /// Time between two sums of what others told.
@@ -40,8 +35,6 @@
 const SHARED_SUSPICION: Duration = Duration::from_millis(250);
 /// Own silence of a target without which a peer's suspicion is not shared.
 const OWN_SILENCE: Duration = Duration::from_millis(120);
-/// Time for which what this node tells of itself is used again; hubs are asked many times a second.
-const STANDING_TIME: Duration = Duration::from_millis(20);
 /// Time that all nodes have to register before the first of them reads who has, at the first start.
 const REGISTRATION_TIME: Duration = Duration::from_millis(500);
 /// Longest time one question for new nodes is held open.
@@ -55,8 +48,6 @@
 const REGISTRY_RETRY: Duration = Duration::from_millis(700);
 /// Time between two lines that tell what was spent.
 const COST_INTERVAL: Duration = Duration::from_secs(10);
-/// Largest message in bytes.
-const MESSAGE_BYTES: usize = 1 << 20;
 
 /// Name of the exchange.
 pub const PEER_SERVICE: &str = "peers";
@@ -95,7 +86,7 @@
 }
 
 /// Takes in others' suspicions.
-fn share_suspicions<'a>(shared: &FleetShared, suspects: impl Iterator<Item = &'a TargetId>) {
+pub fn share_suspicions<'a>(shared: &FleetShared, suspects: impl Iterator<Item = &'a TargetId>) {
     let now = BootClock::now();
     for target in suspects {
         let gauge = shared.gauges.of(target);
@@ -107,7 +98,7 @@
 }
 
 /// Takes in what any message tells beside sums and signs of life.
-fn take_hints(shared: &FleetShared, gossip: &Gossip) {
+pub fn take_hints(shared: &FleetShared, gossip: &Gossip) {
     if gossip.has_traffic() {
         shared.has_traffic.store(true, Ordering::Relaxed);
     }
@@ -116,8 +107,9 @@
 
 /// A target that fell silent, told to the node that gives its group orders.
 #[derive(Clone, Debug, Deserialize, Serialize)]
-struct SuspicionDoc {
-    target: TargetId,
+pub struct SuspicionDoc {
+    /// Target.
+    pub target: TargetId,
 }
 
 /// A target that fell silent towards a request.
@@ -131,7 +123,7 @@
     pub zone: ZoneId,
 }
 
-/// Keeps in touch with the other nodes.
+/// Exchanges messages with the other nodes.
 pub struct PeerExchange {
     shared: Arc<FleetShared>,
     client: CallerClient,
@@ -398,78 +390,3 @@
         })
     }
 }
-
-/// Answers other nodes.
-pub struct PeerSurface {
-    shared: Arc<FleetShared>,
-    standing: Mutex<(Moment, Standing)>,
-}
-
-impl PeerSurface {
-    /// Opens the surface.
-    pub fn open(shared: Arc<FleetShared>) -> Arc<Self> {
-        Arc::new(Self {
-            shared,
-            standing: Mutex::default(),
-        })
-    }
-
-    async fn answer(&self, request: Request) -> Response {
-        match request.uri().path() {
-            GOSSIP_PATH => self.gossip(request).await,
-            SUSPICION_PATH => self.suspicion(request).await,
-            FEED_PATH => self.feed(request).await,
-            _ => reply_text(StatusCode::NOT_FOUND, "no such path"),
-        }
-    }
-
-    async fn feed(&self, request: Request) -> Response {
-        let arrived = BootClock::now();
-        let Some(doc) = read_doc::<FeedQuestionDoc>(request).await else {
-            return reply_text(StatusCode::BAD_REQUEST, "expected a question");
-        };
-        self.shared.costs.count(CostKind::ReaderAnswered);
-        match self.shared.feed.answer(doc.into(), arrived).await {
-            Ok(answer) => reply_packed(StatusCode::OK, &FeedAnswerDoc::from(answer)),
-            // The asker has to read everything anew; told as an outage it would ask the same for ever.
-            Err(SourceError::HistoryGone) => reply_text(StatusCode::GONE, "history gone"),
-            Err(error) => reply_text(StatusCode::SERVICE_UNAVAILABLE, error.to_string()),
-        }
-    }
-
-    async fn gossip(&self, request: Request) -> Response {
-        let Some(doc) = read_doc::<GossipDoc>(request).await else {
-            return reply_text(StatusCode::BAD_REQUEST, "expected a message");
-        };
-        self.shared.costs.count(CostKind::GossipAnswered);
-        let gossip = Gossip::from(doc);
-        take_hints(&self.shared, &gossip);
-        let now = BootClock::now();
-        let mut held = self.standing.lock().unwrap_or_else(PoisonError::into_inner);
-        if now >= held.0 + STANDING_TIME {
-            *held = (now, own_standing(&self.shared));
-        }
-        let answer = self.shared.membership().answer(&gossip, &held.1, now);
-        drop(held);
-        reply_packed(StatusCode::OK, &GossipDoc::from(&answer))
-    }
-
-    async fn suspicion(&self, request: Request) -> Response {
-        let Some(doc) = read_doc::<SuspicionDoc>(request).await else {
-            return reply_text(StatusCode::BAD_REQUEST, "expected a target");
-        };
-        share_suspicions(&self.shared, std::iter::once(&doc.target));
-        reply_packed(StatusCode::OK, &())
-    }
-}
-
-async fn read_doc<T: serde::de::DeserializeOwned>(request: Request) -> Option<T> {
-    let bytes = read_body(request.into_body(), MESSAGE_BYTES).await.ok()?;
-    unpack::<T>(&bytes).ok()
-}
-
-impl Handler for PeerSurface {
-    fn handle(&self, request: Request) -> BoxFuture<'_, Response> {
-        Box::pin(self.answer(request))
-    }
-}
--- a/crates/fleet/src/shared.rs
+++ b/crates/fleet/src/shared.rs
@@ -9,9 +9,8 @@
 use briarswitch_core::target::TargetBook;
 use briarswitch_core::traffic::TrafficBook;
 use briarswitch_kernel::{BootClock, Snapshot};
-use tokio::sync::watch;
-
 use briarswitch_membership::{LiveView, Membership, WorkSum};
+use tokio::sync::watch;
 
 use crate::costs::{CostKind, CostLedger};
 use crate::demand::DemandMeter;
@@ -192,7 +191,7 @@
             wait,
         };
         self.await_peers().await;
-        self.feed.changes(self, question).await
+        self.feed.changes(&self.live.load(), question).await
     }
 
     /// Writes what was spent so far to the log.
