Sight: places taken by model each second, spares by the weights they hold

While callers of the larger model wait, the lines could not tell whether its places were all taken or not found, nor which weights the spares of a domain hold. model_supply and spares tell it.

--- a/crates/fleet/src/census.rs
+++ b/crates/fleet/src/census.rs
@@ -14,7 +14,8 @@
     draining: usize,
     open: IndexMap<ModelId, usize>,
     grouped: usize,
-    spare: usize,
+    /// Free targets by the model whose weights they hold.
+    spares: IndexMap<ModelId, usize>,
     unstaged: usize,
 }
 
@@ -35,12 +36,12 @@
             }
             census.grouped += usize::from(held.is_some());
             let is_free = held.is_none() && facts.standing == TargetStanding::Live;
-            let is_staged = facts
-                .staged
-                .iter()
-                .any(|model| layout.holders.contains_key(model));
-            census.spare += usize::from(is_free && is_staged);
-            census.unstaged += usize::from(is_free && !is_staged);
+            let mut staged = facts.staged.iter();
+            match staged.rfind(|model| layout.holders.contains_key(*model)) {
+                _ if !is_free => {}
+                Some(model) => *census.spares.entry(model.clone()).or_insert(0) += 1,
+                None => census.unstaged += 1,
+            }
         }
         census
     }
@@ -55,7 +56,7 @@
             draining = self.draining,
             open_groups = counts_text(&self.open),
             grouped = self.grouped,
-            spare = self.spare,
+            spares = counts_text(&self.spares),
             unstaged = self.unstaged;
             "domain_state"
         );
--- a/crates/fleet/src/controller.rs
+++ b/crates/fleet/src/controller.rs
@@ -22,12 +22,15 @@
 use crate::ports::{ReportError, TargetReport};
 use crate::scope::{ControlScope, DomainKey, ScopeBasis};
 use crate::shared::{DirectoryView, FleetShared};
+use crate::supply::supplies;
 use crate::tracker::{TargetTracker, TrackedTarget};
 
 /// Time between rounds.
 const ROUND: Duration = Duration::from_millis(50);
 /// Time after the start in which nodes find each other before any of them gives an order.
 const SETTLE_TIME: Duration = Duration::from_millis(900);
+/// Time between two lines on what the models have; only nodes that give orders write them.
+const SUPPLY_INTERVAL: Duration = Duration::from_secs(1);
 /// Time between two decisions on what all domains should hold.
 ///
 /// A decision looks at every target of the service; a loss is answered with the weights at hand and does
@@ -64,6 +67,7 @@
     scope: Option<Arc<ControlScope>>,
     started: Moment,
     listed: (usize, Moment),
+    supply_logged: Moment,
 }
 
 /// What the domains of a service should hold, and when that was decided.
@@ -112,6 +116,7 @@
             scope: None,
             started: BootClock::now(),
             listed: (0, BootClock::now()),
+            supply_logged: Moment::ZERO,
         }
     }
 
@@ -147,7 +152,14 @@
         let services = book.services.values();
         let services = services.filter(|service| service.engine.is_some());
         let records: Vec<&TargetRecord> = scope.engines.iter().map(Arc::as_ref).collect();
+        let is_log_due = now >= self.supply_logged + SUPPLY_INTERVAL;
+        if is_log_due {
+            self.supply_logged = now;
+        }
         for service in services {
+            if is_log_due {
+                self.log_supply(service, now);
+            }
             self.tend(service, &records, &scope.own, now, link);
         }
     }
@@ -332,6 +344,18 @@
         demand
     }
 
+    /// Writes to the log what the models of a service have and are asked for.
+    fn log_supply(&self, service: &ServiceSpec, now: Moment) {
+        let Some(engine) = &service.engine else {
+            return;
+        };
+        let table = self.shared.table.load();
+        let supplies = supplies(service, engine, &table, &self.demand(now), now);
+        for (model, supply) in &supplies {
+            supply.log(&service.id, model);
+        }
+    }
+
     fn plan(
         &mut self,
         key: &DomainKey,
--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -27,6 +27,7 @@
 pub mod scope;
 pub mod settings;
 pub mod shared;
+pub mod supply;
 pub mod surface;
 pub mod table;
 pub mod trace;
