Weigh what a model lacks between its callers and the targets they fill

Cause: a group's worth counted the callers that it serves, whatever targets it takes. The best cover of a model then falls with the cube root of its groups' size: 4 groups of sixteen where 4.3 are filled, 32 of four where 17 are. Ruled out: placing (all places taken while callers wait), too few targets (137 of 222 are needed). Change: the weight of a model is the geometric mean of its callers and of the targets that they fill. Why it holds: tests over the layout and over forty plays of losses; in domains of eight and nine the layouts stay.

--- a/crates/core/src/layout.rs
+++ b/crates/core/src/layout.rs
@@ -112,6 +112,7 @@
 struct LayoutDraft<'a> {
     models: Vec<&'a ModelSpec>,
     demand: Vec<f64>,
+    weights: Vec<f64>,
     domains: Vec<DomainDraft<'a>>,
     /// Groups expected to be left of each model, by zone.
     left: Vec<Vec<f64>>,
@@ -142,8 +143,13 @@
             let zone = zones.iter().position(|zone| **zone == stock.zone);
             DomainDraft::open(stock, zone.unwrap_or_default(), &models, phase)
         });
+        let demand = demand_of(&models, demand);
+        let weights = demand.iter().zip(&models);
         let mut draft = Self {
-            demand: demand_of(&models, demand),
+            weights: weights
+                .map(|(demand, model)| model_weight(*demand, model.size))
+                .collect(),
+            demand,
             domains: drafts.collect(),
             left: vec![vec![0.0; models.len()]; zones.len()],
             models,
@@ -255,7 +261,8 @@
             let of_zones = self.left.iter();
             let of_zones = of_zones.map(|left| cover_worth(left[model] * zones, *demand));
             let mean = of_zones.sum::<f64>() / zones.max(1.0);
-            (1.0 - ZONE_SHARE) * cover_worth(all, *demand) + ZONE_SHARE * mean
+            let worth = (1.0 - ZONE_SHARE) * cover_worth(all, *demand) + ZONE_SHARE * mean;
+            worth * self.weights[model]
         });
         of_model.sum()
     }
@@ -362,13 +369,24 @@
     factors.product()
 }
 
+/// Returns what a model's cover weighs against another's: between its callers and the targets they fill.
+///
+/// A group of many targets takes the place of several small ones. Weighed by callers alone, a model whose
+/// groups take four times the targets gets 0.63 of the other's cover: callers filled 4.3 groups of sixteen and
+/// 17 of four, and the weights were laid out for 4 and 32. Weighed by targets, both are covered alike, at
+/// the cost of the callers who need least: in domains of eight, 0.95 of the smaller model's find a place in place
+/// of 0.98. The geometric mean of both keeps these and gives 0.99 of the larger model's a place, 0.92 before.
+fn model_weight(demand: f64, size: usize) -> f64 {
+    demand * (size as f64).sqrt()
+}
+
 /// Returns the worth of a number of groups, which are worth less the more of a model's demand is covered.
 ///
 /// With the square, what a model lacks weighs more than what another has over: a model whose groups are
 /// just filled loses callers with each loss, one that has twice its need loses none.
 fn cover_worth(groups: f64, demand: f64) -> f64 {
     let cover = groups / demand.max(f64::MIN_POSITIVE);
-    -demand / (cover + LEAST_COVER).powi(2)
+    -1.0 / (cover + LEAST_COVER).powi(2)
 }
 
 /// Returns how many groups each model's requests fill, by what was seen or, before that, declared.
--- a/crates/core/tests/losses.rs
+++ b/crates/core/tests/losses.rs
@@ -350,6 +350,8 @@
 /// half of them are refused once targets are lost; the other model's groups are half empty.
 /// Events: before the first caller weights are loaded for 4 groups of sixteen where 4.3 are filled, and for
 /// 32 groups of four where 17 are.
+/// Cause: the worth of a group counted by the callers that it serves. The model whose groups take four times
+/// the targets was then best covered for 0.63 of the other, and spares took more. Now 6 and 27.
 #[gtest]
 fn each_model_starts_with_more_groups_than_its_callers_fill() {
     let case = LARGE_DOMAINS;
@@ -364,7 +366,9 @@
     }
 }
 
-/// Symptom and events as above, with the losses: three targets every three seconds.
+/// Symptom, events and cause as above, with the losses: three targets every three seconds.
+///
+/// Callers of the larger model that find a place, in the mean of forty plays: 0.92 before, 0.99 after.
 #[gtest]
 fn losses_in_large_domains_cost_both_models_alike() {
     for has_dark in [false, true] {
