--- a/crates/core/src/layout.rs
+++ b/crates/core/src/layout.rs
@@ -16,14 +16,8 @@
 
 use crate::engine::{EngineModel, ModelSpec};
 use crate::id::{DomainId, ModelId, ZoneId};
+use crate::losses::{GroupTable, LossCase};
 
-/// Targets of a domain that may be lost before loads have replaced them, for each root of its targets.
-///
-/// What is missing at a time is the rate of losses in the fleet times the seconds until another target has come
-/// and loaded, shared by the domains. Two of 54 lost each 3 s leave a domain of nine three short in the mean,
-/// and of 222 a domain of 37 as many. A part of the domain is too little for the small one, where a model
-/// then gets a place beside another without a spare, and too much for the large one.
-const LOSS_ROOT: f64 = 1.25;
 /// Part of the worth of weights that counts within each zone for itself.
 ///
 /// A zone that is cut off has to serve its callers alone.
@@ -172,8 +166,11 @@
     fn count(&mut self, index: usize, sign: f64) {
         let domain = &self.domains[index];
         for (model, spec) in self.models.iter().enumerate() {
-            let holders = domain.holders[model];
-            let left = self.table.left(domain.targets, holders, spec.size);
+            let left = self.table.left(LossCase {
+                targets: domain.targets,
+                holders: domain.holders[model],
+                size: spec.size,
+            });
             self.left[domain.zone][model] += sign * left;
         }
     }
@@ -378,48 +375,6 @@
     }
 }
 
-/// Groups that are expected to be left after losses, computed once for each case.
-#[derive(Default)]
-struct GroupTable {
-    left: IndexMap<(usize, usize, usize), f64>,
-}
-
-impl GroupTable {
-    /// Returns the groups of `size` that `holders` of `targets` are expected to make after losses.
-    fn left(&mut self, targets: usize, holders: usize, size: usize) -> f64 {
-        let key = (targets, holders, size);
-        let left = self.left.entry(key);
-        *left.or_insert_with(|| expected_left(targets, holders, size))
-    }
-}
-
-/// Returns the mean of the groups that are left while up to some of the targets are lost at random.
-fn expected_left(targets: usize, holders: usize, size: usize) -> f64 {
-    let most = ((targets as f64).sqrt() * LOSS_ROOT).round() as usize;
-    let cases = (0..=most).map(|losses| left_after(losses, targets, holders, size));
-    cases.sum::<f64>() / (most + 1) as f64
-}
-
-/// Returns the mean of the groups that are left after a number of losses.
-///
-/// Losses are drawn without replacement, so the lost holders follow a hypergeometric distribution.
-fn left_after(losses: usize, targets: usize, holders: usize, size: usize) -> f64 {
-    let most = losses.min(holders);
-    let cases = (0..=most).map(|lost| {
-        let ways = choose(holders, lost) * choose(targets - holders, losses - lost);
-        ways * ((holders - lost) / size) as f64
-    });
-    cases.sum::<f64>() / choose(targets, losses).max(f64::MIN_POSITIVE)
-}
-
-fn choose(from: usize, count: usize) -> f64 {
-    if count > from {
-        return 0.0;
-    }
-    let factors = (0..count).map(|index| (from - index) as f64 / (index + 1) as f64);
-    factors.product()
-}
-
 /// Returns what a model's cover weighs against another's: between its callers and the targets they fill.
 ///
 /// A group of many targets takes the place of several small ones. Weighed by callers alone, a model whose
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -28,6 +28,7 @@
 pub mod layout;
 pub mod lease;
 pub mod limit;
+mod losses;
 pub mod mint;
 pub mod order;
 pub mod organisation;
--- a/crates/core/src/target.rs
+++ b/crates/core/src/target.rs
@@ -154,11 +154,27 @@
     /// A target that is cut off from the directory loses its entry and works on. Where another member heads
     /// its group it takes no requests, and the group serves as before. Ended for each lapsed entry, 25 of 222
     /// targets that were cut off for 5 s cost all groups of sixteen and a third of those of four.
+    ///
+    /// ```
+    /// use briarswitch_core::target::TargetBook;
+    ///
+    /// assert!(TargetBook::default().unlisted().is_empty());
+    /// ```
     pub fn unlisted(&self) -> &TargetList {
         &self.unlisted
     }
 
     /// Forgets the unlisted members of groups that no listed target is in any more.
+    ///
+    /// To be called once the changes of an answer are taken in.
+    ///
+    /// ```
+    /// use briarswitch_core::target::TargetBook;
+    ///
+    /// let mut book = TargetBook::default();
+    /// book.forget_ended();
+    /// assert!(book.unlisted().is_empty());
+    /// ```
     pub fn forget_ended(&mut self) {
         if self.unlisted.is_empty() {
             return;
--- a/crates/fleet/src/supply.rs
+++ b/crates/fleet/src/supply.rs
@@ -21,6 +21,25 @@
 }
 
 /// Returns what the models of an engine have and are asked for.
+///
+/// ```
+/// use std::time::Duration;
+///
+/// use briarswitch_core::engine::{EngineModel, ModelSpec};
+/// use briarswitch_core::traffic::ServiceSpec;
+/// use briarswitch_fleet::supply::supplies;
+/// use briarswitch_fleet::table::TargetTable;
+/// use indexmap::IndexMap;
+///
+/// let models = IndexMap::from([("chat".to_owned(), ModelSpec::default())]);
+/// let engine = EngineModel { models, ..EngineModel::default() };
+/// let service = ServiceSpec { id: "chat".to_owned(), max_connections: 9, engine: None };
+/// let demand = IndexMap::from([("chat".to_owned(), 2.5)]);
+/// let now = Duration::ZERO;
+/// let supplies = supplies(&service, &engine, &TargetTable::default(), &demand, now);
+/// assert_eq!(supplies["chat"].groups, 0);
+/// assert_eq!(supplies["chat"].wanted, 2.5);
+/// ```
 pub fn supplies(
     service: &ServiceSpec,
     engine: &EngineModel,
