--- a/crates/fleet/src/trace.rs
+++ b/crates/fleet/src/trace.rs
@@ -60,6 +60,8 @@
     pub target: TargetId,
     /// Group of the last attempt.
     pub group: GroupId,
+    /// Tokens of its prompt; zero where it has none.
+    pub prompt_tokens: u64,
     /// Time that the caller said it would wait.
     pub patience: Duration,
     /// Time for which the caller is thought to have waited before.
@@ -93,6 +95,7 @@
             service: ServiceId::new(),
             target: TargetId::new(),
             group: GroupId::new(),
+            prompt_tokens: 0,
             patience: Duration::ZERO,
             waited_before: Duration::ZERO,
             sent: 0,
@@ -164,6 +167,7 @@
             group = self.group.as_str(),
             outcome = end.name(),
             reason = self.reason,
+            prompt_tokens = self.prompt_tokens,
             sent = self.sent,
             events = self.events,
             patience_ms = self.patience.as_millis() as u64,
