Read over: one word for a serving group, unlisted members straight into the map of members

Whether a group serves was worked out twice from the same first member, in tend and in is_whole; now once and passed on. The struct around one list of unlisted members is gone: a function gives the map that the table's own members are put into.

--- a/crates/core/src/assembly.rs
+++ b/crates/core/src/assembly.rs
@@ -331,6 +331,7 @@
             return Vec::new();
         };
         let (epoch, state) = (held.epoch, held.state);
+        let is_served = matches!(state, MembershipState::Open | MembershipState::Closing);
         let leave = |reason| {
             let action = TargetAction::Leave {
                 group: group.clone(),
@@ -343,12 +344,11 @@
         } else if view.targets[head].standing == TargetStanding::Unlisted {
             // Were its members taken without its word, an order to open that is held up could still reach it.
             Some(leave("head_unlisted"))
-        } else if !is_whole(seen, view) {
+        } else if !is_whole(seen, view, is_served) {
             let is_lost = seen
                 .members
                 .values()
                 .any(|id| view.targets[id].standing == TargetStanding::Silent);
-            let is_served = matches!(state, MembershipState::Open | MembershipState::Closing);
             if !is_lost && !is_served && self.is_awaited(group, now) {
                 None
             } else {
@@ -723,7 +723,7 @@
 ///
 /// Only a group that serves already keeps a member that the directory does not list. Its moves to other groups
 /// are not heard of, so a group that is opened on what it said last may open without it.
-fn is_whole(seen: &SeenGroup, view: &DomainView<'_>) -> bool {
+fn is_whole(seen: &SeenGroup, view: &DomainView<'_>, is_served: bool) -> bool {
     let model = seen
         .model
         .as_ref()
@@ -731,10 +731,6 @@
     let Some(model) = model else {
         return false;
     };
-    let head = seen.members.get(&0).map(|id| &view.targets[id]);
-    let head = head.and_then(|facts| facts.membership.as_ref());
-    let is_served = head
-        .is_some_and(|held| matches!(held.state, MembershipState::Open | MembershipState::Closing));
     (0..model.size).all(|rank| {
         let facts = seen.members.get(&rank).map(|id| &view.targets[id]);
         facts.is_some_and(|facts| {
--- a/crates/fleet/src/table.rs
+++ b/crates/fleet/src/table.rs
@@ -59,7 +59,7 @@
         gauges: &GaugeBoard,
     ) -> Self {
         let mut table = Self::default();
-        let unlisted = UnlistedMembers::open(targets, before);
+        let unlisted = unlisted_members(targets, before);
         for service in book.services.values() {
             let of_service = targets
                 .targets()
@@ -116,53 +116,37 @@
     })
 }
 
-/// Members whose entries are gone, of groups that were whole before.
+/// Members by group, epoch and rank.
+type MemberMap<'a> = IndexMap<(&'a GroupId, Epoch, usize), &'a TargetId, FxBuildHasher>;
+
+/// Returns the members whose entries are gone, of groups that were whole before.
 ///
 /// A node that has not itself seen every member under the group's name and epoch sends nothing there.
-struct UnlistedMembers<'a> {
-    records: Vec<&'a TargetRecord>,
-}
-
-impl<'a> UnlistedMembers<'a> {
-    fn open(targets: &'a TargetBook, before: &TargetTable) -> Self {
-        let unlisted = targets.unlisted();
-        if unlisted.is_empty() {
-            return Self {
-                records: Vec::new(),
-            };
-        }
-        let groups = before
-            .all_groups()
-            .filter_map(|target| target.group.as_ref());
-        let whole: IndexSet<(&GroupId, Epoch)> =
-            groups.map(|group| (&group.id, group.epoch)).collect();
-        let records = unlisted.values().map(Arc::as_ref);
-        let records = records.filter(|record| {
-            let held = record.membership.as_ref();
-            held.is_some_and(|held| whole.contains(&(&held.group, held.epoch)))
-        });
-        Self {
-            records: records.collect(),
-        }
+fn unlisted_members<'a>(targets: &'a TargetBook, before: &TargetTable) -> MemberMap<'a> {
+    let unlisted = targets.unlisted();
+    if unlisted.is_empty() {
+        return MemberMap::default();
     }
+    let groups = before
+        .all_groups()
+        .filter_map(|target| target.group.as_ref());
+    let whole: IndexSet<(&GroupId, Epoch)> = groups.map(|group| (&group.id, group.epoch)).collect();
+    let members = unlisted.values().filter_map(|record| {
+        let held = record.membership.as_ref()?;
+        let is_known = whole.contains(&(&held.group, held.epoch));
+        is_known.then_some(((&held.group, held.epoch, held.rank), &record.id))
+    });
+    members.collect()
 }
 
-/// Members by group, epoch and rank.
-type MemberMap<'a> = IndexMap<(&'a GroupId, Epoch, usize), &'a TargetId, FxBuildHasher>;
-
 /// Returns the groups of a service that take requests, by model.
 fn whole_groups<'a>(
     records: impl Iterator<Item = &'a TargetRecord>,
-    unlisted: &UnlistedMembers<'a>,
+    unlisted: &MemberMap<'a>,
     engine: &EngineModel,
     gauges: &GaugeBoard,
 ) -> IndexMap<ModelId, Vec<Arc<RouteTarget>>> {
-    let mut members = MemberMap::default();
-    for record in &unlisted.records {
-        if let Some(held) = &record.membership {
-            members.insert((&held.group, held.epoch, held.rank), &record.id);
-        }
-    }
+    let mut members = unlisted.clone();
     let mut heads = Vec::new();
     for record in records {
         let Some(held) = &record.membership else {
