Sight: a request's fingerprint, runs that break, targets that end

The lines could not tell a request that ends what runs it from targets that end for a reason of their own: two attempts of one request had nothing in common, and no line said that a target ended.

A broken connection is no proof: the node asks the target once (or connects, where it has no report); refused, another life or gone from the directory count as ended, an answer of the same life does not. Counters target_ends and the cost end_checked, the watch in the state dump.

What becomes of a request is unchanged.

--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -37,6 +37,7 @@
 pub mod planner;
 pub mod prefix;
 pub mod prelude;
+pub mod print;
 pub mod retry;
 pub mod returns;
 pub mod rule;
--- a/crates/fleet/src/costs.rs
+++ b/crates/fleet/src/costs.rs
@@ -33,6 +33,8 @@
     SuspicionTold,
     /// A target was asked for its state.
     ReportAsked,
+    /// A target at which a run broke was looked at.
+    EndChecked,
     /// A target was given an order.
     OrderSent,
     /// What others told was summed up.
@@ -44,7 +46,7 @@
 }
 
 /// Names in order of [`CostKind`].
-const NAMES: [&str; 16] = [
+const NAMES: [&str; 17] = [
     "registry_write",
     "registry_read",
     "table_whole",
@@ -57,6 +59,7 @@
     "gossip_answered",
     "suspicion_told",
     "report_asked",
+    "end_checked",
     "order_sent",
     "work_folded",
     "table_built",
--- a/crates/fleet/src/dispatch.rs
+++ b/crates/fleet/src/dispatch.rs
@@ -16,6 +16,7 @@
 use http::{HeaderValue, StatusCode, Uri};
 
 use crate::budget::RetryBudgets;
+use crate::end_watch::WatchMessage;
 use crate::gauge::GaugePlace;
 use crate::job::{BegunAnswer, FailedAttempt, RequestJob};
 use crate::peers::{PeerMessage, SilentTarget};
@@ -23,6 +24,7 @@
 use crate::ports::{AnswerFacts, TargetMark};
 use crate::refusal::OwnAnswer;
 use crate::relay::StreamRelay;
+use crate::run::TargetRun;
 use crate::shared::FleetShared;
 use crate::table::RouteTarget;
 use crate::trace::{RequestEnd, RequestTrace};
@@ -57,11 +59,18 @@
     budgets: RetryBudgets,
     placer: TargetPlacer,
     peers: Mailbox<PeerMessage>,
+    watch: Mailbox<WatchMessage>,
 }
 
 impl FleetDispatcher {
     /// Opens a dispatcher that tells `peers` of targets that fall silent.
-    pub fn open(shared: Arc<FleetShared>, peers: Mailbox<PeerMessage>) -> Arc<Self> {
+    ///
+    /// `watch` is told of runs that broke off.
+    pub fn open(
+        shared: Arc<FleetShared>,
+        peers: Mailbox<PeerMessage>,
+        watch: Mailbox<WatchMessage>,
+    ) -> Arc<Self> {
         let client = TargetClient::open(TargetLimits {
             connect: CONNECT_TIME,
             idle: IDLE_CONNECTIONS,
@@ -72,6 +81,7 @@
             shared,
             client,
             peers,
+            watch,
         })
     }
 
@@ -174,14 +184,19 @@
         let is_fresh = !job.rule.is_repeatable();
         let client = self.client.keeping(self.idle_limit(job));
         let sending = client.send(&address, request, is_fresh);
-        let reply = match self.wait_head(sending, job, &target, now, may_move).await {
-            Ok(reply) => reply,
-            Err(point) => {
+        let mut run = TargetRun::open(job, &target, now, self.watch.clone());
+        match self.wait_head(sending, job, &target, now, may_move).await {
+            Ok(reply) => self.check(job, target, place, reply, run).await,
+            Err(end) => {
                 target.gauge.note_outcome(true);
-                return Err(point.into());
+                match end {
+                    WaitEnd::Failed(SendFailure::Broken) => run.broke("broken_before_head"),
+                    WaitEnd::Failed(_) => run.settle(),
+                    WaitEnd::Deadline | WaitEnd::Moved => {}
+                }
+                Err(FailurePoint::from(end).into())
             }
-        };
-        self.check(job, target, place, reply).await
+        }
     }
 
     fn idle_limit(&self, job: &RequestJob) -> usize {
@@ -199,18 +214,18 @@
         target: &RouteTarget,
         sent: Moment,
         may_move: bool,
-    ) -> Result<TargetReply, FailurePoint> {
+    ) -> Result<TargetReply, WaitEnd> {
         tokio::pin!(sending);
         let patience = (job.rule.objective * 2).max(LEAST_PATIENCE);
         loop {
             match tokio::time::timeout(SILENCE_CHECK, &mut sending).await {
                 Ok(Ok(reply)) => return Ok(reply),
-                Ok(Err(failure)) => return Err(point_of(failure)),
+                Ok(Err(failure)) => return Err(WaitEnd::Failed(failure)),
                 Err(_) => {}
             }
             let now = BootClock::now();
             if now >= job.deadline {
-                return Err(FailurePoint::AnswerDeadline);
+                return Err(WaitEnd::Deadline);
             }
             let waited = now.saturating_sub(sent);
             let limit = self.silence_limit(job, target);
@@ -221,7 +236,7 @@
             // A prompt that is moved is read twice, so one that is only queued is left where it is.
             let is_worth_moving = is_silent || waited > patience.max(limit);
             if is_worth_moving && may_move && self.can_move(job, target) {
-                return Err(FailurePoint::BrokenBeforeHead);
+                return Err(WaitEnd::Moved);
             }
         }
     }
@@ -290,6 +305,7 @@
         target: Arc<RouteTarget>,
         place: GaugePlace,
         reply: TargetReply,
+        mut run: TargetRun,
     ) -> Result<BegunAnswer, FailedAttempt> {
         let TargetReply { head, body } = reply;
         let facts = self
@@ -299,6 +315,7 @@
             .facts(head.status, &head.headers);
         let now = BootClock::now();
         if facts.is_not_run || facts.is_other_life {
+            run.settle();
             target.gauge.note_outcome(true);
             if facts.is_other_life || facts.at_fault.is_some() {
                 self.suspect(&target, now);
@@ -320,8 +337,10 @@
                 place: Some(place),
                 head,
                 body,
+                run,
             });
         }
+        run.settle();
         target.gauge.note_outcome(true);
         if head.status.is_success() {
             return Err(FailurePoint::Truncated.into());
@@ -361,14 +380,19 @@
             place,
             head,
             body,
+            mut run,
         } = begun;
         let left = job.deadline.saturating_sub(BootClock::now());
         let read = tokio::time::timeout(left, body.read_whole(ANSWER_BYTES)).await;
         drop(place);
         self.placer.serve_queue();
         match read {
-            Ok(Ok(bytes)) => Ok((head, bytes)),
+            Ok(Ok(bytes)) => {
+                run.settle();
+                Ok((head, bytes))
+            }
             Ok(Err(_)) => {
+                run.broke("truncated");
                 target.gauge.note_outcome(true);
                 Err(FailurePoint::Truncated)
             }
@@ -461,11 +485,25 @@
     )
 }
 
-fn point_of(failure: SendFailure) -> FailurePoint {
-    match failure {
-        SendFailure::Connect => FailurePoint::Connect,
-        SendFailure::ClosedBeforeSend => FailurePoint::ClosedBeforeSend,
-        SendFailure::Broken => FailurePoint::BrokenBeforeHead,
+/// Why the wait for an answer's head ended without one.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+enum WaitEnd {
+    /// The request could not be sent, or its connection broke.
+    Failed(SendFailure),
+    /// The request's time is over.
+    Deadline,
+    /// The target is silent or slow, and there is another one.
+    Moved,
+}
+
+impl From<WaitEnd> for FailurePoint {
+    fn from(end: WaitEnd) -> Self {
+        match end {
+            WaitEnd::Failed(SendFailure::Connect | SendFailure::Refused) => Self::Connect,
+            WaitEnd::Failed(SendFailure::ClosedBeforeSend) => Self::ClosedBeforeSend,
+            WaitEnd::Failed(SendFailure::Broken) | WaitEnd::Moved => Self::BrokenBeforeHead,
+            WaitEnd::Deadline => Self::AnswerDeadline,
+        }
     }
 }
 
--- /dev/null
+++ b/crates/fleet/src/end_watch.rs
@@ -0,0 +1,282 @@
+//! Finds out whether a target at which a run broke off has ended.
+//!
+//! A broken connection does not tell: the target may have ended, or only the connection, or the way to it.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use briarswitch_core::id::Moment;
+use briarswitch_kernel::{Service, ServiceLink};
+use indexmap::IndexMap;
+use serde_json::{json, Value};
+
+use crate::costs::CostKind;
+use crate::ports::ReportError;
+use crate::run::{RunBreak, RunFacts, TargetLife};
+use crate::shared::FleetShared;
+
+/// Time to wait for a target's answer; a healthy one takes a few milliseconds.
+const CHECK_TIME: Duration = Duration::from_millis(400);
+/// Time between looks at the directory for targets that did not answer.
+const LOOK_INTERVAL: Duration = Duration::from_millis(200);
+/// Time within which the directory drops a target that has ended: three renewals missed, and what it takes to
+/// hear of it.
+const LAPSE_TIME: Duration = Duration::from_secs(6);
+/// Time after which the end of a target has nothing to do any more with a run that nobody waits for.
+const ABANDONED_TIME: Duration = Duration::from_millis(1_500);
+/// Time for which an end is remembered, for connections that break late.
+const ENDED_TIME: Duration = Duration::from_secs(10);
+
+/// Name of the watch.
+pub const WATCH_SERVICE: &str = "end_watch";
+
+/// What shows that a life of a target has ended.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum EndProof {
+    /// Nobody listens at its address.
+    Refused,
+    /// Another life answers at its address.
+    OtherLife,
+    /// The directory lists another life, or none.
+    Unlisted,
+}
+
+impl EndProof {
+    /// Returns the name used in logs and metrics.
+    pub fn name(self) -> &'static str {
+        match self {
+            Self::Refused => "refused",
+            Self::OtherLife => "other_life",
+            Self::Unlisted => "unlisted",
+        }
+    }
+}
+
+/// What is known of a target at which a run broke off.
+#[derive(Debug)]
+enum LifeState {
+    /// It was asked.
+    Asked,
+    /// It did not answer; the directory will tell.
+    Silent,
+    /// Runs there were abandoned, which is no reason to ask.
+    Unasked,
+    /// It has ended.
+    Ended(EndProof),
+}
+
+/// A run that brought no whole answer.
+#[derive(Debug)]
+struct BrokenRun {
+    facts: RunFacts,
+    end: RunBreak,
+    at: Moment,
+}
+
+#[derive(Debug)]
+struct WatchedLife {
+    state: LifeState,
+    since: Moment,
+    runs: Vec<BrokenRun>,
+}
+
+impl WatchedLife {
+    /// Drops the runs that nobody waited for any more well before a moment.
+    fn drop_abandoned(&mut self, at: Moment) {
+        self.runs
+            .retain(|run| run.end == RunBreak::Broken || at < run.at + ABANDONED_TIME);
+    }
+}
+
+/// Message to [`EndWatch`].
+pub enum WatchMessage {
+    /// A run brought no whole answer.
+    Ended(Box<RunFacts>, RunBreak),
+    /// A target answered, or not; [`Ok`] where the life that was meant lives.
+    Checked(TargetLife, Result<(), ReportError>),
+    /// Look at what is watched.
+    Look,
+}
+
+/// Watches the targets at which runs broke off.
+pub struct EndWatch {
+    shared: Arc<FleetShared>,
+    lives: IndexMap<TargetLife, WatchedLife>,
+    is_looking: bool,
+}
+
+impl EndWatch {
+    /// Opens a watch of nothing.
+    pub fn open(shared: Arc<FleetShared>) -> Self {
+        Self {
+            shared,
+            lives: IndexMap::new(),
+            is_looking: false,
+        }
+    }
+
+    fn take(&mut self, facts: RunFacts, end: RunBreak, link: &ServiceLink<WatchMessage>) {
+        let now = link.now();
+        let life = facts.life.clone();
+        let watched = self.lives.entry(life.clone()).or_insert(WatchedLife {
+            state: LifeState::Unasked,
+            since: now,
+            runs: Vec::new(),
+        });
+        let check = facts.clone();
+        watched.runs.push(BrokenRun {
+            facts,
+            end,
+            at: now,
+        });
+        match watched.state {
+            LifeState::Ended(proof) => self.note_end(&life, proof, now),
+            LifeState::Unasked => {
+                watched.drop_abandoned(now);
+                watched.since = now;
+                if end == RunBreak::Broken {
+                    watched.state = LifeState::Asked;
+                    self.check(check, link);
+                }
+            }
+            LifeState::Asked | LifeState::Silent => {}
+        }
+        if !self.is_looking {
+            self.is_looking = true;
+            link.later(LOOK_INTERVAL, WatchMessage::Look);
+        }
+    }
+
+    fn check(&self, facts: RunFacts, link: &ServiceLink<WatchMessage>) {
+        if self.is_unlisted(&facts.life) {
+            link.spawn(async move { WatchMessage::Checked(facts.life, Err(ReportError::Gone)) });
+            return;
+        }
+        let shared = Arc::clone(&self.shared);
+        shared.costs.count(CostKind::EndChecked);
+        link.spawn(async move {
+            let targets = &shared.platform.targets;
+            let (target, address) = (&facts.life.target, &facts.address);
+            // A single target has nothing to say of itself, but it listens or not.
+            let answer = if facts.group.is_empty() {
+                targets.reach(address, CHECK_TIME).await
+            } else {
+                let report = targets.report(target, address, CHECK_TIME).await;
+                report.and_then(|report| {
+                    let is_same = report.incarnation == facts.life.incarnation;
+                    is_same.then_some(()).ok_or(ReportError::Gone)
+                })
+            };
+            WatchMessage::Checked(facts.life, answer)
+        });
+    }
+
+    fn is_unlisted(&self, life: &TargetLife) -> bool {
+        let directory = self.shared.directory.load();
+        let record = directory.book.targets().get(&life.target);
+        record.is_none_or(|record| record.incarnation != life.incarnation)
+    }
+
+    fn take_check(&mut self, life: &TargetLife, answer: Result<(), ReportError>, now: Moment) {
+        let proof = match answer {
+            Ok(()) => {
+                self.lives.swap_remove(life);
+                return;
+            }
+            Err(ReportError::Refused) => EndProof::Refused,
+            Err(ReportError::Gone) => EndProof::OtherLife,
+            Err(ReportError::Silent | ReportError::Unreadable) => {
+                if let Some(watched) = self.lives.get_mut(life) {
+                    watched.state = LifeState::Silent;
+                }
+                return;
+            }
+        };
+        self.note_end(life, proof, now);
+    }
+
+    /// Notes that a life has ended, and with it the runs that were under way there.
+    fn note_end(&mut self, life: &TargetLife, proof: EndProof, now: Moment) {
+        let Some(watched) = self.lives.get_mut(life) else {
+            return;
+        };
+        watched.drop_abandoned(watched.since);
+        let runs = std::mem::take(&mut watched.runs);
+        let is_news = !matches!(watched.state, LifeState::Ended(_));
+        watched.state = LifeState::Ended(proof);
+        if is_news {
+            let after = now.saturating_sub(watched.since);
+            watched.since = now;
+            let group = runs.first().map_or("", |run| run.facts.group.as_str());
+            self.shared.metrics.count_target_end(proof.name());
+            log::warn!(
+                target_id = life.target.as_str(),
+                group = group,
+                proof = proof.name(),
+                under_way = runs.len(),
+                after_ms = after.as_millis() as u64;
+                "target_ended"
+            );
+        }
+    }
+
+    fn look(&mut self, now: Moment) {
+        let silent: Vec<TargetLife> = self
+            .lives
+            .iter()
+            .filter(|(life, watched)| {
+                let is_open = matches!(watched.state, LifeState::Silent | LifeState::Unasked);
+                is_open && self.is_unlisted(life)
+            })
+            .map(|(life, _)| life.clone())
+            .collect();
+        for life in silent {
+            self.note_end(&life, EndProof::Unlisted, now);
+        }
+        self.lives.retain(|_, watched| {
+            let limit = match watched.state {
+                LifeState::Unasked => ABANDONED_TIME,
+                LifeState::Asked | LifeState::Silent => LAPSE_TIME,
+                LifeState::Ended(_) => ENDED_TIME,
+            };
+            now < watched.since + limit
+        });
+    }
+}
+
+impl Service for EndWatch {
+    type Message = WatchMessage;
+
+    fn name(&self) -> &'static str {
+        WATCH_SERVICE
+    }
+
+    fn start(&mut self, _link: &ServiceLink<WatchMessage>) {}
+
+    fn handle(&mut self, message: WatchMessage, link: &ServiceLink<WatchMessage>) {
+        match message {
+            WatchMessage::Ended(facts, end) => self.take(*facts, end, link),
+            WatchMessage::Checked(life, answer) => self.take_check(&life, answer, link.now()),
+            WatchMessage::Look => {
+                self.look(link.now());
+                self.is_looking = !self.lives.is_empty();
+                if self.is_looking {
+                    link.later(LOOK_INTERVAL, WatchMessage::Look);
+                }
+            }
+        }
+    }
+
+    fn dump(&self) -> Value {
+        let ended = self.lives.iter().filter_map(|(life, watched)| {
+            let LifeState::Ended(proof) = watched.state else {
+                return None;
+            };
+            Some(json!({"target": life.target, "proof": proof.name()}))
+        });
+        json!({
+            "watched": self.lives.len(),
+            "ended": ended.collect::<Vec<_>>(),
+        })
+    }
+}
--- a/crates/fleet/src/job.rs
+++ b/crates/fleet/src/job.rs
@@ -6,6 +6,7 @@
 use briarswitch_core::engine::EngineModel;
 use briarswitch_core::id::*;
 use briarswitch_core::outcome::FailurePoint;
+use briarswitch_core::print::RequestPrint;
 use briarswitch_core::traffic::{AnswerKind, TrafficBook, TrafficRule};
 use briarswitch_http::TargetBody;
 use bytes::Bytes;
@@ -14,6 +15,7 @@
 use crate::gauge::GaugePlace;
 use crate::ports::CallerAsk;
 use crate::queue::PlaceAsk;
+use crate::run::TargetRun;
 use crate::table::RouteTarget;
 
 /// A request that was identified and matched by a rule.
@@ -28,6 +30,8 @@
     pub headers: HeaderMap,
     /// Body.
     pub body: Bytes,
+    /// Fingerprint, the same for each repeat of the request.
+    pub print: RequestPrint,
     /// Rule that matched.
     pub rule: TrafficRule,
     /// Configuration that the rule is from.
@@ -80,6 +84,8 @@
     pub head: http::response::Parts,
     /// Body.
     pub body: TargetBody,
+    /// The run that makes it.
+    pub run: TargetRun,
 }
 
 /// A failed attempt.
--- a/crates/fleet/src/metrics.rs
+++ b/crates/fleet/src/metrics.rs
@@ -23,6 +23,7 @@
     requests: Counter<u64>,
     resumes: Counter<u64>,
     orders: Counter<u64>,
+    target_ends: Counter<u64>,
     latency: Histogram<f64>,
     first: Histogram<f64>,
     config: Arc<AtomicU64>,
@@ -77,6 +78,7 @@
             requests: meter.u64_counter("requests").build(),
             resumes: meter.u64_counter("stream_resumes").build(),
             orders: meter.u64_counter("orders").build(),
+            target_ends: meter.u64_counter("target_ends").build(),
             latency: histogram("request_seconds"),
             first: histogram("first_event_seconds"),
             registry,
@@ -116,6 +118,11 @@
         );
     }
 
+    /// Counts one target that ended while requests of this node were under way there.
+    pub fn count_target_end(&self, proof: &'static str) {
+        self.target_ends.add(1, &[KeyValue::new("proof", proof)]);
+    }
+
     /// Sets the version of the configuration in force.
     pub fn set_config(&self, version: u64) {
         self.config.store(version, Ordering::Relaxed);
--- a/crates/fleet/src/node.rs
+++ b/crates/fleet/src/node.rs
@@ -16,6 +16,7 @@
 
 use crate::controller::GroupController;
 use crate::dispatch::FleetDispatcher;
+use crate::end_watch::EndWatch;
 use crate::keeper::{BookKeeper, DirectoryKeeper};
 use crate::peer_surface::PeerSurface;
 use crate::peers::PeerExchange;
@@ -82,7 +83,8 @@
         kernel.mount(DirectoryKeeper::open(Arc::clone(&shared)))?;
         let exchange = kernel.mount(PeerExchange::open(Arc::clone(&shared)))?;
         kernel.mount(GroupController::open(Arc::clone(&shared)))?;
-        let dispatcher = FleetDispatcher::open(Arc::clone(&shared), exchange);
+        let watch = kernel.mount(EndWatch::open(Arc::clone(&shared)))?;
+        let dispatcher = FleetDispatcher::open(Arc::clone(&shared), exchange, watch);
         let (stop, stopped) = watch::channel(false);
         let surface = CallerSurface::open(Arc::clone(&shared), dispatcher);
         let peer_surface = PeerSurface::open(Arc::clone(&shared));
--- a/crates/fleet/src/ports.rs
+++ b/crates/fleet/src/ports.rs
@@ -182,6 +182,9 @@
     /// No answer came in time.
     #[error("no answer")]
     Silent,
+    /// Nobody listens at the address: the life that did has ended.
+    #[error("nobody listens")]
+    Refused,
     /// Another life answers at the address.
     #[error("another life answers")]
     Gone,
@@ -192,6 +195,13 @@
 
 /// Asks and orders targets.
 pub trait TargetControl: Send + Sync {
+    /// Finds out whether anybody listens at a target's address; nothing is asked.
+    fn reach<'a>(
+        &'a self,
+        address: &'a str,
+        limit: Duration,
+    ) -> BoxFuture<'a, Result<(), ReportError>>;
+
     /// Asks one life of a target for its state.
     fn report<'a>(
         &'a self,
--- a/crates/fleet/src/relay.rs
+++ b/crates/fleet/src/relay.rs
@@ -35,6 +35,8 @@
     Piece(Bytes),
     End,
     Broken,
+    /// The request's time is over.
+    Deadline,
     Silent,
 }
 
@@ -76,7 +78,10 @@
                     }
                 }
                 RelayStep::End => return self.end(),
-                RelayStep::Broken => {
+                end @ (RelayStep::Broken | RelayStep::Deadline) => {
+                    if matches!(end, RelayStep::Broken) {
+                        self.current.run.broke("stream_broken");
+                    }
                     self.trace.reason = "stream_broken";
                     if !self.resume_broken().await {
                         return Some(Err(self.give_up()));
@@ -102,7 +107,7 @@
             }
             let now = BootClock::now();
             if now >= self.job.deadline {
-                return RelayStep::Broken;
+                return RelayStep::Deadline;
             }
             let is_late = now.saturating_sub(begun) > SILENCE_CHECK + OWN_LATENESS;
             if !is_late && self.is_silent(now) {
@@ -150,6 +155,7 @@
     /// Ends the caller's stream; bytes of an event that never ended are passed on as they came.
     fn end(&mut self) -> Option<Result<Bytes, io::Error>> {
         self.is_over = true;
+        self.current.run.settle();
         self.trace.end(RequestEnd::Answered);
         let rest = Bytes::copy_from_slice(self.splitter.held());
         (!rest.is_empty()).then_some(Ok(rest))
--- a/crates/fleet/src/surface.rs
+++ b/crates/fleet/src/surface.rs
@@ -4,6 +4,7 @@
 use std::sync::Arc;
 
 use briarswitch_core::id::*;
+use briarswitch_core::print::{PrintParts, RequestPrint};
 use briarswitch_core::traffic::{TrafficBook, TrafficRule};
 use briarswitch_http::{read_body, Body, BodyError, Handler, Request, Response};
 use briarswitch_kernel::BootClock;
@@ -105,8 +106,18 @@
         self.count_demand(known, &service, &ask, trace.arrived);
         self.shared.has_traffic.store(true, Ordering::Relaxed);
         let path = head.uri.path_and_query();
+        let path = path.map_or("/", |path| path.as_str()).to_owned();
+        let print = RequestPrint::of(&PrintParts {
+            caller: organisation.as_deref().or(ask.key.as_deref()).unwrap_or(""),
+            method: head.method.as_str(),
+            host: &ask.host,
+            path: &path,
+            body: &bytes,
+        });
+        trace.print = Some(print);
         Ok(RequestJob {
-            path: path.map_or("/", |path| path.as_str()).to_owned(),
+            path,
+            print,
             method: head.method,
             headers: head.headers,
             body: bytes,
--- a/crates/fleet/src/table.rs
+++ b/crates/fleet/src/table.rs
@@ -16,6 +16,8 @@
 pub struct RouteTarget {
     /// Life that has to run the request.
     pub id: TargetId,
+    /// Life under that name; zero where the target does not say.
+    pub incarnation: Incarnation,
     /// Address of its listener.
     pub address: String,
     /// Zone.
@@ -107,6 +109,7 @@
 ) -> Arc<RouteTarget> {
     Arc::new(RouteTarget {
         id: record.id.clone(),
+        incarnation: record.incarnation,
         address: record.address.clone(),
         zone: record.zone.clone(),
         domain: record.domain.clone(),
--- a/crates/fleet/src/trace.rs
+++ b/crates/fleet/src/trace.rs
@@ -5,6 +5,7 @@
 use std::time::Duration;
 
 use briarswitch_core::id::*;
+use briarswitch_core::print::RequestPrint;
 use briarswitch_kernel::BootClock;
 
 use crate::metrics::RequestLabels;
@@ -46,6 +47,8 @@
     shared: Arc<FleetShared>,
     /// Id that the caller gave the attempt.
     pub request: RequestId,
+    /// Fingerprint, once the request was read.
+    pub print: Option<RequestPrint>,
     /// When its head was read.
     pub arrived: Moment,
     /// Organisation.
@@ -88,6 +91,7 @@
         Self {
             shared: Arc::clone(shared),
             request: request.to_owned(),
+            print: None,
             arrived,
             organisation: OrganisationId::new(),
             rule: String::new(),
@@ -158,6 +162,7 @@
         self.shared.metrics.count_request(labels, latency);
         log::info!(
             request = self.request.as_str(),
+            print = self.print.map(|print| print.to_string()).unwrap_or_default().as_str(),
             organisation = self.organisation.as_str(),
             rule = self.rule.as_str(),
             config = self.version,
--- a/crates/http/src/target.rs
+++ b/crates/http/src/target.rs
@@ -1,6 +1,7 @@
 //! A client for targets that knows whether any byte of a request can have left.
 
 use std::collections::HashMap;
+use std::io::ErrorKind;
 use std::sync::{Arc, Mutex, PoisonError};
 use std::time::Duration;
 
@@ -40,6 +41,9 @@
     /// The connection could not be opened.
     #[error("the connection could not be opened")]
     Connect,
+    /// Nobody listens at the address.
+    #[error("nobody listens at the address")]
+    Refused,
     /// The connection was closed before a byte of the request was written.
     #[error("the connection was closed before the request was written")]
     ClosedBeforeSend,
@@ -171,12 +175,28 @@
         }
     }
 
+    /// Opens a connection and closes it again, which shows whether anybody listens.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`SendFailure::Refused`] when nobody listens, [`SendFailure::Connect`] when nothing is known.
+    pub async fn reach(&self, address: &str) -> Result<(), SendFailure> {
+        self.open_stream(address).await.map(|_| ())
+    }
+
+    async fn open_stream(&self, address: &str) -> Result<TcpStream, SendFailure> {
+        let opening = TcpStream::connect(address);
+        match tokio::time::timeout(self.limits.connect, opening).await {
+            Ok(Ok(stream)) => Ok(stream),
+            Ok(Err(error)) if error.kind() == ErrorKind::ConnectionRefused => {
+                Err(SendFailure::Refused)
+            }
+            _ => Err(SendFailure::Connect),
+        }
+    }
+
     async fn connect(&self, target: &TargetAddress) -> Result<Sender, SendFailure> {
-        let opening = TcpStream::connect(target.address.as_str());
-        let stream = match tokio::time::timeout(self.limits.connect, opening).await {
-            Ok(Ok(stream)) => stream,
-            _ => return Err(SendFailure::Connect),
-        };
+        let stream = self.open_stream(&target.address).await?;
         let _ = stream.set_nodelay(true);
         let (sender, connection) = handshake(TokioIo::new(stream))
             .await
--- a/crates/node/src/attempt.rs
+++ b/crates/node/src/attempt.rs
@@ -92,7 +92,7 @@
             at: sent,
         });
         match failure {
-            SendFailure::Connect => FailurePoint::Connect,
+            SendFailure::Connect | SendFailure::Refused => FailurePoint::Connect,
             SendFailure::ClosedBeforeSend => FailurePoint::ClosedBeforeSend,
             SendFailure::Broken => FailurePoint::BrokenBeforeHead,
         }
--- a/crates/node/src/forward.rs
+++ b/crates/node/src/forward.rs
@@ -81,9 +81,9 @@
         let sending = self.client.send(&target, request, true);
         match tokio::time::timeout(limit, sending).await {
             Ok(Ok(reply)) => Ok(reply),
-            Ok(Err(SendFailure::Connect | SendFailure::ClosedBeforeSend)) => {
-                Err(FailurePoint::KeyClaimed)
-            }
+            Ok(Err(
+                SendFailure::Connect | SendFailure::ClosedBeforeSend | SendFailure::Refused,
+            )) => Err(FailurePoint::KeyClaimed),
             Ok(Err(SendFailure::Broken)) => Err(FailurePoint::BrokenBeforeHead),
             Err(_) => Err(FailurePoint::AnswerDeadline),
         }
