--- /dev/null
+++ b/crates/fleet/tests/support/mod.rs
@@ -0,0 +1,307 @@
+//! Nodes in this process, with a platform in memory and targets behind real sockets.
+#![allow(dead_code)]
+
+pub mod platform;
+pub mod target;
+
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use briarswitch_core::id::*;
+use briarswitch_core::traffic::{
+    AnswerKind, CallerLimits, KeyHolder, RepeatKind, ServiceSpec, SplitShare, TrafficBook,
+    TrafficRule,
+};
+use briarswitch_fleet::{FleetNode, FleetSettings};
+use briarswitch_http::{whole_body, TargetAddress, TargetClient, TargetLimits};
+use bytes::Bytes;
+use http::{HeaderMap, HeaderValue, Method};
+
+use platform::{NodeDoor, PlatformStub};
+use target::TargetStub;
+
+pub const HOST: &str = "api.example";
+pub const SERVICE: &str = "app";
+/// Keys and the organisations that hold them.
+pub const KEYS: [(&str, &str); 2] = [("key-one", "org-one"), ("key-two", "org-two")];
+/// An address whose port the operating system chooses when it is bound.
+const ANY_PORT: &str = "127.0.0.1:0";
+/// Longest time a condition may take to come about.
+const LIMIT: Duration = Duration::from_secs(60);
+/// Time that callers wait.
+const PATIENCE: Duration = Duration::from_secs(5);
+
+/// Returns rules for streams below `/chat/`, for idempotent calls below `/look/` and for calls that run at most
+/// once below `/bill/`.
+pub fn book() -> TrafficBook {
+    let rule = |prefix: &str, repeat, answer| TrafficRule {
+        name: prefix.to_owned(),
+        prefix: prefix.to_owned(),
+        repeat,
+        answer,
+        timeout: PATIENCE,
+        objective: Duration::from_millis(500),
+        priority: 1,
+        max_attempts: 2,
+        is_public: false,
+        split: vec![SplitShare {
+            service: SERVICE.to_owned(),
+            weight: 1,
+        }],
+    };
+    let stream = AnswerKind::Events {
+        is_resumable: true,
+        gap: Duration::from_millis(500),
+    };
+    let rules = vec![
+        rule("/chat/", RepeatKind::AtMostOnce, stream),
+        rule("/look/", RepeatKind::Idempotent, AnswerKind::Whole),
+        rule("/bill/", RepeatKind::AtMostOnce, AnswerKind::Whole),
+    ];
+    let holders = KEYS.map(|(key, organisation)| {
+        let holder = KeyHolder {
+            organisation: organisation.to_owned(),
+            priority: None,
+        };
+        (key.to_owned(), holder)
+    });
+    let service = ServiceSpec {
+        id: SERVICE.to_owned(),
+        max_connections: 100,
+        engine: None,
+    };
+    TrafficBook {
+        version: 1,
+        hosts: [(HOST.to_owned(), rules)].into(),
+        services: [(SERVICE.to_owned(), service)].into(),
+        keys: Some(holders.into_iter().collect()),
+        limits: CallerLimits {
+            header_bytes: 16_384,
+            body_bytes: 65_536,
+            send_time: Duration::from_secs(1),
+            idle_time: Duration::from_secs(15),
+        },
+    }
+}
+
+fn settings(node: &str, zone: &str) -> FleetSettings {
+    FleetSettings {
+        node: node.to_owned(),
+        zone: zone.to_owned(),
+        callers: ANY_PORT.to_owned(),
+        health: ANY_PORT.to_owned(),
+        peers: ANY_PORT.to_owned(),
+        metrics: ANY_PORT.to_owned(),
+        store: String::new(),
+        link_mbps: 1000,
+        is_first_start: false,
+        fails_closed: true,
+        key_validity: Duration::from_secs(30),
+        // More than any test needs: what is shown must not hang on the budget of retries.
+        retry_ratio: 20.0,
+        retry_burst: 10_000,
+        grace: Duration::from_secs(4),
+        log_level: log::LevelFilter::Info,
+    }
+}
+
+/// One answer as a caller saw it.
+#[derive(Clone, Debug)]
+pub struct Answer {
+    /// Status; zero where the connection ended without one.
+    pub status: u16,
+    pub headers: HeaderMap,
+    pub body: String,
+    /// Whether the body came to its end.
+    pub is_whole: bool,
+}
+
+impl Answer {
+    /// Returns the seconds after which to come back.
+    pub fn retry_after(&self) -> Option<f64> {
+        let value = self.headers.get("retry-after")?;
+        value.to_str().ok()?.parse().ok()
+    }
+
+    pub fn is_served(&self) -> bool {
+        self.status == 200 && self.is_whole
+    }
+}
+
+/// A request that a caller sends, again and again if need be.
+#[derive(Clone, Copy, Debug)]
+pub struct Ask<'a> {
+    pub key: &'a str,
+    pub path: &'a str,
+    pub body: &'a str,
+}
+
+impl<'a> Ask<'a> {
+    pub fn chat(body: &'a str) -> Self {
+        Self {
+            key: KEYS[0].0,
+            path: "/chat/x",
+            body,
+        }
+    }
+}
+
+/// A node and its way to the platform.
+pub struct NodeStub {
+    pub door: Arc<NodeDoor>,
+    node: Option<FleetNode>,
+    zone: ZoneId,
+}
+
+/// A platform, targets and nodes.
+pub struct Fleet {
+    pub platform: PlatformStub,
+    pub targets: Vec<TargetStub>,
+    pub nodes: Vec<NodeStub>,
+    client: TargetClient,
+    asked: std::sync::atomic::AtomicU64,
+}
+
+impl Fleet {
+    /// Starts targets, and a node for each zone that is named.
+    pub async fn open(targets: usize, zones: &[&str]) -> Self {
+        let platform = PlatformStub::open(book());
+        let mut fleet = Self {
+            targets: Vec::new(),
+            nodes: Vec::new(),
+            client: TargetClient::open(TargetLimits {
+                connect: Duration::from_secs(2),
+                idle: 0,
+            }),
+            asked: Default::default(),
+            platform,
+        };
+        for index in 0..targets {
+            let name = format!("t{index}");
+            let domain = format!("d{}", index % 3);
+            let target = TargetStub::bind(&fleet.platform, &name, &domain).await;
+            fleet.targets.push(target);
+        }
+        for zone in zones {
+            let door = fleet.platform.door(&format!("n{}", fleet.nodes.len()));
+            fleet.nodes.push(NodeStub {
+                door,
+                node: None,
+                zone: (*zone).to_owned(),
+            });
+        }
+        for index in 0..fleet.nodes.len() {
+            fleet.start(index).await;
+        }
+        fleet.until_known().await;
+        fleet
+    }
+
+    /// Starts a node, or starts it again without anything that it knew.
+    pub async fn start(&mut self, index: usize) {
+        let stub = &mut self.nodes[index];
+        stub.node = None;
+        let settings = settings(&stub.door.node, &stub.zone);
+        let platform = stub.door.platform();
+        let node = FleetNode::spawn(settings, platform).await;
+        stub.node = Some(node.expect("the node starts"));
+    }
+
+    /// Ends a node as a kill does.
+    pub fn kill(&mut self, index: usize) {
+        self.nodes[index].node = None;
+    }
+
+    /// Waits until each node that runs serves.
+    pub async fn until_known(&self) {
+        for index in 0..self.nodes.len() {
+            if self.nodes[index].node.is_none() {
+                continue;
+            }
+            let ask = Ask::chat("hello");
+            self.until("a node serves", || async {
+                self.ask(index, ask).await.is_served()
+            })
+            .await;
+        }
+    }
+
+    pub async fn until<F, Fut>(&self, what: &str, condition: F)
+    where
+        F: Fn() -> Fut,
+        Fut: std::future::Future<Output = bool>,
+    {
+        let end = Instant::now() + LIMIT;
+        while !condition().await {
+            assert!(Instant::now() < end, "{what} did not come about");
+            tokio::time::sleep(Duration::from_millis(20)).await;
+        }
+    }
+
+    /// Sends a request to a node under an id of its own.
+    pub async fn ask(&self, node: usize, ask: Ask<'_>) -> Answer {
+        let settings = self.nodes[node].node.as_ref().map(FleetNode::settings);
+        let address = settings.map(|settings| settings.callers.clone());
+        let attempt = self
+            .asked
+            .fetch_add(1, std::sync::atomic::Ordering::Relaxed);
+        let mut request = request(Method::POST, ask.path, ask.body);
+        let headers = [("key", ask.key), ("attempt", &format!("a{attempt}"))];
+        for (name, value) in headers {
+            let value = HeaderValue::from_str(value).expect("a header's value");
+            request.headers_mut().insert(name, value);
+        }
+        self.send(&address.unwrap_or_default(), request).await
+    }
+
+    /// Sends a request to a node's listener for operators.
+    pub async fn operate(&self, node: usize, method: Method, path: &str) -> Answer {
+        let settings = self.nodes[node].node.as_ref().map(FleetNode::settings);
+        let address = settings.map(|settings| settings.metrics.clone());
+        self.send(&address.unwrap_or_default(), request(method, path, ""))
+            .await
+    }
+
+    async fn send(
+        &self,
+        address: &str,
+        request: http::Request<http_body_util::Full<Bytes>>,
+    ) -> Answer {
+        let target = TargetAddress {
+            address: address.to_owned(),
+            incarnation: 0,
+        };
+        let Ok(reply) = self.client.send(&target, request, true).await else {
+            return Answer {
+                status: 0,
+                headers: HeaderMap::new(),
+                body: String::new(),
+                is_whole: false,
+            };
+        };
+        let mut body = reply.body;
+        let mut text = String::new();
+        let is_whole = loop {
+            match body.next().await {
+                Ok(Some(piece)) => text.push_str(&String::from_utf8_lossy(&piece)),
+                Ok(None) => break true,
+                Err(_) => break false,
+            }
+        };
+        Answer {
+            status: reply.head.status.as_u16(),
+            headers: reply.head.headers,
+            body: text,
+            is_whole,
+        }
+    }
+}
+
+fn request(method: Method, path: &str, body: &str) -> http::Request<http_body_util::Full<Bytes>> {
+    let mut request = http::Request::new(whole_body(Bytes::from(body.to_owned())));
+    *request.method_mut() = method;
+    *request.uri_mut() = path.parse().expect("a path");
+    let host = HeaderValue::from_static(HOST);
+    request.headers_mut().insert("host", host);
+    request
+}
