--- /dev/null
+++ b/crates/core/src/crash.rs
@@ -0,0 +1,343 @@
+//! Which requests end the targets that run them.
+//!
+//! A request that was under way at a target when it ended may be the cause or may only have been there. Each end is
+//! weighed by how likely the target was to end by chance while the request ran; a request under which several ends
+//! would be too much of a coincidence is quarantined.
+
+use std::time::Duration;
+
+use indexmap::IndexMap;
+use xxhash_rust::xxh3::{xxh3_64, xxh3_64_with_seed};
+
+use crate::id::{DomainId, Incarnation, Moment, TargetId};
+use crate::print::RequestPrint;
+
+/// Ends after which a request may be quarantined.
+pub const LEAST_ENDS: usize = 3;
+/// Ends after which a request is quarantined however often targets end otherwise.
+const CERTAIN_ENDS: usize = 5;
+/// Chance of coincidence below which a request is quarantined.
+///
+/// So many of all requests are quarantined for nothing at most while targets end for reasons of their own.
+const QUARANTINE_CHANCE: f64 = 1e-3;
+/// Chance of coincidence below which two ends are worth telling all nodes.
+const SUSPECT_CHANCE: f64 = 1e-2;
+/// Least chance that one end counts with; what is declared impossible would need no second one.
+const LEAST_CHANCE: f64 = 1e-2;
+/// Time for which an end is remembered; a request can end this many targets less one in that time.
+pub const MEMORY_TIME: Duration = Duration::from_secs(600);
+/// Time within which ends in one domain have one cause.
+const SAME_CAUSE: Duration = Duration::from_millis(100);
+/// Time over which the rate of ends is taken.
+const RATE_TIME: Duration = Duration::from_secs(30);
+/// Requests that are remembered at most.
+const MOST_REQUESTS: usize = 4_096;
+
+/// Reading of the store's clock in milliseconds, the same at all nodes.
+pub type StoreMillis = u64;
+
+/// One life of a target, as a hash.
+#[derive(Clone, Copy, Debug, Eq, Hash, Ord, PartialEq, PartialOrd)]
+pub struct LifeKey(pub u64);
+
+impl LifeKey {
+    /// Returns the key of one life.
+    ///
+    /// ```
+    /// use briarswitch_core::crash::LifeKey;
+    ///
+    /// assert_ne!(LifeKey::of("t", 1), LifeKey::of("t", 2));
+    /// ```
+    pub fn of(target: &str, incarnation: Incarnation) -> Self {
+        Self(xxh3_64_with_seed(target.as_bytes(), incarnation))
+    }
+}
+
+/// A target and its place, at whose end a request was under way.
+#[derive(Clone, Copy, Debug)]
+pub struct EndedTarget<'a> {
+    /// Target.
+    pub target: &'a TargetId,
+    /// Life that ended.
+    pub incarnation: Incarnation,
+    /// Its domain.
+    pub domain: &'a DomainId,
+}
+
+/// One end of a target with a request under way.
+#[derive(Clone, Copy, Debug, Eq, Hash, PartialEq)]
+pub struct EndSign {
+    /// Request.
+    pub print: RequestPrint,
+    /// Life that ended.
+    pub life: LifeKey,
+    /// Hash of the target's domain.
+    pub domain: u64,
+    /// When the end was seen.
+    pub at: StoreMillis,
+    /// Thousandths of the chance that the target ended by coincidence while the request ran.
+    pub chance: u16,
+}
+
+impl EndSign {
+    /// Returns the sign of an end during which a request had run for `ran`, where targets end at `rate` a second.
+    pub fn of(
+        print: RequestPrint,
+        target: EndedTarget<'_>,
+        at: StoreMillis,
+        ran: Duration,
+        rate: f64,
+    ) -> Self {
+        let chance = 1.0 - (-rate * ran.as_secs_f64()).exp();
+        Self {
+            print,
+            life: LifeKey::of(target.target, target.incarnation),
+            domain: xxh3_64(target.domain.as_bytes()),
+            at,
+            chance: (chance.clamp(LEAST_CHANCE, 1.0) * 1000.0).ceil() as u16,
+        }
+    }
+
+    fn probability(&self) -> f64 {
+        f64::from(self.chance) / 1000.0
+    }
+}
+
+/// Word that a request is not the cause of what ended before.
+#[derive(Clone, Copy, Debug, Eq, Hash, PartialEq)]
+pub struct ClearSign {
+    /// Request.
+    pub print: RequestPrint,
+    /// Ends up to this moment do not count.
+    pub at: StoreMillis,
+}
+
+/// How often targets end, whatever they run.
+#[derive(Clone, Debug, Default)]
+pub struct EndRate {
+    samples: Vec<(Moment, u64)>,
+    targets: usize,
+}
+
+impl EndRate {
+    /// Notes that `ends` targets have ended so far, and that there are `targets`.
+    pub fn note(&mut self, ends: u64, targets: usize, now: Moment) {
+        let since = now.saturating_sub(RATE_TIME);
+        self.samples.retain(|(at, _)| *at >= since);
+        self.samples.push((now, ends));
+        self.targets = targets;
+    }
+
+    /// Returns the ends of one target in a second; one more than were seen, so that it is never zero.
+    ///
+    /// ```
+    /// use std::time::Duration;
+    ///
+    /// use briarswitch_core::crash::EndRate;
+    ///
+    /// let mut rate = EndRate::default();
+    /// rate.note(0, 10, Duration::from_secs(1));
+    /// rate.note(29, 10, Duration::from_secs(20));
+    /// assert_eq!(rate.per_second(), 0.1);
+    /// ```
+    pub fn per_second(&self) -> f64 {
+        let first = self.samples.first().map_or(0, |(_, ends)| *ends);
+        let last = self.samples.last().map_or(0, |(_, ends)| *ends);
+        let ends = last.saturating_sub(first) + 1;
+        ends as f64 / (self.targets.max(1) as f64 * RATE_TIME.as_secs_f64())
+    }
+}
+
+/// What is held of a request.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum CrashVerdict {
+    /// Nothing that speaks against it.
+    Clear,
+    /// More ends than coincidence explains well; it is run, and all nodes are told.
+    Suspect,
+    /// It is not to run for so long.
+    Quarantined(Duration),
+}
+
+#[derive(Clone, Debug, Default)]
+struct CrashRecord {
+    /// By life: the same end is counted once, whoever saw it and however often it is told.
+    ends: IndexMap<LifeKey, EndSign>,
+    cleared: StoreMillis,
+}
+
+/// Ends that speak the same way, in order of time; those of one cause count as one.
+fn causes(ends: &[EndSign]) -> Vec<EndSign> {
+    let mut causes: Vec<EndSign> = Vec::new();
+    for end in ends {
+        let near = |held: &&mut EndSign| {
+            let gap = Duration::from_millis(end.at.saturating_sub(held.at));
+            held.domain == end.domain && gap < SAME_CAUSE
+        };
+        match causes.iter_mut().find(near) {
+            Some(held) => held.chance = held.chance.max(end.chance),
+            None => causes.push(*end),
+        }
+    }
+    causes
+}
+
+fn coincidence(causes: &[EndSign]) -> f64 {
+    causes.iter().map(EndSign::probability).product()
+}
+
+fn is_quarantined(ends: &[EndSign]) -> bool {
+    let causes = causes(ends);
+    causes.len() >= CERTAIN_ENDS
+        || (causes.len() >= LEAST_ENDS && coincidence(&causes) <= QUARANTINE_CHANCE)
+}
+
+fn is_suspect(ends: &[EndSign]) -> bool {
+    let causes = causes(ends);
+    causes.len() >= 2 && coincidence(&causes) <= SUSPECT_CHANCE
+}
+
+impl CrashRecord {
+    /// Returns the ends that count at `now`, in order of time.
+    fn ends_at(&self, now: StoreMillis) -> Vec<EndSign> {
+        let mut ends: Vec<EndSign> = self
+            .ends
+            .values()
+            .filter(|end| end.at > self.cleared && !is_forgotten(end.at, now))
+            .copied()
+            .collect();
+        ends.sort_by_key(|end| (end.at, end.life));
+        ends
+    }
+
+    /// Returns how long the request is not to run: until enough of its ends are forgotten.
+    fn quarantine_at(&self, now: StoreMillis) -> Option<Duration> {
+        let ends = self.ends_at(now);
+        if !is_quarantined(&ends) {
+            return None;
+        }
+        let last = (0..ends.len()).take_while(|first| is_quarantined(&ends[*first..]));
+        let at = ends[last.last()?].at;
+        let until = at + MEMORY_TIME.as_millis() as StoreMillis;
+        Some(Duration::from_millis(until.saturating_sub(now)))
+    }
+}
+
+/// Returns whether what was seen at a moment counts no more.
+pub fn is_forgotten(at: StoreMillis, now: StoreMillis) -> bool {
+    now >= at + MEMORY_TIME.as_millis() as StoreMillis
+}
+
+/// The ends of targets by the requests that were under way there.
+///
+/// Two ledgers that have taken the same signs in, in any order and however often, hold the same.
+#[derive(Clone, Debug, Default)]
+pub struct CrashLedger {
+    records: IndexMap<RequestPrint, CrashRecord>,
+}
+
+impl CrashLedger {
+    /// Takes an end in; returns whether it is news.
+    ///
+    /// ```
+    /// use std::time::Duration;
+    ///
+    /// use briarswitch_core::crash::{CrashLedger, CrashVerdict, EndSign, EndedTarget};
+    /// use briarswitch_core::print::RequestPrint;
+    ///
+    /// let print = RequestPrint::from([1; 16]);
+    /// let mut ledger = CrashLedger::default();
+    /// for (name, at) in [("a", 1_000), ("b", 2_000), ("c", 3_000)] {
+    ///     let (target, domain) = (name.to_owned(), String::new());
+    ///     let target = EndedTarget { target: &target, incarnation: 0, domain: &domain };
+    ///     let ran = Duration::from_millis(50);
+    ///     ledger.take_end(EndSign::of(print, target, at, ran, 0.001));
+    /// }
+    /// assert!(matches!(ledger.verdict(&print, 3_000), CrashVerdict::Quarantined(_)));
+    /// ```
+    pub fn take_end(&mut self, end: EndSign) -> bool {
+        let record = self.records.entry(end.print).or_default();
+        let is_news = match record.ends.get_mut(&end.life) {
+            // Two nodes may have seen one end; what is kept must not hang on whose word came first.
+            Some(held) => {
+                let before = *held;
+                held.at = held.at.min(end.at);
+                held.chance = held.chance.max(end.chance);
+                *held != before
+            }
+            None => record.ends.insert(end.life, end).is_none(),
+        };
+        self.bound();
+        is_news
+    }
+
+    /// Takes in that a request is not the cause of earlier ends; returns whether that is news.
+    pub fn take_clear(&mut self, clear: ClearSign) -> bool {
+        let record = self.records.entry(clear.print).or_default();
+        if clear.at <= record.cleared {
+            return false;
+        }
+        // Earlier ends are kept: told once more with a later moment, one would pass for a new one.
+        record.cleared = clear.at;
+        self.bound();
+        true
+    }
+
+    /// Returns what is held of a request.
+    pub fn verdict(&self, print: &RequestPrint, now: StoreMillis) -> CrashVerdict {
+        let Some(record) = self.records.get(print) else {
+            return CrashVerdict::Clear;
+        };
+        match record.quarantine_at(now) {
+            Some(left) => CrashVerdict::Quarantined(left),
+            None if is_suspect(&record.ends_at(now)) => CrashVerdict::Suspect,
+            None => CrashVerdict::Clear,
+        }
+    }
+
+    /// Returns the ends of targets that a request was under way at, as far as they count.
+    pub fn ends(&self, print: &RequestPrint, now: StoreMillis) -> Vec<EndSign> {
+        let record = self.records.get(print);
+        record.map_or_else(Vec::new, |record| record.ends_at(now))
+    }
+
+    /// Returns the last word that a request is not the cause.
+    pub fn cleared(&self, print: &RequestPrint) -> Option<ClearSign> {
+        let record = self.records.get(print)?;
+        let at = record.cleared;
+        (at > 0).then_some(ClearSign { print: *print, at })
+    }
+
+    /// Returns the requests that anything is known of.
+    pub fn prints(&self) -> impl Iterator<Item = &RequestPrint> {
+        self.records.keys()
+    }
+
+    /// Returns whether any target has ended with the request under way.
+    pub fn has_ends(&self, print: &RequestPrint) -> bool {
+        let record = self.records.get(print);
+        record.is_some_and(|record| record.ends.values().any(|end| end.at > record.cleared))
+    }
+
+    /// Forgets what counts no more.
+    pub fn prune(&mut self, now: StoreMillis) {
+        self.records.retain(|_, record| {
+            record.ends.retain(|_, end| !is_forgotten(end.at, now));
+            !record.ends.is_empty() || !is_forgotten(record.cleared, now)
+        });
+    }
+
+    /// Drops the request with the fewest ends, of those the one that was added first, where there are too many.
+    ///
+    /// A caller that sends ever new requests to targets that end would fill the memory otherwise.
+    fn bound(&mut self) {
+        if self.records.len() <= MOST_REQUESTS {
+            return;
+        }
+        let records = self.records.iter().enumerate();
+        let least = records.min_by_key(|(_, (_, record))| record.ends.len());
+        if let Some(index) = least.map(|(index, _)| index) {
+            self.records.shift_remove_index(index);
+        }
+    }
+}
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -14,6 +14,7 @@
 pub mod choice;
 pub mod claim;
 pub mod config;
+pub mod crash;
 pub mod deployment;
 mod draft;
 pub mod engine;
--- a/crates/core/src/outcome.rs
+++ b/crates/core/src/outcome.rs
@@ -43,6 +43,8 @@
     Refused,
     /// No target had fresh evidence and room.
     NoTarget,
+    /// Targets ended while they ran it, too often for a coincidence.
+    Quarantined,
     /// The place in the queue was not reached before the deadline.
     QueueDeadline,
     /// The connection could not be opened.
@@ -69,9 +71,10 @@
 
 impl FailurePoint {
     /// Every point, for tests that cause each one.
-    pub const ALL: [Self; 13] = [
+    pub const ALL: [Self; 14] = [
         Self::Refused,
         Self::NoTarget,
+        Self::Quarantined,
         Self::QueueDeadline,
         Self::Connect,
         Self::ClosedBeforeSend,
@@ -101,6 +104,7 @@
         match self {
             Self::Refused
             | Self::NoTarget
+            | Self::Quarantined
             | Self::QueueDeadline
             | Self::Connect
             | Self::ClosedBeforeSend
@@ -124,6 +128,7 @@
             self,
             Self::Refused
                 | Self::NoTarget
+                | Self::Quarantined
                 | Self::QueueDeadline
                 | Self::AnswerDeadline
                 | Self::KeyClaimed
@@ -137,6 +142,7 @@
         match self {
             Self::Refused => "refused",
             Self::NoTarget => "no_target",
+            Self::Quarantined => "quarantined",
             Self::QueueDeadline => "queue_deadline",
             Self::Connect => "connect",
             Self::ClosedBeforeSend => "closed_before_send",
--- a/crates/core/src/target.rs
+++ b/crates/core/src/target.rs
@@ -141,6 +141,7 @@
     targets: TargetList,
     lapsed: IndexMap<TargetId, Moment>,
     unlisted: TargetList,
+    ended: u64,
 }
 
 impl TargetBook {
@@ -164,6 +165,11 @@
         &self.unlisted
     }
 
+    /// Returns how many targets have ended so far without asking for no new work before, lapses among them.
+    pub fn ended(&self) -> u64 {
+        self.ended
+    }
+
     /// Forgets the unlisted members of groups that no listed target is in any more.
     ///
     /// To be called once the changes of an answer are taken in.
@@ -199,7 +205,9 @@
             TargetChange::Put(record) => {
                 self.lapsed.swap_remove(&record.id);
                 self.unlisted.swap_remove(&record.id);
-                self.targets.insert(record.id.clone(), Arc::from(record));
+                let born = record.incarnation;
+                let before = self.targets.insert(record.id.clone(), Arc::from(record));
+                self.ended += u64::from(before.is_some_and(|before| before.incarnation != born));
             }
             TargetChange::Removed(id) => match keep_until {
                 Some(until) if self.targets.contains_key(&id) => {
@@ -216,6 +224,8 @@
     /// Drops an entry that nobody renewed; the target may live on as a member of its group.
     fn depart(&mut self, id: &TargetId) {
         let record = self.targets.get(id).cloned();
+        let is_sudden = record.as_ref().is_some_and(|record| !record.is_draining);
+        self.ended += u64::from(is_sudden);
         let member = record.filter(|record| !record.is_draining && record.membership.is_some());
         self.drop_entry(id);
         if let Some(member) = member {
--- a/crates/ctl/src/cli.rs
+++ b/crates/ctl/src/cli.rs
@@ -52,6 +52,11 @@
         help = "show what knowing the other nodes costs a fleet's node; --node is its metrics listener"
     )]
     Costs(PlainOptions),
+    /// Release of a quarantined request.
+    #[options(
+        help = "let a quarantined request run again; --node is a fleet's node's metrics listener"
+    )]
+    Release(NameOptions),
     /// State dump.
     #[options(help = "dump the node's state as JSON")]
     Dump(PlainOptions),
--- a/crates/ctl/src/main.rs
+++ b/crates/ctl/src/main.rs
@@ -64,6 +64,7 @@
         Verb::Costs(_) => {
             read::<Vec<CostLine>>(&client, "/costs", is_json, |lines| show::costs(lines)).await
         }
+        Verb::Release(options) => release(&client, &options.name).await,
         Verb::Dump(_) => read::<Value>(&client, "/v1/dump", true, Value::to_string).await,
         Verb::Settle(options) => Ok(settle(&client, &options.name, is_json).await),
         Verb::Explain(options) => Ok(story(&options, explain)),
@@ -230,6 +231,11 @@
     Ok(print(&reply, is_json, || show(&reply)))
 }
 
+async fn release(client: &NodeClient, print: &str) -> Ending {
+    let released: String = client.post(&format!("/release/{print}"), &()).await?;
+    Ok(CommandEnd::done(format!("released {released}")))
+}
+
 async fn log_level(client: &NodeClient, level: &str) -> Ending {
     let set: String = client.post("/v1/log-level", &level).await?;
     Ok(CommandEnd::done(format!("log level {set}")))
--- a/crates/fleet/src/costs.rs
+++ b/crates/fleet/src/costs.rs
@@ -31,6 +31,10 @@
     GossipAnswered,
     /// The node that gives a group orders was told of a silent target.
     SuspicionTold,
+    /// A node was told of ends that this one saw.
+    EndTold,
+    /// Rows on requests under which targets ended were written or dropped.
+    SuspectWrite,
     /// A target was asked for its state.
     ReportAsked,
     /// A target at which a run broke was looked at.
@@ -46,7 +50,7 @@
 }
 
 /// Names in order of [`CostKind`].
-const NAMES: [&str; 17] = [
+const NAMES: [&str; 19] = [
     "registry_write",
     "registry_read",
     "table_whole",
@@ -58,6 +62,8 @@
     "gossip_far",
     "gossip_answered",
     "suspicion_told",
+    "end_told",
+    "suspect_write",
     "report_asked",
     "end_checked",
     "order_sent",
--- a/crates/fleet/src/dispatch.rs
+++ b/crates/fleet/src/dispatch.rs
@@ -16,7 +16,6 @@
 use http::{HeaderValue, StatusCode, Uri};
 
 use crate::budget::RetryBudgets;
-use crate::end_watch::WatchMessage;
 use crate::gauge::GaugePlace;
 use crate::job::{BegunAnswer, FailedAttempt, RequestJob};
 use crate::peers::{PeerMessage, SilentTarget};
@@ -24,7 +23,7 @@
 use crate::ports::{AnswerFacts, TargetMark};
 use crate::refusal::OwnAnswer;
 use crate::relay::StreamRelay;
-use crate::run::TargetRun;
+use crate::run::{RunReports, TargetRun};
 use crate::shared::FleetShared;
 use crate::table::RouteTarget;
 use crate::trace::{RequestEnd, RequestTrace};
@@ -59,17 +58,17 @@
     budgets: RetryBudgets,
     placer: TargetPlacer,
     peers: Mailbox<PeerMessage>,
-    watch: Mailbox<WatchMessage>,
+    reports: RunReports,
 }
 
 impl FleetDispatcher {
     /// Opens a dispatcher that tells `peers` of targets that fall silent.
     ///
-    /// `watch` is told of runs that broke off.
+    /// `reports` hear how runs end.
     pub fn open(
         shared: Arc<FleetShared>,
         peers: Mailbox<PeerMessage>,
-        watch: Mailbox<WatchMessage>,
+        reports: RunReports,
     ) -> Arc<Self> {
         let client = TargetClient::open(TargetLimits {
             connect: CONNECT_TIME,
@@ -81,7 +80,7 @@
             shared,
             client,
             peers,
-            watch,
+            reports,
         })
     }
 
@@ -103,6 +102,9 @@
     /// Carries a request out and builds its response.
     pub async fn run(self: &Arc<Self>, job: RequestJob, mut trace: RequestTrace) -> Response {
         self.budgets.earn(&job.service);
+        if self.shared.suspects.quarantine(&job.print).is_some() {
+            return self.give_up(FailurePoint::Quarantined, &mut trace);
+        }
         let mut tried: Vec<TargetId> = Vec::new();
         let mut unreached = 0;
         let mut worst: Option<FailurePoint> = None;
@@ -125,7 +127,10 @@
                         trace.end(RequestEnd::Answered);
                         return self.whole(head, bytes);
                     }
-                    Err(point) => FailedAttempt::from(point),
+                    Err(point) => FailedAttempt {
+                        is_break: point == FailurePoint::Truncated,
+                        ..FailedAttempt::from(point)
+                    },
                 },
                 Err(failed) => failed,
             };
@@ -141,7 +146,9 @@
             } else {
                 unreached += 1;
             }
+            trace.broken += usize::from(failed.is_break);
             let may_repeat = point.allows_retry(job.rule.is_repeatable())
+                && self.shared.suspects.may_go_on(&job.print, trace.broken)
                 && trace.sent < job.rule.max_attempts
                 && unreached < UNREACHED_LIMIT
                 && BootClock::now() < job.deadline;
@@ -174,6 +181,10 @@
         if left.is_zero() {
             return Err(FailurePoint::QueueDeadline.into());
         }
+        // It may have waited for a place since it came, and may have ended a target elsewhere meanwhile.
+        if self.shared.suspects.quarantine(&job.print).is_some() {
+            return Err(FailurePoint::Quarantined.into());
+        }
         let request = self.request(job, &target, left, last_event);
         let address = TargetAddress {
             address: target.address.clone(),
@@ -184,7 +195,7 @@
         let is_fresh = !job.rule.is_repeatable();
         let client = self.client.keeping(self.idle_limit(job));
         let sending = client.send(&address, request, is_fresh);
-        let mut run = TargetRun::open(job, &target, now, self.watch.clone());
+        let mut run = TargetRun::open(job, &target, now, self.reports.clone());
         match self.wait_head(sending, job, &target, now, may_move).await {
             Ok(reply) => self.check(job, target, place, reply, run).await,
             Err(end) => {
@@ -194,7 +205,10 @@
                     WaitEnd::Failed(_) => run.settle(),
                     WaitEnd::Deadline | WaitEnd::Moved => {}
                 }
-                Err(FailurePoint::from(end).into())
+                Err(FailedAttempt {
+                    is_break: end == WaitEnd::Failed(SendFailure::Broken),
+                    ..FailurePoint::from(end).into()
+                })
             }
         }
     }
@@ -363,8 +377,8 @@
         match bytes {
             // A status that promises "not run" is never passed on without the target's own word.
             Ok(Ok(bytes)) if facts.is_signed && !is_promise(head.status) => FailedAttempt {
-                point,
                 answer: Some(Box::new((head, bytes))),
+                ..point.into()
             },
             _ => point.into(),
         }
@@ -388,7 +402,7 @@
         self.placer.serve_queue();
         match read {
             Ok(Ok(bytes)) => {
-                run.settle();
+                run.complete(&self.shared.suspects);
                 Ok((head, bytes))
             }
             Ok(Err(_)) => {
@@ -430,12 +444,32 @@
             Outcome::NotRun => RequestEnd::NotRun,
             _ => RequestEnd::Unknown,
         });
-        let mut response = OwnAnswer::at(point).response();
+        let mut response = self.own_answer(point, trace).response();
         let dialect = &self.shared.platform.dialect;
         dialect.mark_own(response.headers_mut(), &trace.request);
         response
     }
 
+    /// Returns what a caller is told of a request that ends without a target's answer.
+    fn own_answer(&self, point: FailurePoint, trace: &RequestTrace) -> OwnAnswer {
+        if point != FailurePoint::Quarantined {
+            return OwnAnswer::at(point);
+        }
+        let left = trace
+            .print
+            .and_then(|print| self.shared.suspects.quarantine(&print));
+        let left = left.unwrap_or_default();
+        self.shared.metrics.count_refusal(&trace.organisation);
+        log::info!(
+            request = trace.request.as_str(),
+            print = trace.print_text().as_str(),
+            organisation = trace.organisation.as_str(),
+            left_ms = left.as_millis() as u64;
+            "quarantine_refused"
+        );
+        OwnAnswer::quarantined(left)
+    }
+
     fn request(
         &self,
         job: &RequestJob,
--- a/crates/fleet/src/end_watch.rs
+++ b/crates/fleet/src/end_watch.rs
@@ -6,7 +6,7 @@
 use std::time::Duration;
 
 use briarswitch_core::id::Moment;
-use briarswitch_kernel::{Service, ServiceLink};
+use briarswitch_kernel::{Mailbox, Service, ServiceLink};
 use indexmap::IndexMap;
 use serde_json::{json, Value};
 
@@ -14,6 +14,7 @@
 use crate::ports::ReportError;
 use crate::run::{RunBreak, RunFacts, TargetLife};
 use crate::shared::FleetShared;
+use crate::suspect_keeper::{FatalRun, SuspectMessage};
 
 /// Time to wait for a target's answer; a healthy one takes a few milliseconds.
 const CHECK_TIME: Duration = Duration::from_millis(400);
@@ -22,6 +23,8 @@
 /// Time within which the directory drops a target that has ended: three renewals missed, and what it takes to
 /// hear of it.
 const LAPSE_TIME: Duration = Duration::from_secs(6);
+/// Time within which the directory lists a later life that has begun: a renewal, and what it takes to hear of it.
+const REBIRTH_TIME: Duration = Duration::from_millis(2_500);
 /// Time after which the end of a target has nothing to do any more with a run that nobody waits for.
 const ABANDONED_TIME: Duration = Duration::from_millis(1_500);
 /// Time for which an end is remembered, for connections that break late.
@@ -52,6 +55,15 @@
     }
 }
 
+/// What an answer at a target's address shows.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum LifeSign {
+    /// The life that was meant lives.
+    Lives,
+    /// Somebody listens.
+    Listens,
+}
+
 /// What is known of a target at which a run broke off.
 #[derive(Debug)]
 enum LifeState {
@@ -59,6 +71,8 @@
     Asked,
     /// It did not answer; the directory will tell.
     Silent,
+    /// Somebody listens at its address, perhaps a later life; the directory will tell.
+    Listening,
     /// Runs there were abandoned, which is no reason to ask.
     Unasked,
     /// It has ended.
@@ -92,8 +106,8 @@
 pub enum WatchMessage {
     /// A run brought no whole answer.
     Ended(Box<RunFacts>, RunBreak),
-    /// A target answered, or not; [`Ok`] where the life that was meant lives.
-    Checked(TargetLife, Result<(), ReportError>),
+    /// A target answered, or not.
+    Checked(TargetLife, Result<LifeSign, ReportError>),
     /// Look at what is watched.
     Look,
 }
@@ -101,15 +115,17 @@
 /// Watches the targets at which runs broke off.
 pub struct EndWatch {
     shared: Arc<FleetShared>,
+    suspects: Mailbox<SuspectMessage>,
     lives: IndexMap<TargetLife, WatchedLife>,
     is_looking: bool,
 }
 
 impl EndWatch {
-    /// Opens a watch of nothing.
-    pub fn open(shared: Arc<FleetShared>) -> Self {
+    /// Opens a watch of nothing that tells `suspects` which requests were under way when a target ended.
+    pub fn open(shared: Arc<FleetShared>, suspects: Mailbox<SuspectMessage>) -> Self {
         Self {
             shared,
+            suspects,
             lives: IndexMap::new(),
             is_looking: false,
         }
@@ -139,7 +155,7 @@
                     self.check(check, link);
                 }
             }
-            LifeState::Asked | LifeState::Silent => {}
+            LifeState::Asked | LifeState::Silent | LifeState::Listening => {}
         }
         if !self.is_looking {
             self.is_looking = true;
@@ -159,12 +175,13 @@
             let (target, address) = (&facts.life.target, &facts.address);
             // A single target has nothing to say of itself, but it listens or not.
             let answer = if facts.group.is_empty() {
-                targets.reach(address, CHECK_TIME).await
+                let reached = targets.reach(address, CHECK_TIME).await;
+                reached.map(|()| LifeSign::Listens)
             } else {
                 let report = targets.report(target, address, CHECK_TIME).await;
                 report.and_then(|report| {
                     let is_same = report.incarnation == facts.life.incarnation;
-                    is_same.then_some(()).ok_or(ReportError::Gone)
+                    is_same.then_some(LifeSign::Lives).ok_or(ReportError::Gone)
                 })
             };
             WatchMessage::Checked(facts.life, answer)
@@ -177,22 +194,29 @@
         record.is_none_or(|record| record.incarnation != life.incarnation)
     }
 
-    fn take_check(&mut self, life: &TargetLife, answer: Result<(), ReportError>, now: Moment) {
-        let proof = match answer {
-            Ok(()) => {
+    fn take_check(
+        &mut self,
+        life: &TargetLife,
+        answer: Result<LifeSign, ReportError>,
+        now: Moment,
+    ) {
+        match answer {
+            Ok(LifeSign::Lives) => {
                 self.lives.swap_remove(life);
-                return;
             }
-            Err(ReportError::Refused) => EndProof::Refused,
-            Err(ReportError::Gone) => EndProof::OtherLife,
+            Ok(LifeSign::Listens) => self.set_state(life, LifeState::Listening),
+            Err(ReportError::Refused) => self.note_end(life, EndProof::Refused, now),
+            Err(ReportError::Gone) => self.note_end(life, EndProof::OtherLife, now),
             Err(ReportError::Silent | ReportError::Unreadable) => {
-                if let Some(watched) = self.lives.get_mut(life) {
-                    watched.state = LifeState::Silent;
-                }
-                return;
+                self.set_state(life, LifeState::Silent);
             }
-        };
-        self.note_end(life, proof, now);
+        }
+    }
+
+    fn set_state(&mut self, life: &TargetLife, state: LifeState) {
+        if let Some(watched) = self.lives.get_mut(life) {
+            watched.state = state;
+        }
     }
 
     /// Notes that a life has ended, and with it the runs that were under way there.
@@ -218,6 +242,14 @@
                 "target_ended"
             );
         }
+        let fatal = runs.into_iter().map(|run| FatalRun {
+            ran: run.at.saturating_sub(run.facts.sent),
+            facts: run.facts,
+        });
+        let message = SuspectMessage::Ended(fatal.collect());
+        if let Err(error) = self.suspects.post(message) {
+            log::warn!(error:% = error; "ends_untold");
+        }
     }
 
     fn look(&mut self, now: Moment) {
@@ -225,8 +257,8 @@
             .lives
             .iter()
             .filter(|(life, watched)| {
-                let is_open = matches!(watched.state, LifeState::Silent | LifeState::Unasked);
-                is_open && self.is_unlisted(life)
+                let is_over = matches!(watched.state, LifeState::Asked | LifeState::Ended(_));
+                !is_over && self.is_unlisted(life)
             })
             .map(|(life, _)| life.clone())
             .collect();
@@ -236,6 +268,7 @@
         self.lives.retain(|_, watched| {
             let limit = match watched.state {
                 LifeState::Unasked => ABANDONED_TIME,
+                LifeState::Listening => REBIRTH_TIME,
                 LifeState::Asked | LifeState::Silent => LAPSE_TIME,
                 LifeState::Ended(_) => ENDED_TIME,
             };
--- a/crates/fleet/src/job.rs
+++ b/crates/fleet/src/job.rs
@@ -94,6 +94,8 @@
     pub point: FailurePoint,
     /// The target's own answer, if it made one that may be passed on.
     pub answer: Option<Box<(http::response::Parts, Bytes)>>,
+    /// Whether the connection broke while the target had the request.
+    pub is_break: bool,
 }
 
 impl From<FailurePoint> for FailedAttempt {
@@ -101,6 +103,7 @@
         Self {
             point,
             answer: None,
+            is_break: false,
         }
     }
 }
--- a/crates/fleet/src/keeper.rs
+++ b/crates/fleet/src/keeper.rs
@@ -51,7 +51,8 @@
 /// Name of the directory's keeper.
 pub const DIRECTORY_SERVICE: &str = "directory";
 
-fn retry_pause() -> Duration {
+/// Returns the time to wait after a source failed.
+pub(crate) fn retry_pause() -> Duration {
     let (least, most) = RETRY_PACE;
     least + (most - least).mul_f64(rand::random::<f64>())
 }
--- a/crates/fleet/src/metrics.rs
+++ b/crates/fleet/src/metrics.rs
@@ -24,6 +24,8 @@
     resumes: Counter<u64>,
     orders: Counter<u64>,
     target_ends: Counter<u64>,
+    quarantines: Counter<u64>,
+    refused: Counter<u64>,
     latency: Histogram<f64>,
     first: Histogram<f64>,
     config: Arc<AtomicU64>,
@@ -79,6 +81,8 @@
             resumes: meter.u64_counter("stream_resumes").build(),
             orders: meter.u64_counter("orders").build(),
             target_ends: meter.u64_counter("target_ends").build(),
+            quarantines: meter.u64_counter("quarantines").build(),
+            refused: meter.u64_counter("quarantine_refusals").build(),
             latency: histogram("request_seconds"),
             first: histogram("first_event_seconds"),
             registry,
@@ -123,6 +127,17 @@
         self.target_ends.add(1, &[KeyValue::new("proof", proof)]);
     }
 
+    /// Counts one request that is not to run any more.
+    pub fn count_quarantine(&self) {
+        self.quarantines.add(1, &[]);
+    }
+
+    /// Counts one refusal of a request that is not to run any more.
+    pub fn count_refusal(&self, organisation: &str) {
+        let attributes = [KeyValue::new("organisation", organisation.to_owned())];
+        self.refused.add(1, &attributes);
+    }
+
     /// Sets the version of the configuration in force.
     pub fn set_config(&self, version: u64) {
         self.config.store(version, Ordering::Relaxed);
--- a/crates/fleet/src/node.rs
+++ b/crates/fleet/src/node.rs
@@ -6,12 +6,13 @@
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
 
 use briarswitch_core::id::Incarnation;
+use briarswitch_core::print::RequestPrint;
 use briarswitch_http::{
     reply_bytes, reply_json, reply_text, Handler, HttpServer, Request, Response, ServerGuard,
 };
-use briarswitch_kernel::{Kernel, KernelError};
+use briarswitch_kernel::{Kernel, KernelError, Mailbox};
 use futures::future::BoxFuture;
-use http::StatusCode;
+use http::{Method, StatusCode};
 use tokio::sync::watch;
 
 use crate::controller::GroupController;
@@ -21,9 +22,11 @@
 use crate::peer_surface::PeerSurface;
 use crate::peers::PeerExchange;
 use crate::ports::FleetPlatform;
+use crate::run::RunReports;
 use crate::settings::FleetSettings;
 use crate::shared::{FleetPhase, FleetShared};
 use crate::surface::CallerSurface;
+use crate::suspect_keeper::{SuspectKeeper, SuspectMessage};
 
 /// Time for the balancer to notice that the node is no longer ready: two checks a second apart,
 /// each with time to be missed.
@@ -83,12 +86,17 @@
         kernel.mount(DirectoryKeeper::open(Arc::clone(&shared)))?;
         let exchange = kernel.mount(PeerExchange::open(Arc::clone(&shared)))?;
         kernel.mount(GroupController::open(Arc::clone(&shared)))?;
-        let watch = kernel.mount(EndWatch::open(Arc::clone(&shared)))?;
-        let dispatcher = FleetDispatcher::open(Arc::clone(&shared), exchange, watch);
+        let suspects = kernel.mount(SuspectKeeper::open(Arc::clone(&shared)))?;
+        let watch = kernel.mount(EndWatch::open(Arc::clone(&shared), suspects.clone()))?;
+        let reports = RunReports {
+            watch,
+            suspects: suspects.clone(),
+        };
+        let dispatcher = FleetDispatcher::open(Arc::clone(&shared), exchange, reports);
         let (stop, stopped) = watch::channel(false);
         let surface = CallerSurface::open(Arc::clone(&shared), dispatcher);
-        let peer_surface = PeerSurface::open(Arc::clone(&shared));
-        let state = StateSurface::open(Arc::clone(&shared), kernel);
+        let peer_surface = PeerSurface::open(Arc::clone(&shared), suspects.clone());
+        let state = StateSurface::open(Arc::clone(&shared), kernel, suspects);
         let servers = vec![
             callers.spawn(surface, stopped.clone()),
             peers.spawn(peer_surface, stopped.clone()),
@@ -163,14 +171,46 @@
 struct StateSurface {
     shared: Arc<FleetShared>,
     kernel: Kernel,
+    suspects: Mailbox<SuspectMessage>,
 }
 
+/// Path below which a request's fingerprint names what the operator releases.
+const RELEASE_PATH: &str = "/release/";
+
 impl StateSurface {
-    fn open(shared: Arc<FleetShared>, kernel: Kernel) -> Arc<Self> {
-        Arc::new(Self { shared, kernel })
+    fn open(
+        shared: Arc<FleetShared>,
+        kernel: Kernel,
+        suspects: Mailbox<SuspectMessage>,
+    ) -> Arc<Self> {
+        Arc::new(Self {
+            shared,
+            kernel,
+            suspects,
+        })
+    }
+
+    /// Lets a quarantined request run again, at all nodes.
+    async fn release(&self, name: &str) -> Response {
+        let Ok(print) = name.parse::<RequestPrint>() else {
+            return reply_text(StatusCode::BAD_REQUEST, "expected a request's fingerprint");
+        };
+        if !self.shared.suspects.has_ends(&print) {
+            return reply_text(StatusCode::NOT_FOUND, "nothing is held of this request");
+        }
+        match self.suspects.send(SuspectMessage::Released(print)).await {
+            Ok(()) => reply_json(StatusCode::OK, &print.to_string()),
+            Err(error) => reply_text(StatusCode::SERVICE_UNAVAILABLE, error.to_string()),
+        }
     }
 
-    async fn answer(&self, path: &str) -> Response {
+    async fn answer(&self, method: &Method, path: &str) -> Response {
+        if let Some(name) = path.strip_prefix(RELEASE_PATH) {
+            return match *method {
+                Method::POST => self.release(name).await,
+                _ => reply_text(StatusCode::METHOD_NOT_ALLOWED, "expected POST"),
+            };
+        }
         match path {
             "/ready" if self.shared.is_ready() => reply_text(StatusCode::OK, "ready"),
             "/ready" => reply_text(StatusCode::SERVICE_UNAVAILABLE, "not ready"),
@@ -189,7 +229,7 @@
     fn handle(&self, request: Request) -> BoxFuture<'_, Response> {
         Box::pin(async move {
             let path = request.uri().path().to_owned();
-            self.answer(&path).await
+            self.answer(request.method(), &path).await
         })
     }
 }
--- a/crates/fleet/src/peer_surface.rs
+++ b/crates/fleet/src/peer_surface.rs
@@ -4,11 +4,13 @@
 use std::time::Duration;
 
 use briarswitch_core::id::Moment;
+use briarswitch_core::print::RequestPrint;
 use briarswitch_http::{read_body, reply_packed, reply_text, unpack, Handler, Request, Response};
-use briarswitch_kernel::BootClock;
+use briarswitch_kernel::{BootClock, Mailbox};
 use briarswitch_membership::{Gossip, GossipDoc, Standing};
 use futures::future::BoxFuture;
 use http::StatusCode;
+use indexmap::IndexSet;
 
 use crate::costs::CostKind;
 use crate::feed::FEED_PATH;
@@ -16,8 +18,10 @@
 use crate::peers::{
     own_standing, share_suspicions, take_hints, SuspicionDoc, GOSSIP_PATH, SUSPICION_PATH,
 };
-use crate::ports::SourceError;
+use crate::ports::{SourceError, SuspectRow};
 use crate::shared::FleetShared;
+use crate::suspect_doc::SuspectDoc;
+use crate::suspect_keeper::{SuspectMessage, SUSPECT_PATH};
 
 /// Time for which what this node tells of itself is used again; hubs are asked many times a second.
 const STANDING_TIME: Duration = Duration::from_millis(20);
@@ -28,14 +32,16 @@
 pub struct PeerSurface {
     shared: Arc<FleetShared>,
     standing: Mutex<(Moment, Standing)>,
+    suspects: Mailbox<SuspectMessage>,
 }
 
 impl PeerSurface {
     /// Opens the surface.
-    pub fn open(shared: Arc<FleetShared>) -> Arc<Self> {
+    pub fn open(shared: Arc<FleetShared>, suspects: Mailbox<SuspectMessage>) -> Arc<Self> {
         Arc::new(Self {
             shared,
             standing: Mutex::default(),
+            suspects,
         })
     }
 
@@ -44,6 +50,7 @@
             GOSSIP_PATH => self.gossip(request).await,
             SUSPICION_PATH => self.suspicion(request).await,
             FEED_PATH => self.feed(request).await,
+            SUSPECT_PATH => self.ends(request).await,
             _ => reply_text(StatusCode::NOT_FOUND, "no such path"),
         }
     }
@@ -79,6 +86,25 @@
         reply_packed(StatusCode::OK, &GossipDoc::from(&answer))
     }
 
+    /// Takes in ends that another node saw, and answers with all that is known of the requests under way there.
+    async fn ends(&self, request: Request) -> Response {
+        let Some(doc) = read_doc::<SuspectDoc>(request).await else {
+            return reply_text(StatusCode::BAD_REQUEST, "expected ends of targets");
+        };
+        let told = Vec::<SuspectRow>::from(doc);
+        let prints: IndexSet<RequestPrint> = told.iter().map(|row| row.key().print).collect();
+        let suspects = &self.shared.suspects;
+        let news = told.iter().filter(|row| suspects.take(row));
+        let news: IndexSet<RequestPrint> = news.map(|row| row.key().print).collect();
+        if !news.is_empty() {
+            if let Err(error) = self.suspects.post(SuspectMessage::Told(news)) {
+                log::warn!(error:% = error; "ends_untold");
+            }
+        }
+        let known = prints.iter().flat_map(|print| suspects.rows(print));
+        reply_packed(StatusCode::OK, &known.collect::<SuspectDoc>())
+    }
+
     async fn suspicion(&self, request: Request) -> Response {
         let Some(doc) = read_doc::<SuspicionDoc>(request).await else {
             return reply_text(StatusCode::BAD_REQUEST, "expected a target");
--- a/crates/fleet/src/ports.rs
+++ b/crates/fleet/src/ports.rs
@@ -3,8 +3,10 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use briarswitch_core::crash::{ClearSign, EndSign, LifeKey, StoreMillis};
 use briarswitch_core::id::*;
 use briarswitch_core::order::{OrderResult, TargetAction};
+use briarswitch_core::print::RequestPrint;
 use briarswitch_core::target::{Membership, TargetChange};
 use briarswitch_core::traffic::TrafficBook;
 use futures::future::BoxFuture;
@@ -193,6 +195,69 @@
     Unreadable,
 }
 
+/// Names a row in the table of requests under which targets have ended.
+#[derive(Clone, Copy, Debug, Eq, Hash, PartialEq)]
+pub struct SuspectKey {
+    /// Request.
+    pub print: RequestPrint,
+    /// Life that ended; `None` for the word that the request is not the cause.
+    pub life: Option<LifeKey>,
+}
+
+/// A row in the table of requests under which targets have ended.
+///
+/// Each end is a row of its own: nodes that write at the same moment, or late, never undo each other's word.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum SuspectRow {
+    /// A target ended.
+    End(EndSign),
+    /// The request is not the cause of earlier ends.
+    Clear(ClearSign),
+}
+
+impl SuspectRow {
+    /// Returns the row's name.
+    pub fn key(&self) -> SuspectKey {
+        let (print, life) = match self {
+            Self::End(end) => (end.print, Some(end.life)),
+            Self::Clear(clear) => (clear.print, None),
+        };
+        SuspectKey { print, life }
+    }
+
+    /// Returns when what it says was seen.
+    pub fn at(&self) -> StoreMillis {
+        match self {
+            Self::End(end) => end.at,
+            Self::Clear(clear) => clear.at,
+        }
+    }
+}
+
+/// One change of the table of requests under which targets have ended.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum SuspectChange {
+    /// The row is new or has changed.
+    Put(SuspectRow),
+    /// The row is gone.
+    Removed(SuspectKey),
+}
+
+/// Where the nodes keep what all of them have to know of requests under which targets have ended.
+pub trait SuspectRegistry: Send + Sync {
+    /// Returns the table whose changes hold it.
+    fn table(&self) -> &'static str;
+
+    /// Reads the table or changes of it; rows that can not be understood are left out.
+    fn news(&self, answer: &FeedAnswer) -> Vec<SuspectChange>;
+
+    /// Writes and drops rows, all of them or none.
+    fn write(&self, rows: Vec<SuspectRow>, dropped: Vec<SuspectKey>) -> SourceFuture<'_, ()>;
+}
+
+/// Most rows that [`SuspectRegistry::write`] takes at once.
+pub const MOST_SUSPECT_ROWS: usize = 100;
+
 /// Asks and orders targets.
 pub trait TargetControl: Send + Sync {
     /// Finds out whether anybody listens at a target's address; nothing is asked.
@@ -311,6 +376,8 @@
     pub nodes: Arc<dyn NodeRegistry>,
     /// Orders and reports.
     pub targets: Arc<dyn TargetControl>,
+    /// Requests under which targets have ended.
+    pub suspects: Arc<dyn SuspectRegistry>,
     /// Spelling of requests and answers.
     pub dialect: Arc<dyn CallerDialect>,
 }
--- a/crates/fleet/src/refusal.rs
+++ b/crates/fleet/src/refusal.rs
@@ -45,6 +45,15 @@
         }
     }
 
+    /// Returns the promise that the request has not run, and will not for a while whenever it comes again.
+    pub fn quarantined(left: Duration) -> Self {
+        Self {
+            status: StatusCode::SERVICE_UNAVAILABLE,
+            text: FailurePoint::Quarantined.code(),
+            retry_after: Some(left),
+        }
+    }
+
     /// Returns the answer after a failed attempt; only [`Outcome::NotRun`] promises anything.
     pub fn at(point: FailurePoint) -> Self {
         match point.outcome() {
--- a/crates/fleet/src/relay.rs
+++ b/crates/fleet/src/relay.rs
@@ -81,6 +81,7 @@
                 end @ (RelayStep::Broken | RelayStep::Deadline) => {
                     if matches!(end, RelayStep::Broken) {
                         self.current.run.broke("stream_broken");
+                        self.trace.broken += 1;
                     }
                     self.trace.reason = "stream_broken";
                     if !self.resume_broken().await {
@@ -128,7 +129,10 @@
     }
 
     fn may_resume(&self) -> bool {
-        self.job.rule.is_repeatable() && self.trace.sent < self.job.rule.max_attempts
+        let suspects = &self.dispatcher.shared().suspects;
+        self.job.rule.is_repeatable()
+            && self.trace.sent < self.job.rule.max_attempts
+            && suspects.may_go_on(&self.job.print, self.trace.broken)
     }
 
     fn note_events(&mut self) {
@@ -155,7 +159,9 @@
     /// Ends the caller's stream; bytes of an event that never ended are passed on as they came.
     fn end(&mut self) -> Option<Result<Bytes, io::Error>> {
         self.is_over = true;
-        self.current.run.settle();
+        self.current
+            .run
+            .complete(&self.dispatcher.shared().suspects);
         self.trace.end(RequestEnd::Answered);
         let rest = Bytes::copy_from_slice(self.splitter.held());
         (!rest.is_empty()).then_some(Ok(rest))
--- a/crates/fleet/src/run.rs
+++ b/crates/fleet/src/run.rs
@@ -6,6 +6,8 @@
 
 use crate::end_watch::WatchMessage;
 use crate::job::RequestJob;
+use crate::suspect_keeper::SuspectMessage;
+use crate::suspects::SuspectBoard;
 use crate::table::RouteTarget;
 
 /// One life of a target.
@@ -53,17 +55,21 @@
 /// that ends in the next moment may have ended because of it.
 pub struct TargetRun {
     facts: Option<RunFacts>,
-    watch: Mailbox<WatchMessage>,
+    reports: RunReports,
+}
+
+/// Who is told how runs end.
+#[derive(Clone)]
+pub struct RunReports {
+    /// Hears of runs that brought no whole answer.
+    pub watch: Mailbox<WatchMessage>,
+    /// Hears of whole answers to requests under which targets have ended.
+    pub suspects: Mailbox<SuspectMessage>,
 }
 
 impl TargetRun {
     /// Begins a run.
-    pub fn open(
-        job: &RequestJob,
-        target: &RouteTarget,
-        sent: Moment,
-        watch: Mailbox<WatchMessage>,
-    ) -> Self {
+    pub fn open(job: &RequestJob, target: &RouteTarget, sent: Moment, reports: RunReports) -> Self {
         let group = target.group.as_ref().map(|group| group.id.clone());
         let facts = RunFacts {
             request: job.ask.attempt.clone(),
@@ -80,15 +86,28 @@
         };
         Self {
             facts: Some(facts),
-            watch,
+            reports,
         }
     }
 
-    /// Notes that the target gave its answer, or never had the request.
+    /// Notes that the target gave an answer that is none of success, or never had the request.
     pub fn settle(&mut self) {
         self.facts = None;
     }
 
+    /// Notes that the target gave its whole answer; the request did not end it, and so is cleared of earlier ends.
+    pub fn complete(&mut self, board: &SuspectBoard) {
+        let Some(facts) = self.facts.take() else {
+            return;
+        };
+        if board.has_ends(&facts.print) {
+            let message = SuspectMessage::Completed(facts.print);
+            if let Err(error) = self.reports.suspects.post(message) {
+                log::warn!(error:% = error; "run_untold");
+            }
+        }
+    }
+
     /// Notes that the connection broke.
     pub fn broke(&mut self, reason: &'static str) {
         let Some(facts) = self.facts.take() else {
@@ -108,7 +127,7 @@
 
     fn tell(&self, facts: RunFacts, end: RunBreak) {
         let message = WatchMessage::Ended(Box::new(facts), end);
-        if let Err(error) = self.watch.post(message) {
+        if let Err(error) = self.reports.watch.post(message) {
             log::warn!(error:% = error; "run_untold");
         }
     }
--- a/crates/fleet/src/shared.rs
+++ b/crates/fleet/src/shared.rs
@@ -19,6 +19,7 @@
 use crate::metrics::FleetMetrics;
 use crate::ports::{FeedAnswer, FeedMark, FeedQuestion, FleetPlatform, NodeEntry, SourceError};
 use crate::settings::FleetSettings;
+use crate::suspects::SuspectBoard;
 use crate::table::TargetTable;
 
 /// Part of a key's validity after which it is no longer trusted.
@@ -66,6 +67,8 @@
     pub directory: Snapshot<DirectoryView>,
     /// Where requests may go.
     pub table: Snapshot<TargetTable>,
+    /// Requests under which targets have ended.
+    pub suspects: SuspectBoard,
     /// Load and liveness of targets.
     pub gauges: GaugeBoard,
     /// The other nodes that live.
@@ -110,10 +113,10 @@
             settings,
             incarnation,
             feed: FeedRelay::open(Arc::clone(&platform.feed), Arc::clone(&costs)),
-            platform,
             book: Snapshot::open(None),
             directory: Snapshot::open(DirectoryView::default()),
             table: Snapshot::open(TargetTable::default()),
+            suspects: SuspectBoard::open(Arc::clone(&platform.clock)),
             gauges: GaugeBoard::default(),
             live: Snapshot::open(LiveView::open(own.clone())),
             membership: Mutex::new(Membership::open(own)),
@@ -127,6 +130,7 @@
             has_traffic: AtomicBool::new(false),
             confirmed: AtomicU64::new(0),
             phase: AtomicU8::new(FleetPhase::Running as u8),
+            platform,
         })
     }
 
--- /dev/null
+++ b/crates/fleet/src/suspect_keeper.rs
@@ -0,0 +1,508 @@
+//! Has every node know of the requests under which targets have ended.
+//!
+//! Repeats of a request come to any node, so no node sees all that one has done. Each end is told to the two nodes
+//! that rank first for the request, which see its ends add up. What more than coincidence explains is written to the
+//! store's table, which every node follows: also one that reaches no other node, and one that has just started. A
+//! node that reaches nobody writes what it sees itself.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use briarswitch_core::crash::{
+    is_forgotten, ClearSign, CrashVerdict, EndRate, EndSign, EndedTarget, StoreMillis,
+};
+use briarswitch_core::id::*;
+use briarswitch_core::print::RequestPrint;
+use briarswitch_http::{CallError, CallerClient, Codec};
+use briarswitch_kernel::{Service, ServiceLink};
+use briarswitch_membership::NodeEntry;
+use http::Method;
+use indexmap::{IndexMap, IndexSet};
+use serde_json::{json, Value};
+
+use crate::costs::CostKind;
+use crate::keeper::retry_pause;
+use crate::ports::{
+    FeedMark, SourceError, SuspectChange, SuspectKey, SuspectRow, MOST_SUSPECT_ROWS,
+};
+use crate::run::RunFacts;
+use crate::shared::FleetShared;
+use crate::suspect_doc::SuspectDoc;
+
+/// Path at which a node is told of ends.
+pub const SUSPECT_PATH: &str = "/suspects";
+/// Nodes that are told of each end; one may be lost at once.
+const HOLDERS: usize = 2;
+/// Time to wait for a holder's answer.
+const ANSWER_TIME: Duration = Duration::from_millis(400);
+/// Chance of a coincidence, in thousandths, above which an end says too little to be counted.
+const USELESS_CHANCE: u16 = 300;
+/// Longest time a question for changes of the table is held open.
+///
+/// A connection that fell silent is noticed after this and the time for an answer, and every node has to know
+/// within three seconds.
+const TABLE_WAIT: Duration = Duration::from_millis(1_500);
+/// Time that the second holder, and then whoever saw the end, leave those before them to write a row.
+const WRITE_TURN: Duration = Duration::from_millis(250);
+/// Time between looks at what is to be written or dropped.
+const ROUND: Duration = Duration::from_millis(100);
+/// Time between two counts of the targets that have ended.
+const RATE_INTERVAL: Duration = Duration::from_secs(2);
+/// Time for which a row that counts no more is left, so that clocks need not agree to the second.
+const DROP_SLACK: StoreMillis = 30_000;
+
+/// Name of the keeper.
+pub const SUSPECT_SERVICE: &str = "suspects";
+
+/// A run that was under way when its target ended.
+#[derive(Clone, Debug)]
+pub struct FatalRun {
+    /// What ran where.
+    pub facts: RunFacts,
+    /// How long it had run when the end was seen.
+    pub ran: Duration,
+}
+
+/// Message to [`SuspectKeeper`].
+pub enum SuspectMessage {
+    /// Targets ended with these runs under way.
+    Ended(Vec<FatalRun>),
+    /// Another node told something of these requests that is news.
+    Told(IndexSet<RequestPrint>),
+    /// A holder was told of these ends, and answered what it knows of the requests, or did not answer.
+    Answered(Vec<EndSign>, Option<Vec<SuspectRow>>),
+    /// A request under which targets had ended was answered as a whole.
+    Completed(RequestPrint),
+    /// The operator takes back what is held of a request.
+    Released(RequestPrint),
+    /// Ask for changes of the table.
+    Ask,
+    /// The table's changes came or not.
+    News(Result<SuspectNews, SourceError>),
+    /// Rows were written and dropped, or not.
+    Written(Vec<SuspectRow>, Vec<SuspectKey>, Result<(), SourceError>),
+    /// Look at what is to be written or dropped.
+    Round,
+}
+
+/// Changes of the table.
+#[derive(Clone, Debug)]
+pub struct SuspectNews {
+    mark: FeedMark,
+    is_whole: bool,
+    changes: Vec<SuspectChange>,
+}
+
+/// Keeps the table of ends, and the board that traffic reads.
+pub struct SuspectKeeper {
+    shared: Arc<FleetShared>,
+    client: CallerClient,
+    mark: Option<FeedMark>,
+    is_lost: bool,
+    /// Rows that the store holds, and when what they say was seen.
+    stored: IndexMap<SuspectKey, StoreMillis>,
+    /// Rows that this node is to write, and from when on.
+    unwritten: IndexMap<SuspectKey, (SuspectRow, Moment)>,
+    is_writing: bool,
+    /// Holders that have not answered yet, by the end that they were told of; no entry once one has.
+    untold: IndexMap<SuspectKey, usize>,
+    /// What was last held of each request that is not clear.
+    verdicts: IndexMap<RequestPrint, CrashVerdict>,
+    rate: EndRate,
+    counted: Moment,
+}
+
+impl SuspectKeeper {
+    /// Opens a keeper that knows of no end.
+    pub fn open(shared: Arc<FleetShared>) -> Self {
+        Self {
+            shared,
+            client: CallerClient::open(Codec::Packed, None),
+            mark: None,
+            is_lost: false,
+            stored: IndexMap::new(),
+            unwritten: IndexMap::new(),
+            is_writing: false,
+            untold: IndexMap::new(),
+            verdicts: IndexMap::new(),
+            rate: EndRate::default(),
+            counted: Moment::ZERO,
+        }
+    }
+
+    /// Counts ends that this node saw, and tells their holders.
+    fn take_ends(&mut self, runs: Vec<FatalRun>, link: &ServiceLink<SuspectMessage>) {
+        let (at, rate) = (self.shared.suspects.now(), self.rate.per_second());
+        let mut ends = Vec::new();
+        for FatalRun { facts, ran } in runs {
+            let target = EndedTarget {
+                target: &facts.life.target,
+                incarnation: facts.life.incarnation,
+                domain: &facts.domain,
+            };
+            let end = EndSign::of(facts.print, target, at, ran, rate);
+            if end.chance > USELESS_CHANCE {
+                continue;
+            }
+            self.shared.suspects.take(&SuspectRow::End(end));
+            log::info!(
+                request = facts.request.as_str(),
+                print:% = facts.print,
+                organisation = facts.organisation.as_str(),
+                target_id = facts.life.target.as_str(),
+                ran_ms = ran.as_millis() as u64,
+                chance_permille = end.chance,
+                ends = self.shared.suspects.ends(&facts.print);
+                "end_counted"
+            );
+            ends.push(end);
+        }
+        self.tell(&ends, link);
+        let prints = ends.iter().map(|end| end.print).collect();
+        self.look_at(&prints, true, link.now());
+    }
+
+    /// Tells the nodes that rank first for each request; where there is nobody, the rows are written at once.
+    fn tell(&mut self, ends: &[EndSign], link: &ServiceLink<SuspectMessage>) {
+        let live = self.shared.live.load();
+        let mut messages: IndexMap<NodeId, (Arc<NodeEntry>, Vec<EndSign>)> = IndexMap::new();
+        for end in ends {
+            let others = live.holders_of(&end.print.to_string(), HOLDERS).others;
+            if others.is_empty() {
+                self.write_later(SuspectRow::End(*end), link.now());
+            } else {
+                self.untold
+                    .insert(SuspectRow::End(*end).key(), others.len());
+            }
+            for entry in others {
+                let message = messages.entry(entry.node.clone());
+                let message = message.or_insert_with(|| (entry, Vec::new()));
+                message.1.push(*end);
+            }
+        }
+        for (entry, ends) in messages.into_values() {
+            self.send(&entry, ends, link);
+        }
+    }
+
+    /// Takes in a holder's answer; ends that no holder was told of are written.
+    fn take_answer(&mut self, ends: &[EndSign], known: Option<Vec<SuspectRow>>, now: Moment) {
+        for end in ends {
+            let row = SuspectRow::End(*end);
+            let Some(left) = self.untold.get_mut(&row.key()) else {
+                continue;
+            };
+            *left -= 1;
+            let is_last = *left == 0;
+            if is_last && known.is_none() {
+                self.write_later(row, now);
+            }
+            if is_last || known.is_some() {
+                self.untold.swap_remove(&row.key());
+            }
+        }
+        self.take_rows(&known.unwrap_or_default(), true, now);
+    }
+
+    fn send(&self, holder: &NodeEntry, ends: Vec<EndSign>, link: &ServiceLink<SuspectMessage>) {
+        let url = format!("http://{}{SUSPECT_PATH}", holder.address);
+        let client = self.client.clone();
+        self.shared.costs.count(CostKind::EndTold);
+        link.spawn(async move {
+            let doc: SuspectDoc = ends.iter().copied().map(SuspectRow::End).collect();
+            let told: Result<SuspectDoc, CallError> = client
+                .call(Method::POST, &url, Some(&doc), ANSWER_TIME)
+                .await;
+            if let Err(error) = &told {
+                log::info!(error:% = error, ends = ends.len(); "holder_missed");
+            }
+            SuspectMessage::Answered(ends, told.ok().map(Vec::from))
+        });
+    }
+
+    /// Takes rows in; `is_own` where this node is one of those that have to see them written.
+    fn take_rows(&mut self, rows: &[SuspectRow], is_own: bool, now: Moment) {
+        let news = rows.iter().filter(|row| self.shared.suspects.take(row));
+        let prints: IndexSet<RequestPrint> = news.map(|row| row.key().print).collect();
+        self.look_at(&prints, is_own, now);
+    }
+
+    /// Looks at requests of which something new is known: what is held of them, and what is to be written.
+    fn look_at(&mut self, prints: &IndexSet<RequestPrint>, is_own: bool, now: Moment) {
+        for print in prints {
+            let verdict = self.shared.suspects.verdict(print);
+            self.note_verdict(print, verdict);
+            if verdict == CrashVerdict::Clear {
+                continue;
+            }
+            let place = self.own_place(print);
+            if !is_own && place.is_none() {
+                continue;
+            }
+            let turn = WRITE_TURN * place.unwrap_or(HOLDERS) as u32;
+            for row in self.shared.suspects.rows(print) {
+                self.write_later(row, now + turn);
+            }
+        }
+    }
+
+    fn own_place(&self, print: &RequestPrint) -> Option<usize> {
+        let live = self.shared.live.read();
+        live.holders_of(&print.to_string(), HOLDERS).own_place
+    }
+
+    fn note_verdict(&mut self, print: &RequestPrint, verdict: CrashVerdict) {
+        let before = self.verdicts.get(print).copied();
+        let ends = self.shared.suspects.ends(print);
+        let was_held = matches!(before, Some(CrashVerdict::Quarantined(_)));
+        match verdict {
+            CrashVerdict::Quarantined(left) if !was_held => {
+                self.shared.metrics.count_quarantine();
+                let left_ms = left.as_millis() as u64;
+                log::warn!(print:% = print, ends = ends, left_ms = left_ms; "quarantine_begun");
+            }
+            CrashVerdict::Suspect if before.is_none() => {
+                log::info!(print:% = print, ends = ends; "request_suspected");
+            }
+            CrashVerdict::Clear if was_held => {
+                log::info!(print:% = print; "quarantine_ended");
+            }
+            _ => {}
+        }
+        if verdict == CrashVerdict::Clear {
+            self.verdicts.swap_remove(print);
+        } else {
+            self.verdicts.insert(*print, verdict);
+        }
+    }
+
+    /// Takes in that a request is not the cause of what has ended so far.
+    fn clear(&mut self, print: RequestPrint, reason: &'static str, now: Moment) {
+        if !self.shared.suspects.has_ends(&print) {
+            return;
+        }
+        let is_told =
+            self.verdicts.contains_key(&print) || self.stored.keys().any(|key| key.print == print);
+        let at = self.shared.suspects.now();
+        let row = SuspectRow::Clear(ClearSign { print, at });
+        self.shared.suspects.take(&row);
+        log::info!(print:% = print, reason = reason; "request_cleared");
+        self.note_verdict(&print, CrashVerdict::Clear);
+        self.unwritten.retain(|key, _| key.print != print);
+        if is_told {
+            self.write_later(row, now);
+        }
+    }
+
+    fn write_later(&mut self, row: SuspectRow, at: Moment) {
+        let key = row.key();
+        if self.stored.get(&key).is_some_and(|held| *held >= row.at()) {
+            return;
+        }
+        let due = self.unwritten.get(&key).map_or(at, |(_, due)| at.min(*due));
+        self.unwritten.insert(key, (row, due));
+    }
+
+    /// Writes what is due and nobody else has written, and drops what counts no more.
+    fn write(&mut self, link: &ServiceLink<SuspectMessage>) {
+        if self.is_writing {
+            return;
+        }
+        let now = link.now();
+        let due = self.unwritten.values().filter(|(_, due)| now >= *due);
+        let rows: Vec<SuspectRow> = due.map(|(row, _)| *row).take(MOST_SUSPECT_ROWS).collect();
+        let dropped = self.old_keys(MOST_SUSPECT_ROWS - rows.len());
+        if rows.is_empty() && dropped.is_empty() {
+            return;
+        }
+        self.is_writing = true;
+        self.shared.costs.count(CostKind::SuspectWrite);
+        let shared = Arc::clone(&self.shared);
+        link.spawn(async move {
+            let suspects = &shared.platform.suspects;
+            let written = suspects.write(rows.clone(), dropped.clone()).await;
+            SuspectMessage::Written(rows, dropped, written)
+        });
+    }
+
+    /// Returns the rows that count no more, of the requests that this node ranks first for.
+    fn old_keys(&self, most: usize) -> Vec<SuspectKey> {
+        let now = self.shared.suspects.now();
+        let old = self
+            .stored
+            .iter()
+            .filter(|(_, at)| is_forgotten(**at + DROP_SLACK, now));
+        old.map(|(key, _)| *key)
+            .filter(|key| self.own_place(&key.print) == Some(0))
+            .take(most)
+            .collect()
+    }
+
+    fn take_written(
+        &mut self,
+        rows: &[SuspectRow],
+        dropped: &[SuspectKey],
+        written: Result<(), SourceError>,
+        now: Moment,
+    ) {
+        self.is_writing = false;
+        match written {
+            Ok(()) => {
+                for row in rows {
+                    self.note_stored(row);
+                }
+                for key in dropped {
+                    self.stored.swap_remove(key);
+                }
+            }
+            Err(error) => {
+                // The rows stay due; written twice they are the same rows.
+                log::info!(error:% = error, rows = rows.len(); "suspects_unwritten");
+                let later = now + retry_pause();
+                for (_, due) in self.unwritten.values_mut() {
+                    *due = later.max(*due);
+                }
+            }
+        }
+    }
+
+    fn note_stored(&mut self, row: &SuspectRow) {
+        let key = row.key();
+        self.stored.insert(key, row.at());
+        let is_done = self
+            .unwritten
+            .get(&key)
+            .is_some_and(|(held, _)| held.at() <= row.at());
+        if is_done {
+            self.unwritten.swap_remove(&key);
+        }
+    }
+
+    fn ask(&self, link: &ServiceLink<SuspectMessage>) {
+        let shared = Arc::clone(&self.shared);
+        let (mark, is_lost) = (self.mark, self.is_lost);
+        link.spawn(async move {
+            let registry = &shared.platform.suspects;
+            // Until the source has answered again it is asked for an answer at once.
+            let wait = if is_lost { Duration::ZERO } else { TABLE_WAIT };
+            let answer = shared.changes(registry.table(), mark, wait).await;
+            SuspectMessage::News(answer.map(|answer| SuspectNews {
+                mark: answer.mark,
+                is_whole: answer.is_whole,
+                changes: registry.news(&answer),
+            }))
+        });
+    }
+
+    fn take_news(&mut self, news: SuspectNews, now: Moment) {
+        self.mark = Some(news.mark);
+        if news.is_whole {
+            self.stored.clear();
+        }
+        let mut rows = Vec::new();
+        for change in news.changes {
+            match change {
+                SuspectChange::Put(row) => {
+                    self.note_stored(&row);
+                    rows.push(row);
+                }
+                SuspectChange::Removed(key) => {
+                    self.stored.swap_remove(&key);
+                }
+            }
+        }
+        self.take_rows(&rows, false, now);
+        if news.is_whole {
+            // What the store has lost, or never got, is written again.
+            let held = self.shared.suspects.suspects().into_iter();
+            let prints = held.map(|(print, _)| print).collect();
+            self.look_at(&prints, false, now);
+        }
+    }
+
+    fn round(&mut self, link: &ServiceLink<SuspectMessage>) {
+        let now = link.now();
+        self.write(link);
+        if now >= self.counted + RATE_INTERVAL {
+            self.counted = now;
+            let directory = self.shared.directory.load();
+            let targets = directory.book.targets().len();
+            self.rate.note(directory.book.ended(), targets, now);
+            self.shared.suspects.prune();
+            self.end_quarantines();
+        }
+    }
+
+    /// Notes the quarantines that are over because their ends are forgotten.
+    fn end_quarantines(&mut self) {
+        let held: Vec<RequestPrint> = self.verdicts.keys().copied().collect();
+        for print in held {
+            let verdict = self.shared.suspects.verdict(&print);
+            self.note_verdict(&print, verdict);
+        }
+    }
+}
+
+impl Service for SuspectKeeper {
+    type Message = SuspectMessage;
+
+    fn name(&self) -> &'static str {
+        SUSPECT_SERVICE
+    }
+
+    fn start(&mut self, link: &ServiceLink<SuspectMessage>) {
+        self.ask(link);
+        link.later(ROUND, SuspectMessage::Round);
+    }
+
+    fn handle(&mut self, message: SuspectMessage, link: &ServiceLink<SuspectMessage>) {
+        let now = link.now();
+        match message {
+            SuspectMessage::Ended(runs) => self.take_ends(runs, link),
+            SuspectMessage::Told(prints) => self.look_at(&prints, true, now),
+            SuspectMessage::Answered(ends, known) => self.take_answer(&ends, known, now),
+            SuspectMessage::Completed(print) => self.clear(print, "completed", now),
+            SuspectMessage::Released(print) => self.clear(print, "released", now),
+            SuspectMessage::Ask => self.ask(link),
+            SuspectMessage::News(Ok(news)) => {
+                self.is_lost = false;
+                self.take_news(news, now);
+                self.ask(link);
+            }
+            SuspectMessage::News(Err(error)) => {
+                if error == SourceError::HistoryGone {
+                    self.mark = None;
+                }
+                self.is_lost = true;
+                link.later(retry_pause(), SuspectMessage::Ask);
+            }
+            SuspectMessage::Written(rows, dropped, written) => {
+                self.take_written(&rows, &dropped, written, now);
+            }
+            SuspectMessage::Round => {
+                self.round(link);
+                link.later(ROUND, SuspectMessage::Round);
+            }
+        }
+    }
+
+    fn dump(&self) -> Value {
+        let held = self.verdicts.iter().map(|(print, verdict)| {
+            let left = match verdict {
+                CrashVerdict::Quarantined(_) => self.shared.suspects.quarantine(print),
+                CrashVerdict::Clear | CrashVerdict::Suspect => None,
+            };
+            json!({
+                "print": print.to_string(),
+                "ends": self.shared.suspects.ends(print),
+                "quarantine_ms": left.map(|left| left.as_millis() as u64),
+            })
+        });
+        json!({
+            "held": held.collect::<Vec<_>>(),
+            "stored_rows": self.stored.len(),
+            "unwritten_rows": self.unwritten.len(),
+            "ends_per_target_hour": self.rate.per_second() * 3_600.0,
+        })
+    }
+}
--- /dev/null
+++ b/crates/fleet/src/suspects.rs
@@ -0,0 +1,113 @@
+//! What traffic reads of the requests under which targets have ended.
+
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::Duration;
+
+use briarswitch_core::crash::{CrashLedger, CrashVerdict, StoreMillis, LEAST_ENDS};
+use briarswitch_core::print::RequestPrint;
+
+use crate::ports::{StoreClock, SuspectRow};
+
+/// The ledger of ends, shared by the control thread and traffic.
+pub struct SuspectBoard {
+    clock: Arc<dyn StoreClock>,
+    ledger: Mutex<CrashLedger>,
+    /// Whether the ledger holds anything; nearly always it does not.
+    is_used: AtomicBool,
+}
+
+impl SuspectBoard {
+    /// Opens a board that knows of no end.
+    pub fn open(clock: Arc<dyn StoreClock>) -> Self {
+        Self {
+            clock,
+            ledger: Mutex::default(),
+            is_used: AtomicBool::new(false),
+        }
+    }
+
+    /// Returns the time by which ends are dated.
+    pub fn now(&self) -> StoreMillis {
+        self.clock.millis()
+    }
+
+    /// Returns what is held of a request.
+    pub fn verdict(&self, print: &RequestPrint) -> CrashVerdict {
+        if !self.is_used.load(Ordering::Relaxed) {
+            return CrashVerdict::Clear;
+        }
+        self.lock().verdict(print, self.now())
+    }
+
+    /// Returns how long a request is not to run, if it is not to.
+    pub fn quarantine(&self, print: &RequestPrint) -> Option<Duration> {
+        match self.verdict(print) {
+            CrashVerdict::Quarantined(left) => Some(left),
+            CrashVerdict::Clear | CrashVerdict::Suspect => None,
+        }
+    }
+
+    /// Returns whether a request may be sent once more for the same attempt, `broken` of whose runs broke off.
+    ///
+    /// A caller's own repeat is decided by what all nodes know. Between two runs of one attempt nobody else can
+    /// know yet what the first has done, and going on would end the next target at once.
+    pub fn may_go_on(&self, print: &RequestPrint, broken: usize) -> bool {
+        let is_used = self.is_used.load(Ordering::Relaxed);
+        let ends = if is_used { self.ends(print) } else { 0 };
+        ends + broken < LEAST_ENDS
+    }
+
+    /// Returns how many targets have ended with the request under way, as far as they count.
+    pub fn ends(&self, print: &RequestPrint) -> usize {
+        self.lock().ends(print, self.now()).len()
+    }
+
+    /// Returns whether any target has ended with the request under way.
+    pub fn has_ends(&self, print: &RequestPrint) -> bool {
+        self.is_used.load(Ordering::Relaxed) && self.lock().has_ends(print)
+    }
+
+    /// Takes in what was seen or told; returns whether it is news.
+    pub fn take(&self, row: &SuspectRow) -> bool {
+        let mut ledger = self.lock();
+        self.is_used.store(true, Ordering::Relaxed);
+        match row {
+            SuspectRow::End(end) => ledger.take_end(*end),
+            SuspectRow::Clear(clear) => ledger.take_clear(*clear),
+        }
+    }
+
+    /// Returns all that is known of a request.
+    pub fn rows(&self, print: &RequestPrint) -> Vec<SuspectRow> {
+        let ledger = self.lock();
+        let ends = ledger.ends(print, self.now());
+        let ends = ends.into_iter().map(SuspectRow::End);
+        let clear = ledger.cleared(print).map(SuspectRow::Clear);
+        ends.chain(clear).collect()
+    }
+
+    /// Returns the requests that are not clear, and what is held of them.
+    pub fn suspects(&self) -> Vec<(RequestPrint, CrashVerdict)> {
+        let now = self.now();
+        let ledger = self.lock();
+        let verdicts = ledger
+            .prints()
+            .map(|print| (*print, ledger.verdict(print, now)));
+        verdicts
+            .filter(|(_, verdict)| *verdict != CrashVerdict::Clear)
+            .collect()
+    }
+
+    /// Forgets what counts no more.
+    pub fn prune(&self) {
+        let mut ledger = self.lock();
+        ledger.prune(self.now());
+        let is_used = ledger.prints().next().is_some();
+        self.is_used.store(is_used, Ordering::Relaxed);
+    }
+
+    fn lock(&self) -> MutexGuard<'_, CrashLedger> {
+        self.ledger.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
--- a/crates/fleet/src/trace.rs
+++ b/crates/fleet/src/trace.rs
@@ -71,6 +71,8 @@
     pub waited_before: Duration,
     /// Attempts sent.
     pub sent: u32,
+    /// Runs of this attempt whose connection broke.
+    pub broken: usize,
     /// Why the last attempt or the request failed.
     pub reason: &'static str,
     /// Time until the first place at a target was found.
@@ -103,6 +105,7 @@
             patience: Duration::ZERO,
             waited_before: Duration::ZERO,
             sent: 0,
+            broken: 0,
             reason: "",
             waited: None,
             first: None,
@@ -112,6 +115,13 @@
         }
     }
 
+    /// Returns the fingerprint for the log; empty until the request was read.
+    pub fn print_text(&self) -> String {
+        self.print
+            .map(|print| print.to_string())
+            .unwrap_or_default()
+    }
+
     /// Notes how the request ended.
     pub fn end(&mut self, end: RequestEnd) {
         self.end.get_or_insert(end);
@@ -162,7 +172,7 @@
         self.shared.metrics.count_request(labels, latency);
         log::info!(
             request = self.request.as_str(),
-            print = self.print.map(|print| print.to_string()).unwrap_or_default().as_str(),
+            print = self.print_text().as_str(),
             organisation = self.organisation.as_str(),
             rule = self.rule.as_str(),
             config = self.version,
--- a/crates/fleet/tests/crashes.rs
+++ b/crates/fleet/tests/crashes.rs
@@ -6,8 +6,12 @@
 
 use googletest::prelude::*;
 
-use support::target::DEADLY;
-use support::{Ask, Fleet};
+use http::Method;
+use serde_json::Value;
+
+use support::platform::SUSPECT_TABLE;
+use support::target::{BREAKING, DEADLY, LASTING};
+use support::{Ask, Fleet, KEYS};
 
 /// Time after the third end within which every node has to know.
 const KNOWN_TIME: Duration = Duration::from_secs(3);
@@ -53,7 +57,8 @@
 /// back after some seconds.
 /// Events: a caller's request ends the target that runs it. Its stream goes on at a second target, which ends too. The
 /// caller comes again, with the same path and body under another id, at any node, and so on.
-/// Cause: open.
+/// Cause: nothing remembered what a request had done to a target, neither between two runs of one attempt nor between
+/// attempts, so each repeat began from nothing. 35 runs began later than three seconds after the third end.
 #[gtest]
 #[tokio::test(flavor = "multi_thread")]
 async fn a_request_that_ends_targets_is_run_no_more_at_any_node() {
@@ -62,3 +67,251 @@
     expect_that!(runs(&fleet, DEADLY).len(), ge(ENOUGH));
     expect_that!(late_runs(&fleet, DEADLY), le(LATE_RUNS));
 }
+
+/// Symptom: one attempt of a caller ends as many targets as its rule allows attempts.
+/// Events: a stream breaks with its target and goes on at another, though two targets have ended under it before.
+/// Cause guarded against: deciding on a repeat by what this attempt knows alone.
+#[gtest]
+#[tokio::test(flavor = "multi_thread")]
+async fn an_attempt_does_not_go_on_once_two_targets_have_ended_before() {
+    let fleet = Fleet::open(6, &["z1"]).await;
+    fleet.ask(0, Ask::chat(DEADLY)).await;
+    expect_that!(
+        runs(&fleet, DEADLY).len(),
+        eq(2),
+        "one attempt, two targets"
+    );
+    fleet
+        .until("both ends are known", || async {
+            ends(&fleet, 0).await == [2]
+        })
+        .await;
+    fleet.ask(0, Ask::chat(DEADLY)).await;
+    expect_that!(runs(&fleet, DEADLY).len(), eq(ENOUGH));
+}
+
+/// Returns how many ends each suspected request has, as a node shows them.
+async fn ends(fleet: &Fleet, node: usize) -> Vec<u64> {
+    let held = held(fleet, node).await;
+    let ends = held.iter().filter_map(|one| one["ends"].as_u64());
+    ends.collect()
+}
+
+/// Waits until a node refuses a request, and returns what its caller is told.
+async fn until_refused(fleet: &Fleet, node: usize, ask: Ask<'_>) -> support::Answer {
+    fleet
+        .until("the request is refused", || async {
+            fleet
+                .ask(node, ask)
+                .await
+                .retry_after()
+                .is_some_and(|after| after > 60.0)
+        })
+        .await;
+    fleet.ask(node, ask).await
+}
+
+/// Symptom: a caller is kept waiting for a place, or is told nothing of when to come back, or another caller is
+/// refused with it.
+/// Events: a request was quarantined; it comes again, and so do others of its caller and of another one.
+/// Cause guarded against: refusing late, or by too little of what makes the request.
+#[gtest]
+#[tokio::test(flavor = "multi_thread")]
+async fn a_quarantined_request_is_refused_as_not_run_and_no_other_is() {
+    let fleet = Fleet::open(6, &["z1", "z1"]).await;
+    repeat(&fleet, DEADLY, Duration::from_secs(2)).await;
+    let answer = until_refused(&fleet, 0, Ask::chat(DEADLY)).await;
+    expect_that!(answer.status, eq(503));
+    expect_that!(answer.body, eq("quarantined"));
+    expect_that!(answer.retry_after(), some(all!(gt(500.0), le(600.0))));
+
+    let before = runs(&fleet, DEADLY).len();
+    fleet.ask(0, Ask::chat(DEADLY)).await;
+    expect_that!(runs(&fleet, DEADLY).len(), eq(before));
+    let others = [
+        Ask::chat("harmless"),
+        Ask {
+            path: "/chat/other",
+            ..Ask::chat("harmless")
+        },
+        Ask {
+            path: "/look/x",
+            ..Ask::chat("harmless")
+        },
+    ];
+    for other in others {
+        fleet
+            .until("another request is served", || async {
+                fleet.ask(0, other).await.is_served()
+            })
+            .await;
+    }
+    let of_another = Ask {
+        key: KEYS[1].0,
+        ..Ask::chat(DEADLY)
+    };
+    fleet.ask(0, of_another).await;
+    expect_that!(runs(&fleet, DEADLY).len(), gt(before), "another caller's");
+}
+
+/// Symptom: a node that reaches no other node goes on sending a request to targets.
+/// Events: three targets end at other nodes; the node reaches the platform only.
+/// Cause guarded against: telling other nodes and nobody else.
+#[gtest]
+#[tokio::test(flavor = "multi_thread")]
+async fn a_node_that_reaches_no_other_node_knows() {
+    let mut fleet = Fleet::open(9, &["z1", "z1", "z2"]).await;
+    fleet.nodes[2].door.hide();
+    fleet.start(2).await;
+    fleet.until_known().await;
+    for node in [0, 1, 0, 1] {
+        fleet.ask(node, Ask::chat(DEADLY)).await;
+    }
+    until_refused(&fleet, 0, Ask::chat(DEADLY)).await;
+    tokio::time::sleep(KNOWN_TIME).await;
+    let before = runs(&fleet, DEADLY).len();
+    fleet.ask(2, Ask::chat(DEADLY)).await;
+    expect_that!(runs(&fleet, DEADLY).len(), eq(before));
+}
+
+/// Symptom: a request ends a few targets at each node, many in all.
+/// Events: no node reaches another; each sees less than enough by itself.
+/// Cause guarded against: writing down only what one node alone is sure of.
+#[gtest]
+#[tokio::test(flavor = "multi_thread")]
+async fn nodes_that_do_not_reach_each_other_add_up_what_they_see() {
+    let mut fleet = Fleet::open(9, &["z1", "z1", "z2", "z2"]).await;
+    for index in 0..4 {
+        fleet.kill(index);
+        fleet.nodes[index].door.hide();
+    }
+    for index in 0..4 {
+        fleet.start(index).await;
+    }
+    fleet.until_known().await;
+    repeat(&fleet, DEADLY, KNOWN_TIME * 2).await;
+    expect_that!(late_runs(&fleet, DEADLY), le(LATE_RUNS));
+    expect_that!(runs(&fleet, DEADLY).len(), le(2 * ENOUGH + 2));
+}
+
+/// Symptom: after all nodes were killed at once a request ends targets again.
+/// Events: it was quarantined; every node starts again without anything that it knew.
+/// Cause guarded against: keeping a verdict in the memory of nodes only.
+#[gtest]
+#[tokio::test(flavor = "multi_thread")]
+async fn nodes_that_all_start_again_still_know() {
+    let mut fleet = Fleet::open(9, &["z1", "z1", "z2"]).await;
+    repeat(&fleet, DEADLY, Duration::from_secs(2)).await;
+    until_refused(&fleet, 0, Ask::chat(DEADLY)).await;
+    fleet
+        .until("the ends are written down", || async {
+            fleet.platform.keys(SUSPECT_TABLE).len() >= ENOUGH
+        })
+        .await;
+    (0..3).for_each(|index| fleet.kill(index));
+    for index in 0..3 {
+        fleet.start(index).await;
+    }
+    let before = runs(&fleet, DEADLY).len();
+    fleet.until_known().await;
+    for index in 0..3 {
+        until_refused(&fleet, index, Ask::chat(DEADLY)).await;
+    }
+    // Whoever is asked before it has read the table runs it once at most.
+    expect_that!(runs(&fleet, DEADLY).len() - before, le(LATE_RUNS));
+}
+
+/// Symptom: while the store is away a request ends targets without an end.
+/// Events: no node reaches the store; the request comes again at all of them; the store returns.
+/// Cause guarded against: learning of ends through the store alone, and forgetting what could not be written.
+#[gtest]
+#[tokio::test(flavor = "multi_thread")]
+async fn nodes_tell_each_other_while_the_store_is_away_and_write_when_it_is_back() {
+    let fleet = Fleet::open(12, &["z1", "z1", "z2"]).await;
+    fleet.nodes.iter().for_each(|node| node.door.close(true));
+    repeat(&fleet, DEADLY, KNOWN_TIME * 2).await;
+    // Two nodes hear of all ends; any other one learns from them at its own next one.
+    expect_that!(runs(&fleet, DEADLY).len(), le(ENOUGH + fleet.nodes.len()));
+    expect_that!(fleet.platform.keys(SUSPECT_TABLE), is_empty());
+    fleet.nodes.iter().for_each(|node| node.door.close(false));
+    fleet
+        .until("the ends are written down", || async {
+            fleet.platform.keys(SUSPECT_TABLE).len() >= ENOUGH
+        })
+        .await;
+}
+
+/// Symptom: callers are refused although no target has ended under their requests.
+/// Events: the connection of each run breaks while its target lives on, as on a bad path.
+/// Cause guarded against: taking a broken connection for the end of a target.
+#[gtest]
+#[tokio::test(flavor = "multi_thread")]
+async fn connections_that_break_are_not_held_against_a_request() {
+    let fleet = Fleet::open(6, &["z1"]).await;
+    for _ in 0..8 {
+        let answer = fleet.ask(0, Ask::chat(BREAKING)).await;
+        expect_that!(answer.status, eq(200), "it is sent, and breaks: {answer:?}");
+    }
+    expect_that!(runs(&fleet, BREAKING).len(), ge(8));
+    expect_that!(fleet.platform.keys(SUSPECT_TABLE), is_empty());
+}
+
+/// Returns what a node holds of the requests that it suspects.
+async fn held(fleet: &Fleet, node: usize) -> Vec<Value> {
+    let state = fleet.operate(node, Method::GET, "/state").await.body;
+    let state: Value = serde_json::from_str(&state).unwrap_or_default();
+    let held = state["suspects"]["held"].as_array();
+    held.cloned().unwrap_or_default()
+}
+
+/// Symptom: a request that does no harm is refused for minutes, and nobody can help its caller.
+/// Events: three targets ended by themselves under it; the operator releases it at one node.
+/// Cause guarded against: a verdict that only time turns over, or a release that one node knows of.
+#[gtest]
+#[tokio::test(flavor = "multi_thread")]
+async fn an_operator_releases_a_request_at_all_nodes() {
+    let fleet = Fleet::open(6, &["z1", "z2"]).await;
+    let ask = Ask::chat(LASTING);
+    while !held(&fleet, 0)
+        .await
+        .iter()
+        .any(|one| one["quarantine_ms"].is_u64())
+    {
+        let before = runs(&fleet, LASTING).len();
+        let end = async {
+            fleet
+                .until("it runs", || async { runs(&fleet, LASTING).len() > before })
+                .await;
+            let runs = |target: &&support::target::TargetStub| target.is_running(LASTING);
+            fleet
+                .targets
+                .iter()
+                .filter(runs)
+                .for_each(|target| target.end());
+        };
+        tokio::join!(fleet.ask(0, ask), end);
+        tokio::time::sleep(Duration::from_millis(300)).await;
+    }
+    until_refused(&fleet, 1, ask).await;
+    let print = held(&fleet, 0).await.remove(0)["print"].clone();
+    let print = print.as_str().unwrap_or_default();
+    let unknown = format!("/release/{}", "0".repeat(32));
+    expect_that!(
+        fleet.operate(1, Method::POST, &unknown).await.status,
+        eq(404)
+    );
+    expect_that!(
+        fleet.operate(1, Method::POST, "/release/x").await.status,
+        eq(400)
+    );
+    let path = format!("/release/{print}");
+    expect_that!(fleet.operate(1, Method::GET, &path).await.status, eq(405));
+    expect_that!(fleet.operate(1, Method::POST, &path).await.status, eq(200));
+    for node in 0..2 {
+        fleet
+            .until("the node holds nothing", || async {
+                held(&fleet, node).await.is_empty()
+            })
+            .await;
+    }
+}
--- a/crates/fleet/tests/support/platform.rs
+++ b/crates/fleet/tests/support/platform.rs
@@ -21,6 +21,8 @@
 const CONFIG_TABLE: &str = "config";
 const TARGET_TABLE: &str = "targets";
 const NODE_TABLE: &str = "nodes";
+/// Table of the requests under which targets have ended.
+pub const SUSPECT_TABLE: &str = "suspects";
 
 #[derive(Default)]
 struct StoreState {
@@ -29,6 +31,7 @@
     history: Vec<(FeedMark, String, FeedRow)>,
     records: IndexMap<TargetId, TargetRecord>,
     nodes: IndexMap<NodeId, NodeEntry>,
+    suspects: IndexMap<String, SuspectRow>,
 }
 
 struct StoreShared {
@@ -194,6 +197,7 @@
             directory: Arc::new(StubDirectory(self.platform.clone())),
             nodes: Arc::new(DoorNodes(Arc::clone(self))),
             targets: Arc::new(StubControl),
+            suspects: Arc::new(DoorSuspects(Arc::clone(self))),
             dialect: Arc::new(StubDialect),
         }
     }
@@ -305,6 +309,43 @@
     }
 }
 
+/// Rows of suspects by their keys' texts, since the store knows only bytes.
+struct DoorSuspects(Arc<NodeDoor>);
+
+impl SuspectRegistry for DoorSuspects {
+    fn table(&self) -> &'static str {
+        SUSPECT_TABLE
+    }
+
+    fn news(&self, answer: &FeedAnswer) -> Vec<SuspectChange> {
+        let state = self.0.platform.lock();
+        let rows = answer.rows.iter().filter_map(|row| {
+            let held = state.suspects.get(&row.key).copied()?;
+            Some(match row.value {
+                Some(_) => SuspectChange::Put(held),
+                None => SuspectChange::Removed(held.key()),
+            })
+        });
+        rows.collect()
+    }
+
+    fn write(&self, rows: Vec<SuspectRow>, dropped: Vec<SuspectKey>) -> SourceFuture<'_, ()> {
+        Box::pin(async move {
+            self.0.pass()?;
+            let platform = &self.0.platform;
+            for row in rows {
+                let key = format!("{:?}", row.key());
+                platform.lock().suspects.insert(key.clone(), row);
+                platform.put(SUSPECT_TABLE, &key, Some(Vec::new()));
+            }
+            for key in dropped {
+                platform.put(SUSPECT_TABLE, &format!("{key:?}"), None);
+            }
+            Ok(())
+        })
+    }
+}
+
 struct StubControl;
 
 impl TargetControl for StubControl {
--- a/crates/fleet/tests/support/target.rs
+++ b/crates/fleet/tests/support/target.rs
@@ -28,6 +28,8 @@
 pub struct SeenRun {
     pub body: String,
     pub at: Instant,
+    /// Life of the target that ran it.
+    pub life: u32,
 }
 
 struct TargetState {
@@ -82,6 +84,13 @@
         self.shared.lock().life
     }
 
+    /// Returns whether a run of a body has begun in the present life.
+    pub fn is_running(&self, body: &str) -> bool {
+        let state = self.shared.lock();
+        let runs = state.seen.iter().filter(|run| run.life == state.life);
+        runs.into_iter().any(|run| run.body == body)
+    }
+
     /// Ends the present life for a reason of its own.
     pub fn end(&self) {
         self.shared.lock().end.send_replace(true);
@@ -99,6 +108,16 @@
         self.state.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
+    fn note_run(&self, body: &str) {
+        let mut state = self.lock();
+        let life = state.life;
+        state.seen.push(SeenRun {
+            body: body.to_owned(),
+            at: Instant::now(),
+            life,
+        });
+    }
+
     /// Names the present life; each one has another name.
     fn id(&self) -> TargetId {
         format!("{}-{}", self.name, self.lock().life)
@@ -179,10 +198,7 @@
         return stream.write_all(other.as_bytes()).await;
     }
     let attempt = field("attempt");
-    shared.lock().seen.push(SeenRun {
-        body: body.clone(),
-        at: Instant::now(),
-    });
+    shared.note_run(&body);
     let head = format!(
         "HTTP/1.1 200 OK\r\nattempt: {attempt}\r\nsigned: yes\r\nconnection: close\r\ntransfer-encoding: chunked\r\n\r\n"
     );
--- a/crates/membership/src/lib.rs
+++ b/crates/membership/src/lib.rs
@@ -26,6 +26,6 @@
 pub use node::NodeEntry;
 pub use rank::{node_hash, rank_of, ThingRank};
 pub use roster::{Roster, RosterDelta, RosterMark, RosterMember, RosterSign, MEMBER_SILENCE};
-pub use view::{LiveView, ZonePart};
+pub use view::{LiveView, ThingHolders, ZonePart};
 pub use wire::GossipDoc;
 pub use work::{target_key, LoadMap, TargetKey, WorkSum};
--- a/crates/membership/src/view.rs
+++ b/crates/membership/src/view.rs
@@ -26,6 +26,15 @@
     Other(Vec<Arc<NodeEntry>>),
 }
 
+/// The nodes that keep something for all.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct ThingHolders {
+    /// The holders but this node, the best first.
+    pub others: Vec<Arc<NodeEntry>>,
+    /// This node's place among the holders, zero for the best; `None` where it is none of them.
+    pub own_place: Option<usize>,
+}
+
 /// One live node.
 #[derive(Clone, Debug)]
 struct LiveMember {
@@ -128,6 +137,32 @@
         (first.0 < own).then_some(&first.1.entry)
     }
 
+    /// Returns the `count` live nodes that rank first for something, wherever they are.
+    ///
+    /// ```
+    /// use briarswitch_membership::{LiveView, NodeEntry};
+    ///
+    /// let alone = LiveView::open(NodeEntry::default()).holders_of("thing", 2);
+    /// assert_eq!(alone.own_place, Some(0));
+    /// assert!(alone.others.is_empty());
+    /// ```
+    pub fn holders_of(&self, thing: &str, count: usize) -> ThingHolders {
+        let thing = ThingRank::from(thing);
+        let others = self.live.iter();
+        let others = others.map(|member| (rank_of(member.hash, thing), Some(&member.entry)));
+        let mut ranked: Vec<_> = others.collect();
+        ranked.push((rank_of(self.own_hash, thing), None));
+        ranked.sort_unstable_by_key(|(rank, _)| *rank);
+        ranked.truncate(count);
+        ThingHolders {
+            own_place: ranked.iter().position(|(_, entry)| entry.is_none()),
+            others: ranked
+                .into_iter()
+                .filter_map(|(_, entry)| entry.cloned())
+                .collect(),
+        }
+    }
+
     /// Returns this node's part of what all live nodes ask, among ranks for something.
     pub fn weight_for(&self, thing: &str, own_arrivals: f64) -> NodeWeight {
         let thing = ThingRank::from(thing);
--- a/crates/node/src/reply.rs
+++ b/crates/node/src/reply.rs
@@ -154,6 +154,10 @@
             StatusCode::SERVICE_UNAVAILABLE,
             "no target can take the request now",
         ),
+        FailurePoint::Quarantined => (
+            StatusCode::SERVICE_UNAVAILABLE,
+            "targets ended while they ran this request",
+        ),
         FailurePoint::QueueDeadline => (
             StatusCode::SERVICE_UNAVAILABLE,
             "the time limit came before a target was free",
