A stream that breaks goes on past targets that refuse the connection

Cause: a stream that broke had one try to go on, and a target that had ended too used it up without having had the request. Now it goes on to the next one; a refused try counts neither as sent nor against the budget of retries. Why it holds: targets that were tried are not tried again, so the tries end with the targets or the deadline.

--- a/crates/core/src/retry.rs
+++ b/crates/core/src/retry.rs
@@ -52,6 +52,11 @@
         self.balance >= RETRY_COST
     }
 
+    /// Gives a retry back that was taken and not sent.
+    pub fn give_back(&mut self) {
+        self.balance = (self.balance + RETRY_COST).min(self.ceiling);
+    }
+
     /// Takes one retry if there is one.
     ///
     /// ```
--- a/crates/fleet/src/budget.rs
+++ b/crates/fleet/src/budget.rs
@@ -42,6 +42,11 @@
         is_left
     }
 
+    /// Gives a retry back that reached no target.
+    pub fn give_back(&self, service: &str) {
+        self.with_budget(service, RetryBudget::give_back);
+    }
+
     /// Returns whether a retry could be taken now.
     pub fn has_any(&self, service: &str) -> bool {
         self.with_budget(service, |budget| budget.has_any())
--- a/crates/fleet/src/relay.rs
+++ b/crates/fleet/src/relay.rs
@@ -12,7 +12,7 @@
 
 use crate::dispatch::{FleetDispatcher, SILENCE_CHECK};
 use crate::gauge::GaugePlace;
-use crate::job::{BegunAnswer, RequestJob};
+use crate::job::{BegunAnswer, FailureSign, RequestJob};
 use crate::queue::PlacedTarget;
 use crate::trace::{RequestEnd, RequestTrace};
 
@@ -31,6 +31,17 @@
     is_over: bool,
 }
 
+/// What became of a stream that was to go on at another target.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+enum GoOnEnd {
+    /// It goes on.
+    Begun,
+    /// Nobody listened there.
+    Refused,
+    /// It ends here.
+    Failed,
+}
+
 enum RelayStep {
     Piece(Bytes),
     End,
@@ -181,29 +192,32 @@
         else {
             return false;
         };
-        self.go_on(placed).await
+        self.go_on(placed).await == GoOnEnd::Begun
     }
 
     /// Goes on elsewhere after the old answer has ended, waiting for a place if none is free.
+    ///
+    /// Targets often end together, and the next one may be gone as well without anybody knowing yet. One that
+    /// refuses the connection has not had the request, so the stream goes on to another.
     async fn resume_broken(&mut self) -> bool {
-        if !self.may_resume() {
-            return false;
-        }
         self.current.place = None;
-        match self
-            .dispatcher
-            .placer()
-            .place_again(&self.job, &self.tried)
-            .await
-        {
-            Ok(placed) => self.go_on(placed).await,
-            Err(_) => false,
+        while self.may_resume() {
+            let placer = self.dispatcher.placer();
+            let Ok(placed) = placer.place_again(&self.job, &self.tried).await else {
+                return false;
+            };
+            match self.go_on(placed).await {
+                GoOnEnd::Begun => return true,
+                GoOnEnd::Refused => {}
+                GoOnEnd::Failed => return false,
+            }
         }
+        false
     }
 
-    async fn go_on(&mut self, (target, place): PlacedTarget) -> bool {
+    async fn go_on(&mut self, (target, place): PlacedTarget) -> GoOnEnd {
         if !self.dispatcher.budgets().spend(&self.job.service) {
-            return false;
+            return GoOnEnd::Failed;
         }
         self.trace.sent += 1;
         let last = self.splitter.last().map(str::to_owned);
@@ -231,11 +245,16 @@
                 self.trace.target.clone_from(&begun.target.id);
                 self.current = begun;
                 self.splitter.drop_tail();
-                true
+                GoOnEnd::Begun
             }
             Err(failed) => {
                 self.trace.reason = failed.point.code();
-                false
+                if failed.sign == FailureSign::Refused {
+                    self.trace.sent -= 1;
+                    self.dispatcher.budgets().give_back(&self.job.service);
+                    return GoOnEnd::Refused;
+                }
+                GoOnEnd::Failed
             }
         }
     }
