--- a/crates/core/src/waiting.rs
+++ b/crates/core/src/waiting.rs
@@ -47,6 +47,8 @@
     pub deadline: Moment,
     /// Rank; zero goes first.
     pub priority: u8,
+    /// Whether part of its answer was delivered before its target was lost.
+    pub is_begun: bool,
 }
 
 /// What to do with a waiting request.
