--- a/crates/fleet/src/ports.rs
+++ b/crates/fleet/src/ports.rs
@@ -301,6 +301,8 @@
     pub model: Option<ModelId>,
     /// Tokens in the prompt.
     pub prompt_tokens: u64,
+    /// Most tokens that the answer may have; zero where the caller does not say.
+    pub most_tokens: u64,
     /// Tokens that the caller expects of the answer; right at the median, and often far off.
     pub expected_tokens: Option<u64>,
     /// Last event the caller has already, where it resumes a stream.
--- a/crates/fleet/src/surface.rs
+++ b/crates/fleet/src/surface.rs
@@ -101,6 +101,7 @@
             .map_or(rule.timeout, |own| own.min(rule.timeout));
         let waited_before = self.patience.waited(&rule.name, ask.patience);
         trace.prompt_tokens = ask.prompt_tokens;
+        trace.most_tokens = ask.most_tokens;
         trace.patience = patience;
         trace.waited_before = waited_before;
         self.count_demand(known, &service, &ask, trace.arrived);
--- a/crates/fleet/src/trace.rs
+++ b/crates/fleet/src/trace.rs
@@ -65,6 +65,8 @@
     pub group: GroupId,
     /// Tokens of its prompt; zero where it has none.
     pub prompt_tokens: u64,
+    /// Most tokens that its answer may have; zero where the caller does not say.
+    pub most_tokens: u64,
     /// Time that the caller said it would wait.
     pub patience: Duration,
     /// Time for which the caller is thought to have waited before.
@@ -102,6 +104,7 @@
             target: TargetId::new(),
             group: GroupId::new(),
             prompt_tokens: 0,
+            most_tokens: 0,
             patience: Duration::ZERO,
             waited_before: Duration::ZERO,
             sent: 0,
@@ -183,6 +186,7 @@
             outcome = end.name(),
             reason = self.reason,
             prompt_tokens = self.prompt_tokens,
+            most_tokens = self.most_tokens,
             sent = self.sent,
             events = self.events,
             patience_ms = self.patience.as_millis() as u64,
