Streams that have begun go before callers that have just come

Cause: a stream whose group ended waited for a place like a request that comes now, and counted as late after the time to a first event; while more is asked for than is left it never got one, and the longer a stream, the more often it breaks (class: work done is not weighed when places are given out). Ruled out: the prompt's size and the declared size (each tenth refused alike). Now a stream of which the caller has a part goes first and waits 1.5 s, less than callers wait for an event. Why it holds: those streams are few, each needs a place once more, and what new callers lose is a refusal that says they have not run.

Test: longest tenth 0.128 to 0.178 before, 0.220 to 0.248 after; all 0.261 to 0.277 and 0.264 to 0.280.

--- a/crates/core/src/waiting.rs
+++ b/crates/core/src/waiting.rs
@@ -19,6 +19,11 @@
 /// Its caller comes back only once, so refusing it again is the end of it.
 const RETURNED_WAIT: f64 = 0.3;
 
+/// Time for which a stream is kept that broke off and is to go on.
+///
+/// What was delivered of it is lost if it ends. Callers leave a stream that pauses for two seconds.
+const BEGUN_WAIT: Duration = Duration::from_millis(1_500);
+
 /// A request that waits.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub struct WaitingRequest {
@@ -30,6 +35,8 @@
     pub refused_at: Moment,
     /// Rank; zero goes first.
     pub priority: u8,
+    /// Whether part of its answer was delivered before its target was lost.
+    pub is_begun: bool,
 }
 
 /// What is known of a request when it begins to wait.
@@ -70,7 +77,9 @@
             .objective
             .saturating_sub(terms.first + terms.waited_before);
         let useful_until = terms.arrived + slack;
-        let late = if terms.waited_before.is_zero() {
+        let late = if terms.is_begun {
+            BEGUN_WAIT
+        } else if terms.waited_before.is_zero() {
             terms.objective + LATE_WAIT
         } else {
             let left = terms.deadline.saturating_sub(terms.arrived);
@@ -81,12 +90,13 @@
             useful_until,
             refused_at: (terms.arrived + late).min(terms.deadline),
             priority: terms.priority,
+            is_begun: terms.is_begun,
         }
     }
 
-    /// Returns whether it can not be on time any more.
+    /// Returns whether it can not be on time any more; one that has begun is not held to that.
     pub fn is_late(&self, now: Moment) -> bool {
-        now > self.useful_until
+        !self.is_begun && now > self.useful_until
     }
 
     /// Returns whether the request still waits at `now`.
@@ -100,16 +110,23 @@
 
     /// Returns the key by which requests are ordered; the lowest goes next.
     ///
-    /// Those that can be on time go first, by rank and then the newest: while more is asked for than
+    /// Streams that have begun go before all others. The longer a stream, the more often its target is lost on the
+    /// way; behind callers that have just come, long ones are hardly ever finished where targets are often lost.
+    /// Those that can be on time go next, by rank and then the newest: while more is asked for than
     /// is left, whoever is served at the last moment is late by the least thing, and so would be all.
     /// The late ones follow by rank and arrival.
-    fn key(&self, now: Moment) -> (bool, u8, i128) {
+    fn key(&self, now: Moment) -> (bool, bool, u8, i128) {
         let is_late = self.is_late(now);
         let arrival = self.arrived.as_nanos() as i128;
         (
+            !self.is_begun,
             is_late,
             self.priority,
-            if is_late { arrival } else { -arrival },
+            if is_late || self.is_begun {
+                arrival
+            } else {
+                -arrival
+            },
         )
     }
 }
--- a/crates/core/tests/broken_streams.rs
+++ b/crates/core/tests/broken_streams.rs
@@ -192,7 +192,8 @@
 /// Symptom: of the longest tenth of a kind of request 0.10 are served, of all 0.32.
 /// Events: groups end every few seconds while all places of the others are taken. The longer a stream, the more often
 /// its group ends; then it waits for a place behind callers that have just come, and breaks off.
-/// Cause: open.
+/// Cause: a stream that broke counted as one that comes now, and as late after the time to a first event. The longest
+/// tenth was served 0.13 to 0.18 of the time where all were 0.26 to 0.28; with those that have begun first 0.22 to 0.25.
 #[gtest]
 fn long_streams_are_served_at_least_half_as_often_as_all() {
     for seed in 0..5 {
--- a/crates/fleet/src/placer.rs
+++ b/crates/fleet/src/placer.rs
@@ -63,14 +63,18 @@
         job: &RequestJob,
         tried: &[TargetId],
     ) -> Result<PlacedTarget, FailurePoint> {
-        self.place_since(job, tried, job.arrived, job.waited_before)
-            .await
+        let terms = WaitTerms {
+            arrived: job.arrived,
+            waited_before: job.waited_before,
+            ..WaitTerms::default()
+        };
+        self.place_on(job, tried, terms).await
     }
 
     /// Finds a target for a stream that broke off and is to go on.
     ///
     /// It counts from now: what was delivered of it is lost if it ends here, so it does not stand
-    /// behind those that come now.
+    /// behind those that come now, and before them once the caller has part of it.
     ///
     /// # Errors
     ///
@@ -79,26 +83,30 @@
         &self,
         job: &RequestJob,
         tried: &[TargetId],
+        is_begun: bool,
     ) -> Result<PlacedTarget, FailurePoint> {
-        self.place_since(job, tried, BootClock::now(), Duration::ZERO)
-            .await
+        let terms = WaitTerms {
+            arrived: BootClock::now(),
+            is_begun,
+            ..WaitTerms::default()
+        };
+        self.place_on(job, tried, terms).await
     }
 
-    async fn place_since(
+    /// Finds a target on terms that lack what the request and its rule say.
+    async fn place_on(
         &self,
         job: &RequestJob,
         tried: &[TargetId],
-        arrived: Moment,
-        waited_before: Duration,
+        terms: WaitTerms,
     ) -> Result<PlacedTarget, FailurePoint> {
         let mut ask = job.place_ask(tried);
         let request = WaitingRequest::open(WaitTerms {
-            arrived,
-            waited_before,
             objective: job.rule.objective,
             first: self.queue.usual_first(&ask.key),
             deadline: job.deadline,
             priority: job.priority,
+            ..terms
         });
         ask.is_late = request.is_late(BootClock::now());
         // Nobody overtakes those who wait and can still be on time.
--- a/crates/fleet/src/relay.rs
+++ b/crates/fleet/src/relay.rs
@@ -203,7 +203,9 @@
         self.current.place = None;
         while self.may_resume() {
             let placer = self.dispatcher.placer();
-            let Ok(placed) = placer.place_again(&self.job, &self.tried).await else {
+            let is_begun = self.splitter.last().is_some();
+            let placing = placer.place_again(&self.job, &self.tried, is_begun);
+            let Ok(placed) = placing.await else {
                 return false;
             };
             match self.go_on(placed).await {
