--- a/crates/fleet/tests/feed.rs
+++ b/crates/fleet/tests/feed.rs
@@ -1,7 +1,7 @@
 //! Questions of many nodes that are asked of the store once.
 
 use std::sync::atomic::{AtomicU32, Ordering};
-use std::sync::Arc;
+use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
 use briarswitch_fleet::costs::CostLedger;
@@ -9,9 +9,13 @@
 use briarswitch_fleet::ports::{
     FeedAnswer, FeedQuestion, FeedRow, FeedSource, SourceError, SourceFuture,
 };
+use briarswitch_http::{reply_text, Handler, HttpServer, Request, Response};
 use briarswitch_kernel::BootClock;
-use futures::future::join_all;
+use briarswitch_membership::{LiveView, Membership, NodeEntry};
+use futures::future::{join_all, BoxFuture};
 use googletest::prelude::*;
+use http::StatusCode;
+use tokio::sync::watch;
 
 /// A store that counts its calls and answers after a moment.
 struct CountingStore {
@@ -192,3 +196,133 @@
     }
     expect_that!(store.calls.load(Ordering::SeqCst), eq(1));
 }
+
+/// What a reader of the zone does with a question.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+enum ReaderConduct {
+    /// Says that the store has not answered.
+    TurnedAway,
+    /// Gives no answer.
+    Silent,
+}
+
+/// What happened, in order.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+enum FeedEvent {
+    /// A reader was asked, the first, the second and so on.
+    Asked(usize),
+    /// The question to a silent reader was given up.
+    GivenUp,
+    /// The store was asked.
+    StoreAsked,
+}
+
+/// Readers that do as they are told in the order in which they are asked, and a store that answers.
+struct ZoneScript {
+    conducts: Vec<ReaderConduct>,
+    events: Mutex<Vec<FeedEvent>>,
+}
+
+impl ZoneScript {
+    fn note(&self, event: FeedEvent) {
+        self.events.lock().expect("the events").push(event);
+    }
+
+    fn next_conduct(&self) -> ReaderConduct {
+        let mut events = self.events.lock().expect("the events");
+        let asked = events
+            .iter()
+            .filter(|event| matches!(event, FeedEvent::Asked(_)));
+        let index = asked.count();
+        events.push(FeedEvent::Asked(index + 1));
+        self.conducts[index]
+    }
+}
+
+struct GiveUpNote(Arc<ZoneScript>);
+
+impl Drop for GiveUpNote {
+    fn drop(&mut self) {
+        self.0.note(FeedEvent::GivenUp);
+    }
+}
+
+struct ScriptedReader(Arc<ZoneScript>);
+
+impl Handler for ScriptedReader {
+    fn handle(&self, _: Request) -> BoxFuture<'_, Response> {
+        Box::pin(async {
+            if self.0.next_conduct() == ReaderConduct::TurnedAway {
+                return reply_text(StatusCode::SERVICE_UNAVAILABLE, "no answer yet");
+            }
+            let _note = GiveUpNote(Arc::clone(&self.0));
+            std::future::pending().await
+        })
+    }
+}
+
+struct ScriptedStore(Arc<ZoneScript>);
+
+impl FeedSource for ScriptedStore {
+    fn changes(&self, _: FeedQuestion) -> SourceFuture<'static, FeedAnswer> {
+        self.0.note(FeedEvent::StoreAsked);
+        Box::pin(async { Ok(changed()) })
+    }
+}
+
+/// Asks as a follower in a zone of these readers, and returns what happened.
+async fn follow(conducts: &[ReaderConduct]) -> Vec<FeedEvent> {
+    let script = Arc::new(ZoneScript {
+        conducts: conducts.to_vec(),
+        events: Mutex::default(),
+    });
+    let own = NodeEntry {
+        node: "follower".to_owned(),
+        zone: "z1".to_owned(),
+        incarnation: 1,
+        ..NodeEntry::default()
+    };
+    let now = BootClock::now();
+    let mut membership = Membership::open(own.clone());
+    let (_stop, stopped) = watch::channel(false);
+    let mut guards = Vec::new();
+    for index in 0..conducts.len() {
+        let server = HttpServer::bind("127.0.0.1:0").await.expect("a port");
+        let entry = NodeEntry {
+            node: format!("reader-{index}"),
+            address: server.address().to_string(),
+            // Those with more bandwidth read for the zone.
+            link_mbps: 1_000,
+            ..own.clone()
+        };
+        membership.learn(&entry, now);
+        let reader = Arc::new(ScriptedReader(Arc::clone(&script)));
+        guards.push(server.spawn(reader, stopped.clone()));
+    }
+    let direct = Arc::new(ScriptedStore(Arc::clone(&script)));
+    let relay = FeedRelay::open(direct, Arc::new(CostLedger::default()));
+    let live = LiveView::of(&membership, now);
+    let answer = relay.changes(&live, question()).await;
+    expect_that!(answer.map(|answer| answer.rows), ok(eq(&changed().rows)));
+    let events = script.events.lock().expect("the events");
+    events.clone()
+}
+
+/// Symptom: a node uses a key 3.0 to 3.2 s after it was taken away.
+/// Events: its reader's way to the store falls silent, and the reader says so after its own wait. The next readers are
+/// frozen; each costs the time for an answer before the store itself is asked.
+/// Cause: open.
+#[gtest]
+#[tokio::test(flavor = "multi_thread")]
+async fn after_two_readers_without_an_answer_the_store_is_not_left_waiting_for_a_third() {
+    use ReaderConduct::{Silent, TurnedAway};
+    for conducts in [[TurnedAway, Silent, Silent], [Silent, Silent, Silent]] {
+        let events = follow(&conducts).await;
+        let asked = events
+            .iter()
+            .position(|event| *event == FeedEvent::StoreAsked);
+        let before = &events[..asked.expect("the store is asked")];
+        let given_up = before.iter().filter(|event| **event == FeedEvent::GivenUp);
+        expect_that!(given_up.count(), le(1), "{conducts:?}: {events:?}");
+    }
+}
