--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -33,6 +33,7 @@
 pub mod surface;
 pub mod suspect_doc;
 pub mod suspect_keeper;
+pub mod suspect_table;
 pub mod suspects;
 pub mod table;
 pub mod trace;
--- a/crates/fleet/src/suspect_keeper.rs
+++ b/crates/fleet/src/suspect_keeper.rs
@@ -8,9 +8,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use briarswitch_core::crash::{
-    is_forgotten, ClearSign, CrashVerdict, EndRate, EndSign, EndedTarget, StoreMillis,
-};
+use briarswitch_core::crash::{ClearSign, CrashVerdict, EndRate, EndSign, EndedTarget};
 use briarswitch_core::id::*;
 use briarswitch_core::print::RequestPrint;
 use briarswitch_http::{CallError, CallerClient, Codec};
@@ -22,12 +20,11 @@
 
 use crate::costs::CostKind;
 use crate::keeper::retry_pause;
-use crate::ports::{
-    FeedMark, SourceError, SuspectChange, SuspectKey, SuspectRow, MOST_SUSPECT_ROWS,
-};
+use crate::ports::{FeedMark, SourceError, SuspectChange, SuspectKey, SuspectRow};
 use crate::run::RunFacts;
 use crate::shared::FleetShared;
 use crate::suspect_doc::SuspectDoc;
+use crate::suspect_table::{SuspectBatch, SuspectTable};
 
 /// Path at which a node is told of ends.
 pub const SUSPECT_PATH: &str = "/suspects";
@@ -48,8 +45,6 @@
 const ROUND: Duration = Duration::from_millis(100);
 /// Time between two counts of the targets that have ended.
 const RATE_INTERVAL: Duration = Duration::from_secs(2);
-/// Time for which a row that counts no more is left, so that clocks need not agree to the second.
-const DROP_SLACK: StoreMillis = 30_000;
 
 /// Name of the keeper.
 pub const SUSPECT_SERVICE: &str = "suspects";
@@ -80,7 +75,7 @@
     /// The table's changes came or not.
     News(Result<SuspectNews, SourceError>),
     /// Rows were written and dropped, or not.
-    Written(Vec<SuspectRow>, Vec<SuspectKey>, Result<(), SourceError>),
+    Written(SuspectBatch, Result<(), SourceError>),
     /// Look at what is to be written or dropped.
     Round,
 }
@@ -99,11 +94,7 @@
     client: CallerClient,
     mark: Option<FeedMark>,
     is_lost: bool,
-    /// Rows that the store holds, and when what they say was seen.
-    stored: IndexMap<SuspectKey, StoreMillis>,
-    /// Rows that this node is to write, and from when on.
-    unwritten: IndexMap<SuspectKey, (SuspectRow, Moment)>,
-    is_writing: bool,
+    table: SuspectTable,
     /// Holders that have not answered yet, by the end that they were told of; no entry once one has.
     untold: IndexMap<SuspectKey, usize>,
     /// What was last held of each request that is not clear.
@@ -120,9 +111,7 @@
             client: CallerClient::open(Codec::Packed, None),
             mark: None,
             is_lost: false,
-            stored: IndexMap::new(),
-            unwritten: IndexMap::new(),
-            is_writing: false,
+            table: SuspectTable::default(),
             untold: IndexMap::new(),
             verdicts: IndexMap::new(),
             rate: EndRate::default(),
@@ -169,7 +158,7 @@
         for end in ends {
             let others = live.holders_of(&end.print.to_string(), HOLDERS).others;
             if others.is_empty() {
-                self.write_later(SuspectRow::End(*end), link.now());
+                self.table.write_later(SuspectRow::End(*end), link.now());
             } else {
                 self.untold
                     .insert(SuspectRow::End(*end).key(), others.len());
@@ -195,7 +184,7 @@
             *left -= 1;
             let is_last = *left == 0;
             if is_last && known.is_none() {
-                self.write_later(row, now);
+                self.table.write_later(row, now);
             }
             if is_last || known.is_some() {
                 self.untold.swap_remove(&row.key());
@@ -241,7 +230,7 @@
             }
             let turn = WRITE_TURN * place.unwrap_or(HOLDERS) as u32;
             for row in self.shared.suspects.rows(print) {
-                self.write_later(row, now + turn);
+                self.table.write_later(row, now + turn);
             }
         }
     }
@@ -281,103 +270,53 @@
         if !self.shared.suspects.has_ends(&print) {
             return;
         }
-        let is_told =
-            self.verdicts.contains_key(&print) || self.stored.keys().any(|key| key.print == print);
+        let is_told = self.verdicts.contains_key(&print) || self.table.knows(&print);
         let at = self.shared.suspects.now();
         let row = SuspectRow::Clear(ClearSign { print, at });
         self.shared.suspects.take(&row);
         log::info!(print:% = print, reason = reason; "request_cleared");
         self.note_verdict(&print, CrashVerdict::Clear);
-        self.unwritten.retain(|key, _| key.print != print);
+        self.table.forget(&print);
         if is_told {
-            self.write_later(row, now);
+            self.table.write_later(row, now);
         }
     }
 
-    fn write_later(&mut self, row: SuspectRow, at: Moment) {
-        let key = row.key();
-        if self.stored.get(&key).is_some_and(|held| *held >= row.at()) {
-            return;
-        }
-        let due = self.unwritten.get(&key).map_or(at, |(_, due)| at.min(*due));
-        self.unwritten.insert(key, (row, due));
-    }
-
-    /// Writes what is due and nobody else has written, and drops what counts no more.
+    /// Writes what is due, and drops what counts no more of the requests that this node ranks first for.
     fn write(&mut self, link: &ServiceLink<SuspectMessage>) {
-        if self.is_writing {
-            return;
-        }
-        let now = link.now();
-        let due = self.unwritten.values().filter(|(_, due)| now >= *due);
-        let rows: Vec<SuspectRow> = due.map(|(row, _)| *row).take(MOST_SUSPECT_ROWS).collect();
-        let dropped = self.old_keys(MOST_SUSPECT_ROWS - rows.len());
-        if rows.is_empty() && dropped.is_empty() {
+        let live = self.shared.live.load();
+        let is_first = |print: &RequestPrint| {
+            let holders = live.holders_of(&print.to_string(), HOLDERS);
+            holders.own_place == Some(0)
+        };
+        let store_now = self.shared.suspects.now();
+        let Some(batch) = self.table.begin_write(link.now(), store_now, is_first) else {
             return;
-        }
-        self.is_writing = true;
+        };
         self.shared.costs.count(CostKind::SuspectWrite);
         let shared = Arc::clone(&self.shared);
         link.spawn(async move {
             let suspects = &shared.platform.suspects;
-            let written = suspects.write(rows.clone(), dropped.clone()).await;
-            SuspectMessage::Written(rows, dropped, written)
+            let written = suspects.write(batch.rows.clone(), batch.dropped.clone());
+            SuspectMessage::Written(batch, written.await)
         });
     }
 
-    /// Returns the rows that count no more, of the requests that this node ranks first for.
-    fn old_keys(&self, most: usize) -> Vec<SuspectKey> {
-        let now = self.shared.suspects.now();
-        let old = self
-            .stored
-            .iter()
-            .filter(|(_, at)| is_forgotten(**at + DROP_SLACK, now));
-        old.map(|(key, _)| *key)
-            .filter(|key| self.own_place(&key.print) == Some(0))
-            .take(most)
-            .collect()
-    }
-
     fn take_written(
         &mut self,
-        rows: &[SuspectRow],
-        dropped: &[SuspectKey],
+        batch: &SuspectBatch,
         written: Result<(), SourceError>,
         now: Moment,
     ) {
-        self.is_writing = false;
         match written {
-            Ok(()) => {
-                for row in rows {
-                    self.note_stored(row);
-                }
-                for key in dropped {
-                    self.stored.swap_remove(key);
-                }
-            }
+            Ok(()) => self.table.note_written(batch),
             Err(error) => {
-                // The rows stay due; written twice they are the same rows.
-                log::info!(error:% = error, rows = rows.len(); "suspects_unwritten");
-                let later = now + retry_pause();
-                for (_, due) in self.unwritten.values_mut() {
-                    *due = later.max(*due);
-                }
+                log::info!(error:% = error, rows = batch.rows.len(); "suspects_unwritten");
+                self.table.note_unwritten(now + retry_pause());
             }
         }
     }
 
-    fn note_stored(&mut self, row: &SuspectRow) {
-        let key = row.key();
-        self.stored.insert(key, row.at());
-        let is_done = self
-            .unwritten
-            .get(&key)
-            .is_some_and(|(held, _)| held.at() <= row.at());
-        if is_done {
-            self.unwritten.swap_remove(&key);
-        }
-    }
-
     fn ask(&self, link: &ServiceLink<SuspectMessage>) {
         let shared = Arc::clone(&self.shared);
         let (mark, is_lost) = (self.mark, self.is_lost);
@@ -396,21 +335,7 @@
 
     fn take_news(&mut self, news: SuspectNews, now: Moment) {
         self.mark = Some(news.mark);
-        if news.is_whole {
-            self.stored.clear();
-        }
-        let mut rows = Vec::new();
-        for change in news.changes {
-            match change {
-                SuspectChange::Put(row) => {
-                    self.note_stored(&row);
-                    rows.push(row);
-                }
-                SuspectChange::Removed(key) => {
-                    self.stored.swap_remove(&key);
-                }
-            }
-        }
+        let rows = self.table.take(&news.changes, news.is_whole);
         self.take_rows(&rows, false, now);
         if news.is_whole {
             // What the store has lost, or never got, is written again.
@@ -476,9 +401,7 @@
                 self.is_lost = true;
                 link.later(retry_pause(), SuspectMessage::Ask);
             }
-            SuspectMessage::Written(rows, dropped, written) => {
-                self.take_written(&rows, &dropped, written, now);
-            }
+            SuspectMessage::Written(batch, written) => self.take_written(&batch, written, now),
             SuspectMessage::Round => {
                 self.round(link);
                 link.later(ROUND, SuspectMessage::Round);
@@ -500,8 +423,8 @@
         });
         json!({
             "held": held.collect::<Vec<_>>(),
-            "stored_rows": self.stored.len(),
-            "unwritten_rows": self.unwritten.len(),
+            "stored_rows": self.table.stored_rows(),
+            "unwritten_rows": self.table.unwritten_rows(),
             "ends_per_target_hour": self.rate.per_second() * 3_600.0,
         })
     }
