What a failed attempt means, and suspicion, out of the dispatcher

Why a wait ended, what became of the connection and what may be told are failure.rs now, with one type for the failed attempt in place of flags set in three places; the silence of targets and who is told of it are suspicion.rs. Behaviour is meant to stay; tests of fleet and adapter pass.

--- a/crates/fleet/src/dispatch.rs
+++ b/crates/fleet/src/dispatch.rs
@@ -5,7 +5,6 @@
 
 use briarswitch_core::id::*;
 use briarswitch_core::outcome::{FailurePoint, Outcome};
-use briarswitch_core::silence::{silence_limit, GroupWork};
 use briarswitch_http::{
     stream_body, whole_body, Response, SendFailure, TargetAddress, TargetBody, TargetClient,
     TargetLimits, TargetReply,
@@ -13,18 +12,20 @@
 use briarswitch_kernel::{BootClock, Mailbox};
 use bytes::Bytes;
 use http::header::{CONTENT_LENGTH, HOST};
-use http::{HeaderValue, StatusCode, Uri};
+use http::{HeaderValue, Uri};
 
 use crate::budget::RetryBudgets;
+use crate::failure::{is_promise, worst_of, FailedAttempt, FailureSign, WaitEnd};
 use crate::gauge::GaugePlace;
-use crate::job::{BegunAnswer, FailedAttempt, FailureSign, RequestJob};
-use crate::peers::{PeerMessage, SilentTarget};
+use crate::job::{BegunAnswer, RequestJob};
+use crate::peers::PeerMessage;
 use crate::placer::TargetPlacer;
 use crate::ports::{AnswerFacts, TargetMark};
 use crate::refusal::OwnAnswer;
 use crate::relay::StreamRelay;
 use crate::run::{RunReports, TargetRun};
 use crate::shared::FleetShared;
+use crate::suspicion::{patience, silence_of, SuspicionTeller};
 use crate::table::RouteTarget;
 use crate::trace::{RequestEnd, RequestTrace};
 
@@ -42,14 +43,10 @@
 pub(crate) const SILENCE_CHECK: Duration = Duration::from_millis(40);
 /// Attempts of one request that reached nobody in the time for it, after which it is given up.
 const UNREACHED_LIMIT: u32 = 4;
-/// Least time without an answer after which a request that may be repeated is sent elsewhere.
-const LEAST_PATIENCE: Duration = Duration::from_millis(500);
 /// Largest whole answer in bytes.
 const ANSWER_BYTES: usize = 64 << 20;
 /// Largest rank that targets know; zero goes first.
 const LAST_RANK: u8 = 9;
-/// Time for which a silent target gets no new work.
-const SUSPECT_TIME: Duration = Duration::from_millis(900);
 
 /// Carries requests out.
 pub struct FleetDispatcher {
@@ -57,7 +54,7 @@
     client: TargetClient,
     budgets: RetryBudgets,
     placer: TargetPlacer,
-    peers: Mailbox<PeerMessage>,
+    suspicion: SuspicionTeller,
     reports: RunReports,
 }
 
@@ -79,7 +76,7 @@
             placer: TargetPlacer::open(Arc::clone(&shared)),
             shared,
             client,
-            peers,
+            suspicion: SuspicionTeller::open(peers),
             reports,
         })
     }
@@ -94,6 +91,11 @@
         &self.placer
     }
 
+    /// Returns what keeps work from targets that fall silent.
+    pub fn suspicion(&self) -> &SuspicionTeller {
+        &self.suspicion
+    }
+
     /// Returns the budgets of retries.
     pub fn budgets(&self) -> &RetryBudgets {
         &self.budgets
@@ -127,10 +129,7 @@
                         trace.end(RequestEnd::Answered);
                         return self.whole(head, bytes);
                     }
-                    Err(point) => FailedAttempt {
-                        sign: sign_of(point),
-                        ..FailedAttempt::from(point)
-                    },
+                    Err(point) => FailedAttempt::after_head(point),
                 },
                 Err(failed) => failed,
             };
@@ -207,15 +206,12 @@
                         // Nobody listens there. Until the directory drops it, seconds later, it would look like the
                         // target with the least work and be chosen first again and again.
                         run.settle();
-                        self.suspect(&target, BootClock::now());
+                        self.suspicion.suspect(&target, BootClock::now());
                     }
                     WaitEnd::Failed(_) => run.settle(),
                     WaitEnd::Deadline | WaitEnd::Moved => {}
                 }
-                Err(FailedAttempt {
-                    sign: end.sign(),
-                    ..FailurePoint::from(end).into()
-                })
+                Err(end.into())
             }
         }
     }
@@ -237,7 +233,7 @@
         may_move: bool,
     ) -> Result<TargetReply, WaitEnd> {
         tokio::pin!(sending);
-        let patience = (job.rule.objective * 2).max(LEAST_PATIENCE);
+        let patience = patience(job);
         loop {
             match tokio::time::timeout(SILENCE_CHECK, &mut sending).await {
                 Ok(Ok(reply)) => return Ok(reply),
@@ -249,10 +245,10 @@
                 return Err(WaitEnd::Deadline);
             }
             let waited = now.saturating_sub(sent);
-            let limit = self.silence_limit(job, target);
+            let limit = silence_of(job, target);
             let is_silent = waited > limit && target.gauge.silence(now) > limit;
             if is_silent {
-                self.suspect(target, now);
+                self.suspicion.suspect(target, now);
             }
             // A prompt that is moved is read twice, so one that is only queued is left where it is.
             let is_worth_moving = is_silent || waited > patience.max(limit);
@@ -270,56 +266,6 @@
             && self.placer.pick(&ask).is_some()
     }
 
-    /// Returns the silence of a target after which it has lost a member or is cut off.
-    pub fn silence_limit(&self, job: &RequestJob, target: &RouteTarget) -> Duration {
-        let model = target.group.as_ref().and_then(|group| {
-            let engine = job.engine()?;
-            Some((engine, engine.models.get(&group.model)?))
-        });
-        let Some((engine, model)) = model else {
-            return (job.rule.objective * 2).max(LEAST_PATIENCE);
-        };
-        let gauge = &target.gauge;
-        let work = GroupWork {
-            writers: gauge.writers(),
-            own: gauge.own(),
-            unread: gauge.unread_requests(),
-            unread_tokens: gauge.unread(),
-            interval: gauge.interval(),
-        };
-        silence_limit(engine, model, &work)
-    }
-
-    /// Keeps new work from a target that fell silent, and has it looked at.
-    pub fn suspect(&self, target: &RouteTarget, now: Moment) {
-        if !target.gauge.is_suspect(now) {
-            log::warn!(
-                target_id = target.id.as_str(),
-                group = target.group.as_ref().map_or("", |group| group.id.as_str()),
-                silence_ms = target.gauge.silence(now).as_millis() as u64,
-                writers = target.gauge.writers();
-                "target_suspected"
-            );
-            self.tell_suspicion(target);
-        }
-        target.gauge.suspect(now + SUSPECT_TIME);
-    }
-
-    /// Has the node told that gives the group its orders; a single target has none.
-    fn tell_suspicion(&self, target: &RouteTarget) {
-        if target.group.is_none() {
-            return;
-        }
-        let silent = SilentTarget {
-            target: target.id.clone(),
-            domain: target.domain.clone(),
-            zone: target.zone.clone(),
-        };
-        if let Err(error) = self.peers.post(PeerMessage::Suspected(silent)) {
-            log::warn!(target_id = target.id.as_str(), error:% = error; "suspicion_dropped");
-        }
-    }
-
     async fn check(
         &self,
         job: &RequestJob,
@@ -339,7 +285,7 @@
             run.settle();
             target.gauge.note_outcome(true);
             if facts.is_other_life || facts.at_fault.is_some() {
-                self.suspect(&target, now);
+                self.suspicion.suspect(&target, now);
             }
             return Err(FailurePoint::TargetRefused.into());
         }
@@ -514,62 +460,3 @@
 fn is_whole_answer(facts: &AnswerFacts) -> bool {
     facts.is_signed && !facts.is_recoded
 }
-
-/// Returns whether a status promises that the request has not run.
-fn is_promise(status: StatusCode) -> bool {
-    matches!(
-        status,
-        StatusCode::REQUEST_TIMEOUT
-            | StatusCode::MISDIRECTED_REQUEST
-            | StatusCode::TOO_MANY_REQUESTS
-            | StatusCode::SERVICE_UNAVAILABLE
-    )
-}
-
-/// Why the wait for an answer's head ended without one.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
-enum WaitEnd {
-    /// The request could not be sent, or its connection broke.
-    Failed(SendFailure),
-    /// The request's time is over.
-    Deadline,
-    /// The target is silent or slow, and there is another one.
-    Moved,
-}
-
-impl WaitEnd {
-    fn sign(self) -> FailureSign {
-        match self {
-            Self::Failed(SendFailure::Broken) => FailureSign::Broke,
-            Self::Failed(SendFailure::Refused) => FailureSign::Refused,
-            _ => FailureSign::Plain,
-        }
-    }
-}
-
-/// Returns what a failure after the answer's head says of the connection.
-fn sign_of(point: FailurePoint) -> FailureSign {
-    match point {
-        FailurePoint::Truncated => FailureSign::Broke,
-        _ => FailureSign::Plain,
-    }
-}
-
-impl From<WaitEnd> for FailurePoint {
-    fn from(end: WaitEnd) -> Self {
-        match end {
-            WaitEnd::Failed(SendFailure::Connect | SendFailure::Refused) => Self::Connect,
-            WaitEnd::Failed(SendFailure::ClosedBeforeSend) => Self::ClosedBeforeSend,
-            WaitEnd::Failed(SendFailure::Broken) | WaitEnd::Moved => Self::BrokenBeforeHead,
-            WaitEnd::Deadline => Self::AnswerDeadline,
-        }
-    }
-}
-
-/// Returns the point to report after several failures: one that leaves the outcome open stays.
-fn worst_of(earlier: Option<FailurePoint>, later: FailurePoint) -> FailurePoint {
-    match earlier {
-        Some(point) if point.outcome() == Outcome::Unknown => point,
-        _ => later,
-    }
-}
--- a/crates/fleet/src/job.rs
+++ b/crates/fleet/src/job.rs
@@ -5,7 +5,6 @@
 
 use briarswitch_core::engine::EngineModel;
 use briarswitch_core::id::*;
-use briarswitch_core::outcome::FailurePoint;
 use briarswitch_core::print::RequestPrint;
 use briarswitch_core::traffic::{AnswerKind, TrafficBook, TrafficRule};
 use briarswitch_http::TargetBody;
@@ -87,35 +86,3 @@
     /// The run that makes it.
     pub run: TargetRun,
 }
-
-/// A failed attempt.
-pub struct FailedAttempt {
-    /// Point of failure.
-    pub point: FailurePoint,
-    /// The target's own answer, if it made one that may be passed on.
-    pub answer: Option<Box<(http::response::Parts, Bytes)>>,
-    /// What became of the connection.
-    pub sign: FailureSign,
-}
-
-/// What became of the connection to a target where an attempt failed.
-#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
-pub enum FailureSign {
-    /// Nothing that says more than the point of failure.
-    #[default]
-    Plain,
-    /// It broke while the target had the request.
-    Broke,
-    /// Nobody listened.
-    Refused,
-}
-
-impl From<FailurePoint> for FailedAttempt {
-    fn from(point: FailurePoint) -> Self {
-        Self {
-            point,
-            answer: None,
-            sign: FailureSign::default(),
-        }
-    }
-}
--- a/crates/fleet/src/relay.rs
+++ b/crates/fleet/src/relay.rs
@@ -11,9 +11,11 @@
 use futures::Stream;
 
 use crate::dispatch::{FleetDispatcher, SILENCE_CHECK};
+use crate::failure::FailureSign;
 use crate::gauge::GaugePlace;
-use crate::job::{BegunAnswer, FailureSign, RequestJob};
+use crate::job::{BegunAnswer, RequestJob};
 use crate::queue::PlacedTarget;
+use crate::suspicion::silence_of;
 use crate::trace::{RequestEnd, RequestTrace};
 
 /// Lateness of the node's own timer beyond which silence proves nothing about the target.
@@ -131,10 +133,10 @@
     /// Returns whether the whole group has been silent for longer than its passes explain.
     fn is_silent(&self, now: Moment) -> bool {
         let target = &self.current.target;
-        let limit = self.dispatcher.silence_limit(&self.job, target);
+        let limit = silence_of(&self.job, target);
         let is_silent = now.saturating_sub(self.heard) > limit && target.gauge.silence(now) > limit;
         if is_silent {
-            self.dispatcher.suspect(target, now);
+            self.dispatcher.suspicion().suspect(target, now);
         }
         is_silent && self.may_resume()
     }
