Failing test, listed: more requests quarantined for nothing than the bound says

The play counted 54 targets of which only the 17 heads ended, so the rate of ends was a third of what it is where all targets start again, and four ends of each head were the most it played.

--- a/crates/core/tests/crash_play.rs
+++ b/crates/core/tests/crash_play.rs
@@ -15,8 +15,6 @@
 const HEADS: usize = 17;
 /// Heads of one domain.
 const DOMAIN: usize = 3;
-/// Targets, members of groups included; the rate of ends is one of targets.
-const TARGETS: usize = 54;
 const CALLERS: f64 = 170.0;
 const STEP: f64 = 0.01;
 const LENGTH: f64 = 40.0;
@@ -31,12 +29,12 @@
 const SEEDS: std::ops::Range<u64> = 0..6;
 
 /// Why heads end.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+#[derive(Clone, Copy, Debug, PartialEq)]
 enum Trouble {
     /// Nothing but the requests.
     Nothing,
-    /// Each starts again four times in the play.
-    Restarts,
+    /// Each starts again so many times in the play.
+    Restarts(f64),
     /// A domain is lost, then another.
     Domains,
     /// All lose power together, three times.
@@ -162,9 +160,9 @@
         let now = self.now;
         match self.trouble {
             Trouble::Nothing => {}
-            Trouble::Restarts => {
+            Trouble::Restarts(times) => {
                 for head in 0..HEADS {
-                    if self.rng.random_bool(4.0 / LENGTH * STEP) {
+                    if self.rng.random_bool(times / LENGTH * STEP) {
                         self.end_head(head);
                     }
                 }
@@ -210,7 +208,7 @@
         }
         let ended = self.lapses.iter().filter(|at| **at <= now).count();
         self.rate
-            .note(ended as u64, TARGETS, Duration::from_secs_f64(now));
+            .note(ended as u64, HEADS, Duration::from_secs_f64(now));
         self.now += STEP;
     }
 
@@ -261,10 +259,15 @@
 
 /// Symptom: callers are refused for minutes because targets ended under their requests.
 /// Events: targets start again all the time, domains are lost, all lose power; most requests are only there.
-/// Cause guarded against: holding every request that was there against it.
+/// Cause: open, for targets that start again eight times.
 #[gtest]
 fn few_requests_that_do_no_harm_are_quarantined() {
-    for trouble in [Trouble::Restarts, Trouble::Domains, Trouble::Power] {
+    for trouble in [
+        Trouble::Restarts(4.0),
+        Trouble::Restarts(8.0),
+        Trouble::Domains,
+        Trouble::Power,
+    ] {
         let ends = play_all(trouble, None);
         expect_that!(innocent_share(&ends), le(INNOCENT_SHARE), "{trouble:?}");
     }
@@ -275,7 +278,7 @@
 /// Cause guarded against: evidence that does not tell the one that was always there from those beside it.
 #[gtest]
 fn a_deadly_request_is_told_from_those_beside_it() {
-    for trouble in [Trouble::Nothing, Trouble::Restarts, Trouble::Domains] {
+    for trouble in [Trouble::Nothing, Trouble::Restarts(4.0), Trouble::Domains] {
         for pace in [0.15, 1.0] {
             let ends = play_all(trouble, Some(pace));
             expect_that!(
