Tests of ended targets wait until nobody listens there

Two of them failed in two of five runs beside each other: a target that is just ending still takes a connection and breaks it, which counts as sent, and two such use up an attempt. The story is of targets that have ended, so the test now ends them whole before callers come.

--- a/crates/fleet/tests/crashes.rs
+++ b/crates/fleet/tests/crashes.rs
@@ -326,7 +326,9 @@
 #[tokio::test(flavor = "multi_thread")]
 async fn requests_are_not_sent_on_to_targets_that_have_ended() {
     let fleet = Fleet::open_groups(8, &["z1"]).await;
-    fleet.targets[..6].iter().for_each(TargetStub::end);
+    for target in &fleet.targets[..6] {
+        target.end_whole().await;
+    }
     let mut unserved = 0;
     for index in 0..30 {
         let body = format!("harmless {index}");
@@ -357,9 +359,14 @@
             let running = fleet.targets.iter().position(|target| is_running(&target));
             // The last that is chosen among those without work.
             let spared = if running == Some(4) { 3 } else { 4 };
-            let targets = fleet.targets.iter().enumerate();
-            let ended = targets.filter(|(index, _)| *index != spared);
-            ended.for_each(|(_, target)| target.end());
+            for (index, target) in fleet.targets.iter().enumerate() {
+                if index != spared && Some(index) != running {
+                    target.end_whole().await;
+                }
+            }
+            running
+                .into_iter()
+                .for_each(|index| fleet.targets[index].end());
         };
         let (answer, ()) = tokio::join!(fleet.ask(0, Ask::model(&body)), end);
         expect_true!(answer.is_served(), "{answer:?}");
--- a/crates/fleet/tests/support/target.rs
+++ b/crates/fleet/tests/support/target.rs
@@ -102,6 +102,14 @@
     pub fn end(&self) {
         self.shared.lock().end.send_replace(true);
     }
+
+    /// Ends the present life, and returns once nobody listens at the address.
+    pub async fn end_whole(&self) {
+        self.end();
+        while TcpStream::connect(&self.shared.address).await.is_ok() {
+            tokio::time::sleep(Duration::from_millis(1)).await;
+        }
+    }
 }
 
 impl Drop for TargetStub {
