A mark of the store's history is an era and a version

Callers would see: an old configuration, or requests sent to a server that drains, for good, after the store came back from a copy. Cause: a version was held alone; once other writes had carried the store past it, it passed for a point in the history of now, and what was written under the versions up to it was never asked for (class: a number that only rises, taken on trust where it can be given out again). Ruled out: the 410, which is handled; it comes only while the store has not got so far again. Why it holds: two marks are equal only in one era, and every answer names its era. Calls in calm: none more; the era comes with each answer.

--- a/crates/fleet/src/feed_doc.rs
+++ b/crates/fleet/src/feed_doc.rs
@@ -7,18 +7,34 @@
 
 use crate::ports::{FeedAnswer, FeedMark, FeedQuestion, FeedRow};
 
+/// [`FeedMark`] on the wire: era, version.
+#[derive(Clone, Copy, Debug, Deserialize, Serialize)]
+struct MarkDoc(u64, u64);
+
+impl From<FeedMark> for MarkDoc {
+    fn from(mark: FeedMark) -> Self {
+        Self(mark.era, mark.version)
+    }
+}
+
+impl From<MarkDoc> for FeedMark {
+    fn from(MarkDoc(era, version): MarkDoc) -> Self {
+        Self { era, version }
+    }
+}
+
 /// [`FeedQuestion`] on the wire.
 #[derive(Clone, Debug, Deserialize, Serialize)]
 pub struct FeedQuestionDoc {
     table: String,
-    mark: Option<FeedMark>,
+    mark: Option<MarkDoc>,
     wait_ms: u64,
 }
 
 /// [`FeedAnswer`] on the wire.
 #[derive(Clone, Debug, Deserialize, Serialize)]
 pub struct FeedAnswerDoc {
-    mark: FeedMark,
+    mark: MarkDoc,
     /// Key, and content unless the row was dropped.
     rows: Vec<(String, Option<ByteBuf>)>,
     age_ms: u64,
@@ -29,7 +45,7 @@
     fn from(question: FeedQuestion) -> Self {
         Self {
             table: question.table,
-            mark: question.mark,
+            mark: question.mark.map(MarkDoc::from),
             wait_ms: question.wait.as_millis() as u64,
         }
     }
@@ -39,7 +55,7 @@
     fn from(doc: FeedQuestionDoc) -> Self {
         Self {
             table: doc.table,
-            mark: doc.mark,
+            mark: doc.mark.map(FeedMark::from),
             wait: Duration::from_millis(doc.wait_ms),
         }
     }
@@ -52,7 +68,7 @@
             .into_iter()
             .map(|row| (row.key, row.value.map(ByteBuf::from)));
         Self {
-            mark: answer.mark,
+            mark: answer.mark.into(),
             rows: rows.collect(),
             // Rounded up, so that an age is never told as less than it is.
             age_ms: answer.age.as_millis() as u64 + 1,
@@ -65,7 +81,7 @@
     fn from(doc: FeedAnswerDoc) -> Self {
         let rows = doc.rows.into_iter();
         Self {
-            mark: doc.mark,
+            mark: doc.mark.into(),
             rows: rows
                 .map(|(key, value)| FeedRow {
                     key,
--- a/crates/fleet/src/ports.rs
+++ b/crates/fleet/src/ports.rs
@@ -12,6 +12,7 @@
 use futures::future::BoxFuture;
 use http::request::Parts;
 use http::{HeaderMap, StatusCode};
+use serde::Serialize;
 
 pub use briarswitch_membership::NodeEntry;
 
@@ -33,7 +34,17 @@
 pub type SourceFuture<'a, T> = BoxFuture<'a, Result<T, SourceError>>;
 
 /// Point in the store's history up to which changes were read.
-pub type FeedMark = u64;
+///
+/// A store that comes back from a copy has lost its last versions and gives them out again, in another era. Held
+/// without its era, a version from before would pass for one of now: what is written under the versions up to it
+/// would never be asked for.
+#[derive(Clone, Copy, Debug, Default, Eq, Hash, PartialEq, Serialize)]
+pub struct FeedMark {
+    /// How often the store has come back from a copy.
+    pub era: u64,
+    /// Version, counted anew from the copy's in each era.
+    pub version: u64,
+}
 
 /// Question for the changes of one table of the store.
 #[derive(Clone, Debug, Eq, Hash, PartialEq)]
--- a/crates/fleet/tests/feed.rs
+++ b/crates/fleet/tests/feed.rs
@@ -7,7 +7,7 @@
 use briarswitch_fleet::costs::CostLedger;
 use briarswitch_fleet::feed::FeedRelay;
 use briarswitch_fleet::ports::{
-    FeedAnswer, FeedQuestion, FeedRow, FeedSource, SourceError, SourceFuture,
+    FeedAnswer, FeedMark, FeedQuestion, FeedRow, FeedSource, SourceError, SourceFuture,
 };
 use briarswitch_http::{reply_text, Handler, HttpServer, Request, Response};
 use briarswitch_kernel::BootClock;
@@ -46,9 +46,16 @@
     FeedRelay::open(direct, Arc::new(CostLedger::default()))
 }
 
+fn mark(version: u64) -> FeedMark {
+    FeedMark {
+        version,
+        ..FeedMark::default()
+    }
+}
+
 fn changed() -> FeedAnswer {
     FeedAnswer {
-        mark: 8,
+        mark: mark(8),
         rows: vec![FeedRow {
             key: "a".to_owned(),
             value: Some(vec![1, 2]),
@@ -61,7 +68,7 @@
 fn question() -> FeedQuestion {
     FeedQuestion {
         table: "t".to_owned(),
-        mark: Some(7),
+        mark: Some(mark(7)),
         wait: Duration::from_millis(500),
     }
 }
@@ -89,7 +96,7 @@
 #[tokio::test]
 async fn an_answer_without_changes_is_not_given_twice() {
     let store = store(Ok(FeedAnswer {
-        mark: 7,
+        mark: mark(7),
         ..FeedAnswer::default()
     }));
     let relay = relay_to(&store);
@@ -145,7 +152,7 @@
     let first = relay.serve(question(), BootClock::now()).await;
     expect_that!(first, ok(anything()));
     let next = FeedQuestion {
-        mark: Some(8),
+        mark: Some(mark(8)),
         wait: Duration::from_millis(20),
         ..question()
     };
--- a/crates/fleet/tests/support/platform.rs
+++ b/crates/fleet/tests/support/platform.rs
@@ -26,9 +26,9 @@
 
 #[derive(Default)]
 struct StoreState {
-    version: FeedMark,
+    version: u64,
     tables: IndexMap<String, IndexMap<String, Vec<u8>>>,
-    history: Vec<(FeedMark, String, FeedRow)>,
+    history: Vec<(u64, String, FeedRow)>,
     records: IndexMap<TargetId, TargetRecord>,
     nodes: IndexMap<NodeId, NodeEntry>,
     suspects: IndexMap<String, SuspectRow>,
@@ -139,7 +139,7 @@
         let state = self.lock();
         let rows = state.tables.get(table).into_iter().flatten();
         FeedAnswer {
-            mark: state.version,
+            mark: mark_of(state.version),
             rows: rows
                 .map(|(key, value)| FeedRow {
                     key: key.clone(),
@@ -156,9 +156,9 @@
         let later = state
             .history
             .iter()
-            .filter(|(version, of, _)| *version > mark && of == table);
+            .filter(|(version, of, _)| *version > mark.version && of == table);
         FeedAnswer {
-            mark: state.version,
+            mark: mark_of(state.version),
             rows: later.map(|(_, _, row)| row.clone()).collect(),
             age: Duration::ZERO,
             is_whole: false,
@@ -180,6 +180,13 @@
     }
 }
 
+fn mark_of(version: u64) -> FeedMark {
+    FeedMark {
+        version,
+        ..FeedMark::default()
+    }
+}
+
 /// One node's way to the platform.
 pub struct NodeDoor {
     pub node: NodeId,
--- a/crates/http/src/client.rs
+++ b/crates/http/src/client.rs
@@ -4,7 +4,7 @@
 
 use bytes::Bytes;
 use http::header::{AUTHORIZATION, CONTENT_TYPE};
-use http::{Method, StatusCode};
+use http::{HeaderMap, Method, StatusCode};
 use serde::de::DeserializeOwned;
 use serde::Serialize;
 use volo_http::body::Body;
@@ -80,12 +80,28 @@
         body: Option<&Q>,
         limit: Duration,
     ) -> Result<R, CallError> {
+        let (_, reply) = self.call_headed(method, url, body, limit).await?;
+        Ok(reply)
+    }
+
+    /// Sends `body` to `url` and reads the headers and a typed body of the reply, all within `limit`.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`CallError`] as [`CallerClient::call`] does.
+    pub async fn call_headed<Q: Serialize, R: DeserializeOwned>(
+        &self,
+        method: Method,
+        url: &str,
+        body: Option<&Q>,
+        limit: Duration,
+    ) -> Result<(HeaderMap, R), CallError> {
         let bytes = match body {
             Some(body) => self.encode(body)?,
             None => Bytes::new(),
         };
-        let reply = self.call_raw(method, url, bytes, limit).await?;
-        self.decode(&reply)
+        let (headers, reply) = self.call_within(method, url, bytes, limit).await?;
+        Ok((headers, self.decode(&reply)?))
     }
 
     /// Sends bytes to `url` and reads the bytes of a reply, all within `limit`.
@@ -100,6 +116,17 @@
         body: Bytes,
         limit: Duration,
     ) -> Result<Bytes, CallError> {
+        let (_, reply) = self.call_within(method, url, body, limit).await?;
+        Ok(reply)
+    }
+
+    async fn call_within(
+        &self,
+        method: Method,
+        url: &str,
+        body: Bytes,
+        limit: Duration,
+    ) -> Result<(HeaderMap, Bytes), CallError> {
         let exchange = self.exchange(method, url, body);
         match tokio::time::timeout(limit, exchange).await {
             Ok(result) => result,
@@ -107,7 +134,12 @@
         }
     }
 
-    async fn exchange(&self, method: Method, url: &str, body: Bytes) -> Result<Bytes, CallError> {
+    async fn exchange(
+        &self,
+        method: Method,
+        url: &str,
+        body: Bytes,
+    ) -> Result<(HeaderMap, Bytes), CallError> {
         let mut request = self
             .client
             .request(method, url)
@@ -121,11 +153,12 @@
             .await
             .map_err(|error| CallError::Lost(error.to_string()))?;
         let status = response.status();
+        let headers = response.headers().clone();
         let bytes = read_body(response.into_body(), REPLY_LIMIT)
             .await
             .map_err(|error| CallError::Lost(error.to_string()))?;
         if status == StatusCode::OK {
-            return Ok(bytes);
+            return Ok((headers, bytes));
         }
         Err(CallError::Status {
             status: status.as_u16(),
