What a restored store does not list is kept until it can have written itself again

Callers would see: refusals for up to two seconds after the store came back from a copy, for services whose targets started in the seconds it lost. Cause: an entry that is missing from a whole list was kept as a lapse only after a failed question; a restore between two questions fails none (class: an absence known by its failures alone). The list now counts as away when its era changes. Why it holds: targets write their entries again within about two seconds of the store's return, and lapses are kept for 2.3 s.

--- a/crates/fleet/src/keeper.rs
+++ b/crates/fleet/src/keeper.rs
@@ -250,6 +250,8 @@
 pub struct DirectoryKeeper {
     shared: Arc<FleetShared>,
     mark: Option<FeedMark>,
+    /// Era of the store that the list is from.
+    era: Option<u64>,
     view: DirectoryView,
     health: SourceHealth,
     window: LapseWindow,
@@ -271,6 +273,7 @@
         Self {
             shared,
             mark: None,
+            era: None,
             view: DirectoryView::default(),
             health: SourceHealth::default(),
             window: LapseWindow::default(),
@@ -291,6 +294,12 @@
     }
 
     fn take(&mut self, news: DirectoryNews, now: Moment, link: &ServiceLink<DirectoryMessage>) {
+        let era = news.mark().era;
+        if self.era.replace(era).is_some_and(|before| before != era) {
+            // The store has lost its last seconds. What it does not list may only have to write itself again, as
+            // after an absence; dropped at once, a target that serves would get nothing until it has.
+            self.window.note_failure();
+        }
         self.window.note_answer(now);
         let keep = self.window.keep_until(now);
         if keep.is_some() {
--- a/crates/fleet/src/ports.rs
+++ b/crates/fleet/src/ports.rs
@@ -119,6 +119,15 @@
     Changes(FeedMark, Vec<TargetChange>),
 }
 
+impl DirectoryNews {
+    /// Returns where to go on.
+    pub fn mark(&self) -> FeedMark {
+        match self {
+            Self::Whole(mark, _) | Self::Changes(mark, _) => *mark,
+        }
+    }
+}
+
 /// Answer of [`NodeRegistry`].
 #[derive(Clone, Debug)]
 pub struct NodeNews {
