--- a/crates/model/examples/check.rs
+++ b/crates/model/examples/check.rs
@@ -176,6 +176,7 @@
         CrashDefect::DroppedEarly,
         CrashDefect::OneRow,
         CrashDefect::UnreadAtStart,
+        CrashDefect::EraIgnored,
     ] {
         let name = format!("requests that end targets with {defect:?}");
         tally.catches(&name, &CrashSpec::defective(defect));
--- a/crates/model/src/crash.rs
+++ b/crates/model/src/crash.rs
@@ -1,7 +1,8 @@
 //! Nodes add up the ends of targets by one request, which comes again at any node.
 //!
 //! Each node tells two others what it sees and follows the store's table. Nodes restart, are cut off from each other
-//! or from the store; writes land late; word is told twice. The verdict comes from the real [`CrashLedger`]. A request
+//! or from the store; writes land late; word is told twice; the store comes back
+//! without its rows. The verdict comes from the real [`CrashLedger`]. A request
 //! comes only when everything that can be told has been: that is what a node in touch has had time for.
 
 use briarswitch_core::crash::{CrashLedger, CrashVerdict, EndSign, LifeKey, LEAST_ENDS};
@@ -34,6 +35,8 @@
     OneRow,
     /// A node that starts follows the table's changes and does not read the table.
     UnreadAtStart,
+    /// A node takes what it saw in the table before a restore for being there still.
+    EraIgnored,
 }
 
 /// Ends as bits, the first one lowest.
@@ -132,7 +135,7 @@
         } else {
             own.untold
         };
-        if self.has(CrashDefect::OneRow) {
+        if self.trusts_written() {
             return due & !own.written;
         }
         due & !state.stored
@@ -164,8 +167,13 @@
         }
     }
 
+    /// Returns whether nodes go by what they saw in the table, and not by what is there.
+    fn trusts_written(&self) -> bool {
+        self.has(CrashDefect::OneRow) || self.has(CrashDefect::EraIgnored)
+    }
+
     fn note_written(&self, node: &mut NodeState, rows: EndSet) {
-        if self.has(CrashDefect::OneRow) {
+        if self.trusts_written() {
             node.written |= rows;
         }
     }
@@ -231,6 +239,7 @@
         if unread != 0 {
             let mut next = state.clone();
             self.take(&mut next.nodes[node], unread);
+            self.note_written(&mut next.nodes[node], unread);
             steps.push(Step::of(format!("node {node} reads the table"), next));
         }
         let own = &state.nodes[node];
@@ -279,7 +288,9 @@
         if due != 0 {
             let mut next = faulty();
             next.late.push(due);
-            self.note_written(&mut next.nodes[node], due);
+            if self.has(CrashDefect::OneRow) {
+                next.nodes[node].written |= due;
+            }
             steps.push(Step::fault(format!("node {node}'s write is held up"), next));
         }
     }
@@ -311,6 +322,12 @@
                 self.fault_steps(state, node, &mut steps);
             }
         }
+        if state.faults_left > 0 && state.stored != 0 {
+            let mut next = state.clone();
+            next.faults_left -= 1;
+            next.stored = 0;
+            steps.push(Step::fault("the store comes back without its rows", next));
+        }
         for index in 0..state.late.len() {
             let mut next = state.clone();
             let rows = next.late.remove(index);
