--- a/crates/core/src/crash.rs
+++ b/crates/core/src/crash.rs
@@ -82,6 +82,18 @@
 
 impl EndSign {
     /// Returns the sign of an end during which a request had run for `ran`, where targets end at `rate` a second.
+    ///
+    /// ```
+    /// use std::time::Duration;
+    ///
+    /// use briarswitch_core::crash::{EndSign, EndedTarget};
+    /// use briarswitch_core::print::RequestPrint;
+    ///
+    /// let (target, domain) = ("t".to_owned(), "d".to_owned());
+    /// let target = EndedTarget { target: &target, incarnation: 1, domain: &domain };
+    /// let sign = |ran| EndSign::of(RequestPrint::from([1; 16]), target, 5, ran, 0.1);
+    /// assert!(sign(Duration::from_secs(1)).chance < sign(Duration::from_secs(5)).chance);
+    /// ```
     pub fn of(
         print: RequestPrint,
         target: EndedTarget<'_>,
@@ -238,6 +250,13 @@
 }
 
 /// Returns whether what was seen at a moment counts no more.
+///
+/// ```
+/// use briarswitch_core::crash::is_forgotten;
+///
+/// assert!(!is_forgotten(1_000, 2_000));
+/// assert!(is_forgotten(1_000, 601_000));
+/// ```
 pub fn is_forgotten(at: StoreMillis, now: StoreMillis) -> bool {
     now >= at + MEMORY_TIME.as_millis() as StoreMillis
 }
@@ -286,6 +305,16 @@
     }
 
     /// Takes in that a request is not the cause of earlier ends; returns whether that is news.
+    ///
+    /// ```
+    /// use briarswitch_core::crash::{ClearSign, CrashLedger};
+    /// use briarswitch_core::print::RequestPrint;
+    ///
+    /// let clear = ClearSign { print: RequestPrint::from([1; 16]), at: 5 };
+    /// let mut ledger = CrashLedger::default();
+    /// assert!(ledger.take_clear(clear));
+    /// assert!(!ledger.take_clear(clear));
+    /// ```
     pub fn take_clear(&mut self, clear: ClearSign) -> bool {
         let record = self.records.entry(clear.print).or_default();
         if clear.at <= record.cleared {
@@ -298,6 +327,14 @@
     }
 
     /// Returns what is held of a request.
+    ///
+    /// ```
+    /// use briarswitch_core::crash::{CrashLedger, CrashVerdict};
+    /// use briarswitch_core::print::RequestPrint;
+    ///
+    /// let verdict = CrashLedger::default().verdict(&RequestPrint::from([1; 16]), 5);
+    /// assert_eq!(verdict, CrashVerdict::Clear);
+    /// ```
     pub fn verdict(&self, print: &RequestPrint, now: StoreMillis) -> CrashVerdict {
         let Some(record) = self.records.get(print) else {
             return CrashVerdict::Clear;
--- a/crates/core/src/retry.rs
+++ b/crates/core/src/retry.rs
@@ -53,6 +53,15 @@
     }
 
     /// Gives a retry back that was taken and not sent.
+    ///
+    /// ```
+    /// use briarswitch_core::retry::RetryBudget;
+    ///
+    /// let mut budget = RetryBudget::open(100, 1);
+    /// assert!(budget.spend());
+    /// budget.give_back();
+    /// assert!(budget.has_any());
+    /// ```
     pub fn give_back(&mut self) {
         self.balance = (self.balance + RETRY_COST).min(self.ceiling);
     }
--- a/crates/core/src/target.rs
+++ b/crates/core/src/target.rs
@@ -166,6 +166,12 @@
     }
 
     /// Returns how many targets have ended so far without asking for no new work before, lapses among them.
+    ///
+    /// ```
+    /// use briarswitch_core::target::TargetBook;
+    ///
+    /// assert_eq!(TargetBook::default().ended(), 0);
+    /// ```
     pub fn ended(&self) -> u64 {
         self.ended
     }
--- a/crates/fleet/src/suspects.rs
+++ b/crates/fleet/src/suspects.rs
@@ -19,6 +19,25 @@
 
 impl SuspectBoard {
     /// Opens a board that knows of no end.
+    ///
+    /// ```
+    /// use std::sync::Arc;
+    ///
+    /// use briarswitch_core::print::RequestPrint;
+    /// use briarswitch_fleet::ports::StoreClock;
+    /// use briarswitch_fleet::suspects::SuspectBoard;
+    ///
+    /// struct FixedClock;
+    ///
+    /// impl StoreClock for FixedClock {
+    ///     fn millis(&self) -> u64 {
+    ///         5
+    ///     }
+    /// }
+    ///
+    /// let board = SuspectBoard::open(Arc::new(FixedClock));
+    /// assert!(board.quarantine(&RequestPrint::from([1; 16])).is_none());
+    /// ```
     pub fn open(clock: Arc<dyn StoreClock>) -> Self {
         Self {
             clock,
