Read over: the suspects' keeper tells when its table is lost, as the other keepers do

It kept a flag of its own for what SourceHealth does for configuration and directory, and took an error of the store without a line. It uses SourceHealth now: the same waits, and dependency_lost and dependency_regained with source=suspects. The store's client takes an answer apart in place of copying its headers for each call. What is asked, when, and what callers get is the same. Checked: formatter, linter over the workspace, eleven tests through whole nodes, feed, table, events, and the adapter's path and restore tests, all passed.

--- a/crates/fleet/src/keeper.rs
+++ b/crates/fleet/src/keeper.rs
@@ -59,12 +59,12 @@
 
 /// Tells when a source is lost and regained, once each.
 #[derive(Debug, Default)]
-struct SourceHealth {
+pub(crate) struct SourceHealth {
     lost: Option<Moment>,
 }
 
 impl SourceHealth {
-    fn note(&mut self, name: &'static str, error: Option<&SourceError>, now: Moment) {
+    pub(crate) fn note(&mut self, name: &'static str, error: Option<&SourceError>, now: Moment) {
         match (error, self.lost) {
             (Some(error), None) => {
                 self.lost = Some(now);
@@ -84,7 +84,7 @@
     /// A question that is held open while its connection is cut ends only with its own time. Until the
     /// source has answered again questions ask for an answer at once, or a cut that has healed would be
     /// noticed two seconds later than it could, and callers' keys be refused so long.
-    fn wait(&self, usual: Duration) -> Duration {
+    pub(crate) fn wait(&self, usual: Duration) -> Duration {
         if self.lost.is_some() {
             Duration::ZERO
         } else {
--- a/crates/fleet/src/suspect_keeper.rs
+++ b/crates/fleet/src/suspect_keeper.rs
@@ -19,7 +19,7 @@
 use serde_json::{json, Value};
 
 use crate::costs::CostKind;
-use crate::keeper::retry_pause;
+use crate::keeper::{retry_pause, SourceHealth};
 use crate::ports::{FeedMark, SourceError, SuspectChange, SuspectKey, SuspectRow};
 use crate::run_facts::RunFacts;
 use crate::shared::FleetShared;
@@ -94,7 +94,7 @@
     shared: Arc<FleetShared>,
     client: CallerClient,
     mark: Option<FeedMark>,
-    is_lost: bool,
+    health: SourceHealth,
     table: SuspectTable,
     /// Holders that have not answered yet, by the end that they were told of; no entry once one has.
     untold: IndexMap<SuspectKey, usize>,
@@ -110,7 +110,7 @@
             shared,
             client: CallerClient::open(Codec::Packed, None),
             mark: None,
-            is_lost: false,
+            health: SourceHealth::default(),
             table: SuspectTable::default(),
             untold: IndexMap::new(),
             verdicts: VerdictLog::default(),
@@ -295,11 +295,9 @@
 
     fn ask(&self, link: &ServiceLink<SuspectMessage>) {
         let shared = Arc::clone(&self.shared);
-        let (mark, is_lost) = (self.mark, self.is_lost);
+        let (mark, wait) = (self.mark, self.health.wait(TABLE_WAIT));
         link.spawn(async move {
             let registry = &shared.platform.suspects;
-            // Until the source has answered again it is asked for an answer at once.
-            let wait = if is_lost { Duration::ZERO } else { TABLE_WAIT };
             let answer = shared.changes(registry.table(), mark, wait).await;
             SuspectMessage::News(answer.map(|answer| SuspectNews {
                 mark: answer.mark,
@@ -365,15 +363,15 @@
             SuspectMessage::Released(print) => self.clear(print, "released", now),
             SuspectMessage::Ask => self.ask(link),
             SuspectMessage::News(Ok(news)) => {
-                self.is_lost = false;
+                self.health.note(SUSPECT_SERVICE, None, now);
                 self.take_news(news, now);
                 self.ask(link);
             }
             SuspectMessage::News(Err(error)) => {
+                self.health.note(SUSPECT_SERVICE, Some(&error), now);
                 if error == SourceError::HistoryGone {
                     self.mark = None;
                 }
-                self.is_lost = true;
                 link.later(retry_pause(), SuspectMessage::Ask);
             }
             SuspectMessage::Written(batch, written) => self.take_written(&batch, written, now),
--- a/crates/http/src/client.rs
+++ b/crates/http/src/client.rs
@@ -152,13 +152,13 @@
             .send()
             .await
             .map_err(|error| CallError::Lost(error.to_string()))?;
-        let status = response.status();
-        let headers = response.headers().clone();
-        let bytes = read_body(response.into_body(), REPLY_LIMIT)
+        let (head, body) = response.into_parts();
+        let status = head.status;
+        let bytes = read_body(body, REPLY_LIMIT)
             .await
             .map_err(|error| CallError::Lost(error.to_string()))?;
         if status == StatusCode::OK {
-            return Ok((headers, bytes));
+            return Ok((head.headers, bytes));
         }
         Err(CallError::Status {
             status: status.as_u16(),
