Demand: rates of a meter that has just been opened are not told too low

Cause: rates are a decaying sum divided by the whole window of three seconds. Shares of places follow from the same rates, each node's own ones younger than those told by others, so after a loss of power they added up to more than a group has places.

Change: the sum is divided by the part of the window that was seen, half a second at least. With it comes the mean of demand over ten seconds, for decisions that take as long as a load.

Ruled out: a longer window for the rates themselves, which would tell a burst too late to the placing.

--- a/crates/fleet/src/demand.rs
+++ b/crates/fleet/src/demand.rs
@@ -9,6 +9,9 @@
 /// Time over which demand is averaged; long enough to smooth bursts of single callers.
 const WINDOW: Duration = Duration::from_secs(3);
 
+/// Least time of callers seen for which rates are told; shorter ones make rates out of single requests.
+const LEAST_SEEN: Duration = Duration::from_millis(500);
+
 /// A decaying sum of the requests' work by model.
 #[derive(Debug, Default)]
 pub struct DemandMeter {
@@ -18,6 +21,8 @@
 #[derive(Debug, Default)]
 struct MeterState {
     since: Moment,
+    /// When the first request came.
+    first: Option<Moment>,
     work: IndexMap<ModelId, f64>,
     requests: IndexMap<ModelId, f64>,
 }
@@ -31,6 +36,20 @@
         }
         self.since = now;
     }
+
+    /// Returns sums as rates.
+    ///
+    /// A meter that has just been opened has seen less than a window. Divided by the whole of it, its rates rise for
+    /// many seconds while callers ask for the same all the time.
+    fn per_second(&self, sums: &IndexMap<ModelId, f64>, now: Moment) -> IndexMap<ModelId, f64> {
+        let first = self.first.unwrap_or(now);
+        let seen = now.saturating_sub(first).max(LEAST_SEEN).as_secs_f64();
+        let window = WINDOW.as_secs_f64();
+        let seconds = window * (1.0 - (-seen / window).exp());
+        let rates = sums.iter();
+        let rates = rates.map(|(model, sum)| (model.clone(), sum / seconds));
+        rates.collect()
+    }
 }
 
 impl DemandMeter {
@@ -38,6 +57,7 @@
     pub fn count(&self, model: &str, work: Duration, now: Moment) {
         let mut state = self.state.lock().unwrap_or_else(PoisonError::into_inner);
         state.decay(now);
+        state.first.get_or_insert(now);
         *state.work.entry(model.to_owned()).or_insert(0.0) += work.as_secs_f64();
         *state.requests.entry(model.to_owned()).or_insert(0.0) += 1.0;
     }
@@ -46,20 +66,73 @@
     pub fn rates(&self, now: Moment) -> IndexMap<ModelId, f64> {
         let mut state = self.state.lock().unwrap_or_else(PoisonError::into_inner);
         state.decay(now);
-        per_second(&state.work)
+        state.per_second(&state.work, now)
     }
 
     /// Returns the requests in a second by model.
     pub fn arrivals(&self, now: Moment) -> IndexMap<ModelId, f64> {
         let mut state = self.state.lock().unwrap_or_else(PoisonError::into_inner);
         state.decay(now);
-        per_second(&state.requests)
+        state.per_second(&state.requests, now)
     }
 }
 
-fn per_second(sums: &IndexMap<ModelId, f64>) -> IndexMap<ModelId, f64> {
-    let rates = sums
-        .iter()
-        .map(|(model, sum)| (model.clone(), sum / WINDOW.as_secs_f64()));
-    rates.collect()
+/// Time over which a trend is taken, about that of a load from the weight store.
+const TREND_WINDOW: Duration = Duration::from_secs(10);
+/// Time of callers seen from which a trend says something.
+const TREND_LEAST: Duration = Duration::from_secs(3);
+/// Longest time between two samples; what lies beyond was not seen.
+const TREND_GAP: Duration = Duration::from_secs(1);
+
+/// The mean of what callers asked for over some seconds.
+#[derive(Clone, Debug, Default)]
+pub struct DemandTrend {
+    sampled: Moment,
+    /// Seconds seen, the older ones for less.
+    seen: f64,
+    sums: IndexMap<ModelId, f64>,
+}
+
+impl DemandTrend {
+    /// Takes in what callers ask for now.
+    pub fn note(&mut self, rates: &IndexMap<ModelId, f64>, now: Moment) {
+        let passed = now.saturating_sub(self.sampled);
+        let passed_seconds = passed.min(TREND_GAP).as_secs_f64();
+        let factor = (-passed.as_secs_f64() / TREND_WINDOW.as_secs_f64()).exp();
+        self.sampled = now;
+        self.seen = self.seen * factor + passed_seconds;
+        for sum in self.sums.values_mut() {
+            *sum *= factor;
+        }
+        for (model, rate) in rates {
+            *self.sums.entry(model.clone()).or_insert(0.0) += rate * passed_seconds;
+        }
+    }
+
+    /// Returns the mean, once callers were seen for long enough.
+    ///
+    /// ```
+    /// use std::time::Duration;
+    ///
+    /// use briarswitch_fleet::demand::DemandTrend;
+    ///
+    /// let mut trend = DemandTrend::default();
+    /// let rates = [("chat".to_owned(), 2.0)].into();
+    /// for second in 100..110 {
+    ///     trend.note(&rates, Duration::from_secs(second));
+    /// }
+    /// let mean = trend.mean().expect("seen for ten seconds");
+    /// assert!((mean["chat"] - 2.0).abs() < 1e-9);
+    /// ```
+    pub fn mean(&self) -> Option<IndexMap<ModelId, f64>> {
+        if self.seen < TREND_LEAST.as_secs_f64() {
+            return None;
+        }
+        let means = self.sums.iter();
+        Some(
+            means
+                .map(|(model, sum)| (model.clone(), sum / self.seen))
+                .collect(),
+        )
+    }
 }
