Stock follows the callers: members of groups beyond need load other weights beside their work

Cause: the layout moved only targets that hold nothing. A domain's spare weights that make no group, and groups that nobody fills, stayed as they were.

Change: core::exchange looks for targets that bring another model more than they leave, ranked by the gain for each load, with a least gain and a cost for each target; the model that gives keeps one and a half times what its callers fill. A host loads beside its work, so members of a group beyond need load first, and the group is closed, ended and its members joined anew only when all have loaded and make a whole group of the other model. Decided once a second on demand smoothed over ten seconds, not before three seconds of callers, and not by a node whose configuration is older than two seconds. Loads under way are told by model, so domains do not all answer one lack; exchanges bring them to 0.6 of what the store does at once. What a target counts as is one function for planner, keeper and stock.

Ruled out: a fault of the keeper where a domain of 25 holders has one group of twelve (its other eleven are free, one short, and wait for a load of 16 s).

Failed tries within: ranked by gain alone (spread over three domains, none complete), a budget without a part for replacements (they waited 5 s).

--- a/crates/core/src/assembly.rs
+++ b/crates/core/src/assembly.rs
@@ -18,6 +18,10 @@
 use crate::order::{OrderResult, TargetAction, TargetOrder};
 use crate::target::{Membership, MembershipState};
 
+mod staging;
+
+pub use staging::HeldWeights;
+
 /// Time that members may be missing from a group that is being formed by somebody else.
 ///
 /// A predecessor may have died between two orders to join; what it began is finished by nobody.
@@ -124,6 +128,8 @@
     is_conflict_new: bool,
     paused_until: Moment,
     dissolving: IndexMap<GroupId, TargetId>,
+    /// Groups that are being closed because their targets hold another model's weights by now.
+    giving: IndexSet<GroupId>,
     released: IndexSet<GroupId>,
     last_model: IndexMap<TargetId, LastModel>,
     doubtful: IndexSet<TargetId>,
@@ -159,6 +165,7 @@
             is_conflict_new: false,
             paused_until: Moment::ZERO,
             dissolving: IndexMap::new(),
+            giving: IndexSet::new(),
             released: IndexSet::new(),
             last_model: IndexMap::new(),
             doubtful: IndexSet::new(),
@@ -236,7 +243,9 @@
             }
             self.doubtful.extend(stale);
         }
-        orders.extend(self.stage(&free, &view, budget));
+        self.give_up(&groups, &free, &wanted, &view);
+        let staged = self.stage(&free, &groups, &view, &orders, budget);
+        orders.extend(staged);
         for order in &orders {
             self.in_flight.insert(order.target.clone(), order.clone());
         }
@@ -280,6 +289,7 @@
             .filter_map(|order| order.action.group().cloned())
             .collect();
         self.dissolving.retain(|group, _| named.contains(group));
+        self.giving.retain(|group| named.contains(group));
         self.released.retain(|group| named.contains(group));
         self.forming
             .retain(|group, _| named.contains(group) || ordered.contains(group));
@@ -376,6 +386,7 @@
         state: MembershipState,
         epoch: Epoch,
     ) -> Option<(TargetAction, &'static str)> {
+        let is_given = self.giving.contains(group);
         let group = group.clone();
         let is_draining = seen
             .members
@@ -392,6 +403,12 @@
             (MembershipState::Ready | MembershipState::Joining, true) => {
                 Some((TargetAction::Leave { group, epoch }, "member_draining"))
             }
+            (MembershipState::Open, false) if is_given => {
+                Some((TargetAction::Close { group, epoch }, "exchanged"))
+            }
+            (MembershipState::Ready, false) if is_given => {
+                Some((TargetAction::Leave { group, epoch }, "exchanged"))
+            }
             (MembershipState::Ready, false) if are_ready => {
                 Some((TargetAction::Open { group, epoch }, "all_ready"))
             }
@@ -511,7 +528,9 @@
         view: &DomainView<'_>,
     ) -> IndexMap<ModelId, usize> {
         let is_staying = |group: &GroupId| {
-            !self.released.contains(group) && !self.dissolving.contains_key(group)
+            !self.released.contains(group)
+                && !self.dissolving.contains_key(group)
+                && !self.giving.contains(group)
         };
         let lacking = view.layout.holders.iter().map(|(model, holders)| {
             let size = view.engine.models.get(model).map_or(1, |model| model.size);
@@ -599,81 +618,6 @@
         self.forming.insert(group, forming);
         orders
     }
-
-    /// Has free targets load the weights that the domain lacks.
-    fn stage(&self, free: &[TargetId], view: &DomainView<'_>, budget: usize) -> Vec<TargetOrder> {
-        let mut idle: Vec<&TargetId> = free.iter().collect();
-        let mut orders = Vec::new();
-        for (model, holders) in &view.layout.holders {
-            let members = view.targets.iter().filter(|(id, facts)| {
-                let is_member = facts.membership.is_some() && !free.contains(*id);
-                is_member && facts.model.as_ref() == Some(model)
-            });
-            let lacking = holders.saturating_sub(members.count());
-            let chosen = take_holders(&mut idle, model, lacking, view);
-            let staging = chosen.into_iter();
-            orders.extend(staging.filter_map(|id| self.stage_order(id, model, view)));
-        }
-        orders.truncate(budget);
-        orders
-    }
-
-    fn stage_order(
-        &self,
-        id: &TargetId,
-        model: &ModelId,
-        view: &DomainView<'_>,
-    ) -> Option<TargetOrder> {
-        let action = TargetAction::Stage {
-            model: model.clone(),
-        };
-        self.order(id, action, "spare", view)
-    }
-}
-
-impl DomainView<'_> {
-    /// Returns whether a target holds a model's weights, or will when it has loaded.
-    fn will_hold(&self, id: &TargetId, model: &ModelId) -> bool {
-        match self.loading.get(id) {
-            Some(loading) if self.targets[id].is_busy => loading == model,
-            _ => self.targets[id].staged.contains(model),
-        }
-    }
-
-    /// Returns whether a target loads weights that somebody else ordered.
-    fn is_loading_unknown(&self, id: &TargetId) -> bool {
-        self.targets[id].is_busy && !self.loading.contains_key(id)
-    }
-
-    /// Returns whether a target's weights are of use in the domain as it should be.
-    fn is_of_use(&self, id: &TargetId) -> bool {
-        let mut models = self.layout.holders.keys();
-        models.any(|model| self.will_hold(id, model))
-    }
-}
-
-/// Takes `count` targets out of a list to hold a model's weights, and returns those that have to load.
-///
-/// Those that hold them or are loading are taken first, then those whose weights are of no use.
-fn take_holders<'a>(
-    idle: &mut Vec<&'a TargetId>,
-    model: &ModelId,
-    count: usize,
-    view: &DomainView<'_>,
-) -> Vec<&'a TargetId> {
-    let mut lacking = count;
-    idle.retain(|id| {
-        let is_holder = view.will_hold(id, model) || view.is_loading_unknown(id);
-        let is_taken = lacking > 0 && is_holder;
-        lacking -= usize::from(is_taken);
-        !is_taken
-    });
-    let mut movable = idle.clone();
-    movable.retain(|id| !view.targets[*id].is_busy);
-    movable.sort_by_key(|id| view.is_of_use(id));
-    movable.truncate(lacking);
-    idle.retain(|id| !movable.contains(id));
-    movable
 }
 
 impl FormingGroup {
--- a/crates/core/src/layout.rs
+++ b/crates/core/src/layout.rs
@@ -14,6 +14,7 @@
 
 use indexmap::IndexMap;
 
+use crate::cover::{cover_worth, demand_of, model_weight};
 use crate::engine::{EngineModel, ModelSpec};
 use crate::id::{DomainId, ModelId, ZoneId};
 use crate::losses::{GroupTable, LossCase};
@@ -22,8 +23,6 @@
 ///
 /// A zone that is cut off has to serve its callers alone.
 const ZONE_SHARE: f64 = 0.1;
-/// Cover that stands for none at all, in groups for each that the demand fills.
-const LEAST_COVER: f64 = 0.05;
 /// Sweeps over all domains before the first caller; the second and third change little.
 const SWEEPS: usize = 4;
 
@@ -38,6 +37,8 @@
     pub holders: IndexMap<ModelId, usize>,
     /// Targets that live and hold none.
     pub empty: usize,
+    /// Whether targets that are loading weights count among the holders; else they count as empty.
+    pub shows_loads: bool,
 }
 
 impl DomainStock {
@@ -106,29 +107,39 @@
 }
 
 /// Targets of one domain by the model whose weights they hold, in the order of the engine's models.
-type HolderCounts = Vec<usize>;
+pub(crate) type HolderCounts = Vec<usize>;
 
-struct LayoutDraft<'a> {
-    models: Vec<&'a ModelSpec>,
-    demand: Vec<f64>,
-    weights: Vec<f64>,
-    domains: Vec<DomainDraft<'a>>,
+/// What all domains should hold, while it is worked out.
+pub(crate) struct LayoutDraft<'a> {
+    /// Models; all lists by model are in their order.
+    pub(crate) models: Vec<&'a ModelSpec>,
+    /// Groups that each model's callers fill.
+    pub(crate) demand: Vec<f64>,
+    /// What each model's cover weighs.
+    pub(crate) weights: Vec<f64>,
+    /// Domains.
+    pub(crate) domains: Vec<DomainDraft<'a>>,
+    /// Groups of each model whose targets load their weights unseen.
+    pub(crate) coming: Vec<f64>,
     /// Groups expected to be left of each model, by zone.
     left: Vec<Vec<f64>>,
     table: GroupTable,
     phase: LayoutPhase,
 }
 
-struct DomainDraft<'a> {
+/// What one domain should hold, while it is worked out.
+pub(crate) struct DomainDraft<'a> {
     stock: &'a DomainStock,
     zone: usize,
     targets: usize,
-    holders: HolderCounts,
+    /// Targets by the model whose weights they should hold.
+    pub(crate) holders: HolderCounts,
     empty: usize,
 }
 
 impl<'a> LayoutDraft<'a> {
-    fn open(
+    /// Opens a draft of what domains hold now, or of nothing before the first caller.
+    pub(crate) fn open(
         engine: &'a EngineModel,
         demand: &IndexMap<ModelId, f64>,
         domains: &'a [DomainStock],
@@ -152,6 +163,7 @@
             demand,
             domains: drafts.collect(),
             left: vec![vec![0.0; models.len()]; zones.len()],
+            coming: vec![0.0; models.len()],
             models,
             table: GroupTable::default(),
             phase,
@@ -176,22 +188,28 @@
     }
 
     /// Gives each target that holds nothing the weights that are worth most there.
-    fn fill_empty(&mut self) {
+    ///
+    /// Returns how many got each model's in domains whose loads under way can not be seen.
+    pub(crate) fn fill_empty(&mut self) -> HolderCounts {
+        let mut unseen = vec![0; self.models.len()];
         loop {
             let mut is_done = true;
             for index in 0..self.domains.len() {
                 if self.domains[index].empty > 0 && !self.models.is_empty() {
-                    self.fill_one(index);
+                    let model = self.fill_one(index);
+                    let is_unseen = !self.domains[index].stock.shows_loads;
+                    unseen[model] += usize::from(is_unseen);
                     is_done = false;
                 }
             }
             if is_done {
-                return;
+                return unseen;
             }
         }
     }
 
-    fn fill_one(&mut self, index: usize) {
+    /// Gives one empty target of a domain a model's weights, and returns the model.
+    fn fill_one(&mut self, index: usize) -> usize {
         let holders = &self.domains[index].holders;
         // Of what is worth the same, what the domain holds most of brings its next group nearer.
         let mut models: Vec<usize> = (0..self.models.len()).collect();
@@ -204,10 +222,10 @@
                 best = Some((gain, model));
             }
         }
-        if let Some((_, model)) = best {
-            self.change(index, |domain| domain.holders[model] += 1);
-        }
+        let model = best.map_or(0, |(_, model)| model);
+        self.change(index, |domain| domain.holders[model] += 1);
         self.domains[index].empty -= 1;
+        model
     }
 
     /// Returns the most that one more target brings a model in a domain, on the way to the end of a begun group.
@@ -244,7 +262,7 @@
     }
 
     /// Changes what a domain holds, and counts its groups anew.
-    fn change(&mut self, index: usize, change: impl FnOnce(&mut DomainDraft<'_>)) {
+    pub(crate) fn change(&mut self, index: usize, change: impl FnOnce(&mut DomainDraft<'_>)) {
         self.count(index, -1.0);
         change(&mut self.domains[index]);
         self.count(index, 1.0);
@@ -301,11 +319,17 @@
         self.count(index, 1.0);
     }
 
+    /// Returns the groups that a model is expected to have left in all domains.
+    pub(crate) fn groups_left(&self, model: usize) -> f64 {
+        let left: f64 = self.left.iter().map(|left| left[model]).sum();
+        left + self.coming[model]
+    }
+
     /// Returns what the groups left are worth: each more, the less of its model's demand is covered.
-    fn worth(&self) -> f64 {
+    pub(crate) fn worth(&self) -> f64 {
         let zones = self.left.len() as f64;
         let of_model = self.demand.iter().enumerate().map(|(model, demand)| {
-            let all: f64 = self.left.iter().map(|left| left[model]).sum();
+            let all = self.groups_left(model);
             let of_zones = self.left.iter();
             let of_zones = of_zones.map(|left| cover_worth(left[model] * zones, *demand));
             let mean = of_zones.sum::<f64>() / zones.max(1.0);
@@ -315,7 +339,8 @@
         of_model.sum()
     }
 
-    fn finish(self) -> IndexMap<DomainId, DomainLayout> {
+    /// Returns what each domain should hold.
+    pub(crate) fn finish(self) -> IndexMap<DomainId, DomainLayout> {
         let mut order: Vec<usize> = (0..self.models.len()).collect();
         let cover = |model: &usize| {
             let groups = self.domains.iter();
@@ -374,35 +399,3 @@
         options
     }
 }
-
-/// Returns what a model's cover weighs against another's: between its callers and the targets they fill.
-///
-/// A group of many targets takes the place of several small ones. Weighed by callers alone, a model whose
-/// groups take four times the targets gets 0.63 of the other's cover: callers filled 4.3 groups of sixteen and
-/// 17 of four, and the weights were laid out for 4 and 32. Weighed by targets, both are covered alike, at
-/// the cost of the callers who need least: in domains of eight, 0.95 of the smaller model's find a place in place
-/// of 0.98. The geometric mean of both keeps these and gives 0.99 of the larger model's a place, 0.92 before.
-fn model_weight(demand: f64, size: usize) -> f64 {
-    demand * (size as f64).sqrt()
-}
-
-/// Returns the worth of a number of groups, which are worth less the more of a model's demand is covered.
-///
-/// With the square, what a model lacks weighs more than what another has over: a model whose groups are
-/// just filled loses callers with each loss, one that has twice its need loses none.
-fn cover_worth(groups: f64, demand: f64) -> f64 {
-    let cover = groups / demand.max(f64::MIN_POSITIVE);
-    -1.0 / (cover + LEAST_COVER).powi(2)
-}
-
-/// Returns how many groups each model's requests fill, by what was seen or, before that, declared.
-fn demand_of(models: &[&ModelSpec], demand: &IndexMap<ModelId, f64>) -> Vec<f64> {
-    let seen = models.iter().map(|model| demand.get(&model.id).copied());
-    let seen: Vec<f64> = seen.map(Option::unwrap_or_default).collect();
-    if seen.iter().any(|rate| *rate > 0.0) {
-        return seen;
-    }
-    // The declared share is of the targets' work, so a model of large groups fills fewer of them.
-    let declared = models.iter().map(|model| model.share / model.size as f64);
-    declared.collect()
-}
--- a/crates/fleet/src/controller.rs
+++ b/crates/fleet/src/controller.rs
@@ -4,10 +4,12 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use briarswitch_core::assembly::{DomainKeeper, DomainView, TargetFacts, TargetStanding};
+use briarswitch_core::assembly::{
+    DomainKeeper, DomainView, HeldWeights, TargetFacts, TargetStanding,
+};
 use briarswitch_core::engine::EngineModel;
 use briarswitch_core::id::*;
-use briarswitch_core::layout::{plan_layout, DomainLayout, DomainStock, LayoutPhase};
+use briarswitch_core::layout::DomainLayout;
 use briarswitch_core::order::{OrderResult, TargetAction, TargetOrder};
 use briarswitch_core::target::{MembershipState, TargetRecord};
 use briarswitch_core::traffic::{ServiceSpec, TrafficBook};
@@ -18,7 +20,9 @@
 
 use crate::census::DomainCensus;
 use crate::costs::CostKind;
+use crate::demand::DemandTrend;
 use crate::domains::{domains_of, stock_of, StockItem};
+use crate::layouts::{LayoutBasis, ServiceLayouts};
 use crate::ports::{ReportError, TargetReport};
 use crate::scope::{ControlScope, DomainKey, ScopeBasis};
 use crate::shared::{DirectoryView, FleetShared};
@@ -31,11 +35,6 @@
 const SETTLE_TIME: Duration = Duration::from_millis(900);
 /// Time between two lines on what the models have; only nodes that give orders write them.
 const SUPPLY_INTERVAL: Duration = Duration::from_secs(1);
-/// Time between two decisions on what all domains should hold.
-///
-/// A decision looks at every target of the service; a loss is answered with the weights at hand and does
-/// not wait for one.
-const LAYOUT_INTERVAL: Duration = Duration::from_millis(150);
 /// Time without a new target after which the directory counts as complete at the first start.
 ///
 /// Targets register one after the other; groups formed from the first few would be of whichever
@@ -47,6 +46,8 @@
 const OWN_LATENESS: Duration = Duration::from_millis(60);
 /// Time to wait for the answer to an order.
 const ORDER_TIME: Duration = Duration::from_millis(400);
+/// Age of the configuration from which no weights are exchanged.
+const EXCHANGE_AGE: Duration = Duration::from_secs(2);
 /// Loads under way beyond what the weight store does at once.
 ///
 /// Each of them slows all the others, but none waits for the news of one that has ended.
@@ -63,6 +64,7 @@
     census: IndexMap<DomainKey, DomainCensus>,
     loads: IndexMap<TargetId, ModelId>,
     layouts: IndexMap<ServiceId, ServiceLayouts>,
+    trend: DemandTrend,
     suspected: IndexSet<TargetId>,
     scope: Option<Arc<ControlScope>>,
     started: Moment,
@@ -70,14 +72,6 @@
     supply_logged: Moment,
 }
 
-/// What the domains of a service should hold, and when that was decided.
-struct ServiceLayouts {
-    planned: Moment,
-    /// Targets of each domain, where it was decided before the first caller.
-    start_of: Option<Vec<usize>>,
-    of_domain: IndexMap<DomainId, DomainLayout>,
-}
-
 /// Message to [`GroupController`].
 pub enum ControllerMessage {
     /// Look at everything again.
@@ -112,6 +106,7 @@
             census: IndexMap::new(),
             loads: IndexMap::new(),
             layouts: IndexMap::new(),
+            trend: DemandTrend::default(),
             suspected: IndexSet::new(),
             scope: None,
             started: BootClock::now(),
@@ -196,50 +191,53 @@
             return;
         };
         let layouts = match self.layouts.swap_remove(&service.id) {
-            Some(held) if now < held.planned + LAYOUT_INTERVAL => held,
-            held => self.lay_out(engine, &of_service(records, &service.id), own, held, now),
+            Some(held) if !held.is_due(now) => held,
+            held => {
+                let records = of_service(records, &service.id);
+                self.lay_out(engine, &records, own, held.unwrap_or_default(), now)
+            }
         };
         for key in own.iter().filter(|key| key.service == service.id) {
-            if let Some(layout) = layouts.of_domain.get(&key.domain) {
-                self.plan(key, engine, layout, now, link);
+            if let Some(layout) = layouts.of_domain(&key.domain) {
+                let budget = layouts.load_budget(engine, self.load_budget(engine));
+                self.plan(key, engine, layout, budget, now, link);
             }
         }
         self.layouts.insert(service.id.clone(), layouts);
     }
 
     /// Decides anew what all domains of a service should hold.
-    ///
-    /// Before the first caller only the number of targets counts, and the search takes 28 to 50 ms at 12,240
-    /// of them, so it is made again only when that changes.
     fn lay_out(
-        &self,
+        &mut self,
         engine: &EngineModel,
         records: &[&TargetRecord],
         own: &IndexSet<DomainKey>,
-        held: Option<ServiceLayouts>,
+        held: ServiceLayouts,
         now: Moment,
     ) -> ServiceLayouts {
         let items = self.stock_items(records, own);
-        let stock = stock_of(engine, &domains_of(records), &items);
+        let is_own = |domain: &DomainId| own.iter().any(|key| key.domain == *domain);
+        let stock = stock_of(engine, &domains_of(records), &items, is_own);
+        let demand = self.demand(now);
         let is_start = self.is_start();
-        let targets: Vec<usize> = stock.iter().map(DomainStock::targets).collect();
-        if let Some(held) = held.filter(|held| is_start && held.start_of.as_ref() == Some(&targets))
-        {
-            return ServiceLayouts {
-                planned: now,
-                ..held
-            };
-        }
-        let phase = if is_start {
-            LayoutPhase::Start
-        } else {
-            LayoutPhase::Serving
-        };
-        ServiceLayouts {
-            planned: now,
-            start_of: is_start.then_some(targets),
-            of_domain: plan_layout(engine, &self.demand(now), &stock, phase),
+        if !is_start {
+            self.trend.note(&demand, now);
         }
+        // Who is cut off sees only a part of what callers ask for and of what others hold.
+        let is_in_touch = self.shared.book_age() < EXCHANGE_AGE;
+        let trend = self.trend.mean().filter(|_| is_in_touch);
+        let elsewhere = self.shared.elsewhere.load();
+        let coming = elsewhere.loading.iter();
+        let coming = coming.map(|(model, count)| (model.clone(), *count as usize));
+        held.renew(LayoutBasis {
+            engine,
+            stock: &stock,
+            demand: &demand,
+            trend: trend.as_ref(),
+            coming: &coming.collect(),
+            is_start,
+            now,
+        })
     }
 
     /// Returns what targets hold: by their own reports in this node's domains, else by the directory.
@@ -256,13 +254,13 @@
             }
             let facts = &self.tracker.targets().get(&record.id)?.facts;
             let loading = self.loads.get(&record.id).filter(|_| facts.is_busy);
-            (facts.standing == TargetStanding::Live).then_some(StockItem {
+            let weights = HeldWeights {
                 membership: facts.membership.as_ref(),
                 model: facts.model.as_ref(),
                 staged: &facts.staged,
                 loading,
-                ..listed
-            })
+            };
+            (facts.standing == TargetStanding::Live).then_some(StockItem { weights, ..listed })
         });
         items.collect()
     }
@@ -363,6 +361,7 @@
         key: &DomainKey,
         engine: &EngineModel,
         layout: &DomainLayout,
+        load_budget: usize,
         now: Moment,
         link: &ServiceLink<ControllerMessage>,
     ) {
@@ -382,7 +381,6 @@
             census.log(&key.domain, layout);
             self.census.insert(key.clone(), census);
         }
-        let load_budget = self.load_budget(engine);
         let joins_load = self.is_start();
         let Some(keeper) = self.keepers.get_mut(key) else {
             return;
@@ -415,30 +413,28 @@
             // Before the first caller the weight store has nothing else to do.
             return usize::MAX;
         }
-        let elsewhere = self.shared.elsewhere.read().loading;
-        let own = self.shared.loading.load(Ordering::Relaxed);
+        let elsewhere = self.shared.elsewhere.read().all_loading();
+        let own: u32 = self.shared.loading.read().values().sum();
         let limit = engine.loads_at_once + EXTRA_LOADS;
         limit.saturating_sub((own + elsewhere) as usize)
     }
 
     /// Counts the loads under way in this node's domains.
     fn count_loads(&self) {
-        let is_loading = |facts: &TargetFacts, record: &TargetRecord| {
-            let is_joining = facts
-                .membership
-                .as_ref()
-                .is_some_and(|held| held.state == MembershipState::Joining);
-            let model = facts.model.as_ref().filter(|_| is_joining);
-            let lacks = match (model, self.loads.get(&record.id)) {
-                (Some(model), _) | (None, Some(model)) => !facts.staged.contains(model),
-                (None, None) => false,
-            };
-            lacks && facts.standing != TargetStanding::Silent
-        };
+        let mut loading: IndexMap<ModelId, u32> = IndexMap::new();
         let tracked = self.tracker.targets().values();
-        let loading = tracked.filter(|tracked| is_loading(&tracked.facts, &tracked.record));
-        let count = u32::try_from(loading.count()).unwrap_or(u32::MAX);
-        self.shared.loading.store(count, Ordering::Relaxed);
+        let live = tracked.filter(|tracked| tracked.facts.standing != TargetStanding::Silent);
+        for tracked in live {
+            let facts = &tracked.facts;
+            let held = facts.membership.as_ref();
+            let is_joining = held.is_some_and(|held| held.state == MembershipState::Joining);
+            let joined = facts.model.as_ref().filter(|_| is_joining);
+            let model = joined.or(self.loads.get(&tracked.record.id));
+            if let Some(model) = model.filter(|model| !facts.staged.contains(*model)) {
+                *loading.entry(model.clone()).or_insert(0) += 1;
+            }
+        }
+        self.shared.loading.publish(loading);
     }
 
     fn send(&mut self, order: TargetOrder, link: &ServiceLink<ControllerMessage>) {
--- a/crates/fleet/src/domains.rs
+++ b/crates/fleet/src/domains.rs
@@ -1,9 +1,10 @@
 //! The fabric domains that a list of targets makes up, and what each of them holds.
 
+use briarswitch_core::assembly::HeldWeights;
 use briarswitch_core::engine::EngineModel;
 use briarswitch_core::id::{DomainId, ModelId, ZoneId};
 use briarswitch_core::layout::DomainStock;
-use briarswitch_core::target::{Membership, TargetRecord};
+use briarswitch_core::target::TargetRecord;
 use indexmap::IndexMap;
 
 /// One target that can be counted on, as the directory or its own report tells of it.
@@ -13,22 +14,14 @@
     pub domain: &'a DomainId,
     /// Zone.
     pub zone: &'a ZoneId,
-    /// Its group.
-    pub membership: Option<&'a Membership>,
-    /// Model of its group.
-    pub model: Option<&'a ModelId>,
-    /// Models on its host.
-    pub staged: &'a [ModelId],
-    /// Model that it is loading.
-    pub loading: Option<&'a ModelId>,
+    /// Its weights.
+    pub weights: HeldWeights<'a>,
 }
 
 impl<'a> StockItem<'a> {
-    /// Returns the model of the target's group, or else the one whose weights it holds or loads.
+    /// Returns the model that the target can serve next.
     fn held(&self, engine: &EngineModel) -> Option<&'a ModelId> {
-        let member = self.model.filter(|_| self.membership.is_some());
-        let staged = self.staged.last();
-        let held = member.or(self.loading).or(staged)?;
+        let held = self.weights.next_model()?;
         engine.models.contains_key(held).then_some(held)
     }
 }
@@ -38,10 +31,12 @@
         Self {
             domain: &record.domain,
             zone: &record.zone,
-            membership: record.membership.as_ref(),
-            model: record.models.first(),
-            staged: &record.staged,
-            loading: None,
+            weights: HeldWeights {
+                membership: record.membership.as_ref(),
+                model: record.models.first(),
+                staged: &record.staged,
+                loading: None,
+            },
         }
     }
 }
@@ -67,11 +62,13 @@
     engine: &EngineModel,
     domains: &IndexMap<&DomainId, &ZoneId>,
     items: &[StockItem<'_>],
+    is_own: impl Fn(&DomainId) -> bool,
 ) -> Vec<DomainStock> {
     let stock = domains.iter().map(|(domain, zone)| {
         let stock = DomainStock {
             domain: (*domain).clone(),
             zone: (*zone).clone(),
+            shows_loads: is_own(domain),
             ..DomainStock::default()
         };
         (*domain, stock)
--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -16,6 +16,7 @@
 pub mod gauge;
 pub mod job;
 pub mod keeper;
+pub mod layouts;
 pub mod metrics;
 pub mod node;
 pub mod patience;
--- a/crates/fleet/src/peers.rs
+++ b/crates/fleet/src/peers.rs
@@ -61,7 +61,7 @@
         has_traffic: shared.has_traffic.load(Ordering::Relaxed),
         work: WorkSum {
             loads: shared.gauges.loads(),
-            loading: shared.loading.load(Ordering::Relaxed),
+            loading: shared.loading.load().as_ref().clone(),
             demand: shared.demand.rates(now),
             arrivals: shared.demand.arrivals(now),
         },
--- a/crates/fleet/src/shared.rs
+++ b/crates/fleet/src/shared.rs
@@ -1,6 +1,6 @@
 //! What the control thread publishes and the traffic threads read.
 
-use std::sync::atomic::{AtomicBool, AtomicU32, AtomicU64, AtomicU8, AtomicUsize, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU64, AtomicU8, AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
@@ -10,6 +10,7 @@
 use briarswitch_core::traffic::TrafficBook;
 use briarswitch_kernel::{BootClock, Snapshot};
 use briarswitch_membership::{LiveView, Membership, WorkSum};
+use indexmap::IndexMap;
 use tokio::sync::watch;
 
 use crate::costs::{CostKind, CostLedger};
@@ -85,8 +86,8 @@
     pub metrics: FleetMetrics,
     /// Requests that were read and not answered to the end.
     pub in_flight: AtomicUsize,
-    /// Loads from the weight store under way in this node's domains.
-    pub loading: AtomicU32,
+    /// Loads from the weight store under way in this node's domains, by model.
+    pub loading: Snapshot<IndexMap<ModelId, u32>>,
     /// Whether any caller's request has been seen, here or at a peer.
     pub has_traffic: AtomicBool,
     membership: Mutex<Membership>,
@@ -126,7 +127,7 @@
             metrics: FleetMetrics::open(Arc::clone(&costs)),
             costs,
             in_flight: AtomicUsize::new(0),
-            loading: AtomicU32::new(0),
+            loading: Snapshot::open(IndexMap::new()),
             has_traffic: AtomicBool::new(false),
             confirmed: AtomicU64::new(0),
             phase: AtomicU8::new(FleetPhase::Running as u8),
--- a/crates/fleet/src/tracker.rs
+++ b/crates/fleet/src/tracker.rs
@@ -266,6 +266,10 @@
         if let Some(held) = &report.membership {
             facts.epoch_seen = facts.epoch_seen.max(held.epoch);
         }
+        if facts.staged != report.staged {
+            let models = report.staged.join(",");
+            log::info!(target_id = self.record.id.as_str(), models = models.as_str(); "weights_staged");
+        }
         facts.membership = report.membership;
         facts.model = report.model;
         facts.staged = report.staged;
--- a/crates/membership/src/wire.rs
+++ b/crates/membership/src/wire.rs
@@ -56,7 +56,7 @@
 #[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
 struct WorkDoc(
     Vec<(TargetKey, u32)>,
-    u32,
+    Vec<(ModelId, u32)>,
     Vec<(ModelId, f32)>,
     Vec<(ModelId, f32)>,
 );
@@ -168,11 +168,14 @@
     fn from(work: &WorkSum) -> Self {
         let rate = |(model, rate): (&ModelId, &f64)| (model.clone(), *rate as f32);
         let loads = work.loads.iter().filter(|(_, requests)| **requests > 0);
+        let loading = work.loading.iter().filter(|(_, count)| **count > 0);
         Self(
             loads
                 .map(|(target, requests)| (*target, *requests))
                 .collect(),
-            work.loading,
+            loading
+                .map(|(model, count)| (model.clone(), *count))
+                .collect(),
             work.demand.iter().map(rate).collect(),
             work.arrivals.iter().map(rate).collect(),
         )
@@ -185,7 +188,7 @@
         let rate = |(model, rate): (ModelId, f32)| (model, f64::from(rate));
         Self {
             loads: loads.into_iter().collect(),
-            loading,
+            loading: loading.into_iter().collect(),
             demand: demand.into_iter().map(rate).collect(),
             arrivals: arrivals.into_iter().map(rate).collect(),
         }
--- a/crates/membership/src/work.rs
+++ b/crates/membership/src/work.rs
@@ -33,8 +33,8 @@
 pub struct WorkSum {
     /// Requests at targets.
     pub loads: LoadMap,
-    /// Loads from the weight store under way.
-    pub loading: u32,
+    /// Loads from the weight store under way, by model.
+    pub loading: IndexMap<ModelId, u32>,
     /// Groups that the requests would fill, by model.
     pub demand: IndexMap<ModelId, f64>,
     /// Requests in a second, by model.
@@ -48,16 +48,19 @@
     /// use briarswitch_membership::WorkSum;
     ///
     /// let mut sum = WorkSum::default();
-    /// let other = WorkSum { loading: 2, ..WorkSum::default() };
+    /// let loading = [("chat".to_owned(), 2)].into();
+    /// let other = WorkSum { loading, ..WorkSum::default() };
     /// sum.add(&other);
     /// sum.add(&other);
-    /// assert_eq!(sum.loading, 4);
+    /// assert_eq!(sum.all_loading(), 4);
     /// ```
     pub fn add(&mut self, other: &Self) {
         for (target, requests) in &other.loads {
             *self.loads.entry(*target).or_insert(0) += requests;
         }
-        self.loading += other.loading;
+        for (model, count) in &other.loading {
+            *self.loading.entry(model.clone()).or_insert(0) += count;
+        }
         add_rates(&mut self.demand, &other.demand);
         add_rates(&mut self.arrivals, &other.arrivals);
     }
@@ -67,10 +70,13 @@
     /// ```
     /// use briarswitch_membership::WorkSum;
     ///
-    /// let own = WorkSum { loading: 2, ..WorkSum::default() };
-    /// let mut sum = WorkSum { loading: 5, ..WorkSum::default() };
-    /// sum.subtract(&own);
-    /// assert_eq!(sum.loading, 3);
+    /// let sum_of = |count| WorkSum {
+    ///     loading: [("chat".to_owned(), count)].into(),
+    ///     ..WorkSum::default()
+    /// };
+    /// let mut sum = sum_of(5);
+    /// sum.subtract(&sum_of(2));
+    /// assert_eq!(sum.all_loading(), 3);
     /// ```
     pub fn subtract(&mut self, other: &Self) {
         for (target, requests) in &other.loads {
@@ -78,11 +84,20 @@
                 *sum = sum.saturating_sub(*requests);
             }
         }
-        self.loading = self.loading.saturating_sub(other.loading);
+        for (model, count) in &other.loading {
+            if let Some(sum) = self.loading.get_mut(model) {
+                *sum = sum.saturating_sub(*count);
+            }
+        }
         subtract_rates(&mut self.demand, &other.demand);
         subtract_rates(&mut self.arrivals, &other.arrivals);
     }
 
+    /// Returns the loads under way of all models.
+    pub fn all_loading(&self) -> u32 {
+        self.loading.values().sum()
+    }
+
     /// Returns the requests in a second for all models.
     pub fn all_arrivals(&self) -> f64 {
         self.arrivals.values().sum()
--- a/crates/membership/tests/digest.rs
+++ b/crates/membership/tests/digest.rs
@@ -8,6 +8,7 @@
     Standing, WorkSum,
 };
 use googletest::prelude::*;
+use indexmap::IndexMap;
 
 fn at(millis: u64) -> Moment {
     Duration::from_millis(10_000 + millis)
@@ -27,7 +28,7 @@
     Standing {
         work: WorkSum {
             loads: [(target_key("head"), requests)].into_iter().collect(),
-            loading: 1,
+            loading: IndexMap::from([("chat".to_owned(), 1)]),
             arrivals: [("large".to_owned(), 2.0)].into_iter().collect(),
             ..WorkSum::default()
         },
@@ -102,7 +103,7 @@
     take(&mut other, &told, at(1_000));
     let work = other.work_elsewhere(at(1_100));
     expect_that!(work.loads[&target_key("head")], eq(12));
-    expect_that!(work.loading, eq(3));
+    expect_that!(work.all_loading(), eq(3));
     expect_that!(work.arrivals["large"], eq(6.0));
 }
 
@@ -115,9 +116,9 @@
     let mut other = Membership::open(entry("b1", "b"));
     let newer = told_by_zone(at(1_000));
     let mut older = newer.clone();
-    older.digest.work.loading = 99;
+    older.digest.work.loading = IndexMap::from([("chat".to_owned(), 99)]);
     take(&mut other, &newer, at(1_000));
     take(&mut other, &older, at(900));
-    expect_that!(other.work_elsewhere(at(1_200)).loading, eq(2));
+    expect_that!(other.work_elsewhere(at(1_200)).all_loading(), eq(2));
     expect_that!(other.work_elsewhere(at(3_000)), eq(&WorkSum::default()));
 }
--- a/crates/membership/tests/support/mod.rs
+++ b/crates/membership/tests/support/mod.rs
@@ -110,7 +110,7 @@
             has_traffic: false,
             work: WorkSum {
                 loads: [(target_key(TARGET), node.requests)].into_iter().collect(),
-                loading: 1,
+                loading: IndexMap::from([("chat".to_owned(), 1)]),
                 ..WorkSum::default()
             },
             suspects: node.suspects.clone(),
