Test of released requests: a request that is refused meanwhile does not leave it waiting

The test asked, and waited for the run, though the request could have been quarantined between its last look and its question; it never runs then, and the wait ends the test after 60 s. Seen once beside a weighing of ways with twelve processes at work (71.5 s in all); the end of the wait was not printed, so that this was the case is read from the code and the time.

The check is as strict: the loop ends only when the request is seen as quarantined, and everything after it is unchanged.

--- a/crates/fleet/tests/crashes.rs
+++ b/crates/fleet/tests/crashes.rs
@@ -289,7 +289,15 @@
                 .filter(runs)
                 .for_each(|target| target.end());
         };
-        tokio::join!(fleet.ask(0, ask), end);
+        // Once it is quarantined it does not run again; the next look at what is held shows that.
+        let asked = fleet.ask(0, ask);
+        tokio::pin!(asked);
+        tokio::select! {
+            _ = &mut asked => {}
+            () = end => {
+                asked.await;
+            }
+        }
         tokio::time::sleep(Duration::from_millis(300)).await;
     }
     until_refused(&fleet, 1, ask).await;
