Start: a node that knows nothing asks more than one reader, and callers wait for its first configuration

Events: 9 of 62 nodes knew a configuration within 0.2 s, the other 53 between 43.75 and 43.9 s, all within 0.15 s of each other whenever they had started (config_adopted). A node asks the reader of its zone that ranks first. That reader was not up yet: the packet that opens the connection is lost, and the kernel sends it again after a second.

Ruled out: the store (its readers had the table at once), the size of the configuration, rounds of the roster (all entries are known 20 ms after the start).

Change: a question for a whole table goes to the next reader after 0.15 s beside those that have not answered, twice round, then to the store. What the zone's readers ask is still asked of the store once for each of them. And a node that has started less than a second ago lets callers wait for its first confirmed configuration in place of refusing them.

Why it holds: no wait for a reader that is down is longer than 0.15 s, and the last resort is the store. The pace of questions moved to a file of its own.

--- a/crates/fleet/src/feed.rs
+++ b/crates/fleet/src/feed.rs
@@ -15,11 +15,13 @@
 use briarswitch_kernel::BootClock;
 use briarswitch_membership::{LiveView, NodeEntry, ZonePart};
 use futures::future::{BoxFuture, FutureExt, Shared};
+use futures::stream::{FuturesUnordered, StreamExt};
 use http::Method;
 use indexmap::IndexMap;
 
 use crate::costs::{CostKind, CostLedger};
 use crate::feed_doc::{FeedAnswerDoc, FeedQuestionDoc};
+use crate::feed_pace::{ask_at_pace, FeedPace};
 use crate::ports::{FeedAnswer, FeedQuestion, FeedSource, SourceError};
 
 /// Status of an answer that the changes asked for are no longer kept.
@@ -40,14 +42,14 @@
 ///
 /// Its followers would take it for lost otherwise, and each ask a store that is away.
 const STORE_TIME: Duration = Duration::from_millis(500);
-/// Time after a question that failed in which no other one is asked of the same table.
-///
-/// The questions of 58 followers that retry would otherwise each be a call to a store that is away.
-const FAILURE_PAUSE: Duration = Duration::from_millis(400);
 /// Seconds between two questions of a node whose readers do not reach the store, about.
 const RETRY_TIME: f64 = 0.4;
 /// Time after which a reader that is asked for a whole table has failed; the store may need several calls.
 const WHOLE_TIME: Duration = Duration::from_millis(1_500);
+/// Time after which the next reader is asked for a whole table beside those that have not answered.
+const WHOLE_PAUSE: Duration = Duration::from_millis(150);
+/// Times that each reader is asked for a whole table before the store is.
+const WHOLE_ROUNDS: usize = 2;
 /// Time for which a reader that failed is not asked.
 const AVOIDED_TIME: Duration = Duration::from_secs(2);
 /// Time for which an answer is kept for others that ask the same.
@@ -61,7 +63,8 @@
 /// Time for which an answer of the store shows that this node reaches it; longer than a held question.
 const REACHED_TIME: Duration = Duration::from_millis(1_600);
 
-type FlightResult = Result<FeedAnswer, SourceError>;
+/// What the store said to a question.
+pub(crate) type FlightResult = Result<FeedAnswer, SourceError>;
 type FlightFuture = Shared<BoxFuture<'static, FlightResult>>;
 
 /// A question that was sent to the store, and its answer once it is there.
@@ -88,34 +91,6 @@
     }
 }
 
-/// How often a table is asked for.
-#[derive(Debug, Default)]
-struct FeedPace {
-    /// Least time between two questions that are held open.
-    pause: Duration,
-    /// When the next question may be held open.
-    next: Moment,
-    /// When the next question may be sent after one failed.
-    retry: Moment,
-}
-
-impl FeedPace {
-    /// Returns how long a question has to wait before it may be sent.
-    fn pause_before(&self, question: &FeedQuestion, now: Moment) -> Duration {
-        match kind_of(question) {
-            CostKind::TableHeld => self.next.saturating_sub(now).min(question.wait),
-            _ => self.retry.saturating_sub(now),
-        }
-    }
-
-    fn note(&mut self, answer: &FlightResult, now: Moment) {
-        self.next = now + self.pause;
-        if matches!(answer, Err(SourceError::Unavailable(_))) {
-            self.retry = now + FAILURE_PAUSE;
-        }
-    }
-}
-
 /// Answers questions for changes, from the store or from another node.
 pub struct FeedRelay {
     direct: Arc<dyn FeedSource>,
@@ -171,6 +146,9 @@
             ZonePart::Other(readers) => {
                 let nodes = f64::from(live.zone_nodes());
                 let is_prober = rand::random::<f64>() < PROBES * RETRY_TIME / nodes;
+                if question.mark.is_none() {
+                    return self.ask_for_whole(&readers, question).await;
+                }
                 self.ask_readers(&readers, question, is_prober).await
             }
         }
@@ -227,6 +205,35 @@
         self.serve(question, BootClock::now()).await
     }
 
+    /// Asks the readers of the zone for a whole table, each beside those that have not answered yet, then the store.
+    ///
+    /// A node that reads a whole table knows nothing yet. Where all nodes have lost power the first reader may not be
+    /// up again; what is sent to it is lost, and the connection is tried again only after a second, in which every
+    /// caller is refused. So the next is asked soon, and each of them again: by then it may be there.
+    async fn ask_for_whole(
+        &self,
+        readers: &[Arc<NodeEntry>],
+        question: FeedQuestion,
+    ) -> Result<FeedAnswer, SourceError> {
+        let mut asking = FuturesUnordered::new();
+        for reader in readers.iter().cycle().take(readers.len() * WHOLE_ROUNDS) {
+            asking.push(self.ask_reader(reader, &question));
+            let pause = tokio::time::sleep(WHOLE_PAUSE);
+            tokio::pin!(pause);
+            loop {
+                tokio::select! {
+                    Some(answer) = asking.next() => match answer {
+                        Ok(answer) => return Ok(answer),
+                        Err(error) => log::info!(error:% = error; "reader_failed"),
+                    },
+                    () = &mut pause => break,
+                }
+            }
+        }
+        drop(asking);
+        self.serve(question, BootClock::now()).await
+    }
+
     /// Asks the store beside a reader, and returns whichever answer comes first.
     ///
     /// Readers that give no answer are each waited for in vain. One after the other the waits add up to more than
@@ -336,7 +343,7 @@
     }
 }
 
-fn kind_of(question: &FeedQuestion) -> CostKind {
+pub(crate) fn kind_of(question: &FeedQuestion) -> CostKind {
     match question.mark {
         None => CostKind::TableWhole,
         Some(_) if question.wait.is_zero() => CostKind::TableAtOnce,
@@ -344,25 +351,6 @@
     }
 }
 
-/// Asks the store, not sooner than the pace after the last answer or failure allows.
-async fn ask_at_pace(
-    direct: Arc<dyn FeedSource>,
-    question: FeedQuestion,
-    pace: Arc<Mutex<FeedPace>>,
-    reached: Arc<AtomicU64>,
-) -> FlightResult {
-    let pause = lock(&pace).pause_before(&question, BootClock::now());
-    tokio::time::sleep(pause).await;
-    let wait = question.wait.saturating_sub(pause);
-    let answer = direct.changes(FeedQuestion { wait, ..question }).await;
-    let now = BootClock::now();
-    if answer.is_ok() {
-        reached.store(now.as_millis() as u64, Ordering::Relaxed);
-    }
-    lock(&pace).note(&answer, now);
-    answer
-}
-
 /// Returns how many nodes ask the store, of zones of this one's size.
 pub fn askers(live: &LiveView) -> u32 {
     let nodes = live.live_nodes();
@@ -374,6 +362,6 @@
     }
 }
 
-fn lock<T>(mutex: &Mutex<T>) -> std::sync::MutexGuard<'_, T> {
+pub(crate) fn lock<T>(mutex: &Mutex<T>) -> std::sync::MutexGuard<'_, T> {
     mutex.lock().unwrap_or_else(PoisonError::into_inner)
 }
--- a/crates/fleet/src/keeper.rs
+++ b/crates/fleet/src/keeper.rs
@@ -194,8 +194,7 @@
             "config_adopted"
         );
         self.shared.metrics.set_config(book.version);
-        self.shared.book.publish(Some(book));
-        self.shared.rebuild_table();
+        self.shared.adopt_book(book);
     }
 }
 
--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -13,6 +13,7 @@
 pub mod failure;
 pub mod feed;
 pub mod feed_doc;
+mod feed_pace;
 pub mod gauge;
 pub mod job;
 pub mod keeper;
--- a/crates/fleet/src/shared.rs
+++ b/crates/fleet/src/shared.rs
@@ -31,6 +31,9 @@
 /// Longest time to wait at the start for the registry of nodes.
 const PEERS_TIME: Duration = Duration::from_secs(2);
 
+/// Time after the start in which callers wait for the first configuration.
+const FIRST_BOOK_TIME: Duration = Duration::from_millis(1_000);
+
 /// How far a node is in its life.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 #[repr(u8)]
@@ -78,6 +81,10 @@
     pub elsewhere: Snapshot<WorkSum>,
     /// Whether the registry of nodes was read, or could not be.
     pub peers_known: watch::Sender<bool>,
+    /// Whether a configuration was known to be the newest one; before that no key is trusted.
+    pub book_known: watch::Sender<bool>,
+    /// When the node was opened.
+    pub opened: Moment,
     /// What callers ask for.
     pub demand: DemandMeter,
     /// What it spends on knowing what it knows.
@@ -122,6 +129,8 @@
             live: Snapshot::open(LiveView::open(own.clone())),
             membership: Mutex::new(Membership::open(own)),
             peers_known: watch::Sender::new(false),
+            book_known: watch::Sender::new(false),
+            opened: BootClock::now(),
             elsewhere: Snapshot::open(WorkSum::default()),
             demand: DemandMeter::default(),
             metrics: FleetMetrics::open(Arc::clone(&costs)),
@@ -149,10 +158,32 @@
         self.phase.store(phase as u8, Ordering::SeqCst);
     }
 
+    /// Puts a configuration in force.
+    pub fn adopt_book(&self, book: TrafficBook) {
+        self.book.publish(Some(book));
+        self.rebuild_table();
+    }
+
+    /// Returns the configuration in force; a node that has just started waits a moment for its first one.
+    ///
+    /// Callers come as soon as the node listens. One that is refused then comes back late, and once only.
+    pub async fn first_book(&self) -> Arc<Option<TrafficBook>> {
+        if *self.book_known.borrow() {
+            return self.book.load();
+        }
+        let left = (self.opened + FIRST_BOOK_TIME).saturating_sub(BootClock::now());
+        let mut known = self.book_known.subscribe();
+        let known = known.wait_for(|is_known| *is_known);
+        // Without one the caller is told to come back.
+        let _ = tokio::time::timeout(left, known).await;
+        self.book.load()
+    }
+
     /// Notes that the configuration held was the newest when the store was asked at `asked`.
     pub fn confirm_book(&self, asked: Moment) {
         let millis = u64::try_from(asked.as_millis()).unwrap_or(u64::MAX);
         self.confirmed.fetch_max(millis, Ordering::SeqCst);
+        self.book_known.send_replace(true);
     }
 
     /// Returns how long ago the configuration was last known to be the newest.
--- a/crates/fleet/src/surface.rs
+++ b/crates/fleet/src/surface.rs
@@ -78,7 +78,7 @@
         if self.shared.phase() == FleetPhase::Draining {
             return Err(OwnAnswer::not_run("this node is shutting down"));
         }
-        let book = self.shared.book.load();
+        let book = self.shared.first_book().await;
         let Some(known) = book.as_ref() else {
             return Err(OwnAnswer::not_run("no configuration is known yet"));
         };
--- a/crates/fleet/tests/feed.rs
+++ b/crates/fleet/tests/feed.rs
@@ -6,10 +6,11 @@
 
 use briarswitch_fleet::costs::CostLedger;
 use briarswitch_fleet::feed::FeedRelay;
+use briarswitch_fleet::feed_doc::FeedAnswerDoc;
 use briarswitch_fleet::ports::{
     FeedAnswer, FeedMark, FeedQuestion, FeedRow, FeedSource, SourceError, SourceFuture,
 };
-use briarswitch_http::{reply_text, Handler, HttpServer, Request, Response};
+use briarswitch_http::{reply_packed, reply_text, Handler, HttpServer, Request, Response};
 use briarswitch_kernel::BootClock;
 use briarswitch_membership::{LiveView, Membership, NodeEntry};
 use futures::future::{join_all, BoxFuture};
@@ -211,6 +212,8 @@
     TurnedAway,
     /// Gives no answer.
     Silent,
+    /// Answers.
+    Answers,
 }
 
 /// What happened, in order.
@@ -242,7 +245,7 @@
             .filter(|event| matches!(event, FeedEvent::Asked(_)));
         let index = asked.count();
         events.push(FeedEvent::Asked(index + 1));
-        self.conducts[index]
+        self.conducts[index % self.conducts.len()]
     }
 }
 
@@ -259,8 +262,14 @@
 impl Handler for ScriptedReader {
     fn handle(&self, _: Request) -> BoxFuture<'_, Response> {
         Box::pin(async {
-            if self.0.next_conduct() == ReaderConduct::TurnedAway {
-                return reply_text(StatusCode::SERVICE_UNAVAILABLE, "no answer yet");
+            match self.0.next_conduct() {
+                ReaderConduct::TurnedAway => {
+                    return reply_text(StatusCode::SERVICE_UNAVAILABLE, "no answer yet");
+                }
+                ReaderConduct::Answers => {
+                    return reply_packed(StatusCode::OK, &FeedAnswerDoc::from(changed()));
+                }
+                ReaderConduct::Silent => {}
             }
             let _note = GiveUpNote(Arc::clone(&self.0));
             std::future::pending().await
@@ -278,7 +287,7 @@
 }
 
 /// Asks as a follower in a zone of these readers, and returns what happened.
-async fn follow(conducts: &[ReaderConduct]) -> Vec<FeedEvent> {
+async fn follow(conducts: &[ReaderConduct], question: FeedQuestion) -> Vec<FeedEvent> {
     let script = Arc::new(ZoneScript {
         conducts: conducts.to_vec(),
         events: Mutex::default(),
@@ -309,7 +318,7 @@
     let direct = Arc::new(ScriptedStore(Arc::clone(&script)));
     let relay = FeedRelay::open(direct, Arc::new(CostLedger::default()));
     let live = LiveView::of(&membership, now);
-    let answer = relay.changes(&live, question()).await;
+    let answer = relay.changes(&live, question).await;
     expect_that!(answer.map(|answer| answer.rows), ok(eq(&changed().rows)));
     let events = script.events.lock().expect("the events");
     events.clone()
@@ -324,7 +333,7 @@
 async fn after_two_readers_without_an_answer_the_store_is_not_left_waiting_for_a_third() {
     use ReaderConduct::{Silent, TurnedAway};
     for conducts in [[TurnedAway, Silent, Silent], [Silent, Silent, Silent]] {
-        let events = follow(&conducts).await;
+        let events = follow(&conducts, question()).await;
         let asked = events
             .iter()
             .position(|event| *event == FeedEvent::StoreAsked);
@@ -333,3 +342,39 @@
         expect_that!(given_up.count(), le(1), "{conducts:?}: {events:?}");
     }
 }
+
+/// Guards against a second without a configuration after all nodes lost power, when the first reader is up last.
+#[gtest]
+#[tokio::test(flavor = "multi_thread")]
+async fn a_node_that_knows_nothing_asks_the_next_reader_beside_one_that_is_not_up() {
+    use ReaderConduct::{Answers, Silent};
+    let whole = FeedQuestion {
+        mark: None,
+        ..question()
+    };
+    for conducts in [&[Silent, Answers][..], &[Silent, Silent, Answers]] {
+        let events = follow(conducts, whole.clone()).await;
+        let asked: Vec<FeedEvent> = (1..=conducts.len()).map(FeedEvent::Asked).collect();
+        expect_that!(events[..asked.len()].to_vec(), eq(&asked), "{conducts:?}");
+        expect_that!(
+            events,
+            not(contains(eq(&FeedEvent::StoreAsked))),
+            "{conducts:?}"
+        );
+    }
+}
+
+/// Guards against nodes that never begin when no reader of their zone comes back.
+#[gtest]
+#[tokio::test(flavor = "multi_thread")]
+async fn a_node_that_knows_nothing_asks_the_store_when_no_reader_answers() {
+    use ReaderConduct::{Silent, TurnedAway};
+    let whole = FeedQuestion {
+        mark: None,
+        ..question()
+    };
+    for conduct in [Silent, TurnedAway] {
+        let events = follow(&[conduct; 3], whole.clone()).await;
+        expect_that!(events, contains(eq(&FeedEvent::StoreAsked)), "{conduct:?}");
+    }
+}
--- /dev/null
+++ b/crates/fleet/tests/start.rs
@@ -0,0 +1,37 @@
+//! What a node that has just started does with callers that come before it knows anything.
+
+mod support;
+
+use briarswitch_fleet::shared::FleetShared;
+use briarswitch_kernel::BootClock;
+use googletest::prelude::*;
+
+use support::platform::PlatformStub;
+use support::{book, settings};
+
+/// Guards against callers being refused by a node whose first configuration is on its way.
+#[gtest]
+#[tokio::test]
+async fn a_caller_that_comes_at_once_waits_for_the_first_configuration() {
+    let door = PlatformStub::open(book()).door("n0");
+    let shared = FleetShared::open(settings("n0", "z1"), 1, door.platform());
+    let waiting = shared.first_book();
+    let reading = async {
+        tokio::task::yield_now().await;
+        shared.adopt_book(book());
+        shared.confirm_book(BootClock::now());
+    };
+    let (known, ()) = tokio::join!(waiting, reading);
+    expect_true!(known.is_some());
+    expect_true!(shared.trusts_keys());
+}
+
+/// Guards against callers held by a node that can not learn a configuration.
+#[gtest]
+#[tokio::test]
+async fn a_caller_of_a_node_that_learns_nothing_is_not_held_beyond_its_start() {
+    let door = PlatformStub::open(book()).door("n0");
+    let shared = FleetShared::open(settings("n0", "z1"), 1, door.platform());
+    expect_true!(shared.first_book().await.is_none());
+    expect_true!(shared.first_book().await.is_none());
+}
--- a/crates/fleet/tests/support/mod.rs
+++ b/crates/fleet/tests/support/mod.rs
@@ -118,7 +118,7 @@
     }
 }
 
-fn settings(node: &str, zone: &str) -> FleetSettings {
+pub fn settings(node: &str, zone: &str) -> FleetSettings {
     FleetSettings {
         node: node.to_owned(),
         zone: zone.to_owned(),
