Placing: late requests leave room for what all nodes may just have sent

Cause: a late request takes a place only while half of them are free, but that was read off the node's own share of a group. With 76 nodes and 48 places a share is one place or none, so every group looked half free. And in a wave all nodes see groups as empty: 729 callers came within half a second, groups of 48 places held up to 82 requests.

Change: where there are more nodes than places, late requests get at most three quarters of a model's places, and what this node has sent in the last 0.3 s counts once for each node, since the others are likely to have sent as much. Fewer nodes: as before.

--- a/crates/core/src/placement.rs
+++ b/crates/core/src/placement.rs
@@ -11,6 +11,9 @@
 /// Part of the places that may be used beyond shares where nodes are many and take turns.
 const CROWD_USE: f64 = 0.95;
 
+/// Part of the places that late requests may fill where nodes are many.
+const LATE_USE: f64 = 0.75;
+
 /// Part of a place that sums of weights may lack by rounding.
 const ROUNDING: f64 = 1e-6;
 
@@ -97,8 +100,7 @@
 /// that comes free, the late ones would always be there first, and those that come next late too.
 pub fn has_room(engine: &EngineModel, load: &GroupLoad) -> bool {
     let nodes = load.nodes.max(1);
-    let is_half_full = load.own * 2 >= load.share.max(1) && load.writers * 2 >= engine.slots;
-    if load.is_for_late && is_half_full {
+    if load.is_for_late && !is_free_for_late(engine, load) {
         return false;
     }
     let others_see = load.writers.saturating_sub(load.fresh);
@@ -108,6 +110,33 @@
     !load.is_queueing && (is_in_share(engine, load) || may_exceed)
 }
 
+/// Returns whether so much of a group is free that a request which is late already may have a place.
+///
+/// Where there are more nodes than places, hardly any node has half of its share of a group in use, so its own
+/// requests say nothing of how full it is.
+fn is_free_for_late(engine: &EngineModel, load: &GroupLoad) -> bool {
+    let slots = f64::from(engine.slots);
+    if load.nodes > engine.slots {
+        return f64::from(load.writers) < slots * LATE_USE;
+    }
+    load.own * 2 < load.share.max(1) || load.writers * 2 < engine.slots
+}
+
+/// Returns whether the groups of a model have room for requests that are late already.
+///
+/// Where there are more nodes than places, callers that were cut off together come back to all nodes at once, and none
+/// has heard yet of what the others send. What this node has just sent itself tells how much that is.
+fn has_late_room(engine: &EngineModel, loads: &[GroupLoad]) -> bool {
+    let is_crowd = loads.iter().any(|load| load.nodes > engine.slots);
+    if !is_crowd {
+        return true;
+    }
+    let writers: u32 = loads.iter().map(|load| load.writers).sum();
+    let unseen: u32 = loads.iter().map(|load| load.fresh * load.nodes).sum();
+    let places = f64::from(engine.slots) * loads.len() as f64;
+    f64::from(writers + unseen) < places * LATE_USE
+}
+
 fn is_in_share(engine: &EngineModel, load: &GroupLoad) -> bool {
     load.own < load.share && load.writers < engine.slots
 }
@@ -189,6 +218,10 @@
     loads: &[GroupLoad],
     terms: &PlaceTerms,
 ) -> Option<usize> {
+    let is_late = loads.iter().any(|load| load.is_for_late);
+    if is_late && !has_late_room(engine, loads) {
+        return None;
+    }
     let may_exceed = terms.turn < exceed_chance(engine, loads, terms.unseen);
     let mut times: Vec<(usize, f64)> = loads
         .iter()
