--- a/crates/fleet/src/dispatch.rs
+++ b/crates/fleet/src/dispatch.rs
@@ -405,10 +405,6 @@
 
     /// Returns what a caller is told of a request that ends without a target's answer.
     fn own_answer(&self, point: FailurePoint, trace: &RequestTrace) -> OwnAnswer {
-        if point == FailurePoint::NoTarget {
-            let deadline = trace.arrived + trace.patience;
-            return OwnAnswer::full(deadline.saturating_sub(BootClock::now()));
-        }
         if point != FailurePoint::Quarantined {
             return OwnAnswer::at(point);
         }
--- a/crates/fleet/src/refusal.rs
+++ b/crates/fleet/src/refusal.rs
@@ -13,14 +13,6 @@
 const RETURN_SPREAD: (Duration, Duration) =
     (Duration::from_millis(200), Duration::from_millis(600));
 
-/// Range of that time where every place is taken.
-///
-/// What took the places ends with the streams that hold them, and callers that come back sooner are refused again.
-const FULL_SPREAD: (Duration, Duration) =
-    (Duration::from_millis(300), Duration::from_millis(2_000));
-/// Most of a caller's remaining time after which it is told to come back; its answer needs the rest.
-const FULL_PART: f64 = 0.4;
-
 /// An answer of the node's own.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub struct OwnAnswer {
@@ -44,17 +36,7 @@
 
     /// Returns the promise that the request has not run and will not.
     pub fn not_run(text: &'static str) -> Self {
-        Self::not_run_within(text, RETURN_SPREAD)
-    }
-
-    /// Returns the same promise to a caller that found every place taken and has some time left.
-    pub fn full(left: Duration) -> Self {
-        let (least, most) = FULL_SPREAD;
-        let most = most.min(left.mul_f64(FULL_PART)).max(least);
-        Self::not_run_within(FailurePoint::NoTarget.code(), (least, most))
-    }
-
-    fn not_run_within(text: &'static str, (least, most): (Duration, Duration)) -> Self {
+        let (least, most) = RETURN_SPREAD;
         let spread = (most - least).mul_f64(rand::random::<f64>());
         Self {
             status: StatusCode::SERVICE_UNAVAILABLE,
