Failing test, listed: after exchanges a whole set of targets stays idle

The random play of two controllers gets a second model, loads that take time, closes that take time, and callers that swing between one model and both every seven seconds, with each controller seeing it at another moment. 300 seeds, targets that restart under their names, orders lost and held up for up to 12 s.

What holds: no member is taken from a group that is open or closing, none opens early. What does not: at the end of some seeds (28 first) one group fewer serves than there are whole sets.

The plays of one model are the same as before, seed by seed.

--- a/crates/fleet/tests/assembly.rs
+++ b/crates/fleet/tests/assembly.rs
@@ -10,7 +10,7 @@
 use std::sync::LazyLock;
 use std::time::Duration;
 
-use briarswitch_core::assembly::{DomainKeeper, DomainView, TargetFacts};
+use briarswitch_core::assembly::{DomainKeeper, DomainView, TargetFacts, TargetStanding};
 use briarswitch_core::engine::{EngineModel, ModelSpec};
 use briarswitch_core::id::*;
 use briarswitch_core::layout::DomainLayout;
@@ -39,14 +39,25 @@
 const STALL: Duration = Duration::from_secs(4);
 /// Time for which the entry of a target that is cut off from the directory is missing.
 const LAPSE: Duration = Duration::from_secs(4);
+/// Time to load weights that are not on the host.
+const LOAD_TIME: Duration = Duration::from_secs(3);
+/// Time that a closed group takes to finish its work.
+const CLOSE_TIME: Duration = Duration::from_millis(600);
+/// Time between two changes of what callers ask for.
+const SWING: Duration = Duration::from_secs(7);
+/// The model that callers ask for at first, and the one of smaller groups that they swing to.
+const MODELS: [(&str, usize); 2] = [("m", SIZE), ("n", 2)];
 /// Lag of the count of orders in reports.
 const REPORT_LAG: Duration = Duration::from_millis(200);
 
 #[derive(Clone, Debug)]
 struct HeldGroup {
     held: Membership,
+    model: ModelId,
     members: Vec<TargetId>,
     ready_at: Moment,
+    /// When it has finished its work, if it was closed.
+    closed_at: Option<Moment>,
     stalled_since: Option<Moment>,
 }
 
@@ -58,7 +69,10 @@
     sequence: u64,
     sequence_log: Vec<(Moment, u64)>,
     epoch_seen: Epoch,
-    last_model: bool,
+    last_model: Option<ModelId>,
+    staged: ModelId,
+    /// Weights that it is loading, and until when.
+    load: Option<(ModelId, Moment)>,
 }
 
 /// What a target that starts again is called.
@@ -70,6 +84,15 @@
     Kept,
 }
 
+/// What callers ask for.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+enum Asking {
+    /// One model.
+    Steady,
+    /// One model and two by turns.
+    Swinging,
+}
+
 struct LateOrder {
     at: Moment,
     order: TargetOrder,
@@ -79,6 +102,7 @@
     tracker: TargetTracker,
     keeper: DomainKeeper,
     book: TargetBook,
+    loads: IndexMap<TargetId, ModelId>,
     cut: Vec<TargetId>,
 }
 
@@ -95,34 +119,41 @@
     engine: EngineModel,
     is_faulty: bool,
     naming: Naming,
+    asking: Asking,
+    /// Moment from which on callers ask for the same.
+    settled: Moment,
     lives: usize,
     broken: Vec<String>,
 }
 
 fn engine() -> EngineModel {
-    let model = ModelSpec {
-        id: "m".to_owned(),
-        size: SIZE,
-        share: 1.0,
-        pace: 1.0,
-        load_time: Duration::from_secs(3),
-        warmup: Duration::from_millis(800),
-    };
+    let models = MODELS.map(|(id, size)| {
+        let model = ModelSpec {
+            id: id.to_owned(),
+            size,
+            share: 1.0,
+            pace: 1.0,
+            load_time: LOAD_TIME,
+            warmup: Duration::from_millis(800),
+        };
+        (model.id.clone(), model)
+    });
     EngineModel {
         slots: 8,
         open_time: Duration::from_millis(300),
         report_lag: REPORT_LAG,
-        models: IndexMap::from([(model.id.clone(), model)]),
+        models: IndexMap::from(models),
         ..EngineModel::default()
     }
 }
 
 impl World {
-    fn open(seed: u64, naming: Naming) -> Self {
+    fn open(seed: u64, naming: Naming, asking: Asking) -> Self {
         let controllers = ["a", "b"].map(|name| Controller {
             tracker: TargetTracker::default(),
             keeper: DomainKeeper::open(format!("{name}-{seed}")),
             book: TargetBook::default(),
+            loads: IndexMap::new(),
             cut: Vec::new(),
         });
         let mut world = Self {
@@ -137,6 +168,8 @@
             engine: engine(),
             is_faulty: true,
             naming,
+            asking,
+            settled: Duration::from_secs(100) + FAULTY,
             lives: 0,
             broken: Vec::new(),
         };
@@ -160,7 +193,9 @@
             sequence: 0,
             sequence_log: Vec::new(),
             epoch_seen: 0,
-            last_model: false,
+            last_model: None,
+            staged: "m".to_owned(),
+            load: None,
         };
         self.targets.insert(id, target);
     }
@@ -236,6 +271,9 @@
             })
             .collect();
         for (id, target) in &mut self.targets {
+            if let Some((model, _)) = target.load.take_if(|(_, until)| now >= *until) {
+                target.staged = model;
+            }
             let Some(group) = target.group.as_mut().filter(|_| target.is_alive) else {
                 continue;
             };
@@ -245,6 +283,10 @@
                 self.ever_ready
                     .push((id.clone(), held.group.clone(), held.epoch));
             }
+            if group.closed_at.is_some_and(|at| now >= at) {
+                group.closed_at = None;
+                group.held.state = MembershipState::Ready;
+            }
             if group.held.state != MembershipState::Open {
                 continue;
             }
@@ -288,8 +330,12 @@
             is_draining: false,
             slots: 8,
             domain: "d".to_owned(),
-            staged: vec!["m".to_owned()],
-            models: vec!["m".to_owned()],
+            staged: vec![target.staged.clone()],
+            models: target
+                .group
+                .iter()
+                .map(|group| group.model.clone())
+                .collect(),
             membership: target.group.as_ref().map(|group| group.held.clone()),
         });
         let records = records.collect();
@@ -330,6 +376,9 @@
         for order in orders {
             let result = self.send(&order, index);
             let controller = &mut self.controllers[index];
+            if let TargetAction::Stage { model } = &order.action {
+                controller.loads.insert(order.target.clone(), model.clone());
+            }
             controller.tracker.note_order(&order, result, now);
             controller.keeper.note_result(&order.target, result);
         }
@@ -345,14 +394,12 @@
             .iter()
             .map(|(id, tracked)| (id.clone(), tracked.facts_at(self.now)))
             .collect();
-        let layout = DomainLayout {
-            holders: IndexMap::from([("m".to_owned(), TARGETS)]),
-        };
+        let layout = layout_of(self.asking, self.now.min(self.settled), &facts);
         let view = DomainView {
             targets: &facts,
             engine: &self.engine,
             layout: &layout,
-            loading: &IndexMap::new(),
+            loading: &controller.loads,
             load_budget: SIZE,
             joins_load: false,
             epoch_floor: self.now.as_millis() as Epoch,
@@ -379,10 +426,10 @@
         Ok(TargetReport {
             incarnation: target.incarnation,
             membership: target.group.as_ref().map(|group| group.held.clone()),
-            model: target.group.as_ref().map(|_| "m".to_owned()),
-            staged: vec!["m".to_owned()],
+            model: target.group.as_ref().map(|group| group.model.clone()),
+            staged: vec![target.staged.clone()],
             sequence: lagged.map_or(0, |(_, sequence)| *sequence),
-            is_busy: false,
+            is_busy: target.load.is_some(),
             active: 0,
             queued: 0,
         })
@@ -424,7 +471,7 @@
                 group,
                 epoch,
                 members,
-                ..
+                model,
             } => {
                 if *epoch < target.epoch_seen {
                     return OrderResult::Conflict;
@@ -439,9 +486,17 @@
                         order.target
                     ));
                 }
-                let time = if target.last_model { 200 } else { 800 };
+                let is_last = target.last_model.as_ref() == Some(model);
+                let time = if is_last {
+                    Duration::from_millis(200)
+                } else if target.staged == *model {
+                    Duration::from_millis(800)
+                } else {
+                    target.staged.clone_from(model);
+                    LOAD_TIME
+                };
                 target.epoch_seen = *epoch;
-                target.last_model = true;
+                target.last_model = Some(model.clone());
                 target.group = Some(HeldGroup {
                     held: Membership {
                         group: group.clone(),
@@ -452,8 +507,10 @@
                             .unwrap_or(0),
                         state: MembershipState::Joining,
                     },
+                    model: model.clone(),
                     members: members.clone(),
-                    ready_at: now + Duration::from_millis(time),
+                    ready_at: now + time,
+                    closed_at: None,
                     stalled_since: None,
                 });
                 OrderResult::Begun
@@ -481,7 +538,18 @@
                 }
                 OrderResult::Begun
             }
-            TargetAction::Close { .. } => OrderResult::Conflict,
+            TargetAction::Close { group, epoch } => {
+                let held = target.group.as_mut();
+                let Some(held) = held.filter(|held| held.is(group, *epoch)) else {
+                    return OrderResult::Conflict;
+                };
+                if held.held.state != MembershipState::Open {
+                    return OrderResult::Conflict;
+                }
+                held.held.state = MembershipState::Closing;
+                held.closed_at = Some(now + CLOSE_TIME);
+                OrderResult::Begun
+            }
             TargetAction::Leave { group, epoch } => {
                 let is_in = target
                     .group
@@ -493,7 +561,13 @@
                 target.group = None;
                 OrderResult::Held
             }
-            TargetAction::Stage { .. } => return OrderResult::Held,
+            TargetAction::Stage { model } if target.staged == *model && target.load.is_none() => {
+                return OrderResult::Held;
+            }
+            TargetAction::Stage { model } => {
+                target.load = Some((model.clone(), now + LOAD_TIME));
+                OrderResult::Begun
+            }
         };
         target.sequence += 1;
         target.sequence_log.push((now, target.sequence));
@@ -507,7 +581,11 @@
         let head = self.targets.get(head_id).filter(|head| head.is_alive)?;
         let group = head.group.as_ref()?;
         let is_same = group.is(&held.held.group, held.held.epoch);
-        (is_same && group.held.state == MembershipState::Open).then(|| head_id.clone())
+        let is_serving = matches!(
+            group.held.state,
+            MembershipState::Open | MembershipState::Closing
+        );
+        (is_same && is_serving).then(|| head_id.clone())
     }
 
     fn check_open_groups(&mut self) {
@@ -548,8 +626,28 @@
     }
 }
 
-fn run(seed: u64, naming: Naming) -> World {
-    let mut world = World::open(seed, naming);
+/// Returns what a domain should hold, by the targets that a controller counts on.
+fn layout_of(asking: Asking, now: Moment, facts: &IndexMap<TargetId, TargetFacts>) -> DomainLayout {
+    let (large, small) = match asking {
+        Asking::Steady => (TARGETS, 0),
+        Asking::Swinging => {
+            let live = facts.values();
+            let live = live.filter(|facts| facts.standing == TargetStanding::Live);
+            let live = live.count();
+            let is_small_asked = (now.as_millis() / SWING.as_millis()) % 2 == 1;
+            let small = if is_small_asked { live / 4 * 2 } else { 0 };
+            (live - small, small)
+        }
+    };
+    let names = MODELS.map(|(id, _)| id.to_owned());
+    let holders = names.into_iter().zip([large, small]);
+    DomainLayout {
+        holders: holders.filter(|(_, count)| *count > 0).collect(),
+    }
+}
+
+fn run(seed: u64, naming: Naming, asking: Asking) -> World {
+    let mut world = World::open(seed, naming, asking);
     let end = world.now + FAULTY;
     while world.now < end {
         world.step();
@@ -573,17 +671,24 @@
 /// Seeds played; both checks read the same runs.
 const SEEDS: u64 = 300;
 
-static RUNS: LazyLock<Vec<RunResult>> = LazyLock::new(|| play(Naming::New));
-static RESTARTS: LazyLock<Vec<RunResult>> = LazyLock::new(|| play(Naming::Kept));
+static RUNS: LazyLock<Vec<RunResult>> = LazyLock::new(|| play(Naming::New, Asking::Steady));
+static RESTARTS: LazyLock<Vec<RunResult>> = LazyLock::new(|| play(Naming::Kept, Asking::Steady));
+static SWINGS: LazyLock<Vec<RunResult>> = LazyLock::new(|| play(Naming::Kept, Asking::Swinging));
 
-fn play(naming: Naming) -> Vec<RunResult> {
+fn play(naming: Naming, asking: Asking) -> Vec<RunResult> {
     let runs = (0..SEEDS).map(|seed| {
-        let world = run(seed, naming);
+        let world = run(seed, naming, asking);
         let live = world.targets.values().filter(|target| target.is_alive);
+        let live = live.count();
+        let whole_sets = match asking {
+            Asking::Steady => live / SIZE,
+            // Callers ask for both at the end.
+            Asking::Swinging => live / 4 + (live - live / 4 * 2) / SIZE,
+        };
         RunResult {
             seed,
             groups: world.whole_groups(),
-            whole_sets: live.count() / SIZE,
+            whole_sets,
             broken: world.broken,
         }
     });
@@ -635,3 +740,21 @@
         expect_that!(run.groups, eq(run.whole_sets), "seed {}", run.seed);
     }
 }
+
+/// Guards against exchanges that take a member from a group which still serves, or open one early, while two
+/// controllers see the need at other moments, loads end late, and orders to close or leave are held up.
+#[gtest]
+fn exchanges_never_open_early_or_take_a_serving_member() {
+    for run in SWINGS.iter() {
+        expect_that!(run.broken, is_empty(), "seed {}", run.seed);
+    }
+}
+
+/// Guards against targets that stay idle for ever after an exchange that was begun by one controller and seen
+/// by another.
+#[gtest]
+fn every_whole_set_serves_once_callers_ask_for_the_same_again() {
+    for run in SWINGS.iter() {
+        expect_that!(run.groups, eq(run.whole_sets), "seed {}", run.seed);
+    }
+}
