Exchanges: a target counts for the group it works in while that group stays

What callers would see: places that targets could serve stay empty for as long as callers ask for the same.

Cause: the weights on its host were taken for where it is going, though nobody sends it there.

Mend: members of a group that is to be given up count by their host's weights, all others by their group's model. A new group takes targets that hold its weights before those that could only join sooner. And no group is given up for less than half of its members, so that a single one of this kind never costs a group.

Why it holds: what is ordered follows from groups that stay and those that do not, and each target is one or the other.

--- a/crates/core/src/assembly.rs
+++ b/crates/core/src/assembly.rs
@@ -571,7 +571,8 @@
         if ranked.len() < model.size || model.size == 0 {
             return None;
         }
-        ranked.sort_by_key(|(time, _)| *time);
+        // One that has another model's weights would be missing there, though it could join soonest.
+        ranked.sort_by_key(|(time, id)| (view.next_model(id) != Some(&model.id), *time));
         ranked.truncate(model.size);
         let loading = ranked.iter().filter(|(time, _)| *time >= model.load_time);
         let loads = loading.count();
--- a/crates/core/src/assembly/staging.rs
+++ b/crates/core/src/assembly/staging.rs
@@ -48,7 +48,7 @@
 
 impl DomainView<'_> {
     /// Returns the model that a target can serve next.
-    fn next_model(&self, id: &TargetId) -> Option<&ModelId> {
+    pub(super) fn next_model(&self, id: &TargetId) -> Option<&ModelId> {
         let facts = &self.targets[id];
         let held = HeldWeights {
             membership: facts.membership.as_ref(),
@@ -102,14 +102,22 @@
         budget: usize,
     ) -> Vec<TargetOrder> {
         let mut idle: Vec<&TargetId> = free.iter().collect();
-        let givers = self.givers(groups, view);
-        let mut givers: Vec<&TargetId> = givers.values().flatten().copied().collect();
+        let given = self.givers(groups, view);
+        let mut givers: Vec<&TargetId> = given.values().flatten().copied().collect();
         givers.retain(|id| !orders.iter().any(|order| order.target == **id));
         let mut staged = Vec::new();
         for (model, holders) in &view.layout.holders {
             let members = view.targets.iter().filter(|(id, facts)| {
-                let is_member = facts.membership.is_some() && !free.contains(*id);
-                is_member && view.next_model(id) == Some(model)
+                let is_given = facts.membership.as_ref().is_some_and(|held| {
+                    given.contains_key(&held.group) || self.giving.contains(&held.group)
+                });
+                // The weights on a member's host are of no use while its group stays.
+                let held = if is_given {
+                    view.next_model(id)
+                } else {
+                    facts.model.as_ref()
+                };
+                facts.membership.is_some() && !free.contains(*id) && held == Some(model)
             });
             let lacking = holders.saturating_sub(members.count());
             let lacking = take_holders(&mut idle, model, lacking, view);
@@ -178,7 +186,8 @@
 
     /// Gives up groups whose members, with the free targets, can serve a model that lacks groups.
     ///
-    /// No group is given up while a member is still loading, or for less than a whole group of the other model.
+    /// No group is given up while a member is still loading, for less than a whole group of the other model, or for
+    /// the few of its members that happen to have other weights.
     pub(super) fn give_up(
         &mut self,
         groups: &IndexMap<GroupId, SeenGroup>,
@@ -200,7 +209,7 @@
                 let of_group = members.iter().filter(|id| view.is_ready_for(id, model));
                 let of_group = of_group.count();
                 let is_loading = members.iter().any(|id| view.targets[*id].is_busy);
-                if of_group > 0 && !is_loading {
+                if of_group * 2 >= members.len() && !is_loading {
                     ready += of_group;
                     chosen.push((*group).clone());
                 }
