Exchanges: a model keeps twice what its callers fill where the other is covered

Cause: a group of twelve loses a member every 17 s and takes a spare or a load to come back; the mean of the losses counts a domain of 27 as 1.6 groups where it is one for half of the time.

Change: two times the need is kept when the model that gets targets has what its callers fill; while it lacks groups, one and a half for each part of its need, as before.

--- a/crates/core/src/exchange.rs
+++ b/crates/core/src/exchange.rs
@@ -17,10 +17,12 @@
 ///
 /// It loads for many seconds, and its group serves nobody while it forms anew.
 const TARGET_GAIN: f64 = 0.002;
-/// Cover that a model keeps, or for each part of its need that the receiving model then has.
+/// Cover that a model keeps when it gives to one whose callers fill no more than it has.
 ///
 /// Groups of many targets are lost more often than the mean of losses tells, and take longest to come back.
-const GIVER_COVER: f64 = 1.5;
+const GIVER_COVER: f64 = 2.0;
+/// Cover that it keeps for each part of its need that a model has which lacks groups.
+const LACK_COVER: f64 = 1.5;
 /// Groups that a model keeps, whatever its callers ask for.
 const LEAST_GROUPS: f64 = 1.0;
 /// Least and most exchanges decided at a time; what is left is decided anew with what has become of them.
@@ -173,7 +175,10 @@
         self.change(domain, |domain| domain.holders = next);
         let gain = (self.worth() - before) / self.weights.iter().sum::<f64>();
         // A model is never left with less than the one that it gave to had.
-        let kept = cover_before.max(GIVER_COVER * self.cover(to).min(1.0));
+        let kept = match self.cover(to) {
+            lacking if lacking < 1.0 => cover_before.max(LACK_COVER * lacking),
+            _ => cover_before.max(GIVER_COVER),
+        };
         let keeps_enough = self.cover(from) >= kept && self.groups_left(from) >= LEAST_GROUPS;
         self.change(domain, |domain| domain.holders = held);
         let is_worth_it = gain >= LEAST_GAIN + TARGET_GAIN * count as f64;
