--- a/crates/core/src/cover.rs
+++ b/crates/core/src/cover.rs
@@ -10,11 +10,9 @@
 
 /// Returns what a model's cover weighs against another's: between its callers and the targets they fill.
 ///
-/// A group of many targets takes the place of several small ones. Weighed by callers alone, a model whose
-/// groups take four times the targets gets 0.63 of the other's cover: callers filled 4.3 groups of sixteen and
-/// 17 of four, and the weights were laid out for 4 and 32. Weighed by targets, both are covered alike, at
-/// the cost of the callers who need least: in domains of eight, 0.95 of the smaller model's find a place in place
-/// of 0.98. The geometric mean of both keeps these and gives 0.99 of the larger model's a place, 0.92 before.
+/// A group of many targets takes the place of several small ones. Weighed by callers alone, a model whose groups
+/// take many targets is covered worst; weighed by targets, the callers who need least are. The geometric mean
+/// stands between both.
 pub(crate) fn model_weight(demand: f64, size: usize) -> f64 {
     demand * (size as f64).sqrt()
 }
--- a/crates/fleet/src/layouts.rs
+++ b/crates/fleet/src/layouts.rs
@@ -80,8 +80,8 @@
 
     /// Decides anew.
     ///
-    /// Before the first caller only the number of targets counts, and the search takes 28 to 50 ms at 12,240
-    /// of them, so it is made again only when that changes.
+    /// Before the first caller only the number of targets counts, and the search takes tens of milliseconds at
+    /// 12,000 of them, so it is made again only when that changes.
     pub fn renew(self, basis: LayoutBasis<'_>) -> Self {
         let targets: Vec<usize> = basis.stock.iter().map(DomainStock::targets).collect();
         if basis.is_start && self.start_of.as_ref() == Some(&targets) {
