Exchanges: what the giving model keeps follows the square of what the other has

Change: the part kept goes from twice the need, where the other has 0.85 of what its callers fill, by the square of what it has. One rule in place of two.

--- a/crates/core/src/exchange.rs
+++ b/crates/core/src/exchange.rs
@@ -21,8 +21,10 @@
 ///
 /// Groups of many targets are lost more often than the mean of losses tells, and take longest to come back.
 const GIVER_COVER: f64 = 2.0;
-/// Cover that it keeps for each part of its need that a model has which lacks groups.
-const LACK_COVER: f64 = 1.5;
+/// Cover from which on a model has enough, by the groups that are expected to be left.
+///
+/// Small groups that lose a member serve again within two seconds, sooner than the mean of losses tells.
+const ENOUGH_COVER: f64 = 0.85;
 /// Groups that a model keeps, whatever its callers ask for.
 const LEAST_GROUPS: f64 = 1.0;
 /// Least and most exchanges decided at a time; what is left is decided anew with what has become of them.
@@ -175,10 +177,9 @@
         self.change(domain, |domain| domain.holders = next);
         let gain = (self.worth() - before) / self.weights.iter().sum::<f64>();
         // A model is never left with less than the one that it gave to had.
-        let kept = match self.cover(to) {
-            lacking if lacking < 1.0 => cover_before.max(LACK_COVER * lacking),
-            _ => cover_before.max(GIVER_COVER),
-        };
+        // By the square, a model that lacks little takes little, and one that lacks half takes what there is.
+        let has = (self.cover(to) / ENOUGH_COVER).min(1.0);
+        let kept = cover_before.max(GIVER_COVER * has.powi(2));
         let keeps_enough = self.cover(from) >= kept && self.groups_left(from) >= LEAST_GROUPS;
         self.change(domain, |domain| domain.holders = held);
         let is_worth_it = gain >= LEAST_GAIN + TARGET_GAIN * count as f64;
