Read over: the pace of questions stands on its own, one word for more nodes than places

Behaviour is meant to stay. The file of the pace took three pieces from the relay that uses it, so each imported the other; they are in the pace's file now. Whether there are more nodes than places was asked in four places by hand.

--- a/crates/core/src/assembly/staging.rs
+++ b/crates/core/src/assembly/staging.rs
@@ -195,6 +195,9 @@
         wanted: &IndexMap<ModelId, usize>,
         view: &DomainView<'_>,
     ) {
+        if wanted.values().all(|count| *count == 0) {
+            return;
+        }
         let givers = self.givers(groups, view);
         for (model, _) in wanted.iter().filter(|(_, count)| **count > 0) {
             let given = self.giving.iter().filter_map(|id| groups.get(id));
--- a/crates/core/src/layout.rs
+++ b/crates/core/src/layout.rs
@@ -321,8 +321,7 @@
 
     /// Returns the groups that a model is expected to have left in all domains.
     pub(crate) fn groups_left(&self, model: usize) -> f64 {
-        let left: f64 = self.left.iter().map(|left| left[model]).sum();
-        left + self.coming[model]
+        self.left.iter().map(|left| left[model]).sum::<f64>() + self.coming[model]
     }
 
     /// Returns what the groups left are worth: each more, the less of its model's demand is covered.
--- a/crates/core/src/placement.rs
+++ b/crates/core/src/placement.rs
@@ -110,13 +110,18 @@
     !load.is_queueing && (is_in_share(engine, load) || may_exceed)
 }
 
+/// Returns whether more nodes choose among the groups than a group has places.
+fn is_crowded(engine: &EngineModel, load: &GroupLoad) -> bool {
+    load.nodes > engine.slots
+}
+
 /// Returns whether so much of a group is free that a request which is late already may have a place.
 ///
 /// Where there are more nodes than places, hardly any node has half of its share of a group in use, so its own
 /// requests say nothing of how full it is.
 fn is_free_for_late(engine: &EngineModel, load: &GroupLoad) -> bool {
     let slots = f64::from(engine.slots);
-    if load.nodes > engine.slots {
+    if is_crowded(engine, load) {
         return f64::from(load.writers) < slots * LATE_USE;
     }
     load.own * 2 < load.share.max(1) || load.writers * 2 < engine.slots
@@ -127,7 +132,7 @@
 /// Where there are more nodes than places, callers that were cut off together come back to all nodes at once, and none
 /// has heard yet of what the others send. What this node has just sent itself tells how much that is.
 fn has_late_room(engine: &EngineModel, loads: &[GroupLoad]) -> bool {
-    let is_crowd = loads.iter().any(|load| load.nodes > engine.slots);
+    let is_crowd = loads.iter().any(|load| is_crowded(engine, load));
     if !is_crowd {
         return true;
     }
@@ -174,7 +179,7 @@
 /// Where there are more nodes than places a share is one place or none, and most callers come to nodes that
 /// have none; turns alone keep the group from being sent too much.
 fn usable_places(engine: &EngineModel, load: &GroupLoad) -> f64 {
-    let part = if load.nodes > engine.slots {
+    let part = if is_crowded(engine, load) {
         CROWD_USE
     } else {
         FREE_USE
@@ -184,7 +189,7 @@
 
 /// Returns whether a request may go to a group, from a node whose turn it is to go beyond its share or not.
 fn is_open_to(engine: &EngineModel, load: &GroupLoad, may_exceed: bool) -> bool {
-    if load.nodes <= engine.slots || load.is_for_late {
+    if !is_crowded(engine, load) || load.is_for_late {
         return has_room(engine, load) && (may_exceed || is_in_share(engine, load));
     }
     let is_free = f64::from(load.writers) < usable_places(engine, load);
--- a/crates/fleet/src/feed.rs
+++ b/crates/fleet/src/feed.rs
@@ -7,7 +7,7 @@
 
 use std::future::Future;
 use std::sync::atomic::{AtomicU64, Ordering};
-use std::sync::{Arc, Mutex, PoisonError};
+use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
 use briarswitch_core::id::*;
@@ -21,7 +21,7 @@
 
 use crate::costs::{CostKind, CostLedger};
 use crate::feed_doc::{FeedAnswerDoc, FeedQuestionDoc};
-use crate::feed_pace::{ask_at_pace, FeedPace};
+use crate::feed_pace::{ask_at_pace, kind_of, lock, FeedPace, FlightResult};
 use crate::ports::{FeedAnswer, FeedQuestion, FeedSource, SourceError};
 
 /// Status of an answer that the changes asked for are no longer kept.
@@ -63,8 +63,6 @@
 /// Time for which an answer of the store shows that this node reaches it; longer than a held question.
 const REACHED_TIME: Duration = Duration::from_millis(1_600);
 
-/// What the store said to a question.
-pub(crate) type FlightResult = Result<FeedAnswer, SourceError>;
 type FlightFuture = Shared<BoxFuture<'static, FlightResult>>;
 
 /// A question that was sent to the store, and its answer once it is there.
@@ -343,14 +341,6 @@
     }
 }
 
-pub(crate) fn kind_of(question: &FeedQuestion) -> CostKind {
-    match question.mark {
-        None => CostKind::TableWhole,
-        Some(_) if question.wait.is_zero() => CostKind::TableAtOnce,
-        Some(_) => CostKind::TableHeld,
-    }
-}
-
 /// Returns how many nodes ask the store, of zones of this one's size.
 pub fn askers(live: &LiveView) -> u32 {
     let nodes = live.live_nodes();
@@ -361,7 +351,3 @@
         (nodes / in_zone).max(1)
     }
 }
-
-pub(crate) fn lock<T>(mutex: &Mutex<T>) -> std::sync::MutexGuard<'_, T> {
-    mutex.lock().unwrap_or_else(PoisonError::into_inner)
-}
--- a/crates/fleet/src/feed_pace.rs
+++ b/crates/fleet/src/feed_pace.rs
@@ -1,15 +1,17 @@
 //! How often a table of the store is asked for.
 
 use std::sync::atomic::{AtomicU64, Ordering};
-use std::sync::{Arc, Mutex};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
 use briarswitch_core::id::*;
 use briarswitch_kernel::BootClock;
 
 use crate::costs::CostKind;
-use crate::feed::{kind_of, lock, FlightResult};
-use crate::ports::{FeedQuestion, FeedSource, SourceError};
+use crate::ports::{FeedAnswer, FeedQuestion, FeedSource, SourceError};
+
+/// What the store said to a question.
+pub(crate) type FlightResult = Result<FeedAnswer, SourceError>;
 
 /// Time after a question that failed in which no other one is asked of the same table.
 ///
@@ -62,3 +64,17 @@
     lock(&pace).note(&answer, now);
     answer
 }
+
+/// Returns what a question is counted as.
+pub(crate) fn kind_of(question: &FeedQuestion) -> CostKind {
+    match question.mark {
+        None => CostKind::TableWhole,
+        Some(_) if question.wait.is_zero() => CostKind::TableAtOnce,
+        Some(_) => CostKind::TableHeld,
+    }
+}
+
+/// Locks what no holder leaves half changed.
+pub(crate) fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
+    mutex.lock().unwrap_or_else(PoisonError::into_inner)
+}
