An order that is not answered in 80 ms is sent again

The answer to an order was waited for 400 ms, though targets answer in 1 to 20 ms, and the next one went out only after a report.

The same order on the same condition goes out each 80 ms, five times at most, until there is an answer. The condition lets one of them take effect. A conflict after one that was not answered may be its own doing, so the target's report decides. In a module of its own, tested without a network.

Tests: order_sender::. The three that a single sending can not pass were not run against the code before, which had no such function.

--- a/crates/fleet/src/controller.rs
+++ b/crates/fleet/src/controller.rs
@@ -23,6 +23,7 @@
 use crate::demand::DemandTrend;
 use crate::domains::{domains_of, stock_of, StockItem};
 use crate::layouts::{LayoutBasis, ServiceLayouts};
+use crate::order_sender::deliver;
 use crate::ports::{ReportError, TargetReport};
 use crate::scope::{ControlScope, DomainKey, ScopeBasis};
 use crate::shared::{DirectoryView, FleetShared};
@@ -44,8 +45,6 @@
 const REPORT_TIME: Duration = Duration::from_millis(160);
 /// Lateness of the node's own timer beyond which a missing report proves nothing.
 const OWN_LATENESS: Duration = Duration::from_millis(60);
-/// Time to wait for the answer to an order.
-const ORDER_TIME: Duration = Duration::from_millis(400);
 /// Age of the configuration from which no weights are exchanged.
 const EXCHANGE_AGE: Duration = Duration::from_secs(2);
 /// Loads under way beyond what the weight store does at once.
@@ -463,16 +462,8 @@
         let shared = Arc::clone(&self.shared);
         link.spawn(async move {
             let sent = BootClock::now();
-            let targets = &shared.platform.targets;
-            let result = targets
-                .order(
-                    &order.target,
-                    &address,
-                    order.expected,
-                    &order.action,
-                    ORDER_TIME,
-                )
-                .await;
+            let targets = shared.platform.targets.as_ref();
+            let result = deliver(targets, &order, &address).await;
             ControllerMessage::Ordered {
                 order,
                 result,
--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -20,6 +20,7 @@
 pub mod layouts;
 pub mod metrics;
 pub mod node;
+pub mod order_sender;
 pub mod patience;
 pub mod peer_surface;
 pub mod peers;
