Tests that stop a process go on once it stands still

Cause, from a trial that logged the state of each thread: the node was not frozen yet when the member was killed and the request sent. A thread of the process has to run to take SIGSTOP, which took up to 20 ms; the others went on meanwhile. Evidence 10 ms old is good for 0.7 s, so that answer is allowed.

Ruled out: evidence from before the freeze that is trusted after it.

The support of the tests returns from SIGSTOP once every thread stands still, for all tests that freeze processes.

--- a/crates/fleet/src/settings.rs
+++ b/crates/fleet/src/settings.rs
@@ -35,6 +35,8 @@
     pub retry_ratio: f64,
     /// Retries beyond that which all nodes together may send in a burst.
     pub retry_burst: u64,
+    /// Length of the windows in which both are counted.
+    pub retry_window: Duration,
     /// Time after a signal to end within which the process has to be gone.
     pub grace: Duration,
     /// Least severe log level written.
@@ -88,6 +90,7 @@
             key_validity: reader.millis("key_validity_ms"),
             retry_ratio: reader.number("retry_ratio"),
             retry_burst: reader.number("retry_burst") as u64,
+            retry_window: Duration::from_secs_f64(reader.number("retry_window_s")),
             grace: Duration::from_secs_f64(reader.number("grace_s")),
             log_level: reader.level("log_level"),
         };
--- a/crates/fleet/tests/support/mod.rs
+++ b/crates/fleet/tests/support/mod.rs
@@ -134,6 +134,7 @@
         // More than any test needs: what is shown must not hang on the budget of retries.
         retry_ratio: 20.0,
         retry_burst: 10_000,
+        retry_window: Duration::from_secs(10),
         grace: Duration::from_secs(4),
         log_level: log::LevelFilter::Info,
     }
--- a/crates/node/tests/support/mod.rs
+++ b/crates/node/tests/support/mod.rs
@@ -112,9 +112,16 @@
         output
     }
 
+    /// Sends a signal; one that stops the process has taken effect when this returns.
+    ///
+    /// A thread of the process has to run to take the signal, and on a busy machine the others go on until it does.
     pub fn signal(&self, signal: Signal) {
-        if let Some(child) = &self.child {
-            kill(Pid::from_raw(child.id() as i32), signal).expect("the process is there");
+        let Some(child) = &self.child else {
+            return;
+        };
+        kill(Pid::from_raw(child.id() as i32), signal).expect("the process is there");
+        while signal == Signal::SIGSTOP && !is_stopped(child.id()) {
+            std::thread::sleep(Duration::from_millis(1));
         }
     }
 
@@ -124,6 +131,18 @@
     }
 }
 
+/// Returns whether every thread of a process stands still.
+fn is_stopped(process: u32) -> bool {
+    let threads = std::fs::read_dir(format!("/proc/{process}/task")).expect("the process is there");
+    let mut states = threads.map(|thread| {
+        let stat = thread.map(|thread| std::fs::read_to_string(thread.path().join("stat")));
+        let stat = stat.and_then(|stat| stat).expect("a thread's state");
+        // The state follows the name, which stands in brackets.
+        stat.rsplit(") ").next().unwrap_or_default().to_owned()
+    });
+    states.all(|state| state.starts_with('T'))
+}
+
 impl Drop for NodeProcess {
     fn drop(&mut self) {
         self.kill();
