The memory of ended targets asks its node through a trait

The watch of targets, the keeper of suspects and the log of verdicts reached into the state of a node that finds its targets through the platform. What they need of it is a trait now, so that nodes whose settings name everything can use the same mechanism. Behaviour meant to stay; the tests of crates/fleet pass.

--- a/crates/fleet/src/end_watch.rs
+++ b/crates/fleet/src/end_watch.rs
@@ -10,10 +10,9 @@
 use indexmap::IndexMap;
 use serde_json::{json, Value};
 
-use crate::costs::CostKind;
 use crate::ports::ReportError;
 use crate::run_facts::{RunBreak, RunFacts, TargetLife};
-use crate::shared::FleetShared;
+use crate::suspect_host::{EndProof, LifeSign, SuspectEvent, SuspectHost};
 use crate::suspect_keeper::{FatalRun, SuspectMessage};
 
 /// Time to wait for a target's answer; a healthy one takes a few milliseconds.
@@ -33,37 +32,6 @@
 /// Name of the watch.
 pub const WATCH_SERVICE: &str = "end_watch";
 
-/// What shows that a life of a target has ended.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
-pub enum EndProof {
-    /// Nobody listens at its address.
-    Refused,
-    /// Another life answers at its address.
-    OtherLife,
-    /// The directory lists another life, or none.
-    Unlisted,
-}
-
-impl EndProof {
-    /// Returns the name used in logs and metrics.
-    pub fn name(self) -> &'static str {
-        match self {
-            Self::Refused => "refused",
-            Self::OtherLife => "other_life",
-            Self::Unlisted => "unlisted",
-        }
-    }
-}
-
-/// What an answer at a target's address shows.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
-pub enum LifeSign {
-    /// The life that was meant lives.
-    Lives,
-    /// Somebody listens.
-    Listens,
-}
-
 /// What is known of a target at which a run broke off.
 #[derive(Debug)]
 enum LifeState {
@@ -114,7 +82,7 @@
 
 /// Watches the targets at which runs broke off.
 pub struct EndWatch {
-    shared: Arc<FleetShared>,
+    host: Arc<dyn SuspectHost>,
     suspects: Mailbox<SuspectMessage>,
     lives: IndexMap<TargetLife, WatchedLife>,
     is_looking: bool,
@@ -122,9 +90,9 @@
 
 impl EndWatch {
     /// Opens a watch of nothing that tells `suspects` which requests were under way when a target ended.
-    pub fn open(shared: Arc<FleetShared>, suspects: Mailbox<SuspectMessage>) -> Self {
+    pub fn open(host: Arc<dyn SuspectHost>, suspects: Mailbox<SuspectMessage>) -> Self {
         Self {
-            shared,
+            host,
             suspects,
             lives: IndexMap::new(),
             is_looking: false,
@@ -164,36 +132,18 @@
     }
 
     fn check(&self, facts: RunFacts, link: &ServiceLink<WatchMessage>) {
-        if self.is_unlisted(&facts.life) {
+        if !self.host.is_listed(&facts.life) {
             link.spawn(async move { WatchMessage::Checked(facts.life, Err(ReportError::Gone)) });
             return;
         }
-        let shared = Arc::clone(&self.shared);
-        shared.costs.count(CostKind::EndChecked);
+        let host = Arc::clone(&self.host);
+        host.note(SuspectEvent::EndChecked);
         link.spawn(async move {
-            let targets = &shared.platform.targets;
-            let (target, address) = (&facts.life.target, &facts.address);
-            // A single target has nothing to say of itself, but it listens or not.
-            let answer = if facts.group.is_empty() {
-                let reached = targets.reach(address, CHECK_TIME).await;
-                reached.map(|()| LifeSign::Listens)
-            } else {
-                let report = targets.report(target, address, CHECK_TIME).await;
-                report.and_then(|report| {
-                    let is_same = report.incarnation == facts.life.incarnation;
-                    is_same.then_some(LifeSign::Lives).ok_or(ReportError::Gone)
-                })
-            };
-            WatchMessage::Checked(facts.life, answer)
+            let sign = host.life_sign(&facts, CHECK_TIME).await;
+            WatchMessage::Checked(facts.life, sign)
         });
     }
 
-    fn is_unlisted(&self, life: &TargetLife) -> bool {
-        let directory = self.shared.directory.load();
-        let record = directory.book.targets().get(&life.target);
-        record.is_none_or(|record| record.incarnation != life.incarnation)
-    }
-
     fn take_check(
         &mut self,
         life: &TargetLife,
@@ -232,7 +182,7 @@
             let after = now.saturating_sub(watched.since);
             watched.since = now;
             let group = runs.first().map_or("", |run| run.facts.group.as_str());
-            self.shared.metrics.count_target_end(proof.name());
+            self.host.note(SuspectEvent::TargetEnded(proof));
             log::warn!(
                 target_id = life.target.as_str(),
                 group = group,
@@ -258,9 +208,8 @@
     /// Without requests at work they would look like the targets with the least to do.
     fn keep_work_away(&self, now: Moment) {
         for (life, watched) in &self.lives {
-            if matches!(watched.state, LifeState::Ended(_)) && !self.is_unlisted(life) {
-                let gauge = self.shared.gauges.of(&life.target);
-                gauge.suspect(now + LOOK_INTERVAL * 2);
+            if matches!(watched.state, LifeState::Ended(_)) && self.host.is_listed(life) {
+                self.host.keep_away(&life.target, now + LOOK_INTERVAL * 2);
             }
         }
     }
@@ -271,7 +220,7 @@
             .iter()
             .filter(|(life, watched)| {
                 let is_over = matches!(watched.state, LifeState::Asked | LifeState::Ended(_));
-                !is_over && self.is_unlisted(life)
+                !is_over && !self.host.is_listed(life)
             })
             .map(|(life, _)| life.clone())
             .collect();
--- a/crates/fleet/src/node.rs
+++ b/crates/fleet/src/node.rs
@@ -26,6 +26,7 @@
 use crate::settings::FleetSettings;
 use crate::shared::{FleetPhase, FleetShared};
 use crate::surface::CallerSurface;
+use crate::suspect_host::SuspectHost;
 use crate::suspect_keeper::{SuspectKeeper, SuspectMessage};
 
 /// Time for the balancer to notice that the node is no longer ready: two checks a second apart,
@@ -86,8 +87,9 @@
         kernel.mount(DirectoryKeeper::open(Arc::clone(&shared)))?;
         let exchange = kernel.mount(PeerExchange::open(Arc::clone(&shared)))?;
         kernel.mount(GroupController::open(Arc::clone(&shared)))?;
-        let suspects = kernel.mount(SuspectKeeper::open(Arc::clone(&shared)))?;
-        let watch = kernel.mount(EndWatch::open(Arc::clone(&shared), suspects.clone()))?;
+        let host: Arc<dyn SuspectHost> = Arc::clone(&shared) as Arc<dyn SuspectHost>;
+        let suspects = kernel.mount(SuspectKeeper::open(Arc::clone(&host)))?;
+        let watch = kernel.mount(EndWatch::open(host, suspects.clone()))?;
         let reports = RunReports {
             watch,
             suspects: suspects.clone(),
--- a/crates/fleet/src/suspect_keeper.rs
+++ b/crates/fleet/src/suspect_keeper.rs
@@ -18,12 +18,11 @@
 use indexmap::{IndexMap, IndexSet};
 use serde_json::{json, Value};
 
-use crate::costs::CostKind;
 use crate::keeper::{retry_pause, SourceHealth};
 use crate::ports::{FeedMark, SourceError, SuspectChange, SuspectKey, SuspectRow};
 use crate::run_facts::RunFacts;
-use crate::shared::FleetShared;
 use crate::suspect_doc::SuspectDoc;
+use crate::suspect_host::{SuspectEvent, SuspectHost};
 use crate::suspect_table::{SuspectBatch, SuspectTable};
 use crate::verdict_log::VerdictLog;
 
@@ -91,7 +90,7 @@
 
 /// Keeps the table of ends, and the board that traffic reads.
 pub struct SuspectKeeper {
-    shared: Arc<FleetShared>,
+    host: Arc<dyn SuspectHost>,
     client: CallerClient,
     mark: Option<FeedMark>,
     health: SourceHealth,
@@ -105,9 +104,9 @@
 
 impl SuspectKeeper {
     /// Opens a keeper that knows of no end.
-    pub fn open(shared: Arc<FleetShared>) -> Self {
+    pub fn open(host: Arc<dyn SuspectHost>) -> Self {
         Self {
-            shared,
+            host,
             client: CallerClient::open(Codec::Packed, None),
             mark: None,
             health: SourceHealth::default(),
@@ -121,7 +120,7 @@
 
     /// Counts ends that this node saw, and tells their holders.
     fn take_ends(&mut self, runs: Vec<FatalRun>, link: &ServiceLink<SuspectMessage>) {
-        let (at, rate) = (self.shared.suspects.now(), self.rate.per_second());
+        let (at, rate) = (self.host.suspects().now(), self.rate.per_second());
         let mut ends = Vec::new();
         for FatalRun { facts, ran } in runs {
             let target = EndedTarget {
@@ -133,7 +132,7 @@
             if end.chance > USELESS_CHANCE {
                 continue;
             }
-            self.shared.suspects.take(&SuspectRow::End(end));
+            self.host.suspects().take(&SuspectRow::End(end));
             log::info!(
                 request = facts.request.as_str(),
                 print:% = facts.print,
@@ -141,7 +140,7 @@
                 target_id = facts.life.target.as_str(),
                 ran_ms = ran.as_millis() as u64,
                 chance_permille = end.chance,
-                ends = self.shared.suspects.ends(&facts.print);
+                ends = self.host.suspects().ends(&facts.print);
                 "end_counted"
             );
             ends.push(end);
@@ -153,10 +152,9 @@
 
     /// Tells the nodes that rank first for each request; where there is nobody, the rows are written at once.
     fn tell(&mut self, ends: &[EndSign], link: &ServiceLink<SuspectMessage>) {
-        let live = self.shared.live.load();
         let mut messages: IndexMap<NodeId, (Arc<NodeEntry>, Vec<EndSign>)> = IndexMap::new();
         for end in ends {
-            let others = live.holders_of(&end.print.to_string(), HOLDERS).others;
+            let others = self.host.holders_of(&end.print, HOLDERS).others;
             if others.is_empty() {
                 self.table.write_later(SuspectRow::End(*end), link.now());
             } else {
@@ -196,7 +194,7 @@
     fn send(&self, holder: &NodeEntry, ends: Vec<EndSign>, link: &ServiceLink<SuspectMessage>) {
         let url = format!("http://{}{SUSPECT_PATH}", holder.address);
         let client = self.client.clone();
-        self.shared.costs.count(CostKind::EndTold);
+        self.host.note(SuspectEvent::EndTold);
         link.spawn(async move {
             let doc: SuspectDoc = ends.iter().copied().map(SuspectRow::End).collect();
             let told: Result<SuspectDoc, CallError> = client
@@ -211,7 +209,7 @@
 
     /// Takes rows in; `is_own` where this node is one of those that have to see them written.
     fn take_rows(&mut self, rows: &[SuspectRow], is_own: bool, now: Moment) {
-        let news = rows.iter().filter(|row| self.shared.suspects.take(row));
+        let news = rows.iter().filter(|row| self.host.suspects().take(row));
         let prints: IndexSet<RequestPrint> = news.map(|row| row.key().print).collect();
         self.look_at(&prints, is_own, now);
     }
@@ -219,8 +217,8 @@
     /// Looks at requests of which something new is known: what is held of them, and what is to be written.
     fn look_at(&mut self, prints: &IndexSet<RequestPrint>, is_own: bool, now: Moment) {
         for print in prints {
-            let verdict = self.shared.suspects.verdict(print);
-            self.verdicts.note(&self.shared, print, verdict);
+            let verdict = self.host.suspects().verdict(print);
+            self.verdicts.note(self.host.as_ref(), print, verdict);
             if verdict == CrashVerdict::Clear {
                 continue;
             }
@@ -229,29 +227,28 @@
                 continue;
             }
             let turn = WRITE_TURN * place.unwrap_or(HOLDERS) as u32;
-            for row in self.shared.suspects.rows(print) {
+            for row in self.host.suspects().rows(print) {
                 self.table.write_later(row, now + turn);
             }
         }
     }
 
     fn own_place(&self, print: &RequestPrint) -> Option<usize> {
-        let live = self.shared.live.read();
-        live.holders_of(&print.to_string(), HOLDERS).own_place
+        self.host.holders_of(print, HOLDERS).own_place
     }
 
     /// Takes in that a request is not the cause of what has ended so far.
     fn clear(&mut self, print: RequestPrint, reason: &'static str, now: Moment) {
-        if !self.shared.suspects.has_ends(&print) {
+        if !self.host.suspects().has_ends(&print) {
             return;
         }
         let is_told = self.verdicts.holds(&print) || self.table.knows(&print);
-        let at = self.shared.suspects.now();
+        let at = self.host.suspects().now();
         let row = SuspectRow::Clear(ClearSign { print, at });
-        self.shared.suspects.take(&row);
+        self.host.suspects().take(&row);
         log::info!(print:% = print, reason = reason; "request_cleared");
         self.verdicts
-            .note(&self.shared, &print, CrashVerdict::Clear);
+            .note(self.host.as_ref(), &print, CrashVerdict::Clear);
         self.table.forget(&print);
         if is_told {
             self.table.write_later(row, now);
@@ -260,20 +257,16 @@
 
     /// Writes what is due, and drops what counts no more of the requests that this node ranks first for.
     fn write(&mut self, link: &ServiceLink<SuspectMessage>) {
-        let live = self.shared.live.load();
-        let is_first = |print: &RequestPrint| {
-            let holders = live.holders_of(&print.to_string(), HOLDERS);
-            holders.own_place == Some(0)
-        };
-        let store_now = self.shared.suspects.now();
+        let host = Arc::clone(&self.host);
+        let is_first = |print: &RequestPrint| host.holders_of(print, HOLDERS).own_place == Some(0);
+        let store_now = host.suspects().now();
         let Some(batch) = self.table.begin_write(link.now(), store_now, is_first) else {
             return;
         };
-        self.shared.costs.count(CostKind::SuspectWrite);
-        let shared = Arc::clone(&self.shared);
+        host.note(SuspectEvent::RowsWritten);
         link.spawn(async move {
-            let suspects = &shared.platform.suspects;
-            let written = suspects.write(batch.rows.clone(), batch.dropped.clone());
+            let registry = host.registry();
+            let written = registry.write(batch.rows.clone(), batch.dropped.clone());
             SuspectMessage::Written(batch, written.await)
         });
     }
@@ -294,15 +287,14 @@
     }
 
     fn ask(&self, link: &ServiceLink<SuspectMessage>) {
-        let shared = Arc::clone(&self.shared);
+        let host = Arc::clone(&self.host);
         let (mark, wait) = (self.mark, self.health.wait(TABLE_WAIT));
         link.spawn(async move {
-            let registry = &shared.platform.suspects;
-            let answer = shared.changes(registry.table(), mark, wait).await;
+            let answer = Arc::clone(&host).changes(mark, wait).await;
             SuspectMessage::News(answer.map(|answer| SuspectNews {
                 mark: answer.mark,
                 is_whole: answer.is_whole,
-                changes: registry.news(&answer),
+                changes: host.registry().news(&answer),
             }))
         });
     }
@@ -313,7 +305,7 @@
         self.take_rows(&rows, false, now);
         if news.is_whole {
             // What the store has lost, or never got, is written again.
-            let held = self.shared.suspects.suspects().into_iter();
+            let held = self.host.suspects().suspects().into_iter();
             let prints = held.map(|(print, _)| print).collect();
             self.look_at(&prints, false, now);
         }
@@ -324,10 +316,9 @@
         self.write(link);
         if now >= self.counted + RATE_INTERVAL {
             self.counted = now;
-            let directory = self.shared.directory.load();
-            let targets = directory.book.targets().len();
-            self.rate.note(directory.book.ended(), targets, now);
-            self.shared.suspects.prune();
+            let count = self.host.end_count();
+            self.rate.note(count.ends, count.targets, now);
+            self.host.suspects().prune();
             self.end_quarantines();
         }
     }
@@ -335,8 +326,8 @@
     /// Notes the quarantines that are over because their ends are forgotten.
     fn end_quarantines(&mut self) {
         for print in self.verdicts.prints() {
-            let verdict = self.shared.suspects.verdict(&print);
-            self.verdicts.note(&self.shared, &print, verdict);
+            let verdict = self.host.suspects().verdict(&print);
+            self.verdicts.note(self.host.as_ref(), &print, verdict);
         }
     }
 }
@@ -384,7 +375,7 @@
 
     fn dump(&self) -> Value {
         json!({
-            "held": self.verdicts.dump(&self.shared),
+            "held": self.verdicts.dump(self.host.as_ref()),
             "stored_rows": self.table.stored_rows(),
             "unwritten_rows": self.table.unwritten_rows(),
             "ends_per_target_hour": self.rate.per_second() * 3_600.0,
--- a/crates/fleet/src/verdict_log.rs
+++ b/crates/fleet/src/verdict_log.rs
@@ -5,7 +5,7 @@
 use indexmap::IndexMap;
 use serde_json::{json, Value};
 
-use crate::shared::FleetShared;
+use crate::suspect_host::{SuspectEvent, SuspectHost};
 
 /// The last verdict on each request that is not clear.
 #[derive(Debug, Default)]
@@ -25,13 +25,13 @@
     }
 
     /// Takes a verdict in, and tells what it changes.
-    pub fn note(&mut self, shared: &FleetShared, print: &RequestPrint, verdict: CrashVerdict) {
+    pub fn note(&mut self, host: &dyn SuspectHost, print: &RequestPrint, verdict: CrashVerdict) {
         let before = self.verdicts.get(print).copied();
-        let ends = shared.suspects.ends(print);
+        let ends = host.suspects().ends(print);
         let was_held = matches!(before, Some(CrashVerdict::Quarantined(_)));
         match verdict {
             CrashVerdict::Quarantined(left) if !was_held => {
-                shared.metrics.count_quarantine();
+                host.note(SuspectEvent::QuarantineBegun);
                 let left_ms = left.as_millis() as u64;
                 log::warn!(print:% = print, ends = ends, left_ms = left_ms; "quarantine_begun");
             }
@@ -51,15 +51,15 @@
     }
 
     /// Shows what is held of each request.
-    pub fn dump(&self, shared: &FleetShared) -> Vec<Value> {
+    pub fn dump(&self, host: &dyn SuspectHost) -> Vec<Value> {
         let held = self.verdicts.iter().map(|(print, verdict)| {
             let left = match verdict {
-                CrashVerdict::Quarantined(_) => shared.suspects.quarantine(print),
+                CrashVerdict::Quarantined(_) => host.suspects().quarantine(print),
                 CrashVerdict::Clear | CrashVerdict::Suspect => None,
             };
             json!({
                 "print": print.to_string(),
-                "ends": shared.suspects.ends(print),
+                "ends": host.suspects().ends(print),
                 "quarantine_ms": left.map(|left| left.as_millis() as u64),
             })
         });
