An end is dated by the run that broke, and not by when it was noticed

A target whose machine is listed again is known to have ended up to 0.2 s after its run broke. Ends that were noticed in one look had one moment, and since ends in one domain within 0.1 s have one cause, three in a row counted as one: 7 runs of a call that ends targets where 6 are allowed, once in 14 runs of a_call_that_ends_targets_is_run_no_more beside other work, seen in its lines (end_counted of runs that broke at .510, .610 and .709 s, all at .712 s). A run that was given up says nothing of when its target ended and is dated as before.

--- a/crates/fleet/src/end_watch.rs
+++ b/crates/fleet/src/end_watch.rs
@@ -195,6 +195,11 @@
         self.keep_work_away(now);
         let fatal = runs.into_iter().map(|run| FatalRun {
             ran: run.at.saturating_sub(run.facts.sent),
+            // A run that was given up says nothing of when its target ended.
+            ended: match run.end {
+                RunBreak::Broken => run.at,
+                RunBreak::Abandoned => now,
+            },
             facts: run.facts,
         });
         let message = SuspectMessage::Ended(fatal.collect());
--- a/crates/fleet/src/suspect_keeper.rs
+++ b/crates/fleet/src/suspect_keeper.rs
@@ -8,7 +8,9 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use briarswitch_core::crash::{ClearSign, CrashVerdict, EndRate, EndSign, EndedTarget};
+use briarswitch_core::crash::{
+    ClearSign, CrashVerdict, EndRate, EndSign, EndedTarget, StoreMillis,
+};
 use briarswitch_core::id::*;
 use briarswitch_core::print::RequestPrint;
 use briarswitch_http::{CallError, CallerClient, Codec};
@@ -56,6 +58,8 @@
     pub facts: RunFacts,
     /// How long it had run when the end was seen.
     pub ran: Duration,
+    /// When the target ended, as far as the run tells.
+    pub ended: Moment,
 }
 
 /// Message to [`SuspectKeeper`].
@@ -120,9 +124,12 @@
 
     /// Counts ends that this node saw, and tells their holders.
     fn take_ends(&mut self, runs: Vec<FatalRun>, link: &ServiceLink<SuspectMessage>) {
-        let (at, rate) = (self.host.suspects().now(), self.rate.per_second());
+        let (store_now, rate) = (self.host.suspects().now(), self.rate.per_second());
         let mut ends = Vec::new();
-        for FatalRun { facts, ran } in runs {
+        for FatalRun { facts, ran, ended } in runs {
+            // Dated by when they were noticed, ends that are noticed together would pass for one.
+            let since = link.now().saturating_sub(ended).as_millis() as StoreMillis;
+            let at = store_now.saturating_sub(since);
             let target = EndedTarget {
                 target: &facts.life.target,
                 incarnation: facts.life.incarnation,
