Calls that end targets are remembered where settings name everything, by the same mechanism

Cause: nothing there remembered what a call did to a target. The memory was built for nodes that find their targets through the platform.

The node gives the same watch of targets, keeper, board and table their host: ends are dated by the time of day, a machine's life by the list of machines, rows lie under suspect/ in the platform's table and are read with the configuration's pace, and each node writes what it sees itself. The dispatcher refuses a quarantined call as not run with the time that is left, before it is admitted and after it has waited; streams that break are not resumed at a third target. How a row is stored is one type for both ways.

Left: while the table is away a node knows of its own ends only; machines of other zones are not in the list, so only a refused connection proves their end.

--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -40,6 +40,7 @@
 pub mod suspect_doc;
 pub mod suspect_host;
 pub mod suspect_keeper;
+pub mod suspect_record;
 pub mod suspect_row;
 pub mod suspect_table;
 pub mod suspects;
--- a/crates/node/src/caller.rs
+++ b/crates/node/src/caller.rs
@@ -6,6 +6,7 @@
 use briarswitch_core::mint::MintedKey;
 use briarswitch_core::prefix::PrefixChain;
 use briarswitch_core::prelude::*;
+use briarswitch_core::print::{PrintParts, RequestPrint};
 use briarswitch_core::rule::first_match;
 use briarswitch_core::stream::json_depth;
 use briarswitch_http::{read_body, reply_json, Body, BodyError, Handler, Request, Response};
@@ -284,6 +285,7 @@
         let is_repeatable =
             read_repeatable(&input.head.headers)?.unwrap_or(is_chat && key.is_none());
         let organisation = input.config.book.organisations().get(&input.organisation);
+        let asked = input.asked.name().to_owned();
         let (path, is_stream, tokens, chain) = match input.asked {
             Asked::Chat(chat) => {
                 let tokens = chat.max_tokens.map_or(DEFAULT_TOKENS, u64::from);
@@ -293,7 +295,15 @@
             }
             Asked::Service { path, .. } => (path, false, 1, PrefixChain::default()),
         };
+        let print = RequestPrint::of(&PrintParts {
+            caller: &input.organisation,
+            method: input.head.method.as_str(),
+            host: &asked,
+            path: &path,
+            body: &input.bytes,
+        });
         Ok(MatchedRequest {
+            print,
             admit: AdmitAsk {
                 deployment: deployment.id.clone(),
                 organisation: input.organisation,
--- a/crates/node/src/dispatch.rs
+++ b/crates/node/src/dispatch.rs
@@ -6,6 +6,11 @@
 use briarswitch_core::limit::RateShare;
 use briarswitch_core::mint::MintedKey;
 use briarswitch_core::prelude::*;
+use briarswitch_core::print::RequestPrint;
+use briarswitch_fleet::run::{RunReports, TargetRun};
+use briarswitch_fleet::run_facts::{RunFacts, TargetLife};
+use briarswitch_fleet::suspect_host::SuspectHost;
+use briarswitch_fleet::suspects::SuspectBoard;
 use briarswitch_http::{stream_body, Response};
 use briarswitch_kernel::BootClock;
 use briarswitch_wire::caller::OUTCOME_HEADER;
@@ -19,10 +24,11 @@
 use crate::flight::FlightGuard;
 use crate::gate::{AdmitAsk, DeploymentGate, TargetPermit};
 use crate::keys::claim_key;
-use crate::relay::StreamRelay;
+use crate::relay::{RelayRun, StreamRelay};
 use crate::reply::{mark_reply, set_header, CallerFailure};
-use crate::routes::TargetId;
+use crate::routes::{Target, TargetId};
 use crate::shared::NodeShared;
+use crate::suspects::NodeSuspects;
 use crate::trace::RequestTrace;
 
 /// Time a key that settled is remembered.
@@ -30,6 +36,8 @@
 
 /// A request that was identified and matched by a rule.
 pub struct MatchedRequest {
+    /// Fingerprint, the same for each repeat.
+    pub print: RequestPrint,
     /// What admission needs.
     pub admit: AdmitAsk,
     /// What targets are sent.
@@ -49,6 +57,8 @@
     shared: Arc<NodeShared>,
     runner: AttemptRunner,
     claims: ClaimWriter,
+    suspects: Arc<NodeSuspects>,
+    reports: RunReports,
     keys: Arc<Mutex<ClaimBook>>,
     budget: Mutex<RetryBudget>,
     gates: RwLock<HashMap<DeploymentId, Arc<DeploymentGate>>>,
@@ -68,12 +78,20 @@
 }
 
 impl RequestDispatcher {
-    /// Opens a dispatcher.
-    pub fn open(shared: Arc<NodeShared>, runner: AttemptRunner, claims: ClaimWriter) -> Arc<Self> {
+    /// Opens a dispatcher; `reports` hear how runs end.
+    pub fn open(
+        shared: Arc<NodeShared>,
+        runner: AttemptRunner,
+        claims: ClaimWriter,
+        suspects: Arc<NodeSuspects>,
+        reports: RunReports,
+    ) -> Arc<Self> {
         let settings = shared.settings.requests;
         Arc::new(Self {
             runner,
             claims,
+            suspects,
+            reports,
             keys: Arc::new(Mutex::new(ClaimBook::open(settings.keys, KEY_MEMORY))),
             budget: Mutex::new(RetryBudget::open(
                 settings.retry_permille,
@@ -90,6 +108,38 @@
         &self.shared
     }
 
+    /// Returns what is held of requests under which targets have ended.
+    pub fn suspects(&self) -> &SuspectBoard {
+        self.suspects.suspects()
+    }
+
+    /// Begins a run of a request at a target.
+    pub fn open_run(&self, run: &RunSubject, target: &Target) -> TargetRun {
+        let fleet = self.shared.fleet.read();
+        let domain = fleet.vms.get(&target.vm).map(|vm| vm.domain.clone());
+        let facts = RunFacts {
+            request: run.request.clone(),
+            print: run.print,
+            organisation: run.organisation.clone(),
+            life: TargetLife {
+                target: target.vm.clone(),
+                incarnation: target.address.incarnation,
+            },
+            address: target.address.address.clone(),
+            domain: domain.unwrap_or_default(),
+            group: String::new(),
+            sent: BootClock::now(),
+        };
+        TargetRun::open(facts, self.reports.clone())
+    }
+
+    /// Returns the refusal of a request that is not to run now.
+    fn quarantined(&self, print: &RequestPrint) -> Option<CallerFailure> {
+        let left = self.suspects().quarantine(print)?;
+        let failure = CallerFailure::at(FailurePoint::Quarantined);
+        Some(failure.retry_after(left))
+    }
+
     /// Returns what sends attempts.
     pub fn runner(&self) -> &AttemptRunner {
         &self.runner
@@ -126,6 +176,9 @@
         matched: MatchedRequest,
         mut trace: RequestTrace,
     ) -> Result<Response, CallerFailure> {
+        if let Some(failure) = self.quarantined(&matched.print) {
+            return Err(trace.fail(failure));
+        }
         if let Err(failure) = self.take_rate(&matched.admit.organisation) {
             return Err(trace.fail(failure));
         }
@@ -234,6 +287,7 @@
         let gate = self.gate(&matched.admit.deployment);
         let mut tried: Vec<TargetId> = Vec::new();
         let mut last: Option<FailurePoint> = None;
+        let mut broken = 0;
         loop {
             let permit = match gate.admit(&matched.admit, &tried).await {
                 Ok(permit) => permit,
@@ -244,6 +298,12 @@
                     return Err(self.end_failed(failure, trace).await);
                 }
             };
+            // It may have waited since it came, and may have ended a target elsewhere meanwhile.
+            if let Some(failure) = self.quarantined(&matched.print) {
+                let point = worst(last, failure.point);
+                let failure = CallerFailure { point, ..failure };
+                return Err(self.end_failed(failure, trace).await);
+            }
             let point = match self.attempt_once(&matched, permit, &mut trace).await {
                 Ok(AttemptEnd::Whole(reply)) => return Ok(reply),
                 Ok(AttemptEnd::Stream(start)) => return Ok(self.stream(matched, *start, trace)),
@@ -252,7 +312,9 @@
                     point
                 }
             };
-            let may_retry = point.allows_retry(matched.ask.is_repeatable);
+            broken += usize::from(breaks_run(point));
+            let may_retry = point.allows_retry(matched.ask.is_repeatable)
+                && self.suspects().may_go_on(&matched.print, broken);
             let point = worst(last, point);
             last = Some(point);
             if !may_retry || !self.spend_retry(&trace) {
@@ -286,23 +348,31 @@
         let attempt = format!("{}.{}", trace.request, trace.attempts);
         let target = Arc::clone(&permit.target);
         let failed = |point| (point, target.id.clone());
-        let reply = self
+        let mut run = self.open_run(&RunSubject::of(matched), &target);
+        let begun = self
             .runner
             .begin(&matched.ask, &target, &attempt, None)
-            .await
-            .map_err(failed)?;
+            .await;
+        let reply = begun.map_err(|point| {
+            end_run(&mut run, point);
+            failed(point)
+        })?;
         if matched.is_stream && reply.head.status == StatusCode::OK {
             let start = StreamStart {
                 permit,
                 attempt,
                 reply,
+                run,
             };
             return Ok(AttemptEnd::Stream(Box::new(start)));
         }
         let AttemptReply { head, body } = reply;
-        let bytes = read_whole(body, matched.ask.deadline)
-            .await
-            .map_err(failed)?;
+        let read = read_whole(body, matched.ask.deadline).await;
+        let bytes = read.map_err(|point| {
+            end_run(&mut run, point);
+            failed(point)
+        })?;
+        run.complete(self.suspects());
         trace.tokens = tokens_of(&bytes);
         trace.settle(Outcome::Answered);
         self.earn_retry();
@@ -338,6 +408,7 @@
     ) -> Response {
         self.earn_retry();
         let (request, target) = (trace.request.clone(), trace.target.clone());
+        let subject = RunSubject::of(&matched);
         let kind = start.reply.head.headers.get(CONTENT_TYPE).cloned();
         let relay = StreamRelay::spawn(
             Arc::clone(self),
@@ -345,6 +416,10 @@
             start.permit,
             start.attempt,
             start.reply.body,
+            RelayRun {
+                subject,
+                run: start.run,
+            },
             trace,
         );
         let mut reply = Response::new(stream_body(relay));
@@ -403,6 +478,47 @@
     permit: TargetPermit,
     attempt: AttemptId,
     reply: AttemptReply,
+    run: TargetRun,
+}
+
+/// Whose runs are watched.
+#[derive(Clone, Debug)]
+pub struct RunSubject {
+    request: RequestId,
+    print: RequestPrint,
+    organisation: OrganisationId,
+}
+
+impl RunSubject {
+    fn of(matched: &MatchedRequest) -> Self {
+        Self {
+            request: matched.request.clone(),
+            print: matched.print,
+            organisation: matched.admit.organisation.clone(),
+        }
+    }
+
+    /// Returns the request's fingerprint.
+    pub fn print(&self) -> &RequestPrint {
+        &self.print
+    }
+}
+
+/// Returns whether a failure means that the connection broke while the target had the request.
+fn breaks_run(point: FailurePoint) -> bool {
+    matches!(
+        point,
+        FailurePoint::BrokenBeforeHead | FailurePoint::Truncated
+    )
+}
+
+/// Notes how a run ended that failed; one that nobody waits for any more is left to its watch.
+pub fn end_run(run: &mut TargetRun, point: FailurePoint) {
+    if breaks_run(point) {
+        run.broke(point.code());
+    } else if point != FailurePoint::AnswerDeadline {
+        run.settle();
+    }
 }
 
 fn claimed_failure(state: ClaimState) -> CallerFailure {
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -50,6 +50,7 @@
 pub mod signals;
 pub mod start;
 pub mod steps;
+pub mod suspects;
 pub mod trace;
 pub mod usage;
 pub mod watch;
--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -7,6 +7,10 @@
 use std::time::Duration;
 
 use briarswitch_core::prelude::*;
+use briarswitch_fleet::end_watch::EndWatch;
+use briarswitch_fleet::run::RunReports;
+use briarswitch_fleet::suspect_host::SuspectHost;
+use briarswitch_fleet::suspect_keeper::SuspectKeeper;
 use briarswitch_http::{HttpServer, ServerGuard, TargetClient, TargetLimits};
 use briarswitch_kernel::{Kernel, KernelError, Mailbox};
 use briarswitch_platform::HttpPlatform;
@@ -24,6 +28,7 @@
 use crate::peers::PeerExchange;
 use crate::settings::NodeSettings;
 use crate::shared::{NodeShared, Phase};
+use crate::suspects::NodeSuspects;
 use crate::usage::{UsageMessage, UsageWriter};
 use crate::watch::FleetWatcher;
 
@@ -107,9 +112,17 @@
             connect: shared.settings.requests.connect_timeout,
             idle: IDLE_CONNECTIONS,
         });
+        let suspects = NodeSuspects::open(Arc::clone(&shared), watcher.clone());
+        let host: Arc<dyn SuspectHost> = Arc::clone(&suspects) as Arc<dyn SuspectHost>;
+        let keeper = kernel.mount(SuspectKeeper::open(Arc::clone(&host)))?;
+        let reports = RunReports {
+            watch: kernel.mount(EndWatch::open(host, keeper.clone()))?,
+            suspects: keeper,
+        };
         let runner = AttemptRunner::open(client, watcher);
         let claims = ClaimWriter::spawn(Arc::clone(&shared));
-        let dispatcher = RequestDispatcher::open(Arc::clone(&shared), runner, claims);
+        let dispatcher =
+            RequestDispatcher::open(Arc::clone(&shared), runner, claims, suspects, reports);
         let (stop, stopped) = watch::channel(false);
         let surface = CallerSurface::open(Arc::clone(&shared), Arc::clone(&dispatcher));
         let peer_surface = PeerSurface::open(Arc::clone(&shared), Arc::clone(&surface));
--- a/crates/node/src/relay.rs
+++ b/crates/node/src/relay.rs
@@ -7,13 +7,14 @@
 
 use briarswitch_core::prelude::*;
 use briarswitch_core::stream::EventScanner;
+use briarswitch_fleet::run::TargetRun;
 use briarswitch_http::TargetBody;
 use bytes::Bytes;
 use futures::Stream;
 use tokio::time::{Instant, Sleep};
 
 use crate::attempt::TargetAsk;
-use crate::dispatch::RequestDispatcher;
+use crate::dispatch::{end_run, RequestDispatcher, RunSubject};
 use crate::gate::TargetPermit;
 use crate::reply::error_event;
 use crate::trace::RequestTrace;
@@ -21,6 +22,14 @@
 /// Times a stream is resumed at its target before it is given up.
 const RESUMES: usize = 3;
 
+/// The run behind a stream.
+pub struct RelayRun {
+    /// Whose it is.
+    pub subject: RunSubject,
+    /// The run.
+    pub run: TargetRun,
+}
+
 /// A stream on its way to a caller.
 pub struct StreamRelay {
     dispatcher: Arc<RequestDispatcher>,
@@ -28,6 +37,9 @@
     permit: TargetPermit,
     attempt: AttemptId,
     body: Option<TargetBody>,
+    run: RelayRun,
+    /// Runs whose connection broke.
+    broken: usize,
     scanner: EventScanner,
     pending: Option<Bytes>,
     resumes: usize,
@@ -64,6 +76,7 @@
         permit: TargetPermit,
         attempt: AttemptId,
         body: TargetBody,
+        run: RelayRun,
         trace: RequestTrace,
     ) -> impl Stream<Item = Result<Bytes, io::Error>> + Send + 'static {
         let silence = dispatcher.shared().settings.requests.stream_silence;
@@ -75,6 +88,8 @@
             permit,
             attempt,
             body: Some(body),
+            run,
+            broken: 0,
             scanner: EventScanner::default(),
             pending: None,
             resumes: 0,
@@ -117,6 +132,8 @@
                 }
                 // A clean end of the body without the end mark is no end of the answer.
                 RelayStep::End | RelayStep::Broken => {
+                    self.run.run.broke("stream_broken");
+                    self.broken += 1;
                     if !self.resume().await {
                         return Some(Ok(self.give_up()));
                     }
@@ -166,6 +183,7 @@
         if self.scanner.is_ended() {
             // Settled at the end mark, which is the engine's word that the answer is whole.
             self.trace.settle(Outcome::Answered);
+            self.run.run.complete(self.dispatcher.suspects());
             self.stage = RelayStage::Done;
             self.finish_body();
         }
@@ -189,13 +207,16 @@
     async fn resume(&mut self) -> bool {
         self.body = None;
         self.scanner.drop_tail();
-        if self.resumes >= RESUMES {
+        let print = self.run.subject.print();
+        let may_go_on = self.dispatcher.suspects().may_go_on(print, self.broken);
+        if self.resumes >= RESUMES || !may_go_on {
             return false;
         }
         self.resumes += 1;
         let events = self.scanner.events();
         let runner = self.dispatcher.runner();
         let target = Arc::clone(&self.permit.target);
+        self.run.run = self.dispatcher.open_run(&self.run.subject, &target);
         match runner
             .begin(&self.ask, &target, &self.attempt, Some(events))
             .await
@@ -205,7 +226,10 @@
                 self.body = Some(reply.body);
                 true
             }
-            Err(_) => false,
+            Err(point) => {
+                end_run(&mut self.run.run, point);
+                false
+            }
         }
     }
 
