--- a/crates/core/tests/fleet.rs
+++ b/crates/core/tests/fleet.rs
@@ -209,7 +209,7 @@
         incarnation: 0,
         id: id.to_owned(),
         service: "s".to_owned(),
-        address: "127.0.0.1:1".to_owned(),
+        address: format!("{id}:80"),
         zone: "z".to_owned(),
         is_draining: false,
         slots: 1,
