--- a/crates/fleet/src/feed.rs
+++ b/crates/fleet/src/feed.rs
@@ -42,6 +42,10 @@
 ///
 /// Its followers would take it for lost otherwise, and each ask a store that is away.
 const STORE_TIME: Duration = Duration::from_millis(500);
+/// Time after which the store is asked beside a second reader.
+///
+/// One that lives says at once that it does not reach the store either.
+const BESIDE_PAUSE: Duration = Duration::from_millis(150);
 /// Seconds between two questions of a node whose readers do not reach the store, about.
 const RETRY_TIME: f64 = 0.4;
 /// Time after which a reader that is asked for a whole table has failed; the store may need several calls.
@@ -166,16 +170,15 @@
     ) -> Result<FeedAnswer, SourceError> {
         let mut question = question;
         let mut turned_away: Vec<&NodeId> = Vec::new();
-        let mut is_unanswered = false;
+        let mut pause = None;
         for reader in readers {
             if self.is_avoided(&reader.node) {
                 continue;
             }
             let asking = self.ask_reader(reader, &question);
-            let answer = if is_unanswered {
-                self.ask_beside(asking, &question).await
-            } else {
-                asking.await
+            let answer = match pause {
+                Some(pause) => self.ask_beside(asking, &question, pause).await,
+                None => asking.await,
             };
             match answer {
                 Ok(answer) => {
@@ -190,11 +193,14 @@
                     return Err(SourceError::Unavailable(text));
                 }
                 Err(CallError::Status { .. }) if !turned_away.is_empty() => break,
-                Err(CallError::Status { .. }) => turned_away.push(&reader.node),
+                Err(CallError::Status { .. }) => {
+                    turned_away.push(&reader.node);
+                    pause = Some(BESIDE_PAUSE);
+                }
                 Err(error) => {
                     log::info!(reader = reader.node.as_str(), error:% = error; "reader_failed");
                     self.avoid(&reader.node);
-                    is_unanswered = true;
+                    pause = Some(Duration::ZERO);
                 }
             }
             // Time was lost already, so the next question is not held open.
@@ -232,16 +238,21 @@
         self.serve(question, BootClock::now()).await
     }
 
-    /// Asks the store beside a reader, and returns whichever answer comes first.
+    /// Asks the store beside a reader that has not answered after a pause, and returns whichever answer comes first.
     ///
     /// Readers that give no answer are each waited for in vain. One after the other the waits add up to more than
-    /// the three seconds after which no removed key may be in use.
+    /// the three seconds after which no removed key may be in use: 1.9 s at a reader whose way to the store is silent,
+    /// and the time of the next one.
     async fn ask_beside(
         &self,
         asking: impl Future<Output = Result<FeedAnswer, CallError>>,
         question: &FeedQuestion,
+        pause: Duration,
     ) -> Result<FeedAnswer, CallError> {
-        let direct = self.serve(question.clone(), BootClock::now());
+        let direct = async {
+            tokio::time::sleep(pause).await;
+            self.serve(question.clone(), BootClock::now()).await
+        };
         tokio::pin!(asking, direct);
         tokio::select! {
             answer = &mut asking => answer,
--- a/crates/fleet/tests/feed.rs
+++ b/crates/fleet/tests/feed.rs
@@ -343,6 +343,23 @@
     }
 }
 
+/// Guards against a removed key in use 3.1 s after its removal: a reader whose way to the store has fallen silent costs
+/// its followers 1.9 s, and the time of a frozen one after it is not left to waste.
+#[gtest]
+#[tokio::test(flavor = "multi_thread")]
+async fn a_silent_reader_after_one_that_does_not_reach_the_store_is_not_waited_for() {
+    use ReaderConduct::{Silent, TurnedAway};
+    let events = follow(&[TurnedAway, Silent, Silent], question()).await;
+    let mut before = events
+        .iter()
+        .take_while(|event| **event != FeedEvent::StoreAsked);
+    expect_false!(
+        before.any(|event| *event == FeedEvent::GivenUp),
+        "{events:?}"
+    );
+    expect_that!(events, contains(eq(&FeedEvent::StoreAsked)));
+}
+
 /// Guards against a second without a configuration after all nodes lost power, when the first reader is up last.
 #[gtest]
 #[tokio::test(flavor = "multi_thread")]
