A target that has left an address is not dropped for the next one there

Found in reading: entries give way by address, and a target whose own entry had moved on was looked up by the ids once seen there.

--- a/crates/core/src/target.rs
+++ b/crates/core/src/target.rs
@@ -241,8 +241,10 @@
     }
 
     fn put(&mut self, record: Arc<TargetRecord>) {
-        let is_known = self.targets.contains_key(&record.id);
+        let held = self.targets.get(&record.id);
+        let is_known = held.is_some_and(|held| held.address == record.address);
         if !is_known && !self.takes_address(&record) {
+            self.drop_entry(&record.id);
             self.replaced.insert(record.id.clone(), record);
             return;
         }
@@ -264,8 +266,8 @@
         if seen.last() != Some(&record.id) {
             return false;
         }
-        let holder = seen.iter().find_map(|id| self.targets.get(id)).cloned();
-        if let Some(holder) = holder {
+        let mut holders = seen.iter().filter(|id| **id != record.id);
+        if let Some(holder) = holders.find_map(|id| self.at_address(id, address)).cloned() {
             self.ended += u64::from(!holder.is_draining);
             self.drop_entry(&holder.id);
             self.replaced.insert(holder.id.clone(), holder);
@@ -273,6 +275,13 @@
         true
     }
 
+    /// Returns the entry that is used of a target, if the target is at an address.
+    fn at_address(&self, id: &TargetId, address: &str) -> Option<&Arc<TargetRecord>> {
+        self.targets
+            .get(id)
+            .filter(|record| record.address == address)
+    }
+
     fn note_seen(&mut self, record: &TargetRecord) {
         let seen = self.seen.get(&record.address);
         if seen.is_some_and(|ids| ids.contains(&record.id)) {
@@ -307,10 +316,9 @@
     ///
     /// A node that has just started may take a target's successor for its predecessor.
     fn give_back(&mut self, now: Moment) -> bool {
-        let targets = &self.targets;
         let is_listed = |address: &str| {
             let mut seen = self.seen.get(address).into_iter().flatten();
-            seen.any(|id| targets.contains_key(id))
+            seen.any(|id| self.at_address(id, address).is_some())
         };
         let vacant = self.replaced.values();
         let vacant: IndexSet<TargetId> = vacant
--- a/crates/core/tests/target_book.rs
+++ b/crates/core/tests/target_book.rs
@@ -9,11 +9,15 @@
 const LONG: Duration = Duration::from_secs(7);
 
 fn entry(id: &str) -> TargetChange {
+    entry_at(id, "10.0.0.1:80")
+}
+
+fn entry_at(id: &str, address: &str) -> TargetChange {
     TargetChange::Put(Box::new(TargetRecord {
         id: id.to_owned(),
         incarnation: 0,
         service: "s".to_owned(),
-        address: "10.0.0.1:80".to_owned(),
+        address: address.to_owned(),
         zone: "z".to_owned(),
         is_draining: false,
         slots: 1,
@@ -84,3 +88,17 @@
     book.replace(vec![entry("old"), entry("new")], None);
     expect_that!(used(&book), elements_are![eq(&"new")]);
 }
+
+/// Guards against a target that is dropped for another one at an address which it has left itself.
+#[gtest]
+fn a_target_that_has_moved_stays_when_its_old_address_is_used_again() {
+    let book = book([
+        entry("moved"),
+        entry_at("moved", "10.0.0.2:80"),
+        entry("new"),
+    ]);
+    expect_that!(
+        used(&book),
+        unordered_elements_are![eq(&"moved"), eq(&"new")]
+    );
+}
