Read over: members of a seen group are in order already, and a balance of retries has two callers less

The members of a group are put in order of rank when they are seen, so sorting them again did nothing. What only the fleet's budgets called of RetryBudget (open_empty, has_any, give_back) has had no caller since they count windows. Behaviour stays.

--- a/crates/core/src/assembly/seen.rs
+++ b/crates/core/src/assembly/seen.rs
@@ -15,6 +15,7 @@
 pub(super) struct SeenGroup {
     pub(super) epoch: Epoch,
     pub(super) model: Option<ModelId>,
+    /// Members by rank, in its order.
     pub(super) members: IndexMap<usize, TargetId>,
 }
 
@@ -44,11 +45,7 @@
 
     /// Returns whether the members are of the lives that were chosen.
     pub(super) fn are_lives_chosen(&self, group: &str, view: &DomainView<'_>) -> bool {
-        let mut members: Vec<(usize, &TargetId)> =
-            self.members.iter().map(|(rank, id)| (*rank, id)).collect();
-        members.sort_unstable();
-        let ids = members.into_iter().map(|(_, id)| id);
-        is_marked_for(group, ids, view)
+        is_marked_for(group, self.members.values(), view)
     }
 }
 
--- a/crates/core/src/retry.rs
+++ b/crates/core/src/retry.rs
@@ -30,46 +30,11 @@
         }
     }
 
-    /// Opens a budget without anything saved up.
-    ///
-    /// A process that restarts must not find a full burst each time.
-    ///
-    /// ```
-    /// use briarswitch_core::retry::RetryBudget;
-    ///
-    /// assert!(!RetryBudget::open_empty(200, 10).spend());
-    /// ```
-    pub fn open_empty(permille: u64, burst: u64) -> Self {
-        Self {
-            balance: 0,
-            ..Self::open(permille, burst)
-        }
-    }
-
     /// Credits one success.
     pub fn earn(&mut self) {
         self.balance = (self.balance + self.permille).min(self.ceiling);
     }
 
-    /// Returns whether a retry could be taken now.
-    pub fn has_any(&self) -> bool {
-        self.balance >= RETRY_COST
-    }
-
-    /// Gives a retry back that was taken and not sent.
-    ///
-    /// ```
-    /// use briarswitch_core::retry::RetryBudget;
-    ///
-    /// let mut budget = RetryBudget::open(100, 1);
-    /// assert!(budget.spend());
-    /// budget.give_back();
-    /// assert!(budget.has_any());
-    /// ```
-    pub fn give_back(&mut self) {
-        self.balance = (self.balance + RETRY_COST).min(self.ceiling);
-    }
-
     /// Takes one retry if there is one.
     ///
     /// ```
