A part of the retry burst for as many nodes as it has retries

Cause: 1,040 x 0.7 / 985 is cut to zero, and a node with 0.7 requests in ten seconds earns an eighth of a retry. What grows: the number of nodes among which a whole number is divided.

Ruled out: a larger share of the burst, which only moves the size at which the part falls below one; a bucket for each node that refills by its fraction, whose bursts add up to one retry a node at any size.

Change: nodes are ranked for each service among all nodes known, and their parts add up to the burst; the same function gives the parts of a target's warm-up limit. At 985 nodes 728 have one retry, at 2,000 still 728: what one node may not retry, the caller's own retry takes to another one.

--- a/crates/core/src/limit.rs
+++ b/crates/core/src/limit.rs
@@ -55,3 +55,22 @@
         Ok(())
     }
 }
+
+/// Returns the part of a limit that the node with a rank among `nodes` nodes may use.
+///
+/// The parts of all ranks add up to the limit, also where it is smaller than the number of nodes: then as many nodes
+/// have a part of one as the limit allows. An equal part for each node would be zero for all of them.
+///
+/// ```
+/// use briarswitch_core::limit::ranked_share;
+///
+/// assert_eq!([0, 1, 2].map(|rank| ranked_share(14, 3, rank)), [4, 5, 5]);
+/// assert_eq!((0..985).map(|rank| ranked_share(14, 985, rank)).sum::<usize>(), 14);
+/// ```
+pub fn ranked_share(limit: usize, nodes: usize, rank: usize) -> usize {
+    let nodes = nodes.max(1);
+    if rank >= nodes {
+        return 0;
+    }
+    (rank + 1) * limit / nodes - rank * limit / nodes
+}
--- a/crates/core/src/warmup.rs
+++ b/crates/core/src/warmup.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 
 use crate::id::Moment;
+use crate::limit::ranked_share;
 
 /// Time over which one node counts its requests to a target that warms up.
 ///
@@ -42,12 +43,7 @@
     pub fn share(&self, nodes: usize, rank: usize) -> u32 {
         // A target that gets no request at all would stay unused for the whole time.
         let limit = (self.requests_per_second.floor() as usize).max(1);
-        let sharing = nodes.clamp(1, limit);
-        if rank >= sharing {
-            return 0;
-        }
-        let until = |rank: usize| rank * limit / sharing;
-        (until(rank + 1) - until(rank)) as u32
+        ranked_share(limit, nodes, rank) as u32
     }
 
     /// Returns whether requests to targets that warm up are limited.
--- a/crates/fleet/src/budget.rs
+++ b/crates/fleet/src/budget.rs
@@ -3,6 +3,7 @@
 use std::sync::{Arc, Mutex, PoisonError};
 
 use briarswitch_core::id::{Moment, ServiceId};
+use briarswitch_core::limit::ranked_share;
 use briarswitch_core::retry::RetryWindow;
 use briarswitch_kernel::BootClock;
 use indexmap::IndexMap;
@@ -38,7 +39,7 @@
 
     /// Takes one retry from the service's budget; returns whether one was available.
     pub fn withdraw(&self, service: &str) -> bool {
-        let burst = self.burst();
+        let burst = self.burst(service);
         let is_available = self.with_budget(service, |budget, now| budget.withdraw(burst, now));
         if !is_available {
             log::info!(service = service; "retry_budget_empty");
@@ -53,14 +54,18 @@
 
     /// Returns whether a retry is available.
     pub fn can_withdraw(&self, service: &str) -> bool {
-        let burst = self.burst();
+        let burst = self.burst(service);
         self.with_budget(service, |budget, now| budget.can_withdraw(burst, now))
     }
 
     /// Returns this node's part of the burst.
-    fn burst(&self) -> u32 {
-        let nodes = self.shared.live_view.read().known_nodes().max(MIN_NODES);
-        (self.shared.settings.retry_burst as f64 * BURST_SHARE / nodes as f64) as u32
+    ///
+    /// Nodes are ranked among all known ones, so that those which cannot see each other agree.
+    fn burst(&self, service: &str) -> u32 {
+        let live_view = self.shared.live_view.read();
+        let burst = self.shared.settings.retry_burst as f64 * BURST_SHARE;
+        let nodes = live_view.known_nodes().max(MIN_NODES);
+        ranked_share(burst as usize, nodes, live_view.known_rank(service)) as u32
     }
 
     /// Calls `act` with the budget of one service, creating it if necessary.
