A node that starts reads the registry of its own zone only

The bytes grow with the square of the nodes.

A node that starts again and finds its entry unchanged but for the incarnation doesn't write it again: others learn the incarnation from its messages.

Ruled out: the seeds of the settings as a way around the store; at most three, which may be down, and all nodes would start through them. What is left: one write for each node's first start.

--- a/crates/fleet/src/peers.rs
+++ b/crates/fleet/src/peers.rs
@@ -14,7 +14,7 @@
 use serde_json::{json, Value};
 
 use crate::costs::CostKind;
-use crate::ports::{FeedMark, NodeUpdate, SourceError};
+use crate::ports::{FeedMark, NodeEntry, NodeUpdate, SourceError};
 use crate::shared::{FleetPhase, FleetShared};
 
 /// Path of gossip between nodes.
@@ -132,7 +132,9 @@
 pub struct PeerExchange {
     shared: Arc<FleetShared>,
     client: ApiClient,
+    /// Point up to which the registry has been read; `None` if only this node's zone has been.
     mark: Option<FeedMark>,
+    knows_zone: bool,
     is_registered: bool,
     published_version: u64,
     aggregated_at: Moment,
@@ -154,6 +156,8 @@
     SuspicionSent(Option<CallError>),
     /// This node's entry was written to the registry, or the write failed.
     Registered(Result<(), SourceError>),
+    /// The registry returned the nodes of this node's zone, or failed.
+    ZoneRead(Result<Vec<NodeEntry>, SourceError>),
     /// The registry responded or failed.
     RegistryRead(Result<NodeUpdate, SourceError>),
     /// Read the registry.
@@ -167,6 +171,7 @@
             shared,
             client: ApiClient::new(Codec::MessagePack, None),
             mark: None,
+            knows_zone: false,
             is_registered: false,
             published_version: 0,
             aggregated_at: Moment::ZERO,
@@ -185,11 +190,16 @@
         });
     }
 
-    /// Reads new nodes from the registry if this node is a hub or has not read it yet; the others
-    /// learn of new nodes from hubs.
+    /// Reads new nodes from the registry if this node is a hub; the others learn of new nodes from hubs.
+    ///
+    /// To find the hubs, each node first reads the entries of its own zone only. If each read the entries of all
+    /// zones, the bytes read at a start would grow with the square of the number of nodes.
     fn read_registry(&self, link: &ServiceLink<PeerMessage>) {
-        let reads_registry = self.mark.is_none() || self.shared.membership().is_hub(link.now());
-        if !reads_registry {
+        if !self.knows_zone {
+            self.read_zone(link);
+            return;
+        }
+        if !self.shared.membership().is_hub(link.now()) {
             link.send_after(REGISTRY_READ_INTERVAL, PeerMessage::ReadRegistry);
             return;
         }
@@ -207,10 +217,43 @@
         });
     }
 
-    fn apply_registry_update(&mut self, update: &NodeUpdate, now: Moment) {
-        self.mark = Some(update.mark);
+    fn read_zone(&self, link: &ServiceLink<PeerMessage>) {
+        let shared = Arc::clone(&self.shared);
+        shared.costs.count(CostKind::RegistryRead);
+        link.spawn(async move {
+            let zone = &shared.settings.zone;
+            PeerMessage::ZoneRead(shared.platform.nodes.read_zone(zone).await)
+        });
+    }
+
+    /// Adds the nodes of this node's zone, and registers this node unless an earlier incarnation has.
+    ///
+    /// Other nodes learn the incarnation from this node's messages, so an entry that differs in nothing else
+    /// remains valid.
+    fn apply_zone(&mut self, nodes: &[NodeEntry], link: &ServiceLink<PeerMessage>) {
+        let own = self.shared.own_entry();
+        let is_listed = nodes.iter().any(|entry| {
+            let incarnation = own.incarnation;
+            let current = NodeEntry {
+                incarnation,
+                ..entry.clone()
+            };
+            current == own
+        });
+        self.knows_zone = true;
+        self.add_nodes(nodes, link.now());
+        if is_listed {
+            self.is_registered = true;
+        } else if !self.shared.settings.is_first_start {
+            self.register(Duration::ZERO, link);
+        }
+        self.shared.peers_known.send_replace(true);
+        link.send_after(Duration::ZERO, PeerMessage::ReadRegistry);
+    }
+
+    fn add_nodes(&mut self, nodes: &[NodeEntry], now: Moment) {
         let mut membership = self.shared.membership();
-        for entry in &update.nodes {
+        for entry in nodes {
             if membership.add_node(entry, now) {
                 log::info!(peer = entry.node.as_str(), address = entry.address.as_str(); "peer_known");
             }
@@ -326,8 +369,8 @@
     }
 
     fn start(&mut self, link: &ServiceLink<PeerMessage>) {
-        self.register(Duration::ZERO, link);
         let first_read = if self.shared.settings.is_first_start {
+            self.register(Duration::ZERO, link);
             FIRST_REGISTRY_READ_DELAY
         } else {
             Duration::ZERO
@@ -367,16 +410,21 @@
                 log::warn!(error:% = error; "registration_failed");
                 self.register(REGISTRY_RETRY_DELAY, link);
             }
-            PeerMessage::RegistryRead(Ok(update)) => {
-                self.apply_registry_update(&update, now);
+            PeerMessage::ZoneRead(Ok(nodes)) => self.apply_zone(&nodes, link),
+            PeerMessage::ZoneRead(Err(error)) => {
+                log::warn!(error:% = error; "zone_unread");
                 self.shared.peers_known.send_replace(true);
+                link.send_after(REGISTRY_RETRY_DELAY, PeerMessage::ReadRegistry);
+            }
+            PeerMessage::RegistryRead(Ok(update)) => {
+                self.mark = Some(update.mark);
+                self.add_nodes(&update.nodes, now);
                 link.send_after(REGISTRY_READ_INTERVAL, PeerMessage::ReadRegistry);
             }
             PeerMessage::RegistryRead(Err(error)) => {
                 if error == SourceError::HistoryGone {
                     self.mark = None;
                 }
-                self.shared.peers_known.send_replace(true);
                 link.send_after(REGISTRY_RETRY_DELAY, PeerMessage::ReadRegistry);
             }
             PeerMessage::ReadRegistry => self.read_registry(link),
--- a/crates/fleet/src/ports.rs
+++ b/crates/fleet/src/ports.rs
@@ -176,6 +176,9 @@
     /// Writes this node's entry.
     fn register(&self, entry: NodeEntry) -> SourceFuture<'_, ()>;
 
+    /// Reads the entries of one zone.
+    fn read_zone<'a>(&'a self, zone: &'a str) -> SourceFuture<'a, Vec<NodeEntry>>;
+
     /// Reads all entries if there is no mark, or else waits up to `wait` for changes after it.
     fn poll_entries(&self, mark: Option<FeedMark>, wait: Duration) -> SourceFuture<'_, NodeUpdate>;
 }
--- a/crates/fleet/tests/support/platform.rs
+++ b/crates/fleet/tests/support/platform.rs
@@ -359,6 +359,18 @@
         })
     }
 
+    fn read_zone<'a>(&'a self, zone: &'a str) -> SourceFuture<'a, Vec<NodeEntry>> {
+        Box::pin(async move {
+            self.0.check_open()?;
+            if self.0.is_isolated.load(Ordering::SeqCst) {
+                return Ok(Vec::new());
+            }
+            let state = self.0.platform.lock();
+            let nodes = state.nodes.values().filter(|entry| entry.zone == zone);
+            Ok(nodes.cloned().collect())
+        })
+    }
+
     fn poll_entries(&self, mark: Option<FeedMark>, wait: Duration) -> SourceFuture<'_, NodeUpdate> {
         Box::pin(async move {
             self.0.check_open()?;
