A history that the store forgets costs a zone one read, not one for each node

Cause: the answer "history gone" went through the reader to all of its followers, and each then asked for the whole table, 3,303 rows and seven pages of the store, from a reader that cannot serve 197 of them within the time-out, and then from the store itself. Cost: nodes times rows for each version that is dropped.

Change: a node that reads the store keeps the hash of each row that it has passed on. When the history is gone it reads the table once, a second apart at most, and answers with what differs. A table that is older than what is known changes nothing, and the answer carries the age of the last confirmation, so that no key is trusted for it.

--- a/crates/fleet/src/feed.rs
+++ b/crates/fleet/src/feed.rs
@@ -22,7 +22,7 @@
 
 use crate::costs::{CostCounters, CostKind};
 use crate::feed_doc::{FeedRequestDoc, FeedResponseDoc};
-use crate::feed_pacer::{cost_kind_of, lock, request_paced, FeedPacer, FeedResult};
+use crate::feed_pacer::{cost_kind_of, lock, FeedResult, StoreTable};
 use crate::ports::{FeedRequest, FeedResponse, FeedSource, SourceError};
 
 /// HTTP status of a response which says that the requested changes are no longer kept.
@@ -105,7 +105,7 @@
     shared_requests: Mutex<IndexMap<FeedRequest, SharedRequest>>,
     /// Failed readers, with the time until which each is skipped.
     backed_off: Mutex<IndexMap<NodeId, Moment>>,
-    pacers: Mutex<IndexMap<String, Arc<Mutex<FeedPacer>>>>,
+    tables: Mutex<IndexMap<String, StoreTable>>,
     /// Time of the store's last response in milliseconds of [`BootClock`]; zero before the first
     /// one.
     store_answered_ms: Arc<AtomicU64>,
@@ -120,7 +120,7 @@
             client: ApiClient::new(Codec::MessagePack, None),
             shared_requests: Mutex::default(),
             backed_off: Mutex::default(),
-            pacers: Mutex::default(),
+            tables: Mutex::default(),
             store_answered_ms: Arc::default(),
             costs,
         }
@@ -131,12 +131,20 @@
     /// Requests of many nodes arrive at any time. Without a limit here, each change of the table
     /// would cost a call of its own, whatever interval each node keeps.
     pub fn set_min_interval(&self, table: &str, min_interval: Duration) {
-        lock(&self.pacer_for(table)).min_interval = min_interval;
+        lock(&self.store_table(table).pacer).min_interval = min_interval;
     }
 
-    fn pacer_for(&self, table: &str) -> Arc<Mutex<FeedPacer>> {
-        let mut pacers = lock(&self.pacers);
-        Arc::clone(pacers.entry(table.to_owned()).or_default())
+    fn store_table(&self, table: &str) -> StoreTable {
+        let mut tables = lock(&self.tables);
+        let entry = tables.entry(table.to_owned());
+        let store_table = entry.or_insert_with(|| StoreTable {
+            store: Arc::clone(&self.store),
+            pacer: Arc::default(),
+            copy: Arc::default(),
+            answered_ms: Arc::clone(&self.store_answered_ms),
+            costs: Arc::clone(&self.costs),
+        });
+        store_table.clone()
     }
 
     /// Returns the changes after a mark as soon as there are any, or none when the wait is over.
@@ -349,10 +357,7 @@
         shared_requests.retain(|request, shared_request| shared_request.is_reusable(request, now));
         let shared_request = shared_requests.entry(request.clone()).or_insert_with(|| {
             self.costs.count(cost_kind_of(&request));
-            let store = Arc::clone(&self.store);
-            let pacer = self.pacer_for(&request.table);
-            let store_answered_ms = Arc::clone(&self.store_answered_ms);
-            let response = request_paced(store, request, pacer, store_answered_ms);
+            let response = self.store_table(&request.table).request(request);
             SharedRequest {
                 started_at: now,
                 response: response.boxed().shared(),
--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -45,6 +45,7 @@
 pub mod suspect_sync;
 pub mod suspect_table;
 pub mod suspicion;
+pub mod table_copy;
 pub mod target_selector;
 pub mod trace;
 pub mod tracker;
--- a/crates/fleet/tests/feed.rs
+++ b/crates/fleet/tests/feed.rs
@@ -210,6 +210,113 @@
     expect_that!(store.calls.load(Ordering::SeqCst), eq(1));
 }
 
+/// Time from the last read that confirmed a table until its history is gone.
+const CONFIRMED_BEFORE: Duration = Duration::from_millis(30);
+
+/// A store that keeps no history; its whole table has the given version.
+struct ForgetfulStore {
+    calls: AtomicU32,
+    version: u64,
+    keys: &'static [&'static str],
+}
+
+impl ForgetfulStore {
+    fn table(&self) -> FeedResponse {
+        let rows = self.keys.iter().map(|key| FeedRow {
+            key: (*key).to_owned(),
+            value: Some(vec![1]),
+        });
+        FeedResponse {
+            mark: mark(self.version),
+            rows: rows.collect(),
+            age: Duration::ZERO,
+            is_snapshot: true,
+        }
+    }
+}
+
+/// A store whose first whole table is `first`, and that then forgets its history and has `second`.
+struct TwoStores {
+    first: ForgetfulStore,
+    second: ForgetfulStore,
+}
+
+impl FeedSource for TwoStores {
+    fn changes(&self, request: FeedRequest) -> SourceFuture<'static, FeedResponse> {
+        let is_first = self.first.calls.fetch_add(1, Ordering::SeqCst) == 0;
+        let response = match request.mark {
+            None if is_first => Ok(self.first.table()),
+            None => Ok(self.second.table()),
+            Some(_) => Err(SourceError::HistoryGone),
+        };
+        Box::pin(async { response })
+    }
+}
+
+/// Lets a relay read the whole table at version 7, and then 58 nodes ask for changes of a store that has forgotten its
+/// history; returns their responses and the number of calls that these cost.
+async fn responses_without_history(
+    version: u64,
+    keys: &'static [&'static str],
+) -> (Vec<FeedResponse>, u32) {
+    let forgetful = |version, keys| ForgetfulStore {
+        calls: AtomicU32::new(0),
+        version,
+        keys,
+    };
+    let store = Arc::new(TwoStores {
+        first: forgetful(7, &["a", "b"]),
+        second: forgetful(version, keys),
+    });
+    let direct = Arc::clone(&store) as Arc<dyn FeedSource>;
+    let relay = FeedRelay::new(direct, Arc::new(CostCounters::default()));
+    let whole = FeedRequest {
+        mark: None,
+        ..request()
+    };
+    let first = relay.request_store(whole, BootClock::now()).await;
+    expect_that!(first, ok(anything()));
+    tokio::time::sleep(CONFIRMED_BEFORE).await;
+    let requests = (0..58).map(|_| relay.respond(request(), BootClock::now()));
+    let responses = join_all(requests).await;
+    let responses: std::result::Result<Vec<FeedResponse>, SourceError> =
+        responses.into_iter().collect();
+    let calls = store.first.calls.load(Ordering::SeqCst) - 1;
+    (responses.expect("every node gets changes"), calls)
+}
+
+/// Guards against every node of a zone reading the whole table, half a kilobyte for each target, whenever the store
+/// forgets its history: with 985 nodes that made more calls in seconds than a quiet day.
+#[gtest]
+#[tokio::test]
+async fn a_forgotten_history_costs_one_read_however_many_nodes_ask() {
+    let (responses, calls) = responses_without_history(9, &["b", "c"]).await;
+    let row = |key: &str, value| FeedRow {
+        key: key.to_owned(),
+        value,
+    };
+    for response in responses {
+        expect_that!(response.mark, eq(mark(9)));
+        expect_false!(response.is_snapshot);
+        let expected = [row("c", Some(vec![1])), row("a", None)];
+        expect_that!(response.rows, eq(&expected));
+    }
+    expect_that!(calls, eq(2));
+}
+
+/// Guards against an old table that a store returns being taken for news: targets would come back that are gone, and
+/// removed keys would count as confirmed.
+#[gtest]
+#[tokio::test]
+async fn a_table_that_is_older_than_what_is_known_changes_and_confirms_nothing() {
+    let (responses, _) = responses_without_history(3, &["a"]).await;
+    for response in responses {
+        expect_that!(response.mark, eq(mark(7)));
+        expect_that!(response.rows, is_empty());
+        expect_that!(response.age, ge(CONFIRMED_BEFORE));
+    }
+}
+
 /// What a reader of the zone does with a request.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 enum ReaderBehavior {
