Registry entries in one part of the store for each zone

All entries lay in one part of the table, which takes 300 writes a second and refuses what would wait for more than one; all nodes start within 0.3 s, and each tries again after the same 0.7 s.

Change: a node writes to the part of its zone, which also makes a zone's entries readable in one call; hubs read the zones one after the other and then follow the changes of the table. Retries come at random.

Next limit: a zone with more than some 300 nodes that start for the first time at once, 1,500 nodes in five zones.

--- a/crates/fleet/src/peers.rs
+++ b/crates/fleet/src/peers.rs
@@ -10,6 +10,7 @@
 use briarswitch_kernel::{BootClock, Service, ServiceLink};
 use briarswitch_membership::{Gossip, GossipDoc, GossipTarget, LiveView, NodeStatus, WorkSum};
 use http::Method;
+use indexmap::IndexSet;
 use serde::{Deserialize, Serialize};
 use serde_json::{json, Value};
 
@@ -50,7 +51,7 @@
 /// Each registration ends every open long poll. Without this interval, nodes that start together
 /// would make a call for each pair of nodes.
 const REGISTRY_READ_INTERVAL: Duration = Duration::from_secs(1);
-/// Delay before a retry after the registry failed.
+/// Mean delay before a retry after the registry failed.
 const REGISTRY_RETRY_DELAY: Duration = Duration::from_millis(700);
 /// Interval between two log lines with the costs.
 const COST_LOG_INTERVAL: Duration = Duration::from_secs(10);
@@ -132,9 +133,10 @@
 pub struct PeerExchange {
     shared: Arc<FleetShared>,
     client: ApiClient,
-    /// Point up to which the registry has been read; `None` if only this node's zone has been.
+    /// Point at which the registry was read for this node's zone.
+    zone_mark: Option<FeedMark>,
+    /// Point up to which the registry has been read for all zones.
     mark: Option<FeedMark>,
-    knows_zone: bool,
     is_registered: bool,
     published_version: u64,
     aggregated_at: Moment,
@@ -157,7 +159,7 @@
     /// This node's entry was written to the registry, or the write failed.
     Registered(Result<(), SourceError>),
     /// The registry returned the nodes of this node's zone, or failed.
-    ZoneRead(Result<Vec<NodeEntry>, SourceError>),
+    ZoneRead(Result<NodeUpdate, SourceError>),
     /// The registry responded or failed.
     RegistryRead(Result<NodeUpdate, SourceError>),
     /// Read the registry.
@@ -171,7 +173,7 @@
             shared,
             client: ApiClient::new(Codec::MessagePack, None),
             mark: None,
-            knows_zone: false,
+            zone_mark: None,
             is_registered: false,
             published_version: 0,
             aggregated_at: Moment::ZERO,
@@ -195,34 +197,49 @@
     /// To find the hubs, each node first reads the entries of its own zone only. If each read the entries of all
     /// zones, the bytes read at a start would grow with the square of the number of nodes.
     fn read_registry(&self, link: &ServiceLink<PeerMessage>) {
-        if !self.knows_zone {
-            self.read_zone(link);
+        let own_zone = &self.shared.settings.zone;
+        if self.zone_mark.is_none() {
+            self.read_zones(vec![own_zone.clone()], PeerMessage::ZoneRead, link);
             return;
         }
         if !self.shared.membership().is_hub(link.now()) {
             link.send_after(REGISTRY_READ_INTERVAL, PeerMessage::ReadRegistry);
             return;
         }
+        let Some(mark) = self.mark else {
+            let zones = self.shared.settings.regions.keys();
+            let zones: IndexSet<ZoneId> = zones.chain([own_zone]).cloned().collect();
+            self.read_zones(zones.into_iter().collect(), PeerMessage::RegistryRead, link);
+            return;
+        };
         let shared = Arc::clone(&self.shared);
-        let mark = self.mark;
         shared.costs.count(CostKind::RegistryRead);
         link.spawn(async move {
-            PeerMessage::RegistryRead(
-                shared
-                    .platform
-                    .nodes
-                    .poll_entries(mark, MAX_REGISTRY_WAIT)
-                    .await,
-            )
+            let nodes = &shared.platform.nodes;
+            PeerMessage::RegistryRead(nodes.poll_changes(mark, MAX_REGISTRY_WAIT).await)
         });
     }
 
-    fn read_zone(&self, link: &ServiceLink<PeerMessage>) {
+    /// Reads the entries of some zones, one zone after the other.
+    fn read_zones(
+        &self,
+        zones: Vec<ZoneId>,
+        message: fn(Result<NodeUpdate, SourceError>) -> PeerMessage,
+        link: &ServiceLink<PeerMessage>,
+    ) {
         let shared = Arc::clone(&self.shared);
-        shared.costs.count(CostKind::RegistryRead);
         link.spawn(async move {
-            let zone = &shared.settings.zone;
-            PeerMessage::ZoneRead(shared.platform.nodes.read_zone(zone).await)
+            let mut read: Option<NodeUpdate> = None;
+            for zone in zones {
+                shared.costs.count(CostKind::RegistryRead);
+                match (shared.platform.nodes.read_zone(&zone).await, &mut read) {
+                    (Err(error), _) => return message(Err(error)),
+                    // The first mark is kept: changes after it are sent again.
+                    (Ok(update), Some(read)) => read.nodes.extend(update.nodes),
+                    (Ok(update), None) => read = Some(update),
+                }
+            }
+            message(read.ok_or(SourceError::HistoryGone))
         });
     }
 
@@ -230,7 +247,8 @@
     ///
     /// Other nodes learn the incarnation from this node's messages, so an entry that differs in nothing else
     /// remains valid.
-    fn apply_zone(&mut self, nodes: &[NodeEntry], link: &ServiceLink<PeerMessage>) {
+    fn apply_zone(&mut self, update: &NodeUpdate, link: &ServiceLink<PeerMessage>) {
+        let nodes = &update.nodes;
         let own = self.shared.own_entry();
         let is_listed = nodes.iter().any(|entry| {
             let incarnation = own.incarnation;
@@ -240,7 +258,7 @@
             };
             current == own
         });
-        self.knows_zone = true;
+        self.zone_mark = Some(update.mark);
         self.add_nodes(nodes, link.now());
         if is_listed {
             self.is_registered = true;
@@ -408,9 +426,10 @@
             PeerMessage::Registered(Ok(())) => self.is_registered = true,
             PeerMessage::Registered(Err(error)) => {
                 log::warn!(error:% = error; "registration_failed");
-                self.register(REGISTRY_RETRY_DELAY, link);
+                let delay = REGISTRY_RETRY_DELAY.mul_f64(0.5 + rand::random::<f64>());
+                self.register(delay, link);
             }
-            PeerMessage::ZoneRead(Ok(nodes)) => self.apply_zone(&nodes, link),
+            PeerMessage::ZoneRead(Ok(update)) => self.apply_zone(&update, link),
             PeerMessage::ZoneRead(Err(error)) => {
                 log::warn!(error:% = error; "zone_unread");
                 self.shared.peers_known.send_replace(true);
--- a/crates/fleet/src/ports.rs
+++ b/crates/fleet/src/ports.rs
@@ -131,7 +131,7 @@
     }
 }
 
-/// Result of [`NodeRegistry::poll_entries`].
+/// Nodes that a [`NodeRegistry`] returns.
 #[derive(Clone, Debug)]
 pub struct NodeUpdate {
     /// Mark to continue from.
@@ -177,10 +177,10 @@
     fn register(&self, entry: NodeEntry) -> SourceFuture<'_, ()>;
 
     /// Reads the entries of one zone.
-    fn read_zone<'a>(&'a self, zone: &'a str) -> SourceFuture<'a, Vec<NodeEntry>>;
+    fn read_zone<'a>(&'a self, zone: &'a str) -> SourceFuture<'a, NodeUpdate>;
 
-    /// Reads all entries if there is no mark, or else waits up to `wait` for changes after it.
-    fn poll_entries(&self, mark: Option<FeedMark>, wait: Duration) -> SourceFuture<'_, NodeUpdate>;
+    /// Waits up to `wait` for changes of any zone after a mark.
+    fn poll_changes(&self, mark: FeedMark, wait: Duration) -> SourceFuture<'_, NodeUpdate>;
 }
 
 /// State that a target reports about itself.
--- a/crates/fleet/tests/support/platform.rs
+++ b/crates/fleet/tests/support/platform.rs
@@ -359,27 +359,29 @@
         })
     }
 
-    fn read_zone<'a>(&'a self, zone: &'a str) -> SourceFuture<'a, Vec<NodeEntry>> {
+    fn read_zone<'a>(&'a self, zone: &'a str) -> SourceFuture<'a, NodeUpdate> {
         Box::pin(async move {
             self.0.check_open()?;
-            if self.0.is_isolated.load(Ordering::SeqCst) {
-                return Ok(Vec::new());
-            }
+            let is_isolated = self.0.is_isolated.load(Ordering::SeqCst);
             let state = self.0.platform.lock();
-            let nodes = state.nodes.values().filter(|entry| entry.zone == zone);
-            Ok(nodes.cloned().collect())
+            let nodes = state.nodes.values();
+            let of_zone = nodes.filter(|entry| entry.zone == zone && !is_isolated);
+            Ok(NodeUpdate {
+                mark: mark_of(state.version),
+                nodes: of_zone.cloned().collect(),
+            })
         })
     }
 
-    fn poll_entries(&self, mark: Option<FeedMark>, wait: Duration) -> SourceFuture<'_, NodeUpdate> {
+    fn poll_changes(&self, mark: FeedMark, wait: Duration) -> SourceFuture<'_, NodeUpdate> {
         Box::pin(async move {
             self.0.check_open()?;
-            let table = NODE_TABLE.to_owned();
-            let response = self
-                .0
-                .platform
-                .feed(FeedRequest { table, mark, wait })
-                .await;
+            let request = FeedRequest {
+                table: NODE_TABLE.to_owned(),
+                mark: Some(mark),
+                wait,
+            };
+            let response = self.0.platform.feed(request).await;
             let is_isolated = self.0.is_isolated.load(Ordering::SeqCst);
             let state = self.0.platform.lock();
             let rows = response.rows.iter().filter(|_| !is_isolated);
