A node finds out in a few comparisons that a domain is not its own

With every change of the directory, five a second, each node ranked all 985 nodes for each of the 45 domains to learn that it isn't the first: nodes times domains, at every node.

Change: the search ends at the first node that ranks before this one; at a plain node that is one of the next few, since nodes with more bandwidth of the domain's zone come first.

Test (membership, holders): both ways agree, and exactly one node is first.

--- a/crates/fleet/src/scope.rs
+++ b/crates/fleet/src/scope.rs
@@ -76,7 +76,7 @@
             let records: Vec<&TargetRecord> =
                 of_service.iter().map(|record| record.as_ref()).collect();
             for (domain, zone) in domains_of(&records) {
-                if live.first_for(domain, zone).is_none() {
+                if live.is_first_for(domain, zone) {
                     own_domains.insert(DomainKey {
                         service: service.id.clone(),
                         domain: domain.clone(),
--- a/crates/membership/src/view.rs
+++ b/crates/membership/src/view.rs
@@ -1,5 +1,6 @@
 //! Immutable view of the live nodes for request handling: ranks, roles and weights.
 
+use std::cmp::Reverse;
 use std::sync::Arc;
 
 use briarswitch_core::id::Moment;
@@ -142,19 +143,34 @@
     /// nodes with more bandwidth. All nodes with the same live nodes compute the same order.
     pub fn first_for(&self, key: &str, zone: &str) -> Option<&Arc<NodeEntry>> {
         let key = RankKey::from(key);
-        let rank = |entry: &NodeEntry, hash: u64| {
-            let is_other_zone = entry.zone != zone;
-            (is_other_zone, bandwidth_rank(entry, hash, key))
-        };
-        let own = rank(&self.own, self.own_hash);
+        let own = zone_rank(&self.own, self.own_hash, key, zone);
         let ranked = self
             .live
             .iter()
-            .map(|member| (rank(&member.entry, member.hash), member));
+            .map(|member| (zone_rank(&member.entry, member.hash, key, zone), member));
         let first = ranked.min_by_key(|(rank, _)| *rank)?;
         (first.0 < own).then_some(&first.1.entry)
     }
 
+    /// Returns whether this node ranks first for a key in `zone`, as [`first_for`](Self::first_for) defines it.
+    ///
+    /// For nearly all nodes one of the next few members decides that, so that the cost does not follow the number of
+    /// nodes.
+    ///
+    /// ```
+    /// use briarswitch_membership::{LiveView, NodeEntry};
+    ///
+    /// assert!(LiveView::new(NodeEntry::default()).is_first_for("domain", "z1"));
+    /// ```
+    pub fn is_first_for(&self, key: &str, zone: &str) -> bool {
+        let key = RankKey::from(key);
+        let own = zone_rank(&self.own, self.own_hash, key, zone);
+        !self
+            .live
+            .iter()
+            .any(|member| zone_rank(&member.entry, member.hash, key, zone) < own)
+    }
+
     /// Returns the `count` live nodes that rank first for a key, in any zone.
     ///
     /// ```
@@ -230,3 +246,13 @@
         ReaderRole::Follower(best.map(|(_, entry)| Arc::clone(entry)).collect())
     }
 }
+
+/// Returns a node's rank for a key in a zone, whose nodes come first.
+fn zone_rank(
+    entry: &NodeEntry,
+    hash: u64,
+    key: RankKey,
+    zone: &str,
+) -> (bool, (Reverse<u32>, u64)) {
+    (entry.zone != zone, bandwidth_rank(entry, hash, key))
+}
--- a/crates/membership/tests/holders.rs
+++ b/crates/membership/tests/holders.rs
@@ -77,3 +77,37 @@
     expect_that!(counts.len(), eq(NODES));
     expect_that!(counts.values().max(), some(le(&100)));
 }
+
+/// Guards against a domain that two nodes control, or none, because the short check differs from the whole one.
+#[gtest]
+fn exactly_one_node_ranks_first_for_a_key_in_a_zone() {
+    for zone in ["z0", "z1", "z9"] {
+        for key in ["a", "b", "c", "d", "e"] {
+            let views: Vec<LiveView> = (0..NODES).map(|own| view(own, 0..NODES)).collect();
+            let first = views.iter().filter(|view| view.is_first_for(key, zone));
+            expect_that!(first.count(), eq(1), "{key} in {zone}");
+            for view in &views {
+                let is_first = view.first_for(key, zone).is_none();
+                expect_that!(view.is_first_for(key, zone), eq(is_first));
+            }
+        }
+    }
+}
+
+/// Guards against nodes that cannot see each other and each take a share for the whole fleet.
+#[gtest]
+fn the_rank_among_known_nodes_does_not_change_when_they_fall_silent() {
+    let now = NOW + Duration::from_secs(60);
+    for own in 0..NODES {
+        let mut membership = Membership::new(entry(own));
+        for other in (0..NODES).filter(|other| *other != own) {
+            membership.add_node(&entry(other), NOW);
+        }
+        let alone = LiveView::from_membership(&membership, now);
+        expect_that!(alone.live_nodes(), eq(1));
+        expect_that!(
+            alone.known_rank("key"),
+            eq(view(own, 0..NODES).known_rank("key"))
+        );
+    }
+}
