The limit of a target that warms up, searched; a node that has just started waits for it

Cause: a node that restarts forgets what it has sent; its first request to a target that warms up could fall into the same second as one of its earlier incarnation. Found by writing the protocol down for the search.

Change: for the time over which requests are counted, a node that has started sends none to such targets.

--- a/crates/core/src/warmup.rs
+++ b/crates/core/src/warmup.rs
@@ -9,8 +9,8 @@
 /// Time over which one node counts its requests to a target that warms up.
 ///
 /// Longer than the second to which the limit applies, since requests may take different times to
-/// arrive.
-const COUNTING_WINDOW: Duration = Duration::from_millis(1_250);
+/// arrive. A node that has just started waits as long, since it may have sent some before.
+pub const COUNTING_WINDOW: Duration = Duration::from_millis(1_250);
 
 /// How the targets of a service warm up.
 #[derive(Clone, Copy, Debug, Default, PartialEq)]
@@ -53,7 +53,7 @@
 }
 
 /// The requests that one node has recently sent to a target that warms up.
-#[derive(Clone, Debug, Default)]
+#[derive(Clone, Debug, Default, Eq, Hash, PartialEq)]
 pub struct WarmupWindow {
     sent: VecDeque<Moment>,
 }
--- a/crates/fleet/src/shared.rs
+++ b/crates/fleet/src/shared.rs
@@ -9,7 +9,7 @@
 use briarswitch_core::placement::NodeWeight;
 use briarswitch_core::target::TargetCache;
 use briarswitch_core::traffic::TrafficConfig;
-use briarswitch_core::warmup::WarmupSpec;
+use briarswitch_core::warmup::{WarmupSpec, COUNTING_WINDOW};
 use briarswitch_kernel::{BootClock, Snapshot};
 use briarswitch_membership::{LiveView, Membership, WorkSum};
 use indexmap::IndexMap;
@@ -274,7 +274,12 @@
     }
 
     /// Returns this node's share of the requests to a target that warms up.
-    pub fn warmup_share(&self, spec: &WarmupSpec, target: &str) -> u32 {
+    ///
+    /// There is none right after the start: an earlier incarnation of this node may have used it.
+    pub fn warmup_share(&self, spec: &WarmupSpec, target: &str, now: Moment) -> u32 {
+        if now < self.started_at + COUNTING_WINDOW {
+            return 0;
+        }
         let live_view = self.live_view.read();
         spec.share(live_view.known_nodes(), live_view.known_rank(target))
     }
--- a/crates/fleet/src/target_selector.rs
+++ b/crates/fleet/src/target_selector.rs
@@ -173,7 +173,7 @@
     ) -> Option<u32> {
         let warmup = &spec?.warmup;
         (warmup.is_limited() && target.gauge.is_warming(now))
-            .then(|| self.shared.warmup_share(warmup, &target.id))
+            .then(|| self.shared.warmup_share(warmup, &target.id, now))
     }
 
     /// Reserves free slots for waiting requests.
--- a/crates/fleet/tests/zones.rs
+++ b/crates/fleet/tests/zones.rs
@@ -4,6 +4,7 @@
 
 use std::time::{Duration, Instant};
 
+use briarswitch_core::warmup::COUNTING_WINDOW;
 use googletest::prelude::*;
 
 use support::platform::TargetListing;
@@ -78,6 +79,7 @@
     wait_until_evacuated(&fleet, true).await;
     expect_that!(runs_after(&fleet, 0).await, eq(0));
 
+    tokio::time::sleep(COUNTING_WINDOW).await;
     fleet.platform.set_evacuated("z1", false);
     wait_until_evacuated(&fleet, false).await;
     let returned = Instant::now();
@@ -127,6 +129,7 @@
             ["n1", "n2"].iter().all(|node| state.body.contains(node))
         })
         .await;
+    tokio::time::sleep(COUNTING_WINDOW).await;
     let started = Instant::now();
     send_to_all(&fleet).await;
     let most = most_runs_in_a_second(&fleet.targets[1], started);
--- a/crates/model/examples/check.rs
+++ b/crates/model/examples/check.rs
@@ -9,6 +9,7 @@
     search, stuck_states, ConfigDefect, ConfigSpec, CrashDefect, CrashSpec, GateDefect, GateSpec,
     GroupFormationDefect, GroupFormationSpec, KeyDefect, KeySpec, LeaseDefect, LeaseSpec,
     OrderDefect, OrderSpec, RelayDefect, RelaySpec, RestartDefect, RestartSpec, Specification,
+    WarmupDefect, WarmupLimitSpec,
 };
 
 /// Prints the results of the checks and counts failures.
@@ -85,6 +86,7 @@
     summary.check_properties("configuration edits", &ConfigSpec::sound());
     summary.check_properties("at-most-once execution by key", &KeySpec::sound());
     summary.check_properties("requests that crash targets", &CrashSpec::sound());
+    summary.check_properties("limit of a target that warms up", &WarmupLimitSpec::sound());
     summary.check_liveness("lease", &LeaseSpec::short());
     summary.check_liveness(
         "orders, engines that check fencing",
@@ -184,6 +186,15 @@
         let name = format!("requests that crash targets with {defect:?}");
         summary.check_defect(&name, &CrashSpec::defective(defect));
     }
+    for defect in [
+        WarmupDefect::RoundedUp,
+        WarmupDefect::RankedAmongLive,
+        WarmupDefect::SentAfterRestart,
+        WarmupDefect::CountedForASecond,
+    ] {
+        let name = format!("limit of a target that warms up with {defect:?}");
+        summary.check_defect(&name, &WarmupLimitSpec::defective(defect));
+    }
     println!("{} checks failed", summary.failures);
     ExitCode::from(u8::from(summary.failures > 0))
 }
--- a/crates/model/src/lib.rs
+++ b/crates/model/src/lib.rs
@@ -20,6 +20,7 @@
 mod relay;
 mod restart;
 mod search;
+mod warmup;
 
 pub use config::{ConfigDefect, ConfigSpec};
 pub use crash::{CrashDefect, CrashSpec};
@@ -31,3 +32,4 @@
 pub use relay::{RelayDefect, RelaySpec};
 pub use restart::{RestartDefect, RestartSpec};
 pub use search::{search, stuck_states, SearchReport, Specification, Step, Violation};
+pub use warmup::{WarmupDefect, WarmupLimitSpec};
