Gossip between zones is compressed

Change: messages to other zones go to a path of their own, compressed both ways by the code that packs tables. Weighed: numbers in place of names (a shared numbering has to be agreed on and kept), heartbeats less often than loads (a zone's nodes would be known to live later).

--- a/crates/fleet/src/feed_doc.rs
+++ b/crates/fleet/src/feed_doc.rs
@@ -1,15 +1,11 @@
 //! Wire format of requests for the store's tables, and of their responses, between nodes.
 
-use std::io::{self, Read};
 use std::time::Duration;
 
-use briarswitch_http::{decode_msgpack, encode_msgpack};
-use flate2::read::{DeflateDecoder, DeflateEncoder};
-use flate2::Compression;
-
 use serde::{Deserialize, Serialize};
 use serde_bytes::ByteBuf;
 
+use crate::packed::{pack, unpack, PackError};
 use crate::ports::{FeedMark, FeedRequest, FeedResponse, FeedRow};
 
 /// [`FeedMark`] on the wire: era, version.
@@ -36,9 +32,6 @@
     wait_ms: u64,
 }
 
-/// Maximum size of the rows of a response when unpacked, in bytes.
-const MAX_UNPACKED_BYTES: u64 = 64 << 20;
-
 /// Rows of a response, compressed.
 ///
 /// A list of targets repeats the same names thousands of times. Uncompressed, one of 3,303 targets takes 0.4 s on a
@@ -50,17 +43,6 @@
 /// A row on the wire: key and value; a deleted row has no value.
 type RowDoc = (String, Option<ByteBuf>);
 
-/// Why the rows of a response could not be unpacked.
-#[derive(Debug, thiserror::Error)]
-pub enum UnpackError {
-    /// The compressed data is damaged.
-    #[error("damaged rows: {0}")]
-    Damaged(#[from] io::Error),
-    /// The data is not a list of rows.
-    #[error("no rows: {0}")]
-    NoRows(String),
-}
-
 impl PackedRows {
     /// Packs rows.
     ///
@@ -77,12 +59,8 @@
             (row.key.as_str(), value)
         });
         let docs: Vec<(&str, Option<ByteBuf>)> = docs.collect();
-        let mut packed = Vec::new();
-        // Neither step can fail: all types are supported, and nothing is read but memory. The receiver would report it.
-        if let Ok(bytes) = encode_msgpack(&docs) {
-            let mut encoder = DeflateEncoder::new(bytes.as_ref(), Compression::fast());
-            let _ = encoder.read_to_end(&mut packed);
-        }
+        // Rows can always be encoded; an empty message is reported by whoever unpacks it.
+        let packed = pack(&docs).unwrap_or_default();
         Self(ByteBuf::from(packed))
     }
 
@@ -90,13 +68,9 @@
     ///
     /// # Errors
     ///
-    /// Returns [`UnpackError`] if the data is damaged.
-    pub fn unpack(&self) -> Result<Vec<FeedRow>, UnpackError> {
-        let mut bytes = Vec::new();
-        let decoder = DeflateDecoder::new(self.0.as_slice());
-        decoder.take(MAX_UNPACKED_BYTES).read_to_end(&mut bytes)?;
-        let docs: Vec<RowDoc> =
-            decode_msgpack(&bytes).map_err(|error| UnpackError::NoRows(error.to_string()))?;
+    /// Returns [`PackError`] if the data is damaged.
+    pub fn unpack(&self) -> Result<Vec<FeedRow>, PackError> {
+        let docs: Vec<RowDoc> = unpack(&self.0)?;
         let rows = docs.into_iter().map(|(key, value)| FeedRow {
             key,
             value: value.map(ByteBuf::into_vec),
@@ -154,9 +128,9 @@
 }
 
 impl TryFrom<FeedResponseDoc> for FeedResponse {
-    type Error = UnpackError;
+    type Error = PackError;
 
-    fn try_from(doc: FeedResponseDoc) -> Result<Self, UnpackError> {
+    fn try_from(doc: FeedResponseDoc) -> Result<Self, PackError> {
         Ok(Self {
             mark: doc.mark.into(),
             rows: doc.rows.unpack()?,
--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -23,6 +23,7 @@
 pub mod metrics;
 pub mod node;
 pub mod order_sender;
+pub mod packed;
 pub mod peer_api;
 pub mod peers;
 pub mod ports;
--- a/crates/fleet/src/peer_api.rs
+++ b/crates/fleet/src/peer_api.rs
@@ -7,7 +7,7 @@
 use briarswitch_core::fingerprint::RequestFingerprint;
 use briarswitch_core::id::Moment;
 use briarswitch_http::{
-    decode_msgpack, read_body, reply_msgpack, reply_text, Handler, Request, Response,
+    decode_msgpack, read_body, reply_bytes, reply_msgpack, reply_text, Handler, Request, Response,
 };
 use briarswitch_kernel::{BootClock, Mailbox};
 use briarswitch_membership::{Gossip, GossipDoc, NodeStatus};
@@ -18,8 +18,10 @@
 use crate::costs::CostKind;
 use crate::feed::FEED_PATH;
 use crate::feed_doc::FeedRequestDoc;
+use crate::packed::{pack, unpack};
 use crate::peers::{
-    apply_hints, apply_suspicions, own_status, SuspicionDoc, GOSSIP_PATH, SUSPICION_PATH,
+    apply_hints, apply_suspicions, own_status, SuspicionDoc, FAR_GOSSIP_PATH, GOSSIP_PATH,
+    SUSPICION_PATH,
 };
 use crate::ports::{SourceError, SuspectRow};
 use crate::shared::FleetShared;
@@ -51,6 +53,7 @@
     async fn route(&self, request: Request) -> Response {
         match request.uri().path() {
             GOSSIP_PATH => self.gossip(request).await,
+            FAR_GOSSIP_PATH => self.far_gossip(request).await,
             SUSPICION_PATH => self.suspicion(request).await,
             FEED_PATH => self.feed(request).await,
             SUSPECT_PATH => self.crashes(request).await,
@@ -74,9 +77,25 @@
     }
 
     async fn gossip(&self, request: Request) -> Response {
-        let Some(doc) = read_message::<GossipDoc>(request).await else {
-            return reply_text(StatusCode::BAD_REQUEST, "expected a message");
+        match read_message::<GossipDoc>(request).await {
+            Some(doc) => reply_msgpack(StatusCode::OK, &self.respond_to(doc)),
+            None => reply_text(StatusCode::BAD_REQUEST, "expected a message"),
+        }
+    }
+
+    async fn far_gossip(&self, request: Request) -> Response {
+        let body = read_body(request.into_body(), MAX_MESSAGE_BYTES).await;
+        let doc = body.ok().and_then(|body| unpack::<GossipDoc>(&body).ok());
+        let Some(doc) = doc else {
+            return reply_text(StatusCode::BAD_REQUEST, "expected a compressed message");
         };
+        match pack(&self.respond_to(doc)) {
+            Ok(packed) => reply_bytes(StatusCode::OK, "application/octet-stream", packed),
+            Err(error) => reply_text(StatusCode::INTERNAL_SERVER_ERROR, error.to_string()),
+        }
+    }
+
+    fn respond_to(&self, doc: GossipDoc) -> GossipDoc {
         self.shared.costs.count(CostKind::GossipAnswered);
         let gossip = Gossip::from(doc);
         apply_hints(&self.shared, &gossip);
@@ -86,8 +105,7 @@
             *cached = (now, own_status(&self.shared));
         }
         let response = self.shared.membership().respond(&gossip, &cached.1, now);
-        drop(cached);
-        reply_msgpack(StatusCode::OK, &GossipDoc::from(&response))
+        GossipDoc::from(&response)
     }
 
     /// Records crashes that another node saw, and responds with all that is known of the requests
--- a/crates/fleet/src/peers.rs
+++ b/crates/fleet/src/peers.rs
@@ -15,11 +15,14 @@
 use serde_json::{json, Value};
 
 use crate::costs::CostKind;
+use crate::packed::{pack, unpack};
 use crate::ports::{FeedMark, NodeEntry, NodeUpdate, SourceError};
 use crate::shared::{FleetPhase, FleetShared};
 
-/// Path of gossip between nodes.
+/// Path of gossip between nodes of a zone.
 pub const GOSSIP_PATH: &str = "/gossip";
+/// Path of gossip between nodes of different zones.
+pub const FAR_GOSSIP_PATH: &str = "/gossip/far";
 /// Path at which a node receives reports of silent targets.
 pub const SUSPICION_PATH: &str = "/suspicion";
 /// Interval between checks for peers that are due; half of the shortest gossip interval.
@@ -77,16 +80,28 @@
 }
 
 /// Sends a gossip message; returns the response and the size of both in bytes.
+///
+/// Messages to other zones name all nodes of a zone, and that traffic is paid by the byte, so they are compressed.
 async fn exchange(client: &ApiClient, target: &GossipTarget) -> Result<(Gossip, usize), CallError> {
-    let url = format!("http://{}{GOSSIP_PATH}", target.address);
     let unreadable = |error: String| CallError::InvalidBody(error);
-    let sent =
-        encode_msgpack(&GossipDoc::from(&target.gossip)).map_err(|e| unreadable(e.to_string()))?;
+    let doc = GossipDoc::from(&target.gossip);
+    let (path, sent) = if target.is_same_zone {
+        let sent = encode_msgpack(&doc).map_err(|error| unreadable(error.to_string()))?;
+        (GOSSIP_PATH, sent)
+    } else {
+        let sent = pack(&doc).map_err(|error| unreadable(error.to_string()))?;
+        (FAR_GOSSIP_PATH, sent)
+    };
+    let url = format!("http://{}{path}", target.address);
     let size = sent.len();
     let response = client
         .call_raw(Method::POST, &url, sent, RESPONSE_TIMEOUT)
         .await?;
-    let doc: GossipDoc = decode_msgpack(&response).map_err(|e| unreadable(e.to_string()))?;
+    let doc: GossipDoc = if target.is_same_zone {
+        decode_msgpack(&response).map_err(|error| unreadable(error.to_string()))?
+    } else {
+        unpack(&response).map_err(|error| unreadable(error.to_string()))?
+    };
     Ok((doc.into(), size + response.len()))
 }
 
