A node computes its status only for a message that is due

Cause, read in the code: on each tick of 25 ms a node walked the gauges of all 3,303 targets twice, for its loads and its suspicions, and built its rates, though a plain node sends a message each 100 ms.

Change: the status is passed as a function that is called when the first message is due.

Its share of the processor was not measured apart.

--- a/crates/fleet/src/peers.rs
+++ b/crates/fleet/src/peers.rs
@@ -263,8 +263,10 @@
     }
 
     fn tick(&mut self, now: Moment, link: &ServiceLink<PeerMessage>) {
-        let status = own_status(&self.shared);
-        let due = self.shared.membership().due_messages(&status, now);
+        let shared = Arc::clone(&self.shared);
+        let due = shared
+            .membership()
+            .due_messages(|| own_status(&shared), now);
         for target in due {
             self.send(target, now, link);
         }
--- a/crates/membership/src/schedule.rs
+++ b/crates/membership/src/schedule.rs
@@ -1,5 +1,7 @@
 //! Schedule of the messages that a node sends, and their recipients.
 
+use std::cell::LazyCell;
+use std::ops::Deref;
 use std::time::Duration;
 
 use briarswitch_core::id::{Moment, NodeId, ZoneId};
@@ -29,28 +31,33 @@
 const PROBE_INTERVAL: Duration = Duration::from_millis(500);
 
 impl Membership {
-    /// Returns the messages that are due at `now`.
-    pub fn due_messages(&mut self, status: &NodeStatus, now: Moment) -> Vec<GossipTarget> {
+    /// Returns the messages that are due at `now`; `status` is called only if there are any.
+    pub fn due_messages(
+        &mut self,
+        status: impl FnOnce() -> NodeStatus,
+        now: Moment,
+    ) -> Vec<GossipTarget> {
+        let status = LazyCell::new(status);
         self.prune_expired(now);
         let zone = self.own.zone.clone();
         let hubs = self.hubs(&zone, now);
         let mut due = Vec::new();
         if !self.is_hub_among(&hubs, now) {
-            due.extend(self.report_due(&hubs, status, now));
+            due.extend(self.report_due(&hubs, &status, now));
             return due;
         }
         self.followed = None;
         for node in &hubs {
             if *node != self.own.node {
-                due.extend(self.hub_due(node, status, now));
+                due.extend(self.hub_due(node, &status, now));
             }
         }
         for zone in self.other_zones() {
             if self.is_contact_for(&zone, &hubs) {
-                due.extend(self.zone_due(&zone, status, now));
+                due.extend(self.zone_due(&zone, &status, now));
             }
         }
-        due.extend(self.probe_due(status, now));
+        due.extend(self.probe_due(&status, now));
         due
     }
 
@@ -124,7 +131,7 @@
     fn report_due(
         &mut self,
         hubs: &[NodeId],
-        status: &NodeStatus,
+        status: &impl Deref<Target = NodeStatus>,
         now: Moment,
     ) -> Option<GossipTarget> {
         let node = first_ranked(hubs, &self.own.node)?;
@@ -149,7 +156,12 @@
         self.message_to(node, report)
     }
 
-    fn hub_due(&mut self, node: &str, status: &NodeStatus, now: Moment) -> Option<GossipTarget> {
+    fn hub_due(
+        &mut self,
+        node: &str,
+        status: &impl Deref<Target = NodeStatus>,
+        now: Moment,
+    ) -> Option<GossipTarget> {
         let origin = DigestOrigin::Hub(node.to_owned());
         let is_yielding = self.own.node.as_str() > node;
         if !self.is_due(origin, HUB_INTERVAL, is_yielding, now) {
@@ -158,7 +170,12 @@
         self.message_to(node, self.hub_gossip(status, now))
     }
 
-    fn zone_due(&mut self, zone: &str, status: &NodeStatus, now: Moment) -> Option<GossipTarget> {
+    fn zone_due(
+        &mut self,
+        zone: &str,
+        status: &impl Deref<Target = NodeStatus>,
+        now: Moment,
+    ) -> Option<GossipTarget> {
         let is_yielding = self.own.zone.as_str() > zone;
         if !self.is_due(
             DigestOrigin::Zone(zone.to_owned()),
@@ -180,7 +197,11 @@
     /// Returns a probe to an unreachable node of this node's zone.
     ///
     /// The probe has the form of a follower's report, so the response has a snapshot of the roster.
-    fn probe_due(&mut self, status: &NodeStatus, now: Moment) -> Option<GossipTarget> {
+    fn probe_due(
+        &mut self,
+        status: &impl Deref<Target = NodeStatus>,
+        now: Moment,
+    ) -> Option<GossipTarget> {
         if now < self.last_probe + PROBE_INTERVAL {
             return None;
         }
--- a/crates/membership/tests/support/mod.rs
+++ b/crates/membership/tests/support/mod.rs
@@ -154,7 +154,7 @@
     fn tick(&mut self, name: &str) {
         let (now, status) = (self.now, self.status(name));
         let node = &mut self.nodes[name];
-        let due = node.membership.due_messages(&status, now);
+        let due = node.membership.due_messages(|| status.clone(), now);
         node.sent_messages += due.len() as u64;
         for target in due {
             self.exchange(name, &target);
