--- a/crates/fleet/src/peers.rs
+++ b/crates/fleet/src/peers.rs
@@ -49,6 +49,10 @@
 const REGISTRY_READ_INTERVAL: Duration = Duration::from_secs(1);
 /// Mean delay before a retry after the registry failed.
 const REGISTRY_RETRY_DELAY: Duration = Duration::from_millis(700);
+/// Delay before all zones are read again because the registry's history is gone.
+///
+/// A store that drops its history does so for seconds, and a node that starts meanwhile makes itself known to a hub.
+const REGISTRY_REREAD_DELAY: Duration = Duration::from_secs(5);
 /// Interval between two log lines with the costs.
 const COST_LOG_INTERVAL: Duration = Duration::from_secs(10);
 
@@ -425,10 +429,13 @@
                 link.send_after(REGISTRY_READ_INTERVAL, PeerMessage::ReadRegistry);
             }
             PeerMessage::RegistryRead(Err(error)) => {
-                if error == SourceError::HistoryGone {
+                let delay = if error == SourceError::HistoryGone {
                     self.mark = None;
-                }
-                link.send_after(REGISTRY_RETRY_DELAY, PeerMessage::ReadRegistry);
+                    REGISTRY_REREAD_DELAY
+                } else {
+                    REGISTRY_RETRY_DELAY
+                };
+                link.send_after(delay, PeerMessage::ReadRegistry);
             }
             PeerMessage::ReadRegistry => self.read_registry(link),
         }
