--- a/crates/core/src/evacuation.rs
+++ b/crates/core/src/evacuation.rs
@@ -66,8 +66,7 @@
     }
 
     /// Returns the zones that are under evacuation here but not in `later`.
-    pub fn ended_in(&self, later: &Self) -> impl Iterator<Item = &ZoneId> {
-        let later = later.zones.clone();
-        self.zones.iter().filter(move |zone| !later.contains(*zone))
+    pub fn ended_in<'a>(&'a self, later: &'a Self) -> impl Iterator<Item = &'a ZoneId> {
+        self.zones.iter().filter(|zone| !later.contains(zone))
     }
 }
--- a/crates/fleet/src/feed_doc.rs
+++ b/crates/fleet/src/feed_doc.rs
@@ -2,6 +2,7 @@
 
 use std::time::Duration;
 
+use bytes::Bytes;
 use serde::{Deserialize, Serialize};
 use serde_bytes::ByteBuf;
 
@@ -59,8 +60,10 @@
             (row.key.as_str(), value)
         });
         let docs: Vec<(&str, Option<ByteBuf>)> = docs.collect();
-        // Rows can always be encoded; an empty message is reported by whoever unpacks it.
-        let packed = pack(&docs).unwrap_or_default();
+        let packed = pack(&docs).unwrap_or_else(|error| {
+            log::error!(error:% = error; "rows_unpackable");
+            Bytes::new()
+        });
         Self(ByteBuf::from(packed))
     }
 
