A hub reads its own zone of the registry once, and what has been read is one state

Two marks that could not both be free stood for three states; the one of the own zone was only asked whether it was there, so a hub that had read its zone read it again with all others. Now one state says nothing, own zone or all zones, a hub reads the others and continues from the mark of its own. The two readers stand in a file of their own, as plain functions; the entry of this node is found by its name in place of a copy of each entry.

What changes besides: one call less for each hub at its start; when the history is gone, the own zone is read first, then the others, as at a start, by a node that is no hub any more too; a registered node doesn't register again then.

--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -31,6 +31,7 @@
 pub mod peers;
 pub mod ports;
 pub mod prior_wait;
+mod registry;
 pub mod relay;
 pub mod routing_table;
 pub mod run;
--- a/crates/fleet/src/peers.rs
+++ b/crates/fleet/src/peers.rs
@@ -10,13 +10,13 @@
 use briarswitch_kernel::{BootClock, Service, ServiceLink};
 use briarswitch_membership::{Gossip, GossipTarget, LiveView, NodeStatus, WorkSum};
 use http::Method;
-use indexmap::IndexSet;
 use serde::{Deserialize, Serialize};
 use serde_json::{json, Value};
 
 use crate::costs::CostKind;
 use crate::gossip_client::{exchange, RESPONSE_TIMEOUT};
-use crate::ports::{FeedMark, NodeEntry, NodeUpdate, SourceError};
+use crate::ports::{NodeEntry, NodeUpdate, SourceError};
+use crate::registry::{read_other_zones, read_zone, RegistryView};
 use crate::shared::{FleetPhase, FleetShared};
 
 /// Path at which a node receives reports of silent targets.
@@ -119,10 +119,7 @@
 pub struct PeerExchange {
     shared: Arc<FleetShared>,
     client: ApiClient,
-    /// Point at which the registry was read for this node's zone.
-    zone_mark: Option<FeedMark>,
-    /// Point up to which the registry has been read for all zones.
-    mark: Option<FeedMark>,
+    registry: RegistryView,
     is_registered: bool,
     published_version: u64,
     aggregated_at: Moment,
@@ -158,8 +155,7 @@
         Self {
             shared,
             client: ApiClient::new(Codec::MessagePack, None),
-            mark: None,
-            zone_mark: None,
+            registry: RegistryView::Unread,
             is_registered: false,
             published_version: 0,
             aggregated_at: Moment::ZERO,
@@ -183,72 +179,42 @@
     /// To find the hubs, each node first reads the entries of its own zone only. If each read the entries of all
     /// zones, the bytes read at a start would grow with the square of the number of nodes.
     fn read_registry(&self, link: &ServiceLink<PeerMessage>) {
-        let own_zone = &self.shared.settings.zone;
-        if self.zone_mark.is_none() {
-            self.read_zones(vec![own_zone.clone()], PeerMessage::ZoneRead, link);
-            return;
-        }
-        if !self.shared.membership().is_hub(link.now()) {
-            link.send_after(REGISTRY_READ_INTERVAL, PeerMessage::ReadRegistry);
-            return;
-        }
-        let Some(mark) = self.mark else {
-            let zones = self.shared.settings.regions.keys();
-            let zones: IndexSet<ZoneId> = zones.chain([own_zone]).cloned().collect();
-            self.read_zones(zones.into_iter().collect(), PeerMessage::RegistryRead, link);
-            return;
-        };
         let shared = Arc::clone(&self.shared);
-        shared.costs.count(CostKind::RegistryRead);
-        link.spawn(async move {
-            let nodes = &shared.platform.nodes;
-            PeerMessage::RegistryRead(nodes.poll_changes(mark, MAX_REGISTRY_WAIT).await)
-        });
-    }
-
-    /// Reads the entries of some zones, one zone after the other.
-    fn read_zones(
-        &self,
-        zones: Vec<ZoneId>,
-        message: fn(Result<NodeUpdate, SourceError>) -> PeerMessage,
-        link: &ServiceLink<PeerMessage>,
-    ) {
-        let shared = Arc::clone(&self.shared);
-        link.spawn(async move {
-            let mut read: Option<NodeUpdate> = None;
-            for zone in zones {
-                shared.costs.count(CostKind::RegistryRead);
-                match (shared.platform.nodes.read_zone(&zone).await, &mut read) {
-                    (Err(error), _) => return message(Err(error)),
-                    // The first mark is kept: changes after it are sent again.
-                    (Ok(update), Some(read)) => read.nodes.extend(update.nodes),
-                    (Ok(update), None) => read = Some(update),
-                }
+        match self.registry {
+            RegistryView::Unread => link.spawn(async move {
+                let zone = &shared.settings.zone;
+                PeerMessage::ZoneRead(read_zone(&shared, zone).await)
+            }),
+            _ if !shared.membership().is_hub(link.now()) => {
+                link.send_after(REGISTRY_READ_INTERVAL, PeerMessage::ReadRegistry);
             }
-            message(read.ok_or(SourceError::HistoryGone))
-        });
+            RegistryView::Zone(mark) => link.spawn(async move {
+                PeerMessage::RegistryRead(read_other_zones(&shared, mark).await)
+            }),
+            RegistryView::Whole(mark) => link.spawn(async move {
+                shared.costs.count(CostKind::RegistryRead);
+                let nodes = &shared.platform.nodes;
+                PeerMessage::RegistryRead(nodes.poll_changes(mark, MAX_REGISTRY_WAIT).await)
+            }),
+        }
     }
 
-    /// Adds the nodes of this node's zone, and registers this node unless an earlier incarnation has.
+    /// Adds the nodes of this node's zone, and registers this node unless it or an earlier incarnation has.
     ///
     /// Other nodes learn the incarnation from this node's messages, so an entry that differs in nothing else
     /// remains valid.
     fn apply_zone(&mut self, update: &NodeUpdate, link: &ServiceLink<PeerMessage>) {
-        let nodes = &update.nodes;
         let own = self.shared.own_entry();
-        let is_listed = nodes.iter().any(|entry| {
-            let incarnation = own.incarnation;
-            let current = NodeEntry {
-                incarnation,
-                ..entry.clone()
-            };
-            current == own
+        let listed = update.nodes.iter().find(|entry| entry.node == own.node);
+        let is_listed = listed.is_some_and(|entry| {
+            let incarnation = entry.incarnation;
+            *entry == NodeEntry { incarnation, ..own }
         });
-        self.zone_mark = Some(update.mark);
-        self.add_nodes(nodes, link.now());
+        self.registry = RegistryView::Zone(update.mark);
+        self.add_nodes(&update.nodes, link.now());
         if is_listed {
             self.is_registered = true;
-        } else if !self.shared.settings.is_first_start {
+        } else if !self.is_registered && !self.shared.settings.is_first_start {
             self.register(Duration::ZERO, link);
         }
         self.shared.peers_known.send_replace(true);
@@ -424,13 +390,13 @@
                 link.send_after(REGISTRY_RETRY_DELAY, PeerMessage::ReadRegistry);
             }
             PeerMessage::RegistryRead(Ok(update)) => {
-                self.mark = Some(update.mark);
+                self.registry = RegistryView::Whole(update.mark);
                 self.add_nodes(&update.nodes, now);
                 link.send_after(REGISTRY_READ_INTERVAL, PeerMessage::ReadRegistry);
             }
             PeerMessage::RegistryRead(Err(error)) => {
                 let delay = if error == SourceError::HistoryGone {
-                    self.mark = None;
+                    self.registry = RegistryView::Unread;
                     REGISTRY_REREAD_DELAY
                 } else {
                     REGISTRY_RETRY_DELAY
