An evacuation is compared once, and three small copies go

The service that reads the configuration and the shared state each worked out which zones have returned; the service does, and asks for the warm-up of each. The version in effect was read out in two places; the regions of a rule were cloned to be cut with themselves; the window of a target that warms up counted its room twice over. Behaviour is the same.

--- a/crates/core/src/warmup.rs
+++ b/crates/core/src/warmup.rs
@@ -1,6 +1,5 @@
 //! Slow start: limits the requests that reach a target before it has warmed up.
 
-use std::collections::VecDeque;
 use std::time::Duration;
 
 use crate::id::Moment;
@@ -55,7 +54,7 @@
 /// The requests that one node has recently sent to a target that warms up.
 #[derive(Clone, Debug, Default, Eq, Hash, PartialEq)]
 pub struct WarmupWindow {
-    sent: VecDeque<Moment>,
+    sent: Vec<Moment>,
 }
 
 impl WarmupWindow {
@@ -78,16 +77,10 @@
     /// assert!(window.reserve(1, Duration::from_secs(12)));
     /// ```
     pub fn reserve(&mut self, share: u32, now: Moment) -> bool {
-        while self
-            .sent
-            .front()
-            .is_some_and(|at| now >= *at + COUNTING_WINDOW)
-        {
-            self.sent.pop_front();
-        }
-        let has_room = self.sent.len() < share as usize;
+        self.sent.retain(|at| now < *at + COUNTING_WINDOW);
+        let has_room = self.has_room(share, now);
         if has_room {
-            self.sent.push_back(now);
+            self.sent.push(now);
         }
         has_room
     }
--- a/crates/fleet/src/caller_api.rs
+++ b/crates/fleet/src/caller_api.rs
@@ -5,7 +5,6 @@
 
 use briarswitch_core::fingerprint::{FingerprintParts, RequestFingerprint};
 use briarswitch_core::id::*;
-use briarswitch_core::residency::AllowedRegions;
 use briarswitch_core::traffic::{KeyHolder, TrafficConfig, TrafficRule};
 use briarswitch_http::{read_body, Body, BodyError, Handler, Request, Response};
 use briarswitch_kernel::BootClock;
@@ -93,9 +92,10 @@
         trace.rule.clone_from(&rule.name);
         let holder = self.authenticate(config, rule, &caller_request)?;
         let priority = holder.and_then(|holder| holder.priority);
-        let allowed_regions = holder.map_or_else(AllowedRegions::default, |holder| {
-            holder.allowed_regions.clone()
-        });
+        let allowed_regions = holder.map_or_else(
+            || rule.allowed_regions.clone(),
+            |holder| rule.allowed_regions.intersection(&holder.allowed_regions),
+        );
         let organisation = holder.map(|holder| holder.organisation.clone());
         trace.organisation = organisation.clone().unwrap_or_default();
         let bytes = self.read_request_body(config, &head, body).await?;
@@ -130,7 +130,7 @@
             method: head.method,
             headers: head.headers,
             body: bytes,
-            allowed_regions: rule.allowed_regions.intersection(&allowed_regions),
+            allowed_regions,
             priority: priority.unwrap_or(rule.priority),
             rule: rule.clone(),
             service,
--- a/crates/fleet/src/config_sync.rs
+++ b/crates/fleet/src/config_sync.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use briarswitch_core::evacuation::EvacuationUpdate;
-use briarswitch_core::id::Moment;
+use briarswitch_core::id::{ConfigVersion, Moment};
 use briarswitch_core::traffic::TrafficConfig;
 use briarswitch_kernel::{BootClock, Service, ServiceLink};
 use serde_json::{json, Value};
@@ -134,20 +134,21 @@
         }
         for zone in before.ended_in(&after) {
             log::info!(zone = zone.as_str(); "evacuation_ended");
+            self.shared.begin_warmup_in(zone, BootClock::now());
         }
-        self.shared.apply_evacuations(after, BootClock::now());
+        self.shared.evacuated.publish(after);
+    }
+
+    /// Returns the version of the configuration in effect.
+    fn version(&self) -> Option<ConfigVersion> {
+        let config = self.shared.config.read();
+        config.as_ref().as_ref().map(|config| config.version)
     }
 
     /// Puts a configuration into effect if it is newer than the current one; responses may arrive
     /// out of order.
     fn apply_if_newer(&self, config: TrafficConfig) {
-        let current = self
-            .shared
-            .config
-            .read()
-            .as_ref()
-            .as_ref()
-            .map(|config| config.version);
+        let current = self.version();
         if current.is_some_and(|version| version >= config.version) {
             return;
         }
@@ -196,15 +197,8 @@
     }
 
     fn dump(&self) -> Value {
-        let version = self
-            .shared
-            .config
-            .read()
-            .as_ref()
-            .as_ref()
-            .map(|config| config.version);
         json!({
-            "version": version,
+            "version": self.version(),
             "evacuated_zones": self.shared.evacuated.load().zones(),
             "age_ms": self.shared.config_age().as_millis() as u64,
             "question": format!("{:?}", self.request),
--- a/crates/fleet/src/shared.rs
+++ b/crates/fleet/src/shared.rs
@@ -284,24 +284,19 @@
         spec.share(live_view.known_nodes(), live_view.known_rank(target))
     }
 
-    /// Puts the zones under evacuation into effect.
+    /// Lets all targets of a zone count as warming up, since an evacuation of the zone has ended.
     ///
-    /// Targets may lose their caches while a zone is under evacuation, and the directory says so only later. When it
-    /// ends, all of the zone's targets therefore count as warming up.
-    pub fn apply_evacuations(&self, zones: EvacuatedZones, now: Moment) {
-        let previous = self.evacuated.load();
+    /// Targets may lose their caches while a zone is under evacuation, and the directory says so only later.
+    pub fn begin_warmup_in(&self, zone: &str, now: Moment) {
         let config = self.config.load();
         let services = config.as_ref().as_ref().map(|config| &config.services);
         let directory = self.directory.load();
-        for zone in previous.ended_in(&zones) {
-            let returning = directory.cache.targets().values();
-            for record in returning.filter(|record| record.zone == *zone) {
-                let spec = services.and_then(|services| services.get(&record.service));
-                let duration = spec.map_or(Duration::ZERO, |spec| spec.warmup.duration);
-                self.gauges.get(&record.id).begin_warmup(now + duration);
-            }
+        let targets = directory.cache.targets().values();
+        for record in targets.filter(|record| record.zone == zone) {
+            let spec = services.and_then(|services| services.get(&record.service));
+            let duration = spec.map_or(Duration::ZERO, |spec| spec.warmup.duration);
+            self.gauges.get(&record.id).begin_warmup(now + duration);
         }
-        self.evacuated.publish(zones);
     }
 
     /// Rebuilds the routing table from the directory and the configuration in effect.
--- a/crates/fleet/src/source_health.rs
+++ b/crates/fleet/src/source_health.rs
@@ -8,6 +8,7 @@
 
 /// Minimum and maximum delay before a retry after a source failed.
 const RETRY_DELAY: (Duration, Duration) = (Duration::from_millis(250), Duration::from_millis(450));
+
 /// Returns a random delay before a retry after a source failed.
 pub(crate) fn retry_delay() -> Duration {
     let (min, max) = RETRY_DELAY;
