A table of the store stands in a file of its own, and its calls are counted in one place

The rate limit's file also held the table that uses it; a call was counted by the relay for a request and by the table for the whole read that replaces a lost history. The table counts each call that it makes.

--- a/crates/fleet/src/feed.rs
+++ b/crates/fleet/src/feed.rs
@@ -22,8 +22,9 @@
 
 use crate::costs::{CostCounters, CostKind};
 use crate::feed_doc::{FeedRequestDoc, FeedResponseDoc, PackedRows};
-use crate::feed_pacer::{cost_kind_of, lock, StoreTable};
+use crate::feed_pacer::lock;
 use crate::ports::{FeedRequest, FeedResponse, FeedSource, SourceError};
+use crate::store_table::StoreTable;
 
 /// HTTP status of a response which says that the requested changes are no longer kept.
 const HISTORY_GONE: u16 = 410;
@@ -384,7 +385,6 @@
         let mut shared_requests = lock(&self.shared_requests);
         shared_requests.retain(|request, shared_request| shared_request.is_reusable(request, now));
         let shared_request = shared_requests.entry(request.clone()).or_insert_with(|| {
-            self.costs.count(cost_kind_of(&request));
             let requested = self.store_table(&request.table).request(request);
             let response = requested.map_ok(|response| {
                 Arc::new(SharedResponse {
--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -41,6 +41,7 @@
 pub mod shared;
 pub mod slot_queue;
 mod source_health;
+mod store_table;
 pub mod supply;
 pub mod suspect_doc;
 pub mod suspect_host;
