The limit that a target states is read and logged

The nodes' lines could not tell whether a node knows of a target's limit: no line named it.

Added: the header's value in the adapter, with an outcome for each spelling; what a node knows of a target's limit and since when (`StatedLimit`); `target_limit_changed` with the response that said so, `limited_target_chosen` for each request that is sent to such a target, with the age of the limit; `target_limit_changes` as a metric. No choice of a target depends on any of this yet.

--- /dev/null
+++ b/crates/core/src/stated_limit.rs
@@ -0,0 +1,164 @@
+//! Limits that targets state in their responses: how many requests a second they take from all nodes together.
+
+use std::time::Duration;
+
+use crate::id::{Moment, TargetId};
+use crate::request_limit::RequestLimit;
+
+/// Time without a response that states it after which a limit is forgotten.
+///
+/// Much longer than the time in which every node has had a turn at a limit of one request a second or more, so that
+/// a limit is normally ended by a response.
+const MAX_AGE: Duration = Duration::from_secs(60);
+/// Time for which a node reports to the others what it heard; several messages.
+const REPORT_TIME: Duration = Duration::from_secs(2);
+/// Time by which a report of another node has to be newer than what is known, since its age is an estimate.
+const AGE_ERROR: Duration = Duration::from_millis(500);
+
+/// What the head of one response says about the target's limit.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub enum LimitHeader {
+    /// The response states no limit.
+    #[default]
+    Absent,
+    /// The response states a limit that is not a number of requests; it changes nothing.
+    Unreadable,
+    /// The response states a limit.
+    Stated(RequestLimit),
+}
+
+/// A change of what a node knows of a target's limit.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub enum LimitChange {
+    /// The target has a limit, or another one than before.
+    Begun(RequestLimit),
+    /// The target has no limit any more.
+    Ended,
+}
+
+impl LimitChange {
+    /// Returns the name used in logs and metrics.
+    pub fn name(self) -> &'static str {
+        match self {
+            Self::Begun(_) => "begun",
+            Self::Ended => "ended",
+        }
+    }
+}
+
+/// What one node reports to the others about a target's limit.
+#[derive(Clone, Debug, PartialEq)]
+pub struct LimitReport {
+    /// The target.
+    pub target: TargetId,
+    /// The limit; `None` if it has ended.
+    pub limit: Option<RequestLimit>,
+    /// Time since the response that said so.
+    pub age: Duration,
+}
+
+/// What a node knows of the limit that a target states.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct StatedLimit {
+    limit: Option<RequestLimit>,
+    /// When the response was received that said so last, here or at another node.
+    heard_at: Moment,
+    /// Whether this node received that response itself.
+    is_own: bool,
+}
+
+impl StatedLimit {
+    /// Records the head of a response to a request that was sent at `sent_at`.
+    ///
+    /// Responses may overtake each other, so a limit is ended only by a response to a request that was sent after the
+    /// limit was last stated.
+    ///
+    /// ```
+    /// use std::time::Duration;
+    ///
+    /// use briarswitch_core::request_limit::RequestLimit;
+    /// use briarswitch_core::stated_limit::{LimitChange, LimitHeader, StatedLimit};
+    ///
+    /// let at = Duration::from_millis;
+    /// let limit = RequestLimit::per_second(2.4);
+    /// let mut stated = StatedLimit::default();
+    /// let change = stated.record_response(LimitHeader::Stated(limit), at(900), at(1_000));
+    /// assert_eq!(change, Some(LimitChange::Begun(limit)));
+    /// assert_eq!(stated.record_response(LimitHeader::Absent, at(950), at(1_100)), None);
+    /// let change = stated.record_response(LimitHeader::Absent, at(1_050), at(1_200));
+    /// assert_eq!(change, Some(LimitChange::Ended));
+    /// ```
+    pub fn record_response(
+        &mut self,
+        header: LimitHeader,
+        sent_at: Moment,
+        now: Moment,
+    ) -> Option<LimitChange> {
+        let heard = match header {
+            LimitHeader::Unreadable => return None,
+            LimitHeader::Absent if self.limit.is_none() || sent_at <= self.heard_at => return None,
+            LimitHeader::Absent => None,
+            LimitHeader::Stated(limit) => Some(limit),
+        };
+        self.replace(Self {
+            limit: heard,
+            heard_at: now,
+            is_own: true,
+        })
+    }
+
+    /// Records what another node heard, `age` before `now`.
+    pub fn record_report(
+        &mut self,
+        limit: Option<RequestLimit>,
+        age: Duration,
+        now: Moment,
+    ) -> Option<LimitChange> {
+        let heard_at = now.saturating_sub(age);
+        let is_newer = match limit {
+            Some(_) => heard_at > self.heard_at + AGE_ERROR,
+            None => self.limit.is_some() && heard_at > self.heard_at,
+        };
+        if !is_newer {
+            return None;
+        }
+        self.replace(Self {
+            limit,
+            heard_at,
+            is_own: false,
+        })
+    }
+
+    /// Forgets the limit, since another incarnation of the target has begun.
+    pub fn forget(&mut self, now: Moment) {
+        *self = Self {
+            heard_at: now,
+            ..Self::default()
+        };
+    }
+
+    /// Returns the limit at `now`, if there is one.
+    pub fn limit(&self, now: Moment) -> Option<RequestLimit> {
+        self.limit.filter(|_| self.age(now) < MAX_AGE)
+    }
+
+    /// Returns the time since the last response that stated the limit, or that ended it.
+    pub fn age(&self, now: Moment) -> Duration {
+        now.saturating_sub(self.heard_at)
+    }
+
+    /// Returns the age of what this node has recently heard itself, and the limit; `None` if there is nothing to
+    /// report.
+    pub fn report(&self, now: Moment) -> Option<(Option<RequestLimit>, Duration)> {
+        let age = self.age(now);
+        (self.is_own && age < REPORT_TIME).then_some((self.limit, age))
+    }
+
+    fn replace(&mut self, next: Self) -> Option<LimitChange> {
+        let before = std::mem::replace(self, next).limit;
+        if before == self.limit {
+            return None;
+        }
+        Some(self.limit.map_or(LimitChange::Ended, LimitChange::Begun))
+    }
+}
--- a/crates/fleet/src/dispatch.rs
+++ b/crates/fleet/src/dispatch.rs
@@ -5,6 +5,7 @@
 
 use briarswitch_core::id::*;
 use briarswitch_core::outcome::{FailurePoint, Outcome};
+use briarswitch_core::stated_limit::LimitHeader;
 use briarswitch_http::{
     full_body, stream_body, Response, SendError, TargetAddress, TargetBody, TargetClient,
     TargetLimits, TargetResponse,
@@ -50,6 +51,14 @@
 /// Lowest priority that targets accept, as the largest number; zero is the highest priority.
 const LOWEST_PRIORITY: u8 = 9;
 
+/// An attempt that was sent to a target and has no response yet.
+struct SentAttempt {
+    target: Arc<RouteTarget>,
+    slot: SlotGuard,
+    run: TargetRun,
+    sent_at: Moment,
+}
+
 /// Dispatches requests to targets.
 pub struct FleetDispatcher {
     shared: Arc<FleetShared>,
@@ -202,6 +211,7 @@
         {
             return Err(FailurePoint::Quarantined.into());
         }
+        log_limited_choice(job, &target, now);
         let request = self.build_request(job, &target, remaining, last_event);
         let address = TargetAddress {
             address: target.address.clone(),
@@ -217,7 +227,15 @@
             .wait_head(sending, job, &target, now, may_reroute)
             .await
         {
-            Ok(reply) => self.check_head(job, target, slot, reply, run).await,
+            Ok(reply) => {
+                let attempt = SentAttempt {
+                    target,
+                    slot,
+                    run,
+                    sent_at: now,
+                };
+                self.check_head(job, attempt, reply).await
+            }
             Err(error) => {
                 target.gauge.record_outcome(true);
                 match error {
@@ -295,11 +313,15 @@
     async fn check_head(
         &self,
         job: &RequestJob,
-        target: Arc<RouteTarget>,
-        slot: SlotGuard,
+        attempt: SentAttempt,
         reply: TargetResponse,
-        mut run: TargetRun,
     ) -> Result<ResponseStart, FailedAttempt> {
+        let SentAttempt {
+            target,
+            slot,
+            mut run,
+            sent_at,
+        } = attempt;
         let TargetResponse { head, body } = reply;
         let info = self
             .shared
@@ -307,6 +329,7 @@
             .protocol
             .parse_response(head.status, &head.headers);
         let now = BootClock::now();
+        self.record_limit(job, &target, &info, sent_at);
         if info.is_not_run || info.is_other_incarnation {
             run.end_unreported();
             target.gauge.record_outcome(true);
@@ -341,6 +364,39 @@
         Err(self.target_failure(job, head, &info, body).await)
     }
 
+    /// Records the limit that a target states, or no longer states, in a response.
+    ///
+    /// A response of another incarnation, or to another attempt, says nothing about the requests that this target
+    /// takes now; one without a signature may not be the target's, so it does not end a limit.
+    fn record_limit(
+        &self,
+        job: &RequestJob,
+        target: &RouteTarget,
+        info: &ResponseInfo,
+        sent_at: Moment,
+    ) {
+        let attempt = info.attempt.as_ref();
+        let is_foreign = attempt.is_some_and(|attempt| *attempt != job.request.attempt);
+        let is_unsigned_end = info.limit == LimitHeader::Absent && !info.is_signed;
+        if info.is_other_incarnation || is_foreign || is_unsigned_end {
+            return;
+        }
+        let now = BootClock::now();
+        let change = target.gauge.record_limit_header(info.limit, sent_at, now);
+        if let Some(change) = change {
+            self.shared.metrics.count_limit_change(change);
+            let limit = target.gauge.limit_with_age(now);
+            log::info!(
+                target_id = target.id.as_str(),
+                incarnation = target.incarnation,
+                request = job.request.attempt.as_str(),
+                change = change.name(),
+                per_second = limit.map_or(0.0, |(limit, _)| limit.rate());
+                "target_limit_changed"
+            );
+        }
+    }
+
     /// Reads a target's error response, so that it can be passed on if no other attempt succeeds.
     async fn target_failure(
         &self,
@@ -482,6 +538,19 @@
     }
 }
 
+/// Logs that a request is sent to a target that states a limit.
+fn log_limited_choice(job: &RequestJob, target: &RouteTarget, now: Moment) {
+    if let Some((limit, age)) = target.gauge.limit_with_age(now) {
+        log::info!(
+            request = job.request.attempt.as_str(),
+            target_id = target.id.as_str(),
+            per_second = limit.rate(),
+            age_ms = age.as_millis() as u64;
+            "limited_target_chosen"
+        );
+    }
+}
+
 fn record_target(trace: &mut RequestTrace, target: &RouteTarget) {
     trace.target.clone_from(&target.id);
     if let Some(group) = &target.group {
--- a/crates/fleet/src/gauge.rs
+++ b/crates/fleet/src/gauge.rs
@@ -6,6 +6,8 @@
 use std::time::Duration;
 
 use briarswitch_core::id::{Moment, TargetId};
+use briarswitch_core::request_limit::RequestLimit;
+use briarswitch_core::stated_limit::{LimitChange, LimitHeader, StatedLimit};
 use briarswitch_core::warmup::WarmupWindow;
 use briarswitch_membership::{target_key, RequestCounts, TargetKey};
 use indexmap::IndexSet;
@@ -45,6 +47,7 @@
     slot_share_at: AtomicU64,
     warming_until: AtomicU64,
     warmup_window: Mutex<WarmupWindow>,
+    stated_limit: Mutex<StatedLimit>,
 }
 
 fn micros(moment: Moment) -> u64 {
@@ -217,6 +220,28 @@
         self.warmup_window().reserve(share, now)
     }
 
+    /// Records what a response to a request that was sent at `sent_at` says about the target's limit.
+    pub fn record_limit_header(
+        &self,
+        header: LimitHeader,
+        sent_at: Moment,
+        now: Moment,
+    ) -> Option<LimitChange> {
+        self.stated_limit().record_response(header, sent_at, now)
+    }
+
+    /// Returns the limit that the target states, with the time since it last did; `None` if there is none.
+    pub fn limit_with_age(&self, now: Moment) -> Option<(RequestLimit, Duration)> {
+        let stated = self.stated_limit();
+        Some((stated.limit(now)?, stated.age(now)))
+    }
+
+    fn stated_limit(&self) -> MutexGuard<'_, StatedLimit> {
+        self.stated_limit
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner)
+    }
+
     fn warmup_window(&self) -> MutexGuard<'_, WarmupWindow> {
         self.warmup_window
             .lock()
--- a/crates/fleet/src/metrics.rs
+++ b/crates/fleet/src/metrics.rs
@@ -4,6 +4,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use briarswitch_core::stated_limit::LimitChange;
 use opentelemetry::metrics::{Counter, Histogram, MeterProvider};
 use opentelemetry::KeyValue;
 use opentelemetry_sdk::metrics::SdkMeterProvider;
@@ -26,6 +27,7 @@
     target_crashes: Counter<u64>,
     quarantines: Counter<u64>,
     quarantine_refusals: Counter<u64>,
+    limit_changes: Counter<u64>,
     latency: Histogram<f64>,
     first_event: Histogram<f64>,
     config_version: Arc<AtomicU64>,
@@ -83,6 +85,7 @@
             target_crashes: meter.u64_counter("target_ends").build(),
             quarantines: meter.u64_counter("quarantines").build(),
             quarantine_refusals: meter.u64_counter("quarantine_refusals").build(),
+            limit_changes: meter.u64_counter("target_limit_changes").build(),
             latency: histogram("request_seconds"),
             first_event: histogram("first_event_seconds"),
             registry,
@@ -114,6 +117,12 @@
             .add(1, &[KeyValue::new("service", service.to_owned())]);
     }
 
+    /// Counts one change of a limit that a target states.
+    pub fn count_limit_change(&self, change: LimitChange) {
+        self.limit_changes
+            .add(1, &[KeyValue::new("change", change.name())]);
+    }
+
     /// Counts one order sent to a target.
     pub fn count_order(&self, kind: &'static str, result: &'static str) {
         self.orders.add(
--- a/crates/fleet/src/ports.rs
+++ b/crates/fleet/src/ports.rs
@@ -6,6 +6,7 @@
 use briarswitch_core::evacuation::EvacuationUpdate;
 use briarswitch_core::id::*;
 use briarswitch_core::order::{OrderResult, TargetAction};
+use briarswitch_core::stated_limit::LimitHeader;
 use briarswitch_core::target::{Membership, TargetChange};
 use briarswitch_core::traffic::TrafficConfig;
 use futures::future::BoxFuture;
@@ -302,7 +303,7 @@
 }
 
 /// What the head of a target's response says about the request.
-#[derive(Clone, Debug, Default, Eq, PartialEq)]
+#[derive(Clone, Debug, Default, PartialEq)]
 pub struct ResponseInfo {
     /// Attempt that the response belongs to, according to the target.
     pub attempt: Option<String>,
@@ -318,6 +319,8 @@
     pub running: Option<u32>,
     /// Requests in the target's queue.
     pub waiting: Option<u32>,
+    /// Limit that the target states for requests from all nodes together.
+    pub limit: LimitHeader,
     /// Whether an intermediary has changed the encoding of the body.
     pub is_reencoded: bool,
 }
--- a/crates/fleet/tests/support/platform.rs
+++ b/crates/fleet/tests/support/platform.rs
@@ -7,6 +7,8 @@
 use briarswitch_core::evacuation::{EvacuationChange, EvacuationUpdate};
 use briarswitch_core::id::*;
 use briarswitch_core::order::{OrderResult, TargetAction};
+use briarswitch_core::request_limit::RequestLimit;
+use briarswitch_core::stated_limit::LimitHeader;
 use briarswitch_core::target::{Membership, MembershipState, TargetChange, TargetRecord};
 use briarswitch_core::traffic::TrafficConfig;
 use briarswitch_fleet::ports::*;
@@ -482,6 +484,15 @@
     Some(value.to_owned())
 }
 
+fn limit_header(headers: &HeaderMap) -> LimitHeader {
+    let Some(limit) = text(headers, "limit") else {
+        return LimitHeader::Absent;
+    };
+    limit.parse().map_or(LimitHeader::Unreadable, |rate| {
+        LimitHeader::Stated(RequestLimit::per_second(rate))
+    })
+}
+
 impl CallerProtocol for StubProtocol {
     fn parse_request(&self, head: &Parts) -> CallerRequest {
         CallerRequest {
@@ -517,6 +528,7 @@
             is_signed: headers.contains_key("signed"),
             is_not_run: status == StatusCode::SERVICE_UNAVAILABLE,
             is_other_incarnation: status == StatusCode::MISDIRECTED_REQUEST,
+            limit: limit_header(headers),
             ..ResponseInfo::default()
         }
     }
--- a/crates/fleet/tests/support/target.rs
+++ b/crates/fleet/tests/support/target.rs
@@ -37,6 +37,8 @@
     runs: Vec<RecordedRun>,
     /// Whether the target does not restart after a crash.
     stays_down: bool,
+    /// Requests per second that it states in its responses, as text.
+    limit: Option<String>,
     /// Ends the current incarnation.
     crash: watch::Sender<bool>,
 }
@@ -67,6 +69,7 @@
                 incarnation: 0,
                 runs: Vec::new(),
                 stays_down: false,
+                limit: None,
                 crash: watch::Sender::new(false),
             }),
         });
@@ -94,6 +97,11 @@
         runs.into_iter().any(|run| run.body == body)
     }
 
+    /// States a limit in all responses from now on; `None` states none any more.
+    pub fn state_limit(&self, limit: Option<&str>) {
+        self.shared.lock().limit = limit.map(str::to_owned);
+    }
+
     /// Crashes the target independently of any request.
     pub fn crash(&self) {
         self.shared.lock().crash.send_replace(true);
@@ -218,8 +226,10 @@
     }
     let attempt = field("attempt");
     shared.record_run(&body);
+    let limit = shared.lock().limit.clone();
+    let limit = limit.map_or_else(String::new, |limit| format!("limit: {limit}\r\n"));
     let head = format!(
-        "HTTP/1.1 200 OK\r\nattempt: {attempt}\r\nsigned: yes\r\nconnection: close\r\ntransfer-encoding: chunked\r\n\r\n"
+        "HTTP/1.1 200 OK\r\nattempt: {attempt}\r\nsigned: yes\r\n{limit}connection: close\r\ntransfer-encoding: chunked\r\n\r\n"
     );
     stream.write_all(head.as_bytes()).await?;
     tokio::time::sleep(RUN_TIME).await;
