One limit on the requests to a target, in fractions, in place of one for targets that warm up

A limit that a target states and one that holds until it has warmed up are the same thing: a rate that all nodes keep together. `RequestLimit` and `RequestWindow` take the place of `WarmupSpec::share` and `WarmupWindow`. A limit is now a whole number of requests in a window of a second or more (2.4 a second: 3 in 1.25 s), where fractions were cut off before.

Whole limits give the same shares and windows as before. The sleeps in `zones.rs` take the counting time of the limit.

--- a/crates/core/tests/warmup.rs
+++ b/crates/core/tests/warmup.rs
@@ -3,15 +3,15 @@
 use std::time::Duration;
 
 use briarswitch_core::id::Moment;
-use briarswitch_core::warmup::{WarmupSpec, WarmupWindow};
+use briarswitch_core::request_limit::{RequestLimit, RequestWindow};
 use googletest::prelude::*;
 use rand::rngs::StdRng;
 use rand::{Rng, SeedableRng};
 
-const SPEC: WarmupSpec = WarmupSpec {
-    duration: Duration::from_secs(3),
-    requests_per_second: 14.0,
-};
+/// Time that a target takes to warm up.
+const WARMUP_TIME: Duration = Duration::from_secs(3);
+/// Requests per second that a target that warms up takes.
+const RATE: f64 = 14.0;
 /// Requests per second of the callers of all nodes together.
 const CALLER_RATE: f64 = 400.0;
 /// Longest time from the decision of a node until its request arrives.
@@ -21,13 +21,14 @@
 
 /// Returns when requests arrive at a target for which every request of every node is meant.
 fn arrivals(nodes: usize, seed: u64) -> Vec<Moment> {
+    let limit = RequestLimit::per_second(RATE);
     let mut random = StdRng::seed_from_u64(seed);
-    let mut windows = vec![WarmupWindow::default(); nodes];
+    let mut windows = vec![RequestWindow::default(); nodes];
     let mut arrivals = Vec::new();
     let mut now = Moment::ZERO;
-    while now < SPEC.duration {
+    while now < WARMUP_TIME {
         let rank = random.random_range(0..nodes);
-        if windows[rank].reserve(SPEC.share(nodes, rank), now) {
+        if windows[rank].reserve(&limit, limit.share(nodes, rank), now) {
             arrivals.push(now + MAX_TRANSIT.mul_f64(random.random::<f64>()));
         }
         now += Duration::from_secs_f64(-random.random::<f64>().ln() / CALLER_RATE);
@@ -53,7 +54,7 @@
     for nodes in FLEET_SIZES {
         for seed in 0..20 {
             let most = most_in_a_second(&arrivals(nodes, seed));
-            let limit = SPEC.requests_per_second as usize;
+            let limit = RATE as usize;
             expect_that!(most, le(limit), "{nodes} nodes, seed {seed}");
         }
     }
@@ -64,7 +65,7 @@
 fn a_target_that_warms_up_is_used_at_any_fleet_size() {
     for nodes in FLEET_SIZES {
         let arrivals = arrivals(nodes, 1);
-        let mut seconds = (0..SPEC.duration.as_secs()).map(Duration::from_secs);
+        let mut seconds = (0..WARMUP_TIME.as_secs()).map(Duration::from_secs);
         let is_used = |second: Duration| {
             let end = second + Duration::from_secs(1);
             arrivals.iter().any(|at| *at >= second && *at < end)
@@ -77,7 +78,8 @@
 #[gtest]
 fn the_shares_of_all_nodes_add_up_to_the_limit() {
     for nodes in 1..=200 {
-        let shares = (0..nodes).map(|rank| SPEC.share(nodes, rank));
+        let limit = RequestLimit::per_second(RATE);
+        let shares = (0..nodes).map(|rank| limit.share(nodes, rank));
         expect_that!(shares.sum::<u32>(), eq(14), "{nodes} nodes");
     }
 }
--- a/crates/fleet/src/gauge.rs
+++ b/crates/fleet/src/gauge.rs
@@ -6,9 +6,8 @@
 use std::time::Duration;
 
 use briarswitch_core::id::{Moment, TargetId};
-use briarswitch_core::request_limit::RequestLimit;
+use briarswitch_core::request_limit::{RequestLimit, RequestWindow};
 use briarswitch_core::stated_limit::{LimitChange, LimitHeader, StatedLimit};
-use briarswitch_core::warmup::WarmupWindow;
 use briarswitch_membership::{target_key, RequestCounts, TargetKey};
 use indexmap::IndexSet;
 
@@ -26,6 +25,15 @@
 /// Time for which a slot share is cached; about the interval at which nodes exchange their observations.
 const SLOT_SHARE_TTL: Duration = Duration::from_millis(300);
 
+/// One node's share of the limit of a target.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct LimitShare {
+    /// Limit of all nodes together.
+    pub limit: RequestLimit,
+    /// Requests that this node may send in the counting time of the limit.
+    pub requests: u32,
+}
+
 /// Counters of one target.
 #[derive(Debug, Default)]
 pub struct TargetGauge {
@@ -46,7 +54,7 @@
     slot_share: AtomicU32,
     slot_share_at: AtomicU64,
     warming_until: AtomicU64,
-    warmup_window: Mutex<WarmupWindow>,
+    request_window: Mutex<RequestWindow>,
     stated_limit: Mutex<StatedLimit>,
 }
 
@@ -210,14 +218,16 @@
         micros(now) < self.warming_until.load(Ordering::Relaxed)
     }
 
-    /// Returns whether this node may send another request to the target while it warms up, given its share.
-    pub fn has_warmup_room(&self, share: u32, now: Moment) -> bool {
-        self.warmup_window().has_room(share, now)
+    /// Returns whether this node may send another request to the target, given its share of a limit.
+    pub fn has_room(&self, share: &LimitShare, now: Moment) -> bool {
+        self.request_window()
+            .has_room(&share.limit, share.requests, now)
     }
 
-    /// Counts a request that is sent to the target while it warms up; returns false if the share is used up.
-    pub fn reserve_warmup(&self, share: u32, now: Moment) -> bool {
-        self.warmup_window().reserve(share, now)
+    /// Counts a request that is sent to the target; returns false if this node's share of a limit is used up.
+    pub fn reserve(&self, share: &LimitShare, now: Moment) -> bool {
+        self.request_window()
+            .reserve(&share.limit, share.requests, now)
     }
 
     /// Records what a response to a request that was sent at `sent_at` says about the target's limit.
@@ -242,8 +252,8 @@
             .unwrap_or_else(PoisonError::into_inner)
     }
 
-    fn warmup_window(&self) -> MutexGuard<'_, WarmupWindow> {
-        self.warmup_window
+    fn request_window(&self) -> MutexGuard<'_, RequestWindow> {
+        self.request_window
             .lock()
             .unwrap_or_else(PoisonError::into_inner)
     }
--- a/crates/fleet/src/shared.rs
+++ b/crates/fleet/src/shared.rs
@@ -7,9 +7,9 @@
 use briarswitch_core::evacuation::EvacuatedZones;
 use briarswitch_core::id::*;
 use briarswitch_core::placement::NodeWeight;
+use briarswitch_core::request_limit::RequestLimit;
 use briarswitch_core::target::TargetCache;
 use briarswitch_core::traffic::TrafficConfig;
-use briarswitch_core::warmup::{WarmupSpec, COUNTING_WINDOW};
 use briarswitch_kernel::{BootClock, Snapshot};
 use briarswitch_membership::{LiveView, Membership, WorkSum};
 use indexmap::IndexMap;
@@ -18,7 +18,7 @@
 use crate::costs::{CostCounters, CostKind};
 use crate::demand::DemandMeter;
 use crate::feed::FeedRelay;
-use crate::gauge::GaugeMap;
+use crate::gauge::{GaugeMap, LimitShare};
 use crate::metrics::FleetMetrics;
 use crate::ports::{FeedMark, FeedRequest, FeedResponse, FleetPlatform, NodeEntry, SourceError};
 use crate::routing_table::RoutingTable;
@@ -273,15 +273,17 @@
         self.live_view.read().weight_for(key, own)
     }
 
-    /// Returns this node's share of the requests to a target that warms up.
+    /// Returns this node's share of a limit on the requests to a target.
     ///
     /// There is none right after the start: an earlier incarnation of this node may have used it.
-    pub fn warmup_share(&self, spec: &WarmupSpec, target: &str, now: Moment) -> u32 {
-        if now < self.started_at + COUNTING_WINDOW {
-            return 0;
-        }
+    pub fn limit_share(&self, limit: RequestLimit, target: &str, now: Moment) -> LimitShare {
         let live_view = self.live_view.read();
-        spec.share(live_view.known_nodes(), live_view.known_rank(target))
+        let requests = if now < self.started_at + limit.counting_time() {
+            0
+        } else {
+            limit.share(live_view.known_nodes(), live_view.known_rank(target))
+        };
+        LimitShare { limit, requests }
     }
 
     /// Lets all targets of a zone count as warming up, since an evacuation of the zone has ended.
--- a/crates/fleet/src/target_selector.rs
+++ b/crates/fleet/src/target_selector.rs
@@ -13,7 +13,7 @@
 use briarswitch_kernel::BootClock;
 use xxhash_rust::xxh3::{xxh3_64, xxh3_64_with_seed};
 
-use crate::gauge::SlotGuard;
+use crate::gauge::{LimitShare, SlotGuard};
 use crate::job::RequestJob;
 use crate::peers::PROPAGATION_TIME;
 use crate::routing_table::{RouteTarget, RoutingTable};
@@ -163,17 +163,16 @@
             && (regions.is_any() || regions.allows(region().map(String::as_str)))
     }
 
-    /// Returns this node's share of the requests to a target that warms up; `None` if the target is warm or the
-    /// service does not limit them.
-    fn warmup_share(
+    /// Returns this node's share of the limit on the requests to a target; `None` if there is no limit.
+    fn limit_share(
         &self,
         spec: Option<&ServiceSpec>,
         target: &RouteTarget,
         now: Moment,
-    ) -> Option<u32> {
-        let warmup = &spec?.warmup;
-        (warmup.is_limited() && target.gauge.is_warming(now))
-            .then(|| self.shared.warmup_share(warmup, &target.id, now))
+    ) -> Option<LimitShare> {
+        let limit = spec?.warmup.limit()?;
+        let is_warming = target.gauge.is_warming(now);
+        is_warming.then(|| self.shared.limit_share(limit, &target.id, now))
     }
 
     /// Reserves free slots for waiting requests.
@@ -203,8 +202,8 @@
                 && !target.gauge.is_suspect(now)
                 && self.is_permitted(slot_request, target, &evacuated)
                 && self
-                    .warmup_share(service_spec, target, now)
-                    .is_none_or(|share| target.gauge.has_warmup_room(share, now))
+                    .limit_share(service_spec, target, now)
+                    .is_none_or(|share| target.gauge.has_room(&share, now))
         };
         let targets = routes_of(&table, &slot_request.key);
         let candidates: Vec<&Arc<RouteTarget>> =
@@ -232,9 +231,9 @@
             }
             None => self.pick_single(&candidates)?,
         };
-        if let Some(share) = self.warmup_share(service_spec, target, now) {
+        if let Some(share) = self.limit_share(service_spec, target, now) {
             // Another thread may have used the rest of the share since the target was found usable.
-            if !target.gauge.reserve_warmup(share, now) {
+            if !target.gauge.reserve(&share, now) {
                 return None;
             }
         }
--- a/crates/fleet/tests/zones.rs
+++ b/crates/fleet/tests/zones.rs
@@ -4,7 +4,6 @@
 
 use std::time::{Duration, Instant};
 
-use briarswitch_core::warmup::COUNTING_WINDOW;
 use googletest::prelude::*;
 
 use support::platform::TargetListing;
@@ -28,6 +27,12 @@
     }
 }
 
+/// Returns the time over which nodes count their requests to a target that warms up.
+fn counting_time() -> Duration {
+    let limit = WARMUP.limit().expect("a limit");
+    limit.counting_time()
+}
+
 /// Sends requests to all nodes at the same time, and returns how many were served.
 async fn send_to_all(fleet: &Fleet) -> usize {
     let nodes = 0..fleet.nodes.len();
@@ -79,7 +84,7 @@
     wait_until_evacuated(&fleet, true).await;
     expect_that!(runs_after(&fleet, 0).await, eq(0));
 
-    tokio::time::sleep(COUNTING_WINDOW).await;
+    tokio::time::sleep(counting_time()).await;
     fleet.platform.set_evacuated("z1", false);
     wait_until_evacuated(&fleet, false).await;
     let returned = Instant::now();
@@ -129,7 +134,7 @@
             ["n1", "n2"].iter().all(|node| state.body.contains(node))
         })
         .await;
-    tokio::time::sleep(COUNTING_WINDOW).await;
+    tokio::time::sleep(counting_time()).await;
     let started = Instant::now();
     send_to_all(&fleet).await;
     let most = most_runs_in_a_second(&fleet.targets[1], started);
--- a/crates/model/src/warmup.rs
+++ b/crates/model/src/warmup.rs
@@ -1,12 +1,12 @@
 //! Nodes share the limit of a target that warms up, without talking to each other.
 //!
 //! Requests take different times to arrive, nodes stop seeing each other, and nodes restart and forget what they have
-//! sent. Shares and windows are those of [`briarswitch_core::warmup`].
+//! sent. Shares and windows are those of [`briarswitch_core::request_limit`].
 
 use std::time::Duration;
 
 use briarswitch_core::id::Moment;
-use briarswitch_core::warmup::{WarmupSpec, WarmupWindow, COUNTING_WINDOW};
+use briarswitch_core::request_limit::{RequestLimit, RequestWindow};
 
 use crate::search::{Specification, Step};
 
@@ -44,7 +44,7 @@
 
 #[derive(Clone, Debug, Eq, Hash, PartialEq)]
 struct NodeState {
-    window: WarmupWindow,
+    window: RequestWindow,
     /// Ticks since it has restarted; `None` if it never has.
     restarted: Option<u8>,
     /// Whether it sees the other nodes.
@@ -63,6 +63,10 @@
     faults_left: u8,
 }
 
+fn limit() -> RequestLimit {
+    RequestLimit::per_second(f64::from(LIMIT))
+}
+
 impl WarmupLimitSpec {
     /// Returns the protocol without defects.
     pub fn sound() -> Self {
@@ -81,15 +85,12 @@
     }
 
     fn share(&self, state: &WarmupState, index: usize) -> u32 {
-        let spec = WarmupSpec {
-            duration: TICK * u32::from(MAX_TICKS),
-            requests_per_second: f64::from(LIMIT),
-        };
+        let limit = limit();
         let sees_others = state.nodes[index].sees_others;
         let share = if self.has_defect(WarmupDefect::RankedAmongLive) && !sees_others {
-            spec.share(1, 0)
+            limit.share(1, 0)
         } else {
-            spec.share(NODES, index)
+            limit.share(NODES, index)
         };
         if self.has_defect(WarmupDefect::RoundedUp) {
             share.max(1)
@@ -102,7 +103,7 @@
     fn counting_time(&self, state: &WarmupState) -> Moment {
         let now = TICK * u32::from(state.tick);
         if self.has_defect(WarmupDefect::CountedForASecond) {
-            let scale = COUNTING_WINDOW.as_secs_f64();
+            let scale = limit().counting_time().as_secs_f64();
             return now.mul_f64(scale);
         }
         now
@@ -111,14 +112,14 @@
     fn send_steps(&self, state: &WarmupState, index: usize, steps: &mut Vec<Step<WarmupState>>) {
         let waits = state.nodes[index]
             .restarted
-            .is_some_and(|ticks| TICK * u32::from(ticks) < COUNTING_WINDOW);
+            .is_some_and(|ticks| TICK * u32::from(ticks) < limit().counting_time());
         if waits && !self.has_defect(WarmupDefect::SentAfterRestart) {
             return;
         }
         let share = self.share(state, index);
         let mut sent = state.clone();
         let now = self.counting_time(state);
-        if !sent.nodes[index].window.reserve(share, now) {
+        if !sent.nodes[index].window.reserve(&limit(), share, now) {
             return;
         }
         let mut slow = sent.clone();
@@ -140,7 +141,7 @@
         }
         let mut next = state.clone();
         next.faults_left -= 1;
-        next.nodes[index].window = WarmupWindow::default();
+        next.nodes[index].window = RequestWindow::default();
         next.nodes[index].restarted = Some(0);
         steps.push(Step::fault(format!("node {index} restarts"), next));
         if state.nodes[index].sees_others {
@@ -157,7 +158,7 @@
 
     fn initial(&self) -> WarmupState {
         let node = NodeState {
-            window: WarmupWindow::default(),
+            window: RequestWindow::default(),
             restarted: None,
             sees_others: true,
         };
