Nodes keep together the limit that a target states

What callers saw: nothing yet. A target in need got as many requests as before: 24 in 4 s where 19 are allowed, 31 where 16 are.

Cause: a target could say nothing about itself but its load and its row in the directory. What it named in a response was not read, so no node could keep it (class: a demand of another system for which the protocol has no place).

Change: a target with a stated limit is chosen like one that warms up, by this node's share of a limit that all known nodes keep together; the lower limit applies where there are both. Every request passes the choice: first tries, retries, resumptions, reroutes (which took a slot and part of a share for a mere look; they no longer do). The limit ends with a response to a later request that does not state it, with another incarnation, or after a minute without any. Where the nodes that have a share send nothing, the others get turns at the pace of the limit, so that a target is never out of service for good. Requests that limits keep from all targets beyond their time are refused at once, with the time until one is free.

Nodes still learn of a limit only from responses that they get themselves.

--- a/crates/core/src/request_limit.rs
+++ b/crates/core/src/request_limit.rs
@@ -13,6 +13,8 @@
 const MAX_REQUESTS: f64 = 100_000.0;
 /// Longest difference between the times that two requests take to arrive.
 const TRANSIT_VARIATION: Duration = Duration::from_millis(250);
+/// Time without a response from a target, beyond two windows, after which nodes without a share get turns.
+const TURN_DELAY: Duration = Duration::from_secs(5);
 
 /// A limit on the requests that a target gets from all nodes together.
 ///
@@ -88,6 +90,38 @@
     pub fn share(&self, nodes: usize, rank: usize) -> u32 {
         ranked_share(self.requests(), nodes, rank) as u32
     }
+
+    /// Returns a node's share of a limit that was last confirmed by a response `silence` ago.
+    ///
+    /// The nodes that have a share may be gone or have no callers, and then no response would ever say that the limit
+    /// has ended. When the target has been silent for longer than its limit explains, the other nodes get a share one
+    /// after the other, at the pace of the limit.
+    ///
+    /// ```
+    /// use std::time::Duration;
+    ///
+    /// use briarswitch_core::request_limit::RequestLimit;
+    ///
+    /// let limit = RequestLimit::per_second(2.0);
+    /// let shares = |silence| (0..6).map(move |rank| limit.share_after(silence, 6, rank)).sum::<u32>();
+    /// assert_eq!(shares(Duration::from_secs(1)), 2);
+    /// assert_eq!(shares(Duration::from_secs(8)), 5);
+    /// ```
+    pub fn share_after(&self, silence: Duration, nodes: usize, rank: usize) -> u32 {
+        let share = self.share(nodes, rank);
+        if share > 0 || silence < self.turn_delay() {
+            return share;
+        }
+        // The ranks that have a share are spread evenly over all ranks.
+        let sharing_before = rank * self.requests() / nodes.max(1);
+        let turn = rank - sharing_before;
+        let elapsed = silence - self.turn_delay();
+        u32::from(elapsed.as_secs_f64() * self.per_second >= turn as f64)
+    }
+
+    fn turn_delay(&self) -> Duration {
+        TURN_DELAY + self.window() * 2
+    }
 }
 
 /// The requests that one node has recently sent to a target with a limit.
--- a/crates/core/src/stated_limit.rs
+++ b/crates/core/src/stated_limit.rs
@@ -139,7 +139,12 @@
 
     /// Returns the limit at `now`, if there is one.
     pub fn limit(&self, now: Moment) -> Option<RequestLimit> {
-        self.limit.filter(|_| self.age(now) < MAX_AGE)
+        self.limit.filter(|_| now < self.expires_at())
+    }
+
+    /// Returns when the limit is forgotten if no further response states it; zero if there is none.
+    pub fn expires_at(&self) -> Moment {
+        self.limit.map_or(Moment::ZERO, |_| self.heard_at + MAX_AGE)
     }
 
     /// Returns the time since the last response that stated the limit, or that ended it.
--- /dev/null
+++ b/crates/core/tests/stated_limit.rs
@@ -0,0 +1,78 @@
+//! What a node knows of a limit that a target states, from responses and from other nodes.
+
+use std::time::Duration;
+
+use briarswitch_core::id::Moment;
+use briarswitch_core::request_limit::RequestLimit;
+use briarswitch_core::stated_limit::{LimitChange, LimitHeader, StatedLimit};
+use googletest::prelude::*;
+
+fn at(millis: u64) -> Moment {
+    Duration::from_millis(millis)
+}
+
+fn limit(rate: f64) -> RequestLimit {
+    RequestLimit::per_second(rate)
+}
+
+/// Returns the knowledge of a node that a target has told at 10 s to take two requests a second.
+fn limited() -> StatedLimit {
+    let mut stated = StatedLimit::default();
+    stated.record_response(LimitHeader::Stated(limit(2.0)), at(9_900), at(10_000));
+    stated
+}
+
+/// Guards against a limit that a response ends which the target made before it stated the limit.
+#[gtest]
+fn a_response_that_was_overtaken_does_not_end_a_limit() {
+    let mut stated = limited();
+    expect_that!(
+        stated.record_response(LimitHeader::Absent, at(9_990), at(10_200)),
+        none()
+    );
+    expect_that!(stated.limit(at(10_200)), some(eq(limit(2.0))));
+    expect_that!(
+        stated.record_response(LimitHeader::Absent, at(10_050), at(10_300)),
+        some(eq(LimitChange::Ended))
+    );
+    expect_that!(stated.limit(at(10_300)), none());
+}
+
+/// Guards against an unreadable value that ends a limit or sets one.
+#[gtest]
+fn an_unreadable_limit_changes_nothing() {
+    let mut stated = limited();
+    expect_that!(
+        stated.record_response(LimitHeader::Unreadable, at(10_100), at(10_200)),
+        none()
+    );
+    expect_that!(stated.limit(at(10_200)), some(eq(limit(2.0))));
+    let mut unlimited = StatedLimit::default();
+    unlimited.record_response(LimitHeader::Unreadable, at(10_100), at(10_200));
+    expect_that!(unlimited.limit(at(10_200)), none());
+}
+
+/// Guards against an old value that is kept beside a newer one.
+#[gtest]
+fn the_latest_value_applies() {
+    let mut stated = limited();
+    let change = stated.record_response(LimitHeader::Stated(limit(0.5)), at(10_050), at(10_100));
+    expect_that!(change, some(eq(LimitChange::Begun(limit(0.5)))));
+    expect_that!(stated.limit(at(10_100)), some(eq(limit(0.5))));
+}
+
+/// Guards against a limit that outlasts the incarnation that stated it.
+#[gtest]
+fn another_incarnation_has_no_limit() {
+    let mut stated = limited();
+    stated.forget(at(10_100));
+    expect_that!(stated.limit(at(10_100)), none());
+}
+
+/// Guards against a target that is limited for good because it never responds again.
+#[gtest]
+fn a_limit_that_no_response_confirms_is_forgotten() {
+    let stated = limited();
+    expect_that!(stated.limit(at(69_000)), some(eq(limit(2.0))));
+    expect_that!(stated.limit(at(70_000)), none());
+}
--- a/crates/fleet/src/directory_sync.rs
+++ b/crates/fleet/src/directory_sync.rs
@@ -108,7 +108,7 @@
         let keep = self.recovery_window.keep_until(now);
         match update {
             DirectoryUpdate::Snapshot(mark, listed) => {
-                self.record_warmups(&listed, now);
+                self.record_starts(&listed, now);
                 self.mark = Some(mark);
                 self.view.cache.replace(listed, keep);
             }
@@ -117,7 +117,7 @@
                 if changes.is_empty() {
                     return;
                 }
-                self.record_warmups(&changes, now);
+                self.record_starts(&changes, now);
                 for change in changes {
                     self.view.cache.apply(change, keep);
                 }
@@ -128,16 +128,20 @@
         self.schedule_expiry_check(link);
     }
 
-    /// Records which targets are warming up; an entry that is read again unchanged says nothing new.
-    fn record_warmups(&self, changes: &[TargetChange], now: Moment) {
+    /// Records which targets are warming up, and which have started again and no longer mean what they stated; an
+    /// entry that is read again unchanged says nothing new.
+    fn record_starts(&self, changes: &[TargetChange], now: Moment) {
         for change in changes {
             let TargetChange::Put(record) = change else {
                 continue;
             };
             let known = self.view.cache.targets().get(&record.id);
-            let is_known = known.is_some_and(|known| {
-                known.warmup_left == record.warmup_left && known.incarnation == record.incarnation
-            });
+            let is_same = known.is_some_and(|known| known.incarnation == record.incarnation);
+            if known.is_some() && !is_same {
+                self.shared.gauges.get(&record.id).forget_limit(now);
+            }
+            let is_known =
+                is_same && known.is_some_and(|known| known.warmup_left == record.warmup_left);
             if !is_known && !record.warmup_left.is_zero() {
                 let gauge = self.shared.gauges.get(&record.id);
                 gauge.begin_warmup(now + record.warmup_left);
--- a/crates/fleet/src/dispatch.rs
+++ b/crates/fleet/src/dispatch.rs
@@ -23,6 +23,7 @@
 use crate::peers::PeerMessage;
 use crate::ports::{ResponseInfo, TargetRequestInfo};
 use crate::relay::StreamRelay;
+use crate::restriction::AcquiredSlot;
 use crate::routing_table::RouteTarget;
 use crate::run::{RunListeners, TargetRun};
 use crate::shared::FleetShared;
@@ -119,16 +120,26 @@
             .quarantine_left(&job.fingerprint)
             .is_some()
         {
-            return self.reply_failed(FailurePoint::Quarantined, &mut trace);
+            return self.reply_failed(FailurePoint::Quarantined, None, &mut trace);
         }
         let mut tried: Vec<TargetId> = Vec::new();
         let mut unreached = 0;
         let mut worst: Option<FailurePoint> = None;
         loop {
-            let (target, slot) = match self.selector.acquire(&job, &tried).await {
-                Ok(reserved) => reserved,
-                Err(point) => return self.reply_failed(worst_of(worst, point), &mut trace),
+            let acquired = self.selector.acquire(&job, &tried).await;
+            let AcquiredSlot {
+                target,
+                slot,
+                passed_over,
+            } = match acquired {
+                Ok(acquired) => acquired,
+                Err(error) => {
+                    trace.passed_over = error.passed_over;
+                    let point = worst_of(worst, error.point);
+                    return self.reply_failed(point, error.available_in, &mut trace);
+                }
             };
+            trace.passed_over = passed_over;
             record_target(&mut trace, &target);
             trace.record_slot();
             let last_event = job.request.last_event.clone();
@@ -178,7 +189,7 @@
                     trace.end(RequestEnd::Failed);
                     return self.buffered_response(head, bytes);
                 }
-                return self.reply_failed(worst_of(worst, point), &mut trace);
+                return self.reply_failed(worst_of(worst, point), None, &mut trace);
             }
             worst = Some(worst_of(worst, point));
         }
@@ -211,7 +222,7 @@
         {
             return Err(FailurePoint::Quarantined.into());
         }
-        log_limited_choice(job, &target, now);
+        self.log_limited_choice(job, &target, now);
         let request = self.build_request(job, &target, remaining, last_event);
         let address = TargetAddress {
             address: target.address.clone(),
@@ -306,7 +317,7 @@
         let slot_request = job.slot_request(std::slice::from_ref(&from.id));
         job.rule.is_repeatable()
             && self.budgets.can_withdraw(&job.service)
-            && self.selector.pick(&slot_request).is_some()
+            && self.selector.has_slot(&slot_request)
     }
 
     /// Checks that a response head comes from the right target, and updates the target's gauge.
@@ -364,6 +375,25 @@
         Err(self.target_failure(job, head, &info, body).await)
     }
 
+    /// Logs that a request is sent to a target that states a limit, and what this node takes for its share.
+    fn log_limited_choice(&self, job: &RequestJob, target: &RouteTarget, now: Moment) {
+        let Some((limit, age)) = target.gauge.limit_with_age(now) else {
+            return;
+        };
+        let share = self.shared.limit_share(limit, age, target, now);
+        log::info!(
+            request = job.request.attempt.as_str(),
+            target_id = target.id.as_str(),
+            per_second = limit.rate(),
+            age_ms = age.as_millis() as u64,
+            sent = target.gauge.counted_requests(&limit, now),
+            share = share.requests,
+            window_ms = limit.counting_time().as_millis() as u64,
+            nodes = self.shared.rank_for(target, now).nodes;
+            "limited_target_chosen"
+        );
+    }
+
     /// Records the limit that a target states, or no longer states, in a response.
     ///
     /// A response of another incarnation, or to another attempt, says nothing about the requests that this target
@@ -475,13 +505,21 @@
         response
     }
 
-    fn reply_failed(&self, point: FailurePoint, trace: &mut RequestTrace) -> Response {
+    /// Replies to a request that ends without a target's response; a target may be available in `available_in`.
+    fn reply_failed(
+        &self,
+        point: FailurePoint,
+        available_in: Option<Duration>,
+        trace: &mut RequestTrace,
+    ) -> Response {
         trace.reason = point.code();
         trace.end(match point.outcome() {
             Outcome::NotRun => RequestEnd::NotRun,
             _ => RequestEnd::Unknown,
         });
-        let mut response = self.failure_reply(point, trace).into_response();
+        let reply = self.failure_reply(point, trace);
+        let reply = reply.delayed_by(available_in.unwrap_or_default());
+        let mut response = reply.into_response();
         let protocol = &self.shared.platform.protocol;
         protocol.add_attempt_id(response.headers_mut(), &trace.request_id);
         response
@@ -538,19 +576,6 @@
     }
 }
 
-/// Logs that a request is sent to a target that states a limit.
-fn log_limited_choice(job: &RequestJob, target: &RouteTarget, now: Moment) {
-    if let Some((limit, age)) = target.gauge.limit_with_age(now) {
-        log::info!(
-            request = job.request.attempt.as_str(),
-            target_id = target.id.as_str(),
-            per_second = limit.rate(),
-            age_ms = age.as_millis() as u64;
-            "limited_target_chosen"
-        );
-    }
-}
-
 fn record_target(trace: &mut RequestTrace, target: &RouteTarget) {
     trace.target.clone_from(&target.id);
     if let Some(group) = &target.group {
--- a/crates/fleet/src/gauge.rs
+++ b/crates/fleet/src/gauge.rs
@@ -25,6 +25,15 @@
 /// Time for which a slot share is cached; about the interval at which nodes exchange their observations.
 const SLOT_SHARE_TTL: Duration = Duration::from_millis(300);
 
+/// A node's position among all known nodes.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct NodeRank {
+    /// Rank, from 0.
+    pub rank: u32,
+    /// Number of nodes.
+    pub nodes: u32,
+}
+
 /// One node's share of the limit of a target.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct LimitShare {
@@ -34,6 +43,16 @@
     pub requests: u32,
 }
 
+impl LimitShare {
+    /// Returns the requests per second that this node may send.
+    pub fn rate(&self) -> f64 {
+        f64::from(self.requests) / self.limit.counting_time().as_secs_f64()
+    }
+}
+
+/// Time for which a node's rank for a target is cached; ranking compares all known nodes.
+const RANK_TTL: Duration = Duration::from_millis(500);
+
 /// Counters of one target.
 #[derive(Debug, Default)]
 pub struct TargetGauge {
@@ -56,6 +75,9 @@
     warming_until: AtomicU64,
     request_window: Mutex<RequestWindow>,
     stated_limit: Mutex<StatedLimit>,
+    limited_until: AtomicU64,
+    rank: AtomicU64,
+    rank_at: AtomicU64,
 }
 
 fn micros(moment: Moment) -> u64 {
@@ -155,6 +177,25 @@
         self.slot_share.load(Ordering::Relaxed)
     }
 
+    /// Returns this node's rank for the target among all known nodes, and their number.
+    ///
+    /// The value is cached; `recalculate` is called if it is outdated.
+    pub fn rank(&self, now: Moment, recalculate: impl FnOnce() -> NodeRank) -> NodeRank {
+        let before = self.rank_at.load(Ordering::Relaxed);
+        let age = Duration::from_micros(micros(now).saturating_sub(before));
+        if before == 0 || age > RANK_TTL {
+            let NodeRank { rank, nodes } = recalculate();
+            let packed = u64::from(rank) << 32 | u64::from(nodes);
+            self.rank.store(packed, Ordering::Relaxed);
+            self.rank_at.store(micros(now), Ordering::Relaxed);
+        }
+        let packed = self.rank.load(Ordering::Relaxed);
+        NodeRank {
+            rank: (packed >> 32) as u32,
+            nodes: packed as u32,
+        }
+    }
+
     /// Records that bytes arrived from the target, and clears any suspicion.
     pub fn record_activity(&self, now: Moment) {
         let before = self.last_activity.swap(micros(now), Ordering::Relaxed);
@@ -224,6 +265,17 @@
             .has_room(&share.limit, share.requests, now)
     }
 
+    /// Returns when this node may send the next request to the target; `None` if it has no share.
+    pub fn free_at(&self, share: &LimitShare, now: Moment) -> Option<Moment> {
+        self.request_window()
+            .free_at(&share.limit, share.requests, now)
+    }
+
+    /// Returns the number of requests that count towards a limit of the target.
+    pub fn counted_requests(&self, limit: &RequestLimit, now: Moment) -> u32 {
+        self.request_window().count(limit, now)
+    }
+
     /// Counts a request that is sent to the target; returns false if this node's share of a limit is used up.
     pub fn reserve(&self, share: &LimitShare, now: Moment) -> bool {
         self.request_window()
@@ -237,11 +289,35 @@
         sent_at: Moment,
         now: Moment,
     ) -> Option<LimitChange> {
-        self.stated_limit().record_response(header, sent_at, now)
+        let mut stated = self.stated_limit();
+        let change = stated.record_response(header, sent_at, now);
+        self.note_limit(&stated);
+        change
+    }
+
+    /// Forgets the limit that the target states, since another incarnation of it has begun.
+    pub fn forget_limit(&self, now: Moment) {
+        let mut stated = self.stated_limit();
+        stated.forget(now);
+        self.note_limit(&stated);
+    }
+
+    /// Notes until when the target may have a limit, so that targets without one need no lock.
+    fn note_limit(&self, stated: &StatedLimit) {
+        self.limited_until
+            .store(micros(stated.expires_at()), Ordering::Relaxed);
+    }
+
+    /// Returns whether the target may state a limit at `now`.
+    fn may_be_limited(&self, now: Moment) -> bool {
+        micros(now) < self.limited_until.load(Ordering::Relaxed)
     }
 
     /// Returns the limit that the target states, with the time since it last did; `None` if there is none.
     pub fn limit_with_age(&self, now: Moment) -> Option<(RequestLimit, Duration)> {
+        if !self.may_be_limited(now) {
+            return None;
+        }
         let stated = self.stated_limit();
         Some((stated.limit(now)?, stated.age(now)))
     }
@@ -364,10 +440,13 @@
         }
     }
 
-    /// Removes the gauges that `keep` rejects, except those with requests of this node.
-    pub fn retain(&self, keep: impl Fn(&str) -> bool) {
+    /// Removes the gauges that `keep` rejects, except those with requests of this node and those of targets that state
+    /// a limit, whose entries may be back before it ends.
+    pub fn retain(&self, now: Moment, keep: impl Fn(&str) -> bool) {
         let mut gauges = self.gauges.write().unwrap_or_else(PoisonError::into_inner);
-        gauges.retain(|id, gauge| gauge.local_requests() > 0 || keep(id));
+        gauges.retain(|id, gauge| {
+            gauge.local_requests() > 0 || gauge.may_be_limited(now) || keep(id)
+        });
     }
 
     fn read(&self) -> std::sync::RwLockReadGuard<'_, HashMap<TargetId, Arc<TargetGauge>>> {
--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -33,6 +33,7 @@
 pub mod prior_wait;
 mod registry;
 pub mod relay;
+pub mod restriction;
 pub mod routing_table;
 pub mod run;
 pub mod run_info;
--- a/crates/fleet/src/local_reply.rs
+++ b/crates/fleet/src/local_reply.rs
@@ -65,6 +65,14 @@
         }
     }
 
+    /// Adds time to the delay after which to retry, if there is one; its random part remains.
+    pub fn delayed_by(self, delay: Duration) -> Self {
+        Self {
+            retry_after: self.retry_after.map(|after| after + delay),
+            ..self
+        }
+    }
+
     /// Builds the HTTP response.
     pub fn into_response(self) -> Response {
         let mut response = reply_text(self.status, self.text);
--- a/crates/fleet/src/relay.rs
+++ b/crates/fleet/src/relay.rs
@@ -14,6 +14,7 @@
 use crate::failure::ConnectionFailure;
 use crate::gauge::SlotGuard;
 use crate::job::{RequestJob, ResponseStart};
+use crate::restriction::AcquiredSlot;
 use crate::slot_queue::ReservedTarget;
 use crate::suspicion::silence_limit_for;
 use crate::trace::{RequestEnd, RequestTrace};
@@ -215,10 +216,10 @@
             let selector = self.dispatcher.selector();
             let is_begun = self.splitter.last_id().is_some();
             let acquiring = selector.acquire_for_resume(&self.job, &self.tried, is_begun);
-            let Ok(reserved) = acquiring.await else {
+            let Ok(AcquiredSlot { target, slot, .. }) = acquiring.await else {
                 return false;
             };
-            match self.resume_at(reserved).await {
+            match self.resume_at((target, slot)).await {
                 ResumeResult::Resumed => return true,
                 ResumeResult::Refused => {}
                 ResumeResult::Failed => return false,
--- a/crates/fleet/src/shared.rs
+++ b/crates/fleet/src/shared.rs
@@ -18,10 +18,10 @@
 use crate::costs::{CostCounters, CostKind};
 use crate::demand::DemandMeter;
 use crate::feed::FeedRelay;
-use crate::gauge::{GaugeMap, LimitShare};
+use crate::gauge::{GaugeMap, LimitShare, NodeRank};
 use crate::metrics::FleetMetrics;
 use crate::ports::{FeedMark, FeedRequest, FeedResponse, FleetPlatform, NodeEntry, SourceError};
-use crate::routing_table::RoutingTable;
+use crate::routing_table::{RouteTarget, RoutingTable};
 use crate::settings::FleetSettings;
 use crate::suspect_ledger::SuspectLedger;
 
@@ -273,19 +273,36 @@
         self.live_view.read().weight_for(key, own)
     }
 
-    /// Returns this node's share of a limit on the requests to a target.
+    /// Returns this node's share of a limit that a target last stated `silence` ago.
     ///
     /// There is none right after the start: an earlier incarnation of this node may have used it.
-    pub fn limit_share(&self, limit: RequestLimit, target: &str, now: Moment) -> LimitShare {
-        let live_view = self.live_view.read();
+    pub fn limit_share(
+        &self,
+        limit: RequestLimit,
+        silence: Duration,
+        target: &RouteTarget,
+        now: Moment,
+    ) -> LimitShare {
         let requests = if now < self.started_at + limit.counting_time() {
             0
         } else {
-            limit.share(live_view.known_nodes(), live_view.known_rank(target))
+            let rank = self.rank_for(target, now);
+            limit.share_after(silence, rank.nodes as usize, rank.rank as usize)
         };
         LimitShare { limit, requests }
     }
 
+    /// Returns this node's rank for a target among all known nodes, live or not.
+    pub fn rank_for(&self, target: &RouteTarget, now: Moment) -> NodeRank {
+        target.gauge.rank(now, || {
+            let live_view = self.live_view.read();
+            NodeRank {
+                rank: live_view.known_rank(&target.id) as u32,
+                nodes: live_view.known_nodes() as u32,
+            }
+        })
+    }
+
     /// Lets all targets of a zone count as warming up, since an evacuation of the zone has ended.
     ///
     /// Targets may lose their caches while a zone is under evacuation, and the directory says so only later.
@@ -313,7 +330,7 @@
         let previous = self.routing_table.load();
         let table = RoutingTable::build(config, &directory.cache, &previous, &self.gauges);
         self.routing_table.publish(table);
-        self.gauges.retain(|id| targets.contains_key(id));
+        self.gauges.retain(started, |id| targets.contains_key(id));
         let took = BootClock::now().saturating_sub(started);
         self.costs.count_time(CostKind::TableBuilt, took);
     }
--- a/crates/fleet/src/slot_queue.rs
+++ b/crates/fleet/src/slot_queue.rs
@@ -57,13 +57,9 @@
 }
 
 impl SlotQueue {
-    /// Returns whether any request waits for these targets.
-    pub fn has_waiters(&self, key: &QueueKey) -> bool {
-        let state = self.lock();
-        state
-            .waiters
-            .get(key)
-            .is_some_and(|waiters| !waiters.is_empty())
+    /// Returns the number of requests that wait for these targets.
+    pub fn waiting(&self, key: &QueueKey) -> usize {
+        self.lock().waiters.get(key).map_or(0, Vec::len)
     }
 
     /// Records the time from reserving a slot to the first event of a stream.
--- a/crates/fleet/src/target_selector.rs
+++ b/crates/fleet/src/target_selector.rs
@@ -16,6 +16,7 @@
 use crate::gauge::{LimitShare, SlotGuard};
 use crate::job::RequestJob;
 use crate::peers::PROPAGATION_TIME;
+use crate::restriction::{AcquiredSlot, Restriction, SlotError, TargetOutlook};
 use crate::routing_table::{RouteTarget, RoutingTable};
 use crate::shared::FleetShared;
 use crate::slot_queue::{wait_for_slot, QueueKey, ReservedTarget, SlotQueue, SlotRequest};
@@ -60,12 +61,12 @@
     ///
     /// # Errors
     ///
-    /// Returns the failure to report to the caller if no slot became free in time.
+    /// Returns the failure to report to the caller if no slot became free in time, or if none can.
     pub async fn acquire(
         &self,
         job: &RequestJob,
         tried: &[TargetId],
-    ) -> Result<ReservedTarget, FailurePoint> {
+    ) -> Result<AcquiredSlot, SlotError> {
         let params = WaitParams {
             arrived: job.arrived,
             waited_before: job.waited_before,
@@ -81,13 +82,13 @@
     ///
     /// # Errors
     ///
-    /// Returns the failure to report to the caller if no slot became free in time.
+    /// Returns the failure to report to the caller if no slot became free in time, or if none can.
     pub async fn acquire_for_resume(
         &self,
         job: &RequestJob,
         tried: &[TargetId],
         is_begun: bool,
-    ) -> Result<ReservedTarget, FailurePoint> {
+    ) -> Result<AcquiredSlot, SlotError> {
         let params = WaitParams {
             arrived: BootClock::now(),
             is_resumption: is_begun,
@@ -102,7 +103,7 @@
         job: &RequestJob,
         tried: &[TargetId],
         params: WaitParams,
-    ) -> Result<ReservedTarget, FailurePoint> {
+    ) -> Result<AcquiredSlot, SlotError> {
         let mut slot_request = job.slot_request(tried);
         let request = WaitingRequest::new(WaitParams {
             objective: job.rule.objective,
@@ -111,14 +112,26 @@
             priority: job.priority,
             ..params
         });
-        slot_request.is_late = request.is_late(BootClock::now());
+        let now = BootClock::now();
+        slot_request.is_late = request.is_late(now);
         if self.is_barred(&slot_request) {
-            return Err(FailurePoint::NoTarget);
+            return Err(FailurePoint::NoTarget.into());
+        }
+        let outlook = self.outlook(&slot_request, now);
+        let passed_over = outlook.passed_over;
+        let acquired = |(target, slot)| AcquiredSlot {
+            target,
+            slot,
+            passed_over,
+        };
+        let waiting = self.queue.waiting(&slot_request.key);
+        if let Some(refusal) = outlook.refusal(waiting, request.refuse_at, now) {
+            return Err(refusal);
         }
         // A new request must not overtake waiting ones that can still meet their objective.
-        if !self.queue.has_waiters(&slot_request.key) {
+        if waiting == 0 {
             if let Some(reserved) = self.pick(&slot_request) {
-                return Ok(reserved);
+                return Ok(acquired(reserved));
             }
         }
         let key = slot_request.key.clone();
@@ -131,7 +144,10 @@
         };
         let poll = || self.serve_queue();
         let reserved = wait_for_slot(reserved, request, SLOT_POLL_INTERVAL, poll).await;
-        reserved.ok_or(FailurePoint::NoTarget)
+        reserved.map(acquired).ok_or(SlotError {
+            passed_over,
+            ..FailurePoint::NoTarget.into()
+        })
     }
 
     /// Returns whether there are targets for a request, but none that it is permitted to use.
@@ -163,16 +179,56 @@
             && (regions.is_any() || regions.allows(region().map(String::as_str)))
     }
 
+    /// Returns what a request can expect of the targets that it is permitted to use.
+    fn outlook(&self, slot_request: &SlotRequest, now: Moment) -> TargetOutlook {
+        let table = self.shared.routing_table.load();
+        let config = self.shared.config.load();
+        let service = config.as_ref().as_ref();
+        let spec = service.and_then(|config| config.services.get(&slot_request.key.0));
+        let evacuated = self.shared.evacuated.read();
+        let mut outlook = TargetOutlook::default();
+        for target in routes_of(&table, &slot_request.key) {
+            if self.is_permitted(slot_request, target, &evacuated) {
+                let is_tried = slot_request.tried.contains(&target.id);
+                outlook.add(self.restriction(spec, target, now), is_tried);
+            }
+        }
+        outlook
+    }
+
+    /// Returns why this node may not send a request to a target now, if so.
+    fn restriction(
+        &self,
+        spec: Option<&ServiceSpec>,
+        target: &RouteTarget,
+        now: Moment,
+    ) -> Option<Restriction> {
+        let share = self.limit_share(spec, target, now)?;
+        let is_full = !target.gauge.has_room(&share, now);
+        is_full.then(|| Restriction::Limited {
+            free_at: target.gauge.free_at(&share, now),
+            rate: share.rate(),
+        })
+    }
+
     /// Returns this node's share of the limit on the requests to a target; `None` if there is no limit.
+    ///
+    /// If the target warms up and states a limit as well, the lower one applies.
     fn limit_share(
         &self,
         spec: Option<&ServiceSpec>,
         target: &RouteTarget,
         now: Moment,
     ) -> Option<LimitShare> {
-        let limit = spec?.warmup.limit()?;
-        let is_warming = target.gauge.is_warming(now);
-        is_warming.then(|| self.shared.limit_share(limit, &target.id, now))
+        let warmup = spec.and_then(|spec| spec.warmup.limit());
+        let warmup = warmup.filter(|_| target.gauge.is_warming(now));
+        let stated = target.gauge.limit_with_age(now);
+        let limits = warmup.map(|limit| (limit, Duration::ZERO));
+        let lowest = limits
+            .into_iter()
+            .chain(stated)
+            .min_by(|(left, _), (right, _)| left.rate().total_cmp(&right.rate()));
+        lowest.map(|(limit, silence)| self.shared.limit_share(limit, silence, target, now))
     }
 
     /// Reserves free slots for waiting requests.
@@ -188,11 +244,31 @@
             .record_first_event(&job.slot_request(&[]).key, time);
     }
 
-    /// Reserves a slot without waiting; `None` if every target is full, suspect or already tried.
+    /// Returns whether a slot could be reserved without waiting.
+    pub fn has_slot(&self, slot_request: &SlotRequest) -> bool {
+        self.select(slot_request, BootClock::now()).is_some()
+    }
+
+    /// Reserves a slot without waiting; `None` if every target is full, suspect, restricted or already tried.
     pub fn pick(&self, slot_request: &SlotRequest) -> Option<ReservedTarget> {
+        let now = BootClock::now();
+        let (target, share) = self.select(slot_request, now)?;
+        // Another thread may have used the rest of the share since the target was found usable.
+        if share.is_some_and(|share| !target.gauge.reserve(&share, now)) {
+            return None;
+        }
+        let slot = SlotGuard::acquire(&target.gauge, slot_request.prompt_tokens, now);
+        Some((target, slot))
+    }
+
+    /// Selects a target with a free slot, with this node's share if the target has a limit.
+    fn select(
+        &self,
+        slot_request: &SlotRequest,
+        now: Moment,
+    ) -> Option<(Arc<RouteTarget>, Option<LimitShare>)> {
         let table = self.shared.routing_table.load();
         let config = self.shared.config.load();
-        let now = BootClock::now();
         let (service, model) = &slot_request.key;
         let service_spec = config.as_ref().as_ref()?.services.get(service);
         let engine = service_spec.and_then(|spec| spec.engine.as_ref());
@@ -201,9 +277,7 @@
             !slot_request.tried.contains(&target.id)
                 && !target.gauge.is_suspect(now)
                 && self.is_permitted(slot_request, target, &evacuated)
-                && self
-                    .limit_share(service_spec, target, now)
-                    .is_none_or(|share| target.gauge.has_room(&share, now))
+                && self.restriction(service_spec, target, now).is_none()
         };
         let targets = routes_of(&table, &slot_request.key);
         let candidates: Vec<&Arc<RouteTarget>> =
@@ -231,14 +305,8 @@
             }
             None => self.pick_single(&candidates)?,
         };
-        if let Some(share) = self.limit_share(service_spec, target, now) {
-            // Another thread may have used the rest of the share since the target was found usable.
-            if !target.gauge.reserve(&share, now) {
-                return None;
-            }
-        }
-        let slot = SlotGuard::acquire(&target.gauge, slot_request.prompt_tokens, now);
-        Some((Arc::clone(target), slot))
+        let share = self.limit_share(service_spec, target, now);
+        Some((Arc::clone(target), share))
     }
 
     /// Returns a number from 0 to 1 that decides whether this node may use slots beyond its share of a model's groups.
--- a/crates/fleet/src/trace.rs
+++ b/crates/fleet/src/trace.rs
@@ -9,6 +9,7 @@
 use briarswitch_kernel::BootClock;
 
 use crate::metrics::RequestLabels;
+use crate::restriction::PassedOver;
 use crate::shared::FleetShared;
 
 /// How a request ended.
@@ -81,6 +82,8 @@
     pub slot_wait: Option<Duration>,
     /// Time from arrival until the first event was sent to the caller.
     pub first_event: Option<Duration>,
+    /// Targets that could not be used for the last attempt.
+    pub passed_over: PassedOver,
     /// Longest pause between two events.
     pub longest_pause: Duration,
     /// Number of events sent to the caller.
@@ -112,6 +115,7 @@
             reason: "",
             slot_wait: None,
             first_event: None,
+            passed_over: PassedOver::default(),
             longest_pause: Duration::ZERO,
             events: 0,
             end: None,
@@ -189,6 +193,7 @@
             most_tokens = self.max_tokens,
             sent = self.attempts_sent,
             events = self.events,
+            limited = self.passed_over.limited,
             patience_ms = self.timeout.as_millis() as u64,
             before_ms = self.waited_before.as_millis() as u64,
             wait_ms = self.slot_wait.map_or(0, |wait| wait.as_millis() as u64),
--- a/crates/fleet/tests/stated_limits.rs
+++ b/crates/fleet/tests/stated_limits.rs
@@ -77,3 +77,23 @@
     let most = most_arrivals(&fleet.targets[0], told);
     expect_that!(most, all!(ge(4), le(allowed(2.4))));
 }
+
+/// Guards against callers that wait for their whole time where the only target limits itself to less than they ask.
+#[gtest]
+#[tokio::test(flavor = "multi_thread")]
+async fn callers_beyond_the_limit_of_the_only_target_are_refused_as_not_run() {
+    let fleet = Fleet::open(1, &["z1", "z1"]).await;
+    fleet.targets[0].state_limit(Some("0.1"));
+    for node in 0..2 {
+        fleet.request(node, look()).await;
+    }
+    let before = fleet.targets[0].runs().len();
+    for node in 0..2 {
+        fleet.request(node, look()).await;
+        let refused = fleet.request(node, look()).await;
+        expect_that!(refused.status, eq(503));
+        expect_that!(refused.body, eq("no_target"));
+        expect_that!(refused.retry_after(), some(gt(0.0)));
+    }
+    expect_that!(fleet.targets[0].runs().len(), le(before + 1));
+}
