Nodes tell each other of the limits that targets state

Each node learned of a limit only from a response to a request of its own, so each node overran it once, and again after each restart: with 985 nodes a target in need gets a request of every node that has callers for it. A node without a share never learned that a limit had ended, since it sends nothing. Both tests failed before: 5 requests of nodes that had not been told reach a target that takes one in ten seconds; five of six nodes still refuse all calls three seconds after the end.

Nodes now report in their gossip what they heard themselves in the last two seconds, with its age, at most 32 targets a message. A report is never passed on by those that it tells, since nodes would keep renewing it for each other.

An end now counts from the sending of the request, is believed only with the margin of the age's error, and is confirmed by further responses for two seconds, so that it spreads all the same.

Which ones are left out now changes with every message.

--- a/crates/core/src/request_limit.rs
+++ b/crates/core/src/request_limit.rs
@@ -9,6 +9,10 @@
 ///
 /// Without any request no response would say that the limit has ended.
 pub const MIN_REQUESTS_PER_SECOND: f64 = 0.1;
+/// Highest limit in requests per second, which no target reaches.
+const MAX_REQUESTS_PER_SECOND: f64 = 1e9;
+/// Unit in which limits are kept, so that equal ones compare as equal.
+const UNITS_PER_REQUEST: f64 = 1e6;
 /// Largest number of requests in one window; nodes count each of them.
 const MAX_REQUESTS: f64 = 100_000.0;
 /// Longest difference between the times that two requests take to arrive.
@@ -20,9 +24,9 @@
 ///
 /// It is counted as a whole number of requests in a window of a second or more, so that fractions are kept: 2.4 a
 /// second are 3 in 1.25 s, 0.5 a second are 1 in 2 s.
-#[derive(Clone, Copy, Debug, PartialEq)]
+#[derive(Clone, Copy, Debug, Eq, Hash, PartialEq)]
 pub struct RequestLimit {
-    per_second: f64,
+    units_per_second: u64,
 }
 
 impl RequestLimit {
@@ -35,19 +39,20 @@
     /// assert_eq!(RequestLimit::per_second(0.0).rate(), MIN_REQUESTS_PER_SECOND);
     /// ```
     pub fn per_second(rate: f64) -> Self {
+        let rate = rate.clamp(MIN_REQUESTS_PER_SECOND, MAX_REQUESTS_PER_SECOND);
         Self {
-            per_second: rate.max(MIN_REQUESTS_PER_SECOND),
+            units_per_second: (rate * UNITS_PER_REQUEST).round() as u64,
         }
     }
 
     /// Returns the requests per second.
     pub fn rate(&self) -> f64 {
-        self.per_second
+        self.units_per_second as f64 / UNITS_PER_REQUEST
     }
 
     /// Returns the number of requests that all nodes together may send in each [`window`](Self::window).
     pub fn requests(&self) -> usize {
-        self.per_second.ceil().min(MAX_REQUESTS) as usize
+        self.rate().ceil().min(MAX_REQUESTS) as usize
     }
 
     /// Returns the time in which the target takes [`requests`](Self::requests).
@@ -61,7 +66,7 @@
     /// assert_eq!((limit.requests(), limit.window()), (3, Duration::from_millis(1_250)));
     /// ```
     pub fn window(&self) -> Duration {
-        Duration::from_secs_f64(self.requests() as f64 / self.per_second)
+        Duration::from_secs_f64(self.requests() as f64 / self.rate())
     }
 
     /// Returns the time over which one node counts its requests to the target.
@@ -116,7 +121,7 @@
         let sharing_before = rank * self.requests() / nodes.max(1);
         let turn = rank - sharing_before;
         let elapsed = silence - self.turn_delay();
-        u32::from(elapsed.as_secs_f64() * self.per_second >= turn as f64)
+        u32::from(elapsed.as_secs_f64() * self.rate() >= turn as f64)
     }
 
     fn turn_delay(&self) -> Duration {
--- a/crates/core/src/stated_limit.rs
+++ b/crates/core/src/stated_limit.rs
@@ -11,12 +11,14 @@
 /// a limit is normally ended by a response.
 const MAX_AGE: Duration = Duration::from_secs(60);
 /// Time for which a node reports to the others what it heard; several messages.
-const REPORT_TIME: Duration = Duration::from_secs(2);
-/// Time by which a report of another node has to be newer than what is known, since its age is an estimate.
-const AGE_ERROR: Duration = Duration::from_millis(500);
+pub const REPORT_TIME: Duration = Duration::from_secs(2);
+/// Time by which a report of another node has to be newer than what is known.
+///
+/// Its age is an estimate that leaves out the time that the messages took.
+pub const AGE_ERROR: Duration = Duration::from_millis(500);
 
 /// What the head of one response says about the target's limit.
-#[derive(Clone, Copy, Debug, Default, PartialEq)]
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
 pub enum LimitHeader {
     /// The response states no limit.
     #[default]
@@ -28,7 +30,7 @@
 }
 
 /// A change of what a node knows of a target's limit.
-#[derive(Clone, Copy, Debug, PartialEq)]
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum LimitChange {
     /// The target has a limit, or another one than before.
     Begun(RequestLimit),
@@ -47,7 +49,7 @@
 }
 
 /// What one node reports to the others about a target's limit.
-#[derive(Clone, Debug, PartialEq)]
+#[derive(Clone, Debug, Eq, PartialEq)]
 pub struct LimitReport {
     /// The target.
     pub target: TargetId,
@@ -58,11 +60,13 @@
 }
 
 /// What a node knows of the limit that a target states.
-#[derive(Clone, Copy, Debug, Default, PartialEq)]
+#[derive(Clone, Copy, Debug, Default, Eq, Hash, PartialEq)]
 pub struct StatedLimit {
     limit: Option<RequestLimit>,
-    /// When the response was received that said so last, here or at another node.
+    /// When the limit was last stated, here or to another node, or when the request was sent whose response ended it.
     heard_at: Moment,
+    /// Until when further responses without a limit confirm that it has ended.
+    confirmed_until: Moment,
     /// Whether this node received that response itself.
     is_own: bool,
 }
@@ -71,7 +75,8 @@
     /// Records the head of a response to a request that was sent at `sent_at`.
     ///
     /// Responses may overtake each other, so a limit is ended only by a response to a request that was sent after the
-    /// limit was last stated.
+    /// limit was last stated. It then counts as ended from the time of that request, since the target may have stated
+    /// a limit to others while the response was on its way.
     ///
     /// ```
     /// use std::time::Duration;
@@ -94,17 +99,24 @@
         sent_at: Moment,
         now: Moment,
     ) -> Option<LimitChange> {
-        let heard = match header {
-            LimitHeader::Unreadable => return None,
-            LimitHeader::Absent if self.limit.is_none() || sent_at <= self.heard_at => return None,
-            LimitHeader::Absent => None,
-            LimitHeader::Stated(limit) => Some(limit),
-        };
-        self.replace(Self {
-            limit: heard,
+        let mut next = Self {
             heard_at: now,
             is_own: true,
-        })
+            ..*self
+        };
+        match header {
+            LimitHeader::Unreadable => return None,
+            LimitHeader::Absent if sent_at <= self.heard_at => return None,
+            LimitHeader::Absent if self.limit.is_some() => {
+                next.limit = None;
+                next.heard_at = sent_at;
+                next.confirmed_until = now + REPORT_TIME;
+            }
+            LimitHeader::Absent if now < self.confirmed_until => next.heard_at = sent_at,
+            LimitHeader::Absent => return None,
+            LimitHeader::Stated(limit) => next.limit = Some(limit),
+        }
+        self.replace(next)
     }
 
     /// Records what another node heard, `age` before `now`.
@@ -115,17 +127,15 @@
         now: Moment,
     ) -> Option<LimitChange> {
         let heard_at = now.saturating_sub(age);
-        let is_newer = match limit {
-            Some(_) => heard_at > self.heard_at + AGE_ERROR,
-            None => self.limit.is_some() && heard_at > self.heard_at,
-        };
-        if !is_newer {
+        let is_known = limit.is_none() && self.limit.is_none();
+        if is_known || heard_at <= self.heard_at + AGE_ERROR {
             return None;
         }
         self.replace(Self {
             limit,
             heard_at,
             is_own: false,
+            confirmed_until: Moment::ZERO,
         })
     }
 
@@ -152,11 +162,18 @@
         now.saturating_sub(self.heard_at)
     }
 
-    /// Returns the age of what this node has recently heard itself, and the limit; `None` if there is nothing to
-    /// report.
+    /// Returns what this node has recently heard itself, and its age; `None` if there is nothing to report.
     pub fn report(&self, now: Moment) -> Option<(Option<RequestLimit>, Duration)> {
-        let age = self.age(now);
-        (self.is_own && age < REPORT_TIME).then_some((self.limit, age))
+        (now < self.reported_until()).then_some((self.limit, self.age(now)))
+    }
+
+    /// Returns until when this node reports to the others what it heard itself; zero if it heard nothing.
+    pub fn reported_until(&self) -> Moment {
+        if self.is_own {
+            self.heard_at + REPORT_TIME
+        } else {
+            Moment::ZERO
+        }
     }
 
     fn replace(&mut self, next: Self) -> Option<LimitChange> {
--- a/crates/core/tests/stated_limit.rs
+++ b/crates/core/tests/stated_limit.rs
@@ -76,3 +76,51 @@
     expect_that!(stated.limit(at(69_000)), some(eq(limit(2.0))));
     expect_that!(stated.limit(at(70_000)), none());
 }
+
+/// Guards against a node that does not believe another one, and against an old report that replaces newer knowledge.
+#[gtest]
+fn reports_of_other_nodes_count_if_they_are_newer() {
+    let mut told = StatedLimit::default();
+    let change = told.record_report(Some(limit(2.0)), at(300), at(10_000));
+    expect_that!(change, some(eq(LimitChange::Begun(limit(2.0)))));
+    expect_that!(told.age(at(10_000)), eq(at(300)));
+    // The age of a report is an estimate, so one that is hardly newer may be older.
+    expect_that!(told.record_report(None, at(100), at(10_000)), none());
+    expect_that!(
+        told.record_report(None, at(100), at(10_400)),
+        some(eq(LimitChange::Ended))
+    );
+    expect_that!(
+        told.record_report(Some(limit(2.0)), at(0), at(10_700)),
+        none()
+    );
+    expect_that!(
+        told.record_report(Some(limit(2.0)), at(0), at(11_000)),
+        some(anything())
+    );
+}
+
+/// Guards against reports that nodes renew for each other for ever, after the target has gone.
+#[gtest]
+fn only_what_a_node_heard_itself_is_reported_and_only_for_a_while() {
+    let mut told = StatedLimit::default();
+    told.record_report(Some(limit(2.0)), at(0), at(10_000));
+    expect_that!(told.report(at(10_100)), none());
+    let own = limited();
+    expect_that!(
+        own.report(at(11_000)),
+        some(eq((Some(limit(2.0)), at(1_000))))
+    );
+    expect_that!(own.report(at(12_000)), none());
+}
+
+/// Guards against an end that other nodes never believe since it came right after the limit was last stated.
+#[gtest]
+fn further_responses_confirm_for_a_while_that_a_limit_has_ended() {
+    let mut own = limited();
+    own.record_response(LimitHeader::Absent, at(10_050), at(10_100));
+    own.record_response(LimitHeader::Absent, at(10_950), at(11_000));
+    expect_that!(own.report(at(11_000)), some(eq((None, at(50)))));
+    own.record_response(LimitHeader::Absent, at(12_950), at(13_000));
+    expect_that!(own.report(at(13_000)), none());
+}
--- a/crates/fleet/src/dispatch.rs
+++ b/crates/fleet/src/dispatch.rs
@@ -19,6 +19,7 @@
 use crate::failure::{implies_not_run, worst_of, ConnectionFailure, FailedAttempt, HeadWaitError};
 use crate::gauge::SlotGuard;
 use crate::job::{RequestJob, ResponseStart};
+use crate::limit_reports::{log_change, LimitSource};
 use crate::local_reply::LocalReply;
 use crate::peers::PeerMessage;
 use crate::ports::{ResponseInfo, TargetRequestInfo};
@@ -414,16 +415,8 @@
         let now = BootClock::now();
         let change = target.gauge.record_limit_header(info.limit, sent_at, now);
         if let Some(change) = change {
-            self.shared.metrics.count_limit_change(change);
-            let limit = target.gauge.limit_with_age(now);
-            log::info!(
-                target_id = target.id.as_str(),
-                incarnation = target.incarnation,
-                request = job.request.attempt.as_str(),
-                change = change.name(),
-                per_second = limit.map_or(0.0, |(limit, _)| limit.rate());
-                "target_limit_changed"
-            );
+            let source = LimitSource::Response(&job.request.attempt);
+            log_change(&self.shared, &target.id, &target.gauge, change, source);
         }
     }
 
--- a/crates/fleet/src/gauge.rs
+++ b/crates/fleet/src/gauge.rs
@@ -7,7 +7,7 @@
 
 use briarswitch_core::id::{Moment, TargetId};
 use briarswitch_core::request_limit::{RequestLimit, RequestWindow};
-use briarswitch_core::stated_limit::{LimitChange, LimitHeader, StatedLimit};
+use briarswitch_core::stated_limit::{LimitChange, LimitHeader, LimitReport, StatedLimit};
 use briarswitch_membership::{target_key, RequestCounts, TargetKey};
 use indexmap::IndexSet;
 
@@ -76,6 +76,7 @@
     request_window: Mutex<RequestWindow>,
     stated_limit: Mutex<StatedLimit>,
     limited_until: AtomicU64,
+    limit_reported_until: AtomicU64,
     rank: AtomicU64,
     rank_at: AtomicU64,
 }
@@ -295,6 +296,19 @@
         change
     }
 
+    /// Records what another node has heard about the target's limit, `age` before `now`.
+    pub fn record_limit_report(
+        &self,
+        limit: Option<RequestLimit>,
+        age: Duration,
+        now: Moment,
+    ) -> Option<LimitChange> {
+        let mut stated = self.stated_limit();
+        let change = stated.record_report(limit, age, now);
+        self.note_limit(&stated);
+        change
+    }
+
     /// Forgets the limit that the target states, since another incarnation of it has begun.
     pub fn forget_limit(&self, now: Moment) {
         let mut stated = self.stated_limit();
@@ -302,10 +316,19 @@
         self.note_limit(&stated);
     }
 
-    /// Notes until when the target may have a limit, so that targets without one need no lock.
+    /// Returns what this node has recently heard itself about the target's limit, and its age.
+    fn limit_report(&self, now: Moment) -> Option<(Option<RequestLimit>, Duration)> {
+        let may_report = micros(now) < self.limit_reported_until.load(Ordering::Relaxed);
+        may_report.then(|| self.stated_limit().report(now))?
+    }
+
+    /// Notes until when the target may have a limit or a report of it is due, so that targets without one need no
+    /// lock.
     fn note_limit(&self, stated: &StatedLimit) {
         self.limited_until
             .store(micros(stated.expires_at()), Ordering::Relaxed);
+        self.limit_reported_until
+            .store(micros(stated.reported_until()), Ordering::Relaxed);
     }
 
     /// Returns whether the target may state a limit at `now`.
@@ -433,6 +456,20 @@
         suspects.map(|(id, _)| id.clone()).collect()
     }
 
+    /// Returns what this node has recently heard itself about the limits of targets.
+    pub fn limit_reports(&self, now: Moment) -> Vec<LimitReport> {
+        let gauges = self.read();
+        let reports = gauges.iter().filter_map(|(target, gauge)| {
+            let (limit, age) = gauge.limit_report(now)?;
+            Some(LimitReport {
+                target: target.clone(),
+                limit,
+                age,
+            })
+        });
+        reports.collect()
+    }
+
     /// Calls `visit` for each gauge.
     pub fn for_each(&self, mut visit: impl FnMut(&TargetGauge)) {
         for gauge in self.read().values() {
--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -22,6 +22,7 @@
 mod gossip_client;
 pub mod job;
 pub mod layouts;
+pub mod limit_reports;
 pub mod local_reply;
 pub mod metrics;
 pub mod node;
--- a/crates/fleet/src/peers.rs
+++ b/crates/fleet/src/peers.rs
@@ -15,6 +15,7 @@
 
 use crate::costs::CostKind;
 use crate::gossip_client::{exchange, RESPONSE_TIMEOUT};
+use crate::limit_reports::apply_reports;
 use crate::ports::{NodeEntry, NodeUpdate, SourceError};
 use crate::registry::{read_other_zones, read_zone, RegistryView};
 use crate::shared::{FleetPhase, FleetShared};
@@ -73,6 +74,7 @@
             request_rates: shared.demand.request_rates(now),
         },
         suspects: shared.gauges.local_suspects(now),
+        limits: shared.gauges.limit_reports(now),
     }
 }
 
@@ -95,6 +97,7 @@
         shared.has_traffic.store(true, Ordering::Relaxed);
     }
     apply_suspicions(shared, gossip.suspects());
+    apply_reports(shared, gossip);
 }
 
 /// Report of a silent target to the node that controls its group.
--- a/crates/fleet/tests/stated_limits.rs
+++ b/crates/fleet/tests/stated_limits.rs
@@ -97,3 +97,32 @@
     }
     expect_that!(fleet.targets[0].runs().len(), le(before + 1));
 }
+
+/// Guards against nodes that each overrun a limit once because no other node tells them of it.
+#[gtest]
+#[tokio::test(flavor = "multi_thread")]
+async fn nodes_that_a_target_has_not_told_keep_its_limit() {
+    let fleet = Fleet::open(1, &NODES).await;
+    fleet.targets[0].state_limit(Some("0.1"));
+    fleet.request(0, look()).await;
+    tokio::time::sleep(PROPAGATION_TIME).await;
+    let before = fleet.targets[0].runs().len();
+    for node in 0..NODES.len() {
+        fleet.request(node, look()).await;
+    }
+    expect_that!(fleet.targets[0].runs().len(), le(before + 1));
+}
+
+/// Guards against nodes without a share that keep a limit which the target has ended towards another node.
+#[gtest]
+#[tokio::test(flavor = "multi_thread")]
+async fn all_nodes_learn_that_a_limit_has_ended() {
+    let fleet = Fleet::open(1, &NODES).await;
+    fleet.targets[0].state_limit(Some("1"));
+    call_all(&fleet, PROPAGATION_TIME).await;
+    fleet.targets[0].state_limit(None);
+    call_all(&fleet, PROPAGATION_TIME).await;
+    for node in 0..NODES.len() {
+        expect_true!(fleet.request(node, look()).await.is_served(), "node {node}");
+    }
+}
--- a/crates/membership/src/digest.rs
+++ b/crates/membership/src/digest.rs
@@ -3,9 +3,15 @@
 use std::time::Duration;
 
 use briarswitch_core::id::{Incarnation, NodeId, TargetId, ZoneId};
+use briarswitch_core::stated_limit::{LimitReport, REPORT_TIME};
+
+use xxhash_rust::xxh3::xxh3_64_with_seed;
 
 use crate::work::WorkSum;
 
+/// Largest number of reports on limits in one message, so that messages stay small when many targets limit themselves.
+pub const MAX_LIMIT_REPORTS: usize = 32;
+
 /// The nodes that a digest summarizes.
 #[derive(Clone, Debug, Eq, Hash, PartialEq)]
 pub enum DigestOrigin {
@@ -52,6 +58,8 @@
     pub work: WorkSum,
     /// Targets that stopped responding to at least one of the nodes.
     pub suspects: Vec<TargetId>,
+    /// What the nodes have recently heard about the limits of targets, at most [`MAX_LIMIT_REPORTS`].
+    pub limits: Vec<LimitReport>,
 }
 
 impl Digest {
@@ -70,6 +78,7 @@
             members: Vec::new(),
             work: WorkSum::default(),
             suspects: Vec::new(),
+            limits: Vec::new(),
         }
     }
 
@@ -82,10 +91,40 @@
                 self.suspects.push(suspect.clone());
             }
         }
+        self.add_limits(&other.limits, age);
         self.members.extend(other.members.iter().map(|heartbeat| {
             let mut heartbeat = heartbeat.clone();
             heartbeat.age += age;
             heartbeat
         }));
     }
+
+    /// Adds what was heard about limits, as received `age` ago; the newest report of a target counts.
+    pub(crate) fn add_limits(&mut self, reports: &[LimitReport], age: Duration) {
+        for report in reports {
+            let report = LimitReport {
+                age: report.age + age,
+                ..report.clone()
+            };
+            let mut held = self.limits.iter_mut();
+            match held.find(|held| held.target == report.target) {
+                Some(held) if held.age <= report.age => {}
+                Some(held) => *held = report,
+                None => self.limits.push(report),
+            }
+        }
+        self.limits.retain(|report| report.age < REPORT_TIME);
+    }
+
+    /// Leaves out reports on limits beyond [`MAX_LIMIT_REPORTS`].
+    ///
+    /// Which ones are left out changes with every message: if their age or order decided, all nodes would leave out
+    /// the same ones for good.
+    pub(crate) fn bound_limits(&mut self, seed: u64) {
+        if self.limits.len() > MAX_LIMIT_REPORTS {
+            let hash = |report: &LimitReport| xxh3_64_with_seed(report.target.as_bytes(), seed);
+            self.limits.sort_by_cached_key(hash);
+            self.limits.truncate(MAX_LIMIT_REPORTS);
+        }
+    }
 }
--- a/crates/membership/src/gossip.rs
+++ b/crates/membership/src/gossip.rs
@@ -1,6 +1,7 @@
 //! Messages between nodes.
 
 use briarswitch_core::id::{NodeId, TargetId};
+use briarswitch_core::stated_limit::LimitReport;
 
 use crate::digest::Digest;
 use crate::node::NodeEntry;
@@ -20,6 +21,8 @@
     pub work: WorkSum,
     /// Targets that stopped responding to it.
     pub suspects: Vec<TargetId>,
+    /// What it has recently heard about the limits of targets.
+    pub limits: Vec<LimitReport>,
 }
 
 /// A message, or the response to one.
--- a/crates/membership/src/schedule.rs
+++ b/crates/membership/src/schedule.rs
@@ -151,7 +151,7 @@
         let roster_version = self.followed.as_ref().and_then(|hub| hub.roster_version);
         let report = Gossip {
             roster_version,
-            ..self.gossip(self.own_digest(status))
+            ..self.gossip(self.own_digest(status, now))
         };
         self.message_to(node, report)
     }
@@ -208,7 +208,7 @@
         self.last_probe = now;
         let zone = self.own.zone.clone();
         let node = self.next_unreachable(&zone, now)?;
-        self.message_to(&node, self.gossip(self.own_digest(status)))
+        self.message_to(&node, self.gossip(self.own_digest(status, now)))
     }
 
     fn next_unreachable(&mut self, zone: &str, now: Moment) -> Option<NodeId> {
--- a/crates/membership/src/sums.rs
+++ b/crates/membership/src/sums.rs
@@ -16,8 +16,8 @@
 const SUM_CACHE_TIME: Duration = Duration::from_millis(20);
 
 impl Membership {
-    pub(crate) fn own_digest(&self, status: &NodeStatus) -> Digest {
-        Digest {
+    pub(crate) fn own_digest(&self, status: &NodeStatus, now: Moment) -> Digest {
+        let mut digest = Digest {
             origin: DigestOrigin::Node(self.own.node.clone()),
             age: Duration::ZERO,
             has_traffic: status.has_traffic,
@@ -31,7 +31,16 @@
             }],
             work: status.work.clone(),
             suspects: status.suspects.clone(),
-        }
+            limits: Vec::new(),
+        };
+        digest.add_limits(&status.limits, Duration::ZERO);
+        digest.bound_limits(self.limit_seed(now));
+        digest
+    }
+
+    /// Returns a seed that differs between nodes and between messages.
+    fn limit_seed(&self, now: Moment) -> u64 {
+        self.own_hash ^ now.as_nanos() as u64
     }
 
     /// Returns the sum of this node and those received digests whose origin `keep` accepts.
@@ -44,32 +53,38 @@
     ) -> Digest {
         let mut sum = Digest {
             origin,
-            ..self.own_digest(status)
+            ..self.own_digest(status, now)
         };
         for (origin, held) in &self.digests {
             if keep(origin) {
                 sum.add(&held.digest, now.saturating_sub(held.made_at));
             }
         }
+        sum.bound_limits(self.limit_seed(now));
         sum
     }
 
     pub(crate) fn hub_gossip(&self, status: &NodeStatus, now: Moment) -> Gossip {
         let origin = DigestOrigin::Hub(self.own.node.clone());
-        let digest = self.sum(origin, status, now, |origin| {
+        let mut digest = self.sum(origin, status, now, |origin| {
             matches!(origin, DigestOrigin::Node(_))
         });
         let relayed = self.digests.iter().filter(|(origin, held)| {
             let is_recent = now < held.made_at + MAX_RELAY_AGE;
             matches!(origin, DigestOrigin::Zone(_)) && held.is_direct && is_recent
         });
+        let relayed: Vec<Digest> = relayed
+            .map(|(_, held)| Digest {
+                age: now.saturating_sub(held.made_at),
+                ..held.digest.clone()
+            })
+            .collect();
+        for zone in &relayed {
+            digest.add_limits(&zone.limits, zone.age);
+        }
+        digest.bound_limits(self.limit_seed(now));
         Gossip {
-            relayed: relayed
-                .map(|(_, held)| Digest {
-                    age: now.saturating_sub(held.made_at),
-                    ..held.digest.clone()
-                })
-                .collect(),
+            relayed,
             ..self.gossip(digest)
         }
     }
--- a/crates/membership/src/wire.rs
+++ b/crates/membership/src/wire.rs
@@ -6,6 +6,8 @@
 use std::time::Duration;
 
 use briarswitch_core::id::{Incarnation, ModelId, NodeId, TargetId, ZoneId};
+use briarswitch_core::request_limit::RequestLimit;
+use briarswitch_core::stated_limit::LimitReport;
 use serde::{Deserialize, Serialize};
 
 use crate::digest::{Digest, DigestOrigin, Heartbeat};
@@ -25,8 +27,14 @@
     mark: Option<RosterVersionDoc>,
     #[serde(default, skip_serializing_if = "Option::is_none")]
     roster: Option<RosterDeltaDoc>,
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    limits: Vec<LimitDoc>,
 }
 
+/// Target, requests per second unless the limit has ended, milliseconds since that was heard.
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
+struct LimitDoc(TargetId, Option<f64>, u64);
+
 /// Name, zone, address, incarnation, bandwidth in Mbit/s.
 #[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
 struct EntryDoc(NodeId, ZoneId, String, Incarnation, u32);
@@ -231,6 +239,25 @@
             members: members.into_iter().map(Heartbeat::from).collect(),
             work: work.into(),
             suspects,
+            // The message has them once, for all its digests.
+            limits: Vec::new(),
+        }
+    }
+}
+
+impl From<&LimitReport> for LimitDoc {
+    fn from(report: &LimitReport) -> Self {
+        let rate = report.limit.map(|limit| limit.rate());
+        Self(report.target.clone(), rate, millis(report.age))
+    }
+}
+
+impl From<LimitDoc> for LimitReport {
+    fn from(LimitDoc(target, rate, age): LimitDoc) -> Self {
+        Self {
+            target,
+            limit: rate.map(RequestLimit::per_second),
+            age: Duration::from_millis(age),
         }
     }
 }
@@ -285,6 +312,7 @@
             relayed: gossip.relayed.iter().map(DigestDoc::from).collect(),
             mark: gossip.roster_version.map(RosterVersionDoc::from),
             roster: gossip.roster.as_ref().map(RosterDeltaDoc::from),
+            limits: gossip.digest.limits.iter().map(LimitDoc::from).collect(),
         }
     }
 }
@@ -293,7 +321,10 @@
     fn from(doc: GossipDoc) -> Self {
         Self {
             sender: doc.sender.into(),
-            digest: doc.digest.into(),
+            digest: Digest {
+                limits: doc.limits.into_iter().map(LimitReport::from).collect(),
+                ..doc.digest.into()
+            },
             relayed: doc.relayed.into_iter().map(Digest::from).collect(),
             roster_version: doc.mark.map(RosterVersion::from),
             roster: doc.roster.map(RosterDelta::from),
--- a/crates/membership/tests/digest.rs
+++ b/crates/membership/tests/digest.rs
@@ -53,6 +53,7 @@
             members: vec![heartbeat],
             work: status.work,
             suspects: status.suspects,
+            limits: status.limits,
             ..Digest::empty(DigestOrigin::Node(node.to_owned()))
         },
         relayed: Vec::new(),
--- a/crates/membership/tests/support/mod.rs
+++ b/crates/membership/tests/support/mod.rs
@@ -4,7 +4,8 @@
 use std::collections::BTreeSet;
 use std::time::Duration;
 
-use briarswitch_core::id::Moment;
+use briarswitch_core::id::{Moment, TargetId};
+use briarswitch_core::stated_limit::{LimitReport, StatedLimit};
 use briarswitch_membership::{
     target_key, Gossip, GossipDoc, GossipTarget, Membership, NodeEntry, NodeStatus, WorkSum,
 };
@@ -23,11 +24,34 @@
     pub entry: NodeEntry,
     pub requests: u32,
     pub suspects: Vec<String>,
+    /// What the node knows of the limits of targets.
+    pub limits: IndexMap<TargetId, StatedLimit>,
     pub is_leaving: bool,
     pub sent_messages: u64,
     pub bytes: u64,
 }
 
+impl TestNode {
+    fn limit_reports(&self, now: Moment) -> Vec<LimitReport> {
+        let reports = self.limits.iter().filter_map(|(target, stated)| {
+            let (limit, age) = stated.report(now)?;
+            Some(LimitReport {
+                target: target.clone(),
+                limit,
+                age,
+            })
+        });
+        reports.collect()
+    }
+
+    fn apply_limits(&mut self, gossip: &Gossip, now: Moment) {
+        for report in &gossip.digest.limits {
+            let stated = self.limits.entry(report.target.clone()).or_default();
+            stated.record_report(report.limit, report.age, now);
+        }
+    }
+}
+
 struct PendingFailure {
     from: String,
     node: String,
@@ -84,6 +108,7 @@
             entry,
             requests: 1,
             suspects: Vec::new(),
+            limits: IndexMap::new(),
             is_leaving: false,
             sent_messages: 0,
             bytes: 0,
@@ -114,6 +139,7 @@
                 ..WorkSum::default()
             },
             suspects: node.suspects.clone(),
+            limits: node.limit_reports(self.now),
         }
     }
 
@@ -175,9 +201,11 @@
         let status = self.status(&target.node);
         let request = self.transmit(from, &target.gossip);
         let other = &mut self.nodes[&target.node];
+        other.apply_limits(&request, now);
         let response = other.membership.respond(&request, &status, now);
         let response = self.transmit(from, &response);
         let node = &mut self.nodes[from];
+        node.apply_limits(&response, now);
         node.membership.handle_response(target, &response, now, now);
     }
 
--- a/crates/model/examples/check.rs
+++ b/crates/model/examples/check.rs
@@ -9,7 +9,7 @@
     search, stuck_states, ConfigDefect, ConfigSpec, CrashDefect, CrashSpec, GateDefect, GateSpec,
     GroupFormationDefect, GroupFormationSpec, KeyDefect, KeySpec, LeaseDefect, LeaseSpec,
     OrderDefect, OrderSpec, RelayDefect, RelaySpec, RestartDefect, RestartSpec, Specification,
-    WarmupDefect, WarmupLimitSpec,
+    StatedLimitDefect, StatedLimitSpec, WarmupDefect, WarmupLimitSpec,
 };
 
 /// Prints the results of the checks and counts failures.
@@ -87,6 +87,7 @@
     summary.check_properties("at-most-once execution by key", &KeySpec::sound());
     summary.check_properties("requests that crash targets", &CrashSpec::sound());
     summary.check_properties("limit of a target that warms up", &WarmupLimitSpec::sound());
+    summary.check_properties("limit that a target states", &StatedLimitSpec::sound());
     summary.check_liveness("lease", &LeaseSpec::short());
     summary.check_liveness(
         "orders, engines that check fencing",
@@ -195,6 +196,15 @@
         let name = format!("limit of a target that warms up with {defect:?}");
         summary.check_defect(&name, &WarmupLimitSpec::defective(defect));
     }
+    for defect in [
+        StatedLimitDefect::EndedByOvertaken,
+        StatedLimitDefect::ReportedOn,
+        StatedLimitDefect::AgeLost,
+        StatedLimitDefect::TrustedAtOnce,
+    ] {
+        let name = format!("limit that a target states with {defect:?}");
+        summary.check_defect(&name, &StatedLimitSpec::defective(defect));
+    }
     println!("{} checks failed", summary.failures);
     ExitCode::from(u8::from(summary.failures > 0))
 }
--- a/crates/model/src/lib.rs
+++ b/crates/model/src/lib.rs
@@ -20,6 +20,7 @@
 mod relay;
 mod restart;
 mod search;
+mod stated_limit;
 mod warmup;
 
 pub use config::{ConfigDefect, ConfigSpec};
@@ -32,4 +33,5 @@
 pub use relay::{RelayDefect, RelaySpec};
 pub use restart::{RestartDefect, RestartSpec};
 pub use search::{search, stuck_states, SearchReport, Specification, Step, Violation};
+pub use stated_limit::{StatedLimitDefect, StatedLimitSpec};
 pub use warmup::{WarmupDefect, WarmupLimitSpec};
