The time for which a target wants no requests is read and logged

No line said that a target had asked for a rest, so that a rest read and lost would look like one that was never read.

No choice of a target depends on it yet.

--- a/crates/fleet/src/dispatch.rs
+++ b/crates/fleet/src/dispatch.rs
@@ -48,6 +48,8 @@
 ///
 /// Refused connections are not counted.
 const MAX_UNREACHED_ATTEMPTS: u32 = 4;
+/// Longest time for which a target gets no requests because it asked for that.
+const MAX_REST_TIME: Duration = Duration::from_secs(600);
 /// Largest buffered response in bytes.
 const MAX_RESPONSE_BYTES: usize = 64 << 20;
 /// Lowest priority that targets accept, as the largest number; zero is the highest priority.
@@ -224,6 +226,7 @@
             return Err(FailurePoint::Quarantined.into());
         }
         self.log_limited_choice(job, &target, now);
+        log_resting_choice(job, &target, now);
         let request = self.build_request(job, &target, remaining, last_event);
         let address = TargetAddress {
             address: target.address.clone(),
@@ -341,7 +344,10 @@
             .protocol
             .parse_response(head.status, &head.headers);
         let now = BootClock::now();
-        self.record_limit(job, &target, &info, sent_at);
+        if is_about(job, &info) {
+            self.record_limit(job, &target, &info, sent_at);
+            self.record_rest(job, &target, &info);
+        }
         if info.is_not_run || info.is_other_incarnation {
             run.end_unreported();
             target.gauge.record_outcome(true);
@@ -397,8 +403,7 @@
 
     /// Records the limit that a target states, or no longer states, in a response.
     ///
-    /// A response of another incarnation, or to another attempt, says nothing about the requests that this target
-    /// takes now; one without a signature may not be the target's, so it does not end a limit.
+    /// A response without a signature may not be the target's, so it does not end a limit.
     fn record_limit(
         &self,
         job: &RequestJob,
@@ -406,10 +411,7 @@
         info: &ResponseInfo,
         sent_at: Moment,
     ) {
-        let attempt = info.attempt.as_ref();
-        let is_foreign = attempt.is_some_and(|attempt| *attempt != job.request.attempt);
-        let is_unsigned_end = info.limit == LimitHeader::Absent && !info.is_signed;
-        if info.is_other_incarnation || is_foreign || is_unsigned_end {
+        if info.limit == LimitHeader::Absent && !info.is_signed {
             return;
         }
         let now = BootClock::now();
@@ -420,6 +422,23 @@
         }
     }
 
+    /// Records for how long a target that refused a request wants no further ones from this node.
+    fn record_rest(&self, job: &RequestJob, target: &RouteTarget, info: &ResponseInfo) {
+        let Some(asked) = info.rest else {
+            return;
+        };
+        let now = BootClock::now();
+        target.gauge.rest(now + asked.min(MAX_REST_TIME));
+        self.shared.metrics.count_rest(&job.service);
+        log::info!(
+            request = job.request.attempt.as_str(),
+            target_id = target.id.as_str(),
+            asked_ms = asked.as_millis() as u64,
+            left_ms = time_left(target.gauge.resting_until(now), now).as_millis() as u64;
+            "target_rest_begun"
+        );
+    }
+
     /// Reads a target's error response, so that it can be passed on if no other attempt succeeds.
     async fn target_failure(
         &self,
@@ -569,6 +588,30 @@
     }
 }
 
+/// Returns whether a response says something about the requests that its target takes now; one of another incarnation
+/// or to another attempt does not.
+fn is_about(job: &RequestJob, info: &ResponseInfo) -> bool {
+    let attempt = info.attempt.as_ref();
+    let is_foreign = attempt.is_some_and(|attempt| *attempt != job.request.attempt);
+    !info.is_other_incarnation && !is_foreign
+}
+
+/// Logs that a request is sent to a target that wants none from this node.
+fn log_resting_choice(job: &RequestJob, target: &RouteTarget, now: Moment) {
+    if let Some(until) = target.gauge.resting_until(now) {
+        log::info!(
+            request = job.request.attempt.as_str(),
+            target_id = target.id.as_str(),
+            left_ms = time_left(Some(until), now).as_millis() as u64;
+            "resting_target_chosen"
+        );
+    }
+}
+
+fn time_left(until: Option<Moment>, now: Moment) -> Duration {
+    until.map_or(Duration::ZERO, |until| until.saturating_sub(now))
+}
+
 fn record_target(trace: &mut RequestTrace, target: &RouteTarget) {
     trace.target.clone_from(&target.id);
     if let Some(group) = &target.group {
--- a/crates/fleet/src/gauge.rs
+++ b/crates/fleet/src/gauge.rs
@@ -75,6 +75,7 @@
     warming_until: AtomicU64,
     request_window: Mutex<RequestWindow>,
     stated_limit: Mutex<StatedLimit>,
+    resting_until: AtomicU64,
     limited_until: AtomicU64,
     limit_reported_until: AtomicU64,
     rank: AtomicU64,
@@ -249,6 +250,18 @@
         micros(now) < self.suspect_until.load(Ordering::Relaxed)
     }
 
+    /// Records that the target wants no requests from this node until the given time.
+    pub fn rest(&self, until: Moment) {
+        self.resting_until
+            .fetch_max(micros(until), Ordering::Relaxed);
+    }
+
+    /// Returns until when the target wants no requests from this node; `None` if that time is over.
+    pub fn resting_until(&self, now: Moment) -> Option<Moment> {
+        let until = Duration::from_micros(self.resting_until.load(Ordering::Relaxed));
+        (now < until).then_some(until)
+    }
+
     /// Records that the target warms up until the given time, unless that is already known to last longer.
     pub fn begin_warmup(&self, until: Moment) {
         self.warming_until
--- a/crates/fleet/src/metrics.rs
+++ b/crates/fleet/src/metrics.rs
@@ -28,6 +28,7 @@
     quarantines: Counter<u64>,
     quarantine_refusals: Counter<u64>,
     limit_changes: Counter<u64>,
+    rests: Counter<u64>,
     latency: Histogram<f64>,
     first_event: Histogram<f64>,
     config_version: Arc<AtomicU64>,
@@ -86,6 +87,7 @@
             quarantines: meter.u64_counter("quarantines").build(),
             quarantine_refusals: meter.u64_counter("quarantine_refusals").build(),
             limit_changes: meter.u64_counter("target_limit_changes").build(),
+            rests: meter.u64_counter("target_rests").build(),
             latency: histogram("request_seconds"),
             first_event: histogram("first_event_seconds"),
             registry,
@@ -117,6 +119,12 @@
             .add(1, &[KeyValue::new("service", service.to_owned())]);
     }
 
+    /// Counts one request that a target refused while asking for a time without further ones.
+    pub fn count_rest(&self, service: &str) {
+        self.rests
+            .add(1, &[KeyValue::new("service", service.to_owned())]);
+    }
+
     /// Counts one change of a limit that a target states.
     pub fn count_limit_change(&self, change: LimitChange) {
         self.limit_changes
--- a/crates/fleet/src/ports.rs
+++ b/crates/fleet/src/ports.rs
@@ -319,6 +319,8 @@
     pub running: Option<u32>,
     /// Requests in the target's queue.
     pub waiting: Option<u32>,
+    /// Time for which the target, which has refused the request, wants no further ones from this node.
+    pub rest: Option<Duration>,
     /// Limit that the target states for requests from all nodes together.
     pub limit: LimitHeader,
     /// Whether an intermediary has changed the encoding of the body.
