--- /dev/null
+++ b/crates/fleet/tests/rests.rs
@@ -0,0 +1,60 @@
+//! Targets that refuse requests and want no further ones from the node for a while.
+
+mod support;
+
+use std::time::{Duration, Instant};
+
+use googletest::prelude::*;
+
+use support::{Fleet, TestRequest};
+
+/// Time to rest that targets ask for, as they state it.
+const REST: &str = "3";
+/// The same time.
+const REST_TIME: Duration = Duration::from_secs(3);
+/// Time after a refusal in which requests that were on their way may still arrive.
+const TRANSIT_TIME: Duration = Duration::from_millis(500);
+/// Requests that may reach a target later while it rests.
+const MAX_LATE: usize = 2;
+/// Callers that send requests at the same time.
+const CALLERS: usize = 8;
+
+/// Sends requests of all callers to the first node, one after the other each; returns how many were not served.
+async fn call_all(fleet: &Fleet, time: Duration) -> usize {
+    let end = Instant::now() + time;
+    let callers = (0..CALLERS).map(|_| async {
+        let mut unserved = 0;
+        while Instant::now() < end {
+            let response = fleet.request(0, TestRequest::model("hello")).await;
+            unserved += usize::from(!response.is_served());
+            tokio::time::sleep(Duration::from_millis(20)).await;
+        }
+        unserved
+    });
+    futures::future::join_all(callers).await.into_iter().sum()
+}
+
+/// Returns the largest number of requests that reached a target between [`TRANSIT_TIME`] after a refusal and the end of
+/// the time that it asked for.
+fn most_while_resting(refusals: &[Instant]) -> usize {
+    let counts = refusals.iter().map(|refused| {
+        let (start, end) = (*refused + TRANSIT_TIME, *refused + REST_TIME);
+        refusals
+            .iter()
+            .filter(|at| **at > start && **at < end)
+            .count()
+    });
+    counts.max().unwrap_or(0)
+}
+
+/// Guards against a node that sends on to a target that has asked it for a time without requests.
+#[gtest]
+#[tokio::test(flavor = "multi_thread")]
+async fn a_target_that_asked_for_rest_gets_none_from_that_node() {
+    let fleet = Fleet::open_groups(3, &["z1"]).await;
+    fleet.targets[0].refuse(Some(REST));
+    expect_that!(call_all(&fleet, REST_TIME * 2).await, eq(0));
+    let refusals = fleet.targets[0].refusals();
+    expect_that!(refusals.len(), ge(1));
+    expect_that!(most_while_resting(&refusals), le(MAX_LATE));
+}
--- a/crates/fleet/tests/support/platform.rs
+++ b/crates/fleet/tests/support/platform.rs
@@ -528,6 +528,9 @@
             is_signed: headers.contains_key("signed"),
             is_not_run: status == StatusCode::SERVICE_UNAVAILABLE,
             is_other_incarnation: status == StatusCode::MISDIRECTED_REQUEST,
+            rest: text(headers, "rest")
+                .and_then(|rest| rest.parse().ok())
+                .map(Duration::from_secs_f64),
             limit: limit_header(headers),
             ..ResponseInfo::default()
         }
--- a/crates/fleet/tests/support/target.rs
+++ b/crates/fleet/tests/support/target.rs
@@ -37,6 +37,9 @@
     runs: Vec<RecordedRun>,
     /// Whether the target does not restart after a crash.
     stays_down: bool,
+    /// Whether it refuses all requests, and the time to rest that it asks for, as text.
+    refusal: Option<String>,
+    refusals: Vec<Instant>,
     /// Requests per second that it states in its responses, as text.
     limit: Option<String>,
     /// Ends the current incarnation.
@@ -69,6 +72,8 @@
                 incarnation: 0,
                 runs: Vec::new(),
                 stays_down: false,
+                refusal: None,
+                refusals: Vec::new(),
                 limit: None,
                 crash: watch::Sender::new(false),
             }),
@@ -97,6 +102,16 @@
         runs.into_iter().any(|run| run.body == body)
     }
 
+    /// Refuses all requests from now on and asks for a time to rest; `None` runs requests again.
+    pub fn refuse(&self, rest: Option<&str>) {
+        self.shared.lock().refusal = rest.map(str::to_owned);
+    }
+
+    /// Returns when requests were refused so far.
+    pub fn refusals(&self) -> Vec<Instant> {
+        self.shared.lock().refusals.clone()
+    }
+
     /// States a limit in all responses from now on; `None` states none any more.
     pub fn state_limit(&self, limit: Option<&str>) {
         self.shared.lock().limit = limit.map(str::to_owned);
@@ -143,6 +158,14 @@
         });
     }
 
+    /// Records a refusal if the target refuses requests now, and returns the time to rest that it asks for.
+    fn refuse_now(&self) -> Option<String> {
+        let mut state = self.lock();
+        let rest = state.refusal.clone()?;
+        state.refusals.push(Instant::now());
+        Some(rest)
+    }
+
     /// Returns the target id of the current incarnation; each incarnation has an id of its own.
     fn id(&self) -> TargetId {
         format!("{}-{}", self.name, self.lock().incarnation)
@@ -225,6 +248,12 @@
         return stream.write_all(misdirected.as_bytes()).await;
     }
     let attempt = field("attempt");
+    if let Some(rest) = shared.refuse_now() {
+        let refusal = format!(
+            "HTTP/1.1 503 Service Unavailable\r\nattempt: {attempt}\r\nrest: {rest}\r\ncontent-length: 0\r\nconnection: close\r\n\r\n"
+        );
+        return stream.write_all(refusal.as_bytes()).await;
+    }
     shared.record_run(&body);
     let limit = shared.lock().limit.clone();
     let limit = limit.map_or_else(String::new, |limit| format!("limit: {limit}\r\n"));
