A target that asks a node for rest gets none from it

What callers saw: each request to such a target was turned away and served elsewhere 3 to 8 ms later. The target got 3 to 13 requests a second for as long as it turned them away, and their repeats used up the retry budget that all failures of the service share.

Cause: a refusal was an outcome of one request. For how long the target wanted none was not read, and at the leaders of groups a failure does not even count as load, so the next request chose it again as the one with the least work (class: a demand of another system for which the protocol has no place; the same as the limits).

Ruled out by the lines: in the reproduction 181 of 183 refused requests are sent with the rest known at the node, without any queue, and without a change of configuration, entry or group.

Change: the node keeps the time by target, apart from its entry, group and connections, and passes the target over at the one place where all requests choose. It adds up to a quarter, drawn, so that nodes refused in the same second return at different times, and then sends one request each half second until the target accepts one. Where all targets rest beyond a request's time it is refused at once with the time until the first is back.

--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -45,6 +45,7 @@
 pub mod rebalance;
 pub mod request_limit;
 pub mod residency;
+pub mod rest;
 pub mod retry;
 pub mod rule;
 pub mod silence;
--- a/crates/fleet/src/dispatch.rs
+++ b/crates/fleet/src/dispatch.rs
@@ -48,8 +48,6 @@
 ///
 /// Refused connections are not counted.
 const MAX_UNREACHED_ATTEMPTS: u32 = 4;
-/// Longest time for which a target gets no requests because it asked for that.
-const MAX_REST_TIME: Duration = Duration::from_secs(600);
 /// Largest buffered response in bytes.
 const MAX_RESPONSE_BYTES: usize = 64 << 20;
 /// Lowest priority that targets accept, as the largest number; zero is the highest priority.
@@ -364,6 +362,7 @@
         if !is_same_attempt {
             return Err(FailurePoint::ForeignAnswer.into());
         }
+        target.gauge.record_accepted(sent_at);
         if head.status.is_success() && is_complete_response(&info) {
             target.gauge.record_outcome(false);
             return Ok(ResponseStart {
@@ -428,13 +427,13 @@
             return;
         };
         let now = BootClock::now();
-        target.gauge.rest(now + asked.min(MAX_REST_TIME));
+        target.gauge.begin_rest(asked, now);
         self.shared.metrics.count_rest(&job.service);
         log::info!(
             request = job.request.attempt.as_str(),
             target_id = target.id.as_str(),
             asked_ms = asked.as_millis() as u64,
-            left_ms = time_left(target.gauge.resting_until(now), now).as_millis() as u64;
+            left_ms = target.gauge.rest_left(now).as_millis() as u64;
             "target_rest_begun"
         );
     }
@@ -598,20 +597,17 @@
 
 /// Logs that a request is sent to a target that wants none from this node.
 fn log_resting_choice(job: &RequestJob, target: &RouteTarget, now: Moment) {
-    if let Some(until) = target.gauge.resting_until(now) {
+    let left = target.gauge.rest_left(now);
+    if !left.is_zero() {
         log::info!(
             request = job.request.attempt.as_str(),
             target_id = target.id.as_str(),
-            left_ms = time_left(Some(until), now).as_millis() as u64;
+            left_ms = left.as_millis() as u64;
             "resting_target_chosen"
         );
     }
 }
 
-fn time_left(until: Option<Moment>, now: Moment) -> Duration {
-    until.map_or(Duration::ZERO, |until| until.saturating_sub(now))
-}
-
 fn record_target(trace: &mut RequestTrace, target: &RouteTarget) {
     trace.target.clone_from(&target.id);
     if let Some(group) = &target.group {
--- a/crates/fleet/src/gauge.rs
+++ b/crates/fleet/src/gauge.rs
@@ -1,12 +1,13 @@
 //! Load and liveness of each target as this node currently knows them.
 
 use std::collections::HashMap;
-use std::sync::atomic::{AtomicU32, AtomicU64, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU32, AtomicU64, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError, RwLock};
 use std::time::Duration;
 
 use briarswitch_core::id::{Moment, TargetId};
 use briarswitch_core::request_limit::{RequestLimit, RequestWindow};
+use briarswitch_core::rest::TargetRest;
 use briarswitch_core::stated_limit::{LimitChange, LimitHeader, LimitReport, StatedLimit};
 use briarswitch_membership::{target_key, RequestCounts, TargetKey};
 use indexmap::IndexSet;
@@ -75,7 +76,8 @@
     warming_until: AtomicU64,
     request_window: Mutex<RequestWindow>,
     stated_limit: Mutex<StatedLimit>,
-    resting_until: AtomicU64,
+    rest: Mutex<TargetRest>,
+    has_rest: AtomicBool,
     limited_until: AtomicU64,
     limit_reported_until: AtomicU64,
     rank: AtomicU64,
@@ -250,16 +252,45 @@
         micros(now) < self.suspect_until.load(Ordering::Relaxed)
     }
 
-    /// Records that the target wants no requests from this node until the given time.
-    pub fn rest(&self, until: Moment) {
-        self.resting_until
-            .fetch_max(micros(until), Ordering::Relaxed);
+    /// Records that the target refused a request and wants no further ones from this node for the time `asked`.
+    pub fn begin_rest(&self, asked: Duration, now: Moment) {
+        self.rest().begin(asked, rand::random(), now);
+        self.has_rest.store(true, Ordering::Relaxed);
+    }
+
+    /// Records that the target accepted a request that was sent at `sent_at`.
+    pub fn record_accepted(&self, sent_at: Moment) {
+        if self.has_rest.load(Ordering::Relaxed) {
+            let mut rest = self.rest();
+            rest.record_accepted(sent_at);
+            self.has_rest
+                .store(rest.free_at().is_some(), Ordering::Relaxed);
+        }
     }
 
-    /// Returns until when the target wants no requests from this node; `None` if that time is over.
+    /// Returns when this node may send the next request to a target that asked it for a rest; `None` if it may now.
     pub fn resting_until(&self, now: Moment) -> Option<Moment> {
-        let until = Duration::from_micros(self.resting_until.load(Ordering::Relaxed));
-        (now < until).then_some(until)
+        if !self.has_rest.load(Ordering::Relaxed) {
+            return None;
+        }
+        self.rest().free_at().filter(|free_at| now < *free_at)
+    }
+
+    /// Returns for how long the target wants no requests from this node.
+    pub fn rest_left(&self, now: Moment) -> Duration {
+        if !self.has_rest.load(Ordering::Relaxed) {
+            return Duration::ZERO;
+        }
+        self.rest().until().saturating_sub(now)
+    }
+
+    /// Counts a request that is sent to the target; returns false if the target wants none from this node now.
+    pub fn reserve_after_rest(&self, now: Moment) -> bool {
+        !self.has_rest.load(Ordering::Relaxed) || self.rest().reserve(now)
+    }
+
+    fn rest(&self) -> MutexGuard<'_, TargetRest> {
+        self.rest.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
     /// Records that the target warms up until the given time, unless that is already known to last longer.
@@ -322,8 +353,10 @@
         change
     }
 
-    /// Forgets the limit that the target states, since another incarnation of it has begun.
-    pub fn forget_limit(&self, now: Moment) {
+    /// Forgets what the target said of itself, since another incarnation of it has begun.
+    pub fn forget_statements(&self, now: Moment) {
+        *self.rest() = TargetRest::default();
+        self.has_rest.store(false, Ordering::Relaxed);
         let mut stated = self.stated_limit();
         stated.forget(now);
         self.note_limit(&stated);
@@ -491,11 +524,12 @@
     }
 
     /// Removes the gauges that `keep` rejects, except those with requests of this node and those of targets that state
-    /// a limit, whose entries may be back before it ends.
+    /// a limit or rest, whose entries may be back before that ends.
     pub fn retain(&self, now: Moment, keep: impl Fn(&str) -> bool) {
         let mut gauges = self.gauges.write().unwrap_or_else(PoisonError::into_inner);
         gauges.retain(|id, gauge| {
-            gauge.local_requests() > 0 || gauge.may_be_limited(now) || keep(id)
+            let has_statement = gauge.may_be_limited(now) || gauge.resting_until(now).is_some();
+            gauge.local_requests() > 0 || has_statement || keep(id)
         });
     }
 
--- a/crates/fleet/src/restriction.rs
+++ b/crates/fleet/src/restriction.rs
@@ -19,6 +19,11 @@
         /// Requests per second that this node may send.
         rate: f64,
     },
+    /// The target has refused a request and wants no further ones from this node.
+    Resting {
+        /// When the next request may be sent.
+        until: Moment,
+    },
 }
 
 impl Restriction {
@@ -26,12 +31,14 @@
     pub fn free_at(&self) -> Option<Moment> {
         match self {
             Self::Limited { free_at, .. } => *free_at,
+            Self::Resting { until } => Some(*until),
         }
     }
 
     fn rate(&self) -> f64 {
         match self {
             Self::Limited { rate, .. } => *rate,
+            Self::Resting { .. } => 0.0,
         }
     }
 }
@@ -41,6 +48,8 @@
 pub struct PassedOver {
     /// Targets whose limit left this node no room.
     pub limited: u32,
+    /// Targets that want no requests from this node for a while.
+    pub resting: u32,
 }
 
 /// A slot for a request.
@@ -99,6 +108,7 @@
         self.is_restricted = true;
         match restriction {
             Restriction::Limited { .. } => self.passed_over.limited += 1,
+            Restriction::Resting { .. } => self.passed_over.resting += 1,
         }
         let free_at = restriction.free_at();
         self.retry_at = earliest(self.retry_at, free_at);
--- a/crates/fleet/src/target_selector.rs
+++ b/crates/fleet/src/target_selector.rs
@@ -203,6 +203,9 @@
         target: &RouteTarget,
         now: Moment,
     ) -> Option<Restriction> {
+        if let Some(until) = target.gauge.resting_until(now) {
+            return Some(Restriction::Resting { until });
+        }
         let share = self.limit_share(spec, target, now)?;
         let is_full = !target.gauge.has_room(&share, now);
         is_full.then(|| Restriction::Limited {
@@ -253,8 +256,9 @@
     pub fn pick(&self, slot_request: &SlotRequest) -> Option<ReservedTarget> {
         let now = BootClock::now();
         let (target, share) = self.select(slot_request, now)?;
-        // Another thread may have used the rest of the share since the target was found usable.
-        if share.is_some_and(|share| !target.gauge.reserve(&share, now)) {
+        // Another thread may have sent a request since the target was found usable.
+        let is_full = share.is_some_and(|share| !target.gauge.reserve(&share, now));
+        if is_full || !target.gauge.reserve_after_rest(now) {
             return None;
         }
         let slot = SlotGuard::acquire(&target.gauge, slot_request.prompt_tokens, now);
--- a/crates/fleet/tests/restriction.rs
+++ b/crates/fleet/tests/restriction.rs
@@ -35,7 +35,13 @@
     let targets = [(limited(Some(3_000)), false), (limited(Some(2_000)), false)];
     let refusal = refusal(&targets, 0).expect("a refusal");
     expect_that!(refusal.available_in, some(eq(Duration::from_secs(2))));
-    expect_that!(refusal.passed_over, eq(PassedOver { limited: 2 }));
+    expect_that!(
+        refusal.passed_over,
+        eq(PassedOver {
+            limited: 2,
+            resting: 0
+        })
+    );
 }
 
 /// Guards against a refusal while a target may take the request in time.
@@ -63,6 +69,25 @@
     expect_that!(refusal.available_in, none());
 }
 
+/// Guards against targets at rest that requests wait for in vain.
+#[gtest]
+fn targets_at_rest_are_waited_for_only_if_they_are_back_in_time() {
+    let resting = |seconds| {
+        let until = NOW + Duration::from_secs_f64(seconds);
+        (Some(Restriction::Resting { until }), false)
+    };
+    expect_that!(refusal(&[resting(3.0), resting(0.5)], 0), none());
+    let refusal = refusal(&[resting(3.0), (limited(None), false)], 0).expect("a refusal");
+    expect_that!(refusal.available_in, some(eq(Duration::from_secs(3))));
+    expect_that!(
+        refusal.passed_over,
+        eq(PassedOver {
+            limited: 1,
+            resting: 1
+        })
+    );
+}
+
 /// Guards against restrictions that are blamed where there are none.
 #[gtest]
 fn targets_without_restrictions_refuse_nothing() {
--- a/crates/fleet/tests/rests.rs
+++ b/crates/fleet/tests/rests.rs
@@ -8,6 +8,9 @@
 
 use support::{Fleet, TestRequest};
 
+/// Time in which a change of the list of targets reaches the node.
+const DIRECTORY_TIME: Duration = Duration::from_secs(1);
+
 /// Time to rest that targets ask for, as they state it.
 const REST: &str = "3";
 /// The same time.
@@ -58,3 +61,60 @@
     expect_that!(refusals.len(), ge(1));
     expect_that!(most_while_resting(&refusals), le(MAX_LATE));
 }
+
+/// Guards against callers that wait for targets of which all have asked for rest, and are refused with a time that is
+/// too short.
+#[gtest]
+#[tokio::test(flavor = "multi_thread")]
+async fn callers_are_refused_until_the_first_target_is_back() {
+    let fleet = Fleet::open_groups(2, &["z1"]).await;
+    for target in &fleet.targets {
+        target.refuse(Some(REST));
+    }
+    let begun = Instant::now();
+    fleet.request(0, TestRequest::model("hello")).await;
+    let refused = fleet.request(0, TestRequest::model("hello")).await;
+    expect_that!(refused.status, eq(503));
+    let left = REST_TIME.saturating_sub(begun.elapsed()).as_secs_f64();
+    expect_that!(refused.retry_after(), some(ge(left)));
+    let refusals = fleet.targets.iter().map(|target| target.refusals().len());
+    expect_that!(refusals.sum::<usize>(), eq(2));
+}
+
+/// Guards against a rest that is forgotten with the target's entry in the directory.
+#[gtest]
+#[tokio::test(flavor = "multi_thread")]
+async fn a_rest_outlasts_a_change_of_the_targets_entry() {
+    let fleet = Fleet::open_groups(1, &["z1"]).await;
+    fleet.targets[0].refuse(Some("30"));
+    fleet.request(0, TestRequest::model("hello")).await;
+    fleet.targets[0].unlist();
+    tokio::time::sleep(DIRECTORY_TIME).await;
+    fleet.targets[0].list();
+    tokio::time::sleep(DIRECTORY_TIME).await;
+    fleet.request(0, TestRequest::model("hello")).await;
+    expect_that!(fleet.targets[0].refusals().len(), eq(1));
+}
+
+/// Guards against a rest that one node was asked for and others keep, and against one that outlasts its incarnation.
+#[gtest]
+#[tokio::test(flavor = "multi_thread")]
+async fn a_rest_binds_one_node_and_ends_with_the_incarnation() {
+    let fleet = Fleet::open_groups(1, &["z1", "z1"]).await;
+    fleet.targets[0].refuse(Some("30"));
+    fleet.request(0, TestRequest::model("hello")).await;
+    fleet.targets[0].refuse(None);
+    expect_true!(fleet
+        .request(1, TestRequest::model("hello"))
+        .await
+        .is_served());
+    fleet.targets[0].crash();
+    fleet
+        .wait_until("the next incarnation serves", || async {
+            fleet
+                .request(0, TestRequest::model("hello"))
+                .await
+                .is_served()
+        })
+        .await;
+}
--- a/crates/fleet/tests/support/target.rs
+++ b/crates/fleet/tests/support/target.rs
@@ -102,6 +102,16 @@
         runs.into_iter().any(|run| run.body == body)
     }
 
+    /// Removes the target's entry from the list, although it keeps running.
+    pub fn unlist(&self) {
+        self.shared.platform.remove_target(&self.shared.id());
+    }
+
+    /// Adds the target's entry to the list again.
+    pub fn list(&self) {
+        self.shared.register();
+    }
+
     /// Refuses all requests from now on and asks for a time to rest; `None` runs requests again.
     pub fn refuse(&self, rest: Option<&str>) {
         self.shared.lock().refusal = rest.map(str::to_owned);
