A target that says in a response that it leaves gets nothing new

Callers' requests reached a target long after it had said in its responses that it leaves, if its entry in the directory did not say so too: the store may be away, or the entry late. The header was not read.

The node now keeps what the target said, as it does limits and rests, and passes it over at the place where all requests choose; for ten minutes at most, and until another incarnation begins.

--- a/crates/fleet/src/dispatch.rs
+++ b/crates/fleet/src/dispatch.rs
@@ -345,6 +345,7 @@
         if is_about(job, &info) {
             self.record_limit(job, &target, &info, sent_at);
             self.record_rest(job, &target, &info);
+            record_leaving(job, &target, &info);
         }
         if info.is_not_run || info.is_other_incarnation {
             run.end_unreported();
@@ -595,6 +596,17 @@
     !info.is_other_incarnation && !is_foreign
 }
 
+/// Records that a target says it is leaving.
+fn record_leaving(job: &RequestJob, target: &RouteTarget, info: &ResponseInfo) {
+    if info.is_leaving && target.gauge.record_leaving(BootClock::now()) {
+        log::info!(
+            request = job.request.attempt.as_str(),
+            target_id = target.id.as_str();
+            "target_leaving"
+        );
+    }
+}
+
 /// Logs that a request is sent to a target that wants none from this node.
 fn log_resting_choice(job: &RequestJob, target: &RouteTarget, now: Moment) {
     let left = target.gauge.rest_left(now);
--- a/crates/fleet/src/gauge.rs
+++ b/crates/fleet/src/gauge.rs
@@ -51,6 +51,8 @@
     }
 }
 
+/// Longest time for which a target that says it is leaving gets no requests; much longer than leaving takes.
+const MAX_LEAVING_TIME: Duration = Duration::from_secs(600);
 /// Time for which a node's rank for a target is cached; ranking compares all known nodes.
 const RANK_TTL: Duration = Duration::from_millis(500);
 
@@ -76,6 +78,7 @@
     warming_until: AtomicU64,
     request_window: Mutex<RequestWindow>,
     stated_limit: Mutex<StatedLimit>,
+    leaving_until: AtomicU64,
     rest: Mutex<TargetRest>,
     has_rest: AtomicBool,
     limited_until: AtomicU64,
@@ -252,6 +255,18 @@
         micros(now) < self.suspect_until.load(Ordering::Relaxed)
     }
 
+    /// Records that the target says it is leaving; returns whether that is new.
+    pub fn record_leaving(&self, now: Moment) -> bool {
+        let until = micros(now + MAX_LEAVING_TIME);
+        let before = self.leaving_until.swap(until, Ordering::Relaxed);
+        before <= micros(now)
+    }
+
+    /// Returns whether the target has said that it is leaving.
+    pub fn is_leaving(&self, now: Moment) -> bool {
+        micros(now) < self.leaving_until.load(Ordering::Relaxed)
+    }
+
     /// Records that the target refused a request and wants no further ones from this node for the time `asked`.
     pub fn begin_rest(&self, asked: Duration, now: Moment) {
         self.rest().begin(asked, rand::random(), now);
@@ -355,6 +370,7 @@
 
     /// Forgets what the target said of itself, since another incarnation of it has begun.
     pub fn forget_statements(&self, now: Moment) {
+        self.leaving_until.store(0, Ordering::Relaxed);
         *self.rest() = TargetRest::default();
         self.has_rest.store(false, Ordering::Relaxed);
         let mut stated = self.stated_limit();
@@ -377,6 +393,12 @@
             .store(micros(stated.reported_until()), Ordering::Relaxed);
     }
 
+    /// Returns whether something that the target said of itself is in force at `now`.
+    fn has_statement(&self, now: Moment) -> bool {
+        let is_resting = self.resting_until(now).is_some();
+        is_resting || self.is_leaving(now) || self.may_be_limited(now)
+    }
+
     /// Returns whether the target may state a limit at `now`.
     fn may_be_limited(&self, now: Moment) -> bool {
         micros(now) < self.limited_until.load(Ordering::Relaxed)
@@ -523,14 +545,12 @@
         }
     }
 
-    /// Removes the gauges that `keep` rejects, except those with requests of this node and those of targets that state
-    /// a limit or rest, whose entries may be back before that ends.
+    /// Removes the gauges that `keep` rejects, except those with requests of this node and those of targets that said
+    /// something of themselves, whose entries may be back before that ends.
     pub fn retain(&self, now: Moment, keep: impl Fn(&str) -> bool) {
         let mut gauges = self.gauges.write().unwrap_or_else(PoisonError::into_inner);
-        gauges.retain(|id, gauge| {
-            let has_statement = gauge.may_be_limited(now) || gauge.resting_until(now).is_some();
-            gauge.local_requests() > 0 || has_statement || keep(id)
-        });
+        gauges
+            .retain(|id, gauge| gauge.local_requests() > 0 || gauge.has_statement(now) || keep(id));
     }
 
     fn read(&self) -> std::sync::RwLockReadGuard<'_, HashMap<TargetId, Arc<TargetGauge>>> {
--- a/crates/fleet/src/ports.rs
+++ b/crates/fleet/src/ports.rs
@@ -319,6 +319,8 @@
     pub running: Option<u32>,
     /// Requests in the target's queue.
     pub waiting: Option<u32>,
+    /// Whether the target says that it is leaving.
+    pub is_leaving: bool,
     /// Time for which the target, which has refused the request, wants no further ones from this node.
     pub rest: Option<Duration>,
     /// Limit that the target states for requests from all nodes together.
--- a/crates/fleet/src/restriction.rs
+++ b/crates/fleet/src/restriction.rs
@@ -19,6 +19,8 @@
         /// Requests per second that this node may send.
         rate: f64,
     },
+    /// The target has said that it is leaving.
+    Leaving,
     /// The target has refused a request and wants no further ones from this node.
     Resting {
         /// When the next request may be sent.
@@ -32,13 +34,14 @@
         match self {
             Self::Limited { free_at, .. } => *free_at,
             Self::Resting { until } => Some(*until),
+            Self::Leaving => None,
         }
     }
 
     fn rate(&self) -> f64 {
         match self {
             Self::Limited { rate, .. } => *rate,
-            Self::Resting { .. } => 0.0,
+            Self::Resting { .. } | Self::Leaving => 0.0,
         }
     }
 }
@@ -50,6 +53,8 @@
     pub limited: u32,
     /// Targets that want no requests from this node for a while.
     pub resting: u32,
+    /// Targets that have said that they are leaving.
+    pub leaving: u32,
 }
 
 /// A slot for a request.
@@ -109,6 +114,7 @@
         match restriction {
             Restriction::Limited { .. } => self.passed_over.limited += 1,
             Restriction::Resting { .. } => self.passed_over.resting += 1,
+            Restriction::Leaving => self.passed_over.leaving += 1,
         }
         let free_at = restriction.free_at();
         self.retry_at = earliest(self.retry_at, free_at);
--- a/crates/fleet/src/target_selector.rs
+++ b/crates/fleet/src/target_selector.rs
@@ -203,6 +203,9 @@
         target: &RouteTarget,
         now: Moment,
     ) -> Option<Restriction> {
+        if target.gauge.is_leaving(now) {
+            return Some(Restriction::Leaving);
+        }
         if let Some(until) = target.gauge.resting_until(now) {
             return Some(Restriction::Resting { until });
         }
--- a/crates/fleet/src/trace.rs
+++ b/crates/fleet/src/trace.rs
@@ -195,6 +195,7 @@
             events = self.events,
             limited = self.passed_over.limited,
             resting = self.passed_over.resting,
+            leaving = self.passed_over.leaving,
             patience_ms = self.timeout.as_millis() as u64,
             before_ms = self.waited_before.as_millis() as u64,
             wait_ms = self.slot_wait.map_or(0, |wait| wait.as_millis() as u64),
--- a/crates/fleet/tests/restriction.rs
+++ b/crates/fleet/tests/restriction.rs
@@ -39,7 +39,7 @@
         refusal.passed_over,
         eq(PassedOver {
             limited: 2,
-            resting: 0
+            ..PassedOver::default()
         })
     );
 }
@@ -83,11 +83,20 @@
         refusal.passed_over,
         eq(PassedOver {
             limited: 1,
-            resting: 1
+            resting: 1,
+            leaving: 0
         })
     );
 }
 
+/// Guards against requests that wait for targets of which all are leaving.
+#[gtest]
+fn a_request_is_refused_at_once_if_all_targets_are_leaving() {
+    let refusal = refusal(&[(Some(Restriction::Leaving), false)], 0).expect("a refusal");
+    expect_that!(refusal.available_in, none());
+    expect_that!(refusal.passed_over.leaving, eq(1));
+}
+
 /// Guards against restrictions that are blamed where there are none.
 #[gtest]
 fn targets_without_restrictions_refuse_nothing() {
--- a/crates/fleet/tests/support/platform.rs
+++ b/crates/fleet/tests/support/platform.rs
@@ -531,6 +531,7 @@
             rest: text(headers, "rest")
                 .and_then(|rest| rest.parse().ok())
                 .map(Duration::from_secs_f64),
+            is_leaving: headers.contains_key("leaving"),
             limit: limit_header(headers),
             ..ResponseInfo::default()
         }
--- a/crates/fleet/tests/support/target.rs
+++ b/crates/fleet/tests/support/target.rs
@@ -40,6 +40,8 @@
     /// Whether it refuses all requests, and the time to rest that it asks for, as text.
     refusal: Option<String>,
     refusals: Vec<Instant>,
+    /// Whether it says in its responses that it leaves.
+    is_leaving: bool,
     /// Requests per second that it states in its responses, as text.
     limit: Option<String>,
     /// Ends the current incarnation.
@@ -72,6 +74,7 @@
                 incarnation: 0,
                 runs: Vec::new(),
                 stays_down: false,
+                is_leaving: false,
                 refusal: None,
                 refusals: Vec::new(),
                 limit: None,
@@ -102,6 +105,11 @@
         runs.into_iter().any(|run| run.body == body)
     }
 
+    /// Says in all responses from now on that the target leaves, or no longer says so; its entry does not change.
+    pub fn leave(&self, is_leaving: bool) {
+        self.shared.lock().is_leaving = is_leaving;
+    }
+
     /// Removes the target's entry from the list, although it keeps running.
     pub fn unlist(&self) {
         self.shared.platform.remove_target(&self.shared.id());
@@ -168,6 +176,17 @@
         });
     }
 
+    /// Returns the header lines in which the target states its limit and that it leaves.
+    fn statements(&self) -> String {
+        let state = self.lock();
+        let limit = state
+            .limit
+            .iter()
+            .map(|limit| format!("limit: {limit}\r\n"));
+        let leaving = state.is_leaving.then(|| "leaving: 1\r\n".to_owned());
+        limit.chain(leaving).collect()
+    }
+
     /// Records a refusal if the target refuses requests now, and returns the time to rest that it asks for.
     fn refuse_now(&self) -> Option<String> {
         let mut state = self.lock();
@@ -265,10 +284,9 @@
         return stream.write_all(refusal.as_bytes()).await;
     }
     shared.record_run(&body);
-    let limit = shared.lock().limit.clone();
-    let limit = limit.map_or_else(String::new, |limit| format!("limit: {limit}\r\n"));
+    let statements = shared.statements();
     let head = format!(
-        "HTTP/1.1 200 OK\r\nattempt: {attempt}\r\nsigned: yes\r\n{limit}connection: close\r\ntransfer-encoding: chunked\r\n\r\n"
+        "HTTP/1.1 200 OK\r\nattempt: {attempt}\r\nsigned: yes\r\n{statements}connection: close\r\ntransfer-encoding: chunked\r\n\r\n"
     );
     stream.write_all(head.as_bytes()).await?;
     tokio::time::sleep(RUN_TIME).await;
