--- a/crates/fleet/tests/stated_limits.rs
+++ b/crates/fleet/tests/stated_limits.rs
@@ -17,6 +17,8 @@
 const CALL_INTERVAL: Duration = Duration::from_millis(40);
 /// Time in which every node has to know of a limit.
 const PROPAGATION_TIME: Duration = Duration::from_secs(3);
+/// Time in which a change of the list of targets reaches the node.
+const DIRECTORY_TIME: Duration = Duration::from_secs(1);
 /// Time over which requests are counted.
 const COUNTED_TIME: Duration = Duration::from_secs(4);
 
@@ -126,3 +128,20 @@
         expect_true!(fleet.request(node, look()).await.is_served(), "node {node}");
     }
 }
+
+/// Guards against statements of one incarnation that bind another one under the same id.
+#[gtest]
+#[tokio::test(flavor = "multi_thread")]
+async fn another_incarnation_under_the_same_id_has_stated_nothing() {
+    let fleet = Fleet::open(1, &["z1"]).await;
+    fleet.targets[0].state_limit(Some("0.1"));
+    fleet.request(0, look()).await;
+    fleet.request(0, look()).await;
+    expect_false!(fleet.request(0, look()).await.is_served());
+    fleet.targets[0].state_limit(None);
+    fleet.targets[0].list_as(1);
+    tokio::time::sleep(DIRECTORY_TIME).await;
+    for _ in 0..3 {
+        expect_true!(fleet.request(0, look()).await.is_served());
+    }
+}
--- a/crates/fleet/tests/support/platform.rs
+++ b/crates/fleet/tests/support/platform.rs
@@ -51,6 +51,7 @@
     pub zone: ZoneId,
     pub domain: DomainId,
     pub warmup_left: Duration,
+    pub incarnation: Incarnation,
 }
 
 impl Default for TargetListing {
@@ -62,6 +63,7 @@
             zone: "z1".to_owned(),
             domain: "d0".to_owned(),
             warmup_left: Duration::ZERO,
+            incarnation: 0,
         }
     }
 }
@@ -106,7 +108,7 @@
         };
         let record = TargetRecord {
             id: id.to_owned(),
-            incarnation: 0,
+            incarnation: listing.incarnation,
             service: listing.service.to_owned(),
             address: listing.address.clone(),
             zone: listing.zone.clone(),
--- a/crates/fleet/tests/support/target.rs
+++ b/crates/fleet/tests/support/target.rs
@@ -120,6 +120,17 @@
         self.shared.register();
     }
 
+    /// Lists the target under the same id as another incarnation.
+    pub fn list_as(&self, incarnation: Incarnation) {
+        let listing = TargetListing {
+            incarnation,
+            ..self.shared.listing.clone()
+        };
+        self.shared
+            .platform
+            .list_target(&self.shared.id(), &listing);
+    }
+
     /// Refuses all requests from now on and asks for a time to rest; `None` runs requests again.
     pub fn refuse(&self, rest: Option<&str>) {
         self.shared.lock().refusal = rest.map(str::to_owned);
