Restrictions of targets are counted where a target is selected

A request for which a target was free looked at all targets twice: once for what it may expect and once to select. The outlook is now made only for a request that finds nothing or has to wait.

--- a/crates/fleet/src/restriction.rs
+++ b/crates/fleet/src/restriction.rs
@@ -57,6 +57,18 @@
     pub leaving: u32,
 }
 
+impl PassedOver {
+    /// Counts a target with a restriction.
+    pub fn count(&mut self, restriction: Option<Restriction>) {
+        match restriction {
+            None => {}
+            Some(Restriction::Limited { .. }) => self.limited += 1,
+            Some(Restriction::Resting { .. }) => self.resting += 1,
+            Some(Restriction::Leaving) => self.leaving += 1,
+        }
+    }
+}
+
 /// A slot for a request.
 pub struct AcquiredSlot {
     /// Target that runs the request.
@@ -111,11 +123,7 @@
             return;
         };
         self.is_restricted = true;
-        match restriction {
-            Restriction::Limited { .. } => self.passed_over.limited += 1,
-            Restriction::Resting { .. } => self.passed_over.resting += 1,
-            Restriction::Leaving => self.passed_over.leaving += 1,
-        }
+        self.passed_over.count(Some(restriction));
         let free_at = restriction.free_at();
         self.retry_at = earliest(self.retry_at, free_at);
         if !is_tried {
--- a/crates/fleet/src/target_selector.rs
+++ b/crates/fleet/src/target_selector.rs
@@ -16,7 +16,7 @@
 use crate::gauge::{LimitShare, SlotGuard};
 use crate::job::RequestJob;
 use crate::peers::PROPAGATION_TIME;
-use crate::restriction::{AcquiredSlot, Restriction, SlotError, TargetOutlook};
+use crate::restriction::{AcquiredSlot, PassedOver, Restriction, SlotError, TargetOutlook};
 use crate::routing_table::{RouteTarget, RoutingTable};
 use crate::shared::FleetShared;
 use crate::slot_queue::{wait_for_slot, QueueKey, ReservedTarget, SlotQueue, SlotRequest};
@@ -35,6 +35,14 @@
     queue: SlotQueue,
 }
 
+/// A target with a free slot.
+struct TargetSelection {
+    target: Arc<RouteTarget>,
+    /// This node's share, if the target has a limit.
+    share: Option<LimitShare>,
+    passed_over: PassedOver,
+}
+
 /// Removes a request from the queue when its caller disconnects or it has a slot.
 struct QueueGuard<'a> {
     queue: &'a SlotQueue,
@@ -117,23 +125,18 @@
         if self.is_barred(&slot_request) {
             return Err(FailurePoint::NoTarget.into());
         }
+        // A new request must not overtake waiting ones that can still meet their objective.
+        let waiting = self.queue.waiting(&slot_request.key);
+        if waiting == 0 {
+            if let Some(acquired) = self.try_acquire(&slot_request, now) {
+                return Ok(acquired);
+            }
+        }
         let outlook = self.outlook(&slot_request, now);
         let passed_over = outlook.passed_over;
-        let acquired = |(target, slot)| AcquiredSlot {
-            target,
-            slot,
-            passed_over,
-        };
-        let waiting = self.queue.waiting(&slot_request.key);
         if let Some(refusal) = outlook.refusal(waiting, request.refuse_at, now) {
             return Err(refusal);
         }
-        // A new request must not overtake waiting ones that can still meet their objective.
-        if waiting == 0 {
-            if let Some(reserved) = self.pick(&slot_request) {
-                return Ok(acquired(reserved));
-            }
-        }
         let key = slot_request.key.clone();
         let (ticket, reserved) = self.queue.push(slot_request, request);
         self.serve_queue();
@@ -144,10 +147,17 @@
         };
         let poll = || self.serve_queue();
         let reserved = wait_for_slot(reserved, request, SLOT_POLL_INTERVAL, poll).await;
-        reserved.map(acquired).ok_or(SlotError {
-            passed_over,
-            ..FailurePoint::NoTarget.into()
-        })
+        match reserved {
+            Some((target, slot)) => Ok(AcquiredSlot {
+                target,
+                slot,
+                passed_over,
+            }),
+            None => Err(SlotError {
+                passed_over,
+                ..FailurePoint::NoTarget.into()
+            }),
+        }
     }
 
     /// Returns whether there are targets for a request, but none that it is permitted to use.
@@ -257,38 +267,51 @@
 
     /// Reserves a slot without waiting; `None` if every target is full, suspect, restricted or already tried.
     pub fn pick(&self, slot_request: &SlotRequest) -> Option<ReservedTarget> {
-        let now = BootClock::now();
-        let (target, share) = self.select(slot_request, now)?;
+        let acquired = self.try_acquire(slot_request, BootClock::now())?;
+        Some((acquired.target, acquired.slot))
+    }
+
+    fn try_acquire(&self, slot_request: &SlotRequest, now: Moment) -> Option<AcquiredSlot> {
+        let TargetSelection {
+            target,
+            share,
+            passed_over,
+        } = self.select(slot_request, now)?;
         // Another thread may have sent a request since the target was found usable.
         let is_full = share.is_some_and(|share| !target.gauge.reserve(&share, now));
         if is_full || !target.gauge.reserve_after_rest(now) {
             return None;
         }
         let slot = SlotGuard::acquire(&target.gauge, slot_request.prompt_tokens, now);
-        Some((target, slot))
+        Some(AcquiredSlot {
+            target,
+            slot,
+            passed_over,
+        })
     }
 
-    /// Selects a target with a free slot, with this node's share if the target has a limit.
-    fn select(
-        &self,
-        slot_request: &SlotRequest,
-        now: Moment,
-    ) -> Option<(Arc<RouteTarget>, Option<LimitShare>)> {
+    /// Selects a target with a free slot.
+    fn select(&self, slot_request: &SlotRequest, now: Moment) -> Option<TargetSelection> {
         let table = self.shared.routing_table.load();
         let config = self.shared.config.load();
         let (service, model) = &slot_request.key;
         let service_spec = config.as_ref().as_ref()?.services.get(service);
         let engine = service_spec.and_then(|spec| spec.engine.as_ref());
         let evacuated = self.shared.evacuated.read();
-        let is_usable = |target: &Arc<RouteTarget>| {
-            !slot_request.tried.contains(&target.id)
-                && !target.gauge.is_suspect(now)
-                && self.is_permitted(slot_request, target, &evacuated)
-                && self.restriction(service_spec, target, now).is_none()
+        let mut passed_over = PassedOver::default();
+        let is_usable = |target: &&Arc<RouteTarget>| {
+            if slot_request.tried.contains(&target.id)
+                || target.gauge.is_suspect(now)
+                || !self.is_permitted(slot_request, target, &evacuated)
+            {
+                return false;
+            }
+            let restriction = self.restriction(service_spec, target, now);
+            passed_over.count(restriction);
+            restriction.is_none()
         };
         let targets = routes_of(&table, &slot_request.key);
-        let candidates: Vec<&Arc<RouteTarget>> =
-            targets.iter().filter(|target| is_usable(target)).collect();
+        let candidates: Vec<&Arc<RouteTarget>> = targets.iter().filter(is_usable).collect();
         let target = match engine {
             Some(engine) => {
                 let model = engine.models.get(model.as_ref()?)?;
@@ -312,8 +335,11 @@
             }
             None => self.pick_single(&candidates)?,
         };
-        let share = self.limit_share(service_spec, target, now);
-        Some((Arc::clone(target), share))
+        Some(TargetSelection {
+            target: Arc::clone(target),
+            share: self.limit_share(service_spec, target, now),
+            passed_over,
+        })
     }
 
     /// Returns a number from 0 to 1 that decides whether this node may use slots beyond its share of a model's groups.
