What a target says of itself stands in files of its own

`gauge.rs` and `dispatch.rs` had grown by what limits, rests and leaving need. `statements.rs` keeps what one target has said, `statement_recorder.rs` records and logs it. A target that only warms up counts as free when it is warm, so that requests which can wait for that are not refused at once.

--- a/crates/fleet/src/directory_sync.rs
+++ b/crates/fleet/src/directory_sync.rs
@@ -138,7 +138,8 @@
             let known = self.view.cache.targets().get(&record.id);
             let is_same = known.is_some_and(|known| known.incarnation == record.incarnation);
             if known.is_some() && !is_same {
-                self.shared.gauges.get(&record.id).forget_statements(now);
+                let gauge = self.shared.gauges.get(&record.id);
+                gauge.statements().forget(now);
             }
             let is_known =
                 is_same && known.is_some_and(|known| known.warmup_left == record.warmup_left);
--- a/crates/fleet/src/dispatch.rs
+++ b/crates/fleet/src/dispatch.rs
@@ -5,7 +5,6 @@
 
 use briarswitch_core::id::*;
 use briarswitch_core::outcome::{FailurePoint, Outcome};
-use briarswitch_core::stated_limit::LimitHeader;
 use briarswitch_http::{
     full_body, stream_body, Response, SendError, TargetAddress, TargetBody, TargetClient,
     TargetLimits, TargetResponse,
@@ -19,7 +18,6 @@
 use crate::failure::{implies_not_run, worst_of, ConnectionFailure, FailedAttempt, HeadWaitError};
 use crate::gauge::SlotGuard;
 use crate::job::{RequestJob, ResponseStart};
-use crate::limit_reports::{log_change, LimitSource};
 use crate::local_reply::LocalReply;
 use crate::peers::PeerMessage;
 use crate::ports::{ResponseInfo, TargetRequestInfo};
@@ -28,6 +26,7 @@
 use crate::routing_table::RouteTarget;
 use crate::run::{RunListeners, TargetRun};
 use crate::shared::FleetShared;
+use crate::statement_recorder::StatementRecorder;
 use crate::suspicion::{reroute_delay, silence_limit_for, SuspicionReporter};
 use crate::target_selector::TargetSelector;
 use crate::trace::{RequestEnd, RequestTrace};
@@ -68,6 +67,7 @@
     budgets: RetryBudgets,
     selector: TargetSelector,
     suspicion: SuspicionReporter,
+    statements: StatementRecorder,
     run_listeners: RunListeners,
 }
 
@@ -85,6 +85,7 @@
         Arc::new(Self {
             budgets: RetryBudgets::new(Arc::clone(&shared)),
             selector: TargetSelector::new(Arc::clone(&shared)),
+            statements: StatementRecorder::new(Arc::clone(&shared)),
             shared,
             client,
             suspicion: SuspicionReporter::new(peers),
@@ -223,8 +224,7 @@
         {
             return Err(FailurePoint::Quarantined.into());
         }
-        self.log_limited_choice(job, &target, now);
-        log_resting_choice(job, &target, now);
+        self.statements.log_choice(job, &target, now);
         let request = self.build_request(job, &target, remaining, last_event);
         let address = TargetAddress {
             address: target.address.clone(),
@@ -342,11 +342,8 @@
             .protocol
             .parse_response(head.status, &head.headers);
         let now = BootClock::now();
-        if is_about(job, &info) {
-            self.record_limit(job, &target, &info, sent_at);
-            self.record_rest(job, &target, &info);
-            record_leaving(job, &target, &info);
-        }
+        self.statements
+            .record_response(job, &target, &info, sent_at);
         if info.is_not_run || info.is_other_incarnation {
             run.end_unreported();
             target.gauge.record_outcome(true);
@@ -363,7 +360,7 @@
         if !is_same_attempt {
             return Err(FailurePoint::ForeignAnswer.into());
         }
-        target.gauge.record_accepted(sent_at);
+        target.gauge.statements().record_accepted(sent_at);
         if head.status.is_success() && is_complete_response(&info) {
             target.gauge.record_outcome(false);
             return Ok(ResponseStart {
@@ -382,63 +379,6 @@
         Err(self.target_failure(job, head, &info, body).await)
     }
 
-    /// Logs that a request is sent to a target that states a limit, and what this node takes for its share.
-    fn log_limited_choice(&self, job: &RequestJob, target: &RouteTarget, now: Moment) {
-        let Some((limit, age)) = target.gauge.limit_with_age(now) else {
-            return;
-        };
-        let share = self.shared.limit_share(limit, age, target, now);
-        log::info!(
-            request = job.request.attempt.as_str(),
-            target_id = target.id.as_str(),
-            per_second = limit.rate(),
-            age_ms = age.as_millis() as u64,
-            sent = target.gauge.counted_requests(&limit, now),
-            share = share.requests,
-            window_ms = limit.counting_time().as_millis() as u64,
-            nodes = self.shared.rank_for(target, now).nodes;
-            "limited_target_chosen"
-        );
-    }
-
-    /// Records the limit that a target states, or no longer states, in a response.
-    ///
-    /// A response without a signature may not be the target's, so it does not end a limit.
-    fn record_limit(
-        &self,
-        job: &RequestJob,
-        target: &RouteTarget,
-        info: &ResponseInfo,
-        sent_at: Moment,
-    ) {
-        if info.limit == LimitHeader::Absent && !info.is_signed {
-            return;
-        }
-        let now = BootClock::now();
-        let change = target.gauge.record_limit_header(info.limit, sent_at, now);
-        if let Some(change) = change {
-            let source = LimitSource::Response(&job.request.attempt);
-            log_change(&self.shared, &target.id, &target.gauge, change, source);
-        }
-    }
-
-    /// Records for how long a target that refused a request wants no further ones from this node.
-    fn record_rest(&self, job: &RequestJob, target: &RouteTarget, info: &ResponseInfo) {
-        let Some(asked) = info.rest else {
-            return;
-        };
-        let now = BootClock::now();
-        target.gauge.begin_rest(asked, now);
-        self.shared.metrics.count_rest(&job.service);
-        log::info!(
-            request = job.request.attempt.as_str(),
-            target_id = target.id.as_str(),
-            asked_ms = asked.as_millis() as u64,
-            left_ms = target.gauge.rest_left(now).as_millis() as u64;
-            "target_rest_begun"
-        );
-    }
-
     /// Reads a target's error response, so that it can be passed on if no other attempt succeeds.
     async fn target_failure(
         &self,
@@ -588,38 +528,6 @@
     }
 }
 
-/// Returns whether a response says something about the requests that its target takes now; one of another incarnation
-/// or to another attempt does not.
-fn is_about(job: &RequestJob, info: &ResponseInfo) -> bool {
-    let attempt = info.attempt.as_ref();
-    let is_foreign = attempt.is_some_and(|attempt| *attempt != job.request.attempt);
-    !info.is_other_incarnation && !is_foreign
-}
-
-/// Records that a target says it is leaving.
-fn record_leaving(job: &RequestJob, target: &RouteTarget, info: &ResponseInfo) {
-    if info.is_leaving && target.gauge.record_leaving(BootClock::now()) {
-        log::info!(
-            request = job.request.attempt.as_str(),
-            target_id = target.id.as_str();
-            "target_leaving"
-        );
-    }
-}
-
-/// Logs that a request is sent to a target that wants none from this node.
-fn log_resting_choice(job: &RequestJob, target: &RouteTarget, now: Moment) {
-    let left = target.gauge.rest_left(now);
-    if !left.is_zero() {
-        log::info!(
-            request = job.request.attempt.as_str(),
-            target_id = target.id.as_str(),
-            left_ms = left.as_millis() as u64;
-            "resting_target_chosen"
-        );
-    }
-}
-
 fn record_target(trace: &mut RequestTrace, target: &RouteTarget) {
     trace.target.clone_from(&target.id);
     if let Some(group) = &target.group {
--- a/crates/fleet/src/gauge.rs
+++ b/crates/fleet/src/gauge.rs
@@ -1,17 +1,17 @@
 //! Load and liveness of each target as this node currently knows them.
 
 use std::collections::HashMap;
-use std::sync::atomic::{AtomicBool, AtomicU32, AtomicU64, Ordering};
-use std::sync::{Arc, Mutex, MutexGuard, PoisonError, RwLock};
+use std::sync::atomic::{AtomicU32, AtomicU64, Ordering};
+use std::sync::{Arc, PoisonError, RwLock};
 use std::time::Duration;
 
 use briarswitch_core::id::{Moment, TargetId};
-use briarswitch_core::request_limit::{RequestLimit, RequestWindow};
-use briarswitch_core::rest::TargetRest;
-use briarswitch_core::stated_limit::{LimitChange, LimitHeader, LimitReport, StatedLimit};
+use briarswitch_core::stated_limit::LimitReport;
 use briarswitch_membership::{target_key, RequestCounts, TargetKey};
 use indexmap::IndexSet;
 
+use crate::statements::TargetStatements;
+
 /// Divisor of the exponential smoothing: the newest sample has a weight of one in this many.
 const FAILURE_SMOOTHING: u32 = 4;
 /// Fixed-point value of a failure rate of 1.
@@ -26,6 +26,9 @@
 /// Time for which a slot share is cached; about the interval at which nodes exchange their observations.
 const SLOT_SHARE_TTL: Duration = Duration::from_millis(300);
 
+/// Time for which a node's rank for a target is cached; ranking compares all known nodes.
+const RANK_TTL: Duration = Duration::from_millis(500);
+
 /// A node's position among all known nodes.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub struct NodeRank {
@@ -35,27 +38,6 @@
     pub nodes: u32,
 }
 
-/// One node's share of the limit of a target.
-#[derive(Clone, Copy, Debug, PartialEq)]
-pub struct LimitShare {
-    /// Limit of all nodes together.
-    pub limit: RequestLimit,
-    /// Requests that this node may send in the counting time of the limit.
-    pub requests: u32,
-}
-
-impl LimitShare {
-    /// Returns the requests per second that this node may send.
-    pub fn rate(&self) -> f64 {
-        f64::from(self.requests) / self.limit.counting_time().as_secs_f64()
-    }
-}
-
-/// Longest time for which a target that says it is leaving gets no requests; much longer than leaving takes.
-const MAX_LEAVING_TIME: Duration = Duration::from_secs(600);
-/// Time for which a node's rank for a target is cached; ranking compares all known nodes.
-const RANK_TTL: Duration = Duration::from_millis(500);
-
 /// Counters of one target.
 #[derive(Debug, Default)]
 pub struct TargetGauge {
@@ -75,19 +57,13 @@
     failure_rate: AtomicU32,
     slot_share: AtomicU32,
     slot_share_at: AtomicU64,
-    warming_until: AtomicU64,
-    request_window: Mutex<RequestWindow>,
-    stated_limit: Mutex<StatedLimit>,
-    leaving_until: AtomicU64,
-    rest: Mutex<TargetRest>,
-    has_rest: AtomicBool,
-    limited_until: AtomicU64,
-    limit_reported_until: AtomicU64,
     rank: AtomicU64,
     rank_at: AtomicU64,
+    warming_until: AtomicU64,
+    statements: TargetStatements,
 }
 
-fn micros(moment: Moment) -> u64 {
+pub(crate) fn micros(moment: Moment) -> u64 {
     u64::try_from(moment.as_micros()).unwrap_or(u64::MAX)
 }
 
@@ -203,6 +179,11 @@
         }
     }
 
+    /// Returns what the target has said of itself.
+    pub fn statements(&self) -> &TargetStatements {
+        &self.statements
+    }
+
     /// Records that bytes arrived from the target, and clears any suspicion.
     pub fn record_activity(&self, now: Moment) {
         let before = self.last_activity.swap(micros(now), Ordering::Relaxed);
@@ -255,174 +236,16 @@
         micros(now) < self.suspect_until.load(Ordering::Relaxed)
     }
 
-    /// Records that the target says it is leaving; returns whether that is new.
-    pub fn record_leaving(&self, now: Moment) -> bool {
-        let until = micros(now + MAX_LEAVING_TIME);
-        let before = self.leaving_until.swap(until, Ordering::Relaxed);
-        before <= micros(now)
-    }
-
-    /// Returns whether the target has said that it is leaving.
-    pub fn is_leaving(&self, now: Moment) -> bool {
-        micros(now) < self.leaving_until.load(Ordering::Relaxed)
-    }
-
-    /// Records that the target refused a request and wants no further ones from this node for the time `asked`.
-    pub fn begin_rest(&self, asked: Duration, now: Moment) {
-        self.rest().begin(asked, rand::random(), now);
-        self.has_rest.store(true, Ordering::Relaxed);
-    }
-
-    /// Records that the target accepted a request that was sent at `sent_at`.
-    pub fn record_accepted(&self, sent_at: Moment) {
-        if self.has_rest.load(Ordering::Relaxed) {
-            let mut rest = self.rest();
-            rest.record_accepted(sent_at);
-            self.has_rest
-                .store(rest.free_at().is_some(), Ordering::Relaxed);
-        }
-    }
-
-    /// Returns when this node may send the next request to a target that asked it for a rest; `None` if it may now.
-    pub fn resting_until(&self, now: Moment) -> Option<Moment> {
-        if !self.has_rest.load(Ordering::Relaxed) {
-            return None;
-        }
-        self.rest().free_at().filter(|free_at| now < *free_at)
-    }
-
-    /// Returns for how long the target wants no requests from this node.
-    pub fn rest_left(&self, now: Moment) -> Duration {
-        if !self.has_rest.load(Ordering::Relaxed) {
-            return Duration::ZERO;
-        }
-        self.rest().until().saturating_sub(now)
-    }
-
-    /// Counts a request that is sent to the target; returns false if the target wants none from this node now.
-    pub fn reserve_after_rest(&self, now: Moment) -> bool {
-        !self.has_rest.load(Ordering::Relaxed) || self.rest().reserve(now)
-    }
-
-    fn rest(&self) -> MutexGuard<'_, TargetRest> {
-        self.rest.lock().unwrap_or_else(PoisonError::into_inner)
-    }
-
     /// Records that the target warms up until the given time, unless that is already known to last longer.
     pub fn begin_warmup(&self, until: Moment) {
         self.warming_until
             .fetch_max(micros(until), Ordering::Relaxed);
     }
 
-    /// Returns whether the target is warming up at `now`.
-    pub fn is_warming(&self, now: Moment) -> bool {
-        micros(now) < self.warming_until.load(Ordering::Relaxed)
-    }
-
-    /// Returns whether this node may send another request to the target, given its share of a limit.
-    pub fn has_room(&self, share: &LimitShare, now: Moment) -> bool {
-        self.request_window()
-            .has_room(&share.limit, share.requests, now)
-    }
-
-    /// Returns when this node may send the next request to the target; `None` if it has no share.
-    pub fn free_at(&self, share: &LimitShare, now: Moment) -> Option<Moment> {
-        self.request_window()
-            .free_at(&share.limit, share.requests, now)
-    }
-
-    /// Returns the number of requests that count towards a limit of the target.
-    pub fn counted_requests(&self, limit: &RequestLimit, now: Moment) -> u32 {
-        self.request_window().count(limit, now)
-    }
-
-    /// Counts a request that is sent to the target; returns false if this node's share of a limit is used up.
-    pub fn reserve(&self, share: &LimitShare, now: Moment) -> bool {
-        self.request_window()
-            .reserve(&share.limit, share.requests, now)
-    }
-
-    /// Records what a response to a request that was sent at `sent_at` says about the target's limit.
-    pub fn record_limit_header(
-        &self,
-        header: LimitHeader,
-        sent_at: Moment,
-        now: Moment,
-    ) -> Option<LimitChange> {
-        let mut stated = self.stated_limit();
-        let change = stated.record_response(header, sent_at, now);
-        self.note_limit(&stated);
-        change
-    }
-
-    /// Records what another node has heard about the target's limit, `age` before `now`.
-    pub fn record_limit_report(
-        &self,
-        limit: Option<RequestLimit>,
-        age: Duration,
-        now: Moment,
-    ) -> Option<LimitChange> {
-        let mut stated = self.stated_limit();
-        let change = stated.record_report(limit, age, now);
-        self.note_limit(&stated);
-        change
-    }
-
-    /// Forgets what the target said of itself, since another incarnation of it has begun.
-    pub fn forget_statements(&self, now: Moment) {
-        self.leaving_until.store(0, Ordering::Relaxed);
-        *self.rest() = TargetRest::default();
-        self.has_rest.store(false, Ordering::Relaxed);
-        let mut stated = self.stated_limit();
-        stated.forget(now);
-        self.note_limit(&stated);
-    }
-
-    /// Returns what this node has recently heard itself about the target's limit, and its age.
-    fn limit_report(&self, now: Moment) -> Option<(Option<RequestLimit>, Duration)> {
-        let may_report = micros(now) < self.limit_reported_until.load(Ordering::Relaxed);
-        may_report.then(|| self.stated_limit().report(now))?
-    }
-
-    /// Notes until when the target may have a limit or a report of it is due, so that targets without one need no
-    /// lock.
-    fn note_limit(&self, stated: &StatedLimit) {
-        self.limited_until
-            .store(micros(stated.expires_at()), Ordering::Relaxed);
-        self.limit_reported_until
-            .store(micros(stated.reported_until()), Ordering::Relaxed);
-    }
-
-    /// Returns whether something that the target said of itself is in force at `now`.
-    fn has_statement(&self, now: Moment) -> bool {
-        let is_resting = self.resting_until(now).is_some();
-        is_resting || self.is_leaving(now) || self.may_be_limited(now)
-    }
-
-    /// Returns whether the target may state a limit at `now`.
-    fn may_be_limited(&self, now: Moment) -> bool {
-        micros(now) < self.limited_until.load(Ordering::Relaxed)
-    }
-
-    /// Returns the limit that the target states, with the time since it last did; `None` if there is none.
-    pub fn limit_with_age(&self, now: Moment) -> Option<(RequestLimit, Duration)> {
-        if !self.may_be_limited(now) {
-            return None;
-        }
-        let stated = self.stated_limit();
-        Some((stated.limit(now)?, stated.age(now)))
-    }
-
-    fn stated_limit(&self) -> MutexGuard<'_, StatedLimit> {
-        self.stated_limit
-            .lock()
-            .unwrap_or_else(PoisonError::into_inner)
-    }
-
-    fn request_window(&self) -> MutexGuard<'_, RequestWindow> {
-        self.request_window
-            .lock()
-            .unwrap_or_else(PoisonError::into_inner)
+    /// Returns until when the target is warming up; `None` if it is warm.
+    pub fn warming_until(&self, now: Moment) -> Option<Moment> {
+        let until = Duration::from_micros(self.warming_until.load(Ordering::Relaxed));
+        (now < until).then_some(until)
     }
 
     /// Records whether a request at the target succeeded or failed.
@@ -528,7 +351,7 @@
     pub fn limit_reports(&self, now: Moment) -> Vec<LimitReport> {
         let gauges = self.read();
         let reports = gauges.iter().filter_map(|(target, gauge)| {
-            let (limit, age) = gauge.limit_report(now)?;
+            let (limit, age) = gauge.statements().limit_report(now)?;
             Some(LimitReport {
                 target: target.clone(),
                 limit,
@@ -549,8 +372,9 @@
     /// something of themselves, whose entries may be back before that ends.
     pub fn retain(&self, now: Moment, keep: impl Fn(&str) -> bool) {
         let mut gauges = self.gauges.write().unwrap_or_else(PoisonError::into_inner);
-        gauges
-            .retain(|id, gauge| gauge.local_requests() > 0 || gauge.has_statement(now) || keep(id));
+        gauges.retain(|id, gauge| {
+            gauge.local_requests() > 0 || gauge.statements().is_any_in_force(now) || keep(id)
+        });
     }
 
     fn read(&self) -> std::sync::RwLockReadGuard<'_, HashMap<TargetId, Arc<TargetGauge>>> {
--- a/crates/fleet/src/peers.rs
+++ b/crates/fleet/src/peers.rs
@@ -15,10 +15,10 @@
 
 use crate::costs::CostKind;
 use crate::gossip_client::{exchange, RESPONSE_TIMEOUT};
-use crate::limit_reports::apply_reports;
 use crate::ports::{NodeEntry, NodeUpdate, SourceError};
 use crate::registry::{read_other_zones, read_zone, RegistryView};
 use crate::shared::{FleetPhase, FleetShared};
+use crate::statement_recorder::apply_limit_reports;
 
 /// Path at which a node receives reports of silent targets.
 pub const SUSPICION_PATH: &str = "/suspicion";
@@ -97,7 +97,7 @@
         shared.has_traffic.store(true, Ordering::Relaxed);
     }
     apply_suspicions(shared, gossip.suspects());
-    apply_reports(shared, gossip);
+    apply_limit_reports(shared, gossip);
 }
 
 /// Report of a silent target to the node that controls its group.
--- a/crates/fleet/src/restriction.rs
+++ b/crates/fleet/src/restriction.rs
@@ -170,6 +170,7 @@
     }
 }
 
-fn earliest(left: Option<Moment>, right: Option<Moment>) -> Option<Moment> {
+/// Returns the earlier of two moments that are both optional.
+pub(crate) fn earliest(left: Option<Moment>, right: Option<Moment>) -> Option<Moment> {
     left.into_iter().chain(right).min()
 }
--- a/crates/fleet/src/shared.rs
+++ b/crates/fleet/src/shared.rs
@@ -18,11 +18,12 @@
 use crate::costs::{CostCounters, CostKind};
 use crate::demand::DemandMeter;
 use crate::feed::FeedRelay;
-use crate::gauge::{GaugeMap, LimitShare, NodeRank};
+use crate::gauge::{GaugeMap, NodeRank};
 use crate::metrics::FleetMetrics;
 use crate::ports::{FeedMark, FeedRequest, FeedResponse, FleetPlatform, NodeEntry, SourceError};
 use crate::routing_table::{RouteTarget, RoutingTable};
 use crate::settings::FleetSettings;
+use crate::statements::LimitShare;
 use crate::suspect_ledger::SuspectLedger;
 
 /// Fraction of the configured key validity during which keys are trusted.
--- /dev/null
+++ b/crates/fleet/src/statement_recorder.rs
@@ -0,0 +1,184 @@
+//! Records and logs what targets say of themselves, in responses and through other nodes.
+
+use std::sync::Arc;
+
+use briarswitch_core::id::Moment;
+use briarswitch_core::stated_limit::{LimitChange, LimitHeader};
+use briarswitch_kernel::BootClock;
+use briarswitch_membership::Gossip;
+
+use crate::gauge::TargetGauge;
+use crate::job::RequestJob;
+use crate::ports::ResponseInfo;
+use crate::routing_table::RouteTarget;
+use crate::shared::FleetShared;
+
+/// How a node learned of a change of a target's limit.
+#[derive(Clone, Copy, Debug)]
+enum LimitSource<'a> {
+    /// From the response to a request with this id.
+    Response(&'a str),
+    /// From another node.
+    Peer,
+}
+
+impl<'a> LimitSource<'a> {
+    fn name(self) -> &'static str {
+        match self {
+            Self::Response(_) => "response",
+            Self::Peer => "peer",
+        }
+    }
+
+    fn request(self) -> &'a str {
+        match self {
+            Self::Response(request) => request,
+            Self::Peer => "",
+        }
+    }
+}
+
+/// Records what targets say of themselves.
+pub struct StatementRecorder {
+    shared: Arc<FleetShared>,
+}
+
+impl StatementRecorder {
+    /// Creates a recorder.
+    pub fn new(shared: Arc<FleetShared>) -> Self {
+        Self { shared }
+    }
+
+    /// Records what a target says in the response to a request that was sent at `sent_at`.
+    ///
+    /// A response of another incarnation, or to another attempt, says nothing about the requests that the target takes
+    /// now.
+    pub fn record_response(
+        &self,
+        job: &RequestJob,
+        target: &RouteTarget,
+        info: &ResponseInfo,
+        sent_at: Moment,
+    ) {
+        let attempt = info.attempt.as_ref();
+        let is_foreign = attempt.is_some_and(|attempt| *attempt != job.request.attempt);
+        if info.is_other_incarnation || is_foreign {
+            return;
+        }
+        self.record_leaving(job, target, info);
+        self.record_rest(job, target, info);
+        self.record_limit(job, target, info, sent_at);
+    }
+
+    fn record_leaving(&self, job: &RequestJob, target: &RouteTarget, info: &ResponseInfo) {
+        let statements = target.gauge.statements();
+        if info.is_leaving && statements.record_leaving(BootClock::now()) {
+            log::info!(
+                request = job.request.attempt.as_str(),
+                target_id = target.id.as_str();
+                "target_leaving"
+            );
+        }
+    }
+
+    fn record_rest(&self, job: &RequestJob, target: &RouteTarget, info: &ResponseInfo) {
+        let Some(asked) = info.rest else {
+            return;
+        };
+        let now = BootClock::now();
+        let statements = target.gauge.statements();
+        statements.begin_rest(asked, now);
+        self.shared.metrics.count_rest(&job.service);
+        log::info!(
+            request = job.request.attempt.as_str(),
+            target_id = target.id.as_str(),
+            asked_ms = asked.as_millis() as u64,
+            left_ms = statements.rest_left(now).as_millis() as u64;
+            "target_rest_begun"
+        );
+    }
+
+    /// Records the limit that a target states, or no longer states.
+    ///
+    /// A response without a signature may not be the target's, so it does not end a limit.
+    fn record_limit(
+        &self,
+        job: &RequestJob,
+        target: &RouteTarget,
+        info: &ResponseInfo,
+        sent_at: Moment,
+    ) {
+        if info.limit == LimitHeader::Absent && !info.is_signed {
+            return;
+        }
+        let statements = target.gauge.statements();
+        let change = statements.record_limit_header(info.limit, sent_at, BootClock::now());
+        if let Some(change) = change {
+            let source = LimitSource::Response(&job.request.attempt);
+            log_change(&self.shared, &target.id, &target.gauge, change, source);
+        }
+    }
+
+    /// Logs that a request is sent to a target that states a limit, and what this node takes for its share, or to one
+    /// that wants no requests from this node.
+    pub fn log_choice(&self, job: &RequestJob, target: &RouteTarget, now: Moment) {
+        let statements = target.gauge.statements();
+        let left = statements.rest_left(now);
+        if !left.is_zero() {
+            log::info!(
+                request = job.request.attempt.as_str(),
+                target_id = target.id.as_str(),
+                left_ms = left.as_millis() as u64;
+                "resting_target_chosen"
+            );
+        }
+        let Some((limit, age)) = statements.limit_with_age(now) else {
+            return;
+        };
+        let share = self.shared.limit_share(limit, age, target, now);
+        log::info!(
+            request = job.request.attempt.as_str(),
+            target_id = target.id.as_str(),
+            per_second = limit.rate(),
+            age_ms = age.as_millis() as u64,
+            sent = statements.counted_requests(&limit, now),
+            share = share.requests,
+            window_ms = limit.counting_time().as_millis() as u64,
+            nodes = self.shared.rank_for(target, now).nodes;
+            "limited_target_chosen"
+        );
+    }
+}
+
+/// Applies what other nodes have heard about the limits of targets.
+pub fn apply_limit_reports(shared: &FleetShared, gossip: &Gossip) {
+    let now = BootClock::now();
+    for report in &gossip.digest.limits {
+        let gauge = shared.gauges.get(&report.target);
+        let age = report.age + gossip.digest.age;
+        let statements = gauge.statements();
+        if let Some(change) = statements.record_limit_report(report.limit, age, now) {
+            log_change(shared, &report.target, &gauge, change, LimitSource::Peer);
+        }
+    }
+}
+
+fn log_change(
+    shared: &FleetShared,
+    target: &str,
+    gauge: &TargetGauge,
+    change: LimitChange,
+    source: LimitSource<'_>,
+) {
+    shared.metrics.count_limit_change(change);
+    let limit = gauge.statements().limit_with_age(BootClock::now());
+    log::info!(
+        target_id = target,
+        heard = source.name(),
+        request = source.request(),
+        change = change.name(),
+        per_second = limit.map_or(0.0, |(limit, _)| limit.rate()),
+        age_ms = limit.map_or(0, |(_, age)| age.as_millis() as u64);
+        "target_limit_changed"
+    );
+}
--- a/crates/fleet/src/target_selector.rs
+++ b/crates/fleet/src/target_selector.rs
@@ -13,13 +13,16 @@
 use briarswitch_kernel::BootClock;
 use xxhash_rust::xxh3::{xxh3_64, xxh3_64_with_seed};
 
-use crate::gauge::{LimitShare, SlotGuard};
+use crate::gauge::SlotGuard;
 use crate::job::RequestJob;
 use crate::peers::PROPAGATION_TIME;
-use crate::restriction::{AcquiredSlot, PassedOver, Restriction, SlotError, TargetOutlook};
+use crate::restriction::{
+    earliest, AcquiredSlot, PassedOver, Restriction, SlotError, TargetOutlook,
+};
 use crate::routing_table::{RouteTarget, RoutingTable};
 use crate::shared::FleetShared;
 use crate::slot_queue::{wait_for_slot, QueueKey, ReservedTarget, SlotQueue, SlotRequest};
+use crate::statements::LimitShare;
 
 /// Interval at which a waiting request checks for a free slot if it is not woken before.
 const SLOT_POLL_INTERVAL: Duration = Duration::from_millis(25);
@@ -213,16 +216,22 @@
         target: &RouteTarget,
         now: Moment,
     ) -> Option<Restriction> {
-        if target.gauge.is_leaving(now) {
+        if target.gauge.statements().is_leaving(now) {
             return Some(Restriction::Leaving);
         }
-        if let Some(until) = target.gauge.resting_until(now) {
+        if let Some(until) = target.gauge.statements().resting_until(now) {
             return Some(Restriction::Resting { until });
         }
         let share = self.limit_share(spec, target, now)?;
-        let is_full = !target.gauge.has_room(&share, now);
-        is_full.then(|| Restriction::Limited {
-            free_at: target.gauge.free_at(&share, now),
+        if target.gauge.statements().has_room(&share, now) {
+            return None;
+        }
+        let free_at = target.gauge.statements().free_at(&share, now);
+        let is_only_warming = target.gauge.statements().limit_with_age(now).is_none();
+        let warm_at = target.gauge.warming_until(now);
+        let warm_at = warm_at.filter(|_| is_only_warming);
+        Some(Restriction::Limited {
+            free_at: earliest(free_at, warm_at),
             rate: share.rate(),
         })
     }
@@ -237,8 +246,8 @@
         now: Moment,
     ) -> Option<LimitShare> {
         let warmup = spec.and_then(|spec| spec.warmup.limit());
-        let warmup = warmup.filter(|_| target.gauge.is_warming(now));
-        let stated = target.gauge.limit_with_age(now);
+        let warmup = warmup.filter(|_| target.gauge.warming_until(now).is_some());
+        let stated = target.gauge.statements().limit_with_age(now);
         let limits = warmup.map(|limit| (limit, Duration::ZERO));
         let lowest = limits
             .into_iter()
@@ -278,8 +287,8 @@
             passed_over,
         } = self.select(slot_request, now)?;
         // Another thread may have sent a request since the target was found usable.
-        let is_full = share.is_some_and(|share| !target.gauge.reserve(&share, now));
-        if is_full || !target.gauge.reserve_after_rest(now) {
+        let is_full = share.is_some_and(|share| !target.gauge.statements().reserve(&share, now));
+        if is_full || !target.gauge.statements().reserve_after_rest(now) {
             return None;
         }
         let slot = SlotGuard::acquire(&target.gauge, slot_request.prompt_tokens, now);
