Requests wait for a target that is warm soon

Found by a test of its own before it landed: with the refusal of requests that limits keep waiting too long, a request behind others was refused at the pace of a target that warms up, although all of them fit as soon as it is warm. 18 of 24 requests were refused 0.7 s before that; the test passes now. A restriction says when it ends, if that is known.

--- a/crates/fleet/src/restriction.rs
+++ b/crates/fleet/src/restriction.rs
@@ -18,6 +18,8 @@
         free_at: Option<Moment>,
         /// Requests per second that this node may send.
         rate: f64,
+        /// When the limit ends; `None` if that is not known.
+        ends_at: Option<Moment>,
     },
     /// The target has said that it is leaving.
     Leaving,
@@ -32,7 +34,18 @@
     /// Returns when this node may send the next request; `None` if that is not known.
     pub fn free_at(&self) -> Option<Moment> {
         match self {
-            Self::Limited { free_at, .. } => *free_at,
+            Self::Limited {
+                free_at, ends_at, ..
+            } => earliest(*free_at, *ends_at),
+            Self::Resting { until } => Some(*until),
+            Self::Leaving => None,
+        }
+    }
+
+    /// Returns when this node may send as many requests as it likes; `None` if that is not known.
+    fn ends_at(&self) -> Option<Moment> {
+        match self {
+            Self::Limited { ends_at, .. } => *ends_at,
             Self::Resting { until } => Some(*until),
             Self::Leaving => None,
         }
@@ -109,6 +122,8 @@
     is_restricted: bool,
     /// When the first target becomes free to which the request has not been sent yet.
     free_at: Option<Moment>,
+    /// When the first of these targets has no restriction any more.
+    ends_at: Option<Moment>,
     /// When the first target becomes free, for another attempt of the caller.
     retry_at: Option<Moment>,
     /// Requests per second that this node may send to the restricted targets.
@@ -128,6 +143,7 @@
         self.retry_at = earliest(self.retry_at, free_at);
         if !is_tried {
             self.free_at = earliest(self.free_at, free_at);
+            self.ends_at = earliest(self.ends_at, restriction.ends_at());
             self.rate += restriction.rate();
         }
     }
@@ -142,7 +158,7 @@
     ///
     /// let at = Duration::from_secs;
     /// let mut outlook = TargetOutlook::default();
-    /// outlook.add(Some(Restriction::Limited { free_at: Some(at(12)), rate: 0.5 }), false);
+    /// outlook.add(Some(Restriction::Limited { free_at: Some(at(12)), rate: 0.5, ends_at: None }), false);
     /// assert!(outlook.refusal(0, at(13), at(10)).is_none());
     /// let refusal = outlook.refusal(1, at(13), at(10)).unwrap();
     /// assert_eq!(refusal.available_in, Some(at(4)));
@@ -158,10 +174,12 @@
         } else {
             Duration::ZERO
         };
-        if self.free_at.is_some_and(|at| at + behind < refuse_at) {
+        let behind_others = self.free_at.map(|at| at + behind);
+        let expected_at = earliest(behind_others, self.ends_at);
+        if expected_at.is_some_and(|at| at < refuse_at) {
             return None;
         }
-        let available_at = self.retry_at.map(|at| at + behind);
+        let available_at = expected_at.or(self.retry_at);
         Some(SlotError {
             point: FailurePoint::NoTarget,
             available_in: available_at.map(|at| at.saturating_sub(now)),
@@ -170,7 +188,6 @@
     }
 }
 
-/// Returns the earlier of two moments that are both optional.
-pub(crate) fn earliest(left: Option<Moment>, right: Option<Moment>) -> Option<Moment> {
+fn earliest(left: Option<Moment>, right: Option<Moment>) -> Option<Moment> {
     left.into_iter().chain(right).min()
 }
--- a/crates/fleet/src/target_selector.rs
+++ b/crates/fleet/src/target_selector.rs
@@ -16,9 +16,7 @@
 use crate::gauge::SlotGuard;
 use crate::job::RequestJob;
 use crate::peers::PROPAGATION_TIME;
-use crate::restriction::{
-    earliest, AcquiredSlot, PassedOver, Restriction, SlotError, TargetOutlook,
-};
+use crate::restriction::{AcquiredSlot, PassedOver, Restriction, SlotError, TargetOutlook};
 use crate::routing_table::{RouteTarget, RoutingTable};
 use crate::shared::FleetShared;
 use crate::slot_queue::{wait_for_slot, QueueKey, ReservedTarget, SlotQueue, SlotRequest};
@@ -226,13 +224,12 @@
         if target.gauge.statements().has_room(&share, now) {
             return None;
         }
-        let free_at = target.gauge.statements().free_at(&share, now);
-        let is_only_warming = target.gauge.statements().limit_with_age(now).is_none();
+        let is_stated = target.gauge.statements().limit_with_age(now).is_some();
         let warm_at = target.gauge.warming_until(now);
-        let warm_at = warm_at.filter(|_| is_only_warming);
         Some(Restriction::Limited {
-            free_at: earliest(free_at, warm_at),
+            free_at: target.gauge.statements().free_at(&share, now),
             rate: share.rate(),
+            ends_at: warm_at.filter(|_| !is_stated),
         })
     }
 
--- a/crates/fleet/tests/restriction.rs
+++ b/crates/fleet/tests/restriction.rs
@@ -14,6 +14,7 @@
     Some(Restriction::Limited {
         free_at: free_in_ms.map(|millis| NOW + Duration::from_millis(millis)),
         rate: 2.0,
+        ends_at: None,
     })
 }
 
@@ -61,6 +62,17 @@
     expect_that!(refusal.available_in, some(eq(Duration::from_millis(1_100))));
 }
 
+/// Guards against a refusal for the pace of a limit that ends before that matters.
+#[gtest]
+fn a_request_behind_others_waits_for_a_limit_that_ends_in_time() {
+    let warming = Restriction::Limited {
+        free_at: None,
+        rate: 0.0,
+        ends_at: Some(NOW + Duration::from_millis(700)),
+    };
+    expect_that!(refusal(&[(Some(warming), false)], 20), none());
+}
+
 /// Guards against a retry that waits for targets which it may not use again.
 #[gtest]
 fn a_target_that_has_been_tried_is_not_waited_for() {
--- a/crates/fleet/tests/support/target.rs
+++ b/crates/fleet/tests/support/target.rs
@@ -120,10 +120,11 @@
         self.shared.register();
     }
 
-    /// Lists the target under the same id as another incarnation.
-    pub fn list_as(&self, incarnation: Incarnation) {
+    /// Lists the target under the same id as another incarnation, which warms up for a while.
+    pub fn list_as(&self, incarnation: Incarnation, warmup_left: Duration) {
         let listing = TargetListing {
             incarnation,
+            warmup_left,
             ..self.shared.listing.clone()
         };
         self.shared
--- a/crates/fleet/tests/zones.rs
+++ b/crates/fleet/tests/zones.rs
@@ -13,6 +13,9 @@
 /// Number of requests that each node gets; many more than a target that warms up may take.
 const REQUESTS: usize = 24;
 
+/// Time in which a change of the list of targets reaches the node.
+const DIRECTORY_TIME: Duration = Duration::from_millis(150);
+
 fn listing(zone: &str) -> TargetListing {
     TargetListing {
         zone: zone.to_owned(),
@@ -156,3 +159,14 @@
     let response = without.request(0, look("/local/x")).await;
     expect_that!(response.status, eq(503));
 }
+
+/// Guards against requests that are refused at once although their only target is warm before their time is up.
+#[gtest]
+#[tokio::test(flavor = "multi_thread")]
+async fn requests_wait_for_a_target_that_is_warm_soon() {
+    let fleet = Fleet::open_with(vec![listing("z1")], &["z1"]).await;
+    tokio::time::sleep(counting_time()).await;
+    fleet.targets[0].list_as(1, Duration::from_millis(700));
+    tokio::time::sleep(DIRECTORY_TIME).await;
+    expect_that!(send_to_all(&fleet).await, eq(REQUESTS));
+}
