Backing off from a target is called by its name in the field

`TargetRest`, `resting` and `rest` were the users' phrase; they are `TargetBackoff`, `backing_off` and `retry_after` now, also in log events, metrics and tests.

--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -11,6 +11,7 @@
 //! ```
 
 pub mod assembly;
+pub mod backoff;
 pub mod choice;
 pub mod claim;
 pub mod config;
@@ -45,7 +46,6 @@
 pub mod rebalance;
 pub mod request_limit;
 pub mod residency;
-pub mod rest;
 pub mod retry;
 pub mod rule;
 pub mod silence;
--- a/crates/ctl/src/explain.rs
+++ b/crates/ctl/src/explain.rs
@@ -16,7 +16,7 @@
 const REASONS: &[(&str, &str)] = &[
     (
         "no_target",
-        "no target had a free slot in time; check limited and resting for targets that limit themselves or asked for rest, and domain_state for the groups that were open",
+        "no target had a free slot in time; check limited, backing_off and leaving for targets that were passed over, and domain_state for the groups that were open",
     ),
     (
         "queue_deadline",
--- a/crates/fleet/src/metrics.rs
+++ b/crates/fleet/src/metrics.rs
@@ -28,7 +28,7 @@
     quarantines: Counter<u64>,
     quarantine_refusals: Counter<u64>,
     limit_changes: Counter<u64>,
-    rests: Counter<u64>,
+    backoffs: Counter<u64>,
     latency: Histogram<f64>,
     first_event: Histogram<f64>,
     config_version: Arc<AtomicU64>,
@@ -87,7 +87,7 @@
             quarantines: meter.u64_counter("quarantines").build(),
             quarantine_refusals: meter.u64_counter("quarantine_refusals").build(),
             limit_changes: meter.u64_counter("target_limit_changes").build(),
-            rests: meter.u64_counter("target_rests").build(),
+            backoffs: meter.u64_counter("target_backoffs").build(),
             latency: histogram("request_seconds"),
             first_event: histogram("first_event_seconds"),
             registry,
@@ -120,8 +120,8 @@
     }
 
     /// Counts one request that a target refused while asking for a time without further ones.
-    pub fn count_rest(&self, service: &str) {
-        self.rests
+    pub fn count_backoff(&self, service: &str) {
+        self.backoffs
             .add(1, &[KeyValue::new("service", service.to_owned())]);
     }
 
--- a/crates/fleet/src/ports.rs
+++ b/crates/fleet/src/ports.rs
@@ -322,7 +322,7 @@
     /// Whether the target says that it is leaving.
     pub is_leaving: bool,
     /// Time for which the target, which has refused the request, wants no further ones from this node.
-    pub rest: Option<Duration>,
+    pub retry_after: Option<Duration>,
     /// Limit that the target states for requests from all nodes together.
     pub limit: LimitHeader,
     /// Whether an intermediary has changed the encoding of the body.
--- a/crates/fleet/src/restriction.rs
+++ b/crates/fleet/src/restriction.rs
@@ -24,7 +24,7 @@
     /// The target has said that it is leaving.
     Leaving,
     /// The target has refused a request and wants no further ones from this node.
-    Resting {
+    BackingOff {
         /// When the next request may be sent.
         until: Moment,
     },
@@ -37,7 +37,7 @@
             Self::Limited {
                 free_at, ends_at, ..
             } => earliest(*free_at, *ends_at),
-            Self::Resting { until } => Some(*until),
+            Self::BackingOff { until } => Some(*until),
             Self::Leaving => None,
         }
     }
@@ -46,7 +46,7 @@
     fn ends_at(&self) -> Option<Moment> {
         match self {
             Self::Limited { ends_at, .. } => *ends_at,
-            Self::Resting { until } => Some(*until),
+            Self::BackingOff { until } => Some(*until),
             Self::Leaving => None,
         }
     }
@@ -54,7 +54,7 @@
     fn rate(&self) -> f64 {
         match self {
             Self::Limited { rate, .. } => *rate,
-            Self::Resting { .. } | Self::Leaving => 0.0,
+            Self::BackingOff { .. } | Self::Leaving => 0.0,
         }
     }
 }
@@ -65,7 +65,7 @@
     /// Targets whose limit left this node no room.
     pub limited: u32,
     /// Targets that want no requests from this node for a while.
-    pub resting: u32,
+    pub backing_off: u32,
     /// Targets that have said that they are leaving.
     pub leaving: u32,
 }
@@ -76,7 +76,7 @@
         match restriction {
             None => {}
             Some(Restriction::Limited { .. }) => self.limited += 1,
-            Some(Restriction::Resting { .. }) => self.resting += 1,
+            Some(Restriction::BackingOff { .. }) => self.backing_off += 1,
             Some(Restriction::Leaving) => self.leaving += 1,
         }
     }
--- a/crates/fleet/src/statement_recorder.rs
+++ b/crates/fleet/src/statement_recorder.rs
@@ -66,7 +66,7 @@
             return;
         }
         self.record_leaving(job, target, info);
-        self.record_rest(job, target, info);
+        self.record_retry_after(job, target, info);
         self.record_limit(job, target, info, sent_at);
     }
 
@@ -81,20 +81,20 @@
         }
     }
 
-    fn record_rest(&self, job: &RequestJob, target: &RouteTarget, info: &ResponseInfo) {
-        let Some(asked) = info.rest else {
+    fn record_retry_after(&self, job: &RequestJob, target: &RouteTarget, info: &ResponseInfo) {
+        let Some(asked) = info.retry_after else {
             return;
         };
         let now = BootClock::now();
         let statements = target.gauge.statements();
-        statements.begin_rest(asked, now);
-        self.shared.metrics.count_rest(&job.service);
+        statements.begin_backoff(asked, now);
+        self.shared.metrics.count_backoff(&job.service);
         log::info!(
             request = job.request.attempt.as_str(),
             target_id = target.id.as_str(),
             asked_ms = asked.as_millis() as u64,
-            left_ms = statements.rest_left(now).as_millis() as u64;
-            "target_rest_begun"
+            left_ms = statements.backoff_left(now).as_millis() as u64;
+            "target_backoff_begun"
         );
     }
 
@@ -123,13 +123,13 @@
     /// that wants no requests from this node.
     pub fn log_choice(&self, job: &RequestJob, target: &RouteTarget, now: Moment) {
         let statements = target.gauge.statements();
-        let left = statements.rest_left(now);
+        let left = statements.backoff_left(now);
         if !left.is_zero() {
             log::info!(
                 request = job.request.attempt.as_str(),
                 target_id = target.id.as_str(),
                 left_ms = left.as_millis() as u64;
-                "resting_target_chosen"
+                "backoff_target_chosen"
             );
         }
         let Some((limit, age)) = statements.limit_with_age(now) else {
--- a/crates/fleet/src/statements.rs
+++ b/crates/fleet/src/statements.rs
@@ -1,4 +1,4 @@
-//! What a target has said of itself in its responses: that it leaves, that it wants rest, how much it takes.
+//! What a target has said of itself in its responses: that it leaves, for how long it wants no requests, how many it takes.
 //!
 //! It is kept by target, apart from the target's entry, group and connections.
 
@@ -6,9 +6,9 @@
 use std::sync::{Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
+use briarswitch_core::backoff::TargetBackoff;
 use briarswitch_core::id::Moment;
 use briarswitch_core::request_limit::{RequestLimit, RequestWindow};
-use briarswitch_core::rest::TargetRest;
 use briarswitch_core::stated_limit::{LimitChange, LimitHeader, StatedLimit};
 
 use crate::gauge::micros;
@@ -38,8 +38,8 @@
 #[derive(Debug, Default)]
 pub struct TargetStatements {
     leaving_until: AtomicU64,
-    rest: Mutex<TargetRest>,
-    has_rest: AtomicBool,
+    backoff: Mutex<TargetBackoff>,
+    has_backoff: AtomicBool,
     limit: Mutex<StatedLimit>,
     limited_until: AtomicU64,
     limit_reported_until: AtomicU64,
@@ -60,40 +60,40 @@
     }
 
     /// Records that the target refused a request and wants no further ones from this node for the time `asked`.
-    pub fn begin_rest(&self, asked: Duration, now: Moment) {
-        self.rest().begin(asked, rand::random(), now);
-        self.has_rest.store(true, Ordering::Relaxed);
+    pub fn begin_backoff(&self, asked: Duration, now: Moment) {
+        self.backoff().begin(asked, rand::random(), now);
+        self.has_backoff.store(true, Ordering::Relaxed);
     }
 
     /// Records that the target accepted a request that was sent at `sent_at`.
     pub fn record_accepted(&self, sent_at: Moment) {
-        if self.has_rest.load(Ordering::Relaxed) {
-            let mut rest = self.rest();
-            rest.record_accepted(sent_at);
-            self.has_rest
-                .store(rest.free_at().is_some(), Ordering::Relaxed);
+        if self.has_backoff.load(Ordering::Relaxed) {
+            let mut backoff = self.backoff();
+            backoff.record_accepted(sent_at);
+            self.has_backoff
+                .store(backoff.free_at().is_some(), Ordering::Relaxed);
         }
     }
 
-    /// Returns when this node may send the next request to a target that asked it for a rest; `None` if it may now.
-    pub fn resting_until(&self, now: Moment) -> Option<Moment> {
-        if !self.has_rest.load(Ordering::Relaxed) {
+    /// Returns when this node may send the next request to a target that asked it to stay away; `None` if it may now.
+    pub fn backoff_until(&self, now: Moment) -> Option<Moment> {
+        if !self.has_backoff.load(Ordering::Relaxed) {
             return None;
         }
-        self.rest().free_at().filter(|free_at| now < *free_at)
+        self.backoff().free_at().filter(|free_at| now < *free_at)
     }
 
     /// Returns for how long the target wants no requests from this node.
-    pub fn rest_left(&self, now: Moment) -> Duration {
-        if !self.has_rest.load(Ordering::Relaxed) {
+    pub fn backoff_left(&self, now: Moment) -> Duration {
+        if !self.has_backoff.load(Ordering::Relaxed) {
             return Duration::ZERO;
         }
-        self.rest().until().saturating_sub(now)
+        self.backoff().until().saturating_sub(now)
     }
 
     /// Counts a request that is sent to the target; returns false if the target wants none from this node now.
-    pub fn reserve_after_rest(&self, now: Moment) -> bool {
-        !self.has_rest.load(Ordering::Relaxed) || self.rest().reserve(now)
+    pub fn reserve_after_backoff(&self, now: Moment) -> bool {
+        !self.has_backoff.load(Ordering::Relaxed) || self.backoff().reserve(now)
     }
 
     /// Records what a response to a request that was sent at `sent_at` says about the target's limit.
@@ -154,15 +154,15 @@
     /// Forgets what the target said, since another incarnation of it has begun.
     pub fn forget(&self, now: Moment) {
         self.leaving_until.store(0, Ordering::Relaxed);
-        *self.rest() = TargetRest::default();
-        self.has_rest.store(false, Ordering::Relaxed);
+        *self.backoff() = TargetBackoff::default();
+        self.has_backoff.store(false, Ordering::Relaxed);
         self.update_limit(|limit| limit.forget(now));
     }
 
     /// Returns whether something that the target said is in force at `now`.
     pub fn is_any_in_force(&self, now: Moment) -> bool {
-        let is_resting = self.resting_until(now).is_some();
-        is_resting || self.is_leaving(now) || self.may_be_limited(now)
+        let is_backing_off = self.backoff_until(now).is_some();
+        is_backing_off || self.is_leaving(now) || self.may_be_limited(now)
     }
 
     /// Changes what is known of the limit, and until when that has to be looked up.
@@ -184,8 +184,8 @@
         self.limit.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
-    fn rest(&self) -> MutexGuard<'_, TargetRest> {
-        self.rest.lock().unwrap_or_else(PoisonError::into_inner)
+    fn backoff(&self) -> MutexGuard<'_, TargetBackoff> {
+        self.backoff.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
     fn sent(&self) -> MutexGuard<'_, RequestWindow> {
--- a/crates/fleet/src/target_selector.rs
+++ b/crates/fleet/src/target_selector.rs
@@ -217,8 +217,8 @@
         if target.gauge.statements().is_leaving(now) {
             return Some(Restriction::Leaving);
         }
-        if let Some(until) = target.gauge.statements().resting_until(now) {
-            return Some(Restriction::Resting { until });
+        if let Some(until) = target.gauge.statements().backoff_until(now) {
+            return Some(Restriction::BackingOff { until });
         }
         let share = self.limit_share(spec, target, now)?;
         if target.gauge.statements().has_room(&share, now) {
@@ -285,7 +285,7 @@
         } = self.select(slot_request, now)?;
         // Another thread may have sent a request since the target was found usable.
         let is_full = share.is_some_and(|share| !target.gauge.statements().reserve(&share, now));
-        if is_full || !target.gauge.statements().reserve_after_rest(now) {
+        if is_full || !target.gauge.statements().reserve_after_backoff(now) {
             return None;
         }
         let slot = SlotGuard::acquire(&target.gauge, slot_request.prompt_tokens, now);
--- a/crates/fleet/src/trace.rs
+++ b/crates/fleet/src/trace.rs
@@ -194,7 +194,7 @@
             sent = self.attempts_sent,
             events = self.events,
             limited = self.passed_over.limited,
-            resting = self.passed_over.resting,
+            backing_off = self.passed_over.backing_off,
             leaving = self.passed_over.leaving,
             patience_ms = self.timeout.as_millis() as u64,
             before_ms = self.waited_before.as_millis() as u64,
--- a/crates/fleet/tests/rests.rs
+++ b/crates/fleet/tests/backoffs.rs
@@ -11,13 +11,13 @@
 /// Time in which a change of the list of targets reaches the node.
 const DIRECTORY_TIME: Duration = Duration::from_secs(1);
 
-/// Time to rest that targets ask for, as they state it.
-const REST: &str = "3";
+/// Time for which targets want no requests, in the header.
+const RETRY_AFTER: &str = "3";
 /// The same time.
-const REST_TIME: Duration = Duration::from_secs(3);
+const BACKOFF_TIME: Duration = Duration::from_secs(3);
 /// Time after a refusal in which requests that were on their way may still arrive.
 const TRANSIT_TIME: Duration = Duration::from_millis(500);
-/// Requests that may reach a target later while it rests.
+/// Requests that may reach a target later in that time.
 const MAX_LATE: usize = 2;
 /// Callers that send requests at the same time.
 const CALLERS: usize = 8;
@@ -39,9 +39,9 @@
 
 /// Returns the largest number of requests that reached a target between [`TRANSIT_TIME`] after a refusal and the end of
 /// the time that it asked for.
-fn most_while_resting(refusals: &[Instant]) -> usize {
+fn most_while_backing_off(refusals: &[Instant]) -> usize {
     let counts = refusals.iter().map(|refused| {
-        let (start, end) = (*refused + TRANSIT_TIME, *refused + REST_TIME);
+        let (start, end) = (*refused + TRANSIT_TIME, *refused + BACKOFF_TIME);
         refusals
             .iter()
             .filter(|at| **at > start && **at < end)
@@ -53,38 +53,38 @@
 /// Guards against a node that sends on to a target that has asked it for a time without requests.
 #[gtest]
 #[tokio::test(flavor = "multi_thread")]
-async fn a_target_that_asked_for_rest_gets_none_from_that_node() {
+async fn a_target_that_said_when_to_retry_gets_nothing_earlier_from_that_node() {
     let fleet = Fleet::open_groups(3, &["z1"]).await;
-    fleet.targets[0].refuse(Some(REST));
-    expect_that!(call_all(&fleet, REST_TIME * 2).await, eq(0));
+    fleet.targets[0].refuse(Some(RETRY_AFTER));
+    expect_that!(call_all(&fleet, BACKOFF_TIME * 2).await, eq(0));
     let refusals = fleet.targets[0].refusals();
     expect_that!(refusals.len(), ge(1));
-    expect_that!(most_while_resting(&refusals), le(MAX_LATE));
+    expect_that!(most_while_backing_off(&refusals), le(MAX_LATE));
 }
 
-/// Guards against callers that wait for targets of which all have asked for rest, and are refused with a time that is
+/// Guards against callers that wait for targets of which none wants requests, and are refused with a time that is
 /// too short.
 #[gtest]
 #[tokio::test(flavor = "multi_thread")]
 async fn callers_are_refused_until_the_first_target_is_back() {
     let fleet = Fleet::open_groups(2, &["z1"]).await;
     for target in &fleet.targets {
-        target.refuse(Some(REST));
+        target.refuse(Some(RETRY_AFTER));
     }
     let begun = Instant::now();
     fleet.request(0, TestRequest::model("hello")).await;
     let refused = fleet.request(0, TestRequest::model("hello")).await;
     expect_that!(refused.status, eq(503));
-    let left = REST_TIME.saturating_sub(begun.elapsed()).as_secs_f64();
+    let left = BACKOFF_TIME.saturating_sub(begun.elapsed()).as_secs_f64();
     expect_that!(refused.retry_after(), some(ge(left)));
     let refusals = fleet.targets.iter().map(|target| target.refusals().len());
     expect_that!(refusals.sum::<usize>(), eq(2));
 }
 
-/// Guards against a rest that is forgotten with the target's entry in the directory.
+/// Guards against a backoff that is forgotten with the target's entry in the directory.
 #[gtest]
 #[tokio::test(flavor = "multi_thread")]
-async fn a_rest_outlasts_a_change_of_the_targets_entry() {
+async fn a_backoff_outlasts_a_change_of_the_targets_entry() {
     let fleet = Fleet::open_groups(1, &["z1"]).await;
     fleet.targets[0].refuse(Some("30"));
     fleet.request(0, TestRequest::model("hello")).await;
@@ -96,10 +96,10 @@
     expect_that!(fleet.targets[0].refusals().len(), eq(1));
 }
 
-/// Guards against a rest that one node was asked for and others keep, and against one that outlasts its incarnation.
+/// Guards against a backoff that one node was asked for and others keep, and against one that outlasts its incarnation.
 #[gtest]
 #[tokio::test(flavor = "multi_thread")]
-async fn a_rest_binds_one_node_and_ends_with_the_incarnation() {
+async fn a_backoff_binds_one_node_and_ends_with_the_incarnation() {
     let fleet = Fleet::open_groups(1, &["z1", "z1"]).await;
     fleet.targets[0].refuse(Some("30"));
     fleet.request(0, TestRequest::model("hello")).await;
--- a/crates/fleet/tests/restriction.rs
+++ b/crates/fleet/tests/restriction.rs
@@ -81,21 +81,21 @@
     expect_that!(refusal.available_in, none());
 }
 
-/// Guards against targets at rest that requests wait for in vain.
+/// Guards against targets that take no requests yet and that requests wait for in vain.
 #[gtest]
-fn targets_at_rest_are_waited_for_only_if_they_are_back_in_time() {
-    let resting = |seconds| {
+fn targets_to_back_off_from_are_waited_for_only_if_they_are_back_in_time() {
+    let backing_off = |seconds| {
         let until = NOW + Duration::from_secs_f64(seconds);
-        (Some(Restriction::Resting { until }), false)
+        (Some(Restriction::BackingOff { until }), false)
     };
-    expect_that!(refusal(&[resting(3.0), resting(0.5)], 0), none());
-    let refusal = refusal(&[resting(3.0), (limited(None), false)], 0).expect("a refusal");
+    expect_that!(refusal(&[backing_off(3.0), backing_off(0.5)], 0), none());
+    let refusal = refusal(&[backing_off(3.0), (limited(None), false)], 0).expect("a refusal");
     expect_that!(refusal.available_in, some(eq(Duration::from_secs(3))));
     expect_that!(
         refusal.passed_over,
         eq(PassedOver {
             limited: 1,
-            resting: 1,
+            backing_off: 1,
             leaving: 0
         })
     );
--- a/crates/fleet/tests/support/platform.rs
+++ b/crates/fleet/tests/support/platform.rs
@@ -530,8 +530,8 @@
             is_signed: headers.contains_key("signed"),
             is_not_run: status == StatusCode::SERVICE_UNAVAILABLE,
             is_other_incarnation: status == StatusCode::MISDIRECTED_REQUEST,
-            rest: text(headers, "rest")
-                .and_then(|rest| rest.parse().ok())
+            retry_after: text(headers, "retry-after")
+                .and_then(|seconds| seconds.parse().ok())
                 .map(Duration::from_secs_f64),
             is_leaving: headers.contains_key("leaving"),
             limit: limit_header(headers),
--- a/crates/fleet/tests/support/target.rs
+++ b/crates/fleet/tests/support/target.rs
@@ -37,7 +37,7 @@
     runs: Vec<RecordedRun>,
     /// Whether the target does not restart after a crash.
     stays_down: bool,
-    /// Whether it refuses all requests, and the time to rest that it asks for, as text.
+    /// Whether it refuses all requests, and the time after which to retry, as text.
     refusal: Option<String>,
     refusals: Vec<Instant>,
     /// Whether it says in its responses that it leaves.
@@ -132,9 +132,9 @@
             .list_target(&self.shared.id(), &listing);
     }
 
-    /// Refuses all requests from now on and asks for a time to rest; `None` runs requests again.
-    pub fn refuse(&self, rest: Option<&str>) {
-        self.shared.lock().refusal = rest.map(str::to_owned);
+    /// Refuses all requests from now on and says after which time to retry; `None` runs requests again.
+    pub fn refuse(&self, retry_after: Option<&str>) {
+        self.shared.lock().refusal = retry_after.map(str::to_owned);
     }
 
     /// Returns when requests were refused so far.
@@ -199,12 +199,12 @@
         limit.chain(leaving).collect()
     }
 
-    /// Records a refusal if the target refuses requests now, and returns the time to rest that it asks for.
+    /// Records a refusal if the target refuses requests now, and returns the time after which to retry.
     fn refuse_now(&self) -> Option<String> {
         let mut state = self.lock();
-        let rest = state.refusal.clone()?;
+        let retry_after = state.refusal.clone()?;
         state.refusals.push(Instant::now());
-        Some(rest)
+        Some(retry_after)
     }
 
     /// Returns the target id of the current incarnation; each incarnation has an id of its own.
@@ -289,9 +289,9 @@
         return stream.write_all(misdirected.as_bytes()).await;
     }
     let attempt = field("attempt");
-    if let Some(rest) = shared.refuse_now() {
+    if let Some(retry_after) = shared.refuse_now() {
         let refusal = format!(
-            "HTTP/1.1 503 Service Unavailable\r\nattempt: {attempt}\r\nrest: {rest}\r\ncontent-length: 0\r\nconnection: close\r\n\r\n"
+            "HTTP/1.1 503 Service Unavailable\r\nattempt: {attempt}\r\nretry-after: {retry_after}\r\ncontent-length: 0\r\nconnection: close\r\n\r\n"
         );
         return stream.write_all(refusal.as_bytes()).await;
     }
