--- a/crates/fleet/tests/stated_limits.rs
+++ b/crates/fleet/tests/stated_limits.rs
@@ -80,6 +80,22 @@
     expect_that!(most, all!(ge(4), le(allowed(2.4))));
 }
 
+/// Guards against a limit that a node overruns after each restart because it has forgotten both the limit and what it sent.
+#[gtest]
+#[tokio::test(flavor = "multi_thread")]
+async fn a_node_that_starts_again_keeps_a_limit_of_which_the_others_know() {
+    let mut fleet = Fleet::open(3, &["z1", "z1", "z2"]).await;
+    fleet.targets[0].state_limit(Some("1"));
+    call_all(&fleet, PROPAGATION_TIME).await;
+    let told = Instant::now();
+    for _ in 0..4 {
+        fleet.start(0).await;
+        call_all(&fleet, COUNTED_TIME / 4).await;
+    }
+    let most = most_arrivals(&fleet.targets[0], told);
+    expect_that!(most, le(allowed(1.0)));
+}
+
 /// Guards against callers that wait for their whole time where the only target limits itself to less than they ask.
 #[gtest]
 #[tokio::test(flavor = "multi_thread")]
