`briarctl explain` shows why targets were passed over

The counts in `request_ended` did not say which targets, and since when. `explain` adds what the node had last learned from or of targets that limit themselves, asked it to stay away or leave, in the minute before the request ended. The line on a changed limit names the incarnation whose response said so.

--- a/crates/ctl/src/explain.rs
+++ b/crates/ctl/src/explain.rs
@@ -78,6 +78,17 @@
     ),
 ];
 
+/// Events in which a node learns that a target has a reason to be passed over.
+const STATEMENT_EVENTS: [&str; 3] = [
+    "target_limit_changed",
+    "target_backoff_begun",
+    "target_leaving",
+];
+/// Fields of `request_ended` that count targets which were passed over.
+const PASSED_OVER_FIELDS: [&str; 3] = ["limited", "backing_off", "leaving"];
+/// Time in seconds before a request within which statements of targets are listed.
+const STATEMENT_TIME: f64 = 60.0;
+
 impl LogLine {
     /// Parses a line; returns `None` if it is not a log line with an event.
     ///
@@ -179,7 +190,43 @@
         || "the logs contain no end of the request".to_owned(),
         |line| explain_outcome(line),
     );
-    Some(format!("{}\n\n{outcome}", format_lines(&found)))
+    let passed_over = last.and_then(|line| explain_passed_over(lines, line));
+    let parts = [format_lines(&found), outcome];
+    let parts: Vec<String> = parts.into_iter().chain(passed_over).collect();
+    Some(parts.join("\n\n"))
+}
+
+/// Returns what targets had said to the node that passed some of them over, or `None` if it passed none over.
+fn explain_passed_over(lines: &[LogLine], end: &LogLine) -> Option<String> {
+    let counts = PASSED_OVER_FIELDS.map(|field| (field, end.get(field)));
+    counts
+        .iter()
+        .find(|(_, count)| !matches!(*count, "" | "0"))?;
+    let node = end.get("node");
+    let mut latest: IndexMap<(&str, &str), &LogLine> = IndexMap::new();
+    for line in sorted(lines) {
+        let age = end.time() - line.time();
+        let is_statement = STATEMENT_EVENTS.contains(&line.get("event"));
+        if is_statement && line.get("node") == node && (0.0..STATEMENT_TIME).contains(&age) {
+            latest.insert((line.get("event"), line.get("target_id")), line);
+        }
+    }
+    let counts = counts.map(|(field, count)| format!("{field}={count}"));
+    let statements = latest
+        .values()
+        .map(|line| format!("{:>+9.3} s  {}", line.time() - end.time(), line.text()));
+    let statements: Vec<String> = statements.collect();
+    Some(format!(
+        "targets that were passed over ({}) had said at {node}:\n{}",
+        counts.join(", "),
+        statements.join("\n")
+    ))
+}
+
+fn sorted(lines: &[LogLine]) -> Vec<&LogLine> {
+    let mut sorted: Vec<&LogLine> = lines.iter().collect();
+    sorted.sort_by(|left, right| left.time().total_cmp(&right.time()));
+    sorted
 }
 
 /// Returns the log lines of a group, or `None` if no line mentions it.
@@ -188,11 +235,8 @@
 }
 
 fn lines_of<'a>(lines: &'a [LogLine], field: &str, value: &str) -> Option<Vec<&'a LogLine>> {
-    let mut found: Vec<&LogLine> = lines
-        .iter()
-        .filter(|line| line.get(field) == value)
-        .collect();
-    found.sort_by(|left, right| left.time().total_cmp(&right.time()));
+    let mut found = sorted(lines);
+    found.retain(|line| line.get(field) == value);
     (!found.is_empty()).then_some(found)
 }
 
--- a/crates/ctl/tests/explain.rs
+++ b/crates/ctl/tests/explain.rs
@@ -46,3 +46,30 @@
     expect_that!(explain(&lines(), "r3"), none());
     expect_that!(timeline(&lines(), "g-9"), none());
 }
+
+/// Log lines of a request that passed over two targets, and of what targets said at its node and at another one.
+const PASSED_OVER_LINES: &str = r#"
+ts=1.000 node=front-1 event=target_limit_changed target_id=i-3 heard=response change=begun per_second=9
+ts=70.000 node=front-1 event=target_limit_changed target_id=i-1 heard=peer change=begun per_second=2.4 age_ms=90
+ts=71.000 node=front-2 event=target_leaving request=r8 target_id=i-2
+ts=72.000 node=front-1 event=target_backoff_begun request=r7 target_id=i-4 asked_ms=3000 left_ms=3100
+ts=73.000 node=front-1 event=request_ended request=r9 outcome=not_run reason=no_target limited=1 backing_off=1 leaving=0
+ts=74.000 node=front-1 event=target_leaving request=r8 target_id=i-5
+"#;
+
+#[gtest]
+fn a_request_that_passed_targets_over_is_explained_by_what_they_had_said() {
+    let lines = PASSED_OVER_LINES.lines().filter_map(LogLine::parse);
+    let lines: Vec<LogLine> = lines.collect();
+    let report = explain(&lines, "r9").expect("the request is found");
+    expect_that!(
+        report,
+        contains_substring("(limited=1, backing_off=1, leaving=0) had said at front-1")
+    );
+    expect_that!(report, contains_substring("-3.000 s  front-1"));
+    expect_that!(report, contains_substring("per_second=2.4"));
+    expect_that!(report, contains_substring("target_id=i-4"));
+    for other in ["i-2", "i-3", "i-5"] {
+        expect_that!(report, not(contains_substring(other)));
+    }
+}
--- a/crates/fleet/src/statement_recorder.rs
+++ b/crates/fleet/src/statement_recorder.rs
@@ -2,7 +2,7 @@
 
 use std::sync::Arc;
 
-use briarswitch_core::id::Moment;
+use briarswitch_core::id::{Incarnation, Moment};
 use briarswitch_core::stated_limit::{LimitChange, LimitHeader};
 use briarswitch_kernel::BootClock;
 use briarswitch_membership::Gossip;
@@ -16,8 +16,8 @@
 /// How a node learned of a change of a target's limit.
 #[derive(Clone, Copy, Debug)]
 enum LimitSource<'a> {
-    /// From the response to a request with this id.
-    Response(&'a str),
+    /// From the response of an incarnation to a request with this id.
+    Response(&'a str, Incarnation),
     /// From another node.
     Peer,
 }
@@ -25,17 +25,24 @@
 impl<'a> LimitSource<'a> {
     fn name(self) -> &'static str {
         match self {
-            Self::Response(_) => "response",
+            Self::Response(..) => "response",
             Self::Peer => "peer",
         }
     }
 
     fn request(self) -> &'a str {
         match self {
-            Self::Response(request) => request,
+            Self::Response(request, _) => request,
             Self::Peer => "",
         }
     }
+
+    fn incarnation(self) -> Incarnation {
+        match self {
+            Self::Response(_, incarnation) => incarnation,
+            Self::Peer => 0,
+        }
+    }
 }
 
 /// Records what targets say of themselves.
@@ -114,7 +121,7 @@
         let statements = target.gauge.statements();
         let change = statements.record_limit_header(info.limit, sent_at, BootClock::now());
         if let Some(change) = change {
-            let source = LimitSource::Response(&job.request.attempt);
+            let source = LimitSource::Response(&job.request.attempt, target.incarnation);
             log_change(&self.shared, &target.id, &target.gauge, change, source);
         }
     }
@@ -174,6 +181,7 @@
     let limit = gauge.statements().limit_with_age(BootClock::now());
     log::info!(
         target_id = target,
+        incarnation = source.incarnation(),
         heard = source.name(),
         request = source.request(),
         change = change.name(),
