A request waits for what replaces targets that are leaving

Where all targets of a request had said that they leave, it was refused at once, although it waits where the directory says so of all of them: others may be about to come. Both now wait.

--- a/crates/core/src/stated_limit.rs
+++ b/crates/core/src/stated_limit.rs
@@ -5,10 +5,7 @@
 use crate::id::{Moment, TargetId};
 use crate::request_limit::RequestLimit;
 
-/// Time without a response that states it after which a limit is forgotten.
-///
-/// Much longer than the time in which every node has had a turn at a limit of one request a second or more, so that
-/// a limit is normally ended by a response.
+/// Time without a response that states it after which a limit is forgotten; usually a response ends it earlier.
 const MAX_AGE: Duration = Duration::from_secs(60);
 /// Time for which a node reports to the others what it heard; several messages.
 pub const REPORT_TIME: Duration = Duration::from_secs(2);
@@ -65,10 +62,10 @@
     limit: Option<RequestLimit>,
     /// When the limit was last stated, here or to another node, or when the request was sent whose response ended it.
     heard_at: Moment,
-    /// Until when further responses without a limit confirm that it has ended.
-    confirmed_until: Moment,
     /// Whether this node received that response itself.
     is_own: bool,
+    /// Until when further responses without a limit confirm that it has ended.
+    confirmed_until: Moment,
 }
 
 impl StatedLimit {
--- a/crates/fleet/src/restriction.rs
+++ b/crates/fleet/src/restriction.rs
@@ -137,8 +137,12 @@
             self.is_open |= !is_tried;
             return;
         };
-        self.is_restricted = true;
         self.passed_over.count(Some(restriction));
+        if restriction == Restriction::Leaving {
+            // As with a target that the directory no longer lists, another one may be about to take its place.
+            return;
+        }
+        self.is_restricted = true;
         let free_at = restriction.free_at();
         self.retry_at = earliest(self.retry_at, free_at);
         if !is_tried {
