--- a/crates/core/src/stated_limit.rs
+++ b/crates/core/src/stated_limit.rs
@@ -7,8 +7,14 @@
 
 /// Time without a response that states it after which a limit is forgotten; usually a response ends it earlier.
 const MAX_AGE: Duration = Duration::from_secs(60);
-/// Time for which a node reports to the others what it heard; several messages.
-pub const REPORT_TIME: Duration = Duration::from_secs(2);
+/// Time for which a node reports to the others that a limit was stated; several messages.
+const REPORT_TIME: Duration = Duration::from_millis(500);
+/// Time for which a node reports to the others that a limit has ended, with the time of the latest response that said so.
+const END_REPORT_TIME: Duration = Duration::from_secs(2);
+/// Interval at which nodes report again that a limit is still stated.
+const RENEWAL_INTERVAL: Duration = Duration::from_secs(3);
+/// Age up to which reports are passed on by the nodes between the one that heard a limit and the others.
+pub const MAX_REPORT_AGE: Duration = Duration::from_secs(2);
 /// Time by which a report of another node has to be newer than what is known.
 ///
 /// Its age is an estimate that leaves out the time that the messages took.
@@ -62,10 +68,10 @@
     limit: Option<RequestLimit>,
     /// When the limit was last stated, here or to another node, or when the request was sent whose response ended it.
     heard_at: Moment,
-    /// Whether this node received that response itself.
-    is_own: bool,
-    /// Until when further responses without a limit confirm that it has ended.
-    confirmed_until: Moment,
+    /// Until when this node reports to the others what it heard itself.
+    reported_until: Moment,
+    /// When this or another node last began to report that the limit is stated.
+    renewed_at: Moment,
 }
 
 impl StatedLimit {
@@ -96,22 +102,37 @@
         sent_at: Moment,
         now: Moment,
     ) -> Option<LimitChange> {
+        match header {
+            LimitHeader::Unreadable => None,
+            LimitHeader::Stated(limit) => self.record_stated(limit, now),
+            LimitHeader::Absent if sent_at > self.heard_at => self.record_absent(sent_at, now),
+            LimitHeader::Absent => None,
+        }
+    }
+
+    fn record_stated(&mut self, limit: RequestLimit, now: Moment) -> Option<LimitChange> {
         let mut next = Self {
+            limit: Some(limit),
             heard_at: now,
-            is_own: true,
             ..*self
         };
-        match header {
-            LimitHeader::Unreadable => return None,
-            LimitHeader::Absent if sent_at <= self.heard_at => return None,
-            LimitHeader::Absent if self.limit.is_some() => {
-                next.limit = None;
-                next.heard_at = sent_at;
-                next.confirmed_until = now + REPORT_TIME;
-            }
-            LimitHeader::Absent if now < self.confirmed_until => next.heard_at = sent_at,
-            LimitHeader::Absent => return None,
-            LimitHeader::Stated(limit) => next.limit = Some(limit),
+        if self.limit != next.limit || now >= self.renewed_at + RENEWAL_INTERVAL {
+            next.renewed_at = now;
+            next.reported_until = now + REPORT_TIME;
+        }
+        self.replace(next)
+    }
+
+    fn record_absent(&mut self, sent_at: Moment, now: Moment) -> Option<LimitChange> {
+        let mut next = Self {
+            limit: None,
+            heard_at: sent_at,
+            ..*self
+        };
+        if self.limit.is_some() {
+            next.reported_until = now + END_REPORT_TIME;
+        } else if now >= self.reported_until {
+            return None;
         }
         self.replace(next)
     }
@@ -131,8 +152,8 @@
         self.replace(Self {
             limit,
             heard_at,
-            is_own: false,
-            confirmed_until: Moment::ZERO,
+            reported_until: Moment::ZERO,
+            renewed_at: now,
         })
     }
 
@@ -161,16 +182,12 @@
 
     /// Returns what this node has recently heard itself, and its age; `None` if there is nothing to report.
     pub fn report(&self, now: Moment) -> Option<(Option<RequestLimit>, Duration)> {
-        (now < self.reported_until()).then_some((self.limit, self.age(now)))
+        (now < self.reported_until).then_some((self.limit, self.age(now)))
     }
 
     /// Returns until when this node reports to the others what it heard itself; zero if it heard nothing.
     pub fn reported_until(&self) -> Moment {
-        if self.is_own {
-            self.heard_at + REPORT_TIME
-        } else {
-            Moment::ZERO
-        }
+        self.reported_until
     }
 
     fn replace(&mut self, next: Self) -> Option<LimitChange> {
--- a/crates/fleet/src/statement_recorder.rs
+++ b/crates/fleet/src/statement_recorder.rs
@@ -160,11 +160,10 @@
 /// Applies what other nodes have heard about the limits of targets.
 pub fn apply_limit_reports(shared: &FleetShared, gossip: &Gossip) {
     let now = BootClock::now();
-    for report in &gossip.digest.limits {
+    for report in gossip.limits() {
         let gauge = shared.gauges.get(&report.target);
-        let age = report.age + gossip.digest.age;
         let statements = gauge.statements();
-        if let Some(change) = statements.record_limit_report(report.limit, age, now) {
+        if let Some(change) = statements.record_limit_report(report.limit, report.age, now) {
             log_change(shared, &report.target, &gauge, change, LimitSource::Peer);
         }
     }
--- a/crates/membership/src/digest.rs
+++ b/crates/membership/src/digest.rs
@@ -3,14 +3,14 @@
 use std::time::Duration;
 
 use briarswitch_core::id::{Incarnation, NodeId, TargetId, ZoneId};
-use briarswitch_core::stated_limit::{LimitReport, REPORT_TIME};
+use briarswitch_core::stated_limit::{LimitReport, MAX_REPORT_AGE};
 
 use xxhash_rust::xxh3::xxh3_64_with_seed;
 
 use crate::work::WorkSum;
 
 /// Largest number of reports on limits in one message, so that messages stay small when many targets limit themselves.
-pub const MAX_LIMIT_REPORTS: usize = 32;
+pub const MAX_LIMIT_REPORTS: usize = 16;
 
 /// The nodes that a digest summarizes.
 #[derive(Clone, Debug, Eq, Hash, PartialEq)]
@@ -113,7 +113,7 @@
                 None => self.limits.push(report),
             }
         }
-        self.limits.retain(|report| report.age < REPORT_TIME);
+        self.limits.retain(|report| report.age < MAX_REPORT_AGE);
     }
 
     /// Leaves out reports on limits beyond [`MAX_LIMIT_REPORTS`].
--- a/crates/membership/src/gossip.rs
+++ b/crates/membership/src/gossip.rs
@@ -47,6 +47,17 @@
         self.digest.suspects.iter().chain(relayed)
     }
 
+    /// Returns what all digests say about the limits of targets, each with its age as of now.
+    pub fn limits(&self) -> impl Iterator<Item = LimitReport> + '_ {
+        let digests = std::iter::once(&self.digest).chain(&self.relayed);
+        digests.flat_map(|digest| {
+            digest.limits.iter().map(|report| LimitReport {
+                age: report.age + digest.age,
+                ..report.clone()
+            })
+        })
+    }
+
     /// Returns whether any of the digests reports a caller's request.
     pub fn has_traffic(&self) -> bool {
         self.digest.has_traffic || self.relayed.iter().any(|digest| digest.has_traffic)
--- a/crates/membership/src/sums.rs
+++ b/crates/membership/src/sums.rs
@@ -66,25 +66,20 @@
 
     pub(crate) fn hub_gossip(&self, status: &NodeStatus, now: Moment) -> Gossip {
         let origin = DigestOrigin::Hub(self.own.node.clone());
-        let mut digest = self.sum(origin, status, now, |origin| {
+        let digest = self.sum(origin, status, now, |origin| {
             matches!(origin, DigestOrigin::Node(_))
         });
         let relayed = self.digests.iter().filter(|(origin, held)| {
             let is_recent = now < held.made_at + MAX_RELAY_AGE;
             matches!(origin, DigestOrigin::Zone(_)) && held.is_direct && is_recent
         });
-        let relayed: Vec<Digest> = relayed
-            .map(|(_, held)| Digest {
-                age: now.saturating_sub(held.made_at),
-                ..held.digest.clone()
-            })
-            .collect();
-        for zone in &relayed {
-            digest.add_limits(&zone.limits, zone.age);
-        }
-        digest.bound_limits(self.limit_seed(now));
         Gossip {
-            relayed,
+            relayed: relayed
+                .map(|(_, held)| Digest {
+                    age: now.saturating_sub(held.made_at),
+                    ..held.digest.clone()
+                })
+                .collect(),
             ..self.gossip(digest)
         }
     }
--- a/crates/membership/src/wire.rs
+++ b/crates/membership/src/wire.rs
@@ -3,6 +3,7 @@
 //! The nested types are tuples without field names: a digest has an entry for each node and busy target, and
 //! field names made up a quarter of the traffic between zones.
 
+use std::iter;
 use std::time::Duration;
 
 use briarswitch_core::id::{Incarnation, ModelId, NodeId, TargetId, ZoneId};
@@ -29,6 +30,9 @@
     roster: Option<RosterDeltaDoc>,
     #[serde(default, skip_serializing_if = "Vec::is_empty")]
     limits: Vec<LimitDoc>,
+    /// Those of the relayed digests, in the same order; absent if there are none.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    relayed_limits: Vec<Vec<LimitDoc>>,
 }
 
 /// Target, requests per second unless the limit has ended, milliseconds since that was heard.
@@ -239,7 +243,7 @@
             members: members.into_iter().map(Heartbeat::from).collect(),
             work: work.into(),
             suspects,
-            // The message has them once, for all its digests.
+            // They stand beside the digests in the message.
             limits: Vec::new(),
         }
     }
@@ -262,6 +266,17 @@
     }
 }
 
+fn limit_docs(digest: &Digest) -> Vec<LimitDoc> {
+    digest.limits.iter().map(LimitDoc::from).collect()
+}
+
+fn digest_with(digest: DigestDoc, limits: Vec<LimitDoc>) -> Digest {
+    Digest {
+        limits: limits.into_iter().map(LimitReport::from).collect(),
+        ..digest.into()
+    }
+}
+
 impl From<&RosterDelta> for RosterDeltaDoc {
     fn from(delta: &RosterDelta) -> Self {
         let status = |status: &RosterStatus| {
@@ -312,7 +327,12 @@
             relayed: gossip.relayed.iter().map(DigestDoc::from).collect(),
             mark: gossip.roster_version.map(RosterVersionDoc::from),
             roster: gossip.roster.as_ref().map(RosterDeltaDoc::from),
-            limits: gossip.digest.limits.iter().map(LimitDoc::from).collect(),
+            limits: limit_docs(&gossip.digest),
+            relayed_limits: if gossip.relayed.iter().all(|digest| digest.limits.is_empty()) {
+                Vec::new()
+            } else {
+                gossip.relayed.iter().map(limit_docs).collect()
+            },
         }
     }
 }
@@ -321,11 +341,17 @@
     fn from(doc: GossipDoc) -> Self {
         Self {
             sender: doc.sender.into(),
-            digest: Digest {
-                limits: doc.limits.into_iter().map(LimitReport::from).collect(),
-                ..doc.digest.into()
-            },
-            relayed: doc.relayed.into_iter().map(Digest::from).collect(),
+            digest: digest_with(doc.digest, doc.limits),
+            relayed: doc
+                .relayed
+                .into_iter()
+                .zip(
+                    doc.relayed_limits
+                        .into_iter()
+                        .chain(iter::repeat_with(Vec::new)),
+                )
+                .map(|(digest, limits)| digest_with(digest, limits))
+                .collect(),
             roster_version: doc.mark.map(RosterVersion::from),
             roster: doc.roster.map(RosterDelta::from),
         }
