What a target stated ends with its incarnation, also when its entry was away between

A target that restarts under its id may lose its entry first. Its knowledge outlasts that, as it should for one that only lost its entry, but then the new entry was compared with none, and the limit, backoff or leaving of the earlier incarnation stood on, ten minutes at most.

The incarnation is kept beside what it said. A rate that is no number, from a malformed message of a peer, counts as the lowest.

--- a/crates/core/src/request_limit.rs
+++ b/crates/core/src/request_limit.rs
@@ -37,9 +37,12 @@
     ///
     /// assert_eq!(RequestLimit::per_second(2.4).rate(), 2.4);
     /// assert_eq!(RequestLimit::per_second(0.0).rate(), MIN_REQUESTS_PER_SECOND);
+    /// assert_eq!(RequestLimit::per_second(f64::NAN).rate(), MIN_REQUESTS_PER_SECOND);
     /// ```
     pub fn per_second(rate: f64) -> Self {
-        let rate = rate.clamp(MIN_REQUESTS_PER_SECOND, MAX_REQUESTS_PER_SECOND);
+        // Not `clamp`, which would let NaN through.
+        let rate = rate.max(MIN_REQUESTS_PER_SECOND);
+        let rate = rate.min(MAX_REQUESTS_PER_SECOND);
         Self {
             units_per_second: (rate * UNITS_PER_REQUEST).round() as u64,
         }
--- a/crates/fleet/src/directory_sync.rs
+++ b/crates/fleet/src/directory_sync.rs
@@ -136,15 +136,14 @@
                 continue;
             };
             let known = self.view.cache.targets().get(&record.id);
-            let is_same = known.is_some_and(|known| known.incarnation == record.incarnation);
-            if known.is_some() && !is_same {
-                let gauge = self.shared.gauges.get(&record.id);
-                gauge.statements().forget(now);
-            }
-            let is_known =
-                is_same && known.is_some_and(|known| known.warmup_left == record.warmup_left);
+            let is_known = known.is_some_and(|known| {
+                known.warmup_left == record.warmup_left && known.incarnation == record.incarnation
+            });
+            let gauge = self.shared.gauges.get(&record.id);
+            gauge
+                .statements()
+                .begin_incarnation(record.incarnation, now);
             if !is_known && !record.warmup_left.is_zero() {
-                let gauge = self.shared.gauges.get(&record.id);
                 gauge.begin_warmup(now + record.warmup_left);
             }
         }
--- a/crates/fleet/src/statements.rs
+++ b/crates/fleet/src/statements.rs
@@ -7,7 +7,7 @@
 use std::time::Duration;
 
 use briarswitch_core::backoff::TargetBackoff;
-use briarswitch_core::id::Moment;
+use briarswitch_core::id::{Incarnation, Moment};
 use briarswitch_core::request_limit::{RequestLimit, RequestWindow};
 use briarswitch_core::stated_limit::{LimitChange, LimitHeader, StatedLimit};
 
@@ -37,6 +37,7 @@
 /// The atomic values show without a lock whether there is anything to look up; most targets never say anything.
 #[derive(Debug, Default)]
 pub struct TargetStatements {
+    incarnation: AtomicU64,
     leaving_until: AtomicU64,
     backoff: Mutex<TargetBackoff>,
     has_backoff: AtomicBool,
@@ -151,8 +152,16 @@
         self.sent().reserve(&share.limit, share.requests, now)
     }
 
-    /// Forgets what the target said, since another incarnation of it has begun.
-    pub fn forget(&self, now: Moment) {
+    /// Records which incarnation runs under the target's id, and forgets what another one has said.
+    ///
+    /// The entry of the earlier one may have been gone for a while.
+    pub fn begin_incarnation(&self, incarnation: Incarnation, now: Moment) {
+        if self.incarnation.swap(incarnation, Ordering::Relaxed) != incarnation {
+            self.forget(now);
+        }
+    }
+
+    fn forget(&self, now: Moment) {
         self.leaving_until.store(0, Ordering::Relaxed);
         *self.backoff() = TargetBackoff::default();
         self.has_backoff.store(false, Ordering::Relaxed);
--- a/crates/fleet/tests/stated_limits.rs
+++ b/crates/fleet/tests/stated_limits.rs
@@ -155,6 +155,8 @@
     fleet.request(0, look()).await;
     expect_false!(fleet.request(0, look()).await.is_served());
     fleet.targets[0].state_limit(None);
+    fleet.targets[0].unlist();
+    tokio::time::sleep(DIRECTORY_TIME).await;
     fleet.targets[0].list_as(1, Duration::ZERO);
     tokio::time::sleep(DIRECTORY_TIME).await;
     for _ in 0..3 {
