Statements of targets use what the crate has: one way to lock, one `micros`, and the change itself for its log line

`statements.rs` unlocked its mutexes three times as `feed_pacer::lock` does, and took `micros` from `gauge.rs`, which imports it: the two imported each other. The line on a changed limit locked the limit once more to read what the change says already. Nothing is decided otherwise; the one visible difference is that `age_ms` of an end that a peer reported is the age of the report, where it was 0.

--- a/crates/fleet/src/gauge.rs
+++ b/crates/fleet/src/gauge.rs
@@ -10,6 +10,7 @@
 use briarswitch_membership::{target_key, RequestCounts, TargetKey};
 use indexmap::IndexSet;
 
+use crate::micros::micros;
 use crate::statements::TargetStatements;
 
 /// Divisor of the exponential smoothing: the newest sample has a weight of one in this many.
@@ -63,10 +64,6 @@
     statements: TargetStatements,
 }
 
-pub(crate) fn micros(moment: Moment) -> u64 {
-    u64::try_from(moment.as_micros()).unwrap_or(u64::MAX)
-}
-
 impl TargetGauge {
     fn new(target: &str) -> Self {
         Self {
--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -24,6 +24,7 @@
 pub mod layouts;
 pub mod local_reply;
 pub mod metrics;
+mod micros;
 pub mod node;
 pub mod order_sender;
 pub mod packed;
--- a/crates/fleet/src/restriction.rs
+++ b/crates/fleet/src/restriction.rs
@@ -32,7 +32,7 @@
 
 impl Restriction {
     /// Returns when this node may send the next request; `None` if that is not known.
-    pub fn free_at(&self) -> Option<Moment> {
+    fn free_at(&self) -> Option<Moment> {
         match self {
             Self::Limited {
                 free_at, ends_at, ..
--- a/crates/fleet/src/statement_recorder.rs
+++ b/crates/fleet/src/statement_recorder.rs
@@ -1,13 +1,13 @@
 //! Records and logs what targets say of themselves, in responses and through other nodes.
 
 use std::sync::Arc;
+use std::time::Duration;
 
 use briarswitch_core::id::{Incarnation, Moment};
 use briarswitch_core::stated_limit::{LimitChange, LimitHeader};
 use briarswitch_kernel::BootClock;
 use briarswitch_membership::Gossip;
 
-use crate::gauge::TargetGauge;
 use crate::job::RequestJob;
 use crate::ports::ResponseInfo;
 use crate::routing_table::RouteTarget;
@@ -18,29 +18,36 @@
 enum LimitSource<'a> {
     /// From the response of an incarnation to a request with this id.
     Response(&'a str, Incarnation),
-    /// From another node.
-    Peer,
+    /// From another node, which heard it so long ago.
+    Peer(Duration),
 }
 
 impl<'a> LimitSource<'a> {
     fn name(self) -> &'static str {
         match self {
             Self::Response(..) => "response",
-            Self::Peer => "peer",
+            Self::Peer(_) => "peer",
         }
     }
 
     fn request(self) -> &'a str {
         match self {
             Self::Response(request, _) => request,
-            Self::Peer => "",
+            Self::Peer(_) => "",
         }
     }
 
     fn incarnation(self) -> Incarnation {
         match self {
             Self::Response(_, incarnation) => incarnation,
-            Self::Peer => 0,
+            Self::Peer(_) => 0,
+        }
+    }
+
+    fn age(self) -> Duration {
+        match self {
+            Self::Response(..) => Duration::ZERO,
+            Self::Peer(age) => age,
         }
     }
 }
@@ -122,7 +129,7 @@
         let change = statements.record_limit_header(info.limit, sent_at, BootClock::now());
         if let Some(change) = change {
             let source = LimitSource::Response(&job.request.attempt, target.incarnation);
-            log_change(&self.shared, &target.id, &target.gauge, change, source);
+            log_change(&self.shared, &target.id, change, source);
         }
     }
 
@@ -164,28 +171,26 @@
         let gauge = shared.gauges.get(&report.target);
         let statements = gauge.statements();
         if let Some(change) = statements.record_limit_report(report.limit, report.age, now) {
-            log_change(shared, &report.target, &gauge, change, LimitSource::Peer);
+            let source = LimitSource::Peer(report.age);
+            log_change(shared, &report.target, change, source);
         }
     }
 }
 
-fn log_change(
-    shared: &FleetShared,
-    target: &str,
-    gauge: &TargetGauge,
-    change: LimitChange,
-    source: LimitSource<'_>,
-) {
+fn log_change(shared: &FleetShared, target: &str, change: LimitChange, source: LimitSource<'_>) {
     shared.metrics.count_limit_change(change);
-    let limit = gauge.statements().limit_with_age(BootClock::now());
+    let per_second = match change {
+        LimitChange::Begun(limit) => limit.rate(),
+        LimitChange::Ended => 0.0,
+    };
     log::info!(
         target_id = target,
         incarnation = source.incarnation(),
         heard = source.name(),
         request = source.request(),
         change = change.name(),
-        per_second = limit.map_or(0.0, |(limit, _)| limit.rate()),
-        age_ms = limit.map_or(0, |(_, age)| age.as_millis() as u64);
+        per_second = per_second,
+        age_ms = source.age().as_millis() as u64;
         "target_limit_changed"
     );
 }
--- a/crates/fleet/src/statements.rs
+++ b/crates/fleet/src/statements.rs
@@ -3,7 +3,7 @@
 //! It is kept by target, apart from the target's entry, group and connections.
 
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
-use std::sync::{Mutex, MutexGuard, PoisonError};
+use std::sync::{Mutex, MutexGuard};
 use std::time::Duration;
 
 use briarswitch_core::backoff::TargetBackoff;
@@ -11,7 +11,8 @@
 use briarswitch_core::request_limit::{RequestLimit, RequestWindow};
 use briarswitch_core::stated_limit::{LimitChange, LimitHeader, StatedLimit};
 
-use crate::gauge::micros;
+use crate::feed_pacer::lock;
+use crate::micros::micros;
 
 /// Longest time for which a target that says it is leaving gets no requests; much longer than leaving takes.
 const MAX_LEAVING_TIME: Duration = Duration::from_secs(600);
@@ -190,14 +191,14 @@
     }
 
     fn limit(&self) -> MutexGuard<'_, StatedLimit> {
-        self.limit.lock().unwrap_or_else(PoisonError::into_inner)
+        lock(&self.limit)
     }
 
     fn backoff(&self) -> MutexGuard<'_, TargetBackoff> {
-        self.backoff.lock().unwrap_or_else(PoisonError::into_inner)
+        lock(&self.backoff)
     }
 
     fn sent(&self) -> MutexGuard<'_, RequestWindow> {
-        self.sent.lock().unwrap_or_else(PoisonError::into_inner)
+        lock(&self.sent)
     }
 }
--- a/crates/fleet/src/target_selector.rs
+++ b/crates/fleet/src/target_selector.rs
@@ -194,8 +194,8 @@
     fn outlook(&self, slot_request: &SlotRequest, now: Moment) -> TargetOutlook {
         let table = self.shared.routing_table.load();
         let config = self.shared.config.load();
-        let service = config.as_ref().as_ref();
-        let spec = service.and_then(|config| config.services.get(&slot_request.key.0));
+        let config = config.as_ref().as_ref();
+        let spec = config.and_then(|config| config.services.get(&slot_request.key.0));
         let evacuated = self.shared.evacuated.read();
         let mut outlook = TargetOutlook::default();
         for target in routes_of(&table, &slot_request.key) {
@@ -214,20 +214,21 @@
         target: &RouteTarget,
         now: Moment,
     ) -> Option<Restriction> {
-        if target.gauge.statements().is_leaving(now) {
+        let statements = target.gauge.statements();
+        if statements.is_leaving(now) {
             return Some(Restriction::Leaving);
         }
-        if let Some(until) = target.gauge.statements().backoff_until(now) {
+        if let Some(until) = statements.backoff_until(now) {
             return Some(Restriction::BackingOff { until });
         }
         let share = self.limit_share(spec, target, now)?;
-        if target.gauge.statements().has_room(&share, now) {
+        if statements.has_room(&share, now) {
             return None;
         }
-        let is_stated = target.gauge.statements().limit_with_age(now).is_some();
+        let is_stated = statements.limit_with_age(now).is_some();
         let warm_at = target.gauge.warming_until(now);
         Some(Restriction::Limited {
-            free_at: target.gauge.statements().free_at(&share, now),
+            free_at: statements.free_at(&share, now),
             rate: share.rate(),
             ends_at: warm_at.filter(|_| !is_stated),
         })
