Tests play limits and wait for a served request in one place each

The play of requests to a limited target stood in `request_limit.rs` and `warmup.rs`, the wait for a target's next incarnation in `backoffs.rs` and `leaving.rs`, which the fixture had as well. Plays, seeds, bounds and assertions are the same.

--- a/crates/core/tests/request_limit.rs
+++ b/crates/core/tests/request_limit.rs
@@ -1,61 +1,31 @@
 //! Limits of targets, in whole requests and in fractions, kept by many nodes without talking to each other.
 
+mod support;
+
 use std::time::Duration;
 
 use briarswitch_core::id::Moment;
 use briarswitch_core::request_limit::{RequestLimit, RequestWindow};
 use googletest::prelude::*;
-use rand::rngs::StdRng;
-use rand::{Rng, SeedableRng};
+
+use support::{arrivals, most_within};
 
 /// Numbers of nodes, from the smallest fleet to twice the largest.
 const FLEET_SIZES: [usize; 7] = [1, 6, 58, 112, 295, 985, 2_000];
 /// Limits in requests per second.
 const RATES: [f64; 8] = [0.1, 0.3, 1.0, 1.9, 2.0, 2.4, 14.0, 40.5];
-/// Requests per second of the callers of all nodes together.
-const CALLER_RATE: f64 = 400.0;
-/// Longest time from the decision of a node until its request arrives.
-const MAX_TRANSIT: Duration = Duration::from_millis(200);
 /// Time that a play lasts.
 const PLAY_TIME: Duration = Duration::from_secs(60);
 /// Pace of a play in which a target is silent.
 const TICK: Duration = Duration::from_millis(50);
 
-/// Returns when requests arrive at a target for which every request of every node is meant.
-fn arrivals(limit: &RequestLimit, nodes: usize, seed: u64) -> Vec<Moment> {
-    let mut random = StdRng::seed_from_u64(seed);
-    let mut windows = vec![RequestWindow::default(); nodes];
-    let mut arrivals = Vec::new();
-    let mut now = Moment::ZERO;
-    while now < PLAY_TIME {
-        let rank = random.random_range(0..nodes);
-        if windows[rank].reserve(limit, limit.share(nodes, rank), now) {
-            arrivals.push(now + MAX_TRANSIT.mul_f64(random.random::<f64>()));
-        }
-        now += Duration::from_secs_f64(-random.random::<f64>().ln() / CALLER_RATE);
-    }
-    arrivals.sort_unstable();
-    arrivals
-}
-
-fn most_within(arrivals: &[Moment], time: Duration) -> usize {
-    let counts = arrivals.iter().map(|start| {
-        let end = *start + time;
-        arrivals
-            .iter()
-            .filter(|at| *at >= start && **at < end)
-            .count()
-    });
-    counts.max().unwrap_or(0)
-}
-
 /// Guards against nodes that together send more than a limit, whole or not, at any fleet size.
 #[gtest]
 fn no_window_has_more_requests_than_the_limit() {
     for nodes in FLEET_SIZES {
         for rate in RATES {
             let limit = RequestLimit::per_second(rate);
-            let most = most_within(&arrivals(&limit, nodes, 1), limit.window());
+            let most = most_within(&arrivals(&limit, nodes, PLAY_TIME, 1), limit.window());
             expect_that!(most, le(limit.requests()), "{nodes} nodes, {rate}/s");
         }
     }
@@ -67,7 +37,7 @@
     for nodes in FLEET_SIZES {
         for rate in RATES {
             let limit = RequestLimit::per_second(rate);
-            let got = arrivals(&limit, nodes, 2).len() as f64 / PLAY_TIME.as_secs_f64();
+            let got = arrivals(&limit, nodes, PLAY_TIME, 2).len() as f64 / PLAY_TIME.as_secs_f64();
             // A sender in 2,000 has a caller only each few seconds.
             let floor = if nodes <= 112 { 0.6 } else { 0.1 };
             expect_that!(got, ge(rate * floor), "{nodes} nodes, {rate}/s");
--- a/crates/core/tests/warmup.rs
+++ b/crates/core/tests/warmup.rs
@@ -1,51 +1,25 @@
 //! Limits on requests to a target that warms up, kept by many nodes without talking to each other.
 
+mod support;
+
 use std::time::Duration;
 
 use briarswitch_core::id::Moment;
-use briarswitch_core::request_limit::{RequestLimit, RequestWindow};
+use briarswitch_core::request_limit::RequestLimit;
 use googletest::prelude::*;
-use rand::rngs::StdRng;
-use rand::{Rng, SeedableRng};
+
+use support::{arrivals, most_within};
 
 /// Time that a target takes to warm up.
 const WARMUP_TIME: Duration = Duration::from_secs(3);
 /// Requests per second that a target that warms up takes.
 const RATE: f64 = 14.0;
-/// Requests per second of the callers of all nodes together.
-const CALLER_RATE: f64 = 400.0;
-/// Longest time from the decision of a node until its request arrives.
-const MAX_TRANSIT: Duration = Duration::from_millis(200);
 /// Numbers of nodes, from the smallest fleet to twice the largest.
 const FLEET_SIZES: [usize; 5] = [6, 58, 112, 985, 2_000];
 
-/// Returns when requests arrive at a target for which every request of every node is meant.
-fn arrivals(nodes: usize, seed: u64) -> Vec<Moment> {
-    let limit = RequestLimit::per_second(RATE);
-    let mut random = StdRng::seed_from_u64(seed);
-    let mut windows = vec![RequestWindow::default(); nodes];
-    let mut arrivals = Vec::new();
-    let mut now = Moment::ZERO;
-    while now < WARMUP_TIME {
-        let rank = random.random_range(0..nodes);
-        if windows[rank].reserve(&limit, limit.share(nodes, rank), now) {
-            arrivals.push(now + MAX_TRANSIT.mul_f64(random.random::<f64>()));
-        }
-        now += Duration::from_secs_f64(-random.random::<f64>().ln() / CALLER_RATE);
-    }
-    arrivals.sort_unstable();
-    arrivals
-}
-
-fn most_in_a_second(arrivals: &[Moment]) -> usize {
-    let counts = arrivals.iter().map(|start| {
-        let end = *start + Duration::from_secs(1);
-        arrivals
-            .iter()
-            .filter(|at| *at >= start && **at < end)
-            .count()
-    });
-    counts.max().unwrap_or(0)
+/// Returns when requests arrive at a target that warms up, for which every request of every node is meant.
+fn warmup_arrivals(nodes: usize, seed: u64) -> Vec<Moment> {
+    arrivals(&RequestLimit::per_second(RATE), nodes, WARMUP_TIME, seed)
 }
 
 /// Guards against nodes that overload a target together, each within what it takes for its part of the limit.
@@ -53,7 +27,7 @@
 fn no_second_has_more_requests_than_the_limit_at_any_fleet_size() {
     for nodes in FLEET_SIZES {
         for seed in 0..20 {
-            let most = most_in_a_second(&arrivals(nodes, seed));
+            let most = most_within(&warmup_arrivals(nodes, seed), Duration::from_secs(1));
             let limit = RATE as usize;
             expect_that!(most, le(limit), "{nodes} nodes, seed {seed}");
         }
@@ -64,7 +38,7 @@
 #[gtest]
 fn a_target_that_warms_up_is_used_at_any_fleet_size() {
     for nodes in FLEET_SIZES {
-        let arrivals = arrivals(nodes, 1);
+        let arrivals = warmup_arrivals(nodes, 1);
         let mut seconds = (0..WARMUP_TIME.as_secs()).map(Duration::from_secs);
         let is_used = |second: Duration| {
             let end = second + Duration::from_secs(1);
--- a/crates/fleet/tests/backoffs.rs
+++ b/crates/fleet/tests/backoffs.rs
@@ -110,11 +110,6 @@
         .is_served());
     fleet.targets[0].crash();
     fleet
-        .wait_until("the next incarnation serves", || async {
-            fleet
-                .request(0, TestRequest::model("hello"))
-                .await
-                .is_served()
-        })
+        .wait_until_served(0, TestRequest::model("hello"))
         .await;
 }
--- a/crates/fleet/tests/leaving.rs
+++ b/crates/fleet/tests/leaving.rs
@@ -56,11 +56,6 @@
     fleet.targets[0].leave(false);
     fleet.targets[0].crash();
     fleet
-        .wait_until("the next incarnation serves", || async {
-            fleet
-                .request(0, TestRequest::model("hello"))
-                .await
-                .is_served()
-        })
+        .wait_until_served(0, TestRequest::model("hello"))
         .await;
 }
--- a/crates/fleet/tests/support/mod.rs
+++ b/crates/fleet/tests/support/mod.rs
@@ -310,13 +310,18 @@
                 GROUP_SERVICE => TestRequest::model("hello"),
                 _ => TestRequest::chat("hello"),
             };
-            self.wait_until("a node serves", || async {
-                self.request(index, request).await.is_served()
-            })
-            .await;
+            self.wait_until_served(index, request).await;
         }
     }
 
+    /// Waits until a node serves a request, which is sent again and again.
+    pub async fn wait_until_served(&self, node: usize, request: TestRequest<'_>) {
+        self.wait_until("a node serves", || async {
+            self.request(node, request).await.is_served()
+        })
+        .await;
+    }
+
     /// Waits until a condition is true; `what` describes it in the message of a time-out.
     pub async fn wait_until<F, Fut>(&self, what: &str, condition: F)
     where
