--- a/crates/fleet/src/dispatch.rs
+++ b/crates/fleet/src/dispatch.rs
@@ -146,6 +146,8 @@
             trace.record_slot();
             let last_event = job.request.last_event.clone();
             let may_reroute = trace.attempts_sent + 1 < job.rule.max_attempts;
+            let gauge = Arc::clone(&target.gauge);
+            let sent_at = BootClock::now();
             let sent = self
                 .send(&job, target, slot, last_event.as_deref(), may_reroute)
                 .await;
@@ -163,7 +165,7 @@
                 Err(failed) => failed,
             };
             let point = failed.point;
-            trace.record_failed_attempt(point.code());
+            trace.record_failed_attempt(&failed, &gauge, sent_at);
             tried.push(trace.target.clone());
             let reached = !matches!(
                 point,
@@ -174,7 +176,9 @@
                 // A refused connection costs about a millisecond and each target is tried only once, so it does not
                 // count towards the limit.
                 ConnectionFailure::Refused => {}
-                ConnectionFailure::None | ConnectionFailure::Broken => unreached += 1,
+                ConnectionFailure::None
+                | ConnectionFailure::Broken
+                | ConnectionFailure::Unopened => unreached += 1,
             }
             trace.broken_runs += usize::from(failed.connection == ConnectionFailure::Broken);
             let may_retry = point.allows_retry(job.rule.is_repeatable())
--- a/crates/fleet/src/failure.rs
+++ b/crates/fleet/src/failure.rs
@@ -25,6 +25,20 @@
     Broken,
     /// The target refused the connection.
     Refused,
+    /// It could not be opened in time, or at all.
+    Unopened,
+}
+
+impl ConnectionFailure {
+    /// Returns the name used in logs.
+    pub fn name(self) -> &'static str {
+        match self {
+            Self::None => "none",
+            Self::Broken => "broken",
+            Self::Refused => "refused",
+            Self::Unopened => "unopened",
+        }
+    }
 }
 
 impl FailedAttempt {
@@ -78,6 +92,7 @@
         let connection = match error {
             HeadWaitError::Send(SendError::Broken) => ConnectionFailure::Broken,
             HeadWaitError::Send(SendError::Refused) => ConnectionFailure::Refused,
+            HeadWaitError::Send(SendError::Connect) => ConnectionFailure::Unopened,
             _ => ConnectionFailure::None,
         };
         Self {
--- a/crates/fleet/src/gauge.rs
+++ b/crates/fleet/src/gauge.rs
@@ -30,6 +30,20 @@
 /// Time for which a node's rank for a target is cached; ranking compares all known nodes.
 const RANK_TTL: Duration = Duration::from_millis(500);
 
+/// Time since the last bytes within which a target counts as heard.
+const RECENTLY_HEARD_TIME: Duration = Duration::from_secs(1);
+
+/// How well a node hears the targets, which tells failures of single targets from a partition of the node.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub struct TargetContact {
+    /// Time since bytes last arrived from any target; `None` if none have.
+    pub silence: Option<Duration>,
+    /// Number of targets heard within the last second.
+    pub heard: u32,
+    /// Number of targets at which this node has requests.
+    pub awaited: u32,
+}
+
 /// A node's position among all known nodes.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub struct NodeRank {
@@ -49,6 +63,7 @@
     prefill_tokens: AtomicU64,
     prefill_requests: AtomicU32,
     last_activity: AtomicU64,
+    heard_at: AtomicU64,
     suspect_until: AtomicU64,
     peer_suspect_until: AtomicU64,
     max_gap: AtomicU64,
@@ -183,6 +198,7 @@
 
     /// Records that bytes arrived from the target, and clears any suspicion.
     pub fn record_activity(&self, now: Moment) {
+        self.heard_at.store(micros(now), Ordering::Relaxed);
         let before = self.last_activity.swap(micros(now), Ordering::Relaxed);
         let gap = micros(now).saturating_sub(before);
         // Decaying maximum of the gaps between activities.
@@ -203,6 +219,12 @@
         Duration::from_micros(micros(now).saturating_sub(last_activity))
     }
 
+    /// Returns the time since bytes last arrived from the target; `None` if none have.
+    fn time_since_heard(&self, now: Moment) -> Option<Duration> {
+        let heard_at = self.heard_at.load(Ordering::Relaxed);
+        (heard_at > 0).then(|| Duration::from_micros(micros(now).saturating_sub(heard_at)))
+    }
+
     /// Excludes the target from new requests until the given time, unless bytes arrive from it earlier.
     pub fn suspect(&self, until: Moment) {
         self.suspect_until
@@ -224,8 +246,17 @@
 
     /// Returns whether the target is excluded from new requests at `now`.
     pub fn is_suspect(&self, now: Moment) -> bool {
-        self.is_locally_suspect(now)
-            || micros(now) < self.peer_suspect_until.load(Ordering::Relaxed)
+        self.is_locally_suspect(now) || self.is_suspect_to_peer(now)
+    }
+
+    /// Returns whether another node suspects the target.
+    pub fn is_suspect_to_peer(&self, now: Moment) -> bool {
+        micros(now) < self.peer_suspect_until.load(Ordering::Relaxed)
+    }
+
+    /// Returns the number of requests that other nodes report to have at the target.
+    pub fn remote_requests(&self) -> u32 {
+        self.remote.load(Ordering::Relaxed)
     }
 
     /// Returns whether this node itself suspects the target.
@@ -344,6 +375,21 @@
         suspects.map(|(id, _)| id.clone()).collect()
     }
 
+    /// Returns how well this node hears the targets.
+    pub fn contact(&self, now: Moment) -> TargetContact {
+        let mut contact = TargetContact::default();
+        for gauge in self.read().values() {
+            contact.awaited += u32::from(gauge.local_requests() > 0);
+            let Some(silence) = gauge.time_since_heard(now) else {
+                continue;
+            };
+            contact.heard += u32::from(silence < RECENTLY_HEARD_TIME);
+            let shortest = contact.silence.get_or_insert(silence);
+            *shortest = silence.min(*shortest);
+        }
+        contact
+    }
+
     /// Returns what this node has recently heard itself about the limits of targets.
     pub fn limit_reports(&self, now: Moment) -> Vec<LimitReport> {
         let gauges = self.read();
--- a/crates/fleet/src/trace.rs
+++ b/crates/fleet/src/trace.rs
@@ -8,6 +8,8 @@
 use briarswitch_core::id::*;
 use briarswitch_kernel::BootClock;
 
+use crate::failure::FailedAttempt;
+use crate::gauge::TargetGauge;
 use crate::metrics::RequestLabels;
 use crate::restriction::PassedOver;
 use crate::shared::FleetShared;
@@ -134,16 +136,30 @@
         self.end.get_or_insert(end);
     }
 
-    /// Records and logs a failed attempt.
-    pub fn record_failed_attempt(&mut self, reason: &'static str) {
-        self.reason = reason;
+    /// Records and logs an attempt at the target with this gauge that failed.
+    pub fn record_failed_attempt(
+        &mut self,
+        failed: &FailedAttempt,
+        gauge: &TargetGauge,
+        sent_at: Moment,
+    ) {
+        self.reason = failed.point.code();
+        let now = BootClock::now();
+        let contact = self.shared.gauges.contact(now);
         log::info!(
             request = self.request_id.as_str(),
             target_id = self.target.as_str(),
             group = self.group.as_str(),
-            reason = reason,
+            reason = self.reason,
+            connection = failed.connection.name(),
             attempt = self.attempts_sent + 1,
-            ms = BootClock::now().saturating_sub(self.arrived).as_millis() as u64;
+            took_ms = now.saturating_sub(sent_at).as_millis() as u64,
+            silence_ms = contact.silence.map_or(-1, |silence| silence.as_millis() as i64),
+            heard = contact.heard,
+            awaited = contact.awaited,
+            peer_requests = gauge.remote_requests(),
+            peer_suspected = gauge.is_suspect_to_peer(now),
+            ms = now.saturating_sub(self.arrived).as_millis() as u64;
             "attempt_failed"
         );
     }
