--- a/crates/fleet/tests/crashes.rs
+++ b/crates/fleet/tests/crashes.rs
@@ -174,7 +174,7 @@
 #[gtest]
 #[tokio::test(flavor = "multi_thread")]
 async fn a_node_that_reaches_no_other_node_learns_of_crashes() {
-    let mut fleet = Fleet::open(9, &["z1", "z1", "z2"]).await;
+    let fleet = Fleet::open(9, &["z1", "z1", "z2"]).await;
     fleet.nodes[2].link.isolate_from_peers();
     fleet.start(2).await;
     fleet.wait_until_serving().await;
@@ -193,7 +193,7 @@
 #[gtest]
 #[tokio::test(flavor = "multi_thread")]
 async fn isolated_nodes_add_up_the_crashes_they_see() {
-    let mut fleet = Fleet::open(9, &["z1", "z1", "z2", "z2"]).await;
+    let fleet = Fleet::open(9, &["z1", "z1", "z2", "z2"]).await;
     for index in 0..4 {
         fleet.kill(index);
         fleet.nodes[index].link.isolate_from_peers();
@@ -212,7 +212,7 @@
 #[gtest]
 #[tokio::test(flavor = "multi_thread")]
 async fn nodes_that_all_restart_still_know_of_quarantines() {
-    let mut fleet = Fleet::open(9, &["z1", "z1", "z2"]).await;
+    let fleet = Fleet::open(9, &["z1", "z1", "z2"]).await;
     repeat(&fleet, CRASHING, Duration::from_secs(2)).await;
     wait_until_refused(&fleet, 0, TestRequest::chat(CRASHING)).await;
     fleet
--- a/crates/fleet/tests/stated_limits.rs
+++ b/crates/fleet/tests/stated_limits.rs
@@ -84,7 +84,7 @@
 #[gtest]
 #[tokio::test(flavor = "multi_thread")]
 async fn a_node_that_starts_again_keeps_a_limit_of_which_the_others_know() {
-    let mut fleet = Fleet::open(3, &["z1", "z1", "z2"]).await;
+    let fleet = Fleet::open(3, &["z1", "z1", "z2"]).await;
     fleet.targets[0].state_limit(Some("1"));
     call_all(&fleet, PROPAGATION_TIME).await;
     let told = Instant::now();
--- a/crates/fleet/tests/support/mod.rs
+++ b/crates/fleet/tests/support/mod.rs
@@ -1,10 +1,11 @@
 //! Runs nodes in the test process, with an in-memory platform and targets on real sockets.
 #![allow(dead_code)]
 
+pub mod path;
 pub mod platform;
 pub mod target;
 
-use std::sync::Arc;
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::{Duration, Instant};
 
 use briarswitch_core::engine::{EngineSpec, ModelSpec};
@@ -20,6 +21,7 @@
 use bytes::Bytes;
 use http::{HeaderMap, HeaderValue, Method};
 
+use path::{PathState, TargetPath};
 use platform::{PlatformLink, PlatformStub, TargetListing};
 use target::TargetStub;
 
@@ -216,10 +218,25 @@
 /// A node and its link to the platform.
 pub struct NodeStub {
     pub link: Arc<PlatformLink>,
-    node: Option<FleetNode>,
+    node: Mutex<Option<FleetNode>>,
     zone: ZoneId,
 }
 
+impl NodeStub {
+    fn lock(&self) -> MutexGuard<'_, Option<FleetNode>> {
+        self.node.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Returns the address of a listener; empty if the node does not run.
+    fn address(&self, listener: impl Fn(&FleetSettings) -> &String) -> String {
+        let node = self.lock();
+        let settings = node.as_ref().map(FleetNode::settings);
+        settings
+            .map(|settings| listener(settings).clone())
+            .unwrap_or_default()
+    }
+}
+
 /// A fleet of nodes with its platform and targets.
 pub struct Fleet {
     pub platform: PlatformStub,
@@ -252,6 +269,15 @@
 
     /// Starts the listed targets, and one node for each listed zone.
     pub async fn open_with(listings: Vec<TargetListing>, zones: &[&str]) -> Self {
+        Self::open_linked(listings, zones, false).await
+    }
+
+    /// Starts the listed targets, and one node for each listed zone, whose paths to the targets can be cut.
+    pub async fn open_with_paths(listings: Vec<TargetListing>, zones: &[&str]) -> Self {
+        Self::open_linked(listings, zones, true).await
+    }
+
+    async fn open_linked(listings: Vec<TargetListing>, zones: &[&str], has_paths: bool) -> Self {
         let platform = PlatformStub::new(config());
         let service = listings.first().map_or(SERVICE, |listing| listing.service);
         let mut fleet = Self {
@@ -272,9 +298,15 @@
         }
         for zone in zones {
             let link = fleet.platform.link(&format!("n{}", fleet.nodes.len()));
+            if has_paths {
+                for target in &fleet.targets {
+                    let path = TargetPath::open(target.address()).await;
+                    link.add_path(target.address(), path);
+                }
+            }
             fleet.nodes.push(NodeStub {
                 link,
-                node: None,
+                node: Mutex::default(),
                 zone: (*zone).to_owned(),
             });
         }
@@ -286,24 +318,29 @@
     }
 
     /// Starts a node, or restarts it without any state.
-    pub async fn start(&mut self, index: usize) {
-        let stub = &mut self.nodes[index];
-        stub.node = None;
+    pub async fn start(&self, index: usize) {
+        let stub = &self.nodes[index];
+        self.kill(index);
         let settings = settings(&stub.link.node, &stub.zone);
         let platform = stub.link.platform();
         let node = FleetNode::spawn(settings, platform).await;
-        stub.node = Some(node.expect("node starts"));
+        *stub.lock() = Some(node.expect("node starts"));
+    }
+
+    /// Changes what passes between a node and all targets.
+    pub fn set_paths(&self, node: usize, state: PathState) {
+        self.nodes[node].link.set_paths(state);
     }
 
     /// Stops a node without a shutdown, as if the process were killed.
-    pub fn kill(&mut self, index: usize) {
-        self.nodes[index].node = None;
+    pub fn kill(&self, index: usize) {
+        *self.nodes[index].lock() = None;
     }
 
     /// Waits until every running node serves requests.
     pub async fn wait_until_serving(&self) {
         for index in 0..self.nodes.len() {
-            if self.nodes[index].node.is_none() {
+            if self.nodes[index].lock().is_none() {
                 continue;
             }
             let request = match self.service {
@@ -337,8 +374,7 @@
 
     /// Sends a request to a node, with a new attempt id.
     pub async fn request(&self, node: usize, test_request: TestRequest<'_>) -> TestResponse {
-        let settings = self.nodes[node].node.as_ref().map(FleetNode::settings);
-        let address = settings.map(|settings| settings.callers.clone());
+        let address = self.nodes[node].address(|settings| &settings.callers);
         let attempt = self
             .next_attempt
             .fetch_add(1, std::sync::atomic::Ordering::Relaxed);
@@ -352,15 +388,13 @@
             let value = HeaderValue::from_str(value).expect("valid header value");
             request.headers_mut().insert(name, value);
         }
-        self.send(&address.unwrap_or_default(), request).await
+        self.send(&address, request).await
     }
 
     /// Sends a request to a node's listener for metrics and operators.
     pub async fn operator_request(&self, node: usize, method: Method, path: &str) -> TestResponse {
-        let settings = self.nodes[node].node.as_ref().map(FleetNode::settings);
-        let address = settings.map(|settings| settings.metrics.clone());
-        self.send(&address.unwrap_or_default(), request(method, path, ""))
-            .await
+        let address = self.nodes[node].address(|settings| &settings.metrics);
+        self.send(&address, request(method, path, "")).await
     }
 
     async fn send(
--- a/crates/fleet/tests/support/platform.rs
+++ b/crates/fleet/tests/support/platform.rs
@@ -19,6 +19,7 @@
 use indexmap::IndexMap;
 use tokio::sync::Notify;
 
+use super::path::{PathState, TargetPath};
 use super::{GROUP_SERVICE, MODEL, SERVICE};
 
 const CONFIG_TABLE: &str = "config";
@@ -94,6 +95,7 @@
             platform: self.clone(),
             is_blocked: AtomicBool::new(false),
             is_isolated: AtomicBool::new(false),
+            paths: Mutex::default(),
         })
     }
 
@@ -228,9 +230,36 @@
     platform: PlatformStub,
     is_blocked: AtomicBool,
     is_isolated: AtomicBool,
+    /// Paths to targets, by the address of the target; targets without one are reached directly.
+    paths: Mutex<IndexMap<String, TargetPath>>,
 }
 
 impl PlatformLink {
+    /// Lets the node reach the target at an address along a path.
+    pub fn add_path(&self, target: &str, path: TargetPath) {
+        self.lock_paths().insert(target.to_owned(), path);
+    }
+
+    /// Changes what passes along all paths.
+    pub fn set_paths(&self, state: PathState) {
+        for path in self.lock_paths().values() {
+            path.set(state);
+        }
+    }
+
+    /// Returns the record of a target with the address at which this node reaches it.
+    fn record(&self, target: &str) -> TargetRecord {
+        let mut record = self.platform.lock().records[target].clone();
+        if let Some(path) = self.lock_paths().get(&record.address) {
+            record.address = path.address();
+        }
+        record
+    }
+
+    fn lock_paths(&self) -> MutexGuard<'_, IndexMap<String, TargetPath>> {
+        self.paths.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
     /// Makes all calls over this link fail, or lets them succeed again.
     pub fn set_blocked(&self, is_blocked: bool) {
         self.is_blocked.store(is_blocked, Ordering::SeqCst);
@@ -247,7 +276,7 @@
             feed: Arc::new(LinkFeed(Arc::clone(self))),
             clock: Arc::new(StubClock),
             config: Arc::new(StubConfig(self.platform.clone())),
-            directory: Arc::new(StubDirectory(self.platform.clone())),
+            directory: Arc::new(LinkDirectory(Arc::clone(self))),
             nodes: Arc::new(LinkNodes(Arc::clone(self))),
             targets: Arc::new(StubControl),
             suspects: Arc::new(LinkSuspects(Arc::clone(self))),
@@ -325,17 +354,16 @@
     EvacuationUpdate::Snapshot(begun.collect())
 }
 
-struct StubDirectory(PlatformStub);
+struct LinkDirectory(Arc<PlatformLink>);
 
-impl TargetDirectory for StubDirectory {
+impl TargetDirectory for LinkDirectory {
     fn table(&self) -> &'static str {
         TARGET_TABLE
     }
 
     fn decode(&self, response: &FeedResponse) -> DirectoryUpdate {
-        let state = self.0.lock();
         let changes = response.rows.iter().map(|row| match &row.value {
-            Some(_) => TargetChange::Put(Box::new(state.records[&row.key].clone())),
+            Some(_) => TargetChange::Put(Box::new(self.0.record(&row.key))),
             None => TargetChange::Removed(row.key.clone()),
         });
         let changes = changes.collect();
--- a/crates/fleet/tests/support/target.rs
+++ b/crates/fleet/tests/support/target.rs
@@ -85,6 +85,11 @@
         Self { shared, task }
     }
 
+    /// Returns the address at which the target listens.
+    pub fn address(&self) -> &str {
+        &self.shared.listing.address
+    }
+
     /// Returns every run so far.
     pub fn runs(&self) -> Vec<RecordedRun> {
         self.shared.lock().runs.clone()
--- a/crates/fleet/tests/zones.rs
+++ b/crates/fleet/tests/zones.rs
@@ -114,7 +114,7 @@
 #[gtest]
 #[tokio::test(flavor = "multi_thread")]
 async fn a_node_that_starts_during_an_evacuation_knows_of_it() {
-    let mut fleet = Fleet::open_with(vec![listing("z1"), listing("z2")], &["z1"]).await;
+    let fleet = Fleet::open_with(vec![listing("z1"), listing("z2")], &["z1"]).await;
     fleet.platform.set_evacuated("z1", true);
     wait_until_evacuated(&fleet, true).await;
     fleet.start(0).await;
