--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -43,6 +43,7 @@
 pub mod planner;
 pub mod prefix;
 pub mod prelude;
+pub mod reachability;
 pub mod rebalance;
 pub mod request_limit;
 pub mod residency;
--- a/crates/core/src/outcome.rs
+++ b/crates/core/src/outcome.rs
@@ -137,6 +137,17 @@
         is_target_failure && (repeatable || self.outcome() == Outcome::NotRun)
     }
 
+    /// Returns the failure point with a code; `None` if there is none.
+    ///
+    /// ```
+    /// use briarswitch_core::outcome::FailurePoint;
+    ///
+    /// assert_eq!(FailurePoint::from_code("connect"), Some(FailurePoint::Connect));
+    /// ```
+    pub fn from_code(code: &str) -> Option<Self> {
+        Self::ALL.into_iter().find(|point| point.code() == code)
+    }
+
     /// Returns the machine-readable code for the error body.
     pub fn code(self) -> &'static str {
         match self {
--- a/crates/ctl/src/explain.rs
+++ b/crates/ctl/src/explain.rs
@@ -72,6 +72,14 @@
         "no configuration is known yet",
         "the node had just started and had not received a configuration",
     ),
+    (
+        "partitioned",
+        "the node reached no target; check reach_lost, and request_ended of the same request on another node",
+    ),
+    (
+        "older configuration",
+        "another node forwarded the request under a newer configuration than this one had; check config_adopted",
+    ),
     (
         "this node is shutting down",
         "the node received a termination signal; check shutdown_begun",
@@ -183,9 +191,10 @@
 /// Returns the log lines of a request and its outcome, or `None` if no line mentions it.
 pub fn explain(lines: &[LogLine], request: &str) -> Option<String> {
     let found = lines_of(lines, "request", request)?;
+    // The node that got the request from its caller knows the outcome, not the one that it was forwarded to.
     let last = found
         .iter()
-        .rfind(|line| line.get("event") == "request_ended");
+        .rfind(|line| line.get("event") == "request_ended" && line.get("forwarded_by").is_empty());
     let outcome = last.map_or_else(
         || "the logs contain no end of the request".to_owned(),
         |line| explain_outcome(line),
--- a/crates/ctl/tests/explain.rs
+++ b/crates/ctl/tests/explain.rs
@@ -73,3 +73,24 @@
         expect_that!(report, not(contains_substring(other)));
     }
 }
+
+/// Log lines of a request that one node forwarded to another, whose end is logged last.
+const FORWARDED_LINES: &str = r#"
+ts=5.000 node=front-1 event=request_forwarded request=r5 peer=front-2 tries=0 attempts=0 after_event="" ms=0
+ts=5.300 node=front-1 event=request_ended request=r5 forwarded_to=front-2 forwarded_by="" outcome=answered reason="" sent=1
+ts=5.301 node=front-2 event=request_ended request=r5 forwarded_to="" forwarded_by=front-1 outcome=caller_left reason="" sent=1
+"#;
+
+/// Guards against an outcome that is read from the node which only relayed the response.
+#[gtest]
+fn a_forwarded_request_is_followed_across_both_nodes() {
+    let lines: Vec<LogLine> = FORWARDED_LINES.lines().filter_map(LogLine::parse).collect();
+    let report = explain(&lines, "r5").expect("the request is found");
+    expect_that!(report, contains_substring("peer=front-2"));
+    expect_that!(report, contains_substring("forwarded_by=front-1"));
+    expect_that!(report, contains_substring("answered"));
+    expect_that!(
+        report.lines().last(),
+        some(not(contains_substring("caller_left")))
+    );
+}
--- a/crates/fleet/src/caller_api.rs
+++ b/crates/fleet/src/caller_api.rs
@@ -16,6 +16,7 @@
 use xxhash_rust::xxh3::xxh3_64;
 
 use crate::dispatch::FleetDispatcher;
+use crate::forward::{refusal_response, ForwardRefusal, ForwardRequest};
 use crate::job::RequestJob;
 use crate::local_reply::LocalReply;
 use crate::ports::CallerRequest;
@@ -68,6 +69,39 @@
         response
     }
 
+    /// Admits a request that another node forwarded as one of this node's own callers, and runs it.
+    pub(crate) async fn run_forwarded(&self, forward: ForwardRequest) -> Response {
+        let now = BootClock::now();
+        let (head, body) = forward.caller_request();
+        let caller_request = CallerRequest {
+            host: forward.host.clone(),
+            ..self.shared.platform.protocol.parse_request(&head)
+        };
+        let arrived = now.saturating_sub(forward.elapsed);
+        let mut trace = RequestTrace::begin(&self.shared, &caller_request.attempt, arrived);
+        trace.record_sender(&forward.sender, forward.attempts_sent);
+        let accepted = self.accept(head, body, caller_request, &mut trace).await;
+        match accepted {
+            Ok(job) if trace.config_version < forward.config_version => {
+                drop(job);
+                self.refuse_forwarded("older configuration", trace)
+            }
+            Ok(job) => {
+                let job = job.continued(forward, now);
+                self.dispatcher.run_forwarded(job, trace).await
+            }
+            Err(reply) => self.refuse_forwarded(reply.text, trace),
+        }
+    }
+
+    fn refuse_forwarded(&self, reason: &'static str, mut trace: RequestTrace) -> Response {
+        trace.reason = reason;
+        trace.end(RequestEnd::NotRun);
+        refusal_response(ForwardRefusal::NotTaken {
+            reason: reason.to_owned(),
+        })
+    }
+
     /// Checks a request and reads its body.
     ///
     /// # Errors
@@ -111,7 +145,10 @@
         trace.max_tokens = caller_request.max_tokens;
         trace.timeout = timeout;
         trace.waited_before = waited_before;
-        self.record_demand(config, &service, &caller_request, trace.arrived);
+        // The node to which the request is forwarded records it.
+        if !self.shared.reach.is_partitioned() {
+            self.record_demand(config, &service, &caller_request, trace.arrived);
+        }
         self.shared.has_traffic.store(true, Ordering::Relaxed);
         let path = head.uri.path_and_query();
         let path = path.map_or("/", |path| path.as_str()).to_owned();
@@ -138,6 +175,8 @@
             waited_before,
             arrived: trace.arrived,
             deadline: trace.arrived + timeout,
+            forwarded_by: None,
+            tried: Vec::new(),
             request: caller_request,
             config: Arc::clone(&loaded),
         })
--- a/crates/fleet/src/costs.rs
+++ b/crates/fleet/src/costs.rs
@@ -47,10 +47,16 @@
     TableBuilt,
     /// Control round of the group controller.
     ControlRound,
+    /// Probes of several targets, or of one, to find out whether this node reaches any.
+    ReachProbed,
+    /// Request forwarded to another node.
+    RequestForwarded,
+    /// Request forwarded by another node.
+    ForwardReceived,
 }
 
 /// Names of the kinds, in the order of [`CostKind`].
-const NAMES: [&str; 19] = [
+const NAMES: [&str; 22] = [
     "registry_write",
     "registry_read",
     "table_whole",
@@ -70,6 +76,9 @@
     "work_folded",
     "table_built",
     "control_round",
+    "reach_probed",
+    "request_forwarded",
+    "forward_received",
 ];
 
 /// Totals of one kind since the start.
--- a/crates/fleet/src/dispatch.rs
+++ b/crates/fleet/src/dispatch.rs
@@ -4,10 +4,10 @@
 use std::time::Duration;
 
 use briarswitch_core::id::*;
-use briarswitch_core::outcome::{FailurePoint, Outcome};
+use briarswitch_core::outcome::FailurePoint;
 use briarswitch_http::{
-    full_body, stream_body, Response, SendError, TargetAddress, TargetBody, TargetClient,
-    TargetLimits, TargetResponse,
+    full_body, stream_body, Response, SendError, SendProgress, TargetAddress, TargetBody,
+    TargetClient, TargetLimits, TargetResponse,
 };
 use briarswitch_kernel::{BootClock, Mailbox};
 use bytes::Bytes;
@@ -15,21 +15,25 @@
 use http::{HeaderValue, Uri};
 
 use crate::budget::RetryBudgets;
-use crate::failure::{implies_not_run, worst_of, ConnectionFailure, FailedAttempt, HeadWaitError};
+use crate::failure::{implies_not_run, FailedAttempt, HeadWaitError};
+use crate::forward::{refusal_response, ForwardRefusal};
+use crate::forwarder::RequestForwarder;
 use crate::gauge::SlotGuard;
 use crate::job::{RequestJob, ResponseStart};
 use crate::local_reply::LocalReply;
 use crate::peers::PeerMessage;
 use crate::ports::{ResponseInfo, TargetRequestInfo};
+use crate::reach_monitor::ReachReporter;
 use crate::relay::StreamRelay;
-use crate::restriction::AcquiredSlot;
+use crate::request_run::{FailedRequest, RequestResponse, RequestRun};
 use crate::routing_table::RouteTarget;
 use crate::run::{RunListeners, TargetRun};
 use crate::shared::FleetShared;
 use crate::statement_recorder::StatementRecorder;
+use crate::stream_source::StreamSource;
 use crate::suspicion::{reroute_delay, silence_limit_for, SuspicionReporter};
 use crate::target_selector::TargetSelector;
-use crate::trace::{RequestEnd, RequestTrace};
+use crate::trace::RequestTrace;
 
 /// Maximum number of idle connections kept per target.
 const MAX_IDLE_CONNECTIONS: usize = 16;
@@ -43,10 +47,6 @@
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(400);
 /// Interval at which a target is checked for silence while a response or the next part of a stream is awaited.
 pub(crate) const SILENCE_POLL_INTERVAL: Duration = Duration::from_millis(40);
-/// Attempts of one request that may fail to reach a target before the request fails.
-///
-/// Refused connections are not counted.
-const MAX_UNREACHED_ATTEMPTS: u32 = 4;
 /// Largest buffered response in bytes.
 const MAX_RESPONSE_BYTES: usize = 64 << 20;
 /// Lowest priority that targets accept, as the largest number; zero is the highest priority.
@@ -67,15 +67,19 @@
     budgets: RetryBudgets,
     selector: TargetSelector,
     suspicion: SuspicionReporter,
+    reach: ReachReporter,
+    forwarder: RequestForwarder,
     statements: StatementRecorder,
     run_listeners: RunListeners,
 }
 
 impl FleetDispatcher {
-    /// Creates a dispatcher that reports silent targets to `peers` and runs that have ended to `run_listeners`.
+    /// Creates a dispatcher that reports silent targets to `peers`, failures to reach targets to `reach`, and runs that
+    /// have ended to `run_listeners`.
     pub fn new(
         shared: Arc<FleetShared>,
         peers: Mailbox<PeerMessage>,
+        reach: ReachReporter,
         run_listeners: RunListeners,
     ) -> Arc<Self> {
         let client = TargetClient::new(TargetLimits {
@@ -86,9 +90,11 @@
             budgets: RetryBudgets::new(Arc::clone(&shared)),
             selector: TargetSelector::new(Arc::clone(&shared)),
             statements: StatementRecorder::new(Arc::clone(&shared)),
+            forwarder: RequestForwarder::new(Arc::clone(&shared)),
+            suspicion: SuspicionReporter::new(Arc::clone(&shared), peers, reach.clone()),
+            reach,
             shared,
             client,
-            suspicion: SuspicionReporter::new(peers),
             run_listeners,
         })
     }
@@ -108,99 +114,70 @@
         &self.suspicion
     }
 
+    /// Returns the reporter of failures to reach targets.
+    pub fn reach(&self) -> &ReachReporter {
+        &self.reach
+    }
+
     /// Returns the retry budgets.
     pub fn budgets(&self) -> &RetryBudgets {
         &self.budgets
     }
 
-    /// Runs a request, with retries as its rule allows, and returns the response for the caller.
-    pub async fn run(self: &Arc<Self>, job: RequestJob, mut trace: RequestTrace) -> Response {
+    /// Returns the forwarder of requests to other nodes.
+    pub(crate) fn forwarder(&self) -> &RequestForwarder {
+        &self.forwarder
+    }
+
+    /// Runs a request of a caller, with retries as its rule allows, and returns the response for the caller.
+    pub async fn run(self: &Arc<Self>, job: RequestJob, trace: RequestTrace) -> Response {
         self.budgets.deposit(&job.service);
-        if self
-            .shared
-            .suspects
-            .quarantine_left(&job.fingerprint)
-            .is_some()
-        {
-            return self.reply_failed(FailurePoint::Quarantined, None, &mut trace);
+        match self.run_unanswered(job, trace).await {
+            Ok(answered) => answered.response,
+            Err(failed) => self.reply_failed(*failed),
         }
-        let mut tried: Vec<TargetId> = Vec::new();
-        let mut unreached = 0;
-        let mut worst: Option<FailurePoint> = None;
-        loop {
-            let acquired = self.selector.acquire(&job, &tried).await;
-            let AcquiredSlot {
-                target,
-                slot,
-                passed_over,
-            } = match acquired {
-                Ok(acquired) => acquired,
-                Err(error) => {
-                    trace.passed_over = error.passed_over;
-                    let point = worst_of(worst, error.point);
-                    return self.reply_failed(point, error.available_in, &mut trace);
-                }
-            };
-            trace.passed_over = passed_over;
-            record_target(&mut trace, &target);
-            trace.record_slot();
-            let last_event = job.request.last_event.clone();
-            let may_reroute = trace.attempts_sent + 1 < job.rule.max_attempts;
-            let gauge = Arc::clone(&target.gauge);
-            let sent_at = BootClock::now();
-            let sent = self
-                .send(&job, target, slot, last_event.as_deref(), may_reroute)
-                .await;
-            let failed = match sent {
-                Ok(response) if job.is_stream() => {
-                    return self.stream_response(job, response, trace);
-                }
-                Ok(response) => match self.read_response(&job, response).await {
-                    Ok((head, bytes)) => {
-                        trace.end(RequestEnd::Answered);
-                        return self.buffered_response(head, bytes);
-                    }
-                    Err(point) => FailedAttempt::after_head(point),
-                },
-                Err(failed) => failed,
-            };
-            let point = failed.point;
-            trace.record_failed_attempt(&failed, &gauge, sent_at);
-            tried.push(trace.target.clone());
-            let reached = !matches!(
-                point,
-                FailurePoint::Connect | FailurePoint::ClosedBeforeSend
-            );
-            match failed.connection {
-                _ if reached => trace.attempts_sent += 1,
-                // A refused connection costs about a millisecond and each target is tried only once, so it does not
-                // count towards the limit.
-                ConnectionFailure::Refused => {}
-                ConnectionFailure::None
-                | ConnectionFailure::Broken
-                | ConnectionFailure::Unopened => unreached += 1,
+    }
+
+    /// Runs a request that another node forwarded; the response is for that node.
+    ///
+    /// The other node has counted the request towards its retry budget.
+    pub async fn run_forwarded(self: &Arc<Self>, job: RequestJob, trace: RequestTrace) -> Response {
+        match self.run_unanswered(job, trace).await {
+            Ok(RequestResponse { mut response, head }) => {
+                head.insert_into(response.headers_mut());
+                response
             }
-            trace.broken_runs += usize::from(failed.connection == ConnectionFailure::Broken);
-            let may_retry = point.allows_retry(job.rule.is_repeatable())
-                && self
-                    .shared
-                    .suspects
-                    .may_retry(&job.fingerprint, trace.broken_runs)
-                && trace.attempts_sent < job.rule.max_attempts
-                && unreached < MAX_UNREACHED_ATTEMPTS
-                && BootClock::now() < job.deadline;
-            if !may_retry || (reached && !self.budgets.withdraw(&job.service)) {
-                if let Some(response) = failed.response {
-                    let (head, bytes) = *response;
-                    trace.end(RequestEnd::Failed);
-                    return self.buffered_response(head, bytes);
-                }
-                return self.reply_failed(worst_of(worst, point), None, &mut trace);
+            Err(mut failed) => {
+                failed.trace.end_failed(failed.point);
+                refusal_response(ForwardRefusal::Failed {
+                    point: failed.point,
+                    available_in: self.available_in(&failed),
+                    attempts_sent: failed.trace.attempts_sent,
+                })
             }
-            worst = Some(worst_of(worst, point));
         }
     }
 
+    async fn run_unanswered(
+        self: &Arc<Self>,
+        job: RequestJob,
+        trace: RequestTrace,
+    ) -> Result<RequestResponse, Box<FailedRequest>> {
+        if self.is_quarantined(&job) {
+            return Err(Box::new(FailedRequest {
+                point: FailurePoint::Quarantined,
+                available_in: None,
+                trace,
+            }));
+        }
+        RequestRun::new(Arc::clone(self), job, trace).run().await
+    }
+
+    fn is_quarantined(&self, job: &RequestJob) -> bool {
+        let suspects = &self.shared.suspects;
+        suspects.quarantine_left(&job.fingerprint).is_some()
+    }
+
     /// Sends a request to a target and waits for the head of the response.
     ///
     /// # Errors
@@ -220,12 +197,7 @@
             return Err(FailurePoint::QueueDeadline.into());
         }
         // While it waited for a slot, the same request may have crashed a target through another node.
-        if self
-            .shared
-            .suspects
-            .quarantine_left(&job.fingerprint)
-            .is_some()
-        {
+        if self.is_quarantined(job) {
             return Err(FailurePoint::Quarantined.into());
         }
         self.statements.log_choice(job, &target, now);
@@ -238,10 +210,11 @@
         // request has run, so such requests use a new connection.
         let needs_new_connection = !job.rule.is_repeatable();
         let client = self.client.with_max_idle(self.idle_limit(job));
-        let sending = client.send(&address, request, needs_new_connection);
+        let progress = SendProgress::default();
+        let sending = client.send_tracked(&address, request, needs_new_connection, &progress);
         let mut run = TargetRun::start(job.run_info(&target, now), self.run_listeners.clone());
         match self
-            .wait_head(sending, job, &target, now, may_reroute)
+            .wait_head(sending, &progress, job, &target, now, may_reroute)
             .await
         {
             Ok(reply) => {
@@ -255,6 +228,9 @@
             }
             Err(error) => {
                 target.gauge.record_outcome(true);
+                if let HeadWaitError::Send(_) = error {
+                    self.reach.report_failure(&target.id);
+                }
                 match error {
                     HeadWaitError::Send(SendError::Broken) => {
                         run.report_broken("broken_before_head");
@@ -287,6 +263,7 @@
     async fn wait_head(
         &self,
         sending: impl std::future::Future<Output = Result<TargetResponse, SendError>>,
+        progress: &SendProgress,
         job: &RequestJob,
         target: &RouteTarget,
         sent: Moment,
@@ -304,15 +281,23 @@
             if now >= job.deadline {
                 return Err(HeadWaitError::Deadline);
             }
+            let may_forward = job.forwarded_by.is_none() && self.shared.reach.is_partitioned();
+            if may_forward && !progress.has_begun() {
+                return Err(HeadWaitError::Send(SendError::Connect));
+            }
             let waited = now.saturating_sub(sent);
             let limit = silence_limit_for(job, target);
             let is_silent = waited > limit && target.gauge.silence(now) > limit;
             if is_silent {
                 self.suspicion.suspect(target, now);
             }
+            if may_forward && may_reroute && self.may_repeat(job) {
+                return Err(HeadWaitError::Rerouted);
+            }
             // Rerouting processes the prompt twice, so a request that is only queued stays at its target.
             let is_overdue = is_silent || waited > reroute_delay.max(limit);
-            if is_overdue && may_reroute && self.can_reroute(job, target) {
+            let is_targets_fault = !self.shared.doubts_reach(now);
+            if is_overdue && is_targets_fault && may_reroute && self.can_reroute(job, target) {
                 return Err(HeadWaitError::Rerouted);
             }
         }
@@ -321,9 +306,11 @@
     /// Returns whether another target can take the request now; if not, waiting for the slow one is best.
     fn can_reroute(&self, job: &RequestJob, from: &RouteTarget) -> bool {
         let slot_request = job.slot_request(std::slice::from_ref(&from.id));
-        job.rule.is_repeatable()
-            && self.budgets.can_withdraw(&job.service)
-            && self.selector.has_slot(&slot_request)
+        self.may_repeat(job) && self.selector.has_slot(&slot_request)
+    }
+
+    fn may_repeat(&self, job: &RequestJob) -> bool {
+        job.rule.is_repeatable() && self.budgets.can_withdraw(&job.service)
     }
 
     /// Checks that a response head comes from the right target, and updates the target's gauge.
@@ -406,7 +393,7 @@
     }
 
     /// Reads the body of a response that is not a stream, and releases the slot.
-    async fn read_response(
+    pub(crate) async fn read_response(
         &self,
         job: &RequestJob,
         response: ResponseStart,
@@ -436,7 +423,7 @@
         }
     }
 
-    fn buffered_response(&self, head: http::response::Parts, bytes: Bytes) -> Response {
+    pub(crate) fn buffered_response(&self, head: http::response::Parts, bytes: Bytes) -> Response {
         let length = HeaderValue::from(bytes.len() as u64);
         let mut response = Response::new(bytes.into());
         *response.status_mut() = head.status;
@@ -445,60 +432,58 @@
         response
     }
 
-    fn stream_response(
+    pub(crate) fn stream_response(
         self: &Arc<Self>,
         job: RequestJob,
-        target_response: ResponseStart,
+        source: StreamSource,
         trace: RequestTrace,
     ) -> Response {
-        let status = target_response.head.status;
-        let target_headers = &target_response.head.headers;
-        let headers = self.shared.platform.protocol.caller_headers(target_headers);
-        let relay = StreamRelay::start(Arc::clone(self), job, target_response, trace);
+        let status = source.head().status;
+        let headers = &source.head().headers;
+        let headers = self.shared.platform.protocol.caller_headers(headers);
+        let relay = StreamRelay::start(Arc::clone(self), job, source, trace);
         let mut response = Response::new(stream_body(relay));
         *response.status_mut() = status;
         *response.headers_mut() = headers;
         response
     }
 
-    /// Replies to a request that ends without a target's response; a target may be available in `available_in`.
-    fn reply_failed(
-        &self,
-        point: FailurePoint,
-        available_in: Option<Duration>,
-        trace: &mut RequestTrace,
-    ) -> Response {
-        trace.reason = point.code();
-        trace.end(match point.outcome() {
-            Outcome::NotRun => RequestEnd::NotRun,
-            _ => RequestEnd::Unknown,
-        });
-        let reply = self.failure_reply(point, trace);
-        let reply = reply.delayed_by(available_in.unwrap_or_default());
+    /// Replies to a request that ends without a target's response.
+    fn reply_failed(&self, mut failed: FailedRequest) -> Response {
+        failed.trace.end_failed(failed.point);
+        let reply = self.failure_reply(&failed);
         let mut response = reply.into_response();
         let protocol = &self.shared.platform.protocol;
-        protocol.add_attempt_id(response.headers_mut(), &trace.request_id);
+        protocol.add_attempt_id(response.headers_mut(), &failed.trace.request_id);
         response
     }
 
     /// Returns the reply to a request that ends without a target's response.
-    fn failure_reply(&self, point: FailurePoint, trace: &RequestTrace) -> LocalReply {
-        if point != FailurePoint::Quarantined {
-            return LocalReply::for_failure(point);
+    fn failure_reply(&self, failed: &FailedRequest) -> LocalReply {
+        let available_in = self.available_in(failed).unwrap_or_default();
+        if failed.point != FailurePoint::Quarantined {
+            return LocalReply::for_failure(failed.point).delayed_by(available_in);
         }
-        let remaining = trace
-            .fingerprint
-            .and_then(|fingerprint| self.shared.suspects.quarantine_left(&fingerprint));
-        let remaining = remaining.unwrap_or_default();
+        let trace = &failed.trace;
         self.shared.metrics.count_refusal(&trace.organisation);
         log::info!(
             request = trace.request_id.as_str(),
             print = trace.fingerprint_text().as_str(),
             organisation = trace.organisation.as_str(),
-            left_ms = remaining.as_millis() as u64;
+            left_ms = available_in.as_millis() as u64;
             "quarantine_refused"
         );
-        LocalReply::quarantined(remaining)
+        LocalReply::quarantined(available_in)
+    }
+
+    /// Returns the time until the request may be served, if known.
+    fn available_in(&self, failed: &FailedRequest) -> Option<Duration> {
+        if failed.point != FailurePoint::Quarantined {
+            return failed.available_in;
+        }
+        let fingerprint = failed.trace.fingerprint?;
+        let left = self.shared.suspects.quarantine_left(&fingerprint);
+        left.or(failed.available_in)
     }
 
     fn build_request(
@@ -532,13 +517,6 @@
     }
 }
 
-fn record_target(trace: &mut RequestTrace, target: &RouteTarget) {
-    trace.target.clone_from(&target.id);
-    if let Some(group) = &target.group {
-        trace.group.clone_from(&group.id);
-    }
-}
-
 fn is_complete_response(info: &ResponseInfo) -> bool {
     info.is_signed && !info.is_reencoded
 }
--- a/crates/fleet/src/failure.rs
+++ b/crates/fleet/src/failure.rs
@@ -42,6 +42,14 @@
 }
 
 impl FailedAttempt {
+    /// Returns whether the request may have reached a target.
+    pub fn has_reached_target(&self) -> bool {
+        !matches!(
+            self.point,
+            FailurePoint::Connect | FailurePoint::ClosedBeforeSend
+        )
+    }
+
     /// Returns the failure of an attempt whose response had begun.
     pub fn after_head(point: FailurePoint) -> Self {
         let connection = match point {
--- a/crates/fleet/src/gauge.rs
+++ b/crates/fleet/src/gauge.rs
@@ -64,6 +64,7 @@
     prefill_requests: AtomicU32,
     last_activity: AtomicU64,
     heard_at: AtomicU64,
+    any_heard_at: Arc<AtomicU64>,
     suspect_until: AtomicU64,
     peer_suspect_until: AtomicU64,
     max_gap: AtomicU64,
@@ -80,9 +81,10 @@
 }
 
 impl TargetGauge {
-    fn new(target: &str) -> Self {
+    fn new(target: &str, any_heard_at: Arc<AtomicU64>) -> Self {
         Self {
             key: target_key(target),
+            any_heard_at,
             ..Self::default()
         }
     }
@@ -199,6 +201,7 @@
     /// Records that bytes arrived from the target, and clears any suspicion.
     pub fn record_activity(&self, now: Moment) {
         self.heard_at.store(micros(now), Ordering::Relaxed);
+        self.any_heard_at.store(micros(now), Ordering::Relaxed);
         let before = self.last_activity.swap(micros(now), Ordering::Relaxed);
         let gap = micros(now).saturating_sub(before);
         // Decaying maximum of the gaps between activities.
@@ -239,7 +242,8 @@
             .fetch_max(micros(until), Ordering::Relaxed);
     }
 
-    fn clear_suspicion(&self) {
+    /// Withdraws all suspicions of the target.
+    pub fn clear_suspicion(&self) {
         self.suspect_until.store(0, Ordering::Relaxed);
         self.peer_suspect_until.store(0, Ordering::Relaxed);
     }
@@ -337,6 +341,7 @@
 #[derive(Debug, Default)]
 pub struct GaugeMap {
     gauges: RwLock<HashMap<TargetId, Arc<TargetGauge>>>,
+    any_heard_at: Arc<AtomicU64>,
 }
 
 impl GaugeMap {
@@ -347,7 +352,8 @@
         }
         let mut gauges = self.gauges.write().unwrap_or_else(PoisonError::into_inner);
         let gauge = gauges.entry(target.to_owned());
-        Arc::clone(gauge.or_insert_with(|| Arc::new(TargetGauge::new(target))))
+        let new = || TargetGauge::new(target, Arc::clone(&self.any_heard_at));
+        Arc::clone(gauge.or_insert_with(|| Arc::new(new())))
     }
 
     /// Returns the number of this node's requests by target, without targets that have none.
@@ -375,6 +381,19 @@
         suspects.map(|(id, _)| id.clone()).collect()
     }
 
+    /// Returns the time since bytes last arrived from any target.
+    pub fn silence(&self, now: Moment) -> Duration {
+        let heard_at = self.any_heard_at.load(Ordering::Relaxed);
+        Duration::from_micros(micros(now).saturating_sub(heard_at))
+    }
+
+    /// Returns the number of targets that have requests of this node and have been silent for `time`.
+    pub fn silent_targets(&self, time: Duration, now: Moment) -> usize {
+        let gauges = self.read();
+        let awaited = gauges.values().filter(|gauge| gauge.local_requests() > 0);
+        awaited.filter(|gauge| gauge.silence(now) >= time).count()
+    }
+
     /// Returns how well this node hears the targets.
     pub fn contact(&self, now: Moment) -> TargetContact {
         let mut contact = TargetContact::default();
--- a/crates/fleet/src/job.rs
+++ b/crates/fleet/src/job.rs
@@ -12,6 +12,7 @@
 use bytes::Bytes;
 use http::{HeaderMap, Method};
 
+use crate::forward::ForwardRequest;
 use crate::gauge::SlotGuard;
 use crate::ports::CallerRequest;
 use crate::routing_table::RouteTarget;
@@ -51,9 +52,27 @@
     pub waited_before: Duration,
     /// When the response has to be available.
     pub deadline: Moment,
+    /// Node that forwarded the request; `None` if it came from its caller.
+    pub forwarded_by: Option<NodeId>,
+    /// Targets to which that node has sent it.
+    pub tried: Vec<TargetId>,
 }
 
 impl RequestJob {
+    /// Returns the request as the continuation of what the node that forwarded it had begun, `now` at its arrival here.
+    pub fn continued(self, forward: ForwardRequest, now: Moment) -> Self {
+        let mut request = self.request;
+        request.last_event = forward.last_event.or(request.last_event);
+        Self {
+            waited_before: forward.waited_before,
+            deadline: self.deadline.min(now + forward.remaining),
+            forwarded_by: Some(forward.sender),
+            tried: forward.tried,
+            request,
+            ..self
+        }
+    }
+
     /// Returns the engine that the service runs on, if any.
     pub fn engine(&self) -> Option<&EngineSpec> {
         let config = self.config.as_ref().as_ref()?;
--- a/crates/fleet/src/metrics.rs
+++ b/crates/fleet/src/metrics.rs
@@ -32,6 +32,7 @@
     latency: Histogram<f64>,
     first_event: Histogram<f64>,
     config_version: Arc<AtomicU64>,
+    partitioned: Arc<AtomicU64>,
 }
 
 /// Labels of one request.
@@ -63,14 +64,18 @@
             let builder = meter.f64_histogram(name);
             builder.with_boundaries(LATENCY_BOUNDS.to_vec()).build()
         };
-        let config = Arc::new(AtomicU64::new(0));
-        let observed = Arc::clone(&config);
-        meter
-            .u64_observable_gauge("config_version")
-            .with_callback(move |observer| {
-                observer.observe(observed.load(Ordering::Relaxed), &[]);
-            })
-            .build();
+        let gauge = |name: &'static str| {
+            let value = Arc::new(AtomicU64::new(0));
+            let observed = Arc::clone(&value);
+            meter
+                .u64_observable_gauge(name)
+                .with_callback(move |observer| {
+                    observer.observe(observed.load(Ordering::Relaxed), &[]);
+                })
+                .build();
+            value
+        };
+        let (config_version, partitioned) = (gauge("config_version"), gauge("partitioned"));
         meter
             .u64_observable_counter("costs")
             .with_callback(move |observer| {
@@ -92,7 +97,8 @@
             first_event: histogram("first_event_seconds"),
             registry,
             _provider: provider,
-            config_version: config,
+            config_version,
+            partitioned,
         }
     }
 
@@ -161,6 +167,12 @@
         self.config_version.store(version, Ordering::Relaxed);
     }
 
+    /// Sets whether this node is partitioned from all targets.
+    pub fn set_partitioned(&self, is_partitioned: bool) {
+        self.partitioned
+            .store(u64::from(is_partitioned), Ordering::Relaxed);
+    }
+
     /// Returns the metrics in the Prometheus text format.
     pub fn render(&self) -> Vec<u8> {
         let mut text = Vec::new();
--- a/crates/fleet/src/node.rs
+++ b/crates/fleet/src/node.rs
@@ -24,6 +24,7 @@
 use crate::peer_api::PeerApi;
 use crate::peers::PeerExchange;
 use crate::ports::FleetPlatform;
+use crate::reach_monitor::{ReachMonitor, ReachReporter};
 use crate::run::RunListeners;
 use crate::settings::FleetSettings;
 use crate::shared::{FleetPhase, FleetShared};
@@ -95,10 +96,16 @@
             watch,
             suspects: suspects.clone(),
         };
-        let dispatcher = FleetDispatcher::new(Arc::clone(&shared), exchange, run_listeners);
+        let monitor = kernel.mount(ReachMonitor::new(Arc::clone(&shared)))?;
+        let reach = ReachReporter::new(monitor);
+        let dispatcher = FleetDispatcher::new(Arc::clone(&shared), exchange, reach, run_listeners);
         let (stop, stopped) = watch::channel(false);
         let caller_api = CallerApi::new(Arc::clone(&shared), dispatcher);
-        let peer_api = PeerApi::new(Arc::clone(&shared), suspects.clone());
+        let peer_api = PeerApi::new(
+            Arc::clone(&shared),
+            suspects.clone(),
+            Arc::clone(&caller_api),
+        );
         let admin_api = AdminApi::new(Arc::clone(&shared), kernel, suspects);
         let servers = vec![
             callers.spawn(caller_api, stopped.clone()),
--- a/crates/fleet/src/peer_api.rs
+++ b/crates/fleet/src/peer_api.rs
@@ -1,5 +1,5 @@
-//! HTTP handler for other nodes: gossip, suspicions, crash reports, and requests for the store's
-//! tables.
+//! HTTP handler for other nodes: gossip, suspicions, crash reports, requests for the store's tables, and
+//! forwarded requests of callers.
 
 use std::sync::{Arc, Mutex, PoisonError};
 use std::time::Duration;
@@ -15,9 +15,12 @@
 use http::StatusCode;
 use indexmap::IndexSet;
 
+use crate::caller_api::CallerApi;
 use crate::costs::CostKind;
 use crate::feed::FEED_PATH;
 use crate::feed_doc::FeedRequestDoc;
+use crate::forward::FORWARD_PATH;
+use crate::forward_api::ForwardApi;
 use crate::gossip_client::{FAR_GOSSIP_PATH, GOSSIP_PATH};
 use crate::packed::{pack, unpack};
 use crate::peers::{apply_hints, apply_suspicions, own_status, SuspicionDoc, SUSPICION_PATH};
@@ -36,12 +39,19 @@
     shared: Arc<FleetShared>,
     status: Mutex<(Moment, NodeStatus)>,
     suspects: Mailbox<SuspectMessage>,
+    forward_api: ForwardApi,
 }
 
 impl PeerApi {
-    /// Creates the handler; `suspects` is notified of crashes that other nodes report.
-    pub fn new(shared: Arc<FleetShared>, suspects: Mailbox<SuspectMessage>) -> Arc<Self> {
+    /// Creates the handler; `suspects` is notified of crashes that other nodes report, and `caller_api` gets the
+    /// requests that they forward.
+    pub fn new(
+        shared: Arc<FleetShared>,
+        suspects: Mailbox<SuspectMessage>,
+        caller_api: Arc<CallerApi>,
+    ) -> Arc<Self> {
         Arc::new(Self {
+            forward_api: ForwardApi::new(Arc::clone(&shared), caller_api),
             shared,
             status: Mutex::default(),
             suspects,
@@ -55,6 +65,7 @@
             SUSPICION_PATH => self.suspicion(request).await,
             FEED_PATH => self.feed(request).await,
             SUSPECT_PATH => self.crashes(request).await,
+            FORWARD_PATH => self.forward_api.respond(request).await,
             _ => reply_text(StatusCode::NOT_FOUND, "no such path"),
         }
     }
--- a/crates/fleet/src/peers.rs
+++ b/crates/fleet/src/peers.rs
@@ -64,6 +64,7 @@
 pub fn own_status(shared: &FleetShared) -> NodeStatus {
     let now = BootClock::now();
     NodeStatus {
+        is_partitioned: shared.reach.is_partitioned(),
         is_leaving: shared.phase() != FleetPhase::Running,
         reads_store: shared.feed.reads_store(),
         has_traffic: shared.has_traffic.load(Ordering::Relaxed),
@@ -423,6 +424,7 @@
                 "zone": peer.entry.zone,
                 "silence_ms": silence,
                 "leaving": peer.is_leaving,
+                "partitioned": peer.is_partitioned,
             })
         });
         let age = membership.knowledge_age(now);
--- /dev/null
+++ b/crates/fleet/src/reach.rs
@@ -0,0 +1,77 @@
+//! Whether this node reaches targets, as the traffic threads see it.
+
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::time::Duration;
+
+use briarswitch_core::id::Moment;
+use briarswitch_core::reachability::Reachability;
+use tokio::sync::watch;
+
+use crate::micros::micros;
+
+/// Silence of all targets from which the silence of one is no reason to suspect it.
+///
+/// Shorter than the silence after which targets are probed, so that no suspicion is spread before the probes.
+const UNVERIFIED_SILENCE: Duration = Duration::from_millis(100);
+/// Time for which a probe that reached a target shows that silence is the target's.
+const VERIFIED_TIME: Duration = Duration::from_secs(1);
+/// Longest wait for the result of probes.
+const SETTLE_TIMEOUT: Duration = Duration::from_millis(500);
+
+/// Whether this node reaches targets.
+#[derive(Debug, Default)]
+pub struct TargetReach {
+    state: watch::Sender<Reachability>,
+    verified_at: AtomicU64,
+}
+
+impl TargetReach {
+    /// Publishes the state, and when a probe last showed that targets are reached.
+    pub fn publish(&self, state: Reachability, verified_at: Option<Moment>) {
+        let verified_at = verified_at.map_or(0, micros);
+        self.verified_at.store(verified_at, Ordering::Relaxed);
+        self.state.send_if_modified(|held| {
+            let is_modified = *held != state;
+            *held = state;
+            is_modified
+        });
+    }
+
+    /// Returns whether this node reaches targets.
+    pub fn state(&self) -> Reachability {
+        *self.state.borrow()
+    }
+
+    /// Returns whether this node is known to be partitioned from all targets.
+    pub fn is_partitioned(&self) -> bool {
+        self.state() == Reachability::Partitioned
+    }
+
+    /// Returns whether the failure of a target may be this node's, given the time since any target was heard.
+    pub fn is_doubtful(&self, silence: Duration, now: Moment) -> bool {
+        let verified_at = Duration::from_micros(self.verified_at.load(Ordering::Relaxed));
+        self.state() != Reachability::Reachable
+            || (silence >= UNVERIFIED_SILENCE && now >= verified_at + VERIFIED_TIME)
+    }
+
+    /// Waits while probes are under way; returns whether this node is partitioned.
+    pub async fn settle(&self) -> bool {
+        if self.state() != Reachability::Verifying {
+            return self.is_partitioned();
+        }
+        let mut state = self.state.subscribe();
+        let settled = state.wait_for(|state| *state != Reachability::Verifying);
+        // On a time-out the request takes the direct path, as if there were no doubt.
+        let _ = tokio::time::timeout(SETTLE_TIMEOUT, settled).await;
+        self.is_partitioned()
+    }
+
+    /// Waits until this node is partitioned.
+    pub async fn partitioned(&self) {
+        let mut state = self.state.subscribe();
+        let partitioned = state.wait_for(|state| *state == Reachability::Partitioned);
+        if partitioned.await.is_err() {
+            std::future::pending::<()>().await;
+        }
+    }
+}
--- a/crates/fleet/src/relay.rs
+++ b/crates/fleet/src/relay.rs
@@ -12,10 +12,12 @@
 
 use crate::dispatch::{FleetDispatcher, SILENCE_POLL_INTERVAL};
 use crate::failure::ConnectionFailure;
-use crate::gauge::SlotGuard;
-use crate::job::{RequestJob, ResponseStart};
+use crate::forwarder::{ForwardError, ForwardProgress};
+use crate::job::RequestJob;
+use crate::request_run::MAX_UNREACHED_ATTEMPTS;
 use crate::restriction::AcquiredSlot;
 use crate::slot_queue::ReservedTarget;
+use crate::stream_source::StreamSource;
 use crate::suspicion::silence_limit_for;
 use crate::trace::{RequestEnd, RequestTrace};
 
@@ -26,7 +28,7 @@
 pub struct StreamRelay {
     dispatcher: Arc<FleetDispatcher>,
     job: RequestJob,
-    response: ResponseStart,
+    source: StreamSource,
     splitter: EventSplitter,
     trace: RequestTrace,
     tried: Vec<TargetId>,
@@ -41,6 +43,8 @@
     Resumed,
     /// The target refused the connection.
     Refused,
+    /// No connection to the target could be opened, or no node took the request.
+    Unreached,
     /// The stream could not be resumed.
     Failed,
 }
@@ -60,15 +64,14 @@
     pub fn start(
         dispatcher: Arc<FleetDispatcher>,
         job: RequestJob,
-        response: ResponseStart,
-        mut trace: RequestTrace,
+        source: StreamSource,
+        trace: RequestTrace,
     ) -> impl Stream<Item = Result<Bytes, io::Error>> + Send + 'static {
-        trace.attempts_sent += 1;
         let relay = Self {
-            tried: vec![response.target.id.clone()],
+            tried: vec![source.target().to_owned()],
             dispatcher,
             job,
-            response,
+            source,
             splitter: EventSplitter::default(),
             trace,
             last_received: BootClock::now(),
@@ -95,8 +98,7 @@
                 StreamStep::End => return self.finish(),
                 step @ (StreamStep::Broken | StreamStep::Deadline) => {
                     if matches!(step, StreamStep::Broken) {
-                        self.response.run.report_broken("stream_broken");
-                        self.trace.broken_runs += 1;
+                        self.record_break();
                     }
                     self.trace.reason = "stream_broken";
                     if !self.resume_after_break().await {
@@ -113,7 +115,7 @@
 
     async fn next_step(&mut self) -> StreamStep {
         loop {
-            let timer = tokio::time::timeout(SILENCE_POLL_INTERVAL, self.response.body.next());
+            let timer = tokio::time::timeout(SILENCE_POLL_INTERVAL, self.source.next());
             let started = BootClock::now();
             match timer.await {
                 Ok(Ok(Some(chunk))) => return StreamStep::Chunk(chunk),
@@ -127,25 +129,54 @@
             }
             let is_timer_late =
                 now.saturating_sub(started) > SILENCE_POLL_INTERVAL + MAX_TIMER_DELAY;
+            if !is_timer_late && self.is_peer_lost() {
+                return StreamStep::Broken;
+            }
             if !is_timer_late && self.should_resume(now) {
                 return StreamStep::Silent;
             }
         }
     }
 
+    /// Returns whether the node that relays the stream is no longer live.
+    fn is_peer_lost(&self) -> bool {
+        match &self.source {
+            StreamSource::Target(_) => false,
+            StreamSource::Peer(response) => !self.dispatcher.forwarder().is_live(&response.peer),
+        }
+    }
+
+    fn record_break(&mut self) {
+        if self.source.report_broken("stream_broken") {
+            self.trace.broken_runs += 1;
+            let target = self.source.target().to_owned();
+            self.dispatcher.reach().report_failure(&target);
+        }
+    }
+
     /// Returns whether the group has been silent for longer than its forward passes explain, and the stream may be
     /// resumed at another target.
     ///
     /// A silent group is reported as suspect even if the stream may not be resumed.
     fn should_resume(&self, now: Moment) -> bool {
-        let target = &self.response.target;
+        // A node that relays the stream watches the target itself.
+        let StreamSource::Target(response) = &self.source else {
+            return false;
+        };
+        let target = &response.target;
         let limit = silence_limit_for(&self.job, target);
         let is_silent =
             now.saturating_sub(self.last_received) > limit && target.gauge.silence(now) > limit;
         if is_silent {
             self.dispatcher.suspicion().suspect(target, now);
         }
-        is_silent && self.may_resume()
+        is_silent && self.has_verdict(now) && self.may_resume()
+    }
+
+    /// Returns whether it is known if this node reaches targets; until then, another target may be as silent.
+    fn has_verdict(&self, now: Moment) -> bool {
+        let shared = self.dispatcher.shared();
+        shared.reach.is_partitioned() || !shared.doubts_reach(now)
     }
 
     fn may_resume(&self) -> bool {
@@ -158,10 +189,7 @@
     fn record_events(&mut self) {
         let now = BootClock::now();
         if self.trace.events == 0 {
-            self.response
-                .slot
-                .iter_mut()
-                .for_each(SlotGuard::end_prefill);
+            self.source.end_prefill();
             self.trace.record_first_event();
             if self.trace.attempts_sent == 1 {
                 let reserved_at = self.trace.arrived + self.trace.slot_wait.unwrap_or_default();
@@ -177,16 +205,14 @@
                 .max(now.saturating_sub(self.last_received));
         }
         self.last_received = now;
-        self.response.target.gauge.record_activity(now);
+        self.source.record_activity(now);
         self.trace.events = self.splitter.events();
     }
 
     /// Ends the caller's stream; the bytes of an incomplete last event are passed on unchanged.
     fn finish(&mut self) -> Option<Result<Bytes, io::Error>> {
         self.has_ended = true;
-        self.response
-            .run
-            .complete(&self.dispatcher.shared().suspects);
+        self.source.complete(&self.dispatcher.shared().suspects);
         self.trace.end(RequestEnd::Answered);
         let rest = Bytes::copy_from_slice(self.splitter.partial());
         (!rest.is_empty()).then_some(Ok(rest))
@@ -199,6 +225,9 @@
         if !self.may_resume() {
             return false;
         }
+        if self.may_forward() && self.dispatcher.shared().reach.is_partitioned() {
+            return self.resume_at_peer().await == ResumeResult::Resumed;
+        }
         let slot_request = self.job.slot_request(&self.tried);
         let Some(reserved) = self.dispatcher.selector().pick(&slot_request) else {
             return false;
@@ -206,72 +235,138 @@
         self.resume_at(reserved).await == ResumeResult::Resumed
     }
 
+    fn may_forward(&self) -> bool {
+        self.job.forwarded_by.is_none()
+    }
+
     /// Resumes the stream at another target after the current response has ended, waiting for a slot if necessary.
     ///
     /// Targets often fail together, and the failure of the next one may not have been detected yet. A target that
-    /// refuses the connection has not received the request, so a further one is tried.
+    /// was not reached has not received the request, so a further one is tried.
     async fn resume_after_break(&mut self) -> bool {
-        self.response.slot = None;
-        while self.may_resume() {
-            let selector = self.dispatcher.selector();
-            let is_begun = self.splitter.last_id().is_some();
-            let acquiring = selector.acquire_for_resume(&self.job, &self.tried, is_begun);
-            let Ok(AcquiredSlot { target, slot, .. }) = acquiring.await else {
-                return false;
-            };
-            match self.resume_at((target, slot)).await {
+        self.source.release_slot();
+        let mut unreached = 0;
+        while self.may_resume() && unreached < MAX_UNREACHED_ATTEMPTS {
+            let result = self.resume_once().await;
+            match result {
                 ResumeResult::Resumed => return true,
                 ResumeResult::Refused => {}
+                ResumeResult::Unreached => unreached += 1,
                 ResumeResult::Failed => return false,
             }
         }
         false
     }
 
+    async fn resume_once(&mut self) -> ResumeResult {
+        if self.may_forward() && self.dispatcher.shared().reach.settle().await {
+            let result = self.resume_at_peer().await;
+            if result != ResumeResult::Unreached {
+                return result;
+            }
+        }
+        let selector = self.dispatcher.selector();
+        let is_begun = self.splitter.last_id().is_some();
+        let acquiring = selector.acquire_for_resume(&self.job, &self.tried, is_begun);
+        match acquiring.await {
+            Ok(AcquiredSlot { target, slot, .. }) => self.resume_at((target, slot)).await,
+            Err(_) => ResumeResult::Failed,
+        }
+    }
+
+    /// Returns the event after which the stream continues.
+    fn last_event(&self) -> Option<String> {
+        let last_event = self.splitter.last_id().map(str::to_owned);
+        last_event.or_else(|| self.job.request.last_event.clone())
+    }
+
     async fn resume_at(&mut self, (target, slot): ReservedTarget) -> ResumeResult {
         if !self.dispatcher.budgets().withdraw(&self.job.service) {
             return ResumeResult::Failed;
         }
         self.trace.attempts_sent += 1;
-        let last_event = self.splitter.last_id().map(str::to_owned);
-        let last_event = last_event.or_else(|| self.job.request.last_event.clone());
+        let last_event = self.last_event();
         self.tried.push(target.id.clone());
-        log::info!(
-            request = self.trace.request_id.as_str(),
-            from = self.response.target.id.as_str(),
-            to = target.id.as_str(),
-            reason = self.trace.reason,
-            after_event = last_event.as_deref().unwrap_or(""),
-            silence_ms = BootClock::now().saturating_sub(self.last_received).as_millis() as u64;
-            "stream_resumed"
-        );
+        self.log_resume(&target.id, last_event.as_deref());
         let sent = self
             .dispatcher
             .send(&self.job, target, slot, last_event.as_deref(), false)
             .await;
         match sent {
             Ok(response) => {
-                self.dispatcher
-                    .shared()
-                    .metrics
-                    .count_resume(&self.job.service);
-                self.trace.target.clone_from(&response.target.id);
-                self.response = response;
-                self.splitter.discard_partial();
+                self.continue_from(StreamSource::Target(Box::new(response)));
                 ResumeResult::Resumed
             }
             Err(failed) => {
                 self.trace.reason = failed.point.code();
-                if failed.connection == ConnectionFailure::Refused {
-                    self.trace.attempts_sent -= 1;
-                    self.dispatcher.budgets().refund(&self.job.service);
-                    return ResumeResult::Refused;
-                }
+                let result = match failed.connection {
+                    ConnectionFailure::Refused => ResumeResult::Refused,
+                    ConnectionFailure::Unopened => ResumeResult::Unreached,
+                    _ => return ResumeResult::Failed,
+                };
+                self.trace.attempts_sent -= 1;
+                self.dispatcher.budgets().refund(&self.job.service);
+                result
+            }
+        }
+    }
+
+    /// Resumes the stream through another node.
+    async fn resume_at_peer(&mut self) -> ResumeResult {
+        if !self.dispatcher.budgets().withdraw(&self.job.service) {
+            return ResumeResult::Failed;
+        }
+        let last_event = self.last_event();
+        let progress = ForwardProgress {
+            attempts_sent: self.trace.attempts_sent,
+            tried: &self.tried,
+            last_event: last_event.as_deref(),
+        };
+        let forwarder = self.dispatcher.forwarder();
+        match forwarder.forward(&self.job, progress).await {
+            Ok(response) if response.head.status.is_success() => {
+                self.trace.attempts_sent = response.forwarded.attempts_sent;
+                self.trace.record_peer(&response.peer.entry.node);
+                self.log_resume(&response.forwarded.target, last_event.as_deref());
+                self.continue_from(StreamSource::Peer(Box::new(response)));
+                ResumeResult::Resumed
+            }
+            Err(ForwardError::NotTaken) => {
+                self.dispatcher.budgets().refund(&self.job.service);
+                ResumeResult::Unreached
+            }
+            Ok(_) | Err(ForwardError::Failed { .. } | ForwardError::Lost(_)) => {
                 ResumeResult::Failed
             }
         }
     }
 
+    fn log_resume(&self, target: &str, last_event: Option<&str>) {
+        log::info!(
+            request = self.trace.request_id.as_str(),
+            from = self.source.target(),
+            to = target,
+            peer = self.trace.forwarded_to.as_str(),
+            reason = self.trace.reason,
+            after_event = last_event.unwrap_or(""),
+            silence_ms = BootClock::now().saturating_sub(self.last_received).as_millis() as u64;
+            "stream_resumed"
+        );
+    }
+
+    fn continue_from(&mut self, source: StreamSource) {
+        let metrics = &self.dispatcher.shared().metrics;
+        metrics.count_resume(&self.job.service);
+        if let StreamSource::Target(response) = &source {
+            self.trace.record_target(&response.target);
+        } else {
+            self.trace.target = source.target().to_owned();
+        }
+        self.tried.push(source.target().to_owned());
+        self.source = source;
+        self.splitter.discard_partial();
+    }
+
     /// Ends the caller's stream with an error, so that the connection closes without the end of the body.
     ///
     /// Otherwise the caller would take the response for complete.
@@ -284,7 +379,7 @@
 
 impl Drop for StreamRelay {
     fn drop(&mut self) {
-        self.response.slot = None;
+        self.source.release_slot();
         self.dispatcher.selector().serve_queue();
     }
 }
--- /dev/null
+++ b/crates/fleet/src/request_run.rs
@@ -0,0 +1,319 @@
+//! One request from its first attempt to its response, with retries and the way through another node.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use briarswitch_core::id::*;
+use briarswitch_core::outcome::FailurePoint;
+use briarswitch_http::Response;
+use briarswitch_kernel::BootClock;
+use bytes::Bytes;
+
+use crate::dispatch::FleetDispatcher;
+use crate::failure::{worst_of, ConnectionFailure, FailedAttempt};
+use crate::forward::ForwardedHead;
+use crate::forwarder::{ForwardError, ForwardProgress, ForwardedResponse};
+use crate::job::RequestJob;
+use crate::restriction::{AcquiredSlot, SlotError};
+use crate::stream_source::StreamSource;
+use crate::trace::{RequestEnd, RequestTrace};
+
+/// Attempts of one request that may fail to reach a target before the request fails.
+///
+/// Refused connections are not counted.
+pub const MAX_UNREACHED_ATTEMPTS: u32 = 4;
+/// Times that a request which no node took is forwarded again.
+const MAX_FORWARD_ROUNDS: u32 = 2;
+
+/// A request that ended without a target's response.
+pub struct FailedRequest {
+    /// Failure to report to the caller.
+    pub point: FailurePoint,
+    /// Time until a target can be expected to take the request, if known.
+    pub available_in: Option<Duration>,
+    /// Record of the request.
+    pub trace: RequestTrace,
+}
+
+/// A target's response for the caller.
+pub struct RequestResponse {
+    /// The response.
+    pub response: Response,
+    /// Its target, and the attempts until then.
+    pub head: ForwardedHead,
+}
+
+/// Result of an attempt that brought a target's response.
+enum Answer {
+    Stream(StreamSource),
+    Whole(Box<(http::response::Parts, Bytes)>),
+}
+
+/// Why an attempt brought no target's response.
+enum AttemptError {
+    /// Nothing was sent, and the request takes another way.
+    Again,
+    /// The request ends.
+    Ended {
+        point: FailurePoint,
+        available_in: Option<Duration>,
+    },
+    /// The attempt failed, and another one may follow.
+    Failed(FailedAttempt),
+}
+
+impl From<SlotError> for AttemptError {
+    fn from(error: SlotError) -> Self {
+        Self::Ended {
+            point: error.point,
+            available_in: error.available_in,
+        }
+    }
+}
+
+/// A request in progress.
+pub struct RequestRun {
+    dispatcher: Arc<FleetDispatcher>,
+    job: RequestJob,
+    trace: RequestTrace,
+    tried: Vec<TargetId>,
+    unreached: u32,
+    worst: Option<FailurePoint>,
+    forward_rounds: u32,
+}
+
+impl RequestRun {
+    /// Creates a request of which nothing was sent by this node.
+    pub fn new(dispatcher: Arc<FleetDispatcher>, job: RequestJob, trace: RequestTrace) -> Self {
+        Self {
+            dispatcher,
+            tried: job.tried.clone(),
+            job,
+            trace,
+            unreached: 0,
+            worst: None,
+            forward_rounds: 0,
+        }
+    }
+
+    /// Runs the request, with retries as its rule allows.
+    ///
+    /// # Errors
+    ///
+    /// Returns the failure to report if no target responded.
+    pub async fn run(mut self) -> Result<RequestResponse, Box<FailedRequest>> {
+        loop {
+            let failed = match self.attempt().await {
+                Ok(answer) => return Ok(self.respond(answer)),
+                Err(AttemptError::Again) => continue,
+                Err(AttemptError::Ended {
+                    point,
+                    available_in,
+                }) => return Err(self.fail(point, available_in)),
+                Err(AttemptError::Failed(failed)) => failed,
+            };
+            if !self.may_retry(&failed) {
+                return match failed.response {
+                    Some(response) => Ok(self.respond_failed(*response)),
+                    None => Err(self.fail(failed.point, None)),
+                };
+            }
+            self.worst = Some(worst_of(self.worst, failed.point));
+        }
+    }
+
+    /// Makes one attempt, through another node if this one reaches no target.
+    async fn attempt(&mut self) -> Result<Answer, AttemptError> {
+        if self.may_forward() && self.dispatcher.shared().reach.settle().await {
+            return self.attempt_at_peer().await;
+        }
+        self.attempt_at_target().await
+    }
+
+    fn may_forward(&self) -> bool {
+        self.job.forwarded_by.is_none() && self.forward_rounds < MAX_FORWARD_ROUNDS
+    }
+
+    async fn attempt_at_peer(&mut self) -> Result<Answer, AttemptError> {
+        let progress = ForwardProgress {
+            attempts_sent: self.trace.attempts_sent,
+            tried: &self.tried,
+            last_event: self.job.request.last_event.as_deref(),
+        };
+        let dispatcher = Arc::clone(&self.dispatcher);
+        let forwarder = dispatcher.forwarder();
+        let response = match forwarder.forward(&self.job, progress).await {
+            Ok(response) => response,
+            Err(error) => return Err(self.record_forward_error(error)),
+        };
+        self.record_forwarded(&response);
+        if self.job.is_stream() && response.head.status.is_success() {
+            return Ok(Answer::Stream(StreamSource::Peer(Box::new(response))));
+        }
+        let read = forwarder.read_whole(&self.job, response).await;
+        let whole = read.map_err(|failed| {
+            self.trace.reason = failed.point.code();
+            AttemptError::Failed(failed)
+        })?;
+        Ok(Answer::Whole(Box::new(whole)))
+    }
+
+    fn record_forwarded(&mut self, response: &ForwardedResponse) {
+        self.trace.record_slot();
+        self.trace.record_peer(&response.peer.entry.node);
+        self.trace.target.clone_from(&response.forwarded.target);
+        self.trace.attempts_sent = response.forwarded.attempts_sent;
+    }
+
+    fn record_forward_error(&mut self, error: ForwardError) -> AttemptError {
+        match error {
+            ForwardError::NotTaken => {
+                self.forward_rounds += 1;
+                AttemptError::Again
+            }
+            ForwardError::Failed {
+                point,
+                available_in,
+                attempts_sent,
+            } => {
+                self.trace.attempts_sent = attempts_sent;
+                AttemptError::Ended {
+                    point,
+                    available_in,
+                }
+            }
+            ForwardError::Lost(point) => {
+                self.trace.attempts_sent += 1;
+                self.trace.reason = point.code();
+                log::info!(
+                    request = self.trace.request_id.as_str(),
+                    reason = point.code(),
+                    attempt = self.trace.attempts_sent;
+                    "forward_broken"
+                );
+                AttemptError::Failed(point.into())
+            }
+        }
+    }
+
+    async fn attempt_at_target(&mut self) -> Result<Answer, AttemptError> {
+        let AcquiredSlot {
+            target,
+            slot,
+            passed_over,
+        } = self.acquire().await?;
+        self.trace.passed_over = passed_over;
+        self.trace.record_target(&target);
+        self.trace.record_slot();
+        let last_event = self.job.request.last_event.clone();
+        let may_reroute = self.trace.attempts_sent + 1 < self.job.rule.max_attempts;
+        let gauge = Arc::clone(&target.gauge);
+        let sent_at = BootClock::now();
+        let sent = self
+            .dispatcher
+            .send(&self.job, target, slot, last_event.as_deref(), may_reroute)
+            .await;
+        let failed = match sent {
+            Ok(response) if self.job.is_stream() => {
+                self.trace.attempts_sent += 1;
+                return Ok(Answer::Stream(StreamSource::Target(Box::new(response))));
+            }
+            Ok(response) => match self.dispatcher.read_response(&self.job, response).await {
+                Ok(whole) => {
+                    self.trace.attempts_sent += 1;
+                    return Ok(Answer::Whole(Box::new(whole)));
+                }
+                Err(point) => FailedAttempt::after_head(point),
+            },
+            Err(failed) => failed,
+        };
+        self.trace.record_failed_attempt(&failed, &gauge, sent_at);
+        self.tried.push(self.trace.target.clone());
+        self.count(&failed);
+        Err(AttemptError::Failed(failed))
+    }
+
+    /// Reserves a slot at a target, unless this node turns out to be partitioned while the request waits.
+    async fn acquire(&mut self) -> Result<AcquiredSlot, AttemptError> {
+        let may_forward = self.may_forward();
+        let acquiring = self.dispatcher.selector().acquire(&self.job, &self.tried);
+        let partitioned = self.dispatcher.shared().reach.partitioned();
+        let acquired = tokio::select! {
+            acquired = acquiring => acquired,
+            () = partitioned, if may_forward => return Err(AttemptError::Again),
+        };
+        acquired.map_err(|error| {
+            self.trace.passed_over = error.passed_over;
+            error.into()
+        })
+    }
+
+    fn count(&mut self, failed: &FailedAttempt) {
+        match failed.connection {
+            _ if failed.has_reached_target() => self.trace.attempts_sent += 1,
+            // A refused connection costs about a millisecond and each target is tried only once, so it does not
+            // count towards the limit.
+            ConnectionFailure::Refused => {}
+            ConnectionFailure::None | ConnectionFailure::Broken | ConnectionFailure::Unopened => {
+                self.unreached += 1;
+            }
+        }
+        self.trace.broken_runs += usize::from(failed.connection == ConnectionFailure::Broken);
+    }
+
+    fn may_retry(&self, failed: &FailedAttempt) -> bool {
+        let rule = &self.job.rule;
+        let suspects = &self.dispatcher.shared().suspects;
+        failed.point.allows_retry(rule.is_repeatable())
+            && suspects.may_retry(&self.job.fingerprint, self.trace.broken_runs)
+            && self.trace.attempts_sent < rule.max_attempts
+            && self.unreached < MAX_UNREACHED_ATTEMPTS
+            && BootClock::now() < self.job.deadline
+            && (!failed.has_reached_target()
+                || self.dispatcher.budgets().withdraw(&self.job.service))
+    }
+
+    fn respond(mut self, answer: Answer) -> RequestResponse {
+        let head = self.response_head();
+        let response = match answer {
+            Answer::Stream(source) => self
+                .dispatcher
+                .stream_response(self.job, source, self.trace),
+            Answer::Whole(whole) => {
+                let (head, bytes) = *whole;
+                let is_success = head.status.is_success();
+                self.trace.end(if is_success {
+                    RequestEnd::Answered
+                } else {
+                    RequestEnd::Failed
+                });
+                self.dispatcher.buffered_response(head, bytes)
+            }
+        };
+        RequestResponse { response, head }
+    }
+
+    /// Passes a target's error response on.
+    fn respond_failed(mut self, (head, bytes): (http::response::Parts, Bytes)) -> RequestResponse {
+        self.trace.end(RequestEnd::Failed);
+        RequestResponse {
+            head: self.response_head(),
+            response: self.dispatcher.buffered_response(head, bytes),
+        }
+    }
+
+    fn response_head(&self) -> ForwardedHead {
+        ForwardedHead {
+            target: self.trace.target.clone(),
+            attempts_sent: self.trace.attempts_sent,
+        }
+    }
+
+    fn fail(self, point: FailurePoint, available_in: Option<Duration>) -> Box<FailedRequest> {
+        Box::new(FailedRequest {
+            point: worst_of(self.worst, point),
+            available_in,
+            trace: self.trace,
+        })
+    }
+}
--- a/crates/fleet/src/shared.rs
+++ b/crates/fleet/src/shared.rs
@@ -21,6 +21,7 @@
 use crate::gauge::{GaugeMap, NodeRank};
 use crate::metrics::FleetMetrics;
 use crate::ports::{FeedMark, FeedRequest, FeedResponse, FleetPlatform, NodeEntry, SourceError};
+use crate::reach::TargetReach;
 use crate::routing_table::{RouteTarget, RoutingTable};
 use crate::settings::FleetSettings;
 use crate::statements::LimitShare;
@@ -80,6 +81,8 @@
     pub suspects: SuspectLedger,
     /// Load and liveness of each target.
     pub gauges: GaugeMap,
+    /// Whether this node reaches targets.
+    pub reach: TargetReach,
     /// The other live nodes.
     pub live_view: Snapshot<LiveView>,
     /// Combined work of all other nodes.
@@ -98,6 +101,8 @@
     pub metrics: FleetMetrics,
     /// Number of requests whose response has not ended.
     pub in_flight: AtomicUsize,
+    /// Number of these that another node forwarded.
+    pub forwarded_in_flight: AtomicUsize,
     /// Number of loads from the weight store in progress in this node's domains, by model.
     pub active_loads: Snapshot<IndexMap<ModelId, u32>>,
     /// Whether any caller's request has been received, by this node or a peer.
@@ -132,6 +137,7 @@
             routing_table: Snapshot::new(RoutingTable::default()),
             suspects: SuspectLedger::new(Arc::clone(&platform.clock)),
             gauges: GaugeMap::default(),
+            reach: TargetReach::default(),
             live_view: Snapshot::new(LiveView::new(own.clone())),
             membership: Mutex::new(Membership::new(own)),
             peers_known: watch::Sender::new(false),
@@ -142,6 +148,7 @@
             metrics: FleetMetrics::new(Arc::clone(&costs)),
             costs,
             in_flight: AtomicUsize::new(0),
+            forwarded_in_flight: AtomicUsize::new(0),
             active_loads: Snapshot::new(IndexMap::new()),
             has_traffic: AtomicBool::new(false),
             config_confirmed_ms: AtomicU64::new(0),
@@ -319,6 +326,11 @@
         }
     }
 
+    /// Returns whether the failure or silence of a target may be due to a partition of this node.
+    pub fn doubts_reach(&self, now: Moment) -> bool {
+        self.reach.is_doubtful(self.gauges.silence(now), now)
+    }
+
     /// Rebuilds the routing table from the directory and the configuration in effect.
     pub fn rebuild_table(&self) {
         let config = self.config.load();
--- /dev/null
+++ b/crates/fleet/src/stream_source.rs
@@ -0,0 +1,88 @@
+//! Where the events of a stream come from: a target, or another node that relays a target's response.
+
+use briarswitch_core::id::Moment;
+use briarswitch_http::BodyError;
+use bytes::Bytes;
+
+use crate::forwarder::ForwardedResponse;
+use crate::gauge::SlotGuard;
+use crate::job::ResponseStart;
+use crate::suspect_ledger::SuspectLedger;
+
+/// Source of a stream's events.
+pub enum StreamSource {
+    /// A target.
+    Target(Box<ResponseStart>),
+    /// Another node, which watches its target itself.
+    Peer(Box<ForwardedResponse>),
+}
+
+impl StreamSource {
+    /// Returns the name of the target that sends the events.
+    pub fn target(&self) -> &str {
+        match self {
+            Self::Target(response) => &response.target.id,
+            Self::Peer(response) => &response.forwarded.target,
+        }
+    }
+
+    /// Returns the status and headers of the response.
+    pub fn head(&self) -> &http::response::Parts {
+        match self {
+            Self::Target(response) => &response.head,
+            Self::Peer(response) => &response.head,
+        }
+    }
+
+    /// Returns the next bytes, or `None` at the regular end.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the connection failed before the end.
+    pub async fn next(&mut self) -> Result<Option<Bytes>, BodyError> {
+        let body = match self {
+            Self::Target(response) => &mut response.body,
+            Self::Peer(response) => &mut response.body,
+        };
+        body.next().await.map_err(|_| BodyError::Incomplete)
+    }
+
+    /// Records that bytes arrived.
+    pub fn record_activity(&self, now: Moment) {
+        if let Self::Target(response) = self {
+            response.target.gauge.record_activity(now);
+        }
+    }
+
+    /// Records that the target has processed the prompt.
+    pub fn end_prefill(&mut self) {
+        if let Self::Target(response) = self {
+            response.slot.iter_mut().for_each(SlotGuard::end_prefill);
+        }
+    }
+
+    /// Releases the slot at the target, if this node holds it.
+    pub fn release_slot(&mut self) {
+        if let Self::Target(response) = self {
+            response.slot = None;
+        }
+    }
+
+    /// Ends the run with a complete response, if this node has started it.
+    pub fn complete(&mut self, suspects: &SuspectLedger) {
+        if let Self::Target(response) = self {
+            response.run.complete(suspects);
+        }
+    }
+
+    /// Ends the run because its connection broke; returns whether this node has started it.
+    pub fn report_broken(&mut self, reason: &'static str) -> bool {
+        match self {
+            Self::Target(response) => {
+                response.run.report_broken(reason);
+                true
+            }
+            Self::Peer(_) => false,
+        }
+    }
+}
--- a/crates/fleet/src/suspicion.rs
+++ b/crates/fleet/src/suspicion.rs
@@ -1,6 +1,7 @@
 //! Excludes targets that fall silent or refuse connections from new work, and has their groups
 //! checked.
 
+use std::sync::Arc;
 use std::time::Duration;
 
 use briarswitch_core::id::Moment;
@@ -9,7 +10,9 @@
 
 use crate::job::RequestJob;
 use crate::peers::{PeerMessage, SilentTarget};
+use crate::reach_monitor::ReachReporter;
 use crate::routing_table::RouteTarget;
+use crate::shared::FleetShared;
 
 /// Minimum time without a response after which a request that may be repeated is sent to another
 /// target.
@@ -46,17 +49,30 @@
 
 /// Marks targets as suspect and reports them to the nodes that control their groups.
 pub struct SuspicionReporter {
+    shared: Arc<FleetShared>,
     peers: Mailbox<PeerMessage>,
+    reach: ReachReporter,
 }
 
 impl SuspicionReporter {
-    /// Creates a reporter that sends silent targets to `peers`.
-    pub fn new(peers: Mailbox<PeerMessage>) -> Self {
-        Self { peers }
+    /// Creates a reporter that sends silent targets to `peers`, and doubts of this node's own reach to `reach`.
+    pub fn new(
+        shared: Arc<FleetShared>,
+        peers: Mailbox<PeerMessage>,
+        reach: ReachReporter,
+    ) -> Self {
+        Self {
+            shared,
+            peers,
+            reach,
+        }
     }
 
     /// Excludes a silent target from new work and has its group checked.
     pub fn suspect(&self, target: &RouteTarget, now: Moment) {
+        if self.shared.doubts_reach(now) {
+            self.reach.report_suspicion();
+        }
         if !target.gauge.is_suspect(now) {
             log::warn!(
                 target_id = target.id.as_str(),
--- a/crates/fleet/src/trace.rs
+++ b/crates/fleet/src/trace.rs
@@ -6,12 +6,14 @@
 
 use briarswitch_core::fingerprint::RequestFingerprint;
 use briarswitch_core::id::*;
+use briarswitch_core::outcome::{FailurePoint, Outcome};
 use briarswitch_kernel::BootClock;
 
 use crate::failure::FailedAttempt;
 use crate::gauge::TargetGauge;
 use crate::metrics::RequestLabels;
 use crate::restriction::PassedOver;
+use crate::routing_table::RouteTarget;
 use crate::shared::FleetShared;
 
 /// How a request ended.
@@ -86,6 +88,10 @@
     pub first_event: Option<Duration>,
     /// Targets that could not be used for the last attempt.
     pub passed_over: PassedOver,
+    /// Node to which the request was last forwarded; empty if it was not.
+    pub forwarded_to: NodeId,
+    /// Node that forwarded the request; empty if it came from its caller.
+    forwarded_by: NodeId,
     /// Longest pause between two events.
     pub longest_pause: Duration,
     /// Number of events sent to the caller.
@@ -118,6 +124,8 @@
             slot_wait: None,
             first_event: None,
             passed_over: PassedOver::default(),
+            forwarded_to: NodeId::new(),
+            forwarded_by: NodeId::new(),
             longest_pause: Duration::ZERO,
             events: 0,
             end: None,
@@ -164,6 +172,39 @@
         );
     }
 
+    /// Records that another node forwarded the request after so many attempts; it counts as in flight for that node.
+    pub fn record_sender(&mut self, sender: &NodeId, attempts_sent: u32) {
+        self.attempts_sent = attempts_sent;
+        self.forwarded_by.clone_from(sender);
+        self.shared
+            .forwarded_in_flight
+            .fetch_add(1, Ordering::SeqCst);
+    }
+
+    /// Records that another node relays the response.
+    pub fn record_peer(&mut self, peer: &NodeId) {
+        self.forwarded_to.clone_from(peer);
+        self.group.clear();
+    }
+
+    /// Records the target of an attempt.
+    pub fn record_target(&mut self, target: &RouteTarget) {
+        self.target.clone_from(&target.id);
+        self.forwarded_to.clear();
+        if let Some(group) = &target.group {
+            self.group.clone_from(&group.id);
+        }
+    }
+
+    /// Sets that the request ended without a target's response.
+    pub fn end_failed(&mut self, point: FailurePoint) {
+        self.reason = point.code();
+        self.end(match point.outcome() {
+            Outcome::NotRun => RequestEnd::NotRun,
+            _ => RequestEnd::Unknown,
+        });
+    }
+
     /// Records that a slot at a target was reserved.
     pub fn record_slot(&mut self) {
         let waited = BootClock::now().saturating_sub(self.arrived);
@@ -185,6 +226,11 @@
 impl Drop for RequestTrace {
     fn drop(&mut self) {
         self.shared.in_flight.fetch_sub(1, Ordering::SeqCst);
+        if !self.forwarded_by.is_empty() {
+            self.shared
+                .forwarded_in_flight
+                .fetch_sub(1, Ordering::SeqCst);
+        }
         let end = self.end.unwrap_or(RequestEnd::CallerLeft);
         let latency = BootClock::now().saturating_sub(self.arrived);
         let labels = RequestLabels {
@@ -203,6 +249,8 @@
             service = self.service.as_str(),
             target_id = self.target.as_str(),
             group = self.group.as_str(),
+            forwarded_to = self.forwarded_to.as_str(),
+            forwarded_by = self.forwarded_by.as_str(),
             outcome = end.name(),
             reason = self.reason,
             prompt_tokens = self.prompt_tokens,
--- a/crates/fleet/tests/partitions.rs
+++ b/crates/fleet/tests/partitions.rs
@@ -11,6 +11,7 @@
 use support::path::PathState;
 use support::platform::TargetListing;
 use support::{Fleet, TestRequest, GROUP_SERVICE, SERVICE};
+use tokio::sync::Mutex;
 
 /// Zones of the nodes: three, two and one, as many as callers of a small deployment need.
 const UNEVEN_ZONES: [&str; 6] = ["z1", "z1", "z1", "z2", "z2", "z3"];
@@ -35,6 +36,9 @@
 /// Events of a complete stream.
 const STREAM: &str = "id: 1\ndata: token\n\nid: 2\ndata: token\n\nid: 3\ndata: token\n\n";
 
+/// Lets one fleet run at a time, since six nodes and their callers keep several processors busy.
+static TURN: Mutex<()> = Mutex::const_new(());
+
 /// A request and what its caller got.
 #[derive(Clone, Debug)]
 struct CallRecord {
@@ -189,6 +193,7 @@
 
 /// Partitions some nodes for [`PARTITION_TIME`] and checks what their callers got.
 async fn check_partition(zones: &[&str], cut: &[usize], state: PathState) {
+    let _turn = TURN.lock().await;
     let fleet = open(zones).await;
     let begun = Instant::now() + CALM_TIME;
     let time = PARTITION_TIME + CALM_TIME * 2;
@@ -208,6 +213,7 @@
 #[gtest]
 #[tokio::test(flavor = "multi_thread")]
 async fn callers_are_served_in_partitions_that_overlap_with_a_restart_a_crash_and_an_evacuation() {
+    let _turn = TURN.lock().await;
     let fleet = open(&UNEVEN_ZONES).await;
     let partitions = [
         (vec![0, 2, 3], PathState::Silent),
@@ -245,6 +251,7 @@
 async fn callers_of_nodes_that_reach_the_targets_are_served_as_before_while_others_are_partitioned()
 {
     let cut = [0, 1, 2, 4];
+    let _turn = TURN.lock().await;
     let fleet = open(&EVEN_ZONES).await;
     let begun = Instant::now() + CALM_TIME;
     let records = call_during(&fleet, &["/model/x"], PARTITION_TIME + CALM_TIME, async {
--- a/crates/http/src/lib.rs
+++ b/crates/http/src/lib.rs
@@ -24,5 +24,6 @@
 
 pub use server::{Handler, HttpServer, Request, Response, ServerGuard};
 pub use target::{
-    full_body, SendError, TargetAddress, TargetBody, TargetClient, TargetLimits, TargetResponse,
+    full_body, SendError, SendProgress, TargetAddress, TargetBody, TargetClient, TargetLimits,
+    TargetResponse,
 };
--- a/crates/http/src/target.rs
+++ b/crates/http/src/target.rs
@@ -2,6 +2,7 @@
 
 use std::collections::HashMap;
 use std::io::ErrorKind;
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Mutex, PoisonError};
 use std::time::Duration;
 
@@ -52,6 +53,27 @@
     Broken,
 }
 
+/// Progress of sending a request, which can be read while the request is awaited.
+///
+/// ```
+/// assert!(!briarswitch_http::SendProgress::default().has_begun());
+/// ```
+#[derive(Debug, Default)]
+pub struct SendProgress {
+    has_begun: AtomicBool,
+}
+
+impl SendProgress {
+    /// Returns whether a byte of the request may have been sent; if not, it can be abandoned without a trace.
+    pub fn has_begun(&self) -> bool {
+        self.has_begun.load(Ordering::Relaxed)
+    }
+
+    fn set_begun(&self, has_begun: bool) {
+        self.has_begun.store(has_begun, Ordering::Relaxed);
+    }
+}
+
 type Sender = SendRequest<Full<Bytes>>;
 type IdlePool = Arc<Mutex<HashMap<TargetAddress, Vec<Sender>>>>;
 
@@ -125,18 +147,37 @@
         target: &TargetAddress,
         request: http::Request<Full<Bytes>>,
         fresh: bool,
+    ) -> Result<TargetResponse, SendError> {
+        self.send_tracked(target, request, fresh, &SendProgress::default())
+            .await
+    }
+
+    /// Like [`TargetClient::send`], but also records in `progress` whether sending has begun.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`SendError`] as [`TargetClient::send`] does.
+    pub async fn send_tracked(
+        &self,
+        target: &TargetAddress,
+        request: http::Request<Full<Bytes>>,
+        fresh: bool,
+        progress: &SendProgress,
     ) -> Result<TargetResponse, SendError> {
         let mut request = request;
         if !fresh {
             while let Some(sender) = self.take_idle(target) {
+                progress.set_begun(true);
                 match self.send_on(target, sender, request).await {
                     Err((SendError::ClosedBeforeSend, Some(unsent))) => request = *unsent,
                     Err((failure, _)) => return Err(failure),
                     Ok(reply) => return Ok(reply),
                 }
+                progress.set_begun(false);
             }
         }
         let sender = self.connect(target).await?;
+        progress.set_begun(true);
         self.send_on(target, sender, request)
             .await
             .map_err(|(failure, _)| failure)
--- a/crates/membership/src/digest.rs
+++ b/crates/membership/src/digest.rs
@@ -38,6 +38,8 @@
     pub is_leaving: bool,
     /// Whether it has recently received a response directly from the store.
     pub reads_store: bool,
+    /// Whether it is partitioned from all targets.
+    pub is_partitioned: bool,
     /// Requests that it receives per second.
     pub request_rate: f64,
 }
--- a/crates/membership/src/gossip.rs
+++ b/crates/membership/src/gossip.rs
@@ -15,6 +15,8 @@
     pub is_leaving: bool,
     /// Whether it has recently received a response directly from the store.
     pub reads_store: bool,
+    /// Whether it is partitioned from all targets.
+    pub is_partitioned: bool,
     /// Whether it, or a node that it heard, has received a caller's request.
     pub has_traffic: bool,
     /// Work of this node alone.
--- a/crates/membership/src/membership.rs
+++ b/crates/membership/src/membership.rs
@@ -67,6 +67,7 @@
     pub(crate) probe_index: usize,
     pub(crate) cached_sum: Option<(Moment, Digest)>,
     pub(crate) rejoined: IndexSet<NodeId>,
+    pub(crate) is_partitioned: bool,
 }
 
 impl Membership {
@@ -92,6 +93,7 @@
             probe_index: 0,
             cached_sum: None,
             rejoined: IndexSet::new(),
+            is_partitioned: false,
         }
     }
 
@@ -100,6 +102,14 @@
         &self.own
     }
 
+    /// Sets whether this node is partitioned from all targets, which decides what it does for other nodes.
+    pub fn set_partitioned(&mut self, is_partitioned: bool) {
+        if self.is_partitioned != is_partitioned {
+            self.is_partitioned = is_partitioned;
+            self.roster.advance();
+        }
+    }
+
     /// Returns the known nodes.
     pub fn roster(&self) -> &Roster {
         &self.roster
--- a/crates/membership/src/roster.rs
+++ b/crates/membership/src/roster.rs
@@ -39,6 +39,8 @@
     pub is_leaving: bool,
     /// Whether it has recently received a response directly from the store.
     pub reads_store: bool,
+    /// Whether it is partitioned from all targets.
+    pub is_partitioned: bool,
     /// Requests that it receives per second.
     pub request_rate: f64,
     presumed_live_until: Moment,
@@ -58,6 +60,7 @@
     is_live: bool,
     is_leaving: bool,
     reads_store: bool,
+    is_partitioned: bool,
     request_rate: f64,
 }
 
@@ -81,6 +84,8 @@
     pub is_leaving: bool,
     /// Whether it has recently received a response directly from the store.
     pub reads_store: bool,
+    /// Whether it is partitioned from all targets.
+    pub is_partitioned: bool,
     /// Requests that it receives per second.
     pub request_rate: f64,
 }
@@ -123,6 +128,7 @@
         self.published.is_live != self.is_live(now)
             || self.published.is_leaving != self.is_leaving
             || self.published.reads_store != self.reads_store
+            || self.published.is_partitioned != self.is_partitioned
             || (self.published.request_rate - self.request_rate).abs() > step
     }
 }
@@ -138,6 +144,11 @@
         self.version
     }
 
+    /// Counts a change of this node's own state as a new version.
+    pub(crate) fn advance(&mut self) {
+        self.version += 1;
+    }
+
     /// Adds or replaces a node's entry; returns whether anything changed.
     ///
     /// An entry of an earlier incarnation, which may be read late, is ignored.
@@ -160,6 +171,7 @@
             last_heard: None,
             is_leaving: false,
             reads_store: false,
+            is_partitioned: false,
             request_rate: 0.0,
             presumed_live_until: now + PRESUMED_LIVE_TIME,
             avoided_until: Moment::ZERO,
@@ -192,6 +204,7 @@
         member.last_heard = Some(at);
         member.is_leaving = heartbeat.is_leaving;
         member.reads_store = heartbeat.reads_store;
+        member.is_partitioned = heartbeat.is_partitioned;
         member.request_rate = heartbeat.request_rate;
         had_timed_out
     }
@@ -221,6 +234,7 @@
                 member.published.is_live = member.is_live(now);
                 member.published.is_leaving = member.is_leaving;
                 member.published.reads_store = member.reads_store;
+                member.published.is_partitioned = member.is_partitioned;
                 member.published.request_rate = member.request_rate;
             }
         }
@@ -248,6 +262,7 @@
                     is_live: member.published.is_live,
                     is_leaving: member.published.is_leaving,
                     reads_store: member.published.reads_store,
+                    is_partitioned: member.published.is_partitioned,
                     request_rate: member.published.request_rate,
                 })
                 .collect(),
@@ -269,6 +284,7 @@
             member.is_live_at_hub = status.is_live;
             member.is_leaving = status.is_leaving;
             member.reads_store = status.reads_store;
+            member.is_partitioned = status.is_partitioned;
             member.request_rate = status.request_rate;
             if !status.is_live {
                 // The hub has already waited for the timeout; waiting again here would double the time until a lost
--- a/crates/membership/src/sums.rs
+++ b/crates/membership/src/sums.rs
@@ -27,6 +27,7 @@
                 age: Duration::ZERO,
                 is_leaving: status.is_leaving,
                 reads_store: status.reads_store,
+                is_partitioned: status.is_partitioned,
                 request_rate: status.work.total_request_rate(),
             }],
             work: status.work.clone(),
--- a/crates/membership/src/view.rs
+++ b/crates/membership/src/view.rs
@@ -37,6 +37,19 @@
     pub own_rank: Option<usize>,
 }
 
+/// A live node that reaches targets.
+#[derive(Clone, Copy, Debug)]
+pub struct ReachingPeer<'a> {
+    /// Its entry.
+    pub entry: &'a Arc<NodeEntry>,
+    /// Whether it is in this node's zone.
+    pub is_same_zone: bool,
+    /// Hash of its name.
+    pub hash: u64,
+    /// Requests that it receives per second.
+    pub request_rate: f64,
+}
+
 #[derive(Clone, Debug)]
 struct LiveMember {
     entry: Arc<NodeEntry>,
@@ -44,6 +57,7 @@
     request_rate: f64,
     is_same_zone: bool,
     reads_store: bool,
+    is_partitioned: bool,
 }
 
 /// The live nodes at one moment, without this node.
@@ -51,6 +65,7 @@
 pub struct LiveView {
     own: NodeEntry,
     own_hash: u64,
+    is_partitioned: bool,
     live: Vec<LiveMember>,
     zone_peers: u32,
     known_hashes: Vec<u64>,
@@ -85,13 +100,16 @@
                 request_rate: member.request_rate,
                 is_same_zone: member.entry.zone == own.zone,
                 reads_store: member.reads_store,
+                is_partitioned: member.is_partitioned,
             })
             .collect();
         Self {
             composition: live.iter().fold(0, |sum, member| {
                 let mixed = member.entry.incarnation.wrapping_mul(member.hash);
-                sum ^ member.hash ^ mixed
-            }),
+                let partitioned = u64::from(member.is_partitioned) * member.hash.rotate_left(1);
+                sum ^ member.hash ^ mixed ^ partitioned
+            }) ^ u64::from(membership.is_partitioned),
+            is_partitioned: membership.is_partitioned,
             zone_peers: live.iter().filter(|member| member.is_same_zone).count() as u32,
             live,
             known_hashes: members.values().map(|member| member.hash).collect(),
@@ -99,7 +117,8 @@
         }
     }
 
-    /// Returns a checksum of the live nodes and their incarnations, which does not depend on request rates.
+    /// Returns a checksum of the live nodes, their incarnations and whether they reach targets, which does not depend
+    /// on request rates.
     pub fn composition(&self) -> u64 {
         self.composition
     }
@@ -143,15 +162,50 @@
     /// nodes with more bandwidth. All nodes with the same live nodes compute the same order.
     pub fn first_for(&self, key: &str, zone: &str) -> Option<&Arc<NodeEntry>> {
         let key = RankKey::from(key);
-        let own = zone_rank(&self.own, self.own_hash, key, zone);
+        let own = self.own_rank(key, zone);
         let ranked = self
             .live
             .iter()
-            .map(|member| (zone_rank(&member.entry, member.hash, key, zone), member));
+            .map(|member| (member.rank(key, zone), member));
         let first = ranked.min_by_key(|(rank, _)| *rank)?;
         (first.0 < own).then_some(&first.1.entry)
     }
 
+    fn own_rank(&self, key: RankKey, zone: &str) -> ZoneRank {
+        let is_remote = self.own.zone != zone;
+        let rank = bandwidth_rank(&self.own, self.own_hash, key);
+        (is_remote, rank)
+    }
+
+    /// Returns the live nodes that are not partitioned from all targets, without this node.
+    ///
+    /// ```
+    /// use briarswitch_membership::{LiveView, NodeEntry};
+    ///
+    /// assert_eq!(LiveView::new(NodeEntry::default()).reaching().count(), 0);
+    /// ```
+    pub fn reaching(&self) -> impl Iterator<Item = ReachingPeer<'_>> {
+        let reaching = self.live.iter().filter(|member| !member.is_partitioned);
+        reaching.map(|member| ReachingPeer {
+            entry: &member.entry,
+            is_same_zone: member.is_same_zone,
+            hash: member.hash,
+            request_rate: member.request_rate,
+        })
+    }
+
+    /// Returns the number of live nodes in this node's zone that are partitioned from all targets, this one included.
+    pub fn partitioned_in_zone(&self) -> usize {
+        let members = self.live.iter();
+        let near = members.filter(|member| member.is_same_zone && member.is_partitioned);
+        near.count() + usize::from(self.is_partitioned)
+    }
+
+    /// Returns whether the node whose name has this [hash](crate::node_hash) is live.
+    pub fn is_live(&self, node_hash: u64) -> bool {
+        self.live.iter().any(|member| member.hash == node_hash)
+    }
+
     /// Returns whether this node ranks first for a key in `zone`, as [`first_for`](Self::first_for) defines it.
     ///
     /// For nearly all nodes one of the next few members decides that, so that the cost does not follow the number of
@@ -164,11 +218,8 @@
     /// ```
     pub fn is_first_for(&self, key: &str, zone: &str) -> bool {
         let key = RankKey::from(key);
-        let own = zone_rank(&self.own, self.own_hash, key, zone);
-        !self
-            .live
-            .iter()
-            .any(|member| zone_rank(&member.entry, member.hash, key, zone) < own)
+        let own = self.own_rank(key, zone);
+        !self.live.iter().any(|member| member.rank(key, zone) < own)
     }
 
     /// Returns the `count` live nodes that rank first for a key, in any zone.
@@ -247,12 +298,13 @@
     }
 }
 
-/// Returns a node's rank for a key in a zone, whose nodes come first.
-fn zone_rank(
-    entry: &NodeEntry,
-    hash: u64,
-    key: RankKey,
-    zone: &str,
-) -> (bool, (Reverse<u32>, u64)) {
-    (entry.zone != zone, bandwidth_rank(entry, hash, key))
+/// Rank of a node for a task in a zone: whether it is in another zone, and its rank by bandwidth.
+type ZoneRank = (bool, (Reverse<u32>, u64));
+
+impl LiveMember {
+    fn rank(&self, key: RankKey, zone: &str) -> ZoneRank {
+        let is_remote = self.entry.zone != zone;
+        let rank = bandwidth_rank(&self.entry, self.hash, key);
+        (is_remote, rank)
+    }
 }
--- a/crates/membership/src/wire.rs
+++ b/crates/membership/src/wire.rs
@@ -9,6 +9,7 @@
 use briarswitch_core::id::{Incarnation, ModelId, NodeId, TargetId, ZoneId};
 use briarswitch_core::request_limit::RequestLimit;
 use briarswitch_core::stated_limit::LimitReport;
+use indexmap::IndexSet;
 use serde::{Deserialize, Serialize};
 
 use crate::digest::{Digest, DigestOrigin, Heartbeat};
@@ -33,6 +34,9 @@
     /// Those of the relayed digests, in the same order; absent if there are none.
     #[serde(default, skip_serializing_if = "Vec::is_empty")]
     relayed_limits: Vec<Vec<LimitDoc>>,
+    /// Of the nodes in the digests and the roster, those that are partitioned from all targets.
+    #[serde(default, skip_serializing_if = "IndexSet::is_empty")]
+    partitioned: IndexSet<NodeId>,
 }
 
 /// Target, requests per second unless the limit has ended, milliseconds since that was heard.
@@ -181,6 +185,8 @@
             age: Duration::from_millis(age),
             is_leaving,
             reads_store,
+            // The names of partitioned nodes stand beside the digests in the message.
+            is_partitioned: false,
             request_rate: f64::from(request_rate),
         }
     }
@@ -308,6 +314,8 @@
                 is_live,
                 is_leaving,
                 reads_store,
+                // The names of partitioned nodes stand beside the roster in the message.
+                is_partitioned: false,
                 request_rate: f64::from(request_rate),
             };
         Self {
@@ -333,13 +341,43 @@
             } else {
                 gossip.relayed.iter().map(limit_docs).collect()
             },
+            partitioned: partitioned_nodes(gossip),
         }
     }
 }
 
+/// Returns the nodes that a message reports to be partitioned from all targets.
+fn partitioned_nodes(gossip: &Gossip) -> IndexSet<NodeId> {
+    let digests = iter::once(&gossip.digest).chain(&gossip.relayed);
+    let heartbeats = digests.flat_map(|digest| &digest.members);
+    let heartbeats = heartbeats.filter(|heartbeat| heartbeat.is_partitioned);
+    let statuses = gossip.roster.iter().flat_map(|delta| &delta.statuses);
+    let statuses = statuses.filter(|status| status.is_partitioned);
+    let nodes = heartbeats.map(|heartbeat| &heartbeat.node);
+    nodes
+        .chain(statuses.map(|status| &status.node))
+        .cloned()
+        .collect()
+}
+
+/// Marks the nodes that a message reports to be partitioned from all targets.
+fn mark_partitioned(gossip: &mut Gossip, nodes: &IndexSet<NodeId>) {
+    if nodes.is_empty() {
+        return;
+    }
+    let digests = iter::once(&mut gossip.digest).chain(&mut gossip.relayed);
+    for heartbeat in digests.flat_map(|digest| &mut digest.members) {
+        heartbeat.is_partitioned = nodes.contains(&heartbeat.node);
+    }
+    let statuses = gossip.roster.iter_mut();
+    for status in statuses.flat_map(|delta| &mut delta.statuses) {
+        status.is_partitioned = nodes.contains(&status.node);
+    }
+}
+
 impl From<GossipDoc> for Gossip {
     fn from(doc: GossipDoc) -> Self {
-        Self {
+        let mut gossip = Self {
             sender: doc.sender.into(),
             digest: digest_with(doc.digest, doc.limits),
             relayed: doc
@@ -354,6 +392,8 @@
                 .collect(),
             roster_version: doc.mark.map(RosterVersion::from),
             roster: doc.roster.map(RosterDelta::from),
-        }
+        };
+        mark_partitioned(&mut gossip, &doc.partitioned);
+        gossip
     }
 }
--- a/crates/membership/tests/digest.rs
+++ b/crates/membership/tests/digest.rs
@@ -45,6 +45,7 @@
         age: Duration::ZERO,
         is_leaving: false,
         reads_store: false,
+        is_partitioned: false,
         request_rate: 2.0,
     };
     Gossip {
--- a/crates/membership/tests/properties.rs
+++ b/crates/membership/tests/properties.rs
@@ -40,6 +40,7 @@
                 age: Duration::ZERO,
                 is_leaving: false,
                 reads_store: false,
+                is_partitioned: false,
                 request_rate: 1.0,
             }],
             work,
--- a/crates/membership/tests/support/mod.rs
+++ b/crates/membership/tests/support/mod.rs
@@ -27,6 +27,8 @@
     /// What the node knows of the limits of targets.
     pub limits: IndexMap<TargetId, StatedLimit>,
     pub is_leaving: bool,
+    /// Whether the node is partitioned from all targets.
+    pub is_partitioned: bool,
     pub sent_messages: u64,
     pub bytes: u64,
 }
@@ -110,6 +112,7 @@
             suspects: Vec::new(),
             limits: IndexMap::new(),
             is_leaving: false,
+            is_partitioned: false,
             sent_messages: 0,
             bytes: 0,
         };
@@ -132,6 +135,7 @@
         NodeStatus {
             is_leaving: node.is_leaving,
             reads_store: false,
+            is_partitioned: node.is_partitioned,
             has_traffic: false,
             work: WorkSum {
                 target_requests: [(target_key(TARGET), node.requests)].into_iter().collect(),
