A node that may be partitioned tells others no suspicions

Cause (hypothesis a): a partitioned node suspects every target that it waits for, and tells so, in gossip and to the controllers. Another node adopts a suspicion if it has no request at the target or has not heard it for 120 ms, which is so for most targets where nodes are many. Not (b): in the test no group is given up.

Change: while a node doubts its own reach, a silent target is not suspected before the probes have answered; while it is partitioned, what it suspects is its own affair. Its gossip names no suspects in either state.

--- a/crates/fleet/src/peers.rs
+++ b/crates/fleet/src/peers.rs
@@ -6,6 +6,7 @@
 use std::time::Duration;
 
 use briarswitch_core::id::*;
+use briarswitch_core::reachability::Reachability;
 use briarswitch_http::{ApiClient, CallError, Codec};
 use briarswitch_kernel::{BootClock, Service, ServiceLink};
 use briarswitch_membership::{Gossip, GossipTarget, LiveView, NodeStatus, WorkSum};
@@ -63,6 +64,7 @@
 /// Returns the status that this node reports about itself.
 pub fn own_status(shared: &FleetShared) -> NodeStatus {
     let now = BootClock::now();
+    let is_reachable = shared.reach.state() == Reachability::Reachable;
     NodeStatus {
         is_partitioned: shared.reach.is_partitioned(),
         is_leaving: shared.phase() != FleetPhase::Running,
@@ -74,7 +76,12 @@
             demand: shared.demand.group_demand(now),
             request_rates: shared.demand.request_rates(now),
         },
-        suspects: shared.gauges.local_suspects(now),
+        // What a node without a path to targets suspects says nothing about them.
+        suspects: if is_reachable {
+            shared.gauges.local_suspects(now)
+        } else {
+            Vec::new()
+        },
         limits: shared.gauges.limit_reports(now),
     }
 }
--- a/crates/fleet/src/suspicion.rs
+++ b/crates/fleet/src/suspicion.rs
@@ -69,11 +69,15 @@
     }
 
     /// Excludes a silent target from new work and has its group checked.
+    ///
+    /// While this node may be partitioned, that waits for the probes: other nodes would exclude healthy targets.
     pub fn suspect(&self, target: &RouteTarget, now: Moment) {
         if self.shared.doubts_reach(now) {
-            self.reach.report_suspicion();
-        }
-        if !target.gauge.is_suspect(now) {
+            if !self.shared.reach.is_partitioned() {
+                self.reach.report_suspicion();
+                return;
+            }
+        } else if !target.gauge.is_suspect(now) {
             log::warn!(
                 target_id = target.id.as_str(),
                 group = target.group.as_ref().map_or("", |group| group.id.as_str()),
