A node that reaches no target controls no domain

Cause, of the same class: controllers are the nodes that rank first for a domain, whether they reach its targets or not.

Change: nodes that are partitioned rank behind all others, in the order of before among themselves, so that a fleet of which no node reaches targets has its controllers. Polls that fail while a node does not know whether it reaches targets prove nothing.

Test, in simulated fleets of 6, 58, 112 and 295 nodes: within 0.9 s exactly one node that reaches targets is first for each domain, and 0.9 s after the end all nodes know of it.

--- a/crates/fleet/src/controller.rs
+++ b/crates/fleet/src/controller.rs
@@ -11,6 +11,7 @@
 use briarswitch_core::id::*;
 use briarswitch_core::layout::DomainLayout;
 use briarswitch_core::order::{OrderResult, TargetAction, TargetOrder};
+use briarswitch_core::reachability::Reachability;
 use briarswitch_core::target::{MembershipState, TargetRecord};
 use briarswitch_core::traffic::{ServiceSpec, TrafficConfig};
 use briarswitch_kernel::{BootClock, Service, ServiceLink};
@@ -602,7 +603,12 @@
                 target,
                 report,
                 is_late,
-            } => self.handle_report(&target, report, is_late, link.now()),
+            } => {
+                // A node without a path to targets learns nothing of them from polls that fail.
+                let proves_nothing =
+                    is_late || self.shared.reach.state() != Reachability::Reachable;
+                self.handle_report(&target, report, proves_nothing, link.now());
+            }
             ControllerMessage::OrderAnswered {
                 order,
                 result,
--- a/crates/membership/src/view.rs
+++ b/crates/membership/src/view.rs
@@ -158,8 +158,8 @@
 
     /// Returns the live node that ranks first for a key in `zone`; `None` if that is this node.
     ///
-    /// Nodes of that zone come first, since a zone that is cut off must not depend on other zones; next come
-    /// nodes with more bandwidth. All nodes with the same live nodes compute the same order.
+    /// Nodes that reach targets come first; of these, nodes of that zone, since a zone that is cut off must not depend
+    /// on other zones; next come nodes with more bandwidth. All nodes with the same live nodes compute the same order.
     pub fn first_for(&self, key: &str, zone: &str) -> Option<&Arc<NodeEntry>> {
         let key = RankKey::from(key);
         let own = self.own_rank(key, zone);
@@ -174,7 +174,7 @@
     fn own_rank(&self, key: RankKey, zone: &str) -> ZoneRank {
         let is_remote = self.own.zone != zone;
         let rank = bandwidth_rank(&self.own, self.own_hash, key);
-        (is_remote, rank)
+        (self.is_partitioned, is_remote, rank)
     }
 
     /// Returns the live nodes that are not partitioned from all targets, without this node.
@@ -298,13 +298,14 @@
     }
 }
 
-/// Rank of a node for a task in a zone: whether it is in another zone, and its rank by bandwidth.
-type ZoneRank = (bool, (Reverse<u32>, u64));
+/// Rank of a node for a task in a zone: whether it is partitioned from all targets, whether it is in another zone, and
+/// its rank by bandwidth.
+type ZoneRank = (bool, bool, (Reverse<u32>, u64));
 
 impl LiveMember {
     fn rank(&self, key: RankKey, zone: &str) -> ZoneRank {
         let is_remote = self.entry.zone != zone;
         let rank = bandwidth_rank(&self.entry, self.hash, key);
-        (is_remote, rank)
+        (self.is_partitioned, is_remote, rank)
     }
 }
--- a/crates/membership/tests/support/mod.rs
+++ b/crates/membership/tests/support/mod.rs
@@ -130,7 +130,7 @@
         self.nodes.keys().cloned().collect()
     }
 
-    fn status(&self, name: &str) -> NodeStatus {
+    pub fn status(&self, name: &str) -> NodeStatus {
         let node = &self.nodes[name];
         NodeStatus {
             is_leaving: node.is_leaving,
