A stream that a partition cuts off goes on through another node at once

Found by a test of the next fault: with connections reset and new ones refused, a stream's node had tried all targets in milliseconds and waited for one of them while it became partitioned; the second was lost to a pause after the last probe; the peer then refused the stream as long overdue, or for the targets that the first node had tried in vain.

Change: the wait for a slot ends when the node turns out to be partitioned; new failures at several targets are a reason for probes 200 ms after the last ones; what the first node tried and never reached does not bind the peer; the peer treats a begun stream as its own resumptions. A requested verification is a flag that the monitor reads, in place of a message.

--- a/crates/core/src/reachability.rs
+++ b/crates/core/src/reachability.rs
@@ -16,8 +16,10 @@
 const FAILURE_WINDOW: Duration = Duration::from_secs(1);
 /// Silence of all targets after which others are probed; several passes of an engine.
 pub const DOUBTFUL_SILENCE: Duration = Duration::from_millis(150);
-/// Time for which a probe that reached a target dispels doubts.
-const VERIFIED_TIME: Duration = Duration::from_secs(1);
+/// Time for which a probe that reached a target shows that silence is the targets'.
+pub const VERIFIED_TIME: Duration = Duration::from_millis(500);
+/// Time from a probe that reached a target until new failures at several others are a reason for the next one.
+const FAILURE_PAUSE: Duration = Duration::from_millis(200);
 /// Targets that are probed at the same time; together they lie in several zones and services.
 const PROBED_TARGETS: usize = 4;
 /// Interval between probes while the node is partitioned.
@@ -168,15 +170,16 @@
             let is_due = self.is_returning || now >= self.round_began_at + RETURN_INTERVAL;
             return is_due.then_some(VerificationReason::Return);
         }
-        if self.verified_at.is_some_and(|at| now < at + VERIFIED_TIME) {
-            return None;
-        }
+        let is_verified = |time| self.verified_at.is_some_and(|at| now < at + time);
         let doubted = MIN_DOUBTED_TARGETS.min(heard.known_targets);
         let failures = self.failures.values();
         let failed = failures.filter(|failed_at| now < **failed_at + FAILURE_WINDOW);
-        if failed.count() >= doubted {
+        if failed.count() >= doubted && !is_verified(FAILURE_PAUSE) {
             return Some(VerificationReason::Failures);
         }
+        if is_verified(VERIFIED_TIME) {
+            return None;
+        }
         if heard.silence >= DOUBTFUL_SILENCE && heard.silent_targets >= doubted {
             return Some(VerificationReason::Silence);
         }
--- a/crates/fleet/src/caller_api.rs
+++ b/crates/fleet/src/caller_api.rs
@@ -175,8 +175,8 @@
             waited_before,
             arrived: trace.arrived,
             deadline: trace.arrived + timeout,
+            is_resumption: false,
             forwarded_by: None,
-            tried: Vec::new(),
             request: caller_request,
             config: Arc::clone(&loaded),
         })
--- a/crates/fleet/src/dispatch.rs
+++ b/crates/fleet/src/dispatch.rs
@@ -91,7 +91,7 @@
             selector: TargetSelector::new(Arc::clone(&shared)),
             statements: StatementRecorder::new(Arc::clone(&shared)),
             forwarder: RequestForwarder::new(Arc::clone(&shared)),
-            suspicion: SuspicionReporter::new(Arc::clone(&shared), peers, reach.clone()),
+            suspicion: SuspicionReporter::new(Arc::clone(&shared), peers),
             reach,
             shared,
             client,
--- a/crates/fleet/src/forward.rs
+++ b/crates/fleet/src/forward.rs
@@ -53,10 +53,10 @@
     pub waited_before: Duration,
     /// Attempts that the sender has sent to targets.
     pub attempts_sent: u32,
-    /// Targets to which the request has been sent.
-    pub tried: Vec<TargetId>,
     /// Event after which a stream continues.
     pub last_event: Option<String>,
+    /// Whether the caller has received part of the stream.
+    pub is_resumption: bool,
 }
 
 impl ForwardRequest {
@@ -85,10 +85,10 @@
     remaining_ms: u64,
     waited_before_ms: u64,
     attempts_sent: u32,
-    #[serde(default, skip_serializing_if = "Vec::is_empty")]
-    tried: Vec<TargetId>,
     #[serde(default, skip_serializing_if = "Option::is_none")]
     last_event: Option<String>,
+    #[serde(default)]
+    is_resumption: bool,
 }
 
 /// Error of decoding a forwarded request.
@@ -125,8 +125,8 @@
             remaining_ms: millis(request.remaining),
             waited_before_ms: millis(request.waited_before),
             attempts_sent: request.attempts_sent,
-            tried: request.tried,
             last_event: request.last_event,
+            is_resumption: request.is_resumption,
         }
     }
 }
@@ -156,8 +156,8 @@
             remaining: Duration::from_millis(doc.remaining_ms),
             waited_before: Duration::from_millis(doc.waited_before_ms),
             attempts_sent: doc.attempts_sent,
-            tried: doc.tried,
             last_event: doc.last_event,
+            is_resumption: doc.is_resumption,
         })
     }
 }
--- a/crates/fleet/src/forwarder.rs
+++ b/crates/fleet/src/forwarder.rs
@@ -42,10 +42,10 @@
 pub struct ForwardProgress<'a> {
     /// Attempts that were sent to targets.
     pub attempts_sent: u32,
-    /// Targets to which the request was sent.
-    pub tried: &'a [TargetId],
     /// Event after which a stream continues.
     pub last_event: Option<&'a str>,
+    /// Whether the caller has received part of the stream.
+    pub is_resumption: bool,
 }
 
 /// A target's response, relayed by another node, whose head has been received.
@@ -268,8 +268,8 @@
             remaining: remaining.saturating_sub(HOP_TIME),
             waited_before: job.waited_before,
             attempts_sent: progress.attempts_sent,
-            tried: progress.tried.to_vec(),
             last_event: progress.last_event.map(str::to_owned),
+            is_resumption: progress.is_resumption,
         };
         let bytes = encode_msgpack(&ForwardDoc::from(forward));
         let bytes = bytes.map_err(|error| HopError::NotTaken(error.to_string()))?;
--- a/crates/fleet/src/job.rs
+++ b/crates/fleet/src/job.rs
@@ -52,10 +52,10 @@
     pub waited_before: Duration,
     /// When the response has to be available.
     pub deadline: Moment,
+    /// Whether the caller has received part of the stream, from another node.
+    pub is_resumption: bool,
     /// Node that forwarded the request; `None` if it came from its caller.
     pub forwarded_by: Option<NodeId>,
-    /// Targets to which that node has sent it.
-    pub tried: Vec<TargetId>,
 }
 
 impl RequestJob {
@@ -66,8 +66,8 @@
         Self {
             waited_before: forward.waited_before,
             deadline: self.deadline.min(now + forward.remaining),
+            is_resumption: forward.is_resumption,
             forwarded_by: Some(forward.sender),
-            tried: forward.tried,
             request,
             ..self
         }
--- a/crates/fleet/src/reach.rs
+++ b/crates/fleet/src/reach.rs
@@ -1,10 +1,10 @@
 //! Whether this node reaches targets, as the traffic threads see it.
 
-use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::time::Duration;
 
 use briarswitch_core::id::Moment;
-use briarswitch_core::reachability::Reachability;
+use briarswitch_core::reachability::{Reachability, VERIFIED_TIME};
 use tokio::sync::watch;
 
 use crate::micros::micros;
@@ -13,8 +13,8 @@
 ///
 /// Shorter than the silence after which targets are probed, so that no suspicion is spread before the probes.
 const UNVERIFIED_SILENCE: Duration = Duration::from_millis(100);
-/// Time for which a probe that reached a target shows that silence is the target's.
-const VERIFIED_TIME: Duration = Duration::from_secs(1);
+/// Interval at which the result of requested probes is checked.
+const VERIFY_POLL_INTERVAL: Duration = Duration::from_millis(20);
 /// Longest wait for the result of probes.
 const SETTLE_TIMEOUT: Duration = Duration::from_millis(500);
 
@@ -23,6 +23,7 @@
 pub struct TargetReach {
     state: watch::Sender<Reachability>,
     verified_at: AtomicU64,
+    is_verification_requested: AtomicBool,
 }
 
 impl TargetReach {
@@ -37,6 +38,18 @@
         });
     }
 
+    /// Requests that targets be probed, because one of them is silent and no other was heard.
+    pub fn request_verification(&self) {
+        self.is_verification_requested
+            .store(true, Ordering::Relaxed);
+    }
+
+    /// Returns whether a verification was requested since the last call.
+    pub fn take_request(&self) -> bool {
+        self.is_verification_requested
+            .swap(false, Ordering::Relaxed)
+    }
+
     /// Returns whether this node reaches targets.
     pub fn state(&self) -> Reachability {
         *self.state.borrow()
@@ -49,11 +62,26 @@
 
     /// Returns whether the failure of a target may be this node's, given the time since any target was heard.
     pub fn is_doubtful(&self, silence: Duration, now: Moment) -> bool {
-        let verified_at = Duration::from_micros(self.verified_at.load(Ordering::Relaxed));
+        let verified_at = self.verified_at();
         self.state() != Reachability::Reachable
             || (silence >= UNVERIFIED_SILENCE && now >= verified_at + VERIFIED_TIME)
     }
 
+    fn verified_at(&self) -> Moment {
+        Duration::from_micros(self.verified_at.load(Ordering::Relaxed))
+    }
+
+    /// Has targets probed, and returns whether this node is partitioned; `now` is the current time.
+    pub async fn verify(&self, now: Moment) -> bool {
+        self.request_verification();
+        let mut waited = Duration::ZERO;
+        while waited < SETTLE_TIMEOUT && !self.is_partitioned() && self.verified_at() < now {
+            tokio::time::sleep(VERIFY_POLL_INTERVAL).await;
+            waited += VERIFY_POLL_INTERVAL;
+        }
+        self.is_partitioned()
+    }
+
     /// Waits while probes are under way; returns whether this node is partitioned.
     pub async fn settle(&self) -> bool {
         if self.state() != Reachability::Verifying {
--- a/crates/fleet/src/reach_monitor.rs
+++ b/crates/fleet/src/reach_monitor.rs
@@ -30,8 +30,6 @@
     Tick,
     /// A connection to a target could not be opened, or broke.
     Failed(TargetId),
-    /// A target is silent while no other was heard.
-    Suspected,
     /// Probes have ended.
     Probed(ProbeRound),
 }
@@ -50,15 +48,7 @@
 
     /// Reports that a connection to a target could not be opened, or broke.
     pub fn report_failure(&self, target: &TargetId) {
-        self.post(ReachMessage::Failed(target.clone()));
-    }
-
-    /// Reports that a target is silent while no other was heard.
-    pub fn report_suspicion(&self) {
-        self.post(ReachMessage::Suspected);
-    }
-
-    fn post(&self, message: ReachMessage) {
+        let message = ReachMessage::Failed(target.clone());
         if let Err(error) = self.mailbox.post(message) {
             log::warn!(error:% = error; "reach_untold");
         }
@@ -85,6 +75,9 @@
     /// Begins to probe targets if that is due.
     fn check(&mut self, link: &ServiceLink<ReachMessage>) {
         let now = link.now();
+        if self.shared.reach.take_request() {
+            self.tracker.record_suspicion();
+        }
         let heard = self.heard(now);
         let Some(reason) = self.tracker.begin_due(&heard, now) else {
             return;
@@ -200,7 +193,6 @@
         match message {
             ReachMessage::Tick => link.send_after(TICK_INTERVAL, ReachMessage::Tick),
             ReachMessage::Failed(target) => self.tracker.record_failure(&target, link.now()),
-            ReachMessage::Suspected => self.tracker.record_suspicion(),
             ReachMessage::Probed(round) => self.end_round(&round, link.now()),
         }
         self.check(link);
--- a/crates/fleet/src/relay.rs
+++ b/crates/fleet/src/relay.rs
@@ -265,12 +265,22 @@
                 return result;
             }
         }
+        match self.acquire().await {
+            Ok(AcquiredSlot { target, slot, .. }) => self.resume_at((target, slot)).await,
+            Err(result) => result,
+        }
+    }
+
+    /// Waits for a slot at another target, unless this node turns out to be partitioned meanwhile.
+    async fn acquire(&self) -> Result<AcquiredSlot, ResumeResult> {
         let selector = self.dispatcher.selector();
         let is_begun = self.splitter.last_id().is_some();
         let acquiring = selector.acquire_for_resume(&self.job, &self.tried, is_begun);
-        match acquiring.await {
-            Ok(AcquiredSlot { target, slot, .. }) => self.resume_at((target, slot)).await,
-            Err(_) => ResumeResult::Failed,
+        let reach = &self.dispatcher.shared().reach;
+        let may_forward = self.may_forward() && !reach.is_partitioned();
+        tokio::select! {
+            acquired = acquiring => acquired.map_err(|_| ResumeResult::Failed),
+            () = reach.partitioned(), if may_forward => Err(ResumeResult::Unreached),
         }
     }
 
@@ -319,8 +329,8 @@
         let last_event = self.last_event();
         let progress = ForwardProgress {
             attempts_sent: self.trace.attempts_sent,
-            tried: &self.tried,
             last_event: last_event.as_deref(),
+            is_resumption: self.splitter.last_id().is_some(),
         };
         let forwarder = self.dispatcher.forwarder();
         match forwarder.forward(&self.job, progress).await {
--- a/crates/fleet/src/request_run.rs
+++ b/crates/fleet/src/request_run.rs
@@ -87,7 +87,7 @@
     pub fn new(dispatcher: Arc<FleetDispatcher>, job: RequestJob, trace: RequestTrace) -> Self {
         Self {
             dispatcher,
-            tried: job.tried.clone(),
+            tried: Vec::new(),
             job,
             trace,
             unreached: 0,
@@ -137,8 +137,8 @@
     async fn attempt_at_peer(&mut self) -> Result<Answer, AttemptError> {
         let progress = ForwardProgress {
             attempts_sent: self.trace.attempts_sent,
-            tried: &self.tried,
             last_event: self.job.request.last_event.as_deref(),
+            is_resumption: false,
         };
         let dispatcher = Arc::clone(&self.dispatcher);
         let forwarder = dispatcher.forwarder();
@@ -236,7 +236,16 @@
     /// Reserves a slot at a target, unless this node turns out to be partitioned while the request waits.
     async fn acquire(&mut self) -> Result<AcquiredSlot, AttemptError> {
         let may_forward = self.may_forward();
-        let acquiring = self.dispatcher.selector().acquire(&self.job, &self.tried);
+        let selector = self.dispatcher.selector();
+        let acquiring = async {
+            if self.job.is_resumption {
+                selector
+                    .acquire_for_resume(&self.job, &self.tried, true)
+                    .await
+            } else {
+                selector.acquire(&self.job, &self.tried).await
+            }
+        };
         let partitioned = self.dispatcher.shared().reach.partitioned();
         let acquired = tokio::select! {
             acquired = acquiring => acquired,
--- a/crates/fleet/src/suspicion.rs
+++ b/crates/fleet/src/suspicion.rs
@@ -10,7 +10,6 @@
 
 use crate::job::RequestJob;
 use crate::peers::{PeerMessage, SilentTarget};
-use crate::reach_monitor::ReachReporter;
 use crate::routing_table::RouteTarget;
 use crate::shared::FleetShared;
 
@@ -51,21 +50,12 @@
 pub struct SuspicionReporter {
     shared: Arc<FleetShared>,
     peers: Mailbox<PeerMessage>,
-    reach: ReachReporter,
 }
 
 impl SuspicionReporter {
-    /// Creates a reporter that sends silent targets to `peers`, and doubts of this node's own reach to `reach`.
-    pub fn new(
-        shared: Arc<FleetShared>,
-        peers: Mailbox<PeerMessage>,
-        reach: ReachReporter,
-    ) -> Self {
-        Self {
-            shared,
-            peers,
-            reach,
-        }
+    /// Creates a reporter that sends silent targets to `peers`.
+    pub fn new(shared: Arc<FleetShared>, peers: Mailbox<PeerMessage>) -> Self {
+        Self { shared, peers }
     }
 
     /// Excludes a silent target from new work and has its group checked.
@@ -74,7 +64,7 @@
     pub fn suspect(&self, target: &RouteTarget, now: Moment) {
         if self.shared.doubts_reach(now) {
             if !self.shared.reach.is_partitioned() {
-                self.reach.report_suspicion();
+                self.shared.reach.request_verification();
                 return;
             }
         } else if !target.gauge.is_suspect(now) {
