A partition that resets connections is no end of the targets

At a node that is partitioned so that new connections are refused, each run that was cut off counted as a crash that its request may have caused; three such partitions quarantine a request for ten minutes at all nodes, and the targets got nothing from this node for ten seconds.

Change: a refusal is believed if another target was heard after it, or if probes reached one; else the directory decides, as for targets that are silent. Costs 0.12 s per proof, and four probes where nothing else is heard.

--- a/crates/core/src/reachability.rs
+++ b/crates/core/src/reachability.rs
@@ -18,7 +18,7 @@
 pub const DOUBTFUL_SILENCE: Duration = Duration::from_millis(150);
 /// Time for which a probe that reached a target shows that silence is the targets'.
 pub const VERIFIED_TIME: Duration = Duration::from_millis(500);
-/// Time from a probe that reached a target until new failures at several others are a reason for the next one.
+/// Time from a probe that reached a target until new failures or a suspicion are a reason for the next one.
 const FAILURE_PAUSE: Duration = Duration::from_millis(200);
 /// Targets that are probed at the same time; together they lie in several zones and services.
 const PROBED_TARGETS: usize = 4;
@@ -177,13 +177,11 @@
         if failed.count() >= doubted && !is_verified(FAILURE_PAUSE) {
             return Some(VerificationReason::Failures);
         }
-        if is_verified(VERIFIED_TIME) {
-            return None;
-        }
-        if heard.silence >= DOUBTFUL_SILENCE && heard.silent_targets >= doubted {
-            return Some(VerificationReason::Silence);
+        if self.is_suspected && !is_verified(FAILURE_PAUSE) {
+            return Some(VerificationReason::Suspicion);
         }
-        self.is_suspected.then_some(VerificationReason::Suspicion)
+        let is_silent = heard.silence >= DOUBTFUL_SILENCE && heard.silent_targets >= doubted;
+        (is_silent && !is_verified(VERIFIED_TIME)).then_some(VerificationReason::Silence)
     }
 
     /// Ends a round of probes.
--- a/crates/fleet/src/fleet_suspect_host.rs
+++ b/crates/fleet/src/fleet_suspect_host.rs
@@ -5,6 +5,7 @@
 
 use briarswitch_core::fingerprint::RequestFingerprint;
 use briarswitch_core::id::*;
+use briarswitch_kernel::BootClock;
 use briarswitch_membership::KeyHolders;
 use futures::future::BoxFuture;
 
@@ -15,6 +16,9 @@
 use crate::suspect_host::{CrashCount, Liveness, SuspectEvent, SuspectHost};
 use crate::suspect_ledger::SuspectLedger;
 
+/// Time after a refused connection within which other targets are heard if this node reaches them.
+const REFUSAL_DOUBT_TIME: Duration = Duration::from_millis(120);
+
 impl SuspectHost for FleetShared {
     fn suspects(&self) -> &SuspectLedger {
         &self.suspects
@@ -47,18 +51,11 @@
         timeout: Duration,
     ) -> BoxFuture<'a, Result<Liveness, ReportError>> {
         Box::pin(async move {
-            let targets = &self.platform.targets;
-            let (target, address) = (&run.target.id, &run.address);
-            // A target without a group does not report its incarnation; only its port can be probed.
-            if run.group.is_empty() {
-                let reached = targets.probe(address, timeout).await;
-                return reached.map(|()| Liveness::Listening);
+            let liveness = self.probe_target(run, timeout).await;
+            if liveness == Err(ReportError::Refused) && self.is_refused_everywhere().await {
+                return Err(ReportError::NoResponse);
             }
-            let report = targets.report(target, address, timeout).await?;
-            let is_same = report.incarnation == run.target.incarnation;
-            is_same
-                .then_some(Liveness::Alive)
-                .ok_or(ReportError::OtherIncarnation)
+            liveness
         })
     }
 
@@ -92,3 +89,33 @@
         }
     }
 }
+
+impl FleetShared {
+    async fn probe_target(
+        &self,
+        run: &RunInfo,
+        timeout: Duration,
+    ) -> Result<Liveness, ReportError> {
+        let targets = &self.platform.targets;
+        let (target, address) = (&run.target.id, &run.address);
+        // A target without a group does not report its incarnation; only its port can be probed.
+        if run.group.is_empty() {
+            let reached = targets.probe(address, timeout).await;
+            return reached.map(|()| Liveness::Listening);
+        }
+        let report = targets.report(target, address, timeout).await?;
+        let is_same = report.incarnation == run.target.incarnation;
+        is_same
+            .then_some(Liveness::Alive)
+            .ok_or(ReportError::OtherIncarnation)
+    }
+
+    /// Returns whether this node reaches no target, so that the refusal of one does not prove its end.
+    async fn is_refused_everywhere(&self) -> bool {
+        let refused_at = BootClock::now();
+        tokio::time::sleep(REFUSAL_DOUBT_TIME).await;
+        let now = BootClock::now();
+        let is_other_heard = self.gauges.silence(now) < now.saturating_sub(refused_at);
+        !is_other_heard && self.reach.verify(refused_at).await
+    }
+}
--- a/crates/fleet/src/reach.rs
+++ b/crates/fleet/src/reach.rs
@@ -71,11 +71,11 @@
         Duration::from_micros(self.verified_at.load(Ordering::Relaxed))
     }
 
-    /// Has targets probed, and returns whether this node is partitioned; `now` is the current time.
-    pub async fn verify(&self, now: Moment) -> bool {
+    /// Has targets probed unless that was done after `since`, and returns whether this node is partitioned.
+    pub async fn verify(&self, since: Moment) -> bool {
         self.request_verification();
         let mut waited = Duration::ZERO;
-        while waited < SETTLE_TIMEOUT && !self.is_partitioned() && self.verified_at() < now {
+        while waited < SETTLE_TIMEOUT && !self.is_partitioned() && self.verified_at() < since {
             tokio::time::sleep(VERIFY_POLL_INTERVAL).await;
             waited += VERIFY_POLL_INTERVAL;
         }
--- a/crates/fleet/tests/partitions.rs
+++ b/crates/fleet/tests/partitions.rs
@@ -8,8 +8,10 @@
 
 use googletest::prelude::*;
 
+use http::Method;
 use support::path::PathState;
 use support::platform::TargetListing;
+use support::target::HANGING;
 use support::{Fleet, TestRequest, GROUP_SERVICE, SERVICE};
 use tokio::sync::Mutex;
 
@@ -33,6 +35,12 @@
 const CALLER_PATIENCE: Duration = Duration::from_millis(1_500);
 /// What the callers of each node call: streams of single targets and of groups, idempotent and at-most-once calls.
 const PATHS: [&str; 4] = ["/chat/x", "/model/x", "/look/x", "/bill/x"];
+/// Partitions that cut streams off.
+const ROUNDS: usize = 3;
+/// Streams that each of them cuts off.
+const STREAMS: usize = 6;
+/// Time within which a stream has begun at its target.
+const STREAM_TIME: Duration = Duration::from_millis(300);
 /// Events of a complete stream.
 const STREAM: &str = "id: 1\ndata: token\n\nid: 2\ndata: token\n\nid: 3\ndata: token\n\n";
 
@@ -296,3 +304,41 @@
 async fn callers_of_a_zone_that_reaches_no_target_are_served() {
     check_partition(&UNEVEN_ZONES, &[0, 1, 2], PathState::Silent).await;
 }
+
+/// Returns how many crashes of targets a node has counted.
+async fn counted_crashes(fleet: &Fleet, node: usize) -> usize {
+    let metrics = fleet.operator_request(node, Method::GET, "/metrics").await;
+    let lines = metrics.body.lines();
+    lines.filter(|line| line.starts_with("target_ends")).count()
+}
+
+/// Guards against requests that are blamed for crashes of targets when a partition resets their connections.
+#[gtest]
+#[tokio::test(flavor = "multi_thread")]
+async fn requests_that_a_partition_cuts_off_are_not_blamed_for_crashes_of_their_targets() {
+    let _turn = TURN.lock().await;
+    let fleet = open(&["z1", "z1"]).await;
+    let mut served = 0;
+    for _ in 0..ROUNDS {
+        let streams = (0..STREAMS).map(|index| {
+            let body = format!("{HANGING}-{index}");
+            let fleet = &fleet;
+            async move { fleet.request(0, TestRequest::chat(&body)).await }
+        });
+        let cut = async {
+            tokio::time::sleep(STREAM_TIME).await;
+            fleet.set_paths(0, PathState::Down);
+        };
+        // Paths are cut one after the other, so a stream may use up its second attempt on the last one.
+        let (responses, ()) = futures::future::join(futures::future::join_all(streams), cut).await;
+        let responses = responses.iter();
+        served += responses.filter(|response| response.is_served()).count();
+        tokio::time::sleep(DETECTION_TIME).await;
+        fleet.set_paths(0, PathState::Open);
+        tokio::time::sleep(DETECTION_TIME * 2).await;
+    }
+    expect_that!(served, ge(ROUNDS * STREAMS * 2 / 3));
+    for node in 0..2 {
+        expect_that!(counted_crashes(&fleet, node).await, eq(0), "node {node}");
+    }
+}
--- a/crates/fleet/tests/support/path.rs
+++ b/crates/fleet/tests/support/path.rs
@@ -27,6 +27,8 @@
     Reset,
     /// Connections go on, and new ones are refused.
     Refusing,
+    /// Connections are reset, and new ones are refused.
+    Down,
 }
 
 /// A path that relays connections to a target; it ends when it is dropped.
@@ -79,7 +81,7 @@
         match current {
             PathState::Open => accept(&listener, &target, &state).await,
             PathState::Silent | PathState::Reset => block(&listener, address, &mut state).await,
-            PathState::Refusing => {
+            PathState::Refusing | PathState::Down => {
                 drop(listener);
                 if state.changed().await.is_err() {
                     return;
@@ -150,7 +152,7 @@
     );
     let is_reset = tokio::select! {
         _ = copied => false,
-        _ = until_reset.wait_for(|state| *state == PathState::Reset) => true,
+        _ = until_reset.wait_for(|state| matches!(state, PathState::Reset | PathState::Down)) => true,
     };
     if is_reset {
         // Without lingering, closing a connection resets it.
