--- a/crates/fleet/tests/support/mod.rs
+++ b/crates/fleet/tests/support/mod.rs
@@ -16,8 +16,9 @@
     TrafficRule,
 };
 use briarswitch_core::warmup::WarmupSpec;
+use briarswitch_fleet::forward::{ForwardDoc, ForwardRequest, FORWARD_PATH};
 use briarswitch_fleet::{FleetNode, FleetSettings};
-use briarswitch_http::{full_body, TargetAddress, TargetClient, TargetLimits};
+use briarswitch_http::{encode_msgpack, full_body, TargetAddress, TargetClient, TargetLimits};
 use bytes::Bytes;
 use http::{HeaderMap, HeaderValue, Method};
 
@@ -397,6 +398,15 @@
         self.send(&address, request(method, path, "")).await
     }
 
+    /// Forwards a request to a node as another node would.
+    pub async fn forward(&self, node: usize, forward: ForwardRequest) -> TestResponse {
+        let address = self.nodes[node].address(|settings| &settings.peers);
+        let bytes = encode_msgpack(&ForwardDoc::from(forward)).expect("a valid document");
+        let mut request = request(Method::POST, FORWARD_PATH, "");
+        *request.body_mut() = full_body(bytes);
+        self.send(&address, request).await
+    }
+
     async fn send(
         &self,
         address: &str,
--- a/crates/fleet/tests/support/target.rs
+++ b/crates/fleet/tests/support/target.rs
@@ -16,6 +16,10 @@
 pub const DISCONNECTING: &str = "breaking";
 /// Prefix of a body that runs until its target crashes; it completes at the target that resumes it.
 pub const HANGING: &str = "lasting";
+/// Prefix of a body at which the target is silent for a while before its first event.
+pub const PAUSING: &str = "pausing";
+/// Time for which a sound target may be silent.
+const PAUSE_TIME: Duration = Duration::from_millis(1_200);
 /// Time from a crash until the target listens again.
 const RESTART_TIME: Duration = Duration::from_millis(900);
 /// Time from the start of a run to its first event or its crash, and between events.
@@ -40,6 +44,8 @@
     /// Whether it refuses all requests, and the time after which to retry, as text.
     refusal: Option<String>,
     refusals: Vec<Instant>,
+    /// Bodies whose connection was closed while they ran.
+    abandoned: Vec<String>,
     /// Whether it says in its responses that it leaves.
     is_leaving: bool,
     /// Requests per second that it states in its responses, as text.
@@ -77,6 +83,7 @@
                 is_leaving: false,
                 refusal: None,
                 refusals: Vec::new(),
+                abandoned: Vec::new(),
                 limit: None,
                 crash: watch::Sender::new(false),
             }),
@@ -110,6 +117,11 @@
         runs.into_iter().any(|run| run.body == body)
     }
 
+    /// Returns whether the connection of a body was closed while it ran.
+    pub fn is_abandoned(&self, body: &str) -> bool {
+        self.shared.lock().abandoned.iter().any(|held| held == body)
+    }
+
     /// Says in all responses from now on that the target leaves, or no longer says so; its entry does not change.
     pub fn leave(&self, is_leaving: bool) {
         self.shared.lock().is_leaving = is_leaving;
@@ -307,6 +319,9 @@
     );
     stream.write_all(head.as_bytes()).await?;
     tokio::time::sleep(RUN_TIME).await;
+    if body.starts_with(PAUSING) {
+        tokio::time::sleep(PAUSE_TIME).await;
+    }
     if body.starts_with(CRASHING) {
         shared.lock().crash.send_replace(true);
         std::future::pending::<()>().await;
@@ -320,7 +335,9 @@
             return Ok(());
         }
         if body.starts_with(HANGING) && field("last-event").is_empty() {
-            std::future::pending::<()>().await;
+            let _ = stream.read_u8().await;
+            shared.lock().abandoned.push(body);
+            return Ok(());
         }
         tokio::time::sleep(RUN_TIME).await;
     }
