--- a/crates/core/src/reachability.rs
+++ b/crates/core/src/reachability.rs
@@ -222,3 +222,56 @@
         self.is_returning = false;
     }
 }
+
+/// Tracks whether a node reaches the targets that it probes regularly.
+///
+/// ```
+/// use briarswitch_core::reachability::ProbeHistory;
+///
+/// let mut history = ProbeHistory::default();
+/// for _ in 0..2 {
+///     history.record(&"t1".to_owned(), false);
+///     history.record(&"t2".to_owned(), false);
+/// }
+/// assert!(history.is_partitioned());
+/// history.record(&"t1".to_owned(), true);
+/// assert!(!history.is_partitioned());
+/// ```
+#[derive(Clone, Debug, Default)]
+pub struct ProbeHistory {
+    /// Probes of each target that have failed since the last one that succeeded.
+    failures: IndexMap<TargetId, u32>,
+    is_partitioned: bool,
+}
+
+impl ProbeHistory {
+    /// Records the result of a probe.
+    ///
+    /// The node is partitioned when the last two probes of every target have failed, and no longer when those of half
+    /// of them succeed.
+    pub fn record(&mut self, target: &TargetId, is_reached: bool) {
+        let failures = self.failures.entry(target.clone()).or_default();
+        *failures = if is_reached { 0 } else { *failures + 1 };
+        let reached = self.failures.values().filter(|failures| **failures == 0);
+        let reached = reached.count();
+        let is_each_failed = self.failures.values().all(|failures| *failures >= 2);
+        if self.failures.len() >= MIN_DOUBTED_TARGETS && is_each_failed {
+            self.is_partitioned = true;
+        } else if reached * 2 >= self.failures.len() {
+            self.is_partitioned = false;
+        }
+    }
+
+    /// Forgets the targets that are no longer probed.
+    pub fn retain(&mut self, is_probed: impl Fn(&TargetId) -> bool) {
+        self.failures.retain(|target, _| is_probed(target));
+        if self.failures.is_empty() {
+            self.is_partitioned = false;
+        }
+    }
+
+    /// Returns whether the node reaches none of the targets that it probes.
+    pub fn is_partitioned(&self) -> bool {
+        self.is_partitioned
+    }
+}
--- a/crates/node/src/caller.rs
+++ b/crates/node/src/caller.rs
@@ -13,6 +13,7 @@
 use briarswitch_kernel::BootClock;
 use briarswitch_wire::caller::{MintReply, DEADLINE_HEADER, KEY_HEADER, MINT_PATH, SERVICE_PREFIX};
 use briarswitch_wire::engine::{ChatDoc, CHAT_PATH};
+use briarswitch_wire::peer::FORWARD_HOP_HEADER;
 use bytes::Bytes;
 use futures::future::BoxFuture;
 use http::request::Parts;
@@ -22,7 +23,7 @@
 use crate::attempt::TargetRequest;
 use crate::auth::{bearer, key_hash};
 use crate::dispatch::{MatchedRequest, RequestDispatcher};
-use crate::forward::KeyForwarder;
+use crate::forward::RequestForwarder;
 use crate::headers::{
     forwarded_headers, parse_idempotency_key, parse_repeatable, percent_bucket, request_id,
 };
@@ -39,7 +40,7 @@
 pub struct CallerApi {
     shared: Arc<NodeShared>,
     dispatcher: Arc<RequestDispatcher>,
-    forwarder: KeyForwarder,
+    forwarder: RequestForwarder,
 }
 
 /// A parsed request: a chat completion, or a call to a plain service.
@@ -61,7 +62,7 @@
     /// Creates the handler.
     pub fn new(shared: Arc<NodeShared>, dispatcher: Arc<RequestDispatcher>) -> Arc<Self> {
         Arc::new(Self {
-            forwarder: KeyForwarder::new(Arc::clone(&shared)),
+            forwarder: RequestForwarder::new(Arc::clone(&shared)),
             shared,
             dispatcher,
         })
@@ -76,6 +77,14 @@
         if head.uri.path() == MINT_PATH {
             return self.mint(&head.headers, &id);
         }
+        let body = if self.should_forward(&head) {
+            match self.forward_to_any(&head, body, &id).await {
+                Ok(response) => return response,
+                Err(body) => body,
+            }
+        } else {
+            body
+        };
         let matched = self.accept(head, body, &id).await;
         match matched {
             Ok(matched) => self.dispatcher.run(matched).await,
@@ -93,6 +102,33 @@
         }
     }
 
+    /// Returns whether a request is for another node to run, because this one reaches no target.
+    ///
+    /// One with a key that this node has minted may run here alone.
+    fn should_forward(&self, head: &Parts) -> bool {
+        let key = head.headers.get(KEY_HEADER);
+        let key = key.and_then(|key| MintedKey::parse(key.to_str().ok()?));
+        let is_forwarded = head.headers.contains_key(FORWARD_HOP_HEADER);
+        key.is_none() && !is_forwarded && self.shared.reach.is_partitioned()
+    }
+
+    /// Forwards a request; returns its body if no node took it.
+    async fn forward_to_any(&self, head: &Parts, body: Body, id: &str) -> Result<Response, Body> {
+        let limits = self.shared.settings.requests;
+        let reading = read_body(body, limits.body_bytes);
+        let bytes = match tokio::time::timeout(limits.body_timeout, reading).await {
+            Ok(Ok(bytes)) => bytes,
+            _ => {
+                let failure = bad_request("unreadable_body", "the body is incomplete or too large");
+                let mut reply = failure.reply();
+                mark_reply(&mut reply, id, &self.shared.settings.node, "");
+                return Ok(reply);
+            }
+        };
+        let forwarded = self.forwarder.forward_to_any(head, &bytes, id).await;
+        forwarded.ok_or_else(|| Body::from(bytes))
+    }
+
     /// Returns the request's idempotency key if it was minted by another node, or by an earlier
     /// incarnation of this one.
     fn other_incarnation_key(&self, headers: &HeaderMap) -> Option<MintedKey> {
--- a/crates/node/src/forward.rs
+++ b/crates/node/src/forward.rs
@@ -1,4 +1,5 @@
-//! Forwards requests with a minted idempotency key to the node that minted it.
+//! Forwards requests to other nodes: those with a minted idempotency key to the node that minted it, and all others
+//! while this node reaches no target.
 
 use std::sync::Arc;
 use std::time::Duration;
@@ -9,7 +10,10 @@
     full_body, read_body, stream_body, Body, Response, SendError, TargetAddress, TargetBody,
     TargetClient, TargetLimits, TargetResponse,
 };
-use briarswitch_wire::peer::{FORWARD_PREFIX, FORWARD_TOKEN_HEADER};
+use briarswitch_kernel::BootClock;
+use briarswitch_wire::peer::{
+    FORWARD_HOP_HEADER, FORWARD_PREFIX, FORWARD_REFUSED_HEADER, FORWARD_TOKEN_HEADER,
+};
 use bytes::Bytes;
 use futures::Stream;
 use http::header::{CONTENT_LENGTH, HOST, TRANSFER_ENCODING};
@@ -17,18 +21,22 @@
 use http::HeaderValue;
 
 use crate::reply::{mark_reply, CallerFailure};
+use crate::settings::PeerSettings;
 use crate::shared::NodeShared;
 
 /// Idle connections kept to each node.
 const MAX_IDLE_CONNECTIONS: usize = 0;
 
-/// Forwards requests to the nodes that minted their keys.
-pub struct KeyForwarder {
+/// Nodes that are asked to take one request.
+const MAX_TRIES: usize = 4;
+
+/// Forwards requests to other nodes.
+pub struct RequestForwarder {
     shared: Arc<NodeShared>,
     client: TargetClient,
 }
 
-impl KeyForwarder {
+impl RequestForwarder {
     /// Creates a forwarder.
     pub fn new(shared: Arc<NodeShared>) -> Self {
         let connect = shared.settings.requests.connect_timeout;
@@ -41,6 +49,58 @@
         }
     }
 
+    /// Forwards a request to one node after the other until one takes it, and relays the response.
+    ///
+    /// Returns `None` if no node took it; it has not run then.
+    pub async fn forward_to_any(&self, head: &Parts, bytes: &Bytes, id: &str) -> Option<Response> {
+        for peer in self.peers_by_preference() {
+            let address = TargetAddress {
+                address: peer.address.clone(),
+                incarnation: 0,
+            };
+            let settings = &self.shared.settings;
+            let mut request =
+                build_request(head, bytes.clone(), &peer.address, &settings.peer_token);
+            let hop = HeaderValue::from_static("1");
+            request.headers_mut().insert(FORWARD_HOP_HEADER, hop);
+            log::info!(request = id, peer = peer.node.as_str(); "request_forwarded");
+            match self.send_within_deadline(&address, request).await {
+                Ok(reply) if reply.head.headers.contains_key(FORWARD_REFUSED_HEADER) => {}
+                Ok(reply) => return Some(build_response(reply)),
+                Err(FailurePoint::KeyClaimed) => {}
+                Err(point) => {
+                    let mut reply = CallerFailure::at(point).reply();
+                    mark_reply(&mut reply, id, &settings.node, "");
+                    return Some(reply);
+                }
+            }
+        }
+        None
+    }
+
+    /// Returns some nodes that were heard recently, in a random order, those of this node's zone first.
+    fn peers_by_preference(&self) -> Vec<PeerSettings> {
+        let settings = &self.shared.settings;
+        let now = BootClock::now();
+        let roster = self.shared.roster.read();
+        let is_live = |peer: &&PeerSettings| {
+            roster.get(&peer.node).is_some_and(|status| {
+                !status.is_leaving && now < status.last_heard + settings.gate.peer_timeout
+            })
+        };
+        let mut peers: Vec<PeerSettings> = settings.peers.iter().filter(is_live).cloned().collect();
+        peers.sort_by_cached_key(|peer| (peer.zone != settings.zone, rand::random::<u32>()));
+        // A whole zone may be partitioned, so that half of the tries go to other zones.
+        let near = peers.iter().filter(|peer| peer.zone == settings.zone);
+        let surplus = near.count().saturating_sub(MAX_TRIES / 2);
+        let far = peers.len() > MAX_TRIES;
+        if far && surplus > 0 {
+            peers.drain(..surplus.min(peers.len() - MAX_TRIES));
+        }
+        peers.truncate(MAX_TRIES);
+        peers
+    }
+
     /// Forwards a request once and relays the response.
     ///
     /// If the node that minted the key is unreachable, no node knows whether an earlier request ran
@@ -77,8 +137,18 @@
             incarnation: key.incarnation,
         };
         let request = build_request(&head, bytes, &peer.address, &settings.peer_token);
+        self.send_within_deadline(&target, request).await
+    }
+
+    /// Sends a request on a connection of its own; [`FailurePoint::KeyClaimed`] means that it was not delivered.
+    async fn send_within_deadline(
+        &self,
+        target: &TargetAddress,
+        request: http::Request<http_body_util::Full<Bytes>>,
+    ) -> Result<TargetResponse, FailurePoint> {
+        let limits = self.shared.settings.requests;
         let limit = limits.longest_deadline + Duration::from_secs(1);
-        let sending = self.client.send(&target, request, true);
+        let sending = self.client.send(target, request, true);
         match tokio::time::timeout(limit, sending).await {
             Ok(Ok(reply)) => Ok(reply),
             Ok(Err(SendError::Connect | SendError::ClosedBeforeSend | SendError::Refused)) => {
--- a/crates/node/src/headers.rs
+++ b/crates/node/src/headers.rs
@@ -2,6 +2,7 @@
 
 use briarswitch_core::prelude::*;
 use briarswitch_wire::caller::{KEY_HEADER, REPEATABLE_HEADER, REQUEST_HEADER};
+use briarswitch_wire::peer::FORWARD_HOP_HEADER;
 use http::header::{AUTHORIZATION, CONNECTION, CONTENT_LENGTH, HOST, TRANSFER_ENCODING};
 use http::HeaderMap;
 
@@ -87,6 +88,7 @@
         "upgrade",
         "expect",
         "proxy-connection",
+        FORWARD_HOP_HEADER,
     ] {
         forwarded.remove(name);
     }
--- a/crates/node/src/peer_api.rs
+++ b/crates/node/src/peer_api.rs
@@ -6,10 +6,11 @@
 use briarswitch_kernel::BootClock;
 use briarswitch_wire::config::{EntryDoc, SnapshotDoc};
 use briarswitch_wire::peer::{
-    ExchangeReply, ExchangeRequest, ViewDoc, FORWARD_PREFIX, FORWARD_TOKEN_HEADER,
+    ExchangeReply, ExchangeRequest, ViewDoc, FORWARD_HOP_HEADER, FORWARD_PREFIX,
+    FORWARD_REFUSED_HEADER, FORWARD_TOKEN_HEADER,
 };
 use futures::future::BoxFuture;
-use http::StatusCode;
+use http::{HeaderValue, StatusCode};
 
 use crate::auth::{is_bearer, is_token};
 use crate::caller::CallerApi;
@@ -44,9 +45,21 @@
             return reply_text(StatusCode::NOT_FOUND, "no such path");
         };
         *request.uri_mut() = inner;
+        let is_helped = request.headers().contains_key(FORWARD_HOP_HEADER);
+        if is_helped && !self.can_help() {
+            let mut refusal = reply_text(StatusCode::SERVICE_UNAVAILABLE, "not taken");
+            let value = HeaderValue::from_static("1");
+            refusal.headers_mut().insert(FORWARD_REFUSED_HEADER, value);
+            return refusal;
+        }
         self.callers.handle(request).await
     }
 
+    /// Returns whether this node takes requests of nodes that reach no target.
+    fn can_help(&self) -> bool {
+        self.shared.phase() == Phase::Running && !self.shared.reach.is_partitioned()
+    }
+
     fn respond(&self, request: ExchangeRequest) -> ExchangeReply {
         let settings = &self.shared.settings;
         let config = self.shared.config.load();
--- a/crates/node/src/shared.rs
+++ b/crates/node/src/shared.rs
@@ -5,6 +5,7 @@
 use std::sync::Arc;
 
 use briarswitch_core::prelude::*;
+use briarswitch_fleet::reach::TargetReach;
 use briarswitch_kernel::Snapshot;
 use briarswitch_platform::Platform;
 use briarswitch_wire::config::EntryDoc;
@@ -134,6 +135,8 @@
     pub usage: UsageMeter,
     /// Client of the platform.
     pub platform: Platform,
+    /// Whether this node reaches targets.
+    pub reach: TargetReach,
     /// Number of requests in flight.
     pub in_flight: AtomicUsize,
     phase: AtomicU8,
@@ -156,6 +159,7 @@
             metrics: NodeMetrics::open(),
             usage: UsageMeter::default(),
             platform,
+            reach: TargetReach::default(),
             in_flight: AtomicUsize::new(0),
             phase: AtomicU8::new(Phase::Running as u8),
         })
--- a/crates/node/src/watch.rs
+++ b/crates/node/src/watch.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 
 use briarswitch_core::prelude::*;
+use briarswitch_core::reachability::{ProbeHistory, Reachability};
 use briarswitch_core::watch::watchers;
 use briarswitch_http::{ApiClient, CallError, Codec};
 use briarswitch_kernel::{BootClock, Service, ServiceLink};
@@ -93,6 +94,7 @@
     peers: IndexMap<NodeId, PeerReports>,
     leaving: IndexSet<(VmId, Incarnation)>,
     probing: IndexSet<VmId>,
+    history: ProbeHistory,
     pending_update: PendingUpdate,
 }
 
@@ -121,6 +123,7 @@
             peers: IndexMap::new(),
             leaving: IndexSet::new(),
             probing: IndexSet::new(),
+            history: ProbeHistory::default(),
             pending_update: PendingUpdate::None,
             shared,
         }
@@ -192,6 +195,8 @@
         let watched = self.watched(now);
         self.own_feed
             .retain(|vm| watched.iter().any(|(other, _)| other == vm));
+        self.history
+            .retain(|vm| watched.iter().any(|(other, _)| other == vm));
         let interval = self.shared.settings.gate.probe_interval;
         let timeout = self.shared.settings.gate.probe_timeout;
         let count = watched.len().max(1) as u32;
@@ -222,6 +227,8 @@
 
     fn handle_probe(&mut self, result: ProbeResult) {
         self.probing.swap_remove(&result.vm);
+        self.history.record(&result.vm, result.report.is_ok());
+        self.publish_reach();
         match result.report {
             Ok(doc) if doc.vm == result.vm => {
                 let report = MemberReport::from(doc);
@@ -237,6 +244,21 @@
         }
     }
 
+    /// Publishes whether this node reaches any of the VMs that it watches.
+    fn publish_reach(&self) {
+        let reach = &self.shared.reach;
+        let is_partitioned = self.history.is_partitioned();
+        if is_partitioned != reach.is_partitioned() {
+            log::warn!(partitioned = is_partitioned; "reach_changed");
+        }
+        let state = if is_partitioned {
+            Reachability::Partitioned
+        } else {
+            Reachability::Reachable
+        };
+        reach.publish(state, None);
+    }
+
     fn record_report(&mut self, report: MemberReport, requested_at: Moment) {
         let now = BootClock::now();
         let known = self
--- a/crates/node/tests/support/mod.rs
+++ b/crates/node/tests/support/mod.rs
@@ -414,6 +414,34 @@
         }
     }
 
+    /// Lets one node reach the services along links, from its next start on.
+    ///
+    /// The node gets a VM list of its own, in which the services have the addresses of the links.
+    pub fn link_services(&mut self, node: usize) -> (PlatformStandin, Vec<LinkRelay>) {
+        let list = PlatformStandin::spawn("127.0.0.1:0").expect("a platform");
+        let zone = self.nodes[node].zone.clone();
+        let links = self.services.iter().map(|(name, service)| {
+            let link = LinkRelay::spawn(&service.address().to_string()).expect("a link");
+            list.list_vm(VmDoc {
+                id: name.clone(),
+                zone: zone.clone(),
+                domain: format!("{zone}-fabric"),
+                pool: SERVICE_POOL.to_owned(),
+                address: link.address().to_string(),
+                incarnation: 1,
+                accelerators: 0,
+                leaving: false,
+            });
+            link
+        });
+        let links = links.collect();
+        let flag = format!("platform.vms=http://{}", list.address());
+        self.nodes[node]
+            .arguments
+            .extend(["--set".to_owned(), flag]);
+        (list, links)
+    }
+
     pub async fn wait_ready(&self) {
         for index in 0..self.nodes.len() {
             self.wait("the node is ready", async |cluster| {
--- a/crates/wire/src/peer.rs
+++ b/crates/wire/src/peer.rs
@@ -15,6 +15,10 @@
 
 /// Path prefix of a caller's request that is forwarded by another node.
 pub const FORWARD_PREFIX: &str = "/peer/forward";
+/// Header of a request that is forwarded because its node reaches no target; it is not forwarded again.
+pub const FORWARD_HOP_HEADER: &str = "x-peer-hop";
+/// Header of the response to a forwarded request that the node did not take, so that another one may.
+pub const FORWARD_REFUSED_HEADER: &str = "x-peer-refused";
 /// Header with the credential of the nodes, sent in addition to the caller's own.
 pub const FORWARD_TOKEN_HEADER: &str = "x-peer-token";
 
