The node that got a request from its caller alone decides about further attempts

Found while the search of the protocol was written: a peer that took a request could use up the attempts that were left, and when the way to it broke, the first node, which cannot know, made one more; a target's error could be answered by the first node's and the peer's retries at once.

Change: a peer sends a forwarded request to one target. If that fails, is slow or falls silent while another could take it, it says so or ends the stream, and the first node retries, resumes or gives up, out of its own attempts and budget. A peer in doubt of its own reach waits for its probes in place of refusing; peers that refused are asked again if there are no others.

--- a/crates/fleet/src/caller_api.rs
+++ b/crates/fleet/src/caller_api.rs
@@ -177,6 +177,7 @@
             deadline: trace.arrived + timeout,
             is_resumption: false,
             forwarded_by: None,
+            may_sender_retry: false,
             request: caller_request,
             config: Arc::clone(&loaded),
         })
--- a/crates/fleet/src/dispatch.rs
+++ b/crates/fleet/src/dispatch.rs
@@ -281,7 +281,7 @@
             if now >= job.deadline {
                 return Err(HeadWaitError::Deadline);
             }
-            let may_forward = job.forwarded_by.is_none() && self.shared.reach.is_partitioned();
+            let may_forward = job.owns_retries() && self.shared.reach.is_partitioned();
             if may_forward && !progress.has_begun() {
                 return Err(HeadWaitError::Send(SendError::Connect));
             }
--- a/crates/fleet/src/forward.rs
+++ b/crates/fleet/src/forward.rs
@@ -1,7 +1,8 @@
 //! Requests that a node forwards to another one because it is partitioned from all targets, and their wire formats.
 //!
 //! The receiving node admits a forwarded request like one of its own callers: the caller's key goes with it. What the
-//! sender adds, such as the attempts so far, can only narrow what the request may do.
+//! sender adds, such as the attempts so far, can only narrow what the request may do. The receiving node sends it to one
+//! target; whether there is another attempt, the sender alone decides, so that each is made and counted once.
 
 use std::str::FromStr;
 use std::time::Duration;
@@ -57,6 +58,8 @@
     pub last_event: Option<String>,
     /// Whether the caller has received part of the stream.
     pub is_resumption: bool,
+    /// Whether the sender may make another attempt if this one fails; the recipient makes none itself.
+    pub may_retry: bool,
 }
 
 impl ForwardRequest {
@@ -89,6 +92,8 @@
     last_event: Option<String>,
     #[serde(default)]
     is_resumption: bool,
+    #[serde(default)]
+    may_retry: bool,
 }
 
 /// Error of decoding a forwarded request.
@@ -127,6 +132,7 @@
             attempts_sent: request.attempts_sent,
             last_event: request.last_event,
             is_resumption: request.is_resumption,
+            may_retry: request.may_retry,
         }
     }
 }
@@ -158,6 +164,7 @@
             attempts_sent: doc.attempts_sent,
             last_event: doc.last_event,
             is_resumption: doc.is_resumption,
+            may_retry: doc.may_retry,
         })
     }
 }
--- a/crates/fleet/src/forward_api.rs
+++ b/crates/fleet/src/forward_api.rs
@@ -3,7 +3,6 @@
 use std::sync::atomic::Ordering;
 use std::sync::Arc;
 
-use briarswitch_core::reachability::Reachability;
 use briarswitch_http::{decode_msgpack, read_body, reply_text, Request, Response};
 use http::StatusCode;
 
@@ -34,7 +33,7 @@
     /// Responds to a forwarded request.
     pub async fn respond(&self, request: Request) -> Response {
         self.shared.costs.count(CostKind::ForwardReceived);
-        if let Some(reason) = self.unavailable() {
+        if let Some(reason) = self.unavailable().await {
             return refusal_response(ForwardRefusal::NotTaken {
                 reason: reason.to_owned(),
             });
@@ -53,11 +52,11 @@
     }
 
     /// Returns why this node takes no forwarded requests now, if so.
-    fn unavailable(&self) -> Option<&'static str> {
+    async fn unavailable(&self) -> Option<&'static str> {
         if self.shared.phase() != FleetPhase::Running {
             return Some("leaving");
         }
-        if self.shared.reach.state() != Reachability::Reachable {
+        if self.shared.reach.settle().await {
             return Some("partitioned");
         }
         let in_flight = self.shared.forwarded_in_flight.load(Ordering::SeqCst);
--- a/crates/fleet/src/forward_peers.rs
+++ b/crates/fleet/src/forward_peers.rs
@@ -11,7 +11,8 @@
 
 use crate::shared::FleetShared;
 
-/// Time for which a node that did not take a request gets none; several gossip messages, which may then say why.
+/// Time for which a node that did not take a request gets none if there are others; several gossip messages, which may
+/// then say why.
 const AVOID_TIME: Duration = Duration::from_millis(500);
 
 /// What is known of a node to which requests were forwarded.
@@ -65,13 +66,20 @@
     ) -> Option<ChosenPeer> {
         let live_view = self.shared.live_view.load();
         let mut states = self.lock();
-        let is_eligible = |peer: &ReachingPeer<'_>| {
+        let is_avoided = |peer: &ReachingPeer<'_>| {
             let state = states.get(&peer.entry.node);
-            state.is_none_or(|state| now >= state.avoided_until)
-                && self.may_process(allowed_regions, peer.entry)
+            state.is_some_and(|state| now < state.avoided_until)
+        };
+        let permitted = live_view
+            .reaching()
+            .filter(|peer| self.may_process(allowed_regions, peer.entry));
+        let (avoided, eligible): (Vec<ReachingPeer<'_>>, Vec<ReachingPeer<'_>>) =
+            permitted.partition(is_avoided);
+        let eligible = if eligible.is_empty() {
+            avoided
+        } else {
+            near_first(&live_view, eligible, tries)
         };
-        let eligible: Vec<ReachingPeer<'_>> = live_view.reaching().filter(is_eligible).collect();
-        let eligible = near_first(&live_view, eligible, tries);
         let load = |peer: &ReachingPeer<'_>| {
             let state = states.get(&peer.entry.node);
             let in_flight = state.map_or(0, |state| state.in_flight.load(Ordering::Relaxed));
--- a/crates/fleet/src/forwarder.rs
+++ b/crates/fleet/src/forwarder.rs
@@ -46,6 +46,8 @@
     pub last_event: Option<&'a str>,
     /// Whether the caller has received part of the stream.
     pub is_resumption: bool,
+    /// Whether another attempt may follow if this one fails.
+    pub may_retry: bool,
 }
 
 /// A target's response, relayed by another node, whose head has been received.
@@ -270,6 +272,7 @@
             attempts_sent: progress.attempts_sent,
             last_event: progress.last_event.map(str::to_owned),
             is_resumption: progress.is_resumption,
+            may_retry: progress.may_retry,
         };
         let bytes = encode_msgpack(&ForwardDoc::from(forward));
         let bytes = bytes.map_err(|error| HopError::NotTaken(error.to_string()))?;
--- a/crates/fleet/src/job.rs
+++ b/crates/fleet/src/job.rs
@@ -56,6 +56,8 @@
     pub is_resumption: bool,
     /// Node that forwarded the request; `None` if it came from its caller.
     pub forwarded_by: Option<NodeId>,
+    /// Whether that node may make another attempt if this node's fails.
+    pub may_sender_retry: bool,
 }
 
 impl RequestJob {
@@ -68,11 +70,17 @@
             deadline: self.deadline.min(now + forward.remaining),
             is_resumption: forward.is_resumption,
             forwarded_by: Some(forward.sender),
+            may_sender_retry: forward.may_retry,
             request,
             ..self
         }
     }
 
+    /// Returns whether this node decides about further attempts; if not, the node that forwarded the request does.
+    pub fn owns_retries(&self) -> bool {
+        self.forwarded_by.is_none()
+    }
+
     /// Returns the engine that the service runs on, if any.
     pub fn engine(&self) -> Option<&EngineSpec> {
         let config = self.config.as_ref().as_ref()?;
--- a/crates/fleet/src/relay.rs
+++ b/crates/fleet/src/relay.rs
@@ -107,6 +107,9 @@
                 }
                 StreamStep::Silent => {
                     self.trace.reason = "stream_silent";
+                    if !self.job.owns_retries() {
+                        return Some(Err(self.abort()));
+                    }
                     self.resume().await;
                 }
             }
@@ -170,7 +173,13 @@
         if is_silent {
             self.dispatcher.suspicion().suspect(target, now);
         }
-        is_silent && self.has_verdict(now) && self.may_resume()
+        is_silent && self.has_verdict(now) && (self.may_resume() || self.may_sender_resume())
+    }
+
+    /// Returns whether the node that forwarded the request may resume the stream, and another target could take it.
+    fn may_sender_resume(&self) -> bool {
+        let slot_request = self.job.slot_request(&self.tried);
+        self.job.may_sender_retry && self.dispatcher.selector().has_slot(&slot_request)
     }
 
     /// Returns whether it is known if this node reaches targets; until then, another target may be as silent.
@@ -181,7 +190,8 @@
 
     fn may_resume(&self) -> bool {
         let suspects = &self.dispatcher.shared().suspects;
-        self.job.rule.is_repeatable()
+        self.job.owns_retries()
+            && self.job.rule.is_repeatable()
             && self.trace.attempts_sent < self.job.rule.max_attempts
             && suspects.may_retry(&self.job.fingerprint, self.trace.broken_runs)
     }
@@ -236,7 +246,7 @@
     }
 
     fn may_forward(&self) -> bool {
-        self.job.forwarded_by.is_none()
+        self.job.owns_retries()
     }
 
     /// Resumes the stream at another target after the current response has ended, waiting for a slot if necessary.
@@ -331,6 +341,7 @@
             attempts_sent: self.trace.attempts_sent,
             last_event: last_event.as_deref(),
             is_resumption: self.splitter.last_id().is_some(),
+            may_retry: self.trace.attempts_sent + 1 < self.job.rule.max_attempts,
         };
         let forwarder = self.dispatcher.forwarder();
         match forwarder.forward(&self.job, progress).await {
--- a/crates/fleet/src/request_run.rs
+++ b/crates/fleet/src/request_run.rs
@@ -131,7 +131,7 @@
     }
 
     fn may_forward(&self) -> bool {
-        self.job.forwarded_by.is_none() && self.forward_rounds < MAX_FORWARD_ROUNDS
+        self.job.owns_retries() && self.forward_rounds < MAX_FORWARD_ROUNDS
     }
 
     async fn attempt_at_peer(&mut self) -> Result<Answer, AttemptError> {
@@ -139,6 +139,7 @@
             attempts_sent: self.trace.attempts_sent,
             last_event: self.job.request.last_event.as_deref(),
             is_resumption: false,
+            may_retry: self.may_attempt_again(),
         };
         let dispatcher = Arc::clone(&self.dispatcher);
         let forwarder = dispatcher.forwarder();
@@ -151,11 +152,25 @@
             return Ok(Answer::Stream(StreamSource::Peer(Box::new(response))));
         }
         let read = forwarder.read_whole(&self.job, response).await;
-        let whole = read.map_err(|failed| {
-            self.trace.reason = failed.point.code();
-            AttemptError::Failed(failed)
-        })?;
-        Ok(Answer::Whole(Box::new(whole)))
+        let failed = match read {
+            Ok(whole) if whole.0.status.is_success() => return Ok(Answer::Whole(Box::new(whole))),
+            Ok(whole) => FailedAttempt {
+                response: Some(Box::new(whole)),
+                ..FailurePoint::TargetError.into()
+            },
+            Err(failed) => failed,
+        };
+        self.trace.reason = failed.point.code();
+        Err(AttemptError::Failed(failed))
+    }
+
+    /// Returns whether another attempt may follow the next one.
+    fn may_attempt_again(&self) -> bool {
+        if !self.job.owns_retries() {
+            return self.job.may_sender_retry;
+        }
+        let rule = &self.job.rule;
+        rule.is_repeatable() && self.trace.attempts_sent + 1 < rule.max_attempts
     }
 
     fn record_forwarded(&mut self, response: &ForwardedResponse) {
@@ -177,6 +192,10 @@
                 attempts_sent,
             } => {
                 self.trace.attempts_sent = attempts_sent;
+                self.trace.reason = point.code();
+                if point.allows_retry(self.job.rule.is_repeatable()) {
+                    return AttemptError::Failed(point.into());
+                }
                 AttemptError::Ended {
                     point,
                     available_in,
@@ -206,7 +225,7 @@
         self.trace.record_target(&target);
         self.trace.record_slot();
         let last_event = self.job.request.last_event.clone();
-        let may_reroute = self.trace.attempts_sent + 1 < self.job.rule.max_attempts;
+        let may_reroute = self.may_attempt_again();
         let gauge = Arc::clone(&target.gauge);
         let sent_at = BootClock::now();
         let sent = self
@@ -271,6 +290,9 @@
     }
 
     fn may_retry(&self, failed: &FailedAttempt) -> bool {
+        if !self.job.owns_retries() && failed.has_reached_target() {
+            return false;
+        }
         let rule = &self.job.rule;
         let suspects = &self.dispatcher.shared().suspects;
         failed.point.allows_retry(rule.is_repeatable())
--- a/crates/fleet/tests/forwards.rs
+++ b/crates/fleet/tests/forwards.rs
@@ -34,7 +34,22 @@
         zone: if index % 2 == 0 { "z1" } else { "z3" }.to_owned(),
         ..TargetListing::default()
     });
-    Fleet::open_with_paths(listings.collect(), zones).await
+    let fleet = Fleet::open_with_paths(listings.collect(), zones).await;
+    for node in 0..zones.len() {
+        fleet
+            .wait_until("the node hears all others", || async {
+                hears_all(&fleet, node).await
+            })
+            .await;
+    }
+    fleet
+}
+
+async fn hears_all(fleet: &Fleet, node: usize) -> bool {
+    let peers = state(fleet, node, "peers").await;
+    let peers = peers["peers"].as_array().cloned().unwrap_or_default();
+    let heard = peers.iter().filter(|peer| peer["silence_ms"].is_u64());
+    heard.count() + 1 == fleet.nodes.len()
 }
 
 /// Returns a part of a node's state.
@@ -87,6 +102,7 @@
         attempts_sent: 0,
         last_event: None,
         is_resumption: false,
+        may_retry: false,
     }
 }
 
