The search covers forwarding, with five seeded defects

A second hop, a repeat or a not_run after a broken way, two that resume, and a peer that retries too are each caught.

--- a/crates/model/examples/check.rs
+++ b/crates/model/examples/check.rs
@@ -6,10 +6,10 @@
 use std::process::ExitCode;
 
 use briarswitch_model::{
-    search, stuck_states, ConfigDefect, ConfigSpec, CrashDefect, CrashSpec, GateDefect, GateSpec,
-    GroupFormationDefect, GroupFormationSpec, KeyDefect, KeySpec, LeaseDefect, LeaseSpec,
-    OrderDefect, OrderSpec, RelayDefect, RelaySpec, RestartDefect, RestartSpec, Specification,
-    StatedLimitDefect, StatedLimitSpec, WarmupDefect, WarmupLimitSpec,
+    search, stuck_states, ConfigDefect, ConfigSpec, CrashDefect, CrashSpec, ForwardDefect,
+    ForwardSpec, GateDefect, GateSpec, GroupFormationDefect, GroupFormationSpec, KeyDefect,
+    KeySpec, LeaseDefect, LeaseSpec, OrderDefect, OrderSpec, RelayDefect, RelaySpec, RestartDefect,
+    RestartSpec, Specification, StatedLimitDefect, StatedLimitSpec, WarmupDefect, WarmupLimitSpec,
 };
 
 /// Prints the results of the checks and counts failures.
@@ -88,6 +88,8 @@
     summary.check_properties("requests that crash targets", &CrashSpec::sound());
     summary.check_properties("limit of a target that warms up", &WarmupLimitSpec::sound());
     summary.check_properties("limit that a target states", &StatedLimitSpec::sound());
+    summary.check_properties("forwarding, at-most-once", &ForwardSpec::sound(false));
+    summary.check_properties("forwarding, repeatable", &ForwardSpec::sound(true));
     summary.check_liveness("lease", &LeaseSpec::short());
     summary.check_liveness(
         "orders, engines that check fencing",
@@ -100,6 +102,7 @@
     summary.check_liveness("serving gate", &GateSpec::sound());
     summary.check_liveness("configuration edits", &ConfigSpec::sound());
     summary.check_liveness("at-most-once execution by key", &KeySpec::sound());
+    summary.check_liveness("forwarding", &ForwardSpec::sound(true));
     for (checks, defect) in [
         (true, LeaseDefect::CountedFromResponse),
         (true, LeaseDefect::EarlyChallenger),
@@ -205,6 +208,16 @@
         let name = format!("limit that a target states with {defect:?}");
         summary.check_defect(&name, &StatedLimitSpec::defective(defect));
     }
+    for (is_repeatable, defect) in [
+        (true, ForwardDefect::SecondHop),
+        (false, ForwardDefect::RepeatAfterBrokenHop),
+        (false, ForwardDefect::NotRunAfterBrokenHop),
+        (true, ForwardDefect::TwoResume),
+        (true, ForwardDefect::PeerRetries),
+    ] {
+        let name = format!("forwarding with {defect:?}");
+        summary.check_defect(&name, &ForwardSpec::defective(is_repeatable, defect));
+    }
     println!("{} checks failed", summary.failures);
     ExitCode::from(u8::from(summary.failures > 0))
 }
--- a/crates/model/src/lib.rs
+++ b/crates/model/src/lib.rs
@@ -12,6 +12,7 @@
 
 mod config;
 mod crash;
+mod forward;
 mod gate;
 mod group_formation;
 mod keys;
@@ -25,6 +26,7 @@
 
 pub use config::{ConfigDefect, ConfigSpec};
 pub use crash::{CrashDefect, CrashSpec};
+pub use forward::{ForwardDefect, ForwardSpec};
 pub use gate::{GateDefect, GateSpec};
 pub use group_formation::{GroupFormationDefect, GroupFormationSpec};
 pub use keys::{KeyDefect, KeySpec};
