--- a/crates/fleet/src/request_run.rs
+++ b/crates/fleet/src/request_run.rs
@@ -194,7 +194,9 @@
                 self.trace.attempts_sent = attempts_sent;
                 self.trace.reason = point.code();
                 if point.allows_retry(self.job.rule.is_repeatable()) {
-                    return AttemptError::Failed(point.into());
+                    let failed = FailedAttempt::from(point);
+                    self.unreached += u32::from(!failed.has_reached_target());
+                    return AttemptError::Failed(failed);
                 }
                 AttemptError::Ended {
                     point,
@@ -312,12 +314,7 @@
                 .stream_response(self.job, source, self.trace),
             Answer::Whole(whole) => {
                 let (head, bytes) = *whole;
-                let is_success = head.status.is_success();
-                self.trace.end(if is_success {
-                    RequestEnd::Answered
-                } else {
-                    RequestEnd::Failed
-                });
+                self.trace.end(RequestEnd::Answered);
                 self.dispatcher.buffered_response(head, bytes)
             }
         };
