--- a/crates/fleet/src/dispatch.rs
+++ b/crates/fleet/src/dispatch.rs
@@ -132,7 +132,7 @@
     /// Runs a request of a caller, with retries as its rule allows, and returns the response for the caller.
     pub async fn run(self: &Arc<Self>, job: RequestJob, trace: RequestTrace) -> Response {
         self.budgets.deposit(&job.service);
-        match self.run_unanswered(job, trace).await {
+        match self.run_attempts(job, trace).await {
             Ok(answered) => answered.response,
             Err(failed) => self.reply_failed(*failed),
         }
@@ -142,7 +142,7 @@
     ///
     /// The other node has counted the request towards its retry budget.
     pub async fn run_forwarded(self: &Arc<Self>, job: RequestJob, trace: RequestTrace) -> Response {
-        match self.run_unanswered(job, trace).await {
+        match self.run_attempts(job, trace).await {
             Ok(RequestResponse { mut response, head }) => {
                 head.insert_into(response.headers_mut());
                 response
@@ -158,7 +158,7 @@
         }
     }
 
-    async fn run_unanswered(
+    async fn run_attempts(
         self: &Arc<Self>,
         job: RequestJob,
         trace: RequestTrace,
