Read over: the runner of requests, the gauges of all targets and what stood twice

- Running requests and replying to them left dispatch.rs for request_runner.rs, so dispatch, relay and request_run import each other in one direction alone (a circle before).
GaugeMap has its file.
- The failure of a forwarded request is one type in place of the same three fields in two enums; what is recorded of a peer's response stands once; a stream's target was put on the list of tried ones twice, and the headers of a relayed response were filtered twice.
- One delay of a local timer for the controller, the relay and the probes.
- With settings that name everything: the body of a request that is to be forwarded is read by the function that reads all others, so a body that is too large, broken or late has the same codes there as anywhere (they were one code before); whether a peer got a request has a type of its own in place of the failure of a claimed key; the choice of peers is told in two lines.

--- a/crates/fleet/src/caller_api.rs
+++ b/crates/fleet/src/caller_api.rs
@@ -21,13 +21,14 @@
 use crate::local_reply::LocalReply;
 use crate::ports::CallerRequest;
 use crate::prior_wait::PriorWaitEstimator;
+use crate::request_runner::RequestRunner;
 use crate::shared::{FleetPhase, FleetShared};
 use crate::trace::{RequestEnd, RequestTrace};
 
 /// Handles callers' requests.
 pub struct CallerApi {
     shared: Arc<FleetShared>,
-    dispatcher: Arc<FleetDispatcher>,
+    runner: RequestRunner,
     prior_wait: PriorWaitEstimator,
 }
 
@@ -36,7 +37,7 @@
     pub fn new(shared: Arc<FleetShared>, dispatcher: Arc<FleetDispatcher>) -> Arc<Self> {
         Arc::new(Self {
             shared,
-            dispatcher,
+            runner: RequestRunner::new(dispatcher),
             prior_wait: PriorWaitEstimator::default(),
         })
     }
@@ -48,7 +49,7 @@
         let mut trace = RequestTrace::begin(&self.shared, &caller_request.attempt, arrived);
         let accepted = self.accept(head, body, caller_request, &mut trace).await;
         let mut response = match accepted {
-            Ok(job) => self.dispatcher.run(job, trace).await,
+            Ok(job) => self.runner.run(job, trace).await,
             Err(reply) => {
                 trace.reason = reply.text;
                 trace.end(match reply.retry_after {
@@ -82,13 +83,12 @@
         trace.record_sender(&forward.sender, forward.attempts_sent);
         let accepted = self.accept(head, body, caller_request, &mut trace).await;
         match accepted {
-            Ok(job) if trace.config_version < forward.config_version => {
-                drop(job);
+            Ok(_) if trace.config_version < forward.config_version => {
                 self.refuse_forwarded("older configuration", trace)
             }
             Ok(job) => {
                 let job = job.continued(forward, now);
-                self.dispatcher.run_forwarded(job, trace).await
+                self.runner.run_forwarded(job, trace).await
             }
             Err(reply) => self.refuse_forwarded(reply.text, trace),
         }
--- a/crates/fleet/src/controller.rs
+++ b/crates/fleet/src/controller.rs
@@ -11,7 +11,6 @@
 use briarswitch_core::id::*;
 use briarswitch_core::layout::DomainLayout;
 use briarswitch_core::order::{OrderResult, TargetAction, TargetOrder};
-use briarswitch_core::reachability::Reachability;
 use briarswitch_core::target::{MembershipState, TargetRecord};
 use briarswitch_core::traffic::{ServiceSpec, TrafficConfig};
 use briarswitch_kernel::{BootClock, Service, ServiceLink};
@@ -29,6 +28,7 @@
 use crate::scope::{ControlScope, DomainKey, ScopeInputs};
 use crate::shared::{DirectoryView, FleetShared};
 use crate::supply::model_supplies;
+use crate::timer::MAX_TIMER_DELAY;
 use crate::tracker::{TargetTracker, TrackedTarget};
 
 /// Interval between control rounds.
@@ -44,8 +44,6 @@
 const LISTING_QUIET_TIME: Duration = Duration::from_millis(700);
 /// Time-out of a poll; a healthy target responds within a few milliseconds.
 const POLL_TIMEOUT: Duration = Duration::from_millis(160);
-/// Delay of a local timer beyond which a failed poll proves nothing about the target.
-const MAX_TIMER_DELAY: Duration = Duration::from_millis(60);
 /// Age of the configuration from which a node does not rebalance targets between models.
 const MAX_REBALANCE_CONFIG_AGE: Duration = Duration::from_secs(2);
 /// Number of loads in progress beyond the weight store's limit.
@@ -605,8 +603,7 @@
                 is_late,
             } => {
                 // A node without a path to targets learns nothing of them from polls that fail.
-                let proves_nothing =
-                    is_late || self.shared.reach.state() != Reachability::Reachable;
+                let proves_nothing = is_late || !self.shared.reach.is_reachable();
                 self.handle_report(&target, report, proves_nothing, link.now());
             }
             ControllerMessage::OrderAnswered {
--- a/crates/fleet/src/dispatch.rs
+++ b/crates/fleet/src/dispatch.rs
@@ -1,4 +1,4 @@
-//! Sends an accepted request to a target, and to further targets if an attempt fails and a retry is allowed.
+//! Sends an accepted request to one target.
 
 use std::sync::Arc;
 use std::time::Duration;
@@ -6,34 +6,28 @@
 use briarswitch_core::id::*;
 use briarswitch_core::outcome::FailurePoint;
 use briarswitch_http::{
-    full_body, stream_body, Response, SendError, SendProgress, TargetAddress, TargetBody,
-    TargetClient, TargetLimits, TargetResponse,
+    full_body, SendError, SendProgress, TargetAddress, TargetBody, TargetClient, TargetLimits,
+    TargetResponse,
 };
 use briarswitch_kernel::{BootClock, Mailbox};
 use bytes::Bytes;
-use http::header::{CONTENT_LENGTH, HOST};
+use http::header::HOST;
 use http::{HeaderValue, Uri};
 
 use crate::budget::RetryBudgets;
 use crate::failure::{implies_not_run, FailedAttempt, HeadWaitError};
-use crate::forward::{refusal_response, ForwardRefusal};
 use crate::forwarder::RequestForwarder;
 use crate::gauge::SlotGuard;
 use crate::job::{RequestJob, ResponseStart};
-use crate::local_reply::LocalReply;
 use crate::peers::PeerMessage;
 use crate::ports::{ResponseInfo, TargetRequestInfo};
 use crate::reach_monitor::ReachReporter;
-use crate::relay::StreamRelay;
-use crate::request_run::{FailedRequest, RequestResponse, RequestRun};
 use crate::routing_table::RouteTarget;
 use crate::run::{RunListeners, TargetRun};
 use crate::shared::FleetShared;
 use crate::statement_recorder::StatementRecorder;
-use crate::stream_source::StreamSource;
 use crate::suspicion::{reroute_delay, silence_limit_for, SuspicionReporter};
 use crate::target_selector::TargetSelector;
-use crate::trace::RequestTrace;
 
 /// Maximum number of idle connections kept per target.
 const MAX_IDLE_CONNECTIONS: usize = 16;
@@ -129,51 +123,8 @@
         &self.forwarder
     }
 
-    /// Runs a request of a caller, with retries as its rule allows, and returns the response for the caller.
-    pub async fn run(self: &Arc<Self>, job: RequestJob, trace: RequestTrace) -> Response {
-        self.budgets.deposit(&job.service);
-        match self.run_attempts(job, trace).await {
-            Ok(answered) => answered.response,
-            Err(failed) => self.reply_failed(*failed),
-        }
-    }
-
-    /// Runs a request that another node forwarded; the response is for that node.
-    ///
-    /// The other node has counted the request towards its retry budget.
-    pub async fn run_forwarded(self: &Arc<Self>, job: RequestJob, trace: RequestTrace) -> Response {
-        match self.run_attempts(job, trace).await {
-            Ok(RequestResponse { mut response, head }) => {
-                head.insert_into(response.headers_mut());
-                response
-            }
-            Err(mut failed) => {
-                failed.trace.end_failed(failed.point);
-                refusal_response(ForwardRefusal::Failed {
-                    point: failed.point,
-                    available_in: self.available_in(&failed),
-                    attempts_sent: failed.trace.attempts_sent,
-                })
-            }
-        }
-    }
-
-    async fn run_attempts(
-        self: &Arc<Self>,
-        job: RequestJob,
-        trace: RequestTrace,
-    ) -> Result<RequestResponse, Box<FailedRequest>> {
-        if self.is_quarantined(&job) {
-            return Err(Box::new(FailedRequest {
-                point: FailurePoint::Quarantined,
-                available_in: None,
-                trace,
-            }));
-        }
-        RequestRun::new(Arc::clone(self), job, trace).run().await
-    }
-
-    fn is_quarantined(&self, job: &RequestJob) -> bool {
+    /// Returns whether a request is quarantined now.
+    pub(crate) fn is_quarantined(&self, job: &RequestJob) -> bool {
         let suspects = &self.shared.suspects;
         suspects.quarantine_left(&job.fingerprint).is_some()
     }
@@ -423,69 +374,6 @@
         }
     }
 
-    pub(crate) fn buffered_response(&self, head: http::response::Parts, bytes: Bytes) -> Response {
-        let length = HeaderValue::from(bytes.len() as u64);
-        let mut response = Response::new(bytes.into());
-        *response.status_mut() = head.status;
-        *response.headers_mut() = self.shared.platform.protocol.caller_headers(&head.headers);
-        response.headers_mut().insert(CONTENT_LENGTH, length);
-        response
-    }
-
-    pub(crate) fn stream_response(
-        self: &Arc<Self>,
-        job: RequestJob,
-        source: StreamSource,
-        trace: RequestTrace,
-    ) -> Response {
-        let status = source.head().status;
-        let headers = &source.head().headers;
-        let headers = self.shared.platform.protocol.caller_headers(headers);
-        let relay = StreamRelay::start(Arc::clone(self), job, source, trace);
-        let mut response = Response::new(stream_body(relay));
-        *response.status_mut() = status;
-        *response.headers_mut() = headers;
-        response
-    }
-
-    /// Replies to a request that ends without a target's response.
-    fn reply_failed(&self, mut failed: FailedRequest) -> Response {
-        failed.trace.end_failed(failed.point);
-        let reply = self.failure_reply(&failed);
-        let mut response = reply.into_response();
-        let protocol = &self.shared.platform.protocol;
-        protocol.add_attempt_id(response.headers_mut(), &failed.trace.request_id);
-        response
-    }
-
-    /// Returns the reply to a request that ends without a target's response.
-    fn failure_reply(&self, failed: &FailedRequest) -> LocalReply {
-        let available_in = self.available_in(failed).unwrap_or_default();
-        if failed.point != FailurePoint::Quarantined {
-            return LocalReply::for_failure(failed.point).delayed_by(available_in);
-        }
-        let trace = &failed.trace;
-        self.shared.metrics.count_refusal(&trace.organisation);
-        log::info!(
-            request = trace.request_id.as_str(),
-            print = trace.fingerprint_text().as_str(),
-            organisation = trace.organisation.as_str(),
-            left_ms = available_in.as_millis() as u64;
-            "quarantine_refused"
-        );
-        LocalReply::quarantined(available_in)
-    }
-
-    /// Returns the time until the request may be served, if known.
-    fn available_in(&self, failed: &FailedRequest) -> Option<Duration> {
-        if failed.point != FailurePoint::Quarantined {
-            return failed.available_in;
-        }
-        let fingerprint = failed.trace.fingerprint?;
-        let left = self.shared.suspects.quarantine_left(&fingerprint);
-        left.or(failed.available_in)
-    }
-
     fn build_request(
         &self,
         job: &RequestJob,
--- a/crates/fleet/src/failure.rs
+++ b/crates/fleet/src/failure.rs
@@ -5,6 +5,11 @@
 use bytes::Bytes;
 use http::StatusCode;
 
+/// Attempts of one request that may fail to reach a target before the request fails.
+///
+/// Refused connections are not counted.
+pub const MAX_UNREACHED_ATTEMPTS: u32 = 4;
+
 /// A failed attempt.
 pub struct FailedAttempt {
     /// Point at which the attempt failed.
--- a/crates/fleet/src/forward.rs
+++ b/crates/fleet/src/forward.rs
@@ -222,14 +222,18 @@
         reason: String,
     },
     /// It took the request, which failed.
-    Failed {
-        /// Failure to report to the caller.
-        point: FailurePoint,
-        /// Time until a target can be expected to take the request, if known.
-        available_in: Option<Duration>,
-        /// Attempts that were sent to targets, those before the request was forwarded included.
-        attempts_sent: u32,
-    },
+    Failed(ForwardFailure),
+}
+
+/// Failure of a request at the node that took it.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct ForwardFailure {
+    /// Failure to report to the caller.
+    pub point: FailurePoint,
+    /// Time until a target can be expected to take the request, if known.
+    pub available_in: Option<Duration>,
+    /// Attempts that were sent to targets, those before the request was forwarded included.
+    pub attempts_sent: u32,
 }
 
 /// Wire format of [`ForwardRefusal`].
@@ -252,15 +256,11 @@
                 available_in_ms: None,
                 attempts_sent: 0,
             },
-            ForwardRefusal::Failed {
-                point,
-                available_in,
-                attempts_sent,
-            } => Self {
+            ForwardRefusal::Failed(failure) => Self {
                 is_taken: true,
-                reason: point.code().to_owned(),
-                available_in_ms: available_in.map(millis),
-                attempts_sent,
+                reason: failure.point.code().to_owned(),
+                available_in_ms: failure.available_in.map(millis),
+                attempts_sent: failure.attempts_sent,
             },
         }
     }
@@ -273,11 +273,11 @@
         }
         // A newer version may know failures that this one does not; after any of them the request may have run.
         let point = FailurePoint::from_code(&doc.reason).unwrap_or(FailurePoint::BrokenBeforeHead);
-        Self::Failed {
+        Self::Failed(ForwardFailure {
             point,
             available_in: doc.available_in_ms.map(Duration::from_millis),
             attempts_sent: doc.attempts_sent,
-        }
+        })
     }
 }
 
--- a/crates/fleet/src/forwarder.rs
+++ b/crates/fleet/src/forwarder.rs
@@ -18,7 +18,8 @@
 use crate::costs::CostKind;
 use crate::failure::FailedAttempt;
 use crate::forward::{
-    is_refusal, ForwardDoc, ForwardRefusal, ForwardRequest, ForwardedHead, RefusalDoc, FORWARD_PATH,
+    is_refusal, ForwardDoc, ForwardFailure, ForwardRefusal, ForwardRequest, ForwardedHead,
+    RefusalDoc, FORWARD_PATH,
 };
 use crate::forward_peers::{ChosenPeer, ForwardPeers};
 use crate::job::RequestJob;
@@ -52,7 +53,7 @@
 
 /// A target's response, relayed by another node, whose head has been received.
 pub struct ForwardedResponse {
-    /// Status and headers for the caller.
+    /// Status and headers.
     pub head: http::response::Parts,
     /// Body.
     pub body: TargetBody,
@@ -68,14 +69,7 @@
     /// No node took it, and nothing was sent to any target.
     NotTaken,
     /// A node took it, and the request failed there.
-    Failed {
-        /// Failure to report to the caller.
-        point: FailurePoint,
-        /// Time until a target can be expected to take the request, if known.
-        available_in: Option<Duration>,
-        /// Attempts that were sent to targets.
-        attempts_sent: u32,
-    },
+    Failed(ForwardFailure),
     /// The connection to the node broke, or the deadline passed, when it may have sent the request to a target.
     Lost(FailurePoint),
 }
@@ -239,8 +233,6 @@
             // A node of an earlier version does not know the path.
             return Err(HopError::NotTaken(format!("status {}", head.status)));
         };
-        let protocol = &self.shared.platform.protocol;
-        head.headers = protocol.caller_headers(&head.headers);
         Ok(ForwardedResponse {
             head,
             body,
@@ -291,15 +283,7 @@
     let doc = body.and_then(|body| decode_msgpack::<RefusalDoc>(body).ok());
     match doc.map(ForwardRefusal::from) {
         Some(ForwardRefusal::NotTaken { reason }) => HopError::NotTaken(reason),
-        Some(ForwardRefusal::Failed {
-            point,
-            available_in,
-            attempts_sent,
-        }) => HopError::Ended(ForwardError::Failed {
-            point,
-            available_in,
-            attempts_sent,
-        }),
+        Some(ForwardRefusal::Failed(failure)) => HopError::Ended(ForwardError::Failed(failure)),
         None => HopError::Ended(ForwardError::Lost(FailurePoint::BrokenBeforeHead)),
     }
 }
--- a/crates/fleet/src/peers.rs
+++ b/crates/fleet/src/peers.rs
@@ -6,7 +6,6 @@
 use std::time::Duration;
 
 use briarswitch_core::id::*;
-use briarswitch_core::reachability::Reachability;
 use briarswitch_http::{ApiClient, CallError, Codec};
 use briarswitch_kernel::{BootClock, Service, ServiceLink};
 use briarswitch_membership::{Gossip, GossipTarget, LiveView, NodeStatus, WorkSum};
@@ -64,7 +63,6 @@
 /// Returns the status that this node reports about itself.
 pub fn own_status(shared: &FleetShared) -> NodeStatus {
     let now = BootClock::now();
-    let is_reachable = shared.reach.state() == Reachability::Reachable;
     NodeStatus {
         is_partitioned: shared.reach.is_partitioned(),
         is_leaving: shared.phase() != FleetPhase::Running,
@@ -77,7 +75,7 @@
             request_rates: shared.demand.request_rates(now),
         },
         // What a node without a path to targets suspects says nothing about them.
-        suspects: if is_reachable {
+        suspects: if shared.reach.is_reachable() {
             shared.gauges.local_suspects(now)
         } else {
             Vec::new()
--- a/crates/fleet/src/reach.rs
+++ b/crates/fleet/src/reach.rs
@@ -55,6 +55,11 @@
         *self.state.borrow()
     }
 
+    /// Returns whether this node reaches targets as far as it knows, and does not doubt it.
+    pub fn is_reachable(&self) -> bool {
+        self.state() == Reachability::Reachable
+    }
+
     /// Returns whether this node is known to be partitioned from all targets.
     pub fn is_partitioned(&self) -> bool {
         self.state() == Reachability::Partitioned
@@ -63,7 +68,7 @@
     /// Returns whether the failure of a target may be this node's, given the time since any target was heard.
     pub fn is_doubtful(&self, silence: Duration, now: Moment) -> bool {
         let verified_at = self.verified_at();
-        self.state() != Reachability::Reachable
+        !self.is_reachable()
             || (silence >= UNVERIFIED_SILENCE && now >= verified_at + VERIFIED_TIME)
     }
 
--- a/crates/fleet/src/reach_monitor.rs
+++ b/crates/fleet/src/reach_monitor.rs
@@ -13,13 +13,12 @@
 
 use crate::costs::CostKind;
 use crate::shared::FleetShared;
+use crate::timer::MAX_TIMER_DELAY;
 
 /// Interval between checks of how long all targets have been silent.
 const TICK_INTERVAL: Duration = Duration::from_millis(50);
 /// Time-out of a probe; a healthy target accepts a connection within a few milliseconds.
 const PROBE_TIMEOUT: Duration = Duration::from_millis(200);
-/// Delay of a local timer beyond which a probe without an answer proves nothing.
-const MAX_TIMER_DELAY: Duration = Duration::from_millis(60);
 
 /// Name of the service.
 pub const REACH_SERVICE: &str = "reach";
--- a/crates/fleet/src/relay.rs
+++ b/crates/fleet/src/relay.rs
@@ -2,7 +2,6 @@
 
 use std::io;
 use std::sync::Arc;
-use std::time::Duration;
 
 use briarswitch_core::events::EventSplitter;
 use briarswitch_core::id::*;
@@ -11,19 +10,16 @@
 use futures::Stream;
 
 use crate::dispatch::{FleetDispatcher, SILENCE_POLL_INTERVAL};
-use crate::failure::ConnectionFailure;
+use crate::failure::{ConnectionFailure, MAX_UNREACHED_ATTEMPTS};
 use crate::forwarder::{ForwardError, ForwardProgress};
 use crate::job::RequestJob;
-use crate::request_run::MAX_UNREACHED_ATTEMPTS;
 use crate::restriction::AcquiredSlot;
 use crate::slot_queue::ReservedTarget;
 use crate::stream_source::StreamSource;
 use crate::suspicion::silence_limit_for;
+use crate::timer::MAX_TIMER_DELAY;
 use crate::trace::{RequestEnd, RequestTrace};
 
-/// Delay of the node's own timer beyond which silence is not attributed to the target.
-const MAX_TIMER_DELAY: Duration = Duration::from_millis(60);
-
 /// A stream that is being relayed.
 pub struct StreamRelay {
     dispatcher: Arc<FleetDispatcher>,
@@ -235,7 +231,7 @@
         if !self.may_resume() {
             return false;
         }
-        if self.may_forward() && self.dispatcher.shared().reach.is_partitioned() {
+        if self.job.owns_retries() && self.dispatcher.shared().reach.is_partitioned() {
             return self.resume_at_peer().await == ResumeResult::Resumed;
         }
         let slot_request = self.job.slot_request(&self.tried);
@@ -245,10 +241,6 @@
         self.resume_at(reserved).await == ResumeResult::Resumed
     }
 
-    fn may_forward(&self) -> bool {
-        self.job.owns_retries()
-    }
-
     /// Resumes the stream at another target after the current response has ended, waiting for a slot if necessary.
     ///
     /// Targets often fail together, and the failure of the next one may not have been detected yet. A target that
@@ -269,7 +261,7 @@
     }
 
     async fn resume_once(&mut self) -> ResumeResult {
-        if self.may_forward() && self.dispatcher.shared().reach.settle().await {
+        if self.job.owns_retries() && self.dispatcher.shared().reach.settle().await {
             let result = self.resume_at_peer().await;
             if result != ResumeResult::Unreached {
                 return result;
@@ -287,7 +279,7 @@
         let is_begun = self.splitter.last_id().is_some();
         let acquiring = selector.acquire_for_resume(&self.job, &self.tried, is_begun);
         let reach = &self.dispatcher.shared().reach;
-        let may_forward = self.may_forward() && !reach.is_partitioned();
+        let may_forward = self.job.owns_retries() && !reach.is_partitioned();
         tokio::select! {
             acquired = acquiring => acquired.map_err(|_| ResumeResult::Failed),
             () = reach.partitioned(), if may_forward => Err(ResumeResult::Unreached),
@@ -346,9 +338,10 @@
         let forwarder = self.dispatcher.forwarder();
         match forwarder.forward(&self.job, progress).await {
             Ok(response) if response.head.status.is_success() => {
-                self.trace.attempts_sent = response.forwarded.attempts_sent;
-                self.trace.record_peer(&response.peer.entry.node);
-                self.log_resume(&response.forwarded.target, last_event.as_deref());
+                let head = &response.forwarded;
+                self.trace.record_peer(&response.peer.entry.node, head);
+                self.tried.push(head.target.clone());
+                self.log_resume(&head.target, last_event.as_deref());
                 self.continue_from(StreamSource::Peer(Box::new(response)));
                 ResumeResult::Resumed
             }
@@ -356,9 +349,7 @@
                 self.dispatcher.budgets().refund(&self.job.service);
                 ResumeResult::Unreached
             }
-            Ok(_) | Err(ForwardError::Failed { .. } | ForwardError::Lost(_)) => {
-                ResumeResult::Failed
-            }
+            Ok(_) | Err(ForwardError::Failed(_) | ForwardError::Lost(_)) => ResumeResult::Failed,
         }
     }
 
@@ -380,10 +371,7 @@
         metrics.count_resume(&self.job.service);
         if let StreamSource::Target(response) = &source {
             self.trace.record_target(&response.target);
-        } else {
-            self.trace.target = source.target().to_owned();
         }
-        self.tried.push(source.target().to_owned());
         self.source = source;
         self.splitter.discard_partial();
     }
--- a/crates/fleet/src/request_run.rs
+++ b/crates/fleet/src/request_run.rs
@@ -5,23 +5,22 @@
 
 use briarswitch_core::id::*;
 use briarswitch_core::outcome::FailurePoint;
-use briarswitch_http::Response;
+use briarswitch_http::{stream_body, Response};
 use briarswitch_kernel::BootClock;
 use bytes::Bytes;
+use http::header::CONTENT_LENGTH;
+use http::{HeaderMap, HeaderValue};
 
 use crate::dispatch::FleetDispatcher;
-use crate::failure::{worst_of, ConnectionFailure, FailedAttempt};
-use crate::forward::ForwardedHead;
-use crate::forwarder::{ForwardError, ForwardProgress, ForwardedResponse};
+use crate::failure::{worst_of, ConnectionFailure, FailedAttempt, MAX_UNREACHED_ATTEMPTS};
+use crate::forward::{ForwardFailure, ForwardedHead};
+use crate::forwarder::{ForwardError, ForwardProgress};
 use crate::job::RequestJob;
+use crate::relay::StreamRelay;
 use crate::restriction::{AcquiredSlot, SlotError};
 use crate::stream_source::StreamSource;
 use crate::trace::{RequestEnd, RequestTrace};
 
-/// Attempts of one request that may fail to reach a target before the request fails.
-///
-/// Refused connections are not counted.
-pub const MAX_UNREACHED_ATTEMPTS: u32 = 4;
 /// Times that a request which no node took is forwarded again.
 const MAX_FORWARD_ROUNDS: u32 = 2;
 
@@ -147,7 +146,9 @@
             Ok(response) => response,
             Err(error) => return Err(self.record_forward_error(error)),
         };
-        self.record_forwarded(&response);
+        self.trace.record_slot();
+        self.trace
+            .record_peer(&response.peer.entry.node, &response.forwarded);
         if self.job.is_stream() && response.head.status.is_success() {
             return Ok(Answer::Stream(StreamSource::Peer(Box::new(response))));
         }
@@ -173,24 +174,17 @@
         rule.is_repeatable() && self.trace.attempts_sent + 1 < rule.max_attempts
     }
 
-    fn record_forwarded(&mut self, response: &ForwardedResponse) {
-        self.trace.record_slot();
-        self.trace.record_peer(&response.peer.entry.node);
-        self.trace.target.clone_from(&response.forwarded.target);
-        self.trace.attempts_sent = response.forwarded.attempts_sent;
-    }
-
     fn record_forward_error(&mut self, error: ForwardError) -> AttemptError {
         match error {
             ForwardError::NotTaken => {
                 self.forward_rounds += 1;
                 AttemptError::Again
             }
-            ForwardError::Failed {
+            ForwardError::Failed(ForwardFailure {
                 point,
                 available_in,
                 attempts_sent,
-            } => {
+            }) => {
                 self.trace.attempts_sent = attempts_sent;
                 self.trace.reason = point.code();
                 if point.allows_retry(self.job.rule.is_repeatable()) {
@@ -309,27 +303,48 @@
     fn respond(mut self, answer: Answer) -> RequestResponse {
         let head = self.response_head();
         let response = match answer {
-            Answer::Stream(source) => self
-                .dispatcher
-                .stream_response(self.job, source, self.trace),
+            Answer::Stream(source) => self.stream_response(source),
             Answer::Whole(whole) => {
-                let (head, bytes) = *whole;
                 self.trace.end(RequestEnd::Answered);
-                self.dispatcher.buffered_response(head, bytes)
+                self.whole_response(*whole)
             }
         };
         RequestResponse { response, head }
     }
 
     /// Passes a target's error response on.
-    fn respond_failed(mut self, (head, bytes): (http::response::Parts, Bytes)) -> RequestResponse {
+    fn respond_failed(mut self, whole: (http::response::Parts, Bytes)) -> RequestResponse {
         self.trace.end(RequestEnd::Failed);
         RequestResponse {
             head: self.response_head(),
-            response: self.dispatcher.buffered_response(head, bytes),
+            response: self.whole_response(whole),
         }
     }
 
+    fn whole_response(&self, (head, bytes): (http::response::Parts, Bytes)) -> Response {
+        let length = HeaderValue::from(bytes.len() as u64);
+        let mut response = Response::new(bytes.into());
+        *response.status_mut() = head.status;
+        *response.headers_mut() = self.caller_headers(&head.headers);
+        response.headers_mut().insert(CONTENT_LENGTH, length);
+        response
+    }
+
+    fn stream_response(self, source: StreamSource) -> Response {
+        let status = source.head().status;
+        let headers = self.caller_headers(&source.head().headers);
+        let relay = StreamRelay::start(self.dispatcher, self.job, source, self.trace);
+        let mut response = Response::new(stream_body(relay));
+        *response.status_mut() = status;
+        *response.headers_mut() = headers;
+        response
+    }
+
+    fn caller_headers(&self, headers: &HeaderMap) -> HeaderMap {
+        let protocol = &self.dispatcher.shared().platform.protocol;
+        protocol.caller_headers(headers)
+    }
+
     fn response_head(&self) -> ForwardedHead {
         ForwardedHead {
             target: self.trace.target.clone(),
--- a/crates/fleet/src/routing_table.rs
+++ b/crates/fleet/src/routing_table.rs
@@ -11,7 +11,8 @@
 use indexmap::{IndexMap, IndexSet};
 use rustc_hash::FxBuildHasher;
 
-use crate::gauge::{GaugeMap, TargetGauge};
+use crate::gauge::TargetGauge;
+use crate::gauge_map::GaugeMap;
 
 /// A target that accepts requests: one without a group, or the leader of a complete group.
 #[derive(Clone, Debug)]
--- a/crates/fleet/src/trace.rs
+++ b/crates/fleet/src/trace.rs
@@ -10,6 +10,7 @@
 use briarswitch_kernel::BootClock;
 
 use crate::failure::FailedAttempt;
+use crate::forward::ForwardedHead;
 use crate::gauge::TargetGauge;
 use crate::metrics::RequestLabels;
 use crate::restriction::PassedOver;
@@ -181,10 +182,12 @@
             .fetch_add(1, Ordering::SeqCst);
     }
 
-    /// Records that another node relays the response.
-    pub fn record_peer(&mut self, peer: &NodeId) {
+    /// Records that another node relays a target's response.
+    pub fn record_peer(&mut self, peer: &NodeId, head: &ForwardedHead) {
         self.forwarded_to.clone_from(peer);
         self.group.clear();
+        self.target.clone_from(&head.target);
+        self.attempts_sent = head.attempts_sent;
     }
 
     /// Records the target of an attempt.
--- a/crates/fleet/tests/gauge.rs
+++ b/crates/fleet/tests/gauge.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use briarswitch_fleet::gauge::GaugeMap;
+use briarswitch_fleet::gauge_map::GaugeMap;
 use googletest::prelude::*;
 
 /// Guards against late detection of lost members. Controllers polled only groups that they suspected
--- a/crates/node/src/caller.rs
+++ b/crates/node/src/caller.rs
@@ -88,17 +88,7 @@
         let matched = self.accept(head, body, &id).await;
         match matched {
             Ok(matched) => self.dispatcher.run(matched).await,
-            Err(failure) => {
-                log::info!(
-                    request = id.as_str(),
-                    code = failure.code.unwrap_or(failure.point.code()),
-                    status = failure.status.as_u16();
-                    "request_refused"
-                );
-                let mut reply = failure.reply();
-                mark_reply(&mut reply, &id, &self.shared.settings.node, "");
-                reply
-            }
+            Err(failure) => self.refuse(&failure, &id),
         }
     }
 
@@ -114,21 +104,27 @@
 
     /// Forwards a request; returns its body if no node took it.
     async fn forward_to_any(&self, head: &Parts, body: Body, id: &str) -> Result<Response, Body> {
-        let limits = self.shared.settings.requests;
-        let reading = read_body(body, limits.body_bytes);
-        let bytes = match tokio::time::timeout(limits.body_timeout, reading).await {
-            Ok(Ok(bytes)) => bytes,
-            _ => {
-                let failure = bad_request("unreadable_body", "the body is incomplete or too large");
-                let mut reply = failure.reply();
-                mark_reply(&mut reply, id, &self.shared.settings.node, "");
-                return Ok(reply);
-            }
+        let bytes = match self.read_request_body(body).await {
+            Ok(bytes) => bytes,
+            Err(failure) => return Ok(self.refuse(&failure, id)),
         };
         let forwarded = self.forwarder.forward_to_any(head, &bytes, id).await;
         forwarded.ok_or_else(|| Body::from(bytes))
     }
 
+    /// Replies to a request that is not accepted.
+    fn refuse(&self, failure: &CallerFailure, id: &str) -> Response {
+        log::info!(
+            request = id,
+            code = failure.code.unwrap_or(failure.point.code()),
+            status = failure.status.as_u16();
+            "request_refused"
+        );
+        let mut reply = failure.reply();
+        mark_reply(&mut reply, id, &self.shared.settings.node, "");
+        reply
+    }
+
     /// Returns the request's idempotency key if it was minted by another node, or by an earlier
     /// incarnation of this one.
     fn other_incarnation_key(&self, headers: &HeaderMap) -> Option<MintedKey> {
--- a/crates/node/src/forward.rs
+++ b/crates/node/src/forward.rs
@@ -30,6 +30,14 @@
 /// Nodes that are asked to take one request.
 const MAX_TRIES: usize = 4;
 
+/// Why another node returned no response.
+enum DeliveryError {
+    /// It has not received the request.
+    Undelivered,
+    /// It may have received the request.
+    Lost(FailurePoint),
+}
+
 /// Forwards requests to other nodes.
 pub struct RequestForwarder {
     shared: Arc<NodeShared>,
@@ -67,8 +75,8 @@
             match self.send_within_deadline(&address, request).await {
                 Ok(reply) if reply.head.headers.contains_key(FORWARD_REFUSED_HEADER) => {}
                 Ok(reply) => return Some(build_response(reply)),
-                Err(FailurePoint::KeyClaimed) => {}
-                Err(point) => {
+                Err(DeliveryError::Undelivered) => {}
+                Err(DeliveryError::Lost(point)) => {
                     let mut reply = CallerFailure::at(point).reply();
                     mark_reply(&mut reply, id, &settings.node, "");
                     return Some(reply);
@@ -79,6 +87,8 @@
     }
 
     /// Returns some nodes that were heard recently, in a random order, those of this node's zone first.
+    ///
+    /// Half of them are of other zones if there are enough, since all of this zone may be partitioned.
     fn peers_by_preference(&self) -> Vec<PeerSettings> {
         let settings = &self.shared.settings;
         let now = BootClock::now();
@@ -88,17 +98,14 @@
                 !status.is_leaving && now < status.last_heard + settings.gate.peer_timeout
             })
         };
-        let mut peers: Vec<PeerSettings> = settings.peers.iter().filter(is_live).cloned().collect();
-        peers.sort_by_cached_key(|peer| (peer.zone != settings.zone, rand::random::<u32>()));
-        // A whole zone may be partitioned, so that half of the tries go to other zones.
-        let near = peers.iter().filter(|peer| peer.zone == settings.zone);
-        let surplus = near.count().saturating_sub(MAX_TRIES / 2);
-        let far = peers.len() > MAX_TRIES;
-        if far && surplus > 0 {
-            peers.drain(..surplus.min(peers.len() - MAX_TRIES));
-        }
-        peers.truncate(MAX_TRIES);
-        peers
+        let mut live: Vec<&PeerSettings> = settings.peers.iter().filter(is_live).collect();
+        live.sort_by_cached_key(|_| rand::random::<u32>());
+        let (near, far): (Vec<&PeerSettings>, Vec<&PeerSettings>) = live
+            .into_iter()
+            .partition(|peer| peer.zone == settings.zone);
+        let near_tries = MAX_TRIES.saturating_sub(far.len()).max(MAX_TRIES / 2);
+        let chosen = near.into_iter().take(near_tries).chain(far).take(MAX_TRIES);
+        chosen.cloned().collect()
     }
 
     /// Forwards a request once and relays the response.
@@ -137,25 +144,29 @@
             incarnation: key.incarnation,
         };
         let request = build_request(&head, bytes, &peer.address, &settings.peer_token);
-        self.send_within_deadline(&target, request).await
+        let sent = self.send_within_deadline(&target, request).await;
+        sent.map_err(|error| match error {
+            DeliveryError::Undelivered => FailurePoint::KeyClaimed,
+            DeliveryError::Lost(point) => point,
+        })
     }
 
-    /// Sends a request on a connection of its own; [`FailurePoint::KeyClaimed`] means that it was not delivered.
+    /// Sends a request on a connection of its own.
     async fn send_within_deadline(
         &self,
         target: &TargetAddress,
         request: http::Request<http_body_util::Full<Bytes>>,
-    ) -> Result<TargetResponse, FailurePoint> {
+    ) -> Result<TargetResponse, DeliveryError> {
         let limits = self.shared.settings.requests;
         let limit = limits.longest_deadline + Duration::from_secs(1);
         let sending = self.client.send(target, request, true);
         match tokio::time::timeout(limit, sending).await {
             Ok(Ok(reply)) => Ok(reply),
             Ok(Err(SendError::Connect | SendError::ClosedBeforeSend | SendError::Refused)) => {
-                Err(FailurePoint::KeyClaimed)
+                Err(DeliveryError::Undelivered)
             }
-            Ok(Err(SendError::Broken)) => Err(FailurePoint::BrokenBeforeHead),
-            Err(_) => Err(FailurePoint::AnswerDeadline),
+            Ok(Err(SendError::Broken)) => Err(DeliveryError::Lost(FailurePoint::BrokenBeforeHead)),
+            Err(_) => Err(DeliveryError::Lost(FailurePoint::AnswerDeadline)),
         }
     }
 }
