A response says how the end of its body was recognised, and an end without a mark is logged

The lines could not tell whether the end of a connection was taken for the end of a body, since no reader could know how the end had been told.

Change: the client for targets returns the end of a body as marked (length, last chunk) or closed, in types that each reader has to match. `end_unmarked` and the counter `unmarked_ends` say how often, after how many whole events and with how many bytes of the next one. No reader decides otherwise than before. A connection that ended with its answer is not offered to the pool. The test callers take only a marked end as complete.

--- a/crates/fleet/src/dispatch.rs
+++ b/crates/fleet/src/dispatch.rs
@@ -331,12 +331,12 @@
     ) -> FailedAttempt {
         let remaining = job.deadline.saturating_sub(BootClock::now());
         let reading = body.read_all(MAX_RESPONSE_BYTES);
-        let bytes = tokio::time::timeout(remaining, reading).await;
+        let read = tokio::time::timeout(remaining, reading).await;
         let point = FailurePoint::TargetError;
-        match bytes {
+        match read {
             // To the caller some statuses guarantee that the request has not run, so these are never passed on here.
-            Ok(Ok(bytes)) if info.is_signed && !implies_not_run(head.status) => FailedAttempt {
-                response: Some(Box::new((head, bytes))),
+            Ok(Ok(body)) if info.is_signed && !implies_not_run(head.status) => FailedAttempt {
+                response: Some(Box::new((head, body.bytes))),
                 ..point.into()
             },
             _ => point.into(),
@@ -361,9 +361,9 @@
         drop(slot);
         self.selector.serve_queue();
         match read {
-            Ok(Ok(bytes)) => {
+            Ok(Ok(body)) => {
                 run.complete(&self.shared.suspects);
-                Ok((head, bytes))
+                Ok((head, body.bytes))
             }
             Ok(Err(_)) => {
                 run.report_broken("truncated");
--- a/crates/fleet/src/forwarder.rs
+++ b/crates/fleet/src/forwarder.rs
@@ -158,7 +158,7 @@
         } = response;
         let reading = body.read_all(MAX_RESPONSE_BYTES);
         match self.while_live(&peer, job.deadline, reading).await {
-            Ok(Ok(bytes)) => Ok((head, bytes)),
+            Ok(Ok(body)) => Ok((head, body.bytes)),
             Ok(Err(_)) => Err(FailurePoint::Truncated.into()),
             Err(point) => Err(point.into()),
         }
@@ -227,7 +227,8 @@
         if is_refusal(&head.headers) {
             let reading = body.read_all(MAX_RESPONSE_BYTES);
             let read = self.while_live(&peer, job.deadline, reading).await;
-            return Err(refusal_error(read.ok().and_then(Result::ok).as_deref()));
+            let read = read.ok().and_then(Result::ok);
+            return Err(refusal_error(read.as_ref().map(|body| &*body.bytes)));
         }
         let Some(forwarded) = ForwardedHead::take_from(&mut head.headers) else {
             // A node of an earlier version does not know the path.
--- a/crates/fleet/src/metrics.rs
+++ b/crates/fleet/src/metrics.rs
@@ -29,6 +29,7 @@
     quarantine_refusals: Counter<u64>,
     limit_changes: Counter<u64>,
     backoffs: Counter<u64>,
+    unmarked_ends: Counter<u64>,
     latency: Histogram<f64>,
     first_event: Histogram<f64>,
     config_version: Arc<AtomicU64>,
@@ -93,6 +94,7 @@
             quarantine_refusals: meter.u64_counter("quarantine_refusals").build(),
             limit_changes: meter.u64_counter("target_limit_changes").build(),
             backoffs: meter.u64_counter("target_backoffs").build(),
+            unmarked_ends: meter.u64_counter("unmarked_ends").build(),
             latency: histogram("request_seconds"),
             first_event: histogram("first_event_seconds"),
             registry,
@@ -113,6 +115,11 @@
         self.latency.record(latency.as_secs_f64(), &attributes[1..]);
     }
 
+    /// Counts a response whose end only the end of its connection shows.
+    pub fn count_unmarked_end(&self) {
+        self.unmarked_ends.add(1, &[]);
+    }
+
     /// Records the latency of the first event of a stream.
     pub fn record_first_event(&self, service: &str, latency: Duration) {
         let attributes = [KeyValue::new("service", service.to_owned())];
--- a/crates/fleet/src/relay.rs
+++ b/crates/fleet/src/relay.rs
@@ -5,6 +5,7 @@
 
 use briarswitch_core::events::EventSplitter;
 use briarswitch_core::id::*;
+use briarswitch_http::{BodyEnd, BodyPart};
 use briarswitch_kernel::BootClock;
 use bytes::Bytes;
 use futures::Stream;
@@ -48,7 +49,7 @@
 /// Next step of a stream.
 enum StreamStep {
     Chunk(Bytes),
-    End,
+    End(BodyEnd),
     Broken,
     /// The request's deadline passed.
     Deadline,
@@ -91,7 +92,11 @@
                         return Some(Ok(events));
                     }
                 }
-                StreamStep::End => return self.finish(),
+                StreamStep::End(end) => {
+                    self.trace
+                        .record_body_end(end, self.splitter.partial().len());
+                    return self.finish();
+                }
                 step @ (StreamStep::Broken | StreamStep::Deadline) => {
                     if matches!(step, StreamStep::Broken) {
                         self.record_break();
@@ -117,8 +122,8 @@
             let timer = tokio::time::timeout(SILENCE_POLL_INTERVAL, self.source.next());
             let started = BootClock::now();
             match timer.await {
-                Ok(Ok(Some(chunk))) => return StreamStep::Chunk(chunk),
-                Ok(Ok(None)) => return StreamStep::End,
+                Ok(Ok(BodyPart::Chunk(chunk))) => return StreamStep::Chunk(chunk),
+                Ok(Ok(BodyPart::End(end))) => return StreamStep::End(end),
                 Ok(Err(_)) => return StreamStep::Broken,
                 Err(_) => {}
             }
--- a/crates/fleet/src/stream_source.rs
+++ b/crates/fleet/src/stream_source.rs
@@ -1,8 +1,7 @@
 //! Where the events of a stream come from: a target, or another node that relays a target's response.
 
 use briarswitch_core::id::Moment;
-use briarswitch_http::BodyError;
-use bytes::Bytes;
+use briarswitch_http::{BodyError, BodyPart};
 
 use crate::forwarder::ForwardedResponse;
 use crate::gauge::SlotGuard;
@@ -34,12 +33,12 @@
         }
     }
 
-    /// Returns the next bytes, or `None` at the regular end.
+    /// Returns the next part of the body.
     ///
     /// # Errors
     ///
     /// Returns an error if the connection failed before the end.
-    pub async fn next(&mut self) -> Result<Option<Bytes>, BodyError> {
+    pub async fn next(&mut self) -> Result<BodyPart, BodyError> {
         let body = match self {
             Self::Target(response) => &mut response.body,
             Self::Peer(response) => &mut response.body,
--- a/crates/fleet/src/trace.rs
+++ b/crates/fleet/src/trace.rs
@@ -7,6 +7,7 @@
 use briarswitch_core::fingerprint::RequestFingerprint;
 use briarswitch_core::id::*;
 use briarswitch_core::outcome::{FailurePoint, Outcome};
+use briarswitch_http::BodyEnd;
 use briarswitch_kernel::BootClock;
 
 use crate::failure::FailedAttempt;
@@ -173,6 +174,24 @@
         );
     }
 
+    /// Logs and counts the end of a response's body if only the end of its connection shows it.
+    pub fn record_body_end(&self, end: BodyEnd, partial_bytes: usize) {
+        if end == BodyEnd::Marked {
+            return;
+        }
+        self.shared.metrics.count_unmarked_end();
+        log::info!(
+            request = self.request_id.as_str(),
+            target_id = self.target.as_str(),
+            group = self.group.as_str(),
+            forwarded_to = self.forwarded_to.as_str(),
+            events = self.events,
+            partial_bytes = partial_bytes,
+            ms = BootClock::now().saturating_sub(self.arrived).as_millis() as u64;
+            "end_unmarked"
+        );
+    }
+
     /// Records that another node forwarded the request after so many attempts; it counts as in flight for that node.
     pub fn record_sender(&mut self, sender: &NodeId, attempts_sent: u32) {
         self.attempts_sent = attempts_sent;
--- a/crates/fleet/tests/support/mod.rs
+++ b/crates/fleet/tests/support/mod.rs
@@ -18,7 +18,9 @@
 use briarswitch_core::warmup::WarmupSpec;
 use briarswitch_fleet::forward::{ForwardDoc, ForwardRequest, FORWARD_PATH};
 use briarswitch_fleet::{FleetNode, FleetSettings};
-use briarswitch_http::{encode_msgpack, full_body, TargetAddress, TargetClient, TargetLimits};
+use briarswitch_http::{
+    encode_msgpack, full_body, BodyEnd, BodyPart, TargetAddress, TargetClient, TargetLimits,
+};
 use bytes::Bytes;
 use http::{HeaderMap, HeaderValue, Method};
 
@@ -428,8 +430,8 @@
         let mut text = String::new();
         let is_complete = loop {
             match body.next().await {
-                Ok(Some(chunk)) => text.push_str(&String::from_utf8_lossy(&chunk)),
-                Ok(None) => break true,
+                Ok(BodyPart::Chunk(chunk)) => text.push_str(&String::from_utf8_lossy(&chunk)),
+                Ok(BodyPart::End(end)) => break end == BodyEnd::Marked,
                 Err(_) => break false,
             }
         };
--- a/crates/http/src/lib.rs
+++ b/crates/http/src/lib.rs
@@ -14,6 +14,7 @@
 mod reply;
 mod server;
 mod target;
+mod target_body;
 
 pub use client::{ApiClient, CallError, Codec};
 pub use reply::{
@@ -24,6 +25,6 @@
 
 pub use server::{Handler, HttpServer, Request, Response, ServerGuard};
 pub use target::{
-    full_body, SendError, SendProgress, TargetAddress, TargetBody, TargetClient, TargetLimits,
-    TargetResponse,
+    full_body, SendError, SendProgress, TargetAddress, TargetClient, TargetLimits, TargetResponse,
 };
+pub use target_body::{BodyEnd, BodyPart, TargetBody, WholeBody};
--- a/crates/http/src/target.rs
+++ b/crates/http/src/target.rs
@@ -7,13 +7,12 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use http_body_util::{BodyExt, Full};
-use hyper::body::Incoming;
+use http_body_util::Full;
 use hyper::client::conn::http1::{handshake, SendRequest};
 use hyper_util::rt::TokioIo;
 use tokio::net::TcpStream;
 
-use crate::reply::{read_body, BodyError};
+use crate::target_body::{PooledConnection, TargetBody};
 
 /// Address and incarnation of a target.
 ///
@@ -74,8 +73,10 @@
     }
 }
 
-type Sender = SendRequest<Full<Bytes>>;
-type IdlePool = Arc<Mutex<HashMap<TargetAddress, Vec<Sender>>>>;
+/// Sends requests on one connection.
+pub(crate) type Sender = SendRequest<Full<Bytes>>;
+/// Idle connections.
+pub(crate) type IdlePool = Arc<Mutex<HashMap<TargetAddress, Vec<Sender>>>>;
 
 /// Sends requests to targets over pooled connections; it never retries a request that may have been
 /// sent.
@@ -93,17 +94,6 @@
     pub body: TargetBody,
 }
 
-/// Body of a response.
-///
-/// Dropping it before its end closes the connection, which makes the target cancel the request.
-pub struct TargetBody {
-    incoming: Incoming,
-    sender: Option<Sender>,
-    key: TargetAddress,
-    idle: IdlePool,
-    max_idle: usize,
-}
-
 impl TargetClient {
     /// Creates a client without connections.
     pub fn new(limits: TargetLimits) -> Self {
@@ -199,15 +189,15 @@
         match sender.try_send_request(request).await {
             Ok(response) => {
                 let (head, incoming) = response.into_parts();
+                let connection = PooledConnection {
+                    sender,
+                    key: target.clone(),
+                    idle: Arc::clone(&self.idle),
+                    max_idle: self.limits.max_idle,
+                };
                 Ok(TargetResponse {
+                    body: TargetBody::new(&head, incoming, connection),
                     head,
-                    body: TargetBody {
-                        incoming,
-                        sender: Some(sender),
-                        key: target.clone(),
-                        idle: Arc::clone(&self.idle),
-                        max_idle: self.limits.max_idle,
-                    },
                 })
             }
             Err(mut error) => match error.take_message() {
@@ -263,61 +253,6 @@
     }
 }
 
-impl TargetBody {
-    /// Returns the next chunk, or `None` at the regular end of the body.
-    ///
-    /// # Errors
-    ///
-    /// Returns an error if the connection failed before the end of the body, as given by its length
-    /// or final chunk; such a body must never be forwarded as complete.
-    pub async fn next(&mut self) -> Result<Option<Bytes>, hyper::Error> {
-        loop {
-            match self.incoming.frame().await {
-                Some(Ok(frame)) => {
-                    if let Ok(data) = frame.into_data() {
-                        return Ok(Some(data));
-                    }
-                }
-                Some(Err(error)) => return Err(error),
-                None => {
-                    self.release_connection();
-                    return Ok(None);
-                }
-            }
-        }
-    }
-
-    /// Reads the rest of the body and returns the connection to the pool.
-    ///
-    /// # Errors
-    ///
-    /// Returns [`BodyError`] if the body is larger than `limit` or incomplete.
-    pub async fn read_all(mut self, limit: usize) -> Result<Bytes, BodyError> {
-        let bytes = read_body(&mut self.incoming, limit).await?;
-        self.release_connection();
-        Ok(bytes)
-    }
-
-    fn release_connection(&mut self) {
-        let Some(mut sender) = self.sender.take() else {
-            return;
-        };
-        let idle = Arc::clone(&self.idle);
-        let (key, max_idle) = (self.key.clone(), self.max_idle);
-        tokio::spawn(async move {
-            if sender.ready().await.is_err() {
-                return;
-            }
-            if let Ok(mut idle) = idle.lock() {
-                let senders = idle.entry(key).or_default();
-                if senders.len() < max_idle {
-                    senders.push(sender);
-                }
-            }
-        });
-    }
-}
-
 /// Builds a request body from bytes.
 ///
 /// ```
--- /dev/null
+++ b/crates/http/src/target_body.rs
@@ -0,0 +1,146 @@
+//! Body of a target's response, and how its end is recognised.
+
+use std::sync::Arc;
+
+use bytes::Bytes;
+use http::header::TRANSFER_ENCODING;
+use http::HeaderMap;
+use http_body::Body;
+use http_body_util::BodyExt;
+use hyper::body::Incoming;
+
+use crate::reply::{read_body, BodyError};
+use crate::target::{IdlePool, Sender, TargetAddress};
+
+/// How the end of a body was recognised.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum BodyEnd {
+    /// By its length or its last chunk: the body is complete.
+    Marked,
+    /// By the end of the connection, which looks the same if the sender crashes.
+    Closed,
+}
+
+/// Next part of a body.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub enum BodyPart {
+    /// Some bytes.
+    Chunk(Bytes),
+    /// The end.
+    End(BodyEnd),
+}
+
+/// All bytes of a body.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct WholeBody {
+    /// The bytes.
+    pub bytes: Bytes,
+    /// How the end was recognised.
+    pub end: BodyEnd,
+}
+
+/// Body of a response.
+///
+/// Dropping it before its end closes the connection, which makes the target cancel the request.
+pub struct TargetBody {
+    incoming: Incoming,
+    end: BodyEnd,
+    connection: Option<PooledConnection>,
+}
+
+/// Connection of a response, and the pool to which it returns.
+pub(crate) struct PooledConnection {
+    pub(crate) sender: Sender,
+    pub(crate) key: TargetAddress,
+    pub(crate) idle: IdlePool,
+    pub(crate) max_idle: usize,
+}
+
+impl TargetBody {
+    pub(crate) fn new(
+        head: &http::response::Parts,
+        incoming: Incoming,
+        connection: PooledConnection,
+    ) -> Self {
+        let is_marked = incoming.size_hint().exact().is_some() || is_chunked(&head.headers);
+        let end = if is_marked {
+            BodyEnd::Marked
+        } else {
+            BodyEnd::Closed
+        };
+        Self {
+            incoming,
+            end,
+            connection: Some(connection),
+        }
+    }
+
+    /// Returns the next part.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the connection failed before the end of the body, as given by its length
+    /// or final chunk; such a body must never be forwarded as complete.
+    pub async fn next(&mut self) -> Result<BodyPart, hyper::Error> {
+        loop {
+            match self.incoming.frame().await {
+                Some(Ok(frame)) => {
+                    if let Ok(data) = frame.into_data() {
+                        return Ok(BodyPart::Chunk(data));
+                    }
+                }
+                Some(Err(error)) => return Err(error),
+                None => {
+                    self.release_connection();
+                    return Ok(BodyPart::End(self.end));
+                }
+            }
+        }
+    }
+
+    /// Reads the rest of the body and returns the connection to the pool.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`BodyError`] if the body is larger than `limit` or incomplete.
+    pub async fn read_all(mut self, limit: usize) -> Result<WholeBody, BodyError> {
+        let bytes = read_body(&mut self.incoming, limit).await?;
+        self.release_connection();
+        Ok(WholeBody {
+            bytes,
+            end: self.end,
+        })
+    }
+
+    fn release_connection(&mut self) {
+        let Some(connection) = self.connection.take() else {
+            return;
+        };
+        if self.end == BodyEnd::Marked {
+            tokio::spawn(connection.release());
+        }
+    }
+}
+
+impl PooledConnection {
+    /// Returns the connection to the pool once it can take the next request.
+    async fn release(mut self) {
+        if self.sender.ready().await.is_err() {
+            return;
+        }
+        if let Ok(mut idle) = Arc::clone(&self.idle).lock() {
+            let senders = idle.entry(self.key).or_default();
+            if senders.len() < self.max_idle {
+                senders.push(self.sender);
+            }
+        }
+    }
+}
+
+/// Returns whether the last transfer coding is `chunked`; without it, a body with a coding ends with its connection.
+fn is_chunked(headers: &HeaderMap) -> bool {
+    let codings = headers.get_all(TRANSFER_ENCODING).into_iter().next_back();
+    let codings = codings.and_then(|codings| codings.to_str().ok());
+    let last = codings.and_then(|codings| codings.rsplit(',').next());
+    last.is_some_and(|coding| coding.trim().eq_ignore_ascii_case("chunked"))
+}
--- a/crates/node/src/attempt.rs
+++ b/crates/node/src/attempt.rs
@@ -141,7 +141,8 @@
 pub async fn read_to_end(body: TargetBody, deadline: Moment) -> Result<Bytes, FailurePoint> {
     let left = deadline.saturating_sub(BootClock::now());
     match tokio::time::timeout(left, body.read_all(MAX_RESPONSE_BYTES)).await {
-        Ok(result) => result.map_err(|_| FailurePoint::Truncated),
+        Ok(Ok(body)) => Ok(body.bytes),
+        Ok(Err(_)) => Err(FailurePoint::Truncated),
         Err(_) => Err(FailurePoint::AnswerDeadline),
     }
 }
--- a/crates/node/src/forward.rs
+++ b/crates/node/src/forward.rs
@@ -7,8 +7,8 @@
 use briarswitch_core::minted_key::MintedKey;
 use briarswitch_core::prelude::*;
 use briarswitch_http::{
-    full_body, read_body, stream_body, Body, Response, SendError, TargetAddress, TargetBody,
-    TargetClient, TargetLimits, TargetResponse,
+    full_body, read_body, stream_body, Body, BodyPart, Response, SendError, TargetAddress,
+    TargetBody, TargetClient, TargetLimits, TargetResponse,
 };
 use briarswitch_kernel::BootClock;
 use briarswitch_wire::peer::{
@@ -209,8 +209,8 @@
 ) -> impl Stream<Item = Result<Bytes, std::io::Error>> + Send + 'static {
     futures::stream::unfold(body, |mut body| async move {
         match body.next().await {
-            Ok(Some(chunk)) => Some((Ok(chunk), body)),
-            Ok(None) => None,
+            Ok(BodyPart::Chunk(chunk)) => Some((Ok(chunk), body)),
+            Ok(BodyPart::End(_)) => None,
             Err(error) => Some((Err(std::io::Error::other(error)), body)),
         }
     })
--- a/crates/node/src/relay.rs
+++ b/crates/node/src/relay.rs
@@ -9,7 +9,7 @@
 use briarswitch_core::prelude::*;
 use briarswitch_core::stream::EventScanner;
 use briarswitch_fleet::run::TargetRun;
-use briarswitch_http::TargetBody;
+use briarswitch_http::{BodyPart, TargetBody};
 use bytes::Bytes;
 use futures::Stream;
 use tokio::time::{Instant, Sleep};
@@ -154,8 +154,8 @@
                 chunk = body.next() => {
                     self.last_chunk_at = Instant::now();
                     return match chunk {
-                        Ok(Some(chunk)) => RelayStep::Chunk(chunk),
-                        Ok(None) => RelayStep::End,
+                        Ok(BodyPart::Chunk(chunk)) => RelayStep::Chunk(chunk),
+                        Ok(BodyPart::End(_)) => RelayStep::End,
                         Err(_) => RelayStep::Broken,
                     };
                 }
--- a/crates/node/tests/requests.rs
+++ b/crates/node/tests/requests.rs
@@ -4,6 +4,7 @@
 
 use std::time::Duration;
 
+use briarswitch_http::BodyPart;
 use briarswitch_standins::PlainStandin;
 use googletest::prelude::*;
 use nix::sys::signal::Signal;
@@ -219,7 +220,9 @@
         .await;
     let (_, mut body) = reply.expect("a head");
     assert_that!(
-        body.next().await.is_ok_and(|piece| piece.is_some()),
+        body.next()
+            .await
+            .is_ok_and(|part| matches!(part, BodyPart::Chunk(_))),
         eq(true)
     );
     drop(body);
--- a/crates/node/tests/support/mod.rs
+++ b/crates/node/tests/support/mod.rs
@@ -8,7 +8,9 @@
 use std::sync::Mutex;
 use std::time::{Duration, Instant};
 
-use briarswitch_http::{full_body, TargetAddress, TargetBody, TargetClient, TargetLimits};
+use briarswitch_http::{
+    full_body, BodyEnd, BodyPart, TargetAddress, TargetBody, TargetClient, TargetLimits,
+};
 use briarswitch_node::auth::key_hash;
 use briarswitch_standins::{
     EngineSettings, EngineStandin, LinkRelay, PlainStandin, PlatformStandin,
@@ -717,8 +719,8 @@
     let mut bytes = Vec::new();
     let is_complete = loop {
         match tokio::time::timeout(WAIT_TIMEOUT, body.next()).await {
-            Ok(Ok(Some(piece))) => bytes.extend_from_slice(&piece),
-            Ok(Ok(None)) => break true,
+            Ok(Ok(BodyPart::Chunk(piece))) => bytes.extend_from_slice(&piece),
+            Ok(Ok(BodyPart::End(end))) => break end == BodyEnd::Marked,
             Ok(Err(_)) | Err(_) => break false,
         }
     };
--- a/crates/standins/examples/overhead.rs
+++ b/crates/standins/examples/overhead.rs
@@ -11,7 +11,9 @@
 use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
 
-use briarswitch_http::{full_body, ApiClient, Codec, TargetAddress, TargetClient, TargetLimits};
+use briarswitch_http::{
+    full_body, ApiClient, BodyPart, Codec, TargetAddress, TargetClient, TargetLimits,
+};
 use briarswitch_standins::{EngineSettings, EngineStandin, PlatformStandin};
 use briarswitch_wire::config::{
     DeploymentDoc, KindDoc, ModelDoc, OrganisationDoc, RouteDoc, RuleDoc, ThenDoc, ValueDoc,
@@ -226,7 +228,7 @@
         .ok()?;
     let mut response = client.send(target, request, false).await.ok()?;
     let mut events = 0;
-    while let Some(chunk) = response.body.next().await.ok()? {
+    while let BodyPart::Chunk(chunk) = response.body.next().await.ok()? {
         events += count_events(&chunk);
     }
     (response.head.status == 200).then_some(events)
