Failing tests: answers that end with their connection at a crash are taken for complete

Stand-ins answer without a length or chunks and crash inside an event, between two, before the first, after part of a plain answer, in both ways of running and behind another node; one cuts a stream inside an event and lives on. In each case the caller got part of an answer as complete on the current code; in none was a broken run noted, so the request of a crash was not counted against it either. Sound answers of the same kind are complete and run once, and have to stay so. One more: a stream that breaks looks complete to a caller that reads until the connection is closed (HTTP/1.0).

--- a/crates/fleet/tests/support/mod.rs
+++ b/crates/fleet/tests/support/mod.rs
@@ -23,6 +23,8 @@
 };
 use bytes::Bytes;
 use http::{HeaderMap, HeaderValue, Method};
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::TcpStream;
 
 use path::{PathState, TargetPath};
 use platform::{PlatformLink, PlatformStub, TargetListing};
@@ -394,6 +396,24 @@
         self.send(&address, request).await
     }
 
+    /// Sends a request as an HTTP/1.0 caller, which reads until the connection is closed; returns how the connection
+    /// ended and what was received.
+    pub async fn request_1_0(
+        &self,
+        node: usize,
+        TestRequest { key, path, body }: TestRequest<'_>,
+    ) -> (std::io::Result<usize>, String) {
+        let address = self.nodes[node].address(|settings| &settings.callers);
+        let mut stream = TcpStream::connect(address).await.expect("a node");
+        let length = body.len();
+        let request = format!("POST {path} HTTP/1.0\r\nhost: {HOST}\r\nkey: {key}\r\nattempt: old\r\nmodel: {MODEL}\r\ncontent-length: {length}\r\n\r\n{body}");
+        let sent = stream.write_all(request.as_bytes()).await;
+        sent.expect("the node reads");
+        let mut bytes = Vec::new();
+        let result = stream.read_to_end(&mut bytes).await;
+        (result, String::from_utf8_lossy(&bytes).into_owned())
+    }
+
     /// Sends a request to a node's listener for metrics and operators.
     pub async fn operator_request(&self, node: usize, method: Method, path: &str) -> TestResponse {
         let address = self.nodes[node].address(|settings| &settings.metrics);
--- a/crates/fleet/tests/support/target.rs
+++ b/crates/fleet/tests/support/target.rs
@@ -18,6 +18,12 @@
 pub const HANGING: &str = "lasting";
 /// Prefix of a body at which the target is silent for a while before its first event.
 pub const PAUSING: &str = "pausing";
+/// Prefix of a body that crashes its first target inside an event; the target that resumes it completes it.
+pub const CRASHING_INSIDE: &str = "inside";
+/// Prefix of a body that crashes its first target between two events; the target that resumes it completes it.
+pub const CRASHING_BETWEEN: &str = "between";
+/// Prefix of a body whose connection ends inside an event, once, while the target keeps running.
+pub const CUT_INSIDE: &str = "cut";
 /// Time for which a sound target may be silent.
 const PAUSE_TIME: Duration = Duration::from_millis(1_200);
 /// Time from a crash until the target listens again.
@@ -48,6 +54,8 @@
     abandoned: Vec<String>,
     /// Whether it says in its responses that it leaves.
     is_leaving: bool,
+    /// Whether its responses have neither a length nor chunks and end with their connection.
+    is_unframed: bool,
     /// Requests per second that it states in its responses, as text.
     limit: Option<String>,
     /// Ends the current incarnation.
@@ -81,6 +89,7 @@
                 runs: Vec::new(),
                 stays_down: false,
                 is_leaving: false,
+                is_unframed: false,
                 refusal: None,
                 refusals: Vec::new(),
                 abandoned: Vec::new(),
@@ -159,6 +168,11 @@
         self.shared.lock().refusals.clone()
     }
 
+    /// Ends all responses from now on with their connection, without a length or chunks.
+    pub fn end_with_connection(&self) {
+        self.shared.lock().is_unframed = true;
+    }
+
     /// States a limit in all responses from now on; `None` states none any more.
     pub fn state_limit(&self, limit: Option<&str>) {
         self.shared.lock().limit = limit.map(str::to_owned);
@@ -314,8 +328,14 @@
     }
     shared.record_run(&body);
     let statements = shared.statements();
+    let is_unframed = shared.lock().is_unframed;
+    let framing = if is_unframed {
+        ""
+    } else {
+        "transfer-encoding: chunked\r\n"
+    };
     let head = format!(
-        "HTTP/1.1 200 OK\r\nattempt: {attempt}\r\nsigned: yes\r\n{statements}connection: close\r\ntransfer-encoding: chunked\r\n\r\n"
+        "HTTP/1.1 200 OK\r\nattempt: {attempt}\r\nsigned: yes\r\n{statements}connection: close\r\n{framing}\r\n"
     );
     stream.write_all(head.as_bytes()).await?;
     tokio::time::sleep(RUN_TIME).await;
@@ -329,8 +349,24 @@
     let first: u32 = field("last-event").parse().map_or(1, |last: u32| last + 1);
     for id in first..=EVENTS {
         let event = format!("id: {id}\ndata: token\n\n");
-        let chunk = format!("{:x}\r\n{event}\r\n", event.len());
-        stream.write_all(chunk.as_bytes()).await?;
+        let is_resumed = !field("last-event").is_empty();
+        let ending = Ending::of(&body).filter(|_| id > 1 && !is_resumed);
+        let bytes = match ending {
+            None => event.as_str(),
+            Some(Ending::CrashBetween) => "",
+            Some(Ending::CrashInside | Ending::CutInside) => &event[..event.len() / 2],
+        };
+        stream
+            .write_all(framed(bytes, is_unframed).as_bytes())
+            .await?;
+        match ending {
+            None => {}
+            Some(Ending::CutInside) => return Ok(()),
+            Some(Ending::CrashInside | Ending::CrashBetween) => {
+                shared.lock().crash.send_replace(true);
+                std::future::pending::<()>().await;
+            }
+        }
         if body.starts_with(DISCONNECTING) {
             return Ok(());
         }
@@ -341,7 +377,37 @@
         }
         tokio::time::sleep(RUN_TIME).await;
     }
-    stream.write_all(b"0\r\n\r\n").await
+    let end = if is_unframed { "" } else { "0\r\n\r\n" };
+    stream.write_all(end.as_bytes()).await
+}
+
+/// How a response ends after its first event.
+#[derive(Clone, Copy)]
+enum Ending {
+    CrashInside,
+    CrashBetween,
+    CutInside,
+}
+
+impl Ending {
+    fn of(body: &str) -> Option<Self> {
+        let endings = [
+            (CRASHING_INSIDE, Self::CrashInside),
+            (CRASHING_BETWEEN, Self::CrashBetween),
+            (CUT_INSIDE, Self::CutInside),
+        ];
+        let mut endings = endings.into_iter();
+        let (_, ending) = endings.find(|(prefix, _)| body.starts_with(prefix))?;
+        Some(ending)
+    }
+}
+
+/// Returns bytes of a body as they are sent.
+fn framed(bytes: &str, is_unframed: bool) -> String {
+    if is_unframed || bytes.is_empty() {
+        return bytes.to_owned();
+    }
+    format!("{:x}\r\n{bytes}\r\n", bytes.len())
 }
 
 /// Reads one request; `None` if the connection closes before it is complete.
