An answer that ended with its connection is complete only if its target is found alive

Cause: the end of the connection was taken for the end of the body; a crash looks the same. Class: a reader that takes any end for a proof of completeness. As the run was then reported as complete, no probe looked whether the target had crashed, and the request was cleared of earlier crashes.

Change: an unmarked end inside an event, or before the first one, is a break. Refused, another incarnation and no answer are a break: a caller who sees a break can try again. All that follows a break follows: crash watch, reach, budget, resume, quarantine. A peer marks every end, so an unmarked one there is a break without a probe. Looked for elsewhere: raw bodies from the store and from peers need a mark; JSON and MessagePack documents show by themselves that they are whole; the relay to a node that minted a key is mended likewise; the other way's plain answers use the same check, its streams had an end marker.

--- a/crates/fleet/src/dispatch.rs
+++ b/crates/fleet/src/dispatch.rs
@@ -6,14 +6,15 @@
 use briarswitch_core::id::*;
 use briarswitch_core::outcome::FailurePoint;
 use briarswitch_http::{
-    full_body, SendError, SendProgress, TargetAddress, TargetBody, TargetClient, TargetLimits,
-    TargetResponse,
+    full_body, BodyEnd, BodyError, SendError, SendProgress, TargetAddress, TargetBody,
+    TargetClient, TargetLimits, TargetResponse,
 };
 use briarswitch_kernel::{BootClock, Mailbox};
 use bytes::Bytes;
 use http::header::HOST;
 use http::{HeaderValue, Uri};
 
+use crate::body_check;
 use crate::budget::RetryBudgets;
 use crate::failure::{implies_not_run, FailedAttempt, HeadWaitError};
 use crate::forwarder::RequestForwarder;
@@ -313,12 +314,12 @@
                 run,
             });
         }
-        run.end_unreported();
         target.gauge.record_outcome(true);
         if head.status.is_success() {
+            run.end_unreported();
             return Err(FailurePoint::Truncated.into());
         }
-        Err(self.target_failure(job, head, &info, body).await)
+        Err(self.target_failure(job, head, &info, body, run).await)
     }
 
     /// Reads a target's error response, so that it can be passed on if no other attempt succeeds.
@@ -328,15 +329,20 @@
         head: http::response::Parts,
         info: &ResponseInfo,
         body: TargetBody,
+        mut run: TargetRun,
     ) -> FailedAttempt {
         let remaining = job.deadline.saturating_sub(BootClock::now());
-        let reading = body.read_all(MAX_RESPONSE_BYTES);
+        let reading = self.read_complete(&run, body);
         let read = tokio::time::timeout(remaining, reading).await;
+        match read {
+            Ok(Err(BodyError::Incomplete)) => run.report_broken("truncated"),
+            _ => run.end_unreported(),
+        }
         let point = FailurePoint::TargetError;
         match read {
             // To the caller some statuses guarantee that the request has not run, so these are never passed on here.
-            Ok(Ok(body)) if info.is_signed && !implies_not_run(head.status) => FailedAttempt {
-                response: Some(Box::new((head, body.bytes))),
+            Ok(Ok(bytes)) if info.is_signed && !implies_not_run(head.status) => FailedAttempt {
+                response: Some(Box::new((head, bytes))),
                 ..point.into()
             },
             _ => point.into(),
@@ -357,13 +363,14 @@
             mut run,
         } = response;
         let remaining = job.deadline.saturating_sub(BootClock::now());
-        let read = tokio::time::timeout(remaining, body.read_all(MAX_RESPONSE_BYTES)).await;
+        let reading = self.read_complete(&run, body);
+        let read = tokio::time::timeout(remaining, reading).await;
         drop(slot);
         self.selector.serve_queue();
         match read {
-            Ok(Ok(body)) => {
+            Ok(Ok(bytes)) => {
                 run.complete(&self.shared.suspects);
-                Ok((head, body.bytes))
+                Ok((head, bytes))
             }
             Ok(Err(_)) => {
                 run.report_broken("truncated");
@@ -374,6 +381,19 @@
         }
     }
 
+    /// Reads the body of a run's response, and checks that it is complete.
+    async fn read_complete(&self, run: &TargetRun, body: TargetBody) -> Result<Bytes, BodyError> {
+        let body = body.read_all(MAX_RESPONSE_BYTES).await?;
+        let host: &FleetShared = &self.shared;
+        let is_complete = match run.info() {
+            Some(run) => body_check::is_complete(host, run, body.end).await,
+            None => body.end == BodyEnd::Marked,
+        };
+        is_complete
+            .then_some(body.bytes)
+            .ok_or(BodyError::Incomplete)
+    }
+
     fn build_request(
         &self,
         job: &RequestJob,
--- a/crates/fleet/src/fleet_suspect_host.rs
+++ b/crates/fleet/src/fleet_suspect_host.rs
@@ -45,6 +45,14 @@
             .holders_of(&fingerprint.to_string(), count)
     }
 
+    fn probe_once<'a>(
+        &'a self,
+        run: &'a RunInfo,
+        timeout: Duration,
+    ) -> BoxFuture<'a, Result<Liveness, ReportError>> {
+        Box::pin(self.probe_target(run, timeout))
+    }
+
     fn probe<'a>(
         &'a self,
         run: &'a RunInfo,
--- a/crates/fleet/src/forwarder.rs
+++ b/crates/fleet/src/forwarder.rs
@@ -7,8 +7,8 @@
 use briarswitch_core::id::*;
 use briarswitch_core::outcome::FailurePoint;
 use briarswitch_http::{
-    decode_msgpack, encode_msgpack, full_body, SendError, TargetAddress, TargetBody, TargetClient,
-    TargetLimits, TargetResponse,
+    decode_msgpack, encode_msgpack, full_body, BodyEnd, SendError, TargetAddress, TargetBody,
+    TargetClient, TargetLimits, TargetResponse,
 };
 use briarswitch_kernel::BootClock;
 use bytes::Bytes;
@@ -158,8 +158,8 @@
         } = response;
         let reading = body.read_all(MAX_RESPONSE_BYTES);
         match self.while_live(&peer, job.deadline, reading).await {
-            Ok(Ok(body)) => Ok((head, body.bytes)),
-            Ok(Err(_)) => Err(FailurePoint::Truncated.into()),
+            Ok(Ok(body)) if body.end == BodyEnd::Marked => Ok((head, body.bytes)),
+            Ok(_) => Err(FailurePoint::Truncated.into()),
             Err(point) => Err(point.into()),
         }
     }
--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -2,6 +2,7 @@
 //!
 //! The platform that the fleet runs on is reached only through the traits in [`ports`].
 
+pub mod body_check;
 pub mod budget;
 pub mod caller_api;
 pub mod config_sync;
--- a/crates/fleet/src/metrics.rs
+++ b/crates/fleet/src/metrics.rs
@@ -116,8 +116,9 @@
     }
 
     /// Counts a response whose end only the end of its connection shows.
-    pub fn count_unmarked_end(&self) {
-        self.unmarked_ends.add(1, &[]);
+    pub fn count_unmarked_end(&self, is_complete: bool) {
+        let attributes = [KeyValue::new("complete", is_complete)];
+        self.unmarked_ends.add(1, &attributes);
     }
 
     /// Records the latency of the first event of a stream.
--- a/crates/fleet/src/relay.rs
+++ b/crates/fleet/src/relay.rs
@@ -15,6 +15,7 @@
 use crate::forwarder::{ForwardError, ForwardProgress};
 use crate::job::RequestJob;
 use crate::restriction::AcquiredSlot;
+use crate::shared::FleetShared;
 use crate::slot_queue::ReservedTarget;
 use crate::stream_source::StreamSource;
 use crate::suspicion::silence_limit_for;
@@ -92,13 +93,9 @@
                         return Some(Ok(events));
                     }
                 }
-                StreamStep::End(end) => {
-                    self.trace
-                        .record_body_end(end, self.splitter.partial().len());
-                    return self.finish();
-                }
-                step @ (StreamStep::Broken | StreamStep::Deadline) => {
-                    if matches!(step, StreamStep::Broken) {
+                StreamStep::End(end) if self.is_complete(end).await => return self.finish(),
+                step @ (StreamStep::End(_) | StreamStep::Broken | StreamStep::Deadline) => {
+                    if !matches!(step, StreamStep::Deadline) {
                         self.record_break();
                     }
                     self.trace.reason = "stream_broken";
@@ -220,6 +217,22 @@
         self.trace.events = self.splitter.events();
     }
 
+    /// Returns whether the stream is complete, now that its body has ended.
+    ///
+    /// An end without a mark inside an event, or before the first one, is a break in any case.
+    async fn is_complete(&self, end: BodyEnd) -> bool {
+        if end == BodyEnd::Marked {
+            return true;
+        }
+        let partial_bytes = self.splitter.partial().len();
+        let has_begun = self.splitter.events() > 0 || self.last_event().is_some();
+        let host: &FleetShared = self.dispatcher.shared();
+        let is_complete =
+            partial_bytes == 0 && has_begun && self.source.is_complete(end, host).await;
+        self.trace.record_unmarked_end(partial_bytes, is_complete);
+        is_complete
+    }
+
     /// Ends the caller's stream; the bytes of an incomplete last event are passed on unchanged.
     fn finish(&mut self) -> Option<Result<Bytes, io::Error>> {
         self.has_ended = true;
--- a/crates/fleet/src/run.rs
+++ b/crates/fleet/src/run.rs
@@ -34,6 +34,11 @@
         }
     }
 
+    /// Returns the request and the target; `None` once the run has ended.
+    pub fn info(&self) -> Option<&RunInfo> {
+        self.info.as_ref()
+    }
+
     /// Ends the run without a report: the target sent an error response or never received the request.
     pub fn end_unreported(&mut self) {
         self.info = None;
--- a/crates/fleet/src/stream_source.rs
+++ b/crates/fleet/src/stream_source.rs
@@ -1,11 +1,13 @@
 //! Where the events of a stream come from: a target, or another node that relays a target's response.
 
 use briarswitch_core::id::Moment;
-use briarswitch_http::{BodyError, BodyPart};
+use briarswitch_http::{BodyEnd, BodyError, BodyPart};
 
+use crate::body_check;
 use crate::forwarder::ForwardedResponse;
 use crate::gauge::SlotGuard;
 use crate::job::ResponseStart;
+use crate::suspect_host::SuspectHost;
 use crate::suspect_ledger::SuspectLedger;
 
 /// Source of a stream's events.
@@ -67,6 +69,19 @@
         }
     }
 
+    /// Returns whether the body, whose end was recognised in this way, is complete.
+    ///
+    /// Another node marks the end of each body that it relays.
+    pub async fn is_complete(&self, end: BodyEnd, host: &dyn SuspectHost) -> bool {
+        match self {
+            Self::Target(response) => match response.run.info() {
+                Some(run) => body_check::is_complete(host, run, end).await,
+                None => end == BodyEnd::Marked,
+            },
+            Self::Peer(_) => end == BodyEnd::Marked,
+        }
+    }
+
     /// Ends the run with a complete response, if this node has started it.
     pub fn complete(&mut self, suspects: &SuspectLedger) {
         if let Self::Target(response) = self {
--- a/crates/fleet/src/suspect_host.rs
+++ b/crates/fleet/src/suspect_host.rs
@@ -90,7 +90,14 @@
     /// A node that reports to no other node writes each crash to the store itself.
     fn holders_of(&self, fingerprint: &RequestFingerprint, count: usize) -> KeyHolders;
 
-    /// Probes whether the target of a failed run is alive.
+    /// Probes whether the target of a run is alive; a refused connection may be the fault of this node.
+    fn probe_once<'a>(
+        &'a self,
+        run: &'a RunInfo,
+        timeout: Duration,
+    ) -> BoxFuture<'a, Result<Liveness, ReportError>>;
+
+    /// Probes whether the target of a failed run is alive; a refused connection is the fault of the target.
     fn probe<'a>(
         &'a self,
         run: &'a RunInfo,
--- a/crates/fleet/src/trace.rs
+++ b/crates/fleet/src/trace.rs
@@ -7,7 +7,6 @@
 use briarswitch_core::fingerprint::RequestFingerprint;
 use briarswitch_core::id::*;
 use briarswitch_core::outcome::{FailurePoint, Outcome};
-use briarswitch_http::BodyEnd;
 use briarswitch_kernel::BootClock;
 
 use crate::failure::FailedAttempt;
@@ -174,12 +173,9 @@
         );
     }
 
-    /// Logs and counts the end of a response's body if only the end of its connection shows it.
-    pub fn record_body_end(&self, end: BodyEnd, partial_bytes: usize) {
-        if end == BodyEnd::Marked {
-            return;
-        }
-        self.shared.metrics.count_unmarked_end();
+    /// Logs and counts the end of a response's body that only the end of its connection shows.
+    pub fn record_unmarked_end(&self, partial_bytes: usize, is_complete: bool) {
+        self.shared.metrics.count_unmarked_end(is_complete);
         log::info!(
             request = self.request_id.as_str(),
             target_id = self.target.as_str(),
@@ -187,6 +183,7 @@
             forwarded_to = self.forwarded_to.as_str(),
             events = self.events,
             partial_bytes = partial_bytes,
+            complete = is_complete,
             ms = BootClock::now().saturating_sub(self.arrived).as_millis() as u64;
             "end_unmarked"
         );
--- a/crates/fleet/tests/support/mod.rs
+++ b/crates/fleet/tests/support/mod.rs
@@ -274,15 +274,24 @@
 
     /// Starts the listed targets, and one node for each listed zone.
     pub async fn open_with(listings: Vec<TargetListing>, zones: &[&str]) -> Self {
-        Self::open_linked(listings, zones, false).await
+        Self::open_linked(listings, zones, 0).await
     }
 
     /// Starts the listed targets, and one node for each listed zone, whose paths to the targets can be cut.
     pub async fn open_with_paths(listings: Vec<TargetListing>, zones: &[&str]) -> Self {
-        Self::open_linked(listings, zones, true).await
+        Self::open_linked(listings, zones, zones.len()).await
     }
 
-    async fn open_linked(listings: Vec<TargetListing>, zones: &[&str], has_paths: bool) -> Self {
+    /// Like [`Fleet::open_with_paths`], but only the first node's paths can be cut; the others reach targets directly.
+    pub async fn open_with_first_paths(listings: Vec<TargetListing>, zones: &[&str]) -> Self {
+        Self::open_linked(listings, zones, 1).await
+    }
+
+    async fn open_linked(
+        listings: Vec<TargetListing>,
+        zones: &[&str],
+        nodes_with_paths: usize,
+    ) -> Self {
         let platform = PlatformStub::new(config());
         let service = listings.first().map_or(SERVICE, |listing| listing.service);
         let mut fleet = Self {
@@ -303,7 +312,7 @@
         }
         for zone in zones {
             let link = fleet.platform.link(&format!("n{}", fleet.nodes.len()));
-            if has_paths {
+            if fleet.nodes.len() < nodes_with_paths {
                 for target in &fleet.targets {
                     let path = TargetPath::open(target.address()).await;
                     link.add_path(target.address(), path);
--- a/crates/fleet/tests/unframed.rs
+++ b/crates/fleet/tests/unframed.rs
@@ -16,14 +16,27 @@
 /// Requests in a series.
 const SERIES: usize = 8;
 
-/// Starts nodes and targets whose responses end with their connection.
-async fn open(service: &'static str, targets: usize, zones: &[&str]) -> Fleet {
+/// Starts a node and targets whose responses end with their connection.
+async fn open(service: &'static str, targets: usize) -> Fleet {
+    open_nodes(service, targets, &["z1"], false).await
+}
+
+async fn open_nodes(
+    service: &'static str,
+    targets: usize,
+    zones: &[&str],
+    has_paths: bool,
+) -> Fleet {
     let listings = (0..targets).map(|index| TargetListing {
         service,
         domain: format!("d{}", index % 3),
         ..TargetListing::default()
     });
-    let fleet = Fleet::open_with_paths(listings.collect(), zones).await;
+    let fleet = if has_paths {
+        Fleet::open_with_first_paths(listings.collect(), zones).await
+    } else {
+        Fleet::open_with(listings.collect(), zones).await
+    };
     for target in &fleet.targets {
         target.end_with_connection();
     }
@@ -59,7 +72,7 @@
 #[tokio::test(flavor = "multi_thread")]
 async fn an_unframed_stream_that_a_crash_cuts_inside_an_event_is_resumed() {
     for service in [SERVICE, GROUP_SERVICE] {
-        let fleet = open(service, 3, &["z1"]).await;
+        let fleet = open(service, 3).await;
         let request = match service {
             GROUP_SERVICE => TestRequest::model(CRASHING_INSIDE),
             _ => TestRequest::chat(CRASHING_INSIDE),
@@ -73,7 +86,7 @@
 #[tokio::test(flavor = "multi_thread")]
 async fn an_unframed_stream_that_a_crash_cuts_between_events_is_resumed() {
     for service in [SERVICE, GROUP_SERVICE] {
-        let fleet = open(service, 3, &["z1"]).await;
+        let fleet = open(service, 3).await;
         let request = match service {
             GROUP_SERVICE => TestRequest::model(CRASHING_BETWEEN),
             _ => TestRequest::chat(CRASHING_BETWEEN),
@@ -86,7 +99,7 @@
 #[gtest]
 #[tokio::test(flavor = "multi_thread")]
 async fn an_unframed_stream_that_a_live_target_cuts_inside_an_event_is_resumed() {
-    let fleet = open(SERVICE, 3, &["z1"]).await;
+    let fleet = open(SERVICE, 3).await;
     expect_resumed(
         &fleet.request(0, TestRequest::chat(CUT_INSIDE)).await,
         SERVICE,
@@ -97,7 +110,7 @@
 #[gtest]
 #[tokio::test(flavor = "multi_thread")]
 async fn an_unframed_stream_without_an_event_is_not_complete() {
-    let fleet = open(SERVICE, 3, &["z1"]).await;
+    let fleet = open(SERVICE, 3).await;
     let response = fleet.request(0, TestRequest::chat(CRASHING)).await;
     expect_that!(response.is_served(), eq(false), "{response:?}");
     expect_that!(runs(&fleet, CRASHING), eq(2), "the stream is resumed once");
@@ -108,7 +121,7 @@
 #[tokio::test(flavor = "multi_thread")]
 async fn sound_unframed_responses_are_complete_and_run_once() {
     for service in [SERVICE, GROUP_SERVICE] {
-        let fleet = open(service, 3, &["z1"]).await;
+        let fleet = open(service, 3).await;
         let body = "sound";
         let request = match service {
             GROUP_SERVICE => TestRequest::model(body),
@@ -119,7 +132,7 @@
         }
         expect_that!(runs(&fleet, body), eq(SERIES), "{service}");
     }
-    let fleet = open(SERVICE, 3, &["z1"]).await;
+    let fleet = open(SERVICE, 3).await;
     for request in [whole("/look/x", "sound"), whole("/bill/x", "sound")] {
         let response = fleet.request(0, request).await;
         expect_that!(response.is_served(), eq(true), "{response:?}");
@@ -134,7 +147,7 @@
 async fn an_unframed_answer_that_a_crash_cuts_is_not_passed_on() {
     for body in [CRASHING, CRASHING_INSIDE, CRASHING_BETWEEN] {
         for path in ["/look/x", "/bill/x"] {
-            let fleet = open(SERVICE, 4, &["z1"]).await;
+            let fleet = open(SERVICE, 4).await;
             let response = fleet.request(0, whole(path, body)).await;
             expect_that!(response.status, eq(502), "{path} {body}: {response:?}");
             let expected = if path == "/look/x" { 2 } else { 1 };
@@ -147,7 +160,7 @@
 #[gtest]
 #[tokio::test(flavor = "multi_thread")]
 async fn a_request_whose_unframed_responses_end_in_crashes_is_quarantined() {
-    let fleet = open(SERVICE, 8, &["z1"]).await;
+    let fleet = open(SERVICE, 8).await;
     for _ in 0..3 {
         fleet.request(0, TestRequest::chat(CRASHING)).await;
     }
@@ -163,7 +176,7 @@
 #[gtest]
 #[tokio::test(flavor = "multi_thread")]
 async fn a_forwarded_unframed_stream_that_a_crash_cuts_is_resumed() {
-    let fleet = open(SERVICE, 4, &["z1", "z1"]).await;
+    let fleet = open_nodes(SERVICE, 4, &["z1", "z1"], true).await;
     fleet.set_paths(0, PathState::Silent);
     fleet
         .wait_until("the node knows that it is partitioned", || async {
--- a/crates/http/src/client.rs
+++ b/crates/http/src/client.rs
@@ -10,7 +10,8 @@
 use volo_http::body::Body;
 use volo_http::client::Client;
 
-use crate::reply::read_body;
+use crate::reply::{read_body, BodyError};
+use crate::target_body::BodyEnd;
 
 /// Maximum size of a response body.
 const MAX_RESPONSE_BYTES: usize = 64 << 20;
@@ -107,6 +108,8 @@
 
     /// Sends a raw body to `url` and returns the raw body of the response, within `timeout`.
     ///
+    /// The end of the response has to be marked; an encoded document shows by itself whether it is complete.
+    ///
     /// # Errors
     ///
     /// Returns [`CallError`] as [`ApiClient::call`] does.
@@ -117,8 +120,11 @@
         body: Bytes,
         timeout: Duration,
     ) -> Result<Bytes, CallError> {
-        let (_, response) = self.call_with_timeout(method, url, body, timeout).await?;
-        Ok(response)
+        let (headers, response) = self.call_with_timeout(method, url, body, timeout).await?;
+        match BodyEnd::of(&headers) {
+            BodyEnd::Marked => Ok(response),
+            BodyEnd::Closed => Err(CallError::NoResponse(BodyError::Incomplete.to_string())),
+        }
     }
 
     async fn call_with_timeout(
--- a/crates/http/src/target_body.rs
+++ b/crates/http/src/target_body.rs
@@ -3,7 +3,7 @@
 use std::sync::Arc;
 
 use bytes::Bytes;
-use http::header::TRANSFER_ENCODING;
+use http::header::{CONTENT_LENGTH, TRANSFER_ENCODING};
 use http::HeaderMap;
 use http_body::Body;
 use http_body_util::BodyExt;
@@ -21,6 +21,28 @@
     Closed,
 }
 
+impl BodyEnd {
+    /// Returns how the end of a body with these headers is recognised.
+    ///
+    /// ```
+    /// use briarswitch_http::BodyEnd;
+    ///
+    /// assert_eq!(BodyEnd::of(&http::HeaderMap::new()), BodyEnd::Closed);
+    /// ```
+    pub fn of(headers: &HeaderMap) -> Self {
+        let is_marked = if headers.contains_key(TRANSFER_ENCODING) {
+            is_chunked(headers)
+        } else {
+            headers.contains_key(CONTENT_LENGTH)
+        };
+        if is_marked {
+            Self::Marked
+        } else {
+            Self::Closed
+        }
+    }
+}
+
 /// Next part of a body.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub enum BodyPart {
@@ -62,11 +84,11 @@
         incoming: Incoming,
         connection: PooledConnection,
     ) -> Self {
-        let is_marked = incoming.size_hint().exact().is_some() || is_chunked(&head.headers);
-        let end = if is_marked {
+        let has_length = incoming.size_hint().exact().is_some();
+        let end = if has_length {
             BodyEnd::Marked
         } else {
-            BodyEnd::Closed
+            BodyEnd::of(&head.headers)
         };
         Self {
             incoming,
--- a/crates/node/src/attempt.rs
+++ b/crates/node/src/attempt.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use briarswitch_core::prelude::*;
-use briarswitch_http::{full_body, SendError, TargetBody, TargetClient, TargetResponse};
+use briarswitch_http::{full_body, SendError, TargetBody, TargetClient, TargetResponse, WholeBody};
 use briarswitch_kernel::{BootClock, Mailbox};
 use briarswitch_wire::engine::{
     ATTEMPT_HEADER, GROUP_HEADER, LEAVING_HEADER, NOT_RUN_HEADER, PRIORITY_HEADER, RESUME_HEADER,
@@ -132,17 +132,16 @@
     }
 }
 
-/// Reads the body of a response to its end.
+/// Reads the body of a response to its end, which may not be marked.
 ///
 /// # Errors
 ///
 /// Returns [`FailurePoint::Truncated`] if the body breaks off or is too large, and
 /// [`FailurePoint::AnswerDeadline`] if it is not complete in time.
-pub async fn read_to_end(body: TargetBody, deadline: Moment) -> Result<Bytes, FailurePoint> {
+pub async fn read_to_end(body: TargetBody, deadline: Moment) -> Result<WholeBody, FailurePoint> {
     let left = deadline.saturating_sub(BootClock::now());
     match tokio::time::timeout(left, body.read_all(MAX_RESPONSE_BYTES)).await {
-        Ok(Ok(body)) => Ok(body.bytes),
-        Ok(Err(_)) => Err(FailurePoint::Truncated),
+        Ok(read) => read.map_err(|_| FailurePoint::Truncated),
         Err(_) => Err(FailurePoint::AnswerDeadline),
     }
 }
--- a/crates/node/src/dispatch.rs
+++ b/crates/node/src/dispatch.rs
@@ -7,11 +7,12 @@
 use briarswitch_core::limit::RateShare;
 use briarswitch_core::minted_key::MintedKey;
 use briarswitch_core::prelude::*;
+use briarswitch_fleet::body_check;
 use briarswitch_fleet::run::{RunListeners, TargetRun};
 use briarswitch_fleet::run_info::{RunInfo, TargetIncarnation};
 use briarswitch_fleet::suspect_host::SuspectHost;
 use briarswitch_fleet::suspect_ledger::SuspectLedger;
-use briarswitch_http::{stream_body, Response};
+use briarswitch_http::{stream_body, BodyEnd, Response, TargetBody};
 use briarswitch_kernel::BootClock;
 use briarswitch_wire::caller::OUTCOME_HEADER;
 use bytes::Bytes;
@@ -379,8 +380,8 @@
             return Ok(AttemptResult::Stream(Box::new(start)));
         }
         let AttemptReply { head, body } = reply;
-        let read = read_to_end(body, matched.outgoing.deadline).await;
-        let bytes = read.map_err(|point| {
+        let read = self.read_complete(&run, body, matched.outgoing.deadline);
+        let bytes = read.await.map_err(|point| {
             end_failed_run(&mut run, point);
             failed(point)
         })?;
@@ -393,6 +394,23 @@
         ))
     }
 
+    /// Reads the body of a run's response, and checks that it is complete.
+    async fn read_complete(
+        &self,
+        run: &TargetRun,
+        body: TargetBody,
+        deadline: Moment,
+    ) -> Result<Bytes, FailurePoint> {
+        let body = read_to_end(body, deadline).await?;
+        let is_complete = match run.info() {
+            Some(run) => body_check::is_complete(self.suspects.as_ref(), run, body.end).await,
+            None => body.end == BodyEnd::Marked,
+        };
+        is_complete
+            .then_some(body.bytes)
+            .ok_or(FailurePoint::Truncated)
+    }
+
     fn deposit_retry(&self) {
         self.budget
             .lock()
--- a/crates/node/src/forward.rs
+++ b/crates/node/src/forward.rs
@@ -7,8 +7,8 @@
 use briarswitch_core::minted_key::MintedKey;
 use briarswitch_core::prelude::*;
 use briarswitch_http::{
-    full_body, read_body, stream_body, Body, BodyPart, Response, SendError, TargetAddress,
-    TargetBody, TargetClient, TargetLimits, TargetResponse,
+    full_body, read_body, stream_body, Body, BodyEnd, BodyError, BodyPart, Response, SendError,
+    TargetAddress, TargetBody, TargetClient, TargetLimits, TargetResponse,
 };
 use briarswitch_kernel::BootClock;
 use briarswitch_wire::peer::{
@@ -210,7 +210,11 @@
     futures::stream::unfold(body, |mut body| async move {
         match body.next().await {
             Ok(BodyPart::Chunk(chunk)) => Some((Ok(chunk), body)),
-            Ok(BodyPart::End(_)) => None,
+            Ok(BodyPart::End(BodyEnd::Marked)) => None,
+            // Another node marks the end of each body that it relays.
+            Ok(BodyPart::End(BodyEnd::Closed)) => {
+                Some((Err(std::io::Error::other(BodyError::Incomplete)), body))
+            }
             Err(error) => Some((Err(std::io::Error::other(error)), body)),
         }
     })
--- a/crates/node/src/suspect_host.rs
+++ b/crates/node/src/suspect_host.rs
@@ -165,6 +165,14 @@
         &'a self,
         run: &'a RunInfo,
         limit: Duration,
+    ) -> BoxFuture<'a, Result<Liveness, ReportError>> {
+        self.probe_once(run, limit)
+    }
+
+    fn probe_once<'a>(
+        &'a self,
+        run: &'a RunInfo,
+        limit: Duration,
     ) -> BoxFuture<'a, Result<Liveness, ReportError>> {
         Box::pin(async move {
             match tokio::time::timeout(limit, TcpStream::connect(&run.address)).await {
