--- a/crates/fleet/src/body_check.rs
+++ b/crates/fleet/src/body_check.rs
@@ -5,6 +5,7 @@
 use std::time::Duration;
 
 use briarswitch_http::BodyEnd;
+use briarswitch_kernel::BootClock;
 
 use crate::ports::ReportError;
 use crate::run_info::RunInfo;
@@ -23,9 +24,19 @@
     if end == BodyEnd::Marked {
         return true;
     }
+    let ended_at = BootClock::now();
     tokio::time::sleep(SETTLE_TIME).await;
     host.count(SuspectEvent::TargetProbed);
     let probed = host.probe_once(run, CHECK_TIMEOUT).await;
     // Something that responds listens there, as for a target that does not report its incarnation.
-    matches!(probed, Ok(_) | Err(ReportError::Unreadable))
+    let is_complete = matches!(probed, Ok(_) | Err(ReportError::Unreadable));
+    log::info!(
+        request = run.request.as_str(),
+        target_id = run.target.id.as_str(),
+        group = run.group.as_str(),
+        complete = is_complete,
+        took_ms = BootClock::now().saturating_sub(ended_at).as_millis() as u64;
+        "end_checked"
+    );
+    is_complete
 }
--- a/crates/fleet/tests/unframed.rs
+++ b/crates/fleet/tests/unframed.rs
@@ -200,6 +200,9 @@
     expect_that!(is_visible, eq(true), "{result:?} {text:?}");
     let (result, text) = fleet.request_1_0(0, TestRequest::chat("sound")).await;
     expect_that!(result, ok(anything()));
-    expect_that!(text, contains_substring(format!("content-length: {}", COMPLETE.len())));
+    expect_that!(
+        text,
+        contains_substring(format!("content-length: {}", COMPLETE.len()))
+    );
     expect_that!(text, ends_with(COMPLETE));
 }
