Runs know the parts of their prompts, and the lines show them

The adapter decodes the parts of a prompt, all but the last; where settings name everything they are the messages of a chat but the last. A run carries the fingerprints of its request and of these parts (RunSuspects); `run_broken` and `request_ended` show the parts. A part's fingerprint is the same whichever caller and request it comes from, and says that it is one. The type is called SuspectFingerprint now. No decision uses the parts yet.

--- a/crates/core/src/crash.rs
+++ b/crates/core/src/crash.rs
@@ -9,7 +9,7 @@
 use indexmap::IndexMap;
 use xxhash_rust::xxh3::{xxh3_64, xxh3_64_with_seed};
 
-use crate::fingerprint::RequestFingerprint;
+use crate::fingerprint::SuspectFingerprint;
 use crate::id::{DomainId, Incarnation, Moment, TargetId};
 
 /// Minimum number of crashes for a quarantine.
@@ -70,7 +70,7 @@
 #[derive(Clone, Copy, Debug, Eq, Hash, PartialEq)]
 pub struct CrashReport {
     /// Fingerprint of the request.
-    pub fingerprint: RequestFingerprint,
+    pub fingerprint: SuspectFingerprint,
     /// Incarnation that crashed.
     pub incarnation: IncarnationKey,
     /// Hash of the target's domain.
@@ -89,15 +89,15 @@
     /// use std::time::Duration;
     ///
     /// use briarswitch_core::crash::{CrashReport, CrashedTarget};
-    /// use briarswitch_core::fingerprint::RequestFingerprint;
+    /// use briarswitch_core::fingerprint::SuspectFingerprint;
     ///
     /// let (target, domain) = ("t".to_owned(), "d".to_owned());
     /// let target = CrashedTarget { target: &target, incarnation: 1, domain: &domain };
-    /// let report = |ran| CrashReport::of(RequestFingerprint::from([1; 16]), target, 5, ran, 0.1);
+    /// let report = |ran| CrashReport::of(SuspectFingerprint::from([1; 16]), target, 5, ran, 0.1);
     /// assert!(report(Duration::from_secs(1)).chance_permille < report(Duration::from_secs(5)).chance_permille);
     /// ```
     pub fn of(
-        fingerprint: RequestFingerprint,
+        fingerprint: SuspectFingerprint,
         target: CrashedTarget<'_>,
         at: StoreMillis,
         ran: Duration,
@@ -122,7 +122,7 @@
 #[derive(Clone, Copy, Debug, Eq, Hash, PartialEq)]
 pub struct ClearReport {
     /// Fingerprint of the request.
-    pub fingerprint: RequestFingerprint,
+    pub fingerprint: SuspectFingerprint,
     /// Crashes up to this time do not count.
     pub at: StoreMillis,
 }
@@ -271,7 +271,7 @@
 /// Two histories that have recorded the same reports, in any order and any number of times, agree.
 #[derive(Clone, Debug, Default)]
 pub struct CrashHistory {
-    records: IndexMap<RequestFingerprint, CrashRecord>,
+    records: IndexMap<SuspectFingerprint, CrashRecord>,
 }
 
 impl CrashHistory {
@@ -281,9 +281,9 @@
     /// use std::time::Duration;
     ///
     /// use briarswitch_core::crash::{CrashHistory, CrashVerdict, CrashReport, CrashedTarget};
-    /// use briarswitch_core::fingerprint::RequestFingerprint;
+    /// use briarswitch_core::fingerprint::SuspectFingerprint;
     ///
-    /// let fingerprint = RequestFingerprint::from([1; 16]);
+    /// let fingerprint = SuspectFingerprint::from([1; 16]);
     /// let mut history = CrashHistory::default();
     /// for (name, at) in [("a", 1_000), ("b", 2_000), ("c", 3_000)] {
     ///     let (target, domain) = (name.to_owned(), String::new());
@@ -315,9 +315,9 @@
     ///
     /// ```
     /// use briarswitch_core::crash::{ClearReport, CrashHistory};
-    /// use briarswitch_core::fingerprint::RequestFingerprint;
+    /// use briarswitch_core::fingerprint::SuspectFingerprint;
     ///
-    /// let clear = ClearReport { fingerprint: RequestFingerprint::from([1; 16]), at: 5 };
+    /// let clear = ClearReport { fingerprint: SuspectFingerprint::from([1; 16]), at: 5 };
     /// let mut history = CrashHistory::default();
     /// assert!(history.record_clear(clear));
     /// assert!(!history.record_clear(clear));
@@ -338,12 +338,12 @@
     ///
     /// ```
     /// use briarswitch_core::crash::{CrashHistory, CrashVerdict};
-    /// use briarswitch_core::fingerprint::RequestFingerprint;
+    /// use briarswitch_core::fingerprint::SuspectFingerprint;
     ///
-    /// let verdict = CrashHistory::default().verdict(&RequestFingerprint::from([1; 16]), 5);
+    /// let verdict = CrashHistory::default().verdict(&SuspectFingerprint::from([1; 16]), 5);
     /// assert_eq!(verdict, CrashVerdict::Clear);
     /// ```
-    pub fn verdict(&self, fingerprint: &RequestFingerprint, now: StoreMillis) -> CrashVerdict {
+    pub fn verdict(&self, fingerprint: &SuspectFingerprint, now: StoreMillis) -> CrashVerdict {
         let Some(record) = self.records.get(fingerprint) else {
             return CrashVerdict::Clear;
         };
@@ -355,13 +355,13 @@
     }
 
     /// Returns the crashes of targets that ran the request, as far as they still count.
-    pub fn crashes(&self, fingerprint: &RequestFingerprint, now: StoreMillis) -> Vec<CrashReport> {
+    pub fn crashes(&self, fingerprint: &SuspectFingerprint, now: StoreMillis) -> Vec<CrashReport> {
         let record = self.records.get(fingerprint);
         record.map_or_else(Vec::new, |record| record.crashes_at(now))
     }
 
     /// Returns the latest report that cleared the request.
-    pub fn cleared(&self, fingerprint: &RequestFingerprint) -> Option<ClearReport> {
+    pub fn cleared(&self, fingerprint: &SuspectFingerprint) -> Option<ClearReport> {
         let record = self.records.get(fingerprint)?;
         let at = record.cleared;
         (at > 0).then_some(ClearReport {
@@ -371,12 +371,12 @@
     }
 
     /// Returns the fingerprints of all requests in the history.
-    pub fn fingerprints(&self) -> impl Iterator<Item = &RequestFingerprint> {
+    pub fn fingerprints(&self) -> impl Iterator<Item = &SuspectFingerprint> {
         self.records.keys()
     }
 
     /// Returns whether any target has crashed with the request running since it was last cleared.
-    pub fn has_crashes(&self, fingerprint: &RequestFingerprint) -> bool {
+    pub fn has_crashes(&self, fingerprint: &SuspectFingerprint) -> bool {
         let record = self.records.get(fingerprint);
         record.is_some_and(|record| {
             record
--- a/crates/core/src/fingerprint.rs
+++ b/crates/core/src/fingerprint.rs
@@ -1,4 +1,4 @@
-//! Fingerprints that identify repeats of the same request.
+//! Fingerprints that identify repeats of the same request, and parts that prompts have in common.
 
 use std::fmt;
 use std::str::FromStr;
@@ -7,6 +7,8 @@
 
 /// Size of a fingerprint in bytes; large enough to rule out accidental collisions.
 const FINGERPRINT_BYTES: usize = 16;
+/// First bytes of the fingerprint of a part of a prompt.
+const PART_MARK: [u8; 4] = *b"part";
 
 /// Parts of a request that its fingerprint covers; ids and headers are excluded.
 #[derive(Clone, Copy, Debug)]
@@ -23,23 +25,23 @@
     pub body: &'a [u8],
 }
 
-/// Fingerprint of a request, equal for all repeats of that request.
+/// Fingerprint of a request, equal for all repeats of that request, or of a part of prompts.
 ///
 /// The hash is cryptographic: with a weaker one, a caller could construct a request with the
 /// fingerprint of another caller's request and get that one refused.
 ///
 /// ```
-/// use briarswitch_core::fingerprint::{FingerprintParts, RequestFingerprint};
+/// use briarswitch_core::fingerprint::{FingerprintParts, SuspectFingerprint};
 ///
 /// let parts = FingerprintParts { caller: "a", method: "POST", host: "h", path: "/x", body: b"text" };
 /// let other = FingerprintParts { caller: "b", ..parts };
-/// assert_eq!(RequestFingerprint::of(&parts), RequestFingerprint::of(&parts));
-/// assert_ne!(RequestFingerprint::of(&parts), RequestFingerprint::of(&other));
+/// assert_eq!(SuspectFingerprint::of(&parts), SuspectFingerprint::of(&parts));
+/// assert_ne!(SuspectFingerprint::of(&parts), SuspectFingerprint::of(&other));
 /// ```
 #[derive(Clone, Copy, Debug, Eq, Hash, Ord, PartialEq, PartialOrd)]
-pub struct RequestFingerprint([u8; FINGERPRINT_BYTES]);
+pub struct SuspectFingerprint([u8; FINGERPRINT_BYTES]);
 
-impl RequestFingerprint {
+impl SuspectFingerprint {
     /// Computes the fingerprint of a request.
     pub fn of(parts: &FingerprintParts<'_>) -> Self {
         let texts = [parts.caller, parts.method, parts.host, parts.path];
@@ -53,21 +55,59 @@
         bytes.copy_from_slice(&hash.finalize()[..FINGERPRINT_BYTES]);
         Self(bytes)
     }
+
+    /// Computes the fingerprint of a part of a prompt, whichever request and caller it comes from.
+    ///
+    /// ```
+    /// use briarswitch_core::fingerprint::SuspectFingerprint;
+    ///
+    /// assert!(SuspectFingerprint::of_part("5c1e07a2").is_part());
+    /// assert!(!SuspectFingerprint::from([1; 16]).is_part());
+    /// ```
+    pub fn of_part(part: impl AsRef<[u8]>) -> Self {
+        let hash = Sha256::digest(part);
+        let mut bytes = [0; FINGERPRINT_BYTES];
+        let (mark, rest) = bytes.split_at_mut(PART_MARK.len());
+        mark.copy_from_slice(&PART_MARK);
+        rest.copy_from_slice(&hash[..rest.len()]);
+        Self(bytes)
+    }
+
+    /// Returns whether this is the fingerprint of a part of a prompt.
+    pub fn is_part(&self) -> bool {
+        self.0.starts_with(&PART_MARK)
+    }
+
+    /// Returns what it identifies, for logs.
+    pub fn kind(&self) -> &'static str {
+        if self.is_part() {
+            "part"
+        } else {
+            "request"
+        }
+    }
+
+    /// Returns the beginning of the hash as eight hexadecimal digits.
+    pub fn short(&self) -> String {
+        let skipped = if self.is_part() { PART_MARK.len() } else { 0 };
+        let bytes = self.0.iter().skip(skipped).take(4);
+        bytes.map(|byte| format!("{byte:02x}")).collect()
+    }
 }
 
-impl From<[u8; FINGERPRINT_BYTES]> for RequestFingerprint {
+impl From<[u8; FINGERPRINT_BYTES]> for SuspectFingerprint {
     fn from(bytes: [u8; FINGERPRINT_BYTES]) -> Self {
         Self(bytes)
     }
 }
 
-impl From<RequestFingerprint> for [u8; FINGERPRINT_BYTES] {
-    fn from(fingerprint: RequestFingerprint) -> Self {
+impl From<SuspectFingerprint> for [u8; FINGERPRINT_BYTES] {
+    fn from(fingerprint: SuspectFingerprint) -> Self {
         fingerprint.0
     }
 }
 
-impl fmt::Display for RequestFingerprint {
+impl fmt::Display for SuspectFingerprint {
     fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
         self.0
             .iter()
@@ -80,17 +120,17 @@
 #[error("expected 32 hexadecimal digits")]
 pub struct FingerprintError;
 
-impl FromStr for RequestFingerprint {
+impl FromStr for SuspectFingerprint {
     type Err = FingerprintError;
 
     /// Parses the format written by `Display`.
     ///
     /// ```
-    /// use briarswitch_core::fingerprint::RequestFingerprint;
+    /// use briarswitch_core::fingerprint::SuspectFingerprint;
     ///
-    /// let fingerprint = RequestFingerprint::from([7; 16]);
+    /// let fingerprint = SuspectFingerprint::from([7; 16]);
     /// assert_eq!(fingerprint.to_string().parse(), Ok(fingerprint));
-    /// assert!("7".parse::<RequestFingerprint>().is_err());
+    /// assert!("7".parse::<SuspectFingerprint>().is_err());
     /// ```
     fn from_str(text: &str) -> Result<Self, FingerprintError> {
         let mut bytes = [0; FINGERPRINT_BYTES];
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -49,6 +49,7 @@
 pub mod residency;
 pub mod retry;
 pub mod rule;
+pub mod run_suspects;
 pub mod silence;
 pub mod stated_limit;
 pub mod stream;
--- a/crates/core/tests/crash.rs
+++ b/crates/core/tests/crash.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use briarswitch_core::crash::*;
-use briarswitch_core::fingerprint::{FingerprintParts, RequestFingerprint};
+use briarswitch_core::fingerprint::{FingerprintParts, SuspectFingerprint};
 use googletest::prelude::*;
 use proptest::prelude::*;
 
@@ -12,8 +12,8 @@
 /// Time for which the request had run at each crash.
 const RUN_TIME: Duration = Duration::from_millis(90);
 
-fn fingerprint() -> RequestFingerprint {
-    RequestFingerprint::from([7; 16])
+fn fingerprint() -> SuspectFingerprint {
+    SuspectFingerprint::from([7; 16])
 }
 
 fn crash(target: &str, domain: &str, at: StoreMillis, rate: f64) -> CrashReport {
@@ -97,8 +97,8 @@
     ];
     for other in others {
         expect_that!(
-            RequestFingerprint::of(&other),
-            not(eq(RequestFingerprint::of(&parts))),
+            SuspectFingerprint::of(&other),
+            not(eq(SuspectFingerprint::of(&parts))),
             "{other:?}"
         );
     }
@@ -107,8 +107,8 @@
         ..parts
     };
     expect_that!(
-        RequestFingerprint::of(&again),
-        eq(RequestFingerprint::of(&parts))
+        SuspectFingerprint::of(&again),
+        eq(SuspectFingerprint::of(&parts))
     );
 }
 
@@ -227,7 +227,7 @@
         let mut bytes = [0; 16];
         bytes[..8].copy_from_slice(&(index + 1).to_le_bytes());
         let other = CrashReport {
-            fingerprint: RequestFingerprint::from(bytes),
+            fingerprint: SuspectFingerprint::from(bytes),
             ..crash("t", "d", 4_000, LOW_CRASH_RATE)
         };
         history.record_crash(other);
--- a/crates/core/tests/crash_simulation.rs
+++ b/crates/core/tests/crash_simulation.rs
@@ -9,7 +9,7 @@
 use std::time::Duration;
 
 use briarswitch_core::crash::*;
-use briarswitch_core::fingerprint::RequestFingerprint;
+use briarswitch_core::fingerprint::SuspectFingerprint;
 use googletest::prelude::*;
 use rand::rngs::StdRng;
 use rand::{Rng, SeedableRng};
@@ -45,7 +45,7 @@
 
 #[derive(Clone, Debug)]
 struct SimulatedRequest {
-    fingerprint: RequestFingerprint,
+    fingerprint: SuspectFingerprint,
     is_crashing: bool,
     runs: u32,
     target: usize,
@@ -75,7 +75,7 @@
     rate: CrashRate,
     /// Times at which the directory drops crashed targets.
     drop_times: Vec<f64>,
-    refused: std::collections::HashSet<RequestFingerprint>,
+    refused: std::collections::HashSet<SuspectFingerprint>,
     result: SimulationResult,
 }
 
@@ -101,8 +101,8 @@
         }
     }
 
-    fn new_fingerprint(&mut self) -> RequestFingerprint {
-        RequestFingerprint::from(self.rng.random::<[u8; 16]>())
+    fn new_fingerprint(&mut self) -> SuspectFingerprint {
+        SuspectFingerprint::from(self.rng.random::<[u8; 16]>())
     }
 
     fn send(&mut self, mut request: SimulatedRequest) {
@@ -241,7 +241,7 @@
     }
 }
 
-fn new_request(fingerprint: RequestFingerprint, is_crashing: bool) -> SimulatedRequest {
+fn new_request(fingerprint: SuspectFingerprint, is_crashing: bool) -> SimulatedRequest {
     SimulatedRequest {
         fingerprint,
         is_crashing,
--- a/crates/fleet/src/caller_api.rs
+++ b/crates/fleet/src/caller_api.rs
@@ -3,8 +3,9 @@
 use std::sync::atomic::Ordering;
 use std::sync::Arc;
 
-use briarswitch_core::fingerprint::{FingerprintParts, RequestFingerprint};
+use briarswitch_core::fingerprint::{FingerprintParts, SuspectFingerprint};
 use briarswitch_core::id::*;
+use briarswitch_core::run_suspects::RunSuspects;
 use briarswitch_core::traffic::{KeyHolder, TrafficConfig, TrafficRule};
 use briarswitch_http::{read_body, Body, BodyError, Handler, Request, Response};
 use briarswitch_kernel::BootClock;
@@ -153,17 +154,19 @@
         let path = head.uri.path_and_query();
         let path = path.map_or("/", |path| path.as_str()).to_owned();
         let caller = organisation.as_deref().or(caller_request.key.as_deref());
-        let fingerprint = RequestFingerprint::of(&FingerprintParts {
+        let fingerprint = SuspectFingerprint::of(&FingerprintParts {
             caller: caller.unwrap_or(""),
             method: head.method.as_str(),
             host: &caller_request.host,
             path: &path,
             body: &bytes,
         });
-        trace.fingerprint = Some(fingerprint);
+        let parts = caller_request.prompt_parts.iter();
+        let suspects = RunSuspects::new(fingerprint, parts.map(SuspectFingerprint::of_part));
+        trace.suspects = Some(suspects.clone());
         Ok(RequestJob {
             path,
-            fingerprint,
+            suspects,
             method: head.method,
             headers: head.headers,
             body: bytes,
--- a/crates/fleet/src/dispatch.rs
+++ b/crates/fleet/src/dispatch.rs
@@ -127,7 +127,7 @@
     /// Returns whether a request is quarantined now.
     pub(crate) fn is_quarantined(&self, job: &RequestJob) -> bool {
         let suspects = &self.shared.suspects;
-        suspects.quarantine_left(&job.fingerprint).is_some()
+        suspects.quarantine_left(job.suspects.request()).is_some()
     }
 
     /// Sends a request to a target and waits for the head of the response.
--- a/crates/fleet/src/fleet_suspect_host.rs
+++ b/crates/fleet/src/fleet_suspect_host.rs
@@ -3,7 +3,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use briarswitch_core::fingerprint::RequestFingerprint;
+use briarswitch_core::fingerprint::SuspectFingerprint;
 use briarswitch_core::id::*;
 use briarswitch_kernel::BootClock;
 use briarswitch_membership::KeyHolders;
@@ -39,7 +39,7 @@
         })
     }
 
-    fn holders_of(&self, fingerprint: &RequestFingerprint, count: usize) -> KeyHolders {
+    fn holders_of(&self, fingerprint: &SuspectFingerprint, count: usize) -> KeyHolders {
         self.live_view
             .read()
             .holders_of(&fingerprint.to_string(), count)
--- a/crates/fleet/src/job.rs
+++ b/crates/fleet/src/job.rs
@@ -4,9 +4,9 @@
 use std::time::Duration;
 
 use briarswitch_core::engine::EngineSpec;
-use briarswitch_core::fingerprint::RequestFingerprint;
 use briarswitch_core::id::*;
 use briarswitch_core::residency::AllowedRegions;
+use briarswitch_core::run_suspects::RunSuspects;
 use briarswitch_core::traffic::{AnswerKind, TrafficConfig, TrafficRule};
 use briarswitch_http::TargetBody;
 use bytes::Bytes;
@@ -32,8 +32,8 @@
     pub headers: HeaderMap,
     /// Body.
     pub body: Bytes,
-    /// Fingerprint, which is equal for all repetitions of the request.
-    pub fingerprint: RequestFingerprint,
+    /// Fingerprints of the request, equal for all its repetitions, and of the parts of its prompt.
+    pub suspects: RunSuspects,
     /// The matching rule.
     pub rule: TrafficRule,
     /// Configuration that contains the rule.
@@ -104,7 +104,7 @@
         let group = target.group.as_ref().map(|group| group.id.clone());
         RunInfo {
             request: self.request.attempt.clone(),
-            fingerprint: self.fingerprint,
+            suspects: self.suspects.clone(),
             organisation: self.organisation.clone().unwrap_or_default(),
             target: TargetIncarnation {
                 id: target.id.clone(),
--- a/crates/fleet/src/node.rs
+++ b/crates/fleet/src/node.rs
@@ -5,7 +5,7 @@
 use std::sync::Arc;
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
 
-use briarswitch_core::fingerprint::RequestFingerprint;
+use briarswitch_core::fingerprint::SuspectFingerprint;
 use briarswitch_core::id::Incarnation;
 use briarswitch_http::{
     reply_bytes, reply_json, reply_text, Handler, HttpServer, Request, Response, ServerGuard,
@@ -202,7 +202,7 @@
 
     /// Lifts the quarantine of a request on all nodes.
     async fn release(&self, fingerprint: &str) -> Response {
-        let Ok(fingerprint) = fingerprint.parse::<RequestFingerprint>() else {
+        let Ok(fingerprint) = fingerprint.parse::<SuspectFingerprint>() else {
             return reply_text(StatusCode::BAD_REQUEST, "expected a request's fingerprint");
         };
         if !self.shared.suspects.has_crashes(&fingerprint) {
--- a/crates/fleet/src/peer_api.rs
+++ b/crates/fleet/src/peer_api.rs
@@ -4,7 +4,7 @@
 use std::sync::{Arc, Mutex, PoisonError};
 use std::time::Duration;
 
-use briarswitch_core::fingerprint::RequestFingerprint;
+use briarswitch_core::fingerprint::SuspectFingerprint;
 use briarswitch_core::id::Moment;
 use briarswitch_http::{
     decode_msgpack, read_body, reply_bytes, reply_msgpack, reply_text, Handler, Request, Response,
@@ -124,11 +124,11 @@
             return reply_text(StatusCode::BAD_REQUEST, "expected ends of targets");
         };
         let reported = Vec::<SuspectRow>::from(doc);
-        let fingerprints: IndexSet<RequestFingerprint> =
+        let fingerprints: IndexSet<SuspectFingerprint> =
             reported.iter().map(|row| row.key().fingerprint).collect();
         let suspects = &self.shared.suspects;
         let updated = reported.iter().filter(|row| suspects.record(row));
-        let updated: IndexSet<RequestFingerprint> =
+        let updated: IndexSet<SuspectFingerprint> =
             updated.map(|row| row.key().fingerprint).collect();
         if !updated.is_empty() {
             if let Err(error) = self.suspects.post(SuspectMessage::Reported(updated)) {
--- a/crates/fleet/src/ports.rs
+++ b/crates/fleet/src/ports.rs
@@ -277,6 +277,8 @@
     pub timeout: Option<Duration>,
     /// Requested model.
     pub model: Option<ModelId>,
+    /// Ids of the parts of the prompt that other requests may have as well, in their order.
+    pub prompt_parts: Vec<String>,
     /// Tokens in the prompt.
     pub prompt_tokens: u64,
     /// Limit on the tokens of the response; zero if the caller sets none.
--- a/crates/fleet/src/request_run.rs
+++ b/crates/fleet/src/request_run.rs
@@ -292,7 +292,7 @@
         let rule = &self.job.rule;
         let suspects = &self.dispatcher.shared().suspects;
         failed.point.allows_retry(rule.is_repeatable())
-            && suspects.may_retry(&self.job.fingerprint, self.trace.broken_runs)
+            && suspects.may_retry(self.job.suspects.request(), self.trace.broken_runs)
             && self.trace.attempts_sent < rule.max_attempts
             && self.unreached < MAX_UNREACHED_ATTEMPTS
             && BootClock::now() < self.job.deadline
--- a/crates/fleet/src/request_runner.rs
+++ b/crates/fleet/src/request_runner.rs
@@ -103,9 +103,9 @@
         if failed.point != FailurePoint::Quarantined {
             return failed.available_in;
         }
-        let fingerprint = failed.trace.fingerprint?;
-        let suspects = &self.dispatcher.shared().suspects;
-        let left = suspects.quarantine_left(&fingerprint);
+        let suspects = failed.trace.suspects.as_ref()?;
+        let ledger = &self.dispatcher.shared().suspects;
+        let left = ledger.quarantine_left(suspects.request());
         left.or(failed.available_in)
     }
 }
--- a/crates/fleet/src/run.rs
+++ b/crates/fleet/src/run.rs
@@ -51,8 +51,9 @@
         let Some(info) = self.info.take() else {
             return;
         };
-        if suspects.has_crashes(&info.fingerprint) {
-            let message = SuspectMessage::Completed(info.fingerprint);
+        let fingerprint = info.suspects.request();
+        if suspects.has_crashes(fingerprint) {
+            let message = SuspectMessage::Completed(*fingerprint);
             if let Err(error) = self.listeners.suspects.post(message) {
                 log::warn!(error:% = error; "run_untold");
             }
@@ -66,7 +67,8 @@
         };
         log::info!(
             request = info.request.as_str(),
-            print:% = info.fingerprint,
+            print:% = info.suspects.request(),
+            parts = info.suspects.parts_text().as_str(),
             target_id = info.target.id.as_str(),
             group = info.group.as_str(),
             reason = reason,
--- a/crates/fleet/src/run_info.rs
+++ b/crates/fleet/src/run_info.rs
@@ -1,7 +1,7 @@
 //! Description of a run, and how a run without a complete response ended.
 
-use briarswitch_core::fingerprint::RequestFingerprint;
 use briarswitch_core::id::*;
+use briarswitch_core::run_suspects::RunSuspects;
 
 /// One incarnation of a target.
 #[derive(Clone, Debug, Eq, Hash, PartialEq)]
@@ -17,8 +17,8 @@
 pub struct RunInfo {
     /// Id of the caller's attempt.
     pub request: RequestId,
-    /// Fingerprint of the request.
-    pub fingerprint: RequestFingerprint,
+    /// What a crash of the target can be put down to.
+    pub suspects: RunSuspects,
     /// Organisation of the caller; empty if no key is required.
     pub organisation: OrganisationId,
     /// Target that ran the request.
--- a/crates/fleet/src/suspect_host.rs
+++ b/crates/fleet/src/suspect_host.rs
@@ -6,7 +6,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use briarswitch_core::fingerprint::RequestFingerprint;
+use briarswitch_core::fingerprint::SuspectFingerprint;
 use briarswitch_core::id::*;
 use briarswitch_membership::KeyHolders;
 use futures::future::BoxFuture;
@@ -88,7 +88,7 @@
     /// Returns the nodes that collect the crash reports of a request.
     ///
     /// A node that reports to no other node writes each crash to the store itself.
-    fn holders_of(&self, fingerprint: &RequestFingerprint, count: usize) -> KeyHolders;
+    fn holders_of(&self, fingerprint: &SuspectFingerprint, count: usize) -> KeyHolders;
 
     /// Probes whether the target of a run is alive; a refused connection may be the fault of this node.
     fn probe_once<'a>(
--- a/crates/fleet/src/suspect_ledger.rs
+++ b/crates/fleet/src/suspect_ledger.rs
@@ -5,7 +5,7 @@
 use std::time::Duration;
 
 use briarswitch_core::crash::{CrashHistory, CrashVerdict, StoreMillis, MIN_CRASHES};
-use briarswitch_core::fingerprint::RequestFingerprint;
+use briarswitch_core::fingerprint::SuspectFingerprint;
 
 use crate::ports::{StoreClock, SuspectRow};
 
@@ -23,7 +23,7 @@
     /// ```
     /// use std::sync::Arc;
     ///
-    /// use briarswitch_core::fingerprint::RequestFingerprint;
+    /// use briarswitch_core::fingerprint::SuspectFingerprint;
     /// use briarswitch_fleet::ports::StoreClock;
     /// use briarswitch_fleet::suspect_ledger::SuspectLedger;
     ///
@@ -36,7 +36,7 @@
     /// }
     ///
     /// let ledger = SuspectLedger::new(Arc::new(FixedClock));
-    /// assert!(ledger.quarantine_left(&RequestFingerprint::from([1; 16])).is_none());
+    /// assert!(ledger.quarantine_left(&SuspectFingerprint::from([1; 16])).is_none());
     /// ```
     pub fn new(clock: Arc<dyn StoreClock>) -> Self {
         Self {
@@ -52,7 +52,7 @@
     }
 
     /// Returns the verdict on a request.
-    pub fn verdict(&self, fingerprint: &RequestFingerprint) -> CrashVerdict {
+    pub fn verdict(&self, fingerprint: &SuspectFingerprint) -> CrashVerdict {
         if !self.is_nonempty.load(Ordering::Relaxed) {
             return CrashVerdict::Clear;
         }
@@ -60,7 +60,7 @@
     }
 
     /// Returns the remaining quarantine of a request, or `None` if it may run.
-    pub fn quarantine_left(&self, fingerprint: &RequestFingerprint) -> Option<Duration> {
+    pub fn quarantine_left(&self, fingerprint: &SuspectFingerprint) -> Option<Duration> {
         match self.verdict(fingerprint) {
             CrashVerdict::Quarantined(remaining) => Some(remaining),
             CrashVerdict::Clear | CrashVerdict::Suspect => None,
@@ -73,7 +73,7 @@
     /// A caller's own retry is decided by what all nodes know. Between two runs of one attempt no
     /// other node can know yet what the first run has done, and another run could crash the next
     /// target immediately.
-    pub fn may_retry(&self, fingerprint: &RequestFingerprint, broken_runs: usize) -> bool {
+    pub fn may_retry(&self, fingerprint: &SuspectFingerprint, broken_runs: usize) -> bool {
         let is_nonempty = self.is_nonempty.load(Ordering::Relaxed);
         let crashes = if is_nonempty {
             self.crashes(fingerprint)
@@ -85,12 +85,12 @@
 
     /// Returns how many targets have crashed while running the request, without expired crashes and
     /// those it was cleared of.
-    pub fn crashes(&self, fingerprint: &RequestFingerprint) -> usize {
+    pub fn crashes(&self, fingerprint: &SuspectFingerprint) -> usize {
         self.lock().crashes(fingerprint, self.now()).len()
     }
 
     /// Returns whether any target has crashed while running the request.
-    pub fn has_crashes(&self, fingerprint: &RequestFingerprint) -> bool {
+    pub fn has_crashes(&self, fingerprint: &SuspectFingerprint) -> bool {
         self.is_nonempty.load(Ordering::Relaxed) && self.lock().has_crashes(fingerprint)
     }
 
@@ -105,7 +105,7 @@
     }
 
     /// Returns all rows about a request.
-    pub fn rows(&self, fingerprint: &RequestFingerprint) -> Vec<SuspectRow> {
+    pub fn rows(&self, fingerprint: &SuspectFingerprint) -> Vec<SuspectRow> {
         let history = self.lock();
         let crashes = history.crashes(fingerprint, self.now());
         let crashes = crashes.into_iter().map(SuspectRow::Crash);
@@ -114,7 +114,7 @@
     }
 
     /// Returns the requests that are suspected or quarantined, with their verdicts.
-    pub fn suspects(&self) -> Vec<(RequestFingerprint, CrashVerdict)> {
+    pub fn suspects(&self) -> Vec<(SuspectFingerprint, CrashVerdict)> {
         let now = self.now();
         let history = self.lock();
         let verdicts = history
--- a/crates/fleet/src/suspect_record.rs
+++ b/crates/fleet/src/suspect_record.rs
@@ -1,7 +1,7 @@
 //! Stored form of crash rows.
 
 use briarswitch_core::crash::{ClearReport, CrashReport, IncarnationKey, StoreMillis};
-use briarswitch_core::fingerprint::RequestFingerprint;
+use briarswitch_core::fingerprint::SuspectFingerprint;
 use serde::{Deserialize, Serialize};
 
 use crate::suspect_row::{SuspectKey, SuspectRow};
@@ -38,11 +38,11 @@
 /// Formats the key of a row.
 ///
 /// ```
-/// use briarswitch_core::fingerprint::RequestFingerprint;
+/// use briarswitch_core::fingerprint::SuspectFingerprint;
 /// use briarswitch_fleet::ports::SuspectKey;
 /// use briarswitch_fleet::suspect_record::{format_key, parse_key};
 ///
-/// let key = SuspectKey { fingerprint: RequestFingerprint::from([1; 16]), incarnation: None };
+/// let key = SuspectKey { fingerprint: SuspectFingerprint::from([1; 16]), incarnation: None };
 /// assert_eq!(parse_key(&format_key(&key)), Ok(key));
 /// ```
 pub fn format_key(key: &SuspectKey) -> String {
@@ -59,7 +59,7 @@
 /// Returns [`UnreadableRecord`] if the text is not a key.
 pub fn parse_key(text: &str) -> Result<SuspectKey, UnreadableRecord> {
     let (fingerprint, incarnation) = text.split_once('-').ok_or(UnreadableRecord)?;
-    let fingerprint: RequestFingerprint = fingerprint.parse().map_err(|_| UnreadableRecord)?;
+    let fingerprint: SuspectFingerprint = fingerprint.parse().map_err(|_| UnreadableRecord)?;
     let incarnation = if incarnation == CLEARED {
         None
     } else {
--- a/crates/fleet/src/suspect_row.rs
+++ b/crates/fleet/src/suspect_row.rs
@@ -1,13 +1,13 @@
 //! Rows of the table of crash reports.
 
 use briarswitch_core::crash::{ClearReport, CrashReport, IncarnationKey, StoreMillis};
-use briarswitch_core::fingerprint::RequestFingerprint;
+use briarswitch_core::fingerprint::SuspectFingerprint;
 
 /// Key of a row in the table of crash reports.
 #[derive(Clone, Copy, Debug, Eq, Hash, PartialEq)]
 pub struct SuspectKey {
     /// Fingerprint of the request.
-    pub fingerprint: RequestFingerprint,
+    pub fingerprint: SuspectFingerprint,
     /// Incarnation that crashed; `None` for a row that clears the request.
     pub incarnation: Option<IncarnationKey>,
 }
--- a/crates/fleet/src/suspect_sync.rs
+++ b/crates/fleet/src/suspect_sync.rs
@@ -13,7 +13,7 @@
 use briarswitch_core::crash::{
     ClearReport, CrashRate, CrashReport, CrashVerdict, CrashedTarget, StoreMillis,
 };
-use briarswitch_core::fingerprint::RequestFingerprint;
+use briarswitch_core::fingerprint::SuspectFingerprint;
 use briarswitch_core::id::*;
 use briarswitch_http::{ApiClient, CallError, Codec};
 use briarswitch_kernel::{Service, ServiceLink};
@@ -70,14 +70,14 @@
     /// Targets crashed while these runs were active.
     Crashed(Vec<CrashedRun>),
     /// Another node reported something new about these requests.
-    Reported(IndexSet<RequestFingerprint>),
+    Reported(IndexSet<SuspectFingerprint>),
     /// A holder received these crash reports and responded with what it knows of the requests, or
     /// did not respond.
     HolderResponded(Vec<CrashReport>, Option<Vec<SuspectRow>>),
     /// A request that had crashed targets before received a complete response.
-    Completed(RequestFingerprint),
+    Completed(SuspectFingerprint),
     /// The operator released a request.
-    Released(RequestFingerprint),
+    Released(SuspectFingerprint),
     /// Poll the table for changes.
     Poll,
     /// The poll returned changes or failed.
@@ -146,19 +146,19 @@
                 incarnation: info.target.incarnation,
                 domain: &info.domain,
             };
-            let crash = CrashReport::of(info.fingerprint, target, at, ran_for, crash_rate);
+            let crash = CrashReport::of(*info.suspects.request(), target, at, ran_for, crash_rate);
             if crash.chance_permille > MAX_CHANCE_PERMILLE {
                 continue;
             }
             self.host.suspects().record(&SuspectRow::Crash(crash));
             log::info!(
                 request = info.request.as_str(),
-                print:% = info.fingerprint,
+                print:% = info.suspects.request(),
                 organisation = info.organisation.as_str(),
                 target_id = info.target.id.as_str(),
                 ran_ms = ran_for.as_millis() as u64,
                 chance_permille = crash.chance_permille,
-                ends = self.host.suspects().crashes(&info.fingerprint);
+                ends = self.host.suspects().crashes(info.suspects.request());
                 "end_counted"
             );
             crashes.push(crash);
@@ -244,7 +244,7 @@
     /// written.
     fn apply_rows(&mut self, rows: &[SuspectRow], must_write: bool, now: Moment) {
         let updated = rows.iter().filter(|row| self.host.suspects().record(row));
-        let fingerprints: IndexSet<RequestFingerprint> =
+        let fingerprints: IndexSet<SuspectFingerprint> =
             updated.map(|row| row.key().fingerprint).collect();
         self.reevaluate(&fingerprints, must_write, now);
     }
@@ -253,7 +253,7 @@
     /// writes.
     fn reevaluate(
         &mut self,
-        fingerprints: &IndexSet<RequestFingerprint>,
+        fingerprints: &IndexSet<SuspectFingerprint>,
         must_write: bool,
         now: Moment,
     ) {
@@ -275,14 +275,14 @@
         }
     }
 
-    fn own_rank(&self, fingerprint: &RequestFingerprint) -> Option<usize> {
+    fn own_rank(&self, fingerprint: &SuspectFingerprint) -> Option<usize> {
         self.host
             .holders_of(fingerprint, HOLDERS_PER_REQUEST)
             .own_rank
     }
 
     /// Records that a request did not cause the crashes so far.
-    fn clear(&mut self, fingerprint: RequestFingerprint, reason: &'static str, now: Moment) {
+    fn clear(&mut self, fingerprint: SuspectFingerprint, reason: &'static str, now: Moment) {
         if !self.host.suspects().has_crashes(&fingerprint) {
             return;
         }
@@ -303,7 +303,7 @@
     /// first for.
     fn write_due(&mut self, link: &ServiceLink<SuspectMessage>) {
         let host = Arc::clone(&self.host);
-        let is_first = |fingerprint: &RequestFingerprint| {
+        let is_first = |fingerprint: &SuspectFingerprint| {
             host.holders_of(fingerprint, HOLDERS_PER_REQUEST).own_rank == Some(0)
         };
         let store_time = host.suspects().now();
--- a/crates/fleet/src/suspect_table.rs
+++ b/crates/fleet/src/suspect_table.rs
@@ -1,7 +1,7 @@
 //! Local copy of the store's table of crash reports, and the rows that this node has to write.
 
 use briarswitch_core::crash::{is_expired, StoreMillis};
-use briarswitch_core::fingerprint::RequestFingerprint;
+use briarswitch_core::fingerprint::SuspectFingerprint;
 use briarswitch_core::id::Moment;
 use indexmap::IndexMap;
 
@@ -46,7 +46,7 @@
     }
 
     /// Returns whether the store holds any row of a request.
-    pub fn contains(&self, fingerprint: &RequestFingerprint) -> bool {
+    pub fn contains(&self, fingerprint: &SuspectFingerprint) -> bool {
         self.stored
             .keys()
             .any(|key| key.fingerprint == *fingerprint)
@@ -58,11 +58,11 @@
     /// use std::time::Duration;
     ///
     /// use briarswitch_core::crash::ClearReport;
-    /// use briarswitch_core::fingerprint::RequestFingerprint;
+    /// use briarswitch_core::fingerprint::SuspectFingerprint;
     /// use briarswitch_fleet::ports::SuspectRow;
     /// use briarswitch_fleet::suspect_table::SuspectTable;
     ///
-    /// let row = SuspectRow::Clear(ClearReport { fingerprint: RequestFingerprint::from([1; 16]), at: 5 });
+    /// let row = SuspectRow::Clear(ClearReport { fingerprint: SuspectFingerprint::from([1; 16]), at: 5 });
     /// let mut table = SuspectTable::default();
     /// table.schedule_write(row, Duration::from_secs(2));
     /// assert!(table.begin_write(Duration::from_secs(1), 10, |_| true).is_none());
@@ -82,7 +82,7 @@
     }
 
     /// Cancels all scheduled writes of a request.
-    pub fn cancel_writes(&mut self, fingerprint: &RequestFingerprint) {
+    pub fn cancel_writes(&mut self, fingerprint: &SuspectFingerprint) {
         self.pending
             .retain(|key, _| key.fingerprint != *fingerprint);
     }
@@ -93,7 +93,7 @@
         &mut self,
         now: Moment,
         store_time: StoreMillis,
-        may_delete: impl Fn(&RequestFingerprint) -> bool,
+        may_delete: impl Fn(&SuspectFingerprint) -> bool,
     ) -> Option<SuspectBatch> {
         if self.is_writing {
             return None;
--- a/crates/fleet/src/trace.rs
+++ b/crates/fleet/src/trace.rs
@@ -4,9 +4,9 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use briarswitch_core::fingerprint::RequestFingerprint;
 use briarswitch_core::id::*;
 use briarswitch_core::outcome::{FailurePoint, Outcome};
+use briarswitch_core::run_suspects::RunSuspects;
 use briarswitch_kernel::BootClock;
 
 use crate::failure::FailedAttempt;
@@ -53,8 +53,8 @@
     shared: Arc<FleetShared>,
     /// Id that the caller gave to the attempt.
     pub request_id: RequestId,
-    /// Fingerprint; `None` until the request has been read.
-    pub fingerprint: Option<RequestFingerprint>,
+    /// Fingerprints of the request and of the parts of its prompt; `None` until the request has been read.
+    pub suspects: Option<RunSuspects>,
     /// Time at which the head of the request was read.
     pub arrived: Moment,
     /// Organisation of the caller; empty if no key is required.
@@ -107,7 +107,7 @@
         Self {
             shared: Arc::clone(shared),
             request_id: request_id.to_owned(),
-            fingerprint: None,
+            suspects: None,
             arrived,
             organisation: OrganisationId::new(),
             rule: String::new(),
@@ -135,11 +135,17 @@
 
     /// Returns the fingerprint as text; empty until the request has been read.
     pub fn fingerprint_text(&self) -> String {
-        self.fingerprint
-            .map(|fingerprint| fingerprint.to_string())
+        let suspects = self.suspects.as_ref();
+        suspects
+            .map(|suspects| suspects.request().to_string())
             .unwrap_or_default()
     }
 
+    fn parts_text(&self) -> String {
+        let suspects = self.suspects.as_ref();
+        suspects.map(RunSuspects::parts_text).unwrap_or_default()
+    }
+
     /// Sets how the request ended; later calls have no effect.
     pub fn end(&mut self, end: RequestEnd) {
         self.end.get_or_insert(end);
@@ -261,6 +267,7 @@
         log::info!(
             request = self.request_id.as_str(),
             print = self.fingerprint_text().as_str(),
+            parts = self.parts_text().as_str(),
             organisation = self.organisation.as_str(),
             rule = self.rule.as_str(),
             config = self.config_version,
--- a/crates/fleet/src/verdict_log.rs
+++ b/crates/fleet/src/verdict_log.rs
@@ -1,7 +1,7 @@
 //! Tracks the verdict on each request that was running when targets crashed, and logs changes.
 
 use briarswitch_core::crash::CrashVerdict;
-use briarswitch_core::fingerprint::RequestFingerprint;
+use briarswitch_core::fingerprint::SuspectFingerprint;
 use indexmap::IndexMap;
 use serde_json::{json, Value};
 
@@ -10,17 +10,17 @@
 /// The last verdict on each request that is not clear.
 #[derive(Debug, Default)]
 pub struct VerdictLog {
-    verdicts: IndexMap<RequestFingerprint, CrashVerdict>,
+    verdicts: IndexMap<SuspectFingerprint, CrashVerdict>,
 }
 
 impl VerdictLog {
     /// Returns whether a request is suspected or quarantined.
-    pub fn contains(&self, fingerprint: &RequestFingerprint) -> bool {
+    pub fn contains(&self, fingerprint: &SuspectFingerprint) -> bool {
         self.verdicts.contains_key(fingerprint)
     }
 
     /// Returns the requests that are suspected or quarantined.
-    pub fn fingerprints(&self) -> Vec<RequestFingerprint> {
+    pub fn fingerprints(&self) -> Vec<SuspectFingerprint> {
         self.verdicts.keys().copied().collect()
     }
 
@@ -28,7 +28,7 @@
     pub fn record(
         &mut self,
         host: &dyn SuspectHost,
-        fingerprint: &RequestFingerprint,
+        fingerprint: &SuspectFingerprint,
         verdict: CrashVerdict,
     ) {
         let previous = self.verdicts.get(fingerprint).copied();
--- a/crates/fleet/tests/support/platform.rs
+++ b/crates/fleet/tests/support/platform.rs
@@ -514,6 +514,14 @@
     Some(value.to_owned())
 }
 
+/// Returns the parts of the prompt, separated by commas, but the last.
+fn parts(headers: &HeaderMap) -> Vec<String> {
+    let list = text(headers, "parts").unwrap_or_default();
+    let mut parts: Vec<String> = list.split(',').map(str::to_owned).collect();
+    parts.pop();
+    parts
+}
+
 fn limit_header(headers: &HeaderMap) -> LimitHeader {
     let Some(limit) = text(headers, "limit") else {
         return LimitHeader::Absent;
@@ -531,6 +539,7 @@
             key: text(&head.headers, "key"),
             model: text(&head.headers, "model"),
             prompt_tokens: 10,
+            prompt_parts: parts(&head.headers),
             last_event: text(&head.headers, "last-event"),
             ..CallerRequest::default()
         }
--- a/crates/fleet/tests/suspect_table.rs
+++ b/crates/fleet/tests/suspect_table.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use briarswitch_core::crash::{CrashReport, IncarnationKey, StoreMillis, CRASH_RETENTION};
-use briarswitch_core::fingerprint::RequestFingerprint;
+use briarswitch_core::fingerprint::SuspectFingerprint;
 use briarswitch_core::id::Moment;
 use briarswitch_fleet::ports::{SuspectChange, SuspectRow, MAX_SUSPECT_ROWS};
 use briarswitch_fleet::suspect_table::{SuspectBatch, SuspectTable};
@@ -14,7 +14,7 @@
 
 fn row(incarnation: u64) -> SuspectRow {
     SuspectRow::Crash(CrashReport {
-        fingerprint: RequestFingerprint::from([1; 16]),
+        fingerprint: SuspectFingerprint::from([1; 16]),
         incarnation: IncarnationKey(incarnation),
         domain: 1,
         at: NOW,
--- a/crates/model/src/crash.rs
+++ b/crates/model/src/crash.rs
@@ -8,7 +8,7 @@
 use briarswitch_core::crash::{
     CrashHistory, CrashReport, CrashVerdict, IncarnationKey, MIN_CRASHES,
 };
-use briarswitch_core::fingerprint::RequestFingerprint;
+use briarswitch_core::fingerprint::SuspectFingerprint;
 
 use crate::search::{Specification, Step};
 
@@ -87,7 +87,7 @@
 
 /// Returns whether a node that knows these crashes quarantines the request.
 fn is_quarantined(known: CrashSet) -> bool {
-    let fingerprint = RequestFingerprint::from([0; 16]);
+    let fingerprint = SuspectFingerprint::from([0; 16]);
     let mut history = CrashHistory::default();
     for crash in (0..16).filter(|crash| known & (1 << crash) != 0) {
         history.record_crash(CrashReport {
--- a/crates/node/src/caller.rs
+++ b/crates/node/src/caller.rs
@@ -3,11 +3,12 @@
 use std::sync::Arc;
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
 
-use briarswitch_core::fingerprint::{FingerprintParts, RequestFingerprint};
+use briarswitch_core::fingerprint::{FingerprintParts, SuspectFingerprint};
 use briarswitch_core::minted_key::MintedKey;
 use briarswitch_core::prefix::PrefixChain;
 use briarswitch_core::prelude::*;
 use briarswitch_core::rule::first_match;
+use briarswitch_core::run_suspects::RunSuspects;
 use briarswitch_core::stream::json_depth;
 use briarswitch_http::{read_body, reply_json, Body, BodyError, Handler, Request, Response};
 use briarswitch_kernel::BootClock;
@@ -321,16 +322,18 @@
             parse_repeatable(&input.head.headers)?.unwrap_or(is_chat && key.is_none());
         let organisation = input.config.config.organisations().get(&input.organisation);
         let name = input.parsed.name().to_owned();
+        let mut parts = Vec::new();
         let (path, is_stream, tokens, chain) = match input.parsed {
             ParsedRequest::Chat(chat) => {
                 let tokens = chat.max_tokens.map_or(DEFAULT_TOKENS, u64::from);
                 let prompt = prompt_of(&chat);
+                parts = part_fingerprints(&chat);
                 let chain = PrefixChain::of(prompt.as_bytes());
                 (CHAT_PATH.to_owned(), chat.stream, tokens, chain)
             }
             ParsedRequest::Service { path, .. } => (path, false, 1, PrefixChain::default()),
         };
-        let fingerprint = RequestFingerprint::of(&FingerprintParts {
+        let fingerprint = SuspectFingerprint::of(&FingerprintParts {
             caller: &input.organisation,
             method: input.head.method.as_str(),
             host: &name,
@@ -338,7 +341,7 @@
             body: &input.bytes,
         });
         Ok(MatchedRequest {
-            fingerprint,
+            suspects: RunSuspects::new(fingerprint, parts.into_iter()),
             admission: AdmissionRequest {
                 deployment: deployment.id.clone(),
                 organisation: input.organisation,
@@ -425,6 +428,16 @@
     parts.collect()
 }
 
+/// Returns the fingerprints of all messages but the last, which belongs to the request itself.
+fn part_fingerprints(chat: &ChatDoc) -> Vec<SuspectFingerprint> {
+    let shared = chat
+        .messages
+        .split_last()
+        .map_or(&[][..], |(_, shared)| shared);
+    let contents = shared.iter().map(|message| message.content.as_str());
+    contents.map(SuspectFingerprint::of_part).collect()
+}
+
 /// Returns the current minute of the day, in UTC.
 pub fn minute_of_day() -> u16 {
     let since = SystemTime::now().duration_since(UNIX_EPOCH);
--- a/crates/node/src/dispatch.rs
+++ b/crates/node/src/dispatch.rs
@@ -3,10 +3,11 @@
 use std::collections::HashMap;
 use std::sync::{Arc, Mutex, PoisonError, RwLock};
 
-use briarswitch_core::fingerprint::RequestFingerprint;
+use briarswitch_core::fingerprint::SuspectFingerprint;
 use briarswitch_core::limit::RateShare;
 use briarswitch_core::minted_key::MintedKey;
 use briarswitch_core::prelude::*;
+use briarswitch_core::run_suspects::RunSuspects;
 use briarswitch_fleet::body_check;
 use briarswitch_fleet::run::{RunListeners, TargetRun};
 use briarswitch_fleet::run_info::{RunInfo, TargetIncarnation};
@@ -37,8 +38,8 @@
 
 /// A request of a known organisation, with the deployment that a rule selected for it.
 pub struct MatchedRequest {
-    /// Fingerprint, identical for every repeat of the request.
-    pub fingerprint: RequestFingerprint,
+    /// Fingerprints of the request, equal for all its repetitions, and of the parts of its prompt.
+    pub suspects: RunSuspects,
     /// Input of admission.
     pub admission: AdmissionRequest,
     /// Request as it is sent to targets.
@@ -120,7 +121,7 @@
         let domain = fleet.vms.get(&target.vm).map(|vm| vm.domain.clone());
         let info = RunInfo {
             request: run.request.clone(),
-            fingerprint: run.fingerprint,
+            suspects: run.suspects.clone(),
             organisation: run.organisation.clone(),
             target: TargetIncarnation {
                 id: target.vm.clone(),
@@ -135,7 +136,7 @@
     }
 
     /// Returns the failure to reply with if the request is quarantined.
-    fn quarantined(&self, fingerprint: &RequestFingerprint) -> Option<CallerFailure> {
+    fn quarantined(&self, fingerprint: &SuspectFingerprint) -> Option<CallerFailure> {
         let left = self.suspects().quarantine_left(fingerprint)?;
         let failure = CallerFailure::at(FailurePoint::Quarantined);
         Some(failure.retry_after(left))
@@ -180,7 +181,7 @@
         matched: MatchedRequest,
         mut trace: RequestTrace,
     ) -> Result<Response, CallerFailure> {
-        if let Some(failure) = self.quarantined(&matched.fingerprint) {
+        if let Some(failure) = self.quarantined(matched.suspects.request()) {
             return Err(trace.fail(failure));
         }
         if let Err(failure) = self.check_rate(&matched.admission.organisation) {
@@ -310,7 +311,7 @@
                 }
             };
             // Checked again, because the request may have been quarantined while it was queued.
-            if let Some(failure) = self.quarantined(&matched.fingerprint) {
+            if let Some(failure) = self.quarantined(matched.suspects.request()) {
                 let point = combine_failures(earlier, failure.point);
                 let failure = CallerFailure { point, ..failure };
                 return Err(self.finish_failed(failure, trace).await);
@@ -327,7 +328,9 @@
             };
             broken_runs += usize::from(is_broken_connection(point));
             let may_retry = point.allows_retry(matched.outgoing.is_repeatable)
-                && self.suspects().may_retry(&matched.fingerprint, broken_runs);
+                && self
+                    .suspects()
+                    .may_retry(matched.suspects.request(), broken_runs);
             let point = combine_failures(earlier, point);
             earlier = Some(point);
             if !may_retry || !self.withdraw_retry(&trace) {
@@ -526,7 +529,7 @@
 #[derive(Clone, Debug)]
 pub struct RunSubject {
     request: RequestId,
-    fingerprint: RequestFingerprint,
+    suspects: RunSuspects,
     organisation: OrganisationId,
 }
 
@@ -534,14 +537,14 @@
     fn of(matched: &MatchedRequest) -> Self {
         Self {
             request: matched.request.clone(),
-            fingerprint: matched.fingerprint,
+            suspects: matched.suspects.clone(),
             organisation: matched.admission.organisation.clone(),
         }
     }
 
-    /// Returns the request's fingerprint.
-    pub fn fingerprint(&self) -> &RequestFingerprint {
-        &self.fingerprint
+    /// Returns what a crash of a target can be put down to.
+    pub fn suspects(&self) -> &RunSuspects {
+        &self.suspects
     }
 }
 
--- a/crates/node/src/relay.rs
+++ b/crates/node/src/relay.rs
@@ -209,7 +209,7 @@
     async fn resume(&mut self) -> bool {
         self.body = None;
         self.scanner.discard_partial();
-        let fingerprint = self.run.subject.fingerprint();
+        let fingerprint = self.run.subject.suspects().request();
         let may_retry = self
             .dispatcher
             .suspects()
--- a/crates/node/src/suspect_host.rs
+++ b/crates/node/src/suspect_host.rs
@@ -5,7 +5,7 @@
 use std::sync::Arc;
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
 
-use briarswitch_core::fingerprint::RequestFingerprint;
+use briarswitch_core::fingerprint::SuspectFingerprint;
 use briarswitch_core::prelude::*;
 use briarswitch_fleet::ports::{
     FeedMark, FeedResponse, FeedRow, ReportError, SourceError, SourceFuture, StoreClock,
@@ -154,7 +154,7 @@
 
     /// Returns no other holders: each node writes its observations to the table, which all nodes
     /// poll.
-    fn holders_of(&self, _fingerprint: &RequestFingerprint, _count: usize) -> KeyHolders {
+    fn holders_of(&self, _fingerprint: &SuspectFingerprint, _count: usize) -> KeyHolders {
         KeyHolders {
             others: Vec::new(),
             own_rank: Some(0),
