Failing tests: requests with one part in their prompts crash one target after the other

Stand-ins crash when they begin to respond to a prompt that holds one part, and are back 0.9 s later; no two requests alike, sound ones with the same caller and first part beside them, three nodes, single targets and groups.

--- a/crates/fleet/tests/support/mod.rs
+++ b/crates/fleet/tests/support/mod.rs
@@ -201,6 +201,8 @@
     pub key: &'a str,
     pub path: &'a str,
     pub body: &'a str,
+    /// Parts of the prompt, separated by commas.
+    pub parts: &'a str,
 }
 
 impl<'a> TestRequest<'a> {
@@ -209,6 +211,7 @@
             key: KEYS[0].0,
             path: "/chat/x",
             body,
+            parts: "",
         }
     }
 
@@ -397,6 +400,7 @@
             ("key", test_request.key),
             ("attempt", &format!("a{attempt}")),
             ("model", MODEL),
+            ("parts", test_request.parts),
         ];
         for (name, value) in headers {
             let value = HeaderValue::from_str(value).expect("valid header value");
@@ -410,7 +414,9 @@
     pub async fn request_1_0(
         &self,
         node: usize,
-        TestRequest { key, path, body }: TestRequest<'_>,
+        TestRequest {
+            key, path, body, ..
+        }: TestRequest<'_>,
     ) -> (std::io::Result<usize>, String) {
         let address = self.nodes[node].address(|settings| &settings.callers);
         let mut stream = TcpStream::connect(address).await.expect("a node");
--- a/crates/fleet/tests/support/platform.rs
+++ b/crates/fleet/tests/support/platform.rs
@@ -548,10 +548,12 @@
     fn target_headers(&self, head: &HeaderMap, info: TargetRequestInfo<'_>) -> HeaderMap {
         let mut headers = HeaderMap::new();
         let attempt = text(head, "attempt").unwrap_or_default();
+        let parts = text(head, "parts");
         let fields = [
             ("attempt", Some(attempt.as_str())),
             ("target", Some(info.target.as_str())),
             ("last-event", info.last_event),
+            ("parts", parts.as_deref()),
         ];
         for (name, value) in fields {
             if let Some(value) = value.and_then(|value| HeaderValue::from_str(value).ok()) {
--- a/crates/fleet/tests/support/target.rs
+++ b/crates/fleet/tests/support/target.rs
@@ -24,6 +24,8 @@
 pub const CRASHING_BETWEEN: &str = "between";
 /// Prefix of a body whose connection ends inside an event, once, while the target keeps running.
 pub const CUT_INSIDE: &str = "cut";
+/// Part of a prompt that crashes each target when it begins to respond, whatever else the prompt holds.
+pub const CRASHING_PART: &str = "crashing";
 /// Time for which a sound target may be silent.
 const PAUSE_TIME: Duration = Duration::from_millis(1_200);
 /// Time from a crash until the target listens again.
@@ -37,6 +39,8 @@
 #[derive(Clone, Debug)]
 pub struct RecordedRun {
     pub body: String,
+    /// Parts of the prompt, separated by commas.
+    pub parts: String,
     pub at: Instant,
     /// Incarnation of the target that ran it.
     pub incarnation: u32,
@@ -209,11 +213,12 @@
         self.state.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
-    fn record_run(&self, body: &str) {
+    fn record_run(&self, body: &str, parts: &str) {
         let mut state = self.lock();
         let incarnation = state.incarnation;
         state.runs.push(RecordedRun {
             body: body.to_owned(),
+            parts: parts.to_owned(),
             at: Instant::now(),
             incarnation,
         });
@@ -326,7 +331,7 @@
         );
         return stream.write_all(refusal.as_bytes()).await;
     }
-    shared.record_run(&body);
+    shared.record_run(&body, &field("parts"));
     let statements = shared.statements();
     let is_unframed = shared.lock().is_unframed;
     let framing = if is_unframed {
@@ -342,7 +347,8 @@
     if body.starts_with(PAUSING) {
         tokio::time::sleep(PAUSE_TIME).await;
     }
-    if body.starts_with(CRASHING) {
+    let parts = field("parts");
+    if body.starts_with(CRASHING) || parts.split(',').any(|part| part == CRASHING_PART) {
         shared.lock().crash.send_replace(true);
         std::future::pending::<()>().await;
     }
