Crashes are put down to parts of prompts as well as to whole requests

Cause: the memory of what a request did to a target knew whole requests only; of requests that have a part in common, and no two of which are alike, each one was new. Class: an effect that is remembered under a name finer than its cause.

Change: one mechanism, more suspects. A crash is reported for the whole request and for each part of its prompt but the last; holders, table, verdict, release, explanation and search are those of before. What keeps the parts that sound requests share from being barred is likelihood: a run that ended whole clears the parts it had, at its node for 5 to 10 s in advance, so that a crash is not even put down to them there, and at the holders and in the table for the crashes reported before; a holder that knows better answers with the clear, and the reporter tells the other holder. A node where no run has ended whole yet blames no part. A part's chance for one crash is taken as 3 to 30 %, so four or five crashes are needed. Requests that wait for a slot are refused as soon as a part of theirs is quarantined. `briarctl explain` lists the crashes.

Ruled out: load (targets crash 36 to 120 ms after they begin, the same test without the part crashes none), too slow a memory (no fingerprint of a request came more than four times).

--- a/crates/core/src/crash.rs
+++ b/crates/core/src/crash.rs
@@ -1,7 +1,7 @@
-//! Detects requests that crash the targets that run them.
+//! Detects requests, and parts of prompts, that crash the targets that run them.
 //!
-//! A request that was running at a target when it crashed may be the cause or may only have been
-//! present. Each crash is weighted by the probability that the target crashed by coincidence while
+//! A request that was running at a target when it crashed, or a part of its prompt, may be the cause or may only have
+//! been present. Each crash is weighted by the probability that the target crashed by coincidence while
 //! the request ran. A request with too many crashes for a coincidence is quarantined.
 
 use std::time::Duration;
@@ -23,6 +23,11 @@
 const SUSPECT_CHANCE: f64 = 1e-2;
 /// Lower bound on the probability counted for one crash; with zero, a single crash would be proof.
 const MIN_CHANCE: f64 = 1e-2;
+/// Lower bound on the probability counted for one crash and a part of a prompt: a target runs prompts with some thirty
+/// parts, and one of them can be the cause.
+const MIN_PART_CHANCE: f64 = 3e-2;
+/// Upper bound for a part, whose soundness is shown by complete responses rather than by how long it ran.
+const MAX_PART_CHANCE: f64 = 0.3;
 /// Time for which a crash is remembered; within it, a request that is not quarantined can crash at
 /// most `MIN_CRASHES` less one targets.
 pub const CRASH_RETENTION: Duration = Duration::from_secs(600);
@@ -109,7 +114,7 @@
             incarnation: IncarnationKey::of(target.target, target.incarnation),
             domain: xxh3_64(target.domain.as_bytes()),
             at,
-            chance_permille: (chance.clamp(MIN_CHANCE, 1.0) * 1000.0).ceil() as u16,
+            chance_permille: (clamp_chance(chance, &fingerprint) * 1000.0).ceil() as u16,
         }
     }
 
@@ -118,6 +123,14 @@
     }
 }
 
+fn clamp_chance(chance: f64, fingerprint: &SuspectFingerprint) -> f64 {
+    if fingerprint.is_part() {
+        chance.clamp(MIN_PART_CHANCE, MAX_PART_CHANCE)
+    } else {
+        chance.clamp(MIN_CHANCE, 1.0)
+    }
+}
+
 /// Report that a request did not cause earlier crashes.
 #[derive(Clone, Copy, Debug, Eq, Hash, PartialEq)]
 pub struct ClearReport {
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -51,6 +51,7 @@
 pub mod rule;
 pub mod run_suspects;
 pub mod silence;
+pub mod sound_parts;
 pub mod stated_limit;
 pub mod stream;
 pub mod target;
--- a/crates/ctl/src/explain.rs
+++ b/crates/ctl/src/explain.rs
@@ -18,6 +18,10 @@
         "no_target",
         "no target had a free slot in time; check limited, backing_off and leaving for targets that were passed over, and domain_state for the groups that were open",
     ),
+    (
+        "quarantined",
+        "targets crashed under the request, or under others with the same part in their prompts; check quarantine_refused for which, and release it if the cause is gone",
+    ),
     (
         "queue_deadline",
         "the request timed out before a slot became free",
@@ -92,6 +96,13 @@
     "target_backoff_begun",
     "target_leaving",
 ];
+/// Events with evidence for or against the quarantine of a request or of a part of prompts.
+const QUARANTINE_EVENTS: [&str; 4] = [
+    "end_counted",
+    "quarantine_begun",
+    "quarantine_ended",
+    "request_cleared",
+];
 /// Fields of `request_ended` that count targets which were passed over.
 const PASSED_OVER_FIELDS: [&str; 3] = ["limited", "backing_off", "leaving"];
 /// Time in seconds before a request within which statements of targets are listed.
@@ -201,7 +212,9 @@
     );
     let passed_over = last.and_then(|line| explain_passed_over(lines, line));
     let parts = [format_lines(&found), outcome];
-    let parts: Vec<String> = parts.into_iter().chain(passed_over).collect();
+    let quarantine = explain_quarantine(lines, &found);
+    let parts = parts.into_iter().chain(passed_over).chain(quarantine);
+    let parts: Vec<String> = parts.collect();
     Some(parts.join("\n\n"))
 }
 
@@ -232,6 +245,27 @@
     ))
 }
 
+/// Returns what all nodes know of the request or part whose quarantine kept a request from running; `None` if none did.
+fn explain_quarantine(lines: &[LogLine], found: &[&LogLine]) -> Option<String> {
+    let refusal = found
+        .iter()
+        .rfind(|line| line.get("event") == "quarantine_refused")?;
+    let print = refusal.get("print");
+    let mut evidence = sorted(lines);
+    evidence.retain(|line| {
+        line.get("print") == print && QUARANTINE_EVENTS.contains(&line.get("event"))
+    });
+    let evidence: Vec<String> = evidence
+        .iter()
+        .map(|line| format!("{:>+9.3} s  {}", line.time() - refusal.time(), line.text()))
+        .collect();
+    Some(format!(
+        "the {} {print} is quarantined:\n{}",
+        refusal.get("kind"),
+        evidence.join("\n")
+    ))
+}
+
 fn sorted(lines: &[LogLine]) -> Vec<&LogLine> {
     let mut sorted: Vec<&LogLine> = lines.iter().collect();
     sorted.sort_by(|left, right| left.time().total_cmp(&right.time()));
--- a/crates/ctl/tests/explain.rs
+++ b/crates/ctl/tests/explain.rs
@@ -94,3 +94,29 @@
         some(not(contains_substring("caller_left")))
     );
 }
+
+/// Log lines of a request that was refused because of a part of its prompt, and of others with and without it.
+const QUARANTINE_LINES: &str = r#"
+ts=1.000 node=front-1 event=end_counted request=r1 print=70aa kind=part target_id=i-1 ends=1
+ts=1.000 node=front-1 event=end_counted request=r1 print=11bb kind=request target_id=i-1 ends=1
+ts=2.000 node=front-2 event=quarantine_begun print=70aa kind=part ends=5 left_ms=599000
+ts=3.000 node=front-1 event=quarantine_refused request=r9 print=70aa kind=part left_ms=598000
+ts=3.000 node=front-1 event=request_ended request=r9 print=22cc outcome=not_run reason=quarantined
+"#;
+
+#[gtest]
+fn a_request_that_was_barred_is_explained_by_the_crashes_put_down_to_its_part() {
+    let lines: Vec<LogLine> = QUARANTINE_LINES
+        .lines()
+        .filter_map(LogLine::parse)
+        .collect();
+    let report = explain(&lines, "r9").expect("the request is found");
+    expect_that!(
+        report,
+        contains_substring("not_run, because of quarantined")
+    );
+    expect_that!(report, contains_substring("the part 70aa is quarantined"));
+    expect_that!(report, contains_substring("-2.000 s  front-1"));
+    expect_that!(report, contains_substring("left_ms=599000"));
+    expect_that!(report, not(contains_substring("11bb")));
+}
--- a/crates/fleet/src/dispatch.rs
+++ b/crates/fleet/src/dispatch.rs
@@ -126,8 +126,7 @@
 
     /// Returns whether a request is quarantined now.
     pub(crate) fn is_quarantined(&self, job: &RequestJob) -> bool {
-        let suspects = &self.shared.suspects;
-        suspects.quarantine_left(job.suspects.request()).is_some()
+        self.shared.suspects.barred(&job.suspects).is_some()
     }
 
     /// Sends a request to a target and waits for the head of the response.
--- a/crates/fleet/src/relay.rs
+++ b/crates/fleet/src/relay.rs
@@ -191,7 +191,7 @@
         self.job.owns_retries()
             && self.job.rule.is_repeatable()
             && self.trace.attempts_sent < self.job.rule.max_attempts
-            && suspects.may_retry(self.job.suspects.request(), self.trace.broken_runs)
+            && suspects.may_retry(&self.job.suspects, self.trace.broken_runs)
     }
 
     fn record_events(&mut self) {
--- a/crates/fleet/src/request_run.rs
+++ b/crates/fleet/src/request_run.rs
@@ -265,6 +265,12 @@
         let acquired = tokio::select! {
             acquired = acquiring => acquired,
             () = partitioned, if may_forward => return Err(AttemptError::Again),
+            () = self.dispatcher.shared().suspects.wait_barred(&self.job.suspects) => {
+                return Err(AttemptError::Ended {
+                    point: FailurePoint::Quarantined,
+                    available_in: None,
+                });
+            }
         };
         acquired.map_err(|error| {
             self.trace.passed_over = error.passed_over;
@@ -292,7 +298,7 @@
         let rule = &self.job.rule;
         let suspects = &self.dispatcher.shared().suspects;
         failed.point.allows_retry(rule.is_repeatable())
-            && suspects.may_retry(self.job.suspects.request(), self.trace.broken_runs)
+            && suspects.may_retry(&self.job.suspects, self.trace.broken_runs)
             && self.trace.attempts_sent < rule.max_attempts
             && self.unreached < MAX_UNREACHED_ATTEMPTS
             && BootClock::now() < self.job.deadline
--- a/crates/fleet/src/request_runner.rs
+++ b/crates/fleet/src/request_runner.rs
@@ -11,6 +11,7 @@
 use crate::job::RequestJob;
 use crate::local_reply::LocalReply;
 use crate::request_run::{FailedRequest, RequestResponse, RequestRun};
+use crate::suspect_ledger::BarredSuspect;
 use crate::trace::RequestTrace;
 
 /// Runs requests of callers and of nodes that forward them.
@@ -88,9 +89,11 @@
         let trace = &failed.trace;
         let metrics = &self.dispatcher.shared().metrics;
         metrics.count_refusal(&trace.organisation);
+        let barred = self.barred(trace).map(|barred| barred.fingerprint);
         log::info!(
             request = trace.request_id.as_str(),
-            print = trace.fingerprint_text().as_str(),
+            print = barred.map(|print| print.to_string()).unwrap_or_default().as_str(),
+            kind = barred.map_or("", |print| print.kind()),
             organisation = trace.organisation.as_str(),
             left_ms = available_in.as_millis() as u64;
             "quarantine_refused"
@@ -98,14 +101,18 @@
         LocalReply::quarantined(available_in)
     }
 
+    /// Returns what keeps a request from running.
+    fn barred(&self, trace: &RequestTrace) -> Option<BarredSuspect> {
+        let suspects = trace.suspects.as_ref()?;
+        self.dispatcher.shared().suspects.barred(suspects)
+    }
+
     /// Returns the time until the request may be served, if known.
     fn available_in(&self, failed: &FailedRequest) -> Option<Duration> {
         if failed.point != FailurePoint::Quarantined {
             return failed.available_in;
         }
-        let suspects = failed.trace.suspects.as_ref()?;
-        let ledger = &self.dispatcher.shared().suspects;
-        let left = ledger.quarantine_left(suspects.request());
-        left.or(failed.available_in)
+        let barred = self.barred(&failed.trace);
+        barred.map(|barred| barred.left).or(failed.available_in)
     }
 }
--- a/crates/fleet/src/run.rs
+++ b/crates/fleet/src/run.rs
@@ -46,14 +46,14 @@
 
     /// Ends the run with a complete response.
     ///
-    /// The request did not crash the target, so it is cleared of the suspicion from earlier crashes.
+    /// Neither the request nor a part of its prompt crashed the target, so they are cleared of the suspicion from earlier
+    /// crashes.
     pub fn complete(&mut self, suspects: &SuspectLedger) {
         let Some(info) = self.info.take() else {
             return;
         };
-        let fingerprint = info.suspects.request();
-        if suspects.has_crashes(fingerprint) {
-            let message = SuspectMessage::Completed(*fingerprint);
+        for fingerprint in suspects.complete(&info.suspects, BootClock::now()) {
+            let message = SuspectMessage::Completed(fingerprint);
             if let Err(error) = self.listeners.suspects.post(message) {
                 log::warn!(error:% = error; "run_untold");
             }
--- a/crates/fleet/src/suspect_ledger.rs
+++ b/crates/fleet/src/suspect_ledger.rs
@@ -4,15 +4,31 @@
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
-use briarswitch_core::crash::{CrashHistory, CrashVerdict, StoreMillis, MIN_CRASHES};
+use briarswitch_core::crash::{ClearReport, CrashHistory, CrashVerdict, StoreMillis, MIN_CRASHES};
 use briarswitch_core::fingerprint::SuspectFingerprint;
+use briarswitch_core::id::Moment;
+use briarswitch_core::run_suspects::RunSuspects;
+use briarswitch_core::sound_parts::SoundParts;
+use tokio::sync::watch;
 
 use crate::ports::{StoreClock, SuspectRow};
 
-/// Records which requests were running when targets crashed.
+/// A quarantine that keeps a request from running.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct BarredSuspect {
+    /// The request itself, or a part of its prompt.
+    pub fingerprint: SuspectFingerprint,
+    /// Remaining time.
+    pub left: Duration,
+}
+
+/// Records which requests, and parts of prompts, were running when targets crashed.
 pub struct SuspectLedger {
     clock: Arc<dyn StoreClock>,
     history: Mutex<CrashHistory>,
+    sound: Mutex<SoundParts>,
+    /// Notified when the history changes.
+    changes: watch::Sender<()>,
     /// Whether the history has any entry. Usually it has none, and requests then skip the lock.
     is_nonempty: AtomicBool,
 }
@@ -42,6 +58,8 @@
         Self {
             clock,
             history: Mutex::default(),
+            sound: Mutex::default(),
+            changes: watch::Sender::new(()),
             is_nonempty: AtomicBool::new(false),
         }
     }
@@ -59,7 +77,60 @@
         self.lock().verdict(fingerprint, self.now())
     }
 
-    /// Returns the remaining quarantine of a request, or `None` if it may run.
+    /// Returns what keeps a request from running, the longest quarantine first; `None` if it may run.
+    pub fn barred(&self, suspects: &RunSuspects) -> Option<BarredSuspect> {
+        let barred = suspects.iter().filter_map(|fingerprint| {
+            let left = self.quarantine_left(fingerprint)?;
+            Some(BarredSuspect {
+                fingerprint: *fingerprint,
+                left,
+            })
+        });
+        barred.max_by_key(|barred| barred.left)
+    }
+
+    /// Waits until a request may not run any more.
+    pub async fn wait_barred(&self, suspects: &RunSuspects) {
+        let mut changes = self.changes.subscribe();
+        while self.barred(suspects).is_none() {
+            if changes.changed().await.is_err() {
+                std::future::pending::<()>().await;
+            }
+        }
+    }
+
+    /// Records that a run ended with a complete response; returns those of its suspects to which crashes were put down.
+    pub fn complete(&self, suspects: &RunSuspects, now: Moment) -> Vec<SuspectFingerprint> {
+        self.lock_sound().record(suspects, now);
+        if !self.is_nonempty.load(Ordering::Relaxed) {
+            return Vec::new();
+        }
+        let history = self.lock();
+        let crashed = suspects
+            .iter()
+            .filter(|fingerprint| history.has_crashes(fingerprint));
+        crashed.copied().collect()
+    }
+
+    /// Returns to which of a run's suspects the crash of its target can be put down.
+    ///
+    /// Not to a part with which another run ended with a complete response a short while ago.
+    pub fn blamed(&self, suspects: &RunSuspects, now: Moment) -> Vec<SuspectFingerprint> {
+        let mut sound = self.lock_sound();
+        let parts = suspects.parts().iter();
+        let parts = parts.filter(|part| sound.has_completed() && !sound.contains(part, now));
+        std::iter::once(suspects.request())
+            .chain(parts)
+            .copied()
+            .collect()
+    }
+
+    /// Returns whether a run with this part of a prompt ended with a complete response a short while ago.
+    pub fn is_sound(&self, fingerprint: &SuspectFingerprint, now: Moment) -> bool {
+        fingerprint.is_part() && self.lock_sound().contains(fingerprint, now)
+    }
+
+    /// Returns the remaining quarantine of a request or part, or `None` if it may run.
     pub fn quarantine_left(&self, fingerprint: &SuspectFingerprint) -> Option<Duration> {
         match self.verdict(fingerprint) {
             CrashVerdict::Quarantined(remaining) => Some(remaining),
@@ -68,15 +139,16 @@
     }
 
     /// Returns whether a request may be sent again within the same attempt, `broken_runs` of whose
-    /// runs broke off.
+    /// runs broke off; the suspect with most crashes decides.
     ///
     /// A caller's own retry is decided by what all nodes know. Between two runs of one attempt no
     /// other node can know yet what the first run has done, and another run could crash the next
     /// target immediately.
-    pub fn may_retry(&self, fingerprint: &SuspectFingerprint, broken_runs: usize) -> bool {
+    pub fn may_retry(&self, suspects: &RunSuspects, broken_runs: usize) -> bool {
         let is_nonempty = self.is_nonempty.load(Ordering::Relaxed);
         let crashes = if is_nonempty {
-            self.crashes(fingerprint)
+            let crashes = suspects.iter().map(|fingerprint| self.crashes(fingerprint));
+            crashes.max().unwrap_or(0)
         } else {
             0
         };
@@ -98,10 +170,22 @@
     pub fn record(&self, row: &SuspectRow) -> bool {
         let mut history = self.lock();
         self.is_nonempty.store(true, Ordering::Relaxed);
-        match row {
+        let is_changed = match row {
             SuspectRow::Crash(crash) => history.record_crash(*crash),
             SuspectRow::Clear(clear) => history.record_clear(*clear),
+        };
+        drop(history);
+        if is_changed {
+            self.changes.send_replace(());
         }
+        is_changed
+    }
+
+    /// Returns the latest report that cleared a request or part, if no crash has been put down to it since.
+    pub fn clearance(&self, fingerprint: &SuspectFingerprint) -> Option<ClearReport> {
+        let history = self.lock();
+        let clear = history.cleared(fingerprint)?;
+        (!history.has_crashes(fingerprint)).then_some(clear)
     }
 
     /// Returns all rows about a request.
@@ -133,6 +217,10 @@
         self.is_nonempty.store(is_nonempty, Ordering::Relaxed);
     }
 
+    fn lock_sound(&self) -> MutexGuard<'_, SoundParts> {
+        self.sound.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
     fn lock(&self) -> MutexGuard<'_, CrashHistory> {
         self.history.lock().unwrap_or_else(PoisonError::into_inner)
     }
--- a/crates/fleet/src/suspect_sync.rs
+++ b/crates/fleet/src/suspect_sync.rs
@@ -146,22 +146,28 @@
                 incarnation: info.target.incarnation,
                 domain: &info.domain,
             };
-            let crash = CrashReport::of(*info.suspects.request(), target, at, ran_for, crash_rate);
-            if crash.chance_permille > MAX_CHANCE_PERMILLE {
-                continue;
+            for fingerprint in self.host.suspects().blamed(&info.suspects, link.now()) {
+                let crash = CrashReport::of(fingerprint, target, at, ran_for, crash_rate);
+                let is_counted = crashes.iter().any(|counted: &CrashReport| {
+                    counted.fingerprint == fingerprint && counted.incarnation == crash.incarnation
+                });
+                if crash.chance_permille > MAX_CHANCE_PERMILLE || is_counted {
+                    continue;
+                }
+                self.host.suspects().record(&SuspectRow::Crash(crash));
+                log::info!(
+                    request = info.request.as_str(),
+                    print:% = fingerprint,
+                    kind = fingerprint.kind(),
+                    organisation = info.organisation.as_str(),
+                    target_id = info.target.id.as_str(),
+                    ran_ms = ran_for.as_millis() as u64,
+                    chance_permille = crash.chance_permille,
+                    ends = self.host.suspects().crashes(&fingerprint);
+                    "end_counted"
+                );
+                crashes.push(crash);
             }
-            self.host.suspects().record(&SuspectRow::Crash(crash));
-            log::info!(
-                request = info.request.as_str(),
-                print:% = info.suspects.request(),
-                organisation = info.organisation.as_str(),
-                target_id = info.target.id.as_str(),
-                ran_ms = ran_for.as_millis() as u64,
-                chance_permille = crash.chance_permille,
-                ends = self.host.suspects().crashes(info.suspects.request());
-                "end_counted"
-            );
-            crashes.push(crash);
         }
         self.report_to_holders(&crashes, link);
         let fingerprints = crashes.iter().map(|crash| crash.fingerprint).collect();
@@ -191,7 +197,18 @@
             }
         }
         for (entry, crashes) in messages.into_values() {
-            self.send(&entry, crashes, link);
+            let rows = crashes.iter().copied().map(SuspectRow::Crash).collect();
+            self.send(&entry, rows, crashes, link);
+        }
+    }
+
+    /// Tells the holders that a request or part did not cause the crashes so far.
+    fn report_clearance(&self, clear: ClearReport, link: &ServiceLink<SuspectMessage>) {
+        let holders = self
+            .host
+            .holders_of(&clear.fingerprint, HOLDERS_PER_REQUEST);
+        for entry in holders.others {
+            self.send(&entry, vec![SuspectRow::Clear(clear)], Vec::new(), link);
         }
     }
 
@@ -200,8 +217,9 @@
         &mut self,
         crashes: &[CrashReport],
         known: Option<Vec<SuspectRow>>,
-        now: Moment,
+        link: &ServiceLink<SuspectMessage>,
     ) {
+        let now = link.now();
         for crash in crashes {
             let row = SuspectRow::Crash(*crash);
             let Some(remaining) = self.unacknowledged.get_mut(&row.key()) else {
@@ -216,12 +234,20 @@
                 self.unacknowledged.swap_remove(&row.key());
             }
         }
-        self.apply_rows(&known.unwrap_or_default(), true, now);
+        let updated = self.apply_rows(&known.unwrap_or_default(), true, now);
+        // One holder may have seen what the other one has not.
+        for row in updated {
+            if let SuspectRow::Clear(clear) = row {
+                self.report_clearance(clear, link);
+            }
+        }
     }
 
+    /// Sends rows to a holder, among them these crashes.
     fn send(
         &self,
         holder: &NodeEntry,
+        rows: Vec<SuspectRow>,
         crashes: Vec<CrashReport>,
         link: &ServiceLink<SuspectMessage>,
     ) {
@@ -229,7 +255,7 @@
         let client = self.client.clone();
         self.host.count(SuspectEvent::CrashReported);
         link.spawn(async move {
-            let doc: SuspectDoc = crashes.iter().copied().map(SuspectRow::Crash).collect();
+            let doc: SuspectDoc = rows.into_iter().collect();
             let reported: Result<SuspectDoc, CallError> = client
                 .call(Method::POST, &url, Some(&doc), HOLDER_TIMEOUT)
                 .await;
@@ -242,11 +268,19 @@
 
     /// Applies rows; `must_write` if this node is one of those that have to make sure they are
     /// written.
-    fn apply_rows(&mut self, rows: &[SuspectRow], must_write: bool, now: Moment) {
+    ///
+    /// Returns those that were new.
+    fn apply_rows(
+        &mut self,
+        rows: &[SuspectRow],
+        must_write: bool,
+        now: Moment,
+    ) -> Vec<SuspectRow> {
         let updated = rows.iter().filter(|row| self.host.suspects().record(row));
-        let fingerprints: IndexSet<SuspectFingerprint> =
-            updated.map(|row| row.key().fingerprint).collect();
+        let updated: Vec<SuspectRow> = updated.copied().collect();
+        let fingerprints = updated.iter().map(|row| row.key().fingerprint).collect();
         self.reevaluate(&fingerprints, must_write, now);
+        updated
     }
 
     /// Reevaluates requests about which new rows were recorded: updates the verdicts and schedules
@@ -259,22 +293,39 @@
     ) {
         for fingerprint in fingerprints {
             let verdict = self.host.suspects().verdict(fingerprint);
+            let was_shared = self.is_shared(fingerprint);
             self.verdicts
                 .record(self.host.as_ref(), fingerprint, verdict);
-            if verdict == CrashVerdict::Clear {
-                continue;
-            }
             let rank = self.own_rank(fingerprint);
             if !must_write && rank.is_none() {
                 continue;
             }
             let stagger = WRITE_STAGGER * rank.unwrap_or(HOLDERS_PER_REQUEST) as u32;
+            if verdict == CrashVerdict::Clear {
+                if let Some(clear) = self.host.suspects().clearance(fingerprint) {
+                    self.withdraw(clear, was_shared, now + stagger);
+                }
+                continue;
+            }
             for row in self.host.suspects().rows(fingerprint) {
                 self.table.schedule_write(row, now + stagger);
             }
         }
     }
 
+    /// Returns whether other nodes may count crashes against a request or part.
+    fn is_shared(&self, fingerprint: &SuspectFingerprint) -> bool {
+        self.verdicts.contains(fingerprint) || self.table.contains(fingerprint)
+    }
+
+    /// Writes no more crashes of what was cleared; what other nodes may have read is cleared in the table as well.
+    fn withdraw(&mut self, clear: ClearReport, is_shared: bool, at: Moment) {
+        self.table.cancel_writes(&clear.fingerprint);
+        if is_shared {
+            self.table.schedule_write(SuspectRow::Clear(clear), at);
+        }
+    }
+
     fn own_rank(&self, fingerprint: &SuspectFingerprint) -> Option<usize> {
         self.host
             .holders_of(fingerprint, HOLDERS_PER_REQUEST)
@@ -282,20 +333,36 @@
     }
 
     /// Records that a request did not cause the crashes so far.
-    fn clear(&mut self, fingerprint: SuspectFingerprint, reason: &'static str, now: Moment) {
+    fn clear(
+        &mut self,
+        fingerprint: SuspectFingerprint,
+        reason: &'static str,
+        link: &ServiceLink<SuspectMessage>,
+    ) {
         if !self.host.suspects().has_crashes(&fingerprint) {
             return;
         }
-        let is_shared = self.verdicts.contains(&fingerprint) || self.table.contains(&fingerprint);
+        let is_shared = self.is_shared(&fingerprint);
         let at = self.host.suspects().now();
-        let row = SuspectRow::Clear(ClearReport { fingerprint, at });
-        self.host.suspects().record(&row);
-        log::info!(print:% = fingerprint, reason = reason; "request_cleared");
+        let clear = ClearReport { fingerprint, at };
+        self.host.suspects().record(&SuspectRow::Clear(clear));
+        log::info!(print:% = fingerprint, kind = fingerprint.kind(), reason = reason; "request_cleared");
         self.verdicts
             .record(self.host.as_ref(), &fingerprint, CrashVerdict::Clear);
-        self.table.cancel_writes(&fingerprint);
-        if is_shared {
-            self.table.schedule_write(row, now);
+        self.withdraw(clear, is_shared, link.now());
+        self.report_clearance(clear, link);
+    }
+
+    /// Clears parts of which others have reported crashes, but with which requests were served here meanwhile.
+    fn clear_sound(
+        &mut self,
+        fingerprints: &IndexSet<SuspectFingerprint>,
+        link: &ServiceLink<SuspectMessage>,
+    ) {
+        for fingerprint in fingerprints {
+            if self.host.suspects().is_sound(fingerprint, link.now()) {
+                self.clear(*fingerprint, "sound", link);
+            }
         }
     }
 
@@ -346,10 +413,13 @@
         });
     }
 
-    fn apply_update(&mut self, update: SuspectUpdate, now: Moment) {
+    fn apply_update(&mut self, update: SuspectUpdate, link: &ServiceLink<SuspectMessage>) {
+        let now = link.now();
         self.mark = Some(update.mark);
         let rows = self.table.apply(&update.changes, update.is_snapshot);
-        self.apply_rows(&rows, false, now);
+        let updated = self.apply_rows(&rows, false, now);
+        let fingerprints = updated.iter().map(|row| row.key().fingerprint).collect();
+        self.clear_sound(&fingerprints, link);
         if update.is_snapshot {
             // Rows that the store lost or never received are written again.
             let suspects = self.host.suspects().suspects().into_iter();
@@ -396,16 +466,19 @@
         let now = link.now();
         match message {
             SuspectMessage::Crashed(runs) => self.record_crashes(runs, link),
-            SuspectMessage::Reported(fingerprints) => self.reevaluate(&fingerprints, true, now),
+            SuspectMessage::Reported(fingerprints) => {
+                self.clear_sound(&fingerprints, link);
+                self.reevaluate(&fingerprints, true, now);
+            }
             SuspectMessage::HolderResponded(crashes, known) => {
-                self.apply_holder_response(&crashes, known, now);
+                self.apply_holder_response(&crashes, known, link);
             }
-            SuspectMessage::Completed(fingerprint) => self.clear(fingerprint, "completed", now),
-            SuspectMessage::Released(fingerprint) => self.clear(fingerprint, "released", now),
+            SuspectMessage::Completed(fingerprint) => self.clear(fingerprint, "completed", link),
+            SuspectMessage::Released(fingerprint) => self.clear(fingerprint, "released", link),
             SuspectMessage::Poll => self.poll(link),
             SuspectMessage::Polled(Ok(update)) => {
                 self.source_health.record(SUSPECT_SERVICE, None, now);
-                self.apply_update(update, now);
+                self.apply_update(update, link);
                 self.poll(link);
             }
             SuspectMessage::Polled(Err(error)) => {
--- a/crates/fleet/src/suspect_table.rs
+++ b/crates/fleet/src/suspect_table.rs
@@ -81,10 +81,10 @@
         self.pending.insert(key, PendingRow { row, at });
     }
 
-    /// Cancels all scheduled writes of a request.
+    /// Cancels all scheduled writes of crashes under a request.
     pub fn cancel_writes(&mut self, fingerprint: &SuspectFingerprint) {
         self.pending
-            .retain(|key, _| key.fingerprint != *fingerprint);
+            .retain(|key, _| key.fingerprint != *fingerprint || key.incarnation.is_none());
     }
 
     /// Returns the scheduled rows that are due, and the expired rows of requests that `may_delete`
--- a/crates/fleet/src/verdict_log.rs
+++ b/crates/fleet/src/verdict_log.rs
@@ -38,10 +38,10 @@
             CrashVerdict::Quarantined(remaining) if !was_quarantined => {
                 host.count(SuspectEvent::QuarantineStarted);
                 let remaining_ms = remaining.as_millis() as u64;
-                log::warn!(print:% = fingerprint, ends = crashes, left_ms = remaining_ms; "quarantine_begun");
+                log::warn!(print:% = fingerprint, kind = fingerprint.kind(), ends = crashes, left_ms = remaining_ms; "quarantine_begun");
             }
             CrashVerdict::Suspect if previous.is_none() => {
-                log::info!(print:% = fingerprint, ends = crashes; "request_suspected");
+                log::info!(print:% = fingerprint, kind = fingerprint.kind(), ends = crashes; "request_suspected");
             }
             CrashVerdict::Clear if was_quarantined => {
                 log::info!(print:% = fingerprint; "quarantine_ended");
@@ -64,6 +64,7 @@
             };
             json!({
                 "print": fingerprint.to_string(),
+                "kind": fingerprint.kind(),
                 "ends": host.suspects().crashes(fingerprint),
                 "quarantine_ms": remaining.map(|remaining| remaining.as_millis() as u64),
             })
--- a/crates/node/src/dispatch.rs
+++ b/crates/node/src/dispatch.rs
@@ -3,7 +3,6 @@
 use std::collections::HashMap;
 use std::sync::{Arc, Mutex, PoisonError, RwLock};
 
-use briarswitch_core::fingerprint::SuspectFingerprint;
 use briarswitch_core::limit::RateShare;
 use briarswitch_core::minted_key::MintedKey;
 use briarswitch_core::prelude::*;
@@ -136,10 +135,10 @@
     }
 
     /// Returns the failure to reply with if the request is quarantined.
-    fn quarantined(&self, fingerprint: &SuspectFingerprint) -> Option<CallerFailure> {
-        let left = self.suspects().quarantine_left(fingerprint)?;
+    fn quarantined(&self, suspects: &RunSuspects) -> Option<CallerFailure> {
+        let barred = self.suspects().barred(suspects)?;
         let failure = CallerFailure::at(FailurePoint::Quarantined);
-        Some(failure.retry_after(left))
+        Some(failure.retry_after(barred.left))
     }
 
     /// Returns the runner that sends attempts to targets.
@@ -181,7 +180,7 @@
         matched: MatchedRequest,
         mut trace: RequestTrace,
     ) -> Result<Response, CallerFailure> {
-        if let Some(failure) = self.quarantined(matched.suspects.request()) {
+        if let Some(failure) = self.quarantined(&matched.suspects) {
             return Err(trace.fail(failure));
         }
         if let Err(failure) = self.check_rate(&matched.admission.organisation) {
@@ -311,7 +310,7 @@
                 }
             };
             // Checked again, because the request may have been quarantined while it was queued.
-            if let Some(failure) = self.quarantined(matched.suspects.request()) {
+            if let Some(failure) = self.quarantined(&matched.suspects) {
                 let point = combine_failures(earlier, failure.point);
                 let failure = CallerFailure { point, ..failure };
                 return Err(self.finish_failed(failure, trace).await);
@@ -328,9 +327,7 @@
             };
             broken_runs += usize::from(is_broken_connection(point));
             let may_retry = point.allows_retry(matched.outgoing.is_repeatable)
-                && self
-                    .suspects()
-                    .may_retry(matched.suspects.request(), broken_runs);
+                && self.suspects().may_retry(&matched.suspects, broken_runs);
             let point = combine_failures(earlier, point);
             earlier = Some(point);
             if !may_retry || !self.withdraw_retry(&trace) {
--- a/crates/node/src/relay.rs
+++ b/crates/node/src/relay.rs
@@ -209,11 +209,11 @@
     async fn resume(&mut self) -> bool {
         self.body = None;
         self.scanner.discard_partial();
-        let fingerprint = self.run.subject.suspects().request();
+        let suspects = self.run.subject.suspects();
         let may_retry = self
             .dispatcher
             .suspects()
-            .may_retry(fingerprint, self.broken_runs);
+            .may_retry(suspects, self.broken_runs);
         if self.resumes >= MAX_RESUMES || !may_retry {
             return false;
         }
