Many targets lost at once bar no part of prompts, and nodes may object before a part is barred

Found by a simulation of prompts that share parts (core, part_simulation; 6, 60 and 300 nodes): with three power losses of all targets 4 of 100 sound requests were refused at 17 targets, 51 at 120 and 68 at 360; where all nodes had just started 14 of 100 beside a crashing part. Cause: a part runs at many targets, so one loss of many counted as many causes, five are enough whatever their chance; and a completion at a node that knew nothing of the crashes cleared nothing.

Change: for a part, crashes within 50 ms have one cause wherever they are; runs that were abandoned say nothing about it; from the crash that decides until it is quarantined a second passes, in which any node that has served requests with the part clears it, since a suspicion is told to all; the crashes of a part that another quarantined part with more of them explains do not count against it. With one cause for many crashes three causes have to do again, so the chance of one is 2 % at least.

--- a/crates/core/src/crash.rs
+++ b/crates/core/src/crash.rs
@@ -23,9 +23,9 @@
 const SUSPECT_CHANCE: f64 = 1e-2;
 /// Lower bound on the probability counted for one crash; with zero, a single crash would be proof.
 const MIN_CHANCE: f64 = 1e-2;
-/// Lower bound on the probability counted for one crash and a part of a prompt: a target runs prompts with some thirty
+/// Lower bound on the probability counted for one crash and a part of a prompt: a target runs prompts with some fifty
 /// parts, and one of them can be the cause.
-const MIN_PART_CHANCE: f64 = 3e-2;
+const MIN_PART_CHANCE: f64 = 2e-2;
 /// Upper bound for a part, whose soundness is shown by complete responses rather than by how long it ran.
 const MAX_PART_CHANCE: f64 = 0.3;
 /// Time for which a crash is remembered; within it, a request that is not quarantined can crash at
@@ -33,6 +33,12 @@
 pub const CRASH_RETENTION: Duration = Duration::from_secs(600);
 /// Crashes in one domain within this time have the same cause.
 const SAME_CAUSE_WINDOW: Duration = Duration::from_millis(100);
+/// Crashes within this time have the same cause for a part of prompts, wherever they are: a part runs at many targets, and
+/// many targets can be lost at once.
+const SAME_PART_CAUSE_WINDOW: Duration = Duration::from_millis(50);
+/// Time from the crash that decides against a part until it is quarantined, in which any node can object that requests
+/// with it were served.
+pub const OBJECTION_TIME: Duration = Duration::from_secs(1);
 /// Period over which the crash rate is computed.
 const RATE_WINDOW: Duration = Duration::from_secs(30);
 /// Minimum period over which the crash rate is computed, for a node that has just started.
@@ -203,6 +209,9 @@
     for crash in crashes {
         let near = |known: &&mut CrashReport| {
             let gap = Duration::from_millis(crash.at.saturating_sub(known.at));
+            if crash.fingerprint.is_part() {
+                return gap < SAME_PART_CAUSE_WINDOW;
+            }
             known.domain == crash.domain && gap < SAME_CAUSE_WINDOW
         };
         match causes.iter_mut().find(near) {
@@ -253,18 +262,31 @@
         crashes.sort_by_key(|crash| (crash.at, crash.incarnation));
         crashes
     }
+}
 
-    /// Returns how long the request stays quarantined: until enough of its crashes have expired.
-    fn quarantine_remaining(&self, now: StoreMillis) -> Option<Duration> {
-        let crashes = self.crashes_at(now);
-        if !is_quarantined(&crashes) {
-            return None;
-        }
-        let last = (0..crashes.len()).take_while(|first| is_quarantined(&crashes[*first..]));
-        let at = crashes[last.last()?].at;
-        let until = at + CRASH_RETENTION.as_millis() as StoreMillis;
-        Some(Duration::from_millis(until.saturating_sub(now)))
+/// Returns how long a request or part with these crashes stays quarantined: until enough of them have expired.
+fn quarantine_remaining(crashes: &[CrashReport], now: StoreMillis) -> Option<Duration> {
+    if !is_quarantined(crashes) || now < quarantined_from(crashes) {
+        return None;
     }
+    let last = (0..crashes.len()).take_while(|first| is_quarantined(&crashes[*first..]));
+    let at = crashes[last.last()?].at;
+    let until = at + CRASH_RETENTION.as_millis() as StoreMillis;
+    Some(Duration::from_millis(until.saturating_sub(now)))
+}
+
+/// Returns when crashes that are enough for a quarantine lead to it.
+fn quarantined_from(crashes: &[CrashReport]) -> StoreMillis {
+    let decisive = (1..=crashes.len()).find(|count| is_quarantined(&crashes[..*count]));
+    let decisive = decisive.map(|count| crashes[count - 1]);
+    decisive.map_or(0, |crash| {
+        let wait = if crash.fingerprint.is_part() {
+            OBJECTION_TIME
+        } else {
+            Duration::ZERO
+        };
+        crash.at + wait.as_millis() as StoreMillis
+    })
 }
 
 /// Returns whether a report made at `at` no longer counts at `now`.
@@ -360,13 +382,37 @@
         let Some(record) = self.records.get(fingerprint) else {
             return CrashVerdict::Clear;
         };
-        match record.quarantine_remaining(now) {
+        let mut crashes = record.crashes_at(now);
+        if fingerprint.is_part() && is_quarantined(&crashes) {
+            self.drop_explained(fingerprint, &mut crashes, now);
+        }
+        match quarantine_remaining(&crashes, now) {
             Some(remaining) => CrashVerdict::Quarantined(remaining),
-            None if is_suspect(&record.crashes_at(now)) => CrashVerdict::Suspect,
+            None if is_suspect(&crashes) => CrashVerdict::Suspect,
             None => CrashVerdict::Clear,
         }
     }
 
+    /// Drops the crashes of a part that another one explains: one that is quarantined itself, under which more targets
+    /// have crashed.
+    fn drop_explained(
+        &self,
+        part: &SuspectFingerprint,
+        crashes: &mut Vec<CrashReport>,
+        now: StoreMillis,
+    ) {
+        let own_count = crashes.len();
+        let others = self.records.iter().filter(|(other, record)| {
+            other.is_part() && *other != part && record.crashes.len() > own_count
+        });
+        for (_, other) in others {
+            let other_crashes = other.crashes_at(now);
+            if other_crashes.len() > own_count && is_quarantined(&other_crashes) {
+                crashes.retain(|crash| !other.crashes.contains_key(&crash.incarnation));
+            }
+        }
+    }
+
     /// Returns the crashes of targets that ran the request, as far as they still count.
     pub fn crashes(&self, fingerprint: &SuspectFingerprint, now: StoreMillis) -> Vec<CrashReport> {
         let record = self.records.get(fingerprint);
--- a/crates/core/src/sound_parts.rs
+++ b/crates/core/src/sound_parts.rs
@@ -53,11 +53,18 @@
         self.current.contains(part) || self.previous.contains(part)
     }
 
-    /// Returns whether any run has ended with a complete response.
+    /// Returns to which of a run's suspects the crash of its target can be put down.
     ///
-    /// Until then, nothing tells a part that crashes targets from those that all requests share.
-    pub fn has_completed(&self) -> bool {
-        self.has_completed
+    /// Not to a part with which another run ended with a complete response a short while ago, and to no part before any
+    /// run has: until then, nothing tells a part that crashes targets from those that all requests share.
+    pub fn blamed(&mut self, run: &RunSuspects, now: Moment) -> Vec<SuspectFingerprint> {
+        let has_completed = self.has_completed;
+        let parts = run.parts().iter();
+        let parts = parts.filter(|part| has_completed && !self.contains(part, now));
+        std::iter::once(run.request())
+            .chain(parts)
+            .copied()
+            .collect()
     }
 
     fn rotate(&mut self, now: Moment) {
--- a/crates/fleet/src/crash_watcher.rs
+++ b/crates/fleet/src/crash_watcher.rs
@@ -224,6 +224,7 @@
                 RunEnd::Broken => run.at,
                 RunEnd::Abandoned => now,
             },
+            is_broken: run.failure == RunEnd::Broken,
             info: run.info,
         });
         let message = SuspectMessage::Crashed(crashed.collect());
--- a/crates/fleet/src/suspect_ledger.rs
+++ b/crates/fleet/src/suspect_ledger.rs
@@ -13,6 +13,9 @@
 
 use crate::ports::{StoreClock, SuspectRow};
 
+/// Interval at which a request that waits is checked for a quarantine, as long as there are any crashes.
+const BARRED_POLL_INTERVAL: Duration = Duration::from_millis(200);
+
 /// A quarantine that keeps a request from running.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub struct BarredSuspect {
@@ -93,8 +96,12 @@
     pub async fn wait_barred(&self, suspects: &RunSuspects) {
         let mut changes = self.changes.subscribe();
         while self.barred(suspects).is_none() {
-            if changes.changed().await.is_err() {
-                std::future::pending::<()>().await;
+            let changed = changes.changed();
+            if self.is_nonempty.load(Ordering::Relaxed) {
+                // Verdicts change with time, too.
+                let _ = tokio::time::timeout(BARRED_POLL_INTERVAL, changed).await;
+            } else {
+                let _ = changed.await;
             }
         }
     }
@@ -113,16 +120,8 @@
     }
 
     /// Returns to which of a run's suspects the crash of its target can be put down.
-    ///
-    /// Not to a part with which another run ended with a complete response a short while ago.
     pub fn blamed(&self, suspects: &RunSuspects, now: Moment) -> Vec<SuspectFingerprint> {
-        let mut sound = self.lock_sound();
-        let parts = suspects.parts().iter();
-        let parts = parts.filter(|part| sound.has_completed() && !sound.contains(part, now));
-        std::iter::once(suspects.request())
-            .chain(parts)
-            .copied()
-            .collect()
+        self.lock_sound().blamed(suspects, now)
     }
 
     /// Returns whether a run with this part of a prompt ended with a complete response a short while ago.
--- a/crates/fleet/src/suspect_sync.rs
+++ b/crates/fleet/src/suspect_sync.rs
@@ -63,6 +63,8 @@
     pub ran_for: Duration,
     /// When the target crashed, as far as the run shows.
     pub crashed_at: Moment,
+    /// Whether its connection broke; otherwise it was abandoned before.
+    pub is_broken: bool,
 }
 
 /// Message to [`SuspectSync`].
@@ -135,6 +137,7 @@
             info,
             ran_for,
             crashed_at,
+            is_broken,
         } in runs
         {
             // The time of the crash itself is used: crashes that are only noticed together would
@@ -146,7 +149,12 @@
                 incarnation: info.target.incarnation,
                 domain: &info.domain,
             };
-            for fingerprint in self.host.suspects().blamed(&info.suspects, link.now()) {
+            let mut blamed = self.host.suspects().blamed(&info.suspects, link.now());
+            if !is_broken {
+                // When such a run's target crashed is not known, and a part may have had many runs.
+                blamed.retain(|fingerprint| !fingerprint.is_part());
+            }
+            for fingerprint in blamed {
                 let crash = CrashReport::of(fingerprint, target, at, ran_for, crash_rate);
                 let is_counted = crashes.iter().any(|counted: &CrashReport| {
                     counted.fingerprint == fingerprint && counted.incarnation == crash.incarnation
@@ -436,11 +444,11 @@
             let counts = self.host.crash_count();
             self.crash_rate.record(counts.crashes, counts.targets, now);
             self.host.suspects().prune();
-            self.refresh_verdicts();
         }
+        self.refresh_verdicts();
     }
 
-    /// Updates the verdicts of requests whose crashes may have expired.
+    /// Updates the verdicts that time changes: crashes expire, and nobody has objected to a quarantine.
     fn refresh_verdicts(&mut self) {
         for fingerprint in self.verdicts.fingerprints() {
             let verdict = self.host.suspects().verdict(&fingerprint);
