--- a/crates/model/examples/check.rs
+++ b/crates/model/examples/check.rs
@@ -6,10 +6,11 @@
 use std::process::ExitCode;
 
 use briarswitch_model::{
-    search, stuck_states, ConfigDefect, ConfigSpec, CrashDefect, CrashSpec, ForwardDefect,
-    ForwardSpec, GateDefect, GateSpec, GroupFormationDefect, GroupFormationSpec, KeyDefect,
-    KeySpec, LeaseDefect, LeaseSpec, OrderDefect, OrderSpec, RelayDefect, RelaySpec, RestartDefect,
-    RestartSpec, Specification, StatedLimitDefect, StatedLimitSpec, WarmupDefect, WarmupLimitSpec,
+    search, stuck_states, ConfigDefect, ConfigSpec, CrashDefect, CrashPartDefect, CrashPartSpec,
+    CrashSpec, ForwardDefect, ForwardSpec, GateDefect, GateSpec, GroupFormationDefect,
+    GroupFormationSpec, KeyDefect, KeySpec, LeaseDefect, LeaseSpec, OrderDefect, OrderSpec,
+    RelayDefect, RelaySpec, RestartDefect, RestartSpec, Specification, StatedLimitDefect,
+    StatedLimitSpec, WarmupDefect, WarmupLimitSpec,
 };
 
 /// Prints the results of the checks and counts failures.
@@ -86,6 +87,7 @@
     summary.check_properties("configuration edits", &ConfigSpec::sound());
     summary.check_properties("at-most-once execution by key", &KeySpec::sound());
     summary.check_properties("requests that crash targets", &CrashSpec::sound());
+    summary.check_properties("parts that crash targets", &CrashPartSpec::sound());
     summary.check_properties("limit of a target that warms up", &WarmupLimitSpec::sound());
     summary.check_properties("limit that a target states", &StatedLimitSpec::sound());
     summary.check_properties("forwarding, at-most-once", &ForwardSpec::sound(false));
@@ -190,6 +192,16 @@
         let name = format!("requests that crash targets with {defect:?}");
         summary.check_defect(&name, &CrashSpec::defective(defect));
     }
+    for defect in [
+        CrashPartDefect::ClearsAll,
+        CrashPartDefect::ClearUntold,
+        CrashPartDefect::SharedPartBlamed,
+        CrashPartDefect::FirstPartOnly,
+        CrashPartDefect::NoObjection,
+    ] {
+        let name = format!("parts that crash targets with {defect:?}");
+        summary.check_defect(&name, &CrashPartSpec::defective(defect));
+    }
     for defect in [
         WarmupDefect::RoundedUp,
         WarmupDefect::RankedAmongLive,
