Many targets lost at once count as one crash of a part for retries, too

A request whose part was at many targets that were lost at once would not have been resumed or sent again until the part was cleared: the count for retries took each target, the verdict one cause. Both take causes now. Three tests of the verdict on parts in core (one loss of many, time for objections, crashes that another part explains).

--- a/crates/core/src/crash.rs
+++ b/crates/core/src/crash.rs
@@ -419,6 +419,30 @@
         record.map_or_else(Vec::new, |record| record.crashes_at(now))
     }
 
+    /// Returns how often targets have crashed that ran the request or part; many targets lost at once count once for a
+    /// part, which may have run at all of them.
+    ///
+    /// ```
+    /// use briarswitch_core::crash::{CrashHistory, CrashReport, IncarnationKey};
+    /// use briarswitch_core::fingerprint::SuspectFingerprint;
+    ///
+    /// let fingerprint = SuspectFingerprint::of_part("a");
+    /// let mut history = CrashHistory::default();
+    /// for incarnation in [1, 2].map(IncarnationKey) {
+    ///     let crash = CrashReport { fingerprint, incarnation, domain: incarnation.0, at: 5, chance_permille: 20 };
+    ///     history.record_crash(crash);
+    /// }
+    /// assert_eq!(history.crash_count(&fingerprint, 5), 1);
+    /// ```
+    pub fn crash_count(&self, fingerprint: &SuspectFingerprint, now: StoreMillis) -> usize {
+        let crashes = self.crashes(fingerprint, now);
+        if fingerprint.is_part() {
+            merge_same_cause(&crashes).len()
+        } else {
+            crashes.len()
+        }
+    }
+
     /// Returns the latest report that cleared the request.
     pub fn cleared(&self, fingerprint: &SuspectFingerprint) -> Option<ClearReport> {
         let record = self.records.get(fingerprint)?;
--- a/crates/core/tests/crash.rs
+++ b/crates/core/tests/crash.rs
@@ -310,3 +310,55 @@
         prop_assert_eq!(first.verdict(&fingerprint(), 10_000), second.verdict(&fingerprint(), 10_000));
     }
 }
+
+fn part_history(crashes: &[(u64, StoreMillis)]) -> CrashHistory {
+    let mut history = CrashHistory::default();
+    for (incarnation, at) in crashes {
+        history.record_crash(CrashReport {
+            fingerprint: SuspectFingerprint::of_part("part"),
+            incarnation: IncarnationKey(*incarnation),
+            domain: *incarnation,
+            at: *at,
+            chance_permille: 20,
+        });
+    }
+    history
+}
+
+/// Guards against a part of sound prompts that is barred because many targets were lost at once.
+#[gtest]
+fn many_targets_lost_at_once_are_one_crash_for_a_part() {
+    let part = SuspectFingerprint::of_part("part");
+    let lost: Vec<(u64, StoreMillis)> = (0..40).map(|target| (target, 1_000 + target)).collect();
+    let history = part_history(&lost);
+    expect_that!(history.crash_count(&part, 60_000), eq(1));
+    expect_that!(history.verdict(&part, 60_000), eq(CrashVerdict::Clear));
+}
+
+/// Guards against a part that is barred before nodes that have served it could say so.
+#[gtest]
+fn a_part_is_barred_only_after_the_time_for_objections() {
+    let part = SuspectFingerprint::of_part("part");
+    let history = part_history(&[(1, 1_000), (2, 2_000), (3, 3_000)]);
+    expect_that!(history.verdict(&part, 3_999), eq(CrashVerdict::Suspect));
+    expect_true!(is_quarantined(history.verdict(&part, 4_000)));
+}
+
+/// Guards against a part that is barred for crashes which another part explains.
+#[gtest]
+fn a_part_is_not_barred_for_crashes_that_another_one_explains() {
+    let beside = SuspectFingerprint::of_part("beside");
+    let mut history = part_history(&[(1, 1_000), (2, 2_000), (3, 3_000), (4, 4_000)]);
+    for (incarnation, at) in [(1, 1_000), (2, 2_000), (3, 3_000)] {
+        history.record_crash(CrashReport {
+            fingerprint: beside,
+            incarnation: IncarnationKey(incarnation),
+            domain: incarnation,
+            at,
+            chance_permille: 20,
+        });
+    }
+    expect_that!(history.verdict(&beside, 9_000), eq(CrashVerdict::Clear));
+    let part = SuspectFingerprint::of_part("part");
+    expect_true!(is_quarantined(history.verdict(&part, 9_000)));
+}
--- a/crates/fleet/src/suspect_ledger.rs
+++ b/crates/fleet/src/suspect_ledger.rs
@@ -157,7 +157,7 @@
     /// Returns how many targets have crashed while running the request, without expired crashes and
     /// those it was cleared of.
     pub fn crashes(&self, fingerprint: &SuspectFingerprint) -> usize {
-        self.lock().crashes(fingerprint, self.now()).len()
+        self.lock().crash_count(fingerprint, self.now())
     }
 
     /// Returns whether any target has crashed while running the request.
