Objections are staggered, and counting a crash is split into steps

Of many nodes that have served a suspected part each would have written a clear at once. They wait up to 0.3 s, mostly long, so that a few write and the others learn of it: at 985 nodes about six in a hundred where the table takes 150 ms, by the distribution (not measured).

--- a/crates/fleet/src/suspect_sync.rs
+++ b/crates/fleet/src/suspect_sync.rs
@@ -51,6 +51,9 @@
 /// Interval at which the crash rate of targets is sampled.
 const CRASH_RATE_INTERVAL: Duration = Duration::from_secs(2);
 
+/// Maximum delay of an objection.
+const MAX_OBJECTION_DELAY: Duration = Duration::from_millis(300);
+
 /// Name of the service.
 pub const SUSPECT_SERVICE: &str = "suspects";
 
@@ -76,6 +79,8 @@
     /// A holder received these crash reports and responded with what it knows of the requests, or
     /// did not respond.
     HolderResponded(Vec<CrashReport>, Option<Vec<SuspectRow>>),
+    /// Clear parts with which requests were served here, unless another node has.
+    Object(IndexSet<SuspectFingerprint>),
     /// A request that had crashed targets before received a complete response.
     Completed(SuspectFingerprint),
     /// The operator released a request.
@@ -131,50 +136,19 @@
 
     /// Records crashes that this node saw, and reports them to their holders.
     fn record_crashes(&mut self, runs: Vec<CrashedRun>, link: &ServiceLink<SuspectMessage>) {
-        let (store_time, crash_rate) = (self.host.suspects().now(), self.crash_rate.per_second());
         let mut crashes = Vec::new();
-        for CrashedRun {
-            info,
-            ran_for,
-            crashed_at,
-            is_broken,
-        } in runs
-        {
-            // The time of the crash itself is used: crashes that are only noticed together would
-            // otherwise count as one.
-            let elapsed = link.now().saturating_sub(crashed_at).as_millis() as StoreMillis;
-            let at = store_time.saturating_sub(elapsed);
-            let target = CrashedTarget {
-                target: &info.target.id,
-                incarnation: info.target.incarnation,
-                domain: &info.domain,
-            };
-            let mut blamed = self.host.suspects().blamed(&info.suspects, link.now());
-            if !is_broken {
-                // When such a run's target crashed is not known, and a part may have had many runs.
-                blamed.retain(|fingerprint| !fingerprint.is_part());
-            }
-            for fingerprint in blamed {
-                let crash = CrashReport::of(fingerprint, target, at, ran_for, crash_rate);
-                let is_counted = crashes.iter().any(|counted: &CrashReport| {
-                    counted.fingerprint == fingerprint && counted.incarnation == crash.incarnation
-                });
-                if crash.chance_permille > MAX_CHANCE_PERMILLE || is_counted {
-                    continue;
+        for run in &runs {
+            for fingerprint in self.blamed(run, link.now()) {
+                let crash = self.crash_report(run, fingerprint, link.now());
+                let is_counted = fingerprint.is_part()
+                    && crashes.iter().any(|counted: &CrashReport| {
+                        counted.fingerprint == fingerprint
+                            && counted.incarnation == crash.incarnation
+                    });
+                if crash.chance_permille <= MAX_CHANCE_PERMILLE && !is_counted {
+                    self.count_crash(run, crash);
+                    crashes.push(crash);
                 }
-                self.host.suspects().record(&SuspectRow::Crash(crash));
-                log::info!(
-                    request = info.request.as_str(),
-                    print:% = fingerprint,
-                    kind = fingerprint.kind(),
-                    organisation = info.organisation.as_str(),
-                    target_id = info.target.id.as_str(),
-                    ran_ms = ran_for.as_millis() as u64,
-                    chance_permille = crash.chance_permille,
-                    ends = self.host.suspects().crashes(&fingerprint);
-                    "end_counted"
-                );
-                crashes.push(crash);
             }
         }
         self.report_to_holders(&crashes, link);
@@ -182,6 +156,51 @@
         self.reevaluate(&fingerprints, true, link.now());
     }
 
+    /// Returns to which of a run's suspects the crash of its target can be put down.
+    fn blamed(&self, run: &CrashedRun, now: Moment) -> Vec<SuspectFingerprint> {
+        let mut blamed = self.host.suspects().blamed(&run.info.suspects, now);
+        if !run.is_broken {
+            // When such a run's target crashed is not known, so one loss of many targets would count as several for a part.
+            blamed.retain(|fingerprint| !fingerprint.is_part());
+        }
+        blamed
+    }
+
+    /// Returns the report of a crash under a request or part.
+    fn crash_report(
+        &self,
+        run: &CrashedRun,
+        fingerprint: SuspectFingerprint,
+        now: Moment,
+    ) -> CrashReport {
+        // The time of the crash itself is used: crashes that are only noticed together would otherwise count as one.
+        let elapsed = now.saturating_sub(run.crashed_at).as_millis() as StoreMillis;
+        let at = self.host.suspects().now().saturating_sub(elapsed);
+        let target = CrashedTarget {
+            target: &run.info.target.id,
+            incarnation: run.info.target.incarnation,
+            domain: &run.info.domain,
+        };
+        let rate = self.crash_rate.per_second();
+        CrashReport::of(fingerprint, target, at, run.ran_for, rate)
+    }
+
+    fn count_crash(&self, run: &CrashedRun, crash: CrashReport) {
+        let suspects = self.host.suspects();
+        suspects.record(&SuspectRow::Crash(crash));
+        log::info!(
+            request = run.info.request.as_str(),
+            print:% = crash.fingerprint,
+            kind = crash.fingerprint.kind(),
+            organisation = run.info.organisation.as_str(),
+            target_id = run.info.target.id.as_str(),
+            ran_ms = run.ran_for.as_millis() as u64,
+            chance_permille = crash.chance_permille,
+            ends = suspects.crashes(&crash.fingerprint);
+            "end_counted"
+        );
+    }
+
     /// Reports crashes to the nodes that rank first for each request; if there are none, the rows
     /// are written immediately.
     fn report_to_holders(&mut self, crashes: &[CrashReport], link: &ServiceLink<SuspectMessage>) {
@@ -374,6 +393,17 @@
         }
     }
 
+    /// Clears parts of which the table says that targets crash, in a moment, if requests with them were served here.
+    fn schedule_objection(&self, rows: &[SuspectRow], link: &ServiceLink<SuspectMessage>) {
+        let suspects = self.host.suspects();
+        let fingerprints = rows.iter().map(|row| row.key().fingerprint);
+        let sound = fingerprints.filter(|fingerprint| suspects.is_sound(fingerprint, link.now()));
+        let sound: IndexSet<SuspectFingerprint> = sound.collect();
+        if !sound.is_empty() {
+            link.send_after(objection_delay(), SuspectMessage::Object(sound));
+        }
+    }
+
     /// Writes rows that are due, and deletes expired rows of the requests that this node ranks
     /// first for.
     fn write_due(&mut self, link: &ServiceLink<SuspectMessage>) {
@@ -426,8 +456,7 @@
         self.mark = Some(update.mark);
         let rows = self.table.apply(&update.changes, update.is_snapshot);
         let updated = self.apply_rows(&rows, false, now);
-        let fingerprints = updated.iter().map(|row| row.key().fingerprint).collect();
-        self.clear_sound(&fingerprints, link);
+        self.schedule_objection(&updated, link);
         if update.is_snapshot {
             // Rows that the store lost or never received are written again.
             let suspects = self.host.suspects().suspects().into_iter();
@@ -458,6 +487,11 @@
     }
 }
 
+/// Returns a random delay, mostly a long one: of many nodes a few object first, and the others learn of it meanwhile.
+fn objection_delay() -> Duration {
+    MAX_OBJECTION_DELAY.mul_f64(rand::random::<f64>().powf(0.25))
+}
+
 impl Service for SuspectSync {
     type Message = SuspectMessage;
 
@@ -478,6 +512,7 @@
                 self.clear_sound(&fingerprints, link);
                 self.reevaluate(&fingerprints, true, now);
             }
+            SuspectMessage::Object(fingerprints) => self.clear_sound(&fingerprints, link),
             SuspectMessage::HolderResponded(crashes, known) => {
                 self.apply_holder_response(&crashes, known, link);
             }
