--- a/crates/fleet/tests/skewed_callers.rs
+++ b/crates/fleet/tests/skewed_callers.rs
@@ -10,8 +10,10 @@
 
 /// Zones of the nodes.
 const ZONES: [&str; 6] = ["z1", "z1", "z2", "z2", "z3", "z3"];
-/// Time between two requests of all callers together.
+/// Time between two requests of all callers together, with which about half of all slots are in use.
 const CALL_INTERVAL: Duration = Duration::from_millis(4);
+/// The same for seven tenths of all slots.
+const BUSY_CALL_INTERVAL: Duration = Duration::from_micros(2_800);
 /// Time for which callers are spread over all nodes.
 const EVEN_TIME: Duration = Duration::from_secs(3);
 /// Time for which most callers go to one node.
@@ -35,10 +37,16 @@
 }
 
 /// Sends requests for a time, and returns when each was sent and whether it was served.
-async fn send(fleet: &Fleet, path: &str, time: Duration, is_skewed: bool) -> Vec<(Instant, bool)> {
-    let count = time.div_duration_f64(CALL_INTERVAL) as u32;
+async fn send(
+    fleet: &Fleet,
+    path: &str,
+    interval: Duration,
+    time: Duration,
+    is_skewed: bool,
+) -> Vec<(Instant, bool)> {
+    let count = time.div_duration_f64(interval) as u32;
     let calls = (0..count).map(|index| async move {
-        tokio::time::sleep(CALL_INTERVAL * index).await;
+        tokio::time::sleep(interval * index).await;
         let at = Instant::now();
         let body = format!("{is_skewed} {index}");
         let request = TestRequest {
@@ -56,10 +64,10 @@
     served as f64 / sent.len().max(1) as f64
 }
 
-async fn check(fleet: &Fleet, path: &str) {
-    let even = served_share(&send(fleet, path, EVEN_TIME, false).await);
+async fn check(fleet: &Fleet, path: &str, interval: Duration) {
+    let even = served_share(&send(fleet, path, interval, EVEN_TIME, false).await);
     let start = Instant::now();
-    let mut skewed = send(fleet, path, SKEWED_TIME, true).await;
+    let mut skewed = send(fleet, path, interval, SKEWED_TIME, true).await;
     skewed.retain(|(at, _)| *at > start + CONTACT_TIME);
     let share = served_share(&skewed);
     expect_that!(share, ge(MIN_SERVED_SHARE * even), "{even} before");
@@ -71,7 +79,7 @@
 #[tokio::test(flavor = "multi_thread")]
 async fn a_node_with_most_callers_serves_streams_of_groups() {
     let fleet = Fleet::open_groups(8, &ZONES).await;
-    check(&fleet, "/model/x").await;
+    check(&fleet, "/model/x", CALL_INTERVAL).await;
 }
 
 /// Guards against the same at single targets.
@@ -79,5 +87,13 @@
 #[tokio::test(flavor = "multi_thread")]
 async fn a_node_with_most_callers_serves_calls() {
     let fleet = Fleet::open(8, &ZONES).await;
-    check(&fleet, "/look/x").await;
+    check(&fleet, "/look/x", CALL_INTERVAL).await;
+}
+
+/// Guards against the same where fewer slots are free than the node's share is short of.
+#[gtest]
+#[tokio::test(flavor = "multi_thread")]
+async fn a_node_with_most_callers_serves_streams_of_groups_that_are_mostly_full() {
+    let fleet = Fleet::open_groups(8, &ZONES).await;
+    check(&fleet, "/model/x", BUSY_CALL_INTERVAL).await;
 }
