HTTP: the pool of idle connections is one piece, and two import circles are gone

Moving the body of a response out of target.rs had left its pool half there and half in target_body.rs, which imported each other; the responses to HTTP/1.0 had made server.rs and reply.rs do the same. IdlePool takes, keeps and closes connections now; the message types have a module of their own; a response is buffered where the others are built. No change of behaviour; the tests of ends, pool and HTTP/1.0 are as before.

--- a/crates/http/src/lib.rs
+++ b/crates/http/src/lib.rs
@@ -11,6 +11,8 @@
 //! ```
 
 mod client;
+mod idle_pool;
+mod message;
 mod reply;
 mod server;
 mod target;
@@ -23,8 +25,8 @@
 };
 pub use volo_http::body::Body;
 
-pub use server::{Handler, HttpServer, Request, Response, ServerGuard};
-pub use target::{
-    full_body, SendError, SendProgress, TargetAddress, TargetClient, TargetLimits, TargetResponse,
-};
+pub use idle_pool::TargetAddress;
+pub use message::{Request, Response};
+pub use server::{Handler, HttpServer, ServerGuard};
+pub use target::{full_body, SendError, SendProgress, TargetClient, TargetLimits, TargetResponse};
 pub use target_body::{BodyEnd, BodyPart, TargetBody, WholeBody};
--- a/crates/http/src/reply.rs
+++ b/crates/http/src/reply.rs
@@ -7,7 +7,7 @@
 
 use bytes::{Bytes, BytesMut};
 use futures::{Stream, StreamExt};
-use http::header::CONTENT_TYPE;
+use http::header::{CONTENT_LENGTH, CONTENT_TYPE};
 use http::{HeaderValue, StatusCode};
 use http_body::Frame;
 use http_body_util::BodyExt;
@@ -15,7 +15,7 @@
 use serde::Serialize;
 use volo_http::body::Body;
 
-use crate::server::Response;
+use crate::message::Response;
 
 /// Error while reading a body.
 #[derive(Clone, Copy, Debug, Eq, PartialEq, thiserror::Error)]
@@ -69,6 +69,19 @@
     Ok(first.unwrap_or_else(|| rest.freeze()))
 }
 
+/// Reads the whole body of a response, of at most `limit` bytes, and sets its length.
+///
+/// A response whose body is too large or breaks is replaced by an error.
+pub(crate) async fn buffered_response(response: Response, limit: usize) -> Response {
+    let (mut head, body) = response.into_parts();
+    let Ok(bytes) = read_body(body, limit).await else {
+        return reply_text(StatusCode::BAD_GATEWAY, "the response is incomplete");
+    };
+    let length = HeaderValue::from(bytes.len());
+    head.headers.insert(CONTENT_LENGTH, length);
+    Response::from_parts(head, Body::from(bytes))
+}
+
 /// Builds a response from bytes.
 pub fn reply_bytes(status: StatusCode, content_type: &'static str, bytes: Bytes) -> Response {
     let mut response = Response::new(Body::from(bytes));
--- a/crates/http/src/server.rs
+++ b/crates/http/src/server.rs
@@ -6,19 +6,18 @@
 use std::sync::Arc;
 
 use futures::future::BoxFuture;
-use http::header::CONTENT_LENGTH;
-use http::{HeaderValue, StatusCode, Version};
+use http::Version;
 use tokio::net::TcpListener;
 use tokio::sync::watch;
 use tokio::task::JoinHandle;
 use volo::context::Context;
 use volo::net::incoming::DefaultIncoming;
 use volo::service::Service;
-use volo_http::body::Body;
 use volo_http::context::ServerContext;
 use volo_http::server::Server;
 
-use crate::reply::{read_body, reply_text};
+use crate::message::{Request, Response};
+use crate::reply::buffered_response;
 
 /// Maximum number of headers. The library rejects requests with more by an empty 431 response, so
 /// handlers that set a lower limit can return an error body of their own.
@@ -27,11 +26,6 @@
 /// Largest response to an HTTP/1.0 request in bytes.
 const MAX_BUFFERED_BYTES: usize = 64 << 20;
 
-/// Request type of handlers.
-pub type Request = http::Request<Body>;
-/// Response type of handlers.
-pub type Response = http::Response<Body>;
-
 /// Handles the requests of one listener.
 pub trait Handler: Send + Sync + 'static {
     /// Handles one request.
@@ -140,19 +134,7 @@
         if has_chunks {
             return Ok(response);
         }
-        Ok(with_length(response).await)
+        // HTTP/1.0 has no chunks, so that a body without a length which breaks would end like a complete one.
+        Ok(buffered_response(response, MAX_BUFFERED_BYTES).await)
     }
 }
-
-/// Reads the whole body of a response and sets its length.
-///
-/// HTTP/1.0 has no chunks, so that a body without a length which breaks would end like a complete one.
-async fn with_length(response: Response) -> Response {
-    let (mut head, body) = response.into_parts();
-    let Ok(bytes) = read_body(body, MAX_BUFFERED_BYTES).await else {
-        return reply_text(StatusCode::BAD_GATEWAY, "the response is incomplete");
-    };
-    head.headers
-        .insert(CONTENT_LENGTH, HeaderValue::from(bytes.len()));
-    Response::from_parts(head, Body::from(bytes))
-}
--- a/crates/http/src/target.rs
+++ b/crates/http/src/target.rs
@@ -1,31 +1,18 @@
 //! HTTP client for targets that reports whether any byte of a request can have been sent.
 
-use std::collections::HashMap;
 use std::io::ErrorKind;
 use std::sync::atomic::{AtomicBool, Ordering};
-use std::sync::{Arc, Mutex, PoisonError};
 use std::time::Duration;
 
 use bytes::Bytes;
 use http_body_util::Full;
-use hyper::client::conn::http1::{handshake, SendRequest};
+use hyper::client::conn::http1::handshake;
 use hyper_util::rt::TokioIo;
 use tokio::net::TcpStream;
 
+use crate::idle_pool::{IdlePool, Sender, TargetAddress};
 use crate::target_body::{PooledConnection, TargetBody};
 
-/// Address and incarnation of a target.
-///
-/// The incarnation is part of the pool's key so that a connection to a machine is never used for
-/// another machine that replaced it at the same address.
-#[derive(Clone, Debug, Eq, Hash, PartialEq)]
-pub struct TargetAddress {
-    /// Address as `ip:port`.
-    pub address: String,
-    /// Incarnation of the machine.
-    pub incarnation: u64,
-}
-
 /// Limits of a [`TargetClient`].
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub struct TargetLimits {
@@ -73,11 +60,6 @@
     }
 }
 
-/// Sends requests on one connection.
-pub(crate) type Sender = SendRequest<Full<Bytes>>;
-/// Idle connections.
-pub(crate) type IdlePool = Arc<Mutex<HashMap<TargetAddress, Vec<Sender>>>>;
-
 /// Sends requests to targets over pooled connections; it never retries a request that may have been
 /// sent.
 #[derive(Clone)]
@@ -105,8 +87,7 @@
 
     /// Returns the number of idle connections to a target.
     pub fn idle_connections(&self, target: &TargetAddress) -> usize {
-        let idle = self.idle.lock().unwrap_or_else(PoisonError::into_inner);
-        idle.get(target).map_or(0, Vec::len)
+        self.idle.count(target)
     }
 
     /// Returns a client with the same connection pool that keeps at most `max_idle` idle connections
@@ -118,7 +99,7 @@
                 max_idle,
                 ..self.limits
             },
-            idle: Arc::clone(&self.idle),
+            idle: self.idle.clone(),
         }
     }
 
@@ -156,7 +137,7 @@
     ) -> Result<TargetResponse, SendError> {
         let mut request = request;
         if !fresh {
-            while let Some(sender) = self.take_idle(target) {
+            while let Some(sender) = self.idle.take(target) {
                 progress.set_begun(true);
                 match self.send_on(target, sender, request).await {
                     Err((SendError::ClosedBeforeSend, Some(unsent))) => request = *unsent,
@@ -175,9 +156,7 @@
 
     /// Closes the idle connections to targets for which `keep` returns false.
     pub fn retain(&self, keep: impl Fn(&TargetAddress) -> bool) {
-        if let Ok(mut idle) = self.idle.lock() {
-            idle.retain(|target, _| keep(target));
-        }
+        self.idle.retain(keep);
     }
 
     async fn send_on(
@@ -192,7 +171,7 @@
                 let connection = PooledConnection {
                     sender,
                     key: target.clone(),
-                    idle: Arc::clone(&self.idle),
+                    idle: self.idle.clone(),
                     max_idle: self.limits.max_idle,
                 };
                 Ok(TargetResponse {
@@ -240,17 +219,6 @@
         });
         Ok(sender)
     }
-
-    fn take_idle(&self, target: &TargetAddress) -> Option<Sender> {
-        let mut idle = self.idle.lock().ok()?;
-        let senders = idle.get_mut(target)?;
-        while let Some(sender) = senders.pop() {
-            if sender.is_ready() && !sender.is_closed() {
-                return Some(sender);
-            }
-        }
-        None
-    }
 }
 
 /// Builds a request body from bytes.
--- a/crates/http/src/target_body.rs
+++ b/crates/http/src/target_body.rs
@@ -1,7 +1,5 @@
 //! Body of a target's response, and how its end is recognised.
 
-use std::sync::Arc;
-
 use bytes::Bytes;
 use http::header::{CONTENT_LENGTH, TRANSFER_ENCODING};
 use http::HeaderMap;
@@ -9,8 +7,8 @@
 use http_body_util::BodyExt;
 use hyper::body::Incoming;
 
+use crate::idle_pool::{IdlePool, Sender, TargetAddress};
 use crate::reply::{read_body, BodyError};
-use crate::target::{IdlePool, Sender, TargetAddress};
 
 /// How the end of a body was recognised.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
@@ -145,17 +143,9 @@
 }
 
 impl PooledConnection {
-    /// Returns the connection to the pool once it can take the next request.
-    async fn release(mut self) {
-        if self.sender.ready().await.is_err() {
-            return;
-        }
-        if let Ok(mut idle) = Arc::clone(&self.idle).lock() {
-            let senders = idle.entry(self.key).or_default();
-            if senders.len() < self.max_idle {
-                senders.push(self.sender);
-            }
-        }
+    /// Returns the connection to the pool.
+    async fn release(self) {
+        self.idle.add(self.key, self.sender, self.max_idle).await;
     }
 }
 
