One check of whether a body is complete, for both ways of running

Three callers each took a run apart and said what holds without its description; one of them stood twice, word for word, in the two dispatchers. The check takes the run and the body. A host that needs no second look at a refused connection takes the trait's own probe instead of a copy that calls the other. Behaviour as before.

--- a/crates/fleet/src/dispatch.rs
+++ b/crates/fleet/src/dispatch.rs
@@ -6,8 +6,8 @@
 use briarswitch_core::id::*;
 use briarswitch_core::outcome::FailurePoint;
 use briarswitch_http::{
-    full_body, BodyEnd, BodyError, SendError, SendProgress, TargetAddress, TargetBody,
-    TargetClient, TargetLimits, TargetResponse,
+    full_body, BodyError, SendError, SendProgress, TargetAddress, TargetBody, TargetClient,
+    TargetLimits, TargetResponse,
 };
 use briarswitch_kernel::{BootClock, Mailbox};
 use bytes::Bytes;
@@ -384,13 +384,7 @@
     async fn read_complete(&self, run: &TargetRun, body: TargetBody) -> Result<Bytes, BodyError> {
         let body = body.read_all(MAX_RESPONSE_BYTES).await?;
         let host: &FleetShared = &self.shared;
-        let is_complete = match run.info() {
-            Some(run) => body_check::is_complete(host, run, body.end).await,
-            None => body.end == BodyEnd::Marked,
-        };
-        is_complete
-            .then_some(body.bytes)
-            .ok_or(BodyError::Incomplete)
+        body_check::complete_body(host, run, body).await
     }
 
     fn build_request(
--- a/crates/fleet/src/stream_source.rs
+++ b/crates/fleet/src/stream_source.rs
@@ -74,10 +74,7 @@
     /// Another node marks the end of each body that it relays.
     pub async fn is_complete(&self, end: BodyEnd, host: &dyn SuspectHost) -> bool {
         match self {
-            Self::Target(response) => match response.run.info() {
-                Some(run) => body_check::is_complete(host, run, end).await,
-                None => end == BodyEnd::Marked,
-            },
+            Self::Target(response) => body_check::is_complete(host, &response.run, end).await,
             Self::Peer(_) => end == BodyEnd::Marked,
         }
     }
--- a/crates/fleet/src/suspect_host.rs
+++ b/crates/fleet/src/suspect_host.rs
@@ -102,7 +102,9 @@
         &'a self,
         run: &'a RunInfo,
         timeout: Duration,
-    ) -> BoxFuture<'a, Result<Liveness, ReportError>>;
+    ) -> BoxFuture<'a, Result<Liveness, ReportError>> {
+        self.probe_once(run, timeout)
+    }
 
     /// Returns whether the directory lists an incarnation, as far as this node knows its entries.
     fn is_listed(&self, incarnation: &TargetIncarnation) -> bool;
--- a/crates/node/src/dispatch.rs
+++ b/crates/node/src/dispatch.rs
@@ -12,7 +12,7 @@
 use briarswitch_fleet::run_info::{RunInfo, TargetIncarnation};
 use briarswitch_fleet::suspect_host::SuspectHost;
 use briarswitch_fleet::suspect_ledger::SuspectLedger;
-use briarswitch_http::{stream_body, BodyEnd, Response, TargetBody};
+use briarswitch_http::{stream_body, Response, TargetBody};
 use briarswitch_kernel::BootClock;
 use briarswitch_wire::caller::OUTCOME_HEADER;
 use bytes::Bytes;
@@ -402,13 +402,8 @@
         deadline: Moment,
     ) -> Result<Bytes, FailurePoint> {
         let body = read_to_end(body, deadline).await?;
-        let is_complete = match run.info() {
-            Some(run) => body_check::is_complete(self.suspects.as_ref(), run, body.end).await,
-            None => body.end == BodyEnd::Marked,
-        };
-        is_complete
-            .then_some(body.bytes)
-            .ok_or(FailurePoint::Truncated)
+        let complete = body_check::complete_body(self.suspects.as_ref(), run, body).await;
+        complete.map_err(|_| FailurePoint::Truncated)
     }
 
     fn deposit_retry(&self) {
--- a/crates/node/src/suspect_host.rs
+++ b/crates/node/src/suspect_host.rs
@@ -161,14 +161,6 @@
         }
     }
 
-    fn probe<'a>(
-        &'a self,
-        run: &'a RunInfo,
-        limit: Duration,
-    ) -> BoxFuture<'a, Result<Liveness, ReportError>> {
-        self.probe_once(run, limit)
-    }
-
     fn probe_once<'a>(
         &'a self,
         run: &'a RunInfo,
