What bars a request is looked up once, under one lock

With any crash on record each request took the lock once for each part of its prompt, up to 65 times, and again for each retry; a refused one was looked up twice more for its answer and its line. One lock a lookup now, and one lookup for both. The verdict says itself how long it holds. Behaviour as before; not measured, the work is counted in locks.

--- a/crates/core/src/crash.rs
+++ b/crates/core/src/crash.rs
@@ -195,6 +195,22 @@
     Quarantined(Duration),
 }
 
+impl CrashVerdict {
+    /// Returns the remaining quarantine; `None` if there is none.
+    ///
+    /// ```
+    /// use briarswitch_core::crash::CrashVerdict;
+    ///
+    /// assert_eq!(CrashVerdict::Suspect.quarantine_left(), None);
+    /// ```
+    pub fn quarantine_left(self) -> Option<Duration> {
+        match self {
+            Self::Quarantined(left) => Some(left),
+            Self::Clear | Self::Suspect => None,
+        }
+    }
+}
+
 #[derive(Clone, Debug, Default)]
 struct CrashRecord {
     /// Keyed by incarnation, so that a crash counts once, whoever saw it and however often it is
--- a/crates/fleet/src/request_runner.rs
+++ b/crates/fleet/src/request_runner.rs
@@ -47,7 +47,7 @@
                 failed.trace.end_failed(failed.point);
                 refusal_response(ForwardRefusal::Failed(ForwardFailure {
                     point: failed.point,
-                    available_in: self.available_in(&failed),
+                    available_in: available_in(&failed, self.barred(&failed)),
                     attempts_sent: failed.trace.attempts_sent,
                 }))
             }
@@ -82,18 +82,19 @@
 
     /// Returns the reply to a request that ends without a target's response.
     fn failure_reply(&self, failed: &FailedRequest) -> LocalReply {
-        let available_in = self.available_in(failed).unwrap_or_default();
+        let barred = self.barred(failed);
+        let available_in = available_in(failed, barred).unwrap_or_default();
         if failed.point != FailurePoint::Quarantined {
             return LocalReply::for_failure(failed.point).delayed_by(available_in);
         }
+        let print = barred.map(|barred| barred.fingerprint);
         let trace = &failed.trace;
         let metrics = &self.dispatcher.shared().metrics;
         metrics.count_refusal(&trace.organisation);
-        let barred = self.barred(trace).map(|barred| barred.fingerprint);
         log::info!(
             request = trace.request_id.as_str(),
-            print = barred.map(|print| print.to_string()).unwrap_or_default().as_str(),
-            kind = barred.map_or("", |print| print.kind()),
+            print = print.map(|print| print.to_string()).unwrap_or_default().as_str(),
+            kind = print.map_or("", |print| print.kind()),
             organisation = trace.organisation.as_str(),
             left_ms = available_in.as_millis() as u64;
             "quarantine_refused"
@@ -101,18 +102,17 @@
         LocalReply::quarantined(available_in)
     }
 
-    /// Returns what keeps a request from running.
-    fn barred(&self, trace: &RequestTrace) -> Option<BarredSuspect> {
-        let suspects = trace.suspects.as_ref()?;
-        self.dispatcher.shared().suspects.barred(suspects)
-    }
-
-    /// Returns the time until the request may be served, if known.
-    fn available_in(&self, failed: &FailedRequest) -> Option<Duration> {
+    /// Returns the quarantine that ended a request; `None` if it ended for another reason.
+    fn barred(&self, failed: &FailedRequest) -> Option<BarredSuspect> {
         if failed.point != FailurePoint::Quarantined {
-            return failed.available_in;
+            return None;
         }
-        let barred = self.barred(&failed.trace);
-        barred.map(|barred| barred.left).or(failed.available_in)
+        let suspects = failed.trace.suspects.as_ref()?;
+        self.dispatcher.shared().suspects.barred(suspects)
     }
 }
+
+/// Returns the time until the request may be served, if known.
+fn available_in(failed: &FailedRequest, barred: Option<BarredSuspect>) -> Option<Duration> {
+    barred.map(|barred| barred.left).or(failed.available_in)
+}
--- a/crates/fleet/src/suspect_ledger.rs
+++ b/crates/fleet/src/suspect_ledger.rs
@@ -82,8 +82,13 @@
 
     /// Returns what keeps a request from running, the longest quarantine first; `None` if it may run.
     pub fn barred(&self, suspects: &RunSuspects) -> Option<BarredSuspect> {
+        if !self.is_nonempty.load(Ordering::Relaxed) {
+            return None;
+        }
+        let (history, now) = (self.lock(), self.now());
         let barred = suspects.iter().filter_map(|fingerprint| {
-            let left = self.quarantine_left(fingerprint)?;
+            let verdict = history.verdict(fingerprint, now);
+            let left = verdict.quarantine_left()?;
             Some(BarredSuspect {
                 fingerprint: *fingerprint,
                 left,
@@ -131,10 +136,7 @@
 
     /// Returns the remaining quarantine of a request or part, or `None` if it may run.
     pub fn quarantine_left(&self, fingerprint: &SuspectFingerprint) -> Option<Duration> {
-        match self.verdict(fingerprint) {
-            CrashVerdict::Quarantined(remaining) => Some(remaining),
-            CrashVerdict::Clear | CrashVerdict::Suspect => None,
-        }
+        self.verdict(fingerprint).quarantine_left()
     }
 
     /// Returns whether a request may be sent again within the same attempt, `broken_runs` of whose
@@ -144,9 +146,10 @@
     /// other node can know yet what the first run has done, and another run could crash the next
     /// target immediately.
     pub fn may_retry(&self, suspects: &RunSuspects, broken_runs: usize) -> bool {
-        let is_nonempty = self.is_nonempty.load(Ordering::Relaxed);
-        let crashes = if is_nonempty {
-            let crashes = suspects.iter().map(|fingerprint| self.crashes(fingerprint));
+        let crashes = if self.is_nonempty.load(Ordering::Relaxed) {
+            let (history, now) = (self.lock(), self.now());
+            let crashes = suspects.iter();
+            let crashes = crashes.map(|fingerprint| history.crash_count(fingerprint, now));
             crashes.max().unwrap_or(0)
         } else {
             0
@@ -154,8 +157,8 @@
         crashes + broken_runs < MIN_CRASHES
     }
 
-    /// Returns how many targets have crashed while running the request, without expired crashes and
-    /// those it was cleared of.
+    /// Returns how often targets have crashed while running the request or part, without expired crashes and
+    /// those it was cleared of; for a part, many at once count once.
     pub fn crashes(&self, fingerprint: &SuspectFingerprint) -> usize {
         self.lock().crash_count(fingerprint, self.now())
     }
