The file on crashes falls into reports, evidence and history

Reports and what each counts for, the weighing of several, and the history with the rate stand in files of their own; the path briarswitch_core::crash keeps its names. Doc comments say request or part.

--- a/crates/core/src/crash.rs
+++ b/crates/core/src/crash.rs
@@ -7,38 +7,16 @@
 use std::time::Duration;
 
 use indexmap::IndexMap;
-use xxhash_rust::xxh3::{xxh3_64, xxh3_64_with_seed};
 
+use crate::crash_evidence::{is_quarantined, is_suspect, merge_same_cause, quarantine_remaining};
 use crate::fingerprint::SuspectFingerprint;
-use crate::id::{DomainId, Incarnation, Moment, TargetId};
+use crate::id::Moment;
+
+pub use crate::crash_evidence::{is_expired, CRASH_RETENTION, MIN_CRASHES};
+pub use crate::crash_report::{
+    ClearReport, CrashReport, CrashedTarget, IncarnationKey, StoreMillis,
+};
 
-/// Minimum number of crashes for a quarantine.
-pub const MIN_CRASHES: usize = 3;
-/// Number of crashes after which a request is quarantined regardless of the crash rate of targets.
-const CERTAIN_CRASHES: usize = 5;
-/// Probability of coincidence below which a request is quarantined; this is the expected share of
-/// harmless requests, among those present at as many crashes, that are quarantined wrongly.
-const QUARANTINE_CHANCE: f64 = 1e-3;
-/// Probability of coincidence below which two crashes are reported to all nodes.
-const SUSPECT_CHANCE: f64 = 1e-2;
-/// Lower bound on the probability counted for one crash; with zero, a single crash would be proof.
-const MIN_CHANCE: f64 = 1e-2;
-/// Lower bound on the probability counted for one crash and a part of a prompt: a target runs prompts with some fifty
-/// parts, and one of them can be the cause.
-const MIN_PART_CHANCE: f64 = 2e-2;
-/// Upper bound for a part, whose soundness is shown by complete responses rather than by how long it ran.
-const MAX_PART_CHANCE: f64 = 0.3;
-/// Time for which a crash is remembered; within it, a request that is not quarantined can crash at
-/// most `MIN_CRASHES` less one targets.
-pub const CRASH_RETENTION: Duration = Duration::from_secs(600);
-/// Crashes in one domain within this time have the same cause.
-const SAME_CAUSE_WINDOW: Duration = Duration::from_millis(100);
-/// Crashes within this time have the same cause for a part of prompts, wherever they are: a part runs at many targets, and
-/// many targets can be lost at once.
-const SAME_PART_CAUSE_WINDOW: Duration = Duration::from_millis(50);
-/// Time from the crash that decides against a part until it is quarantined, in which any node can object that requests
-/// with it were served.
-pub const OBJECTION_TIME: Duration = Duration::from_secs(1);
 /// Period over which the crash rate is computed.
 const RATE_WINDOW: Duration = Duration::from_secs(30);
 /// Minimum period over which the crash rate is computed, for a node that has just started.
@@ -46,106 +24,6 @@
 /// Maximum number of requests that are remembered.
 const MAX_REQUESTS: usize = 4_096;
 
-/// Reading of the store's clock in milliseconds, the same on all nodes.
-pub type StoreMillis = u64;
-
-/// Hash of a target's name and incarnation.
-#[derive(Clone, Copy, Debug, Eq, Hash, Ord, PartialEq, PartialOrd)]
-pub struct IncarnationKey(pub u64);
-
-impl IncarnationKey {
-    /// Returns the key of one incarnation of a target.
-    ///
-    /// ```
-    /// use briarswitch_core::crash::IncarnationKey;
-    ///
-    /// assert_ne!(IncarnationKey::of("t", 1), IncarnationKey::of("t", 2));
-    /// ```
-    pub fn of(target: &str, incarnation: Incarnation) -> Self {
-        Self(xxh3_64_with_seed(target.as_bytes(), incarnation))
-    }
-}
-
-/// A crashed target at which a request was running.
-#[derive(Clone, Copy, Debug)]
-pub struct CrashedTarget<'a> {
-    /// Name of the target.
-    pub target: &'a TargetId,
-    /// Incarnation that crashed.
-    pub incarnation: Incarnation,
-    /// Domain of the target.
-    pub domain: &'a DomainId,
-}
-
-/// A crash of a target with a request running there.
-#[derive(Clone, Copy, Debug, Eq, Hash, PartialEq)]
-pub struct CrashReport {
-    /// Fingerprint of the request.
-    pub fingerprint: SuspectFingerprint,
-    /// Incarnation that crashed.
-    pub incarnation: IncarnationKey,
-    /// Hash of the target's domain.
-    pub domain: u64,
-    /// When the crash was detected.
-    pub at: StoreMillis,
-    /// Probability, in thousandths, that the target crashed by coincidence while the request ran.
-    pub chance_permille: u16,
-}
-
-impl CrashReport {
-    /// Returns the report of a crash at which a request had run for `ran`, if each target crashes
-    /// `rate` times per second.
-    ///
-    /// ```
-    /// use std::time::Duration;
-    ///
-    /// use briarswitch_core::crash::{CrashReport, CrashedTarget};
-    /// use briarswitch_core::fingerprint::SuspectFingerprint;
-    ///
-    /// let (target, domain) = ("t".to_owned(), "d".to_owned());
-    /// let target = CrashedTarget { target: &target, incarnation: 1, domain: &domain };
-    /// let report = |ran| CrashReport::of(SuspectFingerprint::from([1; 16]), target, 5, ran, 0.1);
-    /// assert!(report(Duration::from_secs(1)).chance_permille < report(Duration::from_secs(5)).chance_permille);
-    /// ```
-    pub fn of(
-        fingerprint: SuspectFingerprint,
-        target: CrashedTarget<'_>,
-        at: StoreMillis,
-        ran: Duration,
-        rate: f64,
-    ) -> Self {
-        let chance = 1.0 - (-rate * ran.as_secs_f64()).exp();
-        Self {
-            fingerprint,
-            incarnation: IncarnationKey::of(target.target, target.incarnation),
-            domain: xxh3_64(target.domain.as_bytes()),
-            at,
-            chance_permille: (clamp_chance(chance, &fingerprint) * 1000.0).ceil() as u16,
-        }
-    }
-
-    fn probability(&self) -> f64 {
-        f64::from(self.chance_permille) / 1000.0
-    }
-}
-
-fn clamp_chance(chance: f64, fingerprint: &SuspectFingerprint) -> f64 {
-    if fingerprint.is_part() {
-        chance.clamp(MIN_PART_CHANCE, MAX_PART_CHANCE)
-    } else {
-        chance.clamp(MIN_CHANCE, 1.0)
-    }
-}
-
-/// Report that a request did not cause earlier crashes.
-#[derive(Clone, Copy, Debug, Eq, Hash, PartialEq)]
-pub struct ClearReport {
-    /// Fingerprint of the request.
-    pub fingerprint: SuspectFingerprint,
-    /// Crashes up to this time do not count.
-    pub at: StoreMillis,
-}
-
 /// Rate at which targets crash, whatever they run.
 #[derive(Clone, Debug, Default)]
 pub struct CrashRate {
@@ -219,53 +97,6 @@
     cleared: StoreMillis,
 }
 
-/// Merges crashes that have the same cause; `crashes` must be in order of time.
-fn merge_same_cause(crashes: &[CrashReport]) -> Vec<CrashReport> {
-    let mut causes: Vec<CrashReport> = Vec::new();
-    for crash in crashes {
-        let near = |known: &&mut CrashReport| {
-            let gap = Duration::from_millis(crash.at.saturating_sub(known.at));
-            if crash.fingerprint.is_part() {
-                return gap < SAME_PART_CAUSE_WINDOW;
-            }
-            known.domain == crash.domain && gap < SAME_CAUSE_WINDOW
-        };
-        match causes.iter_mut().find(near) {
-            Some(known) => known.chance_permille = known.chance_permille.max(crash.chance_permille),
-            None => causes.push(*crash),
-        }
-    }
-    causes
-}
-
-/// Returns the probability that all of these crashes are coincidences, by Fisher's method.
-///
-/// Among many requests, some are present by chance at several crashes early in their runs. The
-/// plain product of the probabilities falls below a threshold far more often than the threshold
-/// says; the combined significance does not.
-fn coincidence_probability(causes: &[CrashReport]) -> f64 {
-    let product: f64 = causes.iter().map(CrashReport::probability).product();
-    let surprise = -product.ln();
-    let mut term = 1.0;
-    let mut sum = 0.0;
-    for count in 1..=causes.len() {
-        sum += term;
-        term *= surprise / count as f64;
-    }
-    product * sum
-}
-
-fn is_quarantined(crashes: &[CrashReport]) -> bool {
-    let causes = merge_same_cause(crashes);
-    causes.len() >= CERTAIN_CRASHES
-        || (causes.len() >= MIN_CRASHES && coincidence_probability(&causes) <= QUARANTINE_CHANCE)
-}
-
-fn is_suspect(crashes: &[CrashReport]) -> bool {
-    let causes = merge_same_cause(crashes);
-    causes.len() >= 2 && coincidence_probability(&causes) <= SUSPECT_CHANCE
-}
-
 impl CrashRecord {
     /// Returns the crashes that count at `now`, in order of time.
     fn crashes_at(&self, now: StoreMillis) -> Vec<CrashReport> {
@@ -280,43 +111,6 @@
     }
 }
 
-/// Returns how long a request or part with these crashes stays quarantined: until enough of them have expired.
-fn quarantine_remaining(crashes: &[CrashReport], now: StoreMillis) -> Option<Duration> {
-    if !is_quarantined(crashes) || now < quarantined_from(crashes) {
-        return None;
-    }
-    let last = (0..crashes.len()).take_while(|first| is_quarantined(&crashes[*first..]));
-    let at = crashes[last.last()?].at;
-    let until = at + CRASH_RETENTION.as_millis() as StoreMillis;
-    Some(Duration::from_millis(until.saturating_sub(now)))
-}
-
-/// Returns when crashes that are enough for a quarantine lead to it.
-fn quarantined_from(crashes: &[CrashReport]) -> StoreMillis {
-    let decisive = (1..=crashes.len()).find(|count| is_quarantined(&crashes[..*count]));
-    let decisive = decisive.map(|count| crashes[count - 1]);
-    decisive.map_or(0, |crash| {
-        let wait = if crash.fingerprint.is_part() {
-            OBJECTION_TIME
-        } else {
-            Duration::ZERO
-        };
-        crash.at + wait.as_millis() as StoreMillis
-    })
-}
-
-/// Returns whether a report made at `at` no longer counts at `now`.
-///
-/// ```
-/// use briarswitch_core::crash::is_expired;
-///
-/// assert!(!is_expired(1_000, 2_000));
-/// assert!(is_expired(1_000, 601_000));
-/// ```
-pub fn is_expired(at: StoreMillis, now: StoreMillis) -> bool {
-    now >= at + CRASH_RETENTION.as_millis() as StoreMillis
-}
-
 /// Crashes of targets by the requests that were running there.
 ///
 /// Two histories that have recorded the same reports, in any order and any number of times, agree.
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -17,6 +17,8 @@
 pub mod config;
 mod coverage;
 pub mod crash;
+mod crash_evidence;
+mod crash_report;
 pub mod deployment;
 mod draft;
 pub mod engine;
--- a/crates/fleet/src/suspect_row.rs
+++ b/crates/fleet/src/suspect_row.rs
@@ -6,7 +6,7 @@
 /// Key of a row in the table of crash reports.
 #[derive(Clone, Copy, Debug, Eq, Hash, PartialEq)]
 pub struct SuspectKey {
-    /// Fingerprint of the request.
+    /// Fingerprint of the request or part.
     pub fingerprint: SuspectFingerprint,
     /// Incarnation that crashed; `None` for a row that clears the request.
     pub incarnation: Option<IncarnationKey>,
