Tests: what the two simulations of crashes and the tests of unframed streams have in common stands once

Which request asks for a stream of a service, and that it is resumed, is said once in the tests of unframed streams. All assertions and bounds as before.

--- a/crates/core/tests/crash_simulation.rs
+++ b/crates/core/tests/crash_simulation.rs
@@ -6,6 +6,9 @@
 //! crashed target is counted when the directory drops it, four seconds later. Each simulation
 //! covers 40 s and is repeated with several seeds.
 
+#[path = "support/simulated_crashes.rs"]
+mod simulated_crashes;
+
 use std::time::Duration;
 
 use briarswitch_core::crash::*;
@@ -14,16 +17,14 @@
 use rand::rngs::StdRng;
 use rand::{Rng, SeedableRng};
 
+use simulated_crashes::{
+    draw_crash, is_at, millis, ObservedRate, LENGTH_S, POWER_LOSSES, RESTART_S, STEP_S,
+};
+
 const TARGETS: usize = 17;
 /// Targets in one domain.
 const TARGETS_PER_DOMAIN: usize = 3;
 const REQUESTS_PER_SECOND: f64 = 170.0;
-const STEP_S: f64 = 0.01;
-const LENGTH_S: f64 = 40.0;
-/// Seconds until a crashed target has restarted.
-const RESTART_S: f64 = 2.0;
-/// Seconds until the directory drops a crashed target.
-const DIRECTORY_LAG_S: f64 = 4.0;
 /// Runs of one request: two for each of two attempts.
 const MAX_RUNS: u32 = 4;
 /// Maximum share of harmless requests that may be quarantined.
@@ -72,17 +73,11 @@
     requests: Vec<SimulatedRequest>,
     waiting: Vec<(f64, SimulatedRequest)>,
     history: CrashHistory,
-    rate: CrashRate,
-    /// Times at which the directory drops crashed targets.
-    drop_times: Vec<f64>,
+    rate: ObservedRate,
     refused: std::collections::HashSet<SuspectFingerprint>,
     result: SimulationResult,
 }
 
-fn millis(seconds: f64) -> StoreMillis {
-    (seconds * 1000.0) as StoreMillis + 1
-}
-
 impl Simulation {
     fn new(faults: Faults, seed: u64) -> Self {
         Self {
@@ -94,8 +89,7 @@
             requests: Vec::new(),
             waiting: Vec::new(),
             history: CrashHistory::default(),
-            rate: CrashRate::default(),
-            drop_times: Vec::new(),
+            rate: ObservedRate::default(),
             refused: Default::default(),
             result: SimulationResult::default(),
         }
@@ -136,7 +130,7 @@
             return;
         }
         self.down_until[target] = self.now + RESTART_S;
-        self.drop_times.push(self.now + DIRECTORY_LAG_S);
+        self.rate.record_crash(self.now);
         let (domain, rate) = (
             format!("d{}", target / TARGETS_PER_DOMAIN),
             self.rate.per_second(),
@@ -162,13 +156,12 @@
     }
 
     fn inject_faults(&mut self) {
-        let is_at = |at: f64, now: f64| now >= at && now < at + STEP_S;
         let now = self.now;
         match self.faults {
             Faults::None => {}
             Faults::Restarts(times) => {
                 for target in 0..TARGETS {
-                    if self.rng.random_bool(times / LENGTH_S * STEP_S) {
+                    if draw_crash(&mut self.rng, times) {
                         self.crash_target(target);
                     }
                 }
@@ -182,7 +175,7 @@
                 }
             }
             Faults::Power => {
-                if [10.0, 14.0, 18.0].into_iter().any(|at| is_at(at, now)) {
+                if POWER_LOSSES.into_iter().any(|at| is_at(at, now)) {
                     (0..TARGETS).for_each(|target| self.crash_target(target));
                 }
             }
@@ -213,9 +206,7 @@
             self.arrive();
             self.arrive();
         }
-        let crashes = self.drop_times.iter().filter(|at| **at <= now).count();
-        self.rate
-            .record(crashes as u64, TARGETS, Duration::from_secs_f64(now));
+        self.rate.sample(TARGETS, now);
         self.now += STEP_S;
     }
 
--- a/crates/core/tests/part_simulation.rs
+++ b/crates/core/tests/part_simulation.rs
@@ -4,6 +4,9 @@
 //! a few of which are frequent, and one of its own. An interrupted run continues at another target once. Reports of
 //! crashes and clears reach the holders after a delay; nodes know what the holders know after another one.
 
+#[path = "support/simulated_crashes.rs"]
+mod simulated_crashes;
+
 use std::collections::HashSet;
 use std::time::Duration;
 
@@ -15,12 +18,10 @@
 use rand::rngs::StdRng;
 use rand::{Rng, SeedableRng};
 
-const STEP_S: f64 = 0.01;
-const LENGTH_S: f64 = 40.0;
-/// Seconds until a crashed target has restarted.
-const RESTART_S: f64 = 2.0;
-/// Seconds until the directory drops a crashed target.
-const DIRECTORY_LAG_S: f64 = 4.0;
+use simulated_crashes::{
+    draw_crash, is_at, millis, ObservedRate, LENGTH_S, POWER_LOSSES, RESTART_S, STEP_S,
+};
+
 /// Seconds until the holders know of a crash or a clear.
 const REPORT_DELAY_S: f64 = 0.15;
 /// Seconds until all nodes know what the holders know.
@@ -126,17 +127,11 @@
     holders: CrashHistory,
     known: CrashHistory,
     crashes: Vec<f64>,
-    rate: CrashRate,
-    /// Times at which the directory drops crashed targets.
-    drop_times: Vec<f64>,
+    rate: ObservedRate,
     numbers: u64,
     outcome: Outcome,
 }
 
-fn millis(seconds: f64) -> StoreMillis {
-    (seconds * 1000.0) as StoreMillis + 1
-}
-
 fn record(history: &mut CrashHistory, report: Report) {
     match report {
         Report::Crash(crash) => history.record_crash(crash),
@@ -167,8 +162,7 @@
             holders: CrashHistory::default(),
             known: CrashHistory::default(),
             crashes: Vec::new(),
-            rate: CrashRate::default(),
-            drop_times: Vec::new(),
+            rate: ObservedRate::default(),
             numbers: 0,
             outcome: Outcome::default(),
         }
@@ -245,7 +239,7 @@
         let (broken, rest): (Vec<_>, Vec<_>) =
             all.into_iter().partition(|run| run.target == target);
         self.active = rest;
-        self.drop_times.push(self.now + DIRECTORY_LAG_S);
+        self.rate.record_crash(self.now);
         let (domain, rate) = (format!("d{}", target / 3), self.rate.per_second());
         for run in broken {
             let ran = Duration::from_secs_f64(self.now - run.sent);
@@ -268,19 +262,18 @@
     }
 
     fn inject_faults(&mut self) {
-        let is_at = |at: f64, now: f64| now >= at && now < at + STEP_S;
         let now = self.now;
         match self.faults {
             Faults::None => {}
             Faults::Crashes(times) => {
                 for target in 0..self.size.targets {
-                    if self.rng.random_bool(times / LENGTH_S * STEP_S) {
+                    if draw_crash(&mut self.rng, times) {
                         self.crash_target(target);
                     }
                 }
             }
             Faults::Power => {
-                if [10.0, 14.0, 18.0].into_iter().any(|at| is_at(at, now)) {
+                if POWER_LOSSES.into_iter().any(|at| is_at(at, now)) {
                     (0..self.size.targets).for_each(|target| self.crash_target(target));
                 }
             }
@@ -355,9 +348,7 @@
             record(&mut self.known, report);
             self.object(report);
         }
-        let dropped = self.drop_times.iter().filter(|at| **at <= self.now);
-        let (dropped, now) = (dropped.count() as u64, self.moment());
-        self.rate.record(dropped, self.size.targets, now);
+        self.rate.sample(self.size.targets, self.now);
         let arrivals = REQUESTS_PER_TARGET * self.size.targets as f64 * STEP_S;
         let count = arrivals as usize + usize::from(self.rng.random_bool(arrivals.fract()));
         (0..count).for_each(|_| self.arrive(false));
--- a/crates/fleet/tests/unframed.rs
+++ b/crates/fleet/tests/unframed.rs
@@ -62,6 +62,23 @@
     }
 }
 
+/// Returns a request for a stream of a service.
+fn stream(service: &str, body: &'static str) -> TestRequest<'static> {
+    match service {
+        GROUP_SERVICE => TestRequest::model(body),
+        _ => TestRequest::chat(body),
+    }
+}
+
+/// Checks that a stream which its first target does not end is resumed, from single targets and from groups.
+async fn check_resumed(body: &'static str) {
+    for service in [SERVICE, GROUP_SERVICE] {
+        let fleet = open(service, 3).await;
+        let response = fleet.request(0, stream(service, body)).await;
+        expect_resumed(&response, service);
+    }
+}
+
 fn expect_resumed(response: &TestResponse, what: &str) {
     expect_that!(response.is_served(), eq(true), "{what}: {response:?}");
     expect_that!(response.body, eq(COMPLETE), "{what}");
@@ -71,28 +88,14 @@
 #[gtest]
 #[tokio::test(flavor = "multi_thread")]
 async fn an_unframed_stream_that_a_crash_cuts_inside_an_event_is_resumed() {
-    for service in [SERVICE, GROUP_SERVICE] {
-        let fleet = open(service, 3).await;
-        let request = match service {
-            GROUP_SERVICE => TestRequest::model(CRASHING_INSIDE),
-            _ => TestRequest::chat(CRASHING_INSIDE),
-        };
-        expect_resumed(&fleet.request(0, request).await, service);
-    }
+    check_resumed(CRASHING_INSIDE).await;
 }
 
 /// Guards against a crash between two events that is taken for the end of the stream.
 #[gtest]
 #[tokio::test(flavor = "multi_thread")]
 async fn an_unframed_stream_that_a_crash_cuts_between_events_is_resumed() {
-    for service in [SERVICE, GROUP_SERVICE] {
-        let fleet = open(service, 3).await;
-        let request = match service {
-            GROUP_SERVICE => TestRequest::model(CRASHING_BETWEEN),
-            _ => TestRequest::chat(CRASHING_BETWEEN),
-        };
-        expect_resumed(&fleet.request(0, request).await, service);
-    }
+    check_resumed(CRASHING_BETWEEN).await;
 }
 
 /// Guards against half an event that is passed on as the end although its target still runs.
@@ -122,15 +125,11 @@
 async fn sound_unframed_responses_are_complete_and_run_once() {
     for service in [SERVICE, GROUP_SERVICE] {
         let fleet = open(service, 3).await;
-        let body = "sound";
-        let request = match service {
-            GROUP_SERVICE => TestRequest::model(body),
-            _ => TestRequest::chat(body),
-        };
+        let request = stream(service, "sound");
         for _ in 0..SERIES {
             expect_resumed(&fleet.request(0, request).await, service);
         }
-        expect_that!(runs(&fleet, body), eq(SERIES), "{service}");
+        expect_that!(runs(&fleet, "sound"), eq(SERIES), "{service}");
     }
     let fleet = open(SERVICE, 3).await;
     for request in [whole("/look/x", "sound"), whole("/bill/x", "sound")] {
