--- a/crates/model/src/crash.rs
+++ b/crates/model/src/crash.rs
@@ -5,9 +5,7 @@
 //! restored without its rows. The verdict comes from the real [`CrashHistory`]. A request arrives only after
 //! all possible propagation has completed: the model assumes that nodes have enough time for it between requests.
 
-use briarswitch_core::crash::{
-    CrashHistory, CrashReport, CrashVerdict, IncarnationKey, MIN_CRASHES,
-};
+use briarswitch_core::crash::{CrashHistory, CrashReport, IncarnationKey, MIN_CRASHES};
 use briarswitch_core::fingerprint::SuspectFingerprint;
 
 use crate::search::{Specification, Step};
@@ -22,7 +20,7 @@
 /// Number of witnessed crashes that violates the property: one more than are allowed.
 const CRASH_LIMIT: u8 = MIN_CRASHES as u8 + EXTRA_CRASHES + 1;
 /// Time between two crashes.
-const CRASH_INTERVAL_MS: u64 = 1_000;
+pub(crate) const CRASH_INTERVAL_MS: u64 = 1_000;
 
 /// A seeded defect that the search must detect.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
@@ -42,7 +40,7 @@
 }
 
 /// Set of crashes, one bit each; the first crash is the lowest bit.
-type CrashSet = u16;
+pub(crate) type CrashSet = u16;
 
 /// Reporting and storing of crashes.
 #[derive(Clone, Copy, Debug)]
@@ -85,9 +83,12 @@
     }
 }
 
-/// Returns whether a node that knows these crashes quarantines the request.
-fn is_quarantined(known: CrashSet) -> bool {
-    let fingerprint = SuspectFingerprint::from([0; 16]);
+/// Returns the history of a node that knows these crashes, each at another time and domain.
+pub(crate) fn history_of(
+    fingerprint: SuspectFingerprint,
+    known: CrashSet,
+    chance_permille: u16,
+) -> CrashHistory {
     let mut history = CrashHistory::default();
     for crash in (0..16).filter(|crash| known & (1 << crash) != 0) {
         history.record_crash(CrashReport {
@@ -95,14 +96,22 @@
             incarnation: IncarnationKey(crash),
             domain: crash,
             at: (crash + 1) * CRASH_INTERVAL_MS,
-            chance_permille: 10,
+            chance_permille,
         });
     }
-    let now = 16 * CRASH_INTERVAL_MS;
-    matches!(
-        history.verdict(&fingerprint, now),
-        CrashVerdict::Quarantined(_)
-    )
+    history
+}
+
+/// Returns whether a request or part is quarantined when all crashes have happened.
+pub(crate) fn is_barred(history: &CrashHistory, fingerprint: &SuspectFingerprint) -> bool {
+    let verdict = history.verdict(fingerprint, 16 * CRASH_INTERVAL_MS);
+    verdict.quarantine_left().is_some()
+}
+
+/// Returns whether a node that knows these crashes quarantines the request.
+fn is_quarantined(known: CrashSet) -> bool {
+    let fingerprint = SuspectFingerprint::from([0; 16]);
+    is_barred(&history_of(fingerprint, known, 10), &fingerprint)
 }
 
 impl CrashSpec {
--- a/crates/model/src/crash_parts.rs
+++ b/crates/model/src/crash_parts.rs
@@ -2,14 +2,13 @@
 //!
 //! All prompts share one part, and some hold another one that crashes each target. Nodes report to two holders and
 //! follow a table in the store; they restart, lose contact with each other or with the store, forget which parts were
-//! served lately, and the store is restored without its rows. The verdict comes from the real [`CrashHistory`]. Requests
+//! served lately, and the store is restored without its rows. The verdict comes from the real [`briarswitch_core::crash::CrashHistory`]. Requests
 //! arrive only after all possible propagation has completed, which is what the time for objections is for.
 
-use briarswitch_core::crash::{
-    ClearReport, CrashHistory, CrashReport, CrashVerdict, IncarnationKey, StoreMillis, MIN_CRASHES,
-};
+use briarswitch_core::crash::{ClearReport, StoreMillis, MIN_CRASHES};
 use briarswitch_core::fingerprint::SuspectFingerprint;
 
+use crate::crash::{history_of, is_barred, CrashSet, CRASH_INTERVAL_MS};
 use crate::search::{Specification, Step};
 
 const NODE_COUNT: usize = 3;
@@ -23,8 +22,6 @@
 const CRASH_LIMIT: u8 = MIN_CRASHES as u8 + EXTRA_CRASHES + 1;
 /// Maximum number of requests that are served in one run.
 const MAX_SERVED: u8 = 3;
-/// Time between two crashes.
-const CRASH_INTERVAL_MS: StoreMillis = 1_000;
 
 /// A seeded defect that the search must detect.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
@@ -41,9 +38,6 @@
     NoObjection,
 }
 
-/// Set of crashes, one bit each; the first crash is the lowest bit.
-type CrashSet = u8;
-
 /// Crashes put down to one part, as one node or the store knows them.
 #[derive(Clone, Copy, Debug, Default, Eq, Hash, PartialEq)]
 struct PartRecord {
@@ -60,8 +54,8 @@
 
     /// Returns the crashes that count.
     fn counted(self) -> CrashSet {
-        let cleared = (1_u16 << self.cleared) - 1;
-        self.crashes & !(cleared as CrashSet)
+        let cleared = (1 << self.cleared) - 1;
+        self.crashes & !cleared
     }
 
     /// Returns whether this has all that another one has.
@@ -75,20 +69,10 @@
 
     fn is_quarantined(self) -> bool {
         let fingerprint = SuspectFingerprint::of_part("part");
-        let mut history = CrashHistory::default();
-        for crash in (0..8).filter(|crash| self.crashes & (1 << crash) != 0) {
-            history.record_crash(CrashReport {
-                fingerprint,
-                incarnation: IncarnationKey(crash),
-                domain: crash,
-                at: (crash + 1) * CRASH_INTERVAL_MS,
-                chance_permille: 20,
-            });
-        }
+        let mut history = history_of(fingerprint, self.crashes, 20);
         let at = StoreMillis::from(self.cleared) * CRASH_INTERVAL_MS;
         history.record_clear(ClearReport { fingerprint, at });
-        let verdict = history.verdict(&fingerprint, 16 * CRASH_INTERVAL_MS);
-        matches!(verdict, CrashVerdict::Quarantined(_))
+        is_barred(&history, &fingerprint)
     }
 }
 
