--- a/crates/ctl/src/explain.rs
+++ b/crates/ctl/src/explain.rs
@@ -234,14 +234,11 @@
         }
     }
     let counts = counts.map(|(field, count)| format!("{field}={count}"));
-    let statements = latest
-        .values()
-        .map(|line| format!("{:>+9.3} s  {}", line.time() - end.time(), line.text()));
-    let statements: Vec<String> = statements.collect();
+    let statements: Vec<&LogLine> = latest.into_values().collect();
     Some(format!(
         "targets that were passed over ({}) had said at {node}:\n{}",
         counts.join(", "),
-        statements.join("\n")
+        format_relative(&statements, end.time())
     ))
 }
 
@@ -255,14 +252,10 @@
     evidence.retain(|line| {
         line.get("print") == print && QUARANTINE_EVENTS.contains(&line.get("event"))
     });
-    let evidence: Vec<String> = evidence
-        .iter()
-        .map(|line| format!("{:>+9.3} s  {}", line.time() - refusal.time(), line.text()))
-        .collect();
     Some(format!(
         "the {} {print} is quarantined:\n{}",
         refusal.get("kind"),
-        evidence.join("\n")
+        format_relative(&evidence, refusal.time())
     ))
 }
 
@@ -284,7 +277,11 @@
 }
 
 fn format_lines(lines: &[&LogLine]) -> String {
-    let start = lines.first().map_or(0.0, |line| line.time());
+    format_relative(lines, lines.first().map_or(0.0, |line| line.time()))
+}
+
+/// Returns lines with their times in seconds after `start`.
+fn format_relative(lines: &[&LogLine], start: f64) -> String {
     let formatted = lines
         .iter()
         .map(|line| format!("{:>+9.3} s  {}", line.time() - start, line.text()));
--- a/crates/model/src/crash_parts.rs
+++ b/crates/model/src/crash_parts.rs
@@ -2,8 +2,9 @@
 //!
 //! All prompts share one part, and some hold another one that crashes each target. Nodes report to two holders and
 //! follow a table in the store; they restart, lose contact with each other or with the store, forget which parts were
-//! served lately, and the store is restored without its rows. The verdict comes from the real [`briarswitch_core::crash::CrashHistory`]. Requests
-//! arrive only after all possible propagation has completed, which is what the time for objections is for.
+//! served lately, and the store is restored without its rows. The verdict comes from the real
+//! [`briarswitch_core::crash::CrashHistory`]. Requests arrive only after all possible propagation has completed, which is
+//! what the time for objections is for.
 
 use briarswitch_core::crash::{ClearReport, StoreMillis, MIN_CRASHES};
 use briarswitch_core::fingerprint::SuspectFingerprint;
