--- a/crates/core/src/waiting.rs
+++ b/crates/core/src/waiting.rs
@@ -115,7 +115,7 @@
     /// Requests that can be on time follow, by priority and then newest first: under overload,
     /// requests served in order of arrival would all be served at the last moment, and any
     /// disturbance would make all of them late. Late requests come last, by priority and arrival.
-    fn sort_key(&self, now: Moment) -> (bool, bool, u8, i128) {
+    pub(crate) fn sort_key(&self, now: Moment) -> (bool, bool, u8, i128) {
         let is_late = self.is_late(now);
         let arrival = self.arrived.as_nanos() as i128;
         (
--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -74,4 +74,4 @@
 pub mod verdict_log;
 
 pub use node::{FleetError, FleetNode};
-pub use settings::FleetSettings;
+pub use settings::{FleetSettings, LoadControl};
--- a/crates/fleet/src/settings.rs
+++ b/crates/fleet/src/settings.rs
@@ -5,8 +5,27 @@
 use briarswitch_core::finding::Finding;
 use briarswitch_core::id::{NodeId, RegionId, ZoneId};
 use indexmap::IndexMap;
+use serde::Deserialize;
 use serde_json::Value;
 
+/// Which decisions under heavy load are made; without them, each node decides on its own.
+#[derive(Clone, Copy, Debug, Default, Deserialize, Eq, PartialEq)]
+#[serde(default, deny_unknown_fields)]
+pub struct LoadControl {
+    /// Whether requests of all nodes wait in one queue while the groups of their model are nearly full.
+    #[serde(rename = "shared_queue")]
+    pub shares_queue: bool,
+    /// Whether groups change to another model within seconds if its requests need them more.
+    #[serde(rename = "changeover")]
+    pub changes_over: bool,
+    /// Whether a request is refused as soon as no slot can be expected for it in time.
+    #[serde(rename = "forecast")]
+    pub forecasts: bool,
+    /// Whether targets that respond more slowly than others get fewer requests.
+    #[serde(rename = "observed_speed")]
+    pub observes_speed: bool,
+}
+
 /// Settings of a fleet node.
 #[derive(Clone, Debug, PartialEq)]
 pub struct FleetSettings {
@@ -45,6 +64,8 @@
     pub grace: Duration,
     /// Least severe level that is logged.
     pub log_level: log::LevelFilter,
+    /// Decisions under heavy load; all are off if the file does not mention them.
+    pub load_control: LoadControl,
 }
 
 /// Reads the fields of one settings file and collects findings about them.
@@ -98,6 +119,7 @@
             retry_window: Duration::from_secs_f64(reader.number("retry_window_s")),
             grace: Duration::from_secs_f64(reader.number("grace_s")),
             log_level: reader.level("log_level"),
+            load_control: reader.load_control("load_control"),
         };
         reader.finish(settings)
     }
@@ -178,6 +200,17 @@
         })
     }
 
+    fn load_control(&mut self, field: &'static str) -> LoadControl {
+        let found = self.take(field);
+        if found.is_null() {
+            return LoadControl::default();
+        }
+        serde_json::from_value(found.clone()).unwrap_or_else(|error| {
+            self.report_invalid(field, &found, &format!("an object with flags ({error})"));
+            LoadControl::default()
+        })
+    }
+
     fn finish(mut self, settings: FleetSettings) -> Result<FleetSettings, Vec<Finding>> {
         let given = self.value.as_object().cloned().unwrap_or_default();
         for field in given.keys() {
--- a/crates/fleet/tests/support/mod.rs
+++ b/crates/fleet/tests/support/mod.rs
@@ -17,7 +17,7 @@
 };
 use briarswitch_core::warmup::WarmupSpec;
 use briarswitch_fleet::forward::{ForwardDoc, ForwardRequest, FORWARD_PATH};
-use briarswitch_fleet::{FleetNode, FleetSettings};
+use briarswitch_fleet::{FleetNode, FleetSettings, LoadControl};
 use briarswitch_http::{
     encode_msgpack, full_body, BodyEnd, BodyPart, TargetAddress, TargetClient, TargetLimits,
 };
@@ -169,6 +169,7 @@
         retry_window: Duration::from_secs(10),
         grace: Duration::from_secs(4),
         log_level: log::LevelFilter::Info,
+        load_control: LoadControl::default(),
     }
 }
 
