--- a/crates/ctl/src/main.rs
+++ b/crates/ctl/src/main.rs
@@ -121,14 +121,7 @@
             let Some(entry) = find_entity(client, kind, &options.name).await? else {
                 return Err(not_found(kind, &options.name));
             };
-            let text = || {
-                format!(
-                    "version {}\n{}",
-                    entry.version,
-                    show::value_text(&entry.value)
-                )
-            };
-            Ok(render(&entry, is_json, text))
+            Ok(render(&entry, is_json, || show::entry_text(&entry)))
         }
         EntityAction::Delete(options) => {
             let draft = EditDraft {
@@ -174,14 +167,7 @@
                 let text = "there are no rules; create them with: briarctl rules set --file FILE";
                 return Err(CommandOutcome::failure(ExitStatus::NotFound, text));
             };
-            let text = || {
-                format!(
-                    "version {}\n{}",
-                    entry.version,
-                    show::value_text(&entry.value)
-                )
-            };
-            Ok(render(&entry, is_json, text))
+            Ok(render(&entry, is_json, || show::entry_text(&entry)))
         }
         RulesAction::Set(options) => {
             let text = read_file(&options.file)?;
--- a/crates/ctl/src/show.rs
+++ b/crates/ctl/src/show.rs
@@ -63,6 +63,11 @@
     text.unwrap_or_default()
 }
 
+/// Formats an entity with its version.
+pub fn entry_text(entry: &EntryDoc) -> String {
+    format!("version {}\n{}", entry.version, value_text(&entry.value))
+}
+
 /// Formats the status of the system as reported by one node.
 pub fn status(status: &StatusReply) -> String {
     let controller = status.controller.as_ref();
