--- /dev/null
+++ b/crates/core/src/queue_shares.rs
@@ -0,0 +1,124 @@
+//! Shares of the organisations in the grants of a shared queue.
+
+use std::time::Duration;
+
+use indexmap::IndexMap;
+
+use crate::id::{Moment, OrganisationId};
+use crate::queue_order::{service_class, service_order, weight_of, ClassClocks};
+use crate::queue_order::{OrganisationWeights, ServiceClass};
+use crate::shared_queue::QueuedRequest;
+
+/// Of this many grants in a row, at least one goes to the organisation that has waited longest.
+const FLOOR_INTERVAL: u32 = 16;
+/// Time for which the wait of an organisation without waiting requests is remembered; its callers may retry until then.
+const WAIT_TTL: Duration = Duration::from_secs(2);
+
+/// How long an organisation has waited for a slot.
+#[derive(Clone, Debug, PartialEq)]
+struct OrganisationWait {
+    /// Its last grant, or the arrival of its first request since it was idle.
+    since: Moment,
+    /// When it last had a waiting request.
+    seen_at: Moment,
+}
+
+/// Clocks, weights and waits of the organisations.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub(crate) struct OrganisationShares {
+    clocks: ClassClocks,
+    weights: OrganisationWeights,
+    waits: IndexMap<OrganisationId, OrganisationWait>,
+    grants_since_floor: u32,
+}
+
+impl OrganisationShares {
+    /// Replaces the weights.
+    pub(crate) fn set_weights(&mut self, weights: OrganisationWeights) {
+        self.weights = weights;
+    }
+
+    /// Drops what no longer makes a difference.
+    pub(crate) fn prune(&mut self, now: Moment) {
+        self.waits.retain(|_, wait| now < wait.seen_at + WAIT_TTL);
+        self.clocks.values_mut().for_each(|clock| clock.prune());
+    }
+
+    /// Returns the indices of requests in the order in which they are to be served.
+    pub(crate) fn order(&self, requests: &[&QueuedRequest], now: Moment) -> Vec<usize> {
+        service_order(requests, &self.clocks, &self.weights, now)
+    }
+
+    /// Records which organisations have waiting requests.
+    pub(crate) fn record_waiting(&mut self, requests: &[&QueuedRequest], now: Moment) {
+        let mut first_arrivals: IndexMap<&str, Moment> = IndexMap::new();
+        for queued in requests {
+            let arrived = queued.request.arrived;
+            let first = first_arrivals
+                .entry(&queued.organisation)
+                .or_insert(arrived);
+            *first = arrived.min(*first);
+        }
+        for (organisation, since) in first_arrivals {
+            let seen_at = now;
+            match self.waits.get_mut(organisation) {
+                Some(wait) => wait.seen_at = seen_at,
+                None => {
+                    let wait = OrganisationWait { since, seen_at };
+                    self.waits.insert(organisation.to_owned(), wait);
+                }
+            }
+        }
+    }
+
+    /// Returns the organisations that have waited longer than is on time, the longest wait first.
+    pub(crate) fn starved(&self, requests: &[&QueuedRequest], now: Moment) -> Vec<OrganisationId> {
+        let mut slacks: IndexMap<&str, Duration> = IndexMap::new();
+        for queued in requests {
+            let request = &queued.request;
+            let slack = request.on_time_until.saturating_sub(request.arrived);
+            let longest = slacks.entry(&queued.organisation).or_default();
+            *longest = slack.max(*longest);
+        }
+        let waits = slacks.iter().filter_map(|(organisation, slack)| {
+            let since = self.waits.get(*organisation)?.since;
+            (now > since + *slack).then_some((since, *organisation))
+        });
+        let mut waits: Vec<(Moment, &str)> = waits.collect();
+        waits.sort_unstable();
+        let starved = waits.into_iter();
+        starved
+            .map(|(_, organisation)| organisation.to_owned())
+            .collect()
+    }
+
+    /// Returns whether the next grant goes to the organisation that has waited longest, if there is one.
+    pub(crate) fn is_floor_due(&self) -> bool {
+        self.grants_since_floor + 1 >= FLOOR_INTERVAL
+    }
+
+    /// Records a grant to the request whose turn it is.
+    pub(crate) fn record_grant(&mut self, queued: &QueuedRequest, now: Moment) {
+        let class = service_class(&queued.request, now);
+        let start = self.charge(class, queued, now);
+        self.clocks.entry(class).or_default().advance(start);
+        self.grants_since_floor = self.grants_since_floor.saturating_add(1);
+    }
+
+    /// Records a grant to the organisation that has waited longest.
+    ///
+    /// The clock is not advanced, since the organisations with lower tags have not been served.
+    pub(crate) fn record_floor_grant(&mut self, queued: &QueuedRequest, now: Moment) {
+        self.charge(service_class(&queued.request, now), queued, now);
+        self.grants_since_floor = 0;
+    }
+
+    fn charge(&mut self, class: ServiceClass, queued: &QueuedRequest, now: Moment) -> u64 {
+        if let Some(wait) = self.waits.get_mut(&queued.organisation) {
+            wait.since = now;
+        }
+        let weight = weight_of(&self.weights, &queued.organisation);
+        let clock = self.clocks.entry(class).or_default();
+        clock.charge(&queued.organisation, weight, queued.tokens)
+    }
+}
--- a/crates/core/src/shared_queue.rs
+++ b/crates/core/src/shared_queue.rs
@@ -6,9 +6,15 @@
 
 use std::time::Duration;
 
-use indexmap::IndexMap;
+use indexmap::{IndexMap, IndexSet};
+use xxhash_rust::xxh3::xxh3_64;
 
 use crate::id::{Incarnation, Moment, NodeId, OrganisationId};
+use crate::queue_order::service_class;
+use crate::queue_rates::QueueRates;
+use crate::queue_round::QueueRound;
+use crate::queue_shares::OrganisationShares;
+use crate::queue_slots::SlotLedger;
 use crate::waiting::WaitingRequest;
 
 /// Time until other nodes learn of a request through gossip.
@@ -17,6 +23,10 @@
 pub const GRANT_TTL: Duration = Duration::from_millis(250);
 /// Time without a message after which a node's requests are dropped; three times that for which a reply is held.
 pub const NODE_TTL: Duration = Duration::from_millis(600);
+/// Time for which the sequence of a node is remembered, which no message is delayed for longer than.
+const VERSION_TTL: Duration = Duration::from_secs(10);
+/// Largest number of groups of one queue.
+pub const GROUPS_PER_SHARD: usize = 24;
 
 /// Stands for a group in messages between nodes.
 pub type GroupKey = u32;
@@ -95,108 +105,277 @@
     pub refusals: Vec<QueueRefusal>,
 }
 
-#[derive(Clone, Debug)]
+/// Number of requests that wait in a queue, and for how long.
+#[derive(Clone, Debug, Default, Eq, PartialEq)]
+pub struct QueueSummary {
+    /// Waiting requests by priority, the highest first.
+    pub waiting: IndexMap<u8, usize>,
+    /// Time since the first of them arrived.
+    pub oldest_wait: Duration,
+}
+
+/// A request that was granted or refused, although its node may not know it yet.
+#[derive(Clone, Debug, PartialEq)]
+struct SettledRequest {
+    /// Group that was granted; `None` if the request was refused.
+    group: Option<GroupKey>,
+    settled_at: Moment,
+}
+
+/// The last message of a node.
+#[derive(Clone, Debug, PartialEq)]
 struct HeldRequests {
-    requests: NodeRequests,
+    incarnation: Incarnation,
+    sequence: u64,
+    requests: Vec<QueuedRequest>,
+    settled: IndexMap<Ticket, SettledRequest>,
     updated_at: Moment,
 }
 
+impl HeldRequests {
+    /// Returns whether a request was granted or refused before its node sent the message that lists it.
+    fn is_settled(&self, queued: &QueuedRequest) -> bool {
+        let settled = self.settled.get(&queued.ticket);
+        settled.is_some_and(|settled| {
+            let group = settled.group;
+            !group.is_some_and(|group| queued.excluded.contains(&group))
+        })
+    }
+
+    fn prune(&mut self, now: Moment) {
+        if now >= self.updated_at + NODE_TTL {
+            self.requests.clear();
+        }
+        self.settled
+            .retain(|_, settled| now < settled.settled_at + GRANT_TTL);
+    }
+
+    fn settle(&mut self, ticket: Ticket, group: Option<GroupKey>, now: Moment) {
+        let settled = SettledRequest {
+            group,
+            settled_at: now,
+        };
+        self.settled.insert(ticket, settled);
+        self.requests.retain(|queued| queued.ticket != ticket);
+    }
+}
+
 /// Waiting requests of all nodes for the groups of one model.
-#[derive(Clone, Debug, Default)]
+///
+/// ```
+/// use std::time::Duration;
+///
+/// use briarswitch_core::shared_queue::{GroupCapacity, NodeRequests, QueuedRequest, SharedQueue};
+/// use briarswitch_core::waiting::{WaitParams, WaitingRequest};
+///
+/// let now = Duration::from_secs(60);
+/// let request = |ticket, priority| QueuedRequest {
+///     ticket,
+///     organisation: "kayal".to_owned(),
+///     tokens: 900,
+///     request: WaitingRequest::new(WaitParams {
+///         arrived: now,
+///         objective: Duration::from_millis(500),
+///         deadline: now + Duration::from_secs(10),
+///         priority,
+///         ..WaitParams::default()
+///     }),
+///     excluded: Vec::new(),
+/// };
+/// let mut queue = SharedQueue::default();
+/// for (node, queued) in [("n1", request(1, 2)), ("n2", request(1, 0))] {
+///     let requests = vec![queued];
+///     queue.update(NodeRequests { node: node.to_owned(), incarnation: 1, sequence: 1, requests }, now);
+/// }
+/// let group = GroupCapacity { group: 7, slots: 34, active_requests: 33, ..GroupCapacity::default() };
+/// let decision = queue.serve(&[group], now);
+/// assert_eq!(decision.grants.len(), 1);
+/// assert_eq!(decision.grants[0].node, "n2");
+/// ```
+#[derive(Clone, Debug, Default, PartialEq)]
 pub struct SharedQueue {
     nodes: IndexMap<NodeId, HeldRequests>,
-    /// When slots were granted, by group.
-    grants: IndexMap<GroupKey, Vec<Moment>>,
-    /// When slots became free, by group.
-    releases: IndexMap<GroupKey, Vec<Moment>>,
+    ledger: SlotLedger,
+    rates: QueueRates,
+    shares: OrganisationShares,
+    served_at: Moment,
 }
 
 impl SharedQueue {
+    /// Replaces the weights of the organisations; those not listed have a weight of 1.
+    pub fn set_weights(&mut self, weights: IndexMap<OrganisationId, u32>) {
+        self.shares.set_weights(weights);
+    }
+
     /// Replaces what is known of the requests of a node, unless a later message has already arrived.
+    ///
+    /// Requests that were granted or refused in the last [`GRANT_TTL`] are left out: the node did not know of it when
+    /// it sent the message. A node that can't use a grant lists the request again with the group among those excluded.
     pub fn update(&mut self, requests: NodeRequests, now: Moment) {
-        let held = self.nodes.get(&requests.node);
-        let version = (requests.incarnation, requests.sequence);
-        let is_overtaken =
-            held.is_some_and(|held| (held.requests.incarnation, held.requests.sequence) >= version);
-        if !is_overtaken {
-            let held = HeldRequests {
-                requests,
-                updated_at: now,
-            };
-            self.nodes.insert(held.requests.node.clone(), held);
+        let NodeRequests {
+            node,
+            incarnation,
+            sequence,
+            mut requests,
+        } = requests;
+        let version = (incarnation, sequence);
+        let mut known = self.nodes.get_mut(&node);
+        if let Some(held) = &mut known {
+            if (held.incarnation, held.sequence) >= version {
+                return;
+            }
+            held.prune(now);
         }
+        let known = known.filter(|held| held.incarnation == incarnation);
+        if let Some(held) = &known {
+            requests.retain(|queued| !held.is_settled(queued));
+        }
+        record_arrivals(&mut self.rates, known.as_deref(), &requests, now);
+        let settled = known.map(|held| std::mem::take(&mut held.settled));
+        let held = HeldRequests {
+            incarnation,
+            sequence,
+            requests,
+            settled: settled.unwrap_or_default(),
+            updated_at: now,
+        };
+        self.nodes.insert(node, held);
     }
 
     /// Records that slots of a group have become free.
     pub fn release(&mut self, group: GroupKey, slots: u32, now: Moment) {
-        let releases = self.releases.entry(group).or_default();
-        releases.extend((0..slots).map(|_| now));
+        if slots > 0 {
+            self.ledger.record_releases(group, slots, now);
+            self.rates.record_releases(group, slots, now);
+        }
     }
 
-    /// Grants free slots in the order in which the requests are to be served.
+    /// Grants free slots in the order in which the requests are to be served, and refuses requests without a chance.
     pub fn serve(&mut self, groups: &[GroupCapacity], now: Moment) -> QueueDecision {
         self.prune(now);
-        let mut decision = QueueDecision::default();
-        let mut free: Vec<(GroupCapacity, u32)> = groups
+        let waiting: Vec<(&NodeId, &QueuedRequest)> = self
+            .nodes
             .iter()
-            .map(|group| (*group, group.slots.saturating_sub(self.load_of(group))))
+            .flat_map(|(node, held)| held.requests.iter().map(move |queued| (node, queued)))
             .collect();
-        while let Some((node, index)) = self.next(now) {
-            let request = &self.nodes[&node].requests.requests[index];
-            let usable = free
-                .iter_mut()
-                .filter(|(group, slots)| *slots > 0 && !request.excluded.contains(&group.group));
-            let Some((group, slots)) = usable.min_by_key(|(group, _)| group.first_event_time)
-            else {
-                break;
-            };
-            *slots -= 1;
-            let group = group.group;
-            self.grants.entry(group).or_default().push(now);
-            let Some(held) = self.nodes.get_mut(&node) else {
-                break;
-            };
-            let ticket = held.requests.requests.remove(index).ticket;
-            decision.grants.push(SlotGrant {
-                node,
-                ticket,
-                group,
-            });
-        }
+        let round = QueueRound {
+            requests: waiting.iter().map(|(_, queued)| *queued).collect(),
+            groups,
+            ledger: &mut self.ledger,
+            shares: &mut self.shares,
+            rates: &self.rates,
+            now,
+        };
+        let (grants, refusals) = round.run();
+        let grant = |(index, group): (usize, GroupKey)| SlotGrant {
+            node: waiting[index].0.clone(),
+            ticket: waiting[index].1.ticket,
+            group,
+        };
+        let refuse = |(index, available_in): (usize, Option<Duration>)| QueueRefusal {
+            node: waiting[index].0.clone(),
+            ticket: waiting[index].1.ticket,
+            available_in,
+        };
+        let decision = QueueDecision {
+            grants: grants.into_iter().map(grant).collect(),
+            refusals: refusals.into_iter().map(refuse).collect(),
+        };
+        self.settle(&decision, now);
         decision
     }
 
     /// Returns the number of waiting requests.
     pub fn waiting(&self) -> usize {
-        let held = self.nodes.values();
-        held.map(|held| held.requests.requests.len()).sum()
+        self.nodes.values().map(|held| held.requests.len()).sum()
     }
 
-    /// Returns the load of a group: what nodes report, and what they cannot know yet.
-    fn load_of(&self, group: &GroupCapacity) -> u32 {
-        let count = |moments: &IndexMap<GroupKey, Vec<Moment>>| {
-            moments.get(&group.group).map_or(0, Vec::len) as u32
-        };
-        let (granted, released) = (count(&self.grants), count(&self.releases));
-        (group.active_requests + granted)
-            .saturating_sub(released)
-            .max(granted)
+    /// Returns the load of a group: the requests that nodes report there, and what they can't report yet.
+    pub fn load_of(&self, group: &GroupCapacity) -> u32 {
+        self.ledger.load_of(group)
     }
 
-    fn next(&self, now: Moment) -> Option<(NodeId, usize)> {
-        let all = self.nodes.iter().flat_map(|(node, held)| {
-            let requests = held.requests.requests.iter().enumerate();
-            requests.map(move |(index, queued)| (queued.request.sort_key(now), node, index))
-        });
-        let (_, node, index) = all.min_by_key(|(sort_key, _, _)| *sort_key)?;
-        Some((node.clone(), index))
+    /// Returns how many requests wait and for how long.
+    pub fn summary(&self, now: Moment) -> QueueSummary {
+        let mut summary = QueueSummary::default();
+        for queued in self.nodes.values().flat_map(|held| &held.requests) {
+            *summary.waiting.entry(queued.request.priority).or_default() += 1;
+            let wait = now.saturating_sub(queued.request.arrived);
+            summary.oldest_wait = summary.oldest_wait.max(wait);
+        }
+        summary.waiting.sort_unstable_keys();
+        summary
     }
 
+    /// Drops what has lapsed, also while this process was frozen.
     fn prune(&mut self, now: Moment) {
         self.nodes
-            .retain(|_, held| now < held.updated_at + NODE_TTL);
-        for moments in self.grants.values_mut().chain(self.releases.values_mut()) {
-            moments.retain(|at| now < *at + GRANT_TTL);
+            .retain(|_, held| now < held.updated_at + VERSION_TTL);
+        self.nodes.values_mut().for_each(|held| held.prune(now));
+        self.ledger.prune(now);
+        self.shares.prune(now);
+        // Messages that were not handled in the meantime are missing in the rates.
+        if now > self.served_at + NODE_TTL {
+            self.rates = QueueRates::default();
+        }
+        self.served_at = now;
+    }
+
+    fn settle(&mut self, decision: &QueueDecision, now: Moment) {
+        for grant in &decision.grants {
+            if let Some(held) = self.nodes.get_mut(&grant.node) {
+                held.settle(grant.ticket, Some(grant.group), now);
+            }
+        }
+        for refusal in &decision.refusals {
+            if let Some(held) = self.nodes.get_mut(&refusal.node) {
+                held.settle(refusal.ticket, None, now);
+            }
         }
     }
 }
+
+/// Counts the requests that a node lists for the first time.
+///
+/// Those that have waited for longer were sent to another coordinator before.
+fn record_arrivals(
+    rates: &mut QueueRates,
+    known: Option<&HeldRequests>,
+    requests: &[QueuedRequest],
+    now: Moment,
+) {
+    let known = known.into_iter().flat_map(|held| &held.requests);
+    let known: IndexSet<Ticket> = known.map(|queued| queued.ticket).collect();
+    let arrived = requests.iter().filter(|queued| {
+        !known.contains(&queued.ticket) && now < queued.request.arrived + GRANT_TTL
+    });
+    for queued in arrived {
+        rates.record_arrival(service_class(&queued.request, now), now);
+    }
+}
+
+/// Returns into how many queues a model with so many groups is split.
+///
+/// ```
+/// use briarswitch_core::shared_queue::shard_count;
+///
+/// assert_eq!((shard_count(0), shard_count(24), shard_count(25)), (1, 1, 2));
+/// ```
+pub fn shard_count(groups: usize) -> u32 {
+    groups.div_ceil(GROUPS_PER_SHARD).max(1) as u32
+}
+
+/// Returns the queue to which a group belongs if its model has several.
+///
+/// Rendezvous hashing: when the number of queues changes by one, only the groups of that queue move.
+///
+/// ```
+/// use briarswitch_core::shared_queue::shard_of;
+///
+/// let moved = (0..1_000).filter(|group| shard_of(*group, 4) != shard_of(*group, 3));
+/// assert!(moved.into_iter().all(|group| shard_of(group, 4) == 3));
+/// ```
+pub fn shard_of(group: GroupKey, shards: u32) -> u32 {
+    let score = |shard: &u32| xxh3_64(format!("{group}\u{0}{shard}").as_bytes());
+    (0..shards).max_by_key(score).unwrap_or(0)
+}
