--- a/crates/core/src/queue_round.rs
+++ b/crates/core/src/queue_round.rs
@@ -2,13 +2,13 @@
 
 use std::time::Duration;
 
-use indexmap::IndexMap;
+use indexmap::{IndexMap, IndexSet};
 
 use crate::forecast::{refusal, SlotOutlook};
-use crate::id::{Moment, OrganisationId};
+use crate::id::Moment;
 use crate::queue_order::{service_class, ServiceClass};
 use crate::queue_rates::QueueRates;
-use crate::queue_shares::OrganisationShares;
+use crate::queue_shares::{OrganisationShares, FLOOR_INTERVAL};
 use crate::queue_slots::{FreeSlots, SlotLedger};
 use crate::shared_queue::{GroupCapacity, GroupKey, QueuedRequest};
 use crate::waiting::{WaitVerdict, WaitingRequest};
@@ -28,7 +28,7 @@
     pub(crate) now: Moment,
 }
 
-impl QueueRound<'_> {
+impl<'a> QueueRound<'a> {
     /// Grants free slots, and refuses requests for which none can be expected in time.
     pub(crate) fn run(mut self) -> (RoundGrants, RoundRefusals) {
         self.shares.record_waiting(&self.requests, self.now);
@@ -44,8 +44,13 @@
         if free.is_empty() {
             return grants;
         }
-        let starved = self.shares.starved(&self.requests, self.now);
-        let mut starved = starved.into_iter();
+        let floor_times = self.shares.floor_times(&self.requests);
+        let mut starved = floor_times
+            .into_iter()
+            .filter(|(_, time)| self.now > *time)
+            .map(|(organisation, _)| organisation)
+            .collect::<Vec<_>>()
+            .into_iter();
         for index in order {
             if self.shares.is_floor_due() {
                 self.grant_starved(order, &mut starved, &mut free, &mut grants);
@@ -65,7 +70,7 @@
     fn grant_starved(
         &mut self,
         order: &[usize],
-        starved: &mut impl Iterator<Item = OrganisationId>,
+        starved: &mut impl Iterator<Item = &'a str>,
         free: &mut FreeSlots,
         grants: &mut RoundGrants,
     ) {
@@ -121,6 +126,8 @@
         let mut preceding_rates: IndexMap<ServiceClass, PrecedingRates> = IndexMap::new();
         let mut refusals = RoundRefusals::new();
         let remaining = order.iter().filter(|index| !grants.contains_key(*index));
+        let floor_times = self.shares.floor_times(&self.requests);
+        let mut organisations: IndexSet<&str> = IndexSet::new();
         let mut ahead = 0;
         for index in remaining {
             let queued = self.requests[*index];
@@ -135,7 +142,14 @@
                 free_slots: 0,
                 release_rate: self.release_rate(&queued.excluded),
             };
+            // Each organisation keeps one request for the next grant to the longest wait, if that comes in time.
+            let is_first = organisations.insert(&queued.organisation);
+            let floor = is_first.then(|| floor_times.get_full(queued.organisation.as_str()));
+            let has_floor = floor.flatten().is_some_and(|(rank, _, time)| {
+                self.is_floor_in_time(&queued.request, &outlook, rank, *time)
+            });
             match self.verdict(&queued.request, &outlook, preceding.urgent) {
+                Some(_) if has_floor => ahead += 1,
                 Some(available_in) => refusals.push((*index, available_in)),
                 None => ahead += 1,
             }
@@ -161,6 +175,19 @@
         refusal(request, outlook, self.now).map(|refusal| refusal.available_in)
     }
 
+    /// Returns whether the organisation that waits longest but for `rank` others is served before a request is refused.
+    fn is_floor_in_time(
+        &self,
+        request: &WaitingRequest,
+        outlook: &SlotOutlook,
+        rank: usize,
+        time: Moment,
+    ) -> bool {
+        let grants = (rank + 1) as f64 * f64::from(FLOOR_INTERVAL);
+        let wait = Duration::try_from_secs_f64(grants / outlook.release_rate);
+        wait.is_ok_and(|wait| time.max(self.now).saturating_add(wait) < request.refuse_at)
+    }
+
     fn release_rate(&self, excluded: &[GroupKey]) -> f64 {
         let usable = self
             .groups
--- a/crates/core/src/queue_shares.rs
+++ b/crates/core/src/queue_shares.rs
@@ -10,7 +10,7 @@
 use crate::shared_queue::QueuedRequest;
 
 /// Of this many grants in a row, at least one goes to the organisation that has waited longest.
-const FLOOR_INTERVAL: u32 = 16;
+pub(crate) const FLOOR_INTERVAL: u32 = 16;
 /// Time for which the wait of an organisation without waiting requests is remembered; its callers may retry until then.
 const WAIT_TTL: Duration = Duration::from_secs(2);
 
@@ -71,8 +71,11 @@
         }
     }
 
-    /// Returns the organisations that have waited longer than is on time, the longest wait first.
-    pub(crate) fn starved(&self, requests: &[&QueuedRequest], now: Moment) -> Vec<OrganisationId> {
+    /// Returns from when on each organisation has waited longer than is on time, the longest wait first.
+    pub(crate) fn floor_times<'a>(
+        &self,
+        requests: &[&'a QueuedRequest],
+    ) -> IndexMap<&'a str, Moment> {
         let mut slacks: IndexMap<&str, Duration> = IndexMap::new();
         for queued in requests {
             let request = &queued.request;
@@ -80,16 +83,14 @@
             let longest = slacks.entry(&queued.organisation).or_default();
             *longest = slack.max(*longest);
         }
-        let waits = slacks.iter().filter_map(|(organisation, slack)| {
-            let since = self.waits.get(*organisation)?.since;
-            (now > since + *slack).then_some((since, *organisation))
+        let waits = slacks.into_iter().filter_map(|(organisation, slack)| {
+            let since = self.waits.get(organisation)?.since;
+            Some((since, organisation, since + slack))
         });
-        let mut waits: Vec<(Moment, &str)> = waits.collect();
+        let mut waits: Vec<(Moment, &str, Moment)> = waits.collect();
         waits.sort_unstable();
-        let starved = waits.into_iter();
-        starved
-            .map(|(_, organisation)| organisation.to_owned())
-            .collect()
+        let times = waits.into_iter();
+        times.map(|(_, name, time)| (name, time)).collect()
     }
 
     /// Returns whether the next grant goes to the organisation that has waited longest, if there is one.
--- a/crates/core/src/queue_slots.rs
+++ b/crates/core/src/queue_slots.rs
@@ -1,61 +1,200 @@
 //! Slots of groups as the coordinator of a shared queue knows them before gossip reports them.
+//!
+//! The coordinator counts its own grants and the releases that nodes report. Gossip only corrects that count: added up
+//! with the grants and releases of the time that it takes, every deviation of that time gave grants for slots that were
+//! not free, in turn with slots that stayed free, and one in six requests arrived at a full group.
 
 use std::cmp::Reverse;
 use std::collections::VecDeque;
+use std::time::Duration;
 
 use indexmap::IndexMap;
 
 use crate::id::Moment;
 use crate::shared_queue::{GroupCapacity, GroupKey, GRANT_TTL};
 
-/// Numbers of slots of one group, with the time of each, the oldest first.
-type SlotEvents = VecDeque<(Moment, u32)>;
+/// Shortest time after which gossip reports a request; the longest is [`GRANT_TTL`].
+const MIN_REPORT_AGE: Duration = Duration::from_millis(150);
+/// Time for which gossip must report more requests than were counted before it is believed.
+///
+/// Nodes' reports are of different ages, so that a slot that changes hands is reported twice or not at all.
+const SURPLUS_TIME: Duration = Duration::from_millis(250);
+/// Time for which gossip must report fewer requests than were counted before it is believed.
+///
+/// It also reports slots that have become free sooner than their node's message does.
+const SHORTFALL_TIME: Duration = Duration::from_millis(500);
 
-/// Grants and releases of the last [`GRANT_TTL`].
+/// Usual time after which gossip reports a request.
+const MEAN_REPORT_AGE: Duration = Duration::from_millis(200);
+/// Mean time for which a slot is free before its next request starts: two messages and the interval between messages.
+///
+/// Gossip reports such slots as free, although they are in use for the coordinator.
+const HANDOVER_TIME: Duration = Duration::from_millis(15);
+/// Time over which the mean difference between the count and the reports is taken.
+const AVERAGING_TIME: Duration = Duration::from_secs(1);
+/// Mean difference in slots from which it is corrected; a smaller one can be chance.
+const MIN_MEAN_DIFFERENCE: f64 = 0.8;
+
+/// A difference between what gossip reports and what was counted.
+#[derive(Clone, Copy, Debug, PartialEq)]
+struct Deviation {
+    since: Moment,
+    /// Its smallest size since then.
+    smallest: i64,
+}
+
+impl Deviation {
+    /// Follows a difference, and returns by how much to correct the count once it has lasted for long enough.
+    fn follow(deviation: &mut Option<Self>, size: i64, min_time: Duration, now: Moment) -> i64 {
+        if size <= 0 {
+            *deviation = None;
+            return 0;
+        }
+        let known = deviation.get_or_insert(Self {
+            since: now,
+            smallest: size,
+        });
+        known.smallest = size.min(known.smallest);
+        if now < known.since + min_time {
+            return 0;
+        }
+        deviation.take().map_or(0, |known| known.smallest)
+    }
+}
+
+/// Requests at one group.
+#[derive(Clone, Debug, Default, PartialEq)]
+struct GroupCount {
+    load: i64,
+    /// Grants and releases of the last [`GRANT_TTL`], the oldest first.
+    changes: VecDeque<(Moment, i64)>,
+    /// What gossip reported last, and when.
+    reported: i64,
+    reported_at: Option<Moment>,
+    counted_since: Moment,
+    surplus: Option<Deviation>,
+    shortfall: Option<Deviation>,
+    /// Smoothed number of requests that were counted and that gossip does not report.
+    unreported: f64,
+}
+
+impl GroupCount {
+    fn change(&mut self, slots: i64, now: Moment) {
+        self.load += slots;
+        self.changes.push_back((now, slots));
+    }
+
+    /// Corrects the count by what gossip reports.
+    fn correct(&mut self, reported: i64, now: Moment) {
+        self.prune(now);
+        let is_current = self.reported_at.is_some_and(|at| now <= at + GRANT_TTL);
+        if !is_current {
+            let changed: i64 = self.changes.iter().map(|(_, slots)| slots).sum();
+            self.load = reported + changed;
+            self.counted_since = now;
+            (self.surplus, self.shortfall) = (None, None);
+            self.unreported = 0.0;
+        } else if now < self.counted_since + MIN_REPORT_AGE {
+            // What was counted is not reported yet, so that everything new comes from elsewhere.
+            self.load += reported - self.reported;
+        } else {
+            self.compare(reported, now);
+        }
+        self.reported = reported;
+        self.reported_at = Some(now);
+    }
+
+    fn compare(&mut self, reported: i64, now: Moment) {
+        let (lowest, highest) = self.reported_range(now);
+        let (more, less) = (reported - highest, lowest - reported);
+        self.load += Deviation::follow(&mut self.surplus, more, SURPLUS_TIME, now);
+        self.load -= Deviation::follow(&mut self.shortfall, less, SHORTFALL_TIME, now);
+        self.correct_mean(reported, now);
+    }
+
+    /// Corrects a difference that is smaller than the fluctuations of the reports.
+    fn correct_mean(&mut self, reported: i64, now: Moment) {
+        let difference = self.load_at(now.saturating_sub(MEAN_REPORT_AGE)) - reported;
+        let released = self.changes.iter().map(|(_, slots)| -slots.min(&0));
+        let released = released.sum::<i64>() as f64;
+        let handed_over = released * HANDOVER_TIME.div_duration_f64(GRANT_TTL);
+        let elapsed = now.saturating_sub(self.reported_at.unwrap_or(now));
+        let weight = 1.0 - (-elapsed.div_duration_f64(AVERAGING_TIME)).exp();
+        self.unreported += weight * (difference as f64 - handed_over - self.unreported);
+        if self.unreported.abs() >= MIN_MEAN_DIFFERENCE {
+            let slots = self.unreported.round();
+            self.load -= slots as i64;
+            self.unreported -= slots;
+        }
+    }
+
+    /// Returns what the count was at a time.
+    fn load_at(&self, time: Moment) -> i64 {
+        let later = self.changes.iter().rev().take_while(|(at, _)| *at > time);
+        self.load - later.map(|(_, slots)| slots).sum::<i64>()
+    }
+
+    /// Returns the lowest and the highest count of the time that gossip may report now.
+    fn reported_range(&self, now: Moment) -> (i64, i64) {
+        let latest = now.saturating_sub(MIN_REPORT_AGE);
+        let mut load = self.load;
+        let mut within = Vec::new();
+        for (at, slots) in self.changes.iter().rev() {
+            if *at <= latest {
+                within.push(load);
+            }
+            load -= slots;
+        }
+        let lowest = within.iter().fold(load, |lowest, load| lowest.min(*load));
+        let highest = within.iter().fold(load, |highest, load| highest.max(*load));
+        (lowest, highest)
+    }
+
+    fn prune(&mut self, now: Moment) {
+        let is_old = |(at, _): &(Moment, i64)| now >= *at + GRANT_TTL;
+        while self.changes.front().is_some_and(is_old) {
+            self.changes.pop_front();
+        }
+    }
+}
+
+/// Requests at the groups of a queue.
 #[derive(Clone, Debug, Default, PartialEq)]
 pub(crate) struct SlotLedger {
-    grants: IndexMap<GroupKey, SlotEvents>,
-    releases: IndexMap<GroupKey, SlotEvents>,
+    groups: IndexMap<GroupKey, GroupCount>,
 }
 
 impl SlotLedger {
     /// Records that a slot of a group was granted.
     pub(crate) fn record_grant(&mut self, group: GroupKey, now: Moment) {
-        self.grants.entry(group).or_default().push_back((now, 1));
+        self.groups.entry(group).or_default().change(1, now);
     }
 
     /// Records that slots of a group have become free.
     pub(crate) fn record_releases(&mut self, group: GroupKey, slots: u32, now: Moment) {
-        let releases = self.releases.entry(group).or_default();
-        releases.push_back((now, slots));
-    }
-
-    /// Drops what gossip reports by now.
-    pub(crate) fn prune(&mut self, now: Moment) {
-        for groups in [&mut self.grants, &mut self.releases] {
-            groups.retain(|_, events| {
-                while events.front().is_some_and(|(at, _)| now >= *at + GRANT_TTL) {
-                    events.pop_front();
-                }
-                !events.is_empty()
-            });
+        let count = self.groups.entry(group).or_default();
+        count.change(-i64::from(slots), now);
+    }
+
+    /// Takes note of what gossip reports; groups that are not listed are dropped.
+    pub(crate) fn correct(&mut self, groups: &[GroupCapacity], now: Moment) {
+        let is_listed = |key: &GroupKey| groups.iter().any(|group| group.group == *key);
+        self.groups.retain(|key, _| is_listed(key));
+        for group in groups {
+            let count = self.groups.entry(group.group).or_default();
+            count.correct(i64::from(group.active_requests), now);
         }
     }
 
     /// Returns the requests at a group: those that gossip reports, and what it cannot report yet.
     pub(crate) fn load_of(&self, group: &GroupCapacity) -> u32 {
-        let granted = count_slots(self.grants.get(&group.group));
-        let released = count_slots(self.releases.get(&group.group));
-        let known = group.active_requests.saturating_add(granted);
-        known.saturating_sub(released).max(granted)
+        let count = self.groups.get(&group.group);
+        count.map_or(group.active_requests, |count| {
+            u32::try_from(count.load.max(0)).unwrap_or(u32::MAX)
+        })
     }
 }
 
-fn count_slots(events: Option<&SlotEvents>) -> u32 {
-    let slots = events.into_iter().flatten().map(|(_, slots)| *slots);
-    slots.fold(0, u32::saturating_add)
-}
-
 /// Slots that are still free in one round of the queue.
 pub(crate) struct FreeSlots {
     groups: Vec<(GroupCapacity, u32)>,
--- a/crates/core/src/shared_queue.rs
+++ b/crates/core/src/shared_queue.rs
@@ -253,6 +253,7 @@
     /// Grants free slots in the order in which the requests are to be served, and refuses requests without a chance.
     pub fn serve(&mut self, groups: &[GroupCapacity], now: Moment) -> QueueDecision {
         self.prune(now);
+        self.ledger.correct(groups, now);
         let waiting: Vec<(&NodeId, &QueuedRequest)> = self
             .nodes
             .iter()
@@ -312,7 +313,6 @@
         self.nodes
             .retain(|_, held| now < held.updated_at + VERSION_TTL);
         self.nodes.values_mut().for_each(|held| held.prune(now));
-        self.ledger.prune(now);
         self.shares.prune(now);
         // Messages that were not handled in the meantime are missing in the rates.
         if now > self.served_at + NODE_TTL {
