--- /dev/null
+++ b/crates/fleet/src/coordinated_queue.rs
@@ -0,0 +1,270 @@
+//! One queue of which this node is the coordinator.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use briarswitch_core::id::*;
+use briarswitch_core::shared_queue::{
+    GroupCapacity, GroupKey, QueueDecision, SharedQueue, GRANT_TTL,
+};
+use indexmap::IndexMap;
+use serde_json::{json, Value};
+use tokio::sync::{oneshot, Notify};
+
+use crate::load_estimate::LoadEstimate;
+use crate::queue_doc::{QueueReply, QueueUpdate};
+use crate::queue_inbox::{NodeInbox, PriorityCounts};
+
+/// What a queue has decided since it was last summarised.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub struct DecisionCounts {
+    /// Slots granted.
+    pub grants: u32,
+    /// Requests refused.
+    pub refusals: u32,
+}
+
+/// A queue at one moment.
+#[derive(Clone, Debug, Default, Eq, PartialEq)]
+pub struct QueueSummary {
+    /// Waiting requests by priority, as nodes last reported them.
+    pub waiting: PriorityCounts,
+    /// Time since the first of them arrived.
+    pub oldest_wait: Duration,
+    /// Decisions since the last summary.
+    pub decided: DecisionCounts,
+    /// Free slots of its groups when they were last granted.
+    pub free_slots: u32,
+}
+
+/// Slots of a group that were granted and released within [`GRANT_TTL`].
+#[derive(Default)]
+struct SlotChanges {
+    grants: Vec<Moment>,
+    releases: Vec<Moment>,
+}
+
+impl SlotChanges {
+    /// Returns the number of requests that must be reported so that with these changes there are `estimated`.
+    fn reported(&self, estimated: u32) -> u32 {
+        (estimated + self.releases.len() as u32).saturating_sub(self.grants.len() as u32)
+    }
+
+    fn expire(&mut self, now: Moment) {
+        self.grants.retain(|at| now < *at + GRANT_TTL);
+        self.releases.retain(|at| now < *at + GRANT_TTL);
+    }
+}
+
+/// What is known of the requests at a group.
+#[derive(Default)]
+struct GroupRecord {
+    estimate: LoadEstimate,
+    /// The estimate when slots were last granted.
+    estimated: u32,
+    /// Changes by all nodes.
+    changes: SlotChanges,
+    /// Changes by this node.
+    own_changes: SlotChanges,
+}
+
+/// A queue that this node coordinates.
+#[derive(Default)]
+pub struct CoordinatedQueue {
+    own: NodeId,
+    queue: SharedQueue,
+    inboxes: IndexMap<NodeId, NodeInbox>,
+    groups: IndexMap<GroupKey, GroupRecord>,
+    capacities: Vec<GroupCapacity>,
+    decided: DecisionCounts,
+    is_served: bool,
+    wake: Arc<Notify>,
+}
+
+impl CoordinatedQueue {
+    /// Creates an empty queue; `own` is this node.
+    pub fn new(own: NodeId) -> Self {
+        Self {
+            own,
+            ..Self::default()
+        }
+    }
+
+    /// Takes a message of a node. Returns its reply once there is one, or `None` if it gets an empty one at once.
+    pub fn update(
+        &mut self,
+        update: QueueUpdate,
+        now: Moment,
+    ) -> Option<oneshot::Receiver<QueueReply>> {
+        let QueueUpdate {
+            mut requests,
+            releases,
+            returned,
+            ..
+        } = update;
+        let node = requests.node.clone();
+        for (group, slots) in releases {
+            self.release(&node, group, slots, now);
+        }
+        for (_, group) in &returned {
+            self.release(&node, *group, 1, now);
+        }
+        let inbox = self.inboxes.entry(node).or_default();
+        if !inbox.accept(&mut requests, &returned, now) {
+            return None;
+        }
+        let is_waiting = !requests.requests.is_empty();
+        let held = inbox.hold();
+        self.queue.update(requests, now);
+        is_waiting.then_some(held)
+    }
+
+    fn release(&mut self, node: &NodeId, group: GroupKey, slots: u32, now: Moment) {
+        self.queue.release(group, slots, now);
+        let record = self.groups.entry(group).or_default();
+        for _ in 0..slots {
+            record.estimate.change(-1, now);
+            record.changes.releases.push(now);
+            if *node == self.own {
+                record.own_changes.releases.push(now);
+            }
+        }
+    }
+
+    /// Returns the number of requests at a group to which the queue adds the recent grants and releases.
+    ///
+    /// `remote` is what other nodes report, and `running` the number of this node's own requests, which are counted as
+    /// if they were reported as late.
+    pub fn reported_requests(
+        &mut self,
+        group: GroupKey,
+        remote: u32,
+        running: u32,
+        now: Moment,
+    ) -> u32 {
+        let record = self.groups.entry(group).or_default();
+        let reported = remote + record.own_changes.reported(running);
+        record.estimated = record.estimate.observe(reported, now);
+        record.changes.reported(record.estimated)
+    }
+
+    /// Returns the number of requests that run at a group, as last estimated.
+    pub fn estimated(&self, group: GroupKey) -> u32 {
+        self.groups.get(&group).map_or(0, |record| record.estimated)
+    }
+
+    /// Drops what no longer counts.
+    pub fn expire(&mut self, now: Moment) {
+        for record in self.groups.values_mut() {
+            record.changes.expire(now);
+            record.own_changes.expire(now);
+        }
+        self.inboxes.retain(|_, inbox| inbox.is_current(now));
+        for inbox in self.inboxes.values_mut() {
+            inbox.expire(now);
+        }
+    }
+
+    /// Grants free slots and delivers the decisions to the nodes.
+    pub fn serve(&mut self, capacities: Vec<GroupCapacity>, now: Moment) -> DecisionCounts {
+        let decision = self.queue.serve(&capacities, now);
+        self.capacities = capacities;
+        let counts = DecisionCounts {
+            grants: decision.grants.len() as u32,
+            refusals: decision.refusals.len() as u32,
+        };
+        self.decided.grants += counts.grants;
+        self.decided.refusals += counts.refusals;
+        self.deliver(decision, now);
+        counts
+    }
+
+    fn deliver(&mut self, decision: QueueDecision, now: Moment) {
+        for grant in decision.grants {
+            let record = self.groups.entry(grant.group).or_default();
+            record.estimate.change(1, now);
+            record.changes.grants.push(now);
+            if grant.node == self.own {
+                record.own_changes.grants.push(now);
+            }
+            if let Some(inbox) = self.inboxes.get_mut(&grant.node) {
+                inbox.grant(grant.ticket, grant.group, now);
+            }
+        }
+        for refusal in decision.refusals {
+            if let Some(inbox) = self.inboxes.get_mut(&refusal.node) {
+                inbox.refuse(refusal.ticket, refusal.available_in);
+            }
+        }
+        for inbox in self.inboxes.values_mut() {
+            inbox.deliver();
+        }
+    }
+
+    /// Returns whether requests wait.
+    pub fn is_waiting(&self) -> bool {
+        self.queue.waiting() > 0
+    }
+
+    /// Returns whether nothing is kept of any node.
+    pub fn is_idle(&self) -> bool {
+        self.inboxes.is_empty() && !self.is_waiting() && !self.is_served
+    }
+
+    /// Sets whether a task serves the queue, and returns whether one did before.
+    pub fn set_served(&mut self, is_served: bool) -> bool {
+        std::mem::replace(&mut self.is_served, is_served)
+    }
+
+    /// Returns what wakes the task that serves the queue.
+    pub fn wake(&self) -> &Arc<Notify> {
+        &self.wake
+    }
+
+    /// Returns the state of the queue; decisions are counted from now on.
+    pub fn summarise(&mut self, now: Moment) -> QueueSummary {
+        let decided = std::mem::take(&mut self.decided);
+        QueueSummary {
+            decided,
+            ..self.summary(now)
+        }
+    }
+
+    fn summary(&self, now: Moment) -> QueueSummary {
+        let mut waiting = PriorityCounts::default();
+        let current = || self.inboxes.values().filter(|inbox| inbox.is_current(now));
+        for inbox in current() {
+            for (sum, count) in waiting.iter_mut().zip(inbox.waiting()) {
+                *sum += count;
+            }
+        }
+        let first = current().filter_map(NodeInbox::first_arrival).min();
+        let free = self.capacities.iter();
+        let free = free.map(|group| group.slots.saturating_sub(self.estimated(group.group)));
+        QueueSummary {
+            waiting,
+            oldest_wait: first.map_or(Duration::ZERO, |first| now.saturating_sub(first)),
+            decided: self.decided,
+            free_slots: free.sum(),
+        }
+    }
+
+    /// Returns the queue's state for diagnostics.
+    pub fn dump(&self, now: Moment) -> Value {
+        let summary = self.summary(now);
+        let groups = self.capacities.iter().map(|group| {
+            json!({
+                "group": group.group,
+                "slots": group.slots,
+                "active_requests": self.estimated(group.group),
+            })
+        });
+        json!({
+            "nodes": self.inboxes.len(),
+            "waiting": self.queue.waiting(),
+            "reported": summary.waiting,
+            "oldest_wait_ms": summary.oldest_wait.as_millis() as u64,
+            "groups": groups.collect::<Vec<_>>(),
+        })
+    }
+}
--- a/crates/fleet/src/costs.rs
+++ b/crates/fleet/src/costs.rs
@@ -53,10 +53,14 @@
     RequestForwarded,
     /// Request forwarded by another node.
     ForwardReceived,
+    /// Message to the coordinator of a queue.
+    QueueTold,
+    /// Message of another node for a queue that this one coordinates.
+    QueueAnswered,
 }
 
 /// Names of the kinds, in the order of [`CostKind`].
-const NAMES: [&str; 22] = [
+const NAMES: [&str; 24] = [
     "registry_write",
     "registry_read",
     "table_whole",
@@ -79,6 +83,8 @@
     "reach_probed",
     "request_forwarded",
     "forward_received",
+    "queue_told",
+    "queue_answered",
 ];
 
 /// Totals of one kind since the start.
--- a/crates/fleet/src/dispatch.rs
+++ b/crates/fleet/src/dispatch.rs
@@ -22,6 +22,7 @@
 use crate::job::{RequestJob, ResponseStart};
 use crate::peers::PeerMessage;
 use crate::ports::{ResponseInfo, TargetRequestInfo};
+use crate::queue_coordinator::QueueCoordinator;
 use crate::reach_monitor::ReachReporter;
 use crate::routing_table::RouteTarget;
 use crate::run::{RunListeners, TargetRun};
@@ -60,7 +61,7 @@
     shared: Arc<FleetShared>,
     client: TargetClient,
     budgets: RetryBudgets,
-    selector: TargetSelector,
+    selector: Arc<TargetSelector>,
     suspicion: SuspicionReporter,
     reach: ReachReporter,
     forwarder: RequestForwarder,
@@ -70,12 +71,13 @@
 
 impl FleetDispatcher {
     /// Creates a dispatcher that reports silent targets to `peers`, failures to reach targets to `reach`, and runs that
-    /// have ended to `run_listeners`.
+    /// have ended to `run_listeners`; `coordinator` is that of this node.
     pub fn new(
         shared: Arc<FleetShared>,
         peers: Mailbox<PeerMessage>,
         reach: ReachReporter,
         run_listeners: RunListeners,
+        coordinator: Arc<QueueCoordinator>,
     ) -> Arc<Self> {
         let client = TargetClient::new(TargetLimits {
             connect_timeout: CONNECT_TIMEOUT,
@@ -83,7 +85,7 @@
         });
         Arc::new(Self {
             budgets: RetryBudgets::new(Arc::clone(&shared)),
-            selector: TargetSelector::new(Arc::clone(&shared)),
+            selector: TargetSelector::new(Arc::clone(&shared), coordinator),
             statements: StatementRecorder::new(Arc::clone(&shared)),
             forwarder: RequestForwarder::new(Arc::clone(&shared)),
             suspicion: SuspicionReporter::new(Arc::clone(&shared), peers),
@@ -273,7 +275,7 @@
     ) -> Result<ResponseStart, FailedAttempt> {
         let SentAttempt {
             target,
-            slot,
+            mut slot,
             mut run,
             sent_at,
         } = attempt;
@@ -289,6 +291,7 @@
         if info.is_not_run || info.is_other_incarnation {
             run.end_unreported();
             target.gauge.record_outcome(true);
+            slot.keep_unreported();
             if info.is_other_incarnation || info.failed_member.is_some() {
                 self.suspicion.suspect(&target, now);
             }
--- a/crates/fleet/src/gauge.rs
+++ b/crates/fleet/src/gauge.rs
@@ -8,6 +8,7 @@
 use briarswitch_membership::{target_key, TargetKey};
 
 use crate::micros::micros;
+use crate::queue_client::SlotRelease;
 use crate::statements::TargetStatements;
 
 /// Divisor of the exponential smoothing: the newest sample has a weight of one in this many.
@@ -283,6 +284,8 @@
     gauge: Arc<TargetGauge>,
     /// Prompt tokens of the request until its first event.
     prefill_tokens: Option<u64>,
+    /// Tells the coordinator of a queue that the slot is free.
+    release: Option<SlotRelease>,
 }
 
 impl SlotGuard {
@@ -299,6 +302,21 @@
         Self {
             gauge: Arc::clone(gauge),
             prefill_tokens: Some(tokens),
+            release: None,
+        }
+    }
+
+    /// Adds what happens after the slot has been released.
+    pub fn with_release(self, release: Option<SlotRelease>) -> Self {
+        let mut guard = self;
+        guard.release = release;
+        guard
+    }
+
+    /// Does not report the slot as free when it is released, since the target has refused the request as full.
+    pub fn keep_unreported(&mut self) {
+        if let Some(release) = self.release.take() {
+            release.cancel();
         }
     }
 
@@ -317,5 +335,6 @@
     fn drop(&mut self) {
         self.end_prefill();
         self.gauge.local.fetch_sub(1, Ordering::Relaxed);
+        drop(self.release.take());
     }
 }
--- a/crates/fleet/src/job.rs
+++ b/crates/fleet/src/job.rs
@@ -96,6 +96,8 @@
             tried: tried.to_vec(),
             allowed_regions: self.allowed_regions.clone(),
             is_late: false,
+            organisation: self.organisation.clone().unwrap_or_default(),
+            max_tokens: self.request.max_tokens,
         }
     }
 
--- a/crates/fleet/src/metrics.rs
+++ b/crates/fleet/src/metrics.rs
@@ -11,6 +11,7 @@
 use prometheus::{Encoder, Registry, TextEncoder};
 
 use crate::costs::CostCounters;
+use crate::queue_inbox::{PriorityCounts, PRIORITIES};
 
 /// Bucket bounds of the latency histograms in seconds; the latency objectives lie between 0.15 and 0.4.
 const LATENCY_BOUNDS: [f64; 12] = [
@@ -34,6 +35,10 @@
     first_event: Histogram<f64>,
     config_version: Arc<AtomicU64>,
     partitioned: Arc<AtomicU64>,
+    queue_grants: Counter<u64>,
+    queue_refusals: Counter<u64>,
+    queue_fallbacks: Counter<u64>,
+    queue_waiting: Arc<[AtomicU64; PRIORITIES]>,
 }
 
 /// Labels of one request.
@@ -85,7 +90,22 @@
                 }
             })
             .build();
+        let queue_waiting: Arc<[AtomicU64; PRIORITIES]> = Arc::default();
+        let observed = Arc::clone(&queue_waiting);
+        meter
+            .u64_observable_gauge("queue_waiting")
+            .with_callback(move |observer| {
+                for (priority, waiting) in observed.iter().enumerate() {
+                    let attributes = [KeyValue::new("priority", priority as i64)];
+                    observer.observe(waiting.load(Ordering::Relaxed), &attributes);
+                }
+            })
+            .build();
         Self {
+            queue_grants: meter.u64_counter("queue_grants").build(),
+            queue_refusals: meter.u64_counter("queue_refusals").build(),
+            queue_fallbacks: meter.u64_counter("queue_fallbacks").build(),
+            queue_waiting,
             requests: meter.u64_counter("requests").build(),
             resumes: meter.u64_counter("stream_resumes").build(),
             orders: meter.u64_counter("orders").build(),
@@ -170,6 +190,35 @@
         self.quarantine_refusals.add(1, &attributes);
     }
 
+    /// Counts slots that this node granted as the coordinator of a queue.
+    pub fn count_queue_grants(&self, service: &str, model: &str, grants: u32) {
+        if grants > 0 {
+            self.queue_grants
+                .add(u64::from(grants), &queue_labels(service, model));
+        }
+    }
+
+    /// Counts requests that this node refused as the coordinator of a queue.
+    pub fn count_queue_refusals(&self, service: &str, model: &str, refusals: u32) {
+        if refusals > 0 {
+            self.queue_refusals
+                .add(u64::from(refusals), &queue_labels(service, model));
+        }
+    }
+
+    /// Counts one time that requests place themselves because a queue cannot be used.
+    pub fn count_queue_fallback(&self, reason: &'static str) {
+        self.queue_fallbacks
+            .add(1, &[KeyValue::new("reason", reason)]);
+    }
+
+    /// Sets the number of requests by priority that wait in the queues that this node coordinates.
+    pub fn set_queue_waiting(&self, waiting: PriorityCounts) {
+        for (observed, waiting) in self.queue_waiting.iter().zip(waiting) {
+            observed.store(u64::from(waiting), Ordering::Relaxed);
+        }
+    }
+
     /// Sets the version of the configuration in effect.
     pub fn set_config_version(&self, version: u64) {
         self.config_version.store(version, Ordering::Relaxed);
@@ -190,3 +239,10 @@
         text
     }
 }
+
+fn queue_labels(service: &str, model: &str) -> [KeyValue; 2] {
+    [
+        KeyValue::new("service", service.to_owned()),
+        KeyValue::new("model", model.to_owned()),
+    ]
+}
--- a/crates/fleet/src/node.rs
+++ b/crates/fleet/src/node.rs
@@ -24,6 +24,8 @@
 use crate::peer_api::PeerApi;
 use crate::peers::PeerExchange;
 use crate::ports::FleetPlatform;
+use crate::queue_coordinator::QueueCoordinator;
+use crate::queue_monitor::QueueMonitor;
 use crate::reach_monitor::{ReachMonitor, ReachReporter};
 use crate::run::RunListeners;
 use crate::settings::FleetSettings;
@@ -98,13 +100,25 @@
         };
         let monitor = kernel.mount(ReachMonitor::new(Arc::clone(&shared)))?;
         let reach = ReachReporter::new(monitor);
-        let dispatcher = FleetDispatcher::new(Arc::clone(&shared), exchange, reach, run_listeners);
+        let coordinator = QueueCoordinator::new(Arc::clone(&shared));
+        kernel.mount(QueueMonitor::new(
+            Arc::clone(&shared),
+            Arc::clone(&coordinator),
+        ))?;
+        let dispatcher = FleetDispatcher::new(
+            Arc::clone(&shared),
+            exchange,
+            reach,
+            run_listeners,
+            Arc::clone(&coordinator),
+        );
         let (stop, stopped) = watch::channel(false);
         let caller_api = CallerApi::new(Arc::clone(&shared), dispatcher);
         let peer_api = PeerApi::new(
             Arc::clone(&shared),
             suspects.clone(),
             Arc::clone(&caller_api),
+            coordinator,
         );
         let admin_api = AdminApi::new(Arc::clone(&shared), kernel, suspects);
         let servers = vec![
--- a/crates/fleet/src/peer_api.rs
+++ b/crates/fleet/src/peer_api.rs
@@ -1,5 +1,5 @@
-//! HTTP handler for other nodes: gossip, suspicions, crash reports, requests for the store's tables, and
-//! forwarded requests of callers.
+//! HTTP handler for other nodes: gossip, suspicions, crash reports, requests for the store's tables,
+//! forwarded requests of callers, and requests that wait in queues of all nodes.
 
 use std::sync::{Arc, Mutex, PoisonError};
 use std::time::Duration;
@@ -25,6 +25,8 @@
 use crate::packed::{pack, unpack};
 use crate::peers::{apply_hints, apply_suspicions, own_status, SuspicionDoc, SUSPICION_PATH};
 use crate::ports::{SourceError, SuspectRow};
+use crate::queue_coordinator::QueueCoordinator;
+use crate::queue_doc::{QueueReplyDoc, QueueUpdate, QueueUpdateDoc, QUEUE_PATH};
 use crate::shared::FleetShared;
 use crate::suspect_doc::SuspectDoc;
 use crate::suspect_sync::{SuspectMessage, SUSPECT_PATH};
@@ -40,21 +42,24 @@
     status: Mutex<(Moment, NodeStatus)>,
     suspects: Mailbox<SuspectMessage>,
     forward_api: ForwardApi,
+    coordinator: Arc<QueueCoordinator>,
 }
 
 impl PeerApi {
     /// Creates the handler; `suspects` is notified of crashes that other nodes report, and `caller_api` gets the
-    /// requests that they forward.
+    /// requests that they forward; `coordinator` takes their waiting requests.
     pub fn new(
         shared: Arc<FleetShared>,
         suspects: Mailbox<SuspectMessage>,
         caller_api: Arc<CallerApi>,
+        coordinator: Arc<QueueCoordinator>,
     ) -> Arc<Self> {
         Arc::new(Self {
             forward_api: ForwardApi::new(Arc::clone(&shared), caller_api),
             shared,
             status: Mutex::default(),
             suspects,
+            coordinator,
         })
     }
 
@@ -65,6 +70,7 @@
             SUSPICION_PATH => self.suspicion(request).await,
             FEED_PATH => self.feed(request).await,
             SUSPECT_PATH => self.crashes(request).await,
+            QUEUE_PATH => self.queue(request).await,
             FORWARD_PATH => self.forward_api.respond(request).await,
             _ => reply_text(StatusCode::NOT_FOUND, "no such path"),
         }
@@ -85,6 +91,19 @@
         }
     }
 
+    /// Takes another node's waiting requests, and holds the reply until there is a decision.
+    async fn queue(&self, request: Request) -> Response {
+        let Some(doc) = read_message::<QueueUpdateDoc>(request).await else {
+            return reply_text(StatusCode::BAD_REQUEST, "expected waiting requests");
+        };
+        self.shared.costs.count(CostKind::QueueAnswered);
+        let update = QueueUpdate::from((doc, BootClock::now()));
+        match self.coordinator.exchange(update).await {
+            Ok(reply) => reply_msgpack(StatusCode::OK, &QueueReplyDoc::from(reply)),
+            Err(error) => reply_text(StatusCode::MISDIRECTED_REQUEST, error.to_string()),
+        }
+    }
+
     async fn gossip(&self, request: Request) -> Response {
         match read_message::<GossipDoc>(request).await {
             Some(doc) => reply_msgpack(StatusCode::OK, &self.respond_to(doc)),
--- a/crates/fleet/src/request_run.rs
+++ b/crates/fleet/src/request_run.rs
@@ -216,8 +216,10 @@
             target,
             slot,
             passed_over,
+            granted_by,
         } = self.acquire().await?;
         self.trace.passed_over = passed_over;
+        self.trace.granted_by = granted_by;
         self.trace.record_target(&target);
         self.trace.record_slot();
         let last_event = self.job.request.last_event.clone();
--- a/crates/fleet/src/restriction.rs
+++ b/crates/fleet/src/restriction.rs
@@ -3,7 +3,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use briarswitch_core::id::Moment;
+use briarswitch_core::id::{Moment, NodeId};
 use briarswitch_core::outcome::FailurePoint;
 
 use crate::gauge::SlotGuard;
@@ -90,6 +90,8 @@
     pub slot: SlotGuard,
     /// Targets that could not be used.
     pub passed_over: PassedOver,
+    /// Node that granted the slot; empty if this node found it by itself.
+    pub granted_by: NodeId,
 }
 
 /// A request for which no slot became free in time, or will.
--- a/crates/fleet/src/slot_queue.rs
+++ b/crates/fleet/src/slot_queue.rs
@@ -5,12 +5,14 @@
 
 use briarswitch_core::id::*;
 use briarswitch_core::residency::AllowedRegions;
+use briarswitch_core::shared_queue::Ticket;
 use briarswitch_core::waiting::{next_waiting, WaitVerdict, WaitingRequest};
 use briarswitch_kernel::BootClock;
 use indexmap::IndexMap;
 use tokio::sync::oneshot;
 
 use crate::gauge::SlotGuard;
+use crate::queue_client::QueueRoute;
 use crate::routing_table::RouteTarget;
 
 /// Weight of the newest sample in the smoothed time to the first event.
@@ -34,20 +36,52 @@
     pub allowed_regions: AllowedRegions,
     /// Whether it can no longer meet its latency objective.
     pub is_late: bool,
+    /// Organisation of its caller; empty if none.
+    pub organisation: OrganisationId,
+    /// Maximum number of tokens of the response; zero if the caller does not state it.
+    pub max_tokens: u64,
+}
+
+/// How the wait for a slot ended.
+#[derive(Debug)]
+pub enum SlotReply {
+    /// A slot is reserved.
+    Reserved {
+        /// The target and its slot.
+        reserved: ReservedTarget,
+        /// Node that granted the slot; empty if this node found it by itself.
+        granted_by: NodeId,
+    },
+    /// No slot can be expected in time.
+    Refused {
+        /// Time until a slot can be expected, if known.
+        available_in: Option<Duration>,
+    },
+}
+
+/// What became of a granted slot.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum GrantResult {
+    /// The request has it.
+    Used,
+    /// The request no longer waits.
+    Unclaimed,
+    /// The request may not use it, and keeps waiting.
+    Unusable,
 }
 
 struct Waiter {
-    ticket: u64,
+    ticket: Ticket,
     slot_request: SlotRequest,
     request: WaitingRequest,
-    reply: oneshot::Sender<ReservedTarget>,
+    reply: oneshot::Sender<SlotReply>,
 }
 
 #[derive(Default)]
 struct QueueState {
     waiters: IndexMap<QueueKey, Vec<Waiter>>,
     first_event_times: IndexMap<QueueKey, Duration>,
-    next_ticket: u64,
+    next_ticket: Ticket,
 }
 
 /// Waiting requests, served in the order that [`next_waiting`] defines.
@@ -94,7 +128,7 @@
         &self,
         slot_request: SlotRequest,
         request: WaitingRequest,
-    ) -> (u64, oneshot::Receiver<ReservedTarget>) {
+    ) -> (Ticket, oneshot::Receiver<SlotReply>) {
         let (reply, reserved) = oneshot::channel();
         let mut state = self.lock();
         let ticket = state.next_ticket;
@@ -110,32 +144,107 @@
     }
 
     /// Removes a request that no longer waits.
-    pub fn cancel(&self, key: &QueueKey, ticket: u64) {
+    pub fn cancel(&self, key: &QueueKey, ticket: Ticket) {
         let mut state = self.lock();
         if let Some(waiters) = state.waiters.get_mut(key) {
             waiters.retain(|waiter| waiter.ticket != ticket);
         }
     }
 
+    /// Calls `visit` with each request that waits for these targets.
+    pub fn for_each(
+        &self,
+        key: &QueueKey,
+        mut visit: impl FnMut(Ticket, &SlotRequest, &WaitingRequest),
+    ) {
+        let state = self.lock();
+        for waiter in state.waiters.get(key).into_iter().flatten() {
+            visit(waiter.ticket, &waiter.slot_request, &waiter.request);
+        }
+    }
+
+    /// Gives a request the slot that another node granted, if `reserve` can reserve it.
+    pub fn grant(
+        &self,
+        key: &QueueKey,
+        ticket: Ticket,
+        granted_by: &NodeId,
+        reserve: impl FnOnce(&SlotRequest) -> Option<ReservedTarget>,
+    ) -> GrantResult {
+        let mut state = self.lock();
+        let waiters = state.waiters.get_mut(key);
+        let position = |waiters: &Vec<Waiter>| {
+            let is_meant = |waiter: &Waiter| waiter.ticket == ticket && !waiter.reply.is_closed();
+            waiters.iter().position(is_meant)
+        };
+        let Some((waiters, index)) =
+            waiters.and_then(|waiters| position(waiters).map(|index| (waiters, index)))
+        else {
+            return GrantResult::Unclaimed;
+        };
+        let Some(reserved) = reserve(&waiters[index].slot_request) else {
+            return GrantResult::Unusable;
+        };
+        let waiter = waiters.remove(index);
+        // If the waiter has left in the meantime, dropping the value releases the slot.
+        let _ = waiter.reply.send(SlotReply::Reserved {
+            reserved,
+            granted_by: granted_by.clone(),
+        });
+        GrantResult::Used
+    }
+
+    /// Refuses a request that still waits.
+    pub fn refuse(&self, key: &QueueKey, ticket: Ticket, available_in: Option<Duration>) {
+        let mut state = self.lock();
+        let Some(waiters) = state.waiters.get_mut(key) else {
+            return;
+        };
+        if let Some(index) = waiters.iter().position(|waiter| waiter.ticket == ticket) {
+            // The waiter may have left in the meantime.
+            let waiter = waiters.remove(index);
+            let _ = waiter.reply.send(SlotReply::Refused { available_in });
+        }
+    }
+
     /// Reserves slots as long as `pick` finds one for the request that is next.
-    pub fn serve(&self, pick: impl Fn(&SlotRequest) -> Option<ReservedTarget>) {
+    ///
+    /// Requests that wait in a queue of all nodes, as `route` says, are left out.
+    pub fn serve(
+        &self,
+        route: impl Fn(&QueueKey) -> Option<QueueRoute>,
+        pick: impl Fn(&SlotRequest) -> Option<ReservedTarget>,
+    ) {
         let now = BootClock::now();
         let mut state = self.lock();
-        for waiters in state.waiters.values_mut() {
+        for (key, waiters) in &mut state.waiters {
             waiters.retain(|waiter| !waiter.reply.is_closed());
+            let route = route(key);
+            let is_local = |waiter: &Waiter| {
+                let route = route.as_ref();
+                route.is_none_or(|route| route.link(waiter.ticket, now).is_none())
+            };
             loop {
-                let requests: Vec<WaitingRequest> =
-                    waiters.iter().map(|waiter| waiter.request).collect();
-                let Some(index) = next_waiting(&requests, now) else {
+                let (indices, requests): (Vec<usize>, Vec<WaitingRequest>) = waiters
+                    .iter()
+                    .enumerate()
+                    .filter(|(_, waiter)| is_local(waiter))
+                    .map(|(index, waiter)| (index, waiter.request))
+                    .unzip();
+                let Some(next) = next_waiting(&requests, now) else {
                     break;
                 };
-                waiters[index].slot_request.is_late = requests[index].is_late(now);
+                let index = indices[next];
+                waiters[index].slot_request.is_late = requests[next].is_late(now);
                 let Some(reserved) = pick(&waiters[index].slot_request) else {
                     break;
                 };
                 let waiter = waiters.remove(index);
                 // If the waiter has left in the meantime, dropping the value releases the slot.
-                let _ = waiter.reply.send(reserved);
+                let _ = waiter.reply.send(SlotReply::Reserved {
+                    reserved,
+                    granted_by: NodeId::new(),
+                });
             }
         }
         state.waiters.retain(|_, waiters| !waiters.is_empty());
@@ -150,19 +259,19 @@
 ///
 /// `poll` is called once per `interval`, since slots may become free without a notification to this node.
 pub async fn wait_for_slot(
-    mut reserved: oneshot::Receiver<ReservedTarget>,
+    mut reply: oneshot::Receiver<SlotReply>,
     request: WaitingRequest,
     interval: Duration,
     mut poll: impl FnMut(),
-) -> Option<ReservedTarget> {
+) -> Option<SlotReply> {
     loop {
-        match tokio::time::timeout(interval, &mut reserved).await {
-            Ok(reserved) => return reserved.ok(),
+        match tokio::time::timeout(interval, &mut reply).await {
+            Ok(reply) => return reply.ok(),
             Err(_) => poll(),
         }
         if request.verdict(BootClock::now()) == WaitVerdict::Refuse {
             // A slot that was reserved at the last moment is used.
-            return reserved.try_recv().ok();
+            return reply.try_recv().ok();
         }
     }
 }
--- a/crates/fleet/src/target_selector.rs
+++ b/crates/fleet/src/target_selector.rs
@@ -8,6 +8,7 @@
 use briarswitch_core::id::*;
 use briarswitch_core::outcome::FailurePoint;
 use briarswitch_core::placement::{pick_group, slot_share, GroupLoad, PlacementParams};
+use briarswitch_core::shared_queue::GroupKey;
 use briarswitch_core::traffic::ServiceSpec;
 use briarswitch_core::waiting::{WaitParams, WaitingRequest};
 use briarswitch_kernel::BootClock;
@@ -16,10 +17,14 @@
 use crate::gauge::SlotGuard;
 use crate::job::RequestJob;
 use crate::peers::PROPAGATION_TIME;
+use crate::queue_client::{QueueClient, SlotRelease};
+use crate::queue_coordinator::QueueCoordinator;
 use crate::restriction::{AcquiredSlot, PassedOver, Restriction, SlotError, TargetOutlook};
 use crate::routing_table::{RouteTarget, RoutingTable};
 use crate::shared::FleetShared;
-use crate::slot_queue::{wait_for_slot, QueueKey, ReservedTarget, SlotQueue, SlotRequest};
+use crate::slot_queue::{
+    wait_for_slot, QueueKey, ReservedTarget, SlotQueue, SlotReply, SlotRequest,
+};
 use crate::statements::LimitShare;
 
 /// Interval at which a waiting request checks for a free slot if it is not woken before.
@@ -32,8 +37,9 @@
 
 /// Selects targets and reserves slots there.
 pub struct TargetSelector {
-    shared: Arc<FleetShared>,
-    queue: SlotQueue,
+    pub(crate) shared: Arc<FleetShared>,
+    pub(crate) queue: SlotQueue,
+    queue_client: Arc<QueueClient>,
 }
 
 /// A target with a free slot.
@@ -58,12 +64,13 @@
 }
 
 impl TargetSelector {
-    /// Creates a selector with an empty queue.
-    pub fn new(shared: Arc<FleetShared>) -> Self {
-        Self {
+    /// Creates a selector with an empty queue; `coordinator` is that of this node.
+    pub fn new(shared: Arc<FleetShared>, coordinator: Arc<QueueCoordinator>) -> Arc<Self> {
+        Arc::new_cyclic(|selector| Self {
+            queue_client: QueueClient::new(Arc::clone(&shared), coordinator, selector.clone()),
             shared,
             queue: SlotQueue::default(),
-        }
+        })
     }
 
     /// Reserves a slot at a target, waiting for one if none is free.
@@ -128,8 +135,9 @@
         }
         // A new request must not overtake waiting ones that can still meet their objective.
         let waiting = self.queue.waiting(&slot_request.key);
-        if waiting == 0 {
-            if let Some(acquired) = self.try_acquire(&slot_request, now) {
+        let is_shared = self.queue_client.route(&slot_request.key, now).is_some();
+        if waiting == 0 && !is_shared {
+            if let Some(acquired) = self.try_acquire(&slot_request, None, now) {
                 return Ok(acquired);
             }
         }
@@ -139,7 +147,10 @@
             return Err(refusal);
         }
         let key = slot_request.key.clone();
-        let (ticket, reserved) = self.queue.push(slot_request, request);
+        let (ticket, reply) = self.queue.push(slot_request, request);
+        if let Some(route) = self.queue_client.route(&key, now) {
+            route.link(ticket, now).inspect(|link| link.notify());
+        }
         self.serve_queue();
         let _guard = QueueGuard {
             queue: &self.queue,
@@ -147,12 +158,21 @@
             ticket,
         };
         let poll = || self.serve_queue();
-        let reserved = wait_for_slot(reserved, request, SLOT_POLL_INTERVAL, poll).await;
-        match reserved {
-            Some((target, slot)) => Ok(AcquiredSlot {
+        let reply = wait_for_slot(reply, request, SLOT_POLL_INTERVAL, poll).await;
+        match reply {
+            Some(SlotReply::Reserved {
+                reserved: (target, slot),
+                granted_by,
+            }) => Ok(AcquiredSlot {
                 target,
                 slot,
                 passed_over,
+                granted_by,
+            }),
+            Some(SlotReply::Refused { available_in }) => Err(SlotError {
+                point: FailurePoint::NoTarget,
+                available_in,
+                passed_over,
             }),
             None => Err(SlotError {
                 passed_over,
@@ -178,7 +198,7 @@
     }
 
     /// Returns whether a request may be processed in the zone of a target.
-    fn is_permitted(
+    pub(crate) fn is_permitted(
         &self,
         slot_request: &SlotRequest,
         target: &RouteTarget,
@@ -208,7 +228,7 @@
     }
 
     /// Returns why this node may not send a request to a target now, if so.
-    fn restriction(
+    pub(crate) fn restriction(
         &self,
         spec: Option<&ServiceSpec>,
         target: &RouteTarget,
@@ -254,11 +274,19 @@
         lowest.map(|(limit, silence)| self.shared.limit_share(limit, silence, target, now))
     }
 
-    /// Reserves free slots for waiting requests.
+    /// Reserves free slots for waiting requests, but for those that wait in a queue of all nodes.
     pub fn serve_queue(&self) {
-        if !self.queue.is_empty() {
-            self.queue.serve(|slot_request| self.pick(slot_request));
+        if self.queue.is_empty() {
+            return;
         }
+        let now = BootClock::now();
+        let route = |key: &QueueKey| {
+            let route = self.queue_client.route(key, now)?;
+            self.queue_client.run_all(&route, key, now);
+            Some(route)
+        };
+        self.queue
+            .serve(route, |slot_request| self.pick(slot_request));
     }
 
     /// Records the time from reserving a slot to the first event of a stream.
@@ -269,36 +297,49 @@
 
     /// Returns whether a slot could be reserved without waiting.
     pub fn has_slot(&self, slot_request: &SlotRequest) -> bool {
-        self.select(slot_request, BootClock::now()).is_some()
+        self.select(slot_request, None, BootClock::now()).is_some()
     }
 
     /// Reserves a slot without waiting; `None` if every target is full, suspect, restricted or already tried.
     pub fn pick(&self, slot_request: &SlotRequest) -> Option<ReservedTarget> {
-        let acquired = self.try_acquire(slot_request, BootClock::now())?;
+        let acquired = self.try_acquire(slot_request, None, BootClock::now())?;
         Some((acquired.target, acquired.slot))
     }
 
-    fn try_acquire(&self, slot_request: &SlotRequest, now: Moment) -> Option<AcquiredSlot> {
+    /// Reserves a slot without waiting, at the group `granted` if a coordinator has granted it.
+    pub(crate) fn try_acquire(
+        &self,
+        slot_request: &SlotRequest,
+        granted: Option<GroupKey>,
+        now: Moment,
+    ) -> Option<AcquiredSlot> {
         let TargetSelection {
             target,
             share,
             passed_over,
-        } = self.select(slot_request, now)?;
+        } = self.select(slot_request, granted, now)?;
         // Another thread may have sent a request since the target was found usable.
         let is_full = share.is_some_and(|share| !target.gauge.statements().reserve(&share, now));
         if is_full || !target.gauge.statements().reserve_after_backoff(now) {
             return None;
         }
+        let release = SlotRelease::of(&self.queue_client, &slot_request.key, target.gauge.key());
         let slot = SlotGuard::acquire(&target.gauge, slot_request.prompt_tokens, now);
         Some(AcquiredSlot {
             target,
-            slot,
+            slot: slot.with_release(release),
             passed_over,
+            granted_by: NodeId::new(),
         })
     }
 
-    /// Selects a target with a free slot.
-    fn select(&self, slot_request: &SlotRequest, now: Moment) -> Option<TargetSelection> {
+    /// Selects a target with a free slot; if a coordinator has granted one, it is that target or none.
+    fn select(
+        &self,
+        slot_request: &SlotRequest,
+        granted: Option<GroupKey>,
+        now: Moment,
+    ) -> Option<TargetSelection> {
         let table = self.shared.routing_table.load();
         let config = self.shared.config.load();
         let (service, model) = &slot_request.key;
@@ -307,7 +348,8 @@
         let evacuated = self.shared.evacuated.read();
         let mut passed_over = PassedOver::default();
         let is_usable = |target: &&Arc<RouteTarget>| {
-            if slot_request.tried.contains(&target.id)
+            if granted.is_some_and(|granted| granted != target.gauge.key())
+                || slot_request.tried.contains(&target.id)
                 || target.gauge.is_suspect(now)
                 || !self.is_permitted(slot_request, target, &evacuated)
             {
@@ -320,6 +362,7 @@
         let targets = routes_of(&table, &slot_request.key);
         let candidates: Vec<&Arc<RouteTarget>> = targets.iter().filter(is_usable).collect();
         let target = match engine {
+            _ if granted.is_some() => candidates.first().copied()?,
             Some(engine) => {
                 let model = engine.models.get(model.as_ref()?)?;
                 let loads: Vec<GroupLoad> = candidates
@@ -400,7 +443,10 @@
 }
 
 /// Returns the targets among which requests with a key choose.
-fn routes_of<'a>(table: &'a RoutingTable, (service, model): &QueueKey) -> &'a [Arc<RouteTarget>] {
+pub(crate) fn routes_of<'a>(
+    table: &'a RoutingTable,
+    (service, model): &QueueKey,
+) -> &'a [Arc<RouteTarget>] {
     match model {
         Some(model) => table.groups(service, model),
         None => table.single_targets(service),
--- a/crates/fleet/src/trace.rs
+++ b/crates/fleet/src/trace.rs
@@ -89,6 +89,8 @@
     pub first_event: Option<Duration>,
     /// Targets that could not be used for the last attempt.
     pub passed_over: PassedOver,
+    /// Node that granted the slot of the last attempt; empty if this node found it by itself.
+    pub granted_by: NodeId,
     /// Node to which the request was last forwarded; empty if it was not.
     pub forwarded_to: NodeId,
     /// Node that forwarded the request; empty if it came from its caller.
@@ -125,6 +127,7 @@
             slot_wait: None,
             first_event: None,
             passed_over: PassedOver::default(),
+            granted_by: NodeId::new(),
             forwarded_to: NodeId::new(),
             forwarded_by: NodeId::new(),
             longest_pause: Duration::ZERO,
@@ -277,6 +280,7 @@
             group = self.group.as_str(),
             forwarded_to = self.forwarded_to.as_str(),
             forwarded_by = self.forwarded_by.as_str(),
+            granted_by = self.granted_by.as_str(),
             outcome = end.name(),
             reason = self.reason,
             prompt_tokens = self.prompt_tokens,
--- a/crates/fleet/tests/support/mod.rs
+++ b/crates/fleet/tests/support/mod.rs
@@ -2,6 +2,7 @@
 #![allow(dead_code)]
 
 pub mod path;
+pub mod peer;
 pub mod platform;
 pub mod target;
 
@@ -17,6 +18,8 @@
 };
 use briarswitch_core::warmup::WarmupSpec;
 use briarswitch_fleet::forward::{ForwardDoc, ForwardRequest, FORWARD_PATH};
+use briarswitch_fleet::ports::NodeEntry;
+use briarswitch_fleet::queue_doc::QueueUpdate;
 use briarswitch_fleet::{FleetNode, FleetSettings, LoadControl};
 use briarswitch_http::{
     encode_msgpack, full_body, BodyEnd, BodyPart, TargetAddress, TargetClient, TargetLimits,
@@ -27,6 +30,7 @@
 use tokio::net::TcpStream;
 
 use path::{PathState, TargetPath};
+use peer::{PeerStub, QueueResponse};
 use platform::{PlatformLink, PlatformStub, TargetListing};
 use target::TargetStub;
 
@@ -50,7 +54,7 @@
 /// Time for which callers wait.
 const CALLER_TIMEOUT: Duration = Duration::from_secs(5);
 
-/// Returns a configuration with rules for streams from single targets (`/chat/`) and from groups (`/model/`), for
+/// Returns a configuration with rules for streams from single targets (`/chat/`) and from groups (`/model/`, more urgent: `/urgent/`), for
 /// idempotent calls (`/look/`), also only in region `r2` (`/local/`), and for at-most-once calls (`/bill/`).
 pub fn config() -> TrafficConfig {
     let rule = |prefix: &str, service: &str, repeat, answer| TrafficRule {
@@ -76,6 +80,10 @@
     let rules = [
         rule("/chat/", SERVICE, RepeatKind::AtMostOnce, stream),
         rule("/model/", GROUP_SERVICE, RepeatKind::AtMostOnce, stream),
+        TrafficRule {
+            priority: 0,
+            ..rule("/urgent/", GROUP_SERVICE, RepeatKind::AtMostOnce, stream)
+        },
         rule("/look/", SERVICE, RepeatKind::Idempotent, AnswerKind::Whole),
         rule("/bill/", SERVICE, RepeatKind::AtMostOnce, AnswerKind::Whole),
     ];
@@ -147,6 +155,16 @@
     }
 }
 
+/// Returns the entries of targets of a service, in three domains.
+fn listings(service: &'static str, targets: usize) -> Vec<TargetListing> {
+    let listings = (0..targets).map(|index| TargetListing {
+        service,
+        domain: format!("d{}", index % 3),
+        ..TargetListing::default()
+    });
+    listings.collect()
+}
+
 pub fn settings(node: &str, zone: &str) -> FleetSettings {
     FleetSettings {
         node: node.to_owned(),
@@ -253,6 +271,8 @@
     pub nodes: Vec<NodeStub>,
     client: TargetClient,
     service: &'static str,
+    /// Whether the nodes share queues.
+    shares_queue: bool,
     next_attempt: std::sync::atomic::AtomicU64,
 }
 
@@ -268,12 +288,16 @@
     }
 
     async fn open_of(service: &'static str, targets: usize, zones: &[&str]) -> Self {
-        let listings = (0..targets).map(|index| TargetListing {
-            service,
-            domain: format!("d{}", index % 3),
-            ..TargetListing::default()
-        });
-        Self::open_with(listings.collect(), zones).await
+        Self::open_with(listings(service, targets), zones).await
+    }
+
+    /// Like [`Fleet::open_groups`], with nodes that share queues.
+    pub async fn open_sharing_groups(targets: usize, zones: &[&str]) -> Self {
+        let mut fleet = Self::new(GROUP_SERVICE);
+        fleet.shares_queue = true;
+        fleet.start_targets(listings(GROUP_SERVICE, targets)).await;
+        fleet.start_nodes(zones, 0).await;
+        fleet
     }
 
     /// Starts the listed targets, and one node for each listed zone.
@@ -296,9 +320,16 @@
         zones: &[&str],
         nodes_with_paths: usize,
     ) -> Self {
-        let platform = PlatformStub::new(config());
         let service = listings.first().map_or(SERVICE, |listing| listing.service);
-        let mut fleet = Self {
+        let mut fleet = Self::new(service);
+        fleet.start_targets(listings).await;
+        fleet.start_nodes(zones, nodes_with_paths).await;
+        fleet
+    }
+
+    /// Returns a fleet without targets and nodes.
+    fn new(service: &'static str) -> Self {
+        Self {
             targets: Vec::new(),
             nodes: Vec::new(),
             client: TargetClient::new(TargetLimits {
@@ -307,44 +338,87 @@
             }),
             next_attempt: Default::default(),
             service,
-            platform,
-        };
+            shares_queue: false,
+            platform: PlatformStub::new(config()),
+        }
+    }
+
+    async fn start_targets(&mut self, listings: Vec<TargetListing>) {
         for (index, listing) in listings.into_iter().enumerate() {
             let name = format!("t{index}");
-            let target = TargetStub::bind(&fleet.platform, &name, listing).await;
-            fleet.targets.push(target);
+            let target = TargetStub::bind(&self.platform, &name, listing).await;
+            self.targets.push(target);
         }
+    }
+
+    /// Starts one node for each listed zone; the paths of the first ones to the targets can be cut.
+    async fn start_nodes(&mut self, zones: &[&str], nodes_with_paths: usize) {
         for zone in zones {
-            let link = fleet.platform.link(&format!("n{}", fleet.nodes.len()));
-            if fleet.nodes.len() < nodes_with_paths {
-                for target in &fleet.targets {
+            let link = self.platform.link(&format!("n{}", self.nodes.len()));
+            if self.nodes.len() < nodes_with_paths {
+                for target in &self.targets {
                     let path = TargetPath::open(target.address()).await;
                     link.add_path(target.address(), path);
                 }
             }
-            fleet.nodes.push(NodeStub {
+            self.nodes.push(NodeStub {
                 link,
                 node: Mutex::default(),
                 zone: (*zone).to_owned(),
             });
         }
-        for index in 0..fleet.nodes.len() {
-            fleet.start(index).await;
+        for index in 0..self.nodes.len() {
+            self.start(index).await;
         }
-        fleet.wait_until_serving().await;
-        fleet
+        self.wait_until_serving().await;
     }
 
     /// Starts a node, or restarts it without any state.
     pub async fn start(&self, index: usize) {
         let stub = &self.nodes[index];
         self.kill(index);
-        let settings = settings(&stub.link.node, &stub.zone);
+        let mut settings = settings(&stub.link.node, &stub.zone);
+        settings.load_control.shares_queue |= self.shares_queue;
         let platform = stub.link.platform();
         let node = FleetNode::spawn(settings, platform).await;
         *stub.lock() = Some(node.expect("node starts"));
     }
 
+    /// Starts a node that responds to messages for queues as given, and waits until all nodes know it.
+    ///
+    /// It ranks first for every queue. All nodes have to be in its zone.
+    pub async fn add_peer(
+        &self,
+        respond: impl Fn(&QueueUpdate) -> QueueResponse + Send + Sync + 'static,
+    ) -> PeerStub {
+        let zone = self.nodes[0].zone.clone();
+        let peer = PeerStub::bind(&zone, respond).await;
+        for node in &self.nodes {
+            let node = node.lock();
+            let settings = node.as_ref().map(FleetNode::settings);
+            let settings = settings.expect("the node runs");
+            peer.add_node(&NodeEntry {
+                node: settings.node.clone(),
+                zone: settings.zone.clone(),
+                address: settings.peers.clone(),
+                incarnation: 0,
+                link_mbps: settings.link_mbps,
+            });
+        }
+        let platform = self.platform.link(&peer.entry.node).platform();
+        let registered = platform.nodes.register(peer.entry.clone()).await;
+        registered.expect("the registry is open");
+        self.wait_until("all nodes know the peer", || async {
+            let states = (0..self.nodes.len())
+                .map(|node| self.operator_request(node, Method::GET, "/state"));
+            let states = futures::future::join_all(states).await;
+            let knows = |state: &TestResponse| state.body.contains("\"node\":\"stub\"");
+            states.iter().all(knows)
+        })
+        .await;
+        peer
+    }
+
     /// Changes what passes between a node and all targets.
     pub fn set_paths(&self, node: usize, state: PathState) {
         self.nodes[node].link.set_paths(state);
--- a/crates/fleet/tests/support/target.rs
+++ b/crates/fleet/tests/support/target.rs
@@ -44,6 +44,8 @@
     pub at: Instant,
     /// Incarnation of the target that ran it.
     pub incarnation: u32,
+    /// Whether it continues a stream that another target began.
+    pub is_resumed: bool,
 }
 
 struct TargetState {
@@ -62,6 +64,12 @@
     is_unframed: bool,
     /// Requests per second that it states in its responses, as text.
     limit: Option<String>,
+    /// Number of requests that it runs concurrently; it refuses more.
+    slots: Option<usize>,
+    /// Number of requests that it runs now.
+    running: usize,
+    /// Number of events of a complete response.
+    events: u32,
     /// Ends the current incarnation.
     crash: watch::Sender<bool>,
 }
@@ -98,6 +106,9 @@
                 refusals: Vec::new(),
                 abandoned: Vec::new(),
                 limit: None,
+                slots: None,
+                running: 0,
+                events: EVENTS,
                 crash: watch::Sender::new(false),
             }),
         });
@@ -177,6 +188,13 @@
         self.shared.lock().is_unframed = true;
     }
 
+    /// Runs only so many requests concurrently from now on, each with so many events; refuses more.
+    pub fn limit_slots(&self, slots: usize, events: u32) {
+        let mut state = self.shared.lock();
+        state.slots = Some(slots);
+        state.events = events;
+    }
+
     /// States a limit in all responses from now on; `None` states none any more.
     pub fn state_limit(&self, limit: Option<&str>) {
         self.shared.lock().limit = limit.map(str::to_owned);
@@ -213,7 +231,7 @@
         self.state.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
-    fn record_run(&self, body: &str, parts: &str) {
+    fn record_run(&self, body: &str, parts: &str, is_resumed: bool) {
         let mut state = self.lock();
         let incarnation = state.incarnation;
         state.runs.push(RecordedRun {
@@ -221,6 +239,7 @@
             parts: parts.to_owned(),
             at: Instant::now(),
             incarnation,
+            is_resumed,
         });
     }
 
@@ -238,11 +257,19 @@
     /// Records a refusal if the target refuses requests now, and returns the time after which to retry.
     fn refuse_now(&self) -> Option<String> {
         let mut state = self.lock();
-        let retry_after = state.refusal.clone()?;
+        let is_full = state.slots.is_some_and(|slots| state.running >= slots);
+        let full = is_full.then(String::new);
+        let retry_after = state.refusal.clone().or(full)?;
         state.refusals.push(Instant::now());
         Some(retry_after)
     }
 
+    /// Counts a request as running until the result is dropped.
+    fn run(&self) -> RunGuard<'_> {
+        self.lock().running += 1;
+        RunGuard(self)
+    }
+
     /// Returns the target id of the current incarnation; each incarnation has an id of its own.
     fn id(&self) -> TargetId {
         format!("{}-{}", self.name, self.lock().incarnation)
@@ -253,6 +280,15 @@
     }
 }
 
+/// A request that runs.
+struct RunGuard<'a>(&'a TargetShared);
+
+impl Drop for RunGuard<'_> {
+    fn drop(&mut self) {
+        self.0.lock().running -= 1;
+    }
+}
+
 /// Runs one incarnation after the other; the entry of one that crashed is removed only when the next one starts.
 async fn run_incarnations(shared: Arc<TargetShared>, listener: TcpListener) {
     let mut listener = Some(listener);
@@ -331,7 +367,9 @@
         );
         return stream.write_all(refusal.as_bytes()).await;
     }
-    shared.record_run(&body, &field("parts"));
+    let _running = shared.run();
+    let is_resumed = !field("last-event").is_empty();
+    shared.record_run(&body, &field("parts"), is_resumed);
     let statements = shared.statements();
     let is_unframed = shared.lock().is_unframed;
     let framing = if is_unframed {
@@ -353,7 +391,8 @@
         std::future::pending::<()>().await;
     }
     let first: u32 = field("last-event").parse().map_or(1, |last: u32| last + 1);
-    for id in first..=EVENTS {
+    let events = shared.lock().events;
+    for id in first..=events {
         let event = format!("id: {id}\ndata: token\n\n");
         let is_resumed = !field("last-event").is_empty();
         let ending = Ending::of(&body).filter(|_| id > 1 && !is_resumed);
--- a/crates/membership/src/lib.rs
+++ b/crates/membership/src/lib.rs
@@ -26,6 +26,6 @@
 pub use node::NodeEntry;
 pub use rank::{node_hash, rank_of, RankKey};
 pub use roster::{Roster, RosterDelta, RosterMember, RosterStatus, RosterVersion, MEMBER_TIMEOUT};
-pub use view::{KeyHolders, LiveView, ReachingPeer, ReaderRole};
+pub use view::{KeyHolders, LiveView, RankedNode, ReachingPeer, ReaderRole};
 pub use wire::GossipDoc;
 pub use work::{target_key, RequestCounts, TargetKey, WorkSum};
--- a/crates/membership/src/view.rs
+++ b/crates/membership/src/view.rs
@@ -37,6 +37,15 @@
     pub own_rank: Option<usize>,
 }
 
+/// A live node chosen by rank.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub enum RankedNode {
+    /// This node.
+    Own,
+    /// Another node.
+    Peer(Arc<NodeEntry>),
+}
+
 /// A live node that reaches targets.
 #[derive(Clone, Copy, Debug)]
 pub struct ReachingPeer<'a> {
@@ -248,6 +257,28 @@
         }
     }
 
+    /// Returns the node that coordinates the queue with this key: of all live nodes that reach targets, the one that
+    /// ranks first by bandwidth, in any zone. `None` if no node reaches targets.
+    ///
+    /// ```
+    /// use briarswitch_membership::{LiveView, NodeEntry, RankedNode};
+    ///
+    /// let alone = LiveView::new(NodeEntry::default());
+    /// assert_eq!(alone.coordinator_for("queue/lm/m0"), Some(RankedNode::Own));
+    /// ```
+    pub fn coordinator_for(&self, key: &str) -> Option<RankedNode> {
+        let key = RankKey::from(key);
+        let reaching = self.live.iter().filter(|member| !member.is_partitioned);
+        let peers = reaching.map(|member| {
+            let rank = bandwidth_rank(&member.entry, member.hash, key);
+            (rank, Some(&member.entry))
+        });
+        let own_rank = bandwidth_rank(&self.own, self.own_hash, key);
+        let own = (!self.is_partitioned).then_some((own_rank, None));
+        let (_, first) = peers.chain(own).min_by_key(|(rank, _)| *rank)?;
+        Some(first.map_or(RankedNode::Own, |entry| RankedNode::Peer(Arc::clone(entry))))
+    }
+
     /// Returns this node's request rate, that of all live nodes, and that of the nodes that rank before it for a
     /// key.
     pub fn weight_for(&self, key: &str, own_request_rate: f64) -> NodeWeight {
