--- a/crates/core/src/queue_slots.rs
+++ b/crates/core/src/queue_slots.rs
@@ -11,7 +11,7 @@
 use indexmap::IndexMap;
 
 use crate::id::Moment;
-use crate::shared_queue::{GroupCapacity, GroupKey, GRANT_TTL};
+use crate::shared_queue::{GroupCapacity, GroupKey, GRANT_TTL, NODE_TTL};
 
 /// Shortest time after which gossip reports a request; the longest is [`GRANT_TTL`].
 const MIN_REPORT_AGE: Duration = Duration::from_millis(150);
@@ -87,7 +87,8 @@
     /// Corrects the count by what gossip reports.
     fn correct(&mut self, reported: i64, now: Moment) {
         self.prune(now);
-        let is_current = self.reported_at.is_some_and(|at| now <= at + GRANT_TTL);
+        // Until then a reply may be on its way whose grant gossip does not report yet.
+        let is_current = self.reported_at.is_some_and(|at| now < at + NODE_TTL);
         if !is_current {
             let changed: i64 = self.changes.iter().map(|(_, slots)| slots).sum();
             self.load = reported + changed;
@@ -105,8 +106,11 @@
     }
 
     fn compare(&mut self, reported: i64, now: Moment) {
-        let (lowest, highest) = self.reported_range(now);
-        let (more, less) = (reported - highest, lowest - reported);
+        let (lowest, highest, released) = self.reported_range(now);
+        // Each slot that changed hands may be reported twice; what is beyond has been sent by other nodes on their own.
+        let certain = (reported - highest - released).max(0);
+        self.load += certain;
+        let (more, less) = (reported - highest - certain, lowest - reported);
         self.load += Deviation::follow(&mut self.surplus, more, SURPLUS_TIME, now);
         self.load -= Deviation::follow(&mut self.shortfall, less, SHORTFALL_TIME, now);
         self.correct_mean(reported, now);
@@ -134,20 +138,21 @@
         self.load - later.map(|(_, slots)| slots).sum::<i64>()
     }
 
-    /// Returns the lowest and the highest count of the time that gossip may report now.
-    fn reported_range(&self, now: Moment) -> (i64, i64) {
+    /// Returns the lowest and the highest count of the time that gossip may report now, and the slots released then.
+    fn reported_range(&self, now: Moment) -> (i64, i64, i64) {
         let latest = now.saturating_sub(MIN_REPORT_AGE);
-        let mut load = self.load;
+        let (mut load, mut released) = (self.load, 0);
         let mut within = Vec::new();
         for (at, slots) in self.changes.iter().rev() {
             if *at <= latest {
                 within.push(load);
+                released -= slots.min(&0);
             }
             load -= slots;
         }
         let lowest = within.iter().fold(load, |lowest, load| lowest.min(*load));
         let highest = within.iter().fold(load, |highest, load| highest.max(*load));
-        (lowest, highest)
+        (lowest, highest, released)
     }
 
     fn prune(&mut self, now: Moment) {
--- a/crates/model/examples/check.rs
+++ b/crates/model/examples/check.rs
@@ -9,8 +9,8 @@
     search, stuck_states, ConfigDefect, ConfigSpec, CrashDefect, CrashPartDefect, CrashPartSpec,
     CrashSpec, ForwardDefect, ForwardSpec, GateDefect, GateSpec, GroupFormationDefect,
     GroupFormationSpec, KeyDefect, KeySpec, LeaseDefect, LeaseSpec, OrderDefect, OrderSpec,
-    RelayDefect, RelaySpec, RestartDefect, RestartSpec, Specification, StatedLimitDefect,
-    StatedLimitSpec, WarmupDefect, WarmupLimitSpec,
+    RelayDefect, RelaySpec, RestartDefect, RestartSpec, SharedQueueDefect, SharedQueueSpec,
+    Specification, StatedLimitDefect, StatedLimitSpec, WarmupDefect, WarmupLimitSpec,
 };
 
 /// Prints the results of the checks and counts failures.
@@ -90,6 +90,7 @@
     summary.check_properties("parts that crash targets", &CrashPartSpec::sound());
     summary.check_properties("limit of a target that warms up", &WarmupLimitSpec::sound());
     summary.check_properties("limit that a target states", &StatedLimitSpec::sound());
+    summary.check_properties("queue that nodes share", &SharedQueueSpec::sound());
     summary.check_properties("forwarding, at-most-once", &ForwardSpec::sound(false));
     summary.check_properties("forwarding, repeatable", &ForwardSpec::sound(true));
     summary.check_liveness("lease", &LeaseSpec::short());
@@ -220,6 +221,15 @@
         let name = format!("limit that a target states with {defect:?}");
         summary.check_defect(&name, &StatedLimitSpec::defective(defect));
     }
+    for defect in [
+        SharedQueueDefect::OlderReplaces,
+        SharedQueueDefect::GrantUncounted,
+        SharedQueueDefect::NeverExpires,
+        SharedQueueDefect::FallbackKeepsGrant,
+    ] {
+        let name = format!("queue that nodes share with {defect:?}");
+        summary.check_defect(&name, &SharedQueueSpec::defective(defect));
+    }
     for (is_repeatable, defect) in [
         (true, ForwardDefect::SecondHop),
         (false, ForwardDefect::RepeatAfterBrokenHop),
--- a/crates/model/src/lib.rs
+++ b/crates/model/src/lib.rs
@@ -22,6 +22,7 @@
 mod relay;
 mod restart;
 mod search;
+mod shared_queue;
 mod stated_limit;
 mod warmup;
 
@@ -37,5 +38,6 @@
 pub use relay::{RelayDefect, RelaySpec};
 pub use restart::{RestartDefect, RestartSpec};
 pub use search::{search, stuck_states, SearchReport, Specification, Step, Violation};
+pub use shared_queue::{SharedQueueDefect, SharedQueueSpec};
 pub use stated_limit::{StatedLimitDefect, StatedLimitSpec};
 pub use warmup::{WarmupDefect, WarmupLimitSpec};
