--- a/crates/core/tests/support/queue_counts.rs
+++ b/crates/core/tests/support/queue_counts.rs
@@ -6,7 +6,7 @@
 use briarswitch_core::id::Moment;
 
 use super::queue_load::Arrival;
-use super::queue_simulation::{GroupCounts, GROUPS, SLOTS};
+use super::queue_nodes::{GroupCounts, GROUPS, SLOTS};
 
 /// Ticks after which a slot that became free must be in use again, or a request that arrived must have a free slot.
 ///
--- a/crates/model/src/lib.rs
+++ b/crates/model/src/lib.rs
@@ -23,6 +23,7 @@
 mod restart;
 mod search;
 mod shared_queue;
+mod shared_queue_state;
 mod stated_limit;
 mod warmup;
 
