--- a/crates/core/src/queue_slots.rs
+++ b/crates/core/src/queue_slots.rs
@@ -2,7 +2,7 @@
 //!
 //! The coordinator counts its own grants and the releases that nodes report. Gossip only corrects that count: added up
 //! with the grants and releases of the time that it takes, every deviation of that time gave grants for slots that were
-//! not free, in turn with slots that stayed free, and one in six requests arrived at a full group.
+//! not free in turn with slots that stayed free, and one in six requests arrived at a full group.
 
 use std::cmp::Reverse;
 use std::collections::VecDeque;
@@ -23,7 +23,6 @@
 ///
 /// It also reports slots that have become free sooner than their node's message does.
 const SHORTFALL_TIME: Duration = Duration::from_millis(500);
-
 /// Usual time after which gossip reports a request.
 const MEAN_REPORT_AGE: Duration = Duration::from_millis(200);
 /// Mean time for which a slot is free before its next request starts: two messages and the interval between messages.
--- a/crates/core/src/shared_queue.rs
+++ b/crates/core/src/shared_queue.rs
@@ -17,9 +17,10 @@
 use crate::queue_slots::SlotLedger;
 use crate::waiting::WaitingRequest;
 
-/// Time until other nodes learn of a request through gossip.
+/// Longest time until other nodes learn of a request through gossip.
 ///
-/// A grant or a release counts for this long; after that the reported load of the group contains it.
+/// For this long, a grant or a release is compared with what gossip reports of the group, and a request that was granted
+/// or refused is left out of the lists of its node.
 pub const GRANT_TTL: Duration = Duration::from_millis(250);
 /// Time without a message after which a node's requests are dropped; three times that for which a reply is held.
 pub const NODE_TTL: Duration = Duration::from_millis(600);
