--- a/crates/fleet/src/load_estimate.rs
+++ b/crates/fleet/src/load_estimate.rs
@@ -2,7 +2,7 @@
 //!
 //! Reports through gossip are 50 to 350 ms old, and by how much is not known. Adding all grants of a fixed time to the
 //! reported number, and subtracting all releases, counts many of them twice: of groups with 8 slots and requests of half a
-//! second, one grant in four went to a group that was full.
+//! second, one request in four was then sent to a group that was full.
 
 use std::collections::VecDeque;
 use std::time::Duration;
--- a/crates/fleet/src/queue_client.rs
+++ b/crates/fleet/src/queue_client.rs
@@ -178,9 +178,7 @@
         let table = self.shared.routing_table.load();
         let groups = table.groups(service, model);
         let utilization = self.utilization(service, groups, now);
-        // A task runs while requests wait.
-        let is_waiting = queues.links.iter().any(|link| link.is_running());
-        if queues.mode.update(utilization, is_waiting) {
+        if queues.mode.update(utilization) {
             log::info!(
                 service = service.as_str(),
                 model = model.as_str(),
--- a/crates/fleet/src/queue_mode.rs
+++ b/crates/fleet/src/queue_mode.rs
@@ -21,27 +21,23 @@
 
     /// Updates the mode with the present utilization, from 0 to 1; returns whether it has changed.
     ///
-    /// It stays while requests of this node wait in the queue: slots that become free together are for the most urgent
-    /// requests of all nodes, too.
-    ///
     /// ```
     /// use briarswitch_fleet::queue_mode::QueueMode;
     ///
     /// let mut mode = QueueMode::default();
-    /// assert!(!mode.update(0.7, false));
-    /// assert!(mode.update(0.75, false) && mode.is_contended());
-    /// assert!(!mode.update(0.7, false) && mode.is_contended());
-    /// assert!(!mode.update(0.1, true) && mode.is_contended());
-    /// assert!(mode.update(0.6, false) && !mode.is_contended());
+    /// assert!(!mode.update(0.7));
+    /// assert!(mode.update(0.75) && mode.is_contended());
+    /// assert!(!mode.update(0.7) && mode.is_contended());
+    /// assert!(mode.update(0.6) && !mode.is_contended());
     /// ```
-    pub fn update(&mut self, utilization: f64, is_waiting: bool) -> bool {
+    pub fn update(&mut self, utilization: f64) -> bool {
         let bound = if self.is_contended {
             LEAVE_UTILIZATION
         } else {
             ENTER_UTILIZATION
         };
         let was_contended = self.is_contended;
-        self.is_contended = utilization >= bound || (was_contended && is_waiting);
+        self.is_contended = utilization >= bound;
         self.is_contended != was_contended
     }
 }
--- a/crates/fleet/tests/shared_queue.rs
+++ b/crates/fleet/tests/shared_queue.rs
@@ -6,7 +6,7 @@
 
 use briarswitch_core::shared_queue::Ticket;
 use briarswitch_fleet::queue_doc::{QueueReply, QueueUpdate};
-use briarswitch_membership::target_key;
+use briarswitch_membership::{node_hash, rank_of, target_key, RankKey};
 use googletest::prelude::*;
 use http::Method;
 
@@ -29,6 +29,14 @@
 const RAMP_TIME: Duration = Duration::from_secs(1);
 /// Time after which all nodes know of the requests that run.
 const GOSSIP_TIME: Duration = Duration::from_millis(400);
+/// Number of events of a response that takes about 1.2 s.
+const LONG_EVENTS: u32 = 40;
+/// Time after which all nodes know of all requests with which the groups are filled one after the other.
+const SETTLE_TIME: Duration = Duration::from_millis(900);
+/// Time between the moments at which the slots of a full group become free.
+const RELEASE_INTERVAL: Duration = Duration::from_millis(45);
+/// Tries of a test that a fallback on a busy machine decides nothing in.
+const MAX_TRIES: usize = 5;
 /// Longest time that a request may wait for a slot.
 const MAX_WAIT_TIME: Duration = Duration::from_secs(1);
 
@@ -135,6 +143,65 @@
     check_slots(&fleet).await;
 }
 
+/// Returns the node that coordinates the queue of the model.
+fn coordinator() -> usize {
+    let key = RankKey::from("queue/lm/m0");
+    let rank = |node: &usize| rank_of(node_hash(&format!("n{node}")), key);
+    (0..ZONES.len()).min_by_key(rank).expect("a node")
+}
+
+/// Fills one group, lets urgent requests wait at one node and then others at the coordinator, and returns when the
+/// requests of both kinds ran; `None` if a node did not reach the coordinator in time.
+async fn run_urgent_and_normal() -> Option<(Vec<Instant>, Vec<Instant>)> {
+    let fleet = open(1).await;
+    fleet.targets[0].limit_slots(SLOTS, LONG_EVENTS);
+    let fallbacks = metric(&fleet, "queue_fallbacks_total").await;
+    let first = coordinator();
+    let second = (first + 1) % ZONES.len();
+    let fleet = &fleet;
+    let call = |delay: Duration, node: usize, path: &'static str, body: String| async move {
+        tokio::time::sleep(delay).await;
+        let request = TestRequest {
+            path,
+            ..TestRequest::model(&body)
+        };
+        fleet.request(node, request).await
+    };
+    let filling = (0..SLOTS).map(|index| {
+        let delay = RELEASE_INTERVAL * index as u32;
+        let node = index % ZONES.len();
+        call(delay, node, "/model/x", format!("running {index}"))
+    });
+    let waiting = (0..SLOTS / 2).flat_map(|index| {
+        let urgent = format!("urgent {index}");
+        let normal = format!("normal {index}");
+        let later = SETTLE_TIME + Duration::from_millis(20);
+        [
+            call(SETTLE_TIME, second, "/urgent/x", urgent),
+            call(later, first, "/model/x", normal),
+        ]
+    });
+    futures::future::join_all(filling.chain(waiting)).await;
+    let has_failed = metric(fleet, "queue_fallbacks_total").await > fallbacks;
+    (!has_failed).then(|| (runs_of(fleet, "urgent"), runs_of(fleet, "normal")))
+}
+
+/// Guards against a less urgent request that gets a free slot because it waits at the node that is asked first.
+#[gtest]
+#[tokio::test(flavor = "multi_thread")]
+async fn the_more_urgent_request_is_served_first_whichever_node_it_waits_at() {
+    for _ in 0..MAX_TRIES {
+        if let Some((urgent, normal)) = run_urgent_and_normal().await {
+            expect_that!(urgent.len(), ge(SLOTS / 2));
+            if let Some(first_normal) = normal.into_iter().min() {
+                expect_that!(urgent.into_iter().max(), lt(Some(first_normal)));
+            }
+            return;
+        }
+    }
+    fail!("in no try did all nodes reach the coordinator in time").and_log_failure();
+}
+
 /// Guards against requests that wait for a coordinator which no longer exists, and against a queue without successor.
 #[gtest]
 #[tokio::test(flavor = "multi_thread")]
--- a/crates/fleet/tests/support/mod.rs
+++ b/crates/fleet/tests/support/mod.rs
@@ -82,6 +82,7 @@
         rule("/model/", GROUP_SERVICE, RepeatKind::AtMostOnce, stream),
         TrafficRule {
             priority: 0,
+            objective: Duration::from_secs(2),
             ..rule("/urgent/", GROUP_SERVICE, RepeatKind::AtMostOnce, stream)
         },
         rule("/look/", SERVICE, RepeatKind::Idempotent, AnswerKind::Whole),
