--- a/crates/fleet/src/queue_client.rs
+++ b/crates/fleet/src/queue_client.rs
@@ -153,6 +153,11 @@
         }
         let mut models = self.lock();
         if !models.contains_key(key) {
+            // Callers may name any model.
+            let table = self.shared.routing_table.read();
+            if table.groups(&key.0, key.1.as_ref()?).is_empty() {
+                return None;
+            }
             let queues = ModelQueues {
                 mode: QueueMode::default(),
                 checked_at: Moment::ZERO,
--- a/crates/membership/tests/holders.rs
+++ b/crates/membership/tests/holders.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use briarswitch_core::id::{Moment, NodeId};
-use briarswitch_membership::{LiveView, Membership, NodeEntry};
+use briarswitch_membership::{LiveView, Membership, NodeEntry, RankedNode};
 use googletest::prelude::*;
 
 const NOW: Moment = Duration::from_secs(1);
@@ -94,6 +94,39 @@
     }
 }
 
+/// Returns the name of a queue's coordinator, as one node computes it.
+fn coordinator(own: usize, key: &str) -> Option<NodeId> {
+    let first = view(own, 0..NODES).coordinator_for(key)?;
+    Some(match first {
+        RankedNode::Own => entry(own).node,
+        RankedNode::Peer(entry) => entry.node.clone(),
+    })
+}
+
+/// Guards against nodes that send their waiting requests to different coordinators.
+#[gtest]
+fn all_nodes_compute_the_same_coordinator() {
+    for key in ["queue/a", "queue/b", "queue/c"] {
+        let first = coordinator(0, key);
+        expect_that!(first, some(anything()));
+        for own in 1..NODES {
+            expect_that!(coordinator(own, key), eq(&first), "{key} at {own}");
+        }
+    }
+}
+
+/// Guards against a coordinator that grants slots without knowing whether targets are reached.
+#[gtest]
+fn a_partitioned_node_coordinates_no_queue() {
+    let mut membership = Membership::new(entry(0));
+    membership.set_partitioned(true);
+    let alone = LiveView::from_membership(&membership, NOW);
+    expect_that!(alone.coordinator_for("queue/a"), none());
+    membership.add_node(&entry(1), NOW);
+    let first = LiveView::from_membership(&membership, NOW).coordinator_for("queue/a");
+    expect_that!(first, some(matches_pattern!(RankedNode::Peer(_))));
+}
+
 /// Guards against nodes that cannot see each other and each take a share for the whole fleet.
 #[gtest]
 fn the_rank_among_known_nodes_does_not_change_when_they_fall_silent() {
