--- a/crates/fleet/src/queue_client.rs
+++ b/crates/fleet/src/queue_client.rs
@@ -153,6 +153,11 @@
         }
         let mut models = self.lock();
         if !models.contains_key(key) {
+            // Callers may name any model.
+            let table = self.shared.routing_table.read();
+            if table.groups(&key.0, key.1.as_ref()?).is_empty() {
+                return None;
+            }
             let queues = ModelQueues {
                 mode: QueueMode::default(),
                 checked_at: Moment::ZERO,
@@ -178,9 +183,7 @@
         let table = self.shared.routing_table.load();
         let groups = table.groups(service, model);
         let utilization = self.utilization(service, groups, now);
-        // A task runs while requests wait.
-        let is_waiting = queues.links.iter().any(|link| link.is_running());
-        if queues.mode.update(utilization, is_waiting) {
+        if queues.mode.update(utilization) {
             log::info!(
                 service = service.as_str(),
                 model = model.as_str(),
