--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -56,6 +56,7 @@
 pub mod shared_queue;
 pub mod silence;
 pub mod sound_parts;
+pub mod speed;
 pub mod stated_limit;
 pub mod stream;
 pub mod target;
