--- a/crates/core/src/placement.rs
+++ b/crates/core/src/placement.rs
@@ -16,7 +16,7 @@
 const ROUNDING: f64 = 1e-6;
 
 /// What a node knows of a group when it places a request.
-#[derive(Clone, Copy, Debug, Default, PartialEq)]
+#[derive(Clone, Copy, Debug, PartialEq)]
 pub struct GroupLoad {
     /// Active requests there: this node's own and those reported by other nodes.
     pub active_requests: u32,
@@ -36,6 +36,25 @@
     pub is_queueing: bool,
     /// Whether the request to be placed can no longer meet its latency objective.
     pub is_request_late: bool,
+    /// Observed speed: by how much the group takes longer than the median of the model's groups.
+    pub speed_ratio: f64,
+}
+
+impl Default for GroupLoad {
+    fn default() -> Self {
+        Self {
+            active_requests: 0,
+            local_requests: 0,
+            unreported_requests: 0,
+            nodes: 0,
+            slot_share: 0,
+            prefill_tokens: 0,
+            delay: Duration::ZERO,
+            is_queueing: false,
+            is_request_late: false,
+            speed_ratio: 1.0,
+        }
+    }
 }
 
 /// Returns the expected time to the first event.
@@ -48,7 +67,7 @@
     let pass = engine.pass_time(model, load.active_requests.min(engine.slots));
     let prefill = engine.prefill_time(model, load.prefill_tokens + prompt_tokens);
     let work = pass.mul_f64(MEAN_PASS_WAIT + 1.0) + prefill;
-    work + load.delay * 2
+    (work + load.delay * 2).mul_f64(load.speed_ratio)
 }
 
 /// A node's share of the demand for some groups.
--- a/crates/core/src/speed.rs
+++ b/crates/core/src/speed.rs
@@ -127,8 +127,6 @@
 pub struct SpeedRecord {
     /// Smoothed logarithm to base 2 of the ratio.
     level: f64,
-    /// Logarithm to base 2 of the ratio of the last sample.
-    last_level: f64,
     samples: u32,
     /// When a sample last was slower than [`REPORT_FACTOR`].
     renewed_at: Moment,
@@ -166,7 +164,6 @@
         let level = bounded_level(sample.ratio());
         self.forget_expired(sample.ended_at);
         self.level += ((level - self.level) * SAMPLE_WEIGHT).min(MAX_RISE);
-        self.last_level = level;
         self.samples = (self.samples + 1).min(MIN_SAMPLES);
         if is_slow {
             self.renewed_at = self.renewed_at.max(sample.ended_at);
@@ -223,11 +220,6 @@
         }
     }
 
-    /// Returns the ratio of the last sample, from 1 to [`MAX_RATIO`].
-    pub fn last_ratio(&self) -> f64 {
-        self.last_level.exp2()
-    }
-
     /// Returns whether there were enough samples to judge the target.
     pub fn is_judged(&self) -> bool {
         self.samples >= MIN_SAMPLES
--- a/crates/core/src/speed/judgement.rs
+++ b/crates/core/src/speed/judgement.rs
@@ -21,8 +21,6 @@
 pub struct JudgedSpeed {
     /// Ratio observed by this node.
     pub own: f64,
-    /// Ratio of the last response that this node observed.
-    pub last: f64,
     /// Whether this node has seen enough responses to judge the target.
     pub is_judged: bool,
     /// Ratio relative to the median that other nodes report.
@@ -35,7 +33,6 @@
     fn default() -> Self {
         Self {
             own: 1.0,
-            last: 1.0,
             is_judged: false,
             reported: 1.0,
             is_slow: false,
@@ -46,12 +43,9 @@
 impl JudgedSpeed {
     /// Returns the ratio relative to the `median` of the ratios observed by this node, at least 1.
     ///
-    /// A node's path to all targets may be slow, or all of them may be loaded. Responses at two nodes are as good as
-    /// twice as many at one, but do not show a higher ratio than the last response had.
+    /// A node's path to all targets may be slow, or all of them may be loaded.
     pub fn relative(&self, median: f64) -> f64 {
-        let own = self.own_relative(median);
-        let both = (own * self.reported).min(self.last / median);
-        own.max(self.reported).max(both)
+        self.own_relative(median).max(self.reported)
     }
 
     /// Returns what this node itself observed relative to the `median`; 1 if it cannot judge.
--- a/crates/core/tests/speed.rs
+++ b/crates/core/tests/speed.rs
@@ -162,7 +162,6 @@
     fn speeds(knowledge: &[TargetKnowledge], now: Moment) -> Vec<JudgedSpeed> {
         let speed = |target: &TargetKnowledge| JudgedSpeed {
             own: target.record.ratio(now),
-            last: target.record.last_ratio(),
             is_judged: target.record.is_judged(),
             reported: target.reported.ratio(now),
             is_slow: target.is_slow,
--- a/crates/ctl/src/explain.rs
+++ b/crates/ctl/src/explain.rs
@@ -212,12 +212,31 @@
     );
     let passed_over = last.and_then(|line| explain_passed_over(lines, line));
     let parts = [format_lines(&found), outcome];
+    let speed = explain_speed(&found);
     let quarantine = explain_quarantine(lines, &found);
-    let parts = parts.into_iter().chain(passed_over).chain(quarantine);
+    let parts = parts.into_iter().chain(speed).chain(passed_over);
+    let parts = parts.chain(quarantine);
     let parts: Vec<String> = parts.collect();
     Some(parts.join("\n\n"))
 }
 
+/// Returns by how much the chosen target was slower than others of its kind; `None` if it was not.
+///
+/// Of a forwarded request, the node that sent it to the target knows.
+fn explain_speed(found: &[&LogLine]) -> Option<String> {
+    let mut ends = found.iter().rev();
+    let end = ends
+        .find(|line| line.get("event") == "request_ended" && line.get("forwarded_to").is_empty())?;
+    let ratio: f64 = end.get("speed_ratio").parse().ok()?;
+    let (kind, name) = match end.get("group") {
+        "" => ("target", end.get("target_id")),
+        group => ("group", group),
+    };
+    (ratio > 1.0).then(|| {
+        format!("the chosen {kind} {name} took {ratio} times as long as the median of its kind, as far as the node knew; check target_slow")
+    })
+}
+
 /// Returns what targets had said to the node that passed some of them over, or `None` if it passed none over.
 fn explain_passed_over(lines: &[LogLine], end: &LogLine) -> Option<String> {
     let counts = PASSED_OVER_FIELDS.map(|field| (field, end.get(field)));
--- a/crates/fleet/src/dispatch.rs
+++ b/crates/fleet/src/dispatch.rs
@@ -26,6 +26,7 @@
 use crate::routing_table::RouteTarget;
 use crate::run::{RunListeners, TargetRun};
 use crate::shared::FleetShared;
+use crate::speed_sample::AwaitedResponse;
 use crate::statement_recorder::StatementRecorder;
 use crate::suspicion::{reroute_delay, silence_limit_for, SuspicionReporter};
 use crate::target_selector::TargetSelector;
@@ -53,6 +54,7 @@
     slot: SlotGuard,
     run: TargetRun,
     sent_at: Moment,
+    awaited: AwaitedResponse,
 }
 
 /// Dispatches requests to targets.
@@ -152,6 +154,7 @@
             return Err(FailurePoint::Quarantined.into());
         }
         self.statements.log_choice(job, &target, now);
+        let mut awaited = AwaitedResponse::begin(&self.shared, job, &target, now);
         let request = self.build_request(job, &target, remaining, last_event);
         let address = TargetAddress {
             address: target.address.clone(),
@@ -165,7 +168,7 @@
         let sending = client.send_tracked(&address, request, needs_new_connection, &progress);
         let mut run = TargetRun::start(job.run_info(&target, now), self.run_listeners.clone());
         match self
-            .wait_head(sending, &progress, job, &target, now, may_reroute)
+            .wait_head(sending, &progress, job, &target, &mut awaited, may_reroute)
             .await
         {
             Ok(reply) => {
@@ -174,6 +177,7 @@
                     slot,
                     run,
                     sent_at: now,
+                    awaited,
                 };
                 self.check_head(job, attempt, reply).await
             }
@@ -217,7 +221,7 @@
         progress: &SendProgress,
         job: &RequestJob,
         target: &RouteTarget,
-        sent: Moment,
+        awaited: &mut AwaitedResponse,
         may_reroute: bool,
     ) -> Result<TargetResponse, HeadWaitError> {
         tokio::pin!(sending);
@@ -236,7 +240,8 @@
             if may_forward && !progress.has_begun() {
                 return Err(HeadWaitError::Send(SendError::Connect));
             }
-            let waited = now.saturating_sub(sent);
+            let waited = now.saturating_sub(awaited.begun_at());
+            awaited.check_overdue(&self.shared, target, now);
             let limit = silence_limit_for(job, target);
             let is_silent = waited > limit && target.gauge.silence(now) > limit;
             if is_silent {
@@ -276,6 +281,7 @@
             slot,
             mut run,
             sent_at,
+            awaited,
         } = attempt;
         let TargetResponse { head, body } = reply;
         let info = self
@@ -311,6 +317,7 @@
                 head,
                 body,
                 run,
+                awaited,
             });
         }
         target.gauge.record_outcome(true);
@@ -360,6 +367,7 @@
             head,
             body,
             mut run,
+            mut awaited,
         } = response;
         let remaining = job.deadline.saturating_sub(BootClock::now());
         let reading = self.read_complete(&run, body);
@@ -368,6 +376,7 @@
         self.selector.serve_queue();
         match read {
             Ok(Ok(bytes)) => {
+                awaited.record_end(&self.shared, job, &target, BootClock::now());
                 run.complete(&self.shared.suspects);
                 Ok((head, bytes))
             }
--- a/crates/fleet/src/gauge.rs
+++ b/crates/fleet/src/gauge.rs
@@ -9,6 +9,7 @@
 
 use crate::micros::micros;
 use crate::statements::TargetStatements;
+use crate::target_speed::TargetSpeed;
 
 /// Divisor of the exponential smoothing: the newest sample has a weight of one in this many.
 const FAILURE_SMOOTHING: u32 = 4;
@@ -61,6 +62,7 @@
     rank_at: AtomicU64,
     warming_until: AtomicU64,
     statements: TargetStatements,
+    speed: TargetSpeed,
 }
 
 impl TargetGauge {
@@ -181,6 +183,11 @@
         &self.statements
     }
 
+    /// Returns the observed speed of the target, or of the group that it leads.
+    pub fn speed(&self) -> &TargetSpeed {
+        &self.speed
+    }
+
     /// Records that bytes arrived from the target, and clears any suspicion.
     pub fn record_activity(&self, now: Moment) {
         self.heard_at.store(micros(now), Ordering::Relaxed);
--- a/crates/fleet/src/gauge_map.rs
+++ b/crates/fleet/src/gauge_map.rs
@@ -6,6 +6,7 @@
 use std::time::Duration;
 
 use briarswitch_core::id::{Moment, TargetId};
+use briarswitch_core::speed::SpeedReport;
 use briarswitch_core::stated_limit::LimitReport;
 use briarswitch_membership::RequestCounts;
 use indexmap::IndexSet;
@@ -117,6 +118,20 @@
         reports.collect()
     }
 
+    /// Returns what this node reports about the speed of targets.
+    pub fn speed_reports(&self, now: Moment) -> Vec<SpeedReport> {
+        let gauges = self.read();
+        let reports = gauges.iter().filter_map(|(target, gauge)| {
+            let (ratio, age) = gauge.speed().report(now)?;
+            Some(SpeedReport {
+                target: target.clone(),
+                ratio,
+                age,
+            })
+        });
+        reports.collect()
+    }
+
     /// Calls `visit` for each gauge.
     pub fn for_each(&self, mut visit: impl FnMut(&TargetGauge)) {
         for gauge in self.read().values() {
--- a/crates/fleet/src/job.rs
+++ b/crates/fleet/src/job.rs
@@ -19,6 +19,7 @@
 use crate::run::TargetRun;
 use crate::run_info::{RunInfo, TargetIncarnation};
 use crate::slot_queue::SlotRequest;
+use crate::speed_sample::AwaitedResponse;
 
 /// A request that has been authenticated and matched by a routing rule.
 pub struct RequestJob {
@@ -135,4 +136,6 @@
     pub body: TargetBody,
     /// The run that produces the response.
     pub run: TargetRun,
+    /// What this node observes of the target's speed.
+    pub awaited: AwaitedResponse,
 }
--- a/crates/fleet/src/metrics.rs
+++ b/crates/fleet/src/metrics.rs
@@ -34,6 +34,7 @@
     first_event: Histogram<f64>,
     config_version: Arc<AtomicU64>,
     partitioned: Arc<AtomicU64>,
+    slow_targets: Arc<AtomicU64>,
 }
 
 /// Labels of one request.
@@ -77,6 +78,7 @@
             value
         };
         let (config_version, partitioned) = (gauge("config_version"), gauge("partitioned"));
+        let slow_targets = gauge("slow_targets");
         meter
             .u64_observable_counter("costs")
             .with_callback(move |observer| {
@@ -101,6 +103,7 @@
             _provider: provider,
             config_version,
             partitioned,
+            slow_targets,
         }
     }
 
@@ -181,6 +184,11 @@
             .store(u64::from(is_partitioned), Ordering::Relaxed);
     }
 
+    /// Sets the number of groups and targets that get only probe requests of this node.
+    pub fn set_slow_targets(&self, count: usize) {
+        self.slow_targets.store(count as u64, Ordering::Relaxed);
+    }
+
     /// Returns the metrics in the Prometheus text format.
     pub fn render(&self) -> Vec<u8> {
         let mut text = Vec::new();
--- a/crates/fleet/src/peers.rs
+++ b/crates/fleet/src/peers.rs
@@ -18,6 +18,7 @@
 use crate::ports::{NodeEntry, NodeUpdate, SourceError};
 use crate::registry::{read_other_zones, read_zone, RegistryView};
 use crate::shared::{FleetPhase, FleetShared};
+use crate::speed_judge::{apply_speed_reports, judge_speeds, speed_reports};
 use crate::statement_recorder::apply_limit_reports;
 
 /// Path at which a node receives reports of silent targets.
@@ -81,6 +82,7 @@
             Vec::new()
         },
         limits: shared.gauges.limit_reports(now),
+        speeds: speed_reports(shared, now),
     }
 }
 
@@ -104,6 +106,7 @@
     }
     apply_suspicions(shared, gossip.suspects());
     apply_limit_reports(shared, gossip);
+    apply_speed_reports(shared, gossip, BootClock::now());
 }
 
 /// Report of a silent target to the node that controls its group.
@@ -243,6 +246,7 @@
 
     fn tick(&mut self, now: Moment, link: &ServiceLink<PeerMessage>) {
         let shared = Arc::clone(&self.shared);
+        shared.speed.record_tick(shared.reach.is_reachable(), now);
         let due = shared
             .membership()
             .due_messages(|| own_status(&shared), now);
@@ -251,6 +255,7 @@
         }
         if now >= self.aggregated_at + AGGREGATION_INTERVAL {
             self.aggregate(now);
+            judge_speeds(&self.shared, now);
         }
         if now >= self.costs_logged_at + COST_LOG_INTERVAL {
             self.costs_logged_at = now;
--- a/crates/fleet/src/relay.rs
+++ b/crates/fleet/src/relay.rs
@@ -128,6 +128,7 @@
             if now >= self.job.deadline {
                 return StreamStep::Deadline;
             }
+            self.source.check_overdue(self.dispatcher.shared(), now);
             let is_timer_late =
                 now.saturating_sub(started) > SILENCE_POLL_INTERVAL + MAX_TIMER_DELAY;
             if !is_timer_late && self.is_peer_lost() {
@@ -214,6 +215,8 @@
         }
         self.last_received = now;
         self.source.record_activity(now);
+        let shared = self.dispatcher.shared();
+        self.source.record_event(shared, &self.job, now);
         self.trace.events = self.splitter.events();
     }
 
--- a/crates/fleet/src/routing_table.rs
+++ b/crates/fleet/src/routing_table.rs
@@ -104,6 +104,19 @@
             .map_or(&[], Vec::as_slice)
     }
 
+    /// Returns the targets among which requests choose, by service, and by model for services with groups.
+    pub fn choices(&self) -> impl Iterator<Item = (&ServiceId, &[Arc<RouteTarget>])> {
+        let singles = self.single_targets.iter();
+        let singles = singles.map(|(service, targets)| (service, targets.as_slice()));
+        let by_model = self.groups_by_model.iter();
+        let groups = by_model.flat_map(|(service, models)| {
+            models
+                .values()
+                .map(move |groups| (service, groups.as_slice()))
+        });
+        singles.chain(groups)
+    }
+
     /// Returns the leaders of all groups.
     pub fn all_groups(&self) -> impl Iterator<Item = &Arc<RouteTarget>> {
         self.groups_by_model
--- a/crates/fleet/src/shared.rs
+++ b/crates/fleet/src/shared.rs
@@ -25,6 +25,7 @@
 use crate::reach::TargetReach;
 use crate::routing_table::{RouteTarget, RoutingTable};
 use crate::settings::FleetSettings;
+use crate::speed_sample::SpeedConditions;
 use crate::statements::LimitShare;
 use crate::suspect_ledger::SuspectLedger;
 
@@ -84,6 +85,8 @@
     pub gauges: GaugeMap,
     /// Whether this node reaches targets.
     pub reach: TargetReach,
+    /// Conditions under which this node observes the speed of targets.
+    pub speed: SpeedConditions,
     /// The other live nodes.
     pub live_view: Snapshot<LiveView>,
     /// Combined work of all other nodes.
@@ -139,6 +142,7 @@
             suspects: SuspectLedger::new(Arc::clone(&platform.clock)),
             gauges: GaugeMap::default(),
             reach: TargetReach::default(),
+            speed: SpeedConditions::default(),
             live_view: Snapshot::new(LiveView::new(own.clone())),
             membership: Mutex::new(Membership::new(own)),
             peers_known: watch::Sender::new(false),
--- a/crates/fleet/src/stream_source.rs
+++ b/crates/fleet/src/stream_source.rs
@@ -6,7 +6,8 @@
 use crate::body_check;
 use crate::forwarder::ForwardedResponse;
 use crate::gauge::SlotGuard;
-use crate::job::ResponseStart;
+use crate::job::{RequestJob, ResponseStart};
+use crate::shared::FleetShared;
 use crate::suspect_host::SuspectHost;
 use crate::suspect_ledger::SuspectLedger;
 
@@ -55,6 +56,26 @@
         }
     }
 
+    /// Records the speed of the target, as an event that arrived shows it.
+    pub fn record_event(&mut self, shared: &FleetShared, job: &RequestJob, now: Moment) {
+        if let Self::Target(response) = self {
+            let ResponseStart {
+                target, awaited, ..
+            } = response.as_mut();
+            awaited.record_event(shared, job, target, now);
+        }
+    }
+
+    /// Records that a first event is overdue, if it is.
+    pub fn check_overdue(&mut self, shared: &FleetShared, now: Moment) {
+        if let Self::Target(response) = self {
+            let ResponseStart {
+                target, awaited, ..
+            } = response.as_mut();
+            awaited.check_overdue(shared, target, now);
+        }
+    }
+
     /// Records that the target has processed the prompt.
     pub fn end_prefill(&mut self) {
         if let Self::Target(response) = self {
--- a/crates/fleet/src/target_selector.rs
+++ b/crates/fleet/src/target_selector.rs
@@ -20,6 +20,7 @@
 use crate::routing_table::{RouteTarget, RoutingTable};
 use crate::shared::FleetShared;
 use crate::slot_queue::{wait_for_slot, QueueKey, ReservedTarget, SlotQueue, SlotRequest};
+use crate::speed_judge::{due_probe, without_slow};
 use crate::statements::LimitShare;
 
 /// Interval at which a waiting request checks for a free slot if it is not woken before.
@@ -289,6 +290,9 @@
         if is_full || !target.gauge.statements().reserve_after_backoff(now) {
             return None;
         }
+        if target.gauge.speed().is_slow() {
+            target.gauge.speed().record_probe(now);
+        }
         let slot = SlotGuard::acquire(&target.gauge, slot_request.prompt_tokens, now);
         Some(AcquiredSlot {
             target,
@@ -319,7 +323,15 @@
         };
         let targets = routes_of(&table, &slot_request.key);
         let candidates: Vec<&Arc<RouteTarget>> = targets.iter().filter(is_usable).collect();
+        let probe = due_probe(
+            &self.shared,
+            &candidates,
+            engine.map(|spec| spec.slots),
+            now,
+        );
+        let candidates = without_slow(candidates);
         let target = match engine {
+            _ if probe.is_some() => probe?,
             Some(engine) => {
                 let model = engine.models.get(model.as_ref()?)?;
                 let loads: Vec<GroupLoad> = candidates
@@ -378,6 +390,7 @@
             delay: delay.map_or(Duration::ZERO, |delay| delay.delay),
             is_queueing: group.gauge.is_queueing(now),
             is_request_late: false,
+            speed_ratio: group.gauge.speed().ratio(),
         }
     }
 
@@ -392,7 +405,10 @@
             } else {
                 0.0
             };
-            load + zone_penalty + target.gauge.failure_rate() * FAILURE_WEIGHT
+            let ratio = target.gauge.speed().ratio();
+            // The request itself takes longer too.
+            let slowness = load * (ratio - 1.0) + (ratio - 1.0) / slots;
+            load + slowness + zone_penalty + target.gauge.failure_rate() * FAILURE_WEIGHT
         };
         let candidates = candidates.iter().copied();
         candidates.min_by(|left, right| cost(left).total_cmp(&cost(right)))
--- a/crates/fleet/src/trace.rs
+++ b/crates/fleet/src/trace.rs
@@ -16,6 +16,7 @@
 use crate::restriction::PassedOver;
 use crate::routing_table::RouteTarget;
 use crate::shared::FleetShared;
+use crate::target_speed::rounded;
 
 /// How a request ended.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
@@ -97,6 +98,8 @@
     pub longest_pause: Duration,
     /// Number of events sent to the caller.
     pub events: u64,
+    /// By how much the target of the last attempt was slower than the median of those of its kind, as known then.
+    pub speed_ratio: f64,
     end: Option<RequestEnd>,
 }
 
@@ -129,6 +132,7 @@
             forwarded_by: NodeId::new(),
             longest_pause: Duration::ZERO,
             events: 0,
+            speed_ratio: 1.0,
             end: None,
         }
     }
@@ -208,6 +212,8 @@
     pub fn record_peer(&mut self, peer: &NodeId, head: &ForwardedHead) {
         self.forwarded_to.clone_from(peer);
         self.group.clear();
+        // That node logs what it knew of the target.
+        self.speed_ratio = 1.0;
         self.target.clone_from(&head.target);
         self.attempts_sent = head.attempts_sent;
     }
@@ -215,6 +221,7 @@
     /// Records the target of an attempt.
     pub fn record_target(&mut self, target: &RouteTarget) {
         self.target.clone_from(&target.id);
+        self.speed_ratio = target.gauge.speed().ratio();
         self.forwarded_to.clear();
         if let Some(group) = &target.group {
             self.group.clone_from(&group.id);
@@ -290,6 +297,7 @@
             before_ms = self.waited_before.as_millis() as u64,
             wait_ms = self.slot_wait.map_or(0, |wait| wait.as_millis() as u64),
             first_ms = self.first_event.map_or(0, |first| first.as_millis() as u64),
+            speed_ratio = rounded(self.speed_ratio),
             pause_ms = self.longest_pause.as_millis() as u64,
             ms = latency.as_millis() as u64;
             "request_ended"
--- a/crates/fleet/tests/support/mod.rs
+++ b/crates/fleet/tests/support/mod.rs
@@ -253,6 +253,7 @@
     pub nodes: Vec<NodeStub>,
     client: TargetClient,
     service: &'static str,
+    load_control: LoadControl,
     next_attempt: std::sync::atomic::AtomicU64,
 }
 
@@ -267,34 +268,40 @@
         Self::open_of(GROUP_SERVICE, targets, zones).await
     }
 
+    /// Starts targets of a service, and one node for each listed zone, which handle overload as configured.
+    pub async fn open_controlled(
+        service: &'static str,
+        targets: usize,
+        zones: &[&str],
+        load_control: LoadControl,
+    ) -> Self {
+        Self::open_linked(listings_of(service, targets), zones, 0, load_control).await
+    }
+
     async fn open_of(service: &'static str, targets: usize, zones: &[&str]) -> Self {
-        let listings = (0..targets).map(|index| TargetListing {
-            service,
-            domain: format!("d{}", index % 3),
-            ..TargetListing::default()
-        });
-        Self::open_with(listings.collect(), zones).await
+        Self::open_with(listings_of(service, targets), zones).await
     }
 
     /// Starts the listed targets, and one node for each listed zone.
     pub async fn open_with(listings: Vec<TargetListing>, zones: &[&str]) -> Self {
-        Self::open_linked(listings, zones, 0).await
+        Self::open_linked(listings, zones, 0, LoadControl::default()).await
     }
 
     /// Starts the listed targets, and one node for each listed zone, whose paths to the targets can be cut.
     pub async fn open_with_paths(listings: Vec<TargetListing>, zones: &[&str]) -> Self {
-        Self::open_linked(listings, zones, zones.len()).await
+        Self::open_linked(listings, zones, zones.len(), LoadControl::default()).await
     }
 
     /// Like [`Fleet::open_with_paths`], but only the first node's paths can be cut; the others reach targets directly.
     pub async fn open_with_first_paths(listings: Vec<TargetListing>, zones: &[&str]) -> Self {
-        Self::open_linked(listings, zones, 1).await
+        Self::open_linked(listings, zones, 1, LoadControl::default()).await
     }
 
     async fn open_linked(
         listings: Vec<TargetListing>,
         zones: &[&str],
         nodes_with_paths: usize,
+        load_control: LoadControl,
     ) -> Self {
         let platform = PlatformStub::new(config());
         let service = listings.first().map_or(SERVICE, |listing| listing.service);
@@ -307,6 +314,7 @@
             }),
             next_attempt: Default::default(),
             service,
+            load_control,
             platform,
         };
         for (index, listing) in listings.into_iter().enumerate() {
@@ -339,7 +347,10 @@
     pub async fn start(&self, index: usize) {
         let stub = &self.nodes[index];
         self.kill(index);
-        let settings = settings(&stub.link.node, &stub.zone);
+        let settings = FleetSettings {
+            load_control: self.load_control,
+            ..settings(&stub.link.node, &stub.zone)
+        };
         let platform = stub.link.platform();
         let node = FleetNode::spawn(settings, platform).await;
         *stub.lock() = Some(node.expect("node starts"));
@@ -480,6 +491,15 @@
     }
 }
 
+fn listings_of(service: &'static str, targets: usize) -> Vec<TargetListing> {
+    let listings = (0..targets).map(|index| TargetListing {
+        service,
+        domain: format!("d{}", index % 3),
+        ..TargetListing::default()
+    });
+    listings.collect()
+}
+
 fn request(method: Method, path: &str, body: &str) -> http::Request<http_body_util::Full<Bytes>> {
     let mut request = http::Request::new(full_body(Bytes::from(body.to_owned())));
     *request.method_mut() = method;
--- a/crates/fleet/tests/support/target.rs
+++ b/crates/fleet/tests/support/target.rs
@@ -62,6 +62,8 @@
     is_unframed: bool,
     /// Requests per second that it states in its responses, as text.
     limit: Option<String>,
+    /// Factor on the time that it takes for each step of a response.
+    slowness: u32,
     /// Ends the current incarnation.
     crash: watch::Sender<bool>,
 }
@@ -98,6 +100,7 @@
                 refusals: Vec::new(),
                 abandoned: Vec::new(),
                 limit: None,
+                slowness: 1,
                 crash: watch::Sender::new(false),
             }),
         });
@@ -182,6 +185,11 @@
         self.shared.lock().limit = limit.map(str::to_owned);
     }
 
+    /// Takes so many times as long for each step of its responses from now on; 1 is the normal speed.
+    pub fn slow_down(&self, slowness: u32) {
+        self.shared.lock().slowness = slowness;
+    }
+
     /// Crashes the target independently of any request.
     pub fn crash(&self) {
         self.shared.lock().crash.send_replace(true);
@@ -213,6 +221,10 @@
         self.state.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
+    fn step_time(&self) -> Duration {
+        RUN_TIME * self.lock().slowness
+    }
+
     fn record_run(&self, body: &str, parts: &str) {
         let mut state = self.lock();
         let incarnation = state.incarnation;
@@ -343,7 +355,7 @@
         "HTTP/1.1 200 OK\r\nattempt: {attempt}\r\nsigned: yes\r\n{statements}connection: close\r\n{framing}\r\n"
     );
     stream.write_all(head.as_bytes()).await?;
-    tokio::time::sleep(RUN_TIME).await;
+    tokio::time::sleep(shared.step_time()).await;
     if body.starts_with(PAUSING) {
         tokio::time::sleep(PAUSE_TIME).await;
     }
@@ -381,7 +393,7 @@
             shared.lock().abandoned.push(body);
             return Ok(());
         }
-        tokio::time::sleep(RUN_TIME).await;
+        tokio::time::sleep(shared.step_time()).await;
     }
     let end = if is_unframed { "" } else { "0\r\n\r\n" };
     stream.write_all(end.as_bytes()).await
--- a/crates/membership/src/digest.rs
+++ b/crates/membership/src/digest.rs
@@ -3,6 +3,7 @@
 use std::time::Duration;
 
 use briarswitch_core::id::{Incarnation, NodeId, TargetId, ZoneId};
+use briarswitch_core::speed::{SpeedReport, RATIO_TTL};
 use briarswitch_core::stated_limit::{LimitReport, MAX_REPORT_AGE};
 
 use xxhash_rust::xxh3::xxh3_64_with_seed;
@@ -11,6 +12,8 @@
 
 /// Largest number of reports on limits in one message, so that messages stay small when many targets limit themselves.
 pub const MAX_LIMIT_REPORTS: usize = 16;
+/// Largest number of reports on the speed of targets in one message, also when many targets are slow at once.
+pub const MAX_SPEED_REPORTS: usize = 16;
 
 /// The nodes that a digest summarizes.
 #[derive(Clone, Debug, Eq, Hash, PartialEq)]
@@ -62,6 +65,8 @@
     pub suspects: Vec<TargetId>,
     /// What the nodes have recently heard about the limits of targets, at most [`MAX_LIMIT_REPORTS`].
     pub limits: Vec<LimitReport>,
+    /// What the nodes have recently observed of slow targets, at most [`MAX_SPEED_REPORTS`].
+    pub speeds: Vec<SpeedReport>,
 }
 
 impl Digest {
@@ -81,6 +86,7 @@
             work: WorkSum::default(),
             suspects: Vec::new(),
             limits: Vec::new(),
+            speeds: Vec::new(),
         }
     }
 
@@ -94,6 +100,7 @@
             }
         }
         self.add_limits(&other.limits, age);
+        self.add_speeds(&other.speeds, age);
         self.members.extend(other.members.iter().map(|heartbeat| {
             let mut heartbeat = heartbeat.clone();
             heartbeat.age += age;
@@ -118,15 +125,41 @@
         self.limits.retain(|report| report.age < MAX_REPORT_AGE);
     }
 
-    /// Leaves out reports on limits beyond [`MAX_LIMIT_REPORTS`].
+    /// Adds what was observed of slow targets, as received `age` ago; the newest report of a target counts.
+    pub(crate) fn add_speeds(&mut self, reports: &[SpeedReport], age: Duration) {
+        for report in reports {
+            let report = SpeedReport {
+                age: report.age + age,
+                ..report.clone()
+            };
+            let mut held = self.speeds.iter_mut();
+            match held.find(|held| held.target == report.target) {
+                Some(held) if held.age <= report.age => {}
+                Some(held) => *held = report,
+                None => self.speeds.push(report),
+            }
+        }
+        self.speeds.retain(|report| report.age < RATIO_TTL);
+    }
+
+    /// Leaves out reports beyond [`MAX_LIMIT_REPORTS`] and [`MAX_SPEED_REPORTS`].
     ///
     /// Which ones are left out changes with every message: if their age or order decided, all nodes would leave out
     /// the same ones for good.
-    pub(crate) fn bound_limits(&mut self, seed: u64) {
-        if self.limits.len() > MAX_LIMIT_REPORTS {
-            let hash = |report: &LimitReport| xxh3_64_with_seed(report.target.as_bytes(), seed);
-            self.limits.sort_by_cached_key(hash);
-            self.limits.truncate(MAX_LIMIT_REPORTS);
-        }
+    pub(crate) fn bound_reports(&mut self, seed: u64) {
+        bound(&mut self.limits, MAX_LIMIT_REPORTS, seed, |report| {
+            &report.target
+        });
+        bound(&mut self.speeds, MAX_SPEED_REPORTS, seed, |report| {
+            &report.target
+        });
+    }
+}
+
+/// Keeps `count` of the reports, chosen by the seed.
+fn bound<T>(reports: &mut Vec<T>, count: usize, seed: u64, target: impl Fn(&T) -> &TargetId) {
+    if reports.len() > count {
+        reports.sort_by_cached_key(|report| xxh3_64_with_seed(target(report).as_bytes(), seed));
+        reports.truncate(count);
     }
 }
--- a/crates/membership/src/gossip.rs
+++ b/crates/membership/src/gossip.rs
@@ -1,6 +1,7 @@
 //! Messages between nodes.
 
 use briarswitch_core::id::{NodeId, TargetId};
+use briarswitch_core::speed::SpeedReport;
 use briarswitch_core::stated_limit::LimitReport;
 
 use crate::digest::Digest;
@@ -25,6 +26,8 @@
     pub suspects: Vec<TargetId>,
     /// What it has recently heard about the limits of targets.
     pub limits: Vec<LimitReport>,
+    /// What it has recently observed of slow targets.
+    pub speeds: Vec<SpeedReport>,
 }
 
 /// A message, or the response to one.
@@ -60,6 +63,17 @@
         })
     }
 
+    /// Returns what all digests say about slow targets, each with its age as of now.
+    pub fn speeds(&self) -> impl Iterator<Item = SpeedReport> + '_ {
+        let digests = std::iter::once(&self.digest).chain(&self.relayed);
+        digests.flat_map(|digest| {
+            digest.speeds.iter().map(|report| SpeedReport {
+                age: report.age + digest.age,
+                ..report.clone()
+            })
+        })
+    }
+
     /// Returns whether any of the digests reports a caller's request.
     pub fn has_traffic(&self) -> bool {
         self.digest.has_traffic || self.relayed.iter().any(|digest| digest.has_traffic)
--- a/crates/membership/src/lib.rs
+++ b/crates/membership/src/lib.rs
@@ -20,7 +20,7 @@
 mod wire;
 mod work;
 
-pub use digest::{Digest, DigestOrigin, Heartbeat, MAX_LIMIT_REPORTS};
+pub use digest::{Digest, DigestOrigin, Heartbeat, MAX_LIMIT_REPORTS, MAX_SPEED_REPORTS};
 pub use gossip::{Gossip, GossipTarget, NodeStatus};
 pub use membership::Membership;
 pub use node::NodeEntry;
--- a/crates/membership/src/sums.rs
+++ b/crates/membership/src/sums.rs
@@ -33,14 +33,16 @@
             work: status.work.clone(),
             suspects: status.suspects.clone(),
             limits: Vec::new(),
+            speeds: Vec::new(),
         };
         digest.add_limits(&status.limits, Duration::ZERO);
-        digest.bound_limits(self.limit_seed(now));
+        digest.add_speeds(&status.speeds, Duration::ZERO);
+        digest.bound_reports(self.report_seed(now));
         digest
     }
 
     /// Returns a seed that differs between nodes and between messages.
-    fn limit_seed(&self, now: Moment) -> u64 {
+    fn report_seed(&self, now: Moment) -> u64 {
         self.own_hash ^ now.as_nanos() as u64
     }
 
@@ -61,7 +63,7 @@
                 sum.add(&held.digest, now.saturating_sub(held.made_at));
             }
         }
-        sum.bound_limits(self.limit_seed(now));
+        sum.bound_reports(self.report_seed(now));
         sum
     }
 
--- a/crates/membership/src/wire.rs
+++ b/crates/membership/src/wire.rs
@@ -18,6 +18,10 @@
 use crate::roster::{RosterDelta, RosterStatus, RosterVersion};
 use crate::work::{TargetKey, WorkSum};
 
+mod speeds;
+
+use speeds::{relayed_docs, set_speeds, speed_docs, SpeedDoc};
+
 /// Wire format of [`Gossip`].
 #[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
 pub struct GossipDoc {
@@ -34,6 +38,11 @@
     /// Those of the relayed digests, in the same order; absent if there are none.
     #[serde(default, skip_serializing_if = "Vec::is_empty")]
     relayed_limits: Vec<Vec<LimitDoc>>,
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    speeds: Vec<SpeedDoc>,
+    /// Those of the relayed digests, in the same order; absent if there are none.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    relayed_speeds: Vec<Vec<SpeedDoc>>,
     /// Of the nodes in the digests and the roster, those that are partitioned from all targets.
     #[serde(default, skip_serializing_if = "IndexSet::is_empty")]
     partitioned: IndexSet<NodeId>,
@@ -251,6 +260,7 @@
             suspects,
             // They stand beside the digests in the message.
             limits: Vec::new(),
+            speeds: Vec::new(),
         }
     }
 }
@@ -341,6 +351,8 @@
             } else {
                 gossip.relayed.iter().map(limit_docs).collect()
             },
+            speeds: speed_docs(&gossip.digest),
+            relayed_speeds: relayed_docs(&gossip.relayed),
             partitioned: partitioned_nodes(gossip),
         }
     }
@@ -393,6 +405,7 @@
             roster_version: doc.mark.map(RosterVersion::from),
             roster: doc.roster.map(RosterDelta::from),
         };
+        set_speeds(&mut gossip, doc.speeds, doc.relayed_speeds);
         mark_partitioned(&mut gossip, &doc.partitioned);
         gossip
     }
--- a/crates/membership/tests/support/mod.rs
+++ b/crates/membership/tests/support/mod.rs
@@ -5,6 +5,7 @@
 use std::time::Duration;
 
 use briarswitch_core::id::{Moment, TargetId};
+use briarswitch_core::speed::{ReportedSpeed, SpeedReport};
 use briarswitch_core::stated_limit::{LimitReport, StatedLimit};
 use briarswitch_membership::{
     target_key, Gossip, GossipDoc, GossipTarget, Membership, NodeEntry, NodeStatus, WorkSum,
@@ -26,6 +27,10 @@
     pub suspects: Vec<String>,
     /// What the node knows of the limits of targets.
     pub limits: IndexMap<TargetId, StatedLimit>,
+    /// What the node reports about the speed of targets.
+    pub speeds: Vec<SpeedReport>,
+    /// What the node last heard about the speed of targets.
+    pub heard_speeds: IndexMap<TargetId, ReportedSpeed>,
     pub is_leaving: bool,
     /// Whether the node is partitioned from all targets.
     pub is_partitioned: bool,
@@ -46,6 +51,13 @@
         reports.collect()
     }
 
+    fn apply_speeds(&mut self, gossip: &Gossip, now: Moment) {
+        for report in gossip.speeds() {
+            let heard = self.heard_speeds.entry(report.target).or_default();
+            heard.record(report.ratio, report.age, now);
+        }
+    }
+
     fn apply_limits(&mut self, gossip: &Gossip, now: Moment) {
         for report in gossip.limits() {
             let stated = self.limits.entry(report.target.clone()).or_default();
@@ -111,6 +123,8 @@
             requests: 1,
             suspects: Vec::new(),
             limits: IndexMap::new(),
+            speeds: Vec::new(),
+            heard_speeds: IndexMap::new(),
             is_leaving: false,
             is_partitioned: false,
             sent_messages: 0,
@@ -144,6 +158,7 @@
             },
             suspects: node.suspects.clone(),
             limits: node.limit_reports(self.now),
+            speeds: node.speeds.clone(),
         }
     }
 
@@ -206,10 +221,12 @@
         let request = self.transmit(from, &target.gossip);
         let other = &mut self.nodes[&target.node];
         other.apply_limits(&request, now);
+        other.apply_speeds(&request, now);
         let response = other.membership.respond(&request, &status, now);
         let response = self.transmit(from, &response);
         let node = &mut self.nodes[from];
         node.apply_limits(&response, now);
+        node.apply_speeds(&response, now);
         node.membership.handle_response(target, &response, now, now);
     }
 
