--- a/crates/core/src/assembly.rs
+++ b/crates/core/src/assembly.rs
@@ -19,8 +19,10 @@
 use crate::target::{Membership, MembershipState};
 
 mod observed;
+mod pace;
 mod staging;
 
+pub use pace::TargetPace;
 pub use staging::HeldWeights;
 
 use observed::{incarnations_suffix, observe_groups, ObservedGroup};
@@ -75,6 +77,8 @@
     /// Whether its last report is so recent that a restart since then cannot have had any effect
     /// yet.
     pub is_fresh: bool,
+    /// Pace that it reports of itself.
+    pub pace: TargetPace,
 }
 
 /// Input of a planning round: the domain, and limits given by the rest of the fleet.
@@ -248,6 +252,7 @@
             self.stale_candidates.extend(stale);
         }
         self.reassign_surplus(&groups, &free, &missing, &view);
+        self.replace_slow_members(&groups, &free, &missing, &view);
         let staged = self.stage(&free, &groups, &view, &orders, budget);
         orders.extend(staged);
         for order in &orders {
@@ -404,10 +409,12 @@
                 Some((TargetAction::Leave { group, epoch }, "member_draining"))
             }
             (MembershipState::Open, false) if is_reassigned => {
-                Some((TargetAction::Close { group, epoch }, "exchanged"))
+                let reason = self.closing_reason(observed, view);
+                Some((TargetAction::Close { group, epoch }, reason))
             }
             (MembershipState::Ready, false) if is_reassigned => {
-                Some((TargetAction::Leave { group, epoch }, "exchanged"))
+                let reason = self.closing_reason(observed, view);
+                Some((TargetAction::Leave { group, epoch }, reason))
             }
             (MembershipState::Ready, false) if are_ready => {
                 Some((TargetAction::Open { group, epoch }, "all_ready"))
@@ -580,7 +587,10 @@
         }
         // Targets with another model's weights come last: that model needs them, even if they could
         // join sooner.
-        ranked.sort_by_key(|(time, id)| (view.next_model(id) != Some(&model.id), *time));
+        ranked.sort_by_key(|(time, id)| {
+            let is_other = view.next_model(id) != Some(&model.id);
+            (is_other, view.targets[*id].pace.is_slow(), *time)
+        });
         ranked.truncate(model.group_size);
         let loading = ranked.iter().filter(|(time, _)| *time >= model.load_time);
         let loads = loading.count();
--- a/crates/core/tests/staging.rs
+++ b/crates/core/tests/staging.rs
@@ -2,7 +2,9 @@
 
 use std::time::Duration;
 
-use briarswitch_core::assembly::{DomainReconciler, DomainView, TargetFacts, TargetStatus};
+use briarswitch_core::assembly::{
+    DomainReconciler, DomainView, TargetFacts, TargetPace, TargetStatus,
+};
 use briarswitch_core::engine::{EngineSpec, ModelSpec};
 use briarswitch_core::id::*;
 use briarswitch_core::layout::DomainLayout;
@@ -60,6 +62,7 @@
                 is_busy: false,
                 epoch_seen: 0,
                 is_fresh: true,
+                pace: TargetPace::default(),
             };
             domain.targets.insert(format!("t{index}"), facts);
         }
--- a/crates/fleet/src/controller.rs
+++ b/crates/fleet/src/controller.rs
@@ -24,6 +24,7 @@
 use crate::domains::{domains_of, inventory_of, InventoryItem};
 use crate::layouts::{LayoutInputs, ServiceLayouts};
 use crate::order_sender::deliver;
+use crate::pace_watch::{clear_recovered, observed_report, PaceWatch};
 use crate::ports::{ReportError, TargetReport};
 use crate::scope::{ControlScope, DomainKey, ScopeInputs};
 use crate::shared::{DirectoryView, FleetShared};
@@ -67,6 +68,7 @@
     trend: DemandTrend,
     /// Suspected targets as of the previous round.
     known_suspects: IndexSet<TargetId>,
+    pace_watch: PaceWatch,
     scope: Option<Arc<ControlScope>>,
     started_at: Moment,
     /// Number of listed targets, and when it last changed.
@@ -110,6 +112,7 @@
             layouts: IndexMap::new(),
             trend: DemandTrend::default(),
             known_suspects: IndexSet::new(),
+            pace_watch: PaceWatch::default(),
             scope: None,
             started_at: BootClock::now(),
             target_count: (0, BootClock::now()),
@@ -136,6 +139,10 @@
         self.tracker.sync(listed, unlisted, now);
         if !scope.own_domains.is_empty() {
             self.poll_suspected_groups(now);
+            let table = self.shared.routing_table.load();
+            for member in self.pace_watch.newly_slow(&table) {
+                self.tracker.poll_now(&member, now);
+            }
         }
         for (target, address) in self.tracker.take_due(now) {
             self.poll(target, address, link);
@@ -520,6 +527,7 @@
         let Some(engine) = engine else {
             return;
         };
+        let report = report.map(|report| observed_report(&self.shared, report));
         let has_response = report.is_ok();
         let became_silent = self
             .tracker
@@ -528,6 +536,7 @@
             log::warn!(target_id = target; "target_silent");
         }
         if has_response {
+            clear_recovered(&self.shared, &self.tracker, target, now);
             for reconciler in self.reconcilers.values_mut() {
                 reconciler.note_report(target);
             }
--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -33,6 +33,7 @@
 mod micros;
 pub mod node;
 pub mod order_sender;
+pub mod pace_watch;
 pub mod packed;
 pub mod peer_api;
 pub mod peers;
--- a/crates/fleet/src/ports.rs
+++ b/crates/fleet/src/ports.rs
@@ -6,6 +6,7 @@
 use briarswitch_core::evacuation::EvacuationUpdate;
 use briarswitch_core::id::*;
 use briarswitch_core::order::{OrderResult, TargetAction};
+use briarswitch_core::speed::SpeedRatio;
 use briarswitch_core::stated_limit::LimitHeader;
 use briarswitch_core::target::{Membership, TargetChange};
 use briarswitch_core::traffic::TrafficConfig;
@@ -203,6 +204,8 @@
     pub active: u32,
     /// Requests in its queue.
     pub queued: u32,
+    /// By how much it takes longer than at its normal speed, if it reports that.
+    pub pace: Option<SpeedRatio>,
 }
 
 /// Why no report was received from a target.
--- a/crates/fleet/src/tracker.rs
+++ b/crates/fleet/src/tracker.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use briarswitch_core::assembly::{TargetFacts, TargetStatus};
+use briarswitch_core::assembly::{TargetFacts, TargetPace, TargetStatus};
 use briarswitch_core::engine::EngineSpec;
 use briarswitch_core::id::*;
 use briarswitch_core::order::{OrderResult, TargetAction, TargetOrder};
@@ -57,6 +57,8 @@
     highest_count: (u64, Moment),
     /// Whether another target was found at its address.
     is_replaced: bool,
+    /// Whether its last report says that its pace is normal again.
+    has_recovered: bool,
 }
 
 impl TrackedTarget {
@@ -68,6 +70,11 @@
         }
     }
 
+    /// Returns whether its last report says that its pace is normal again, after it was slow.
+    pub fn has_recovered(&self) -> bool {
+        self.has_recovered
+    }
+
     fn new(record: TargetRecord, now: Moment) -> Self {
         Self {
             facts: TargetFacts {
@@ -80,6 +87,7 @@
                 is_busy: false,
                 epoch_seen: 0,
                 is_fresh: false,
+                pace: TargetPace::default(),
             },
             record,
             is_resolved: false,
@@ -93,6 +101,7 @@
             reported_at: None,
             highest_count: (0, Moment::ZERO),
             is_replaced: false,
+            has_recovered: false,
         }
     }
 
@@ -282,6 +291,7 @@
     /// state.
     fn apply_report(&mut self, report: TargetReport, lag: Duration, now: Moment) {
         self.reset_after_restart(report.incarnation);
+        self.has_recovered = false;
         let facts = &mut self.facts;
         let is_recent = now < self.acknowledged_at + lag * 2;
         if is_recent && report.sequence < facts.sequence {
@@ -302,6 +312,7 @@
         facts.staged = report.staged;
         facts.sequence = report.sequence;
         facts.is_busy = report.is_busy;
+        self.has_recovered = facts.pace.record(report.pace);
     }
 
     /// Returns whether a report must come from another target, because its count of orders is lower than
@@ -338,6 +349,7 @@
         self.facts.incarnation = incarnation;
         self.facts.sequence = 0;
         self.facts.epoch_seen = 0;
+        self.facts.pace = TargetPace::default();
         self.acknowledged_at = Moment::ZERO;
         self.highest_count = (0, Moment::ZERO);
         self.joining_since = None;
--- a/crates/fleet/tests/assembly.rs
+++ b/crates/fleet/tests/assembly.rs
@@ -486,6 +486,7 @@
             is_busy: target.load.is_some(),
             active: 0,
             queued: 0,
+            pace: None,
         })
     }
 
--- a/crates/fleet/tests/tracker.rs
+++ b/crates/fleet/tests/tracker.rs
@@ -40,6 +40,7 @@
         is_busy: false,
         active: 0,
         queued: 0,
+        pace: None,
     }
 }
 
