--- a/crates/fleet/src/dispatch.rs
+++ b/crates/fleet/src/dispatch.rs
@@ -27,6 +27,7 @@
 use crate::routing_table::RouteTarget;
 use crate::run::{RunListeners, TargetRun};
 use crate::shared::FleetShared;
+use crate::speed_sample::AwaitedResponse;
 use crate::statement_recorder::StatementRecorder;
 use crate::suspicion::{reroute_delay, silence_limit_for, SuspicionReporter};
 use crate::target_selector::TargetSelector;
@@ -54,6 +55,7 @@
     slot: SlotGuard,
     run: TargetRun,
     sent_at: Moment,
+    awaited: AwaitedResponse,
 }
 
 /// Dispatches requests to targets.
@@ -154,6 +156,7 @@
             return Err(FailurePoint::Quarantined.into());
         }
         self.statements.log_choice(job, &target, now);
+        let mut awaited = AwaitedResponse::begin(&self.shared, job, &target, now);
         let request = self.build_request(job, &target, remaining, last_event);
         let address = TargetAddress {
             address: target.address.clone(),
@@ -167,7 +170,7 @@
         let sending = client.send_tracked(&address, request, needs_new_connection, &progress);
         let mut run = TargetRun::start(job.run_info(&target, now), self.run_listeners.clone());
         match self
-            .wait_head(sending, &progress, job, &target, now, may_reroute)
+            .wait_head(sending, &progress, job, &target, &mut awaited, may_reroute)
             .await
         {
             Ok(reply) => {
@@ -176,6 +179,7 @@
                     slot,
                     run,
                     sent_at: now,
+                    awaited,
                 };
                 self.check_head(job, attempt, reply).await
             }
@@ -219,7 +223,7 @@
         progress: &SendProgress,
         job: &RequestJob,
         target: &RouteTarget,
-        sent: Moment,
+        awaited: &mut AwaitedResponse,
         may_reroute: bool,
     ) -> Result<TargetResponse, HeadWaitError> {
         tokio::pin!(sending);
@@ -238,7 +242,8 @@
             if may_forward && !progress.has_begun() {
                 return Err(HeadWaitError::Send(SendError::Connect));
             }
-            let waited = now.saturating_sub(sent);
+            let waited = now.saturating_sub(awaited.begun_at());
+            awaited.check_overdue(&self.shared, target, now);
             let limit = silence_limit_for(job, target);
             let is_silent = waited > limit && target.gauge.silence(now) > limit;
             if is_silent {
@@ -278,6 +283,7 @@
             mut slot,
             mut run,
             sent_at,
+            awaited,
         } = attempt;
         let TargetResponse { head, body } = reply;
         let info = self
@@ -314,6 +320,7 @@
                 head,
                 body,
                 run,
+                awaited,
             });
         }
         target.gauge.record_outcome(true);
@@ -363,6 +370,7 @@
             head,
             body,
             mut run,
+            mut awaited,
         } = response;
         let remaining = job.deadline.saturating_sub(BootClock::now());
         let reading = self.read_complete(&run, body);
@@ -371,6 +379,7 @@
         self.selector.serve_queue();
         match read {
             Ok(Ok(bytes)) => {
+                awaited.record_end(&self.shared, job, &target, BootClock::now());
                 run.complete(&self.shared.suspects);
                 Ok((head, bytes))
             }
--- a/crates/fleet/src/metrics.rs
+++ b/crates/fleet/src/metrics.rs
@@ -39,6 +39,7 @@
     queue_refusals: Counter<u64>,
     queue_fallbacks: Counter<u64>,
     queue_waiting: Arc<[AtomicU64; PRIORITIES]>,
+    slow_targets: Arc<AtomicU64>,
 }
 
 /// Labels of one request.
@@ -82,6 +83,7 @@
             value
         };
         let (config_version, partitioned) = (gauge("config_version"), gauge("partitioned"));
+        let slow_targets = gauge("slow_targets");
         meter
             .u64_observable_counter("costs")
             .with_callback(move |observer| {
@@ -121,6 +123,7 @@
             _provider: provider,
             config_version,
             partitioned,
+            slow_targets,
         }
     }
 
@@ -230,6 +233,11 @@
             .store(u64::from(is_partitioned), Ordering::Relaxed);
     }
 
+    /// Sets the number of groups and targets that get only probe requests of this node.
+    pub fn set_slow_targets(&self, count: usize) {
+        self.slow_targets.store(count as u64, Ordering::Relaxed);
+    }
+
     /// Returns the metrics in the Prometheus text format.
     pub fn render(&self) -> Vec<u8> {
         let mut text = Vec::new();
--- a/crates/fleet/tests/support/mod.rs
+++ b/crates/fleet/tests/support/mod.rs
@@ -157,15 +157,6 @@
 }
 
 /// Returns the entries of targets of a service, in three domains.
-fn listings(service: &'static str, targets: usize) -> Vec<TargetListing> {
-    let listings = (0..targets).map(|index| TargetListing {
-        service,
-        domain: format!("d{}", index % 3),
-        ..TargetListing::default()
-    });
-    listings.collect()
-}
-
 pub fn settings(node: &str, zone: &str) -> FleetSettings {
     FleetSettings {
         node: node.to_owned(),
@@ -272,8 +263,7 @@
     pub nodes: Vec<NodeStub>,
     client: TargetClient,
     service: &'static str,
-    /// Whether the nodes share queues.
-    shares_queue: bool,
+    load_control: LoadControl,
     next_attempt: std::sync::atomic::AtomicU64,
 }
 
@@ -288,48 +278,59 @@
         Self::open_of(GROUP_SERVICE, targets, zones).await
     }
 
+    /// Starts targets of a service, and one node for each listed zone, which handle overload as configured.
+    pub async fn open_controlled(
+        service: &'static str,
+        targets: usize,
+        zones: &[&str],
+        load_control: LoadControl,
+    ) -> Self {
+        Self::open_linked(listings_of(service, targets), zones, 0, load_control).await
+    }
+
     async fn open_of(service: &'static str, targets: usize, zones: &[&str]) -> Self {
-        Self::open_with(listings(service, targets), zones).await
+        Self::open_with(listings_of(service, targets), zones).await
     }
 
     /// Like [`Fleet::open_groups`], with nodes that share queues.
     pub async fn open_sharing_groups(targets: usize, zones: &[&str]) -> Self {
-        let mut fleet = Self::new(GROUP_SERVICE);
-        fleet.shares_queue = true;
-        fleet.start_targets(listings(GROUP_SERVICE, targets)).await;
-        fleet.start_nodes(zones, 0).await;
-        fleet
+        let load_control = LoadControl {
+            shares_queue: true,
+            ..LoadControl::default()
+        };
+        Self::open_controlled(GROUP_SERVICE, targets, zones, load_control).await
     }
 
     /// Starts the listed targets, and one node for each listed zone.
     pub async fn open_with(listings: Vec<TargetListing>, zones: &[&str]) -> Self {
-        Self::open_linked(listings, zones, 0).await
+        Self::open_linked(listings, zones, 0, LoadControl::default()).await
     }
 
     /// Starts the listed targets, and one node for each listed zone, whose paths to the targets can be cut.
     pub async fn open_with_paths(listings: Vec<TargetListing>, zones: &[&str]) -> Self {
-        Self::open_linked(listings, zones, zones.len()).await
+        Self::open_linked(listings, zones, zones.len(), LoadControl::default()).await
     }
 
     /// Like [`Fleet::open_with_paths`], but only the first node's paths can be cut; the others reach targets directly.
     pub async fn open_with_first_paths(listings: Vec<TargetListing>, zones: &[&str]) -> Self {
-        Self::open_linked(listings, zones, 1).await
+        Self::open_linked(listings, zones, 1, LoadControl::default()).await
     }
 
     async fn open_linked(
         listings: Vec<TargetListing>,
         zones: &[&str],
         nodes_with_paths: usize,
+        load_control: LoadControl,
     ) -> Self {
         let service = listings.first().map_or(SERVICE, |listing| listing.service);
-        let mut fleet = Self::new(service);
+        let mut fleet = Self::new(service, load_control);
         fleet.start_targets(listings).await;
         fleet.start_nodes(zones, nodes_with_paths).await;
         fleet
     }
 
     /// Returns a fleet without targets and nodes.
-    fn new(service: &'static str) -> Self {
+    fn new(service: &'static str, load_control: LoadControl) -> Self {
         Self {
             targets: Vec::new(),
             nodes: Vec::new(),
@@ -339,7 +340,7 @@
             }),
             next_attempt: Default::default(),
             service,
-            shares_queue: false,
+            load_control,
             platform: PlatformStub::new(config()),
         }
     }
@@ -378,8 +379,10 @@
     pub async fn start(&self, index: usize) {
         let stub = &self.nodes[index];
         self.kill(index);
-        let mut settings = settings(&stub.link.node, &stub.zone);
-        settings.load_control.shares_queue |= self.shares_queue;
+        let settings = FleetSettings {
+            load_control: self.load_control,
+            ..settings(&stub.link.node, &stub.zone)
+        };
         let platform = stub.link.platform();
         let node = FleetNode::spawn(settings, platform).await;
         *stub.lock() = Some(node.expect("node starts"));
@@ -555,6 +558,15 @@
     }
 }
 
+fn listings_of(service: &'static str, targets: usize) -> Vec<TargetListing> {
+    let listings = (0..targets).map(|index| TargetListing {
+        service,
+        domain: format!("d{}", index % 3),
+        ..TargetListing::default()
+    });
+    listings.collect()
+}
+
 fn request(method: Method, path: &str, body: &str) -> http::Request<http_body_util::Full<Bytes>> {
     let mut request = http::Request::new(full_body(Bytes::from(body.to_owned())));
     *request.method_mut() = method;
