--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -12,6 +12,7 @@
 
 pub mod assembly;
 pub mod backoff;
+pub mod changeover;
 pub mod choice;
 pub mod claim;
 pub mod config;
