--- a/crates/core/src/assembly.rs
+++ b/crates/core/src/assembly.rs
@@ -18,11 +18,14 @@
 use crate::order::{OrderResult, TargetAction, TargetOrder};
 use crate::target::{Membership, MembershipState};
 
+mod changeover;
 mod observed;
 mod staging;
 
+pub use changeover::{ChangeoverEvent, ChangeoverOutcome};
 pub use staging::HeldWeights;
 
+use changeover::ChangeoverState;
 use observed::{incarnations_suffix, observe_groups, ObservedGroup};
 
 /// Time that members may be missing from a group that another controller is forming.
@@ -131,6 +134,7 @@
     dissolving: IndexMap<GroupId, TargetId>,
     /// Groups being closed because their targets now hold another model's weights.
     reassigning: IndexSet<GroupId>,
+    changeover: ChangeoverState,
     /// Groups whose leader has left, so that the other members can be reused.
     released: IndexSet<GroupId>,
     last_model: IndexMap<TargetId, LastModel>,
@@ -169,6 +173,7 @@
             backoff_until: Moment::ZERO,
             dissolving: IndexMap::new(),
             reassigning: IndexSet::new(),
+            changeover: ChangeoverState::default(),
             released: IndexSet::new(),
             last_model: IndexMap::new(),
             stale_candidates: IndexSet::new(),
@@ -218,6 +223,7 @@
     pub fn plan(&mut self, view: DomainView<'_>, now: Moment) -> Vec<TargetOrder> {
         self.prune(&view);
         let groups = self.groups(&view);
+        self.note_closing(&groups, &view, now);
         let mut orders = Vec::new();
         for (group, observed) in &groups {
             orders.extend(self.reconcile_group(group, observed, &view, now));
@@ -249,6 +255,9 @@
         }
         self.reassign_surplus(&groups, &free, &missing, &view);
         let staged = self.stage(&free, &groups, &view, &orders, budget);
+        budget -= staged.len();
+        orders.extend(staged);
+        let staged = self.stage_standbys(&groups, &view, &orders, budget);
         orders.extend(staged);
         for order in &orders {
             self.in_flight.insert(order.target.clone(), order.clone());
@@ -272,6 +281,7 @@
         self.in_flight.retain(|id, _| is_known(id));
         self.awaiting_report.retain(is_known);
         self.last_model.retain(|id, _| is_known(id));
+        self.changeover.prune(is_known);
         for (id, facts) in view.targets {
             if let (Some(_), Some(model)) = (&facts.membership, &facts.model) {
                 let last = LastModel {
@@ -367,7 +377,7 @@
             Some(leave("member_restarted"))
         } else {
             self.incomplete_since.swap_remove(group);
-            self.next_action(group, observed, view, state, epoch)
+            self.next_action(group, observed, view, now)
         };
         if let Some((TargetAction::Leave { .. }, _)) = &next {
             self.dissolving.insert(group.clone(), leader.clone());
@@ -382,10 +392,13 @@
         group: &GroupId,
         observed: &ObservedGroup,
         view: &DomainView<'_>,
-        state: MembershipState,
-        epoch: Epoch,
+        now: Moment,
     ) -> Option<(TargetAction, &'static str)> {
+        let leader = &view.targets[observed.members.get(&0)?];
+        let Membership { epoch, state, .. } = *leader.membership.as_ref()?;
         let is_reassigned = self.reassigning.contains(group);
+        let is_close_overdue = self.changeover.is_close_overdue(group, now);
+        let reason = self.changeover.reason(group);
         let group = group.clone();
         let is_draining = observed
             .members
@@ -404,10 +417,13 @@
                 Some((TargetAction::Leave { group, epoch }, "member_draining"))
             }
             (MembershipState::Open, false) if is_reassigned => {
-                Some((TargetAction::Close { group, epoch }, "exchanged"))
+                Some((TargetAction::Close { group, epoch }, reason))
             }
             (MembershipState::Ready, false) if is_reassigned => {
-                Some((TargetAction::Leave { group, epoch }, "exchanged"))
+                Some((TargetAction::Leave { group, epoch }, reason))
+            }
+            (MembershipState::Closing, _) if is_reassigned && is_close_overdue => {
+                Some((TargetAction::Leave { group, epoch }, reason))
             }
             (MembershipState::Ready, false) if are_ready => {
                 Some((TargetAction::Open { group, epoch }, "all_ready"))
@@ -580,7 +596,7 @@
         }
         // Targets with another model's weights come last: that model needs them, even if they could
         // join sooner.
-        ranked.sort_by_key(|(time, id)| (view.next_model(id) != Some(&model.id), *time));
+        ranked.sort_by_key(|(time, id)| (self.counted_model(id, view) != Some(&model.id), *time));
         ranked.truncate(model.group_size);
         let loading = ranked.iter().filter(|(time, _)| *time >= model.load_time);
         let loads = loading.count();
--- a/crates/core/src/assembly/staging.rs
+++ b/crates/core/src/assembly/staging.rs
@@ -9,6 +9,9 @@
 use crate::order::{TargetAction, TargetOrder};
 use crate::target::{Membership, MembershipState};
 
+/// Reason of the order to load other weights that a member of a surplus group gets.
+const EXCHANGE: &str = "exchange";
+
 /// Weights held or being loaded by one target.
 #[derive(Clone, Copy, Debug, Default)]
 pub struct HeldWeights<'a> {
@@ -52,18 +55,21 @@
 impl DomainView<'_> {
     /// Returns the model that a target can serve next.
     pub(super) fn next_model(&self, id: &TargetId) -> Option<&ModelId> {
+        self.held_weights(id).next_model()
+    }
+
+    pub(super) fn held_weights(&self, id: &TargetId) -> HeldWeights<'_> {
         let facts = &self.targets[id];
-        let weights = HeldWeights {
+        HeldWeights {
             membership: facts.membership.as_ref(),
             model: facts.model.as_ref(),
             staged: &facts.staged,
             loading: self.loading.get(id).filter(|_| facts.is_busy),
-        };
-        weights.next_model()
+        }
     }
 
     /// Returns whether a target holds a model's weights or will hold them after its current load.
-    fn will_hold(&self, id: &TargetId, model: &ModelId) -> bool {
+    pub(super) fn will_hold(&self, id: &TargetId, model: &ModelId) -> bool {
         match self.loading.get(id) {
             Some(loading) if self.targets[id].is_busy => loading == model,
             _ => self.targets[id].staged.contains(model),
@@ -71,7 +77,7 @@
     }
 
     /// Returns whether a target can join a group of a model without loading weights.
-    fn is_ready_for(&self, id: &TargetId, model: &ModelId) -> bool {
+    pub(super) fn is_ready_for(&self, id: &TargetId, model: &ModelId) -> bool {
         let facts = &self.targets[id];
         !facts.is_busy && facts.staged.contains(model)
     }
@@ -87,7 +93,7 @@
         models.any(|model| self.will_hold(id, model))
     }
 
-    fn size_of(&self, model: &ModelId) -> usize {
+    pub(super) fn size_of(&self, model: &ModelId) -> usize {
         self.engine
             .models
             .get(model)
@@ -101,7 +107,7 @@
     ///
     /// A member loads in the background, and its group continues to serve.
     pub(super) fn stage(
-        &self,
+        &mut self,
         free: &[TargetId],
         groups: &IndexMap<GroupId, ObservedGroup>,
         view: &DomainView<'_>,
@@ -109,6 +115,7 @@
         budget: usize,
     ) -> Vec<TargetOrder> {
         let mut idle: Vec<&TargetId> = free.iter().collect();
+        idle.retain(|id| self.kept_for(id).is_none());
         let surplus = self.surplus_groups(groups, view);
         let mut surplus_members: Vec<&TargetId> = surplus.values().flatten().copied().collect();
         surplus_members.retain(|id| !orders.iter().any(|order| order.target == **id));
@@ -127,7 +134,8 @@
                 };
                 facts.membership.is_some() && !free.contains(*id) && usable == Some(model)
             });
-            let lacking = holders.saturating_sub(members.count());
+            let kept = free.iter().filter(|id| self.kept_for(id) == Some(model));
+            let lacking = holders.saturating_sub(members.count() + kept.count());
             let lacking = take_holders(&mut idle, model, lacking, view);
             let mut chosen = take_movable(&mut idle, lacking, view);
             chosen.extend(take_members(
@@ -140,6 +148,9 @@
             staged.extend(staging.filter_map(|id| self.stage_order(id, model, view)));
         }
         staged.truncate(budget);
+        for order in staged.iter().filter(|order| order.reason == EXCHANGE) {
+            self.note_moving(order, view);
+        }
         staged
     }
 
@@ -153,7 +164,7 @@
         let action = TargetAction::Stage {
             model: model.clone(),
         };
-        let reason = if is_member { "exchange" } else { "spare" };
+        let reason = if is_member { EXCHANGE } else { "spare" };
         self.order(id, action, reason, view)
     }
 
@@ -235,7 +246,7 @@
 }
 
 /// Returns whether a group is open and all its members are live.
-fn is_serving(observed: &ObservedGroup, view: &DomainView<'_>) -> bool {
+pub(super) fn is_serving(observed: &ObservedGroup, view: &DomainView<'_>) -> bool {
     let leader = observed.members.get(&0).map(|id| &view.targets[id]);
     let membership = leader.and_then(|facts| facts.membership.as_ref());
     membership.is_some_and(|membership| membership.state == MembershipState::Open)
--- a/crates/core/src/changeover.rs
+++ b/crates/core/src/changeover.rs
@@ -12,7 +12,7 @@
 use std::cmp::Reverse;
 use std::time::Duration;
 
-use indexmap::{IndexMap, IndexSet};
+use indexmap::IndexMap;
 
 use crate::engine::EngineSpec;
 use crate::id::{DomainId, ModelId, Moment};
@@ -39,8 +39,12 @@
 /// Below it, callers wait for less than a quarter of the time that a request holds a slot, which is
 /// within the shortest latency objective.
 const SHORTAGE_RATIO: f64 = 1.25;
-/// Ratio of need and slots at which a model no longer gets groups once it has got some.
+/// Ratio of need and slots above which a model gets more groups while it counts as short.
 const COVERED_RATIO: f64 = 1.0;
+/// Time for which a model counts as short after it last lacked groups.
+///
+/// The need of a burst is measured over a second; a part of it would be filled otherwise.
+const SHORTAGE_HOLD: Duration = Duration::from_secs(2);
 /// Groups that the giving model keeps for each group that it needs.
 const DONOR_RESERVE: f64 = 1.25;
 /// Minimum number of groups that a model keeps, whatever its need.
@@ -102,12 +106,42 @@
     pub transfers: IndexMap<DomainId, Vec<GroupTransfer>>,
     /// Standbys to prepare.
     pub standbys: StandbyPlan,
-    /// Models that lack groups.
-    short: IndexSet<ModelId>,
+    /// Models that lack groups, and when they last did.
+    short: IndexMap<ModelId, Moment>,
     /// Transfers that the targets' states may not show yet.
     pending: Vec<PendingTransfer>,
 }
 
+/// One domain's part of a plan.
+#[derive(Clone, Debug, Default, Eq, PartialEq)]
+pub struct DomainChangeover {
+    /// Groups that change over now.
+    pub transfers: Vec<GroupTransfer>,
+    /// Groups that are or should be prepared.
+    pub standbys: Vec<StandbyShare>,
+    /// Number of loads for standbys that may be in progress.
+    pub loads: usize,
+}
+
+impl ChangeoverPlan {
+    /// Returns the part of one domain.
+    ///
+    /// ```
+    /// use briarswitch_core::changeover::ChangeoverPlan;
+    ///
+    /// let plan = ChangeoverPlan::default();
+    /// assert!(plan.of_domain("d1").transfers.is_empty());
+    /// ```
+    pub fn of_domain(&self, domain: &str) -> DomainChangeover {
+        let standbys = &self.standbys;
+        DomainChangeover {
+            transfers: self.transfers.get(domain).cloned().unwrap_or_default(),
+            standbys: standbys.shares.get(domain).cloned().unwrap_or_default(),
+            loads: standbys.loads.get(domain).copied().unwrap_or(0),
+        }
+    }
+}
+
 /// A transfer, and what its domain has left afterwards.
 #[derive(Clone, Debug, PartialEq)]
 struct PendingTransfer {
@@ -187,7 +221,7 @@
     models: Vec<&'a ModelId>,
     domains: Vec<DomainDraft<'a>>,
     transfers: IndexMap<DomainId, Vec<GroupTransfer>>,
-    short: IndexSet<ModelId>,
+    short: IndexMap<ModelId, Moment>,
     pending: Vec<PendingTransfer>,
 }
 
@@ -209,7 +243,7 @@
             domains: domains.collect(),
             models,
             transfers: IndexMap::new(),
-            short: IndexSet::new(),
+            short: IndexMap::new(),
             pending: Vec::new(),
             params,
         };
@@ -235,18 +269,22 @@
         }
     }
 
-    /// Returns the models that lack groups.
-    fn short_models(&self) -> IndexSet<ModelId> {
-        let short = self.models.iter().filter(|model| {
-            let was_short = self.params.previous.short.contains(**model);
-            let ratio = if was_short {
-                COVERED_RATIO
+    /// Returns the models that lack groups, and when they last did.
+    fn short_models(&self) -> IndexMap<ModelId, Moment> {
+        let short = self.models.iter().filter_map(|model| {
+            let previous = self.params.previous.short.get(*model).copied();
+            let last = previous.filter(|last| self.params.now < *last + SHORTAGE_HOLD);
+            let ratio = last.map_or(SHORTAGE_RATIO, |_| COVERED_RATIO);
+            let supplied = self.supplied_groups(model) as f64;
+            let is_lacking = self.need(model).short_term > supplied * ratio;
+            let last = if is_lacking {
+                Some(self.params.now)
             } else {
-                SHORTAGE_RATIO
+                last
             };
-            self.need(model).short_term > self.supplied_groups(model) as f64 * ratio
+            Some(((*model).clone(), last?))
         });
-        short.map(|model| (*model).clone()).collect()
+        short.collect()
     }
 
     fn need(&self, model: &str) -> ModelNeed {
@@ -287,7 +325,7 @@
     /// Plans transfers until no model lacks groups that another one can give.
     fn transfer_groups(&mut self) {
         let mut recipients: Vec<&'a ModelId> = self.models.clone();
-        recipients.retain(|model| self.short.contains(*model));
+        recipients.retain(|model| self.short.contains_key(*model));
         recipients.sort_by(|left, right| self.coverage(left).total_cmp(&self.coverage(right)));
         for to in recipients {
             while let Some(unit) = self.best_unit(to) {
@@ -302,7 +340,7 @@
         }
         let donors = self.models.iter().filter(|from| **from != to);
         let mut donors: Vec<&'a ModelId> = donors.copied().collect();
-        donors.retain(|from| !self.short.contains(*from));
+        donors.retain(|from| !self.short.contains_key(*from));
         donors.sort_by(|left, right| self.coverage(right).total_cmp(&self.coverage(left)));
         donors
             .into_iter()
--- a/crates/core/src/changeover/standby.rs
+++ b/crates/core/src/changeover/standby.rs
@@ -45,11 +45,11 @@
     count: usize,
 }
 
-/// A group that is to be prepared.
-struct QueuedGroup<'a> {
+/// Groups of one domain that are to be prepared together.
+struct QueuedGroups<'a> {
     domain: &'a DomainId,
-    serves: &'a ModelId,
-    /// Whether some of its members hold the weights.
+    targets: usize,
+    /// Whether some of their members hold the weights.
     is_begun: bool,
 }
 
@@ -57,7 +57,9 @@
 struct UnpreparedGroups<'a> {
     domain: &'a DomainId,
     count: usize,
-    /// Most members of one of them that already hold the weights.
+    /// Number of them that complete a group of the other model.
+    lacking: usize,
+    /// Members that already hold the weights towards that group.
     progress: usize,
 }
 
@@ -90,7 +92,7 @@
         let others = self.models.iter().filter(|model| **model != serves);
         let prepares =
             others.min_by(|left, right| self.coverage(left).total_cmp(&self.coverage(right)))?;
-        let is_spare = count > 0 && !self.short.contains(serves);
+        let is_spare = count > 0 && !self.short.contains_key(serves);
         is_spare.then_some(SpareGroups {
             serves,
             prepares,
@@ -101,7 +103,7 @@
     /// Allocates the spare groups of a model to domains: first those that are prepared.
     ///
     /// Returns the others in the order in which they are to be prepared.
-    fn allocate(&self, spare: &SpareGroups<'a>, plan: &mut StandbyPlan) -> Vec<QueuedGroup<'a>> {
+    fn allocate(&self, spare: &SpareGroups<'a>, plan: &mut StandbyPlan) -> Vec<QueuedGroups<'a>> {
         let mut left = spare.count;
         let mut unprepared = Vec::new();
         for domain in &self.domains {
@@ -112,41 +114,47 @@
             unprepared.extend((rest.count > 0).then_some(rest));
         }
         let mut queue = Vec::new();
-        for _ in 0..left {
-            let next = unprepared.iter_mut().max_by_key(|rest| {
-                let order = Reverse(rest.domain);
-                (rest.count > 0, rest.progress, rest.count, order)
-            });
-            let Some(next) = next.filter(|rest| rest.count > 0) else {
-                break;
-            };
-            plan.add(next.domain, spare, 1);
-            queue.push(QueuedGroup {
+        while let Some(next) = unprepared
+            .iter_mut()
+            .filter(|rest| rest.count >= rest.lacking && rest.lacking <= left)
+            .max_by_key(|rest| (rest.progress, rest.count, Reverse(rest.domain)))
+        {
+            plan.add(next.domain, spare, next.lacking);
+            queue.push(QueuedGroups {
                 domain: next.domain,
-                serves: spare.serves,
+                targets: next.lacking * group_size(self.params.engine, spare.serves),
                 is_begun: next.progress > 0,
             });
-            next.count -= 1;
+            left -= next.lacking;
+            next.count -= next.lacking;
+            next.lacking = self.groups_at_once(spare);
             next.progress = 0;
         }
         queue
     }
 
-    /// Lets the first groups of the queue load: one of them, or as many as fit the limit while a
-    /// model lacks groups.
-    fn allot_loads(&self, queue: &[QueuedGroup<'a>], plan: &mut StandbyPlan) {
+    /// Returns the number of groups whose members form at least one group of the other model.
+    fn groups_at_once(&self, spare: &SpareGroups<'a>) -> usize {
         let engine = self.params.engine;
-        let is_short = !self.short.is_empty();
-        let share = if is_short {
-            SHORTAGE_LOAD_SHARE
-        } else {
-            STANDBY_LOAD_SHARE
+        group_size(engine, spare.prepares).div_ceil(group_size(engine, spare.serves))
+    }
+
+    /// Lets the first in the queue load, or as many as fit the limit while a model lacks groups.
+    ///
+    /// Such a model gets at least one complete group with one load.
+    fn allot_loads(&self, queue: &[QueuedGroups<'a>], plan: &mut StandbyPlan) {
+        let Some(first) = queue.first() else {
+            return;
         };
-        let limit = (engine.parallel_loads as f64 * share) as usize;
-        let mut left = limit.max(1);
-        let count = if is_short { queue.len() } else { 1 };
-        for queued in queue.iter().take(count) {
-            let loads = group_size(engine, queued.serves).min(left);
+        let limit = |share: f64| (self.params.engine.parallel_loads as f64 * share) as usize;
+        if self.short.is_empty() {
+            let loads = limit(STANDBY_LOAD_SHARE).clamp(1, first.targets);
+            plan.loads.insert(first.domain.clone(), loads);
+            return;
+        }
+        let mut left = limit(SHORTAGE_LOAD_SHARE).max(first.targets);
+        for queued in queue {
+            let loads = queued.targets.min(left);
             if loads == 0 {
                 return;
             }
@@ -196,11 +204,15 @@
         let of_model = of_model.filter(|group| group.model == *spare.serves);
         let others = of_model.filter(|group| !group.is_prepared_for(spare.prepares, engine));
         let progress = others.map(|group| group.prepared_members(spare.prepares));
+        let progress = progress.max().unwrap_or(0);
         let prepared = self.prepared_groups(spare, draft);
+        let at_once = draft.groups_at_once(spare);
+        let begun = prepared % at_once;
         UnpreparedGroups {
             domain: &self.supply.domain,
             count: self.open_of(spare.serves) - prepared,
-            progress: progress.max().unwrap_or(0),
+            lacking: at_once - begun,
+            progress: progress + begun * group_size(engine, spare.serves),
         }
     }
 }
