--- a/crates/core/src/assembly/changeover.rs
+++ b/crates/core/src/assembly/changeover.rs
@@ -172,11 +172,18 @@
 }
 
 impl DomainReconciler {
+    /// Lets members of a group hold another model's weights as standbys.
+    ///
+    /// Otherwise, weights staged on a member's host mean that the member is about to move to their
+    /// model.
+    pub fn enable_changeovers(&mut self) {
+        self.changeover.plan.get_or_insert_default();
+    }
+
     /// Begins the transfers of the domain's part of the changeover plan, and adopts its standbys.
     ///
     /// Must be called before the layout is planned: the layout counts the targets of a group that
-    /// changes over for the other model. Without a plan, weights staged on a member's host mean that
-    /// the member is about to move to their model.
+    /// changes over for the other model.
     pub fn begin_changeovers(
         &mut self,
         mut plan: DomainChangeover,
@@ -209,10 +216,8 @@
         loading: Option<&'a ModelId>,
     ) -> HeldWeights<'a> {
         let held = HeldWeights {
-            membership: facts.membership.as_ref(),
-            model: facts.model.as_ref(),
-            staged: &facts.staged,
             loading,
+            ..facts.into()
         };
         if self.is_standby(id, held) {
             return HeldWeights {
@@ -232,6 +237,16 @@
         }
     }
 
+    /// Returns the members of groups that change over and have not left yet.
+    ///
+    /// Their reports are needed soon: the leader's shows when its streams have ended, and members
+    /// can be chosen only by recent ones.
+    pub fn changing_targets(&self) -> impl Iterator<Item = &TargetId> {
+        let active = self.changeover.active.iter();
+        let active = active.filter(|(group, _)| self.reassigning.contains(*group));
+        active.flat_map(|(_, active)| &active.members)
+    }
+
     /// Returns the model to which a target without an open group is moving.
     pub fn arriving_model(&self, id: &TargetId, facts: &TargetFacts) -> Option<&ModelId> {
         let mut active = self.changeover.active.iter();
--- a/crates/core/src/assembly/staging.rs
+++ b/crates/core/src/assembly/staging.rs
@@ -4,7 +4,7 @@
 use indexmap::IndexMap;
 
 use super::observed::ObservedGroup;
-use super::{DomainReconciler, DomainView, TargetStatus};
+use super::{DomainReconciler, DomainView, TargetFacts, TargetStatus};
 use crate::id::{GroupId, ModelId, TargetId};
 use crate::order::{TargetAction, TargetOrder};
 use crate::target::{Membership, MembershipState};
@@ -52,6 +52,18 @@
     }
 }
 
+impl<'a> From<&'a TargetFacts> for HeldWeights<'a> {
+    /// Returns what a target holds, without what it is loading.
+    fn from(facts: &'a TargetFacts) -> Self {
+        Self {
+            membership: facts.membership.as_ref(),
+            model: facts.model.as_ref(),
+            staged: &facts.staged,
+            loading: None,
+        }
+    }
+}
+
 impl DomainView<'_> {
     /// Returns the model that a target can serve next.
     pub(super) fn next_model(&self, id: &TargetId) -> Option<&ModelId> {
@@ -61,10 +73,8 @@
     pub(super) fn held_weights(&self, id: &TargetId) -> HeldWeights<'_> {
         let facts = &self.targets[id];
         HeldWeights {
-            membership: facts.membership.as_ref(),
-            model: facts.model.as_ref(),
-            staged: &facts.staged,
             loading: self.loading.get(id).filter(|_| facts.is_busy),
+            ..facts.into()
         }
     }
 
--- a/crates/core/tests/changeover/simulation.rs
+++ b/crates/core/tests/changeover/simulation.rs
@@ -373,7 +373,7 @@
             let next = controller.reconciler.arriving_model(id, &target.facts);
             TargetSupply {
                 domain: &names[target.domain],
-                weights: held_weights(&target.facts),
+                weights: HeldWeights::from(&target.facts),
                 group_age: Duration::from_millis(now_ms.saturating_sub(formed)),
                 next: next.filter(|_| target.domain == domain),
             }
@@ -546,15 +546,6 @@
     }
 }
 
-fn held_weights(facts: &TargetFacts) -> HeldWeights<'_> {
-    HeldWeights {
-        membership: facts.membership.as_ref(),
-        model: facts.model.as_ref(),
-        staged: &facts.staged,
-        loading: None,
-    }
-}
-
 fn open_groups(targets: &IndexMap<TargetId, SimTarget>, model: &str) -> usize {
     let open = targets.values().filter(|target| {
         let membership = target.facts.membership.as_ref();
--- a/crates/fleet/src/controller.rs
+++ b/crates/fleet/src/controller.rs
@@ -7,6 +7,7 @@
 use briarswitch_core::assembly::{
     DomainReconciler, DomainView, HeldWeights, TargetFacts, TargetStatus,
 };
+use briarswitch_core::changeover::{DomainSupply, ModelNeed};
 use briarswitch_core::engine::EngineSpec;
 use briarswitch_core::id::*;
 use briarswitch_core::layout::DomainLayout;
@@ -14,10 +15,14 @@
 use briarswitch_core::target::{MembershipState, TargetRecord};
 use briarswitch_core::traffic::{ServiceSpec, TrafficConfig};
 use briarswitch_kernel::{BootClock, Service, ServiceLink};
+use briarswitch_membership::WorkSum;
 use indexmap::{IndexMap, IndexSet};
 use serde_json::{json, Value};
 use xxhash_rust::xxh3::xxh3_64;
 
+use crate::changeovers::{
+    domain_supplies, log_changeovers, model_needs, ChangeoverInputs, OwnTarget, ServiceChangeovers,
+};
 use crate::costs::CostKind;
 use crate::demand::DemandTrend;
 use crate::domain_counts::DomainCounts;
@@ -64,6 +69,7 @@
     /// Model whose weights a target was last ordered to load.
     loading_models: IndexMap<TargetId, ModelId>,
     layouts: IndexMap<ServiceId, ServiceLayouts>,
+    changeovers: IndexMap<ServiceId, ServiceChangeovers>,
     trend: DemandTrend,
     /// Suspected targets as of the previous round.
     known_suspects: IndexSet<TargetId>,
@@ -108,6 +114,7 @@
             counts: IndexMap::new(),
             loading_models: IndexMap::new(),
             layouts: IndexMap::new(),
+            changeovers: IndexMap::new(),
             trend: DemandTrend::default(),
             known_suspects: IndexSet::new(),
             scope: None,
@@ -137,6 +144,7 @@
         if !scope.own_domains.is_empty() {
             self.poll_suspected_groups(now);
         }
+        self.poll_changing_targets(now);
         for (target, address) in self.tracker.take_due(now) {
             self.poll(target, address, link);
         }
@@ -204,8 +212,10 @@
             Some(current) if !current.is_due(now) => current,
             outdated => {
                 let records = of_service(records, &service.id);
+                let need = self.plan_changeovers(service, engine, &records, own_domains, now);
                 self.plan_layouts(
                     engine,
+                    &need,
                     &records,
                     own_domains,
                     outdated.unwrap_or_default(),
@@ -226,6 +236,7 @@
     fn plan_layouts(
         &mut self,
         engine: &EngineSpec,
+        need: &IndexMap<ModelId, ModelNeed>,
         records: &[&TargetRecord],
         own_domains: &IndexSet<DomainKey>,
         previous: ServiceLayouts,
@@ -239,9 +250,9 @@
         if !is_first_start {
             self.trend.add_sample(&demand, now);
         }
-        // A node that is cut off sees only part of the demand and of the other nodes' loads.
-        let is_connected = self.shared.config_age() < MAX_REBALANCE_CONFIG_AGE;
+        let is_connected = self.is_connected();
         let trend = self.trend.mean().filter(|_| is_connected);
+        let trend = trend.map(|trend| with_need(trend, need));
         let peer_work = self.shared.peer_work.load();
         let loading = peer_work.loading.iter();
         let loading = loading.map(|(model, count)| (model.clone(), *count as usize));
@@ -256,6 +267,105 @@
         })
     }
 
+    /// Returns whether this node sees the demand of all nodes and their loads.
+    fn is_connected(&self) -> bool {
+        self.shared.config_age() < MAX_REBALANCE_CONFIG_AGE
+    }
+
+    /// Plans changeovers of a service's groups and begins those in this node's domains; returns the need of each model.
+    ///
+    /// Returns no need if groups do not change over.
+    fn plan_changeovers(
+        &mut self,
+        service: &ServiceSpec,
+        engine: &EngineSpec,
+        records: &[&TargetRecord],
+        own_domains: &IndexSet<DomainKey>,
+        now: Moment,
+    ) -> IndexMap<ModelId, ModelNeed> {
+        if !self.shared.settings.load_control.changes_over || self.is_first_start() {
+            return IndexMap::new();
+        }
+        let need = self.model_needs(service, engine, now);
+        let epoch = self.shared.platform.clock.millis();
+        let domains = self.domain_supplies(records, own_domains, epoch);
+        let inputs = ChangeoverInputs {
+            engine,
+            need: &need,
+            domains: &domains,
+            is_connected: self.is_connected(),
+            now,
+        };
+        let changeovers = self.changeovers.entry(service.id.clone()).or_default();
+        let plan = changeovers.replan(&service.id, inputs).clone();
+        for key in own_domains.iter().filter(|key| key.service == service.id) {
+            let facts = self.facts_of(key, now);
+            let (Some(facts), Some(reconciler)) = (facts, self.reconcilers.get_mut(key)) else {
+                continue;
+            };
+            let view = DomainView {
+                targets: &facts,
+                engine,
+                layout: &DomainLayout::default(),
+                loading: &self.loading_models,
+                load_budget: 0,
+                may_load_on_join: false,
+                epoch_floor: epoch,
+            };
+            reconciler.begin_changeovers(plan.of_domain(&key.domain), view, now);
+            let events = reconciler.take_changeover_events();
+            log_changeovers(&key.domain, &events, &self.shared.metrics);
+        }
+        need
+    }
+
+    fn model_needs(
+        &self,
+        service: &ServiceSpec,
+        engine: &EngineSpec,
+        now: Moment,
+    ) -> IndexMap<ModelId, ModelNeed> {
+        let table = self.shared.routing_table.load();
+        let supplies = model_supplies(service, engine, &table, &self.demand(now), now);
+        let mut work = self.shared.peer_work.load().as_ref().clone();
+        work.add(&WorkSum {
+            waiting: self.shared.need.waiting(),
+            recent_demand: self.shared.need.recent_demand(now),
+            ..WorkSum::default()
+        });
+        model_needs(engine, &supplies, &work)
+    }
+
+    fn domain_supplies(
+        &self,
+        records: &[&TargetRecord],
+        own_domains: &IndexSet<DomainKey>,
+        epoch: Epoch,
+    ) -> Vec<DomainSupply> {
+        let resolved = self.tracker.targets().iter();
+        let resolved = resolved.filter(|(_, tracked)| tracked.is_resolved);
+        let own = resolved.filter_map(|(id, tracked)| {
+            let key = own_domains
+                .iter()
+                .find(|key| key.contains(&tracked.record))?;
+            let target = OwnTarget {
+                facts: &tracked.facts,
+                reconciler: self.reconcilers.get(key)?,
+            };
+            Some((id.clone(), target))
+        });
+        domain_supplies(records, &own.collect(), epoch)
+    }
+
+    /// Polls the members of groups that change over, so that they are closed no longer than necessary.
+    fn poll_changing_targets(&mut self, now: Moment) {
+        let changing = self.reconcilers.values();
+        let changing = changing.flat_map(DomainReconciler::changing_targets);
+        for target in changing {
+            self.tracker.poll_now(target, now);
+        }
+    }
+
     /// Returns the targets' weights, by their own reports in this node's domains and by the directory
     /// in others.
     fn inventory_items<'a>(
@@ -264,21 +374,28 @@
         own_domains: &IndexSet<DomainKey>,
     ) -> Vec<InventoryItem<'a>> {
         let remaining = records.iter().filter(|record| !record.is_draining);
+        let changes_over = self.shared.settings.load_control.changes_over;
         let items = remaining.filter_map(|record| {
             let listed = InventoryItem::from(*record);
-            if !own_domains.iter().any(|key| key.contains(record)) {
-                return Some(listed);
+            let Some(key) = own_domains.iter().find(|key| key.contains(record)) else {
+                return Some(listed.with_standbys(changes_over));
+            };
+            let tracked = self.tracker.targets().get(&record.id)?;
+            if changes_over && !tracked.is_resolved {
+                return Some(listed.with_standbys(true));
             }
-            let facts = &self.tracker.targets().get(&record.id)?.facts;
+            let facts = &tracked.facts;
             let loading = self
                 .loading_models
                 .get(&record.id)
                 .filter(|_| facts.is_busy);
-            let weights = HeldWeights {
-                membership: facts.membership.as_ref(),
-                model: facts.model.as_ref(),
-                staged: &facts.staged,
-                loading,
+            let reconciler = self.reconcilers.get(key);
+            let weights = match reconciler {
+                Some(reconciler) => reconciler.counted_weights(&record.id, facts, loading),
+                None => HeldWeights {
+                    loading,
+                    ..facts.into()
+                },
             };
             (facts.status == TargetStatus::Live).then_some(InventoryItem { weights, ..listed })
         });
@@ -319,8 +436,11 @@
                     "{}-{incarnation:x}-{hash:x}-{since:x}",
                     self.shared.settings.node
                 );
-                self.reconcilers
-                    .insert(key.clone(), DomainReconciler::new(prefix));
+                let mut reconciler = DomainReconciler::new(prefix);
+                if self.shared.settings.load_control.changes_over {
+                    reconciler.enable_changeovers();
+                }
+                self.reconcilers.insert(key.clone(), reconciler);
             }
         }
     }
@@ -380,6 +500,18 @@
         }
     }
 
+    /// Returns the facts on the targets of a domain; `None` before each of them has responded or is known to be silent.
+    fn facts_of(&self, key: &DomainKey, now: Moment) -> Option<IndexMap<TargetId, TargetFacts>> {
+        let of_domain = self.tracker.targets().iter();
+        let tracked: Vec<(&TargetId, &TrackedTarget)> = of_domain
+            .filter(|(_, tracked)| key.contains(&tracked.record))
+            .collect();
+        let is_resolved = tracked.iter().all(|(_, tracked)| tracked.is_resolved);
+        let facts = tracked.into_iter();
+        let facts = facts.map(|(id, tracked)| (id.clone(), tracked.facts_at(now)));
+        is_resolved.then(|| facts.collect())
+    }
+
     fn plan_domain(
         &mut self,
         key: &DomainKey,
@@ -389,17 +521,9 @@
         now: Moment,
         link: &ServiceLink<ControllerMessage>,
     ) {
-        let of_domain = self.tracker.targets().iter();
-        let tracked: Vec<(&TargetId, &TrackedTarget)> = of_domain
-            .filter(|(_, tracked)| key.contains(&tracked.record))
-            .collect();
-        if tracked.iter().any(|(_, tracked)| !tracked.is_resolved) {
+        let Some(facts) = self.facts_of(key, now) else {
             return;
-        }
-        let facts: IndexMap<TargetId, TargetFacts> = tracked
-            .into_iter()
-            .map(|(id, tracked)| (id.clone(), tracked.facts_at(now)))
-            .collect();
+        };
         let counts = DomainCounts::count(&facts, layout);
         if self.counts.get(key) != Some(&counts) {
             counts.log(&key.domain, layout);
@@ -561,6 +685,18 @@
     }
 }
 
+/// Returns the demand that rebalancing uses, which must not undo what is changing over for a short-term need.
+fn with_need(
+    mut trend: IndexMap<ModelId, f64>,
+    need: &IndexMap<ModelId, ModelNeed>,
+) -> IndexMap<ModelId, f64> {
+    for (model, need) in need {
+        let demand = trend.entry(model.clone()).or_insert(0.0);
+        *demand = demand.max(need.short_term);
+    }
+    trend
+}
+
 fn of_service<'a>(records: &[&'a TargetRecord], service: &str) -> Vec<&'a TargetRecord> {
     let of_service = records.iter().filter(|record| record.service == service);
     of_service.copied().collect()
--- a/crates/fleet/src/demand.rs
+++ b/crates/fleet/src/demand.rs
@@ -13,11 +13,18 @@
 const MIN_OBSERVED: Duration = Duration::from_millis(500);
 
 /// Moving sums of the requests by model.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub struct DemandMeter {
+    window: Duration,
     state: Mutex<MeterState>,
 }
 
+impl Default for DemandMeter {
+    fn default() -> Self {
+        Self::with_window(WINDOW)
+    }
+}
+
 #[derive(Debug, Default)]
 struct MeterState {
     updated_at: Moment,
@@ -28,9 +35,9 @@
 }
 
 impl MeterState {
-    fn decay(&mut self, now: Moment) {
+    fn decay(&mut self, window: Duration, now: Moment) {
         let passed = now.saturating_sub(self.updated_at);
-        let factor = (-passed.as_secs_f64() / WINDOW.as_secs_f64()).exp();
+        let factor = (-passed.as_secs_f64() / window.as_secs_f64()).exp();
         for sum in self.work.values_mut().chain(self.requests.values_mut()) {
             *sum *= factor;
         }
@@ -41,13 +48,18 @@
     ///
     /// A new meter has observed less than one window. If its sums were divided by the whole window, its rates
     /// would rise for many seconds under a constant load.
-    fn per_second(&self, sums: &IndexMap<ModelId, f64>, now: Moment) -> IndexMap<ModelId, f64> {
+    fn per_second(
+        &self,
+        sums: &IndexMap<ModelId, f64>,
+        window: Duration,
+        now: Moment,
+    ) -> IndexMap<ModelId, f64> {
         let first_request = self.first_request.unwrap_or(now);
         let observed = now
             .saturating_sub(first_request)
             .max(MIN_OBSERVED)
             .as_secs_f64();
-        let window = WINDOW.as_secs_f64();
+        let window = window.as_secs_f64();
         let seconds = window * (1.0 - (-observed / window).exp());
         let rates = sums.iter();
         let rates = rates.map(|(model, sum)| (model.clone(), sum / seconds));
@@ -56,10 +68,18 @@
 }
 
 impl DemandMeter {
+    /// Creates a meter with another time constant than the usual one.
+    pub(crate) fn with_window(window: Duration) -> Self {
+        Self {
+            window,
+            state: Mutex::default(),
+        }
+    }
+
     /// Counts one request that would occupy a whole group for the given time.
     pub fn record(&self, model: &str, work: Duration, now: Moment) {
         let mut state = self.state.lock().unwrap_or_else(PoisonError::into_inner);
-        state.decay(now);
+        state.decay(self.window, now);
         state.first_request.get_or_insert(now);
         *state.work.entry(model.to_owned()).or_insert(0.0) += work.as_secs_f64();
         *state.requests.entry(model.to_owned()).or_insert(0.0) += 1.0;
@@ -68,15 +88,15 @@
     /// Returns the demand for each model, in groups.
     pub fn group_demand(&self, now: Moment) -> IndexMap<ModelId, f64> {
         let mut state = self.state.lock().unwrap_or_else(PoisonError::into_inner);
-        state.decay(now);
-        state.per_second(&state.work, now)
+        state.decay(self.window, now);
+        state.per_second(&state.work, self.window, now)
     }
 
     /// Returns the requests per second by model.
     pub fn request_rates(&self, now: Moment) -> IndexMap<ModelId, f64> {
         let mut state = self.state.lock().unwrap_or_else(PoisonError::into_inner);
-        state.decay(now);
-        state.per_second(&state.requests, now)
+        state.decay(self.window, now);
+        state.per_second(&state.requests, self.window, now)
     }
 }
 
--- a/crates/fleet/src/domain_counts.rs
+++ b/crates/fleet/src/domain_counts.rs
@@ -1,10 +1,10 @@
 //! Number of targets in each state in a domain.
 
 use briarswitch_core::assembly::{TargetFacts, TargetStatus};
-use briarswitch_core::id::{ModelId, TargetId};
+use briarswitch_core::id::{GroupId, ModelId, TargetId};
 use briarswitch_core::layout::DomainLayout;
 use briarswitch_core::target::MembershipState;
-use indexmap::IndexMap;
+use indexmap::{IndexMap, IndexSet};
 
 /// Counts of one domain.
 #[derive(Clone, Debug, Default, Eq, PartialEq)]
@@ -18,13 +18,49 @@
     /// Free targets by the model whose weights they have.
     spares: IndexMap<ModelId, usize>,
     unstaged: usize,
+    idle: IdleCounts,
+}
+
+/// Targets that serve no requests, by cause.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+struct IdleCounts {
+    /// Free and loading weights.
+    loading: usize,
+    /// Members of a group that has yet to open.
+    joining: usize,
+    /// Free and not loading, since no group lacks them.
+    spare: usize,
+    /// Silent.
+    lost: usize,
+}
+
+impl IdleCounts {
+    fn add(&mut self, facts: &TargetFacts, open: &IndexSet<&GroupId>) {
+        let membership = facts.membership.as_ref();
+        match facts.status {
+            TargetStatus::Silent => self.lost += 1,
+            _ if membership.is_some_and(|membership| open.contains(&membership.group)) => {}
+            _ if membership.is_some() => self.joining += 1,
+            _ if facts.is_busy => self.loading += 1,
+            _ => self.spare += 1,
+        }
+    }
+}
+
+fn is_open(facts: &TargetFacts) -> bool {
+    let membership = facts.membership.as_ref();
+    membership.is_some_and(|membership| membership.state == MembershipState::Open)
 }
 
 impl DomainCounts {
     /// Counts the targets of a domain with the given layout.
     pub fn count(targets: &IndexMap<TargetId, TargetFacts>, layout: &DomainLayout) -> Self {
         let mut counts = Self::default();
+        let open = targets.values().filter(|facts| is_open(facts));
+        let open = open.filter_map(|facts| facts.membership.as_ref());
+        let open: IndexSet<&GroupId> = open.map(|membership| &membership.group).collect();
         for facts in targets.values() {
+            counts.idle.add(facts, &open);
             match facts.status {
                 TargetStatus::Live => counts.live += 1,
                 TargetStatus::Silent => counts.silent += 1,
@@ -32,9 +68,7 @@
                 TargetStatus::Unlisted => counts.unlisted += 1,
             }
             let membership = facts.membership.as_ref();
-            let is_open =
-                membership.is_some_and(|membership| membership.state == MembershipState::Open);
-            if let Some(model) = facts.model.as_ref().filter(|_| is_open) {
+            if let Some(model) = facts.model.as_ref().filter(|_| is_open(facts)) {
                 *counts.open.entry(model.clone()).or_insert(0) += 1;
             }
             counts.grouped += usize::from(membership.is_some());
@@ -61,7 +95,11 @@
             open_groups = counts_text(&self.open),
             grouped = self.grouped,
             spares = counts_text(&self.spares),
-            unstaged = self.unstaged;
+            unstaged = self.unstaged,
+            idle_loading = self.idle.loading,
+            idle_joining = self.idle.joining,
+            idle_spare = self.idle.spare,
+            idle_lost = self.idle.lost;
             "domain_state"
         );
     }
--- a/crates/fleet/src/domains.rs
+++ b/crates/fleet/src/domains.rs
@@ -26,6 +26,24 @@
     }
 }
 
+impl<'a> InventoryItem<'a> {
+    /// Lets a member of a group count for the model that it serves, whatever weights its host holds, if groups change
+    /// over between models.
+    ///
+    /// Only its own controller knows which members are about to move.
+    pub fn with_standbys(self, changes_over: bool) -> Self {
+        let is_counted = changes_over && self.weights.membership.is_some();
+        let staged = if is_counted { &[] } else { self.weights.staged };
+        Self {
+            weights: HeldWeights {
+                staged,
+                ..self.weights
+            },
+            ..self
+        }
+    }
+}
+
 impl<'a> From<&'a TargetRecord> for InventoryItem<'a> {
     fn from(record: &'a TargetRecord) -> Self {
         Self {
--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -5,6 +5,7 @@
 pub mod body_check;
 pub mod budget;
 pub mod caller_api;
+pub mod changeovers;
 pub mod config_sync;
 pub mod controller;
 pub mod costs;
@@ -31,6 +32,7 @@
 pub mod local_reply;
 pub mod metrics;
 mod micros;
+pub mod need;
 pub mod node;
 pub mod order_sender;
 pub mod packed;
--- a/crates/fleet/src/metrics.rs
+++ b/crates/fleet/src/metrics.rs
@@ -24,6 +24,7 @@
     requests: Counter<u64>,
     resumes: Counter<u64>,
     orders: Counter<u64>,
+    changeovers: Counter<u64>,
     target_crashes: Counter<u64>,
     quarantines: Counter<u64>,
     quarantine_refusals: Counter<u64>,
@@ -89,6 +90,7 @@
             requests: meter.u64_counter("requests").build(),
             resumes: meter.u64_counter("stream_resumes").build(),
             orders: meter.u64_counter("orders").build(),
+            changeovers: meter.u64_counter("changeovers").build(),
             target_crashes: meter.u64_counter("target_ends").build(),
             quarantines: meter.u64_counter("quarantines").build(),
             quarantine_refusals: meter.u64_counter("quarantine_refusals").build(),
@@ -153,6 +155,15 @@
         );
     }
 
+    /// Counts one group whose changeover to a model has ended.
+    pub fn count_changeover(&self, model: &str, outcome: &'static str) {
+        let attributes = [
+            KeyValue::new("model", model.to_owned()),
+            KeyValue::new("outcome", outcome),
+        ];
+        self.changeovers.add(1, &attributes);
+    }
+
     /// Counts one crash of a target on which requests of this node were running.
     pub fn count_target_crash(&self, evidence: &'static str) {
         self.target_crashes
--- a/crates/fleet/src/peers.rs
+++ b/crates/fleet/src/peers.rs
@@ -73,6 +73,8 @@
             loading: shared.active_loads.load().as_ref().clone(),
             demand: shared.demand.group_demand(now),
             request_rates: shared.demand.request_rates(now),
+            waiting: shared.need.waiting(),
+            recent_demand: shared.need.recent_demand(now),
         },
         // What a node without a path to targets suspects says nothing about them.
         suspects: if shared.reach.is_reachable() {
--- a/crates/fleet/src/shared.rs
+++ b/crates/fleet/src/shared.rs
@@ -21,6 +21,7 @@
 use crate::gauge::NodeRank;
 use crate::gauge_map::GaugeMap;
 use crate::metrics::FleetMetrics;
+use crate::need::NeedMeter;
 use crate::ports::{FeedMark, FeedRequest, FeedResponse, FleetPlatform, NodeEntry, SourceError};
 use crate::reach::TargetReach;
 use crate::routing_table::{RouteTarget, RoutingTable};
@@ -96,6 +97,8 @@
     pub started_at: Moment,
     /// Demand of callers by model.
     pub demand: DemandMeter,
+    /// Short-term need by model; empty unless groups change over between models.
+    pub need: NeedMeter,
     /// Overhead of the control plane, by cause.
     pub costs: Arc<CostCounters>,
     /// Metrics of the node.
@@ -146,6 +149,7 @@
             started_at: BootClock::now(),
             peer_work: Snapshot::new(WorkSum::default()),
             demand: DemandMeter::default(),
+            need: NeedMeter::default(),
             metrics: FleetMetrics::new(Arc::clone(&costs)),
             costs,
             in_flight: AtomicUsize::new(0),
--- a/crates/fleet/src/target_selector.rs
+++ b/crates/fleet/src/target_selector.rs
@@ -139,6 +139,9 @@
             return Err(refusal);
         }
         let key = slot_request.key.clone();
+        let is_counted = self.shared.settings.load_control.changes_over;
+        let waiting_model = key.1.as_ref().filter(|_| is_counted);
+        let _waiting = self.shared.need.wait(waiting_model);
         let (ticket, reserved) = self.queue.push(slot_request, request);
         self.serve_queue();
         let _guard = QueueGuard {
--- a/crates/membership/src/wire.rs
+++ b/crates/membership/src/wire.rs
@@ -34,6 +34,12 @@
     /// Those of the relayed digests, in the same order; absent if there are none.
     #[serde(default, skip_serializing_if = "Vec::is_empty")]
     relayed_limits: Vec<Vec<LimitDoc>>,
+    /// Need of the digest's nodes; absent if there is none.
+    #[serde(default, skip_serializing_if = "NeedDoc::is_empty")]
+    need: NeedDoc,
+    /// Those of the relayed digests, in the same order; absent if there are none.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    relayed_needs: Vec<NeedDoc>,
     /// Of the nodes in the digests and the roster, those that are partitioned from all targets.
     #[serde(default, skip_serializing_if = "IndexSet::is_empty")]
     partitioned: IndexSet<NodeId>,
@@ -43,6 +49,18 @@
 #[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
 struct LimitDoc(TargetId, Option<f64>, u64);
 
+/// Waiting requests and demand of the last second by model.
+///
+/// They stand beside the digests, where nodes of earlier versions ignore them.
+#[derive(Clone, Debug, Default, Deserialize, PartialEq, Serialize)]
+struct NeedDoc(Vec<(ModelId, u32)>, Vec<(ModelId, f32)>);
+
+impl NeedDoc {
+    fn is_empty(&self) -> bool {
+        self.0.is_empty() && self.1.is_empty()
+    }
+}
+
 /// Name, zone, address, incarnation, bandwidth in Mbit/s.
 #[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
 struct EntryDoc(NodeId, ZoneId, String, Incarnation, u32);
@@ -222,6 +240,8 @@
             loading: loading.into_iter().collect(),
             demand: demand.into_iter().map(rate).collect(),
             request_rates: request_rates.into_iter().map(rate).collect(),
+            // The need stands beside the digests in the message.
+            ..Self::default()
         }
     }
 }
@@ -276,13 +296,37 @@
     digest.limits.iter().map(LimitDoc::from).collect()
 }
 
-fn digest_with(digest: DigestDoc, limits: Vec<LimitDoc>) -> Digest {
-    Digest {
-        limits: limits.into_iter().map(LimitReport::from).collect(),
-        ..digest.into()
+impl From<&WorkSum> for NeedDoc {
+    fn from(work: &WorkSum) -> Self {
+        let waiting = work.waiting.iter().filter(|(_, count)| **count > 0);
+        let waiting = waiting.map(|(model, count)| (model.clone(), *count));
+        let demand = work.recent_demand.iter();
+        let demand = demand.map(|(model, groups)| (model.clone(), *groups as f32));
+        Self(waiting.collect(), demand.collect())
     }
 }
 
+fn digest_with(digest: DigestDoc, limits: Vec<LimitDoc>, need: NeedDoc) -> Digest {
+    let mut digest = Digest::from(digest);
+    digest.limits = limits.into_iter().map(LimitReport::from).collect();
+    let NeedDoc(waiting, demand) = need;
+    digest.work.waiting = waiting.into_iter().collect();
+    let demand = demand.into_iter();
+    digest.work.recent_demand = demand
+        .map(|(model, groups)| (model, f64::from(groups)))
+        .collect();
+    digest
+}
+
+fn relayed_needs(gossip: &Gossip) -> Vec<NeedDoc> {
+    let needs = gossip.relayed.iter();
+    let needs: Vec<NeedDoc> = needs.map(|digest| NeedDoc::from(&digest.work)).collect();
+    if needs.iter().all(NeedDoc::is_empty) {
+        return Vec::new();
+    }
+    needs
+}
+
 impl From<&RosterDelta> for RosterDeltaDoc {
     fn from(delta: &RosterDelta) -> Self {
         let status = |status: &RosterStatus| {
@@ -341,6 +385,8 @@
             } else {
                 gossip.relayed.iter().map(limit_docs).collect()
             },
+            need: NeedDoc::from(&gossip.digest.work),
+            relayed_needs: relayed_needs(gossip),
             partitioned: partitioned_nodes(gossip),
         }
     }
@@ -379,7 +425,7 @@
     fn from(doc: GossipDoc) -> Self {
         let mut gossip = Self {
             sender: doc.sender.into(),
-            digest: digest_with(doc.digest, doc.limits),
+            digest: digest_with(doc.digest, doc.limits, doc.need),
             relayed: doc
                 .relayed
                 .into_iter()
@@ -388,7 +434,12 @@
                         .into_iter()
                         .chain(iter::repeat_with(Vec::new)),
                 )
-                .map(|(digest, limits)| digest_with(digest, limits))
+                .zip(
+                    doc.relayed_needs
+                        .into_iter()
+                        .chain(iter::repeat_with(NeedDoc::default)),
+                )
+                .map(|((digest, limits), need)| digest_with(digest, limits, need))
                 .collect(),
             roster_version: doc.mark.map(RosterVersion::from),
             roster: doc.roster.map(RosterDelta::from),
--- a/crates/membership/src/work.rs
+++ b/crates/membership/src/work.rs
@@ -39,6 +39,10 @@
     pub demand: IndexMap<ModelId, f64>,
     /// Requests per second, by model.
     pub request_rates: IndexMap<ModelId, f64>,
+    /// Requests that wait for a slot, by model; empty unless groups change over between models.
+    pub waiting: IndexMap<ModelId, u32>,
+    /// Demand of the last second by model, in groups; empty unless groups change over.
+    pub recent_demand: IndexMap<ModelId, f64>,
 }
 
 impl WorkSum {
@@ -58,11 +62,11 @@
         for (target, requests) in &other.target_requests {
             *self.target_requests.entry(*target).or_insert(0) += requests;
         }
-        for (model, count) in &other.loading {
-            *self.loading.entry(model.clone()).or_insert(0) += count;
-        }
+        add_counts(&mut self.loading, &other.loading);
         add_rates(&mut self.demand, &other.demand);
         add_rates(&mut self.request_rates, &other.request_rates);
+        add_counts(&mut self.waiting, &other.waiting);
+        add_rates(&mut self.recent_demand, &other.recent_demand);
     }
 
     /// Subtracts work that the sum contains.
@@ -84,13 +88,11 @@
                 *sum = sum.saturating_sub(*requests);
             }
         }
-        for (model, count) in &other.loading {
-            if let Some(sum) = self.loading.get_mut(model) {
-                *sum = sum.saturating_sub(*count);
-            }
-        }
+        subtract_counts(&mut self.loading, &other.loading);
         subtract_rates(&mut self.demand, &other.demand);
         subtract_rates(&mut self.request_rates, &other.request_rates);
+        subtract_counts(&mut self.waiting, &other.waiting);
+        subtract_rates(&mut self.recent_demand, &other.recent_demand);
     }
 
     /// Returns the number of loads in progress over all models.
@@ -104,6 +106,20 @@
     }
 }
 
+fn add_counts(sums: &mut IndexMap<ModelId, u32>, counts: &IndexMap<ModelId, u32>) {
+    for (model, count) in counts {
+        *sums.entry(model.clone()).or_insert(0) += count;
+    }
+}
+
+fn subtract_counts(sums: &mut IndexMap<ModelId, u32>, counts: &IndexMap<ModelId, u32>) {
+    for (model, count) in counts {
+        if let Some(sum) = sums.get_mut(model) {
+            *sum = sum.saturating_sub(*count);
+        }
+    }
+}
+
 fn add_rates(sums: &mut IndexMap<ModelId, f64>, rates: &IndexMap<ModelId, f64>) {
     for (model, rate) in rates {
         match sums.get_mut(model) {
