--- a/crates/fleet/src/coordinated_queue.rs
+++ b/crates/fleet/src/coordinated_queue.rs
@@ -11,7 +11,6 @@
 use serde_json::{json, Value};
 use tokio::sync::{oneshot, Notify};
 
-use crate::load_estimate::LoadEstimate;
 use crate::queue_doc::{QueueReply, QueueUpdate};
 use crate::queue_inbox::{NodeInbox, PriorityCounts};
 
@@ -37,7 +36,7 @@
     pub free_slots: u32,
 }
 
-/// Slots of a group that were granted and released within [`GRANT_TTL`].
+/// Slots of a group that this node was granted or has released within [`GRANT_TTL`].
 #[derive(Default)]
 struct SlotChanges {
     grants: Vec<Moment>,
@@ -45,9 +44,9 @@
 }
 
 impl SlotChanges {
-    /// Returns the number of requests that must be reported so that with these changes there are `estimated`.
-    fn reported(&self, estimated: u32) -> u32 {
-        (estimated + self.releases.len() as u32).saturating_sub(self.grants.len() as u32)
+    /// Returns the number of this node's requests as the reports of other nodes would show it, which are older.
+    fn reported(&self, running: u32) -> u32 {
+        (running + self.releases.len() as u32).saturating_sub(self.grants.len() as u32)
     }
 
     fn expire(&mut self, now: Moment) {
@@ -56,25 +55,14 @@
     }
 }
 
-/// What is known of the requests at a group.
-#[derive(Default)]
-struct GroupRecord {
-    estimate: LoadEstimate,
-    /// The estimate when slots were last granted.
-    estimated: u32,
-    /// Changes by all nodes.
-    changes: SlotChanges,
-    /// Changes by this node.
-    own_changes: SlotChanges,
-}
-
 /// A queue that this node coordinates.
 #[derive(Default)]
 pub struct CoordinatedQueue {
     own: NodeId,
     queue: SharedQueue,
     inboxes: IndexMap<NodeId, NodeInbox>,
-    groups: IndexMap<GroupKey, GroupRecord>,
+    /// Changes by this node, by group.
+    own_changes: IndexMap<GroupKey, SlotChanges>,
     capacities: Vec<GroupCapacity>,
     decided: DecisionCounts,
     is_served: bool,
@@ -121,43 +109,31 @@
 
     fn release(&mut self, node: &NodeId, group: GroupKey, slots: u32, now: Moment) {
         self.queue.release(group, slots, now);
-        let record = self.groups.entry(group).or_default();
-        for _ in 0..slots {
-            record.estimate.change(-1, now);
-            record.changes.releases.push(now);
-            if *node == self.own {
-                record.own_changes.releases.push(now);
-            }
+        if *node == self.own {
+            let changes = self.own_changes.entry(group).or_default();
+            changes.releases.extend((0..slots).map(|_| now));
         }
     }
 
-    /// Returns the number of requests at a group to which the queue adds the recent grants and releases.
+    /// Returns the number of requests at a group, all of them as late as gossip reports them.
     ///
-    /// `remote` is what other nodes report, and `running` the number of this node's own requests, which are counted as
-    /// if they were reported as late.
-    pub fn reported_requests(
-        &mut self,
-        group: GroupKey,
-        remote: u32,
-        running: u32,
-        now: Moment,
-    ) -> u32 {
-        let record = self.groups.entry(group).or_default();
-        let reported = remote + record.own_changes.reported(running);
-        record.estimated = record.estimate.observe(reported, now);
-        record.changes.reported(record.estimated)
+    /// `remote` is what other nodes report, and `running` the number of this node's own requests.
+    pub fn reported_requests(&self, group: GroupKey, remote: u32, running: u32) -> u32 {
+        let own = self.own_changes.get(&group);
+        remote + own.map_or(running, |changes| changes.reported(running))
     }
 
-    /// Returns the number of requests that run at a group, as last estimated.
-    pub fn estimated(&self, group: GroupKey) -> u32 {
-        self.groups.get(&group).map_or(0, |record| record.estimated)
+    /// Returns the number of requests at a group when slots were last granted; `None` if it was not known then.
+    pub fn estimated(&self, group: GroupKey) -> Option<u32> {
+        let mut capacities = self.capacities.iter();
+        let capacity = capacities.find(|capacity| capacity.group == group)?;
+        Some(self.queue.load_of(capacity))
     }
 
     /// Drops what no longer counts.
     pub fn expire(&mut self, now: Moment) {
-        for record in self.groups.values_mut() {
-            record.changes.expire(now);
-            record.own_changes.expire(now);
+        for changes in self.own_changes.values_mut() {
+            changes.expire(now);
         }
         self.inboxes.retain(|_, inbox| inbox.is_current(now));
         for inbox in self.inboxes.values_mut() {
@@ -181,11 +157,9 @@
 
     fn deliver(&mut self, decision: QueueDecision, now: Moment) {
         for grant in decision.grants {
-            let record = self.groups.entry(grant.group).or_default();
-            record.estimate.change(1, now);
-            record.changes.grants.push(now);
             if grant.node == self.own {
-                record.own_changes.grants.push(now);
+                let changes = self.own_changes.entry(grant.group).or_default();
+                changes.grants.push(now);
             }
             if let Some(inbox) = self.inboxes.get_mut(&grant.node) {
                 inbox.grant(grant.ticket, grant.group, now);
@@ -240,7 +214,7 @@
         }
         let first = current().filter_map(NodeInbox::first_arrival).min();
         let free = self.capacities.iter();
-        let free = free.map(|group| group.slots.saturating_sub(self.estimated(group.group)));
+        let free = free.map(|group| group.slots.saturating_sub(self.queue.load_of(group)));
         QueueSummary {
             waiting,
             oldest_wait: first.map_or(Duration::ZERO, |first| now.saturating_sub(first)),
@@ -256,7 +230,7 @@
             json!({
                 "group": group.group,
                 "slots": group.slots,
-                "active_requests": self.estimated(group.group),
+                "active_requests": self.queue.load_of(group),
             })
         });
         json!({
--- a/crates/fleet/src/queue_coordinator.rs
+++ b/crates/fleet/src/queue_coordinator.rs
@@ -124,7 +124,7 @@
     fn capacities(
         &self,
         id: &QueueId,
-        queue: &mut CoordinatedQueue,
+        queue: &CoordinatedQueue,
         now: Moment,
     ) -> Vec<GroupCapacity> {
         let table = self.shared.routing_table.load();
@@ -144,7 +144,7 @@
         let capacities = usable.map(|group| {
             let key = group.gauge.key();
             let (remote, own) = (group.gauge.remote_requests(), group.gauge.local_requests());
-            let known = queue.reported_requests(key, remote, own, now);
+            let known = queue.reported_requests(key, remote, own);
             let is_queueing = group.gauge.is_queueing(now);
             let active_requests = if is_queueing {
                 known.max(engine.slots)
@@ -152,7 +152,7 @@
                 known
             };
             let load = GroupLoad {
-                active_requests: queue.estimated(key),
+                active_requests: queue.estimated(key).unwrap_or(known),
                 ..GroupLoad::default()
             };
             GroupCapacity {
--- a/crates/fleet/src/target_selector.rs
+++ b/crates/fleet/src/target_selector.rs
@@ -148,6 +148,9 @@
             return Err(refusal);
         }
         let key = slot_request.key.clone();
+        let is_counted = self.shared.settings.load_control.changes_over;
+        let waiting_model = key.1.as_ref().filter(|_| is_counted);
+        let _waiting = self.shared.need.wait(waiting_model);
         let (ticket, reply) = self.queue.push(slot_request, request);
         if let Some(route) = self.queue_client.route(&key, now) {
             route.link(ticket, now).inspect(|link| link.notify());
--- a/crates/fleet/tests/queue_messages.rs
+++ b/crates/fleet/tests/queue_messages.rs
@@ -52,8 +52,8 @@
 }
 
 /// Returns the capacity of a group with one slot, of which so many requests are reported.
-fn capacity(queue: &mut CoordinatedQueue, remote: u32, now: Moment) -> Vec<GroupCapacity> {
-    let active_requests = queue.reported_requests(GROUP, remote, 0, now);
+fn capacity(queue: &CoordinatedQueue, remote: u32) -> Vec<GroupCapacity> {
+    let active_requests = queue.reported_requests(GROUP, remote, 0);
     vec![GroupCapacity {
         group: GROUP,
         slots: 1,
@@ -64,7 +64,7 @@
 
 fn serve(queue: &mut CoordinatedQueue, remote: u32, now: Moment) -> u32 {
     queue.expire(now);
-    let capacity = capacity(queue, remote, now);
+    let capacity = capacity(queue, remote);
     queue.serve(capacity, now).grants
 }
 
@@ -127,7 +127,7 @@
     };
     queue.update(returned, now);
     expect_that!(queue.is_waiting(), eq(true));
-    expect_that!(queue.estimated(GROUP), eq(0));
+    expect_that!(queue.estimated(GROUP), some(eq(0)));
 }
 
 /// Guards against an old message that replaces a newer one, and against one that is answered only when it expires.
