--- a/crates/core/src/forecast.rs
+++ b/crates/core/src/forecast.rs
@@ -13,7 +13,9 @@
 pub struct SlotOutlook {
     /// Waiting requests that are served before it.
     pub ahead: usize,
-    /// Requests per second that will arrive and be served before it.
+    /// Requests per second that will arrive and belong to a class that is served before its own.
+    ///
+    /// For a request on time, these are the more urgent ones; newer ones of its own priority do not count.
     pub preceding_rate: f64,
     /// Slots that are free now.
     pub free_slots: u32,
@@ -40,7 +42,10 @@
             return Some(Duration::ZERO);
         }
         let net_rate = self.release_rate - self.preceding_rate;
-        (net_rate > 0.0).then(|| Duration::from_secs_f64(missing as f64 / net_rate))
+        if net_rate <= 0.0 {
+            return None;
+        }
+        Duration::try_from_secs_f64(missing as f64 / net_rate).ok()
     }
 }
 
@@ -52,8 +57,31 @@
 }
 
 /// Returns whether a waiting request is to be refused now.
+///
+/// A request that is on time is kept if slots are left for its class: newer ones go before it, but any of them may be
+/// the last. A resumption is kept until its time is over: a refusal loses what was delivered, and an early one gains
+/// nothing.
+///
+/// ```
+/// use std::time::Duration;
+///
+/// use briarswitch_core::forecast::{refusal, SlotOutlook};
+/// use briarswitch_core::waiting::{WaitParams, WaitingRequest};
+///
+/// let ms = Duration::from_millis;
+/// let params = WaitParams { objective: ms(300), deadline: ms(9_000), ..WaitParams::default() };
+/// let request = WaitingRequest::new(params);
+/// let outlook = SlotOutlook { ahead: 40, preceding_rate: 10.0, free_slots: 0, release_rate: 30.0 };
+/// assert!(refusal(&request, &outlook, ms(0)).is_none());
+/// let refusal = refusal(&request, &outlook, ms(301)).unwrap();
+/// assert_eq!(refusal.available_in, Some(ms(2_050)));
+/// ```
 pub fn refusal(request: &WaitingRequest, outlook: &SlotOutlook, now: Moment) -> Option<Refusal> {
-    if outlook.release_rate <= 0.0 {
+    if outlook.release_rate <= 0.0 || request.is_resumption {
+        return None;
+    }
+    let has_class_slots = outlook.release_rate > outlook.preceding_rate;
+    if !request.is_late(now) && has_class_slots {
         return None;
     }
     let available_in = outlook.expected_wait();
--- a/crates/core/src/waiting.rs
+++ b/crates/core/src/waiting.rs
@@ -23,11 +23,21 @@
 /// If it is refused, the part already delivered is lost. Callers abandon a stream that pauses for
 /// two seconds.
 const RESUMPTION_MAX_WAIT: Duration = Duration::from_millis(1_500);
+/// Part of its objective, after its arrival, for which a first attempt counts as on time whatever the estimate says.
+///
+/// The slowest usual first event, 200 ms, leaves a fifth of the shortest objective, 250 ms. Under overload the time to
+/// the first event grows beyond the objective; without a minimum every new request would be late on arrival, and late
+/// ones are served oldest first, so that each would wait the longest.
+const MIN_ON_TIME_SHARE: f64 = 0.2;
+/// Shortest delay that a caller is asked to wait before it retries.
+pub const MIN_RETRY_AFTER: Duration = Duration::from_millis(200);
+/// Added to the arrival of requests that were retried too early; beyond any arrival in nanoseconds.
+const EARLY_RETRY_OFFSET: i128 = 1 << 100;
 
 /// A waiting request.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub struct WaitingRequest {
-    /// When it arrived.
+    /// When it arrived; with forecasts, the first arrival of a request that its caller has retried as asked.
     pub arrived: Moment,
     /// Latest time at which a slot would still produce a response on time.
     pub on_time_until: Moment,
@@ -37,8 +47,13 @@
     pub priority: u8,
     /// Whether part of its response was delivered before its target was lost.
     pub is_resumption: bool,
+    /// Whether its caller retried sooner than any caller is asked to.
+    pub is_early_retry: bool,
 }
 
+/// Whether requests are new, whether they are late, and their priority; the lowest class is served first.
+pub(crate) type RequestClass = (bool, bool, u8);
+
 /// Properties of a request when it begins to wait.
 #[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
 pub struct WaitParams {
@@ -56,6 +71,8 @@
     pub priority: u8,
     /// Whether part of its response was delivered before its target was lost.
     pub is_resumption: bool,
+    /// Whether requests are refused by forecast, which changes when they count as late and the place of retries.
+    pub forecasts: bool,
 }
 
 /// What to do with a waiting request.
@@ -67,16 +84,53 @@
     Refuse,
 }
 
+impl WaitParams {
+    /// Returns whether the caller retried sooner than any caller is asked to.
+    fn is_early_retry(&self) -> bool {
+        self.forecasts && !self.waited_before.is_zero() && self.waited_before < MIN_RETRY_AFTER
+    }
+
+    /// Returns the time after the arrival within which a slot still produces a response on time.
+    fn slack(&self) -> Duration {
+        if self.is_early_retry() {
+            return Duration::ZERO;
+        }
+        let expected = self.first_event_time + self.waited_before;
+        let slack = self.objective.saturating_sub(expected);
+        if self.forecasts && self.waited_before.is_zero() {
+            slack.max(self.objective.mul_f64(MIN_ON_TIME_SHARE))
+        } else {
+            slack
+        }
+    }
+}
+
 impl WaitingRequest {
     /// Creates a waiting request.
     ///
     /// It is on time if the first event arrives within the objective, counted from the caller's
-    /// first attempt.
+    /// first attempt. With forecasts, a first attempt is on time for a fifth of its objective at
+    /// least, and a retry that came sooner than callers are asked to is late.
+    ///
+    /// ```
+    /// use std::time::Duration;
+    ///
+    /// use briarswitch_core::waiting::{WaitParams, WaitingRequest};
+    ///
+    /// let ms = Duration::from_millis;
+    /// let params = WaitParams {
+    ///     arrived: ms(1_000),
+    ///     objective: ms(250),
+    ///     first_event_time: ms(400),
+    ///     deadline: ms(9_000),
+    ///     ..WaitParams::default()
+    /// };
+    /// assert!(WaitingRequest::new(params).is_late(ms(1_001)));
+    /// let params = WaitParams { forecasts: true, ..params };
+    /// assert!(!WaitingRequest::new(params).is_late(ms(1_050)));
+    /// ```
     pub fn new(params: WaitParams) -> Self {
-        let slack = params
-            .objective
-            .saturating_sub(params.first_event_time + params.waited_before);
-        let on_time_until = params.arrived + slack;
+        let is_early_retry = params.is_early_retry();
         let max_wait = if params.is_resumption {
             RESUMPTION_MAX_WAIT
         } else if params.waited_before.is_zero() {
@@ -85,18 +139,25 @@
             let remaining = params.deadline.saturating_sub(params.arrived);
             remaining.mul_f64(RETRIED_WAIT_SHARE)
         };
+        let keeps_place = params.forecasts && !is_early_retry;
+        let arrived = if keeps_place {
+            params.arrived.saturating_sub(params.waited_before)
+        } else {
+            params.arrived
+        };
         Self {
-            arrived: params.arrived,
-            on_time_until,
+            arrived,
+            on_time_until: params.arrived + params.slack(),
             refuse_at: (params.arrived + max_wait).min(params.deadline),
             priority: params.priority,
             is_resumption: params.is_resumption,
+            is_early_retry,
         }
     }
 
     /// Returns whether it can no longer be on time; the objective does not apply to a resumption.
     pub fn is_late(&self, now: Moment) -> bool {
-        !self.is_resumption && now > self.on_time_until
+        !self.is_resumption && (self.is_early_retry || now > self.on_time_until)
     }
 
     /// Returns whether the request keeps waiting at `now`.
@@ -114,20 +175,24 @@
     /// behind new requests long streams would hardly ever finish where targets are often lost.
     /// Requests that can be on time follow, by priority and then newest first: under overload,
     /// requests served in order of arrival would all be served at the last moment, and any
-    /// disturbance would make all of them late. Late requests come last, by priority and arrival.
+    /// disturbance would make all of them late. Late requests come last, by priority and arrival;
+    /// those of one priority that were retried too early come after the others.
     pub(crate) fn sort_key(&self, now: Moment) -> (bool, bool, u8, i128) {
-        let is_late = self.is_late(now);
+        let (is_new, is_late, priority) = self.class(now);
         let arrival = self.arrived.as_nanos() as i128;
-        (
-            !self.is_resumption,
-            is_late,
-            self.priority,
-            if is_late || self.is_resumption {
-                arrival
-            } else {
-                -arrival
-            },
-        )
+        let order = if self.is_early_retry {
+            arrival + EARLY_RETRY_OFFSET
+        } else if is_late || self.is_resumption {
+            arrival
+        } else {
+            -arrival
+        };
+        (is_new, is_late, priority, order)
+    }
+
+    /// Returns the class of the request, between whose members only the arrival decides.
+    pub(crate) fn class(&self, now: Moment) -> RequestClass {
+        (!self.is_resumption, self.is_late(now), self.priority)
     }
 }
 
