--- a/crates/core/src/placement.rs
+++ b/crates/core/src/placement.rs
@@ -117,6 +117,25 @@
     load.nodes > engine.slots
 }
 
+/// Returns the number of a group's slots up to which late requests may take them, if no node has its share.
+///
+/// ```
+/// use briarswitch_core::engine::EngineSpec;
+/// use briarswitch_core::placement::slots_for_late;
+///
+/// let engine = EngineSpec { slots: 20, ..EngineSpec::default() };
+/// assert_eq!(slots_for_late(&engine, 3), 10.0);
+/// assert_eq!(slots_for_late(&engine, 300), 15.0);
+/// ```
+pub fn slots_for_late(engine: &EngineSpec, nodes: u32) -> f64 {
+    let part = if nodes > engine.slots {
+        MAX_UTILIZATION_LATE
+    } else {
+        0.5
+    };
+    f64::from(engine.slots) * part
+}
+
 /// Returns whether a group has enough free slots to accept a late request.
 ///
 /// If there are more nodes than slots, hardly any node uses half of its share, so a node's own
--- a/crates/core/src/slot_rates.rs
+++ b/crates/core/src/slot_rates.rs
@@ -59,6 +59,8 @@
     pub free_slots: u32,
     /// Slots that are in use; a fraction if they are shared with others.
     pub used_slots: f64,
+    /// Slots that have to become free before late requests get any.
+    pub late_surplus: u32,
 }
 
 /// Smoothed rates of the requests for the slots of one model.
@@ -119,7 +121,7 @@
     /// let mut rates = SlotRates::default();
     /// (0..5).for_each(|_| rates.record_holding(ms(500)));
     /// (0..300).map(|index| ms(10 * index)).for_each(|at| rates.record_arrival(&request(at), at));
-    /// let supply = SlotSupply { free_slots: 0, used_slots: 20.0 };
+    /// let supply = SlotSupply { used_slots: 20.0, ..SlotSupply::default() };
     /// // All of them are on time when they arrive, and go before an earlier one that is late.
     /// let outlook = rates.outlook(&request(ms(2_600)), 3, supply, ms(3_000));
     /// assert!((40.0..45.0).contains(&outlook.release_rate));
@@ -132,14 +134,39 @@
         supply: SlotSupply,
         now: Moment,
     ) -> SlotOutlook {
+        let surplus = if request.is_late(now) {
+            supply.late_surplus as usize
+        } else {
+            0
+        };
         SlotOutlook {
-            ahead,
+            ahead: ahead + surplus,
             preceding_rate: self.preceding_rate(request, now),
             free_slots: supply.free_slots,
             release_rate: self.release_rate(supply.used_slots) * (1.0 + RELEASE_MARGIN),
         }
     }
 
+    /// Returns the expected wait of a request, given the others that wait; `None` if nothing is known yet or no slot can
+    /// be expected.
+    pub fn expected_wait(
+        &self,
+        request: &WaitingRequest,
+        others: &[WaitingRequest],
+        supply: SlotSupply,
+        now: Moment,
+    ) -> Option<Duration> {
+        let sort_key = request.sort_key(now);
+        let ahead = others
+            .iter()
+            .filter(|other| other.sort_key(now) < sort_key)
+            .count();
+        let outlook = self.outlook(request, ahead, supply, now);
+        outlook
+            .expected_wait()
+            .filter(|_| outlook.release_rate > 0.0)
+    }
+
     /// Returns the waiting requests that are to be refused now, by their index.
     ///
     /// Those that are refused are not ahead of others any more.
--- a/crates/core/tests/support/slot_load.rs
+++ b/crates/core/tests/support/slot_load.rs
@@ -250,6 +250,7 @@
         SlotSupply {
             free_slots: (slots - used) as u32,
             used_slots: used as f64,
+            late_surplus: 0,
         }
     }
 
--- a/crates/ctl/src/explain.rs
+++ b/crates/ctl/src/explain.rs
@@ -105,6 +105,8 @@
 ];
 /// Fields of `request_ended` that count targets which were passed over.
 const PASSED_OVER_FIELDS: [&str; 3] = ["limited", "backing_off", "leaving"];
+/// Value of `forecast_ms` if no slot could be expected.
+const NO_EXPECTED_WAIT: &str = "-1";
 /// Time in seconds before a request within which statements of targets are listed.
 const STATEMENT_TIME: f64 = 60.0;
 
@@ -210,14 +212,30 @@
         || "the logs contain no end of the request".to_owned(),
         |line| explain_outcome(line),
     );
+    let forecast = last.and_then(|line| explain_forecast(line));
     let passed_over = last.and_then(|line| explain_passed_over(lines, line));
     let parts = [format_lines(&found), outcome];
     let quarantine = explain_quarantine(lines, &found);
-    let parts = parts.into_iter().chain(passed_over).chain(quarantine);
+    let parts = parts.into_iter().chain(forecast);
+    let parts = parts.chain(passed_over).chain(quarantine);
     let parts: Vec<String> = parts.collect();
     Some(parts.join("\n\n"))
 }
 
+/// Returns the forecast because of which a request was refused, or `None` if it was not refused by forecast.
+fn explain_forecast(end: &LogLine) -> Option<String> {
+    let expected = match end.get("forecast_ms") {
+        "" | "0" => return None,
+        NO_EXPECTED_WAIT => "no slot was expected as things stood".to_owned(),
+        millis => format!("a slot was expected only after {millis} ms"),
+    };
+    Some(format!(
+        "refused by forecast: {expected}; check model_supply for the slots in use, and forecast_checked of {} for how far \
+         its forecasts were off",
+        end.get("node")
+    ))
+}
+
 /// Returns what targets had said to the node that passed some of them over, or `None` if it passed none over.
 fn explain_passed_over(lines: &[LogLine], end: &LogLine) -> Option<String> {
     let counts = PASSED_OVER_FIELDS.map(|field| (field, end.get(field)));
--- a/crates/ctl/tests/explain.rs
+++ b/crates/ctl/tests/explain.rs
@@ -120,3 +120,17 @@
     expect_that!(report, contains_substring("left_ms=599000"));
     expect_that!(report, not(contains_substring("11bb")));
 }
+
+/// Guards against a refusal by forecast that looks like one after a full wait.
+#[gtest]
+fn a_refusal_by_forecast_is_explained() {
+    let end = |forecast_ms: &str| {
+        let line = format!("ts=1.000 node=front-1 event=request_ended request=r1 outcome=not_run reason=no_target forecast_ms={forecast_ms} ms=40");
+        let lines = LogLine::parse(&line).into_iter().collect::<Vec<_>>();
+        explain(&lines, "r1").expect("the request is found")
+    };
+    expect_that!(end("1250"), contains_substring("only after 1250 ms"));
+    expect_that!(end("-1"), contains_substring("no slot was expected"));
+    expect_that!(end("-1"), contains_substring("forecast_checked of front-1"));
+    expect_that!(end("0"), not(contains_substring("refused by forecast")));
+}
--- a/crates/fleet/src/dispatch.rs
+++ b/crates/fleet/src/dispatch.rs
@@ -356,7 +356,7 @@
     ) -> Result<(http::response::Parts, Bytes), FailurePoint> {
         let ResponseStart {
             target,
-            slot,
+            mut slot,
             head,
             body,
             mut run,
@@ -364,6 +364,9 @@
         let remaining = job.deadline.saturating_sub(BootClock::now());
         let reading = self.read_complete(&run, body);
         let read = tokio::time::timeout(remaining, reading).await;
+        if matches!(read, Ok(Ok(_))) {
+            slot.iter_mut().for_each(SlotGuard::end_prefill);
+        }
         drop(slot);
         self.selector.serve_queue();
         match read {
--- a/crates/fleet/src/gauge.rs
+++ b/crates/fleet/src/gauge.rs
@@ -8,6 +8,7 @@
 use briarswitch_membership::{target_key, TargetKey};
 
 use crate::micros::micros;
+use crate::slot_forecast::HoldingTimer;
 use crate::statements::TargetStatements;
 
 /// Divisor of the exponential smoothing: the newest sample has a weight of one in this many.
@@ -283,6 +284,7 @@
     gauge: Arc<TargetGauge>,
     /// Prompt tokens of the request until its first event.
     prefill_tokens: Option<u64>,
+    holding: Option<HoldingTimer>,
 }
 
 impl SlotGuard {
@@ -299,9 +301,15 @@
         Self {
             gauge: Arc::clone(gauge),
             prefill_tokens: Some(tokens),
+            holding: None,
         }
     }
 
+    /// Measures for how long the slot is held.
+    pub fn set_timer(&mut self, timer: HoldingTimer) {
+        self.holding = Some(timer);
+    }
+
     /// Records that the target has processed the prompt, as the first event shows.
     pub fn end_prefill(&mut self) {
         if let Some(tokens) = self.prefill_tokens.take() {
@@ -315,6 +323,11 @@
 
 impl Drop for SlotGuard {
     fn drop(&mut self) {
+        // A target that rejects the request does not process its prompt.
+        let has_run = self.prefill_tokens.is_none();
+        if let Some(timer) = self.holding.take().filter(|_| has_run) {
+            timer.record();
+        }
         self.end_prefill();
         self.gauge.local.fetch_sub(1, Ordering::Relaxed);
     }
--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -51,6 +51,7 @@
 pub mod scope;
 pub mod settings;
 pub mod shared;
+pub mod slot_forecast;
 pub mod slot_queue;
 mod source_health;
 pub mod statement_recorder;
--- a/crates/fleet/src/local_reply.rs
+++ b/crates/fleet/src/local_reply.rs
@@ -3,16 +3,11 @@
 use std::time::Duration;
 
 use briarswitch_core::outcome::{FailurePoint, Outcome};
+use briarswitch_core::return_schedule::unscheduled_return;
 use briarswitch_http::{reply_text, Response};
 use http::header::RETRY_AFTER;
 use http::{HeaderValue, StatusCode};
 
-/// Range of the delay in the `Retry-After` header.
-///
-/// The delay is random so that callers refused at the same time do not retry at the same time.
-const RETRY_AFTER_RANGE: (Duration, Duration) =
-    (Duration::from_millis(200), Duration::from_millis(600));
-
 /// A response that the node generates itself.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub struct LocalReply {
@@ -36,12 +31,10 @@
 
     /// Returns a reply that guarantees that the request has not run and will not run.
     pub fn not_run(text: &'static str) -> Self {
-        let (min, max) = RETRY_AFTER_RANGE;
-        let jitter = (max - min).mul_f64(rand::random::<f64>());
         Self {
             status: StatusCode::SERVICE_UNAVAILABLE,
             text,
-            retry_after: Some(min + jitter),
+            retry_after: Some(unscheduled_return(rand::random())),
         }
     }
 
@@ -73,6 +66,14 @@
         }
     }
 
+    /// Replaces the delay after which to retry, if there is one.
+    pub fn returning_in(self, delay: Duration) -> Self {
+        Self {
+            retry_after: self.retry_after.map(|_| delay),
+            ..self
+        }
+    }
+
     /// Builds the HTTP response.
     pub fn into_response(self) -> Response {
         let mut response = reply_text(self.status, self.text);
--- a/crates/fleet/src/metrics.rs
+++ b/crates/fleet/src/metrics.rs
@@ -29,6 +29,7 @@
     quarantine_refusals: Counter<u64>,
     limit_changes: Counter<u64>,
     backoffs: Counter<u64>,
+    forecast_refusals: Counter<u64>,
     unmarked_ends: Counter<u64>,
     latency: Histogram<f64>,
     first_event: Histogram<f64>,
@@ -94,6 +95,7 @@
             quarantine_refusals: meter.u64_counter("quarantine_refusals").build(),
             limit_changes: meter.u64_counter("target_limit_changes").build(),
             backoffs: meter.u64_counter("target_backoffs").build(),
+            forecast_refusals: meter.u64_counter("forecast_refusals").build(),
             unmarked_ends: meter.u64_counter("unmarked_ends").build(),
             latency: histogram("request_seconds"),
             first_event: histogram("first_event_seconds"),
@@ -139,6 +141,12 @@
             .add(1, &[KeyValue::new("service", service.to_owned())]);
     }
 
+    /// Counts one request that was refused because no slot could be expected in time.
+    pub fn count_forecast_refusal(&self, service: &str) {
+        self.forecast_refusals
+            .add(1, &[KeyValue::new("service", service.to_owned())]);
+    }
+
     /// Counts one change of a limit that a target states.
     pub fn count_limit_change(&self, change: LimitChange) {
         self.limit_changes
--- a/crates/fleet/src/request_run.rs
+++ b/crates/fleet/src/request_run.rs
@@ -274,6 +274,7 @@
         };
         acquired.map_err(|error| {
             self.trace.passed_over = error.passed_over;
+            self.trace.forecast = error.forecast;
             error.into()
         })
     }
--- a/crates/fleet/src/request_runner.rs
+++ b/crates/fleet/src/request_runner.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 
 use briarswitch_core::outcome::FailurePoint;
+use briarswitch_core::return_schedule::unscheduled_return;
 use briarswitch_http::Response;
 
 use crate::dispatch::FleetDispatcher;
@@ -85,7 +86,11 @@
         let barred = self.barred(failed);
         let available_in = available_in(failed, barred).unwrap_or_default();
         if failed.point != FailurePoint::Quarantined {
-            return LocalReply::for_failure(failed.point).delayed_by(available_in);
+            let reply = LocalReply::for_failure(failed.point);
+            return match failed.trace.forecast {
+                Some(forecast) => reply.returning_in(forecast.returns_in),
+                None => reply.delayed_by(available_in),
+            };
         }
         let print = barred.map(|barred| barred.fingerprint);
         let trace = &failed.trace;
@@ -114,5 +119,10 @@
 
 /// Returns the time until the request may be served, if known.
 fn available_in(failed: &FailedRequest, barred: Option<BarredSuspect>) -> Option<Duration> {
-    barred.map(|barred| barred.left).or(failed.available_in)
+    let quarantined = barred.map(|barred| barred.left);
+    let forecast = failed.trace.forecast;
+    // The node that replies to the caller adds a delay of its own.
+    let returns_in =
+        forecast.map(|forecast| forecast.returns_in.saturating_sub(unscheduled_return(1.0)));
+    quarantined.or(returns_in).or(failed.available_in)
 }
--- a/crates/fleet/src/restriction.rs
+++ b/crates/fleet/src/restriction.rs
@@ -8,6 +8,7 @@
 
 use crate::gauge::SlotGuard;
 use crate::routing_table::RouteTarget;
+use crate::slot_forecast::ForecastRefusal;
 
 /// Why a node may not send a request to a target for now.
 #[derive(Clone, Copy, Debug, PartialEq)]
@@ -101,6 +102,8 @@
     pub available_in: Option<Duration>,
     /// Targets that could not be used.
     pub passed_over: PassedOver,
+    /// Forecast because of which the request is refused, if it is.
+    pub forecast: Option<ForecastRefusal>,
 }
 
 impl From<FailurePoint> for SlotError {
@@ -109,6 +112,7 @@
             point,
             available_in: None,
             passed_over: PassedOver::default(),
+            forecast: None,
         }
     }
 }
@@ -188,6 +192,7 @@
             point: FailurePoint::NoTarget,
             available_in: available_at.map(|at| at.saturating_sub(now)),
             passed_over: self.passed_over,
+            forecast: None,
         })
     }
 }
--- a/crates/fleet/src/slot_queue.rs
+++ b/crates/fleet/src/slot_queue.rs
@@ -3,6 +3,7 @@
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
+use briarswitch_core::forecast::Refusal;
 use briarswitch_core::id::*;
 use briarswitch_core::residency::AllowedRegions;
 use briarswitch_core::waiting::{next_waiting, WaitVerdict, WaitingRequest};
@@ -48,6 +49,8 @@
     waiters: IndexMap<QueueKey, Vec<Waiter>>,
     first_event_times: IndexMap<QueueKey, Duration>,
     next_ticket: u64,
+    /// Requests that were refused by forecast and have not been told yet, by ticket.
+    refusals: IndexMap<u64, Refusal>,
 }
 
 /// Waiting requests, served in the order that [`next_waiting`] defines.
@@ -62,6 +65,18 @@
         self.lock().waiters.get(key).map_or(0, Vec::len)
     }
 
+    /// Returns the requests that wait for these targets.
+    pub fn requests(&self, key: &QueueKey) -> Vec<WaitingRequest> {
+        let state = self.lock();
+        let waiters = state.waiters.get(key).into_iter().flatten();
+        waiters.map(|waiter| waiter.request).collect()
+    }
+
+    /// Returns and forgets why a request got no slot, if it was refused by forecast.
+    pub fn take_refusal(&self, ticket: u64) -> Option<Refusal> {
+        self.lock().refusals.swap_remove(&ticket)
+    }
+
     /// Records the time from reserving a slot to the first event of a stream.
     pub fn record_first_event(&self, key: &QueueKey, time: Duration) {
         let mut state = self.lock();
@@ -115,13 +130,22 @@
         if let Some(waiters) = state.waiters.get_mut(key) {
             waiters.retain(|waiter| waiter.ticket != ticket);
         }
+        state.refusals.swap_remove(&ticket);
     }
 
-    /// Reserves slots as long as `pick` finds one for the request that is next.
-    pub fn serve(&self, pick: impl Fn(&SlotRequest) -> Option<ReservedTarget>) {
+    /// Reserves slots as long as `pick` finds one for the request that is next, and drops the requests that `refuse`
+    /// returns by their index.
+    pub fn serve(
+        &self,
+        pick: impl Fn(&SlotRequest) -> Option<ReservedTarget>,
+        refuse: impl Fn(&QueueKey, &[WaitingRequest]) -> Vec<(usize, Refusal)>,
+    ) {
         let now = BootClock::now();
         let mut state = self.lock();
-        for waiters in state.waiters.values_mut() {
+        let QueueState {
+            waiters, refusals, ..
+        } = &mut *state;
+        for (key, waiters) in waiters.iter_mut() {
             waiters.retain(|waiter| !waiter.reply.is_closed());
             loop {
                 let requests: Vec<WaitingRequest> =
@@ -137,6 +161,12 @@
                 // If the waiter has left in the meantime, dropping the value releases the slot.
                 let _ = waiter.reply.send(reserved);
             }
+            let requests: Vec<WaitingRequest> =
+                waiters.iter().map(|waiter| waiter.request).collect();
+            for (index, refusal) in refuse(key, &requests) {
+                refusals.insert(waiters[index].ticket, refusal);
+            }
+            waiters.retain(|waiter| !refusals.contains_key(&waiter.ticket));
         }
         state.waiters.retain(|_, waiters| !waiters.is_empty());
     }
--- a/crates/fleet/src/target_selector.rs
+++ b/crates/fleet/src/target_selector.rs
@@ -5,6 +5,7 @@
 
 use briarswitch_core::engine::EngineSpec;
 use briarswitch_core::evacuation::EvacuatedZones;
+use briarswitch_core::forecast::Refusal;
 use briarswitch_core::id::*;
 use briarswitch_core::outcome::FailurePoint;
 use briarswitch_core::placement::{pick_group, slot_share, GroupLoad, PlacementParams};
@@ -19,6 +20,7 @@
 use crate::restriction::{AcquiredSlot, PassedOver, Restriction, SlotError, TargetOutlook};
 use crate::routing_table::{RouteTarget, RoutingTable};
 use crate::shared::FleetShared;
+use crate::slot_forecast::SlotForecast;
 use crate::slot_queue::{wait_for_slot, QueueKey, ReservedTarget, SlotQueue, SlotRequest};
 use crate::statements::LimitShare;
 
@@ -34,6 +36,7 @@
 pub struct TargetSelector {
     shared: Arc<FleetShared>,
     queue: SlotQueue,
+    forecast: SlotForecast,
 }
 
 /// A target with a free slot.
@@ -61,6 +64,7 @@
     /// Creates a selector with an empty queue.
     pub fn new(shared: Arc<FleetShared>) -> Self {
         Self {
+            forecast: SlotForecast::new(Arc::clone(&shared)),
             shared,
             queue: SlotQueue::default(),
         }
@@ -119,9 +123,12 @@
             first_event_time: self.queue.usual_first_event_time(&slot_request.key),
             deadline: job.deadline,
             priority: job.priority,
+            forecasts: self.forecast.is_enabled(),
             ..params
         });
         let now = BootClock::now();
+        self.forecast
+            .record_arrival(&slot_request.key, &request, now);
         slot_request.is_late = request.is_late(now);
         if self.is_barred(&slot_request) {
             return Err(FailurePoint::NoTarget.into());
@@ -139,6 +146,9 @@
             return Err(refusal);
         }
         let key = slot_request.key.clone();
+        let expected_wait =
+            self.forecast
+                .expected_wait(&key, &request, || self.queue.requests(&key), now);
         let (ticket, reserved) = self.queue.push(slot_request, request);
         self.serve_queue();
         let _guard = QueueGuard {
@@ -149,15 +159,23 @@
         let poll = || self.serve_queue();
         let reserved = wait_for_slot(reserved, request, SLOT_POLL_INTERVAL, poll).await;
         match reserved {
-            Some((target, slot)) => Ok(AcquiredSlot {
-                target,
-                slot,
-                passed_over,
-            }),
-            None => Err(SlotError {
-                passed_over,
-                ..FailurePoint::NoTarget.into()
-            }),
+            Some((target, slot)) => {
+                self.forecast.check(&key, expected_wait, now);
+                Ok(AcquiredSlot {
+                    target,
+                    slot,
+                    passed_over,
+                })
+            }
+            None => {
+                let refusal = self.queue.take_refusal(ticket);
+                let forecast =
+                    refusal.map(|refusal| self.forecast.refuse(&key, job, refusal, passed_over));
+                Err(forecast.unwrap_or(SlotError {
+                    passed_over,
+                    ..FailurePoint::NoTarget.into()
+                }))
+            }
         }
     }
 
@@ -257,8 +275,37 @@
     /// Reserves free slots for waiting requests.
     pub fn serve_queue(&self) {
         if !self.queue.is_empty() {
-            self.queue.serve(|slot_request| self.pick(slot_request));
+            self.queue.serve(
+                |slot_request| self.pick(slot_request),
+                |key, waiting| self.refusals(key, waiting),
+            );
+        }
+    }
+
+    /// Returns the waiting requests for which no slot can be expected in time, by their index.
+    ///
+    /// While targets restrict the requests of this node, these restrictions decide.
+    fn refusals(&self, key: &QueueKey, waiting: &[WaitingRequest]) -> Vec<(usize, Refusal)> {
+        if waiting.is_empty() || !self.forecast.is_enabled() {
+            return Vec::new();
+        }
+        let now = BootClock::now();
+        let table = self.shared.routing_table.load();
+        let config = self.shared.config.load();
+        let config = config.as_ref().as_ref();
+        let spec = config.and_then(|config| config.services.get(&key.0));
+        let targets = routes_of(&table, key);
+        let is_restricted = targets.iter().any(|target| {
+            let restriction = self.restriction(spec, target, now);
+            restriction.is_some_and(|restriction| restriction != Restriction::Leaving)
+        });
+        if is_restricted {
+            return Vec::new();
         }
+        let engine = spec.and_then(|spec| spec.engine.as_ref());
+        engine.map_or_else(Vec::new, |engine| {
+            self.forecast.refusals(key, waiting, engine, targets, now)
+        })
     }
 
     /// Records the time from reserving a slot to the first event of a stream.
@@ -289,7 +336,10 @@
         if is_full || !target.gauge.statements().reserve_after_backoff(now) {
             return None;
         }
-        let slot = SlotGuard::acquire(&target.gauge, slot_request.prompt_tokens, now);
+        let mut slot = SlotGuard::acquire(&target.gauge, slot_request.prompt_tokens, now);
+        if let Some(timer) = self.forecast.timer(&slot_request.key, now) {
+            slot.set_timer(timer);
+        }
         Some(AcquiredSlot {
             target,
             slot,
--- a/crates/fleet/src/trace.rs
+++ b/crates/fleet/src/trace.rs
@@ -16,6 +16,7 @@
 use crate::restriction::PassedOver;
 use crate::routing_table::RouteTarget;
 use crate::shared::FleetShared;
+use crate::slot_forecast::ForecastRefusal;
 
 /// How a request ended.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
@@ -89,6 +90,8 @@
     pub first_event: Option<Duration>,
     /// Targets that could not be used for the last attempt.
     pub passed_over: PassedOver,
+    /// Forecast because of which the request was refused, if it was.
+    pub forecast: Option<ForecastRefusal>,
     /// Node to which the request was last forwarded; empty if it was not.
     pub forwarded_to: NodeId,
     /// Node that forwarded the request; empty if it came from its caller.
@@ -125,6 +128,7 @@
             slot_wait: None,
             first_event: None,
             passed_over: PassedOver::default(),
+            forecast: None,
             forwarded_to: NodeId::new(),
             forwarded_by: NodeId::new(),
             longest_pause: Duration::ZERO,
@@ -286,6 +290,7 @@
             limited = self.passed_over.limited,
             backing_off = self.passed_over.backing_off,
             leaving = self.passed_over.leaving,
+            forecast_ms = self.forecast.map_or(0, |forecast| forecast.logged_ms()),
             patience_ms = self.timeout.as_millis() as u64,
             before_ms = self.waited_before.as_millis() as u64,
             wait_ms = self.slot_wait.map_or(0, |wait| wait.as_millis() as u64),
--- a/crates/fleet/tests/support/mod.rs
+++ b/crates/fleet/tests/support/mod.rs
@@ -337,9 +337,17 @@
 
     /// Starts a node, or restarts it without any state.
     pub async fn start(&self, index: usize) {
+        self.start_with(index, LoadControl::default()).await;
+    }
+
+    /// Like [`Fleet::start`], with decisions under heavy load.
+    pub async fn start_with(&self, index: usize, load_control: LoadControl) {
         let stub = &self.nodes[index];
         self.kill(index);
-        let settings = settings(&stub.link.node, &stub.zone);
+        let settings = FleetSettings {
+            load_control,
+            ..settings(&stub.link.node, &stub.zone)
+        };
         let platform = stub.link.platform();
         let node = FleetNode::spawn(settings, platform).await;
         *stub.lock() = Some(node.expect("node starts"));
