--- a/crates/core/src/queue_round.rs
+++ b/crates/core/src/queue_round.rs
@@ -26,6 +26,8 @@
     pub(crate) shares: &'a mut OrganisationShares,
     pub(crate) rates: &'a QueueRates,
     pub(crate) now: Moment,
+    /// Whether requests are refused if no slot can be expected for them in time.
+    pub(crate) refuses: bool,
 }
 
 impl<'a> QueueRound<'a> {
@@ -34,7 +36,11 @@
         self.shares.record_waiting(&self.requests, self.now);
         let order = self.shares.order(&self.requests, self.now);
         let grants = self.grant(&order);
-        let refusals = self.refuse(&order, &grants);
+        let refusals = if self.refuses {
+            self.refuse(&order, &grants)
+        } else {
+            RoundRefusals::new()
+        };
         (grants, refusals)
     }
 
--- a/crates/core/src/shared_queue.rs
+++ b/crates/core/src/shared_queue.rs
@@ -200,9 +200,16 @@
     rates: QueueRates,
     shares: OrganisationShares,
     served_at: Moment,
+    /// Whether requests wait until their nodes refuse them.
+    keeps_hopeless: bool,
 }
 
 impl SharedQueue {
+    /// Sets whether requests are refused as soon as no slot can be expected for them in time, as they are by default.
+    pub fn set_refusals(&mut self, are_enabled: bool) {
+        self.keeps_hopeless = !are_enabled;
+    }
+
     /// Replaces the weights of the organisations; those not listed have a weight of 1.
     pub fn set_weights(&mut self, weights: IndexMap<OrganisationId, u32>) {
         self.shares.set_weights(weights);
@@ -267,6 +274,7 @@
             shares: &mut self.shares,
             rates: &self.rates,
             now,
+            refuses: !self.keeps_hopeless,
         };
         let (grants, refusals) = round.run();
         let grant = |(index, group): (usize, GroupKey)| SlotGrant {
--- a/crates/fleet/src/coordinated_queue.rs
+++ b/crates/fleet/src/coordinated_queue.rs
@@ -71,9 +71,14 @@
 
 impl CoordinatedQueue {
     /// Creates an empty queue; `own` is this node.
-    pub fn new(own: NodeId) -> Self {
+    ///
+    /// If `forecasts` is set, requests are refused as soon as no slot can be expected for them in time.
+    pub fn new(own: NodeId, forecasts: bool) -> Self {
+        let mut queue = SharedQueue::default();
+        queue.set_refusals(forecasts);
         Self {
             own,
+            queue,
             ..Self::default()
         }
     }
--- a/crates/fleet/src/queue_coordinator.rs
+++ b/crates/fleet/src/queue_coordinator.rs
@@ -86,10 +86,11 @@
     ) -> Option<tokio::sync::oneshot::Receiver<QueueReply>> {
         let id = update.id.clone();
         let mut queues = self.lock();
-        let own = &self.shared.settings.node;
+        let settings = &self.shared.settings;
+        let forecasts = settings.load_control.forecasts;
         let queue = queues
             .entry(id.clone())
-            .or_insert_with(|| CoordinatedQueue::new(own.clone()));
+            .or_insert_with(|| CoordinatedQueue::new(settings.node.clone(), forecasts));
         let held = queue.update(update, BootClock::now());
         queue.wake().notify_one();
         if queue.is_waiting() && !queue.set_served(true) {
--- a/crates/fleet/src/queue_doc.rs
+++ b/crates/fleet/src/queue_doc.rs
@@ -51,7 +51,7 @@
 }
 
 /// [`QueuedRequest`] on the wire: ticket, priority, milliseconds since its arrival, until it is late (negative: since
-/// then) and until it is refused, whether it resumes a stream, organisation, tokens, excluded groups.
+/// then) and until it is refused, whether it resumes a stream, whether its caller came back too early, organisation, tokens, excluded groups.
 #[derive(Clone, Debug, Deserialize, Serialize)]
 struct RequestDoc(
     Ticket,
@@ -60,6 +60,7 @@
     i64,
     u64,
     bool,
+    bool,
     OrganisationId,
     u64,
     Vec<GroupKey>,
@@ -102,6 +103,7 @@
             on_time_ms,
             millis(request.refuse_at.saturating_sub(now)),
             request.is_resumption,
+            request.is_early_retry,
             queued.organisation,
             queued.tokens,
             queued.excluded,
@@ -119,6 +121,7 @@
             on_time_ms,
             refuse_ms,
             is_resumption,
+            is_early_retry,
             organisation,
             tokens,
             excluded,
@@ -139,6 +142,7 @@
                 refuse_at: now.saturating_add(Duration::from_millis(refuse_ms)),
                 priority,
                 is_resumption,
+                is_early_retry,
             },
             excluded,
         }
--- a/crates/fleet/src/slot_queue.rs
+++ b/crates/fleet/src/slot_queue.rs
@@ -3,6 +3,7 @@
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
+use briarswitch_core::forecast::Refusal;
 use briarswitch_core::id::*;
 use briarswitch_core::residency::AllowedRegions;
 use briarswitch_core::shared_queue::Ticket;
@@ -82,6 +83,8 @@
     waiters: IndexMap<QueueKey, Vec<Waiter>>,
     first_event_times: IndexMap<QueueKey, Duration>,
     next_ticket: Ticket,
+    /// Requests that were refused by forecast and have not been told yet, by ticket.
+    refusals: IndexMap<Ticket, Refusal>,
 }
 
 /// Waiting requests, served in the order that [`next_waiting`] defines.
@@ -96,6 +99,18 @@
         self.lock().waiters.get(key).map_or(0, Vec::len)
     }
 
+    /// Returns the requests that wait for these targets.
+    pub fn requests(&self, key: &QueueKey) -> Vec<WaitingRequest> {
+        let state = self.lock();
+        let waiters = state.waiters.get(key).into_iter().flatten();
+        waiters.map(|waiter| waiter.request).collect()
+    }
+
+    /// Returns and forgets why a request got no slot, if it was refused by forecast.
+    pub fn take_refusal(&self, ticket: u64) -> Option<Refusal> {
+        self.lock().refusals.swap_remove(&ticket)
+    }
+
     /// Records the time from reserving a slot to the first event of a stream.
     pub fn record_first_event(&self, key: &QueueKey, time: Duration) {
         let mut state = self.lock();
@@ -149,6 +164,7 @@
         if let Some(waiters) = state.waiters.get_mut(key) {
             waiters.retain(|waiter| waiter.ticket != ticket);
         }
+        state.refusals.swap_remove(&ticket);
     }
 
     /// Calls `visit` with each request that waits for these targets.
@@ -207,17 +223,22 @@
         }
     }
 
-    /// Reserves slots as long as `pick` finds one for the request that is next.
+    /// Reserves slots as long as `pick` finds one for the request that is next, and drops the requests that `refuse`
+    /// returns by their index.
     ///
     /// Requests that wait in a queue of all nodes, as `route` says, are left out.
     pub fn serve(
         &self,
         route: impl Fn(&QueueKey) -> Option<QueueRoute>,
         pick: impl Fn(&SlotRequest) -> Option<ReservedTarget>,
+        refuse: impl Fn(&QueueKey, &[WaitingRequest]) -> Vec<(usize, Refusal)>,
     ) {
         let now = BootClock::now();
         let mut state = self.lock();
-        for (key, waiters) in &mut state.waiters {
+        let QueueState {
+            waiters, refusals, ..
+        } = &mut *state;
+        for (key, waiters) in waiters.iter_mut() {
             waiters.retain(|waiter| !waiter.reply.is_closed());
             let route = route(key);
             let is_local = |waiter: &Waiter| {
@@ -225,12 +246,7 @@
                 route.is_none_or(|route| route.link(waiter.ticket, now).is_none())
             };
             loop {
-                let (indices, requests): (Vec<usize>, Vec<WaitingRequest>) = waiters
-                    .iter()
-                    .enumerate()
-                    .filter(|(_, waiter)| is_local(waiter))
-                    .map(|(index, waiter)| (index, waiter.request))
-                    .unzip();
+                let (indices, requests) = requests_of(waiters, is_local);
                 let Some(next) = next_waiting(&requests, now) else {
                     break;
                 };
@@ -246,6 +262,11 @@
                     granted_by: NodeId::new(),
                 });
             }
+            let (indices, requests) = requests_of(waiters, is_local);
+            for (index, refusal) in refuse(key, &requests) {
+                refusals.insert(waiters[indices[index]].ticket, refusal);
+            }
+            waiters.retain(|waiter| !refusals.contains_key(&waiter.ticket));
         }
         state.waiters.retain(|_, waiters| !waiters.is_empty());
     }
@@ -255,6 +276,18 @@
     }
 }
 
+/// Returns the requests of the selected waiters, with their indices.
+fn requests_of(
+    waiters: &[Waiter],
+    is_selected: impl Fn(&Waiter) -> bool,
+) -> (Vec<usize>, Vec<WaitingRequest>) {
+    let selected = waiters.iter().enumerate();
+    let selected = selected.filter(|(_, waiter)| is_selected(waiter));
+    selected
+        .map(|(index, waiter)| (index, waiter.request))
+        .unzip()
+}
+
 /// Waits for a slot until the request is to be refused.
 ///
 /// `poll` is called once per `interval`, since slots may become free without a notification to this node.
--- a/crates/fleet/src/target_selector.rs
+++ b/crates/fleet/src/target_selector.rs
@@ -5,6 +5,7 @@
 
 use briarswitch_core::engine::EngineSpec;
 use briarswitch_core::evacuation::EvacuatedZones;
+use briarswitch_core::forecast::Refusal;
 use briarswitch_core::id::*;
 use briarswitch_core::outcome::FailurePoint;
 use briarswitch_core::placement::{pick_group, slot_share, GroupLoad, PlacementParams};
@@ -22,6 +23,7 @@
 use crate::restriction::{AcquiredSlot, PassedOver, Restriction, SlotError, TargetOutlook};
 use crate::routing_table::{RouteTarget, RoutingTable};
 use crate::shared::FleetShared;
+use crate::slot_forecast::SlotForecast;
 use crate::slot_queue::{
     wait_for_slot, QueueKey, ReservedTarget, SlotQueue, SlotReply, SlotRequest,
 };
@@ -41,6 +43,7 @@
     pub(crate) shared: Arc<FleetShared>,
     pub(crate) queue: SlotQueue,
     queue_client: Arc<QueueClient>,
+    forecast: SlotForecast,
 }
 
 /// A target with a free slot.
@@ -69,6 +72,7 @@
     pub fn new(shared: Arc<FleetShared>, coordinator: Arc<QueueCoordinator>) -> Arc<Self> {
         Arc::new_cyclic(|selector| Self {
             queue_client: QueueClient::new(Arc::clone(&shared), coordinator, selector.clone()),
+            forecast: SlotForecast::new(Arc::clone(&shared)),
             shared,
             queue: SlotQueue::default(),
         })
@@ -127,9 +131,12 @@
             first_event_time: self.queue.usual_first_event_time(&slot_request.key),
             deadline: job.deadline,
             priority: job.priority,
+            forecasts: self.forecast.is_enabled(),
             ..params
         });
         let now = BootClock::now();
+        self.forecast
+            .record_arrival(&slot_request.key, &request, now);
         slot_request.is_late = request.is_late(now);
         if self.is_barred(&slot_request) {
             return Err(FailurePoint::NoTarget.into());
@@ -151,6 +158,9 @@
         let is_counted = self.shared.settings.load_control.changes_over;
         let waiting_model = key.1.as_ref().filter(|_| is_counted);
         let _waiting = self.shared.need.wait(waiting_model);
+        let expected_wait =
+            self.forecast
+                .expected_wait(&key, &request, || self.queue.requests(&key), now);
         let (ticket, reply) = self.queue.push(slot_request, request);
         if let Some(route) = self.queue_client.route(&key, now) {
             route.link(ticket, now).inspect(|link| link.notify());
@@ -167,21 +177,29 @@
             Some(SlotReply::Reserved {
                 reserved: (target, slot),
                 granted_by,
-            }) => Ok(AcquiredSlot {
-                target,
-                slot,
-                passed_over,
-                granted_by,
-            }),
+            }) => {
+                self.forecast.check(&key, expected_wait, now);
+                Ok(AcquiredSlot {
+                    target,
+                    slot,
+                    passed_over,
+                    granted_by,
+                })
+            }
             Some(SlotReply::Refused { available_in }) => Err(SlotError {
-                point: FailurePoint::NoTarget,
                 available_in,
                 passed_over,
-            }),
-            None => Err(SlotError {
-                passed_over,
                 ..FailurePoint::NoTarget.into()
             }),
+            None => {
+                let refusal = self.queue.take_refusal(ticket);
+                let forecast =
+                    refusal.map(|refusal| self.forecast.refuse(&key, job, refusal, passed_over));
+                Err(forecast.unwrap_or(SlotError {
+                    passed_over,
+                    ..FailurePoint::NoTarget.into()
+                }))
+            }
         }
     }
 
@@ -289,8 +307,37 @@
             self.queue_client.run_all(&route, key, now);
             Some(route)
         };
-        self.queue
-            .serve(route, |slot_request| self.pick(slot_request));
+        self.queue.serve(
+            route,
+            |slot_request| self.pick(slot_request),
+            |key, waiting| self.refusals(key, waiting),
+        );
+    }
+
+    /// Returns the waiting requests for which no slot can be expected in time, by their index.
+    ///
+    /// While targets restrict the requests of this node, these restrictions decide.
+    fn refusals(&self, key: &QueueKey, waiting: &[WaitingRequest]) -> Vec<(usize, Refusal)> {
+        if waiting.is_empty() || !self.forecast.is_enabled() {
+            return Vec::new();
+        }
+        let now = BootClock::now();
+        let table = self.shared.routing_table.load();
+        let config = self.shared.config.load();
+        let config = config.as_ref().as_ref();
+        let spec = config.and_then(|config| config.services.get(&key.0));
+        let targets = routes_of(&table, key);
+        let is_restricted = targets.iter().any(|target| {
+            let restriction = self.restriction(spec, target, now);
+            restriction.is_some_and(|restriction| restriction != Restriction::Leaving)
+        });
+        if is_restricted {
+            return Vec::new();
+        }
+        let engine = spec.and_then(|spec| spec.engine.as_ref());
+        engine.map_or_else(Vec::new, |engine| {
+            self.forecast.refusals(key, waiting, engine, targets, now)
+        })
     }
 
     /// Records the time from reserving a slot to the first event of a stream.
@@ -331,7 +378,10 @@
             target.gauge.speed().record_probe(now);
         }
         let release = SlotRelease::of(&self.queue_client, &slot_request.key, target.gauge.key());
-        let slot = SlotGuard::acquire(&target.gauge, slot_request.prompt_tokens, now);
+        let mut slot = SlotGuard::acquire(&target.gauge, slot_request.prompt_tokens, now);
+        if let Some(timer) = self.forecast.timer(&slot_request.key, now) {
+            slot.set_timer(timer);
+        }
         Some(AcquiredSlot {
             target,
             slot: slot.with_release(release),
--- a/crates/fleet/tests/support/mod.rs
+++ b/crates/fleet/tests/support/mod.rs
@@ -377,10 +377,15 @@
 
     /// Starts a node, or restarts it without any state.
     pub async fn start(&self, index: usize) {
+        self.start_with(index, self.load_control).await;
+    }
+
+    /// Like [`Fleet::start`], with decisions under heavy load.
+    pub async fn start_with(&self, index: usize, load_control: LoadControl) {
         let stub = &self.nodes[index];
         self.kill(index);
         let settings = FleetSettings {
-            load_control: self.load_control,
+            load_control,
             ..settings(&stub.link.node, &stub.zone)
         };
         let platform = stub.link.platform();
--- a/crates/model/src/shared_queue_state.rs
+++ b/crates/model/src/shared_queue_state.rs
@@ -129,6 +129,7 @@
         refuse_at: moment(REFUSE_TICK),
         priority: 0,
         is_resumption: false,
+        is_early_retry: false,
     };
     let queued = QueuedRequest {
         ticket: 1,
