--- a/crates/fleet/src/dispatch.rs
+++ b/crates/fleet/src/dispatch.rs
@@ -22,10 +22,12 @@
 use crate::job::{RequestJob, ResponseStart};
 use crate::peers::PeerMessage;
 use crate::ports::{ResponseInfo, TargetRequestInfo};
+use crate::queue_coordinator::QueueCoordinator;
 use crate::reach_monitor::ReachReporter;
 use crate::routing_table::RouteTarget;
 use crate::run::{RunListeners, TargetRun};
 use crate::shared::FleetShared;
+use crate::speed_sample::AwaitedResponse;
 use crate::statement_recorder::StatementRecorder;
 use crate::suspicion::{reroute_delay, silence_limit_for, SuspicionReporter};
 use crate::target_selector::TargetSelector;
@@ -53,6 +55,7 @@
     slot: SlotGuard,
     run: TargetRun,
     sent_at: Moment,
+    awaited: AwaitedResponse,
 }
 
 /// Dispatches requests to targets.
@@ -60,7 +63,7 @@
     shared: Arc<FleetShared>,
     client: TargetClient,
     budgets: RetryBudgets,
-    selector: TargetSelector,
+    selector: Arc<TargetSelector>,
     suspicion: SuspicionReporter,
     reach: ReachReporter,
     forwarder: RequestForwarder,
@@ -70,12 +73,13 @@
 
 impl FleetDispatcher {
     /// Creates a dispatcher that reports silent targets to `peers`, failures to reach targets to `reach`, and runs that
-    /// have ended to `run_listeners`.
+    /// have ended to `run_listeners`; `coordinator` is that of this node.
     pub fn new(
         shared: Arc<FleetShared>,
         peers: Mailbox<PeerMessage>,
         reach: ReachReporter,
         run_listeners: RunListeners,
+        coordinator: Arc<QueueCoordinator>,
     ) -> Arc<Self> {
         let client = TargetClient::new(TargetLimits {
             connect_timeout: CONNECT_TIMEOUT,
@@ -83,7 +87,7 @@
         });
         Arc::new(Self {
             budgets: RetryBudgets::new(Arc::clone(&shared)),
-            selector: TargetSelector::new(Arc::clone(&shared)),
+            selector: TargetSelector::new(Arc::clone(&shared), coordinator),
             statements: StatementRecorder::new(Arc::clone(&shared)),
             forwarder: RequestForwarder::new(Arc::clone(&shared)),
             suspicion: SuspicionReporter::new(Arc::clone(&shared), peers),
@@ -152,6 +156,7 @@
             return Err(FailurePoint::Quarantined.into());
         }
         self.statements.log_choice(job, &target, now);
+        let mut awaited = AwaitedResponse::begin(&self.shared, job, &target, now);
         let request = self.build_request(job, &target, remaining, last_event);
         let address = TargetAddress {
             address: target.address.clone(),
@@ -165,7 +170,7 @@
         let sending = client.send_tracked(&address, request, needs_new_connection, &progress);
         let mut run = TargetRun::start(job.run_info(&target, now), self.run_listeners.clone());
         match self
-            .wait_head(sending, &progress, job, &target, now, may_reroute)
+            .wait_head(sending, &progress, job, &target, &mut awaited, may_reroute)
             .await
         {
             Ok(reply) => {
@@ -174,6 +179,7 @@
                     slot,
                     run,
                     sent_at: now,
+                    awaited,
                 };
                 self.check_head(job, attempt, reply).await
             }
@@ -217,7 +223,7 @@
         progress: &SendProgress,
         job: &RequestJob,
         target: &RouteTarget,
-        sent: Moment,
+        awaited: &mut AwaitedResponse,
         may_reroute: bool,
     ) -> Result<TargetResponse, HeadWaitError> {
         tokio::pin!(sending);
@@ -236,7 +242,8 @@
             if may_forward && !progress.has_begun() {
                 return Err(HeadWaitError::Send(SendError::Connect));
             }
-            let waited = now.saturating_sub(sent);
+            let waited = now.saturating_sub(awaited.begun_at());
+            awaited.check_overdue(&self.shared, target, now);
             let limit = silence_limit_for(job, target);
             let is_silent = waited > limit && target.gauge.silence(now) > limit;
             if is_silent {
@@ -273,9 +280,10 @@
     ) -> Result<ResponseStart, FailedAttempt> {
         let SentAttempt {
             target,
-            slot,
+            mut slot,
             mut run,
             sent_at,
+            awaited,
         } = attempt;
         let TargetResponse { head, body } = reply;
         let info = self
@@ -289,6 +297,7 @@
         if info.is_not_run || info.is_other_incarnation {
             run.end_unreported();
             target.gauge.record_outcome(true);
+            slot.keep_unreported();
             if info.is_other_incarnation || info.failed_member.is_some() {
                 self.suspicion.suspect(&target, now);
             }
@@ -311,6 +320,7 @@
                 head,
                 body,
                 run,
+                awaited,
             });
         }
         target.gauge.record_outcome(true);
@@ -356,18 +366,23 @@
     ) -> Result<(http::response::Parts, Bytes), FailurePoint> {
         let ResponseStart {
             target,
-            slot,
+            mut slot,
             head,
             body,
             mut run,
+            mut awaited,
         } = response;
         let remaining = job.deadline.saturating_sub(BootClock::now());
         let reading = self.read_complete(&run, body);
         let read = tokio::time::timeout(remaining, reading).await;
+        if matches!(read, Ok(Ok(_))) {
+            slot.iter_mut().for_each(SlotGuard::end_prefill);
+        }
         drop(slot);
         self.selector.serve_queue();
         match read {
             Ok(Ok(bytes)) => {
+                awaited.record_end(&self.shared, job, &target, BootClock::now());
                 run.complete(&self.shared.suspects);
                 Ok((head, bytes))
             }
--- a/crates/fleet/src/gauge.rs
+++ b/crates/fleet/src/gauge.rs
@@ -8,7 +8,10 @@
 use briarswitch_membership::{target_key, TargetKey};
 
 use crate::micros::micros;
+use crate::queue_client::SlotRelease;
+use crate::slot_forecast::HoldingTimer;
 use crate::statements::TargetStatements;
+use crate::target_speed::TargetSpeed;
 
 /// Divisor of the exponential smoothing: the newest sample has a weight of one in this many.
 const FAILURE_SMOOTHING: u32 = 4;
@@ -61,6 +64,7 @@
     rank_at: AtomicU64,
     warming_until: AtomicU64,
     statements: TargetStatements,
+    speed: TargetSpeed,
 }
 
 impl TargetGauge {
@@ -181,6 +185,11 @@
         &self.statements
     }
 
+    /// Returns the observed speed of the target, or of the group that it leads.
+    pub fn speed(&self) -> &TargetSpeed {
+        &self.speed
+    }
+
     /// Records that bytes arrived from the target, and clears any suspicion.
     pub fn record_activity(&self, now: Moment) {
         self.heard_at.store(micros(now), Ordering::Relaxed);
@@ -283,6 +292,9 @@
     gauge: Arc<TargetGauge>,
     /// Prompt tokens of the request until its first event.
     prefill_tokens: Option<u64>,
+    /// Tells the coordinator of a queue that the slot is free.
+    release: Option<SlotRelease>,
+    holding: Option<HoldingTimer>,
 }
 
 impl SlotGuard {
@@ -299,9 +311,30 @@
         Self {
             gauge: Arc::clone(gauge),
             prefill_tokens: Some(tokens),
+            release: None,
+            holding: None,
+        }
+    }
+
+    /// Adds what happens after the slot has been released.
+    pub fn with_release(self, release: Option<SlotRelease>) -> Self {
+        let mut guard = self;
+        guard.release = release;
+        guard
+    }
+
+    /// Does not report the slot as free when it is released, since the target has refused the request as full.
+    pub fn keep_unreported(&mut self) {
+        if let Some(release) = self.release.take() {
+            release.cancel();
         }
     }
 
+    /// Measures for how long the slot is held.
+    pub fn set_timer(&mut self, timer: HoldingTimer) {
+        self.holding = Some(timer);
+    }
+
     /// Records that the target has processed the prompt, as the first event shows.
     pub fn end_prefill(&mut self) {
         if let Some(tokens) = self.prefill_tokens.take() {
@@ -315,7 +348,13 @@
 
 impl Drop for SlotGuard {
     fn drop(&mut self) {
+        // A target that rejects the request does not process its prompt.
+        let has_run = self.prefill_tokens.is_none();
+        if let Some(timer) = self.holding.take().filter(|_| has_run) {
+            timer.record();
+        }
         self.end_prefill();
         self.gauge.local.fetch_sub(1, Ordering::Relaxed);
+        drop(self.release.take());
     }
 }
--- a/crates/fleet/src/metrics.rs
+++ b/crates/fleet/src/metrics.rs
@@ -11,6 +11,7 @@
 use prometheus::{Encoder, Registry, TextEncoder};
 
 use crate::costs::CostCounters;
+use crate::queue_inbox::{PriorityCounts, PRIORITIES};
 
 /// Bucket bounds of the latency histograms in seconds; the latency objectives lie between 0.15 and 0.4.
 const LATENCY_BOUNDS: [f64; 12] = [
@@ -24,16 +25,23 @@
     requests: Counter<u64>,
     resumes: Counter<u64>,
     orders: Counter<u64>,
+    changeovers: Counter<u64>,
     target_crashes: Counter<u64>,
     quarantines: Counter<u64>,
     quarantine_refusals: Counter<u64>,
     limit_changes: Counter<u64>,
     backoffs: Counter<u64>,
+    forecast_refusals: Counter<u64>,
     unmarked_ends: Counter<u64>,
     latency: Histogram<f64>,
     first_event: Histogram<f64>,
     config_version: Arc<AtomicU64>,
     partitioned: Arc<AtomicU64>,
+    queue_grants: Counter<u64>,
+    queue_refusals: Counter<u64>,
+    queue_fallbacks: Counter<u64>,
+    queue_waiting: Arc<[AtomicU64; PRIORITIES]>,
+    slow_targets: Arc<AtomicU64>,
 }
 
 /// Labels of one request.
@@ -77,6 +85,7 @@
             value
         };
         let (config_version, partitioned) = (gauge("config_version"), gauge("partitioned"));
+        let slow_targets = gauge("slow_targets");
         meter
             .u64_observable_counter("costs")
             .with_callback(move |observer| {
@@ -85,15 +94,32 @@
                 }
             })
             .build();
+        let queue_waiting: Arc<[AtomicU64; PRIORITIES]> = Arc::default();
+        let observed = Arc::clone(&queue_waiting);
+        meter
+            .u64_observable_gauge("queue_waiting")
+            .with_callback(move |observer| {
+                for (priority, waiting) in observed.iter().enumerate() {
+                    let attributes = [KeyValue::new("priority", priority as i64)];
+                    observer.observe(waiting.load(Ordering::Relaxed), &attributes);
+                }
+            })
+            .build();
         Self {
+            queue_grants: meter.u64_counter("queue_grants").build(),
+            queue_refusals: meter.u64_counter("queue_refusals").build(),
+            queue_fallbacks: meter.u64_counter("queue_fallbacks").build(),
+            queue_waiting,
             requests: meter.u64_counter("requests").build(),
             resumes: meter.u64_counter("stream_resumes").build(),
             orders: meter.u64_counter("orders").build(),
+            changeovers: meter.u64_counter("changeovers").build(),
             target_crashes: meter.u64_counter("target_ends").build(),
             quarantines: meter.u64_counter("quarantines").build(),
             quarantine_refusals: meter.u64_counter("quarantine_refusals").build(),
             limit_changes: meter.u64_counter("target_limit_changes").build(),
             backoffs: meter.u64_counter("target_backoffs").build(),
+            forecast_refusals: meter.u64_counter("forecast_refusals").build(),
             unmarked_ends: meter.u64_counter("unmarked_ends").build(),
             latency: histogram("request_seconds"),
             first_event: histogram("first_event_seconds"),
@@ -101,6 +127,7 @@
             _provider: provider,
             config_version,
             partitioned,
+            slow_targets,
         }
     }
 
@@ -139,6 +166,12 @@
             .add(1, &[KeyValue::new("service", service.to_owned())]);
     }
 
+    /// Counts one request that was refused because no slot could be expected in time.
+    pub fn count_forecast_refusal(&self, service: &str) {
+        self.forecast_refusals
+            .add(1, &[KeyValue::new("service", service.to_owned())]);
+    }
+
     /// Counts one change of a limit that a target states.
     pub fn count_limit_change(&self, change: LimitChange) {
         self.limit_changes
@@ -153,6 +186,15 @@
         );
     }
 
+    /// Counts one group whose changeover to a model has ended.
+    pub fn count_changeover(&self, model: &str, outcome: &'static str) {
+        let attributes = [
+            KeyValue::new("model", model.to_owned()),
+            KeyValue::new("outcome", outcome),
+        ];
+        self.changeovers.add(1, &attributes);
+    }
+
     /// Counts one crash of a target on which requests of this node were running.
     pub fn count_target_crash(&self, evidence: &'static str) {
         self.target_crashes
@@ -170,6 +212,35 @@
         self.quarantine_refusals.add(1, &attributes);
     }
 
+    /// Counts slots that this node granted as the coordinator of a queue.
+    pub fn count_queue_grants(&self, service: &str, model: &str, grants: u32) {
+        if grants > 0 {
+            self.queue_grants
+                .add(u64::from(grants), &queue_labels(service, model));
+        }
+    }
+
+    /// Counts requests that this node refused as the coordinator of a queue.
+    pub fn count_queue_refusals(&self, service: &str, model: &str, refusals: u32) {
+        if refusals > 0 {
+            self.queue_refusals
+                .add(u64::from(refusals), &queue_labels(service, model));
+        }
+    }
+
+    /// Counts one time that requests place themselves because a queue cannot be used.
+    pub fn count_queue_fallback(&self, reason: &'static str) {
+        self.queue_fallbacks
+            .add(1, &[KeyValue::new("reason", reason)]);
+    }
+
+    /// Sets the number of requests by priority that wait in the queues that this node coordinates.
+    pub fn set_queue_waiting(&self, waiting: PriorityCounts) {
+        for (observed, waiting) in self.queue_waiting.iter().zip(waiting) {
+            observed.store(u64::from(waiting), Ordering::Relaxed);
+        }
+    }
+
     /// Sets the version of the configuration in effect.
     pub fn set_config_version(&self, version: u64) {
         self.config_version.store(version, Ordering::Relaxed);
@@ -181,6 +252,11 @@
             .store(u64::from(is_partitioned), Ordering::Relaxed);
     }
 
+    /// Sets the number of groups and targets that get only probe requests of this node.
+    pub fn set_slow_targets(&self, count: usize) {
+        self.slow_targets.store(count as u64, Ordering::Relaxed);
+    }
+
     /// Returns the metrics in the Prometheus text format.
     pub fn render(&self) -> Vec<u8> {
         let mut text = Vec::new();
@@ -190,3 +266,10 @@
         text
     }
 }
+
+fn queue_labels(service: &str, model: &str) -> [KeyValue; 2] {
+    [
+        KeyValue::new("service", service.to_owned()),
+        KeyValue::new("model", model.to_owned()),
+    ]
+}
--- a/crates/fleet/src/shared.rs
+++ b/crates/fleet/src/shared.rs
@@ -21,10 +21,12 @@
 use crate::gauge::NodeRank;
 use crate::gauge_map::GaugeMap;
 use crate::metrics::FleetMetrics;
+use crate::need::NeedMeter;
 use crate::ports::{FeedMark, FeedRequest, FeedResponse, FleetPlatform, NodeEntry, SourceError};
 use crate::reach::TargetReach;
 use crate::routing_table::{RouteTarget, RoutingTable};
 use crate::settings::FleetSettings;
+use crate::speed_sample::SpeedConditions;
 use crate::statements::LimitShare;
 use crate::suspect_ledger::SuspectLedger;
 
@@ -84,6 +86,8 @@
     pub gauges: GaugeMap,
     /// Whether this node reaches targets.
     pub reach: TargetReach,
+    /// Conditions under which this node observes the speed of targets.
+    pub speed: SpeedConditions,
     /// The other live nodes.
     pub live_view: Snapshot<LiveView>,
     /// Combined work of all other nodes.
@@ -96,6 +100,8 @@
     pub started_at: Moment,
     /// Demand of callers by model.
     pub demand: DemandMeter,
+    /// Short-term need by model; empty unless groups change over between models.
+    pub need: NeedMeter,
     /// Overhead of the control plane, by cause.
     pub costs: Arc<CostCounters>,
     /// Metrics of the node.
@@ -139,6 +145,7 @@
             suspects: SuspectLedger::new(Arc::clone(&platform.clock)),
             gauges: GaugeMap::default(),
             reach: TargetReach::default(),
+            speed: SpeedConditions::default(),
             live_view: Snapshot::new(LiveView::new(own.clone())),
             membership: Mutex::new(Membership::new(own)),
             peers_known: watch::Sender::new(false),
@@ -146,6 +153,7 @@
             started_at: BootClock::now(),
             peer_work: Snapshot::new(WorkSum::default()),
             demand: DemandMeter::default(),
+            need: NeedMeter::default(),
             metrics: FleetMetrics::new(Arc::clone(&costs)),
             costs,
             in_flight: AtomicUsize::new(0),
--- a/crates/fleet/src/target_selector.rs
+++ b/crates/fleet/src/target_selector.rs
@@ -5,9 +5,11 @@
 
 use briarswitch_core::engine::EngineSpec;
 use briarswitch_core::evacuation::EvacuatedZones;
+use briarswitch_core::forecast::Refusal;
 use briarswitch_core::id::*;
 use briarswitch_core::outcome::FailurePoint;
 use briarswitch_core::placement::{pick_group, slot_share, GroupLoad, PlacementParams};
+use briarswitch_core::shared_queue::GroupKey;
 use briarswitch_core::traffic::ServiceSpec;
 use briarswitch_core::waiting::{WaitParams, WaitingRequest};
 use briarswitch_kernel::BootClock;
@@ -16,10 +18,16 @@
 use crate::gauge::SlotGuard;
 use crate::job::RequestJob;
 use crate::peers::PROPAGATION_TIME;
+use crate::queue_client::{QueueClient, SlotRelease};
+use crate::queue_coordinator::QueueCoordinator;
 use crate::restriction::{AcquiredSlot, PassedOver, Restriction, SlotError, TargetOutlook};
 use crate::routing_table::{RouteTarget, RoutingTable};
 use crate::shared::FleetShared;
-use crate::slot_queue::{wait_for_slot, QueueKey, ReservedTarget, SlotQueue, SlotRequest};
+use crate::slot_forecast::SlotForecast;
+use crate::slot_queue::{
+    wait_for_slot, QueueKey, ReservedTarget, SlotQueue, SlotReply, SlotRequest,
+};
+use crate::speed_judge::{due_probe, without_slow};
 use crate::statements::LimitShare;
 
 /// Interval at which a waiting request checks for a free slot if it is not woken before.
@@ -32,8 +40,10 @@
 
 /// Selects targets and reserves slots there.
 pub struct TargetSelector {
-    shared: Arc<FleetShared>,
-    queue: SlotQueue,
+    pub(crate) shared: Arc<FleetShared>,
+    pub(crate) queue: SlotQueue,
+    queue_client: Arc<QueueClient>,
+    forecast: SlotForecast,
 }
 
 /// A target with a free slot.
@@ -58,12 +68,14 @@
 }
 
 impl TargetSelector {
-    /// Creates a selector with an empty queue.
-    pub fn new(shared: Arc<FleetShared>) -> Self {
-        Self {
+    /// Creates a selector with an empty queue; `coordinator` is that of this node.
+    pub fn new(shared: Arc<FleetShared>, coordinator: Arc<QueueCoordinator>) -> Arc<Self> {
+        Arc::new_cyclic(|selector| Self {
+            queue_client: QueueClient::new(Arc::clone(&shared), coordinator, selector.clone()),
+            forecast: SlotForecast::new(Arc::clone(&shared)),
             shared,
             queue: SlotQueue::default(),
-        }
+        })
     }
 
     /// Reserves a slot at a target, waiting for one if none is free.
@@ -119,17 +131,21 @@
             first_event_time: self.queue.usual_first_event_time(&slot_request.key),
             deadline: job.deadline,
             priority: job.priority,
+            forecasts: self.forecast.is_enabled(),
             ..params
         });
         let now = BootClock::now();
+        self.forecast
+            .record_arrival(&slot_request.key, &request, now);
         slot_request.is_late = request.is_late(now);
         if self.is_barred(&slot_request) {
             return Err(FailurePoint::NoTarget.into());
         }
         // A new request must not overtake waiting ones that can still meet their objective.
         let waiting = self.queue.waiting(&slot_request.key);
-        if waiting == 0 {
-            if let Some(acquired) = self.try_acquire(&slot_request, now) {
+        let is_shared = self.queue_client.route(&slot_request.key, now).is_some();
+        if waiting == 0 && !is_shared {
+            if let Some(acquired) = self.try_acquire(&slot_request, None, now) {
                 return Ok(acquired);
             }
         }
@@ -139,7 +155,16 @@
             return Err(refusal);
         }
         let key = slot_request.key.clone();
-        let (ticket, reserved) = self.queue.push(slot_request, request);
+        let is_counted = self.shared.settings.load_control.changes_over;
+        let waiting_model = key.1.as_ref().filter(|_| is_counted);
+        let _waiting = self.shared.need.wait(waiting_model);
+        let expected_wait =
+            self.forecast
+                .expected_wait(&key, &request, || self.queue.requests(&key), now);
+        let (ticket, reply) = self.queue.push(slot_request, request);
+        if let Some(route) = self.queue_client.route(&key, now) {
+            route.link(ticket, now).inspect(|link| link.notify());
+        }
         self.serve_queue();
         let _guard = QueueGuard {
             queue: &self.queue,
@@ -147,17 +172,34 @@
             ticket,
         };
         let poll = || self.serve_queue();
-        let reserved = wait_for_slot(reserved, request, SLOT_POLL_INTERVAL, poll).await;
-        match reserved {
-            Some((target, slot)) => Ok(AcquiredSlot {
-                target,
-                slot,
-                passed_over,
-            }),
-            None => Err(SlotError {
+        let reply = wait_for_slot(reply, request, SLOT_POLL_INTERVAL, poll).await;
+        match reply {
+            Some(SlotReply::Reserved {
+                reserved: (target, slot),
+                granted_by,
+            }) => {
+                self.forecast.check(&key, expected_wait, now);
+                Ok(AcquiredSlot {
+                    target,
+                    slot,
+                    passed_over,
+                    granted_by,
+                })
+            }
+            Some(SlotReply::Refused { available_in }) => Err(SlotError {
+                available_in,
                 passed_over,
                 ..FailurePoint::NoTarget.into()
             }),
+            None => {
+                let refusal = self.queue.take_refusal(ticket);
+                let forecast =
+                    refusal.map(|refusal| self.forecast.refuse(&key, job, refusal, passed_over));
+                Err(forecast.unwrap_or(SlotError {
+                    passed_over,
+                    ..FailurePoint::NoTarget.into()
+                }))
+            }
         }
     }
 
@@ -178,7 +220,7 @@
     }
 
     /// Returns whether a request may be processed in the zone of a target.
-    fn is_permitted(
+    pub(crate) fn is_permitted(
         &self,
         slot_request: &SlotRequest,
         target: &RouteTarget,
@@ -208,7 +250,7 @@
     }
 
     /// Returns why this node may not send a request to a target now, if so.
-    fn restriction(
+    pub(crate) fn restriction(
         &self,
         spec: Option<&ServiceSpec>,
         target: &RouteTarget,
@@ -254,11 +296,48 @@
         lowest.map(|(limit, silence)| self.shared.limit_share(limit, silence, target, now))
     }
 
-    /// Reserves free slots for waiting requests.
+    /// Reserves free slots for waiting requests, but for those that wait in a queue of all nodes.
     pub fn serve_queue(&self) {
-        if !self.queue.is_empty() {
-            self.queue.serve(|slot_request| self.pick(slot_request));
+        if self.queue.is_empty() {
+            return;
         }
+        let now = BootClock::now();
+        let route = |key: &QueueKey| {
+            let route = self.queue_client.route(key, now)?;
+            self.queue_client.run_all(&route, key, now);
+            Some(route)
+        };
+        self.queue.serve(
+            route,
+            |slot_request| self.pick(slot_request),
+            |key, waiting| self.refusals(key, waiting),
+        );
+    }
+
+    /// Returns the waiting requests for which no slot can be expected in time, by their index.
+    ///
+    /// While targets restrict the requests of this node, these restrictions decide.
+    fn refusals(&self, key: &QueueKey, waiting: &[WaitingRequest]) -> Vec<(usize, Refusal)> {
+        if waiting.is_empty() || !self.forecast.is_enabled() {
+            return Vec::new();
+        }
+        let now = BootClock::now();
+        let table = self.shared.routing_table.load();
+        let config = self.shared.config.load();
+        let config = config.as_ref().as_ref();
+        let spec = config.and_then(|config| config.services.get(&key.0));
+        let targets = routes_of(&table, key);
+        let is_restricted = targets.iter().any(|target| {
+            let restriction = self.restriction(spec, target, now);
+            restriction.is_some_and(|restriction| restriction != Restriction::Leaving)
+        });
+        if is_restricted {
+            return Vec::new();
+        }
+        let engine = spec.and_then(|spec| spec.engine.as_ref());
+        engine.map_or_else(Vec::new, |engine| {
+            self.forecast.refusals(key, waiting, engine, targets, now)
+        })
     }
 
     /// Records the time from reserving a slot to the first event of a stream.
@@ -269,36 +348,55 @@
 
     /// Returns whether a slot could be reserved without waiting.
     pub fn has_slot(&self, slot_request: &SlotRequest) -> bool {
-        self.select(slot_request, BootClock::now()).is_some()
+        self.select(slot_request, None, BootClock::now()).is_some()
     }
 
     /// Reserves a slot without waiting; `None` if every target is full, suspect, restricted or already tried.
     pub fn pick(&self, slot_request: &SlotRequest) -> Option<ReservedTarget> {
-        let acquired = self.try_acquire(slot_request, BootClock::now())?;
+        let acquired = self.try_acquire(slot_request, None, BootClock::now())?;
         Some((acquired.target, acquired.slot))
     }
 
-    fn try_acquire(&self, slot_request: &SlotRequest, now: Moment) -> Option<AcquiredSlot> {
+    /// Reserves a slot without waiting, at the group `granted` if a coordinator has granted it.
+    pub(crate) fn try_acquire(
+        &self,
+        slot_request: &SlotRequest,
+        granted: Option<GroupKey>,
+        now: Moment,
+    ) -> Option<AcquiredSlot> {
         let TargetSelection {
             target,
             share,
             passed_over,
-        } = self.select(slot_request, now)?;
+        } = self.select(slot_request, granted, now)?;
         // Another thread may have sent a request since the target was found usable.
         let is_full = share.is_some_and(|share| !target.gauge.statements().reserve(&share, now));
         if is_full || !target.gauge.statements().reserve_after_backoff(now) {
             return None;
         }
-        let slot = SlotGuard::acquire(&target.gauge, slot_request.prompt_tokens, now);
+        if target.gauge.speed().is_slow() {
+            target.gauge.speed().record_probe(now);
+        }
+        let release = SlotRelease::of(&self.queue_client, &slot_request.key, target.gauge.key());
+        let mut slot = SlotGuard::acquire(&target.gauge, slot_request.prompt_tokens, now);
+        if let Some(timer) = self.forecast.timer(&slot_request.key, now) {
+            slot.set_timer(timer);
+        }
         Some(AcquiredSlot {
             target,
-            slot,
+            slot: slot.with_release(release),
             passed_over,
+            granted_by: NodeId::new(),
         })
     }
 
-    /// Selects a target with a free slot.
-    fn select(&self, slot_request: &SlotRequest, now: Moment) -> Option<TargetSelection> {
+    /// Selects a target with a free slot; if a coordinator has granted one, it is that target or none.
+    fn select(
+        &self,
+        slot_request: &SlotRequest,
+        granted: Option<GroupKey>,
+        now: Moment,
+    ) -> Option<TargetSelection> {
         let table = self.shared.routing_table.load();
         let config = self.shared.config.load();
         let (service, model) = &slot_request.key;
@@ -307,7 +405,8 @@
         let evacuated = self.shared.evacuated.read();
         let mut passed_over = PassedOver::default();
         let is_usable = |target: &&Arc<RouteTarget>| {
-            if slot_request.tried.contains(&target.id)
+            if granted.is_some_and(|granted| granted != target.gauge.key())
+                || slot_request.tried.contains(&target.id)
                 || target.gauge.is_suspect(now)
                 || !self.is_permitted(slot_request, target, &evacuated)
             {
@@ -319,7 +418,16 @@
         };
         let targets = routes_of(&table, &slot_request.key);
         let candidates: Vec<&Arc<RouteTarget>> = targets.iter().filter(is_usable).collect();
+        let slots = engine.map(|spec| spec.slots);
+        // The coordinator of a queue has chosen among the groups itself.
+        let (probe, candidates) = if granted.is_some() {
+            (candidates.first().copied(), candidates)
+        } else {
+            let probe = due_probe(&self.shared, &candidates, slots, now);
+            (probe, without_slow(candidates))
+        };
         let target = match engine {
+            _ if granted.is_some() || probe.is_some() => probe?,
             Some(engine) => {
                 let model = engine.models.get(model.as_ref()?)?;
                 let loads: Vec<GroupLoad> = candidates
@@ -378,6 +486,7 @@
             delay: delay.map_or(Duration::ZERO, |delay| delay.delay),
             is_queueing: group.gauge.is_queueing(now),
             is_request_late: false,
+            speed_ratio: group.gauge.speed().ratio(),
         }
     }
 
@@ -392,7 +501,10 @@
             } else {
                 0.0
             };
-            load + zone_penalty + target.gauge.failure_rate() * FAILURE_WEIGHT
+            let ratio = target.gauge.speed().ratio();
+            // The request itself takes longer too.
+            let slowness = load * (ratio - 1.0) + (ratio - 1.0) / slots;
+            load + slowness + zone_penalty + target.gauge.failure_rate() * FAILURE_WEIGHT
         };
         let candidates = candidates.iter().copied();
         candidates.min_by(|left, right| cost(left).total_cmp(&cost(right)))
@@ -400,7 +512,10 @@
 }
 
 /// Returns the targets among which requests with a key choose.
-fn routes_of<'a>(table: &'a RoutingTable, (service, model): &QueueKey) -> &'a [Arc<RouteTarget>] {
+pub(crate) fn routes_of<'a>(
+    table: &'a RoutingTable,
+    (service, model): &QueueKey,
+) -> &'a [Arc<RouteTarget>] {
     match model {
         Some(model) => table.groups(service, model),
         None => table.single_targets(service),
--- a/crates/fleet/src/trace.rs
+++ b/crates/fleet/src/trace.rs
@@ -16,6 +16,8 @@
 use crate::restriction::PassedOver;
 use crate::routing_table::RouteTarget;
 use crate::shared::FleetShared;
+use crate::slot_forecast::ForecastRefusal;
+use crate::target_speed::rounded;
 
 /// How a request ended.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
@@ -89,6 +91,10 @@
     pub first_event: Option<Duration>,
     /// Targets that could not be used for the last attempt.
     pub passed_over: PassedOver,
+    /// Node that granted the slot of the last attempt; empty if this node found it by itself.
+    pub granted_by: NodeId,
+    /// Forecast because of which the request was refused, if it was.
+    pub forecast: Option<ForecastRefusal>,
     /// Node to which the request was last forwarded; empty if it was not.
     pub forwarded_to: NodeId,
     /// Node that forwarded the request; empty if it came from its caller.
@@ -97,6 +103,8 @@
     pub longest_pause: Duration,
     /// Number of events sent to the caller.
     pub events: u64,
+    /// By how much the target of the last attempt was slower than the median of those of its kind, as known then.
+    pub speed_ratio: f64,
     end: Option<RequestEnd>,
 }
 
@@ -125,10 +133,13 @@
             slot_wait: None,
             first_event: None,
             passed_over: PassedOver::default(),
+            granted_by: NodeId::new(),
+            forecast: None,
             forwarded_to: NodeId::new(),
             forwarded_by: NodeId::new(),
             longest_pause: Duration::ZERO,
             events: 0,
+            speed_ratio: 1.0,
             end: None,
         }
     }
@@ -208,6 +219,8 @@
     pub fn record_peer(&mut self, peer: &NodeId, head: &ForwardedHead) {
         self.forwarded_to.clone_from(peer);
         self.group.clear();
+        // That node logs what it knew of the target.
+        self.speed_ratio = 1.0;
         self.target.clone_from(&head.target);
         self.attempts_sent = head.attempts_sent;
     }
@@ -215,6 +228,7 @@
     /// Records the target of an attempt.
     pub fn record_target(&mut self, target: &RouteTarget) {
         self.target.clone_from(&target.id);
+        self.speed_ratio = target.gauge.speed().ratio();
         self.forwarded_to.clear();
         if let Some(group) = &target.group {
             self.group.clone_from(&group.id);
@@ -277,6 +291,7 @@
             group = self.group.as_str(),
             forwarded_to = self.forwarded_to.as_str(),
             forwarded_by = self.forwarded_by.as_str(),
+            granted_by = self.granted_by.as_str(),
             outcome = end.name(),
             reason = self.reason,
             prompt_tokens = self.prompt_tokens,
@@ -286,10 +301,12 @@
             limited = self.passed_over.limited,
             backing_off = self.passed_over.backing_off,
             leaving = self.passed_over.leaving,
+            forecast_ms = self.forecast.map_or(0, |forecast| forecast.logged_ms()),
             patience_ms = self.timeout.as_millis() as u64,
             before_ms = self.waited_before.as_millis() as u64,
             wait_ms = self.slot_wait.map_or(0, |wait| wait.as_millis() as u64),
             first_ms = self.first_event.map_or(0, |first| first.as_millis() as u64),
+            speed_ratio = rounded(self.speed_ratio),
             pause_ms = self.longest_pause.as_millis() as u64,
             ms = latency.as_millis() as u64;
             "request_ended"
--- a/crates/membership/src/lib.rs
+++ b/crates/membership/src/lib.rs
@@ -20,12 +20,12 @@
 mod wire;
 mod work;
 
-pub use digest::{Digest, DigestOrigin, Heartbeat, MAX_LIMIT_REPORTS};
+pub use digest::{Digest, DigestOrigin, Heartbeat, MAX_LIMIT_REPORTS, MAX_SPEED_REPORTS};
 pub use gossip::{Gossip, GossipTarget, NodeStatus};
 pub use membership::Membership;
 pub use node::NodeEntry;
 pub use rank::{node_hash, rank_of, RankKey};
 pub use roster::{Roster, RosterDelta, RosterMember, RosterStatus, RosterVersion, MEMBER_TIMEOUT};
-pub use view::{KeyHolders, LiveView, ReachingPeer, ReaderRole};
+pub use view::{KeyHolders, LiveView, RankedNode, ReachingPeer, ReaderRole};
 pub use wire::GossipDoc;
 pub use work::{target_key, RequestCounts, TargetKey, WorkSum};
