--- a/crates/core/src/placement.rs
+++ b/crates/core/src/placement.rs
@@ -12,6 +12,8 @@
 const MAX_UTILIZATION_CROWDED: f64 = 0.95;
 /// Utilization up to which late requests may take slots if there are more nodes than slots.
 const MAX_UTILIZATION_LATE: f64 = 0.75;
+/// Same limit if there are at most as many nodes as slots.
+const MAX_UTILIZATION_LATE_FEW_NODES: f64 = 0.5;
 /// Tolerance in slots for rounding errors in sums of weights.
 const ROUNDING: f64 = 1e-6;
 
@@ -150,7 +152,7 @@
     let part = if nodes > engine.slots {
         MAX_UTILIZATION_LATE
     } else {
-        0.5
+        MAX_UTILIZATION_LATE_FEW_NODES
     };
     f64::from(engine.slots) * part
 }
--- a/crates/core/src/queue_order.rs
+++ b/crates/core/src/queue_order.rs
@@ -1,7 +1,7 @@
 //! Order in which the requests of a shared queue are served in one round.
 //!
 //! Classes follow each other; within one, organisations take turns by their clocks, and each organisation's requests
-//! keep the order of [`WaitingRequest::sort_key`].
+//! keep the order of [`sort_key`](crate::waiting::WaitingRequest::sort_key).
 
 use std::cmp::Reverse;
 use std::collections::{BTreeMap, BinaryHeap};
@@ -11,12 +11,10 @@
 use crate::fair::{virtual_cost, OrganisationClock, VirtualTag};
 use crate::id::{Moment, OrganisationId};
 use crate::shared_queue::QueuedRequest;
-use crate::waiting::WaitingRequest;
+use crate::waiting::RequestClass;
 
-/// Class of a request: resumptions first, then on time before late, then by priority.
-pub(crate) type ServiceClass = (bool, bool, u8);
 /// Clocks of the organisations by class.
-pub(crate) type ClassClocks = IndexMap<ServiceClass, OrganisationClock>;
+pub(crate) type ClassClocks = IndexMap<RequestClass, OrganisationClock>;
 /// Weights of the organisations that do not have the usual one.
 pub(crate) type OrganisationWeights = IndexMap<OrganisationId, u32>;
 /// Order among the requests of one class and organisation.
@@ -25,12 +23,6 @@
 /// Weight of an organisation for which none is configured.
 const DEFAULT_WEIGHT: u32 = 1;
 
-/// Returns the class of a request.
-pub(crate) fn service_class(request: &WaitingRequest, now: Moment) -> ServiceClass {
-    let (is_new, is_late, priority, _) = request.sort_key(now);
-    (is_new, is_late, priority)
-}
-
 /// Returns the weight of an organisation.
 pub(crate) fn weight_of(weights: &OrganisationWeights, organisation: &str) -> u32 {
     weights.get(organisation).copied().unwrap_or(DEFAULT_WEIGHT)
@@ -48,7 +40,7 @@
     weights: &OrganisationWeights,
     now: Moment,
 ) -> Vec<usize> {
-    let mut classes: BTreeMap<ServiceClass, IndexMap<&str, Backlog>> = BTreeMap::new();
+    let mut classes: BTreeMap<RequestClass, IndexMap<&str, Backlog>> = BTreeMap::new();
     for (index, queued) in requests.iter().enumerate() {
         let (is_new, is_late, priority, age_key) = queued.request.sort_key(now);
         let class = classes.entry((is_new, is_late, priority)).or_default();
--- a/crates/core/src/queue_rates.rs
+++ b/crates/core/src/queue_rates.rs
@@ -5,13 +5,13 @@
 use indexmap::IndexMap;
 
 use crate::id::Moment;
-use crate::queue_order::ServiceClass;
 use crate::shared_queue::GroupKey;
+use crate::waiting::RequestClass;
 
 /// Time over which rates are averaged; at 10 events per second the error is a fifth.
-const AVERAGING_TIME: Duration = Duration::from_secs(2);
+const RATE_TIME_CONSTANT: Duration = Duration::from_secs(2);
 /// Time for which events must have been observed before their rate is known; half the longest time in a slot.
-const MIN_OBSERVATION: Duration = Duration::from_secs(1);
+const WARMUP_TIME: Duration = Duration::from_secs(1);
 
 /// Count of events in which earlier ones weigh less.
 #[derive(Clone, Copy, Debug, Default, PartialEq)]
@@ -28,7 +28,7 @@
 
     fn at(&self, now: Moment) -> f64 {
         let age = now.saturating_sub(self.counted_at);
-        self.count * (-age.div_duration_f64(AVERAGING_TIME)).exp()
+        self.count * (-age.div_duration_f64(RATE_TIME_CONSTANT)).exp()
     }
 }
 
@@ -36,13 +36,13 @@
 #[derive(Clone, Debug, Default, PartialEq)]
 pub(crate) struct QueueRates {
     observed_since: Option<Moment>,
-    arrivals: IndexMap<ServiceClass, DecayingCount>,
+    arrivals: IndexMap<RequestClass, DecayingCount>,
     releases: IndexMap<GroupKey, DecayingCount>,
 }
 
 impl QueueRates {
     /// Records requests of a class that have arrived.
-    pub(crate) fn record_arrival(&mut self, class: ServiceClass, now: Moment) {
+    pub(crate) fn record_arrival(&mut self, class: RequestClass, now: Moment) {
         self.observed_since.get_or_insert(now);
         self.arrivals.entry(class).or_default().add(1, now);
     }
@@ -54,7 +54,7 @@
     }
 
     /// Returns arrivals per second of the classes that satisfy a condition.
-    pub(crate) fn arrival_rate(&self, now: Moment, counts: impl Fn(&ServiceClass) -> bool) -> f64 {
+    pub(crate) fn arrival_rate(&self, now: Moment, counts: impl Fn(&RequestClass) -> bool) -> f64 {
         let counted = self.arrivals.iter().filter(|(class, _)| counts(class));
         counted.map(|(_, count)| count.at(now)).sum::<f64>() * self.scale(now)
     }
@@ -71,10 +71,10 @@
     fn scale(&self, now: Moment) -> f64 {
         let since = self.observed_since.unwrap_or(now);
         let observed = now.saturating_sub(since);
-        if observed < MIN_OBSERVATION {
+        if observed < WARMUP_TIME {
             return 0.0;
         }
-        let covered = 1.0 - (-observed.div_duration_f64(AVERAGING_TIME)).exp();
-        1.0 / (AVERAGING_TIME.as_secs_f64() * covered)
+        let covered = 1.0 - (-observed.div_duration_f64(RATE_TIME_CONSTANT)).exp();
+        1.0 / (RATE_TIME_CONSTANT.as_secs_f64() * covered)
     }
 }
--- a/crates/core/src/queue_round.rs
+++ b/crates/core/src/queue_round.rs
@@ -6,12 +6,11 @@
 
 use crate::forecast::{refusal, SlotOutlook};
 use crate::id::Moment;
-use crate::queue_order::{service_class, ServiceClass};
 use crate::queue_rates::QueueRates;
-use crate::queue_shares::{OrganisationShares, FLOOR_INTERVAL};
+use crate::queue_shares::{OrganisationShares, STARVATION_INTERVAL};
 use crate::queue_slots::{FreeSlots, SlotLedger};
 use crate::shared_queue::{GroupCapacity, GroupKey, QueuedRequest};
-use crate::waiting::{WaitVerdict, WaitingRequest};
+use crate::waiting::{RequestClass, WaitVerdict, WaitingRequest};
 
 /// Group of each request that was granted a slot, by the request's index.
 pub(crate) type RoundGrants = IndexMap<usize, GroupKey>;
@@ -50,15 +49,15 @@
         if free.is_empty() {
             return grants;
         }
-        let floor_times = self.shares.floor_times(&self.requests);
-        let mut starved = floor_times
+        let starvation_times = self.shares.starvation_times(&self.requests);
+        let mut starved = starvation_times
             .into_iter()
             .filter(|(_, time)| self.now > *time)
             .map(|(organisation, _)| organisation)
             .collect::<Vec<_>>()
             .into_iter();
         for index in order {
-            if self.shares.is_floor_due() {
+            if self.shares.is_starved_grant_due() {
                 self.grant_starved(order, &mut starved, &mut free, &mut grants);
             }
             if free.is_empty() {
@@ -81,17 +80,17 @@
         grants: &mut RoundGrants,
     ) {
         for organisation in starved {
-            let is_served = |index: &usize| self.requests[*index].organisation == organisation;
-            if grants.keys().any(is_served) {
+            let is_of_organisation =
+                |index: &usize| self.requests[*index].organisation == organisation;
+            if grants.keys().any(is_of_organisation) {
                 continue;
             }
-            let usable = order.iter().filter(|index| is_served(index));
-            let first = usable
-                .filter_map(|index| Some((*index, self.usable_group(*index, free, grants)?)))
-                .next();
+            let mut candidates = order.iter().filter(|index| is_of_organisation(index));
+            let first = candidates
+                .find_map(|index| Some((*index, self.usable_group(*index, free, grants)?)));
             if let Some((index, group)) = first {
                 self.shares
-                    .record_floor_grant(self.requests[index], self.now);
+                    .record_starved_grant(self.requests[index], self.now);
                 self.take_slot(index, group, free, grants);
                 return;
             }
@@ -129,15 +128,15 @@
     }
 
     fn refuse(&self, order: &[usize], grants: &RoundGrants) -> RoundRefusals {
-        let mut preceding_rates: IndexMap<ServiceClass, PrecedingRates> = IndexMap::new();
+        let mut preceding_rates: IndexMap<RequestClass, PrecedingRates> = IndexMap::new();
         let mut refusals = RoundRefusals::new();
         let remaining = order.iter().filter(|index| !grants.contains_key(*index));
-        let floor_times = self.shares.floor_times(&self.requests);
+        let starvation_times = self.shares.starvation_times(&self.requests);
         let mut organisations: IndexSet<&str> = IndexSet::new();
         let mut ahead = 0;
         for index in remaining {
             let queued = self.requests[*index];
-            let class = service_class(&queued.request, self.now);
+            let class = queued.request.class(self.now);
             let preceding = preceding_rates
                 .entry(class)
                 .or_insert_with(|| self.preceding_rates(class));
@@ -150,12 +149,12 @@
             };
             // Each organisation keeps one request for the next grant to the longest wait, if that comes in time.
             let is_first = organisations.insert(&queued.organisation);
-            let floor = is_first.then(|| floor_times.get_full(queued.organisation.as_str()));
-            let has_floor = floor.flatten().is_some_and(|(rank, _, time)| {
-                self.is_floor_in_time(&queued.request, &outlook, rank, *time)
+            let starved = is_first.then(|| starvation_times.get_full(queued.organisation.as_str()));
+            let is_starved_in_time = starved.flatten().is_some_and(|(rank, _, time)| {
+                self.is_starved_grant_in_time(&queued.request, &outlook, rank, *time)
             });
-            match self.verdict(&queued.request, &outlook, preceding.urgent) {
-                Some(_) if has_floor => ahead += 1,
+            match self.refusal_of(&queued.request, &outlook, preceding.urgent) {
+                Some(_) if is_starved_in_time => ahead += 1,
                 Some(available_in) => refusals.push((*index, available_in)),
                 None => ahead += 1,
             }
@@ -163,8 +162,8 @@
         refusals
     }
 
-    /// Returns when a slot can be expected, if the request is to be refused now.
-    fn verdict(
+    /// Returns `None` if the request keeps waiting; otherwise the time until a slot can be expected, if that is known.
+    fn refusal_of(
         &self,
         request: &WaitingRequest,
         outlook: &SlotOutlook,
@@ -181,15 +180,16 @@
         refusal(request, outlook, self.now).map(|refusal| refusal.available_in)
     }
 
-    /// Returns whether the organisation that waits longest but for `rank` others is served before a request is refused.
-    fn is_floor_in_time(
+    /// Returns whether the starvation guard serves the organisation at `rank` (0 has waited longest) before its request is
+    /// refused.
+    fn is_starved_grant_in_time(
         &self,
         request: &WaitingRequest,
         outlook: &SlotOutlook,
         rank: usize,
         time: Moment,
     ) -> bool {
-        let grants = (rank + 1) as f64 * f64::from(FLOOR_INTERVAL);
+        let grants = (rank + 1) as f64 * f64::from(STARVATION_INTERVAL);
         let wait = Duration::try_from_secs_f64(grants / outlook.release_rate);
         wait.is_ok_and(|wait| time.max(self.now).saturating_add(wait) < request.refuse_at)
     }
@@ -207,7 +207,7 @@
     /// Returns the arrival rates of requests that go before those of a class.
     ///
     /// Of one class, the newest goes first while it is on time, and the oldest once it is late.
-    fn preceding_rates(&self, class: ServiceClass) -> PrecedingRates {
+    fn preceding_rates(&self, class: RequestClass) -> PrecedingRates {
         let (is_new, is_late, _) = class;
         let urgent = self.rates.arrival_rate(self.now, |other| *other < class);
         let is_newest_first = is_new && !is_late;
--- a/crates/core/src/queue_shares.rs
+++ b/crates/core/src/queue_shares.rs
@@ -5,12 +5,13 @@
 use indexmap::IndexMap;
 
 use crate::id::{Moment, OrganisationId};
-use crate::queue_order::{service_class, service_order, weight_of, ClassClocks};
-use crate::queue_order::{OrganisationWeights, ServiceClass};
+use crate::queue_order::{service_order, weight_of, ClassClocks, OrganisationWeights};
 use crate::shared_queue::QueuedRequest;
+use crate::waiting::RequestClass;
 
-/// Of this many grants in a row, at least one goes to the organisation that has waited longest.
-pub(crate) const FLOOR_INTERVAL: u32 = 16;
+/// Starvation guard: of this many grants in a row, one goes to the starved organisation that has waited longest, if
+/// there is one.
+pub(crate) const STARVATION_INTERVAL: u32 = 16;
 /// Time for which the wait of an organisation without waiting requests is remembered; its callers may retry until then.
 const WAIT_TTL: Duration = Duration::from_secs(2);
 
@@ -29,7 +30,7 @@
     clocks: ClassClocks,
     weights: OrganisationWeights,
     waits: IndexMap<OrganisationId, OrganisationWait>,
-    grants_since_floor: u32,
+    grants_since_starved: u32,
 }
 
 impl OrganisationShares {
@@ -71,8 +72,9 @@
         }
     }
 
-    /// Returns from when on each organisation has waited longer than is on time, the longest wait first.
-    pub(crate) fn floor_times<'a>(
+    /// Returns when each organisation counts as starved: once it has waited for longer than any of its requests may wait
+    /// and still be on time. The longest wait comes first.
+    pub(crate) fn starvation_times<'a>(
         &self,
         requests: &[&'a QueuedRequest],
     ) -> IndexMap<&'a str, Moment> {
@@ -93,28 +95,28 @@
         times.map(|(_, name, time)| (name, time)).collect()
     }
 
-    /// Returns whether the next grant goes to the organisation that has waited longest, if there is one.
-    pub(crate) fn is_floor_due(&self) -> bool {
-        self.grants_since_floor + 1 >= FLOOR_INTERVAL
+    /// Returns whether the next grant goes to a starved organisation, if there is one.
+    pub(crate) fn is_starved_grant_due(&self) -> bool {
+        self.grants_since_starved + 1 >= STARVATION_INTERVAL
     }
 
     /// Records a grant to the request whose turn it is.
     pub(crate) fn record_grant(&mut self, queued: &QueuedRequest, now: Moment) {
-        let class = service_class(&queued.request, now);
+        let class = queued.request.class(now);
         let start = self.charge(class, queued, now);
         self.clocks.entry(class).or_default().advance(start);
-        self.grants_since_floor = self.grants_since_floor.saturating_add(1);
+        self.grants_since_starved = self.grants_since_starved.saturating_add(1);
     }
 
-    /// Records a grant to the organisation that has waited longest.
+    /// Records a grant to a starved organisation.
     ///
     /// The clock is not advanced, since the organisations with lower tags have not been served.
-    pub(crate) fn record_floor_grant(&mut self, queued: &QueuedRequest, now: Moment) {
-        self.charge(service_class(&queued.request, now), queued, now);
-        self.grants_since_floor = 0;
+    pub(crate) fn record_starved_grant(&mut self, queued: &QueuedRequest, now: Moment) {
+        self.charge(queued.request.class(now), queued, now);
+        self.grants_since_starved = 0;
     }
 
-    fn charge(&mut self, class: ServiceClass, queued: &QueuedRequest, now: Moment) -> u64 {
+    fn charge(&mut self, class: RequestClass, queued: &QueuedRequest, now: Moment) -> u64 {
         if let Some(wait) = self.waits.get_mut(&queued.organisation) {
             wait.since = now;
         }
--- a/crates/core/src/queue_slots.rs
+++ b/crates/core/src/queue_slots.rs
@@ -1,8 +1,8 @@
 //! Slots of groups as the coordinator of a shared queue knows them before gossip reports them.
 //!
-//! The coordinator counts its own grants and the releases that nodes report. Gossip only corrects that count: added up
-//! with the grants and releases of the time that it takes, every deviation of that time gave grants for slots that were
-//! not free in turn with slots that stayed free, and one in six requests arrived at a full group.
+//! The coordinator counts its own grants and the releases that nodes report, and corrects the count by gossip only when
+//! a difference persists. Gossip is 150 to 250 ms old, by a delay that varies: adding recent changes to it would count
+//! some of them twice and others not at all, and the count would alternate between too high and too low.
 
 use std::cmp::Reverse;
 use std::collections::VecDeque;
@@ -30,7 +30,7 @@
 /// Gossip reports such slots as free, although they are in use for the coordinator.
 const HANDOVER_TIME: Duration = Duration::from_millis(15);
 /// Time over which the mean difference between the count and the reports is taken.
-const AVERAGING_TIME: Duration = Duration::from_secs(1);
+const DIFFERENCE_TIME_CONSTANT: Duration = Duration::from_secs(1);
 /// Mean difference in slots from which it is corrected; a smaller one can be chance.
 const MIN_MEAN_DIFFERENCE: f64 = 0.8;
 
@@ -122,7 +122,7 @@
         let released = released.sum::<i64>() as f64;
         let handed_over = released * HANDOVER_TIME.div_duration_f64(GRANT_TTL);
         let elapsed = now.saturating_sub(self.reported_at.unwrap_or(now));
-        let weight = 1.0 - (-elapsed.div_duration_f64(AVERAGING_TIME)).exp();
+        let weight = 1.0 - (-elapsed.div_duration_f64(DIFFERENCE_TIME_CONSTANT)).exp();
         self.unreported += weight * (difference as f64 - handed_over - self.unreported);
         if self.unreported.abs() >= MIN_MEAN_DIFFERENCE {
             let slots = self.unreported.round();
--- a/crates/core/src/shared_queue.rs
+++ b/crates/core/src/shared_queue.rs
@@ -7,10 +7,8 @@
 use std::time::Duration;
 
 use indexmap::{IndexMap, IndexSet};
-use xxhash_rust::xxh3::xxh3_64;
 
 use crate::id::{Incarnation, Moment, NodeId, OrganisationId};
-use crate::queue_order::service_class;
 use crate::queue_rates::QueueRates;
 use crate::queue_round::QueueRound;
 use crate::queue_shares::OrganisationShares;
@@ -22,12 +20,12 @@
 /// For this long, a grant or a release is compared with what gossip reports of the group, and a request that was granted
 /// or refused is left out of the lists of its node.
 pub const GRANT_TTL: Duration = Duration::from_millis(250);
-/// Time without a message after which a node's requests are dropped; three times that for which a reply is held.
+/// Time without a message after which a node's requests are dropped.
+///
+/// Replies are held for a third of it, and a node that waits sends again after each reply.
 pub const NODE_TTL: Duration = Duration::from_millis(600);
-/// Time for which the sequence of a node is remembered, which no message is delayed for longer than.
-const VERSION_TTL: Duration = Duration::from_secs(10);
-/// Largest number of groups of one queue.
-pub const GROUPS_PER_SHARD: usize = 24;
+/// Time for which the last sequence number of a node is kept; longer than any message is delayed.
+const SEQUENCE_TTL: Duration = Duration::from_secs(10);
 
 /// Stands for a group in messages between nodes.
 pub type GroupKey = u32;
@@ -108,7 +106,7 @@
 
 /// Number of requests that wait in a queue, and for how long.
 #[derive(Clone, Debug, Default, Eq, PartialEq)]
-pub struct QueueSummary {
+pub struct WaitingCounts {
     /// Waiting requests by priority, the highest first.
     pub waiting: IndexMap<u8, usize>,
     /// Time since the first of them arrived.
@@ -123,7 +121,7 @@
     settled_at: Moment,
 }
 
-/// The last message of a node.
+/// Requests of a node's last message, and the decisions on them that the node may not know yet.
 #[derive(Clone, Debug, PartialEq)]
 struct HeldRequests {
     incarnation: Incarnation,
@@ -134,7 +132,9 @@
 }
 
 impl HeldRequests {
-    /// Returns whether a request was granted or refused before its node sent the message that lists it.
+    /// Returns whether a listed request has already been granted or refused, which its node did not know yet.
+    ///
+    /// A request that excludes the granted group was listed after the node gave that grant back; it waits again.
     fn is_settled(&self, queued: &QueuedRequest) -> bool {
         let settled = self.settled.get(&queued.ticket);
         settled.is_some_and(|settled| {
@@ -200,14 +200,14 @@
     rates: QueueRates,
     shares: OrganisationShares,
     served_at: Moment,
-    /// Whether requests wait until their nodes refuse them.
-    keeps_hopeless: bool,
+    /// Whether requests are never refused by forecast here; their nodes refuse them when their time is over.
+    ignores_forecasts: bool,
 }
 
 impl SharedQueue {
     /// Sets whether requests are refused as soon as no slot can be expected for them in time, as they are by default.
-    pub fn set_refusals(&mut self, are_enabled: bool) {
-        self.keeps_hopeless = !are_enabled;
+    pub fn set_forecasts(&mut self, are_enabled: bool) {
+        self.ignores_forecasts = !are_enabled;
     }
 
     /// Replaces the weights of the organisations; those not listed have a weight of 1.
@@ -274,7 +274,7 @@
             shares: &mut self.shares,
             rates: &self.rates,
             now,
-            refuses: !self.keeps_hopeless,
+            refuses: !self.ignores_forecasts,
         };
         let (grants, refusals) = round.run();
         let grant = |(index, group): (usize, GroupKey)| SlotGrant {
@@ -300,27 +300,27 @@
         self.nodes.values().map(|held| held.requests.len()).sum()
     }
 
-    /// Returns the load of a group: the requests that nodes report there, and what they can't report yet.
+    /// Returns the number of requests at a group by this queue's count, or as gossip reports it if it is not counted yet.
     pub fn load_of(&self, group: &GroupCapacity) -> u32 {
         self.ledger.load_of(group)
     }
 
     /// Returns how many requests wait and for how long.
-    pub fn summary(&self, now: Moment) -> QueueSummary {
-        let mut summary = QueueSummary::default();
+    pub fn waiting_counts(&self, now: Moment) -> WaitingCounts {
+        let mut counts = WaitingCounts::default();
         for queued in self.nodes.values().flat_map(|held| &held.requests) {
-            *summary.waiting.entry(queued.request.priority).or_default() += 1;
+            *counts.waiting.entry(queued.request.priority).or_default() += 1;
             let wait = now.saturating_sub(queued.request.arrived);
-            summary.oldest_wait = summary.oldest_wait.max(wait);
+            counts.oldest_wait = counts.oldest_wait.max(wait);
         }
-        summary.waiting.sort_unstable_keys();
-        summary
+        counts.waiting.sort_unstable_keys();
+        counts
     }
 
     /// Drops what has lapsed, also while this process was frozen.
     fn prune(&mut self, now: Moment) {
         self.nodes
-            .retain(|_, held| now < held.updated_at + VERSION_TTL);
+            .retain(|_, held| now < held.updated_at + SEQUENCE_TTL);
         self.nodes.values_mut().for_each(|held| held.prune(now));
         self.shares.prune(now);
         // Messages that were not handled in the meantime are missing in the rates.
@@ -359,32 +359,6 @@
         !known.contains(&queued.ticket) && now < queued.request.arrived + GRANT_TTL
     });
     for queued in arrived {
-        rates.record_arrival(service_class(&queued.request, now), now);
+        rates.record_arrival(queued.request.class(now), now);
     }
 }
-
-/// Returns into how many queues a model with so many groups is split.
-///
-/// ```
-/// use briarswitch_core::shared_queue::shard_count;
-///
-/// assert_eq!((shard_count(0), shard_count(24), shard_count(25)), (1, 1, 2));
-/// ```
-pub fn shard_count(groups: usize) -> u32 {
-    groups.div_ceil(GROUPS_PER_SHARD).max(1) as u32
-}
-
-/// Returns the queue to which a group belongs if its model has several.
-///
-/// Rendezvous hashing: when the number of queues changes by one, only the groups of that queue move.
-///
-/// ```
-/// use briarswitch_core::shared_queue::shard_of;
-///
-/// let moved = (0..1_000).filter(|group| shard_of(*group, 4) != shard_of(*group, 3));
-/// assert!(moved.into_iter().all(|group| shard_of(group, 4) == 3));
-/// ```
-pub fn shard_of(group: GroupKey, shards: u32) -> u32 {
-    let score = |shard: &u32| xxh3_64(format!("{group}\u{0}{shard}").as_bytes());
-    (0..shards).max_by_key(score).unwrap_or(0)
-}
--- a/crates/core/src/slot_rates.rs
+++ b/crates/core/src/slot_rates.rs
@@ -8,25 +8,23 @@
 use crate::id::Moment;
 use crate::waiting::{RequestClass, WaitingRequest};
 
-/// Time constants of the arrival rates.
+/// Time constants of the arrival rates, the short one first; the lower of the two rates is used.
 ///
-/// A late request is kept for 0.75 s to 1.5 s; a change of the load has to show within that time. The lower rate
-/// applies: at the end of a burst, the rate of the last second would make callers be refused although slots are free.
+/// The short one lets the end of a burst show before late requests, which are kept for 0.75 s to 1.5 s, are refused
+/// needlessly. The long one limits the effect of chance.
 const ARRIVAL_WINDOWS: [Duration; 2] = [Duration::from_millis(250), Duration::from_secs(1)];
 /// Arrivals that the shorter time constant has to contain before its rate is used.
 const MIN_WINDOW_ARRIVALS: f64 = 4.0;
 /// Observation time that arrival rates assume at least, so that the first few requests do not give extreme rates.
-const MIN_OBSERVED: Duration = Duration::from_millis(500);
+const MIN_RATE_PERIOD: Duration = Duration::from_millis(500);
 /// Number of samples over which the holding time is smoothed; chance then changes it by a twentieth.
 const HOLDING_SAMPLES: u32 = 32;
 /// Number of samples of the holding time before there are forecasts, so that a single short request is not one.
 const MIN_HOLDING_SAMPLES: u32 = 5;
-/// Standard deviations by which arrivals must exceed the slots before a late request is refused, and one on time.
-///
-/// A node may see three requests per second, and a request is judged in many rounds; without a margin, chance alone
-/// would make the node refuse requests that are served otherwise. A request on time may take a slot in any lull and
-/// waits for a fraction of its objective at most.
+/// Standard deviations subtracted from the arrival rate before a late request is judged, so that chance does not refuse
+/// it in one of many rounds.
 const LATE_DEVIATIONS: f64 = 2.0;
+/// The same for a request on time; larger, since it may take a slot in any lull.
 const ON_TIME_DEVIATIONS: f64 = 4.0;
 /// Part by which the rate at which slots become free may be higher than estimated: two standard deviations.
 const RELEASE_MARGIN: f64 = 0.1;
@@ -216,7 +214,7 @@
             .sum();
         let observed = now.saturating_sub(self.first_arrival.unwrap_or(now));
         let length = ARRIVAL_WINDOWS[window];
-        let windows = observed.max(MIN_OBSERVED).div_duration_f64(length);
+        let windows = observed.max(MIN_RATE_PERIOD).div_duration_f64(length);
         sum / (length.as_secs_f64() * (1.0 - (-windows).exp()))
     }
 }
--- a/crates/core/tests/queue_rules.rs
+++ b/crates/core/tests/queue_rules.rs
@@ -287,7 +287,7 @@
     let requests = [(1, 2), (2, 0), (3, 2)]
         .map(|(ticket, priority)| queued(ticket, params(at(100 - ticket), priority)));
     queue.update(message("n", 1, 1, requests.to_vec()), at(100));
-    let summary = queue.summary(at(150));
+    let summary = queue.waiting_counts(at(150));
     expect_that!(
         summary.waiting.into_iter().collect::<Vec<_>>(),
         eq(&vec![(0, 1), (2, 2)])
--- a/crates/fleet/src/coordinated_queue.rs
+++ b/crates/fleet/src/coordinated_queue.rs
@@ -75,7 +75,7 @@
     /// If `forecasts` is set, requests are refused as soon as no slot can be expected for them in time.
     pub fn new(own: NodeId, forecasts: bool) -> Self {
         let mut queue = SharedQueue::default();
-        queue.set_refusals(forecasts);
+        queue.set_forecasts(forecasts);
         Self {
             own,
             queue,
@@ -201,7 +201,7 @@
     }
 
     /// Returns the state of the queue; decisions are counted from now on.
-    pub fn summarise(&mut self, now: Moment) -> QueueSummary {
+    pub fn take_summary(&mut self, now: Moment) -> QueueSummary {
         let decided = std::mem::take(&mut self.decided);
         QueueSummary {
             decided,
--- a/crates/fleet/src/metrics.rs
+++ b/crates/fleet/src/metrics.rs
@@ -228,7 +228,7 @@
         }
     }
 
-    /// Counts one time that requests place themselves because a queue cannot be used.
+    /// Counts one fallback to local selection because a queue cannot be used.
     pub fn count_queue_fallback(&self, reason: &'static str) {
         self.queue_fallbacks
             .add(1, &[KeyValue::new("reason", reason)]);
--- a/crates/fleet/src/queue_client.rs
+++ b/crates/fleet/src/queue_client.rs
@@ -27,17 +27,17 @@
 const MODE_INTERVAL: Duration = Duration::from_millis(50);
 /// Time-out of a message: the time for which the coordinator holds its reply, and the way there and back.
 const RESPONSE_TIMEOUT: Duration = REPLY_HOLD_TIME.saturating_add(Duration::from_millis(150));
-/// Time for which requests place themselves after the coordinator did not respond.
+/// Time for which this node selects groups on its own (local selection) after the coordinator did not respond.
 ///
 /// After that the ranking of nodes has usually changed.
 const FALLBACK_TIME: Duration = Duration::from_secs(1);
-/// The same after a node responded that it does not coordinate the queue; the nodes' views soon agree.
+/// Time of local selection after a node responded that it does not coordinate the queue; the nodes' views soon agree.
 const MISDIRECTED_FALLBACK_TIME: Duration = Duration::from_millis(100);
 
 /// Why a queue cannot be used.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum QueueFailure {
-    /// The node asked does not coordinate the queue in its own view.
+    /// No node coordinates the queue, or the node asked does not in its own view.
     NotCoordinator,
     /// No response in time, or the connection failed.
     NoResponse,
@@ -55,7 +55,7 @@
         }
     }
 
-    /// Returns the time for which requests place themselves after it.
+    /// Returns the time of local selection after it.
     ///
     /// ```
     /// use briarswitch_fleet::queue_client::QueueFailure;
@@ -88,7 +88,7 @@
 }
 
 impl QueueRoute {
-    /// Returns the queue in which a request waits; `None` while it places itself because that queue cannot be used.
+    /// Returns the queue in which a request waits; `None` during local selection, while that queue cannot be used.
     pub fn link(&self, ticket: Ticket, now: Moment) -> Option<&Arc<QueueLink>> {
         let index = ticket % self.links.len().max(1) as u64;
         let link = self.links.get(index as usize)?;
@@ -143,7 +143,7 @@
         })
     }
 
-    /// Returns the queues for a model; `None` while its requests place themselves.
+    /// Returns the queues for a model; `None` while its groups are selected locally.
     pub fn route(&self, key: &QueueKey, now: Moment) -> Option<QueueRoute> {
         if !self.shared.settings.load_control.shares_queue || key.1.is_none() {
             return None;
--- a/crates/fleet/src/queue_coordinator.rs
+++ b/crates/fleet/src/queue_coordinator.rs
@@ -175,7 +175,7 @@
         queues.retain(|_, queue| !queue.is_idle());
         let queues = queues.iter_mut();
         queues
-            .map(|(id, queue)| (id.clone(), queue.summarise(now)))
+            .map(|(id, queue)| (id.clone(), queue.take_summary(now)))
             .collect()
     }
 
--- a/crates/fleet/src/queue_id.rs
+++ b/crates/fleet/src/queue_id.rs
@@ -4,8 +4,8 @@
 use briarswitch_core::shared_queue::GroupKey;
 use xxhash_rust::xxh3::xxh3_64_with_seed;
 
-/// Groups of a model up to which one node coordinates all of its requests.
-const MAX_SHARD_GROUPS: usize = 24;
+/// Largest number of groups that one queue serves; a model with more groups has several queues (shards).
+const MAX_GROUPS_PER_SHARD: usize = 24;
 
 /// A queue for the groups of a model, or for a part of them.
 #[derive(Clone, Debug, Eq, Hash, PartialEq)]
@@ -33,7 +33,7 @@
         model: &'a str,
         groups: usize,
     ) -> impl Iterator<Item = Self> + 'a {
-        let shards = shards_of(groups);
+        let shards = shard_count(groups);
         (0..shards).map(move |shard| Self {
             service: service.to_owned(),
             model: model.to_owned(),
@@ -53,16 +53,16 @@
     /// Returns whether the queue serves a group of its model, which has so many groups.
     pub fn serves(&self, group: GroupKey, groups: usize) -> bool {
         self.shard
-            .is_none_or(|shard| shard_of(group, shards_of(groups)) == shard)
+            .is_none_or(|shard| shard_of(group, shard_count(groups)) == shard)
     }
 }
 
 /// Returns the number of queues of a model with so many groups.
-pub fn shards_of(groups: usize) -> u32 {
-    groups.div_ceil(MAX_SHARD_GROUPS).max(1) as u32
+pub fn shard_count(groups: usize) -> u32 {
+    groups.div_ceil(MAX_GROUPS_PER_SHARD).max(1) as u32
 }
 
-/// Returns the shard that a group belongs to, by rendezvous hashing: another shard takes groups from all others evenly.
+/// Returns the shard of a group by rendezvous hashing: when a shard is added, only the groups that it takes over change.
 ///
 /// ```
 /// use briarswitch_fleet::queue_id::shard_of;
--- a/crates/fleet/src/queue_link.rs
+++ b/crates/fleet/src/queue_link.rs
@@ -65,7 +65,7 @@
         &self.id
     }
 
-    /// Returns whether requests place themselves because the coordinator did not respond.
+    /// Returns whether groups are selected locally because the last exchange with the coordinator failed.
     pub fn is_in_fallback(&self, now: Moment) -> bool {
         micros(now) < self.fallback_until.load(Ordering::Relaxed)
     }
@@ -108,7 +108,7 @@
             let Some(selector) = selector.upgrade() else {
                 return;
             };
-            // Requests that wait place themselves unless the queue can be used.
+            // Waiting requests are served by local selection unless the queue can be used.
             selector.serve_queue();
             let is_done = ended.is_err() || !self.is_changed.load(Ordering::Acquire);
             if is_done || !self.start() {
@@ -157,7 +157,7 @@
         }
     }
 
-    /// Returns the next message; `None` if there is nothing to tell, or requests place themselves.
+    /// Returns the next message; `None` if there is nothing to tell, or during local selection.
     fn update(
         &self,
         client: &QueueClient,
@@ -226,7 +226,7 @@
         Ok(())
     }
 
-    /// Lets requests place themselves for a while.
+    /// Falls back to local selection for a while.
     fn fall_back(&self, client: &QueueClient, failure: QueueFailure) {
         let duration = failure.fallback_time();
         let until = BootClock::now() + duration;
--- a/crates/fleet/tests/queue_messages.rs
+++ b/crates/fleet/tests/queue_messages.rs
@@ -7,7 +7,7 @@
 use briarswitch_core::waiting::WaitingRequest;
 use briarswitch_fleet::coordinated_queue::CoordinatedQueue;
 use briarswitch_fleet::queue_doc::{QueueReply, QueueReplyDoc, QueueUpdate, QueueUpdateDoc};
-use briarswitch_fleet::queue_id::{shard_of, shards_of, QueueId};
+use briarswitch_fleet::queue_id::{shard_count, shard_of, QueueId};
 use briarswitch_http::{decode_msgpack, encode_msgpack};
 use googletest::prelude::*;
 
@@ -187,7 +187,7 @@
 #[gtest]
 fn every_group_belongs_to_one_queue_of_its_model() {
     expect_that!(
-        [0, 1, 24, 25, 48, 49].map(shards_of),
+        [0, 1, 24, 25, 48, 49].map(shard_count),
         eq([1, 1, 1, 2, 2, 3])
     );
     let groups = 60;
