--- a/crates/fleet/src/coordinated_queue.rs
+++ b/crates/fleet/src/coordinated_queue.rs
@@ -99,8 +99,13 @@
         for (group, slots) in releases {
             self.release(&node, group, slots, now);
         }
-        for (_, group) in &returned {
+        for (ticket, group) in &returned {
             self.release(&node, *group, 1, now);
+            // The queue ignores a granted request that is listed again, unless it excludes the group of the grant.
+            let mut queued = requests.requests.iter_mut();
+            if let Some(queued) = queued.find(|queued| queued.ticket == *ticket) {
+                queued.excluded.push(*group);
+            }
         }
         let inbox = self.inboxes.entry(node).or_default();
         if !inbox.accept(&mut requests, &returned, now) {
