--- a/crates/core/src/assembly/pace.rs
+++ b/crates/core/src/assembly/pace.rs
@@ -105,17 +105,13 @@
         }
     }
 
-    /// Returns the reason for closing a group, for the logs.
+    /// Returns the reason for closing a group, for the logs; `None` if none of its members is slow.
     pub(super) fn closing_reason(
         &self,
         observed: &ObservedGroup,
         view: &DomainView<'_>,
-    ) -> &'static str {
-        if slow_members(observed, view) > 0 {
-            "member_slow"
-        } else {
-            "exchanged"
-        }
+    ) -> Option<&'static str> {
+        (slow_members(observed, view) > 0).then_some("member_slow")
     }
 }
 
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -12,6 +12,7 @@
 
 pub mod assembly;
 pub mod backoff;
+pub mod changeover;
 pub mod choice;
 pub mod claim;
 pub mod config;
@@ -56,10 +57,12 @@
 pub mod request_limit;
 pub mod residency;
 pub mod retry;
+pub mod return_schedule;
 pub mod rule;
 pub mod run_suspects;
 pub mod shared_queue;
 pub mod silence;
+pub mod slot_rates;
 pub mod sound_parts;
 pub mod speed;
 pub mod stated_limit;
--- a/crates/fleet/src/gauge.rs
+++ b/crates/fleet/src/gauge.rs
@@ -9,6 +9,7 @@
 
 use crate::micros::micros;
 use crate::queue_client::SlotRelease;
+use crate::slot_forecast::HoldingTimer;
 use crate::statements::TargetStatements;
 use crate::target_speed::TargetSpeed;
 
@@ -293,6 +294,7 @@
     prefill_tokens: Option<u64>,
     /// Tells the coordinator of a queue that the slot is free.
     release: Option<SlotRelease>,
+    holding: Option<HoldingTimer>,
 }
 
 impl SlotGuard {
@@ -310,6 +312,7 @@
             gauge: Arc::clone(gauge),
             prefill_tokens: Some(tokens),
             release: None,
+            holding: None,
         }
     }
 
@@ -327,6 +330,11 @@
         }
     }
 
+    /// Measures for how long the slot is held.
+    pub fn set_timer(&mut self, timer: HoldingTimer) {
+        self.holding = Some(timer);
+    }
+
     /// Records that the target has processed the prompt, as the first event shows.
     pub fn end_prefill(&mut self) {
         if let Some(tokens) = self.prefill_tokens.take() {
@@ -340,6 +348,11 @@
 
 impl Drop for SlotGuard {
     fn drop(&mut self) {
+        // A target that rejects the request does not process its prompt.
+        let has_run = self.prefill_tokens.is_none();
+        if let Some(timer) = self.holding.take().filter(|_| has_run) {
+            timer.record();
+        }
         self.end_prefill();
         self.gauge.local.fetch_sub(1, Ordering::Relaxed);
         drop(self.release.take());
--- a/crates/fleet/src/metrics.rs
+++ b/crates/fleet/src/metrics.rs
@@ -25,11 +25,13 @@
     requests: Counter<u64>,
     resumes: Counter<u64>,
     orders: Counter<u64>,
+    changeovers: Counter<u64>,
     target_crashes: Counter<u64>,
     quarantines: Counter<u64>,
     quarantine_refusals: Counter<u64>,
     limit_changes: Counter<u64>,
     backoffs: Counter<u64>,
+    forecast_refusals: Counter<u64>,
     unmarked_ends: Counter<u64>,
     latency: Histogram<f64>,
     first_event: Histogram<f64>,
@@ -111,11 +113,13 @@
             requests: meter.u64_counter("requests").build(),
             resumes: meter.u64_counter("stream_resumes").build(),
             orders: meter.u64_counter("orders").build(),
+            changeovers: meter.u64_counter("changeovers").build(),
             target_crashes: meter.u64_counter("target_ends").build(),
             quarantines: meter.u64_counter("quarantines").build(),
             quarantine_refusals: meter.u64_counter("quarantine_refusals").build(),
             limit_changes: meter.u64_counter("target_limit_changes").build(),
             backoffs: meter.u64_counter("target_backoffs").build(),
+            forecast_refusals: meter.u64_counter("forecast_refusals").build(),
             unmarked_ends: meter.u64_counter("unmarked_ends").build(),
             latency: histogram("request_seconds"),
             first_event: histogram("first_event_seconds"),
@@ -162,6 +166,12 @@
             .add(1, &[KeyValue::new("service", service.to_owned())]);
     }
 
+    /// Counts one request that was refused because no slot could be expected in time.
+    pub fn count_forecast_refusal(&self, service: &str) {
+        self.forecast_refusals
+            .add(1, &[KeyValue::new("service", service.to_owned())]);
+    }
+
     /// Counts one change of a limit that a target states.
     pub fn count_limit_change(&self, change: LimitChange) {
         self.limit_changes
@@ -176,6 +186,15 @@
         );
     }
 
+    /// Counts one group whose changeover to a model has ended.
+    pub fn count_changeover(&self, model: &str, outcome: &'static str) {
+        let attributes = [
+            KeyValue::new("model", model.to_owned()),
+            KeyValue::new("outcome", outcome),
+        ];
+        self.changeovers.add(1, &attributes);
+    }
+
     /// Counts one crash of a target on which requests of this node were running.
     pub fn count_target_crash(&self, evidence: &'static str) {
         self.target_crashes
--- a/crates/fleet/src/queue_coordinator.rs
+++ b/crates/fleet/src/queue_coordinator.rs
@@ -86,10 +86,11 @@
     ) -> Option<tokio::sync::oneshot::Receiver<QueueReply>> {
         let id = update.id.clone();
         let mut queues = self.lock();
-        let own = &self.shared.settings.node;
+        let settings = &self.shared.settings;
+        let forecasts = settings.load_control.forecasts;
         let queue = queues
             .entry(id.clone())
-            .or_insert_with(|| CoordinatedQueue::new(own.clone()));
+            .or_insert_with(|| CoordinatedQueue::new(settings.node.clone(), forecasts));
         let held = queue.update(update, BootClock::now());
         queue.wake().notify_one();
         if queue.is_waiting() && !queue.set_served(true) {
@@ -124,7 +125,7 @@
     fn capacities(
         &self,
         id: &QueueId,
-        queue: &mut CoordinatedQueue,
+        queue: &CoordinatedQueue,
         now: Moment,
     ) -> Vec<GroupCapacity> {
         let table = self.shared.routing_table.load();
@@ -144,7 +145,7 @@
         let capacities = usable.map(|group| {
             let key = group.gauge.key();
             let (remote, own) = (group.gauge.remote_requests(), group.gauge.local_requests());
-            let known = queue.reported_requests(key, remote, own, now);
+            let known = queue.reported_requests(key, remote, own);
             let is_queueing = group.gauge.is_queueing(now);
             let active_requests = if is_queueing {
                 known.max(engine.slots)
@@ -152,7 +153,7 @@
                 known
             };
             let load = GroupLoad {
-                active_requests: queue.estimated(key),
+                active_requests: queue.estimated(key).unwrap_or(known),
                 ..GroupLoad::default()
             };
             GroupCapacity {
--- a/crates/fleet/tests/queue_messages.rs
+++ b/crates/fleet/tests/queue_messages.rs
@@ -28,6 +28,7 @@
             refuse_at: at(101_000),
             priority: 1,
             is_resumption: false,
+            is_early_retry: false,
         },
         excluded: vec![9],
     }
@@ -52,8 +53,8 @@
 }
 
 /// Returns the capacity of a group with one slot, of which so many requests are reported.
-fn capacity(queue: &mut CoordinatedQueue, remote: u32, now: Moment) -> Vec<GroupCapacity> {
-    let active_requests = queue.reported_requests(GROUP, remote, 0, now);
+fn capacity(queue: &CoordinatedQueue, remote: u32) -> Vec<GroupCapacity> {
+    let active_requests = queue.reported_requests(GROUP, remote, 0);
     vec![GroupCapacity {
         group: GROUP,
         slots: 1,
@@ -64,7 +65,7 @@
 
 fn serve(queue: &mut CoordinatedQueue, remote: u32, now: Moment) -> u32 {
     queue.expire(now);
-    let capacity = capacity(queue, remote, now);
+    let capacity = capacity(queue, remote);
     queue.serve(capacity, now).grants
 }
 
@@ -100,7 +101,7 @@
 #[gtest]
 fn a_request_that_is_listed_again_gets_one_slot() {
     let now = at(100_100);
-    let mut queue = CoordinatedQueue::new("n0".to_owned());
+    let mut queue = CoordinatedQueue::new("n0".to_owned(), true);
     serve(&mut queue, 0, now);
     let mut held = queue.update(update("n1", 1, &[7]), now).expect("a reply");
     expect_that!(serve(&mut queue, 0, now), eq(1));
@@ -117,7 +118,7 @@
 #[gtest]
 fn a_returned_grant_is_granted_again() {
     let now = at(100_100);
-    let mut queue = CoordinatedQueue::new("n0".to_owned());
+    let mut queue = CoordinatedQueue::new("n0".to_owned(), true);
     serve(&mut queue, 0, now);
     queue.update(update("n1", 1, &[7]), now);
     expect_that!(serve(&mut queue, 0, now), eq(1));
@@ -127,14 +128,14 @@
     };
     queue.update(returned, now);
     expect_that!(queue.is_waiting(), eq(true));
-    expect_that!(queue.estimated(GROUP), eq(0));
+    expect_that!(queue.estimated(GROUP), some(eq(0)));
 }
 
 /// Guards against an old message that replaces a newer one, and against one that is answered only when it expires.
 #[gtest]
 fn an_older_message_is_answered_at_once_and_changes_nothing() {
     let now = at(100_100);
-    let mut queue = CoordinatedQueue::new("n0".to_owned());
+    let mut queue = CoordinatedQueue::new("n0".to_owned(), true);
     let newer = queue.update(update("n1", 2, &[7]), now);
     expect_that!(newer.is_some(), eq(true));
     expect_that!(queue.update(update("n1", 1, &[]), now).is_none(), eq(true));
@@ -145,7 +146,7 @@
 #[gtest]
 fn a_newer_message_completes_the_one_before() {
     let now = at(100_100);
-    let mut queue = CoordinatedQueue::new("n0".to_owned());
+    let mut queue = CoordinatedQueue::new("n0".to_owned(), true);
     let mut first = queue.update(update("n1", 1, &[7]), now).expect("a reply");
     let second = queue.update(update("n1", 2, &[7, 8]), now);
     expect_that!(second.is_some(), eq(true));
@@ -157,7 +158,7 @@
 #[gtest]
 fn a_decision_without_a_held_message_is_delivered_with_the_next_one() {
     let now = at(100_100);
-    let mut queue = CoordinatedQueue::new("n0".to_owned());
+    let mut queue = CoordinatedQueue::new("n0".to_owned(), true);
     serve(&mut queue, 0, now);
     drop(queue.update(update("n1", 1, &[7]), now));
     expect_that!(serve(&mut queue, 0, now), eq(1));
@@ -173,7 +174,7 @@
 #[gtest]
 fn a_decision_is_not_delivered_after_its_grant_has_expired() {
     let now = at(100_100);
-    let mut queue = CoordinatedQueue::new("n0".to_owned());
+    let mut queue = CoordinatedQueue::new("n0".to_owned(), true);
     serve(&mut queue, 0, now);
     drop(queue.update(update("n1", 1, &[7]), now));
     expect_that!(serve(&mut queue, 0, now), eq(1));
