--- a/crates/fleet/src/coordinated_queue.rs
+++ b/crates/fleet/src/coordinated_queue.rs
@@ -113,8 +113,9 @@
         }
         let is_waiting = !requests.requests.is_empty();
         let held = inbox.hold();
+        let is_decided = !inbox.is_holding();
         self.queue.update(requests, now);
-        is_waiting.then_some(held)
+        (is_waiting || is_decided).then_some(held)
     }
 
     fn release(&mut self, node: &NodeId, group: GroupKey, slots: u32, now: Moment) {
--- a/crates/fleet/src/queue_inbox.rs
+++ b/crates/fleet/src/queue_inbox.rs
@@ -81,6 +81,11 @@
         held
     }
 
+    /// Returns whether a message is held.
+    pub fn is_holding(&self) -> bool {
+        self.reply.is_some()
+    }
+
     /// Adds a grant.
     pub fn grant(&mut self, ticket: Ticket, group: GroupKey, now: Moment) {
         self.grants.push(IssuedGrant { ticket, at: now });
--- a/crates/fleet/tests/queue_messages.rs
+++ b/crates/fleet/tests/queue_messages.rs
@@ -114,6 +114,22 @@
     expect_that!(queue.is_waiting(), eq(false));
 }
 
+/// Guards against a grant that is lost because its node's message had just been answered, and the next one lists nothing
+/// else.
+#[gtest]
+fn a_grant_without_a_held_message_is_in_the_next_reply() {
+    let now = at(100_100);
+    let mut queue = CoordinatedQueue::new("n0".to_owned(), true);
+    serve(&mut queue, 0, now);
+    drop(queue.update(update("n1", 1, &[7]), now));
+    expect_that!(serve(&mut queue, 0, now), eq(1));
+    let mut held = queue.update(update("n1", 2, &[7]), now).expect("a reply");
+    expect_that!(
+        held.try_recv().map(|reply| reply.grants),
+        ok(eq(&vec![(7, GROUP)]))
+    );
+}
+
 /// Guards against a request that waits forever, and a slot that stays taken, after a grant that its node cannot use.
 #[gtest]
 fn a_returned_grant_is_granted_again() {
