--- a/crates/core/src/shared_queue.rs
+++ b/crates/core/src/shared_queue.rs
@@ -219,7 +219,8 @@
     ///
     /// Requests that were granted or refused in the last [`GRANT_TTL`] are left out: the node did not know of it when
     /// it sent the message. A node that can't use a grant lists the request again with the group among those excluded.
-    pub fn update(&mut self, requests: NodeRequests, now: Moment) {
+    /// Returns whether the message is newer than those before.
+    pub fn update(&mut self, requests: NodeRequests, now: Moment) -> bool {
         let NodeRequests {
             node,
             incarnation,
@@ -230,7 +231,7 @@
         let mut known = self.nodes.get_mut(&node);
         if let Some(held) = &mut known {
             if (held.incarnation, held.sequence) >= version {
-                return;
+                return false;
             }
             held.prune(now);
         }
@@ -248,6 +249,7 @@
             updated_at: now,
         };
         self.nodes.insert(node, held);
+        true
     }
 
     /// Records that slots of a group have become free.
@@ -295,6 +297,12 @@
         decision
     }
 
+    /// Returns whether requests of a node wait.
+    pub fn is_waiting_at(&self, node: &str) -> bool {
+        let held = self.nodes.get(node);
+        held.is_some_and(|held| !held.requests.is_empty())
+    }
+
     /// Returns the number of waiting requests.
     pub fn waiting(&self) -> usize {
         self.nodes.values().map(|held| held.requests.len()).sum()
--- a/crates/fleet/src/coordinated_queue.rs
+++ b/crates/fleet/src/coordinated_queue.rs
@@ -12,7 +12,13 @@
 use tokio::sync::{oneshot, Notify};
 
 use crate::queue_doc::{QueueReply, QueueUpdate};
-use crate::queue_inbox::{NodeInbox, PriorityCounts};
+use crate::queue_inbox::NodeInbox;
+
+/// Number of priorities that are told apart; lower ones count as the last.
+pub const PRIORITIES: usize = 10;
+
+/// Number of waiting requests by priority.
+pub type PriorityCounts = [u32; PRIORITIES];
 
 /// What a queue has decided since it was last summarised.
 #[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
@@ -26,7 +32,7 @@
 /// A queue at one moment.
 #[derive(Clone, Debug, Default, Eq, PartialEq)]
 pub struct QueueSummary {
-    /// Waiting requests by priority, as nodes last reported them.
+    /// Waiting requests by priority.
     pub waiting: PriorityCounts,
     /// Time since the first of them arrived.
     pub oldest_wait: Duration,
@@ -107,14 +113,14 @@
                 queued.excluded.push(*group);
             }
         }
-        let inbox = self.inboxes.entry(node).or_default();
-        if !inbox.accept(&mut requests, &returned, now) {
+        let incarnation = requests.incarnation;
+        if !self.queue.update(requests, now) {
             return None;
         }
-        let is_waiting = !requests.requests.is_empty();
-        let held = inbox.hold();
+        let is_waiting = self.queue.is_waiting_at(&node);
+        let inbox = self.inboxes.entry(node).or_default();
+        let held = inbox.hold(incarnation, now);
         let is_decided = !inbox.is_holding();
-        self.queue.update(requests, now);
         (is_waiting || is_decided).then_some(held)
     }
 
@@ -216,19 +222,16 @@
     }
 
     fn summary(&self, now: Moment) -> QueueSummary {
+        let counts = self.queue.waiting_counts(now);
         let mut waiting = PriorityCounts::default();
-        let current = || self.inboxes.values().filter(|inbox| inbox.is_current(now));
-        for inbox in current() {
-            for (sum, count) in waiting.iter_mut().zip(inbox.waiting()) {
-                *sum += count;
-            }
+        for (priority, count) in counts.waiting {
+            waiting[usize::from(priority).min(PRIORITIES - 1)] += count as u32;
         }
-        let first = current().filter_map(NodeInbox::first_arrival).min();
         let free = self.capacities.iter();
         let free = free.map(|group| group.slots.saturating_sub(self.queue.load_of(group)));
         QueueSummary {
             waiting,
-            oldest_wait: first.map_or(Duration::ZERO, |first| now.saturating_sub(first)),
+            oldest_wait: counts.oldest_wait,
             decided: self.decided,
             free_slots: free.sum(),
         }
@@ -247,7 +250,7 @@
         json!({
             "nodes": self.inboxes.len(),
             "waiting": self.queue.waiting(),
-            "reported": summary.waiting,
+            "by_priority": summary.waiting,
             "oldest_wait_ms": summary.oldest_wait.as_millis() as u64,
             "groups": groups.collect::<Vec<_>>(),
         })
--- a/crates/fleet/src/metrics.rs
+++ b/crates/fleet/src/metrics.rs
@@ -10,8 +10,8 @@
 use opentelemetry_sdk::metrics::SdkMeterProvider;
 use prometheus::{Encoder, Registry, TextEncoder};
 
+use crate::coordinated_queue::{PriorityCounts, PRIORITIES};
 use crate::costs::CostCounters;
-use crate::queue_inbox::{PriorityCounts, PRIORITIES};
 
 /// Bucket bounds of the latency histograms in seconds; the latency objectives lie between 0.15 and 0.4.
 const LATENCY_BOUNDS: [f64; 12] = [
--- a/crates/fleet/src/queue_monitor.rs
+++ b/crates/fleet/src/queue_monitor.rs
@@ -6,10 +6,9 @@
 use briarswitch_kernel::{Service, ServiceLink};
 use serde_json::Value;
 
-use crate::coordinated_queue::QueueSummary;
+use crate::coordinated_queue::{PriorityCounts, QueueSummary};
 use crate::queue_coordinator::QueueCoordinator;
 use crate::queue_id::QueueId;
-use crate::queue_inbox::PriorityCounts;
 use crate::shared::FleetShared;
 
 /// Interval between two log lines of a queue.
