--- a/crates/core/src/queue_round.rs
+++ b/crates/core/src/queue_round.rs
@@ -128,7 +128,7 @@
     }
 
     fn refuse(&self, order: &[usize], grants: &RoundGrants) -> RoundRefusals {
-        let mut preceding_rates: IndexMap<RequestClass, PrecedingRates> = IndexMap::new();
+        let mut preceding_rates: IndexMap<RequestClass, f64> = IndexMap::new();
         let mut refusals = RoundRefusals::new();
         let remaining = order.iter().filter(|index| !grants.contains_key(*index));
         let starvation_times = self.shares.starvation_times(&self.requests);
@@ -137,12 +137,12 @@
         for index in remaining {
             let queued = self.requests[*index];
             let class = queued.request.class(self.now);
-            let preceding = preceding_rates
+            let preceding_rate = *preceding_rates
                 .entry(class)
-                .or_insert_with(|| self.preceding_rates(class));
+                .or_insert_with(|| self.rates.arrival_rate(self.now, |other| *other < class));
             let outlook = SlotOutlook {
                 ahead,
-                preceding_rate: preceding.all,
+                preceding_rate,
                 // Whatever the request can use was granted to others.
                 free_slots: 0,
                 release_rate: self.release_rate(&queued.excluded),
@@ -153,7 +153,7 @@
             let is_starved_in_time = starved.flatten().is_some_and(|(rank, _, time)| {
                 self.is_starved_grant_in_time(&queued.request, &outlook, rank, *time)
             });
-            match self.refusal_of(&queued.request, &outlook, preceding.urgent) {
+            match self.refusal_of(&queued.request, &outlook) {
                 Some(_) if is_starved_in_time => ahead += 1,
                 Some(available_in) => refusals.push((*index, available_in)),
                 None => ahead += 1,
@@ -167,16 +167,10 @@
         &self,
         request: &WaitingRequest,
         outlook: &SlotOutlook,
-        urgent_rate: f64,
     ) -> Option<Option<Duration>> {
         if !self.is_kept(request) {
             return Some(outlook.expected_wait());
         }
-        // The newest request of a class is served first, so that each one has a chance while its class has slots.
-        let has_slots = outlook.release_rate > urgent_rate;
-        if !request.is_late(self.now) && has_slots {
-            return None;
-        }
         refusal(request, outlook, self.now).map(|refusal| refusal.available_in)
     }
 
@@ -203,26 +197,4 @@
             .map(|group| self.rates.release_rate(group.group, self.now))
             .sum()
     }
-
-    /// Returns the arrival rates of requests that go before those of a class.
-    ///
-    /// Of one class, the newest goes first while it is on time, and the oldest once it is late.
-    fn preceding_rates(&self, class: RequestClass) -> PrecedingRates {
-        let (is_new, is_late, _) = class;
-        let urgent = self.rates.arrival_rate(self.now, |other| *other < class);
-        let is_newest_first = is_new && !is_late;
-        let same = self.rates.arrival_rate(self.now, |other| *other == class);
-        PrecedingRates {
-            urgent,
-            all: urgent + if is_newest_first { same } else { 0.0 },
-        }
-    }
-}
-
-/// Requests per second that go before those of a class.
-struct PrecedingRates {
-    /// Of more urgent classes.
-    urgent: f64,
-    /// Including those of the same class.
-    all: f64,
 }
--- a/crates/core/src/queue_slots.rs
+++ b/crates/core/src/queue_slots.rs
@@ -190,7 +190,7 @@
         }
     }
 
-    /// Returns the requests at a group: those that gossip reports, and what it cannot report yet.
+    /// Returns the number of requests at a group by the coordinator's count, or as gossip reports it if it is not counted.
     pub(crate) fn load_of(&self, group: &GroupCapacity) -> u32 {
         let count = self.groups.get(&group.group);
         count.map_or(group.active_requests, |count| {
