--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -20,6 +20,7 @@
 pub mod crash;
 mod crash_evidence;
 mod crash_report;
+pub mod decaying_count;
 pub mod deployment;
 mod draft;
 pub mod engine;
--- a/crates/core/src/slot_rates.rs
+++ b/crates/core/src/slot_rates.rs
@@ -4,6 +4,7 @@
 
 use indexmap::IndexMap;
 
+use crate::decaying_count::{counted_seconds, DecayingCount};
 use crate::forecast::{refusal, Refusal, SlotOutlook};
 use crate::id::Moment;
 use crate::waiting::{RequestClass, WaitingRequest};
@@ -29,26 +30,8 @@
 /// Part by which the rate at which slots become free may be higher than estimated: two standard deviations.
 const RELEASE_MARGIN: f64 = 0.1;
 
-/// Decayed sums of the arrivals of one class, by time constant.
-#[derive(Clone, Copy, Debug, Default)]
-struct ArrivalSums {
-    sums: [f64; ARRIVAL_WINDOWS.len()],
-    updated_at: Moment,
-}
-
-impl ArrivalSums {
-    fn decayed(&self, window: usize, now: Moment) -> f64 {
-        let passed = now.saturating_sub(self.updated_at);
-        self.sums[window] * (-passed.div_duration_f64(ARRIVAL_WINDOWS[window])).exp()
-    }
-
-    fn add(&mut self, now: Moment) {
-        for window in 0..self.sums.len() {
-            self.sums[window] = self.decayed(window, now) + 1.0;
-        }
-        self.updated_at = self.updated_at.max(now);
-    }
-}
+/// Arrivals of one class, by time constant.
+type ArrivalCounts = [DecayingCount; ARRIVAL_WINDOWS.len()];
 
 /// Slots that waiting requests can get.
 #[derive(Clone, Copy, Debug, Default, PartialEq)]
@@ -64,7 +47,7 @@
 /// Smoothed rates of the requests for the slots of one model.
 #[derive(Clone, Debug, Default)]
 pub struct SlotRates {
-    arrivals: IndexMap<RequestClass, ArrivalSums>,
+    arrivals: IndexMap<RequestClass, ArrivalCounts>,
     first_arrival: Option<Moment>,
     holding_time: Duration,
     holding_samples: u32,
@@ -75,7 +58,10 @@
     pub fn record_arrival(&mut self, request: &WaitingRequest, now: Moment) {
         self.first_arrival.get_or_insert(now);
         let class = request.class(now);
-        self.arrivals.entry(class).or_default().add(now);
+        let counts = self.arrivals.entry(class).or_default();
+        for (count, window) in counts.iter_mut().zip(ARRIVAL_WINDOWS) {
+            count.add(1, window, now);
+        }
     }
 
     /// Records the time for which a request has held a slot.
@@ -208,13 +194,10 @@
 
     /// Returns the requests per second of the classes before a class, with one of the time constants.
     fn rate_before(&self, class: RequestClass, window: usize, now: Moment) -> f64 {
+        let length = ARRIVAL_WINDOWS[window];
         let preceding = self.arrivals.iter().filter(|(other, _)| **other < class);
-        let sum: f64 = preceding
-            .map(|(_, arrivals)| arrivals.decayed(window, now))
-            .sum();
+        let counts = preceding.map(|(_, counts)| counts[window].at(length, now));
         let observed = now.saturating_sub(self.first_arrival.unwrap_or(now));
-        let length = ARRIVAL_WINDOWS[window];
-        let windows = observed.max(MIN_RATE_PERIOD).div_duration_f64(length);
-        sum / (length.as_secs_f64() * (1.0 - (-windows).exp()))
+        counts.sum::<f64>() / counted_seconds(length, observed.max(MIN_RATE_PERIOD))
     }
 }
--- a/crates/fleet/src/demand.rs
+++ b/crates/fleet/src/demand.rs
@@ -3,6 +3,7 @@
 use std::sync::{Mutex, PoisonError};
 use std::time::Duration;
 
+use briarswitch_core::decaying_count::counted_seconds;
 use briarswitch_core::id::{ModelId, Moment};
 use indexmap::IndexMap;
 
@@ -45,9 +46,6 @@
     }
 
     /// Converts decayed sums to rates.
-    ///
-    /// A new meter has observed less than one window. If its sums were divided by the whole window, its rates
-    /// would rise for many seconds under a constant load.
     fn per_second(
         &self,
         sums: &IndexMap<ModelId, f64>,
@@ -55,12 +53,8 @@
         now: Moment,
     ) -> IndexMap<ModelId, f64> {
         let first_request = self.first_request.unwrap_or(now);
-        let observed = now
-            .saturating_sub(first_request)
-            .max(MIN_OBSERVED)
-            .as_secs_f64();
-        let window = window.as_secs_f64();
-        let seconds = window * (1.0 - (-observed / window).exp());
+        let observed = now.saturating_sub(first_request).max(MIN_OBSERVED);
+        let seconds = counted_seconds(window, observed);
         let rates = sums.iter();
         let rates = rates.map(|(model, sum)| (model.clone(), sum / seconds));
         rates.collect()
