--- a/crates/core/src/engine.rs
+++ b/crates/core/src/engine.rs
@@ -112,6 +112,27 @@
         self.prefill_time(model, prompt_tokens) + decode
     }
 
+    /// Returns the one-way delay between two zones; zero if none is known.
+    ///
+    /// ```
+    /// use std::time::Duration;
+    ///
+    /// use briarswitch_core::engine::{EngineSpec, ZoneDelay};
+    ///
+    /// let delay = Duration::from_millis(2);
+    /// let delays = vec![ZoneDelay { from: "a".to_owned(), to: "b".to_owned(), delay }];
+    /// let engine = EngineSpec { delays, ..EngineSpec::default() };
+    /// assert_eq!(engine.delay_between("b", "a"), delay);
+    /// assert_eq!(engine.delay_between("a", "a"), Duration::ZERO);
+    /// ```
+    pub fn delay_between(&self, zone: &str, other: &str) -> Duration {
+        let connects = |delay: &&ZoneDelay| {
+            (delay.from == zone && delay.to == other) || (delay.to == zone && delay.from == other)
+        };
+        let delay = self.delays.iter().find(connects);
+        delay.map_or(Duration::ZERO, |delay| delay.delay)
+    }
+
     /// Returns the time to process a prompt of `tokens` tokens on an otherwise idle group.
     pub fn prefill_time(&self, model: &ModelSpec, tokens: u64) -> Duration {
         let seconds = tokens as f64 / self.prefill_tokens_per_second.max(1.0) * model.time_factor;
--- a/crates/fleet/src/queue_client.rs
+++ b/crates/fleet/src/queue_client.rs
@@ -15,7 +15,7 @@
 use crate::costs::CostKind;
 use crate::queue_coordinator::{QueueCoordinator, REPLY_HOLD_TIME};
 use crate::queue_doc::{QueueReply, QueueReplyDoc, QueueUpdate, QueueUpdateDoc, QUEUE_PATH};
-use crate::queue_id::{shard_of, QueueId};
+use crate::queue_id::{shard_count, shard_of, QueueId};
 use crate::queue_link::QueueLink;
 use crate::queue_mode::QueueMode;
 use crate::routing_table::RouteTarget;
@@ -90,11 +90,15 @@
 impl QueueRoute {
     /// Returns the queue in which a request waits; `None` during local selection, while that queue cannot be used.
     pub fn link(&self, ticket: Ticket, now: Moment) -> Option<&Arc<QueueLink>> {
-        let index = ticket % self.links.len().max(1) as u64;
-        let link = self.links.get(index as usize)?;
+        let link = self.link_of_ticket(ticket)?;
         (!link.is_in_fallback(now)).then_some(link)
     }
 
+    fn link_of_ticket(&self, ticket: Ticket) -> Option<&Arc<QueueLink>> {
+        let index = ticket % self.links.len().max(1) as u64;
+        self.links.get(index as usize)
+    }
+
     fn link_of_group(&self, group: GroupKey) -> Option<&Arc<QueueLink>> {
         let index = shard_of(group, self.links.len() as u32);
         self.links.get(index as usize)
@@ -102,10 +106,8 @@
 
     /// Returns whether a request waits in a queue.
     pub fn holds(&self, link: &QueueLink, ticket: Ticket) -> bool {
-        let index = ticket % self.links.len().max(1) as u64;
-        self.links
-            .get(index as usize)
-            .is_some_and(|held| held.id() == link.id())
+        let held = self.link_of_ticket(ticket);
+        held.is_some_and(|held| held.id() == link.id())
     }
 }
 
@@ -192,8 +194,8 @@
                 "queue_mode"
             );
         }
-        let ids = QueueId::of_model(service, model, groups.len());
-        if !ids.eq(queues.links.iter().map(|link| link.id().clone())) {
+        // The queues of a model differ only by their number.
+        if queues.links.len() != shard_count(groups.len()) as usize {
             let ids = QueueId::of_model(service, model, groups.len());
             queues.links = Arc::new(ids.map(QueueLink::new).collect());
         }
--- a/crates/fleet/src/speed_sample.rs
+++ b/crates/fleet/src/speed_sample.rs
@@ -246,15 +246,10 @@
     group: &RouteTarget,
     now: Moment,
 ) -> Duration {
-    let own = &shared.settings.zone;
-    let delay = engine.delays.iter().find(|delay| {
-        (&delay.from == own && delay.to == group.zone)
-            || (&delay.to == own && delay.from == group.zone)
-    });
     let load = GroupLoad {
         active_requests: group.gauge.estimated_load(now),
         prefill_tokens: group.gauge.prefill_tokens(),
-        delay: delay.map_or(Duration::ZERO, |delay| delay.delay),
+        delay: engine.delay_between(&shared.settings.zone, &group.zone),
         ..GroupLoad::default()
     };
     first_event_time(engine, model, &load, 0)
--- a/crates/fleet/src/target_selector.rs
+++ b/crates/fleet/src/target_selector.rs
@@ -469,11 +469,6 @@
     }
 
     fn group_load(&self, engine: &EngineSpec, group: &RouteTarget, now: Moment) -> GroupLoad {
-        let own = &self.shared.settings.zone;
-        let delay = engine.delays.iter().find(|delay| {
-            (&delay.from == own && delay.to == group.zone)
-                || (&delay.to == own && delay.from == group.zone)
-        });
         // The share does not depend on the zone, so that a zone without groups of its own can use those of others.
         let share = || slot_share(engine.slots, self.shared.weight_for(&group.id, now));
         GroupLoad {
@@ -483,7 +478,7 @@
             unreported_requests: group.gauge.unreported_requests(),
             nodes: self.shared.live_view.read().live_nodes(),
             prefill_tokens: group.gauge.prefill_tokens(),
-            delay: delay.map_or(Duration::ZERO, |delay| delay.delay),
+            delay: engine.delay_between(&self.shared.settings.zone, &group.zone),
             is_queueing: group.gauge.is_queueing(now),
             is_request_late: false,
             speed_ratio: group.gauge.speed().ratio(),
