--- a/crates/fleet/src/target_selector.rs
+++ b/crates/fleet/src/target_selector.rs
@@ -52,6 +52,8 @@
     /// This node's share, if the target has a limit.
     share: Option<LimitShare>,
     passed_over: PassedOver,
+    /// Whether it is slow and gets a probe request.
+    is_probe: bool,
 }
 
 /// Removes a request from the queue when its caller disconnects or it has a slot.
@@ -368,7 +370,11 @@
             target,
             share,
             passed_over,
+            is_probe,
         } = self.select(slot_request, granted, now)?;
+        if is_probe && !target.gauge.speed().claim_probe(now) {
+            return self.try_acquire(slot_request, granted, now);
+        }
         // Another thread may have sent a request since the target was found usable.
         let is_full = share.is_some_and(|share| !target.gauge.statements().reserve(&share, now));
         if is_full || !target.gauge.statements().reserve_after_backoff(now) {
@@ -454,6 +460,7 @@
             target: Arc::clone(target),
             share: self.limit_share(service_spec, target, now),
             passed_over,
+            is_probe: granted.is_none() && probe.is_some(),
         })
     }
 
--- a/crates/fleet/src/target_speed.rs
+++ b/crates/fleet/src/target_speed.rs
@@ -135,7 +135,19 @@
         turn.is_due(now)
     }
 
-    /// Records that a probe request is sent.
+    /// Records that a probe request is sent, unless another thread has just sent one; returns whether it may be sent.
+    pub fn claim_probe(&self, now: Moment) -> bool {
+        let before = self.probed_at.load(Ordering::Relaxed);
+        let is_due = now >= Duration::from_micros(before) + PROBE_INTERVAL;
+        let order = Ordering::Relaxed;
+        is_due
+            && self
+                .probed_at
+                .compare_exchange(before, micros(now), order, order)
+                .is_ok()
+    }
+
+    /// Records that a request is sent, after which no probe request is due for a while.
     pub fn record_probe(&self, now: Moment) {
         self.probed_at.store(micros(now), Ordering::Relaxed);
     }
