--- a/crates/core/src/assembly.rs
+++ b/crates/core/src/assembly.rs
@@ -23,9 +23,9 @@
 mod pace;
 mod staging;
 
+pub use crate::held_weights::HeldWeights;
 pub use changeover::{ChangeoverEvent, ChangeoverOutcome};
 pub use pace::TargetPace;
-pub use staging::HeldWeights;
 
 use changeover::ChangeoverState;
 use observed::{incarnations_suffix, observe_groups, ObservedGroup};
--- a/crates/core/src/assembly/changeover.rs
+++ b/crates/core/src/assembly/changeover.rs
@@ -11,11 +11,12 @@
 use indexmap::{IndexMap, IndexSet};
 
 use super::observed::ObservedGroup;
-use super::staging::{is_serving, HeldWeights};
+use super::staging::is_serving;
 use super::{DomainReconciler, DomainView, TargetFacts, TargetStatus};
 use crate::changeover::{
     DomainChangeover, GroupTransfer, StandbyShare, CHANGEOVER_INTERVAL, CLOSE_LIMIT,
 };
+use crate::held_weights::HeldWeights;
 use crate::id::{GroupId, ModelId, Moment, TargetId};
 use crate::order::{TargetAction, TargetOrder};
 use crate::target::MembershipState;
--- a/crates/core/src/changeover/supply.rs
+++ b/crates/core/src/changeover/supply.rs
@@ -5,8 +5,8 @@
 use indexmap::IndexMap;
 
 use super::CHANGEOVER_INTERVAL;
-use crate::assembly::HeldWeights;
 use crate::engine::EngineSpec;
+use crate::held_weights::HeldWeights;
 use crate::id::{DomainId, GroupId, ModelId};
 use crate::target::MembershipState;
 
--- a/crates/core/src/queue_order.rs
+++ b/crates/core/src/queue_order.rs
@@ -10,7 +10,7 @@
 
 use crate::fair::{virtual_cost, OrganisationClock, VirtualTag};
 use crate::id::{Moment, OrganisationId};
-use crate::shared_queue::QueuedRequest;
+use crate::queued_request::QueuedRequest;
 use crate::waiting::RequestClass;
 
 /// Clocks of the organisations by class.
--- a/crates/core/src/queue_rates.rs
+++ b/crates/core/src/queue_rates.rs
@@ -6,7 +6,7 @@
 
 use crate::decaying_count::{counted_seconds, DecayingCount};
 use crate::id::Moment;
-use crate::shared_queue::GroupKey;
+use crate::queued_request::GroupKey;
 use crate::waiting::RequestClass;
 
 /// Time over which rates are averaged; at 10 events per second the error is a fifth.
--- a/crates/core/src/queue_round.rs
+++ b/crates/core/src/queue_round.rs
@@ -9,7 +9,7 @@
 use crate::queue_rates::QueueRates;
 use crate::queue_shares::{OrganisationShares, STARVATION_INTERVAL};
 use crate::queue_slots::{FreeSlots, SlotLedger};
-use crate::shared_queue::{GroupCapacity, GroupKey, QueuedRequest};
+use crate::queued_request::{GroupCapacity, GroupKey, QueuedRequest};
 use crate::waiting::{RequestClass, WaitVerdict, WaitingRequest};
 
 /// Group of each request that was granted a slot, by the request's index.
--- a/crates/core/src/queue_shares.rs
+++ b/crates/core/src/queue_shares.rs
@@ -6,7 +6,7 @@
 
 use crate::id::{Moment, OrganisationId};
 use crate::queue_order::{service_order, weight_of, ClassClocks, OrganisationWeights};
-use crate::shared_queue::QueuedRequest;
+use crate::queued_request::QueuedRequest;
 use crate::waiting::RequestClass;
 
 /// Starvation guard: of this many grants in a row, one goes to the starved organisation that has waited longest, if
--- a/crates/core/src/queue_slots.rs
+++ b/crates/core/src/queue_slots.rs
@@ -11,7 +11,7 @@
 use indexmap::IndexMap;
 
 use crate::id::Moment;
-use crate::shared_queue::{GroupCapacity, GroupKey, GRANT_TTL, NODE_TTL};
+use crate::queued_request::{GroupCapacity, GroupKey, GRANT_TTL, NODE_TTL};
 
 /// Shortest time after which gossip reports a request; the longest is [`GRANT_TTL`].
 const MIN_REPORT_AGE: Duration = Duration::from_millis(150);
--- a/crates/core/src/shared_queue.rs
+++ b/crates/core/src/shared_queue.rs
@@ -13,40 +13,14 @@
 use crate::queue_round::QueueRound;
 use crate::queue_shares::OrganisationShares;
 use crate::queue_slots::SlotLedger;
-use crate::waiting::WaitingRequest;
 
-/// Longest time until other nodes learn of a request through gossip.
-///
-/// For this long, a grant or a release is compared with what gossip reports of the group, and a request that was granted
-/// or refused is left out of the lists of its node.
-pub const GRANT_TTL: Duration = Duration::from_millis(250);
-/// Time without a message after which a node's requests are dropped.
-///
-/// Replies are held for a third of it, and a node that waits sends again after each reply.
-pub const NODE_TTL: Duration = Duration::from_millis(600);
+pub use crate::queued_request::{
+    GroupCapacity, GroupKey, QueuedRequest, Ticket, GRANT_TTL, NODE_TTL,
+};
+
 /// Time for which the last sequence number of a node is kept; longer than any message is delayed.
 const SEQUENCE_TTL: Duration = Duration::from_secs(10);
 
-/// Stands for a group in messages between nodes.
-pub type GroupKey = u32;
-/// Number of a waiting request, unique at its node.
-pub type Ticket = u64;
-
-/// A request of one node that waits for a slot.
-#[derive(Clone, Debug, PartialEq)]
-pub struct QueuedRequest {
-    /// Its number.
-    pub ticket: Ticket,
-    /// Organisation of its caller; empty if none.
-    pub organisation: OrganisationId,
-    /// Tokens of its prompt and at most of its response.
-    pub tokens: u64,
-    /// How long it waits and how urgent it is, by the clock of the node that keeps the queue.
-    pub request: WaitingRequest,
-    /// Groups that it may not use.
-    pub excluded: Vec<GroupKey>,
-}
-
 /// All requests of one node that wait in a queue.
 #[derive(Clone, Debug, PartialEq)]
 pub struct NodeRequests {
@@ -60,19 +34,6 @@
     pub requests: Vec<QueuedRequest>,
 }
 
-/// A group that serves the queue's requests, as the node that keeps the queue knows it.
-#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
-pub struct GroupCapacity {
-    /// The group.
-    pub group: GroupKey,
-    /// Requests that it runs concurrently.
-    pub slots: u32,
-    /// Requests there, as reported by all nodes.
-    pub active_requests: u32,
-    /// Expected time from a grant to the first event.
-    pub first_event_time: Duration,
-}
-
 /// A slot for a waiting request.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub struct SlotGrant {
