--- a/crates/core/tests/pace.rs
+++ b/crates/core/tests/pace.rs
@@ -1,123 +1,35 @@
 //! Groups with members that report a slow pace: when they are closed, and of whom they are formed again.
 
-use std::time::Duration;
+#[path = "support/domain_simulation.rs"]
+mod domain_simulation;
 
-use briarswitch_core::assembly::{
-    DomainReconciler, DomainView, TargetFacts, TargetPace, TargetStatus,
-};
-use briarswitch_core::engine::{EngineSpec, ModelSpec};
+use briarswitch_core::assembly::{TargetFacts, TargetStatus};
 use briarswitch_core::id::*;
 use briarswitch_core::layout::DomainLayout;
-use briarswitch_core::order::{OrderResult, TargetAction, TargetOrder};
 use briarswitch_core::speed::SpeedRatio;
-use briarswitch_core::target::{Membership, MembershipState};
+use briarswitch_core::target::MembershipState;
 use googletest::prelude::*;
 use indexmap::IndexMap;
 
+use domain_simulation::DomainSimulation;
+
 const MODEL: &str = "m";
 const OTHER_MODEL: &str = "other";
 const GROUP_SIZE: usize = 4;
 /// Control rounds in which a group is closed and formed again.
 const ROUNDS: usize = 8;
 
-/// One domain whose targets carry out every order immediately.
-struct DomainSimulation {
-    reconciler: DomainReconciler,
-    engine: EngineSpec,
-    layout: DomainLayout,
-    targets: IndexMap<TargetId, TargetFacts>,
-    now: Duration,
+/// Creates a domain of two open groups and some free targets, all of which hold the weights.
+fn open_domain(free: usize) -> DomainSimulation {
+    let models = [(MODEL, GROUP_SIZE), (OTHER_MODEL, GROUP_SIZE)];
+    let holders = [(MODEL.to_owned(), GROUP_SIZE * 2)];
+    let layout = DomainLayout {
+        holders: IndexMap::from(holders),
+    };
+    DomainSimulation::new(models, layout, GROUP_SIZE * 2 + free, 0)
 }
 
 impl DomainSimulation {
-    /// Creates a domain of two open groups and some free targets, all of which hold the weights.
-    fn new(free: usize) -> Self {
-        let spec = |id: &str, group_size| ModelSpec {
-            id: id.to_owned(),
-            group_size,
-            load_time: Duration::from_secs(16),
-            warmup: Duration::from_millis(1_600),
-            ..ModelSpec::default()
-        };
-        let models = [(MODEL, GROUP_SIZE), (OTHER_MODEL, GROUP_SIZE)];
-        let models = models.map(|(id, size)| (id.to_owned(), spec(id, size)));
-        let holders = [(MODEL.to_owned(), GROUP_SIZE * 2)];
-        let mut domain = Self {
-            reconciler: DomainReconciler::new("n1"),
-            engine: EngineSpec {
-                models: IndexMap::from(models),
-                ..EngineSpec::default()
-            },
-            layout: DomainLayout {
-                holders: IndexMap::from(holders),
-            },
-            targets: IndexMap::new(),
-            now: Duration::from_secs(100),
-        };
-        for index in 0..GROUP_SIZE * 2 + free {
-            let facts = TargetFacts {
-                incarnation: 1,
-                status: TargetStatus::Live,
-                membership: None,
-                model: None,
-                staged: vec![MODEL.to_owned()],
-                sequence: 0,
-                is_busy: false,
-                epoch_seen: 0,
-                is_fresh: true,
-                pace: TargetPace::default(),
-            };
-            domain.targets.insert(format!("t{index}"), facts);
-        }
-        domain.rounds(3);
-        assert_eq!(domain.open_groups(), 2);
-        domain
-    }
-
-    fn round(&mut self) -> Vec<TargetOrder> {
-        self.now += Duration::from_millis(50);
-        let view = DomainView {
-            targets: &self.targets,
-            engine: &self.engine,
-            layout: &self.layout,
-            loading: &IndexMap::new(),
-            load_budget: 0,
-            may_load_on_join: false,
-            epoch_floor: 1,
-        };
-        let orders = self.reconciler.plan(view, self.now);
-        for order in &orders {
-            self.carry_out(order);
-            self.reconciler
-                .note_result(&order.target, OrderResult::Begun);
-        }
-        orders
-    }
-
-    fn rounds(&mut self, count: usize) -> Vec<TargetOrder> {
-        (0..count).flat_map(|_| self.round()).collect()
-    }
-
-    fn carry_out(&mut self, order: &TargetOrder) {
-        let facts = &mut self.targets[&order.target];
-        facts.sequence += 1;
-        let effect = order
-            .action
-            .effect(&order.target, facts.membership.as_ref());
-        facts.membership = effect.map(|membership| Membership {
-            state: match membership.state {
-                MembershipState::Joining | MembershipState::Closing => MembershipState::Ready,
-                state => state,
-            },
-            ..membership
-        });
-        match &order.action {
-            TargetAction::Join { model, .. } => facts.model = Some(model.clone()),
-            TargetAction::Leave { .. } => facts.model = None,
-            _ => {}
-        }
-    }
-
     /// Lets a target report its pace so many times.
     fn report(&mut self, target: &str, pace: f64, times: usize) {
         for _ in 0..times {
@@ -148,20 +60,12 @@
         });
         free.map(|(id, _)| id.clone()).collect()
     }
-
-    fn open_groups(&self) -> usize {
-        let open = self.targets.values().filter(|facts| {
-            let membership = facts.membership.as_ref();
-            membership.is_some_and(|membership| membership.state == MembershipState::Open)
-        });
-        open.count()
-    }
 }
 
 /// Guards against groups that stay as slow as their slowest member although another target could take its place.
 #[gtest]
 fn a_group_is_formed_again_without_its_slow_member() {
-    let mut domain = DomainSimulation::new(1);
+    let mut domain = open_domain(1);
     let slow = domain.followers()[0].clone();
     domain.report(&slow, 4.0, 2);
     let orders = domain.rounds(ROUNDS);
@@ -175,7 +79,7 @@
 /// Guards against closing a group that serves slowly for none that serves at all.
 #[gtest]
 fn a_group_remains_if_nothing_can_take_the_place_of_its_slow_member() {
-    let mut domain = DomainSimulation::new(0);
+    let mut domain = open_domain(0);
     let slow = domain.followers()[0].clone();
     domain.report(&slow, 12.0, 3);
     expect_that!(domain.rounds(ROUNDS).len(), eq(0));
@@ -189,7 +93,7 @@
         },
     ];
     for make_unfit in unfit {
-        let mut domain = DomainSimulation::new(1);
+        let mut domain = open_domain(1);
         let spare = domain.free_targets()[0].clone();
         make_unfit(&mut domain.targets[&spare]);
         let slow = domain.followers()[0].clone();
@@ -208,7 +112,7 @@
         &[4.0, 1.0, 4.0],
         &[4.0, 4.0, 1.0],
     ] {
-        let mut domain = DomainSimulation::new(1);
+        let mut domain = open_domain(1);
         let slow = domain.followers()[0].clone();
         for pace in reports {
             domain.report(&slow, *pace, 1);
@@ -220,7 +124,7 @@
 /// Guards against closing several groups of a domain at once.
 #[gtest]
 fn groups_with_slow_members_are_replaced_one_after_the_other() {
-    let mut domain = DomainSimulation::new(2);
+    let mut domain = open_domain(2);
     let slow = domain.followers();
     expect_that!(slow.len(), eq(2));
     for target in &slow {
@@ -239,7 +143,7 @@
 /// Guards against a replacement that has gone since its last report.
 #[gtest]
 fn a_replacement_has_to_report_again_first() {
-    let mut domain = DomainSimulation::new(1);
+    let mut domain = open_domain(1);
     let slow = domain.followers()[0].clone();
     let spare = domain.free_targets()[0].clone();
     domain.report(&slow, 4.0, 2);
@@ -254,7 +158,7 @@
 /// Guards against new groups of slow targets while others are free.
 #[gtest]
 fn new_groups_prefer_targets_of_normal_pace() {
-    let mut domain = DomainSimulation::new(3);
+    let mut domain = open_domain(3);
     let slow = domain.free_targets()[0].clone();
     domain.report(&slow, 4.0, 2);
     let mut lost = domain.followers();
--- a/crates/core/tests/placement_contention.rs
+++ b/crates/core/tests/placement_contention.rs
@@ -2,15 +2,19 @@
 //! about each other that is some tenths of a second old, and counts the requests sent to full
 //! groups.
 
+#[path = "support/large_engine.rs"]
+mod large_engine;
+
 use std::collections::VecDeque;
-use std::time::Duration;
 
-use briarswitch_core::engine::{EngineSpec, ModelSpec};
+use briarswitch_core::engine::EngineSpec;
 use briarswitch_core::placement::{pick_group, slot_share, GroupLoad, NodeWeight, PlacementParams};
 use googletest::prelude::*;
 use rand::rngs::StdRng;
 use rand::{Rng, SeedableRng};
 
+use large_engine::large_engine;
+
 const NODES: usize = 295;
 const GROUPS: usize = 8;
 const SLOTS: u32 = 22;
@@ -21,25 +25,6 @@
 /// Mean duration of a request in ticks.
 const REQUEST_TICKS: f64 = 130.0;
 
-fn engine() -> EngineSpec {
-    let large = ModelSpec {
-        id: "large".to_owned(),
-        group_size: 32,
-        expected_share: 0.5,
-        time_factor: 1.0,
-        ..ModelSpec::default()
-    };
-    EngineSpec {
-        slots: SLOTS,
-        steps_per_pass: 11,
-        step_time: Duration::from_micros(5_950),
-        step_time_per_request: Duration::from_nanos(44_500),
-        prefill_tokens_per_second: 50_700.0,
-        models: [(large.id.clone(), large)].into_iter().collect(),
-        ..EngineSpec::default()
-    }
-}
-
 struct Simulation {
     rng: StdRng,
     engine: EngineSpec,
@@ -66,7 +51,7 @@
     fn new(seed: u64, takes_turns: bool) -> Self {
         Self {
             rng: StdRng::seed_from_u64(seed),
-            engine: engine(),
+            engine: large_engine(SLOTS),
             active: vec![[0; GROUPS]; NODES],
             known: VecDeque::from(vec![[0; GROUPS]; INFO_AGE_TICKS]),
             completions: Vec::new(),
--- a/crates/core/tests/shared_queue.rs
+++ b/crates/core/tests/shared_queue.rs
@@ -1,5 +1,7 @@
 //! What callers of 60 nodes get from a queue that all nodes share, with knowledge of each other that is 200 ms old.
 
+#[path = "support/large_engine.rs"]
+mod large_engine;
 #[path = "support/queue_counts.rs"]
 mod queue_counts;
 #[path = "support/queue_load.rs"]
--- a/crates/core/tests/support/slot_shares.rs
+++ b/crates/core/tests/support/slot_shares.rs
@@ -3,39 +3,21 @@
 use std::sync::LazyLock;
 use std::time::Duration;
 
-use briarswitch_core::engine::{EngineSpec, ModelSpec};
+use briarswitch_core::engine::EngineSpec;
 use briarswitch_core::id::Moment;
 use briarswitch_core::placement::{pick_group, slot_share, GroupLoad, NodeWeight, PlacementParams};
 use briarswitch_core::shared_queue::GroupKey;
 use rand::rngs::StdRng;
 use rand::{Rng, SeedableRng};
 
+use super::large_engine::large_engine;
 use super::queue_load::{node_weight, weight_before, MEAN_SLOT_SECONDS, NODES};
 use super::queue_nodes::{GroupCounts, GROUPS, SLOTS};
 
 /// Age of the nodes' information about each other, which is also the length of their turns.
 const INFO_AGE: Duration = Duration::from_millis(200);
 
-static ENGINE: LazyLock<EngineSpec> = LazyLock::new(engine);
-
-fn engine() -> EngineSpec {
-    let model = ModelSpec {
-        id: "large".to_owned(),
-        group_size: 8,
-        expected_share: 1.0,
-        time_factor: 1.0,
-        ..ModelSpec::default()
-    };
-    EngineSpec {
-        slots: SLOTS,
-        steps_per_pass: 11,
-        step_time: Duration::from_micros(5_950),
-        step_time_per_request: Duration::from_nanos(44_500),
-        prefill_tokens_per_second: 50_700.0,
-        models: [(model.id.clone(), model)].into_iter().collect(),
-        ..EngineSpec::default()
-    }
-}
+static ENGINE: LazyLock<EngineSpec> = LazyLock::new(|| large_engine(SLOTS));
 
 /// What a node knows when it places a request.
 pub struct NodeKnowledge {
