--- a/crates/fleet/src/dispatch.rs
+++ b/crates/fleet/src/dispatch.rs
@@ -297,7 +297,7 @@
         if info.is_not_run || info.is_other_incarnation {
             run.end_unreported();
             target.gauge.record_outcome(true);
-            slot.keep_unreported();
+            slot.silence();
             if info.is_other_incarnation || info.failed_member.is_some() {
                 self.suspicion.suspect(&target, now);
             }
--- a/crates/fleet/src/gauge.rs
+++ b/crates/fleet/src/gauge.rs
@@ -8,8 +8,6 @@
 use briarswitch_membership::{target_key, TargetKey};
 
 use crate::micros::micros;
-use crate::queue_client::SlotRelease;
-use crate::slot_forecast::HoldingTimer;
 use crate::statements::TargetStatements;
 use crate::target_speed::TargetSpeed;
 
@@ -286,15 +284,19 @@
     }
 }
 
+/// Is told when a slot has become free.
+pub trait SlotListener: std::fmt::Debug + Send + Sync {
+    /// Called after the slot was released; `has_run` tells whether the target has processed the request's prompt.
+    fn slot_released(&self, has_run: bool);
+}
+
 /// A slot held at a target, which is released on drop.
 #[derive(Debug)]
 pub struct SlotGuard {
     gauge: Arc<TargetGauge>,
     /// Prompt tokens of the request until its first event.
     prefill_tokens: Option<u64>,
-    /// Tells the coordinator of a queue that the slot is free.
-    release: Option<SlotRelease>,
-    holding: Option<HoldingTimer>,
+    listeners: Vec<Box<dyn SlotListener>>,
 }
 
 impl SlotGuard {
@@ -311,28 +313,23 @@
         Self {
             gauge: Arc::clone(gauge),
             prefill_tokens: Some(tokens),
-            release: None,
-            holding: None,
+            listeners: Vec::new(),
         }
     }
 
-    /// Adds what happens after the slot has been released.
-    pub fn with_release(self, release: Option<SlotRelease>) -> Self {
+    /// Adds listeners, which are told in this order.
+    pub fn with_listeners(
+        self,
+        listeners: impl IntoIterator<Item = Box<dyn SlotListener>>,
+    ) -> Self {
         let mut guard = self;
-        guard.release = release;
+        guard.listeners.extend(listeners);
         guard
     }
 
-    /// Does not report the slot as free when it is released, since the target has refused the request as full.
-    pub fn keep_unreported(&mut self) {
-        if let Some(release) = self.release.take() {
-            release.cancel();
-        }
-    }
-
-    /// Measures for how long the slot is held.
-    pub fn set_timer(&mut self, timer: HoldingTimer) {
-        self.holding = Some(timer);
+    /// Tells nobody when the slot is released, since the target has refused the request as full.
+    pub fn silence(&mut self) {
+        self.listeners.clear();
     }
 
     /// Records that the target has processed the prompt, as the first event shows.
@@ -350,11 +347,10 @@
     fn drop(&mut self) {
         // A target that rejects the request does not process its prompt.
         let has_run = self.prefill_tokens.is_none();
-        if let Some(timer) = self.holding.take().filter(|_| has_run) {
-            timer.record();
-        }
         self.end_prefill();
         self.gauge.local.fetch_sub(1, Ordering::Relaxed);
-        drop(self.release.take());
+        for listener in &self.listeners {
+            listener.slot_released(has_run);
+        }
     }
 }
--- a/crates/fleet/src/queue_client.rs
+++ b/crates/fleet/src/queue_client.rs
@@ -13,6 +13,7 @@
 use indexmap::IndexMap;
 
 use crate::costs::CostKind;
+use crate::gauge::SlotListener;
 use crate::queue_coordinator::{QueueCoordinator, REPLY_HOLD_TIME};
 use crate::queue_doc::{QueueReply, QueueReplyDoc, QueueUpdate, QueueUpdateDoc, QUEUE_PATH};
 use crate::queue_id::{shard_count, shard_of, QueueId};
@@ -315,7 +316,6 @@
     client: Arc<QueueClient>,
     key: QueueKey,
     group: GroupKey,
-    is_cancelled: bool,
 }
 
 impl SlotRelease {
@@ -326,14 +326,8 @@
             client: Arc::clone(client),
             key: key.clone(),
             group,
-            is_cancelled: false,
         })
     }
-
-    /// Drops the release without telling the coordinator.
-    pub fn cancel(mut self) {
-        self.is_cancelled = true;
-    }
 }
 
 impl std::fmt::Debug for SlotRelease {
@@ -345,10 +339,8 @@
     }
 }
 
-impl Drop for SlotRelease {
-    fn drop(&mut self) {
-        if !self.is_cancelled {
-            self.client.release(&self.key, self.group);
-        }
+impl SlotListener for SlotRelease {
+    fn slot_released(&self, _has_run: bool) {
+        self.client.release(&self.key, self.group);
     }
 }
--- a/crates/fleet/src/slot_forecast.rs
+++ b/crates/fleet/src/slot_forecast.rs
@@ -14,6 +14,7 @@
 use briarswitch_kernel::BootClock;
 use indexmap::IndexMap;
 
+use crate::gauge::SlotListener;
 use crate::job::RequestJob;
 use crate::restriction::{PassedOver, SlotError};
 use crate::routing_table::RouteTarget;
@@ -105,12 +106,14 @@
     since: Moment,
 }
 
-impl HoldingTimer {
-    /// Records the time for which the slot was held until now.
-    pub fn record(self) {
-        let held = BootClock::now().saturating_sub(self.since);
-        self.forecasts
-            .with_key(&self.key, |forecast| forecast.rates.record_holding(held));
+impl SlotListener for HoldingTimer {
+    /// Records the time for which the slot was held; a target that rejects the request does not process its prompt.
+    fn slot_released(&self, has_run: bool) {
+        if has_run {
+            let held = BootClock::now().saturating_sub(self.since);
+            self.forecasts
+                .with_key(&self.key, |forecast| forecast.rates.record_holding(held));
+        }
     }
 }
 
--- a/crates/fleet/src/target_selector.rs
+++ b/crates/fleet/src/target_selector.rs
@@ -15,7 +15,7 @@
 use briarswitch_kernel::BootClock;
 use xxhash_rust::xxh3::{xxh3_64, xxh3_64_with_seed};
 
-use crate::gauge::SlotGuard;
+use crate::gauge::{SlotGuard, SlotListener};
 use crate::job::RequestJob;
 use crate::peers::PROPAGATION_TIME;
 use crate::queue_client::{QueueClient, SlotRelease};
@@ -383,14 +383,15 @@
         if target.gauge.speed().is_slow() {
             target.gauge.speed().record_probe(now);
         }
-        let release = SlotRelease::of(&self.queue_client, &slot_request.key, target.gauge.key());
-        let mut slot = SlotGuard::acquire(&target.gauge, slot_request.prompt_tokens, now);
-        if let Some(timer) = self.forecast.timer(&slot_request.key, now) {
-            slot.set_timer(timer);
-        }
+        let key = &slot_request.key;
+        let timer = self.forecast.timer(key, now);
+        let timer = timer.map(|timer| Box::new(timer) as Box<dyn SlotListener>);
+        let release = SlotRelease::of(&self.queue_client, key, target.gauge.key());
+        let release = release.map(|release| Box::new(release) as Box<dyn SlotListener>);
+        let slot = SlotGuard::acquire(&target.gauge, slot_request.prompt_tokens, now);
         Some(AcquiredSlot {
             target,
-            slot: slot.with_release(release),
+            slot: slot.with_listeners(timer.into_iter().chain(release)),
             passed_over,
             granted_by: NodeId::new(),
         })
