--- a/crates/fleet/tests/skewed_callers.rs
+++ b/crates/fleet/tests/skewed_callers.rs
@@ -97,3 +97,12 @@
     let fleet = Fleet::open_sharing_groups(8, &ZONES).await;
     check(&fleet, "/model/x", BUSY_CALL_INTERVAL).await;
 }
+
+/// Guards against the same while no queue is shared.
+#[gtest]
+#[tokio::test(flavor = "multi_thread")]
+async fn a_node_with_most_callers_serves_streams_of_groups_that_are_mostly_full_without_a_shared_queue(
+) {
+    let fleet = Fleet::open_groups(8, &ZONES).await;
+    check(&fleet, "/model/x", BUSY_CALL_INTERVAL).await;
+}
--- a/crates/fleet/tests/support/mod.rs
+++ b/crates/fleet/tests/support/mod.rs
@@ -41,7 +41,7 @@
 /// API keys and the organisations that hold them.
 pub const KEYS: [(&str, &str); 2] = [("key-one", "org-one"), ("key-two", "org-two")];
 /// Zones and their regions.
-pub const ZONES: [(&str, &str); 3] = [("z1", "r1"), ("z2", "r1"), ("z3", "r2")];
+pub const ZONES: [(&str, &str); 4] = [("z1", "r1"), ("z2", "r1"), ("z3", "r2"), ("z4", "r1")];
 /// How all targets warm up.
 pub const WARMUP: WarmupSpec = WarmupSpec {
     duration: Duration::from_secs(3),
