Sight: why a request found no slot at its model's groups

Each such request now has a line slot_missed with the slots, the requests known there, the node's own, those reserved for it and the rates of arrival, and is counted by cause (slot_misses).

--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -65,6 +65,7 @@
 pub mod settings;
 pub mod shared;
 pub mod slot_forecast;
+pub mod slot_miss;
 pub mod slot_queue;
 mod source_health;
 pub mod speed_judge;
--- a/crates/fleet/src/metrics.rs
+++ b/crates/fleet/src/metrics.rs
@@ -12,6 +12,7 @@
 
 use crate::coordinated_queue::{PriorityCounts, PRIORITIES};
 use crate::costs::CostCounters;
+use crate::slot_miss::MissCause;
 
 /// Bucket bounds of the latency histograms in seconds; the latency objectives lie between 0.15 and 0.4.
 const LATENCY_BOUNDS: [f64; 12] = [
@@ -32,6 +33,7 @@
     limit_changes: Counter<u64>,
     backoffs: Counter<u64>,
     forecast_refusals: Counter<u64>,
+    slot_misses: Counter<u64>,
     unmarked_ends: Counter<u64>,
     latency: Histogram<f64>,
     first_event: Histogram<f64>,
@@ -120,6 +122,7 @@
             limit_changes: meter.u64_counter("target_limit_changes").build(),
             backoffs: meter.u64_counter("target_backoffs").build(),
             forecast_refusals: meter.u64_counter("forecast_refusals").build(),
+            slot_misses: meter.u64_counter("slot_misses").build(),
             unmarked_ends: meter.u64_counter("unmarked_ends").build(),
             latency: histogram("request_seconds"),
             first_event: histogram("first_event_seconds"),
@@ -172,6 +175,15 @@
             .add(1, &[KeyValue::new("service", service.to_owned())]);
     }
 
+    /// Counts one request that found no slot at the groups of its model in time.
+    pub fn count_slot_miss(&self, service: &str, cause: MissCause) {
+        let attributes = [
+            KeyValue::new("service", service.to_owned()),
+            KeyValue::new("cause", cause.name()),
+        ];
+        self.slot_misses.add(1, &attributes);
+    }
+
     /// Counts one change of a limit that a target states.
     pub fn count_limit_change(&self, change: LimitChange) {
         self.limit_changes
--- a/crates/fleet/src/target_selector.rs
+++ b/crates/fleet/src/target_selector.rs
@@ -24,6 +24,7 @@
 use crate::routing_table::{RouteTarget, RoutingTable};
 use crate::shared::FleetShared;
 use crate::slot_forecast::SlotForecast;
+use crate::slot_miss::SlotMiss;
 use crate::slot_queue::{
     wait_for_slot, QueueKey, ReservedTarget, SlotQueue, SlotReply, SlotRequest,
 };
@@ -194,6 +195,7 @@
                 ..FailurePoint::NoTarget.into()
             }),
             None => {
+                self.record_miss(job, &key, BootClock::now());
                 let refusal = self.queue.take_refusal(ticket);
                 let forecast =
                     refusal.map(|refusal| self.forecast.refuse(&key, job, refusal, passed_over));
@@ -465,6 +467,36 @@
         })
     }
 
+    /// Logs and counts a request that found no slot at the groups of its model.
+    fn record_miss(&self, job: &RequestJob, key: &QueueKey, now: Moment) {
+        let config = self.shared.config.load();
+        let services = config.as_ref().as_ref().map(|config| &config.services);
+        let service = services.and_then(|services| services.get(&key.0));
+        let engine = service.and_then(|service| service.engine.as_ref());
+        let Some((engine, model)) = engine.zip(key.1.as_ref()) else {
+            return;
+        };
+        let own_rates = self.shared.demand.request_rates(now);
+        let peer_work = self.shared.peer_work.read();
+        let mut miss = SlotMiss {
+            own_rate: own_rates.get(model).copied().unwrap_or_default(),
+            peer_rate: peer_work
+                .request_rates
+                .get(model)
+                .copied()
+                .unwrap_or_default(),
+            is_queued: self.queue_client.route(key, now).is_some(),
+            ..SlotMiss::default()
+        };
+        let table = self.shared.routing_table.load();
+        let groups = routes_of(&table, key).iter();
+        for group in groups.filter(|group| !group.gauge.is_suspect(now)) {
+            miss.add_group(engine.slots, &self.group_load(engine, group, now));
+        }
+        self.shared.metrics.count_slot_miss(&key.0, miss.cause());
+        miss.log(&job.request.attempt, &key.0, model);
+    }
+
     /// Returns a number from 0 to 1 that decides whether this node may use slots beyond its share of a model's groups.
     ///
     /// It differs between nodes, and changes after the time in which the other nodes learn of the load that this node
--- a/crates/fleet/tests/crowded_nodes.rs
+++ b/crates/fleet/tests/crowded_nodes.rs
@@ -9,6 +9,8 @@
 use briarswitch_membership::{node_hash, rank_of, RankKey};
 use futures::future::{join, join_all};
 use googletest::prelude::*;
+use http::Method;
+use indexmap::IndexMap;
 use tokio::sync::Mutex;
 
 use support::{Fleet, TestRequest, GROUP_SERVICE, MODEL};
@@ -100,6 +102,25 @@
     served as f64 / sent.len().max(1) as f64
 }
 
+/// Returns how many requests found no slot at the nodes that were crowded, by cause.
+async fn slot_misses(fleet: &Fleet) -> String {
+    let mut misses: IndexMap<&str, f64> = IndexMap::new();
+    for node in CROWDS.concat() {
+        let page = fleet.operator_request(node, Method::GET, "/metrics").await;
+        for cause in ["full", "reserved", "queued"] {
+            let label = format!("cause=\"{cause}\"");
+            let lines = page
+                .body
+                .lines()
+                .filter(|line| line.starts_with("slot_misses"));
+            let counts = lines.filter(|line| line.contains(&label));
+            let counts = counts.filter_map(|line| line.rsplit(' ').next()?.parse::<f64>().ok());
+            *misses.entry(cause).or_default() += counts.sum::<f64>();
+        }
+    }
+    format!("slot misses {misses:?}")
+}
+
 /// Crowds one pair of nodes after the other; returns the requests sent from the contact time on.
 async fn crowd(fleet: &Fleet, load: TestLoad) -> Vec<(Instant, bool)> {
     let start = Instant::now();
@@ -118,7 +139,8 @@
     let even = served_share(&even.await);
     let (sent, ()) = join(crowd(fleet, load), disturb).await;
     let share = served_share(&sent);
-    println!("served {share:.3}, {even:.3} before");
+    let misses = slot_misses(fleet).await;
+    println!("served {share:.3}, {even:.3} before; {misses}");
     expect_that!(share, ge(MIN_SERVED_SHARE * even), "{even} before");
 }
 
