Free slots go to the nodes at which requests arrive

Cause: beyond its slot share, which follows the rates of three seconds, a node could send one request a group each 0.3 s (more nodes than slots) or an equal part of what is free, as if all nodes had the same callers. Requests that replaced others of the same node, of which the others see no difference, counted as well. Class: equal parts of something that is needed unequally.

Change: what a node may use of the free slots beyond its share follows its share of the requests that arrive at present, its own rate over half a second against that of the others, and no less than an equal part; the reserve for unseen requests of others shrinks with their part; only requests beyond those last reported count as unseen; and the estimate of what others have sent of late requests uses the same part.

--- a/crates/core/src/placement.rs
+++ b/crates/core/src/placement.rs
@@ -6,10 +6,10 @@
 
 /// Mean wait for the current pass to end before a new prompt is processed, in passes.
 const MEAN_PASS_WAIT: f64 = 0.5;
-/// Utilization of a group up to which nodes may exceed their slot shares.
-const MAX_UTILIZATION: f64 = 0.75;
-/// Same limit if there are more nodes than slots and the nodes take turns.
-const MAX_UTILIZATION_CROWDED: f64 = 0.95;
+/// Part of a group's slots that nodes which exceed their slot shares leave free for requests of the others.
+const RESERVE: f64 = 0.25;
+/// Same part if there are more nodes than slots and the nodes take turns.
+const RESERVE_CROWDED: f64 = 0.05;
 /// Utilization up to which late requests may take slots if there are more nodes than slots.
 const MAX_UTILIZATION_LATE: f64 = 0.75;
 /// Same limit if there are at most as many nodes as slots.
@@ -28,6 +28,8 @@
     pub unreported_requests: u32,
     /// Number of nodes that choose among the same groups.
     pub nodes: u32,
+    /// Share of the requests for the model that arrive at this node at present, from 0 to 1.
+    pub arrival_share: f64,
     /// Slots of the group that are reserved for this node.
     pub slot_share: u32,
     /// Prompt tokens of requests sent there that have not produced an event yet.
@@ -49,6 +51,7 @@
             local_requests: 0,
             unreported_requests: 0,
             nodes: 0,
+            arrival_share: 0.0,
             slot_share: 0,
             prefill_tokens: 0,
             delay: Duration::ZERO,
@@ -59,6 +62,14 @@
     }
 }
 
+impl GroupLoad {
+    /// Returns this node's part of what all nodes send to the group: its share of the requests, but no less than an
+    /// equal part.
+    fn part(&self) -> f64 {
+        self.arrival_share.max(1.0 / f64::from(self.nodes.max(1)))
+    }
+}
+
 /// Returns the expected time to the first event.
 pub fn first_event_time(
     engine: &EngineSpec,
@@ -83,6 +94,19 @@
     pub total: f64,
 }
 
+/// Returns the share of all requests that arrive at a node, from the requests per second that arrive there and at all
+/// other nodes.
+///
+/// ```
+/// use briarswitch_core::placement::arrival_share;
+///
+/// assert_eq!(arrival_share(90.0, 10.0), 0.9);
+/// assert_eq!(arrival_share(0.0, 0.0), 0.0);
+/// ```
+pub fn arrival_share(own_rate: f64, peer_rate: f64) -> f64 {
+    own_rate / (own_rate + peer_rate).max(f64::MIN_POSITIVE)
+}
+
 /// Returns the number of a group's slots that are reserved for one node.
 ///
 /// If all nodes agree on ranks and weights, their shares add up to the group's slots. With a
@@ -119,18 +143,26 @@
 /// A request that is already late gets a slot only while half of them are free. If late requests
 /// could take every slot that becomes free, the requests that follow would become late too.
 pub fn has_free_slot(engine: &EngineSpec, load: &GroupLoad) -> bool {
-    let nodes = load.nodes.max(1);
     if load.is_request_late && !is_free_for_late(engine, load) {
         return false;
     }
+    let is_far_from_full = f64::from(load.active_requests) < usable_slots(engine, load, RESERVE);
+    let allowance = unreported_allowance(f64::from(engine.slots), load);
+    let may_exceed = is_far_from_full && load.unreported_requests < allowance + 1;
+    !load.is_queueing && (is_in_share(engine, load) || may_exceed)
+}
+
+/// Returns how many requests that the other nodes do not know of a node may have beyond its share in a group, of which
+/// all nodes together may use so many slots.
+///
+/// The free slots are divided by where requests arrive at present. While a load balancer sends most callers to a few
+/// nodes, equal parts would be left unused by the others.
+fn unreported_allowance(usable_slots: f64, load: &GroupLoad) -> u32 {
     let others_see = load
         .active_requests
         .saturating_sub(load.unreported_requests);
-    let free = engine.slots.saturating_sub(others_see);
-    let is_far_from_full =
-        f64::from(load.active_requests) < f64::from(engine.slots) * MAX_UTILIZATION;
-    let may_exceed = is_far_from_full && load.unreported_requests < free / nodes + 1;
-    !load.is_queueing && (is_in_share(engine, load) || may_exceed)
+    let free = (usable_slots - f64::from(others_see)).max(0.0);
+    (free * load.part() + ROUNDING) as u32
 }
 
 /// Returns whether there are more nodes than a group has slots.
@@ -180,12 +212,12 @@
         return true;
     }
     let active: u32 = loads.iter().map(|load| load.active_requests).sum();
-    let unseen_requests: u32 = loads
+    let unseen_requests: f64 = loads
         .iter()
-        .map(|load| load.unreported_requests * load.nodes)
+        .map(|load| f64::from(load.unreported_requests) / load.part())
         .sum();
     let slots = f64::from(engine.slots) * loads.len() as f64;
-    f64::from(active + unseen_requests) < slots * MAX_UTILIZATION_LATE
+    f64::from(active) + unseen_requests < slots * MAX_UTILIZATION_LATE
 }
 
 fn is_in_share(engine: &EngineSpec, load: &GroupLoad) -> bool {
@@ -212,7 +244,10 @@
 pub fn exceed_probability(engine: &EngineSpec, loads: &[GroupLoad], unseen_requests: f64) -> f64 {
     let rooms = loads.iter().filter(|load| !load.is_queueing);
     let room: f64 = rooms
-        .map(|load| (usable_slots(engine, load) - f64::from(load.active_requests)).max(0.0))
+        .map(|load| {
+            let usable = usable_slots(engine, load, reserve_of(engine, load));
+            (usable - f64::from(load.active_requests)).max(0.0)
+        })
         .sum();
     if room >= unseen_requests {
         1.0
@@ -221,17 +256,23 @@
     }
 }
 
-/// Returns the number of slots of a group up to which nodes may exceed their shares.
+/// Returns the part of a group's slots that is left free for requests of other nodes.
 ///
 /// If there are more nodes than slots, a share is one slot or none, and most requests arrive at
 /// nodes without a share. Only the nodes' turns keep them from overfilling the group.
-fn usable_slots(engine: &EngineSpec, load: &GroupLoad) -> f64 {
-    let part = if is_crowded(engine, load) {
-        MAX_UTILIZATION_CROWDED
+fn reserve_of(engine: &EngineSpec, load: &GroupLoad) -> f64 {
+    if is_crowded(engine, load) {
+        RESERVE_CROWDED
     } else {
-        MAX_UTILIZATION
-    };
-    f64::from(engine.slots) * part
+        RESERVE
+    }
+}
+
+/// Returns the number of slots of a group up to which a node may exceed its share.
+///
+/// The reserve is for requests that arrive at other nodes; it shrinks with their part of all requests.
+fn usable_slots(engine: &EngineSpec, load: &GroupLoad, reserve: f64) -> f64 {
+    f64::from(engine.slots) * (1.0 - reserve * (1.0 - load.arrival_share))
 }
 
 /// Returns whether a request may be sent to a group, given whether it is this node's turn to exceed
@@ -240,8 +281,10 @@
     if !is_crowded(engine, load) || load.is_request_late {
         return has_free_slot(engine, load) && (may_exceed || is_in_share(engine, load));
     }
-    let is_free = f64::from(load.active_requests) < usable_slots(engine, load);
-    let is_beyond = may_exceed && is_free && load.unreported_requests == 0;
+    let usable = usable_slots(engine, load, RESERVE_CROWDED);
+    let is_free = f64::from(load.active_requests) < usable;
+    let allowance = unreported_allowance(usable, load).max(1);
+    let is_beyond = may_exceed && is_free && load.unreported_requests < allowance;
     !load.is_queueing && (is_in_share(engine, load) || is_beyond)
 }
 
--- a/crates/core/tests/support/crowded_nodes.rs
+++ b/crates/core/tests/support/crowded_nodes.rs
@@ -5,7 +5,9 @@
 
 use briarswitch_core::engine::EngineSpec;
 use briarswitch_core::id::Moment;
-use briarswitch_core::placement::{pick_group, slot_share, GroupLoad, NodeWeight, PlacementParams};
+use briarswitch_core::placement::{
+    arrival_share, pick_group, slot_share, GroupLoad, NodeWeight, PlacementParams,
+};
 use briarswitch_core::waiting::{next_waiting, WaitParams, WaitVerdict, WaitingRequest};
 use rand::rngs::StdRng;
 use rand::{Rng, SeedableRng};
@@ -32,6 +34,8 @@
 const CALLER_TIMEOUT: Duration = Duration::from_secs(8);
 /// Time constant of the nodes' request rates.
 const RATE_WINDOW: Duration = Duration::from_secs(3);
+/// Time constant of a node's own recent request rate.
+const RECENT_WINDOW: Duration = Duration::from_millis(500);
 /// Relative change of a request rate from which the other nodes learn of it.
 const RATE_STEP: f64 = 0.5;
 /// Requests per second added to each node's rate.
@@ -70,8 +74,10 @@
 #[derive(Clone, Default)]
 struct SimulatedNode {
     own: GroupCounts,
-    unreported: GroupCounts,
+    /// Its requests as of its last report.
+    reported: GroupCounts,
     rate_sum: f64,
+    recent_sum: f64,
     published_rate: f64,
     shares: GroupCounts,
     waiting: Vec<WaitingRequest>,
@@ -189,6 +195,7 @@
         for _ in 0..count {
             let node = self.node_of_caller(now);
             self.nodes[node].rate_sum += 1.0;
+            self.nodes[node].recent_sum += 1.0;
             let request = WaitingRequest::new(WaitParams {
                 arrived: now,
                 objective: OBJECTIVE,
@@ -226,22 +233,24 @@
     fn pick(&mut self, node: usize, is_late: bool, tick: usize) -> Option<usize> {
         let report = &self.reports[0];
         let state = &self.nodes[node];
+        let own_rate = state.rate_sum / RATE_WINDOW.as_secs_f64();
+        let peer_rate = (report.rate - own_rate).max(0.0);
+        let recent_rate = state.recent_sum / RECENT_WINDOW.as_secs_f64();
         let loads: Vec<GroupLoad> = (0..GROUPS)
             .map(|group| {
                 let remote = report.active[group] - report.own[node][group];
                 GroupLoad {
                     active_requests: state.own[group] + remote,
                     local_requests: state.own[group],
-                    unreported_requests: state.unreported[group],
+                    unreported_requests: state.own[group].saturating_sub(state.reported[group]),
                     nodes: self.nodes.len() as u32,
+                    arrival_share: arrival_share(recent_rate, peer_rate),
                     slot_share: state.shares[group],
                     is_request_late: is_late,
                     ..GroupLoad::default()
                 }
             })
             .collect();
-        let own_rate = state.rate_sum / RATE_WINDOW.as_secs_f64();
-        let peer_rate = (report.rate - own_rate).max(0.0);
         let window = (tick / INFO_AGE_TICKS) as u64;
         let mut turn = StdRng::seed_from_u64(window * 1_000 + node as u64);
         let params = PlacementParams {
@@ -256,7 +265,6 @@
     fn place(&mut self, node: usize, group: usize, tick: usize) {
         let state = &mut self.nodes[node];
         state.own[group] += 1;
-        state.unreported[group] += 1;
         let ticks = MEAN_SLOT_TIME.div_duration_f64(TICK) * self.rng.random_range(0.3..1.7);
         self.running.push((node, group, tick + ticks as usize));
     }
@@ -266,13 +274,14 @@
         let decay = (-TICK.div_duration_f64(RATE_WINDOW)).exp();
         for node in &mut self.nodes {
             node.rate_sum *= decay;
+            node.recent_sum *= (-TICK.div_duration_f64(RECENT_WINDOW)).exp();
             let rate = node.rate_sum / RATE_WINDOW.as_secs_f64();
             let step = (node.published_rate * RATE_STEP).max(MIN_RATE);
             if (node.published_rate - rate).abs() > step {
                 node.published_rate = rate;
             }
             if tick % REPORT_TICKS == 0 {
-                node.unreported = [0; GROUPS];
+                node.reported = node.own;
             }
         }
         let own: Vec<GroupCounts> = self.nodes.iter().map(|node| node.own).collect();
--- a/crates/fleet/src/caller_api.rs
+++ b/crates/fleet/src/caller_api.rs
@@ -205,6 +205,7 @@
             let response_tokens = caller_request.expected_tokens.unwrap_or(mean_tokens);
             let work = engine.occupancy_time(spec, caller_request.prompt_tokens, response_tokens);
             self.shared.demand.record(model, work, now);
+            self.shared.arrivals.record(model, work, now);
             if self.shared.settings.load_control.changes_over {
                 self.shared.need.record(model, work, now);
             }
--- a/crates/fleet/src/gauge.rs
+++ b/crates/fleet/src/gauge.rs
@@ -43,7 +43,7 @@
     key: TargetKey,
     local: AtomicU32,
     remote: AtomicU32,
-    unreported: AtomicU32,
+    reported: AtomicU32,
     prefill_tokens: AtomicU64,
     prefill_requests: AtomicU32,
     last_activity: AtomicU64,
@@ -136,14 +136,16 @@
         self.remote.store(requests, Ordering::Relaxed);
     }
 
-    /// Returns the number of requests sent to the target since this node last reported its load to other nodes.
+    /// Returns by how many this node's requests at the target exceed those that other nodes know of.
     pub fn unreported_requests(&self) -> u32 {
-        self.unreported.load(Ordering::Relaxed)
+        let reported = self.reported.load(Ordering::Relaxed);
+        self.local_requests().saturating_sub(reported)
     }
 
     /// Records that this node has reported all its requests to other nodes.
-    pub fn clear_unreported(&self) {
-        self.unreported.store(0, Ordering::Relaxed);
+    pub fn record_report(&self) {
+        self.reported
+            .store(self.local_requests(), Ordering::Relaxed);
     }
 
     /// Returns the number of slots that this node may use at the target.
@@ -309,7 +311,6 @@
         }
         gauge.prefill_tokens.fetch_add(tokens, Ordering::Relaxed);
         gauge.prefill_requests.fetch_add(1, Ordering::Relaxed);
-        gauge.unreported.fetch_add(1, Ordering::Relaxed);
         Self {
             gauge: Arc::clone(gauge),
             prefill_tokens: Some(tokens),
--- a/crates/fleet/src/peers.rs
+++ b/crates/fleet/src/peers.rs
@@ -265,9 +265,7 @@
         }
         if now >= self.unreported_reset_at + UNREPORTED_RESET_INTERVAL {
             self.unreported_reset_at = now;
-            self.shared
-                .gauges
-                .for_each(|gauge| gauge.clear_unreported());
+            self.shared.gauges.for_each(|gauge| gauge.record_report());
         }
     }
 
--- a/crates/fleet/src/shared.rs
+++ b/crates/fleet/src/shared.rs
@@ -6,7 +6,7 @@
 
 use briarswitch_core::evacuation::EvacuatedZones;
 use briarswitch_core::id::*;
-use briarswitch_core::placement::NodeWeight;
+use briarswitch_core::placement::{arrival_share, NodeWeight};
 use briarswitch_core::request_limit::RequestLimit;
 use briarswitch_core::target::TargetCache;
 use briarswitch_core::traffic::TrafficConfig;
@@ -41,6 +41,9 @@
 /// Time after the start during which requests wait for the first configuration.
 const INITIAL_CONFIG_TIMEOUT: Duration = Duration::from_millis(1_000);
 
+/// Time constant of the rates at which requests have just arrived.
+const ARRIVAL_WINDOW: Duration = Duration::from_millis(500);
+
 /// Phase of a node's lifecycle.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 #[repr(u8)]
@@ -100,6 +103,8 @@
     pub started_at: Moment,
     /// Demand of callers by model.
     pub demand: DemandMeter,
+    /// Requests of callers that have just arrived, by model.
+    pub arrivals: DemandMeter,
     /// Short-term need by model; empty unless groups change over between models.
     pub need: NeedMeter,
     /// Overhead of the control plane, by cause.
@@ -153,6 +158,7 @@
             started_at: BootClock::now(),
             peer_work: Snapshot::new(WorkSum::default()),
             demand: DemandMeter::default(),
+            arrivals: DemandMeter::with_window(ARRIVAL_WINDOW),
             need: NeedMeter::default(),
             metrics: FleetMetrics::new(Arc::clone(&costs)),
             costs,
@@ -290,6 +296,16 @@
         self.live_view.read().weight_for(key, own)
     }
 
+    /// Returns the share of the requests for a model that arrive at this node at present.
+    ///
+    /// What is known of other nodes is older, so that the share grows within a second after callers have moved here.
+    pub fn arrival_share(&self, model: &str, now: Moment) -> f64 {
+        let own_rate = self.arrivals.request_rates(now).get(model).copied();
+        let peer_work = self.peer_work.read();
+        let peer_rate = peer_work.request_rates.get(model).copied();
+        arrival_share(own_rate.unwrap_or_default(), peer_rate.unwrap_or_default())
+    }
+
     /// Returns this node's share of a limit that a target last stated `silence` ago.
     ///
     /// There is none right after the start: an earlier incarnation of this node may have used it.
--- a/crates/fleet/src/target_selector.rs
+++ b/crates/fleet/src/target_selector.rs
@@ -8,7 +8,9 @@
 use briarswitch_core::forecast::Refusal;
 use briarswitch_core::id::*;
 use briarswitch_core::outcome::FailurePoint;
-use briarswitch_core::placement::{pick_group, slot_share, GroupLoad, PlacementParams};
+use briarswitch_core::placement::{
+    arrival_share, pick_group, slot_share, GroupLoad, PlacementParams,
+};
 use briarswitch_core::shared_queue::GroupKey;
 use briarswitch_core::traffic::ServiceSpec;
 use briarswitch_core::waiting::{WaitParams, WaitingRequest};
@@ -439,11 +441,12 @@
             _ if granted.is_some() || probe.is_some() => probe?,
             Some(engine) => {
                 let model = engine.models.get(model.as_ref()?)?;
+                let arrival_share = self.shared.arrival_share(&model.id, now);
                 let loads: Vec<GroupLoad> = candidates
                     .iter()
                     .map(|group| GroupLoad {
                         is_request_late: slot_request.is_late,
-                        ..self.group_load(engine, group, now)
+                        ..self.group_load(engine, group, arrival_share, now)
                     })
                     .collect();
                 let peer_work = self.shared.peer_work.read();
@@ -476,7 +479,7 @@
         let Some((engine, model)) = engine.zip(key.1.as_ref()) else {
             return;
         };
-        let own_rates = self.shared.demand.request_rates(now);
+        let own_rates = self.shared.arrivals.request_rates(now);
         let peer_work = self.shared.peer_work.read();
         let mut miss = SlotMiss {
             own_rate: own_rates.get(model).copied().unwrap_or_default(),
@@ -490,8 +493,10 @@
         };
         let table = self.shared.routing_table.load();
         let groups = routes_of(&table, key).iter();
+        let arrival_share = arrival_share(miss.own_rate, miss.peer_rate);
         for group in groups.filter(|group| !group.gauge.is_suspect(now)) {
-            miss.add_group(engine.slots, &self.group_load(engine, group, now));
+            let load = self.group_load(engine, group, arrival_share, now);
+            miss.add_group(engine.slots, &load);
         }
         self.shared.metrics.count_slot_miss(&key.0, miss.cause());
         miss.log(&job.request.attempt, &key.0, model);
@@ -508,7 +513,13 @@
         hash as f64 / u64::MAX as f64
     }
 
-    fn group_load(&self, engine: &EngineSpec, group: &RouteTarget, now: Moment) -> GroupLoad {
+    fn group_load(
+        &self,
+        engine: &EngineSpec,
+        group: &RouteTarget,
+        arrival_share: f64,
+        now: Moment,
+    ) -> GroupLoad {
         // The share does not depend on the zone, so that a zone without groups of its own can use those of others.
         let share = || slot_share(engine.slots, self.shared.weight_for(&group.id, now));
         GroupLoad {
@@ -517,6 +528,7 @@
             local_requests: group.gauge.local_requests(),
             unreported_requests: group.gauge.unreported_requests(),
             nodes: self.shared.live_view.read().live_nodes(),
+            arrival_share,
             prefill_tokens: group.gauge.prefill_tokens(),
             delay: engine.delay_between(&self.shared.settings.zone, &group.zone),
             is_queueing: group.gauge.is_queueing(now),
