A node that is dropped stops

Found while tracing the tests of crowded nodes: services hold the kernel that runs them, so the control thread of a dropped node ran as long as the process.

Change: dropping a node stops its kernel, in both ways of running, and a server whose guard was dropped responds to requests on open connections that it has stopped.

--- a/crates/fleet/src/node.rs
+++ b/crates/fleet/src/node.rs
@@ -65,6 +65,7 @@
 /// A running node.
 pub struct FleetNode {
     shared: Arc<FleetShared>,
+    kernel: Kernel,
     stop: watch::Sender<bool>,
     _servers: Vec<ServerGuard>,
 }
@@ -120,7 +121,7 @@
             Arc::clone(&caller_api),
             coordinator,
         );
-        let admin_api = AdminApi::new(Arc::clone(&shared), kernel, suspects);
+        let admin_api = AdminApi::new(Arc::clone(&shared), kernel.clone(), suspects);
         let servers = vec![
             callers.spawn(caller_api, stopped.clone()),
             peers.spawn(peer_api, stopped.clone()),
@@ -135,6 +136,7 @@
         );
         Ok(Self {
             shared,
+            kernel,
             stop,
             _servers: servers,
         })
@@ -172,6 +174,12 @@
     }
 }
 
+impl Drop for FleetNode {
+    fn drop(&mut self) {
+        self.kernel.stop();
+    }
+}
+
 /// Binds a listener and replaces `address` by the address that was bound, since port 0 is chosen on binding.
 async fn bind(listener: &'static str, address: &mut String) -> Result<HttpServer, FleetError> {
     let server = HttpServer::bind(address)
--- a/crates/http/src/server.rs
+++ b/crates/http/src/server.rs
@@ -3,10 +3,12 @@
 use std::convert::Infallible;
 use std::io;
 use std::net::SocketAddr;
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::Arc;
 
 use futures::future::BoxFuture;
-use http::Version;
+use http::header::CONNECTION;
+use http::{HeaderValue, StatusCode, Version};
 use tokio::net::TcpListener;
 use tokio::sync::watch;
 use tokio::task::JoinHandle;
@@ -17,7 +19,7 @@
 use volo_http::server::Server;
 
 use crate::message::{Request, Response};
-use crate::reply::buffered_response;
+use crate::reply::{buffered_response, reply_text};
 
 /// Maximum number of headers. The library rejects requests with more by an empty 431 response, so
 /// handlers that set a lower limit can return an error body of their own.
@@ -44,6 +46,7 @@
 pub struct ServerGuard {
     address: SocketAddr,
     task: JoinHandle<()>,
+    is_closed: Arc<AtomicBool>,
 }
 
 impl HttpServer {
@@ -82,7 +85,11 @@
     /// true, so that requests are still accepted until load balancers have noticed the shutdown.
     pub fn spawn(self, handler: Arc<dyn Handler>, mut stop: watch::Receiver<bool>) -> ServerGuard {
         let incoming = DefaultIncoming::from(self.listener);
-        let mut server = Server::new(HandlerService { handler });
+        let is_closed = Arc::new(AtomicBool::new(false));
+        let mut server = Server::new(HandlerService {
+            handler,
+            is_closed: Arc::clone(&is_closed),
+        });
         server.http1_config().set_max_headers(MAX_HEADERS);
         let server = server.register_shutdown_hook(move || {
             Box::pin(async move {
@@ -95,6 +102,7 @@
         ServerGuard {
             address: self.address,
             task,
+            is_closed,
         }
     }
 }
@@ -108,13 +116,24 @@
 
 impl Drop for ServerGuard {
     fn drop(&mut self) {
+        // Connections that are open outlive the task that accepts them.
+        self.is_closed.store(true, Ordering::Relaxed);
         self.task.abort();
     }
 }
 
+/// Returns the response to a request that arrives after the server was stopped.
+fn closed_response() -> Response {
+    let mut response = reply_text(StatusCode::SERVICE_UNAVAILABLE, "the server has stopped");
+    let close = HeaderValue::from_static("close");
+    response.headers_mut().insert(CONNECTION, close);
+    response
+}
+
 #[derive(Clone)]
 struct HandlerService {
     handler: Arc<dyn Handler>,
+    is_closed: Arc<AtomicBool>,
 }
 
 impl Service<ServerContext, Request> for HandlerService {
@@ -126,6 +145,9 @@
         context: &mut ServerContext,
         mut request: Request,
     ) -> Result<Response, Infallible> {
+        if self.is_closed.load(Ordering::Relaxed) {
+            return Ok(closed_response());
+        }
         if let Some(address) = context.rpc_info().caller().address() {
             request.extensions_mut().insert(address);
         }
--- a/crates/kernel/src/service.rs
+++ b/crates/kernel/src/service.rs
@@ -11,7 +11,7 @@
 use futures::future::BoxFuture;
 use indexmap::IndexMap;
 use serde_json::Value;
-use tokio::sync::mpsc;
+use tokio::sync::{mpsc, watch};
 use tokio::task::LocalSet;
 
 use crate::clock::BootClock;
@@ -103,6 +103,7 @@
 struct KernelState {
     registry: Mutex<IndexMap<&'static str, Registration>>,
     mounts: mpsc::UnboundedSender<MountFn>,
+    stop: watch::Sender<bool>,
     thread: Mutex<Option<JoinHandle<()>>>,
 }
 
@@ -120,16 +121,18 @@
     /// Returns [`KernelError::Thread`] if the thread cannot be started.
     pub fn spawn() -> Result<Self, KernelError> {
         let (mounts, receiver) = mpsc::unbounded_channel();
+        let (stop, stopped) = watch::channel(false);
         let runtime = tokio::runtime::Builder::new_current_thread()
             .enable_all()
             .build()?;
         let thread = std::thread::Builder::new()
             .name("control".to_owned())
-            .spawn(move || runtime.block_on(run_mounts(receiver)))?;
+            .spawn(move || runtime.block_on(run_mounts(receiver, stopped)))?;
         Ok(Self {
             state: Arc::new(KernelState {
                 registry: Mutex::default(),
                 mounts,
+                stop,
                 thread: Mutex::new(Some(thread)),
             }),
         })
@@ -191,6 +194,13 @@
         states
     }
 
+    /// Stops all services, without letting them finish what they have begun.
+    ///
+    /// Services hold the kernel themselves, so that they would otherwise run as long as the process.
+    pub fn stop(&self) {
+        self.state.stop.send_replace(true);
+    }
+
     /// Returns whether the control thread is running.
     pub fn is_running(&self) -> bool {
         let thread = self.state.thread.lock();
@@ -205,15 +215,20 @@
     }
 }
 
-async fn run_mounts(mut mounts: mpsc::UnboundedReceiver<MountFn>) {
+async fn run_mounts(
+    mut mounts: mpsc::UnboundedReceiver<MountFn>,
+    mut stopped: watch::Receiver<bool>,
+) {
     let local = LocalSet::new();
-    local
-        .run_until(async move {
-            while let Some(mount) = mounts.recv().await {
-                mount();
-            }
-        })
-        .await;
+    let running = local.run_until(async move {
+        while let Some(mount) = mounts.recv().await {
+            mount();
+        }
+    });
+    tokio::select! {
+        () = running => {}
+        _ = stopped.wait_for(|is_stopped| *is_stopped) => {}
+    }
 }
 
 async fn run_service<S: Service>(
--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -76,6 +76,7 @@
     controller: Mailbox<ControllerMessage>,
     usage: Mailbox<UsageMessage>,
     addresses: NodeAddresses,
+    kernel: Kernel,
     stop: watch::Sender<bool>,
     _servers: [ServerGuard; 4],
 }
@@ -133,7 +134,7 @@
                 stopped.clone(),
             ),
             peers.spawn(peer_api, stopped.clone()),
-            health.spawn(HealthApi::new(Arc::clone(&shared), kernel), stopped),
+            health.spawn(HealthApi::new(Arc::clone(&shared), kernel.clone()), stopped),
         ];
         log::info!(
             zone = shared.settings.zone.as_str(),
@@ -147,6 +148,7 @@
             controller,
             usage,
             addresses,
+            kernel,
             stop,
             _servers: servers,
         })
@@ -205,6 +207,12 @@
     }
 }
 
+impl Drop for Node {
+    fn drop(&mut self) {
+        self.kernel.stop();
+    }
+}
+
 async fn bind(listener: &'static str, address: &str) -> Result<HttpServer, NodeError> {
     HttpServer::bind(address)
         .await
