One check for free slots serves all waiting requests

Each waiting request checked the whole queue each 25 ms, so the work of a node grew with the square of the requests that wait there: most where most callers are.

Change: the checks of a node are at least 25 ms apart, whoever makes them.

--- a/crates/fleet/src/slot_queue.rs
+++ b/crates/fleet/src/slot_queue.rs
@@ -1,5 +1,6 @@
 //! Queue of a node's requests that wait for a slot at a target.
 
+use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
@@ -13,6 +14,7 @@
 use tokio::sync::oneshot;
 
 use crate::gauge::SlotGuard;
+use crate::micros::micros;
 use crate::queue_client::QueueRoute;
 use crate::routing_table::RouteTarget;
 
@@ -91,6 +93,8 @@
 #[derive(Default)]
 pub struct SlotQueue {
     state: Mutex<QueueState>,
+    /// When a waiting request last checked for free slots, in microseconds.
+    polled_at: AtomicU64,
 }
 
 impl SlotQueue {
@@ -111,6 +115,36 @@
         self.lock().refusals.swap_remove(&ticket)
     }
 
+    /// Returns whether a check for free slots is due at `now`, and counts it as done.
+    ///
+    /// One check serves all waiting requests. If each checked for itself, the work would grow with the square of
+    /// their number, and a crowded node would have no time left for its callers.
+    ///
+    /// ```
+    /// use std::time::Duration;
+    ///
+    /// use briarswitch_fleet::slot_queue::SlotQueue;
+    ///
+    /// let queue = SlotQueue::default();
+    /// let (interval, now) = (Duration::from_millis(25), Duration::from_secs(1));
+    /// assert!(queue.claim_poll(interval, now));
+    /// assert!(!queue.claim_poll(interval, now));
+    /// assert!(queue.claim_poll(interval, now + interval));
+    /// ```
+    pub fn claim_poll(&self, interval: Duration, now: Moment) -> bool {
+        let polled_at = self.polled_at.load(Ordering::Relaxed);
+        if micros(now) < polled_at + micros(interval) {
+            return false;
+        }
+        let claimed = self.polled_at.compare_exchange(
+            polled_at,
+            micros(now),
+            Ordering::Relaxed,
+            Ordering::Relaxed,
+        );
+        claimed.is_ok()
+    }
+
     /// Records the time from reserving a slot to the first event of a stream.
     pub fn record_first_event(&self, key: &QueueKey, time: Duration) {
         let mut state = self.lock();
--- a/crates/fleet/src/target_selector.rs
+++ b/crates/fleet/src/target_selector.rs
@@ -176,7 +176,11 @@
             key: &key,
             ticket,
         };
-        let poll = || self.serve_queue();
+        let poll = || {
+            if self.queue.claim_poll(SLOT_POLL_INTERVAL, BootClock::now()) {
+                self.serve_queue();
+            }
+        };
         let reply = wait_for_slot(reply, request, SLOT_POLL_INTERVAL, poll).await;
         match reply {
             Some(SlotReply::Reserved {
