--- a/crates/fleet/src/budget.rs
+++ b/crates/fleet/src/budget.rs
@@ -17,6 +17,46 @@
 /// Smallest number of nodes among which the burst is divided, even if fewer are known.
 const MIN_NODES: usize = 6;
 
+/// A retry that is to be sent.
+#[derive(Clone, Copy, Debug)]
+pub struct RetryCharge<'a> {
+    /// Id of the request.
+    pub request: &'a str,
+    /// Service that gets it.
+    pub service: &'a str,
+    /// Why the attempt before failed.
+    pub reason: &'static str,
+    /// Attempts that may have reached targets.
+    pub attempts_sent: u32,
+    /// Whether no attempt before can have reached a target, so that this one repeats nothing.
+    pub is_free: bool,
+}
+
+/// How a retry was paid for.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum RetryPayment {
+    /// From the budget.
+    Budget,
+    /// It needs no budget.
+    Free,
+    /// The budget was empty, and the retry is not sent.
+    Refused,
+    /// It reached no target and was given back to the budget.
+    Refunded,
+}
+
+impl RetryPayment {
+    /// Returns the name used in logs and metrics.
+    pub fn name(self) -> &'static str {
+        match self {
+            Self::Budget => "budget",
+            Self::Free => "free",
+            Self::Refused => "refused",
+            Self::Refunded => "refunded",
+        }
+    }
+}
+
 /// Retry budgets by service.
 pub struct RetryBudgets {
     shared: Arc<FleetShared>,
@@ -37,19 +77,40 @@
         self.with_budget(service, |budget, now| budget.deposit(now));
     }
 
-    /// Takes one retry from the service's budget; returns whether one was available.
-    pub fn withdraw(&self, service: &str) -> bool {
-        let burst = self.burst(service);
-        let is_available = self.with_budget(service, |budget, now| budget.withdraw(burst, now));
-        if !is_available {
-            log::info!(service = service; "retry_budget_empty");
-        }
-        is_available
+    /// Takes one retry from the service's budget, unless none is needed; returns whether the retry may be sent.
+    pub fn charge(&self, charge: &RetryCharge<'_>) -> bool {
+        let payment = if charge.is_free {
+            RetryPayment::Free
+        } else if self.withdraw(charge.service) {
+            RetryPayment::Budget
+        } else {
+            RetryPayment::Refused
+        };
+        self.record(charge, payment);
+        payment != RetryPayment::Refused
     }
 
     /// Returns a retry to the budget that reached no target.
-    pub fn refund(&self, service: &str) {
-        self.with_budget(service, |budget, now| budget.refund(now));
+    pub fn refund(&self, charge: &RetryCharge<'_>) {
+        self.with_budget(charge.service, |budget, now| budget.refund(now));
+        self.record(charge, RetryPayment::Refunded);
+    }
+
+    fn record(&self, charge: &RetryCharge<'_>, payment: RetryPayment) {
+        self.shared.metrics.count_retry(charge.service, payment);
+        log::info!(
+            request = charge.request,
+            service = charge.service,
+            reason = charge.reason,
+            sent = charge.attempts_sent,
+            payment = payment.name();
+            "retry_charged"
+        );
+    }
+
+    fn withdraw(&self, service: &str) -> bool {
+        let burst = self.burst(service);
+        self.with_budget(service, |budget, now| budget.withdraw(burst, now))
     }
 
     /// Returns whether a retry is available.
--- a/crates/fleet/src/metrics.rs
+++ b/crates/fleet/src/metrics.rs
@@ -10,6 +10,7 @@
 use opentelemetry_sdk::metrics::SdkMeterProvider;
 use prometheus::{Encoder, Registry, TextEncoder};
 
+use crate::budget::RetryPayment;
 use crate::coordinated_queue::{PriorityCounts, PRIORITIES};
 use crate::costs::CostCounters;
 use crate::slot_miss::MissCause;
@@ -34,6 +35,7 @@
     backoffs: Counter<u64>,
     forecast_refusals: Counter<u64>,
     slot_misses: Counter<u64>,
+    retries: Counter<u64>,
     unmarked_ends: Counter<u64>,
     latency: Histogram<f64>,
     first_event: Histogram<f64>,
@@ -123,6 +125,7 @@
             backoffs: meter.u64_counter("target_backoffs").build(),
             forecast_refusals: meter.u64_counter("forecast_refusals").build(),
             slot_misses: meter.u64_counter("slot_misses").build(),
+            retries: meter.u64_counter("retries").build(),
             unmarked_ends: meter.u64_counter("unmarked_ends").build(),
             latency: histogram("request_seconds"),
             first_event: histogram("first_event_seconds"),
@@ -184,6 +187,15 @@
         self.slot_misses.add(1, &attributes);
     }
 
+    /// Counts one retry by how it was paid for.
+    pub fn count_retry(&self, service: &str, payment: RetryPayment) {
+        let attributes = [
+            KeyValue::new("service", service.to_owned()),
+            KeyValue::new("payment", payment.name()),
+        ];
+        self.retries.add(1, &attributes);
+    }
+
     /// Counts one change of a limit that a target states.
     pub fn count_limit_change(&self, change: LimitChange) {
         self.limit_changes
--- a/crates/fleet/src/relay.rs
+++ b/crates/fleet/src/relay.rs
@@ -10,6 +10,7 @@
 use bytes::Bytes;
 use futures::Stream;
 
+use crate::budget::RetryCharge;
 use crate::dispatch::{FleetDispatcher, SILENCE_POLL_INTERVAL};
 use crate::failure::{ConnectionFailure, MAX_UNREACHED_ATTEMPTS};
 use crate::forwarder::{ForwardError, ForwardProgress};
@@ -314,7 +315,7 @@
     }
 
     async fn resume_at(&mut self, (target, slot): ReservedTarget) -> ResumeResult {
-        if !self.dispatcher.budgets().withdraw(&self.job.service) {
+        if !self.dispatcher.budgets().charge(&self.retry_charge()) {
             return ResumeResult::Failed;
         }
         self.trace.attempts_sent += 1;
@@ -338,7 +339,7 @@
                     _ => return ResumeResult::Failed,
                 };
                 self.trace.attempts_sent -= 1;
-                self.dispatcher.budgets().refund(&self.job.service);
+                self.dispatcher.budgets().refund(&self.retry_charge());
                 result
             }
         }
@@ -346,7 +347,7 @@
 
     /// Resumes the stream through another node.
     async fn resume_at_peer(&mut self) -> ResumeResult {
-        if !self.dispatcher.budgets().withdraw(&self.job.service) {
+        if !self.dispatcher.budgets().charge(&self.retry_charge()) {
             return ResumeResult::Failed;
         }
         let last_event = self.last_event();
@@ -367,13 +368,23 @@
                 ResumeResult::Resumed
             }
             Err(ForwardError::NotTaken) => {
-                self.dispatcher.budgets().refund(&self.job.service);
+                self.dispatcher.budgets().refund(&self.retry_charge());
                 ResumeResult::Unreached
             }
             Ok(_) | Err(ForwardError::Failed(_) | ForwardError::Lost(_)) => ResumeResult::Failed,
         }
     }
 
+    fn retry_charge(&self) -> RetryCharge<'_> {
+        RetryCharge {
+            request: &self.trace.request_id,
+            service: &self.job.service,
+            reason: self.trace.reason,
+            attempts_sent: self.trace.attempts_sent,
+            is_free: false,
+        }
+    }
+
     fn log_resume(&self, target: &str, last_event: Option<&str>) {
         log::info!(
             request = self.trace.request_id.as_str(),
--- a/crates/fleet/src/request_run.rs
+++ b/crates/fleet/src/request_run.rs
@@ -11,6 +11,7 @@
 use http::header::CONTENT_LENGTH;
 use http::{HeaderMap, HeaderValue};
 
+use crate::budget::RetryCharge;
 use crate::dispatch::FleetDispatcher;
 use crate::failure::{worst_of, ConnectionFailure, FailedAttempt, MAX_UNREACHED_ATTEMPTS};
 use crate::forward::{ForwardFailure, ForwardedHead};
@@ -305,8 +306,13 @@
             && self.trace.attempts_sent < rule.max_attempts
             && self.unreached < MAX_UNREACHED_ATTEMPTS
             && BootClock::now() < self.job.deadline
-            && (!failed.has_reached_target()
-                || self.dispatcher.budgets().withdraw(&self.job.service))
+            && self.dispatcher.budgets().charge(&RetryCharge {
+                request: &self.trace.request_id,
+                service: &self.job.service,
+                reason: failed.point.code(),
+                attempts_sent: self.trace.attempts_sent,
+                is_free: !failed.has_reached_target(),
+            })
     }
 
     fn respond(mut self, answer: Answer) -> RequestResponse {
--- a/crates/fleet/tests/support/mod.rs
+++ b/crates/fleet/tests/support/mod.rs
@@ -173,16 +173,32 @@
         is_first_start: false,
         fails_closed: true,
         key_validity: Duration::from_secs(30),
-        // More than any test needs, so that no result depends on the retry budget.
-        retry_ratio: 20.0,
-        retry_burst: 10_000,
-        retry_window: Duration::from_secs(10),
+        retry_ratio: AMPLE_RETRIES.ratio,
+        retry_burst: AMPLE_RETRIES.burst.into(),
+        retry_window: AMPLE_RETRIES.window,
         grace: Duration::from_secs(4),
         log_level: log::LevelFilter::Info,
         load_control: LoadControl::default(),
     }
 }
 
+/// The retry budget of all nodes together.
+#[derive(Clone, Copy, Debug)]
+pub struct RetryLimits {
+    /// Retries per request.
+    pub ratio: f64,
+    /// Retries beyond that in any window.
+    pub burst: u32,
+    pub window: Duration,
+}
+
+/// More than any test needs whose results do not depend on the retry budget.
+pub const AMPLE_RETRIES: RetryLimits = RetryLimits {
+    ratio: 20.0,
+    burst: 10_000,
+    window: Duration::from_secs(10),
+};
+
 /// A response as its caller received it.
 #[derive(Clone, Debug)]
 pub struct TestResponse {
@@ -264,6 +280,7 @@
     client: TargetClient,
     service: &'static str,
     load_control: LoadControl,
+    retry_limits: RetryLimits,
     next_attempt: std::sync::atomic::AtomicU64,
 }
 
@@ -316,6 +333,27 @@
         Self::open_linked(listings, zones, 1, LoadControl::default()).await
     }
 
+    /// Like [`Fleet::open_with_paths`], with a retry budget.
+    pub async fn open_with_retry_limits(
+        listings: Vec<TargetListing>,
+        zones: &[&str],
+        retry_limits: RetryLimits,
+    ) -> Self {
+        let service = listings.first().map_or(SERVICE, |listing| listing.service);
+        let mut fleet = Self::new(service, LoadControl::default());
+        fleet.retry_limits = retry_limits;
+        fleet.start_targets(listings).await;
+        fleet.start_nodes(zones, zones.len()).await;
+        fleet
+    }
+
+    /// Changes what passes between all nodes and one target.
+    pub fn set_paths_to(&self, target: &TargetStub, state: PathState) {
+        for node in &self.nodes {
+            node.link.set_path(target.address(), state);
+        }
+    }
+
     async fn open_linked(
         listings: Vec<TargetListing>,
         zones: &[&str],
@@ -341,6 +379,7 @@
             next_attempt: Default::default(),
             service,
             load_control,
+            retry_limits: AMPLE_RETRIES,
             platform: PlatformStub::new(config()),
         }
     }
@@ -386,6 +425,9 @@
         self.kill(index);
         let settings = FleetSettings {
             load_control,
+            retry_ratio: self.retry_limits.ratio,
+            retry_burst: self.retry_limits.burst.into(),
+            retry_window: self.retry_limits.window,
             ..settings(&stub.link.node, &stub.zone)
         };
         let platform = stub.link.platform();
@@ -563,7 +605,7 @@
     }
 }
 
-fn listings_of(service: &'static str, targets: usize) -> Vec<TargetListing> {
+pub fn listings_of(service: &'static str, targets: usize) -> Vec<TargetListing> {
     let listings = (0..targets).map(|index| TargetListing {
         service,
         domain: format!("d{}", index % 3),
--- a/crates/fleet/tests/support/path.rs
+++ b/crates/fleet/tests/support/path.rs
@@ -3,6 +3,7 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
+use futures::FutureExt;
 use socket2::SockRef;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::tcp::{ReadHalf, WriteHalf};
@@ -162,13 +163,24 @@
     }
 }
 
+/// Returns whether the sender has reset the connection.
+fn has_reset(from: &mut ReadHalf<'_>) -> bool {
+    let peeked = from.peek(&mut [0]).now_or_never();
+    peeked.is_some_and(|peeked| peeked.is_err())
+}
+
 /// Copies bytes to their end, except while the path is silent.
 async fn copy(mut from: ReadHalf<'_>, mut to: WriteHalf<'_>, state: watch::Receiver<PathState>) {
     let mut buffer = vec![0; 16 << 10];
     let mut state = state;
     loop {
         let read = from.read(&mut buffer).await;
+        let is_silent = *state.borrow() == PathState::Silent;
         let _ = state.wait_for(|state| *state != PathState::Silent).await;
+        // What a sender has not delivered is lost with a connection that it resets.
+        if is_silent && has_reset(&mut from) {
+            return;
+        }
         match read {
             Ok(length) if length > 0 => {
                 if to.write_all(&buffer[..length]).await.is_err() {
--- a/crates/fleet/tests/support/platform.rs
+++ b/crates/fleet/tests/support/platform.rs
@@ -240,6 +240,13 @@
         self.lock_paths().insert(target.to_owned(), path);
     }
 
+    /// Changes what passes along the path to the target with this address.
+    pub fn set_path(&self, target: &str, state: PathState) {
+        if let Some(path) = self.lock_paths().get(target) {
+            path.set(state);
+        }
+    }
+
     /// Changes what passes along all paths.
     pub fn set_paths(&self, state: PathState) {
         for path in self.lock_paths().values() {
--- a/crates/fleet/tests/support/target.rs
+++ b/crates/fleet/tests/support/target.rs
@@ -48,8 +48,17 @@
     pub is_resumed: bool,
 }
 
+/// A request that arrived, whether it ran or not.
+#[derive(Clone, Debug)]
+pub struct RecordedArrival {
+    /// Id of the request.
+    pub attempt: String,
+    pub at: Instant,
+}
+
 struct TargetState {
     incarnation: u32,
+    arrivals: Vec<RecordedArrival>,
     runs: Vec<RecordedRun>,
     /// Whether the target does not restart after a crash.
     stays_down: bool,
@@ -100,6 +109,7 @@
             listing: TargetListing { address, ..listing },
             state: Mutex::new(TargetState {
                 incarnation: 0,
+                arrivals: Vec::new(),
                 runs: Vec::new(),
                 stays_down: false,
                 is_leaving: false,
@@ -129,6 +139,11 @@
         self.shared.lock().runs.clone()
     }
 
+    /// Returns every request that has arrived so far.
+    pub fn arrivals(&self) -> Vec<RecordedArrival> {
+        self.shared.lock().arrivals.clone()
+    }
+
     /// Returns how often the target has crashed and restarted.
     pub fn crash_count(&self) -> u32 {
         self.shared.lock().incarnation
@@ -243,6 +258,13 @@
         RUN_TIME * self.lock().slowness
     }
 
+    fn record_arrival(&self, attempt: &str) {
+        self.lock().arrivals.push(RecordedArrival {
+            attempt: attempt.to_owned(),
+            at: Instant::now(),
+        });
+    }
+
     fn record_run(&self, body: &str, parts: &str, is_resumed: bool) {
         let mut state = self.lock();
         let incarnation = state.incarnation;
@@ -367,12 +389,13 @@
             .next()
             .unwrap_or_default()
     };
+    let attempt = field("attempt");
+    shared.record_arrival(&attempt);
     if field("target") != shared.id() {
         let misdirected =
             "HTTP/1.1 421 Misdirected Request\r\ncontent-length: 0\r\nconnection: close\r\n\r\n";
         return stream.write_all(misdirected.as_bytes()).await;
     }
-    let attempt = field("attempt");
     if let Some(retry_after) = shared.refuse_now() {
         let refusal = format!(
             "HTTP/1.1 503 Service Unavailable\r\nattempt: {attempt}\r\nretry-after: {retry_after}\r\ncontent-length: 0\r\nconnection: close\r\n\r\n"
