A request that was given up does not arrive later

Cause found: an attempt at a silent target was given up by closing its connection. What the target had not received stayed in the sending machine's buffers and arrived when the partition ended, beside the repeat that had been paid for seconds before. Arrivals paid for in more than one window came together in one. Class: work that is counted when it is decided, and takes effect later.

Evidence: a request given up on a silent path arrived after the path was open again (2 arrivals for 1). The test's first version opened the path before the connection was closed, which no linger time can mend; it now waits 0.2 s for that, and fails without this change still.

Change: connections to targets are closed without lingering, which discards what was not delivered.

--- a/crates/fleet/tests/retry_budget.rs
+++ b/crates/fleet/tests/retry_budget.rs
@@ -149,6 +149,8 @@
 
 /// Time for which an attempt is awaited on a silent path.
 const PATIENCE: Duration = Duration::from_millis(300);
+/// Time within which the connection of an attempt that was given up is closed.
+const CLOSE_TIME: Duration = Duration::from_millis(200);
 /// Time within which bytes that were held back have arrived.
 const ARRIVAL_TIME: Duration = Duration::from_millis(300);
 
@@ -199,6 +201,7 @@
     path.set(PathState::Silent);
     let given_up = tokio::time::timeout(PATIENCE, send()).await;
     expect_true!(given_up.is_err());
+    tokio::time::sleep(CLOSE_TIME).await;
     path.set(PathState::Open);
     tokio::time::sleep(ARRIVAL_TIME).await;
     expect_that!(count.load(Ordering::SeqCst), eq(1));
--- a/crates/fleet/tests/support/path.rs
+++ b/crates/fleet/tests/support/path.rs
@@ -3,7 +3,6 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use futures::FutureExt;
 use socket2::SockRef;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::tcp::{ReadHalf, WriteHalf};
@@ -164,9 +163,9 @@
 }
 
 /// Returns whether the sender has reset the connection.
-fn has_reset(from: &mut ReadHalf<'_>) -> bool {
-    let peeked = from.peek(&mut [0]).now_or_never();
-    peeked.is_some_and(|peeked| peeked.is_err())
+fn has_reset(from: &ReadHalf<'_>) -> bool {
+    let stream: &TcpStream = from.as_ref();
+    stream.take_error().is_ok_and(|error| error.is_some())
 }
 
 /// Copies bytes to their end, except while the path is silent.
@@ -178,7 +177,7 @@
         let is_silent = *state.borrow() == PathState::Silent;
         let _ = state.wait_for(|state| *state != PathState::Silent).await;
         // What a sender has not delivered is lost with a connection that it resets.
-        if is_silent && has_reset(&mut from) {
+        if is_silent && has_reset(&from) {
             return;
         }
         match read {
--- a/crates/http/src/target.rs
+++ b/crates/http/src/target.rs
@@ -211,6 +211,8 @@
     async fn connect(&self, target: &TargetAddress) -> Result<Sender, SendError> {
         let stream = self.open_stream(&target.address).await?;
         let _ = stream.set_nodelay(true);
+        // Otherwise a request that was given up would still arrive when a partition ends.
+        let _ = stream.set_zero_linger();
         let (sender, connection) = handshake(TokioIo::new(stream))
             .await
             .map_err(|_| SendError::Connect)?;
