A retry counts in the window in which it is sent

Retries that had waited together were sent in addition to those of the next window. The margin of 15 % covers waits of 1.7 s in a window of 10 s, not those of rules with longer objectives.

Change: RetryWindow::postpone counts the retry at the moment of sending; a resumption is taken when it has its slot already.

--- a/crates/core/src/retry.rs
+++ b/crates/core/src/retry.rs
@@ -147,6 +147,33 @@
         }
     }
 
+    /// Counts a retry that was taken at an earlier moment as taken now, since it is sent only now.
+    ///
+    /// Retries that wait for their targets would otherwise be sent together with those of a later window.
+    ///
+    /// ```
+    /// use std::time::Duration;
+    ///
+    /// use briarswitch_core::retry::RetryWindow;
+    ///
+    /// let at = Duration::from_secs;
+    /// let mut window = RetryWindow::new(1.0, at(10), at(0));
+    /// assert!(window.withdraw(1, at(10)));
+    /// window.postpone(at(10), at(15));
+    /// assert!(!window.can_withdraw(1, at(24)));
+    /// assert!(window.can_withdraw(1, at(26)));
+    /// ```
+    pub fn postpone(&mut self, taken_at: Moment, now: Moment) {
+        self.advance(now);
+        let age = self.newest.saturating_sub(slot_number(taken_at, self.slot));
+        let index = usize::try_from(age).ok();
+        let index = index.and_then(|age| WINDOW_SLOTS.checked_sub(age));
+        if let Some(index) = index.filter(|index| self.slots[*index].retries > 0) {
+            self.slots[index].retries -= 1;
+        }
+        self.slots[WINDOW_SLOTS].retries += 1;
+    }
+
     fn newest_slot(&mut self, now: Moment) -> &mut WindowSlot {
         self.advance(now);
         &mut self.slots[WINDOW_SLOTS]
--- a/crates/core/tests/retry_window.rs
+++ b/crates/core/tests/retry_window.rs
@@ -114,3 +114,42 @@
         }
     }
 }
+
+/// Time for which retries wait for a target in the first part of each period.
+const WAIT_TIME: Duration = Duration::from_secs(3);
+/// Time from one such wait to the next.
+const WAIT_INTERVAL: Duration = Duration::from_secs(13);
+
+/// Returns when a retry that is taken at a moment is sent: waits end together.
+fn send_time(taken_at: Moment) -> Moment {
+    let phase = Duration::from_nanos((taken_at.as_nanos() % WAIT_INTERVAL.as_nanos()) as u64);
+    taken_at + WAIT_TIME.saturating_sub(phase)
+}
+
+/// Guards against retries that are taken in one window and sent in a later one, in addition to its own.
+#[gtest]
+fn retries_that_wait_for_their_targets_stay_within_the_limit() {
+    let mut budget = RetryWindow::new(RATIO, WINDOW_LENGTH, step_time(0));
+    let mut sent = vec![0; WINDOW_STEPS * 8];
+    let mut waiting: Vec<(Moment, Moment)> = Vec::new();
+    for (step, sent) in sent.iter_mut().enumerate() {
+        let now = step_time(step);
+        (0..8).for_each(|_| budget.deposit(now));
+        while budget.withdraw(BURST, now) {
+            waiting.push((now, send_time(now)));
+        }
+        waiting.retain(|(taken_at, send_at)| {
+            if *send_at <= now {
+                budget.postpone(*taken_at, now);
+                *sent += 1;
+            }
+            *send_at > now
+        });
+    }
+    let requests = 8 * WINDOW_STEPS;
+    let allowed = RATIO * requests as f64 + f64::from(BURST);
+    for window in sent.windows(WINDOW_STEPS) {
+        let count: u32 = window.iter().sum();
+        expect_that!(f64::from(count), le(allowed));
+    }
+}
--- a/crates/fleet/src/budget.rs
+++ b/crates/fleet/src/budget.rs
@@ -96,6 +96,11 @@
         self.record(charge, RetryPayment::Refunded);
     }
 
+    /// Counts a retry that was charged at an earlier moment as sent now, after it has waited for its target.
+    pub fn postpone(&self, service: &str, charged_at: Moment) {
+        self.with_budget(service, |budget, now| budget.postpone(charged_at, now));
+    }
+
     fn record(&self, charge: &RetryCharge<'_>, payment: RetryPayment) {
         self.shared.metrics.count_retry(charge.service, payment);
         log::info!(
--- a/crates/fleet/src/request_run.rs
+++ b/crates/fleet/src/request_run.rs
@@ -80,6 +80,8 @@
     unreached: u32,
     worst: Option<FailurePoint>,
     forward_rounds: u32,
+    /// When the attempt that is due was charged to the retry budget.
+    charged_at: Option<Moment>,
 }
 
 impl RequestRun {
@@ -93,6 +95,7 @@
             unreached: 0,
             worst: None,
             forward_rounds: 0,
+            charged_at: None,
         }
     }
 
@@ -226,6 +229,10 @@
         let last_event = self.job.request.last_event.clone();
         let may_reroute = self.may_attempt_again();
         let gauge = Arc::clone(&target.gauge);
+        if let Some(charged_at) = self.charged_at.take() {
+            let budgets = self.dispatcher.budgets();
+            budgets.postpone(&self.job.service, charged_at);
+        }
         let sent_at = BootClock::now();
         let sent = self
             .dispatcher
@@ -295,13 +302,15 @@
         self.trace.broken_runs += usize::from(failed.connection == ConnectionFailure::Broken);
     }
 
-    fn may_retry(&self, failed: &FailedAttempt) -> bool {
-        if !self.job.owns_retries() && failed.has_reached_target() {
+    /// Returns whether another attempt may follow, and charges it to the retry budget.
+    fn may_retry(&mut self, failed: &FailedAttempt) -> bool {
+        let is_free = !failed.has_reached_target();
+        if !self.job.owns_retries() && !is_free {
             return false;
         }
         let rule = &self.job.rule;
         let suspects = &self.dispatcher.shared().suspects;
-        failed.point.allows_retry(rule.is_repeatable())
+        let may_retry = failed.point.allows_retry(rule.is_repeatable())
             && suspects.may_retry(&self.job.suspects, self.trace.broken_runs)
             && self.trace.attempts_sent < rule.max_attempts
             && self.unreached < MAX_UNREACHED_ATTEMPTS
@@ -311,8 +320,12 @@
                 service: &self.job.service,
                 reason: failed.point.code(),
                 attempts_sent: self.trace.attempts_sent,
-                is_free: !failed.has_reached_target(),
-            })
+                is_free,
+            });
+        if may_retry && !is_free {
+            self.charged_at = Some(BootClock::now());
+        }
+        may_retry
     }
 
     fn respond(mut self, answer: Answer) -> RequestResponse {
