--- a/crates/fleet/src/target_selector.rs
+++ b/crates/fleet/src/target_selector.rs
@@ -195,11 +195,14 @@
                     granted_by,
                 })
             }
-            Some(SlotReply::Refused { available_in }) => Err(SlotError {
-                available_in,
-                passed_over,
-                ..FailurePoint::NoTarget.into()
-            }),
+            Some(SlotReply::Refused { available_in }) => {
+                self.record_miss(job, &key, BootClock::now());
+                Err(SlotError {
+                    available_in,
+                    passed_over,
+                    ..FailurePoint::NoTarget.into()
+                })
+            }
             None => {
                 self.record_miss(job, &key, BootClock::now());
                 let refusal = self.queue.take_refusal(ticket);
