Rates of arrival are one type, and what was named a part has a name

No change of behaviour: ArrivalRates takes the place of two numbers that were looked up in two places, and stop, of the kernel, has an example.

--- a/crates/core/src/placement.rs
+++ b/crates/core/src/placement.rs
@@ -63,9 +63,9 @@
 }
 
 impl GroupLoad {
-    /// Returns this node's part of what all nodes send to the group: its share of the requests, but no less than an
-    /// equal part.
-    fn part(&self) -> f64 {
+    /// Returns the part of all requests sent to the group that this node is expected to send: its share of the arrivals,
+    /// but no less than an equal part.
+    fn effective_share(&self) -> f64 {
         self.arrival_share.max(1.0 / f64::from(self.nodes.max(1)))
     }
 }
@@ -94,17 +94,28 @@
     pub total: f64,
 }
 
-/// Returns the share of all requests that arrive at a node, from the requests per second that arrive there and at all
-/// other nodes.
-///
-/// ```
-/// use briarswitch_core::placement::arrival_share;
-///
-/// assert_eq!(arrival_share(90.0, 10.0), 0.9);
-/// assert_eq!(arrival_share(0.0, 0.0), 0.0);
-/// ```
-pub fn arrival_share(own_rate: f64, peer_rate: f64) -> f64 {
-    own_rate / (own_rate + peer_rate).max(f64::MIN_POSITIVE)
+/// Requests per second for a model, by where they arrive.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct ArrivalRates {
+    /// At this node.
+    pub own: f64,
+    /// At all other nodes.
+    pub peers: f64,
+}
+
+impl ArrivalRates {
+    /// Returns the share of the requests that arrive at this node, from 0 to 1.
+    ///
+    /// ```
+    /// use briarswitch_core::placement::ArrivalRates;
+    ///
+    /// let rates = ArrivalRates { own: 90.0, peers: 10.0 };
+    /// assert_eq!(rates.own_share(), 0.9);
+    /// assert_eq!(ArrivalRates::default().own_share(), 0.0);
+    /// ```
+    pub fn own_share(&self) -> f64 {
+        self.own / (self.own + self.peers).max(f64::MIN_POSITIVE)
+    }
 }
 
 /// Returns the number of a group's slots that are reserved for one node.
@@ -152,8 +163,8 @@
     !load.is_queueing && (is_in_share(engine, load) || may_exceed)
 }
 
-/// Returns how many requests that the other nodes do not know of a node may have beyond its share in a group, of which
-/// all nodes together may use so many slots.
+/// Returns how many requests a node may have at a group before the other nodes learn of them, if all nodes together may
+/// use `usable_slots`.
 ///
 /// The free slots are divided by where requests arrive at present. While a load balancer sends most callers to a few
 /// nodes, equal parts would be left unused by the others.
@@ -162,7 +173,7 @@
         .active_requests
         .saturating_sub(load.unreported_requests);
     let free = (usable_slots - f64::from(others_see)).max(0.0);
-    (free * load.part() + ROUNDING) as u32
+    (free * load.effective_share() + ROUNDING) as u32
 }
 
 /// Returns whether there are more nodes than a group has slots.
@@ -214,7 +225,7 @@
     let active: u32 = loads.iter().map(|load| load.active_requests).sum();
     let unseen_requests: f64 = loads
         .iter()
-        .map(|load| f64::from(load.unreported_requests) / load.part())
+        .map(|load| f64::from(load.unreported_requests) / load.effective_share())
         .sum();
     let slots = f64::from(engine.slots) * loads.len() as f64;
     f64::from(active) + unseen_requests < slots * MAX_UTILIZATION_LATE
--- a/crates/core/tests/support/crowded_nodes.rs
+++ b/crates/core/tests/support/crowded_nodes.rs
@@ -6,7 +6,7 @@
 use briarswitch_core::engine::EngineSpec;
 use briarswitch_core::id::Moment;
 use briarswitch_core::placement::{
-    arrival_share, pick_group, slot_share, GroupLoad, NodeWeight, PlacementParams,
+    pick_group, slot_share, ArrivalRates, GroupLoad, NodeWeight, PlacementParams,
 };
 use briarswitch_core::waiting::{next_waiting, WaitParams, WaitVerdict, WaitingRequest};
 use rand::rngs::StdRng;
@@ -234,8 +234,10 @@
         let report = &self.reports[0];
         let state = &self.nodes[node];
         let own_rate = state.rate_sum / RATE_WINDOW.as_secs_f64();
-        let peer_rate = (report.rate - own_rate).max(0.0);
-        let recent_rate = state.recent_sum / RECENT_WINDOW.as_secs_f64();
+        let rates = ArrivalRates {
+            own: state.recent_sum / RECENT_WINDOW.as_secs_f64(),
+            peers: (report.rate - own_rate).max(0.0),
+        };
         let loads: Vec<GroupLoad> = (0..GROUPS)
             .map(|group| {
                 let remote = report.active[group] - report.own[node][group];
@@ -244,7 +246,7 @@
                     local_requests: state.own[group],
                     unreported_requests: state.own[group].saturating_sub(state.reported[group]),
                     nodes: self.nodes.len() as u32,
-                    arrival_share: arrival_share(recent_rate, peer_rate),
+                    arrival_share: rates.own_share(),
                     slot_share: state.shares[group],
                     is_request_late: is_late,
                     ..GroupLoad::default()
@@ -255,7 +257,7 @@
         let mut turn = StdRng::seed_from_u64(window * 1_000 + node as u64);
         let params = PlacementParams {
             prompt_tokens: 1_600,
-            unseen_requests: peer_rate * INFO_AGE_TICKS as f64 * TICK.as_secs_f64(),
+            unseen_requests: rates.peers * INFO_AGE_TICKS as f64 * TICK.as_secs_f64(),
             draw: self.rng.random(),
             turn: turn.random(),
         };
--- a/crates/fleet/src/shared.rs
+++ b/crates/fleet/src/shared.rs
@@ -6,7 +6,7 @@
 
 use briarswitch_core::evacuation::EvacuatedZones;
 use briarswitch_core::id::*;
-use briarswitch_core::placement::{arrival_share, NodeWeight};
+use briarswitch_core::placement::{ArrivalRates, NodeWeight};
 use briarswitch_core::request_limit::RequestLimit;
 use briarswitch_core::target::TargetCache;
 use briarswitch_core::traffic::TrafficConfig;
@@ -296,14 +296,17 @@
         self.live_view.read().weight_for(key, own)
     }
 
-    /// Returns the share of the requests for a model that arrive at this node at present.
+    /// Returns the rates at which requests for a model arrive at present.
     ///
-    /// What is known of other nodes is older, so that the share grows within a second after callers have moved here.
-    pub fn arrival_share(&self, model: &str, now: Moment) -> f64 {
-        let own_rate = self.arrivals.request_rates(now).get(model).copied();
-        let peer_work = self.peer_work.read();
-        let peer_rate = peer_work.request_rates.get(model).copied();
-        arrival_share(own_rate.unwrap_or_default(), peer_rate.unwrap_or_default())
+    /// What is known of other nodes is older, so that this node's share grows within a second after callers have moved
+    /// here.
+    pub fn arrival_rates(&self, model: &str, now: Moment) -> ArrivalRates {
+        let own = self.arrivals.request_rates(now).get(model).copied();
+        let peers = self.peer_work.read().request_rates.get(model).copied();
+        ArrivalRates {
+            own: own.unwrap_or_default(),
+            peers: peers.unwrap_or_default(),
+        }
     }
 
     /// Returns this node's share of a limit that a target last stated `silence` ago.
--- a/crates/fleet/src/slot_miss.rs
+++ b/crates/fleet/src/slot_miss.rs
@@ -1,6 +1,6 @@
 //! What a node knew of a model's groups when a request found no slot there in time.
 
-use briarswitch_core::placement::GroupLoad;
+use briarswitch_core::placement::{ArrivalRates, GroupLoad};
 
 /// Why a request found no slot.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
@@ -39,10 +39,8 @@
     pub unreported_requests: u32,
     /// Slots reserved for this node there.
     pub slot_share: u32,
-    /// Requests per second that arrive at this node.
-    pub own_rate: f64,
-    /// Requests per second that arrive at the other nodes.
-    pub peer_rate: f64,
+    /// Rates at which requests for the model arrive.
+    pub rates: ArrivalRates,
     /// Whether the request waited in the queue of all nodes.
     pub is_queued: bool,
 }
@@ -93,8 +91,8 @@
             own = self.local_requests,
             unreported = self.unreported_requests,
             reserved = self.slot_share,
-            own_per_s = self.own_rate.round() as u64,
-            peers_per_s = self.peer_rate.round() as u64;
+            own_per_s = self.rates.own.round() as u64,
+            peers_per_s = self.rates.peers.round() as u64;
             "slot_missed"
         );
     }
--- a/crates/fleet/src/target_selector.rs
+++ b/crates/fleet/src/target_selector.rs
@@ -9,7 +9,7 @@
 use briarswitch_core::id::*;
 use briarswitch_core::outcome::FailurePoint;
 use briarswitch_core::placement::{
-    arrival_share, pick_group, slot_share, GroupLoad, PlacementParams,
+    pick_group, slot_share, ArrivalRates, GroupLoad, PlacementParams,
 };
 use briarswitch_core::shared_queue::GroupKey;
 use briarswitch_core::traffic::ServiceSpec;
@@ -448,19 +448,17 @@
             _ if granted.is_some() || probe.is_some() => probe?,
             Some(engine) => {
                 let model = engine.models.get(model.as_ref()?)?;
-                let arrival_share = self.shared.arrival_share(&model.id, now);
+                let rates = self.shared.arrival_rates(&model.id, now);
                 let loads: Vec<GroupLoad> = candidates
                     .iter()
                     .map(|group| GroupLoad {
                         is_request_late: slot_request.is_late,
-                        ..self.group_load(engine, group, arrival_share, now)
+                        ..self.group_load(engine, group, rates, now)
                     })
                     .collect();
-                let peer_work = self.shared.peer_work.read();
-                let arrivals = peer_work.request_rates.get(&model.id).copied();
                 let params = PlacementParams {
                     prompt_tokens: slot_request.prompt_tokens,
-                    unseen_requests: arrivals.unwrap_or_default() * PROPAGATION_TIME.as_secs_f64(),
+                    unseen_requests: rates.peers * PROPAGATION_TIME.as_secs_f64(),
                     draw: rand::random(),
                     turn: self.overflow_turn(&model.id, now),
                 };
@@ -486,23 +484,15 @@
         let Some((engine, model)) = engine.zip(key.1.as_ref()) else {
             return;
         };
-        let own_rates = self.shared.arrivals.request_rates(now);
-        let peer_work = self.shared.peer_work.read();
         let mut miss = SlotMiss {
-            own_rate: own_rates.get(model).copied().unwrap_or_default(),
-            peer_rate: peer_work
-                .request_rates
-                .get(model)
-                .copied()
-                .unwrap_or_default(),
+            rates: self.shared.arrival_rates(model, now),
             is_queued: self.queue_client.route(key, now).is_some(),
             ..SlotMiss::default()
         };
         let table = self.shared.routing_table.load();
         let groups = routes_of(&table, key).iter();
-        let arrival_share = arrival_share(miss.own_rate, miss.peer_rate);
         for group in groups.filter(|group| !group.gauge.is_suspect(now)) {
-            let load = self.group_load(engine, group, arrival_share, now);
+            let load = self.group_load(engine, group, miss.rates, now);
             miss.add_group(engine.slots, &load);
         }
         self.shared.metrics.count_slot_miss(&key.0, miss.cause());
@@ -524,7 +514,7 @@
         &self,
         engine: &EngineSpec,
         group: &RouteTarget,
-        arrival_share: f64,
+        rates: ArrivalRates,
         now: Moment,
     ) -> GroupLoad {
         // The share does not depend on the zone, so that a zone without groups of its own can use those of others.
@@ -535,7 +525,7 @@
             local_requests: group.gauge.local_requests(),
             unreported_requests: group.gauge.unreported_requests(),
             nodes: self.shared.live_view.read().live_nodes(),
-            arrival_share,
+            arrival_share: rates.own_share(),
             prefill_tokens: group.gauge.prefill_tokens(),
             delay: engine.delay_between(&self.shared.settings.zone, &group.zone),
             is_queueing: group.gauge.is_queueing(now),
--- a/crates/kernel/src/service.rs
+++ b/crates/kernel/src/service.rs
@@ -197,6 +197,17 @@
     /// Stops all services, without letting them finish what they have begun.
     ///
     /// Services hold the kernel themselves, so that they would otherwise run as long as the process.
+    ///
+    /// ```
+    /// use briarswitch_kernel::Kernel;
+    ///
+    /// let kernel = Kernel::spawn()?;
+    /// kernel.stop();
+    /// while kernel.is_running() {
+    ///     std::thread::yield_now();
+    /// }
+    /// # Ok::<(), briarswitch_kernel::KernelError>(())
+    /// ```
     pub fn stop(&self) {
         self.state.stop.send_replace(true);
     }
