Nodes with equal callers place requests as before

Requests that replace others of the same node had stopped to count for every node, so that nodes with equal callers overfilled groups.

Change: a replaced request counts the less, the larger the node's share of the arrivals beyond an equal one; the same for the reserve. With equal shares both rules are what they were.

Also: a stopped server says when to come back.

--- a/crates/core/src/placement.rs
+++ b/crates/core/src/placement.rs
@@ -26,6 +26,8 @@
     pub local_requests: u32,
     /// Requests of this node that other nodes cannot know of yet.
     pub unreported_requests: u32,
+    /// Those of them that took the place of earlier requests of this node there.
+    pub replaced_requests: u32,
     /// Number of nodes that choose among the same groups.
     pub nodes: u32,
     /// Share of the requests for the model that arrive at this node at present, from 0 to 1.
@@ -50,6 +52,7 @@
             active_requests: 0,
             local_requests: 0,
             unreported_requests: 0,
+            replaced_requests: 0,
             nodes: 0,
             arrival_share: 0.0,
             slot_share: 0,
@@ -68,6 +71,21 @@
     fn effective_share(&self) -> f64 {
         self.arrival_share.max(1.0 / f64::from(self.nodes.max(1)))
     }
+
+    /// Returns the other nodes' part of all requests, where 1 is what they have if all nodes get equal parts.
+    fn others_share(&self) -> f64 {
+        let equal_share = 1.0 / f64::from(self.nodes.max(2));
+        ((1.0 - self.arrival_share) / (1.0 - equal_share)).min(1.0)
+    }
+
+    /// Returns the number of this node's requests with which other nodes do not reckon.
+    ///
+    /// A slot that a request of this node has left may be taken by a node that has learned of it, the less likely the
+    /// fewer requests arrive there.
+    fn unseen_requests(&self) -> f64 {
+        let expected = f64::from(self.replaced_requests) * (1.0 - self.others_share());
+        f64::from(self.unreported_requests) - expected
+    }
 }
 
 /// Returns the expected time to the first event.
@@ -159,7 +177,7 @@
     }
     let is_far_from_full = f64::from(load.active_requests) < usable_slots(engine, load, RESERVE);
     let allowance = unreported_allowance(f64::from(engine.slots), load);
-    let may_exceed = is_far_from_full && load.unreported_requests < allowance + 1;
+    let may_exceed = is_far_from_full && load.unseen_requests() < f64::from(allowance + 1);
     !load.is_queueing && (is_in_share(engine, load) || may_exceed)
 }
 
@@ -169,10 +187,8 @@
 /// The free slots are divided by where requests arrive at present. While a load balancer sends most callers to a few
 /// nodes, equal parts would be left unused by the others.
 fn unreported_allowance(usable_slots: f64, load: &GroupLoad) -> u32 {
-    let others_see = load
-        .active_requests
-        .saturating_sub(load.unreported_requests);
-    let free = (usable_slots - f64::from(others_see)).max(0.0);
+    let others_see = f64::from(load.active_requests) - load.unseen_requests();
+    let free = (usable_slots - others_see.max(0.0)).max(0.0);
     (free * load.effective_share() + ROUNDING) as u32
 }
 
@@ -281,9 +297,9 @@
 
 /// Returns the number of slots of a group up to which a node may exceed its share.
 ///
-/// The reserve is for requests that arrive at other nodes; it shrinks with their part of all requests.
+/// The reserve is for requests that arrive at other nodes; it shrinks if these get less than an equal part of all.
 fn usable_slots(engine: &EngineSpec, load: &GroupLoad, reserve: f64) -> f64 {
-    f64::from(engine.slots) * (1.0 - reserve * (1.0 - load.arrival_share))
+    f64::from(engine.slots) * (1.0 - reserve * load.others_share())
 }
 
 /// Returns whether a request may be sent to a group, given whether it is this node's turn to exceed
@@ -295,7 +311,7 @@
     let usable = usable_slots(engine, load, RESERVE_CROWDED);
     let is_free = f64::from(load.active_requests) < usable;
     let allowance = unreported_allowance(usable, load).max(1);
-    let is_beyond = may_exceed && is_free && load.unreported_requests < allowance;
+    let is_beyond = may_exceed && is_free && load.unseen_requests() < f64::from(allowance);
     !load.is_queueing && (is_in_share(engine, load) || is_beyond)
 }
 
--- a/crates/core/tests/support/crowded_nodes.rs
+++ b/crates/core/tests/support/crowded_nodes.rs
@@ -76,6 +76,8 @@
     own: GroupCounts,
     /// Its requests as of its last report.
     reported: GroupCounts,
+    /// Requests sent since then.
+    unreported: GroupCounts,
     rate_sum: f64,
     recent_sum: f64,
     published_rate: f64,
@@ -241,10 +243,12 @@
         let loads: Vec<GroupLoad> = (0..GROUPS)
             .map(|group| {
                 let remote = report.active[group] - report.own[node][group];
+                let added = state.own[group].saturating_sub(state.reported[group]);
                 GroupLoad {
                     active_requests: state.own[group] + remote,
                     local_requests: state.own[group],
-                    unreported_requests: state.own[group].saturating_sub(state.reported[group]),
+                    unreported_requests: state.unreported[group],
+                    replaced_requests: state.unreported[group].saturating_sub(added),
                     nodes: self.nodes.len() as u32,
                     arrival_share: rates.own_share(),
                     slot_share: state.shares[group],
@@ -267,6 +271,7 @@
     fn place(&mut self, node: usize, group: usize, tick: usize) {
         let state = &mut self.nodes[node];
         state.own[group] += 1;
+        state.unreported[group] += 1;
         let ticks = MEAN_SLOT_TIME.div_duration_f64(TICK) * self.rng.random_range(0.3..1.7);
         self.running.push((node, group, tick + ticks as usize));
     }
@@ -284,6 +289,7 @@
             }
             if tick % REPORT_TICKS == 0 {
                 node.reported = node.own;
+                node.unreported = [0; GROUPS];
             }
         }
         let own: Vec<GroupCounts> = self.nodes.iter().map(|node| node.own).collect();
--- a/crates/fleet/src/gauge.rs
+++ b/crates/fleet/src/gauge.rs
@@ -43,6 +43,7 @@
     key: TargetKey,
     local: AtomicU32,
     remote: AtomicU32,
+    unreported: AtomicU32,
     reported: AtomicU32,
     prefill_tokens: AtomicU64,
     prefill_requests: AtomicU32,
@@ -136,10 +137,16 @@
         self.remote.store(requests, Ordering::Relaxed);
     }
 
-    /// Returns by how many this node's requests at the target exceed those that other nodes know of.
+    /// Returns the number of requests sent to the target since this node last reported its load to other nodes.
     pub fn unreported_requests(&self) -> u32 {
+        self.unreported.load(Ordering::Relaxed)
+    }
+
+    /// Returns how many of the unreported requests took the place of earlier ones of this node.
+    pub fn replaced_requests(&self) -> u32 {
         let reported = self.reported.load(Ordering::Relaxed);
-        self.local_requests().saturating_sub(reported)
+        let added = self.local_requests().saturating_sub(reported);
+        self.unreported_requests().saturating_sub(added)
     }
 
     /// Records that this node has reported all its requests to other nodes.
@@ -311,6 +318,7 @@
         }
         gauge.prefill_tokens.fetch_add(tokens, Ordering::Relaxed);
         gauge.prefill_requests.fetch_add(1, Ordering::Relaxed);
+        gauge.unreported.fetch_add(1, Ordering::Relaxed);
         Self {
             gauge: Arc::clone(gauge),
             prefill_tokens: Some(tokens),
--- a/crates/fleet/src/target_selector.rs
+++ b/crates/fleet/src/target_selector.rs
@@ -524,6 +524,7 @@
             active_requests: group.gauge.estimated_load(now),
             local_requests: group.gauge.local_requests(),
             unreported_requests: group.gauge.unreported_requests(),
+            replaced_requests: group.gauge.replaced_requests(),
             nodes: self.shared.live_view.read().live_nodes(),
             arrival_share: rates.own_share(),
             prefill_tokens: group.gauge.prefill_tokens(),
--- a/crates/http/src/server.rs
+++ b/crates/http/src/server.rs
@@ -7,7 +7,7 @@
 use std::sync::Arc;
 
 use futures::future::BoxFuture;
-use http::header::CONNECTION;
+use http::header::{CONNECTION, RETRY_AFTER};
 use http::{HeaderValue, StatusCode, Version};
 use tokio::net::TcpListener;
 use tokio::sync::watch;
@@ -28,6 +28,9 @@
 /// Largest response to an HTTP/1.0 request in bytes.
 const MAX_BUFFERED_BYTES: usize = 64 << 20;
 
+/// Seconds after which a caller of a stopped server is asked to try another one.
+const CLOSED_RETRY_AFTER_S: u64 = 1;
+
 /// Handles the requests of one listener.
 pub trait Handler: Send + Sync + 'static {
     /// Handles one request.
@@ -125,8 +128,9 @@
 /// Returns the response to a request that arrives after the server was stopped.
 fn closed_response() -> Response {
     let mut response = reply_text(StatusCode::SERVICE_UNAVAILABLE, "the server has stopped");
-    let close = HeaderValue::from_static("close");
-    response.headers_mut().insert(CONNECTION, close);
+    let headers = response.headers_mut();
+    headers.insert(CONNECTION, HeaderValue::from_static("close"));
+    headers.insert(RETRY_AFTER, HeaderValue::from(CLOSED_RETRY_AFTER_S));
     response
 }
 
