Requests count as unreported until the next report only

The number only grew, so that after a while no node used a free slot beyond its share, and late requests were taken for crowds.

New test, failed before (2 unreported after a report, 3 after the next), passes with the line back.

--- a/crates/fleet/src/gauge.rs
+++ b/crates/fleet/src/gauge.rs
@@ -151,6 +151,7 @@
 
     /// Records that this node has reported all its requests to other nodes.
     pub fn record_report(&self) {
+        self.unreported.store(0, Ordering::Relaxed);
         self.reported
             .store(self.local_requests(), Ordering::Relaxed);
     }
--- a/crates/fleet/tests/gauge.rs
+++ b/crates/fleet/tests/gauge.rs
@@ -1,7 +1,8 @@
-//! Suspicions of silent targets, local and from other nodes.
+//! What a node holds of a target: suspicions, its own and those of other nodes, and requests that others know of.
 
 use std::time::Duration;
 
+use briarswitch_fleet::gauge::SlotGuard;
 use briarswitch_fleet::gauge_map::GaugeMap;
 use googletest::prelude::*;
 
@@ -20,3 +21,24 @@
     // If it were forwarded, two nodes would keep renewing each other's suspicion.
     expect_that!(gauges.local_suspects(now), is_empty());
 }
+
+/// Guards against a node that leaves free slots unused because requests of which the others know still count as unknown.
+#[gtest]
+fn requests_count_as_unreported_until_the_next_report_only() {
+    let gauges = GaugeMap::default();
+    let gauge = gauges.get(&"t1".to_owned());
+    let acquire = || SlotGuard::acquire(&gauge, 0, Duration::from_secs(10));
+    let (first, second) = (acquire(), acquire());
+    expect_that!(gauge.unreported_requests(), eq(2));
+    expect_that!(gauge.replaced_requests(), eq(0));
+    gauge.record_report();
+    expect_that!(gauge.unreported_requests(), eq(0));
+    drop(first);
+    let third = acquire();
+    expect_that!(gauge.unreported_requests(), eq(1));
+    expect_that!(gauge.replaced_requests(), eq(1));
+    gauge.record_report();
+    expect_that!(gauge.unreported_requests(), eq(0));
+    expect_that!(gauge.replaced_requests(), eq(0));
+    drop((second, third));
+}
