Replaced requests are discounted only where nodes are more than slots

Cause: nodes of six have unequal callers, so some discounted the requests that replace others and overfilled groups. With fewer nodes than slots a node may send one more request to each group at any time, so the discount has nothing to answer there.

Change: the discount holds only where nodes take turns, as there are more of them than slots.

--- a/crates/core/src/placement.rs
+++ b/crates/core/src/placement.rs
@@ -176,8 +176,9 @@
         return false;
     }
     let is_far_from_full = f64::from(load.active_requests) < usable_slots(engine, load, RESERVE);
-    let allowance = unreported_allowance(f64::from(engine.slots), load);
-    let may_exceed = is_far_from_full && load.unseen_requests() < f64::from(allowance + 1);
+    let unseen = f64::from(load.unreported_requests);
+    let allowance = unreported_allowance(f64::from(engine.slots), load, unseen);
+    let may_exceed = is_far_from_full && load.unreported_requests < allowance + 1;
     !load.is_queueing && (is_in_share(engine, load) || may_exceed)
 }
 
@@ -186,8 +187,8 @@
 ///
 /// The free slots are divided by where requests arrive at present. While a load balancer sends most callers to a few
 /// nodes, equal parts would be left unused by the others.
-fn unreported_allowance(usable_slots: f64, load: &GroupLoad) -> u32 {
-    let others_see = f64::from(load.active_requests) - load.unseen_requests();
+fn unreported_allowance(usable_slots: f64, load: &GroupLoad, unseen_requests: f64) -> u32 {
+    let others_see = f64::from(load.active_requests) - unseen_requests;
     let free = (usable_slots - others_see.max(0.0)).max(0.0);
     (free * load.effective_share() + ROUNDING) as u32
 }
@@ -310,8 +311,9 @@
     }
     let usable = usable_slots(engine, load, RESERVE_CROWDED);
     let is_free = f64::from(load.active_requests) < usable;
-    let allowance = unreported_allowance(usable, load).max(1);
-    let is_beyond = may_exceed && is_free && load.unseen_requests() < f64::from(allowance);
+    let unseen = load.unseen_requests();
+    let allowance = unreported_allowance(usable, load, unseen).max(1);
+    let is_beyond = may_exceed && is_free && unseen < f64::from(allowance);
     !load.is_queueing && (is_in_share(engine, load) || is_beyond)
 }
 
