--- a/crates/fleet/src/demand.rs
+++ b/crates/fleet/src/demand.rs
@@ -45,6 +45,13 @@
         self.updated_at = now;
     }
 
+    /// Returns the time in seconds by which a decayed sum is divided to get a rate.
+    fn counted_seconds(&self, window: Duration, now: Moment) -> f64 {
+        let first_request = self.first_request.unwrap_or(now);
+        let observed = now.saturating_sub(first_request).max(MIN_OBSERVED);
+        counted_seconds(window, observed)
+    }
+
     /// Converts decayed sums to rates.
     fn per_second(
         &self,
@@ -52,9 +59,7 @@
         window: Duration,
         now: Moment,
     ) -> IndexMap<ModelId, f64> {
-        let first_request = self.first_request.unwrap_or(now);
-        let observed = now.saturating_sub(first_request).max(MIN_OBSERVED);
-        let seconds = counted_seconds(window, observed);
+        let seconds = self.counted_seconds(window, now);
         let rates = sums.iter();
         let rates = rates.map(|(model, sum)| (model.clone(), sum / seconds));
         rates.collect()
@@ -92,6 +97,26 @@
         state.decay(self.window, now);
         state.per_second(&state.requests, self.window, now)
     }
+
+    /// Returns the requests per second for one model.
+    ///
+    /// ```
+    /// use std::time::Duration;
+    ///
+    /// use briarswitch_fleet::demand::DemandMeter;
+    ///
+    /// let meter = DemandMeter::default();
+    /// let now = Duration::from_secs(10);
+    /// meter.record("chat", Duration::ZERO, now);
+    /// assert_eq!(meter.request_rate("chat", now), meter.request_rates(now)["chat"]);
+    /// assert_eq!(meter.request_rate("other", now), 0.0);
+    /// ```
+    pub fn request_rate(&self, model: &str, now: Moment) -> f64 {
+        let mut state = self.state.lock().unwrap_or_else(PoisonError::into_inner);
+        state.decay(self.window, now);
+        let sum = state.requests.get(model).copied().unwrap_or_default();
+        sum / state.counted_seconds(self.window, now)
+    }
 }
 
 /// Time constant of the trend; about as long as a load from the weight store takes.
--- a/crates/fleet/src/shared.rs
+++ b/crates/fleet/src/shared.rs
@@ -301,10 +301,9 @@
     /// What is known of other nodes is older, so that this node's share grows within a second after callers have moved
     /// here.
     pub fn arrival_rates(&self, model: &str, now: Moment) -> ArrivalRates {
-        let own = self.arrivals.request_rates(now).get(model).copied();
         let peers = self.peer_work.read().request_rates.get(model).copied();
         ArrivalRates {
-            own: own.unwrap_or_default(),
+            own: self.arrivals.request_rate(model, now),
             peers: peers.unwrap_or_default(),
         }
     }
--- a/crates/fleet/src/target_selector.rs
+++ b/crates/fleet/src/target_selector.rs
@@ -182,6 +182,9 @@
             }
         };
         let reply = wait_for_slot(reply, request, SLOT_POLL_INTERVAL, poll).await;
+        if !matches!(reply, Some(SlotReply::Reserved { .. })) {
+            self.record_miss(job, &key, BootClock::now());
+        }
         match reply {
             Some(SlotReply::Reserved {
                 reserved: (target, slot),
@@ -195,16 +198,12 @@
                     granted_by,
                 })
             }
-            Some(SlotReply::Refused { available_in }) => {
-                self.record_miss(job, &key, BootClock::now());
-                Err(SlotError {
-                    available_in,
-                    passed_over,
-                    ..FailurePoint::NoTarget.into()
-                })
-            }
+            Some(SlotReply::Refused { available_in }) => Err(SlotError {
+                available_in,
+                passed_over,
+                ..FailurePoint::NoTarget.into()
+            }),
             None => {
-                self.record_miss(job, &key, BootClock::now());
                 let refusal = self.queue.take_refusal(ticket);
                 let forecast =
                     refusal.map(|refusal| self.forecast.refuse(&key, job, refusal, passed_over));
--- a/crates/fleet/tests/crowded_nodes.rs
+++ b/crates/fleet/tests/crowded_nodes.rs
@@ -7,13 +7,13 @@
 
 use briarswitch_fleet::LoadControl;
 use briarswitch_membership::{node_hash, rank_of, RankKey};
-use futures::future::{join, join_all};
+use futures::future::join;
 use googletest::prelude::*;
-use http::Method;
 use indexmap::IndexMap;
 use tokio::sync::Mutex;
 
-use support::{Fleet, TestRequest, GROUP_SERVICE, MODEL};
+use support::load::{served_share, CallerLoad, SentRequest};
+use support::{Fleet, GROUP_SERVICE, MODEL};
 
 /// Zones of the nodes; there are more nodes than a group has slots.
 const ZONES: [&str; 20] = [
@@ -50,45 +50,6 @@
 /// Lets one fleet run at a time, since all use the same processors.
 static TURN: Mutex<()> = Mutex::const_new(());
 
-/// Requests of one kind at one load.
-#[derive(Clone, Copy)]
-struct TestLoad {
-    path: &'static str,
-    /// Time for which a request holds a slot.
-    time: Duration,
-    /// Share of all slots that is in use.
-    utilization: f64,
-}
-
-impl TestLoad {
-    fn interval(self) -> Duration {
-        self.time.div_f64(SLOTS * self.utilization)
-    }
-
-    /// Sends requests for a time to the nodes that `node_of` selects; returns when each was sent and whether it was
-    /// served.
-    async fn send(
-        self,
-        fleet: &Fleet,
-        time: Duration,
-        node_of: impl Fn(usize) -> usize + Copy,
-    ) -> Vec<(Instant, bool)> {
-        let count = time.div_duration_f64(self.interval()) as u32;
-        let calls = (0..count).map(|index| async move {
-            tokio::time::sleep(self.interval() * index).await;
-            let at = Instant::now();
-            let body = format!("{at:?} {index}");
-            let request = TestRequest {
-                path: self.path,
-                ..TestRequest::chat(&body)
-            };
-            let response = fleet.request(node_of(index as usize), request);
-            (at, response.await.is_served())
-        });
-        join_all(calls).await
-    }
-}
-
 fn crowded_node(crowd: [usize; 2], index: usize) -> usize {
     if index % OTHER_CALLERS == 0 {
         index / OTHER_CALLERS % ZONES.len()
@@ -97,44 +58,33 @@
     }
 }
 
-fn served_share(sent: &[(Instant, bool)]) -> f64 {
-    let served = sent.iter().filter(|(_, is_served)| *is_served).count();
-    served as f64 / sent.len().max(1) as f64
-}
-
 /// Returns how many requests found no slot at the nodes that were crowded, by cause.
 async fn slot_misses(fleet: &Fleet) -> String {
     let mut misses: IndexMap<&str, f64> = IndexMap::new();
-    for node in CROWDS.concat() {
-        let page = fleet.operator_request(node, Method::GET, "/metrics").await;
-        for cause in ["full", "reserved", "queued"] {
-            let label = format!("cause=\"{cause}\"");
-            let lines = page
-                .body
-                .lines()
-                .filter(|line| line.starts_with("slot_misses"));
-            let counts = lines.filter(|line| line.contains(&label));
-            let counts = counts.filter_map(|line| line.rsplit(' ').next()?.parse::<f64>().ok());
-            *misses.entry(cause).or_default() += counts.sum::<f64>();
+    for cause in ["full", "reserved", "queued"] {
+        let label = format!("cause=\"{cause}\"");
+        for node in CROWDS.concat() {
+            let count = fleet.metric(node, "slot_misses", &label).await;
+            *misses.entry(cause).or_default() += count;
         }
     }
     format!("slot misses {misses:?}")
 }
 
 /// Crowds one pair of nodes after the other; returns the requests sent from the contact time on.
-async fn crowd(fleet: &Fleet, load: TestLoad) -> Vec<(Instant, bool)> {
+async fn crowd(fleet: &Fleet, load: CallerLoad) -> Vec<SentRequest> {
     let start = Instant::now();
     let mut sent = Vec::new();
     for crowd in CROWDS {
         let node_of = |index| crowded_node(crowd, index);
         sent.extend(load.send(fleet, CROWD_TIME, node_of).await);
     }
-    sent.retain(|(at, _)| *at > start + CONTACT_TIME);
+    sent.retain(|request| request.at > start + CONTACT_TIME);
     sent
 }
 
 /// Checks the share of requests served while nodes are crowded and `disturb` runs.
-async fn check(fleet: &Fleet, load: TestLoad, disturb: impl Future<Output = ()>) {
+async fn check(fleet: &Fleet, load: CallerLoad, disturb: impl Future<Output = ()>) {
     let even = load.send(fleet, EVEN_TIME, |index| index % ZONES.len());
     let even = served_share(&even.await);
     let (sent, ()) = join(crowd(fleet, load), disturb).await;
@@ -156,14 +106,18 @@
     fleet
 }
 
-fn streams(utilization: f64) -> TestLoad {
-    TestLoad {
-        path: "/model/x",
-        time: STREAM_TIME,
-        utilization,
+/// Returns the requests of one kind that use a share of all slots, each for a time.
+fn load(path: &'static str, slot_time: Duration, utilization: f64) -> CallerLoad {
+    CallerLoad {
+        path,
+        interval: slot_time.div_f64(SLOTS * utilization),
     }
 }
 
+fn streams(utilization: f64) -> CallerLoad {
+    load("/model/x", STREAM_TIME, utilization)
+}
+
 async fn check_groups(shares_queue: bool, utilization: f64) {
     let _turn = TURN.lock().await;
     let fleet = open_groups(shares_queue).await;
@@ -240,10 +194,5 @@
 async fn crowded_nodes_serve_calls_to_single_targets() {
     let _turn = TURN.lock().await;
     let fleet = Fleet::open(TARGETS, &ZONES).await;
-    let load = TestLoad {
-        path: "/look/x",
-        time: CALL_TIME,
-        utilization: 0.3,
-    };
-    check(&fleet, load, async {}).await;
+    check(&fleet, load("/look/x", CALL_TIME, 0.3), async {}).await;
 }
--- a/crates/fleet/tests/gauge.rs
+++ b/crates/fleet/tests/gauge.rs
@@ -26,7 +26,7 @@
 #[gtest]
 fn requests_count_as_unreported_until_the_next_report_only() {
     let gauges = GaugeMap::default();
-    let gauge = gauges.get(&"t1".to_owned());
+    let gauge = gauges.get("t1");
     let acquire = || SlotGuard::acquire(&gauge, 0, Duration::from_secs(10));
     let (first, second) = (acquire(), acquire());
     expect_that!(gauge.unreported_requests(), eq(2));
--- a/crates/fleet/tests/shared_queue.rs
+++ b/crates/fleet/tests/shared_queue.rs
@@ -8,7 +8,6 @@
 use briarswitch_fleet::queue_doc::{QueueReply, QueueUpdate};
 use briarswitch_membership::{node_hash, rank_of, target_key, RankKey};
 use googletest::prelude::*;
-use http::Method;
 
 use support::peer::QueueResponse;
 use support::{Fleet, TestRequest, TestResponse};
@@ -71,10 +70,7 @@
 async fn metric(fleet: &Fleet, name: &str) -> f64 {
     let mut sum = 0.0;
     for node in 0..fleet.nodes.len() {
-        let page = fleet.operator_request(node, Method::GET, "/metrics").await;
-        let lines = page.body.lines().filter(|line| line.starts_with(name));
-        let values = lines.filter_map(|line| line.rsplit(' ').next()?.parse::<f64>().ok());
-        sum += values.sum::<f64>();
+        sum += fleet.metric(node, name, "").await;
     }
     sum
 }
--- a/crates/fleet/tests/skewed_callers.rs
+++ b/crates/fleet/tests/skewed_callers.rs
@@ -6,7 +6,8 @@
 
 use googletest::prelude::*;
 
-use support::{Fleet, TestRequest};
+use support::load::{served_share, CallerLoad};
+use support::Fleet;
 
 /// Zones of the nodes.
 const ZONES: [&str; 6] = ["z1", "z1", "z2", "z2", "z3", "z3"];
@@ -36,39 +37,14 @@
     }
 }
 
-/// Sends requests for a time, and returns when each was sent and whether it was served.
-async fn send(
-    fleet: &Fleet,
-    path: &str,
-    interval: Duration,
-    time: Duration,
-    is_skewed: bool,
-) -> Vec<(Instant, bool)> {
-    let count = time.div_duration_f64(interval) as u32;
-    let calls = (0..count).map(|index| async move {
-        tokio::time::sleep(interval * index).await;
-        let at = Instant::now();
-        let body = format!("{is_skewed} {index}");
-        let request = TestRequest {
-            path,
-            ..TestRequest::chat(&body)
-        };
-        let response = fleet.request(node_of(index as usize, is_skewed), request);
-        (at, response.await.is_served())
-    });
-    futures::future::join_all(calls).await
-}
-
-fn served_share(sent: &[(Instant, bool)]) -> f64 {
-    let served = sent.iter().filter(|(_, is_served)| *is_served).count();
-    served as f64 / sent.len().max(1) as f64
-}
-
-async fn check(fleet: &Fleet, path: &str, interval: Duration) {
-    let even = served_share(&send(fleet, path, interval, EVEN_TIME, false).await);
+async fn check(fleet: &Fleet, path: &'static str, interval: Duration) {
+    let load = CallerLoad { path, interval };
+    let even = load.send(fleet, EVEN_TIME, |index| node_of(index, false));
+    let even = served_share(&even.await);
     let start = Instant::now();
-    let mut skewed = send(fleet, path, interval, SKEWED_TIME, true).await;
-    skewed.retain(|(at, _)| *at > start + CONTACT_TIME);
+    let skewed = load.send(fleet, SKEWED_TIME, |index| node_of(index, true));
+    let mut skewed = skewed.await;
+    skewed.retain(|request| request.at > start + CONTACT_TIME);
     let share = served_share(&skewed);
     expect_that!(share, ge(MIN_SERVED_SHARE * even), "{even} before");
 }
--- a/crates/fleet/tests/slot_forecasts.rs
+++ b/crates/fleet/tests/slot_forecasts.rs
@@ -6,7 +6,6 @@
 
 use briarswitch_fleet::LoadControl;
 use googletest::prelude::*;
-use http::Method;
 
 use support::{Fleet, TestRequest, TestResponse};
 
@@ -45,11 +44,7 @@
 
 /// Returns how many requests the node has refused by forecast.
 async fn forecast_refusals(fleet: &Fleet) -> usize {
-    let metrics = fleet.operator_request(0, Method::GET, "/metrics").await;
-    let lines = metrics.body.lines();
-    let counts = lines.filter(|line| line.starts_with("forecast_refusals"));
-    let values = counts.filter_map(|line| line.rsplit(' ').next()?.parse::<usize>().ok());
-    values.sum()
+    fleet.metric(0, "forecast_refusals", "").await as usize
 }
 
 fn retry_delays(responses: &[TestResponse]) -> Vec<f64> {
--- a/crates/fleet/tests/support/mod.rs
+++ b/crates/fleet/tests/support/mod.rs
@@ -1,6 +1,7 @@
 //! Runs nodes in the test process, with an in-memory platform and targets on real sockets.
 #![allow(dead_code)]
 
+pub mod load;
 pub mod path;
 pub mod peer;
 pub mod platform;
@@ -339,12 +340,11 @@
         zones: &[&str],
         retry_limits: RetryLimits,
     ) -> Self {
-        let service = listings.first().map_or(SERVICE, |listing| listing.service);
-        let mut fleet = Self::new(service, LoadControl::default());
-        fleet.retry_limits = retry_limits;
-        fleet.start_targets(listings).await;
-        fleet.start_nodes(zones, zones.len()).await;
-        fleet
+        let fleet = Self {
+            retry_limits,
+            ..Self::new(&listings, LoadControl::default())
+        };
+        fleet.started(listings, zones, zones.len()).await
     }
 
     /// Changes what passes between all nodes and one target.
@@ -360,16 +360,26 @@
         nodes_with_paths: usize,
         load_control: LoadControl,
     ) -> Self {
-        let service = listings.first().map_or(SERVICE, |listing| listing.service);
-        let mut fleet = Self::new(service, load_control);
-        fleet.start_targets(listings).await;
-        fleet.start_nodes(zones, nodes_with_paths).await;
-        fleet
+        let fleet = Self::new(&listings, load_control);
+        fleet.started(listings, zones, nodes_with_paths).await
     }
 
-    /// Returns a fleet without targets and nodes.
-    fn new(service: &'static str, load_control: LoadControl) -> Self {
+    /// Starts the targets and nodes of a fleet.
+    async fn started(
+        mut self,
+        listings: Vec<TargetListing>,
+        zones: &[&str],
+        nodes_with_paths: usize,
+    ) -> Self {
+        self.start_targets(listings).await;
+        self.start_nodes(zones, nodes_with_paths).await;
+        self
+    }
+
+    /// Returns a fleet for these targets, without any target or node.
+    fn new(listings: &[TargetListing], load_control: LoadControl) -> Self {
         Self {
+            service: listings.first().map_or(SERVICE, |listing| listing.service),
             targets: Vec::new(),
             nodes: Vec::new(),
             client: TargetClient::new(TargetLimits {
@@ -377,7 +387,6 @@
                 max_idle: 0,
             }),
             next_attempt: Default::default(),
-            service,
             load_control,
             retry_limits: AMPLE_RETRIES,
             platform: PlatformStub::new(config()),
@@ -561,6 +570,15 @@
         self.send(&address, request(method, path, "")).await
     }
 
+    /// Returns the sum of a node's metrics with this name whose labels contain `label`.
+    pub async fn metric(&self, node: usize, name: &str, label: &str) -> f64 {
+        let page = self.operator_request(node, Method::GET, "/metrics").await;
+        let is_meant = |line: &&str| line.starts_with(name) && line.contains(label);
+        let lines = page.body.lines().filter(is_meant);
+        let values = lines.filter_map(|line| line.rsplit(' ').next()?.parse::<f64>().ok());
+        values.sum()
+    }
+
     /// Forwards a request to a node as another node would.
     pub async fn forward(&self, node: usize, forward: ForwardRequest) -> TestResponse {
         let address = self.nodes[node].address(|settings| &settings.peers);
