review: a server that left gets requests after the drain time-out

Cause: after any failed read of the directory, a node keeps entries that it finds missing for 2.3 s, longer than drain_timeout_ms, also if only its own connection to the store had fallen silent.

--- /dev/null
+++ b/review/standins/src/server.rs
@@ -0,0 +1,167 @@
+//! Stand-in for a server of a service without an engine.
+
+use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
+use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
+use std::sync::{Arc, Mutex};
+use std::thread;
+use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
+
+use crate::http::{read_message, write_message, Connection, Message};
+use crate::store::Store;
+
+/// Interval at which a server writes its entry.
+const HEARTBEAT: Duration = Duration::from_millis(1_200);
+/// Time for which a server works on a request.
+const WORK: Duration = Duration::from_millis(30);
+
+pub struct Arrival {
+    pub attempt: String,
+    pub path: String,
+    pub at: Instant,
+}
+
+pub struct Server {
+    pub id: String,
+    pub service: String,
+    zone: String,
+    address: SocketAddr,
+    store: Arc<Store>,
+    is_listed: Mutex<bool>,
+    is_up: AtomicBool,
+    connections: Mutex<Vec<TcpStream>>,
+    running: AtomicUsize,
+    born: u128,
+    /// Requests that it ran.
+    pub arrivals: Mutex<Vec<Arrival>>,
+}
+
+impl Server {
+    pub fn start(store: &Arc<Store>, ip: &str, id: &str, service: &str, zone: &str) -> Arc<Self> {
+        let listener = TcpListener::bind((ip, 0)).expect("a free port");
+        let born = SystemTime::now().duration_since(UNIX_EPOCH);
+        let server = Arc::new(Self {
+            id: id.to_owned(),
+            service: service.to_owned(),
+            zone: zone.to_owned(),
+            address: listener.local_addr().expect("an address"),
+            store: Arc::clone(store),
+            is_listed: Mutex::new(true),
+            is_up: AtomicBool::new(true),
+            connections: Mutex::default(),
+            running: AtomicUsize::new(0),
+            born: born.expect("a time of day").as_millis(),
+            arrivals: Mutex::default(),
+        });
+        let shared = Arc::clone(&server);
+        thread::spawn(move || {
+            for stream in listener.incoming().flatten() {
+                if !shared.is_up.load(Ordering::SeqCst) {
+                    return;
+                }
+                let clone = stream.try_clone().expect("a descriptor");
+                shared.connections.lock().unwrap().push(clone);
+                let shared = Arc::clone(&shared);
+                thread::spawn(move || shared.serve(stream));
+            }
+        });
+        let shared = Arc::clone(&server);
+        thread::spawn(move || shared.beat());
+        server
+    }
+
+    fn beat(&self) {
+        for sequence in 0.. {
+            let is_listed = self.is_listed.lock().unwrap();
+            if !*is_listed {
+                return;
+            }
+            let entry = format!(
+                "{{\"service\":\"{}\",\"address\":\"{}\",\"zone\":\"{}\",\"version\":\"v1\",\
+                 \"slots\":6,\"state\":\"ready\",\"cold_remaining_ms\":0,\
+                 \"sequence\":{sequence},\"born\":{}}}",
+                self.service, self.address, self.zone, self.born
+            );
+            self.store.put("servers", &self.id, &entry);
+            drop(is_listed);
+            thread::sleep(HEARTBEAT);
+        }
+    }
+
+    /// Leaves without having reported `draining`: the entry is removed, and the server goes on
+    /// serving. Returns when the store acknowledged the removal.
+    pub fn remove_entry(&self) -> Instant {
+        let mut is_listed = self.is_listed.lock().unwrap();
+        *is_listed = false;
+        self.store.remove("servers", &self.id)
+    }
+
+    /// Exits: the listener and all connections are closed, whatever is under way.
+    pub fn exit(&self) {
+        self.is_up.store(false, Ordering::SeqCst);
+        for connection in self.connections.lock().unwrap().drain(..) {
+            let _ = connection.shutdown(Shutdown::Both);
+        }
+        // Wakes the thread that accepts, which then drops the listener.
+        let _ = TcpStream::connect(self.address);
+    }
+
+    fn serve(&self, stream: TcpStream) {
+        let Ok(mut connection) = Connection::new(stream) else {
+            return;
+        };
+        while let Ok(Some(request)) = read_message(&mut connection.reader) {
+            if !self.is_up.load(Ordering::SeqCst) || !request.is_complete {
+                return;
+            }
+            if self.answer(&mut connection.stream, &request).is_err() {
+                return;
+            }
+        }
+    }
+
+    fn answer(&self, stream: &mut TcpStream, request: &Message) -> std::io::Result<()> {
+        let expected = request.header("x-briarswitch-expect-instance");
+        let attempt = request.header("x-briarswitch-attempt-id").to_owned();
+        let id = ("X-Briarswitch-Instance-Id", self.id.as_str());
+        let attempt_header = ("X-Briarswitch-Attempt-Id", attempt.as_str());
+        if !expected.is_empty() && expected != self.id {
+            return write_message(stream, "HTTP/1.1 421 -", &[id, attempt_header], b"");
+        }
+        if request.target() == "/healthz" {
+            return write_message(stream, "HTTP/1.1 200 -", &[id], b"");
+        }
+        if attempt.is_empty() {
+            let not_run = ("X-Briarswitch-Not-Executed", "1");
+            return write_message(stream, "HTTP/1.1 400 -", &[id, not_run], b"");
+        }
+        self.arrivals.lock().unwrap().push(Arrival {
+            attempt: attempt.clone(),
+            path: request.target().to_owned(),
+            at: Instant::now(),
+        });
+        let running = self.running.fetch_add(1, Ordering::SeqCst) + 1;
+        thread::sleep(WORK);
+        self.running.fetch_sub(1, Ordering::SeqCst);
+        let load = format!("{running},0,6");
+        let signature = format!("{}.{attempt}", self.id);
+        let headers = [
+            attempt_header,
+            ("X-Briarswitch-Response-Signature", signature.as_str()),
+            ("X-Briarswitch-Server-Load", load.as_str()),
+            ("Content-Type", "application/octet-stream"),
+        ];
+        write_message(
+            stream,
+            "HTTP/1.1 200 -",
+            &headers,
+            &body_for(request.target()),
+        )
+    }
+}
+
+/// Returns the body of the answer to a request: 800 bytes, or as many as its query asks for.
+pub fn body_for(target: &str) -> Vec<u8> {
+    let size = target.split_once("?bytes=");
+    let size = size.and_then(|(_, size)| size.parse().ok()).unwrap_or(800);
+    (0..size).map(|index| b'a' + (index % 23) as u8).collect()
+}
