--- a/review/standins/src/cases/slow_reader.rs
+++ b/review/standins/src/cases/slow_reader.rs
@@ -13,11 +13,12 @@
 use crate::server::{body_for, Server};
 use crate::store::Store;
 
-const BYTES: usize = 4_000_000;
-/// Bytes that the client reads at once at most, and the pause after them: about 700 kB/s, less
-/// than half of the 14 Mbit/s of the deployment's narrowest links.
-const READ_BYTES: usize = 14_000;
-const READ_PAUSE: Duration = Duration::from_millis(16);
+const BYTES: usize = 480_000;
+/// Bytes that the client reads at once at most, and the pause after them. With its receive buffer
+/// that makes some 75 kB/s, a twentieth of the 14 Mbit/s
+/// of the deployment's narrowest links.
+const READ_BYTES: usize = 7_000;
+const READ_PAUSE: Duration = Duration::from_millis(40);
 const TIMEOUT_MS: u32 = 8_000;
 /// `grace_period_s` of the deployment.
 const GRACE: Duration = Duration::from_secs(8);
@@ -25,7 +26,7 @@
 const TERM_DELAY: Duration = Duration::from_millis(500);
 
 /// Receive buffer of the client in bytes.
-const RECEIVE_BUFFER: i32 = 16_384;
+const RECEIVE_BUFFER: i32 = 4_096;
 /// Segment size of an ordinary link; that of the loopback interface is 45 times as large.
 const SEGMENT: i32 = 1_460;
 
