review: half of an answer passes for the whole after its server has started again

Cause: an answer without a length counts as complete if anything listens at the server's address when its connection has ended, also a later process. Change: review/1 with a script; the other cases move up by one.

--- a/review/2/run.sh
+++ b/review/2/run.sh
@@ -4,4 +4,4 @@
 cd "$(dirname "$0")/../.." || exit 2
 program=target/review/release/review-standins
 [ -x "$program" ] && [ -x target/release/briarswitch-node ] || exit 2
-exec "$program" slow-reader "$PWD" "$PWD/review/2"
+exec "$program" removed-server "$PWD" "$PWD/review/2"
--- a/review/standins/src/cases/mod.rs
+++ b/review/standins/src/cases/mod.rs
@@ -1,5 +1,6 @@
 //! The cases, and what they share.
 
+pub mod reborn_server;
 pub mod removed_server;
 pub mod slow_reader;
 
--- a/review/standins/src/main.rs
+++ b/review/standins/src/main.rs
@@ -29,6 +29,7 @@
         has_trouble,
     };
     let run = std::panic::catch_unwind(|| match case.as_str() {
+        "reborn-server" => cases::reborn_server::run(&setting),
         "removed-server" => cases::removed_server::run(&setting),
         "slow-reader" => cases::slow_reader::run(&setting),
         _ => panic!("no such case"),
--- a/review/standins/src/node.rs
+++ b/review/standins/src/node.rs
@@ -47,6 +47,12 @@
     budget_slack: 518,
 };
 
+pub const CADWALADR: Site = Site {
+    zones: "{\"cymru-a\":\"cymru\",\"cymru-b\":\"cymru\",\"cymru-c\":\"cymru\"}",
+    link_mbps: "200.0",
+    budget_slack: 258,
+};
+
 /// Where nodes run, and with which settings.
 pub struct Deployment {
     pub site: Site,
