review: stand-ins let go of ended connections

Cause: servers kept a descriptor of each connection to the end of a script. Change: a connection is forgotten once it has ended.

--- a/review/standins/src/server.rs
+++ b/review/standins/src/server.rs
@@ -1,5 +1,6 @@
 //! Stand-in for a server of a service without an engine.
 
+use std::collections::HashMap;
 use std::io::Write;
 use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
 use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
@@ -32,7 +33,8 @@
     store: Arc<Store>,
     is_listed: Mutex<bool>,
     is_up: AtomicBool,
-    connections: Mutex<Vec<TcpStream>>,
+    /// Open connections by the address of their other end.
+    connections: Mutex<HashMap<SocketAddr, TcpStream>>,
     running: AtomicUsize,
     /// Unix millisecond of its start.
     born: Mutex<u128>,
@@ -92,10 +94,15 @@
                 if !shared.is_up.load(Ordering::SeqCst) {
                     return;
                 }
-                let clone = stream.try_clone().expect("a descriptor");
-                shared.connections.lock().unwrap().push(clone);
+                let (Ok(clone), Ok(peer)) = (stream.try_clone(), stream.peer_addr()) else {
+                    continue;
+                };
+                shared.connections.lock().unwrap().insert(peer, clone);
                 let shared = Arc::clone(&shared);
-                thread::spawn(move || shared.serve(stream));
+                thread::spawn(move || {
+                    shared.serve(stream);
+                    shared.connections.lock().unwrap().remove(&peer);
+                });
             }
         });
     }
@@ -147,7 +154,7 @@
     /// Exits: the listener and all connections are closed, whatever is under way.
     pub fn exit(&self) {
         self.is_up.store(false, Ordering::SeqCst);
-        for connection in self.connections.lock().unwrap().drain(..) {
+        for (_, connection) in self.connections.lock().unwrap().drain() {
             let _ = connection.shutdown(Shutdown::Both);
         }
         // Wakes the thread that accepts, which then drops the listener.
