--- a/crates/core/src/assembly.rs
+++ b/crates/core/src/assembly.rs
@@ -144,6 +144,7 @@
     last_model: IndexMap<TargetId, LastModel>,
     /// Targets that must report again before they can be chosen.
     stale_candidates: IndexSet<TargetId>,
+    /// Loads that the last plan lacked permits for.
     denied_loads: usize,
 }
 
@@ -278,6 +279,12 @@
         orders
     }
 
+    /// Leaves out the orders to load beyond the budget, and counts them.
+    fn limit_loads(&mut self, staged: &mut Vec<TargetOrder>, budget: usize) {
+        self.denied_loads += staged.len().saturating_sub(budget);
+        staged.truncate(budget);
+    }
+
     fn back_off(&mut self, now: Moment) {
         if !std::mem::take(&mut self.has_new_conflict) {
             return;
--- a/crates/core/src/assembly/changeover.rs
+++ b/crates/core/src/assembly/changeover.rs
@@ -469,8 +469,7 @@
             staged.extend(chosen.filter_map(|id| self.order(id, action.clone(), "standby", view)));
         }
         staged.truncate(limit);
-        self.denied_loads += staged.len().saturating_sub(budget);
-        staged.truncate(budget);
+        self.limit_loads(&mut staged, budget);
         for order in &staged {
             self.changeover.moving.swap_remove(&order.target);
         }
--- a/crates/core/src/assembly/staging.rs
+++ b/crates/core/src/assembly/staging.rs
@@ -118,8 +118,7 @@
             let staging = chosen.into_iter();
             staged.extend(staging.filter_map(|id| self.stage_order(id, model, view)));
         }
-        self.denied_loads += staged.len().saturating_sub(budget);
-        staged.truncate(budget);
+        self.limit_loads(&mut staged, budget);
         for order in staged.iter().filter(|order| order.reason == EXCHANGE) {
             self.note_moving(order, view);
         }
--- a/crates/core/src/events.rs
+++ b/crates/core/src/events.rs
@@ -2,10 +2,10 @@
 
 use bytes::{Bytes, BytesMut};
 
+use crate::stream::MAX_EVENT_BYTES;
+
 /// Blank line that terminates an event.
 const SEPARATOR: &[u8] = b"\n\n";
-/// Largest size of one event in bytes. A target that sends more without an end of the event sends no events.
-const MAX_EVENT_BYTES: usize = 1 << 20;
 /// Field that holds an event's id.
 const ID_FIELD: &[u8] = b"id:";
 
--- a/crates/core/src/stream.rs
+++ b/crates/core/src/stream.rs
@@ -3,7 +3,7 @@
 /// Event separator (HTML Living Standard, server-sent events).
 const SEPARATOR: &[u8] = b"\n\n";
 /// Largest size of one event in bytes. A target that sends more without an end of the event sends no events.
-const MAX_EVENT_BYTES: usize = 1 << 20;
+pub(crate) const MAX_EVENT_BYTES: usize = 1 << 20;
 /// Event that marks the end of a stream.
 const END_EVENT: &[u8] = b"data: [DONE]";
 
--- a/crates/fleet/src/controller.rs
+++ b/crates/fleet/src/controller.rs
@@ -570,9 +570,6 @@
             self.tracker.poll_now(&target, now);
         }
         let denied = reconciler.denied_loads();
-        let loading = orders.iter();
-        let loading = loading.filter(|order| self.loaded_model(order).is_some());
-        self.loads.spend(loading.count());
         for order in orders {
             self.send_order(order, link);
         }
@@ -641,6 +638,7 @@
         };
         let address = tracked.record.address.clone();
         if let Some(model) = self.loaded_model(&order) {
+            self.loads.spend(1);
             self.loading_models.insert(order.target.clone(), model);
         }
         log::info!(
--- a/crates/fleet/src/relay.rs
+++ b/crates/fleet/src/relay.rs
@@ -93,20 +93,14 @@
                         self.record_events();
                         return Some(Ok(events));
                     }
-                    if self.splitter.is_overlong() && !self.resume_after_failure().await {
-                        return Some(Err(self.abort()));
-                    }
                 }
                 StreamStep::End(end) if self.is_complete(end).await => return self.finish(),
                 step @ (StreamStep::End(_) | StreamStep::Broken | StreamStep::Deadline) => {
-                    let is_resumed = match step {
-                        StreamStep::Deadline => {
-                            self.trace.reason = "stream_broken";
-                            self.resume_after_break().await
-                        }
-                        _ => self.resume_after_failure().await,
-                    };
-                    if !is_resumed {
+                    if !matches!(step, StreamStep::Deadline) {
+                        self.record_break();
+                    }
+                    self.trace.reason = "stream_broken";
+                    if !self.resume_after_break().await {
                         return Some(Err(self.abort()));
                     }
                 }
@@ -121,14 +115,10 @@
         }
     }
 
-    /// Resumes the stream elsewhere after its target has failed; returns whether that was possible.
-    async fn resume_after_failure(&mut self) -> bool {
-        self.record_break();
-        self.trace.reason = "stream_broken";
-        self.resume_after_break().await
-    }
-
     async fn next_step(&mut self) -> StreamStep {
+        if self.splitter.is_overlong() {
+            return StreamStep::Broken;
+        }
         loop {
             let timer = tokio::time::timeout(SILENCE_POLL_INTERVAL, self.source.next());
             let started = BootClock::now();
--- a/crates/model/src/departure.rs
+++ b/crates/model/src/departure.rs
@@ -21,8 +21,8 @@
 const TARGETS: usize = 3;
 /// Ticks after which a target whose departure is acknowledged must get no requests.
 const DRAIN_TICKS: u8 = 4;
-/// Ticks without disruption after which the store is stable, and a node is in touch.
-const CONTACT_TICKS: u8 = 6;
+/// Ticks without disruption after which the limit of departures applies.
+const CALM_TICKS: u8 = 6;
 /// Ticks within which a target rewrites an expired entry once the store is back.
 const REWRITE_TICKS: u8 = 3;
 /// Ticks within which a node that reaches the store reads it.
@@ -51,7 +51,7 @@
 struct Target {
     /// Whether the directory lists it.
     is_listed: bool,
-    /// When it left, if the store was stable then and acknowledged it.
+    /// When it left, if the store was calm then and acknowledged it.
     left_at: Option<u8>,
     has_left: bool,
     /// Whether the node sends it requests.
@@ -190,7 +190,7 @@
         } else if state.targets.iter().all(|target| !target.has_left) {
             next.targets[index].is_listed = false;
             next.targets[index].has_left = true;
-            next.targets[index].left_at = state.is_store_stable().then_some(state.tick);
+            next.targets[index].left_at = state.is_store_calm().then_some(state.tick);
             steps.push(Step::new(format!("target {index} leaves"), next));
         }
     }
@@ -214,8 +214,8 @@
         }
         let mut next = state.clone();
         next.tick += 1;
-        next.store_calm = next.store_calm.saturating_add(1).min(CONTACT_TICKS);
-        next.connection_calm = next.connection_calm.saturating_add(1).min(CONTACT_TICKS);
+        next.store_calm = next.store_calm.saturating_add(1).min(CALM_TICKS);
+        next.connection_calm = next.connection_calm.saturating_add(1).min(CALM_TICKS);
         next.unread = if may_read { next.unread + 1 } else { 0 };
         self.expire(&mut next);
         Some(next)
@@ -241,12 +241,12 @@
         census
     }
 
-    fn is_store_stable(&self) -> bool {
-        self.is_store_up && self.store_calm >= CONTACT_TICKS
+    fn is_store_calm(&self) -> bool {
+        self.is_store_up && self.store_calm >= CALM_TICKS
     }
 
-    fn is_in_touch(&self) -> bool {
-        self.is_store_stable() && self.is_connected && self.connection_calm >= CONTACT_TICKS
+    fn is_undisturbed(&self) -> bool {
+        self.is_store_calm() && self.is_connected && self.connection_calm >= CALM_TICKS
     }
 }
 
@@ -264,8 +264,8 @@
             targets: [target; TARGETS],
             is_store_up: true,
             is_connected: true,
-            store_calm: CONTACT_TICKS,
-            connection_calm: CONTACT_TICKS,
+            store_calm: CALM_TICKS,
+            connection_calm: CALM_TICKS,
             unread: 0,
             is_hanging: false,
             window: RecoveryWindow::default(),
@@ -302,8 +302,8 @@
             let left_at = target.left_at.filter(|_| target.is_used);
             left_at.is_some_and(|at| state.tick > at + DRAIN_TICKS)
         };
-        if state.is_in_touch() && targets.any(is_late) {
-            return Some("a node in touch sends nothing to a target that has left");
+        if state.is_undisturbed() && targets.any(is_late) {
+            return Some("an undisturbed node sends nothing to a target that has left");
         }
         let has_target = state.targets.iter().any(|target| target.is_used);
         (!has_target).then_some("an outage of the store leaves no node without targets")
--- a/crates/node/src/relay.rs
+++ b/crates/node/src/relay.rs
@@ -126,9 +126,6 @@
                     if let Some(complete) = self.accept_chunk(&chunk) {
                         return Some(Ok(complete));
                     }
-                    if self.scanner.is_overlong() && !self.resume_after_break().await {
-                        return Some(Ok(self.fail()));
-                    }
                 }
                 RelayStep::End if self.scanner.is_ended() => {
                     self.stage = RelayStage::Done;
@@ -136,7 +133,9 @@
                 }
                 // A body that ends cleanly but without the end marker is not a complete response.
                 RelayStep::End | RelayStep::Broken => {
-                    if !self.resume_after_break().await {
+                    self.run.run.report_broken("stream_broken");
+                    self.broken_runs += 1;
+                    if !self.resume().await {
                         return Some(Ok(self.fail()));
                     }
                 }
@@ -144,14 +143,10 @@
         }
     }
 
-    /// Records that the run broke and resumes the stream elsewhere; returns whether that was possible.
-    async fn resume_after_break(&mut self) -> bool {
-        self.run.run.report_broken("stream_broken");
-        self.broken_runs += 1;
-        self.resume().await
-    }
-
     async fn next_step(&mut self) -> RelayStep {
+        if self.scanner.is_overlong() {
+            return RelayStep::Broken;
+        }
         let silence = self.dispatcher.shared().settings.requests.stream_silence;
         let Some(body) = self.body.as_mut() else {
             return RelayStep::Broken;
