--- a/crates/fleet/src/settings.rs
+++ b/crates/fleet/src/settings.rs
@@ -4,6 +4,7 @@
 
 use briarswitch_core::finding::Finding;
 use briarswitch_core::id::{NodeId, RegionId, ZoneId};
+use briarswitch_http::{ProcessLimits, MEGABYTE};
 use indexmap::IndexMap;
 use serde::Deserialize;
 use serde_json::Value;
@@ -48,6 +49,8 @@
     /// Bandwidth of the node's network link in Mbit/s. Of the nodes of a zone, those with the most bandwidth take on
     /// the work that one node does for the whole zone.
     pub link_mbps: u32,
+    /// Memory and open files that the process may use.
+    pub limits: ProcessLimits,
     /// Whether the system as a whole is being started for the first time.
     pub is_first_start: bool,
     /// Whether callers' API keys are rejected while the node cannot confirm that they are still valid.
@@ -111,6 +114,7 @@
             metrics: reader.address("metrics"),
             store: reader.address("store"),
             link_mbps: reader.number("link_mbps") as u32,
+            limits: reader.limits(),
             is_first_start: reader.flag("is_first_start"),
             fails_closed: reader.flag("fails_closed"),
             key_validity: reader.millis("key_validity_ms"),
@@ -187,6 +191,24 @@
         }
     }
 
+    /// Reads a number that may be missing.
+    fn optional_number(&mut self, field: &'static str) -> Option<f64> {
+        match self.take(field) {
+            Value::Null => None,
+            _ => Some(self.number(field)),
+        }
+    }
+
+    fn limits(&mut self) -> ProcessLimits {
+        let memory = self.optional_number("memory_mb");
+        let open_files = self.optional_number("max_open_files");
+        let default = ProcessLimits::default();
+        ProcessLimits {
+            memory_bytes: memory.map_or(default.memory_bytes, |mb| mb as usize * MEGABYTE),
+            open_files: open_files.map_or(default.open_files, |count| count as usize),
+        }
+    }
+
     fn millis(&mut self, field: &'static str) -> Duration {
         Duration::from_secs_f64(self.number(field) / 1000.0)
     }
--- a/crates/fleet/tests/support/mod.rs
+++ b/crates/fleet/tests/support/mod.rs
@@ -23,7 +23,8 @@
 use briarswitch_fleet::queue_doc::QueueUpdate;
 use briarswitch_fleet::{FleetNode, FleetSettings, LoadControl};
 use briarswitch_http::{
-    encode_msgpack, full_body, BodyEnd, BodyPart, TargetAddress, TargetClient, TargetLimits,
+    encode_msgpack, full_body, BodyEnd, BodyPart, ProcessLimits, TargetAddress, TargetClient,
+    TargetLimits,
 };
 use bytes::Bytes;
 use http::{HeaderMap, HeaderValue, Method};
@@ -171,6 +172,7 @@
         metrics: ANY_PORT.to_owned(),
         store: String::new(),
         link_mbps: 1000,
+        limits: ProcessLimits::default(),
         is_first_start: false,
         fails_closed: true,
         key_validity: Duration::from_secs(30),
--- a/crates/http/src/lib.rs
+++ b/crates/http/src/lib.rs
@@ -12,6 +12,7 @@
 
 mod client;
 mod idle_pool;
+mod limits;
 mod message;
 mod reply;
 mod server;
@@ -26,6 +27,7 @@
 pub use volo_http::body::Body;
 
 pub use idle_pool::TargetAddress;
+pub use limits::{ProcessLimits, MEGABYTE};
 pub use message::{Request, Response};
 pub use server::{Handler, HttpServer, ServerGuard};
 pub use target::{full_body, SendError, SendProgress, TargetClient, TargetLimits, TargetResponse};
--- a/crates/node/src/settings.rs
+++ b/crates/node/src/settings.rs
@@ -3,6 +3,7 @@
 use std::time::Duration;
 
 use briarswitch_core::prelude::*;
+use briarswitch_http::ProcessLimits;
 use briarswitch_platform::PlatformAddresses;
 
 /// One peer: another node that this one exchanges state with.
@@ -135,6 +136,8 @@
     pub gate: GateSettings,
     /// Timing of the zone's controller and of the reads and writes at the platform.
     pub control: ControlSettings,
+    /// Memory and open files that the process may use.
+    pub limits: ProcessLimits,
     /// Limits on requests.
     pub requests: RequestSettings,
     /// Timing of a shutdown.
--- a/review/standins/src/node.rs
+++ b/review/standins/src/node.rs
@@ -32,24 +32,32 @@
     /// Zones as a JSON object.
     pub zones: &'static str,
     pub link_mbps: &'static str,
+    pub memory_mb: u32,
+    pub open_files: u32,
     pub budget_slack: u32,
 }
 
 pub const KLL_KOCHI: Site = Site {
     zones: "{\"kakkanad\":\"kochi\",\"edappally\":\"kochi\",\"vyttila\":\"kochi\"}",
     link_mbps: "1000.0",
+    memory_mb: 260,
+    open_files: 4_200,
     budget_slack: 130,
 };
 
 pub const TASDID_RABAT: Site = Site {
     zones: "{\"casa-a\":\"casa-rabat\",\"casa-b\":\"casa-rabat\",\"rabat-c\":\"casa-rabat\"}",
     link_mbps: "14.0",
+    memory_mb: 112,
+    open_files: 2_870,
     budget_slack: 518,
 };
 
 pub const CADWALADR: Site = Site {
     zones: "{\"cymru-a\":\"cymru\",\"cymru-b\":\"cymru\",\"cymru-c\":\"cymru\"}",
     link_mbps: "200.0",
+    memory_mb: 512,
+    open_files: 8_192,
     budget_slack: 258,
 };
 
@@ -76,6 +84,8 @@
             ("internal_port_range.0", inner.to_string()),
             ("platform.address", format!("\"{store}\"")),
             ("limits.link_mbps", self.site.link_mbps.to_owned()),
+            ("limits.memory_mb", self.site.memory_mb.to_string()),
+            ("limits.max_open_files", self.site.open_files.to_string()),
             ("bootstrap", "true".to_owned()),
             ("bounds.fail_closed", "true".to_owned()),
             ("bounds.revoke_ms", "5000".to_owned()),
