Crowds: unread streams, prompt parts; ordinary requests have a service of their own

Two more crowds, seen to fail on the product as it was: 60 callers of an endless stream who read nothing (145 MB of 112 MB), and 600 requests that name 3,900 prompt parts each, within the header limit, and wait for a slow answer (197 MB).

Three mistakes of the tests, found in their first runs; no crowd and no bound changed. An ordinary request of the fleet went to the service that the crowd had filled, so that the service and not the node refused it: it has a service of its own now. The partitioned node had one service, and a partition is judged by two; the test timed out before its crowd. With two it fails as it should: 288 MB where requests arrive, 326 MB where they run. The stand-in encoded its 4 MiB answer as JSON, which in a debug build took its only thread from the probes.

--- a/crates/node/tests/clients.rs
+++ b/crates/node/tests/clients.rs
@@ -9,9 +9,9 @@
 mod fleet;
 #[path = "clients/process.rs"]
 mod process;
-mod support;
 #[path = "clients/subject.rs"]
 mod subject;
+mod support;
 
 use briarswitch_standins::LinkMode;
 use briarswitch_wire::peer::FORWARD_PREFIX;
@@ -41,6 +41,8 @@
 const HEAD_CALLERS: usize = 600;
 /// Bytes of such a head.
 const HEAD_BYTES: usize = 380_000;
+/// Parts of a prompt that one request names; its headers stay within the limit.
+const PROMPT_PARTS: usize = 3_900;
 /// Callers that connect and send nothing.
 const SILENT_CALLERS: usize = 600;
 /// Callers that do not read a large answer.
@@ -66,12 +68,12 @@
     FleetProcess::start(BOUNDS, None).await
 }
 
-/// Starts nodes whose settings name everything, with one plain service.
-async fn start_cluster(nodes: usize, bounds: Bounds) -> Cluster {
+/// Starts nodes whose settings name everything, with plain services.
+async fn start_cluster(nodes: usize, services: usize, bounds: Bounds) -> Cluster {
     Cluster::start(ClusterSpec {
         nodes_per_zone: nodes,
         engines_per_zone: 0,
-        services_per_zone: 1,
+        services_per_zone: services,
         replicas_per_zone: 0,
         settings: vec![
             format!("limits.memory_mb={}", bounds.memory_bytes / 1_000_000),
@@ -168,7 +170,12 @@
     let _turn = turn().await;
     let fleet = FleetProcess::start(FEW_FILES_BOUNDS, Some(FEW_OPEN_FILES)).await;
     let subject = fleet.subject();
-    check(&subject, Crowd::of_silence(SILENT_CALLERS), FEW_FILES_BOUNDS).await;
+    check(
+        &subject,
+        Crowd::of_silence(SILENT_CALLERS),
+        FEW_FILES_BOUNDS,
+    )
+    .await;
 }
 
 #[gtest]
@@ -182,6 +189,30 @@
     check(&subject, crowd, BOUNDS).await;
 }
 
+#[gtest]
+#[tokio::test(flavor = "multi_thread")]
+async fn fleet_streams_that_nobody_reads_fill_no_memory() {
+    let _turn = turn().await;
+    let fleet = start_fleet().await;
+    let subject = fleet.subject();
+    let head = subject.head(fleet::ENDLESS_STREAM_PATH);
+    let crowd = Crowd::of_lengths(READING_CALLERS, &head, 0);
+    check(&subject, crowd, BOUNDS).await;
+}
+
+#[gtest]
+#[tokio::test(flavor = "multi_thread")]
+async fn fleet_prompt_parts_of_waiting_requests_fill_no_memory() {
+    let _turn = turn().await;
+    let fleet = start_fleet().await;
+    let subject = fleet.subject();
+    let parts = "a:1,".repeat(PROMPT_PARTS);
+    let head = subject.head(fleet::SLOW_ANSWER_PATH);
+    let head = format!("{head}x-briarswitch-prompt-prefix: {parts}b:1\r\n");
+    let crowd = Crowd::of_whole_bodies(HEAD_CALLERS, &head, 2);
+    check(&subject, crowd, BOUNDS).await;
+}
+
 #[gtest]
 #[tokio::test(flavor = "multi_thread")]
 async fn fleet_bodies_of_forwarded_requests_fill_no_memory() {
@@ -220,7 +251,7 @@
 #[tokio::test(flavor = "multi_thread")]
 async fn cluster_bodies_that_stop_short_of_their_length_fill_no_memory() {
     let _turn = turn().await;
-    let cluster = start_cluster(1, BOUNDS).await;
+    let cluster = start_cluster(1, 1, BOUNDS).await;
     let subject = Subject::of_cluster(&cluster, 0);
     check_largest_body(&subject).await;
     let crowd = Crowd::of_lengths(BODY_CALLERS, &subject.head("/x"), BODY_BYTES);
@@ -231,7 +262,7 @@
 #[tokio::test(flavor = "multi_thread")]
 async fn cluster_bodies_in_chunks_without_an_end_fill_no_memory() {
     let _turn = turn().await;
-    let cluster = start_cluster(1, BOUNDS).await;
+    let cluster = start_cluster(1, 1, BOUNDS).await;
     let subject = Subject::of_cluster(&cluster, 0);
     let head = subject.head("/x");
     for chunk_bytes in [CHUNK_BYTES, SMALL_CHUNK_BYTES] {
@@ -244,7 +275,7 @@
 #[tokio::test(flavor = "multi_thread")]
 async fn cluster_heads_without_an_end_fill_no_memory() {
     let _turn = turn().await;
-    let cluster = start_cluster(1, BOUNDS).await;
+    let cluster = start_cluster(1, 1, BOUNDS).await;
     let subject = Subject::of_cluster(&cluster, 0);
     let crowd = Crowd::of_heads(HEAD_CALLERS, &subject.head("/x"), HEAD_BYTES);
     check(&subject, crowd, BOUNDS).await;
@@ -256,16 +287,21 @@
 #[tokio::test(flavor = "multi_thread")]
 async fn cluster_silent_connections_leave_open_files_for_others() {
     let _turn = turn().await;
-    let cluster = start_cluster(1, FEW_FILES_BOUNDS).await;
+    let cluster = start_cluster(1, 1, FEW_FILES_BOUNDS).await;
     let subject = Subject::of_cluster(&cluster, 0);
-    check(&subject, Crowd::of_silence(SILENT_CALLERS), FEW_FILES_BOUNDS).await;
+    check(
+        &subject,
+        Crowd::of_silence(SILENT_CALLERS),
+        FEW_FILES_BOUNDS,
+    )
+    .await;
 }
 
 #[gtest]
 #[tokio::test(flavor = "multi_thread")]
 async fn cluster_answers_that_nobody_reads_fill_no_memory() {
     let _turn = turn().await;
-    let cluster = start_cluster(1, BOUNDS).await;
+    let cluster = start_cluster(1, 1, BOUNDS).await;
     for service in cluster.services.values() {
         service.update_faults(|faults| faults.answer_bytes = BODY_BYTES);
     }
@@ -278,16 +314,37 @@
 #[tokio::test(flavor = "multi_thread")]
 async fn cluster_bodies_at_other_listeners_fill_no_memory() {
     let _turn = turn().await;
-    let cluster = start_cluster(1, BOUNDS).await;
+    let cluster = start_cluster(1, 1, BOUNDS).await;
     let ports = &cluster.nodes[0].ports;
     let operators = [("authorization", "Bearer operator")];
     let peers = [("authorization", "Bearer peer")];
-    let forwarded = [("x-peer-token", "peer"), ("authorization", "Bearer kayal-key")];
+    let forwarded = [
+        ("x-peer-token", "peer"),
+        ("authorization", "Bearer kayal-key"),
+    ];
     let forward_path = format!("{FORWARD_PREFIX}/services/{SERVICE}/x");
     for (port, path, token, callers, bytes) in [
-        (ports.operators, "/v1/edit", &operators[..], BODY_CALLERS, BODY_BYTES),
-        (ports.peers, "/peer/exchange", &peers[..], MESSAGE_CALLERS, MESSAGE_BYTES),
-        (ports.peers, &*forward_path, &forwarded[..], BODY_CALLERS, BODY_BYTES),
+        (
+            ports.operators,
+            "/v1/edit",
+            &operators[..],
+            BODY_CALLERS,
+            BODY_BYTES,
+        ),
+        (
+            ports.peers,
+            "/peer/exchange",
+            &peers[..],
+            MESSAGE_CALLERS,
+            MESSAGE_BYTES,
+        ),
+        (
+            ports.peers,
+            &*forward_path,
+            &forwarded[..],
+            BODY_CALLERS,
+            BODY_BYTES,
+        ),
     ] {
         let subject = Subject::of_cluster(&cluster, 0).at(port);
         let head = subject.raw_head(path, token);
@@ -300,7 +357,7 @@
 #[tokio::test(flavor = "multi_thread")]
 async fn cluster_heads_without_an_end_fill_no_memory_at_other_listeners() {
     let _turn = turn().await;
-    let cluster = start_cluster(1, BOUNDS).await;
+    let cluster = start_cluster(1, 1, BOUNDS).await;
     let ports = &cluster.nodes[0].ports;
     for port in [ports.operators, ports.peers, ports.health] {
         let subject = Subject::of_cluster(&cluster, 0).at(port);
@@ -313,7 +370,7 @@
 #[tokio::test(flavor = "multi_thread")]
 async fn cluster_requests_of_a_partitioned_node_fill_no_memory_there_and_where_they_run() {
     let _turn = turn().await;
-    let mut cluster = start_cluster(2, BOUNDS).await;
+    let mut cluster = start_cluster(2, 2, BOUNDS).await;
     let (_list, links) = cluster.link_services(0);
     cluster.nodes[0].restart();
     cluster.wait_ready().await;
@@ -340,6 +397,10 @@
     check(&sender, crowd, BOUNDS).await;
     let usage = runner.usage();
     println!("usage where they run: {usage:?}");
-    expect_that!(usage.memory_bytes, le(BOUNDS.memory_bytes), "the runner's memory");
+    expect_that!(
+        usage.memory_bytes,
+        le(BOUNDS.memory_bytes),
+        "the runner's memory"
+    );
     check_largest_body(&sender).await;
 }
--- a/crates/node/tests/clients/fleet.rs
+++ b/crates/node/tests/clients/fleet.rs
@@ -5,7 +5,7 @@
 use std::process::{Child, Command, Stdio};
 use std::time::Instant;
 
-use serde_json::json;
+use serde_json::{json, Value};
 
 #[path = "../../../../platform/tests/support/mod.rs"]
 mod platform;
@@ -17,18 +17,21 @@
 use platform::store::StoreStandin;
 
 pub use briarswitch_fleet::forward::FORWARD_PATH;
-pub use platform::server::LARGE_ANSWER_PATH;
+pub use platform::server::{ENDLESS_STREAM_PATH, LARGE_ANSWER_PATH, SLOW_ANSWER_PATH};
 
 /// Path of the exchange of membership between nodes.
 pub const GOSSIP_PATH: &str = "/gossip";
 
+/// Service of ordinary requests.
+const CALM_SERVICE: &str = "calm";
+
 pub struct FleetProcess {
     pub callers: SocketAddr,
     pub health: SocketAddr,
     pub peers: SocketAddr,
     pub metrics: SocketAddr,
     child: Child,
-    _server: ServerStandin,
+    _servers: [ServerStandin; 2],
     _store: StoreStandin,
 }
 
@@ -42,8 +45,12 @@
         for route in config["routes"].as_array_mut().expect("routes") {
             route["timeout_ms"] = 60_000.into();
         }
+        add_calm_service(&mut config);
         store.put_config(&config);
-        let server = ServerStandin::bind(&store, "i-plain-0", platform::PLAIN_SERVICE).await;
+        let servers = [
+            ServerStandin::bind(&store, "i-plain-0", platform::PLAIN_SERVICE).await,
+            ServerStandin::bind(&store, "i-calm-0", CALM_SERVICE).await,
+        ];
         let ports = free_ports(4);
         let [callers, health, peers, metrics] =
             [0, 1, 2, 3].map(|index| SocketAddr::from(([127, 0, 0, 1], ports[index])));
@@ -76,7 +83,7 @@
             peers,
             metrics,
             child,
-            _server: server,
+            _servers: servers,
             _store: store,
         };
         fleet.wait_until_served().await;
@@ -103,7 +110,7 @@
             process: self.child.id(),
             callers: self.callers,
             attacked,
-            path: "/look/ordinary".to_owned(),
+            path: "/calm/ordinary".to_owned(),
             prefix: String::new(),
             headers: vec![
                 header("host", platform::HOST),
@@ -115,6 +122,19 @@
     }
 }
 
+/// Adds a service that the crowds do not call, for ordinary requests.
+fn add_calm_service(config: &mut Value) {
+    let mut route = config["routes"][1].clone();
+    route["name"] = "r/calm/".into();
+    route["prefix"] = "/calm/".into();
+    route["service"] = CALM_SERVICE.into();
+    let mut service = config["services"][1].clone();
+    service["name"] = CALM_SERVICE.into();
+    config["routes"].as_array_mut().expect("routes").push(route);
+    let services = config["services"].as_array_mut().expect("services");
+    services.push(service);
+}
+
 impl Drop for FleetProcess {
     fn drop(&mut self) {
         let _ = self.child.kill();
--- a/crates/node/tests/clients/subject.rs
+++ b/crates/node/tests/clients/subject.rs
@@ -112,8 +112,15 @@
     let text = String::from_utf8_lossy(&answer);
     println!(
         "ordinary: {read:?} {}",
-        text.lines().take(8).collect::<Vec<_>>().join(" | ")
+        text.lines()
+            .take(12)
+            .map(|line| &line[..line.len().min(200)])
+            .collect::<Vec<_>>()
+            .join(" | ")
     );
-    let status = text.split(' ').nth(1).and_then(|status| status.parse().ok());
+    let status = text
+        .split(' ')
+        .nth(1)
+        .and_then(|status| status.parse().ok());
     Ok(status.unwrap_or(0))
 }
--- a/crates/standins/src/plain.rs
+++ b/crates/standins/src/plain.rs
@@ -29,7 +29,7 @@
     pub processing_time: Duration,
     /// Number of calls to run and then abort without a response.
     pub breaks: u32,
-    /// Size in bytes of a text that each answer carries.
+    /// Size in bytes of a text that is each answer; zero for the usual answers.
     pub answer_bytes: usize,
     /// Whether the service rejects all calls because it is shutting down.
     pub is_leaving: bool,
@@ -198,12 +198,12 @@
             }
             let attempt = head.headers.get(ATTEMPT_HEADER).cloned();
             let mut reply = match outcome {
-                CallOutcome::Respond { count, filler } => {
+                CallOutcome::Respond { filler, .. } if filler > 0 => {
+                    reply_text(StatusCode::OK, "a".repeat(filler))
+                }
+                CallOutcome::Respond { count, .. } => {
                     let text = String::from_utf8_lossy(&bytes);
-                    let filler = "a".repeat(filler);
-                    let body = serde_json::json!({
-                        "vm": self.vm, "count": count, "echo": text, "filler": filler,
-                    });
+                    let body = serde_json::json!({"vm": self.vm, "count": count, "echo": text});
                     reply_json(StatusCode::OK, &body)
                 }
                 CallOutcome::NoResponse => std::future::pending().await,
