Bodies that stop short of their end are held within an account of bytes

Callers saw: nothing, until the process ran out of memory and all lost their connections.

Cause: each body is read into a buffer that doubles, whatever the others hold, and bytes that wait unread in sockets grow with them. Ruled out: the library's read buffer (its share stayed the same with bodies of one frame), copies for retries (handles to the same bytes).

Change: each listener has an account, a share of the memory that the settings state. A body claims what its buffer takes before it grows, so an announcement costs nothing; the claim is part of what owns the bytes and cannot outlive or be forgotten by them. Where the account is full, the connection that has made no progress for longest, a second at least, is closed for the one that asks; if there is none, the request is refused as not run with when to return. The first 4 KiB of a body need no claim, and a quarter of the account is kept for claims up to 64 KiB, so ordinary requests are served beside large ones. A request alone in the account may have any size. Receive buffers are 32 KiB (64 KiB in the system's count).

--- a/crates/fleet/src/caller_api.rs
+++ b/crates/fleet/src/caller_api.rs
@@ -281,6 +281,9 @@
                 StatusCode::BAD_REQUEST,
                 "the body ended too early",
             )),
+            Ok(Err(BodyError::NoRoom(_))) => Err(LocalReply::not_run(
+                "this node holds as many bodies as it may",
+            )),
             Err(_) => Err(LocalReply::rejected(
                 StatusCode::REQUEST_TIMEOUT,
                 "the body did not arrive in time",
--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -5,6 +5,7 @@
 pub mod body_check;
 pub mod budget;
 pub mod caller_api;
+mod caller_limits;
 pub mod changeovers;
 pub mod config_sync;
 pub mod controller;
--- a/crates/fleet/src/node.rs
+++ b/crates/fleet/src/node.rs
@@ -8,7 +8,8 @@
 use briarswitch_core::fingerprint::SuspectFingerprint;
 use briarswitch_core::id::Incarnation;
 use briarswitch_http::{
-    reply_bytes, reply_json, reply_text, Handler, HttpServer, Request, Response, ServerGuard,
+    reply_bytes, reply_json, reply_text, ConnectionLimits, ConnectionPool, Handler, HttpServer,
+    LimitSource, ListenerKind, Request, Response, ServerGuard,
 };
 use briarswitch_kernel::{Kernel, KernelError, Mailbox};
 use futures::future::BoxFuture;
@@ -127,6 +128,17 @@
             load_coordinator,
         );
         let admin_api = AdminApi::new(Arc::clone(&shared), kernel.clone(), suspects);
+        let pool = |kind| {
+            let source: Arc<dyn LimitSource> = match kind {
+                ListenerKind::Callers => Arc::clone(&shared) as Arc<dyn LimitSource>,
+                ListenerKind::Peers | ListenerKind::Admin => Arc::new(ConnectionLimits::default()),
+            };
+            ConnectionPool::new(kind, settings.limits, source)
+        };
+        let callers = callers.with_pool(pool(ListenerKind::Callers));
+        let peers = peers.with_pool(pool(ListenerKind::Peers));
+        let health = health.with_pool(pool(ListenerKind::Admin));
+        let metrics = metrics.with_pool(pool(ListenerKind::Admin));
         let servers = vec![
             callers.spawn(caller_api, stopped.clone()),
             peers.spawn(peer_api, stopped.clone()),
--- a/crates/http/src/client.rs
+++ b/crates/http/src/client.rs
@@ -10,7 +10,8 @@
 use volo_http::body::Body;
 use volo_http::client::Client;
 
-use crate::reply::{read_body, BodyError};
+use crate::held_body::read_unclaimed;
+use crate::reply::BodyError;
 use crate::target_body::BodyEnd;
 
 /// Maximum size of a response body.
@@ -163,7 +164,7 @@
             .map_err(|error| CallError::NoResponse(error.to_string()))?;
         let (head, body) = response.into_parts();
         let status = head.status;
-        let bytes = read_body(body, MAX_RESPONSE_BYTES)
+        let bytes = read_unclaimed(body, MAX_RESPONSE_BYTES)
             .await
             .map_err(|error| CallError::NoResponse(error.to_string()))?;
         if status == StatusCode::OK {
--- /dev/null
+++ b/crates/http/src/connection_pool.rs
@@ -0,0 +1,169 @@
+//! The connections of one listener: how many there may be, and which one goes for another.
+//!
+//! Answers crowds of clients that hold connections or bytes without letting a request come to its
+//! end: the connection that has kept the process waiting longest is closed for one that asks.
+
+use std::fmt;
+use std::sync::atomic::{AtomicU64, AtomicUsize, Ordering};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::{Duration, Instant};
+
+use indexmap::IndexMap;
+
+use crate::account::ByteAccount;
+use crate::connection_limits::{ConnectionLimits, LimitSource};
+use crate::connection_record::{Awaited, ConnectionId, ConnectionRecord, ConnectionWait};
+use crate::limits::{ListenerKind, ProcessLimits};
+
+/// Time without progress after which a connection may be closed in favour of another one.
+const STALL_TIME: Duration = Duration::from_secs(1);
+/// Time without progress of a body or of the reading of a response after which a connection is closed.
+const PROGRESS_TIMEOUT: Duration = Duration::from_secs(30);
+/// The connections of one listener and the bytes that are held for them.
+pub struct ConnectionPool {
+    kind: ListenerKind,
+    process: ProcessLimits,
+    account: ByteAccount,
+    source: Arc<dyn LimitSource>,
+    next_id: AtomicU64,
+    /// Connections that are open, with those that are being closed.
+    open: AtomicUsize,
+    /// Connections that may be closed.
+    records: Mutex<IndexMap<ConnectionId, Arc<ConnectionRecord>>>,
+}
+
+/// A connection's place in its pool, which is free again when this guard is dropped.
+pub(crate) struct PoolPlace {
+    pool: Arc<ConnectionPool>,
+    record: Arc<ConnectionRecord>,
+}
+
+impl ConnectionPool {
+    /// Creates a pool with a listener's share of a process's limits.
+    pub fn new(
+        kind: ListenerKind,
+        process: ProcessLimits,
+        source: Arc<dyn LimitSource>,
+    ) -> Arc<Self> {
+        let process = process.within_system_limits();
+        let pool = Self {
+            kind,
+            process,
+            account: ByteAccount::new(0),
+            source,
+            next_id: AtomicU64::new(0),
+            open: AtomicUsize::new(0),
+            records: Mutex::default(),
+        };
+        pool.limit_account();
+        Arc::new(pool)
+    }
+
+    /// Returns the limits of connections that are accepted now.
+    pub fn limits(&self) -> ConnectionLimits {
+        self.source.connection_limits()
+    }
+
+    /// Sets what may be claimed, which follows from the largest body.
+    fn limit_account(&self) {
+        let body_bytes = self.limits().body_bytes;
+        let account_bytes = self.process.account_bytes(self.kind, body_bytes);
+        self.account.set_limit(account_bytes);
+    }
+
+    /// Returns the number of open connections.
+    pub fn open_connections(&self) -> usize {
+        self.open.load(Ordering::Relaxed)
+    }
+
+    /// Adds a connection.
+    pub(crate) fn add(self: &Arc<Self>) -> PoolPlace {
+        let id = self.next_id.fetch_add(1, Ordering::Relaxed);
+        let record = Arc::new(ConnectionRecord::new(
+            id,
+            Arc::downgrade(self),
+            self.account.clone(),
+        ));
+        self.open.fetch_add(1, Ordering::Relaxed);
+        self.lock().insert(id, Arc::clone(&record));
+        PoolPlace {
+            pool: Arc::clone(self),
+            record,
+        }
+    }
+
+    /// Closes the connection with claims whose other end has made no progress for longest; returns
+    /// whether there is one.
+    pub(crate) fn close_longest_stalled(&self) -> bool {
+        let now = Instant::now();
+        let is_stalled = |record: &ConnectionRecord, wait: ConnectionWait| {
+            now.duration_since(wait.since) >= STALL_TIME && record.has_claims()
+        };
+        self.close_one(is_stalled)
+    }
+
+    fn close_one(&self, may_close: impl Fn(&ConnectionRecord, ConnectionWait) -> bool) -> bool {
+        let mut records = self.lock();
+        let waiting = records.values().filter_map(|record| {
+            let wait = record.wait()?;
+            may_close(record, wait).then_some((wait.since, record.id))
+        });
+        let Some((since, id)) = waiting.min() else {
+            return false;
+        };
+        let record = records.swap_remove(&id);
+        drop(records);
+        if let Some(record) = record {
+            log::debug!(waited_ms = since.elapsed().as_millis() as u64; "connection_displaced");
+            record.close();
+        }
+        true
+    }
+
+    /// Applies the limits in force, and closes the connections whose other ends have exceeded a time limit.
+    pub(crate) fn enforce_limits(&self) {
+        self.limit_account();
+        let limits = self.limits();
+        let mut records = self.lock();
+        records.retain(|_, record| {
+            let is_overdue = record.wait().is_some_and(|wait| {
+                let limit = match wait.awaited {
+                    Awaited::Request => limits.idle_timeout,
+                    Awaited::Head => limits.head_timeout,
+                    Awaited::Body | Awaited::Reader => PROGRESS_TIMEOUT,
+                };
+                wait.since.elapsed() > limit
+            });
+            if is_overdue {
+                record.close();
+            }
+            !is_overdue
+        });
+    }
+
+    fn lock(&self) -> MutexGuard<'_, IndexMap<ConnectionId, Arc<ConnectionRecord>>> {
+        self.records.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+impl fmt::Debug for ConnectionPool {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let mut debug = formatter.debug_struct("ConnectionPool");
+        debug.field("kind", &self.kind);
+        debug.field("open", &self.open_connections());
+        debug.finish_non_exhaustive()
+    }
+}
+
+impl PoolPlace {
+    pub(crate) fn record(&self) -> &Arc<ConnectionRecord> {
+        &self.record
+    }
+}
+
+impl Drop for PoolPlace {
+    fn drop(&mut self) {
+        self.pool.lock().swap_remove(&self.record.id);
+        self.pool.open.fetch_sub(1, Ordering::Relaxed);
+    }
+}
--- a/crates/http/src/lib.rs
+++ b/crates/http/src/lib.rs
@@ -1,7 +1,8 @@
 //! HTTP server, client for idempotent calls, and client for requests to targets.
 //!
-//! Servers and idempotent calls use `volo-http`. Requests to targets use the underlying `hyper`
-//! directly: a caller may get the outcome "not run" only if no byte of its request can have been
+//! Idempotent calls and the bodies of handlers use `volo-http`. Connections of callers are served by
+//! the underlying `hyper` directly, which lets a server limit what one connection buffers. Requests
+//! to targets use it as well: a caller may get the outcome "not run" only if no byte of its request can have been
 //! sent, and the connection pool of `volo-http` does not tell whether one was.
 //!
 //! ```
@@ -10,7 +11,14 @@
 //! assert_eq!(reply_text(http::StatusCode::OK, "ok").status(), 200);
 //! ```
 
+mod account;
+mod answer_body;
+mod caller_body;
 mod client;
+mod connection_limits;
+mod connection_pool;
+mod connection_record;
+mod held_body;
 mod idle_pool;
 mod limits;
 mod message;
@@ -18,16 +26,21 @@
 mod server;
 mod target;
 mod target_body;
+mod tracked_stream;
 
+pub use account::{AccountFull, ByteAccount, ByteClaim};
 pub use client::{ApiClient, CallError, Codec};
+pub use connection_limits::{ConnectionLimits, LimitSource};
+pub use connection_pool::ConnectionPool;
+pub use held_body::{hold_bytes, read_body};
 pub use reply::{
-    decode_msgpack, encode_msgpack, read_body, reply_bytes, reply_json, reply_msgpack, reply_text,
+    decode_msgpack, encode_msgpack, reply_bytes, reply_json, reply_msgpack, reply_text,
     stream_body, BodyError,
 };
 pub use volo_http::body::Body;
 
 pub use idle_pool::TargetAddress;
-pub use limits::{ProcessLimits, MEGABYTE};
+pub use limits::{ListenerKind, ProcessLimits, MEGABYTE};
 pub use message::{Request, Response};
 pub use server::{Handler, HttpServer, ServerGuard};
 pub use target::{full_body, SendError, SendProgress, TargetClient, TargetLimits, TargetResponse};
--- a/crates/http/src/limits.rs
+++ b/crates/http/src/limits.rs
@@ -1,4 +1,6 @@
-//! What one process may use of its machine.
+//! What one process may use of its machine, and how its listeners share it.
+
+use nix::sys::resource::{getrlimit, Resource};
 
 /// Bytes of a megabyte, as machines state their memory.
 pub const MEGABYTE: usize = 1_000_000;
@@ -6,7 +8,8 @@
 const DEFAULT_MEMORY_BYTES: usize = 1_024 * MEGABYTE;
 /// Open files of a process whose settings state none.
 const DEFAULT_OPEN_FILES: usize = 16_384;
-
+/// Largest part of the memory for callers' bytes where bodies are large, as one in so many.
+const LARGE_BODY_SHARE: usize = 3;
 /// Limits of one process, as stated by its settings.
 ///
 /// ```
@@ -22,6 +25,59 @@
     pub open_files: usize,
 }
 
+/// Who connects to a listener.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum ListenerKind {
+    /// Callers, whose number is not known.
+    Callers,
+    /// Other nodes.
+    Peers,
+    /// Operators, health checks and scrapers of metrics.
+    Admin,
+}
+
+impl ListenerKind {
+    /// Returns the part of the memory that its account may hold, as one in so many.
+    const fn account_share(self) -> usize {
+        match self {
+            Self::Callers => 4,
+            Self::Peers => 8,
+            Self::Admin => 64,
+        }
+    }
+}
+
+impl ProcessLimits {
+    /// Returns the limits, lowered to what the operating system lets the process open.
+    #[must_use]
+    pub fn within_system_limits(self) -> Self {
+        let soft_limit = getrlimit(Resource::RLIMIT_NOFILE).map(|(soft, _)| soft);
+        let soft_limit = soft_limit.unwrap_or_else(|error| {
+            log::warn!(error:% = error; "file_limit_unknown");
+            u64::MAX
+        });
+        let soft_limit = usize::try_from(soft_limit).unwrap_or(usize::MAX);
+        Self {
+            open_files: self.open_files.min(soft_limit),
+            ..self
+        }
+    }
+
+    /// Returns the number of bytes that a listener's connections may claim if a body has at most `body_bytes`.
+    ///
+    /// Where bodies are large, callers get more, so that one of them fits in beside others.
+    pub(crate) fn account_bytes(&self, kind: ListenerKind, body_bytes: usize) -> usize {
+        let share = self.memory_bytes / kind.account_share();
+        match kind {
+            ListenerKind::Callers => {
+                let most = self.memory_bytes / LARGE_BODY_SHARE;
+                share.max(body_bytes.saturating_mul(2).min(most))
+            }
+            ListenerKind::Peers | ListenerKind::Admin => share,
+        }
+    }
+}
+
 impl Default for ProcessLimits {
     fn default() -> Self {
         Self {
--- a/crates/http/src/reply.rs
+++ b/crates/http/src/reply.rs
@@ -5,16 +5,17 @@
 use std::sync::Mutex;
 use std::task::{Context, Poll};
 
-use bytes::{Bytes, BytesMut};
+use bytes::Bytes;
 use futures::{Stream, StreamExt};
 use http::header::{CONTENT_LENGTH, CONTENT_TYPE};
 use http::{HeaderValue, StatusCode};
 use http_body::Frame;
-use http_body_util::BodyExt;
 use serde::de::DeserializeOwned;
 use serde::Serialize;
 use volo_http::body::Body;
 
+use crate::account::AccountFull;
+use crate::held_body::read_answer;
 use crate::message::Response;
 
 /// Error while reading a body.
@@ -29,44 +30,9 @@
     /// The connection was closed before the end of the body.
     #[error("the body ended before its announced length")]
     Incomplete,
-}
-
-/// Reads a complete body of at most `limit` bytes.
-///
-/// A body of a single frame is returned without copying.
-///
-/// # Errors
-///
-/// Returns [`BodyError`] if the body is too large or incomplete.
-pub async fn read_body<B>(mut body: B, limit: usize) -> Result<Bytes, BodyError>
-where
-    B: http_body::Body<Data = Bytes> + Unpin,
-{
-    let exceeds_limit = body.size_hint().lower() > limit as u64;
-    if exceeds_limit {
-        return Err(BodyError::TooLarge { limit });
-    }
-    let mut first: Option<Bytes> = None;
-    let mut rest = BytesMut::new();
-    while let Some(frame) = body.frame().await {
-        let frame = frame.map_err(|_| BodyError::Incomplete)?;
-        let Ok(data) = frame.into_data() else {
-            continue;
-        };
-        let received = first.as_ref().map_or(0, Bytes::len).max(rest.len());
-        if received + data.len() > limit {
-            return Err(BodyError::TooLarge { limit });
-        }
-        match first.take() {
-            None if rest.is_empty() => first = Some(data),
-            None => rest.extend_from_slice(&data),
-            Some(start) => {
-                rest.extend_from_slice(&start);
-                rest.extend_from_slice(&data);
-            }
-        }
-    }
-    Ok(first.unwrap_or_else(|| rest.freeze()))
+    /// The process holds as many bytes as it may.
+    #[error(transparent)]
+    NoRoom(#[from] AccountFull),
 }
 
 /// Reads the whole body of a response, of at most `limit` bytes, and sets its length.
@@ -74,7 +40,7 @@
 /// A response whose body is too large or breaks is replaced by an error.
 pub(crate) async fn buffered_response(response: Response, limit: usize) -> Response {
     let (mut head, body) = response.into_parts();
-    let Ok(bytes) = read_body(body, limit).await else {
+    let Ok(bytes) = read_answer(body, limit).await else {
         return reply_text(StatusCode::BAD_GATEWAY, "the response is incomplete");
     };
     let length = HeaderValue::from(bytes.len());
--- a/crates/http/src/server.rs
+++ b/crates/http/src/server.rs
@@ -3,33 +3,46 @@
 use std::convert::Infallible;
 use std::io;
 use std::net::SocketAddr;
+use std::pin::pin;
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::Arc;
+use std::time::Duration;
 
 use futures::future::BoxFuture;
 use http::header::{CONNECTION, RETRY_AFTER};
 use http::{HeaderValue, StatusCode, Version};
-use tokio::net::TcpListener;
+use hyper::body::Incoming;
+use hyper::server::conn::http1::Builder;
+use hyper::service::service_fn;
+use hyper_util::rt::TokioIo;
+use socket2::SockRef;
+use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::watch;
 use tokio::task::JoinHandle;
-use volo::context::Context;
-use volo::net::incoming::DefaultIncoming;
-use volo::service::Service;
-use volo_http::context::ServerContext;
-use volo_http::server::Server;
+use tokio::time::MissedTickBehavior;
+use volo_http::body::Body;
 
+use crate::answer_body::AnswerBody;
+use crate::caller_body::CallerBody;
+use crate::connection_limits::ConnectionLimits;
+use crate::connection_pool::{ConnectionPool, PoolPlace};
+use crate::connection_record::ConnectionRecord;
+use crate::limits::{ListenerKind, ProcessLimits};
 use crate::message::{Request, Response};
 use crate::reply::{buffered_response, reply_text};
+use crate::tracked_stream::TrackedStream;
 
 /// Maximum number of headers. The library rejects requests with more by an empty 431 response, so
 /// handlers that set a lower limit can return an error body of their own.
 const MAX_HEADERS: usize = 256;
-
 /// Largest response to an HTTP/1.0 request in bytes.
 const MAX_BUFFERED_BYTES: usize = 64 << 20;
-
+/// Receive buffer of a connection in bytes; the system doubles it.
+const RECEIVE_BUFFER_BYTES: usize = 32 << 10;
 /// Seconds after which a caller of a stopped server is asked to try another one.
 const CLOSED_RETRY_AFTER_S: u64 = 1;
+/// Interval at which connections are checked for their time limits.
+const OVERDUE_CHECK_INTERVAL: Duration = Duration::from_secs(1);
 
 /// Handles the requests of one listener.
 pub trait Handler: Send + Sync + 'static {
@@ -42,6 +55,7 @@
 pub struct HttpServer {
     listener: TcpListener,
     address: SocketAddr,
+    pool: Arc<ConnectionPool>,
 }
 
 /// A running server; it is stopped when this guard is dropped.
@@ -59,9 +73,7 @@
     ///
     /// Returns an error if the address cannot be bound.
     pub async fn bind(address: &str) -> io::Result<Self> {
-        let listener = TcpListener::bind(address).await?;
-        let address = listener.local_addr()?;
-        Ok(Self { listener, address })
+        Self::new(TcpListener::bind(address).await?)
     }
 
     /// Creates a server from a listener of the standard library, on the current runtime.
@@ -71,9 +83,26 @@
     /// Returns an error if the listener cannot be registered with the runtime.
     pub fn from_std(listener: std::net::TcpListener) -> io::Result<Self> {
         listener.set_nonblocking(true)?;
-        let address = listener.local_addr()?;
-        let listener = TcpListener::from_std(listener)?;
-        Ok(Self { listener, address })
+        Self::new(TcpListener::from_std(listener)?)
+    }
+
+    fn new(listener: TcpListener) -> io::Result<Self> {
+        // Connections inherit the buffer. Bytes that wait in it are the process's memory too.
+        if let Err(error) = SockRef::from(&listener).set_recv_buffer_size(RECEIVE_BUFFER_BYTES) {
+            log::warn!(error:% = error; "receive_buffer_unset");
+        }
+        let limits = Arc::new(ConnectionLimits::default());
+        Ok(Self {
+            address: listener.local_addr()?,
+            listener,
+            pool: ConnectionPool::new(ListenerKind::Callers, ProcessLimits::default(), limits),
+        })
+    }
+
+    /// Uses a pool for the connections in place of one with the default limits.
+    #[must_use]
+    pub fn with_pool(self, pool: Arc<ConnectionPool>) -> Self {
+        Self { pool, ..self }
     }
 
     /// Returns the bound address.
@@ -81,30 +110,20 @@
         self.address
     }
 
-    /// Starts to serve requests with `handler`.
-    ///
-    /// `stop` becomes true when the listener may be closed. The library starts its shutdown as soon
-    /// as the process receives a termination signal; the shutdown hook delays it until `stop` is
-    /// true, so that requests are still accepted until load balancers have noticed the shutdown.
-    pub fn spawn(self, handler: Arc<dyn Handler>, mut stop: watch::Receiver<bool>) -> ServerGuard {
-        let incoming = DefaultIncoming::from(self.listener);
+    /// Starts to serve requests with `handler`, until `stop` becomes true.
+    pub fn spawn(self, handler: Arc<dyn Handler>, stop: watch::Receiver<bool>) -> ServerGuard {
         let is_closed = Arc::new(AtomicBool::new(false));
-        let mut server = Server::new(HandlerService {
-            handler,
-            is_closed: Arc::clone(&is_closed),
-        });
-        server.http1_config().set_max_headers(MAX_HEADERS);
-        let server = server.register_shutdown_hook(move || {
-            Box::pin(async move {
-                let _ = stop.wait_for(|stopped| *stopped).await;
-            })
-        });
-        let task = tokio::spawn(async move {
-            let _ = server.run(incoming).await;
-        });
+        let acceptor = ConnectionAcceptor {
+            pool: self.pool,
+            service: RequestService {
+                handler,
+                is_closed: Arc::clone(&is_closed),
+            },
+            stop,
+        };
         ServerGuard {
             address: self.address,
-            task,
+            task: tokio::spawn(acceptor.run(self.listener)),
             is_closed,
         }
     }
@@ -125,6 +144,89 @@
     }
 }
 
+/// Accepts the connections of one listener.
+struct ConnectionAcceptor {
+    pool: Arc<ConnectionPool>,
+    service: RequestService,
+    stop: watch::Receiver<bool>,
+}
+
+impl ConnectionAcceptor {
+    async fn run(self, listener: TcpListener) {
+        let mut stopped = pin!(wait_for_stop(self.stop.clone()));
+        let mut checks = tokio::time::interval(OVERDUE_CHECK_INTERVAL);
+        checks.set_missed_tick_behavior(MissedTickBehavior::Delay);
+        loop {
+            tokio::select! {
+                accepted = listener.accept() => match accepted {
+                    Ok((stream, peer)) => self.admit(stream, peer),
+                    Err(error) => log::warn!(error:% = error; "accept_failed"),
+                },
+                _ = checks.tick() => self.pool.enforce_limits(),
+                () = &mut stopped => return,
+            }
+        }
+    }
+
+    fn admit(&self, stream: TcpStream, peer: SocketAddr) {
+        let place = self.pool.add();
+        let _ = stream.set_nodelay(true);
+        let connection = CallerConnection {
+            peer,
+            service: self.service.clone(),
+            stop: self.stop.clone(),
+        };
+        tokio::spawn(connection.run(stream, place));
+    }
+}
+
+/// Waits until a server is to stop; a sender that is gone stops nothing.
+async fn wait_for_stop(mut stop: watch::Receiver<bool>) {
+    if stop.wait_for(|stopped| *stopped).await.is_err() {
+        std::future::pending().await
+    }
+}
+
+/// Serves one connection.
+struct CallerConnection {
+    peer: SocketAddr,
+    service: RequestService,
+    stop: watch::Receiver<bool>,
+}
+
+impl CallerConnection {
+    async fn run(self, stream: TcpStream, place: PoolPlace) {
+        let record = Arc::clone(place.record());
+        let serving = self.serve(stream, Arc::clone(&record));
+        tokio::select! {
+            result = record.serve(serving) => {
+                if let Err(error) = result {
+                    log::debug!(error:% = error; "connection_failed");
+                }
+            }
+            () = record.closed() => {}
+        }
+    }
+
+    async fn serve(self, stream: TcpStream, record: Arc<ConnectionRecord>) -> hyper::Result<()> {
+        let io = TokioIo::new(TrackedStream::new(stream, Arc::clone(&record)));
+        let (service, peer) = (self.service, self.peer);
+        let service = service_fn(move |request| {
+            let (service, record) = (service.clone(), Arc::clone(&record));
+            async move { Ok::<_, Infallible>(service.call(request, peer, record).await) }
+        });
+        let connection = Builder::new()
+            .max_headers(MAX_HEADERS)
+            .serve_connection(io, service);
+        let mut connection = pin!(connection);
+        tokio::select! {
+            result = connection.as_mut() => return result,
+            () = wait_for_stop(self.stop) => connection.as_mut().graceful_shutdown(),
+        }
+        connection.await
+    }
+}
+
 /// Returns the response to a request that arrives after the server was stopped.
 fn closed_response() -> Response {
     let mut response = reply_text(StatusCode::SERVICE_UNAVAILABLE, "the server has stopped");
@@ -135,32 +237,36 @@
 }
 
 #[derive(Clone)]
-struct HandlerService {
+struct RequestService {
     handler: Arc<dyn Handler>,
     is_closed: Arc<AtomicBool>,
 }
 
-impl Service<ServerContext, Request> for HandlerService {
-    type Response = Response;
-    type Error = Infallible;
-
+impl RequestService {
     async fn call(
         &self,
-        context: &mut ServerContext,
-        mut request: Request,
-    ) -> Result<Response, Infallible> {
+        request: http::Request<Incoming>,
+        peer: SocketAddr,
+        record: Arc<ConnectionRecord>,
+    ) -> http::Response<AnswerBody> {
+        record.begin_request();
+        let body_record = Arc::clone(&record);
+        let mut request = request.map(|body| Body::from_body(CallerBody::new(body, body_record)));
+        request.extensions_mut().insert(peer);
+        let response = self.respond(request).await;
+        response.map(|body| AnswerBody::new(body, record))
+    }
+
+    async fn respond(&self, request: Request) -> Response {
         if self.is_closed.load(Ordering::Relaxed) {
-            return Ok(closed_response());
-        }
-        if let Some(address) = context.rpc_info().caller().address() {
-            request.extensions_mut().insert(address);
+            return closed_response();
         }
         let has_chunks = request.version() > Version::HTTP_10;
         let response = self.handler.handle(request).await;
         if has_chunks {
-            return Ok(response);
+            return response;
         }
         // HTTP/1.0 has no chunks, so that a body without a length which breaks would end like a complete one.
-        Ok(buffered_response(response, MAX_BUFFERED_BYTES).await)
+        buffered_response(response, MAX_BUFFERED_BYTES).await
     }
 }
--- a/crates/node/src/caller.rs
+++ b/crates/node/src/caller.rs
@@ -217,6 +217,10 @@
             Ok(Err(BodyError::Incomplete)) => {
                 Err(bad_request("body_broken", "the body ended too early"))
             }
+            Ok(Err(BodyError::NoRoom(_))) => Err(unavailable(
+                "overloaded",
+                "this node holds as many bodies as it may",
+            )),
             Err(_) => Err(CallerFailure::refused(
                 StatusCode::REQUEST_TIMEOUT,
                 "body_timeout",
--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -11,7 +11,9 @@
 use briarswitch_fleet::run::RunListeners;
 use briarswitch_fleet::suspect_host::SuspectHost;
 use briarswitch_fleet::suspect_sync::SuspectSync;
-use briarswitch_http::{HttpServer, ServerGuard, TargetClient, TargetLimits};
+use briarswitch_http::{
+    ConnectionPool, HttpServer, ListenerKind, ServerGuard, TargetClient, TargetLimits,
+};
 use briarswitch_kernel::{Kernel, KernelError, Mailbox};
 use briarswitch_platform::HttpPlatform;
 use tokio::sync::{oneshot, watch};
@@ -127,6 +129,12 @@
         let (stop, stopped) = watch::channel(false);
         let caller_api = CallerApi::new(Arc::clone(&shared), Arc::clone(&dispatcher));
         let peer_api = PeerApi::new(Arc::clone(&shared), Arc::clone(&caller_api));
+        let limits = Arc::new(shared.settings.connection_limits());
+        let pool = |kind| ConnectionPool::new(kind, shared.settings.limits, limits.clone());
+        let callers = callers.with_pool(pool(ListenerKind::Callers));
+        let operators = operators.with_pool(pool(ListenerKind::Admin));
+        let peers = peers.with_pool(pool(ListenerKind::Peers));
+        let health = health.with_pool(pool(ListenerKind::Admin));
         let servers = [
             callers.spawn(caller_api, stopped.clone()),
             operators.spawn(
--- a/crates/node/src/settings.rs
+++ b/crates/node/src/settings.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use briarswitch_core::prelude::*;
-use briarswitch_http::ProcessLimits;
+use briarswitch_http::{ConnectionLimits, ProcessLimits};
 use briarswitch_platform::PlatformAddresses;
 
 /// One peer: another node that this one exchanges state with.
@@ -147,3 +147,15 @@
     /// Threads that serve traffic.
     pub traffic_threads: usize,
 }
+
+impl NodeSettings {
+    /// Returns the limits of each connection to this node.
+    pub fn connection_limits(&self) -> ConnectionLimits {
+        let limits = ConnectionLimits {
+            body_bytes: self.requests.body_bytes,
+            head_timeout: self.requests.body_timeout,
+            ..ConnectionLimits::default()
+        };
+        limits.with_header_bytes(self.requests.header_bytes)
+    }
+}
