Heads over the limit and empty lines without an end close their connection

Callers saw: nothing, until the process was out of memory. Six hundred connections that sent 380 KB of a head, or of empty lines, held 248 MB of 112 MB, on every listener, for ever.

Cause: the library buffers up to 400 KB before it gives a head up; the limits of the configuration were applied to heads that had been read whole. An empty line before a request is skipped only where a request follows, so a buffer of empty lines fills like a head. No connection without a whole head was ever closed.

The limits follow the configuration in force.

--- a/crates/http/src/server.rs
+++ b/crates/http/src/server.rs
@@ -37,6 +37,8 @@
 const MAX_HEADERS: usize = 256;
 /// Largest response to an HTTP/1.0 request in bytes.
 const MAX_BUFFERED_BYTES: usize = 64 << 20;
+/// Smallest bound on the bytes that a connection reads ahead, and on those it has yet to write.
+const MIN_BUFFER_BYTES: usize = 32 << 10;
 /// Receive buffer of a connection in bytes; the system doubles it.
 const RECEIVE_BUFFER_BYTES: usize = 32 << 10;
 /// Seconds after which a caller of a stopped server is asked to try another one.
@@ -172,6 +174,7 @@
         let place = self.pool.add();
         let _ = stream.set_nodelay(true);
         let connection = CallerConnection {
+            limits: self.pool.limits(),
             peer,
             service: self.service.clone(),
             stop: self.stop.clone(),
@@ -189,6 +192,7 @@
 
 /// Serves one connection.
 struct CallerConnection {
+    limits: ConnectionLimits,
     peer: SocketAddr,
     service: RequestService,
     stop: watch::Receiver<bool>,
@@ -210,6 +214,7 @@
 
     async fn serve(self, stream: TcpStream, record: Arc<ConnectionRecord>) -> hyper::Result<()> {
         let io = TokioIo::new(TrackedStream::new(stream, Arc::clone(&record)));
+        let head_bytes = self.limits.head_bytes;
         let (service, peer) = (self.service, self.peer);
         let service = service_fn(move |request| {
             let (service, record) = (service.clone(), Arc::clone(&record));
@@ -217,6 +222,8 @@
         });
         let connection = Builder::new()
             .max_headers(MAX_HEADERS)
+            .max_header_size(head_bytes)
+            .max_buf_size(head_bytes.max(MIN_BUFFER_BYTES))
             .serve_connection(io, service);
         let mut connection = pin!(connection);
         tokio::select! {
