Connections that send nothing leave their open files to others

Callers saw: no new connection was accepted, and where the limit of open files was reached, no request was answered at all.

Cause: any number of connections was accepted. Out of descriptors, accept fails at once and the listener stays readable, so the library's loop tried again without a pause, which kept the processor from all other work of a node with one traffic thread; and no connection to a target, a peer or the store could be opened either.

Callers get a third of the files, since each running request needs a second one for its target. When all places are taken, the connection that has been idle or without a whole head for longest is closed for the new one; then one whose body or reader has made no progress for a second. Only where each connection has a request that runs is a new one refused, with 503 and Retry-After. After an error of accept the longest waiting connection is closed and the loop pauses.

--- a/crates/http/src/connection_pool.rs
+++ b/crates/http/src/connection_pool.rs
@@ -9,6 +9,7 @@
 use std::time::{Duration, Instant};
 
 use indexmap::IndexMap;
+use tokio::sync::Notify;
 
 use crate::account::ByteAccount;
 use crate::connection_limits::{ConnectionLimits, LimitSource};
@@ -17,6 +18,8 @@
 
 /// Time without progress after which a connection may be closed in favour of another one.
 const STALL_TIME: Duration = Duration::from_secs(1);
+/// Longest wait for a connection that is being closed.
+const CLOSE_TIMEOUT: Duration = Duration::from_millis(100);
 /// Time without progress of a body or of the reading of a response after which a connection is closed.
 const PROGRESS_TIMEOUT: Duration = Duration::from_secs(30);
 /// The connections of one listener and the bytes that are held for them.
@@ -30,6 +33,7 @@
     open: AtomicUsize,
     /// Connections that may be closed.
     records: Mutex<IndexMap<ConnectionId, Arc<ConnectionRecord>>>,
+    closed: Notify,
 }
 
 /// A connection's place in its pool, which is free again when this guard is dropped.
@@ -54,6 +58,7 @@
             next_id: AtomicU64::new(0),
             open: AtomicUsize::new(0),
             records: Mutex::default(),
+            closed: Notify::new(),
         };
         pool.limit_account();
         Arc::new(pool)
@@ -76,8 +81,22 @@
         self.open.load(Ordering::Relaxed)
     }
 
-    /// Adds a connection.
-    pub(crate) fn add(self: &Arc<Self>) -> PoolPlace {
+    /// Takes a place for a new connection, if need be that of the one that has been idle or without
+    /// a whole head for longest; `None` if each connection has a request.
+    pub(crate) async fn take_place(self: &Arc<Self>) -> Option<PoolPlace> {
+        let max_connections = self.process.connections(self.kind);
+        while self.open_connections() >= max_connections {
+            let closed = self.closed.notified();
+            if !self.close_longest_waiting() {
+                return None;
+            }
+            // What is closed here may be done with the request that it ran before.
+            let _ = tokio::time::timeout(CLOSE_TIMEOUT, closed).await;
+        }
+        Some(self.add())
+    }
+
+    fn add(self: &Arc<Self>) -> PoolPlace {
         let id = self.next_id.fetch_add(1, Ordering::Relaxed);
         let record = Arc::new(ConnectionRecord::new(
             id,
@@ -92,6 +111,16 @@
         }
     }
 
+    /// Closes the connection that keeps the others waiting longest; returns whether there is one.
+    pub(crate) fn close_longest_waiting(&self) -> bool {
+        let now = Instant::now();
+        let may_close = |_: &ConnectionRecord, wait: ConnectionWait| match wait.awaited {
+            Awaited::Request | Awaited::Head => true,
+            Awaited::Body | Awaited::Reader => now.duration_since(wait.since) >= STALL_TIME,
+        };
+        self.close_one(may_close)
+    }
+
     /// Closes the connection with claims whose other end has made no progress for longest; returns
     /// whether there is one.
     pub(crate) fn close_longest_stalled(&self) -> bool {
@@ -165,5 +194,6 @@
     fn drop(&mut self) {
         self.pool.lock().swap_remove(&self.record.id);
         self.pool.open.fetch_sub(1, Ordering::Relaxed);
+        self.pool.closed.notify_waiters();
     }
 }
--- a/crates/http/src/limits.rs
+++ b/crates/http/src/limits.rs
@@ -8,8 +8,14 @@
 const DEFAULT_MEMORY_BYTES: usize = 1_024 * MEGABYTE;
 /// Open files of a process whose settings state none.
 const DEFAULT_OPEN_FILES: usize = 16_384;
+/// Memory that one connection takes beyond its claims, in bytes: read buffer, unread bytes, small
+/// bodies and state.
+const CONNECTION_BYTES: usize = 40 << 10;
 /// Largest part of the memory for callers' bytes where bodies are large, as one in so many.
 const LARGE_BODY_SHARE: usize = 3;
+/// Connections that a listener accepts on the smallest machine.
+const MIN_CONNECTIONS: usize = 16;
+
 /// Limits of one process, as stated by its settings.
 ///
 /// ```
@@ -36,13 +42,28 @@
     Admin,
 }
 
+/// Shares of a process's limits that one listener may use, each as one in so many.
+struct ListenerShares {
+    open_files: usize,
+    connection_memory: usize,
+    account: usize,
+}
+
 impl ListenerKind {
-    /// Returns the part of the memory that its account may hold, as one in so many.
-    const fn account_share(self) -> usize {
-        match self {
-            Self::Callers => 4,
-            Self::Peers => 8,
-            Self::Admin => 64,
+    /// Returns the listener's shares.
+    ///
+    /// Each running request needs a connection to its caller and one to its target, so callers get
+    /// less than half of the files. All shares leave a fifth of the memory to the rest of the process.
+    const fn shares(self) -> ListenerShares {
+        let (open_files, connection_memory, account) = match self {
+            Self::Callers => (3, 4, 4),
+            Self::Peers => (8, 8, 8),
+            Self::Admin => (32, 64, 64),
+        };
+        ListenerShares {
+            open_files,
+            connection_memory,
+            account,
         }
     }
 }
@@ -63,11 +84,19 @@
         }
     }
 
+    /// Returns the number of connections that a listener may have open.
+    pub(crate) fn connections(&self, kind: ListenerKind) -> usize {
+        let shares = kind.shares();
+        let by_files = self.open_files / shares.open_files;
+        let by_memory = self.memory_bytes / shares.connection_memory / CONNECTION_BYTES;
+        by_files.min(by_memory).max(MIN_CONNECTIONS)
+    }
+
     /// Returns the number of bytes that a listener's connections may claim if a body has at most `body_bytes`.
     ///
     /// Where bodies are large, callers get more, so that one of them fits in beside others.
     pub(crate) fn account_bytes(&self, kind: ListenerKind, body_bytes: usize) -> usize {
-        let share = self.memory_bytes / kind.account_share();
+        let share = self.memory_bytes / kind.shares().account;
         match kind {
             ListenerKind::Callers => {
                 let most = self.memory_bytes / LARGE_BODY_SHARE;
--- a/crates/http/src/server.rs
+++ b/crates/http/src/server.rs
@@ -43,6 +43,11 @@
 const RECEIVE_BUFFER_BYTES: usize = 32 << 10;
 /// Seconds after which a caller of a stopped server is asked to try another one.
 const CLOSED_RETRY_AFTER_S: u64 = 1;
+/// Response to a connection for which there is no place.
+const FULL_RESPONSE: &[u8] = b"HTTP/1.1 503 Service Unavailable\r\nretry-after: 1\r\n\
+    connection: close\r\ncontent-length: 0\r\n\r\n";
+/// Time after which a listener that could accept no connection tries again.
+const ACCEPT_RETRY_INTERVAL: Duration = Duration::from_millis(50);
 /// Interval at which connections are checked for their time limits.
 const OVERDUE_CHECK_INTERVAL: Duration = Duration::from_secs(1);
 
@@ -161,8 +166,8 @@
         loop {
             tokio::select! {
                 accepted = listener.accept() => match accepted {
-                    Ok((stream, peer)) => self.admit(stream, peer),
-                    Err(error) => log::warn!(error:% = error; "accept_failed"),
+                    Ok((stream, peer)) => self.admit(stream, peer).await,
+                    Err(error) => self.wait_after(&error).await,
                 },
                 _ = checks.tick() => self.pool.enforce_limits(),
                 () = &mut stopped => return,
@@ -170,8 +175,13 @@
         }
     }
 
-    fn admit(&self, stream: TcpStream, peer: SocketAddr) {
-        let place = self.pool.add();
+    async fn admit(&self, stream: TcpStream, peer: SocketAddr) {
+        let Some(place) = self.pool.take_place().await else {
+            log::debug!("connection_refused");
+            // There is no place to wait in until the socket takes it.
+            let _ = SockRef::from(&stream).send(FULL_RESPONSE);
+            return;
+        };
         let _ = stream.set_nodelay(true);
         let connection = CallerConnection {
             limits: self.pool.limits(),
@@ -181,6 +191,14 @@
         };
         tokio::spawn(connection.run(stream, place));
     }
+
+    /// Makes room after an error and waits: the listener stays readable, so that without a pause
+    /// this task would leave the processor to no other.
+    async fn wait_after(&self, error: &io::Error) {
+        let has_closed = self.pool.close_longest_waiting();
+        log::warn!(error:% = error, closed_one = has_closed; "accept_failed");
+        tokio::time::sleep(ACCEPT_RETRY_INTERVAL).await;
+    }
 }
 
 /// Waits until a server is to stop; a sender that is gone stops nothing.
