Answers that nobody reads are held within the account of bytes

Callers saw: nothing, until the process was out of memory. Sixty callers of a 4 MiB answer who read nothing held 312 MB of 112 MB.

Cause: an answer that is no stream is read whole before it is passed on, up to 64 MiB, and then stays until its caller has read it.

Change: the room for an answer is claimed for the connection of its caller, all of it at once where its length is known, since answers that hold a part each and wait for the rest would wait for each other. A full account delays an answer, within its deadline, until another one is read or its caller's connection, unread for a second, is closed for it; the target waits meanwhile, as the node does not read on. No answer is refused for it.

--- a/crates/http/src/target_body.rs
+++ b/crates/http/src/target_body.rs
@@ -7,7 +7,7 @@
 use http_body_util::BodyExt;
 use hyper::body::Incoming;
 
-use crate::held_body::read_unclaimed;
+use crate::held_body::read_answer;
 use crate::idle_pool::{IdlePool, Sender, TargetAddress};
 use crate::reply::BodyError;
 
@@ -125,7 +125,7 @@
     ///
     /// Returns [`BodyError`] if the body is larger than `limit` or incomplete.
     pub async fn read_all(mut self, limit: usize) -> Result<WholeBody, BodyError> {
-        let bytes = read_unclaimed(&mut self.incoming, limit).await?;
+        let bytes = read_answer(&mut self.incoming, limit).await?;
         self.release_connection();
         Ok(WholeBody {
             bytes,
