A forwarded request's copies are claimed like its body

Callers saw: nothing, until the node that was partitioned from its targets, or the one that it forwarded to, was out of memory: 288 MB and 326 MB of 112 MB with sixty bodies of 4 MiB.

Cause: a fleet's node encodes a forwarded request into a copy of its body, and the node that runs it decodes a second one; neither was counted.

Change: both copies are claimed. Without room the request is not taken, so the sender asks another node and at last refuses it as not run, with when to return.

The sender's copy on a fleet is shown by reading alone: no test partitions a fleet's process yet.

--- a/crates/fleet/src/forward_api.rs
+++ b/crates/fleet/src/forward_api.rs
@@ -3,7 +3,9 @@
 use std::sync::atomic::Ordering;
 use std::sync::Arc;
 
-use briarswitch_http::{decode_msgpack, read_body, reply_text, Request, Response};
+use briarswitch_http::{
+    decode_msgpack, hold_bytes, read_body, reply_text, BodyError, Request, Response,
+};
 use http::StatusCode;
 
 use crate::caller_api::CallerApi;
@@ -38,16 +40,32 @@
                 reason: reason.to_owned(),
             });
         }
-        let body = read_body(request.into_body(), self.max_bytes()).await;
+        let body = match read_body(request.into_body(), self.max_bytes()).await {
+            Err(BodyError::NoRoom(error)) => {
+                return refusal_response(ForwardRefusal::NotTaken {
+                    reason: error.to_string(),
+                });
+            }
+            body => body,
+        };
         let doc = body
             .ok()
             .and_then(|body| decode_msgpack::<ForwardDoc>(&body).ok());
         let Some(doc) = doc else {
             return reply_text(StatusCode::BAD_REQUEST, "expected a forwarded request");
         };
-        match ForwardRequest::try_from(doc) {
-            Ok(forward) => self.caller_api.run_forwarded(forward).await,
-            Err(error) => reply_text(StatusCode::BAD_REQUEST, error.to_string()),
+        let forward = match ForwardRequest::try_from(doc) {
+            Ok(forward) => forward,
+            Err(error) => return reply_text(StatusCode::BAD_REQUEST, error.to_string()),
+        };
+        match hold_bytes(forward.body.into()) {
+            Ok(body) => {
+                let forward = ForwardRequest { body, ..forward };
+                self.caller_api.run_forwarded(forward).await
+            }
+            Err(error) => refusal_response(ForwardRefusal::NotTaken {
+                reason: error.to_string(),
+            }),
         }
     }
 
--- a/crates/fleet/src/forwarder.rs
+++ b/crates/fleet/src/forwarder.rs
@@ -7,8 +7,8 @@
 use briarswitch_core::id::*;
 use briarswitch_core::outcome::FailurePoint;
 use briarswitch_http::{
-    decode_msgpack, encode_msgpack, full_body, BodyEnd, SendError, TargetAddress, TargetBody,
-    TargetClient, TargetLimits, TargetResponse,
+    decode_msgpack, encode_msgpack, full_body, hold_bytes, BodyEnd, SendError, TargetAddress,
+    TargetBody, TargetClient, TargetLimits, TargetResponse,
 };
 use briarswitch_kernel::BootClock;
 use bytes::Bytes;
@@ -269,6 +269,8 @@
         };
         let bytes = encode_msgpack(&ForwardDoc::from(forward));
         let bytes = bytes.map_err(|error| HopError::NotTaken(error.to_string()))?;
+        let bytes = hold_bytes(bytes.into());
+        let bytes = bytes.map_err(|error| HopError::NotTaken(error.to_string()))?;
         let mut request = http::Request::new(full_body(bytes));
         *request.method_mut() = Method::POST;
         *request.uri_mut() = Uri::from_static(FORWARD_PATH);
