Streams that nobody reads leave less unread at the node

Callers saw: nothing, until the process was out of memory. Sixty callers of an endless stream who read nothing held 145 MB of 112 MB.

Cause: a stream is passed on as its caller reads it, but a connection to a target reads up to 400 KB ahead, and the system lets the bytes that wait unread on it grow to megabytes.

Change: a connection to a target reads 64 KiB ahead and has a receive buffer of 64 KiB (128 in the system's count).

--- a/crates/http/src/target.rs
+++ b/crates/http/src/target.rs
@@ -6,13 +6,19 @@
 
 use bytes::Bytes;
 use http_body_util::Full;
-use hyper::client::conn::http1::handshake;
+use hyper::client::conn::http1::Builder;
 use hyper_util::rt::TokioIo;
+use socket2::SockRef;
 use tokio::net::TcpStream;
 
 use crate::idle_pool::{IdlePool, Sender, TargetAddress};
 use crate::target_body::{PooledConnection, TargetBody};
 
+/// Bytes that a connection reads ahead of its caller, or has yet to write.
+const MAX_BUFFER_BYTES: usize = 64 << 10;
+/// Receive buffer of a connection in bytes; the system doubles it.
+const RECEIVE_BUFFER_BYTES: usize = 64 << 10;
+
 /// Limits of a [`TargetClient`].
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub struct TargetLimits {
@@ -210,12 +216,16 @@
 
     async fn connect(&self, target: &TargetAddress) -> Result<Sender, SendError> {
         let stream = self.open_stream(&target.address).await?;
+        if let Err(error) = SockRef::from(&stream).set_recv_buffer_size(RECEIVE_BUFFER_BYTES) {
+            log::debug!(error:% = error; "receive_buffer_unset");
+        }
         let _ = stream.set_nodelay(true);
         // Otherwise a request that was given up would still arrive when a partition ends.
         let _ = stream.set_zero_linger();
-        let (sender, connection) = handshake(TokioIo::new(stream))
-            .await
-            .map_err(|_| SendError::Connect)?;
+        let handshake = Builder::new()
+            .max_buf_size(MAX_BUFFER_BYTES)
+            .handshake(TokioIo::new(stream));
+        let (sender, connection) = handshake.await.map_err(|_| SendError::Connect)?;
         tokio::spawn(async move {
             let _ = connection.await;
         });
