--- a/crates/core/src/run_suspects.rs
+++ b/crates/core/src/run_suspects.rs
@@ -5,7 +5,7 @@
 use crate::fingerprint::SuspectFingerprint;
 
 /// Maximum number of parts of a prompt that are tracked; the parts that many requests share come first.
-const MAX_PARTS: usize = 64;
+pub const MAX_PARTS: usize = 64;
 
 /// Fingerprints of a request and of those parts of its prompt that other requests may have as well.
 #[derive(Clone, Debug, Eq, PartialEq)]
