A log line is cut off after 2 KiB

Callers saw: nothing yet. A caller chooses the id of its request, up to the limit of headers, and each line of the request carries it. While the output is slow 4,096 lines wait, so ids of 15 KB would hold some 60 MB: read, not measured on a node.

Cause: the queue of lines was bounded by their number only.

Change: a line is cut off after 2 KiB and marked, so that the queue holds 8 MB at most. The lines of ordinary requests have some 300 bytes.

Test: a_long_line_is_cut_off; 16,014 bytes before.

--- a/crates/node/src/log_writer.rs
+++ b/crates/node/src/log_writer.rs
@@ -8,6 +8,10 @@
 
 /// Most lines queued while the output is slow; about a megabyte at 300 bytes a line.
 const MAX_QUEUED_LINES: usize = 4_096;
+/// Bytes after which a line is cut off; callers choose some of its texts.
+const MAX_LINE_BYTES: usize = 2 << 10;
+/// End of a line that was cut off.
+const CUT_MARK: &[u8] = b"...\n";
 /// Size at which a batch of lines is written.
 const BATCH_BYTES: usize = 32 << 10;
 /// Time for which lines are collected before they are written together, which saves a wake-up of
@@ -22,6 +26,7 @@
     lines: SyncSender<Vec<u8>>,
     dropped: Arc<AtomicU64>,
     line: Vec<u8>,
+    is_cut: bool,
 }
 
 impl LogWriter {
@@ -35,18 +40,25 @@
             lines,
             dropped,
             line: Vec::new(),
+            is_cut: false,
         }
     }
 }
 
 impl Write for LogWriter {
     fn write(&mut self, piece: &[u8]) -> io::Result<usize> {
-        self.line.extend_from_slice(piece);
+        let room = MAX_LINE_BYTES.saturating_sub(self.line.len());
+        self.is_cut |= piece.len() > room;
+        self.line.extend_from_slice(&piece[..piece.len().min(room)]);
         Ok(piece.len())
     }
 
     fn flush(&mut self) -> io::Result<()> {
-        let line = std::mem::take(&mut self.line);
+        let mut line = std::mem::take(&mut self.line);
+        if std::mem::take(&mut self.is_cut) {
+            line.extend_from_slice(CUT_MARK);
+        }
+        line.shrink_to_fit();
         match self.lines.try_send(line) {
             Ok(()) => {}
             Err(TrySendError::Full(_) | TrySendError::Disconnected(_)) => {
--- a/crates/node/tests/logs.rs
+++ b/crates/node/tests/logs.rs
@@ -70,6 +70,31 @@
     expect_that!(kept + dropped, eq(10_000));
 }
 
+/// Guards against a queue of lines that holds what callers chose as texts, such as long ids.
+#[gtest]
+fn a_long_line_is_cut_off() {
+    let (release, released) = channel();
+    let (written, output) = sync_channel(100);
+    let mut writer = LogWriter::spawn(BlockedOutput {
+        release: released,
+        is_released: false,
+        written,
+    });
+    writeln!(writer, "event=test id={}", "x".repeat(16_000)).expect("a line is accepted");
+    writer.flush().expect("a line is queued");
+    writeln!(writer, "event=next").expect("a line is accepted");
+    writer.flush().expect("a line is queued");
+    drop(writer);
+    release.send(()).expect("the output waits");
+    let text: Vec<u8> = output.iter().flatten().collect();
+    let text = String::from_utf8(text).expect("text");
+    let lines: Vec<&str> = text.lines().collect();
+    expect_that!(lines, len(eq(2)));
+    expect_that!(lines[0], starts_with("event=test id=xxx"));
+    expect_that!(lines[0].len(), le(4_096));
+    expect_that!(lines[1], eq("event=next"));
+}
+
 /// Guards against a node that stops answering when its standard output is not read.
 ///
 /// The same fault as above on a real process: 5,500 requests are sent while its output is a pipe
