Connections that were closed or refused for others are logged once a second

One line a second and listener at most, with what is open and held, so that operators see a crowd; single connections were in the debug log only.

--- a/crates/http/src/connection_pool.rs
+++ b/crates/http/src/connection_pool.rs
@@ -22,6 +22,41 @@
 const CLOSE_TIMEOUT: Duration = Duration::from_millis(100);
 /// Time without progress of a body or of the reading of a response after which a connection is closed.
 const PROGRESS_TIMEOUT: Duration = Duration::from_secs(30);
+/// Counts of connections that were closed or refused since the last line of the log.
+#[derive(Debug, Default)]
+struct ClosedCounts {
+    /// Closed while idle or without a whole head, for a new connection.
+    displaced: AtomicU64,
+    /// Closed without progress, for the bytes that were held for them.
+    stalled: AtomicU64,
+    /// Closed after a time limit.
+    overdue: AtomicU64,
+    /// Refused, since each connection had a request.
+    refused: AtomicU64,
+}
+
+impl ClosedCounts {
+    /// Logs the counts, if there are any, and begins anew.
+    fn log(&self, pool: &ConnectionPool) {
+        let counts = [&self.displaced, &self.stalled, &self.overdue, &self.refused];
+        let [displaced, stalled, overdue, refused] =
+            counts.map(|count| count.swap(0, Ordering::Relaxed));
+        if displaced + stalled + overdue + refused == 0 {
+            return;
+        }
+        log::info!(
+            listener = pool.kind.name(),
+            open = pool.open_connections(),
+            held_bytes = pool.account.held(),
+            displaced = displaced,
+            stalled = stalled,
+            overdue = overdue,
+            refused = refused;
+            "connections_limited"
+        );
+    }
+}
+
 /// The connections of one listener and the bytes that are held for them.
 pub struct ConnectionPool {
     kind: ListenerKind,
@@ -34,6 +69,7 @@
     /// Connections that may be closed.
     records: Mutex<IndexMap<ConnectionId, Arc<ConnectionRecord>>>,
     closed: Notify,
+    counts: ClosedCounts,
 }
 
 /// A connection's place in its pool, which is free again when this guard is dropped.
@@ -59,6 +95,7 @@
             open: AtomicUsize::new(0),
             records: Mutex::default(),
             closed: Notify::new(),
+            counts: ClosedCounts::default(),
         };
         pool.limit_account();
         Arc::new(pool)
@@ -88,6 +125,7 @@
         while self.open_connections() >= max_connections {
             let closed = self.closed.notified();
             if !self.close_longest_waiting() {
+                self.counts.refused.fetch_add(1, Ordering::Relaxed);
                 return None;
             }
             // What is closed here may be done with the request that it ran before.
@@ -118,7 +156,7 @@
             Awaited::Request | Awaited::Head => true,
             Awaited::Body | Awaited::Reader => now.duration_since(wait.since) >= STALL_TIME,
         };
-        self.close_one(may_close)
+        self.close_one(may_close, &self.counts.displaced)
     }
 
     /// Closes the connection with claims whose other end has made no progress for longest; returns
@@ -128,24 +166,26 @@
         let is_stalled = |record: &ConnectionRecord, wait: ConnectionWait| {
             now.duration_since(wait.since) >= STALL_TIME && record.has_claims()
         };
-        self.close_one(is_stalled)
+        self.close_one(is_stalled, &self.counts.stalled)
     }
 
-    fn close_one(&self, may_close: impl Fn(&ConnectionRecord, ConnectionWait) -> bool) -> bool {
+    fn close_one(
+        &self,
+        may_close: impl Fn(&ConnectionRecord, ConnectionWait) -> bool,
+        count: &AtomicU64,
+    ) -> bool {
         let mut records = self.lock();
         let waiting = records.values().filter_map(|record| {
             let wait = record.wait()?;
             may_close(record, wait).then_some((wait.since, record.id))
         });
-        let Some((since, id)) = waiting.min() else {
+        let longest = waiting.min();
+        let record = longest.and_then(|(_, id)| records.swap_remove(&id));
+        let Some(record) = record else {
             return false;
         };
-        let record = records.swap_remove(&id);
-        drop(records);
-        if let Some(record) = record {
-            log::debug!(waited_ms = since.elapsed().as_millis() as u64; "connection_displaced");
-            record.close();
-        }
+        record.close();
+        count.fetch_add(1, Ordering::Relaxed);
         true
     }
 
@@ -165,9 +205,12 @@
             });
             if is_overdue {
                 record.close();
+                self.counts.overdue.fetch_add(1, Ordering::Relaxed);
             }
             !is_overdue
         });
+        drop(records);
+        self.counts.log(self);
     }
 
     fn lock(&self) -> MutexGuard<'_, IndexMap<ConnectionId, Arc<ConnectionRecord>>> {
--- a/crates/http/src/limits.rs
+++ b/crates/http/src/limits.rs
@@ -50,6 +50,15 @@
 }
 
 impl ListenerKind {
+    /// Returns the name for logs.
+    pub(crate) const fn name(self) -> &'static str {
+        match self {
+            Self::Callers => "callers",
+            Self::Peers => "peers",
+            Self::Admin => "admin",
+        }
+    }
+
     /// Returns the listener's shares.
     ///
     /// Each running request needs a connection to its caller and one to its target, so callers get
--- a/crates/http/src/server.rs
+++ b/crates/http/src/server.rs
@@ -177,7 +177,6 @@
 
     async fn admit(&self, stream: TcpStream, peer: SocketAddr) {
         let Some(place) = self.pool.take_place().await else {
-            log::debug!("connection_refused");
             // There is no place to wait in until the socket takes it.
             let _ = SockRef::from(&stream).send(FULL_RESPONSE);
             return;
@@ -204,7 +203,7 @@
 /// Waits until a server is to stop; a sender that is gone stops nothing.
 async fn wait_for_stop(mut stop: watch::Receiver<bool>) {
     if stop.wait_for(|stopped| *stopped).await.is_err() {
-        std::future::pending().await
+        std::future::pending::<()>().await;
     }
 }
 
