--- a/crates/fleet/tests/logs.rs
+++ b/crates/fleet/tests/logs.rs
@@ -8,7 +8,7 @@
 
 const PAGE: &str = include_str!("../../../docs/OPERATIONS.md");
 /// Source folders whose log events the table lists.
-const SOURCES: [&str; 2] = ["src", "../../platform/src"];
+const SOURCES: [&str; 3] = ["src", "../http/src", "../../platform/src"];
 
 /// Returns the name and the keys of every event that a source file logs.
 fn events_of(text: &str) -> Vec<(String, Vec<String>)> {
