A connection is not closed for another one while a request begins on it

Found in reading, not seen: a connection was chosen while idle and closed a moment later; with several threads its next request could have gone to a target in between, and its caller would have seen the connection end without an answer. It is closed only if it still waits as it did when it was chosen, and a request that is read after that is refused as not run.

--- a/crates/http/src/connection_pool.rs
+++ b/crates/http/src/connection_pool.rs
@@ -22,6 +22,16 @@
 const CLOSE_TIMEOUT: Duration = Duration::from_millis(100);
 /// Time without progress of a body or of the reading of a response after which a connection is closed.
 const PROGRESS_TIMEOUT: Duration = Duration::from_secs(30);
+
+/// Returns how long a connection may wait for its other end.
+fn time_limit(awaited: Awaited, limits: ConnectionLimits) -> Duration {
+    match awaited {
+        Awaited::Request => limits.idle_timeout,
+        Awaited::Head => limits.head_timeout,
+        Awaited::Body | Awaited::Reader => PROGRESS_TIMEOUT,
+    }
+}
+
 /// Counts of connections that were closed or refused since the last line of the log.
 #[derive(Debug, Default)]
 struct ClosedCounts {
@@ -149,7 +159,7 @@
         }
     }
 
-    /// Closes the connection that keeps the others waiting longest; returns whether there is one.
+    /// Closes the connection that keeps the others waiting longest; returns whether one may go.
     pub(crate) fn close_longest_waiting(&self) -> bool {
         let now = Instant::now();
         let may_close = |_: &ConnectionRecord, wait: ConnectionWait| match wait.awaited {
@@ -160,7 +170,7 @@
     }
 
     /// Closes the connection with claims whose other end has made no progress for longest; returns
-    /// whether there is one.
+    /// whether one may go.
     pub(crate) fn close_longest_stalled(&self) -> bool {
         let now = Instant::now();
         let is_stalled = |record: &ConnectionRecord, wait: ConnectionWait| {
@@ -177,15 +187,16 @@
         let mut records = self.lock();
         let waiting = records.values().filter_map(|record| {
             let wait = record.wait()?;
-            may_close(record, wait).then_some((wait.since, record.id))
+            may_close(record, wait).then_some((wait, record.id))
         });
-        let longest = waiting.min();
-        let record = longest.and_then(|(_, id)| records.swap_remove(&id));
-        let Some(record) = record else {
+        let Some((wait, id)) = waiting.min_by_key(|(wait, _)| wait.since) else {
             return false;
         };
-        record.close();
-        count.fetch_add(1, Ordering::Relaxed);
+        // One that goes on just now stays, and the caller of this function tries again.
+        if records.get(&id).is_some_and(|record| record.close(wait)) {
+            records.swap_remove(&id);
+            count.fetch_add(1, Ordering::Relaxed);
+        }
         true
     }
 
@@ -195,19 +206,14 @@
         let limits = self.limits();
         let mut records = self.lock();
         records.retain(|_, record| {
-            let is_overdue = record.wait().is_some_and(|wait| {
-                let limit = match wait.awaited {
-                    Awaited::Request => limits.idle_timeout,
-                    Awaited::Head => limits.head_timeout,
-                    Awaited::Body | Awaited::Reader => PROGRESS_TIMEOUT,
-                };
-                wait.since.elapsed() > limit
-            });
-            if is_overdue {
-                record.close();
+            let overdue = record
+                .wait()
+                .filter(|wait| wait.since.elapsed() > time_limit(wait.awaited, limits));
+            let is_closed = overdue.is_some_and(|wait| record.close(wait));
+            if is_closed {
                 self.counts.overdue.fetch_add(1, Ordering::Relaxed);
             }
-            !is_overdue
+            !is_closed
         });
         drop(records);
         self.counts.log(self);
--- a/crates/http/src/connection_record.rs
+++ b/crates/http/src/connection_record.rs
@@ -57,6 +57,19 @@
     head_claim: Option<ByteClaim>,
     /// Bytes claimed for bodies and answers.
     claimed: usize,
+    is_closing: bool,
+}
+
+impl RecordState {
+    fn wait(&self) -> Option<ConnectionWait> {
+        if let Some(since) = self.unread_since {
+            let awaited = Awaited::Reader;
+            return Some(ConnectionWait { awaited, since });
+        }
+        let since = self.since;
+        self.awaited
+            .map(|awaited| ConnectionWait { awaited, since })
+    }
 }
 
 tokio::task_local! {
@@ -77,6 +90,7 @@
                 head_bytes: 0,
                 head_claim: None,
                 claimed: 0,
+                is_closing: false,
             }),
             close: Notify::new(),
         }
@@ -104,15 +118,7 @@
 
     /// Returns how long the other end has been waited for; `None` if it is not.
     pub(crate) fn wait(&self) -> Option<ConnectionWait> {
-        let state = self.lock();
-        if let Some(since) = state.unread_since {
-            let awaited = Awaited::Reader;
-            return Some(ConnectionWait { awaited, since });
-        }
-        let since = state.since;
-        state
-            .awaited
-            .map(|awaited| ConnectionWait { awaited, since })
+        self.lock().wait()
     }
 
     /// Returns whether bytes are claimed for the connection.
@@ -121,9 +127,18 @@
         state.claimed > 0 || state.head_claim.is_some()
     }
 
-    /// Asks those who serve the connection to close it.
-    pub(crate) fn close(&self) {
+    /// Has the connection closed if it still waits as it did; returns whether it does.
+    ///
+    /// A request that has begun to run meanwhile is not broken off.
+    pub(crate) fn close(&self, wait: ConnectionWait) -> bool {
+        let mut state = self.lock();
+        if state.wait() != Some(wait) {
+            return false;
+        }
+        state.is_closing = true;
+        drop(state);
         self.close.notify_one();
+        true
     }
 
     /// Waits until the connection is to be closed.
@@ -175,9 +190,12 @@
         }
     }
 
-    /// Records that a head is complete and its request runs.
-    pub(crate) fn begin_request(&self) {
-        self.lock().awaited = None;
+    /// Records that a head is complete; returns whether its request may run, which it may not on a
+    /// connection that is being closed.
+    pub(crate) fn begin_request(&self) -> bool {
+        let mut state = self.lock();
+        state.awaited = None;
+        !state.is_closing
     }
 
     /// Records that the next bytes of a body are waited for, or that they are not any more.
--- a/crates/http/src/server.rs
+++ b/crates/http/src/server.rs
@@ -220,12 +220,14 @@
         let record = Arc::clone(place.record());
         let serving = self.serve(stream, Arc::clone(&record));
         tokio::select! {
+            // A connection that is to be closed reads no further request.
+            biased;
+            () = record.closed() => {}
             result = record.serve(serving) => {
                 if let Err(error) = result {
                     log::debug!(error:% = error; "connection_failed");
                 }
             }
-            () = record.closed() => {}
         }
     }
 
@@ -251,9 +253,9 @@
     }
 }
 
-/// Returns the response to a request that arrives after the server was stopped.
+/// Returns the response to a request that arrives after the server or its connection was closed.
 fn closed_response() -> Response {
-    let mut response = reply_text(StatusCode::SERVICE_UNAVAILABLE, "the server has stopped");
+    let mut response = reply_text(StatusCode::SERVICE_UNAVAILABLE, "the connection is closed");
     let headers = response.headers_mut();
     headers.insert(CONNECTION, HeaderValue::from_static("close"));
     headers.insert(RETRY_AFTER, HeaderValue::from(CLOSED_RETRY_AFTER_S));
@@ -273,11 +275,15 @@
         peer: SocketAddr,
         record: Arc<ConnectionRecord>,
     ) -> http::Response<AnswerBody> {
-        record.begin_request();
+        let may_run = record.begin_request();
         let body_record = Arc::clone(&record);
         let mut request = request.map(|body| Body::from_body(CallerBody::new(body, body_record)));
         request.extensions_mut().insert(peer);
-        let response = self.respond(request).await;
+        let response = if may_run {
+            self.respond(request).await
+        } else {
+            closed_response()
+        };
         response.map(|body| AnswerBody::new(body, record))
     }
 
--- a/crates/http/tests/crowds.rs
+++ b/crates/http/tests/crowds.rs
@@ -33,10 +33,13 @@
 struct SizeApi {
     /// Requests whose bodies have been read and that never end.
     pending: AtomicUsize,
+    /// Requests that were begun.
+    begun: AtomicUsize,
 }
 
 impl SizeApi {
     async fn respond(&self, request: Request) -> Response {
+        self.begun.fetch_add(1, Ordering::SeqCst);
         let (head, body) = request.into_parts();
         match read_body(body, BODY_BYTES).await {
             Ok(bytes) if head.uri.path() == PENDING_PATH => {
@@ -234,3 +237,57 @@
     expect_that!(read_answer(unfinished).await, eq(""));
     server.wait_for_connections(0).await;
 }
+
+/// Sends requests on one connection until it is closed, and returns how many were answered.
+async fn count_answers(server: &SmallServer, requests: usize) -> usize {
+    let mut stream = server.connect().await;
+    let mut answer = [0; 1024];
+    for answered in 0..requests {
+        let request = b"GET / HTTP/1.1\r\nhost: x\r\n\r\n";
+        if stream.write_all(request).await.is_err() {
+            return answered;
+        }
+        match stream.read(&mut answer).await {
+            Ok(length) if answer[..length].starts_with(b"HTTP/1.1 200") => {}
+            _ => return answered,
+        }
+    }
+    requests
+}
+
+/// Guards against a request that is begun on a connection just as it is closed for another one.
+#[gtest]
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn each_request_that_is_begun_is_answered_while_connections_are_displaced() {
+    let server = Arc::new(SmallServer::start().await);
+    let callers = (0..8).map(|_| {
+        let server = Arc::clone(&server);
+        tokio::spawn(async move {
+            let mut answered = 0;
+            for _ in 0..40 {
+                answered += count_answers(&server, 50).await;
+            }
+            answered
+        })
+    });
+    let callers: Vec<_> = callers.collect();
+    let crowd = tokio::spawn({
+        let server = Arc::clone(&server);
+        async move {
+            let mut silent = std::collections::VecDeque::new();
+            for _ in 0..1_000 {
+                silent.push_back(server.connect().await);
+                if silent.len() > 4 * PLACES {
+                    silent.pop_front();
+                }
+            }
+        }
+    });
+    let mut answered = 0;
+    for caller in callers {
+        answered += caller.await.expect("a caller ends");
+    }
+    crowd.await.expect("the crowd ends");
+    expect_that!(answered, gt(0));
+    expect_that!(server.api.begun.load(Ordering::SeqCst), eq(answered));
+}
