--- a/crates/http/src/limits.rs
+++ b/crates/http/src/limits.rs
@@ -62,7 +62,7 @@
     /// Returns the listener's shares.
     ///
     /// Each running request needs a connection to its caller and one to its target, so callers get
-    /// less than half of the files. All shares leave a fifth of the memory to the rest of the process.
+    /// less than half of the files. All shares leave about a fifth of the memory to the rest of the process.
     const fn shares(self) -> ListenerShares {
         let (open_files, connection_memory, account) = match self {
             Self::Callers => (3, 4, 4),
--- a/crates/node/tests/clients.rs
+++ b/crates/node/tests/clients.rs
@@ -68,6 +68,15 @@
     FleetProcess::start(BOUNDS, None).await
 }
 
+/// Starts a fleet's node, lets a crowd loose at its listener for callers, and checks it.
+async fn meet_at_fleet(crowd: impl FnOnce(&Subject) -> Crowd) {
+    let _turn = turn().await;
+    let fleet = start_fleet().await;
+    let subject = fleet.subject();
+    let crowd = crowd(&subject);
+    check(&subject, crowd, BOUNDS).await;
+}
+
 /// Starts nodes whose settings name everything, with plain services.
 async fn start_cluster(nodes: usize, services: usize, bounds: Bounds) -> Cluster {
     Cluster::start(ClusterSpec {
@@ -111,6 +120,7 @@
     expect_that!(status, eq(200), "a request with the largest body");
 }
 
+/// Guards against large bodies that are held until the process is out of memory, as their callers never finish them.
 #[gtest]
 #[tokio::test(flavor = "multi_thread")]
 async fn fleet_bodies_that_stop_short_of_their_length_fill_no_memory() {
@@ -122,48 +132,44 @@
     check(&subject, crowd, BOUNDS).await;
 }
 
+/// Guards against bodies without a length that are held beyond the memory.
 #[gtest]
 #[tokio::test(flavor = "multi_thread")]
 async fn fleet_bodies_in_large_chunks_without_an_end_fill_no_memory() {
-    let _turn = turn().await;
-    let fleet = start_fleet().await;
-    let subject = fleet.subject();
-    let head = subject.head("/look/x");
-    let crowd = Crowd::of_chunks(BODY_CALLERS, &head, BODY_BYTES - 1, CHUNK_BYTES);
-    check(&subject, crowd, BOUNDS).await;
+    meet_at_fleet(|subject| {
+        let head = subject.head("/look/x");
+        Crowd::of_chunks(BODY_CALLERS, &head, BODY_BYTES - 1, CHUNK_BYTES)
+    })
+    .await;
 }
 
+/// Guards against chunks whose bookkeeping or buffers take more than their bytes.
 #[gtest]
 #[tokio::test(flavor = "multi_thread")]
 async fn fleet_bodies_in_small_chunks_without_an_end_fill_no_memory() {
-    let _turn = turn().await;
-    let fleet = start_fleet().await;
-    let subject = fleet.subject();
-    let head = subject.head("/look/x");
-    let crowd = Crowd::of_chunks(BODY_CALLERS, &head, BODY_BYTES - 1, SMALL_CHUNK_BYTES);
-    check(&subject, crowd, BOUNDS).await;
+    meet_at_fleet(|subject| {
+        let head = subject.head("/look/x");
+        Crowd::of_chunks(BODY_CALLERS, &head, BODY_BYTES - 1, SMALL_CHUNK_BYTES)
+    })
+    .await;
 }
 
+/// Guards against heads that are buffered far beyond their limit and never given up.
 #[gtest]
 #[tokio::test(flavor = "multi_thread")]
 async fn fleet_heads_without_an_end_fill_no_memory() {
-    let _turn = turn().await;
-    let fleet = start_fleet().await;
-    let subject = fleet.subject();
-    let crowd = Crowd::of_heads(HEAD_CALLERS, &subject.head("/look/x"), HEAD_BYTES);
-    check(&subject, crowd, BOUNDS).await;
+    meet_at_fleet(|subject| Crowd::of_heads(HEAD_CALLERS, &subject.head("/look/x"), HEAD_BYTES))
+        .await;
 }
 
+/// Guards against empty lines that are buffered while a request is waited for.
 #[gtest]
 #[tokio::test(flavor = "multi_thread")]
 async fn fleet_empty_lines_without_an_end_fill_no_memory() {
-    let _turn = turn().await;
-    let fleet = start_fleet().await;
-    let subject = fleet.subject();
-    let crowd = Crowd::of_empty_lines(HEAD_CALLERS, HEAD_BYTES);
-    check(&subject, crowd, BOUNDS).await;
+    meet_at_fleet(|_| Crowd::of_empty_lines(HEAD_CALLERS, HEAD_BYTES)).await;
 }
 
+/// Guards against connections that use the descriptors up, and a listener that spins once they are.
 #[gtest]
 #[tokio::test(flavor = "multi_thread")]
 async fn fleet_silent_connections_leave_open_files_for_others() {
@@ -178,41 +184,42 @@
     .await;
 }
 
+/// Guards against answers that are held until callers read them, which these never do.
 #[gtest]
 #[tokio::test(flavor = "multi_thread")]
 async fn fleet_answers_that_nobody_reads_fill_no_memory() {
-    let _turn = turn().await;
-    let fleet = start_fleet().await;
-    let subject = fleet.subject();
-    let head = subject.head(fleet::LARGE_ANSWER_PATH);
-    let crowd = Crowd::of_lengths(READING_CALLERS, &head, 0);
-    check(&subject, crowd, BOUNDS).await;
+    meet_at_fleet(|subject| {
+        let head = subject.head(fleet::LARGE_ANSWER_PATH);
+        Crowd::of_lengths(READING_CALLERS, &head, 0)
+    })
+    .await;
 }
 
+/// Guards against streams of which much waits unread at the node while their callers do not read.
 #[gtest]
 #[tokio::test(flavor = "multi_thread")]
 async fn fleet_streams_that_nobody_reads_fill_no_memory() {
-    let _turn = turn().await;
-    let fleet = start_fleet().await;
-    let subject = fleet.subject();
-    let head = subject.head(fleet::ENDLESS_STREAM_PATH);
-    let crowd = Crowd::of_lengths(READING_CALLERS, &head, 0);
-    check(&subject, crowd, BOUNDS).await;
+    meet_at_fleet(|subject| {
+        let head = subject.head(fleet::ENDLESS_STREAM_PATH);
+        Crowd::of_lengths(READING_CALLERS, &head, 0)
+    })
+    .await;
 }
 
+/// Guards against headers that take many times their size while their requests wait.
 #[gtest]
 #[tokio::test(flavor = "multi_thread")]
 async fn fleet_prompt_parts_of_waiting_requests_fill_no_memory() {
-    let _turn = turn().await;
-    let fleet = start_fleet().await;
-    let subject = fleet.subject();
-    let parts = "a:1,".repeat(PROMPT_PARTS);
-    let head = subject.head(fleet::SLOW_ANSWER_PATH);
-    let head = format!("{head}x-briarswitch-prompt-prefix: {parts}b:1\r\n");
-    let crowd = Crowd::of_whole_bodies(HEAD_CALLERS, &head, 2);
-    check(&subject, crowd, BOUNDS).await;
+    meet_at_fleet(|subject| {
+        let parts = "a:1,".repeat(PROMPT_PARTS);
+        let head = subject.head(fleet::SLOW_ANSWER_PATH);
+        let head = format!("{head}x-briarswitch-prompt-prefix: {parts}b:1\r\n");
+        Crowd::of_whole_bodies(HEAD_CALLERS, &head, 2)
+    })
+    .await;
 }
 
+/// Guards against forwarded requests that another node never finishes.
 #[gtest]
 #[tokio::test(flavor = "multi_thread")]
 async fn fleet_bodies_of_forwarded_requests_fill_no_memory() {
@@ -224,6 +231,7 @@
     check(&subject, crowd, BOUNDS).await;
 }
 
+/// Guards against messages between nodes that are never finished.
 #[gtest]
 #[tokio::test(flavor = "multi_thread")]
 async fn fleet_bodies_of_messages_between_nodes_fill_no_memory() {
@@ -235,6 +243,7 @@
     check(&subject, crowd, BOUNDS).await;
 }
 
+/// Guards against listeners beside that for callers that buffer heads without a limit.
 #[gtest]
 #[tokio::test(flavor = "multi_thread")]
 async fn fleet_heads_without_an_end_fill_no_memory_at_other_listeners() {
@@ -247,6 +256,7 @@
     }
 }
 
+/// Guards against large bodies that are held until the process is out of memory, as their callers never finish them.
 #[gtest]
 #[tokio::test(flavor = "multi_thread")]
 async fn cluster_bodies_that_stop_short_of_their_length_fill_no_memory() {
@@ -258,6 +268,7 @@
     check(&subject, crowd, BOUNDS).await;
 }
 
+/// Guards against bodies without a length that are held beyond the memory.
 #[gtest]
 #[tokio::test(flavor = "multi_thread")]
 async fn cluster_bodies_in_chunks_without_an_end_fill_no_memory() {
@@ -271,6 +282,7 @@
     }
 }
 
+/// Guards against heads and empty lines that are buffered without a limit.
 #[gtest]
 #[tokio::test(flavor = "multi_thread")]
 async fn cluster_heads_without_an_end_fill_no_memory() {
@@ -283,6 +295,7 @@
     check(&subject, crowd, BOUNDS).await;
 }
 
+/// Guards against connections that use the descriptors up.
 #[gtest]
 #[tokio::test(flavor = "multi_thread")]
 async fn cluster_silent_connections_leave_open_files_for_others() {
@@ -297,6 +310,7 @@
     .await;
 }
 
+/// Guards against answers that are held until callers read them, which these never do.
 #[gtest]
 #[tokio::test(flavor = "multi_thread")]
 async fn cluster_answers_that_nobody_reads_fill_no_memory() {
@@ -310,6 +324,7 @@
     check(&subject, crowd, BOUNDS).await;
 }
 
+/// Guards against bodies at the listeners of operators and peers that are held beyond the memory.
 #[gtest]
 #[tokio::test(flavor = "multi_thread")]
 async fn cluster_bodies_at_other_listeners_fill_no_memory() {
@@ -353,6 +368,7 @@
     }
 }
 
+/// Guards against listeners beside that for callers that buffer heads without a limit.
 #[gtest]
 #[tokio::test(flavor = "multi_thread")]
 async fn cluster_heads_without_an_end_fill_no_memory_at_other_listeners() {
@@ -366,6 +382,7 @@
     }
 }
 
+/// Guards against a forwarding node, or the one that runs its requests, that holds bodies beyond the memory.
 #[gtest]
 #[tokio::test(flavor = "multi_thread")]
 async fn cluster_requests_of_a_partitioned_node_fill_no_memory_there_and_where_they_run() {
