--- a/crates/fleet/src/caller_api.rs
+++ b/crates/fleet/src/caller_api.rs
@@ -17,7 +17,7 @@
 use xxhash_rust::xxh3::xxh3_64;
 
 use crate::dispatch::FleetDispatcher;
-use crate::forward::{refusal_response, ForwardRefusal, ForwardRequest};
+use crate::forward::{not_taken_response, ForwardRequest};
 use crate::job::RequestJob;
 use crate::local_reply::LocalReply;
 use crate::ports::CallerRequest;
@@ -98,9 +98,7 @@
     fn refuse_forwarded(&self, reason: &'static str, mut trace: RequestTrace) -> Response {
         trace.reason = reason;
         trace.end(RequestEnd::NotRun);
-        refusal_response(ForwardRefusal::NotTaken {
-            reason: reason.to_owned(),
-        })
+        not_taken_response(reason)
     }
 
     /// Checks a request and reads its body.
--- a/crates/fleet/src/forward.rs
+++ b/crates/fleet/src/forward.rs
@@ -281,6 +281,13 @@
     }
 }
 
+/// Returns the response that leaves a forwarded request to another node.
+pub fn not_taken_response(reason: impl Into<String>) -> Response {
+    refusal_response(ForwardRefusal::NotTaken {
+        reason: reason.into(),
+    })
+}
+
 /// Returns the response that refuses a forwarded request.
 pub fn refusal_response(refusal: ForwardRefusal) -> Response {
     let mut response = reply_msgpack(StatusCode::OK, &RefusalDoc::from(refusal));
--- a/crates/fleet/src/forward_api.rs
+++ b/crates/fleet/src/forward_api.rs
@@ -10,7 +10,7 @@
 
 use crate::caller_api::CallerApi;
 use crate::costs::CostKind;
-use crate::forward::{refusal_response, ForwardDoc, ForwardRefusal, ForwardRequest};
+use crate::forward::{not_taken_response, ForwardDoc, ForwardRequest};
 use crate::shared::{FleetPhase, FleetShared};
 
 /// Forwarded requests that a node has in flight at most; with more, other nodes are asked.
@@ -36,15 +36,11 @@
     pub async fn respond(&self, request: Request) -> Response {
         self.shared.costs.count(CostKind::ForwardReceived);
         if let Some(reason) = self.unavailable().await {
-            return refusal_response(ForwardRefusal::NotTaken {
-                reason: reason.to_owned(),
-            });
+            return not_taken_response(reason);
         }
         let body = match read_body(request.into_body(), self.max_bytes()).await {
             Err(BodyError::NoRoom(error)) => {
-                return refusal_response(ForwardRefusal::NotTaken {
-                    reason: error.to_string(),
-                });
+                return not_taken_response(error.to_string());
             }
             body => body,
         };
@@ -63,9 +59,7 @@
                 let forward = ForwardRequest { body, ..forward };
                 self.caller_api.run_forwarded(forward).await
             }
-            Err(error) => refusal_response(ForwardRefusal::NotTaken {
-                reason: error.to_string(),
-            }),
+            Err(error) => not_taken_response(error.to_string()),
         }
     }
 
--- a/crates/fleet/src/forwarder.rs
+++ b/crates/fleet/src/forwarder.rs
@@ -1,5 +1,6 @@
 //! Forwards requests to other nodes while this one is partitioned from all targets.
 
+use std::fmt::Display;
 use std::future::Future;
 use std::sync::Arc;
 use std::time::Duration;
@@ -80,6 +81,12 @@
     Ended(ForwardError),
 }
 
+impl HopError {
+    fn not_taken(error: impl Display) -> Self {
+        Self::NotTaken(error.to_string())
+    }
+}
+
 /// Forwards requests.
 pub struct RequestForwarder {
     shared: Arc<FleetShared>,
@@ -183,7 +190,7 @@
         let response = match sent {
             Ok(Ok(response)) => response,
             Ok(Err(SendError::Broken)) => return Err(lost(FailurePoint::BrokenBeforeHead)),
-            Ok(Err(error)) => return Err(HopError::NotTaken(error.to_string())),
+            Ok(Err(error)) => return Err(HopError::not_taken(error)),
             Err(point) => return Err(lost(point)),
         };
         self.check_head(job, peer, response).await
@@ -267,10 +274,8 @@
             is_resumption: progress.is_resumption,
             may_retry: progress.may_retry,
         };
-        let bytes = encode_msgpack(&ForwardDoc::from(forward));
-        let bytes = bytes.map_err(|error| HopError::NotTaken(error.to_string()))?;
-        let bytes = hold_bytes(bytes.into());
-        let bytes = bytes.map_err(|error| HopError::NotTaken(error.to_string()))?;
+        let bytes = encode_msgpack(&ForwardDoc::from(forward)).map_err(HopError::not_taken)?;
+        let bytes = hold_bytes(bytes.into()).map_err(HopError::not_taken)?;
         let mut request = http::Request::new(full_body(bytes));
         *request.method_mut() = Method::POST;
         *request.uri_mut() = Uri::from_static(FORWARD_PATH);
--- a/crates/fleet/src/settings.rs
+++ b/crates/fleet/src/settings.rs
@@ -4,7 +4,7 @@
 
 use briarswitch_core::finding::Finding;
 use briarswitch_core::id::{NodeId, RegionId, ZoneId};
-use briarswitch_http::{ProcessLimits, MEGABYTE};
+use briarswitch_http::{ProcessLimits, DEFAULT_MEMORY_MB, DEFAULT_OPEN_FILES};
 use indexmap::IndexMap;
 use serde::Deserialize;
 use serde_json::Value;
@@ -202,11 +202,10 @@
     fn limits(&mut self) -> ProcessLimits {
         let memory = self.optional_number("memory_mb");
         let open_files = self.optional_number("max_open_files");
-        let default = ProcessLimits::default();
-        ProcessLimits {
-            memory_bytes: memory.map_or(default.memory_bytes, |mb| mb as usize * MEGABYTE),
-            open_files: open_files.map_or(default.open_files, |count| count as usize),
-        }
+        ProcessLimits::new(
+            memory.map_or(DEFAULT_MEMORY_MB, |memory| memory as usize),
+            open_files.map_or(DEFAULT_OPEN_FILES, |count| count as usize),
+        )
     }
 
     fn millis(&mut self, field: &'static str) -> Duration {
--- a/crates/http/src/client.rs
+++ b/crates/http/src/client.rs
@@ -10,8 +10,8 @@
 use volo_http::body::Body;
 use volo_http::client::Client;
 
+use crate::body_error::BodyError;
 use crate::held_body::read_unclaimed;
-use crate::reply::BodyError;
 use crate::target_body::BodyEnd;
 
 /// Maximum size of a response body.
--- a/crates/http/src/connection_pool.rs
+++ b/crates/http/src/connection_pool.rs
@@ -5,7 +5,7 @@
 
 use std::fmt;
 use std::sync::atomic::{AtomicU64, AtomicUsize, Ordering};
-use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError, Weak};
 use std::time::{Duration, Instant};
 
 use indexmap::IndexMap;
@@ -13,7 +13,9 @@
 
 use crate::account::ByteAccount;
 use crate::connection_limits::{ConnectionLimits, LimitSource};
-use crate::connection_record::{Awaited, ConnectionId, ConnectionRecord, ConnectionWait};
+use crate::connection_record::{
+    Awaited, ConnectionId, ConnectionRecord, ConnectionWait, StallCloser,
+};
 use crate::limits::{ListenerKind, ProcessLimits};
 
 /// Time without progress after which a connection may be closed in favour of another one.
@@ -107,7 +109,7 @@
             closed: Notify::new(),
             counts: ClosedCounts::default(),
         };
-        pool.limit_account();
+        pool.limit_account(pool.limits());
         Arc::new(pool)
     }
 
@@ -117,9 +119,8 @@
     }
 
     /// Sets what may be claimed, which follows from the largest body.
-    fn limit_account(&self) {
-        let body_bytes = self.limits().body_bytes;
-        let account_bytes = self.process.account_bytes(self.kind, body_bytes);
+    fn limit_account(&self, limits: ConnectionLimits) {
+        let account_bytes = self.process.account_bytes(self.kind, limits.body_bytes);
         self.account.set_limit(account_bytes);
     }
 
@@ -138,7 +139,7 @@
                 self.counts.refused.fetch_add(1, Ordering::Relaxed);
                 return None;
             }
-            // What is closed here may be done with the request that it ran before.
+            // The place is free once the task that serves the connection has dropped it.
             let _ = tokio::time::timeout(CLOSE_TIMEOUT, closed).await;
         }
         Some(self.add())
@@ -146,11 +147,8 @@
 
     fn add(self: &Arc<Self>) -> PoolPlace {
         let id = self.next_id.fetch_add(1, Ordering::Relaxed);
-        let record = Arc::new(ConnectionRecord::new(
-            id,
-            Arc::downgrade(self),
-            self.account.clone(),
-        ));
+        let pool: Weak<Self> = Arc::downgrade(self);
+        let record = Arc::new(ConnectionRecord::new(id, pool, self.account.clone()));
         self.open.fetch_add(1, Ordering::Relaxed);
         self.lock().insert(id, Arc::clone(&record));
         PoolPlace {
@@ -169,16 +167,6 @@
         self.close_one(may_close, &self.counts.displaced)
     }
 
-    /// Closes the connection with claims whose other end has made no progress for longest; returns
-    /// whether one may go.
-    pub(crate) fn close_longest_stalled(&self) -> bool {
-        let now = Instant::now();
-        let is_stalled = |record: &ConnectionRecord, wait: ConnectionWait| {
-            now.duration_since(wait.since) >= STALL_TIME && record.has_claims()
-        };
-        self.close_one(is_stalled, &self.counts.stalled)
-    }
-
     fn close_one(
         &self,
         may_close: impl Fn(&ConnectionRecord, ConnectionWait) -> bool,
@@ -202,13 +190,14 @@
 
     /// Applies the limits in force, and closes the connections whose other ends have exceeded a time limit.
     pub(crate) fn enforce_limits(&self) {
-        self.limit_account();
         let limits = self.limits();
+        self.limit_account(limits);
+        let now = Instant::now();
         let mut records = self.lock();
         records.retain(|_, record| {
             let overdue = record
                 .wait()
-                .filter(|wait| wait.since.elapsed() > time_limit(wait.awaited, limits));
+                .filter(|wait| now.duration_since(wait.since) > time_limit(wait.awaited, limits));
             let is_closed = overdue.is_some_and(|wait| record.close(wait));
             if is_closed {
                 self.counts.overdue.fetch_add(1, Ordering::Relaxed);
@@ -224,6 +213,16 @@
     }
 }
 
+impl StallCloser for ConnectionPool {
+    fn close_longest_stalled(&self) -> bool {
+        let now = Instant::now();
+        let is_stalled = |record: &ConnectionRecord, wait: ConnectionWait| {
+            now.duration_since(wait.since) >= STALL_TIME && record.has_claims()
+        };
+        self.close_one(is_stalled, &self.counts.stalled)
+    }
+}
+
 impl fmt::Debug for ConnectionPool {
     fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
         let mut debug = formatter.debug_struct("ConnectionPool");
--- a/crates/http/src/connection_record.rs
+++ b/crates/http/src/connection_record.rs
@@ -7,7 +7,6 @@
 use tokio::sync::Notify;
 
 use crate::account::{AccountFull, ByteAccount, ByteClaim};
-use crate::connection_pool::ConnectionPool;
 
 /// Bytes of a head that need no claim.
 const FREE_HEAD_BYTES: usize = 8 << 10;
@@ -35,11 +34,17 @@
     pub(crate) since: Instant,
 }
 
+/// Closes connections for the bytes that are held for them.
+pub(crate) trait StallCloser: Send + Sync {
+    /// Closes the connection with claims whose other end has made no progress for longest; returns
+    /// whether one may go.
+    fn close_longest_stalled(&self) -> bool;
+}
+
 /// State of one connection, shared by those who serve it and those who may close it.
-#[derive(Debug)]
 pub struct ConnectionRecord {
     pub(crate) id: ConnectionId,
-    pool: Weak<ConnectionPool>,
+    closer: Weak<dyn StallCloser>,
     account: ByteAccount,
     state: Mutex<RecordState>,
     close: Notify,
@@ -78,10 +83,14 @@
 }
 
 impl ConnectionRecord {
-    pub(crate) fn new(id: ConnectionId, pool: Weak<ConnectionPool>, account: ByteAccount) -> Self {
+    pub(crate) fn new(
+        id: ConnectionId,
+        closer: Weak<dyn StallCloser>,
+        account: ByteAccount,
+    ) -> Self {
         Self {
             id,
-            pool,
+            closer,
             account,
             state: Mutex::new(RecordState {
                 awaited: Some(Awaited::Request),
@@ -110,10 +119,10 @@
         &self.account
     }
 
-    /// Closes the connection of the same listener that has been stalled for longest; returns whether there is one.
+    /// Closes the connection of the same listener that has been stalled for longest; returns whether one may go.
     pub(crate) fn close_longest_stalled(&self) -> bool {
-        let pool = self.pool.upgrade();
-        pool.is_some_and(|pool| pool.close_longest_stalled())
+        let closer = self.closer.upgrade();
+        closer.is_some_and(|closer| closer.close_longest_stalled())
     }
 
     /// Returns how long the other end has been waited for; `None` if it is not.
--- a/crates/http/src/held_body.rs
+++ b/crates/http/src/held_body.rs
@@ -10,8 +10,8 @@
 use http_body_util::BodyExt;
 
 use crate::account::{AccountFull, ByteClaim};
+use crate::body_error::BodyError;
 use crate::connection_record::ConnectionRecord;
-use crate::reply::BodyError;
 
 /// Bytes of each body that need no claim; the number of connections bounds them.
 const FREE_BYTES: usize = 4 << 10;
@@ -71,6 +71,17 @@
         Ok(())
     }
 
+    /// Returns the bytes that are claimed; the claim lives as long as they do.
+    fn own(self, bytes: Vec<u8>) -> Bytes {
+        if self.claim.bytes() == 0 {
+            return Bytes::from(bytes);
+        }
+        Bytes::from_owner(HeldBytes {
+            bytes,
+            _claim: self,
+        })
+    }
+
     async fn make_room(&mut self, capacity: usize, when_full: WhenFull) -> Result<(), AccountFull> {
         let mut evictions = 0;
         while self.resize(capacity).is_err() {
@@ -94,10 +105,10 @@
 }
 
 impl HeldBuffer {
-    fn new(when_full: WhenFull) -> Self {
+    fn new(claim: Option<HeldClaim>, when_full: WhenFull) -> Self {
         Self {
             bytes: Vec::new(),
-            claim: HeldClaim::open(),
+            claim,
             when_full,
         }
     }
@@ -125,11 +136,8 @@
 
     fn into_bytes(self) -> Bytes {
         match self.claim {
-            Some(claim) if claim.claim.bytes() > 0 => Bytes::from_owner(HeldBytes {
-                bytes: self.bytes,
-                _claim: claim,
-            }),
-            _ => Bytes::from(self.bytes),
+            Some(claim) => claim.own(self.bytes),
+            None => Bytes::from(self.bytes),
         }
     }
 }
@@ -145,7 +153,8 @@
 where
     B: http_body::Body<Data = Bytes> + Unpin,
 {
-    read_into(HeldBuffer::new(WhenFull::Refuse), body, limit).await
+    let buffer = HeldBuffer::new(HeldClaim::open(), WhenFull::Refuse);
+    read_into(buffer, body, limit).await
 }
 
 /// Reads a complete body of at most `limit` bytes that is not held for a caller.
@@ -157,10 +166,7 @@
 where
     B: http_body::Body<Data = Bytes> + Unpin,
 {
-    let buffer = HeldBuffer {
-        claim: None,
-        ..HeldBuffer::new(WhenFull::Refuse)
-    };
+    let buffer = HeldBuffer::new(None, WhenFull::Refuse);
     read_into(buffer, body, limit).await
 }
 
@@ -176,7 +182,7 @@
 where
     B: http_body::Body<Data = Bytes> + Unpin,
 {
-    let mut buffer = HeldBuffer::new(WhenFull::Wait);
+    let mut buffer = HeldBuffer::new(HeldClaim::open(), WhenFull::Wait);
     let length = body.size_hint().exact();
     let length = length.and_then(|length| usize::try_from(length).ok());
     if let Some(length) = length.filter(|length| *length <= limit) {
@@ -185,7 +191,7 @@
     read_into(buffer, body, limit).await
 }
 
-/// Copies bytes for the connection that the current task serves.
+/// Claims room for bytes that are held for the connection that the current task serves.
 ///
 /// # Errors
 ///
@@ -195,12 +201,7 @@
         return Ok(Bytes::from(bytes));
     };
     claim.resize(bytes.capacity())?;
-    Ok(HeldBuffer {
-        bytes,
-        claim: Some(claim),
-        when_full: WhenFull::Refuse,
-    }
-    .into_bytes())
+    Ok(claim.own(bytes))
 }
 
 async fn read_into<B>(mut buffer: HeldBuffer, mut body: B, limit: usize) -> Result<Bytes, BodyError>
--- a/crates/http/src/lib.rs
+++ b/crates/http/src/lib.rs
@@ -13,6 +13,7 @@
 
 mod account;
 mod answer_body;
+mod body_error;
 mod caller_body;
 mod client;
 mod connection_limits;
@@ -29,18 +30,18 @@
 mod tracked_stream;
 
 pub use account::{AccountFull, ByteAccount, ByteClaim};
+pub use body_error::BodyError;
 pub use client::{ApiClient, CallError, Codec};
 pub use connection_limits::{ConnectionLimits, LimitSource};
 pub use connection_pool::ConnectionPool;
 pub use held_body::{hold_bytes, read_body};
 pub use reply::{
-    decode_msgpack, encode_msgpack, reply_bytes, reply_json, reply_msgpack, reply_text,
-    stream_body, BodyError,
+    decode_msgpack, encode_msgpack, reply_bytes, reply_json, reply_msgpack, reply_text, stream_body,
 };
 pub use volo_http::body::Body;
 
 pub use idle_pool::TargetAddress;
-pub use limits::{ListenerKind, ProcessLimits, MEGABYTE};
+pub use limits::{ListenerKind, ProcessLimits, DEFAULT_MEMORY_MB, DEFAULT_OPEN_FILES};
 pub use message::{Request, Response};
 pub use server::{Handler, HttpServer, ServerGuard};
 pub use target::{full_body, SendError, SendProgress, TargetClient, TargetLimits, TargetResponse};
--- a/crates/http/src/limits.rs
+++ b/crates/http/src/limits.rs
@@ -3,11 +3,11 @@
 use nix::sys::resource::{getrlimit, Resource};
 
 /// Bytes of a megabyte, as machines state their memory.
-pub const MEGABYTE: usize = 1_000_000;
-/// Memory of a process whose settings state none, in bytes.
-const DEFAULT_MEMORY_BYTES: usize = 1_024 * MEGABYTE;
+const MEGABYTE: usize = 1_000_000;
+/// Memory of a process whose settings state none, in MB.
+pub const DEFAULT_MEMORY_MB: usize = 1_024;
 /// Open files of a process whose settings state none.
-const DEFAULT_OPEN_FILES: usize = 16_384;
+pub const DEFAULT_OPEN_FILES: usize = 16_384;
 /// Memory that one connection takes beyond its claims, in bytes: read buffer, unread bytes, small
 /// bodies and state.
 const CONNECTION_BYTES: usize = 40 << 10;
@@ -78,6 +78,20 @@
 }
 
 impl ProcessLimits {
+    /// Returns limits of a machine with `memory_mb` MB of a million bytes.
+    ///
+    /// ```
+    /// use briarswitch_http::ProcessLimits;
+    ///
+    /// assert_eq!(ProcessLimits::new(112, 2_870).memory_bytes, 112_000_000);
+    /// ```
+    pub fn new(memory_mb: usize, open_files: usize) -> Self {
+        Self {
+            memory_bytes: memory_mb * MEGABYTE,
+            open_files,
+        }
+    }
+
     /// Returns the limits, lowered to what the operating system lets the process open.
     #[must_use]
     pub fn within_system_limits(self) -> Self {
@@ -118,9 +132,6 @@
 
 impl Default for ProcessLimits {
     fn default() -> Self {
-        Self {
-            memory_bytes: DEFAULT_MEMORY_BYTES,
-            open_files: DEFAULT_OPEN_FILES,
-        }
+        Self::new(DEFAULT_MEMORY_MB, DEFAULT_OPEN_FILES)
     }
 }
--- a/crates/http/src/reply.rs
+++ b/crates/http/src/reply.rs
@@ -1,4 +1,4 @@
-//! Reading bodies up to a size limit and building responses.
+//! Building responses.
 
 use std::io;
 use std::pin::Pin;
@@ -14,27 +14,9 @@
 use serde::Serialize;
 use volo_http::body::Body;
 
-use crate::account::AccountFull;
 use crate::held_body::read_answer;
 use crate::message::Response;
 
-/// Error while reading a body.
-#[derive(Clone, Copy, Debug, Eq, PartialEq, thiserror::Error)]
-pub enum BodyError {
-    /// The body exceeds the size limit.
-    #[error("the body is larger than {limit} bytes")]
-    TooLarge {
-        /// Maximum size in bytes.
-        limit: usize,
-    },
-    /// The connection was closed before the end of the body.
-    #[error("the body ended before its announced length")]
-    Incomplete,
-    /// The process holds as many bytes as it may.
-    #[error(transparent)]
-    NoRoom(#[from] AccountFull),
-}
-
 /// Reads the whole body of a response, of at most `limit` bytes, and sets its length.
 ///
 /// A response whose body is too large or breaks is replaced by an error.
--- a/crates/http/src/server.rs
+++ b/crates/http/src/server.rs
@@ -166,7 +166,7 @@
         loop {
             tokio::select! {
                 accepted = listener.accept() => match accepted {
-                    Ok((stream, peer)) => self.admit(stream, peer).await,
+                    Ok((stream, _)) => self.admit(stream).await,
                     Err(error) => self.wait_after(&error).await,
                 },
                 _ = checks.tick() => self.pool.enforce_limits(),
@@ -175,7 +175,7 @@
         }
     }
 
-    async fn admit(&self, stream: TcpStream, peer: SocketAddr) {
+    async fn admit(&self, stream: TcpStream) {
         let Some(place) = self.pool.take_place().await else {
             // There is no place to wait in until the socket takes it.
             let _ = SockRef::from(&stream).send(FULL_RESPONSE);
@@ -184,7 +184,6 @@
         let _ = stream.set_nodelay(true);
         let connection = CallerConnection {
             limits: self.pool.limits(),
-            peer,
             service: self.service.clone(),
             stop: self.stop.clone(),
         };
@@ -210,7 +209,6 @@
 /// Serves one connection.
 struct CallerConnection {
     limits: ConnectionLimits,
-    peer: SocketAddr,
     service: RequestService,
     stop: watch::Receiver<bool>,
 }
@@ -234,10 +232,10 @@
     async fn serve(self, stream: TcpStream, record: Arc<ConnectionRecord>) -> hyper::Result<()> {
         let io = TokioIo::new(TrackedStream::new(stream, Arc::clone(&record)));
         let head_bytes = self.limits.head_bytes;
-        let (service, peer) = (self.service, self.peer);
+        let service = self.service;
         let service = service_fn(move |request| {
             let (service, record) = (service.clone(), Arc::clone(&record));
-            async move { Ok::<_, Infallible>(service.call(request, peer, record).await) }
+            async move { Ok::<_, Infallible>(service.call(request, record).await) }
         });
         let connection = Builder::new()
             .max_headers(MAX_HEADERS)
@@ -272,13 +270,11 @@
     async fn call(
         &self,
         request: http::Request<Incoming>,
-        peer: SocketAddr,
         record: Arc<ConnectionRecord>,
     ) -> http::Response<AnswerBody> {
         let may_run = record.begin_request();
         let body_record = Arc::clone(&record);
-        let mut request = request.map(|body| Body::from_body(CallerBody::new(body, body_record)));
-        request.extensions_mut().insert(peer);
+        let request = request.map(|body| Body::from_body(CallerBody::new(body, body_record)));
         let response = if may_run {
             self.respond(request).await
         } else {
--- a/crates/http/src/target_body.rs
+++ b/crates/http/src/target_body.rs
@@ -7,9 +7,9 @@
 use http_body_util::BodyExt;
 use hyper::body::Incoming;
 
+use crate::body_error::BodyError;
 use crate::held_body::read_answer;
 use crate::idle_pool::{IdlePool, Sender, TargetAddress};
-use crate::reply::BodyError;
 
 /// How the end of a body was recognised.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
--- a/crates/node/src/fields.rs
+++ b/crates/node/src/fields.rs
@@ -1,5 +1,6 @@
 //! The table of settings: path, kind, default and description of each.
 
+use briarswitch_http::{DEFAULT_MEMORY_MB, DEFAULT_OPEN_FILES};
 use serde_json::Value;
 
 /// Values that a setting accepts.
@@ -177,8 +178,8 @@
     millis("control.list_poll_ms", 10, 1_000, "Time between reads of the list of machines."),
     millis("control.usage_flush_ms", 10, 5_000, "Time between writes of usage."),
     millis("control.platform_timeout_ms", 10, 1_000, "Time to wait for an answer of the platform."),
-    number("limits.memory_mb", 64, 1 << 20, 1_024, "Memory that the process may use, in MB of a million bytes."),
-    number("limits.open_files", 128, 1 << 20, 16_384, "Files and sockets that the process may have open."),
+    number("limits.memory_mb", 64, 1 << 20, DEFAULT_MEMORY_MB as u64, "Memory that the process may use, in MB of a million bytes."),
+    number("limits.open_files", 128, 1 << 20, DEFAULT_OPEN_FILES as u64, "Files and sockets that the process may have open."),
     number("requests.body_bytes", 1, 1 << 30, 4 << 20, "Largest accepted body in bytes."),
     number("requests.header_bytes", 256, 65_536, 16_384, "Largest accepted size of all headers in bytes, names and values together."),
     number("requests.headers", 8, 250, 100, "Most headers accepted in a request."),
--- a/crates/node/src/layers.rs
+++ b/crates/node/src/layers.rs
@@ -5,7 +5,7 @@
 use std::time::Duration;
 
 use briarswitch_core::prelude::*;
-use briarswitch_http::{ProcessLimits, MEGABYTE};
+use briarswitch_http::ProcessLimits;
 use briarswitch_platform::PlatformAddresses;
 use serde_json::Value;
 
@@ -285,10 +285,10 @@
             },
             gate: self.assemble_gate(),
             control: self.assemble_control(),
-            limits: ProcessLimits {
-                memory_bytes: self.count("limits.memory_mb") * MEGABYTE,
-                open_files: self.count("limits.open_files"),
-            },
+            limits: ProcessLimits::new(
+                self.count("limits.memory_mb"),
+                self.count("limits.open_files"),
+            ),
             requests: self.assemble_requests(),
             shutdown: ShutdownSettings {
                 notice: self.duration("shutdown.notice_ms"),
