--- a/crates/node/src/log_writer.rs
+++ b/crates/node/src/log_writer.rs
@@ -58,7 +58,6 @@
         if std::mem::take(&mut self.is_cut) {
             line.extend_from_slice(CUT_MARK);
         }
-        line.shrink_to_fit();
         match self.lines.try_send(line) {
             Ok(()) => {}
             Err(TrySendError::Full(_) | TrySendError::Disconnected(_)) => {
