Names of the platform that crowds of clients need lie in its folder

The tests of the crowds knew the platform's headers and fields of its configuration; they ask the adapter's test support for them. Crowds, bounds, checks and requests are the same.

--- a/crates/node/tests/clients.rs
+++ b/crates/node/tests/clients.rs
@@ -211,9 +211,8 @@
 #[tokio::test(flavor = "multi_thread")]
 async fn fleet_prompt_parts_of_waiting_requests_fill_no_memory() {
     meet_at_fleet(|subject| {
-        let parts = "a:1,".repeat(PROMPT_PARTS);
-        let head = subject.head(fleet::SLOW_ANSWER_PATH);
-        let head = format!("{head}x-briarswitch-prompt-prefix: {parts}b:1\r\n");
+        let parts = fleet::prompt_parts_line(PROMPT_PARTS);
+        let head = subject.head(fleet::SLOW_ANSWER_PATH) + &parts;
         Crowd::of_whole_bodies(HEAD_CALLERS, &head, 2)
     })
     .await;
--- a/crates/node/tests/clients/fleet.rs
+++ b/crates/node/tests/clients/fleet.rs
@@ -5,7 +5,7 @@
 use std::process::{Child, Command, Stdio};
 use std::time::Instant;
 
-use serde_json::{json, Value};
+use serde_json::json;
 
 #[path = "../../../../platform/tests/support/mod.rs"]
 mod platform;
@@ -13,18 +13,17 @@
 use crate::process::Bounds;
 use crate::subject::Subject;
 use crate::support::{free_ports, WAIT_TIMEOUT};
+use platform::crowd::{crowd_config, ordinary_headers, CALM_SERVICE, ORDINARY_PATH};
 use platform::server::ServerStandin;
 use platform::store::StoreStandin;
 
 pub use briarswitch_fleet::forward::FORWARD_PATH;
+pub use platform::crowd::prompt_parts_line;
 pub use platform::server::{ENDLESS_STREAM_PATH, LARGE_ANSWER_PATH, SLOW_ANSWER_PATH};
 
 /// Path of the exchange of membership between nodes.
 pub const GOSSIP_PATH: &str = "/gossip";
 
-/// Service of ordinary requests.
-const CALM_SERVICE: &str = "calm";
-
 pub struct FleetProcess {
     pub callers: SocketAddr,
     pub health: SocketAddr,
@@ -39,14 +38,7 @@
     /// Starts a node; `file_limit` is the number of files that the system lets it open.
     pub async fn start(bounds: Bounds, file_limit: Option<usize>) -> Self {
         let store = StoreStandin::bind().await;
-        let mut config = platform::config(1);
-        config["limits"]["max_body_bytes"] = crate::BODY_BYTES.into();
-        config["limits"]["header_timeout_ms"] = 5_000.into();
-        for route in config["routes"].as_array_mut().expect("routes") {
-            route["timeout_ms"] = 60_000.into();
-        }
-        add_calm_service(&mut config);
-        store.put_config(&config);
+        store.put_config(&crowd_config(crate::BODY_BYTES));
         let servers = [
             ServerStandin::bind(&store, "i-plain-0", platform::PLAIN_SERVICE).await,
             ServerStandin::bind(&store, "i-calm-0", CALM_SERVICE).await,
@@ -105,36 +97,17 @@
 
     /// Returns the node with the crowd at one of its listeners.
     pub fn subject_at(&self, attacked: SocketAddr) -> Subject {
-        let header = |name: &str, value: &str| (name.to_owned(), value.to_owned());
         Subject {
             process: self.child.id(),
             callers: self.callers,
             attacked,
-            path: "/calm/ordinary".to_owned(),
+            path: ORDINARY_PATH.to_owned(),
             prefix: String::new(),
-            headers: vec![
-                header("host", platform::HOST),
-                header("authorization", &format!("Bearer {}", platform::KEY)),
-                header("x-briarswitch-attempt-id", "ordinary"),
-                header("x-briarswitch-deadline-ms", "60000"),
-            ],
+            headers: ordinary_headers(),
         }
     }
 }
 
-/// Adds a service that the crowds do not call, for ordinary requests.
-fn add_calm_service(config: &mut Value) {
-    let mut route = config["routes"][1].clone();
-    route["name"] = "r/calm/".into();
-    route["prefix"] = "/calm/".into();
-    route["service"] = CALM_SERVICE.into();
-    let mut service = config["services"][1].clone();
-    service["name"] = CALM_SERVICE.into();
-    config["routes"].as_array_mut().expect("routes").push(route);
-    let services = config["services"].as_array_mut().expect("services");
-    services.push(service);
-}
-
 impl Drop for FleetProcess {
     fn drop(&mut self) {
         let _ = self.child.kill();
