--- /dev/null
+++ b/review/standins-2/src/cases/mod.rs
@@ -0,0 +1,18 @@
+//! The cases that are shown by a script.
+
+mod slow_reader;
+
+use crate::record::Record;
+use crate::{CaseError, Verdict};
+
+/// Runs a case; without `has_trouble`, it does the same without the disruption.
+///
+/// # Errors
+///
+/// Returns why the case could not run.
+pub fn run(name: &str, record: &Record, has_trouble: bool) -> Result<Verdict, CaseError> {
+    match name {
+        "slow-reader" => slow_reader::run(record, has_trouble),
+        other => Err(format!("no case is named {other}").into()),
+    }
+}
