--- a/review/6/run.sh
+++ b/review/6/run.sh
@@ -1,4 +1,4 @@
-#!/usr/bin/env bash
+#!/bin/sh
 # Case 6: servers are replaced while the connections to the store are silent. Exit code: 0 held, 1 broken, 2 could not run.
 cd "$(dirname "$0")/../.." || exit 2
 program=target/review-2/release/review-standins-2
