A service of the control thread that panics starts again

What callers saw: a node that is not ready and never becomes so, though its process and its other services live on.

Cause: each service of the control thread is a chain: a message begins work, the work's result is the next message. A panic in a message ended the service's task, and one in its work ended the work without a result. Either broke the chain for the life of the process, with no line but that of the default hook. Readiness needs two of these chains, configuration and directory; orders, gossip and the registry need others.

Now the kernel supervises: a panic in a start, a message, a dump or in work that an instance has begun ends that instance; another one (Service::renew) starts after 0.1 s, doubling to 5 s while it panics again. Results of work that an earlier instance began are dropped, so that no chain runs twice. What must not repeat in a process is taken over (the numbers of usage batches). Both ways of running use this kernel. service_failed names the service.

--- a/crates/fleet/src/config_sync.rs
+++ b/crates/fleet/src/config_sync.rs
@@ -204,4 +204,8 @@
             "question": format!("{:?}", self.request),
         })
     }
+
+    fn renew(&self) -> Self {
+        Self::new(Arc::clone(&self.shared))
+    }
 }
--- a/crates/fleet/src/controller.rs
+++ b/crates/fleet/src/controller.rs
@@ -821,4 +821,8 @@
             "targets": targets.collect::<Vec<_>>(),
         })
     }
+
+    fn renew(&self) -> Self {
+        Self::new(Arc::clone(&self.shared), Arc::clone(&self.load_client))
+    }
 }
--- a/crates/fleet/src/crash_watcher.rs
+++ b/crates/fleet/src/crash_watcher.rs
@@ -311,4 +311,8 @@
             "ended": crashed.collect::<Vec<_>>(),
         })
     }
+
+    fn renew(&self) -> Self {
+        Self::new(Arc::clone(&self.host), self.suspects.clone())
+    }
 }
--- a/crates/fleet/src/directory_sync.rs
+++ b/crates/fleet/src/directory_sync.rs
@@ -243,4 +243,8 @@
             "mark": self.mark,
         })
     }
+
+    fn renew(&self) -> Self {
+        Self::new(Arc::clone(&self.shared))
+    }
 }
--- a/crates/fleet/src/peers.rs
+++ b/crates/fleet/src/peers.rs
@@ -445,4 +445,8 @@
             "peers": peers.collect::<Vec<_>>(),
         })
     }
+
+    fn renew(&self) -> Self {
+        Self::new(Arc::clone(&self.shared))
+    }
 }
--- a/crates/fleet/src/queue_monitor.rs
+++ b/crates/fleet/src/queue_monitor.rs
@@ -93,4 +93,8 @@
     fn dump(&self) -> Value {
         self.coordinator.dump()
     }
+
+    fn renew(&self) -> Self {
+        Self::new(Arc::clone(&self.shared), Arc::clone(&self.coordinator))
+    }
 }
--- a/crates/fleet/src/reach_monitor.rs
+++ b/crates/fleet/src/reach_monitor.rs
@@ -185,6 +185,7 @@
     }
 
     fn start(&mut self, link: &ServiceLink<ReachMessage>) {
+        self.publish();
         link.send_after(TICK_INTERVAL, ReachMessage::Tick);
     }
 
@@ -206,4 +207,8 @@
             "partitioned_ms": away.map(|at| now.saturating_sub(at).as_millis() as u64),
         })
     }
+
+    fn renew(&self) -> Self {
+        Self::new(Arc::clone(&self.shared))
+    }
 }
--- a/crates/fleet/src/readiness_monitor.rs
+++ b/crates/fleet/src/readiness_monitor.rs
@@ -88,4 +88,8 @@
     fn dump(&self) -> Value {
         json!(self.shared.readiness().to_string())
     }
+
+    fn renew(&self) -> Self {
+        Self::new(Arc::clone(&self.shared))
+    }
 }
--- a/crates/fleet/src/suspect_sync.rs
+++ b/crates/fleet/src/suspect_sync.rs
@@ -550,4 +550,8 @@
             "ends_per_target_hour": self.crash_rate.per_second() * 3_600.0,
         })
     }
+
+    fn renew(&self) -> Self {
+        Self::new(Arc::clone(&self.host))
+    }
 }
--- a/crates/kernel/src/mailbox.rs
+++ b/crates/kernel/src/mailbox.rs
@@ -6,12 +6,19 @@
 use serde_json::Value;
 use tokio::sync::{mpsc, oneshot};
 
-/// Content of a mailbox: a message, or a request for the service's state.
+/// Content of a mailbox.
 pub(crate) enum Envelope<M> {
+    /// A message from outside the service.
     Message(M),
+    /// The result of work that the service began, or `None` if that work panicked.
+    Finished(InstanceId, Option<M>),
+    /// A request for the service's state.
     Dump(oneshot::Sender<Value>),
 }
 
+/// Number of a service's instance; each restart makes a new one.
+pub(crate) type InstanceId = u64;
+
 /// Reason why a message was not delivered.
 #[derive(Clone, Copy, Debug, Eq, PartialEq, thiserror::Error)]
 pub enum PostError {
@@ -81,6 +88,12 @@
             .map_err(|_| PostError::Stopped)
     }
 
+    /// Delivers the result of work that an instance of the service began.
+    pub(crate) async fn finish(&self, instance: InstanceId, result: Option<M>) {
+        // A service that has stopped needs no result.
+        let _ = self.sender.send(Envelope::Finished(instance, result)).await;
+    }
+
     /// Returns the number of messages that were rejected because the mailbox was full.
     pub fn refused(&self) -> u64 {
         self.refused.load(Ordering::Relaxed)
--- a/crates/kernel/src/service.rs
+++ b/crates/kernel/src/service.rs
@@ -3,25 +3,35 @@
 use std::any::Any;
 use std::future::Future;
 use std::io;
+use std::panic::{catch_unwind, AssertUnwindSafe};
 use std::sync::{Arc, Mutex};
 use std::thread::JoinHandle;
 use std::time::Duration;
 
 use briarswitch_core::id::Moment;
-use futures::future::BoxFuture;
+use futures::future::{BoxFuture, FutureExt};
 use indexmap::IndexMap;
 use serde_json::Value;
 use tokio::sync::{mpsc, watch};
 use tokio::task::LocalSet;
 
 use crate::clock::BootClock;
-use crate::mailbox::{Envelope, Mailbox};
+use crate::mailbox::{Envelope, InstanceId, Mailbox};
 
 /// Messages that a mailbox can hold.
 const MAILBOX_CAPACITY: usize = 4096;
+/// Shortest delay before a service that panicked starts again.
+const MIN_RESTART_DELAY: Duration = Duration::from_millis(100);
+/// Longest delay before a service that panicked starts again; it doubles with each panic.
+const MAX_RESTART_DELAY: Duration = Duration::from_secs(5);
+/// Time without a panic after which the delay is the shortest one again.
+const STABLE_TIME: Duration = Duration::from_secs(10);
 
 /// A component that owns one part of the control state.
-pub trait Service: Send + 'static {
+///
+/// A panic in it, or in work that it began, ends the instance. Another one takes its place, so that a fault that
+/// one message triggers does not end what the process needs for as long as it runs.
+pub trait Service: Send + Sized + 'static {
     /// Type of the messages that it handles.
     type Message: Send + 'static;
 
@@ -36,15 +46,31 @@
 
     /// Returns its state for diagnostics.
     fn dump(&self) -> Value;
+
+    /// Returns the instance that replaces this one after a panic.
+    ///
+    /// It starts anew, like in a process that has just started; results of work that this instance began are
+    /// dropped. What must not repeat within a process, such as numbers in use, is taken over.
+    fn renew(&self) -> Self;
 }
 
 /// Access of a service to the kernel and to its own mailbox.
 pub struct ServiceLink<M> {
     kernel: Kernel,
     mailbox: Mailbox<M>,
+    instance: InstanceId,
 }
 
 impl<M: Send + 'static> ServiceLink<M> {
+    /// Returns the link of the instance that follows.
+    fn renew(&self) -> Self {
+        Self {
+            kernel: self.kernel.clone(),
+            mailbox: self.mailbox.clone(),
+            instance: self.instance + 1,
+        }
+    }
+
     /// Returns the current time.
     pub fn now(&self) -> Moment {
         BootClock::now()
@@ -65,10 +91,10 @@
     /// Input and output run here, between messages, so that the service's state is never borrowed
     /// across an await.
     pub fn spawn(&self, work: impl Future<Output = M> + 'static) {
-        let own = self.mailbox.clone();
+        let (own, instance) = (self.mailbox.clone(), self.instance);
         tokio::task::spawn_local(async move {
-            let message = work.await;
-            let _ = own.send(message).await;
+            let result = AssertUnwindSafe(work).catch_unwind().await;
+            own.finish(instance, result.ok()).await;
         });
     }
 
@@ -163,9 +189,10 @@
         let link = ServiceLink {
             kernel: self.clone(),
             mailbox: mailbox.clone(),
+            instance: 0,
         };
         let run: MountFn = Box::new(move || {
-            tokio::task::spawn_local(run_service(service, receiver, link));
+            tokio::task::spawn_local(supervise(service, receiver, link));
         });
         let _ = self.state.mounts.send(run);
         Ok(mailbox)
@@ -242,18 +269,61 @@
     }
 }
 
-async fn run_service<S: Service>(
+/// Runs a service, and another instance of it after each panic.
+async fn supervise<S: Service>(
     mut service: S,
     mut receiver: mpsc::Receiver<Envelope<S::Message>>,
-    link: ServiceLink<S::Message>,
+    mut link: ServiceLink<S::Message>,
 ) {
-    service.start(&link);
-    while let Some(envelope) = receiver.recv().await {
-        match envelope {
-            Envelope::Message(message) => service.handle(message, &link),
-            Envelope::Dump(reply) => {
-                let _ = reply.send(service.dump());
-            }
+    let mut delay = MIN_RESTART_DELAY;
+    loop {
+        let started_at = link.now();
+        if run_service(&mut service, &mut receiver, &link).await == ServiceEnd::Stopped {
+            return;
+        }
+        if link.now() >= started_at + STABLE_TIME {
+            delay = MIN_RESTART_DELAY;
+        }
+        log::error!(service = service.name(), restart_ms = delay.as_millis() as u64; "service_failed");
+        tokio::time::sleep(delay).await;
+        delay = (delay * 2).min(MAX_RESTART_DELAY);
+        if let Ok(renewed) = catch_unwind(AssertUnwindSafe(|| service.renew())) {
+            service = renewed;
         }
+        link = link.renew();
+    }
+}
+
+/// How the run of a service's instance ended.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+enum ServiceEnd {
+    /// Nobody can send it messages any more.
+    Stopped,
+    /// It panicked, or work that it began did.
+    Failed,
+}
+
+async fn run_service<S: Service>(
+    service: &mut S,
+    receiver: &mut mpsc::Receiver<Envelope<S::Message>>,
+    link: &ServiceLink<S::Message>,
+) -> ServiceEnd {
+    let mut result = catch_unwind(AssertUnwindSafe(|| service.start(link)));
+    while result.is_ok() {
+        let message = match receiver.recv().await {
+            None => return ServiceEnd::Stopped,
+            Some(Envelope::Message(message)) => message,
+            Some(Envelope::Finished(instance, _)) if instance != link.instance => continue,
+            Some(Envelope::Finished(_, Some(message))) => message,
+            Some(Envelope::Finished(_, None)) => return ServiceEnd::Failed,
+            Some(Envelope::Dump(reply)) => {
+                result = catch_unwind(AssertUnwindSafe(|| {
+                    let _ = reply.send(service.dump());
+                }));
+                continue;
+            }
+        };
+        result = catch_unwind(AssertUnwindSafe(|| service.handle(message, link)));
     }
+    ServiceEnd::Failed
 }
--- a/crates/node/src/config.rs
+++ b/crates/node/src/config.rs
@@ -191,6 +191,10 @@
             "platform_lost": self.is_platform_lost,
         })
     }
+
+    fn renew(&self) -> Self {
+        Self::new(Arc::clone(&self.shared))
+    }
 }
 
 fn floor_name(floor: Option<FloorSource>) -> &'static str {
--- a/crates/node/src/controller.rs
+++ b/crates/node/src/controller.rs
@@ -596,6 +596,10 @@
             "stranded_accelerators": self.account.stranded,
         })
     }
+
+    fn renew(&self) -> Self {
+        Self::new(Arc::clone(&self.shared))
+    }
 }
 
 fn fresh_report(view: &FleetView, vm: &str, now: Moment, ttl: Duration) -> Option<MemberReport> {
--- a/crates/node/src/peers.rs
+++ b/crates/node/src/peers.rs
@@ -258,4 +258,8 @@
             .collect();
         json!({ "peers": peers })
     }
+
+    fn renew(&self) -> Self {
+        Self::new(Arc::clone(&self.shared))
+    }
 }
--- a/crates/node/src/usage.rs
+++ b/crates/node/src/usage.rs
@@ -172,4 +172,13 @@
             "pending_rows": self.pending.as_ref().map_or(0, |batch| batch.rows.len()),
         })
     }
+
+    fn renew(&self) -> Self {
+        Self {
+            sequence: self.sequence,
+            pending: self.pending.clone(),
+            written: self.written,
+            ..Self::new(Arc::clone(&self.shared))
+        }
+    }
 }
--- a/crates/node/src/watch.rs
+++ b/crates/node/src/watch.rs
@@ -426,6 +426,10 @@
             "leaving": self.leaving.iter().map(|(vm, _)| vm).collect::<Vec<_>>(),
         })
     }
+
+    fn renew(&self) -> Self {
+        Self::new(Arc::clone(&self.shared))
+    }
 }
 
 fn dump_group(
