Times out of range in a configuration or in settings end nothing

What callers saw: nothing yet; found while looking for panics in work that a service waits for. A configuration with a time of 1e300 panicked where it was decoded, one with such a pace where the expected time of a pass was computed. In a setting it ended the process before its log had a line.

--- a/crates/core/src/engine.rs
+++ b/crates/core/src/engine.rs
@@ -6,6 +6,9 @@
 
 use crate::id::{ModelId, ZoneId};
 
+/// Longest time that is expected of an engine in seconds, so that sums of such times stay in range.
+const MAX_SECONDS: f64 = 1e9;
+
 /// A model that groups of the engine's targets can serve.
 #[derive(Clone, Debug, Default, PartialEq)]
 pub struct ModelSpec {
@@ -70,14 +73,16 @@
     /// Returns the expected time between two events of a stream with `active_requests` running.
     pub fn pass_time(&self, model: &ModelSpec, active_requests: u32) -> Duration {
         let step = self.step_time + self.step_time_per_request * active_requests;
-        step.mul_f64(f64::from(self.steps_per_pass) * model.time_factor)
+        bounded(step.as_secs_f64() * f64::from(self.steps_per_pass) * model.time_factor)
     }
 
     /// Returns the duration of a pass in which every step also processes prompts.
     ///
     /// No pass of a healthy group takes longer, however many prompts are waiting.
     pub fn max_pass_time(&self, model: &ModelSpec, active_requests: u32) -> Duration {
-        let tokens = self.prefill_tokens_per_step * u64::from(self.steps_per_pass);
+        let tokens = self
+            .prefill_tokens_per_step
+            .saturating_mul(u64::from(self.steps_per_pass));
         self.pass_time(model, active_requests) + self.prefill_time(model, tokens)
     }
 
@@ -108,8 +113,8 @@
     ) -> Duration {
         let slots = self.slots.max(1);
         let step = self.step_time + self.step_time_per_request * slots;
-        let decode = step.mul_f64(response_tokens as f64 * model.time_factor / f64::from(slots));
-        self.prefill_time(model, prompt_tokens) + decode
+        let steps = response_tokens as f64 * model.time_factor / f64::from(slots);
+        self.prefill_time(model, prompt_tokens) + bounded(step.as_secs_f64() * steps)
     }
 
     /// Returns the one-way delay between two zones; zero if none is known.
@@ -136,6 +141,14 @@
     /// Returns the time to process a prompt of `tokens` tokens on an otherwise idle group.
     pub fn prefill_time(&self, model: &ModelSpec, tokens: u64) -> Duration {
         let seconds = tokens as f64 / self.prefill_tokens_per_second.max(1.0) * model.time_factor;
-        Duration::from_secs_f64(seconds)
+        bounded(seconds)
+    }
+}
+
+/// Converts seconds; a value out of range counts as the nearest in range, one that is no number as zero.
+fn bounded(seconds: f64) -> Duration {
+    if seconds.is_nan() {
+        return Duration::ZERO;
     }
+    Duration::from_secs_f64(seconds.clamp(0.0, MAX_SECONDS))
 }
--- a/crates/fleet/src/settings.rs
+++ b/crates/fleet/src/settings.rs
@@ -27,6 +27,9 @@
     pub observes_speed: bool,
 }
 
+/// Longest time that a setting may state.
+const MAX_TIME: Duration = Duration::from_secs(365 * 86_400);
+
 /// Settings of a fleet node.
 #[derive(Clone, Debug, PartialEq)]
 pub struct FleetSettings {
@@ -117,11 +120,11 @@
             limits: reader.limits(),
             is_first_start: reader.flag("is_first_start"),
             fails_closed: reader.flag("fails_closed"),
-            key_validity: reader.millis("key_validity_ms"),
+            key_validity: reader.seconds("key_validity_ms", 0.001),
             retry_ratio: reader.number("retry_ratio"),
             retry_burst: reader.number("retry_burst") as u64,
-            retry_window: Duration::from_secs_f64(reader.number("retry_window_s")),
-            grace: Duration::from_secs_f64(reader.number("grace_s")),
+            retry_window: reader.seconds("retry_window_s", 1.0),
+            grace: reader.seconds("grace_s", 1.0),
             log_level: reader.level("log_level"),
             load_control: reader.load_control("load_control"),
         };
@@ -208,8 +211,15 @@
         )
     }
 
-    fn millis(&mut self, field: &'static str) -> Duration {
-        Duration::from_secs_f64(self.number(field) / 1000.0)
+    /// Reads a time in a unit of so many seconds.
+    fn seconds(&mut self, field: &'static str, unit: f64) -> Duration {
+        let number = self.number(field);
+        let time = Duration::try_from_secs_f64(number * unit).unwrap_or(Duration::MAX);
+        if time > MAX_TIME {
+            self.report_invalid(field, &Value::from(number), "a time of at most a year");
+            return MAX_TIME;
+        }
+        time
     }
 
     fn level(&mut self, field: &'static str) -> log::LevelFilter {
--- a/crates/fleet/tests/start.rs
+++ b/crates/fleet/tests/start.rs
@@ -5,6 +5,7 @@
 use briarswitch_fleet::readiness::ReadinessCondition;
 use briarswitch_fleet::shared::FleetPhase;
 use briarswitch_fleet::shared::FleetShared;
+use briarswitch_fleet::FleetSettings;
 use briarswitch_kernel::BootClock;
 use googletest::prelude::*;
 
@@ -68,3 +69,20 @@
         ]
     );
 }
+
+/// Guards against a process that panics before its first log line because a setting is no possible time.
+#[gtest]
+fn settings_with_a_time_out_of_range_are_rejected() {
+    let text = r#"{"grace_s": 1e300, "retry_window_s": 1e300, "key_validity_ms": 1e300}"#;
+    let findings = FleetSettings::parse("node.json", text).expect_err("settings are missing");
+    let findings: Vec<String> = findings.iter().map(ToString::to_string).collect();
+    for field in ["grace_s", "retry_window_s", "key_validity_ms"] {
+        expect_that!(
+            findings,
+            contains(all![
+                contains_substring(field),
+                contains_substring("at most a year")
+            ])
+        );
+    }
+}
