A renewed service of the own way of running repeats no number

A service that starts again after a panic keeps its process's incarnation. Its lease writes, order numbers and the marks of its feed of evidence would have begun anew under that incarnation: a write taken for an earlier one, orders refused, changes that peers pass over. These, and the targets known to leave, are taken over from the instance before, as the numbers of usage batches are already. Found by reading; no test of its own.

--- a/crates/node/src/controller.rs
+++ b/crates/node/src/controller.rs
@@ -598,7 +598,14 @@
     }
 
     fn renew(&self) -> Self {
-        Self::new(Arc::clone(&self.shared))
+        Self {
+            lease: self.lease.renew(&self.shared.settings),
+            counters: self
+                .term
+                .as_ref()
+                .map_or(self.counters, ControllerTerm::counters),
+            ..Self::new(Arc::clone(&self.shared))
+        }
     }
 }
 
--- a/crates/node/src/lease.rs
+++ b/crates/node/src/lease.rs
@@ -53,6 +53,15 @@
         }
     }
 
+    /// Returns a driver that does not hold the lease, for the same incarnation; its writes continue the numbers of
+    /// this one's.
+    pub fn renew(&self, settings: &NodeSettings) -> Self {
+        Self {
+            writes: self.writes,
+            ..Self::new(settings, self.incarnation)
+        }
+    }
+
     /// Returns the epoch held at `now`, or `None`.
     pub fn epoch(&self, now: Moment) -> Option<Epoch> {
         self.client.epoch(now)
--- a/crates/node/src/watch.rs
+++ b/crates/node/src/watch.rs
@@ -428,7 +428,12 @@
     }
 
     fn renew(&self) -> Self {
-        Self::new(Arc::clone(&self.shared))
+        Self {
+            own_feed: self.own_feed.clone(),
+            zone_feed: self.zone_feed.clone(),
+            leaving: self.leaving.clone(),
+            ..Self::new(Arc::clone(&self.shared))
+        }
     }
 }
 
