A listener goes on after a panic of the task that accepts its connections

What callers saw: none has seen it. A panic in the task that accepts a listener's connections, or checks them for their time limits, ended the task and closed the listener, and the process lived on: health checks could succeed while every caller's connection was refused, until somebody restarted it.

Cause: nobody watched the task.

Fix: a panic ends one turn of accepting; the task logs acceptor_failed, pauses as after a connection that could not be accepted, and goes on with the same socket, so that connections that wait in its queue are taken.

--- a/crates/http/src/connection_pool.rs
+++ b/crates/http/src/connection_pool.rs
@@ -113,6 +113,11 @@
         Arc::new(pool)
     }
 
+    /// Returns the name of the listener's kind for logs.
+    pub(crate) fn name(&self) -> &'static str {
+        self.kind.name()
+    }
+
     /// Returns the limits of connections that are accepted now.
     pub fn limits(&self) -> ConnectionLimits {
         self.source.connection_limits()
--- a/crates/http/src/server.rs
+++ b/crates/http/src/server.rs
@@ -1,14 +1,17 @@
 //! HTTP server with a single handler per listener.
 
 use std::convert::Infallible;
+use std::future::Future;
 use std::io;
 use std::net::SocketAddr;
-use std::pin::pin;
+use std::panic::AssertUnwindSafe;
+use std::pin::{pin, Pin};
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::Arc;
 use std::time::Duration;
 
 use futures::future::BoxFuture;
+use futures::FutureExt;
 use http::header::{CONNECTION, RETRY_AFTER};
 use http::{HeaderValue, StatusCode, Version};
 use hyper::body::Incoming;
@@ -45,7 +48,7 @@
 /// Response to a connection for which there is no place.
 const FULL_RESPONSE: &[u8] = b"HTTP/1.1 503 Service Unavailable\r\nretry-after: 1\r\n\
     connection: close\r\ncontent-length: 0\r\n\r\n";
-/// Time after which a listener that could accept no connection tries again.
+/// Time after which a listener that could accept no connection, or whose task panicked, tries again.
 const ACCEPT_RETRY_INTERVAL: Duration = Duration::from_millis(50);
 /// Interval at which connections are checked for their time limits.
 const OVERDUE_CHECK_INTERVAL: Duration = Duration::from_secs(1);
@@ -185,12 +188,28 @@
 }
 
 impl ConnectionAcceptor {
+    /// Accepts connections until the server is to stop; a panic ends the turn it occurs in, not the listener.
     async fn run(self, socket: ListenerSocket) {
         let mut stopped = pin!(wait_for_stop(self.stop.clone()));
         let listener = tokio::select! {
             listener = socket.bound() => listener,
             () = &mut stopped => return,
         };
+        loop {
+            let accepting = self.accept_until(&listener, stopped.as_mut());
+            if AssertUnwindSafe(accepting).catch_unwind().await.is_ok() {
+                return;
+            }
+            log::error!(listener = self.pool.name(); "acceptor_failed");
+            tokio::time::sleep(ACCEPT_RETRY_INTERVAL).await;
+        }
+    }
+
+    async fn accept_until(
+        &self,
+        listener: &TcpListener,
+        mut stopped: Pin<&mut (impl Future<Output = ()> + Send)>,
+    ) {
         let mut checks = tokio::time::interval(OVERDUE_CHECK_INTERVAL);
         checks.set_missed_tick_behavior(MissedTickBehavior::Delay);
         loop {
@@ -200,7 +219,7 @@
                     Err(error) => self.wait_after(&error).await,
                 },
                 _ = checks.tick() => self.pool.enforce_limits(),
-                () = &mut stopped => return,
+                () = stopped.as_mut() => return,
             }
         }
     }
--- a/crates/http/tests/listeners.rs
+++ b/crates/http/tests/listeners.rs
@@ -1,10 +1,14 @@
-//! Listeners whose address can't be bound at the start.
+//! Listeners whose address can't be bound at the start, and whose task panics.
 
 use std::net::{SocketAddr, TcpListener};
+use std::sync::atomic::{AtomicUsize, Ordering};
 use std::sync::Arc;
 use std::time::Duration;
 
-use briarswitch_http::{reply_text, Handler, HttpServer, Request, Response};
+use briarswitch_http::{
+    reply_text, ConnectionLimits, ConnectionPool, Handler, HttpServer, LimitSource, ListenerKind,
+    ProcessLimits, Request, Response,
+};
 use futures::future::BoxFuture;
 use googletest::prelude::*;
 use http::StatusCode;
@@ -12,6 +16,9 @@
 use tokio::net::TcpStream;
 use tokio::sync::watch;
 
+/// Longest time that a test waits for a condition.
+const WAIT_TIMEOUT: Duration = Duration::from_secs(60);
+
 struct PlainHandler;
 
 impl Handler for PlainHandler {
@@ -32,11 +39,53 @@
 }
 
 async fn wait_until_answered(address: SocketAddr) {
-    while !answer_of(address).await.starts_with("HTTP/1.1 200 ") {
-        tokio::time::sleep(Duration::from_millis(5)).await;
+    let answering = async {
+        while !answer_of(address).await.starts_with("HTTP/1.1 200 ") {
+            tokio::time::sleep(Duration::from_millis(5)).await;
+        }
+    };
+    let answered = tokio::time::timeout(WAIT_TIMEOUT, answering).await;
+    answered.expect("the listener answers");
+}
+
+/// Limits that panic the first few times that a listener asks for them.
+#[derive(Default)]
+struct FaultyLimits {
+    calls: AtomicUsize,
+}
+
+impl FaultyLimits {
+    /// Calls that panic; the first one is that of the pool itself.
+    const FAULTY_CALLS: std::ops::RangeInclusive<usize> = 1..=3;
+}
+
+impl LimitSource for FaultyLimits {
+    fn connection_limits(&self) -> ConnectionLimits {
+        let call = self.calls.fetch_add(1, Ordering::SeqCst);
+        assert!(!Self::FAULTY_CALLS.contains(&call), "a fault of the test");
+        ConnectionLimits::default()
     }
 }
 
+/// Guards against a listener that is closed for good by a panic of the task that accepts its connections.
+#[gtest]
+#[tokio::test]
+async fn a_listener_goes_on_after_its_task_panicked() {
+    let limits = Arc::new(FaultyLimits::default());
+    let source: Arc<dyn LimitSource> = Arc::clone(&limits) as Arc<dyn LimitSource>;
+    let pool = ConnectionPool::new(ListenerKind::Callers, ProcessLimits::default(), source);
+    let server = HttpServer::bind("127.0.0.1:0").await.expect("a port");
+    let (_stop, stopped) = watch::channel(false);
+    let guard = server
+        .with_pool(pool)
+        .spawn(Arc::new(PlainHandler), stopped);
+    wait_until_answered(guard.address()).await;
+    expect_that!(
+        limits.calls.load(Ordering::SeqCst),
+        gt(*FaultyLimits::FAULTY_CALLS.end())
+    );
+}
+
 /// Guards against a listener that never serves because its address was held at the start.
 #[gtest]
 #[tokio::test]
