--- a/crates/http/src/server.rs
+++ b/crates/http/src/server.rs
@@ -75,6 +75,7 @@
     address: SocketAddr,
     task: JoinHandle<()>,
     is_closed: Arc<AtomicBool>,
+    pool: Arc<ConnectionPool>,
 }
 
 impl HttpServer {
@@ -150,7 +151,7 @@
     pub fn spawn(self, handler: Arc<dyn Handler>, stop: watch::Receiver<bool>) -> ServerGuard {
         let is_closed = Arc::new(AtomicBool::new(false));
         let acceptor = ConnectionAcceptor {
-            pool: self.pool,
+            pool: Arc::clone(&self.pool),
             service: RequestService {
                 handler,
                 is_closed: Arc::clone(&is_closed),
@@ -161,6 +162,7 @@
             address: self.socket.status().address(),
             task: tokio::spawn(acceptor.run(self.socket)),
             is_closed,
+            pool: self.pool,
         }
     }
 }
@@ -170,6 +172,11 @@
     pub fn address(&self) -> SocketAddr {
         self.address
     }
+
+    /// Returns the number of connections on which part of an answer has yet to be written.
+    pub fn unwritten_answers(&self) -> usize {
+        self.pool.unwritten_answers()
+    }
 }
 
 impl Drop for ServerGuard {
