A status outside 200 to 599 is no answer to a request

What callers saw: a server that answered with status 101 although nobody had asked for an upgrade, or with 600, 700 or 999, had that status and its body passed on as the answer to the request, on every path: plain services, streams of single targets and of groups, through another node's hop, and in the other way of running, there with the outcome "answered". A report with such a status counted as "unreadable", which says that something sound listens there, and a call to the store or a peer that got 101 counted as rejected for certain.

Cause: the HTTP library ends with an error only for a status line that it can't parse; 101 and three-digit numbers over 599 are statuses to it, and the client of targets handed on whatever it gave.

Fix: where a target's answer becomes a response, in the client of targets and in the client of typed calls, a status outside 200..=599 is an invalid head: the connection is not used again, and the request may have run. The failure has a point of its own, `invalid_head`, also for a status line that can't be parsed, so that logs name it; what is done after it is the same as after a connection that broke before the head: a retry where the request is idempotent, else a whole 502 of the node's own, without the server's signature header. All paths use these two clients, so nothing is checked a second time elsewhere.

Evidence: tests with the statuses 000, 007, 099, 100, 101, 199, 600, 700, 999, 1000, -1, 200x and none. Before the fix 101, 600, 700 and 999 failed at the two clients, at services, streams, through another node's hop, in reports and in the other way of running; now all hold. Resumed streams, orders and pages of the store held before; their tests stay.

--- a/crates/core/src/outcome.rs
+++ b/crates/core/src/outcome.rs
@@ -55,6 +55,8 @@
     TargetRefused,
     /// The connection broke after bytes of the request may have been sent.
     BrokenBeforeHead,
+    /// The head of the response could not be read, or its status is not that of a final response.
+    InvalidHead,
     /// No response arrived before the deadline.
     AnswerDeadline,
     /// The response carried the id of another attempt.
@@ -71,7 +73,7 @@
 
 impl FailurePoint {
     /// All failure points, for tests that trigger each of them.
-    pub const ALL: [Self; 14] = [
+    pub const ALL: [Self; 15] = [
         Self::Refused,
         Self::NoTarget,
         Self::Quarantined,
@@ -80,6 +82,7 @@
         Self::ClosedBeforeSend,
         Self::TargetRefused,
         Self::BrokenBeforeHead,
+        Self::InvalidHead,
         Self::AnswerDeadline,
         Self::ForeignAnswer,
         Self::Truncated,
@@ -111,6 +114,7 @@
             | Self::TargetRefused
             | Self::ClaimStore => Outcome::NotRun,
             Self::BrokenBeforeHead
+            | Self::InvalidHead
             | Self::AnswerDeadline
             | Self::ForeignAnswer
             | Self::Truncated
@@ -159,6 +163,7 @@
             Self::ClosedBeforeSend => "closed_before_send",
             Self::TargetRefused => "target_refused",
             Self::BrokenBeforeHead => "broken_before_head",
+            Self::InvalidHead => "invalid_head",
             Self::AnswerDeadline => "answer_deadline",
             Self::ForeignAnswer => "foreign_answer",
             Self::Truncated => "truncated",
--- a/crates/ctl/src/explain.rs
+++ b/crates/ctl/src/explain.rs
@@ -42,6 +42,10 @@
         "broken_before_head",
         "the connection failed, or the target stopped responding, after the request was sent",
     ),
+    (
+        "invalid_head",
+        "the target sent something that is no response, or a status that no final response has",
+    ),
     ("answer_deadline", "the target did not respond in time"),
     (
         "foreign_answer",
--- a/crates/fleet/src/dispatch.rs
+++ b/crates/fleet/src/dispatch.rs
@@ -189,8 +189,8 @@
                     self.reach.report_failure(&target.id);
                 }
                 match error {
-                    HeadWaitError::Send(SendError::Broken) => {
-                        run.report_broken("broken_before_head");
+                    HeadWaitError::Send(SendError::Broken | SendError::InvalidHead) => {
+                        run.report_broken(FailurePoint::from(error).code());
                     }
                     HeadWaitError::Send(SendError::Refused) => {
                         // No process listens at the address. Until the directory removes the target, seconds later, it
--- a/crates/fleet/src/failure.rs
+++ b/crates/fleet/src/failure.rs
@@ -26,7 +26,7 @@
     /// Nothing beyond what the point of failure says.
     #[default]
     None,
-    /// It broke after the request had been sent.
+    /// It broke, or what it carried was no response, after the request had been sent.
     Broken,
     /// The target refused the connection.
     Refused,
@@ -103,7 +103,9 @@
 impl From<HeadWaitError> for FailedAttempt {
     fn from(error: HeadWaitError) -> Self {
         let connection = match error {
-            HeadWaitError::Send(SendError::Broken) => ConnectionFailure::Broken,
+            HeadWaitError::Send(SendError::Broken | SendError::InvalidHead) => {
+                ConnectionFailure::Broken
+            }
             HeadWaitError::Send(SendError::Refused) => ConnectionFailure::Refused,
             HeadWaitError::Send(SendError::Connect) => ConnectionFailure::Unopened,
             _ => ConnectionFailure::None,
@@ -123,6 +125,7 @@
             HeadWaitError::Send(SendError::Broken) | HeadWaitError::Rerouted => {
                 Self::BrokenBeforeHead
             }
+            HeadWaitError::Send(SendError::InvalidHead) => Self::InvalidHead,
             HeadWaitError::Deadline => Self::AnswerDeadline,
         }
     }
--- a/crates/fleet/src/forwarder.rs
+++ b/crates/fleet/src/forwarder.rs
@@ -190,6 +190,7 @@
         let response = match sent {
             Ok(Ok(response)) => response,
             Ok(Err(SendError::Broken)) => return Err(lost(FailurePoint::BrokenBeforeHead)),
+            Ok(Err(SendError::InvalidHead)) => return Err(lost(FailurePoint::InvalidHead)),
             Ok(Err(error)) => return Err(HopError::not_taken(error)),
             Err(point) => return Err(lost(point)),
         };
--- a/crates/fleet/tests/support/target.rs
+++ b/crates/fleet/tests/support/target.rs
@@ -26,6 +26,10 @@
 pub const NOISE_IN_HEAD: &str = "noise in the head";
 /// A body that begins with this gets bytes without an end in place of the body of a response, unless it is resumed.
 pub const NOISE_IN_BODY: &str = "noise in the body";
+/// Prefix of a body that gets a response with the status that follows it.
+pub const WITH_STATUS: &str = "status ";
+/// Prefix of a body whose connection ends inside an event; the target that resumes it responds with the status that follows it.
+pub const RESUMED_WITH_STATUS: &str = "resumed with status ";
 /// Prefix of a body whose connection ends inside an event, once, while the target keeps running.
 pub const CUT_INSIDE: &str = "cut";
 /// Part of a prompt that crashes each target when it begins to respond, whatever else the prompt holds.
@@ -424,6 +428,12 @@
         shared.lock().noise_bytes.push(sent);
         return Ok(());
     }
+    if let Some(status) = stated_status(&body, is_resumed) {
+        let response = format!(
+            "HTTP/1.1 {status}\r\nattempt: {attempt}\r\nsigned: yes\r\nconnection: close\r\ncontent-length: 5\r\n\r\nwrong"
+        );
+        return stream.write_all(response.as_bytes()).await;
+    }
     let statements = shared.statements();
     let is_unframed = shared.lock().is_unframed || noise == Some(Noise::Body);
     let framing = if is_unframed {
@@ -495,6 +505,16 @@
     sent
 }
 
+/// Returns the status that a body asks for in place of a response.
+fn stated_status(body: &str, is_resumed: bool) -> Option<&str> {
+    let prefix = if is_resumed {
+        RESUMED_WITH_STATUS
+    } else {
+        WITH_STATUS
+    };
+    body.strip_prefix(prefix)
+}
+
 /// How a response ends after its first event.
 #[derive(Clone, Copy)]
 enum Ending {
@@ -509,6 +529,7 @@
             (CRASHING_INSIDE, Self::CrashInside),
             (CRASHING_BETWEEN, Self::CrashBetween),
             (CUT_INSIDE, Self::CutInside),
+            (RESUMED_WITH_STATUS, Self::CutInside),
         ];
         let mut endings = endings.into_iter();
         let (_, ending) = endings.find(|(prefix, _)| body.starts_with(prefix))?;
--- a/crates/http/src/client.rs
+++ b/crates/http/src/client.rs
@@ -12,6 +12,7 @@
 
 use crate::body_error::BodyError;
 use crate::held_body::read_unclaimed;
+use crate::target::is_final_status;
 use crate::target_body::BodyEnd;
 
 /// Maximum size of a response body.
@@ -164,6 +165,10 @@
             .map_err(|error| CallError::NoResponse(error.to_string()))?;
         let (head, body) = response.into_parts();
         let status = head.status;
+        if !is_final_status(status) {
+            let text = format!("status {status} is not final");
+            return Err(CallError::NoResponse(text));
+        }
         let bytes = read_unclaimed(body, MAX_RESPONSE_BYTES)
             .await
             .map_err(|error| CallError::NoResponse(error.to_string()))?;
--- a/crates/http/src/target.rs
+++ b/crates/http/src/target.rs
@@ -1,10 +1,12 @@
 //! HTTP client for targets that reports whether any byte of a request can have been sent.
 
 use std::io::ErrorKind;
+use std::ops::RangeInclusive;
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::Duration;
 
 use bytes::Bytes;
+use http::StatusCode;
 use http_body_util::Full;
 use hyper::client::conn::http1::Builder;
 use hyper_util::rt::TokioIo;
@@ -19,6 +21,9 @@
 /// Receive buffer of a connection in bytes; the system doubles it.
 const RECEIVE_BUFFER_BYTES: usize = 64 << 10;
 
+/// Statuses of final responses (RFC 9110, section 15).
+const FINAL_STATUSES: RangeInclusive<u16> = 200..=599;
+
 /// Limits of a [`TargetClient`].
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub struct TargetLimits {
@@ -43,6 +48,9 @@
     /// The connection failed after bytes of the request may have been sent.
     #[error("the connection broke before the answer began")]
     Broken,
+    /// The head of the response could not be read, or its status is not that of a final response.
+    #[error("the answer has no valid head")]
+    InvalidHead,
 }
 
 /// Progress of sending a request, which can be read while the request is awaited.
@@ -117,8 +125,8 @@
     ///
     /// # Errors
     ///
-    /// Returns [`SendError`]; only [`SendError::Broken`] leaves it unknown whether the target received
-    /// the request.
+    /// Returns [`SendError`]; only [`SendError::Broken`] and [`SendError::InvalidHead`] leave it unknown whether the
+    /// target has run the request.
     pub async fn send(
         &self,
         target: &TargetAddress,
@@ -174,6 +182,9 @@
         match sender.try_send_request(request).await {
             Ok(response) => {
                 let (head, incoming) = response.into_parts();
+                if !is_final_status(head.status) {
+                    return Err((SendError::InvalidHead, None));
+                }
                 let connection = PooledConnection {
                     sender,
                     key: target.clone(),
@@ -188,6 +199,7 @@
             Err(mut error) => match error.take_message() {
                 // hyper returns the request only if it has not started to write it.
                 Some(unsent) => Err((SendError::ClosedBeforeSend, Some(Box::new(unsent)))),
+                None if error.error().is_parse() => Err((SendError::InvalidHead, None)),
                 None => Err((SendError::Broken, None)),
             },
         }
@@ -233,6 +245,11 @@
     }
 }
 
+/// Returns whether a status is that of a final response; no request asks for an upgrade of its connection.
+pub(crate) fn is_final_status(status: StatusCode) -> bool {
+    FINAL_STATUSES.contains(&status.as_u16())
+}
+
 /// Builds a request body from bytes.
 ///
 /// ```
--- a/crates/node/src/attempt.rs
+++ b/crates/node/src/attempt.rs
@@ -97,6 +97,7 @@
             SendError::Connect | SendError::Refused => FailurePoint::Connect,
             SendError::ClosedBeforeSend => FailurePoint::ClosedBeforeSend,
             SendError::Broken => FailurePoint::BrokenBeforeHead,
+            SendError::InvalidHead => FailurePoint::InvalidHead,
         }
     }
 
--- a/crates/node/src/dispatch.rs
+++ b/crates/node/src/dispatch.rs
@@ -545,7 +545,7 @@
 fn is_broken_connection(point: FailurePoint) -> bool {
     matches!(
         point,
-        FailurePoint::BrokenBeforeHead | FailurePoint::Truncated
+        FailurePoint::BrokenBeforeHead | FailurePoint::InvalidHead | FailurePoint::Truncated
     )
 }
 
--- a/crates/node/src/forward.rs
+++ b/crates/node/src/forward.rs
@@ -166,6 +166,7 @@
                 Err(DeliveryError::Undelivered)
             }
             Ok(Err(SendError::Broken)) => Err(DeliveryError::Lost(FailurePoint::BrokenBeforeHead)),
+            Ok(Err(SendError::InvalidHead)) => Err(DeliveryError::Lost(FailurePoint::InvalidHead)),
             Err(_) => Err(DeliveryError::Lost(FailurePoint::AnswerDeadline)),
         }
     }
--- a/crates/node/src/reply.rs
+++ b/crates/node/src/reply.rs
@@ -174,6 +174,10 @@
             StatusCode::BAD_GATEWAY,
             "the connection to the target broke; the request may have run",
         ),
+        FailurePoint::InvalidHead => (
+            StatusCode::BAD_GATEWAY,
+            "the target's answer has no valid head; the request may have run",
+        ),
         FailurePoint::AnswerDeadline => (
             StatusCode::GATEWAY_TIMEOUT,
             "no answer came in time; the request may have run",
--- a/crates/node/tests/support/mod.rs
+++ b/crates/node/tests/support/mod.rs
@@ -1,6 +1,8 @@
 //! Runs real node processes against stand-ins of the platform and its targets inside the test.
 #![allow(dead_code)]
 
+pub mod service;
+
 use std::collections::{BTreeMap, BTreeSet};
 use std::fs::File;
 use std::net::TcpListener;
