An event without an end is held within the process's memory

What callers saw (in a test): 200 callers of a server that sends almost a megabyte of one event and never ends it took a node whose machine has 112 MB to 279 MB. On such a machine the process ends, and with it the requests of all other callers.

Cause: the part of an event that has arrived is kept until the event is whole, up to a megabyte for each stream, and was the only thing held for a caller that was not claimed from the listener's account of memory.

Fix: a relay of a stream claims room for the incomplete event as it grows. Where there is none the stream is cut, as after a connection that broke; it goes on at another target if it may. Both ways of running do so, and a stream that is relayed for another node claims from the account of the peers' listener. `event_refused` logs it.

--- a/crates/core/src/events.rs
+++ b/crates/core/src/events.rs
@@ -65,7 +65,7 @@
 
     /// Discards the bytes of an incomplete event.
     pub fn discard_partial(&mut self) {
-        self.partial.clear();
+        self.partial = BytesMut::new();
     }
 
     /// Returns the id of the last complete event.
--- a/crates/core/src/stream.rs
+++ b/crates/core/src/stream.rs
@@ -49,9 +49,14 @@
         self.partial.len() > MAX_EVENT_BYTES
     }
 
+    /// Returns the number of buffered bytes of an incomplete event.
+    pub fn partial_bytes(&self) -> usize {
+        self.partial.len()
+    }
+
     /// Discards an incomplete event, as before resuming the stream.
     pub fn discard_partial(&mut self) {
-        self.partial.clear();
+        self.partial = Vec::new();
     }
 
     /// Scans a chunk and returns the previously buffered bytes that are now complete, and the
--- a/crates/fleet/src/relay.rs
+++ b/crates/fleet/src/relay.rs
@@ -5,7 +5,7 @@
 
 use briarswitch_core::events::EventSplitter;
 use briarswitch_core::id::*;
-use briarswitch_http::{BodyEnd, BodyPart};
+use briarswitch_http::{BodyEnd, BodyPart, HeldRoom};
 use briarswitch_kernel::BootClock;
 use bytes::Bytes;
 use futures::Stream;
@@ -29,6 +29,8 @@
     job: RequestJob,
     source: StreamSource,
     splitter: EventSplitter,
+    /// Room for the incomplete event.
+    room: HeldRoom,
     trace: RequestTrace,
     tried: Vec<TargetId>,
     last_received: Moment,
@@ -72,6 +74,7 @@
             job,
             source,
             splitter: EventSplitter::default(),
+            room: HeldRoom::open(),
             trace,
             last_received: BootClock::now(),
             has_ended: false,
@@ -116,7 +119,7 @@
     }
 
     async fn next_step(&mut self) -> StreamStep {
-        if self.splitter.is_overlong() {
+        if self.splitter.is_overlong() || !self.has_room() {
             return StreamStep::Broken;
         }
         loop {
@@ -144,6 +147,20 @@
         }
     }
 
+    /// Claims room for the incomplete event; returns whether there is some.
+    fn has_room(&mut self) -> bool {
+        let claimed = self.room.resize(self.splitter.partial().len());
+        if let Err(error) = &claimed {
+            log::info!(
+                request = self.trace.request_id.as_str(),
+                partial_bytes = self.splitter.partial().len(),
+                error:% = error;
+                "event_refused"
+            );
+        }
+        claimed.is_ok()
+    }
+
     /// Returns whether the node that relays the stream is no longer live.
     fn is_peer_lost(&self) -> bool {
         match &self.source {
@@ -409,6 +426,7 @@
         }
         self.source = source;
         self.splitter.discard_partial();
+        let _ = self.room.resize(0);
     }
 
     /// Ends the caller's stream with an error, so that the connection closes without the end of the body.
--- a/crates/http/src/held_body.rs
+++ b/crates/http/src/held_body.rs
@@ -191,6 +191,38 @@
     read_into(buffer, body, limit).await
 }
 
+/// Room for bytes that grow and shrink while they are held for the connection that the current task serves.
+///
+/// ```
+/// use briarswitch_http::HeldRoom;
+///
+/// // Outside of a connection there is no account to claim from.
+/// assert!(HeldRoom::open().resize(1 << 30).is_ok());
+/// ```
+pub struct HeldRoom {
+    claim: Option<HeldClaim>,
+}
+
+impl HeldRoom {
+    /// Opens room for no bytes.
+    pub fn open() -> Self {
+        Self {
+            claim: HeldClaim::open(),
+        }
+    }
+
+    /// Claims room for `bytes` in place of what was claimed so far.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`AccountFull`] if there is no room for them.
+    pub fn resize(&mut self, bytes: usize) -> Result<(), AccountFull> {
+        self.claim
+            .as_mut()
+            .map_or(Ok(()), |claim| claim.resize(bytes))
+    }
+}
+
 /// Claims room for bytes that are held for the connection that the current task serves.
 ///
 /// # Errors
--- a/crates/http/src/lib.rs
+++ b/crates/http/src/lib.rs
@@ -34,7 +34,7 @@
 pub use client::{ApiClient, CallError, Codec};
 pub use connection_limits::{ConnectionLimits, LimitSource};
 pub use connection_pool::ConnectionPool;
-pub use held_body::{hold_bytes, read_body};
+pub use held_body::{hold_bytes, read_body, HeldRoom};
 pub use reply::{
     decode_msgpack, encode_msgpack, reply_bytes, reply_json, reply_msgpack, reply_text, stream_body,
 };
--- a/crates/node/src/relay.rs
+++ b/crates/node/src/relay.rs
@@ -9,7 +9,7 @@
 use briarswitch_core::prelude::*;
 use briarswitch_core::stream::EventScanner;
 use briarswitch_fleet::run::TargetRun;
-use briarswitch_http::{BodyPart, TargetBody};
+use briarswitch_http::{BodyPart, HeldRoom, TargetBody};
 use bytes::Bytes;
 use futures::Stream;
 use tokio::time::{Instant, Sleep};
@@ -42,6 +42,8 @@
     /// Number of runs whose connection broke.
     broken_runs: usize,
     scanner: EventScanner,
+    /// Room for the incomplete event.
+    room: HeldRoom,
     pending: Option<Bytes>,
     resumes: usize,
     stage: RelayStage,
@@ -92,6 +94,7 @@
             run,
             broken_runs: 0,
             scanner: EventScanner::default(),
+            room: HeldRoom::open(),
             pending: None,
             resumes: 0,
             stage: RelayStage::Streaming,
@@ -144,7 +147,8 @@
     }
 
     async fn next_step(&mut self) -> RelayStep {
-        if self.scanner.is_overlong() {
+        let claimed = self.room.resize(self.scanner.partial_bytes());
+        if self.scanner.is_overlong() || claimed.is_err() {
             return RelayStep::Broken;
         }
         let silence = self.dispatcher.shared().settings.requests.stream_silence;
@@ -212,6 +216,7 @@
     async fn resume(&mut self) -> bool {
         self.body = None;
         self.scanner.discard_partial();
+        let _ = self.room.resize(0);
         let suspects = self.run.subject.suspects();
         let may_retry = self
             .dispatcher
--- a/crates/node/tests/clients/fleet.rs
+++ b/crates/node/tests/clients/fleet.rs
@@ -17,9 +17,18 @@
 use platform::server::ServerStandin;
 use platform::store::StoreStandin;
 
+#[allow(unused_imports)]
 pub use briarswitch_fleet::forward::FORWARD_PATH;
+#[allow(unused_imports)]
 pub use platform::crowd::prompt_parts_line;
-pub use platform::server::{ENDLESS_STREAM_PATH, LARGE_ANSWER_PATH, SLOW_ANSWER_PATH};
+#[allow(unused_imports)]
+pub use platform::server::{
+    ENDLESS_STREAM_PATH, LARGE_ANSWER_PATH, SLOW_ANSWER_PATH, UNENDED_EVENT_PATH,
+};
+#[allow(unused_imports)]
+pub use platform::store::StoreNoise;
+#[allow(unused_imports)]
+pub use platform::ENGINE_SERVICE;
 
 /// Path of the exchange of membership between nodes.
 pub const GOSSIP_PATH: &str = "/gossip";
@@ -31,7 +40,8 @@
     pub metrics: SocketAddr,
     child: Child,
     _servers: [ServerStandin; 2],
-    _store: StoreStandin,
+    #[allow(dead_code)]
+    pub store: StoreStandin,
 }
 
 impl FleetProcess {
@@ -76,7 +86,7 @@
             metrics,
             child,
             _servers: servers,
-            _store: store,
+            store,
         };
         fleet.wait_until_served().await;
         fleet
