A process whose main thread panics says so in its log

What callers saw: a process that ends, with nothing in its log that says why.

Cause: lines are written in batches by a thread of their own, and a panic of the main thread ended the process before the batch with thread_panicked was written. Every start that panics (no descriptor for signals or for the system's files, no thread for the runtime) was such a case.

A trial with a limit of the address space (36,000 kB) ended so too: 'OS can't spawn worker thread', status 101, an empty log.

Fix: the main thread catches the panic, waits for the log as after any other end, and exits with the same status.

--- a/crates/node/src/main.rs
+++ b/crates/node/src/main.rs
@@ -1,6 +1,7 @@
 //! Entry point of `briarswitch-node`, the briarswitch daemon.
 
 use std::future::Future;
+use std::panic::{self, AssertUnwindSafe};
 use std::process::ExitCode;
 
 use briarswitch_core::finding::Finding;
@@ -15,6 +16,8 @@
 const EXIT_INVALID_SETTINGS: u8 = 2;
 /// Exit code for a node that could not start.
 const EXIT_START_FAILED: u8 = 1;
+/// Exit code after a panic of the main thread, the same as without a handler.
+const EXIT_PANICKED: u8 = 101;
 /// Worker threads of a node that serves a fleet; the VMs of such nodes have one core.
 const FLEET_WORKER_THREADS: usize = 1;
 
@@ -65,29 +68,30 @@
     threads: usize,
     service: impl Future<Output = Result<(), StartError>>,
 ) -> ExitCode {
-    let logging = logging::start(level, node).map_err(StartError::from);
+    let logging = logging::start(level, node);
     exit::log_panics();
-    let runtime = tokio::runtime::Builder::new_multi_thread()
-        .worker_threads(threads)
-        .enable_all()
-        .build();
-    let result = match (logging, runtime) {
-        (Ok(()), Ok(runtime)) => runtime.block_on(service),
-        (Err(error), _) => Err(error),
-        (_, Err(error)) => Err(error.into()),
-    };
-    if let Err(error) = &result {
+    let running = AssertUnwindSafe(|| -> Result<(), StartError> {
+        logging?;
+        let runtime = tokio::runtime::Builder::new_multi_thread()
+            .worker_threads(threads)
+            .enable_all()
+            .build()?;
+        runtime.block_on(service)
+    });
+    let result = panic::catch_unwind(running);
+    if let Ok(Err(error)) = &result {
         exit::log_failure(error);
     }
     // The log thread collects lines for `BATCH_DELAY` before it writes them; without this wait the
     // last lines would be lost.
     std::thread::sleep(BATCH_DELAY * 2);
     match result {
-        Ok(()) => ExitCode::SUCCESS,
-        Err(error) => {
+        Ok(Ok(())) => ExitCode::SUCCESS,
+        Ok(Err(error)) => {
             eprintln!("{error}");
             ExitCode::from(EXIT_START_FAILED)
         }
+        Err(_) => ExitCode::from(EXIT_PANICKED),
     }
 }
 
