Responses that a node reads for itself share an account of memory

The process would end, and the requests of all callers with it.

Cause: calls to the store, to peers and, in the other way of running, to engines read up to 64 MB each, whatever memory the process has and however many of them run at once. Reports of servers, a megabyte each, were not counted either.

Fix: one account of the process, an eighth of its memory, holds all responses that are not read for a caller; a single one may have no more than that and no more than 64 MB. A response without room is given up at once and its connection closed. Small messages keep a quarter of the account for themselves, as in the accounts of the listeners. Both ways of running set the limit from `memory_mb` when they start.

Reports without an end held before (the client reads a megabyte of each at most); the test stays. While no table is read the ordinary caller is told 503 as configured, once its key's validity has passed.

--- a/crates/fleet/src/node.rs
+++ b/crates/fleet/src/node.rs
@@ -8,8 +8,8 @@
 use briarswitch_core::fingerprint::SuspectFingerprint;
 use briarswitch_core::id::Incarnation;
 use briarswitch_http::{
-    reply_bytes, reply_json, reply_text, ConnectionLimits, ConnectionPool, Handler, HttpServer,
-    LimitSource, ListenerKind, Request, Response, ServerGuard,
+    limit_responses, reply_bytes, reply_json, reply_text, ConnectionLimits, ConnectionPool,
+    Handler, HttpServer, LimitSource, ListenerKind, Request, Response, ServerGuard,
 };
 use briarswitch_kernel::{Kernel, KernelError, Mailbox};
 use futures::future::BoxFuture;
@@ -90,6 +90,7 @@
         let health = bind("health", &mut settings.health).await?;
         let peers = bind("peers", &mut settings.peers).await?;
         let metrics = bind("metrics", &mut settings.metrics).await?;
+        limit_responses(&settings.limits);
         let shared = FleetShared::new(settings, new_incarnation(), platform);
         let settings = &shared.settings;
         let kernel = Kernel::spawn()?;
--- a/crates/http/src/account.rs
+++ b/crates/http/src/account.rs
@@ -64,6 +64,11 @@
         self.shared.limit.store(limit, Ordering::Relaxed);
     }
 
+    /// Returns the limit.
+    pub(crate) fn limit(&self) -> usize {
+        self.shared.limit.load(Ordering::Relaxed)
+    }
+
     /// Returns the number of bytes held.
     pub fn held(&self) -> usize {
         self.shared.held.load(Ordering::Relaxed)
@@ -86,7 +91,7 @@
     ///
     /// A claim alone may have any size: the limit of a single request is its own.
     fn limit_for(&self, size: usize, others: usize) -> usize {
-        let limit = self.shared.limit.load(Ordering::Relaxed);
+        let limit = self.limit();
         match size {
             _ if others == 0 => usize::MAX,
             ..=SMALL_CLAIM_BYTES => limit,
@@ -107,6 +112,11 @@
 }
 
 impl ByteClaim {
+    /// Returns the account.
+    pub(crate) fn account(&self) -> &ByteAccount {
+        &self.account
+    }
+
     /// Returns the number of bytes claimed.
     pub fn bytes(&self) -> usize {
         self.bytes
--- a/crates/http/src/client.rs
+++ b/crates/http/src/client.rs
@@ -11,11 +11,11 @@
 use volo_http::client::Client;
 
 use crate::body_error::BodyError;
-use crate::held_body::read_unclaimed;
+use crate::held_body::read_for_process;
 use crate::target::is_final_status;
 use crate::target_body::BodyEnd;
 
-/// Maximum size of a response body.
+/// Maximum size of a response body in bytes; a process with little memory reads less.
 const MAX_RESPONSE_BYTES: usize = 64 << 20;
 
 /// Encoding of request and response bodies.
@@ -169,7 +169,7 @@
             let text = format!("status {status} is not final");
             return Err(CallError::NoResponse(text));
         }
-        let bytes = read_unclaimed(body, MAX_RESPONSE_BYTES)
+        let bytes = read_for_process(body, MAX_RESPONSE_BYTES)
             .await
             .map_err(|error| CallError::NoResponse(error.to_string()))?;
         if status == StatusCode::OK {
--- a/crates/http/src/held_body.rs
+++ b/crates/http/src/held_body.rs
@@ -12,6 +12,7 @@
 use crate::account::{AccountFull, ByteClaim};
 use crate::body_error::BodyError;
 use crate::connection_record::ConnectionRecord;
+use crate::response_account::response_account;
 
 /// Bytes of each body that need no claim; the number of connections bounds them.
 const FREE_BYTES: usize = 4 << 10;
@@ -38,10 +39,10 @@
     when_full: WhenFull,
 }
 
-/// A claim that its connection's record counts.
+/// A claim that the record of its connection counts, if it is for one.
 struct HeldClaim {
     claim: ByteClaim,
-    record: Arc<ConnectionRecord>,
+    record: Option<Arc<ConnectionRecord>>,
 }
 
 /// Bytes and the claim for them.
@@ -61,13 +62,35 @@
     fn open() -> Option<Self> {
         let record = ConnectionRecord::current()?;
         let claim = record.account().open_claim();
-        Some(Self { claim, record })
+        Some(Self {
+            claim,
+            record: Some(record),
+        })
+    }
+
+    /// Opens a claim for a response that the process reads for itself.
+    fn open_for_process() -> Self {
+        Self {
+            claim: response_account().open_claim(),
+            record: None,
+        }
+    }
+
+    fn count(&self, before: usize, after: usize) {
+        if let Some(record) = &self.record {
+            record.count_claimed(before, after);
+        }
+    }
+
+    fn close_longest_stalled(&self) -> bool {
+        let record = self.record.as_ref();
+        record.is_some_and(|record| record.close_longest_stalled())
     }
 
     fn resize(&mut self, capacity: usize) -> Result<(), AccountFull> {
         let before = self.claim.bytes();
         self.claim.resize(capacity.saturating_sub(FREE_BYTES))?;
-        self.record.count_claimed(before, self.claim.bytes());
+        self.count(before, self.claim.bytes());
         Ok(())
     }
 
@@ -85,13 +108,13 @@
     async fn make_room(&mut self, capacity: usize, when_full: WhenFull) -> Result<(), AccountFull> {
         let mut evictions = 0;
         while self.resize(capacity).is_err() {
-            let has_closed = self.record.close_longest_stalled();
+            let has_closed = self.close_longest_stalled();
             evictions += usize::from(has_closed);
             let may_wait = has_closed && evictions <= MAX_EVICTIONS;
             if when_full == WhenFull::Refuse && !may_wait {
                 return Err(AccountFull);
             }
-            let account = self.record.account().clone();
+            let account = self.claim.account().clone();
             account.wait_for_release(RELEASE_TIMEOUT).await;
         }
         Ok(())
@@ -100,7 +123,7 @@
 
 impl Drop for HeldClaim {
     fn drop(&mut self) {
-        self.record.count_claimed(self.claim.bytes(), 0);
+        self.count(self.claim.bytes(), 0);
     }
 }
 
@@ -157,16 +180,20 @@
     read_into(buffer, body, limit).await
 }
 
-/// Reads a complete body of at most `limit` bytes that is not held for a caller.
+/// Reads a complete body of at most `limit` bytes that the process reads for itself.
+///
+/// A body that finds no room is given up at once: unread, its bytes would fill the buffers of its connection.
 ///
 /// # Errors
 ///
-/// Returns [`BodyError`] if the body is too large or incomplete.
-pub(crate) async fn read_unclaimed<B>(body: B, limit: usize) -> Result<Bytes, BodyError>
+/// Returns [`BodyError`] if the body is too large or incomplete, or if there is no room for it.
+pub(crate) async fn read_for_process<B>(body: B, limit: usize) -> Result<Bytes, BodyError>
 where
     B: http_body::Body<Data = Bytes> + Unpin,
 {
-    let buffer = HeldBuffer::new(None, WhenFull::Refuse);
+    let limit = limit.min(response_account().limit());
+    let claim = HeldClaim::open_for_process();
+    let buffer = HeldBuffer::new(Some(claim), WhenFull::Refuse);
     read_into(buffer, body, limit).await
 }
 
@@ -182,7 +209,8 @@
 where
     B: http_body::Body<Data = Bytes> + Unpin,
 {
-    let mut buffer = HeldBuffer::new(HeldClaim::open(), WhenFull::Wait);
+    let claim = HeldClaim::open().unwrap_or_else(HeldClaim::open_for_process);
+    let mut buffer = HeldBuffer::new(Some(claim), WhenFull::Wait);
     let length = body.size_hint().exact();
     let length = length.and_then(|length| usize::try_from(length).ok());
     if let Some(length) = length.filter(|length| *length <= limit) {
--- a/crates/http/src/limits.rs
+++ b/crates/http/src/limits.rs
@@ -13,6 +13,8 @@
 const CONNECTION_BYTES: usize = 40 << 10;
 /// Largest part of the memory for callers' bytes where bodies are large, as one in so many.
 const LARGE_BODY_SHARE: usize = 3;
+/// Part of the memory for responses that the process reads for itself, as one in so many.
+const RESPONSE_SHARE: usize = 8;
 /// Connections that a listener accepts on the smallest machine.
 const MIN_CONNECTIONS: usize = 16;
 
@@ -62,7 +64,8 @@
     /// Returns the listener's shares.
     ///
     /// Each running request needs a connection to its caller and one to its target, so callers get
-    /// less than half of the files. All shares leave about a fifth of the memory to the rest of the process.
+    /// less than half of the files. All shares, with that of responses, leave a tenth of the memory to the rest of the
+    /// process.
     const fn shares(self) -> ListenerShares {
         let (open_files, connection_memory, account) = match self {
             Self::Callers => (3, 4, 4),
@@ -107,6 +110,11 @@
         }
     }
 
+    /// Returns the number of bytes that responses which the process reads for itself may hold.
+    pub(crate) fn response_bytes(&self) -> usize {
+        self.memory_bytes / RESPONSE_SHARE
+    }
+
     /// Returns the number of connections that a listener may have open.
     pub(crate) fn connections(&self, kind: ListenerKind) -> usize {
         let shares = kind.shares();
--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -12,7 +12,8 @@
 use briarswitch_fleet::suspect_host::SuspectHost;
 use briarswitch_fleet::suspect_sync::SuspectSync;
 use briarswitch_http::{
-    ConnectionPool, HttpServer, ListenerKind, ServerGuard, TargetClient, TargetLimits,
+    limit_responses, ConnectionPool, HttpServer, ListenerKind, ServerGuard, TargetClient,
+    TargetLimits,
 };
 use briarswitch_kernel::{Kernel, KernelError, Mailbox};
 use briarswitch_platform::HttpPlatform;
@@ -90,6 +91,7 @@
     ///
     /// Returns [`NodeError`] when a listener cannot be bound or the control thread cannot be started.
     pub async fn spawn(settings: NodeSettings) -> Result<Self, NodeError> {
+        limit_responses(&settings.limits);
         let platform =
             HttpPlatform::open(settings.platform.clone(), settings.control.platform_timeout);
         let shared = NodeShared::new(settings, new_incarnation(), platform);
--- a/crates/node/tests/servers.rs
+++ b/crates/node/tests/servers.rs
@@ -1,4 +1,4 @@
-//! Servers that send bytes without an end, against a real process.
+//! Servers, peers and a store that send bytes without an end, against a real process.
 //!
 //! Each test checks that the process lives, that its memory stays within what its machine has, and that an ordinary
 //! request is answered meanwhile.
@@ -19,10 +19,13 @@
 use std::time::Duration;
 
 use crowd::Crowd;
-use fleet::{FleetProcess, UNENDED_EVENT_PATH};
+use fleet::{FleetProcess, StoreNoise, ENGINE_SERVICE, UNENDED_EVENT_PATH};
 use googletest::prelude::*;
 use process::Bounds;
+use serde_json::json;
 use subject::Subject;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::{Mutex, MutexGuard};
 
 /// Memory of the smallest machine of the deployments, in MB.
@@ -33,6 +36,8 @@
 const BODY_BYTES: usize = 4 << 20;
 /// Callers of streams whose event does not end.
 const STREAM_CALLERS: usize = 200;
+/// Servers and nodes that answer without an end.
+const NOISY_PEERS: usize = 60;
 /// Time for which they do.
 const NOISE_TIME: Duration = Duration::from_secs(6);
 /// Time between two looks at the process.
@@ -40,6 +45,8 @@
 
 /// Status of an ordinary request that is served.
 const SERVED: u16 = 200;
+/// Status of an ordinary request whose key is no longer valid, since its table has not been read for so long.
+const KEYS_EXPIRED: u16 = 503;
 
 const BOUNDS: Bounds = Bounds {
     memory_bytes: MEMORY_MB * 1_000_000,
@@ -68,6 +75,28 @@
     expect_that!(peak.open_files, le(BOUNDS.open_files), "open files");
 }
 
+/// Starts a server that answers each request with a body without an end; returns its address.
+async fn noisy_server() -> String {
+    let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port");
+    let address = listener.local_addr().expect("an address").to_string();
+    tokio::spawn(async move {
+        while let Ok((stream, _)) = listener.accept().await {
+            tokio::spawn(send_noise(stream));
+        }
+    });
+    address
+}
+
+async fn send_noise(mut stream: TcpStream) -> std::io::Result<()> {
+    let noise = vec![b'x'; 64 << 10];
+    let _ = stream.read(&mut [0; 4_096]).await?;
+    let head = "HTTP/1.1 200 OK\r\ncontent-length: 60000000\r\n\r\n";
+    stream.write_all(head.as_bytes()).await?;
+    loop {
+        stream.write_all(&noise).await?;
+    }
+}
+
 /// Guards against events without an end that are held for streams until the memory is used up.
 #[gtest]
 #[tokio::test(flavor = "multi_thread")]
@@ -79,3 +108,47 @@
     let _crowd = subject.meet(crowd).await;
     check(&subject, SERVED).await;
 }
+
+/// Guards against bodies without an end from the store that are held until the memory is used up.
+#[gtest]
+#[tokio::test(flavor = "multi_thread")]
+async fn bodies_of_the_store_without_an_end_fill_no_memory() {
+    let _turn = turn().await;
+    let fleet = FleetProcess::start(BOUNDS, None).await;
+    fleet.store.send_noise(StoreNoise::Bodies);
+    check(&fleet.subject(), KEYS_EXPIRED).await;
+}
+
+/// Guards against gossip without an end from many nodes that is held until the memory is used up.
+#[gtest]
+#[tokio::test(flavor = "multi_thread")]
+async fn gossip_without_an_end_fills_no_memory() {
+    let _turn = turn().await;
+    let fleet = FleetProcess::start(BOUNDS, None).await;
+    for index in 0..NOISY_PEERS {
+        let address = noisy_server().await;
+        let node = format!("front-noisy-{index}");
+        let entry = json!({"zone": "z1", "address": address, "incarnation": 1, "link_mbps": 1000});
+        fleet.store.put("nodes", &node, &entry);
+    }
+    check(&fleet.subject(), SERVED).await;
+}
+
+/// Guards against reports without an end from many servers that are held until the memory is used up.
+#[gtest]
+#[tokio::test(flavor = "multi_thread")]
+async fn reports_without_an_end_fill_no_memory() {
+    let _turn = turn().await;
+    let fleet = FleetProcess::start(BOUNDS, None).await;
+    for index in 0..NOISY_PEERS {
+        let address = noisy_server().await;
+        let id = format!("i-noisy-{index}");
+        let entry = json!({
+            "service": ENGINE_SERVICE, "address": address, "zone": "z1", "version": "v1",
+            "slots": 8, "state": "ready", "cold_remaining_ms": 0, "sequence": 1,
+            "models": [], "domain": format!("d{index}"), "staged": [], "group": null, "born": 1,
+        });
+        fleet.store.put("servers", &id, &entry);
+    }
+    check(&fleet.subject(), SERVED).await;
+}
