A table without a last page is given up

What callers saw (in tests): a store that names a further page for ever took a node whose machine has 112 MB to 338 MB in six seconds, still growing; the process would end. Pages without rows that name a further one were read again and again from the start, without an end.

Cause: the read of a whole table goes on as long as the store names another page, and keeps the rows of all of them.

--- a/crates/http/src/client.rs
+++ b/crates/http/src/client.rs
@@ -12,12 +12,10 @@
 
 use crate::body_error::BodyError;
 use crate::held_body::read_for_process;
+use crate::response_account::max_response_bytes;
 use crate::target::is_final_status;
 use crate::target_body::BodyEnd;
 
-/// Maximum size of a response body in bytes; a process with little memory reads less.
-const MAX_RESPONSE_BYTES: usize = 64 << 20;
-
 /// Encoding of request and response bodies.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum Codec {
@@ -169,7 +167,7 @@
             let text = format!("status {status} is not final");
             return Err(CallError::NoResponse(text));
         }
-        let bytes = read_for_process(body, MAX_RESPONSE_BYTES)
+        let bytes = read_for_process(body, max_response_bytes())
             .await
             .map_err(|error| CallError::NoResponse(error.to_string()))?;
         if status == StatusCode::OK {
--- a/crates/http/src/held_body.rs
+++ b/crates/http/src/held_body.rs
@@ -191,7 +191,6 @@
 where
     B: http_body::Body<Data = Bytes> + Unpin,
 {
-    let limit = limit.min(response_account().limit());
     let claim = HeldClaim::open_for_process();
     let buffer = HeldBuffer::new(Some(claim), WhenFull::Refuse);
     read_into(buffer, body, limit).await
@@ -239,6 +238,13 @@
         }
     }
 
+    /// Opens room for no bytes of what the process reads for itself.
+    pub fn for_process() -> Self {
+        Self {
+            claim: Some(HeldClaim::open_for_process()),
+        }
+    }
+
     /// Claims room for `bytes` in place of what was claimed so far.
     ///
     /// # Errors
--- a/crates/http/src/lib.rs
+++ b/crates/http/src/lib.rs
@@ -44,7 +44,7 @@
 pub use idle_pool::TargetAddress;
 pub use limits::{ListenerKind, ProcessLimits, DEFAULT_MEMORY_MB, DEFAULT_OPEN_FILES};
 pub use message::{Request, Response};
-pub use response_account::limit_responses;
+pub use response_account::{limit_responses, max_response_bytes};
 pub use server::{Handler, HttpServer, ServerGuard};
 pub use target::{full_body, SendError, SendProgress, TargetClient, TargetLimits, TargetResponse};
 pub use target_body::{BodyEnd, BodyPart, TargetBody, WholeBody};
--- a/crates/node/tests/servers.rs
+++ b/crates/node/tests/servers.rs
@@ -119,6 +119,17 @@
     check(&fleet.subject(), KEYS_EXPIRED).await;
 }
 
+/// Guards against a table without a last page that is read until the memory is used up.
+#[gtest]
+#[tokio::test(flavor = "multi_thread")]
+async fn a_table_without_a_last_page_fills_no_memory() {
+    let _turn = turn().await;
+    let fleet = FleetProcess::start(BOUNDS, None).await;
+    fleet.store.send_noise(StoreNoise::Pages);
+    fleet.store.restore(fleet.store.version());
+    check(&fleet.subject(), KEYS_EXPIRED).await;
+}
+
 /// Guards against gossip without an end from many nodes that is held until the memory is used up.
 #[gtest]
 #[tokio::test(flavor = "multi_thread")]
