--- a/crates/fleet/src/node.rs
+++ b/crates/fleet/src/node.rs
@@ -8,8 +8,8 @@
 use briarswitch_core::fingerprint::SuspectFingerprint;
 use briarswitch_core::id::Incarnation;
 use briarswitch_http::{
-    reply_bytes, reply_json, reply_text, ConnectionLimits, ConnectionPool, Handler, HttpServer,
-    LimitSource, ListenerKind, Request, Response, ServerGuard,
+    limit_responses, reply_bytes, reply_json, reply_text, ConnectionLimits, ConnectionPool,
+    Handler, HttpServer, LimitSource, ListenerKind, Request, Response, ServerGuard,
 };
 use briarswitch_kernel::{Kernel, KernelError, Mailbox};
 use futures::future::BoxFuture;
@@ -86,6 +86,7 @@
         let health = open("health", &mut settings.health).await?;
         let peers = open("peers", &mut settings.peers).await?;
         let metrics = open("metrics", &mut settings.metrics).await?;
+        limit_responses(&settings.limits);
         let shared = FleetShared::new(settings, new_incarnation(), platform);
         shared.set_caller_listener(Arc::clone(callers.status()));
         let settings = &shared.settings;
