A planned stop waits for answers that are still being written

What callers saw: an at-most-once request was run and answered whole by its target, the node got SIGTERM while the caller read the answer, and the process exited seconds before the end of its grace period; the rest of the answer was lost. Answers that are not streams, to callers that read slowly.

Cause: a request counted as in flight until its handler returned the response. The connection writes the response afterwards, and the HTTP library drops a body as soon as it has buffered it, so that nothing told shutdown() of the bytes that the connection still held.

Mend: the record of a connection knows whether part of an answer has yet to be written: from the moment at which there is a response until its body has ended and the connection has been flushed after it, which the library does when the system has taken all bytes. A listener counts such connections, and a node ends when no request is in flight and no answer unwritten on any of its listeners, or at the end of its grace period. `shutdown_ended` names the number of unwritten answers.

Why it holds: the state is set and cleared where bytes pass, in the stream below the HTTP library, not where the node believes that it is done.

--- a/crates/fleet/src/node.rs
+++ b/crates/fleet/src/node.rs
@@ -66,7 +66,7 @@
     shared: Arc<FleetShared>,
     kernel: Kernel,
     stop: watch::Sender<bool>,
-    _servers: Vec<ServerGuard>,
+    servers: Vec<ServerGuard>,
 }
 
 impl FleetNode {
@@ -152,7 +152,7 @@
             shared,
             kernel,
             stop,
-            _servers: servers,
+            servers,
         })
     }
 
@@ -166,7 +166,7 @@
     /// The readiness check fails first. Requests are still accepted until the load balancer has had time to notice,
     /// and each response asks its caller to close the connection. After that, new requests are refused as not run,
     /// and those in flight may finish. The callers of those that do not are told so while there is time to write it, and
-    /// the node ends when none is in flight or its grace period is over.
+    /// the node ends when all answers have been written or its grace period is over.
     pub async fn shutdown(self) {
         let grace = self.shared.settings.grace;
         log::info!(grace_ms = grace.as_millis() as u64; "shutdown_begun");
@@ -182,21 +182,28 @@
         self.shared.log_costs();
         log::info!(
             complete = closed.is_ok(),
-            in_flight = self.shared.in_flight.load(Ordering::SeqCst);
+            in_flight = self.shared.in_flight.load(Ordering::SeqCst),
+            unwritten = self.unwritten_answers();
             "shutdown_ended"
         );
     }
 
-    /// Waits until no request is in flight.
+    /// Waits until no request is in flight and all answers have been written.
     async fn drained(&self) {
         loop {
-            // An answer is in flight until just before it is written.
+            // A request that has just ended is in neither number until its answer is begun.
             tokio::time::sleep(DRAIN_POLL_INTERVAL).await;
-            if self.shared.in_flight.load(Ordering::SeqCst) == 0 {
+            let in_flight = self.shared.in_flight.load(Ordering::SeqCst);
+            if in_flight == 0 && self.unwritten_answers() == 0 {
                 return;
             }
         }
     }
+
+    fn unwritten_answers(&self) -> usize {
+        let servers = self.servers.iter();
+        servers.map(ServerGuard::unwritten_answers).sum()
+    }
 }
 
 impl Drop for FleetNode {
--- a/crates/http/src/answer_body.rs
+++ b/crates/http/src/answer_body.rs
@@ -18,6 +18,7 @@
 
 impl AnswerBody {
     pub(crate) fn new(body: Body, record: Arc<ConnectionRecord>) -> Self {
+        record.begin_answer();
         Self { body, record }
     }
 }
--- a/crates/http/src/connection_pool.rs
+++ b/crates/http/src/connection_pool.rs
@@ -129,6 +129,15 @@
         self.open.load(Ordering::Relaxed)
     }
 
+    /// Returns the number of connections on which part of an answer has yet to be written.
+    pub(crate) fn unwritten_answers(&self) -> usize {
+        let records = self.lock();
+        let records = records.values();
+        records
+            .filter(|record| record.has_unwritten_answer())
+            .count()
+    }
+
     /// Takes a place for a new connection, if need be that of the one that has been idle or without
     /// a whole head for longest; `None` if each connection has a request.
     pub(crate) async fn take_place(self: &Arc<Self>) -> Option<PoolPlace> {
--- a/crates/http/src/connection_record.rs
+++ b/crates/http/src/connection_record.rs
@@ -27,6 +27,17 @@
     Reader,
 }
 
+/// How far an answer has been written.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+enum AnswerState {
+    /// There is none, or the system has taken all of it.
+    Written,
+    /// Its body has not ended.
+    Begun,
+    /// Its body has ended, and part of it may wait to be written.
+    Ended,
+}
+
 /// How long a connection has waited for its other end.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub(crate) struct ConnectionWait {
@@ -55,6 +66,7 @@
     /// What is waited for; `None` while a request runs.
     awaited: Option<Awaited>,
     since: Instant,
+    answer: AnswerState,
     /// Since when the other end has not read.
     unread_since: Option<Instant>,
     head_bytes: usize,
@@ -95,6 +107,7 @@
             state: Mutex::new(RecordState {
                 awaited: Some(Awaited::Request),
                 since: Instant::now(),
+                answer: AnswerState::Written,
                 unread_since: None,
                 head_bytes: 0,
                 head_claim: None,
@@ -220,9 +233,28 @@
         }
     }
 
+    /// Records that a response is there to be written.
+    pub(crate) fn begin_answer(&self) {
+        self.lock().answer = AnswerState::Begun;
+    }
+
+    /// Records that the system has taken all that there was to write.
+    pub(crate) fn record_flush(&self) {
+        let mut state = self.lock();
+        if state.answer == AnswerState::Ended {
+            state.answer = AnswerState::Written;
+        }
+    }
+
+    /// Returns whether part of an answer has yet to be written.
+    pub(crate) fn has_unwritten_answer(&self) -> bool {
+        self.lock().answer != AnswerState::Written
+    }
+
     /// Records that a response has been handed over whole.
     pub(crate) fn end_request(&self) {
         let mut state = self.lock();
+        state.answer = AnswerState::Ended;
         state.awaited = Some(Awaited::Request);
         state.since = Instant::now();
         state.head_bytes = 0;
--- a/crates/http/src/server.rs
+++ b/crates/http/src/server.rs
@@ -71,6 +71,7 @@
     address: SocketAddr,
     task: JoinHandle<()>,
     is_closed: Arc<AtomicBool>,
+    pool: Arc<ConnectionPool>,
 }
 
 impl HttpServer {
@@ -121,7 +122,7 @@
     pub fn spawn(self, handler: Arc<dyn Handler>, stop: watch::Receiver<bool>) -> ServerGuard {
         let is_closed = Arc::new(AtomicBool::new(false));
         let acceptor = ConnectionAcceptor {
-            pool: self.pool,
+            pool: Arc::clone(&self.pool),
             service: RequestService {
                 handler,
                 is_closed: Arc::clone(&is_closed),
@@ -132,6 +133,7 @@
             address: self.address,
             task: tokio::spawn(acceptor.run(self.listener)),
             is_closed,
+            pool: self.pool,
         }
     }
 }
@@ -141,6 +143,11 @@
     pub fn address(&self) -> SocketAddr {
         self.address
     }
+
+    /// Returns the number of connections on which part of an answer has yet to be written.
+    pub fn unwritten_answers(&self) -> usize {
+        self.pool.unwritten_answers()
+    }
 }
 
 impl Drop for ServerGuard {
--- a/crates/http/src/tracked_stream.rs
+++ b/crates/http/src/tracked_stream.rs
@@ -65,7 +65,11 @@
     }
 
     fn poll_flush(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
-        Pin::new(&mut self.stream).poll_flush(context)
+        let flushed = Pin::new(&mut self.stream).poll_flush(context);
+        if flushed.is_ready() {
+            self.record.record_flush();
+        }
+        flushed
     }
 
     fn poll_shutdown(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
