--- a/crates/fleet/src/node_exit.rs
+++ b/crates/fleet/src/node_exit.rs
@@ -48,6 +48,26 @@
             exit_by,
         }
     }
+
+    /// Plans for a node that accepts requests for `notice`, and waits at most `drain` for those in flight.
+    ///
+    /// ```
+    /// use std::time::Duration;
+    ///
+    /// use briarswitch_fleet::node_exit::ExitPlan;
+    ///
+    /// let plan = ExitPlan::with_drain(Duration::from_secs(2), Duration::from_secs(60));
+    /// assert_eq!(plan.answers_by, Duration::from_millis(61_700));
+    /// assert_eq!(plan.exit_by, Duration::from_secs(62));
+    /// ```
+    pub fn with_drain(notice: Duration, drain: Duration) -> Self {
+        let exit_by = notice + drain;
+        Self {
+            notice,
+            answers_by: exit_by - ANSWER_MARGIN.min(drain / 4),
+            exit_by,
+        }
+    }
 }
 
 /// Whether a node was told to end, and the time that it has left.
@@ -58,10 +78,10 @@
 }
 
 impl NodeExit {
-    /// Creates the state of a node that was not told to end, with its grace period.
-    pub fn new(grace: Duration) -> Self {
+    /// Creates the state of a node that was not told to end.
+    pub fn new(plan: ExitPlan) -> Self {
         Self {
-            plan: ExitPlan::new(grace),
+            plan,
             begun_at: watch::Sender::new(None),
         }
     }
@@ -91,9 +111,9 @@
     /// ```
     /// use std::time::Duration;
     ///
-    /// use briarswitch_fleet::node_exit::NodeExit;
+    /// use briarswitch_fleet::node_exit::{ExitPlan, NodeExit};
     ///
-    /// let exit = NodeExit::new(Duration::from_secs(8));
+    /// let exit = NodeExit::new(ExitPlan::new(Duration::from_secs(8)));
     /// let deadline = Duration::from_secs(100);
     /// assert_eq!(exit.bound(deadline), deadline);
     /// exit.begin(Duration::from_secs(60));
--- a/crates/fleet/src/shared.rs
+++ b/crates/fleet/src/shared.rs
@@ -22,7 +22,7 @@
 use crate::gauge_map::GaugeMap;
 use crate::metrics::FleetMetrics;
 use crate::need::NeedMeter;
-use crate::node_exit::NodeExit;
+use crate::node_exit::{ExitPlan, NodeExit};
 use crate::ports::{FeedMark, FeedRequest, FeedResponse, FleetPlatform, NodeEntry, SourceError};
 use crate::reach::TargetReach;
 use crate::readiness::{MissingCondition, Readiness, ReadinessCondition};
@@ -144,7 +144,7 @@
             link_mbps: settings.link_mbps,
         };
         Arc::new(Self {
-            exit: NodeExit::new(settings.grace),
+            exit: NodeExit::new(ExitPlan::new(settings.grace)),
             settings,
             incarnation,
             feed: FeedRelay::new(Arc::clone(&platform.feed), Arc::clone(&costs)),
--- a/crates/node/src/caller.rs
+++ b/crates/node/src/caller.rs
@@ -1,5 +1,6 @@
 //! HTTP API for callers: authenticates, validates and routes requests.
 
+use std::future::Future;
 use std::sync::Arc;
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
 
@@ -17,8 +18,9 @@
 use briarswitch_wire::peer::FORWARD_HOP_HEADER;
 use bytes::Bytes;
 use futures::future::BoxFuture;
+use http::header::CONNECTION;
 use http::request::Parts;
-use http::{HeaderMap, Method, StatusCode};
+use http::{HeaderMap, HeaderValue, Method, StatusCode};
 
 use crate::admission::AdmissionRequest;
 use crate::attempt::TargetRequest;
@@ -70,18 +72,35 @@
     }
 
     async fn answer(&self, request: Request) -> Response {
+        let mut response = self.run(request).await;
+        if self.shared.phase() != Phase::Running {
+            let close = HeaderValue::from_static("close");
+            response.headers_mut().insert(CONNECTION, close);
+        }
+        response
+    }
+
+    async fn run(&self, request: Request) -> Response {
         let (head, body) = request.into_parts();
         let id = request_id(&head.headers);
+        if self.shared.phase() == Phase::Draining {
+            let failure = unavailable("draining", "this node is shutting down");
+            return self.refuse(&failure, &id);
+        }
         if let Some(key) = self.other_incarnation_key(&head.headers) {
-            return self.forwarder.forward(key, head, body, &id).await;
+            let forwarding = self.forwarder.forward(key, head, body, &id);
+            return match self.wait_for_peer(&id, forwarding).await {
+                Ok(response) | Err(response) => response,
+            };
         }
         if head.uri.path() == MINT_PATH {
             return self.mint(&head.headers, &id);
         }
         let body = if self.should_forward(&head) {
-            match self.forward_to_any(&head, body, &id).await {
-                Ok(response) => return response,
-                Err(body) => body,
+            let forwarding = self.forward_to_any(&head, body, &id);
+            match self.wait_for_peer(&id, forwarding).await {
+                Ok(Err(body)) => body,
+                Ok(Ok(response)) | Err(response) => return response,
             }
         } else {
             body
@@ -103,6 +122,31 @@
         key.is_none() && !is_forwarded && self.shared.reach.is_partitioned()
     }
 
+    /// Waits for the response of another node, unless this one has to exit before.
+    ///
+    /// The request counts as in flight meanwhile.
+    ///
+    /// # Errors
+    ///
+    /// Returns the reply for the caller if there is no other response.
+    async fn wait_for_peer<T>(
+        &self,
+        id: &str,
+        forwarding: impl Future<Output = T>,
+    ) -> Result<T, Response> {
+        let Some(_in_flight) = InFlightGuard::acquire(&self.shared) else {
+            let failure = unavailable("overloaded", "too many requests are in flight");
+            return Err(self.refuse(&failure, id));
+        };
+        tokio::select! {
+            biased;
+            forwarded = forwarding => Ok(forwarded),
+            () = self.shared.exit.answers_due() => {
+                Err(self.refuse(&CallerFailure::at(FailurePoint::AnswerDeadline), id))
+            }
+        }
+    }
+
     /// Forwards a request; returns its body if no node took it.
     async fn forward_to_any(&self, head: &Parts, body: Body, id: &str) -> Result<Response, Body> {
         let bytes = match self.read_request_body(body).await {
@@ -159,9 +203,6 @@
         body: Body,
         id: &str,
     ) -> Result<MatchedRequest, CallerFailure> {
-        if self.shared.phase() == Phase::Draining {
-            return Err(unavailable("draining", "this node is shutting down"));
-        }
         let config = self.shared.config.load();
         if config.floor.is_none() {
             return Err(unavailable("not_ready", "no configuration is known yet"));
@@ -320,6 +361,7 @@
     ) -> Result<MatchedRequest, CallerFailure> {
         let now = BootClock::now();
         let deadline = now + self.deadline(&input.head.headers)?;
+        let deadline = self.shared.exit.bound(deadline);
         let key = parse_idempotency_key(&input.head.headers)?;
         let is_chat = matches!(input.parsed, ParsedRequest::Chat(_));
         let is_repeatable =
--- a/crates/node/src/dispatch.rs
+++ b/crates/node/src/dispatch.rs
@@ -20,7 +20,7 @@
 use http::{HeaderValue, StatusCode};
 use serde::Deserialize;
 
-use crate::admission::{AdmissionRequest, DeploymentAdmission, TargetPermit};
+use crate::admission::{AdmissionRefusal, AdmissionRequest, DeploymentAdmission, TargetPermit};
 use crate::attempt::{read_to_end, AttemptReply, AttemptRunner, TargetRequest};
 use crate::claims::{outcome_of, ClaimVerdict, ClaimWriter};
 use crate::in_flight::InFlightGuard;
@@ -35,6 +35,9 @@
 /// Time for which the outcome of a settled idempotency key is kept.
 const KEY_RETENTION: std::time::Duration = std::time::Duration::from_secs(3600);
 
+/// Time after which a caller may retry whose request a node had no time left to send.
+const EXIT_RETRY: std::time::Duration = std::time::Duration::from_millis(100);
+
 /// A request of a known organisation, with the deployment that a rule selected for it.
 pub struct MatchedRequest {
     /// Fingerprints of the request, equal for all its repetitions, and of the parts of its prompt.
@@ -300,7 +303,7 @@
         let mut earlier: Option<FailurePoint> = None;
         let mut broken_runs = 0;
         loop {
-            let permit = match admission.admit(&matched.admission, &tried).await {
+            let permit = match self.admit(&admission, &matched, &tried).await {
                 Ok(permit) => permit,
                 Err(refusal) => {
                     // If an earlier attempt may have run, the outcome stays unknown.
@@ -315,7 +318,8 @@
                 let failure = CallerFailure { point, ..failure };
                 return Err(self.finish_failed(failure, trace).await);
             }
-            let point = match self.attempt_once(&matched, permit, &mut trace).await {
+            let attempt = self.attempt_before_exit(&matched, permit, &mut trace);
+            let point = match attempt.await {
                 Ok(AttemptResult::Complete(reply)) => return Ok(reply),
                 Ok(AttemptResult::Stream(start)) => {
                     return Ok(self.stream_reply(matched, *start, trace))
@@ -338,6 +342,38 @@
         }
     }
 
+    /// Admits a request, unless the node has to exit before.
+    async fn admit(
+        &self,
+        admission: &Arc<DeploymentAdmission>,
+        matched: &MatchedRequest,
+        tried: &[TargetId],
+    ) -> Result<TargetPermit, AdmissionRefusal> {
+        tokio::select! {
+            biased;
+            admitted = admission.admit(&matched.admission, tried) => admitted,
+            () = self.shared.exit.answers_due() => Err(AdmissionRefusal {
+                point: FailurePoint::QueueDeadline,
+                retry_after: EXIT_RETRY,
+            }),
+        }
+    }
+
+    /// Makes one attempt, and gives it up in time to say so if the node has to exit before it ends.
+    async fn attempt_before_exit(
+        &self,
+        matched: &MatchedRequest,
+        permit: TargetPermit,
+        trace: &mut RequestTrace,
+    ) -> Result<AttemptResult, (FailurePoint, TargetId)> {
+        let target = permit.target.id.clone();
+        tokio::select! {
+            biased;
+            result = self.attempt_once(matched, permit, trace) => result,
+            () = self.shared.exit.answers_due() => Err((FailurePoint::AnswerDeadline, target)),
+        }
+    }
+
     fn withdraw_retry(&self, trace: &RequestTrace) -> bool {
         let is_left = self
             .budget
--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -38,6 +38,8 @@
 const MAX_IDLE_CONNECTIONS: usize = 256;
 /// Time between checks for requests in flight and unwritten usage during shutdown.
 const DRAIN_POLL_INTERVAL: Duration = Duration::from_millis(20);
+/// Longest time in which what the end of the drain breaks off is told to its callers.
+const CLOSE_TIMEOUT: Duration = Duration::from_millis(100);
 /// Longest time to wait during shutdown for usage to be written, and then for the lease's release.
 const PLATFORM_WRITE_TIMEOUT: Duration = Duration::from_secs(2);
 
@@ -80,7 +82,7 @@
     addresses: NodeAddresses,
     kernel: Kernel,
     stop: watch::Sender<bool>,
-    _servers: [ServerGuard; 4],
+    servers: [ServerGuard; 4],
 }
 
 impl Node {
@@ -158,7 +160,7 @@
             addresses,
             kernel,
             stop,
-            _servers: servers,
+            servers,
         })
     }
 
@@ -172,20 +174,28 @@
     /// Readiness checks fail first, and requests are still accepted for `shutdown.notice_ms`, in
     /// which the load balancer takes the node out. Then new requests are refused as not run, those
     /// in flight run to their end for at most `shutdown.drain_ms`, usage is written, and the
-    /// listeners close. The release of the lease begins with the failing checks.
+    /// listeners close. Callers of requests that have no answer by then are told so while there is
+    /// time to write it. The release of the lease begins with the failing checks.
     pub async fn shutdown(self) {
         log::info!("shutdown_begun");
-        let settings = self.shared.settings.shutdown;
         self.shared.set_phase(Phase::Leaving);
         let released = self.release_lease();
-        tokio::time::sleep(settings.notice).await;
+        tokio::time::sleep(self.shared.exit.plan().notice).await;
         self.shared.set_phase(Phase::Draining);
-        let drained = tokio::time::timeout(settings.drain, self.drain()).await;
+        tokio::select! {
+            () = self.drained() => {}
+            () = self.shared.exit.exit_due() => {}
+        }
+        let drained = tokio::time::timeout(CLOSE_TIMEOUT, self.drained()).await;
         self.flush_usage().await;
         let _ = tokio::time::timeout(PLATFORM_WRITE_TIMEOUT, released).await;
-        let in_flight = self.shared.in_flight.load(Ordering::SeqCst);
-        log::info!(complete = drained.is_ok(), in_flight = in_flight; "shutdown_ended");
         let _ = self.stop.send(true);
+        log::info!(
+            complete = drained.is_ok(),
+            in_flight = self.shared.in_flight.load(Ordering::SeqCst),
+            unwritten = self.unwritten_answers();
+            "shutdown_ended"
+        );
     }
 
     fn release_lease(&self) -> oneshot::Receiver<()> {
@@ -194,12 +204,23 @@
         released
     }
 
-    async fn drain(&self) {
-        while self.shared.in_flight.load(Ordering::SeqCst) > 0 {
+    /// Waits until no request is in flight and all answers have been written.
+    async fn drained(&self) {
+        loop {
+            // A request that has just ended is in neither number until its answer is begun.
             tokio::time::sleep(DRAIN_POLL_INTERVAL).await;
+            let in_flight = self.shared.in_flight.load(Ordering::SeqCst);
+            if in_flight == 0 && self.unwritten_answers() == 0 {
+                return;
+            }
         }
     }
 
+    fn unwritten_answers(&self) -> usize {
+        let servers = self.servers.iter();
+        servers.map(ServerGuard::unwritten_answers).sum()
+    }
+
     async fn flush_usage(&self) {
         let flushing = async {
             while !self.shared.usage.is_empty() {
--- a/crates/node/src/relay.rs
+++ b/crates/node/src/relay.rs
@@ -97,8 +97,16 @@
             stage: RelayStage::Streaming,
             trace,
         };
-        futures::stream::unfold(relay, |mut relay| async move {
-            relay.next().await.map(|item| (item, relay))
+        let shared = Arc::clone(relay.dispatcher.shared());
+        let exit_due = Box::pin(async move { shared.exit.exit_due().await });
+        futures::stream::unfold((relay, exit_due), |(mut relay, mut exit_due)| async move {
+            let is_streaming = relay.stage == RelayStage::Streaming;
+            let item = tokio::select! {
+                biased;
+                item = relay.next() => item,
+                () = &mut exit_due, if is_streaming => Some(Ok(relay.fail())),
+            };
+            item.map(|item| (item, (relay, exit_due)))
         })
     }
 
--- a/crates/node/src/shared.rs
+++ b/crates/node/src/shared.rs
@@ -5,8 +5,9 @@
 use std::sync::Arc;
 
 use briarswitch_core::prelude::*;
+use briarswitch_fleet::node_exit::{ExitPlan, NodeExit};
 use briarswitch_fleet::reach::TargetReach;
-use briarswitch_kernel::Snapshot;
+use briarswitch_kernel::{BootClock, Snapshot};
 use briarswitch_platform::Platform;
 use briarswitch_wire::config::EntryDoc;
 use indexmap::IndexMap;
@@ -139,12 +140,15 @@
     pub reach: TargetReach,
     /// Number of requests in flight.
     pub in_flight: AtomicUsize,
+    /// Time that the node has left once it was told to end.
+    pub exit: NodeExit,
     phase: AtomicU8,
 }
 
 impl NodeShared {
     /// Creates the initial state of a process.
     pub fn new(settings: NodeSettings, incarnation: Incarnation, platform: Platform) -> Arc<Self> {
+        let shutdown = settings.shutdown;
         Arc::new(Self {
             settings,
             incarnation,
@@ -161,6 +165,7 @@
             platform,
             reach: TargetReach::default(),
             in_flight: AtomicUsize::new(0),
+            exit: NodeExit::new(ExitPlan::with_drain(shutdown.notice, shutdown.drain)),
             phase: AtomicU8::new(Phase::Running as u8),
         })
     }
@@ -176,6 +181,9 @@
 
     /// Sets the lifecycle phase of the process.
     pub fn set_phase(&self, phase: Phase) {
+        if phase != Phase::Running {
+            self.exit.begin(BootClock::now());
+        }
         self.phase.store(phase as u8, Ordering::SeqCst);
     }
 
