A row of suspects states a time that the store's clock can show

What callers saw: nothing yet; found by the table of odd rows. The service that reads the suspects panics again and again, each time started again by the kernel.

Cause: the time of a crash came from a row, or from another node's report, as any number of 64 bits, and a period is added to it wherever expired rows are looked for. Near the end of the type that sum leaves the range: it panics where sums are checked, and elsewhere it wraps, so that the row counts as expired the moment it is read.

Now both borders, the row and the report of another node, take a time up to 2^53 ms; a later one is an unreadable row, alone.

--- a/crates/core/src/crash.rs
+++ b/crates/core/src/crash.rs
@@ -14,7 +14,7 @@
 
 pub use crate::crash_evidence::{is_expired, CRASH_RETENTION, MIN_CRASHES};
 pub use crate::crash_report::{
-    ClearReport, CrashReport, CrashedTarget, IncarnationKey, StoreMillis,
+    ClearReport, CrashReport, CrashedTarget, IncarnationKey, StoreMillis, MAX_STORE_MILLIS,
 };
 
 /// Period over which the crash rate is computed.
--- a/crates/core/src/crash_report.rs
+++ b/crates/core/src/crash_report.rs
@@ -18,6 +18,9 @@
 /// Reading of the store's clock in milliseconds, the same on all nodes.
 pub type StoreMillis = u64;
 
+/// Latest time that a report may state; times of the store's clock are far below, and sums with a period stay in range.
+pub const MAX_STORE_MILLIS: StoreMillis = 1 << 53;
+
 /// Hash of a target's name and incarnation.
 #[derive(Clone, Copy, Debug, Eq, Hash, Ord, PartialEq, PartialOrd)]
 pub struct IncarnationKey(pub u64);
--- a/crates/fleet/src/suspect_doc.rs
+++ b/crates/fleet/src/suspect_doc.rs
@@ -63,6 +63,7 @@
             let fingerprint = fingerprint.into_array().into();
             SuspectRow::Clear(ClearReport { fingerprint, at })
         });
-        crashes.chain(clears).collect()
+        let rows = crashes.chain(clears);
+        rows.filter_map(SuspectRow::in_range).collect()
     }
 }
--- a/crates/fleet/src/suspect_record.rs
+++ b/crates/fleet/src/suspect_record.rs
@@ -98,15 +98,16 @@
             incarnation,
         } = parse_key(&record.key)?;
         let SuspectValue { at, domain, chance } = record.value;
-        let Some(incarnation) = incarnation else {
-            return Ok(Self::Clear(ClearReport { fingerprint, at }));
+        let row = match incarnation {
+            None => Self::Clear(ClearReport { fingerprint, at }),
+            Some(incarnation) => Self::Crash(CrashReport {
+                fingerprint,
+                incarnation,
+                domain: domain.ok_or(UnreadableRecord)?,
+                at,
+                chance_permille: chance.ok_or(UnreadableRecord)?,
+            }),
         };
-        Ok(Self::Crash(CrashReport {
-            fingerprint,
-            incarnation,
-            domain: domain.ok_or(UnreadableRecord)?,
-            at,
-            chance_permille: chance.ok_or(UnreadableRecord)?,
-        }))
+        row.in_range().ok_or(UnreadableRecord)
     }
 }
--- a/crates/fleet/src/suspect_row.rs
+++ b/crates/fleet/src/suspect_row.rs
@@ -1,6 +1,8 @@
 //! Rows of the table of crash reports.
 
-use briarswitch_core::crash::{ClearReport, CrashReport, IncarnationKey, StoreMillis};
+use briarswitch_core::crash::{
+    ClearReport, CrashReport, IncarnationKey, StoreMillis, MAX_STORE_MILLIS,
+};
 use briarswitch_core::fingerprint::SuspectFingerprint;
 
 /// Key of a row in the table of crash reports.
@@ -44,6 +46,20 @@
             Self::Clear(clear) => clear.at,
         }
     }
+
+    /// Returns the row, or `None` if it states a time that the store's clock cannot show.
+    ///
+    /// ```
+    /// use briarswitch_core::crash::ClearReport;
+    /// use briarswitch_fleet::ports::SuspectRow;
+    ///
+    /// let row = |at| SuspectRow::Clear(ClearReport { fingerprint: [1; 16].into(), at });
+    /// assert!(row(5).in_range().is_some());
+    /// assert!(row(u64::MAX).in_range().is_none());
+    /// ```
+    pub fn in_range(self) -> Option<Self> {
+        (self.at() <= MAX_STORE_MILLIS).then_some(self)
+    }
 }
 
 /// A change of the table of crash reports.
