Counts of a configuration are in range

What callers saw: a node that answers nobody any more, though it is ready, after one version with a limit of headers near the end of its type; the next version does not help. With two large weights in a split, a closed connection in place of an answer.

Cause: counts of a configuration were used as written. The limit of headers is multiplied by the size of a head where a connection is accepted; the sum panics (where sums are checked) and ends the loop that accepts. Weights are summed with 32 bits, and the slots of a group have one added. Elsewhere these sums wrap.

The weights of a split are summed with 64 bits, since their number has no bound, and the limits of a connection saturate.

--- a/crates/core/src/traffic.rs
+++ b/crates/core/src/traffic.rs
@@ -98,14 +98,16 @@
 
 /// Returns the share that a draw falls into.
 pub fn pick_share(split: &[SplitShare], draw: u32) -> Option<&SplitShare> {
-    let total: u32 = split.iter().map(|share| share.weight).sum();
+    let weights = split.iter().map(|share| u64::from(share.weight));
+    let total: u64 = weights.sum();
     if total == 0 {
         return split.first();
     }
-    let mut remaining = draw % total;
+    let mut remaining = u64::from(draw) % total;
     split.iter().find(|share| {
-        let is_here = remaining < share.weight;
-        remaining = remaining.saturating_sub(share.weight);
+        let weight = u64::from(share.weight);
+        let is_here = remaining < weight;
+        remaining = remaining.saturating_sub(weight);
         is_here
     })
 }
--- a/crates/http/src/connection_limits.rs
+++ b/crates/http/src/connection_limits.rs
@@ -47,7 +47,9 @@
     #[must_use]
     pub fn with_header_bytes(self, header_bytes: usize) -> Self {
         Self {
-            head_bytes: header_bytes * HEAD_FACTOR + REQUEST_LINE_BYTES,
+            head_bytes: header_bytes
+                .saturating_mul(HEAD_FACTOR)
+                .saturating_add(REQUEST_LINE_BYTES),
             ..self
         }
     }
