Bytes that are no part of a response are given up after half a megabyte

What callers saw: a server that sent interim responses (100 Continue), or the size of a chunk, without an end kept its request, and a processor of the node, busy until the time limit of the route.

Cause: the HTTP library passes over each interim response and each zero in front of a chunk's size, as many as there are. Heads, empty lines, chunk extensions and trailers have limits of their own.

Fix: a connection to a target counts the bytes that it receives after one part of a response (the head, some bytes of the body) and before the next; past MAX_OVERHEAD_BYTES it fails like one that broke, so that the caller is told at once or the request goes to another target, and the connection is closed.

Empty lines and extensions held before.

--- a/crates/http/src/idle_pool.rs
+++ b/crates/http/src/idle_pool.rs
@@ -7,6 +7,8 @@
 use http_body_util::Full;
 use hyper::client::conn::http1::SendRequest;
 
+use crate::guarded_stream::OverheadCount;
+
 /// Address and incarnation of a target.
 ///
 /// The incarnation is part of the pool's key so that a connection to a machine is never used for
@@ -20,7 +22,12 @@
 }
 
 /// Sends requests on one connection.
-pub(crate) type Sender = SendRequest<Full<Bytes>>;
+pub(crate) struct Sender {
+    /// Sends them.
+    pub(crate) requests: SendRequest<Full<Bytes>>,
+    /// Bytes received that were no part of a response.
+    pub(crate) overhead: OverheadCount,
+}
 
 /// Idle connections by target; clones share them.
 #[derive(Clone, Default)]
@@ -39,7 +46,7 @@
         let mut pool = self.lock();
         let senders = pool.get_mut(target)?;
         while let Some(sender) = senders.pop() {
-            if sender.is_ready() && !sender.is_closed() {
+            if sender.requests.is_ready() && !sender.requests.is_closed() {
                 return Some(sender);
             }
         }
@@ -49,7 +56,7 @@
     /// Adds a connection once it can take the next request, unless the pool holds `max_idle` connections to the target
     /// then.
     pub(crate) async fn add(&self, target: TargetAddress, mut sender: Sender, max_idle: usize) {
-        if sender.ready().await.is_err() {
+        if sender.requests.ready().await.is_err() {
             return;
         }
         let mut pool = self.lock();
--- a/crates/http/src/lib.rs
+++ b/crates/http/src/lib.rs
@@ -19,6 +19,7 @@
 mod connection_limits;
 mod connection_pool;
 mod connection_record;
+mod guarded_stream;
 mod held_body;
 mod idle_pool;
 mod limits;
--- a/crates/http/src/target.rs
+++ b/crates/http/src/target.rs
@@ -13,6 +13,7 @@
 use socket2::SockRef;
 use tokio::net::TcpStream;
 
+use crate::guarded_stream::{GuardedStream, OverheadCount};
 use crate::idle_pool::{IdlePool, Sender, TargetAddress};
 use crate::target_body::{PooledConnection, TargetBody};
 
@@ -179,8 +180,10 @@
         mut sender: Sender,
         request: http::Request<Full<Bytes>>,
     ) -> Result<TargetResponse, (SendError, Option<Box<http::Request<Full<Bytes>>>>)> {
-        match sender.try_send_request(request).await {
+        sender.overhead.reset();
+        match sender.requests.try_send_request(request).await {
             Ok(response) => {
+                sender.overhead.reset();
                 let (head, incoming) = response.into_parts();
                 if !is_final_status(head.status) {
                     return Err((SendError::InvalidHead, None));
@@ -234,14 +237,15 @@
         let _ = stream.set_nodelay(true);
         // Otherwise a request that was given up would still arrive when a partition ends.
         let _ = stream.set_zero_linger();
+        let overhead = OverheadCount::default();
         let handshake = Builder::new()
             .max_buf_size(MAX_BUFFER_BYTES)
-            .handshake(TokioIo::new(stream));
-        let (sender, connection) = handshake.await.map_err(|_| SendError::Connect)?;
+            .handshake(TokioIo::new(GuardedStream::new(stream, overhead.clone())));
+        let (requests, connection) = handshake.await.map_err(|_| SendError::Connect)?;
         tokio::spawn(async move {
             let _ = connection.await;
         });
-        Ok(sender)
+        Ok(Sender { requests, overhead })
     }
 }
 
--- a/crates/http/src/target_body.rs
+++ b/crates/http/src/target_body.rs
@@ -1,13 +1,17 @@
 //! Body of a target's response, and how its end is recognised.
 
+use std::pin::Pin;
+use std::task::{Context, Poll};
+
 use bytes::Bytes;
 use http::header::{CONTENT_LENGTH, TRANSFER_ENCODING};
 use http::HeaderMap;
-use http_body::Body;
+use http_body::{Body, Frame, SizeHint};
 use http_body_util::BodyExt;
 use hyper::body::Incoming;
 
 use crate::body_error::BodyError;
+use crate::guarded_stream::OverheadCount;
 use crate::held_body::read_answer;
 use crate::idle_pool::{IdlePool, Sender, TargetAddress};
 
@@ -64,11 +68,41 @@
 ///
 /// Dropping it before its end closes the connection, which makes the target cancel the request.
 pub struct TargetBody {
-    incoming: Incoming,
+    incoming: CountedBody,
     end: BodyEnd,
     connection: Option<PooledConnection>,
 }
 
+/// A body each part of which starts the count of bytes again that are no part of it.
+struct CountedBody {
+    incoming: Incoming,
+    overhead: OverheadCount,
+}
+
+impl Body for CountedBody {
+    type Data = Bytes;
+    type Error = hyper::Error;
+
+    fn poll_frame(
+        mut self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+    ) -> Poll<Option<Result<Frame<Bytes>, hyper::Error>>> {
+        let polled = Pin::new(&mut self.incoming).poll_frame(context);
+        if matches!(polled, Poll::Ready(Some(Ok(_)))) {
+            self.overhead.reset();
+        }
+        polled
+    }
+
+    fn is_end_stream(&self) -> bool {
+        self.incoming.is_end_stream()
+    }
+
+    fn size_hint(&self) -> SizeHint {
+        self.incoming.size_hint()
+    }
+}
+
 /// Connection of a response, and the pool to which it returns.
 pub(crate) struct PooledConnection {
     pub(crate) sender: Sender,
@@ -90,7 +124,10 @@
             BodyEnd::of(&head.headers)
         };
         Self {
-            incoming,
+            incoming: CountedBody {
+                incoming,
+                overhead: connection.sender.overhead.clone(),
+            },
             end,
             connection: Some(connection),
         }
