--- a/crates/fleet/src/store_table.rs
+++ b/crates/fleet/src/store_table.rs
@@ -30,7 +30,10 @@
         let sent_at = BootClock::now();
         let response = self.request_paced(request.clone()).await;
         match (&response, request.mark) {
-            (Ok(answer), since) => lock(&self.copy).record(since, answer, sent_at),
+            (Ok(answer), since) => {
+                let read_at = sent_at.saturating_sub(answer.age);
+                lock(&self.copy).record(since, answer, read_at);
+            }
             (Err(SourceError::HistoryGone), Some(since)) if lock(&self.copy).is_of(since) => {
                 return self.request_difference(request, since).await;
             }
@@ -57,7 +60,7 @@
             stale = snapshot.mark.version < since.version;
             "history_gone"
         );
-        copy.record(None, &snapshot, sent_at);
+        copy.record(None, &snapshot, sent_at.saturating_sub(snapshot.age));
         Ok(changes)
     }
 
