A node that starts at an earlier time of day is heard

What callers saw: nothing at once; the node is ready, but no other node counts it as live for as long as its process runs. Limits that all nodes share, queues, crash reports and readers are divided without it.

Cause: a node's incarnation is the time of day at its start. After a step back it is below the one that the others hold, or that its row in the registry has, and messages and heartbeats of an earlier incarnation are ignored without a word to the sender.

A node now becomes a later incarnation than any entry of its own name and address that it reads in the registry or that others tell it. Whoever ignores a message answers with the entry that it holds, and whoever hears such a node only through others sends it that entry, at most every 250 ms. An entry with another address is of a machine that has taken over the name, and changes nothing; a test holds that, too.

--- a/crates/fleet/src/peers.rs
+++ b/crates/fleet/src/peers.rs
@@ -136,6 +136,8 @@
     registry: RegistryView,
     is_registered: bool,
     published_version: u64,
+    /// Incarnation under which this node was last logged.
+    incarnation: Incarnation,
     aggregated_at: Moment,
     unreported_reset_at: Moment,
     costs_logged_at: Moment,
@@ -166,8 +168,10 @@
 impl PeerExchange {
     /// Creates a service that knows no other node yet.
     pub fn new(shared: Arc<FleetShared>) -> Self {
+        let incarnation = shared.own_entry().incarnation;
         Self {
             shared,
+            incarnation,
             client: ApiClient::new(Codec::MessagePack, None),
             registry: RegistryView::Unread,
             is_registered: false,
@@ -313,6 +317,11 @@
         for node in membership.take_rejoined() {
             log::info!(peer = node.as_str(); "peer_heard");
         }
+        let incarnation = membership.own().incarnation;
+        if incarnation != self.incarnation {
+            log::warn!(incarnation = incarnation, before = self.incarnation; "incarnation_raised");
+            self.incarnation = incarnation;
+        }
         let version = membership.refresh(now);
         if version == self.published_version {
             return;
--- a/crates/membership/src/membership.rs
+++ b/crates/membership/src/membership.rs
@@ -67,6 +67,9 @@
     pub(crate) probe_index: usize,
     pub(crate) cached_sum: Option<(Moment, Digest)>,
     pub(crate) rejoined: IndexSet<NodeId>,
+    /// Nodes that are heard as an earlier incarnation than the held one, and have to be told so.
+    pub(crate) outnumbered: IndexSet<NodeId>,
+    pub(crate) last_correction: Moment,
     pub(crate) is_partitioned: bool,
 }
 
@@ -93,6 +96,8 @@
             probe_index: 0,
             cached_sum: None,
             rejoined: IndexSet::new(),
+            outnumbered: IndexSet::new(),
+            last_correction: Moment::ZERO,
             is_partitioned: false,
         }
     }
@@ -123,7 +128,31 @@
 
     /// Adds or replaces the entry of another node; returns whether anything changed.
     pub fn add_node(&mut self, entry: &NodeEntry, now: Moment) -> bool {
-        entry.node != self.own.node && self.roster.add_node(entry, now)
+        if entry.node == self.own.node {
+            self.outnumber(entry);
+            return false;
+        }
+        self.roster.add_node(entry, now)
+    }
+
+    /// Becomes a later incarnation than an entry of this node that others hold; returns whether it was not.
+    ///
+    /// Incarnations are numbered by the time of day, which may have been stepped back before this process started;
+    /// nobody would hear it again. An entry with another address is of a machine that has taken over the name.
+    fn outnumber(&mut self, held: &NodeEntry) -> bool {
+        let is_own = held.node == self.own.node && held.address == self.own.address;
+        if !is_own || held.incarnation <= self.own.incarnation {
+            return false;
+        }
+        self.own.incarnation = held.incarnation.saturating_add(1);
+        self.roster.advance();
+        true
+    }
+
+    /// Becomes a later incarnation than the entry of this node in a message; returns whether it was not.
+    fn outnumber_held(&mut self, gossip: &Gossip) -> bool {
+        let mut entries = gossip.roster.iter().flat_map(|delta| &delta.entries);
+        entries.any(|held| self.outnumber(held))
     }
 
     /// Returns the nodes that were heard for the first time, or again after a timeout, since the last call.
@@ -160,8 +189,12 @@
 
     /// Merges a message and returns the response to it.
     pub fn respond(&mut self, gossip: &Gossip, status: &NodeStatus, now: Moment) -> Gossip {
-        if self.is_from_earlier_incarnation(&gossip.sender) {
-            return self.gossip(Digest::empty(DigestOrigin::Fleet));
+        self.outnumber_held(gossip);
+        if let Some(held) = self.later_incarnation(&gossip.sender) {
+            return Gossip {
+                roster: Some(RosterDelta::of_entry(held, self.own.incarnation)),
+                ..self.gossip(Digest::empty(DigestOrigin::Fleet))
+            };
         }
         self.merge_gossip(gossip, now);
         let response = match &gossip.digest.origin {
@@ -205,7 +238,7 @@
         sent_at: Moment,
         now: Moment,
     ) {
-        if self.is_from_earlier_incarnation(&response.sender) {
+        if self.outnumber_held(response) || self.later_incarnation(&response.sender).is_some() {
             return;
         }
         self.roster.record_response(&sent.node);
@@ -268,9 +301,10 @@
         }
     }
 
-    fn is_from_earlier_incarnation(&self, sender: &NodeEntry) -> bool {
-        let held = self.roster.members().get(&sender.node);
-        held.is_some_and(|member| member.entry.incarnation > sender.incarnation)
+    /// Returns the held entry of a node if it is of a later incarnation than `sender`.
+    fn later_incarnation(&self, sender: &NodeEntry) -> Option<&NodeEntry> {
+        let held = &self.roster.members().get(&sender.node)?.entry;
+        (held.incarnation > sender.incarnation).then_some(held.as_ref())
     }
 
     fn merge_gossip(&mut self, gossip: &Gossip, at: Moment) {
@@ -284,6 +318,9 @@
     fn merge_digest(&mut self, digest: &Digest, is_direct: bool, at: Moment) {
         let at = at.saturating_sub(digest.age);
         for heartbeat in &digest.members {
+            if self.roster.is_outnumbered(heartbeat) {
+                self.outnumbered.insert(heartbeat.node.clone());
+            }
             if self
                 .roster
                 .record_heartbeat(heartbeat, at.saturating_sub(heartbeat.age))
--- a/crates/membership/src/roster.rs
+++ b/crates/membership/src/roster.rs
@@ -103,6 +103,22 @@
     pub statuses: Vec<RosterStatus>,
 }
 
+impl RosterDelta {
+    /// Returns one entry alone, which changes nothing about the version that a follower has.
+    pub(crate) fn of_entry(entry: &NodeEntry, hub_incarnation: Incarnation) -> Self {
+        let version = 0;
+        Self {
+            version: RosterVersion {
+                hub_incarnation,
+                version,
+            },
+            is_snapshot: false,
+            entries: vec![entry.clone()],
+            statuses: Vec::new(),
+        }
+    }
+}
+
 /// The known nodes by name, without this node.
 #[derive(Clone, Debug, Default)]
 pub struct Roster {
@@ -189,6 +205,12 @@
         }
     }
 
+    /// Returns whether a heartbeat is of an earlier incarnation than the held one.
+    pub(crate) fn is_outnumbered(&self, heartbeat: &Heartbeat) -> bool {
+        let held = self.members.get(&heartbeat.node);
+        held.is_some_and(|member| heartbeat.incarnation < member.entry.incarnation)
+    }
+
     /// Records that a node was heard at `at`; returns whether it had timed out or was never heard before.
     pub(crate) fn record_heartbeat(&mut self, heartbeat: &Heartbeat, at: Moment) -> bool {
         let Some(member) = self.members.get_mut(&heartbeat.node) else {
--- a/crates/membership/src/schedule.rs
+++ b/crates/membership/src/schedule.rs
@@ -7,10 +7,11 @@
 use briarswitch_core::id::{Moment, NodeId, ZoneId};
 use indexmap::IndexSet;
 
-use crate::digest::DigestOrigin;
+use crate::digest::{Digest, DigestOrigin};
 use crate::gossip::{Gossip, GossipTarget, NodeStatus};
 use crate::membership::{FollowedHub, Membership, ReceivedDigest};
 use crate::rank::{bandwidth_rank, first_ranked, RankKey};
+use crate::roster::RosterDelta;
 
 /// Hubs of a zone; if two fail at once, all nodes still know the third.
 const HUBS_PER_ZONE: usize = 3;
@@ -29,6 +30,10 @@
 /// Without probes two halves of a partitioned zone would never merge again. The halves of a fleet took 5.7 s to
 /// find hubs of their own in every zone with one probe a second, and at most 5 s with two.
 const PROBE_INTERVAL: Duration = Duration::from_millis(500);
+/// Interval of the messages that tell a node which incarnation of it is held.
+///
+/// Heartbeats that were overtaken by a restart are old for a moment, too.
+const CORRECTION_INTERVAL: Duration = Duration::from_millis(250);
 
 impl Membership {
     /// Returns the messages that are due at `now`; `status` is called only if there are any.
@@ -41,7 +46,7 @@
         self.prune_expired(now);
         let zone = self.own.zone.clone();
         let hubs = self.hubs(&zone, now);
-        let mut due = Vec::new();
+        let mut due: Vec<GossipTarget> = self.correction_due(now).into_iter().collect();
         if !self.is_hub_among(&hubs, now) {
             due.extend(self.report_due(&hubs, &status, now));
             return due;
@@ -211,6 +216,21 @@
         self.message_to(&node, self.gossip(self.own_digest(status, now)))
     }
 
+    /// Returns a message to a node that is heard only through others, as an earlier incarnation than the held one.
+    fn correction_due(&mut self, now: Moment) -> Option<GossipTarget> {
+        if now < self.last_correction + CORRECTION_INTERVAL {
+            return None;
+        }
+        let node = self.outnumbered.pop()?;
+        self.last_correction = now;
+        let held = &self.roster.members().get(&node)?.entry;
+        let correction = Gossip {
+            roster: Some(RosterDelta::of_entry(held, self.own.incarnation)),
+            ..self.gossip(Digest::empty(DigestOrigin::Fleet))
+        };
+        self.message_to(&node, correction)
+    }
+
     fn next_unreachable(&mut self, zone: &str, now: Moment) -> Option<NodeId> {
         let members = self.roster.members().values();
         let unreachable: Vec<&NodeId> = members
--- a/crates/membership/tests/fleet.rs
+++ b/crates/membership/tests/fleet.rs
@@ -4,6 +4,7 @@
 
 use std::time::Duration;
 
+use briarswitch_membership::NodeEntry;
 use googletest::prelude::*;
 
 use support::{zone_of, Fleet};
@@ -176,3 +177,41 @@
         live.iter().all(|count| *count == 27)
     });
 }
+
+/// Guards against nodes that are no longer heard by anyone because the time of day, which numbers the incarnations,
+/// was stepped back before they started again.
+#[gtest]
+fn nodes_that_restart_as_an_earlier_incarnation_are_heard_again() {
+    for restarted in [1, 3, 6] {
+        let mut fleet = Fleet::new(0, 1);
+        for index in 0..6 {
+            fleet.add(&format!("node-{index:03}"), &zone_of(index, 3), 1_000);
+        }
+        fleet.run_until(ms(6_000), Fleet::is_settled);
+        for index in 0..restarted {
+            let earlier = 400 + 100 * index as u64;
+            fleet.add(&format!("node-{index:03}"), &zone_of(index, 3), earlier);
+        }
+        fleet.run(ms(200));
+        let took = fleet.run_until(ms(6_000), Fleet::is_settled);
+        expect_that!(took, le(ms(5_000)), "{restarted} restarted");
+    }
+}
+
+/// Guards against a process whose name another machine has taken over making itself the later incarnation again.
+#[gtest]
+fn a_replaced_node_does_not_become_the_later_incarnation() {
+    let mut fleet = settled(6, 3);
+    let replaced = NodeEntry {
+        address: "elsewhere:1".to_owned(),
+        incarnation: 2,
+        ..fleet.nodes["node-000"].entry.clone()
+    };
+    let now = fleet.now;
+    for node in fleet.nodes.values_mut() {
+        node.membership.add_node(&replaced, now);
+    }
+    fleet.run(ms(5_000));
+    let own = fleet.nodes["node-000"].membership.own().incarnation;
+    expect_that!(own, eq(1));
+}
