Late calls lie beside the other ways to read the store

The adapter's folder only translates; keeping a call whose response is late is a decision of the product. The module is moved, and has an example.

--- a/platform/src/late_calls.rs
+++ b/crates/fleet/src/late_calls.rs
@@ -5,21 +5,22 @@
 use std::time::Duration;
 
 use briarswitch_core::id::Moment;
-use briarswitch_fleet::ports::SourceError;
 use briarswitch_kernel::BootClock;
 use futures::future::BoxFuture;
 use indexmap::IndexMap;
 
+use crate::ports::SourceError;
+
 /// Result of a call.
-type CallResult<R> = Result<R, SourceError>;
+pub type CallResult<R> = Result<R, SourceError>;
 
 /// Future of the result of a call.
-pub(crate) type CallFuture<R> = BoxFuture<'static, CallResult<R>>;
+pub type CallFuture<R> = BoxFuture<'static, CallResult<R>>;
 
 /// Time for which a call is kept after its time-out.
 ///
 /// Without it, a store whose every response takes a little longer than the time-out would never be read at all.
-pub(crate) const LATE_TIME: Duration = Duration::from_secs(3);
+pub const LATE_TIME: Duration = Duration::from_secs(3);
 
 /// A call with the time until which its response is of use.
 struct LateCall<R> {
@@ -28,7 +29,7 @@
 }
 
 /// Calls that their callers have given up, by what was asked for.
-pub(crate) struct LateCalls<R> {
+pub struct LateCalls<R> {
     calls: Mutex<IndexMap<String, LateCall<R>>>,
 }
 
@@ -45,7 +46,28 @@
     ///
     /// The earlier call is the one that is kept on a time-out, since a later one may be no faster. The next one takes
     /// its place in the end: its connection may have fallen silent.
-    pub(crate) async fn first_response(
+    ///
+    /// ```
+    /// use std::time::Duration;
+    ///
+    /// use briarswitch_fleet::late_calls::LateCalls;
+    /// use futures::FutureExt;
+    ///
+    /// # tokio::runtime::Builder::new_current_thread().enable_all().build()?.block_on(async {
+    /// let calls = LateCalls::default();
+    /// let slow = async {
+    ///     tokio::time::sleep(Duration::from_millis(20)).await;
+    ///     Ok(1)
+    /// };
+    /// let timeout = Duration::from_millis(1);
+    /// assert_eq!(calls.first_response("rows", slow.boxed(), timeout).await, None);
+    /// let silent = std::future::pending().boxed();
+    /// let timeout = Duration::from_secs(10);
+    /// assert_eq!(calls.first_response("rows", silent, timeout).await, Some(Ok(1)));
+    /// # });
+    /// # Ok::<(), std::io::Error>(())
+    /// ```
+    pub async fn first_response(
         &self,
         asked: &str,
         call: CallFuture<R>,
--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -30,6 +30,7 @@
 pub mod gauge_map;
 mod gossip_client;
 pub mod job;
+pub mod late_calls;
 pub mod layouts;
 pub mod load_client;
 pub mod load_coordinator;
