Calls need no list of name servers

What callers saw: none has seen it for sure. A node that starts while the system's list of name servers can't be read, or is empty, ended with status 101 until its clients were created later; since then it lived, but could ask neither the store nor other nodes, and was never ready.

Cause: the HTTP library creates a resolver for each client, though a fleet's addresses are IP addresses, and there is no client of it without one.

Now a call goes over the client of targets, which needs no list, where the library's client can't be created; client_replaced says so once a client. The usual path is as before. Nothing is tried again, so that no panic is logged again and again.

Evidence: file_limit::a_client_is_created_while_no_file_can_be_opened, whose answer after the limit is lifted now comes over that path.

--- a/crates/http/src/client.rs
+++ b/crates/http/src/client.rs
@@ -4,19 +4,25 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use http::header::{AUTHORIZATION, CONTENT_TYPE};
-use http::{HeaderMap, Method, StatusCode};
+use http::header::{AUTHORIZATION, CONTENT_TYPE, HOST};
+use http::response::Parts;
+use http::{HeaderMap, Method, StatusCode, Uri};
 use serde::de::DeserializeOwned;
 use serde::Serialize;
 use volo_http::body::Body;
+use volo_http::client::Client;
 
 use crate::body_error::BodyError;
 use crate::held_body::read_for_process;
-use crate::lazy_client::LazyClient;
+use crate::idle_pool::TargetAddress;
+use crate::lazy_client::{CallTransport, LazyClient};
 use crate::response_account::max_response_bytes;
-use crate::target::is_final_status;
+use crate::target::{full_body, is_final_status, TargetClient, TargetResponse};
 use crate::target_body::BodyEnd;
 
+/// Port of a URL that names none.
+const HTTP_PORT: u16 = 80;
+
 /// Encoding of request and response bodies.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum Codec {
@@ -143,35 +149,70 @@
         url: &str,
         body: Bytes,
     ) -> Result<(HeaderMap, Bytes), CallError> {
-        let mut request = self
-            .client
-            .get()?
+        let (head, bytes) = match self.client.get() {
+            CallTransport::Library(client) => self.call_over(client, method, url, body).await?,
+            CallTransport::Direct(client) => self.call_direct(client, method, url, body).await?,
+        };
+        if head.status == StatusCode::OK {
+            return Ok((head.headers, bytes));
+        }
+        Err(CallError::Status {
+            status: head.status.as_u16(),
+            text: String::from_utf8_lossy(&bytes).into_owned(),
+        })
+    }
+
+    async fn call_over(
+        &self,
+        client: &Client,
+        method: Method,
+        url: &str,
+        body: Bytes,
+    ) -> Result<(Parts, Bytes), CallError> {
+        let mut request = client
             .request(method, url)
             .header(CONTENT_TYPE, self.content_type());
         if let Some(token) = &self.token {
             request = request.header(AUTHORIZATION, format!("Bearer {token}"));
         }
-        let response = request
-            .body(Body::from(body))
-            .send()
-            .await
-            .map_err(|error| CallError::NoResponse(error.to_string()))?;
-        let (head, body) = response.into_parts();
-        let status = head.status;
-        if !is_final_status(status) {
-            let text = format!("status {status} is not final");
+        let sent = request.body(Body::from(body)).send().await;
+        let (head, body) = sent.map_err(no_response)?.into_parts();
+        if !is_final_status(head.status) {
+            let text = format!("status {} is not final", head.status);
             return Err(CallError::NoResponse(text));
         }
-        let bytes = read_for_process(body, max_response_bytes())
-            .await
-            .map_err(|error| CallError::NoResponse(error.to_string()))?;
-        if status == StatusCode::OK {
-            return Ok((head.headers, bytes));
+        let bytes = read_for_process(body, max_response_bytes()).await;
+        Ok((head, bytes.map_err(no_response)?))
+    }
+
+    async fn call_direct(
+        &self,
+        client: &TargetClient,
+        method: Method,
+        url: &str,
+        body: Bytes,
+    ) -> Result<(Parts, Bytes), CallError> {
+        let url: Uri = url.parse().map_err(no_response)?;
+        let authority = url.authority().map_or("", |authority| authority.as_str());
+        let path = url.path_and_query().map_or("/", |path| path.as_str());
+        let mut request = http::Request::builder()
+            .method(method)
+            .uri(path)
+            .header(HOST, authority)
+            .header(CONTENT_TYPE, self.content_type());
+        if let Some(token) = &self.token {
+            request = request.header(AUTHORIZATION, format!("Bearer {token}"));
         }
-        Err(CallError::Status {
-            status: status.as_u16(),
-            text: String::from_utf8_lossy(&bytes).into_owned(),
-        })
+        let request = request.body(full_body(body)).map_err(no_response)?;
+        let port = url.port_u16().unwrap_or(HTTP_PORT);
+        let target = TargetAddress {
+            address: format!("{}:{port}", url.host().unwrap_or_default()),
+            incarnation: 0,
+        };
+        let response = client.send(&target, request, false).await;
+        let TargetResponse { head, body } = response.map_err(no_response)?;
+        let whole = body.read_all(max_response_bytes()).await;
+        Ok((head, whole.map_err(no_response)?.bytes))
     }
 
     fn content_type(&self) -> &'static str {
@@ -197,6 +238,10 @@
     }
 }
 
+fn no_response(error: impl std::fmt::Display) -> CallError {
+    CallError::NoResponse(error.to_string())
+}
+
 fn invalid_body(error: impl std::fmt::Display) -> CallError {
     CallError::InvalidBody(error.to_string())
 }
