A node waits a while for settings that are still written

What callers saw: none has seen it. A process started while its settings file is not there yet, or only half written, ended at once with status 2.

Cause: the file was read once, and each error was final.

Evidence: a_node_waits_for_settings_that_are_still_written, in which the file is missing, then empty, then cut off and then whole, failed on the code before (status 2 before the file was whole) and passes.

Settings that are wrong are reported at once, as before, and a check of settings doesn't wait.

--- a/crates/node/src/cli.rs
+++ b/crates/node/src/cli.rs
@@ -2,6 +2,7 @@
 
 use std::fmt::Write as _;
 use std::fs;
+use std::io;
 
 use briarswitch_core::prelude::*;
 use briarswitch_fleet::FleetSettings;
@@ -10,6 +11,7 @@
 use crate::fields::{FieldDefault, FIELDS};
 use crate::layers::SettingsLayers;
 use crate::settings::NodeSettings;
+use crate::settings_file::read_when_whole;
 
 /// Options of `briarswitch-node`.
 #[derive(Debug, Options)]
@@ -84,8 +86,16 @@
         }
     }
 
+    /// Reads a settings file; a check doesn't wait for one that is still written.
+    fn read(&self, name: &str) -> io::Result<String> {
+        if self.dry_run || self.check.is_some() {
+            return fs::read_to_string(name);
+        }
+        read_when_whole(name)
+    }
+
     fn fleet_startup(&self, name: &str) -> Startup {
-        let text = match fs::read_to_string(name) {
+        let text = match self.read(name) {
             Ok(text) => text,
             Err(error) => {
                 let finding = Finding::new(name, format!("cannot be read: {error}"));
@@ -103,7 +113,7 @@
         let mut layers = SettingsLayers::with_defaults();
         let mut read_errors = Vec::new();
         for name in self.settings.iter().chain(&self.check) {
-            match fs::read_to_string(name) {
+            match self.read(name) {
                 Ok(text) => layers.add_file(name, &text),
                 Err(error) => {
                     read_errors.push(Finding::new(name, format!("cannot be read: {error}")));
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -46,6 +46,7 @@
 pub mod routes;
 pub mod row_keys;
 pub mod settings;
+pub mod settings_file;
 pub mod shared;
 pub mod signals;
 pub mod start_error;
