Numbers in other nodes' messages stay in range in the sums

What callers saw: nothing; found with a message of numbers at the ends of their types.

Cause: counts and rates of a node's message were added to those of the others as they came. A count near the end of its type makes the sum panic in the control thread, or wrap to next to nothing, so that a full group counts as empty. A rate that is no number makes each sum and share that it enters one as well.

Now sums of counts saturate, and the wire format decodes a rate that is no number, infinite or negative as none.

Evidence: digest::numbers_at_the_ends_of_their_types_stay_in_range_in_sums; before, a rate arrived as -inf, and the sum panicked in work.rs ("attempt to add with overflow").

--- a/crates/fleet/src/coordinated_queue.rs
+++ b/crates/fleet/src/coordinated_queue.rs
@@ -137,7 +137,8 @@
     /// `remote` is what other nodes report, and `running` the number of this node's own requests.
     pub fn reported_requests(&self, group: GroupKey, remote: u32, running: u32) -> u32 {
         let own = self.own_changes.get(&group);
-        remote + own.map_or(running, |changes| changes.reported(running))
+        let own = own.map_or(running, |changes| changes.reported(running));
+        remote.saturating_add(own)
     }
 
     /// Returns the number of requests at a group when slots were last granted; `None` if it was not known then.
--- a/crates/fleet/src/gauge.rs
+++ b/crates/fleet/src/gauge.rs
@@ -87,7 +87,8 @@
 
     /// Returns the number of requests of all nodes at the target, as far as known.
     pub fn active_requests(&self) -> u32 {
-        self.local_requests() + self.remote.load(Ordering::Relaxed)
+        let remote = self.remote.load(Ordering::Relaxed);
+        self.local_requests().saturating_add(remote)
     }
 
     /// Records the load that the target reported with a response.
--- a/crates/membership/src/wire.rs
+++ b/crates/membership/src/wire.rs
@@ -123,6 +123,15 @@
 #[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
 struct RosterDeltaDoc(RosterVersionDoc, bool, Vec<EntryDoc>, Vec<RosterStatusDoc>);
 
+/// Decodes a rate; one that is no number, infinite or negative counts as none.
+fn rate_in_range(rate: f32) -> f64 {
+    if rate.is_finite() {
+        f64::from(rate).max(0.0)
+    } else {
+        0.0
+    }
+}
+
 fn millis(age: Duration) -> u64 {
     u64::try_from(age.as_millis()).unwrap_or(u64::MAX)
 }
@@ -214,7 +223,7 @@
             reads_store,
             // The names of partitioned nodes stand beside the digests in the message.
             is_partitioned: false,
-            request_rate: f64::from(request_rate),
+            request_rate: rate_in_range(request_rate),
         }
     }
 }
@@ -243,7 +252,7 @@
 impl From<WorkDoc> for WorkSum {
     fn from(doc: WorkDoc) -> Self {
         let WorkDoc(target_requests, loading, demand, request_rates) = doc;
-        let rate = |(model, rate): (ModelId, f32)| (model, f64::from(rate));
+        let rate = |(model, rate): (ModelId, f32)| (model, rate_in_range(rate));
         Self {
             target_requests: target_requests.into_iter().collect(),
             loading: loading.into_iter().collect(),
@@ -323,7 +332,7 @@
     digest.work.waiting = waiting.into_iter().collect();
     let demand = demand.into_iter();
     digest.work.recent_demand = demand
-        .map(|(model, groups)| (model, f64::from(groups)))
+        .map(|(model, groups)| (model, rate_in_range(groups)))
         .collect();
     digest
 }
@@ -370,7 +379,7 @@
                 reads_store,
                 // The names of partitioned nodes stand beside the roster in the message.
                 is_partitioned: false,
-                request_rate: f64::from(request_rate),
+                request_rate: rate_in_range(request_rate),
             };
         Self {
             version: version.into(),
--- a/crates/membership/src/work.rs
+++ b/crates/membership/src/work.rs
@@ -60,7 +60,8 @@
     /// ```
     pub fn add(&mut self, other: &Self) {
         for (target, requests) in &other.target_requests {
-            *self.target_requests.entry(*target).or_insert(0) += requests;
+            let sum = self.target_requests.entry(*target).or_insert(0);
+            *sum = sum.saturating_add(*requests);
         }
         add_counts(&mut self.loading, &other.loading);
         add_rates(&mut self.demand, &other.demand);
@@ -97,7 +98,8 @@
 
     /// Returns the number of loads in progress over all models.
     pub fn total_loading(&self) -> u32 {
-        self.loading.values().sum()
+        let loading = self.loading.values();
+        loading.fold(0, |sum, count| sum.saturating_add(*count))
     }
 
     /// Returns the requests per second over all models.
@@ -108,7 +110,8 @@
 
 fn add_counts(sums: &mut IndexMap<ModelId, u32>, counts: &IndexMap<ModelId, u32>) {
     for (model, count) in counts {
-        *sums.entry(model.clone()).or_insert(0) += count;
+        let sum = sums.entry(model.clone()).or_insert(0);
+        *sum = sum.saturating_add(*count);
     }
 }
 
--- a/crates/membership/tests/digest.rs
+++ b/crates/membership/tests/digest.rs
@@ -123,3 +123,41 @@
     expect_that!(other.peer_work(at(1_200)).total_loading(), eq(2));
     expect_that!(other.peer_work(at(3_000)), eq(&WorkSum::default()));
 }
+
+/// Guards against a number at the end of its type in one node's message that makes the sum over all nodes panic, wrap
+/// or become no number.
+#[gtest]
+fn numbers_at_the_ends_of_their_types_stay_in_range_in_sums() {
+    let mut odd = report("b2", "b", u32::MAX);
+    let rates = || {
+        [
+            ("large".to_owned(), f64::NAN),
+            ("small".to_owned(), f64::INFINITY),
+        ]
+    };
+    let counts = || IndexMap::from([("chat".to_owned(), u32::MAX), ("large".to_owned(), 1)]);
+    odd.digest.work = WorkSum {
+        loading: counts(),
+        waiting: counts(),
+        demand: rates().into_iter().collect(),
+        request_rates: rates().into_iter().collect(),
+        recent_demand: rates().into_iter().collect(),
+        ..odd.digest.work
+    };
+    odd.digest.members[0].request_rate = f64::NEG_INFINITY;
+    let bytes = rmp_serde::to_vec_named(&GossipDoc::from(&odd)).expect("message must serialize");
+    let doc: GossipDoc = rmp_serde::from_slice(&bytes).expect("message must deserialize");
+    let odd = Gossip::from(doc);
+    expect_that!(odd.digest.members[0].request_rate, eq(0.0));
+
+    let mut other = Membership::new(entry("b1", "b"));
+    merge(&mut other, &odd, at(1_000));
+    merge(&mut other, &report("b3", "b", 5), at(1_000));
+    let work = other.peer_work(at(1_100));
+    expect_that!(work.target_requests[&target_key("head")], eq(u32::MAX));
+    expect_that!(work.total_loading(), eq(u32::MAX));
+    expect_that!(work.request_rates["large"], eq(2.0));
+    let rates = [&work.request_rates, &work.demand, &work.recent_demand];
+    let mut rates = rates.into_iter().flat_map(IndexMap::values);
+    expect_true!(rates.all(|rate| rate.is_finite() && *rate >= 0.0));
+}
