A panic in one read of the store ends only that read

What callers saw: nothing known; found by the review of the incident. A node that is never ready again although its services are supervised.

Cause: concurrent reads share a future. One that panicked is poisoned, stays in the list of shared reads, and panics for whoever looks at it, which each later read of any table does.

Now a panic becomes a failed read inside the shared future.

Evidence: feed::a_panic_in_a_read_ends_only_that_read panicked on the code before, in the first later read, and passes.

--- a/crates/fleet/src/feed.rs
+++ b/crates/fleet/src/feed.rs
@@ -7,6 +7,7 @@
 //! reach the store, asks the next best reader of its zone, and the store itself only after that.
 
 use std::future::Future;
+use std::panic::AssertUnwindSafe;
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::{Arc, Mutex, OnceLock};
 use std::time::Duration;
@@ -410,7 +411,12 @@
         let mut shared_requests = lock(&self.shared_requests);
         shared_requests.retain(|request, shared_request| shared_request.is_reusable(request, now));
         let shared_request = shared_requests.entry(request.clone()).or_insert_with(|| {
-            let requested = self.store_table(&request.table).request(request);
+            let requested = AssertUnwindSafe(self.store_table(&request.table).request(request));
+            // A shared future that panicked would panic again for each later request that looks at it.
+            let requested = requested.catch_unwind().map(|result| {
+                let text = "the read failed by a fault of this node";
+                result.unwrap_or_else(|_| Err(SourceError::Unavailable(text.to_owned())))
+            });
             let response = requested.map_ok(|response| {
                 Arc::new(SharedResponse {
                     response,
--- a/crates/fleet/tests/feed.rs
+++ b/crates/fleet/tests/feed.rs
@@ -568,3 +568,38 @@
         );
     }
 }
+
+/// A store whose client panics once.
+#[derive(Default)]
+struct FaultyStore {
+    calls: AtomicU32,
+}
+
+impl FeedSource for FaultyStore {
+    fn changes(&self, _: FeedRequest) -> SourceFuture<'static, FeedResponse> {
+        let call = self.calls.fetch_add(1, Ordering::SeqCst);
+        Box::pin(async move {
+            assert!(call > 0, "a fault of the test");
+            Ok(changed())
+        })
+    }
+}
+
+/// Guards against a panic in one read of the store that ends all reads of a node for as long as it runs.
+#[gtest]
+#[tokio::test]
+async fn a_panic_in_a_read_ends_only_that_read() {
+    let store: Arc<dyn FeedSource> = Arc::new(FaultyStore::default());
+    let relay = FeedRelay::new(store, Arc::new(CostCounters::default()));
+    let request = |table: &str| FeedRequest {
+        table: table.to_owned(),
+        mark: None,
+        wait: Duration::ZERO,
+    };
+    let first = relay.request_store(request("a"), BootClock::now()).await;
+    expect_that!(first, err(anything()));
+    for table in ["b", "a"] {
+        let later = relay.request_store(request(table), BootClock::now()).await;
+        expect_that!(later, ok(anything()), "{table}");
+    }
+}
