Of two processes of one node, the one with its address takes part

A process that starts while an earlier one of its node still has the ports used to end; since it waits, both sent gossip and gave orders under one name, and each made itself the later incarnation when it was told of the other.

Now a process without the peers' address sends no gossip and gives no orders, and only one that has it and is not leaving becomes a later incarnation. Callers are served all the same.

Evidence: fleet::a_process_without_its_address_does_not_become_the_later_incarnation in membership; its first check needs the new condition.

--- a/crates/fleet/src/controller.rs
+++ b/crates/fleet/src/controller.rs
@@ -133,11 +133,11 @@
         self.load_client.coordinator().refresh(now);
         let config = self.shared.config.load();
         let directory = self.shared.directory.load();
-        let is_discovery_over = now >= self.started_at + DISCOVERY_TIME;
+        let may_order = now >= self.started_at + DISCOVERY_TIME && self.shared.has_peer_address();
         let Some(config) = config
             .as_ref()
             .as_ref()
-            .filter(|_| directory.is_loaded && is_discovery_over)
+            .filter(|_| directory.is_loaded && may_order)
         else {
             return;
         };
--- a/crates/fleet/src/node.rs
+++ b/crates/fleet/src/node.rs
@@ -89,6 +89,7 @@
         limit_responses(&settings.limits);
         let shared = FleetShared::new(settings, new_incarnation(), platform);
         shared.set_caller_listener(Arc::clone(callers.status()));
+        shared.set_peer_listener(Arc::clone(peers.status()));
         let settings = &shared.settings;
         let kernel = Kernel::spawn()?;
         kernel.mount(ConfigSync::new(Arc::clone(&shared)))?;
--- a/crates/fleet/src/peers.rs
+++ b/crates/fleet/src/peers.rs
@@ -253,10 +253,7 @@
     fn tick(&mut self, now: Moment, link: &ServiceLink<PeerMessage>) {
         let shared = Arc::clone(&self.shared);
         shared.speed.record_tick(shared.reach.is_reachable(), now);
-        let due = shared
-            .membership()
-            .due_messages(|| own_status(&shared), now);
-        for target in due {
+        for target in self.due_messages(now) {
             self.send(target, now, link);
         }
         if now >= self.aggregated_at + AGGREGATION_INTERVAL {
@@ -273,6 +270,17 @@
         }
     }
 
+    fn due_messages(&self, now: Moment) -> Vec<GossipTarget> {
+        let has_address = self.shared.has_peer_address();
+        let is_running = self.shared.phase() == FleetPhase::Running;
+        let mut membership = self.shared.membership();
+        membership.set_has_address(has_address && is_running);
+        if !has_address {
+            return Vec::new();
+        }
+        membership.due_messages(|| own_status(&self.shared), now)
+    }
+
     fn send(&self, target: GossipTarget, now: Moment, link: &ServiceLink<PeerMessage>) {
         let client = self.client.clone();
         let costs = Arc::clone(&self.shared.costs);
--- a/crates/fleet/src/shared.rs
+++ b/crates/fleet/src/shared.rs
@@ -128,6 +128,7 @@
     config_confirmed_ms: AtomicU64,
     phase: AtomicU8,
     caller_listener: OnceLock<Arc<ListenerStatus>>,
+    peer_listener: OnceLock<Arc<ListenerStatus>>,
 }
 
 impl FleetShared {
@@ -176,6 +177,7 @@
             config_confirmed_ms: AtomicU64::new(0),
             phase: AtomicU8::new(FleetPhase::Running as u8),
             caller_listener: OnceLock::new(),
+            peer_listener: OnceLock::new(),
             platform,
         })
     }
@@ -287,6 +289,20 @@
         let _ = self.caller_listener.set(status);
     }
 
+    /// Lets the node take part in the fleet only once this listener is bound.
+    pub fn set_peer_listener(&self, status: Arc<ListenerStatus>) {
+        let _ = self.peer_listener.set(status);
+    }
+
+    /// Returns whether other nodes reach this process at the node's address.
+    ///
+    /// While another process of the node still has the address, this one neither sends gossip nor gives orders: both
+    /// would do so under one name.
+    pub fn has_peer_address(&self) -> bool {
+        let status = self.peer_listener.get();
+        status.is_none_or(|status| status.is_bound())
+    }
+
     fn unbound_caller_listener(&self, age: Duration) -> Option<MissingCondition> {
         let status = self.caller_listener.get()?;
         (!status.is_bound()).then(|| MissingCondition {
--- a/crates/membership/src/membership.rs
+++ b/crates/membership/src/membership.rs
@@ -71,6 +71,8 @@
     pub(crate) outnumbered: IndexSet<NodeId>,
     pub(crate) last_correction: Moment,
     pub(crate) is_partitioned: bool,
+    /// Whether this process, and not an earlier or later one of the node, is the one at the node's address.
+    pub(crate) has_address: bool,
 }
 
 impl Membership {
@@ -99,6 +101,7 @@
             outnumbered: IndexSet::new(),
             last_correction: Moment::ZERO,
             is_partitioned: false,
+            has_address: true,
         }
     }
 
@@ -126,6 +129,14 @@
         self.roster.version()
     }
 
+    /// Sets whether this process is the one that others reach at the node's address, and is to stay.
+    ///
+    /// Of two processes of one node, only that one may become a later incarnation; both would outnumber each other
+    /// without end.
+    pub fn set_has_address(&mut self, has_address: bool) {
+        self.has_address = has_address;
+    }
+
     /// Adds or replaces the entry of another node; returns whether anything changed.
     pub fn add_node(&mut self, entry: &NodeEntry, now: Moment) -> bool {
         if entry.node == self.own.node {
@@ -141,7 +152,7 @@
     /// nobody would hear it again. An entry with another address is of a machine that has taken over the name.
     fn outnumber(&mut self, held: &NodeEntry) -> bool {
         let is_own = held.node == self.own.node && held.address == self.own.address;
-        if !is_own || held.incarnation <= self.own.incarnation {
+        if !is_own || !self.has_address || held.incarnation <= self.own.incarnation {
             return false;
         }
         self.own.incarnation = held.incarnation.saturating_add(1);
--- a/crates/membership/tests/fleet.rs
+++ b/crates/membership/tests/fleet.rs
@@ -215,3 +215,21 @@
     let own = fleet.nodes["node-000"].membership.own().incarnation;
     expect_that!(own, eq(1));
 }
+
+/// Guards against two processes of one node, of which one still has its address, outnumbering each other without end.
+#[gtest]
+fn a_process_without_its_address_does_not_become_the_later_incarnation() {
+    let mut fleet = settled(6, 3);
+    let later = NodeEntry {
+        incarnation: 2,
+        ..fleet.nodes["node-000"].entry.clone()
+    };
+    let now = fleet.now;
+    let without = &mut fleet.nodes.get_mut("node-000").expect("a node").membership;
+    without.set_has_address(false);
+    without.add_node(&later, now);
+    expect_that!(without.own().incarnation, eq(1));
+    without.set_has_address(true);
+    without.add_node(&later, now);
+    expect_that!(without.own().incarnation, eq(3));
+}
