Queues of all nodes go on after a panic and a raised incarnation

A panic while a queue was served, or while a node exchanged messages with its coordinator, left a flag set that says that a task does so, so that no other one began. And a node that made itself a later incarnation went on to send the one of its start, which coordinators that knew a later one ignored for ten seconds.

--- a/crates/fleet/src/queue_coordinator.rs
+++ b/crates/fleet/src/queue_coordinator.rs
@@ -1,5 +1,6 @@
 //! Coordinates queues: takes the waiting requests of all nodes, and grants them slots.
 
+use std::panic::{catch_unwind, AssertUnwindSafe};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
@@ -121,6 +122,15 @@
         is_waiting
     }
 
+    fn is_waiting(&self, id: &QueueId) -> bool {
+        let mut queues = self.lock();
+        queues.get_mut(id).is_some_and(|queue| {
+            let is_waiting = queue.is_waiting();
+            queue.set_served(is_waiting);
+            is_waiting
+        })
+    }
+
     /// Returns the groups of a queue that take requests.
     fn capacities(
         &self,
@@ -200,8 +210,11 @@
 }
 
 /// Serves a queue until no request waits there.
+///
+/// A panic while it does so must not leave the queue marked as served: no other task would serve it.
 async fn serve_while_waiting(coordinator: Arc<QueueCoordinator>, id: QueueId, wake: Arc<Notify>) {
-    while coordinator.serve(&id) {
+    let serve = || coordinator.serve(&id);
+    while catch_unwind(AssertUnwindSafe(serve)).unwrap_or_else(|_| coordinator.is_waiting(&id)) {
         tokio::time::sleep(MIN_SERVE_INTERVAL).await;
         // Without a message the queue is served all the same.
         let _ = tokio::time::timeout(SERVE_INTERVAL, wake.notified()).await;
--- a/crates/fleet/src/queue_link.rs
+++ b/crates/fleet/src/queue_link.rs
@@ -1,5 +1,6 @@
 //! This node's exchange with the coordinator of one queue.
 
+use std::panic::AssertUnwindSafe;
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError, Weak};
 use std::time::Duration;
@@ -8,7 +9,7 @@
 use briarswitch_core::shared_queue::{GroupKey, NodeRequests, Ticket};
 use briarswitch_kernel::BootClock;
 use futures::stream::FuturesUnordered;
-use futures::StreamExt;
+use futures::{FutureExt, StreamExt};
 use indexmap::IndexMap;
 use tokio::sync::Notify;
 
@@ -100,7 +101,10 @@
         key: QueueKey,
     ) {
         loop {
-            let ended = self.exchange(&client, &selector, &key).await;
+            let exchange = AssertUnwindSafe(self.exchange(&client, &selector, &key));
+            let ended = exchange.catch_unwind().await;
+            // After a panic the queue is left as after a coordinator that doesn't answer.
+            let ended = ended.unwrap_or(Err(QueueFailure::NoResponse));
             self.is_running.swap(false, Ordering::AcqRel);
             if let Err(failure) = ended {
                 self.fall_back(&client, failure);
@@ -186,7 +190,7 @@
             id: self.id.clone(),
             requests: NodeRequests {
                 node: shared.settings.node.clone(),
-                incarnation: shared.incarnation,
+                incarnation: shared.own_entry().incarnation,
                 sequence: client.next_sequence(),
                 requests,
             },
