--- a/crates/fleet/src/config_sync.rs
+++ b/crates/fleet/src/config_sync.rs
@@ -190,6 +190,10 @@
                     self.request = ConfigRequest::Whole;
                     self.poll(link);
                 } else {
+                    if matches!(error, SourceError::Unreadable(_)) {
+                        // A newer version may follow the one that can't be read.
+                        self.request = ConfigRequest::Whole;
+                    }
                     link.send_after(retry_delay(), ConfigMessage::Poll);
                 }
             }
--- a/crates/node/src/lease.rs
+++ b/crates/node/src/lease.rs
@@ -58,6 +58,7 @@
     pub fn renew(&self, settings: &NodeSettings) -> Self {
         Self {
             writes: self.writes,
+            is_leaving: self.is_leaving,
             ..Self::new(settings, self.incarnation)
         }
     }
