Both ways of running wait for open work through one piece of code

The wait for requests in flight and unwritten answers, the moment given to what is broken off, and the line that ends a shutdown stood in both node modules, letter by letter. OpenWork has them once. Times, order of steps and the line's fields are as before; the tests of planned stops of both ways pass unchanged.

--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -42,6 +42,7 @@
 pub mod need;
 pub mod node;
 pub mod node_exit;
+pub mod open_work;
 pub mod order_sender;
 pub mod pace_watch;
 pub mod packed;
--- a/crates/fleet/src/node.rs
+++ b/crates/fleet/src/node.rs
@@ -1,9 +1,8 @@
 //! A fleet node: starts its services and listeners, and shuts them down.
 
 use std::io;
-use std::sync::atomic::Ordering;
 use std::sync::Arc;
-use std::time::{Duration, SystemTime, UNIX_EPOCH};
+use std::time::{SystemTime, UNIX_EPOCH};
 
 use briarswitch_core::fingerprint::SuspectFingerprint;
 use briarswitch_core::id::Incarnation;
@@ -24,6 +23,7 @@
 use crate::dispatch::FleetDispatcher;
 use crate::load_client::LoadClient;
 use crate::load_coordinator::LoadCoordinator;
+use crate::open_work::OpenWork;
 use crate::peer_api::PeerApi;
 use crate::peers::PeerExchange;
 use crate::ports::FleetPlatform;
@@ -38,11 +38,6 @@
 use crate::suspect_host::SuspectHost;
 use crate::suspect_sync::{SuspectMessage, SuspectSync};
 
-/// Interval at which the number of requests in flight is checked while draining.
-const DRAIN_POLL_INTERVAL: Duration = Duration::from_millis(20);
-/// Longest wait for connections to close after the node has stopped serving them.
-const CLOSE_TIMEOUT: Duration = Duration::from_millis(100);
-
 /// Reason why a node could not start.
 #[derive(Debug, thiserror::Error)]
 pub enum FleetError {
@@ -178,36 +173,18 @@
         self.shared.set_phase(FleetPhase::Leaving);
         tokio::time::sleep(self.shared.exit.plan().notice).await;
         self.shared.set_phase(FleetPhase::Draining);
+        let work = OpenWork {
+            in_flight: &self.shared.in_flight,
+            servers: &self.servers,
+        };
         tokio::select! {
-            () = self.drained() => {}
+            () = work.ended() => {}
             () = self.shared.exit.exit_due() => {}
         }
         let _ = self.stop.send(true);
-        let closed = tokio::time::timeout(CLOSE_TIMEOUT, self.drained()).await;
+        let is_complete = work.has_closed().await;
         self.shared.log_costs();
-        log::info!(
-            complete = closed.is_ok(),
-            in_flight = self.shared.in_flight.load(Ordering::SeqCst),
-            unwritten = self.unwritten_answers();
-            "shutdown_ended"
-        );
-    }
-
-    /// Waits until no request is in flight and all answers have been written.
-    async fn drained(&self) {
-        loop {
-            // A request that has just ended is in neither number until its answer is begun.
-            tokio::time::sleep(DRAIN_POLL_INTERVAL).await;
-            let in_flight = self.shared.in_flight.load(Ordering::SeqCst);
-            if in_flight == 0 && self.unwritten_answers() == 0 {
-                return;
-            }
-        }
-    }
-
-    fn unwritten_answers(&self) -> usize {
-        let servers = self.servers.iter();
-        servers.map(ServerGuard::unwritten_answers).sum()
+        work.log_end(is_complete);
     }
 }
 
--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -2,12 +2,12 @@
 
 use std::io;
 use std::net::SocketAddr;
-use std::sync::atomic::Ordering;
 use std::sync::Arc;
 use std::time::Duration;
 
 use briarswitch_core::prelude::*;
 use briarswitch_fleet::crash_watcher::CrashWatcher;
+use briarswitch_fleet::open_work::OpenWork;
 use briarswitch_fleet::run::RunListeners;
 use briarswitch_fleet::suspect_host::SuspectHost;
 use briarswitch_fleet::suspect_sync::SuspectSync;
@@ -37,10 +37,8 @@
 
 /// Most idle connections kept open to one target.
 const MAX_IDLE_CONNECTIONS: usize = 256;
-/// Time between checks for requests in flight and unwritten usage during shutdown.
-const DRAIN_POLL_INTERVAL: Duration = Duration::from_millis(20);
-/// Longest time in which what the end of the drain breaks off is told to its callers.
-const CLOSE_TIMEOUT: Duration = Duration::from_millis(100);
+/// Time between checks for unwritten usage during shutdown.
+const USAGE_POLL_INTERVAL: Duration = Duration::from_millis(20);
 /// Longest time to wait during shutdown for usage to be written, and then for the lease's release.
 const PLATFORM_WRITE_TIMEOUT: Duration = Duration::from_secs(2);
 
@@ -187,20 +185,19 @@
         let released = self.release_lease();
         tokio::time::sleep(self.shared.exit.plan().notice).await;
         self.shared.set_phase(Phase::Draining);
+        let work = OpenWork {
+            in_flight: &self.shared.in_flight,
+            servers: &self.servers,
+        };
         tokio::select! {
-            () = self.drained() => {}
+            () = work.ended() => {}
             () = self.shared.exit.exit_due() => {}
         }
-        let drained = tokio::time::timeout(CLOSE_TIMEOUT, self.drained()).await;
+        let is_complete = work.has_closed().await;
         self.flush_usage().await;
         let _ = tokio::time::timeout(PLATFORM_WRITE_TIMEOUT, released).await;
         let _ = self.stop.send(true);
-        log::info!(
-            complete = drained.is_ok(),
-            in_flight = self.shared.in_flight.load(Ordering::SeqCst),
-            unwritten = self.unwritten_answers();
-            "shutdown_ended"
-        );
+        work.log_end(is_complete);
     }
 
     fn release_lease(&self) -> oneshot::Receiver<()> {
@@ -209,33 +206,16 @@
         released
     }
 
-    /// Waits until no request is in flight and all answers have been written.
-    async fn drained(&self) {
-        loop {
-            // A request that has just ended is in neither number until its answer is begun.
-            tokio::time::sleep(DRAIN_POLL_INTERVAL).await;
-            let in_flight = self.shared.in_flight.load(Ordering::SeqCst);
-            if in_flight == 0 && self.unwritten_answers() == 0 {
-                return;
-            }
-        }
-    }
-
-    fn unwritten_answers(&self) -> usize {
-        let servers = self.servers.iter();
-        servers.map(ServerGuard::unwritten_answers).sum()
-    }
-
     async fn flush_usage(&self) {
         let flushing = async {
             while !self.shared.usage.is_empty() {
                 let _ = self.usage.send(UsageMessage::Flush).await;
-                tokio::time::sleep(DRAIN_POLL_INTERVAL).await;
+                tokio::time::sleep(USAGE_POLL_INTERVAL).await;
             }
             // The meter is empty once its last batch is taken, which is before that batch is
             // written; one more flush and wait give that write time to end, or repeat it.
             let _ = self.usage.send(UsageMessage::Flush).await;
-            tokio::time::sleep(DRAIN_POLL_INTERVAL * 2).await;
+            tokio::time::sleep(USAGE_POLL_INTERVAL * 2).await;
         };
         let _ = tokio::time::timeout(PLATFORM_WRITE_TIMEOUT, flushing).await;
     }
