--- a/crates/fleet/src/queue_coordinator.rs
+++ b/crates/fleet/src/queue_coordinator.rs
@@ -117,18 +117,13 @@
         let metrics = &self.shared.metrics;
         metrics.count_queue_grants(&id.service, &id.model, decided.grants);
         metrics.count_queue_refusals(&id.service, &id.model, decided.refusals);
-        let is_waiting = queue.is_waiting();
-        queue.set_served(is_waiting);
-        is_waiting
+        mark_served(queue)
     }
 
-    fn is_waiting(&self, id: &QueueId) -> bool {
+    /// Marks a queue as served while requests wait there; returns whether they do.
+    fn refresh_served(&self, id: &QueueId) -> bool {
         let mut queues = self.lock();
-        queues.get_mut(id).is_some_and(|queue| {
-            let is_waiting = queue.is_waiting();
-            queue.set_served(is_waiting);
-            is_waiting
-        })
+        queues.get_mut(id).is_some_and(mark_served)
     }
 
     /// Returns the groups of a queue that take requests.
@@ -204,6 +199,13 @@
     }
 }
 
+/// Marks a queue as served while requests wait there; returns whether they do.
+fn mark_served(queue: &mut CoordinatedQueue) -> bool {
+    let is_waiting = queue.is_waiting();
+    queue.set_served(is_waiting);
+    is_waiting
+}
+
 /// Returns whether a group may get requests of any node.
 fn is_usable(group: &RouteTarget, now: Moment) -> bool {
     !group.gauge.is_suspect(now) && !group.gauge.statements().is_leaving(now)
@@ -214,7 +216,8 @@
 /// A panic while it does so must not leave the queue marked as served: no other task would serve it.
 async fn serve_while_waiting(coordinator: Arc<QueueCoordinator>, id: QueueId, wake: Arc<Notify>) {
     let serve = || coordinator.serve(&id);
-    while catch_unwind(AssertUnwindSafe(serve)).unwrap_or_else(|_| coordinator.is_waiting(&id)) {
+    while catch_unwind(AssertUnwindSafe(serve)).unwrap_or_else(|_| coordinator.refresh_served(&id))
+    {
         tokio::time::sleep(MIN_SERVE_INTERVAL).await;
         // Without a message the queue is served all the same.
         let _ = tokio::time::timeout(SERVE_INTERVAL, wake.notified()).await;
--- a/crates/fleet/src/queue_link.rs
+++ b/crates/fleet/src/queue_link.rs
@@ -186,11 +186,12 @@
             return None;
         }
         let shared = client.shared();
+        let incarnation = shared.membership().own().incarnation;
         Some(QueueUpdate {
             id: self.id.clone(),
             requests: NodeRequests {
                 node: shared.settings.node.clone(),
-                incarnation: shared.own_entry().incarnation,
+                incarnation,
                 sequence: client.next_sequence(),
                 requests,
             },
--- a/crates/fleet/src/shared.rs
+++ b/crates/fleet/src/shared.rs
@@ -243,19 +243,15 @@
         !self.settings.fails_closed || self.config_age() < limit
     }
 
-    /// Returns whether the load balancer may send callers to this node.
-    pub fn is_ready(&self) -> bool {
-        self.readiness().is_ready()
-    }
-
     /// Returns every condition that keeps the load balancer from sending callers here.
     pub fn readiness(&self) -> Readiness {
-        let age = BootClock::now().saturating_sub(self.started_at);
+        let now = BootClock::now();
+        let age = now.saturating_sub(self.started_at);
         let checks = [
             (
                 ReadinessCondition::Running,
                 self.phase() == FleetPhase::Running,
-                self.exit.elapsed(BootClock::now()),
+                self.exit.elapsed(now),
             ),
             (
                 ReadinessCondition::Configuration,
