What a stream holds of an event is claimed before it is held

Operators saw: a server sends bytes without end, the machine that called it keeps them and runs out of memory. What the relay held of an event without an end was claimed by its length, after it had been added, while its buffer had up to twice that capacity, and the old buffer lived beside the new one while it grew; the scanner of the other way of running allocated a second buffer of the same capacity for each chunk.

Both relays now claim what a chunk leaves of an incomplete event before they take it, in units of 4 KiB, which is what is allocated: the event is held in segments that are not moved as it grows and all have one size, so that freed ones fit the next. A chunk that completes its events claims nothing.

--- a/crates/core/src/events.rs
+++ b/crates/core/src/events.rs
@@ -1,11 +1,10 @@
 //! Splits a stream into complete events and records the id of the last one.
 
-use bytes::{Bytes, BytesMut};
+use bytes::Bytes;
 
+use crate::partial_event::{PartialEvent, SEPARATOR};
 use crate::stream::MAX_EVENT_BYTES;
 
-/// Blank line that terminates an event.
-const SEPARATOR: &[u8] = b"\n\n";
 /// Field that holds an event's id.
 const ID_FIELD: &[u8] = b"id:";
 
@@ -15,7 +14,7 @@
 /// another target without duplicated or lost bytes.
 #[derive(Clone, Debug, Default)]
 pub struct EventSplitter {
-    partial: BytesMut,
+    partial: PartialEvent,
     last_id: Option<String>,
     events: u64,
 }
@@ -32,15 +31,29 @@
     /// assert_eq!(splitter.last_id(), Some("7"));
     /// ```
     pub fn push(&mut self, chunk: &[u8]) -> Bytes {
-        // The separator may be split between two chunks.
-        let from = self.partial.len().saturating_sub(SEPARATOR.len() - 1);
-        self.partial.extend_from_slice(chunk);
-        let Some(end) = memchr::memmem::rfind(&self.partial[from..], SEPARATOR) else {
+        let Some(end) = self.partial.last_end_in(chunk) else {
+            self.partial.extend(chunk);
             return Bytes::new();
         };
-        let complete = self.partial.split_to(from + end + SEPARATOR.len()).freeze();
+        let (last, rest) = chunk.split_at(end);
+        let mut complete = self.partial.take();
+        complete.extend_from_slice(last);
+        self.partial.extend(rest);
         self.record(&complete);
-        complete
+        Bytes::from(complete)
+    }
+
+    /// Returns the bytes of memory that the incomplete event will take after a chunk.
+    ///
+    /// ```
+    /// use briarswitch_core::events::EventSplitter;
+    ///
+    /// let splitter = EventSplitter::default();
+    /// assert!(splitter.capacity_after(b"data: a") >= 7);
+    /// assert_eq!(splitter.capacity_after(b"data: a\n\n"), 0);
+    /// ```
+    pub fn capacity_after(&self, chunk: &[u8]) -> usize {
+        self.partial.capacity_after(chunk)
     }
 
     /// Returns whether the incomplete event is too large to be one.
@@ -58,14 +71,28 @@
         self.partial.len() > MAX_EVENT_BYTES
     }
 
-    /// Returns the buffered bytes of the incomplete event.
-    pub fn partial(&self) -> &[u8] {
-        &self.partial
+    /// Returns the number of buffered bytes of the incomplete event.
+    pub fn partial_bytes(&self) -> usize {
+        self.partial.len()
+    }
+
+    /// Removes and returns the buffered bytes of the incomplete event.
+    ///
+    /// ```
+    /// use briarswitch_core::events::EventSplitter;
+    ///
+    /// let mut splitter = EventSplitter::default();
+    /// splitter.push(b"data: a");
+    /// assert_eq!(&splitter.take_partial()[..], b"data: a");
+    /// assert_eq!(splitter.partial_bytes(), 0);
+    /// ```
+    pub fn take_partial(&mut self) -> Bytes {
+        Bytes::from(self.partial.take())
     }
 
     /// Discards the bytes of an incomplete event.
     pub fn discard_partial(&mut self) {
-        self.partial = BytesMut::new();
+        self.partial = PartialEvent::default();
     }
 
     /// Returns the id of the last complete event.
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -47,6 +47,7 @@
 pub mod organisation;
 pub mod outage_history;
 pub mod outcome;
+mod partial_event;
 pub mod placement;
 pub mod planner;
 pub mod prefix;
--- a/crates/core/src/stream.rs
+++ b/crates/core/src/stream.rs
@@ -1,7 +1,7 @@
 //! Scans a stream of server-sent events for complete events and the end marker.
 
-/// Event separator (HTML Living Standard, server-sent events).
-const SEPARATOR: &[u8] = b"\n\n";
+use crate::partial_event::{PartialEvent, SEPARATOR};
+
 /// Largest size of one event in bytes. A target that sends more without an end of the event sends no events.
 pub(crate) const MAX_EVENT_BYTES: usize = 1 << 20;
 /// Event that marks the end of a stream.
@@ -13,7 +13,7 @@
 /// of them. If part of an event were passed on, resuming would duplicate or corrupt that event.
 #[derive(Clone, Debug, Default)]
 pub struct EventScanner {
-    partial: Vec<u8>,
+    partial: PartialEvent,
     events: usize,
     is_ended: bool,
 }
@@ -49,14 +49,22 @@
         self.partial.len() > MAX_EVENT_BYTES
     }
 
-    /// Returns the number of buffered bytes of an incomplete event.
-    pub fn partial_bytes(&self) -> usize {
-        self.partial.len()
+    /// Returns the bytes of memory that the incomplete event will take after a chunk.
+    ///
+    /// ```
+    /// use briarswitch_core::stream::EventScanner;
+    ///
+    /// let scanner = EventScanner::default();
+    /// assert!(scanner.capacity_after(b"data: a") >= 7);
+    /// assert_eq!(scanner.capacity_after(b"data: a\n\n"), 0);
+    /// ```
+    pub fn capacity_after(&self, chunk: &[u8]) -> usize {
+        self.partial.capacity_after(chunk)
     }
 
     /// Discards an incomplete event, as before resuming the stream.
     pub fn discard_partial(&mut self) {
-        self.partial = Vec::new();
+        self.partial = PartialEvent::default();
     }
 
     /// Scans a chunk and returns the previously buffered bytes that are now complete, and the
@@ -70,20 +78,26 @@
     /// assert_eq!((buffered.len(), chunk.complete_bytes, scanner.events()), (0, 9, 1));
     /// ```
     pub fn scan(&mut self, chunk: &[u8]) -> (Vec<u8>, ScannedChunk) {
-        if !self.partial.is_empty() {
+        if self.partial.len() > 0 {
             return self.scan_joined(chunk);
         }
         let complete_bytes = self.count(chunk);
-        self.partial.extend_from_slice(&chunk[complete_bytes..]);
+        self.partial.extend(&chunk[complete_bytes..]);
         (Vec::new(), ScannedChunk { complete_bytes })
     }
 
     fn scan_joined(&mut self, chunk: &[u8]) -> (Vec<u8>, ScannedChunk) {
-        let mut joined = std::mem::take(&mut self.partial);
-        joined.extend_from_slice(chunk);
+        let scanned = ScannedChunk { complete_bytes: 0 };
+        let is_complete = self.partial.last_end_in(chunk).is_some();
+        self.partial.extend(chunk);
+        if !is_complete {
+            return (Vec::new(), scanned);
+        }
+        let mut joined = self.partial.take();
         let complete_bytes = self.count(&joined);
-        self.partial = joined.split_off(complete_bytes);
-        (joined, ScannedChunk { complete_bytes: 0 })
+        self.partial.extend(&joined[complete_bytes..]);
+        joined.truncate(complete_bytes);
+        (joined, scanned)
     }
 
     fn count(&mut self, bytes: &[u8]) -> usize {
--- a/crates/core/tests/fleet.rs
+++ b/crates/core/tests/fleet.rs
@@ -11,6 +11,7 @@
 use briarswitch_core::placement::{
     has_free_slot, pick_group, slot_share, GroupLoad, NodeWeight, PlacementParams,
 };
+use briarswitch_core::stream::EventScanner;
 use briarswitch_core::target::{
     Membership, MembershipState, TargetCache, TargetChange, TargetRecord,
 };
@@ -206,6 +207,35 @@
     }
 }
 
+/// Guards against bytes that are lost or exchanged where an event takes several segments of the memory.
+#[gtest]
+fn large_events_are_complete_however_the_bytes_are_cut() {
+    let event = |id: usize| format!("id: {id}\ndata: {}\n\n", id.to_string().repeat(id * 700));
+    let stream: String = (1..=20).map(event).collect();
+    let mut rng = StdRng::seed_from_u64(1);
+    for largest_cut in [1, 100, 4_096, 20_000] {
+        let mut splitter = EventSplitter::default();
+        let mut scanner = EventScanner::default();
+        let (mut split, mut scanned) = (Vec::new(), Vec::new());
+        let mut rest = stream.as_bytes();
+        while !rest.is_empty() {
+            let (chunk, after) = rest.split_at(rng.random_range(1..=rest.len().min(largest_cut)));
+            let expected = splitter.capacity_after(chunk);
+            assert_eq!(scanner.capacity_after(chunk), expected);
+            split.extend_from_slice(&splitter.push(chunk));
+            assert!(splitter.partial_bytes() <= expected);
+            let (earlier, end) = scanner.scan(chunk);
+            scanned.extend_from_slice(&earlier);
+            scanned.extend_from_slice(&chunk[..end.complete_bytes]);
+            rest = after;
+        }
+        assert_eq!(split, stream.as_bytes());
+        assert_eq!(scanned, stream.as_bytes());
+        assert_eq!(splitter.events(), 20);
+        assert_eq!(scanner.events(), 20);
+    }
+}
+
 fn record(id: &str) -> TargetRecord {
     record_at(id, &format!("{id}:80"))
 }
--- a/crates/fleet/src/relay.rs
+++ b/crates/fleet/src/relay.rs
@@ -126,13 +126,16 @@
     }
 
     async fn next_step(&mut self) -> StreamStep {
-        if self.splitter.is_overlong() || !self.has_room() {
+        if self.splitter.is_overlong() {
             return StreamStep::Broken;
         }
         loop {
             let timer = tokio::time::timeout(SILENCE_POLL_INTERVAL, self.source.next());
             let started = BootClock::now();
             match timer.await {
+                Ok(Ok(BodyPart::Chunk(chunk))) if !self.has_room(&chunk) => {
+                    return StreamStep::Broken
+                }
                 Ok(Ok(BodyPart::Chunk(chunk))) => return StreamStep::Chunk(chunk),
                 Ok(Ok(BodyPart::End(end))) => return StreamStep::End(end),
                 Ok(Err(_)) => return StreamStep::Broken,
@@ -154,13 +157,13 @@
         }
     }
 
-    /// Claims room for the incomplete event; returns whether there is some.
-    fn has_room(&mut self) -> bool {
-        let claimed = self.room.resize(self.splitter.partial().len());
+    /// Claims room for what a chunk leaves of an incomplete event; returns whether there is some.
+    fn has_room(&mut self, chunk: &Bytes) -> bool {
+        let claimed = self.room.resize(self.splitter.capacity_after(chunk));
         if let Err(error) = &claimed {
             log::info!(
                 request = self.trace.request_id.as_str(),
-                partial_bytes = self.splitter.partial().len(),
+                partial_bytes = self.splitter.partial_bytes(),
                 error:% = error;
                 "event_refused"
             );
@@ -255,7 +258,7 @@
         if end == BodyEnd::Marked {
             return true;
         }
-        let partial_bytes = self.splitter.partial().len();
+        let partial_bytes = self.splitter.partial_bytes();
         let has_begun = self.splitter.events() > 0 || self.last_event().is_some();
         let host: &FleetShared = self.dispatcher.shared();
         let is_complete =
@@ -269,7 +272,7 @@
         self.has_ended = true;
         self.source.complete(&self.dispatcher.shared().suspects);
         self.trace.end(RequestEnd::Answered);
-        let rest = Bytes::copy_from_slice(self.splitter.partial());
+        let rest = self.splitter.take_partial();
         (!rest.is_empty()).then_some(Ok(rest))
     }
 
--- a/crates/node/src/relay.rs
+++ b/crates/node/src/relay.rs
@@ -155,8 +155,7 @@
     }
 
     async fn next_step(&mut self) -> RelayStep {
-        let claimed = self.room.resize(self.scanner.partial_bytes());
-        if self.scanner.is_overlong() || claimed.is_err() {
+        if self.scanner.is_overlong() {
             return RelayStep::Broken;
         }
         let silence = self.dispatcher.shared().settings.requests.stream_silence;
@@ -169,6 +168,7 @@
                 chunk = body.next() => {
                     self.last_chunk_at = Instant::now();
                     return match chunk {
+                        Ok(BodyPart::Chunk(chunk)) if !self.has_room(&chunk) => RelayStep::Broken,
                         Ok(BodyPart::Chunk(chunk)) => RelayStep::Chunk(chunk),
                         Ok(BodyPart::End(_)) => RelayStep::End,
                         Err(_) => RelayStep::Broken,
@@ -187,6 +187,15 @@
         }
     }
 
+    /// Claims room for what a chunk leaves of an incomplete event; returns whether there is some.
+    fn has_room(&mut self, chunk: &Bytes) -> bool {
+        let claimed = self.room.resize(self.scanner.capacity_after(chunk));
+        if let Err(error) = &claimed {
+            log::info!(request = self.trace.request.as_str(), error:% = error; "event_refused");
+        }
+        claimed.is_ok()
+    }
+
     /// Takes a chunk of the body and returns the complete events that can be relayed now.
     fn accept_chunk(&mut self, chunk: &Bytes) -> Option<Bytes> {
         let before = self.scanner.events();
