A stream that broke closes its connection before it is resumed

Operators saw: a server sends bytes without end, the machine that called it runs out of memory. A stream whose event is refused for want of room, or that broke otherwise, is resumed at another server; until that one answered, and while it waited for a slot, the broken connection stayed open with all that it had read ahead and the system had received, and the incomplete event was held, which is never passed on. 600 streams that are refused at once held both.

The connection and the incomplete event are now given up before the stream is resumed. A stream that is silent is resumed with its old connection open, as before, since its group may only be slow.

--- a/crates/fleet/src/relay.rs
+++ b/crates/fleet/src/relay.rs
@@ -299,6 +299,8 @@
     /// was not reached has not received the request, so a further one is tried.
     async fn resume_after_break(&mut self) -> bool {
         self.source.release_slot();
+        self.source.close();
+        self.discard_partial();
         let mut unreached = 0;
         while self.may_resume() && unreached < MAX_UNREACHED_ATTEMPTS {
             let result = self.resume_once().await;
@@ -435,6 +437,10 @@
             self.trace.record_target(&response.target);
         }
         self.source = source;
+        self.discard_partial();
+    }
+
+    fn discard_partial(&mut self) {
         self.splitter.discard_partial();
         let _ = self.room.resize(0);
     }
--- a/crates/fleet/src/stream_source.rs
+++ b/crates/fleet/src/stream_source.rs
@@ -1,7 +1,7 @@
 //! Where the events of a stream come from: a target, or another node that relays a target's response.
 
 use briarswitch_core::id::Moment;
-use briarswitch_http::{BodyEnd, BodyError, BodyPart};
+use briarswitch_http::{BodyEnd, BodyError, BodyPart, TargetBody};
 
 use crate::body_check;
 use crate::forwarder::ForwardedResponse;
@@ -42,11 +42,19 @@
     ///
     /// Returns an error if the connection failed before the end.
     pub async fn next(&mut self) -> Result<BodyPart, BodyError> {
-        let body = match self {
+        self.body().next().await
+    }
+
+    /// Closes the connection of a broken stream, with the bytes that it has read ahead.
+    pub fn close(&mut self) {
+        self.body().close();
+    }
+
+    fn body(&mut self) -> &mut TargetBody {
+        match self {
             Self::Target(response) => &mut response.body,
             Self::Peer(response) => &mut response.body,
-        };
-        body.next().await.map_err(|_| BodyError::Incomplete)
+        }
     }
 
     /// Records that bytes arrived.
--- a/crates/http/src/target_body.rs
+++ b/crates/http/src/target_body.rs
@@ -68,7 +68,8 @@
 ///
 /// Dropping it before its end closes the connection, which makes the target cancel the request.
 pub struct TargetBody {
-    incoming: CountedBody,
+    /// `None` once it was closed.
+    incoming: Option<CountedBody>,
     end: BodyEnd,
     connection: Option<PooledConnection>,
 }
@@ -124,10 +125,10 @@
             BodyEnd::of(&head.headers)
         };
         Self {
-            incoming: CountedBody {
+            incoming: Some(CountedBody {
                 incoming,
                 overhead: connection.sender.overhead.clone(),
-            },
+            }),
             end,
             connection: Some(connection),
         }
@@ -138,16 +139,20 @@
     /// # Errors
     ///
     /// Returns an error if the connection failed before the end of the body, as given by its length
-    /// or final chunk; such a body must never be forwarded as complete.
-    pub async fn next(&mut self) -> Result<BodyPart, hyper::Error> {
+    /// or final chunk, or was closed; such a body must never be forwarded as complete.
+    pub async fn next(&mut self) -> Result<BodyPart, BodyError> {
+        let incoming = self.incoming.as_mut().ok_or(BodyError::Incomplete)?;
         loop {
-            match self.incoming.frame().await {
+            match incoming.frame().await {
                 Some(Ok(frame)) => {
                     if let Ok(data) = frame.into_data() {
                         return Ok(BodyPart::Chunk(data));
                     }
                 }
-                Some(Err(error)) => return Err(error),
+                Some(Err(error)) => {
+                    log::debug!(error:% = error; "body_broken");
+                    return Err(BodyError::Incomplete);
+                }
                 None => {
                     self.release_connection();
                     return Ok(BodyPart::End(self.end));
@@ -162,7 +167,8 @@
     ///
     /// Returns [`BodyError`] if the body is larger than `limit` or incomplete.
     pub async fn read_all(mut self, limit: usize) -> Result<WholeBody, BodyError> {
-        let bytes = read_answer(&mut self.incoming, limit).await?;
+        let incoming = self.incoming.as_mut().ok_or(BodyError::Incomplete)?;
+        let bytes = read_answer(incoming, limit).await?;
         self.release_connection();
         Ok(WholeBody {
             bytes,
@@ -170,6 +176,12 @@
         })
     }
 
+    /// Closes the connection now, with the bytes that it has read ahead; [`TargetBody::next`] fails from then on.
+    pub fn close(&mut self) {
+        self.incoming = None;
+        self.connection = None;
+    }
+
     fn release_connection(&mut self) {
         let Some(connection) = self.connection.take() else {
             return;
