--- a/crates/http/src/target.rs
+++ b/crates/http/src/target.rs
@@ -17,8 +17,8 @@
 use crate::idle_pool::{IdlePool, Sender, TargetAddress};
 use crate::target_body::{PooledConnection, TargetBody};
 
-/// Bytes that a connection reads ahead of its caller, or has yet to write; the head of a response may have as many.
-const MAX_BUFFER_BYTES: usize = 16 << 10;
+/// Bytes that a connection reads ahead of its caller, or has yet to write; a head of a response with 16 KiB of headers fits in.
+const MAX_BUFFER_BYTES: usize = 24 << 10;
 /// Receive buffer of a connection in bytes; the system doubles it.
 const RECEIVE_BUFFER_BYTES: usize = 64 << 10;
 
