A stream passes on the events that a chunk completes before it is refused room

What callers would have seen: since a stream claims room for what a chunk leaves of an incomplete event before it takes the chunk, a chunk that ends one event and begins another was dropped whole where there is no room for the latter. Found in review, by reading.

The chunk is taken again first, its complete events are passed on, and the room for the rest is claimed at the next step, by the capacity that is taken. What is not claimed meanwhile is one chunk, which is in memory in any case.

--- a/crates/core/src/events.rs
+++ b/crates/core/src/events.rs
@@ -43,17 +43,18 @@
         Bytes::from(complete)
     }
 
-    /// Returns the bytes of memory that the incomplete event will take after a chunk.
+    /// Returns the bytes of memory that the incomplete event takes.
     ///
     /// ```
     /// use briarswitch_core::events::EventSplitter;
     ///
-    /// let splitter = EventSplitter::default();
-    /// assert!(splitter.capacity_after(b"data: a") >= 7);
-    /// assert_eq!(splitter.capacity_after(b"data: a\n\n"), 0);
+    /// let mut splitter = EventSplitter::default();
+    /// assert_eq!(splitter.partial_capacity(), 0);
+    /// splitter.push(b"data: a");
+    /// assert!(splitter.partial_capacity() >= 7);
     /// ```
-    pub fn capacity_after(&self, chunk: &[u8]) -> usize {
-        self.partial.capacity_after(chunk)
+    pub fn partial_capacity(&self) -> usize {
+        self.partial.capacity()
     }
 
     /// Returns whether the incomplete event is too large to be one.
--- a/crates/core/src/partial_event.rs
+++ b/crates/core/src/partial_event.rs
@@ -18,13 +18,9 @@
         self.len
     }
 
-    /// Returns the bytes of memory that the beginning of the last event takes after the next chunk.
-    pub(crate) fn capacity_after(&self, chunk: &[u8]) -> usize {
-        let len = match self.last_end_in(chunk) {
-            Some(end) => chunk.len() - end,
-            None => self.len + chunk.len(),
-        };
-        len.next_multiple_of(SEGMENT_BYTES)
+    /// Returns the bytes of memory that are taken.
+    pub(crate) fn capacity(&self) -> usize {
+        self.segments.len() * SEGMENT_BYTES
     }
 
     /// Returns the number of bytes of the next chunk up to the last end of an event, if one ends there.
--- a/crates/core/src/stream.rs
+++ b/crates/core/src/stream.rs
@@ -49,17 +49,18 @@
         self.partial.len() > MAX_EVENT_BYTES
     }
 
-    /// Returns the bytes of memory that the incomplete event will take after a chunk.
+    /// Returns the bytes of memory that the incomplete event takes.
     ///
     /// ```
     /// use briarswitch_core::stream::EventScanner;
     ///
-    /// let scanner = EventScanner::default();
-    /// assert!(scanner.capacity_after(b"data: a") >= 7);
-    /// assert_eq!(scanner.capacity_after(b"data: a\n\n"), 0);
+    /// let mut scanner = EventScanner::default();
+    /// assert_eq!(scanner.partial_capacity(), 0);
+    /// scanner.scan(b"data: a");
+    /// assert!(scanner.partial_capacity() >= 7);
     /// ```
-    pub fn capacity_after(&self, chunk: &[u8]) -> usize {
-        self.partial.capacity_after(chunk)
+    pub fn partial_capacity(&self) -> usize {
+        self.partial.capacity()
     }
 
     /// Discards an incomplete event, as before resuming the stream.
--- a/crates/fleet/src/relay.rs
+++ b/crates/fleet/src/relay.rs
@@ -126,16 +126,13 @@
     }
 
     async fn next_step(&mut self) -> StreamStep {
-        if self.splitter.is_overlong() {
+        if self.splitter.is_overlong() || !self.has_room() {
             return StreamStep::Broken;
         }
         loop {
             let timer = tokio::time::timeout(SILENCE_POLL_INTERVAL, self.source.next());
             let started = BootClock::now();
             match timer.await {
-                Ok(Ok(BodyPart::Chunk(chunk))) if !self.has_room(&chunk) => {
-                    return StreamStep::Broken
-                }
                 Ok(Ok(BodyPart::Chunk(chunk))) => return StreamStep::Chunk(chunk),
                 Ok(Ok(BodyPart::End(end))) => return StreamStep::End(end),
                 Ok(Err(_)) => return StreamStep::Broken,
@@ -157,9 +154,9 @@
         }
     }
 
-    /// Claims room for what a chunk leaves of an incomplete event; returns whether there is some.
-    fn has_room(&mut self, chunk: &Bytes) -> bool {
-        let claimed = self.room.resize(self.splitter.capacity_after(chunk));
+    /// Claims room for the incomplete event; returns whether there is some.
+    fn has_room(&mut self) -> bool {
+        let claimed = self.room.resize(self.splitter.partial_capacity());
         if let Err(error) = &claimed {
             log::info!(
                 request = self.trace.request_id.as_str(),
--- a/crates/node/src/relay.rs
+++ b/crates/node/src/relay.rs
@@ -155,7 +155,7 @@
     }
 
     async fn next_step(&mut self) -> RelayStep {
-        if self.scanner.is_overlong() {
+        if self.scanner.is_overlong() || !self.has_room() {
             return RelayStep::Broken;
         }
         let silence = self.dispatcher.shared().settings.requests.stream_silence;
@@ -168,7 +168,6 @@
                 chunk = body.next() => {
                     self.last_chunk_at = Instant::now();
                     return match chunk {
-                        Ok(BodyPart::Chunk(chunk)) if !self.has_room(&chunk) => RelayStep::Broken,
                         Ok(BodyPart::Chunk(chunk)) => RelayStep::Chunk(chunk),
                         Ok(BodyPart::End(_)) => RelayStep::End,
                         Err(_) => RelayStep::Broken,
@@ -187,9 +186,9 @@
         }
     }
 
-    /// Claims room for what a chunk leaves of an incomplete event; returns whether there is some.
-    fn has_room(&mut self, chunk: &Bytes) -> bool {
-        let claimed = self.room.resize(self.scanner.capacity_after(chunk));
+    /// Claims room for the incomplete event; returns whether there is some.
+    fn has_room(&mut self) -> bool {
+        let claimed = self.room.resize(self.scanner.partial_capacity());
         if let Err(error) = &claimed {
             log::info!(request = self.trace.request.as_str(), error:% = error; "event_refused");
         }
