A request whose handling panics is answered, as one that may have run

What callers saw: the connection was closed without a byte. A request that may not be repeated was lost without a word, and the log said that its caller had left.

Cause: a panic in a handler unwound through the connection's task. The server now catches it at the one place where handlers are called, with the body that is read for HTTP/1.0, and answers 500 in plain words, without Retry-After; callers of nodes that state an outcome get `unknown` and the code `node_panicked`. The panic is logged once, by the hook; the log's outcome of such a request is unknown.

An answer alone would have done harm: a node takes an answer from another one that isn't marked for a request that was not taken, and forwards it to the next. A 500 now counts like a connection that broke, and a node marks it so that nodes of earlier versions do the same.

With the 500 but without the change in the forwarder, the new test in fleet/tests/forwards.rs failed: four requests that may run once went to another node after the panic and were served. The outcome in the log, the mark of the fleet's peer listener and the overrides of the node's listeners are covered by two doc tests of what they build, not by a run with a panic.

Why it holds: what a request holds is given back when its future is unwound, before the answer is built, and nothing but the answer is made from then on.

--- a/crates/fleet/src/forward.rs
+++ b/crates/fleet/src/forward.rs
@@ -295,6 +295,25 @@
     response
 }
 
+/// Marks the response to a request whose handling panicked, so that a forwarded one goes to no other node.
+///
+/// A refusal that can't be read says nothing about whether the request ran, also to nodes of earlier versions.
+///
+/// ```
+/// use briarswitch_fleet::forward::{is_refusal, mark_unfinished, RefusalDoc};
+/// use briarswitch_http::{decode_msgpack, reply_text};
+///
+/// let text = "this server failed";
+/// let response = mark_unfinished(reply_text(http::StatusCode::INTERNAL_SERVER_ERROR, text));
+/// assert!(is_refusal(response.headers()));
+/// assert!(decode_msgpack::<RefusalDoc>(text.as_bytes()).is_err());
+/// ```
+#[must_use]
+pub fn mark_unfinished(mut response: Response) -> Response {
+    response.headers_mut().insert(FORWARD_RESULT, REFUSAL);
+    response
+}
+
 /// Returns whether a response is a [`ForwardRefusal`].
 pub fn is_refusal(headers: &HeaderMap) -> bool {
     headers.get(FORWARD_RESULT) == Some(&REFUSAL)
--- a/crates/fleet/src/forwarder.rs
+++ b/crates/fleet/src/forwarder.rs
@@ -14,7 +14,7 @@
 use briarswitch_kernel::BootClock;
 use bytes::Bytes;
 use http::header::HOST;
-use http::{HeaderValue, Method, Uri};
+use http::{HeaderValue, Method, StatusCode, Uri};
 
 use crate::costs::CostKind;
 use crate::failure::FailedAttempt;
@@ -239,6 +239,11 @@
             return Err(refusal_error(read.as_ref().map(|body| &*body.bytes)));
         }
         let Some(forwarded) = ForwardedHead::take_from(&mut head.headers) else {
+            if head.status == StatusCode::INTERNAL_SERVER_ERROR {
+                // The node panicked when it may have sent the request to a target.
+                let lost = ForwardError::Lost(FailurePoint::BrokenBeforeHead);
+                return Err(HopError::Ended(lost));
+            }
             // A node of an earlier version does not know the path.
             return Err(HopError::NotTaken(format!("status {}", head.status)));
         };
--- a/crates/fleet/src/peer_api.rs
+++ b/crates/fleet/src/peer_api.rs
@@ -7,7 +7,8 @@
 use briarswitch_core::fingerprint::SuspectFingerprint;
 use briarswitch_core::id::Moment;
 use briarswitch_http::{
-    decode_msgpack, read_body, reply_bytes, reply_msgpack, reply_text, Handler, Request, Response,
+    decode_msgpack, panic_response, read_body, reply_bytes, reply_msgpack, reply_text, Handler,
+    Request, Response,
 };
 use briarswitch_kernel::{BootClock, Mailbox};
 use briarswitch_membership::{Gossip, GossipDoc, NodeStatus};
@@ -19,7 +20,7 @@
 use crate::costs::CostKind;
 use crate::feed::FEED_PATH;
 use crate::feed_doc::FeedRequestDoc;
-use crate::forward::FORWARD_PATH;
+use crate::forward::{mark_unfinished, FORWARD_PATH};
 use crate::forward_api::ForwardApi;
 use crate::gossip_client::{FAR_GOSSIP_PATH, GOSSIP_PATH};
 use crate::load_coordinator::LoadCoordinator;
@@ -198,4 +199,8 @@
     fn handle(&self, request: Request) -> BoxFuture<'_, Response> {
         Box::pin(self.route(request))
     }
+
+    fn after_panic(&self) -> Response {
+        mark_unfinished(panic_response())
+    }
 }
--- a/crates/fleet/src/trace.rs
+++ b/crates/fleet/src/trace.rs
@@ -37,6 +37,15 @@
 }
 
 impl RequestEnd {
+    /// Returns how a request ended that is dropped before its end: its caller left, or its handling panicked.
+    fn of_dropped() -> Self {
+        if std::thread::panicking() {
+            Self::Unknown
+        } else {
+            Self::CallerLeft
+        }
+    }
+
     /// Returns the name used in logs and metrics.
     pub fn name(self) -> &'static str {
         match self {
@@ -270,7 +279,7 @@
                 .forwarded_in_flight
                 .fetch_sub(1, Ordering::SeqCst);
         }
-        let end = self.end.unwrap_or(RequestEnd::CallerLeft);
+        let end = self.end.unwrap_or_else(RequestEnd::of_dropped);
         let latency = BootClock::now().saturating_sub(self.arrived);
         let labels = RequestLabels {
             organisation: &self.organisation,
--- a/crates/fleet/tests/forwards.rs
+++ b/crates/fleet/tests/forwards.rs
@@ -11,6 +11,7 @@
 use serde_json::Value;
 
 use support::path::PathState;
+use support::peer::QueueResponse;
 use support::platform::TargetListing;
 use support::target::{HANGING, PAUSING};
 use support::{Fleet, TestRequest, GRACE, HOST, KEYS, SERVICE};
@@ -225,6 +226,33 @@
     expect_that!(runs_of(&fleet, "once"), eq(3));
 }
 
+/// Guards against a request that runs though another node, which may have run it before it panicked, had taken it.
+#[gtest]
+#[tokio::test(flavor = "multi_thread")]
+async fn a_request_whose_handling_panics_at_another_node_is_not_forwarded_again() {
+    let fleet = open(&["z1", "z1"]).await;
+    let peer = fleet.add_peer(|_| QueueResponse::Misdirected).await;
+    partition(&fleet, 0).await;
+    let bill = TestRequest {
+        path: "/bill/x",
+        body: "once",
+        ..look()
+    };
+    let (mut served, mut lost) = (0, 0);
+    for _ in 0..SERIES {
+        let response = fleet.request(0, bill).await;
+        expect_that!(response.status, any![eq(200), eq(502)]);
+        if response.is_served() {
+            served += 1;
+        } else {
+            lost += 1;
+        }
+    }
+    expect_that!(lost, gt(0));
+    expect_that!(peer.forwards_of("once"), eq(lost));
+    expect_that!(runs_of(&fleet, "once"), eq(served));
+}
+
 /// Guards against requests that leave the regions in which they may be processed.
 #[gtest]
 #[tokio::test(flavor = "multi_thread")]
--- a/crates/fleet/tests/support/peer.rs
+++ b/crates/fleet/tests/support/peer.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 
 use briarswitch_core::id::*;
+use briarswitch_fleet::forward::{ForwardDoc, ForwardRequest, FORWARD_PATH};
 use briarswitch_fleet::queue_doc::{
     QueueReply, QueueReplyDoc, QueueUpdate, QueueUpdateDoc, QUEUE_PATH,
 };
@@ -13,6 +14,7 @@
 };
 use briarswitch_kernel::BootClock;
 use briarswitch_membership::{Gossip, GossipDoc, GossipTarget, Membership, NodeEntry, NodeStatus};
+use bytes::Bytes;
 use futures::future::BoxFuture;
 use http::{Method, StatusCode};
 use tokio::runtime::Runtime;
@@ -42,6 +44,8 @@
 struct PeerState {
     membership: Mutex<Membership>,
     updates: Mutex<Vec<QueueUpdate>>,
+    /// Bodies of forwarded requests, by each of which the handler has panicked.
+    forwards: Mutex<Vec<Bytes>>,
     respond: Box<Respond>,
 }
 
@@ -75,6 +79,7 @@
         let state = Arc::new(PeerState {
             membership: Mutex::new(Membership::new(entry.clone())),
             updates: Mutex::default(),
+            forwards: Mutex::default(),
             respond: Box::new(respond),
         });
         let (stop, stopped) = watch::channel(false);
@@ -95,6 +100,12 @@
         self.state.membership().add_node(entry, BootClock::now());
     }
 
+    /// Returns the number of requests with this body that were forwarded to the node, each of which it panicked by.
+    pub fn forwards_of(&self, body: &str) -> usize {
+        let forwards = self.state.forwards();
+        forwards.iter().filter(|forward| *forward == body).count()
+    }
+
     /// Returns the messages for queues so far.
     pub fn updates(&self) -> Vec<QueueUpdate> {
         self.state.updates().clone()
@@ -121,6 +132,10 @@
         self.updates.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
+    fn forwards(&self) -> MutexGuard<'_, Vec<Bytes>> {
+        self.forwards.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
     async fn respond(&self, request: Request) -> Response {
         let path = request.uri().path().to_owned();
         let body = read_body(request.into_body(), MAX_MESSAGE_BYTES).await;
@@ -135,6 +150,12 @@
                 reply_msgpack(StatusCode::OK, &GossipDoc::from(&response))
             }
             QUEUE_PATH => self.respond_to_queue(&body).await,
+            FORWARD_PATH => {
+                let doc = decode_msgpack::<ForwardDoc>(&body).expect("a request");
+                let forward = ForwardRequest::try_from(doc).expect("a request");
+                self.forwards().push(forward.body);
+                panic!("a fault of the test");
+            }
             _ => reply_text(StatusCode::NOT_FOUND, "no such path"),
         }
     }
--- a/crates/http/src/lib.rs
+++ b/crates/http/src/lib.rs
@@ -40,7 +40,8 @@
 pub use connection_pool::ConnectionPool;
 pub use held_body::{hold_bytes, read_body, HeldRoom};
 pub use reply::{
-    decode_msgpack, encode_msgpack, reply_bytes, reply_json, reply_msgpack, reply_text, stream_body,
+    decode_msgpack, encode_msgpack, panic_response, reply_bytes, reply_json, reply_msgpack,
+    reply_text, stream_body, PANIC_TEXT,
 };
 pub use volo_http::body::Body;
 
--- a/crates/http/src/reply.rs
+++ b/crates/http/src/reply.rs
@@ -17,6 +17,9 @@
 use crate::held_body::read_answer;
 use crate::message::Response;
 
+/// Text of the response to a request whose handling panicked.
+pub const PANIC_TEXT: &str = "this server failed while it handled the request, which may have run";
+
 /// Reads the whole body of a response, of at most `limit` bytes, and sets its length.
 ///
 /// A response whose body is too large or breaks is replaced by an error.
@@ -54,6 +57,17 @@
     )
 }
 
+/// Builds the response to a request whose handling panicked.
+///
+/// It has no `Retry-After` header, by which a caller could take it for a promise that the request has not run.
+///
+/// ```
+/// assert_eq!(briarswitch_http::panic_response().status(), 500);
+/// ```
+pub fn panic_response() -> Response {
+    reply_text(StatusCode::INTERNAL_SERVER_ERROR, PANIC_TEXT)
+}
+
 /// Builds a JSON response.
 pub fn reply_json<T: Serialize>(status: StatusCode, value: &T) -> Response {
     match serde_json::to_vec(value) {
--- a/crates/http/src/server.rs
+++ b/crates/http/src/server.rs
@@ -33,7 +33,7 @@
 use crate::limits::{ListenerKind, ProcessLimits};
 use crate::listener_socket::{ListenerSocket, ListenerStatus};
 use crate::message::{Request, Response};
-use crate::reply::{buffered_response, reply_text};
+use crate::reply::{buffered_response, panic_response, reply_text};
 use crate::tracked_stream::TrackedStream;
 
 /// Maximum number of headers. The library rejects requests with more by an empty 431 response, so
@@ -57,6 +57,13 @@
 pub trait Handler: Send + Sync + 'static {
     /// Handles one request.
     fn handle(&self, request: Request) -> BoxFuture<'_, Response>;
+
+    /// Returns the response to a request whose handling panicked.
+    ///
+    /// Nobody knows how far the request came, so that the response must not say that it has not run.
+    fn after_panic(&self) -> Response {
+        panic_response()
+    }
 }
 
 /// Name of the listener of a server that was given none.
@@ -343,6 +350,12 @@
         if self.is_closed.load(Ordering::Relaxed) {
             return closed_response();
         }
+        // The panic itself is logged by the process's hook. What the request held was given back as its future was unwound.
+        let answering = AssertUnwindSafe(self.answer(request)).catch_unwind().await;
+        answering.unwrap_or_else(|_| self.handler.after_panic())
+    }
+
+    async fn answer(&self, request: Request) -> Response {
         let has_chunks = request.version() > Version::HTTP_10;
         let response = self.handler.handle(request).await;
         if has_chunks {
--- a/crates/node/src/caller.rs
+++ b/crates/node/src/caller.rs
@@ -13,7 +13,9 @@
 use briarswitch_core::stream::json_depth;
 use briarswitch_http::{read_body, reply_json, Body, BodyError, Handler, Request, Response};
 use briarswitch_kernel::BootClock;
-use briarswitch_wire::caller::{MintReply, DEADLINE_HEADER, KEY_HEADER, MINT_PATH, SERVICE_PREFIX};
+use briarswitch_wire::caller::{
+    MintReply, DEADLINE_HEADER, KEY_HEADER, MINT_PATH, NODE_HEADER, SERVICE_PREFIX,
+};
 use briarswitch_wire::engine::{ChatDoc, CHAT_PATH};
 use briarswitch_wire::peer::FORWARD_HOP_HEADER;
 use bytes::Bytes;
@@ -31,7 +33,7 @@
     forwarded_headers, parse_idempotency_key, parse_repeatable, percent_bucket, request_id,
 };
 use crate::in_flight::InFlightGuard;
-use crate::reply::{bad_request, mark_reply, CallerFailure};
+use crate::reply::{bad_request, mark_reply, set_header, CallerFailure};
 use crate::shared::{ConfigView, NodeShared, Phase};
 
 /// Assumed cost of a chat request without `max_tokens`.
@@ -440,6 +442,12 @@
     fn handle(&self, request: Request) -> BoxFuture<'_, Response> {
         Box::pin(self.answer(request))
     }
+
+    fn after_panic(&self) -> Response {
+        let mut reply = CallerFailure::after_panic().reply();
+        set_header(&mut reply, NODE_HEADER, &self.shared.settings.node);
+        reply
+    }
 }
 
 /// Input of rule matching.
--- a/crates/node/src/peer_api.rs
+++ b/crates/node/src/peer_api.rs
@@ -136,6 +136,11 @@
             }
         })
     }
+
+    /// Another node relays the response to a forwarded request to its caller.
+    fn after_panic(&self) -> Response {
+        self.callers.after_panic()
+    }
 }
 
 fn unpack_request(bytes: &[u8]) -> Option<ExchangeRequest> {
--- a/crates/node/src/reply.rs
+++ b/crates/node/src/reply.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use briarswitch_core::prelude::*;
-use briarswitch_http::{reply_json, Response};
+use briarswitch_http::{reply_json, Response, PANIC_TEXT};
 use briarswitch_wire::caller::{
     ErrorDetail, ErrorDoc, NODE_HEADER, OUTCOME_HEADER, REQUEST_HEADER, TARGET_HEADER,
 };
@@ -50,6 +50,27 @@
         }
     }
 
+    /// Creates the failure of a request whose handling panicked, which may have run.
+    ///
+    /// ```
+    /// use briarswitch_node::reply::CallerFailure;
+    ///
+    /// let reply = CallerFailure::after_panic().reply();
+    /// assert_eq!(reply.status(), 500);
+    /// assert_eq!(reply.headers()["x-outcome"], "unknown");
+    /// assert!(!reply.headers().contains_key("retry-after"));
+    /// ```
+    pub fn after_panic() -> Self {
+        Self {
+            status: StatusCode::INTERNAL_SERVER_ERROR,
+            // Nobody knows where it failed; of this point nothing but the outcome is told.
+            point: FailurePoint::BrokenBeforeHead,
+            code: Some("node_panicked"),
+            message: PANIC_TEXT.to_owned(),
+            retry_after: None,
+        }
+    }
+
     /// Sets the time after which the caller may retry.
     #[must_use]
     pub fn retry_after(mut self, delay: Duration) -> Self {
