One message frees no more slots of a queue's group than the group has

What callers saw: nothing yet; found by reading and by tests. A node that states a wrong number of free slots has others grant slots that don't exist: in each round a whole group's, for 0.25 s, and the count was too high for 1.2 s more (a trial with a group of one slot). It was right again after that, so not wrong for ever. A number under the name of the coordinator itself was kept as that many moments: four billion would take 64 GB and end the process; and an unchecked sum overflowed, which in a debug build is a panic.

Cause: the coordinator took the number as it was stated. It now takes at most the slots of the group from one message, grants that are given back included, and 64 while the group's slots are not known; the sum saturates, and groups without recent changes are forgotten.

Evidence: three of four tests in queue_messages.rs failed before: ten slots of one granted, 1,000,000 moments kept, once before the queue was first served and once after (four billion were not tried). The fourth, for the count that comes right again, passed before and is a guard.

Why it holds: no node can have used more slots between two messages than there are, but for requests shorter than a message's interval; what is left out then is corrected by gossip, as any lost message is.

--- a/crates/fleet/src/coordinated_queue.rs
+++ b/crates/fleet/src/coordinated_queue.rs
@@ -17,6 +17,9 @@
 /// Number of priorities that are told apart; lower ones count as the last.
 pub const PRIORITIES: usize = 10;
 
+/// Slots of a group that one message can free while it is not known how many the group has.
+const MAX_UNKNOWN_RELEASES: u32 = 64;
+
 /// Number of waiting requests by priority.
 pub type PriorityCounts = [u32; PRIORITIES];
 
@@ -52,7 +55,12 @@
 impl SlotChanges {
     /// Returns the number of this node's requests as the reports of other nodes would show it, which are older.
     fn reported(&self, running: u32) -> u32 {
-        (running + self.releases.len() as u32).saturating_sub(self.grants.len() as u32)
+        let before = running.saturating_add(self.releases.len() as u32);
+        before.saturating_sub(self.grants.len() as u32)
+    }
+
+    fn is_empty(&self) -> bool {
+        self.grants.is_empty() && self.releases.is_empty()
     }
 
     fn expire(&mut self, now: Moment) {
@@ -97,22 +105,24 @@
     ) -> Option<oneshot::Receiver<QueueReply>> {
         let QueueUpdate {
             mut requests,
-            releases,
+            releases: mut freed,
             returned,
             ..
         } = update;
         let node = requests.node.clone();
-        for (group, slots) in releases {
-            self.release(&node, group, slots, now);
-        }
         for (ticket, group) in &returned {
-            self.release(&node, *group, 1, now);
+            let slots = freed.entry(*group).or_insert(0);
+            *slots = slots.saturating_add(1);
             // The queue ignores a granted request that is listed again, unless it excludes the group of the grant.
             let mut queued = requests.requests.iter_mut();
             if let Some(queued) = queued.find(|queued| queued.ticket == *ticket) {
                 queued.excluded.push(*group);
             }
         }
+        for (group, slots) in freed {
+            let slots = slots.min(self.most_releases(group));
+            self.release(&node, group, slots, now);
+        }
         let incarnation = requests.incarnation;
         if !self.queue.update(requests, now) {
             return None;
@@ -124,6 +134,13 @@
         (is_waiting || is_decided).then_some(held)
     }
 
+    /// Returns how many slots of a group one message can free: no node can have used more than there are.
+    fn most_releases(&self, group: GroupKey) -> u32 {
+        let mut capacities = self.capacities.iter();
+        let capacity = capacities.find(|capacity| capacity.group == group);
+        capacity.map_or(MAX_UNKNOWN_RELEASES, |capacity| capacity.slots)
+    }
+
     fn release(&mut self, node: &NodeId, group: GroupKey, slots: u32, now: Moment) {
         self.queue.release(group, slots, now);
         if *node == self.own {
@@ -153,6 +170,7 @@
         for changes in self.own_changes.values_mut() {
             changes.expire(now);
         }
+        self.own_changes.retain(|_, changes| !changes.is_empty());
         self.inboxes.retain(|_, inbox| inbox.is_current(now));
         for inbox in self.inboxes.values_mut() {
             inbox.expire(now);
--- a/crates/fleet/tests/queue_messages.rs
+++ b/crates/fleet/tests/queue_messages.rs
@@ -199,6 +199,74 @@
     expect_that!(held.try_recv().is_err(), eq(true));
 }
 
+/// Returns a message that states so many free slots of the group.
+fn freeing(node: &str, sequence: u64, slots: u32) -> QueueUpdate {
+    QueueUpdate {
+        releases: [(GROUP, slots)].into(),
+        ..update(node, sequence, &[])
+    }
+}
+
+/// Returns a queue whose only slot is taken while other requests wait.
+fn full_queue(now: Moment) -> CoordinatedQueue {
+    let mut queue = CoordinatedQueue::new("n0".to_owned(), false);
+    let tickets: Vec<Ticket> = (0..100).collect();
+    serve(&mut queue, 0, now);
+    drop(queue.update(update("n1", 1, &tickets), now));
+    serve(&mut queue, 0, now);
+    queue
+}
+
+/// Guards against requests that get slots which do not exist, because a node states more free ones than there are.
+#[gtest]
+fn a_message_frees_no_more_slots_than_a_group_has() {
+    let now = at(100_100);
+    let returned = QueueUpdate {
+        returned: vec![(1, GROUP); 1_000],
+        ..update("n2", 1, &[])
+    };
+    for message in [freeing("n2", 1, u32::MAX), returned] {
+        let mut queue = full_queue(now);
+        drop(queue.update(message, now));
+        // Gossip doesn't report the first request yet.
+        let granted: u32 = (0..10).map(|_| serve(&mut queue, 0, now)).sum();
+        expect_that!(granted, eq(1));
+        expect_that!(queue.estimated(GROUP), some(eq(1)));
+    }
+}
+
+/// Guards against slots that are counted wrongly for good after a node has stated more free ones than there are.
+#[gtest]
+fn slots_are_counted_rightly_after_a_node_stated_too_many() {
+    let mut queue = full_queue(at(100_100));
+    drop(queue.update(freeing("n2", 1, u32::MAX), at(100_100)));
+    for millis in (100_125..103_000).step_by(25) {
+        // Whatever was granted beyond the only slot is refused at the group, and gossip reports one request.
+        serve(&mut queue, 1, at(millis));
+    }
+    expect_that!(queue.estimated(GROUP), some(eq(1)));
+}
+
+/// Guards against a node that ends for want of memory, or counts its own requests wrongly, because another node stated
+/// free slots under its name.
+#[gtest]
+fn a_message_under_the_name_of_the_coordinator_frees_no_more_slots_than_a_group_has() {
+    let now = at(100_100);
+    let mut queue = full_queue(now);
+    drop(queue.update(freeing("n0", 1, 1_000_000), now));
+    expect_that!(queue.reported_requests(GROUP, 0, 0), eq(1));
+    expect_that!(queue.reported_requests(GROUP, 0, u32::MAX), eq(u32::MAX));
+}
+
+/// Guards against a node that ends for want of memory because another one stated free slots before the queue was served.
+#[gtest]
+fn a_first_message_frees_a_limited_number_of_slots() {
+    let now = at(100_100);
+    let mut queue = CoordinatedQueue::new("n0".to_owned(), false);
+    drop(queue.update(freeing("n0", 1, 1_000_000), now));
+    expect_that!(queue.reported_requests(GROUP, 0, 0), le(64));
+}
+
 /// Guards against groups that belong to no queue or to several, and against queues for models with few groups.
 #[gtest]
 fn every_group_belongs_to_one_queue_of_its_model() {
