A test that messages for queues have the incarnation that their node has taken

Another entry of a node is registered under a later incarnation; what the node sends to the coordinator of its queue must be later still.

--- a/crates/fleet/tests/shared_queue.rs
+++ b/crates/fleet/tests/shared_queue.rs
@@ -4,6 +4,7 @@
 
 use std::time::{Duration, Instant};
 
+use briarswitch_core::id::Incarnation;
 use briarswitch_core::shared_queue::Ticket;
 use briarswitch_fleet::queue_doc::{QueueReply, QueueUpdate};
 use briarswitch_membership::{node_hash, rank_of, target_key, RankKey};
@@ -39,6 +40,9 @@
 /// Longest time that a request may wait for a slot.
 const MAX_WAIT_TIME: Duration = Duration::from_secs(1);
 
+/// A later incarnation than any node has by the time of day.
+const LATER_INCARNATION: Incarnation = Incarnation::MAX / 2;
+
 /// Starts nodes that share queues, and targets that refuse requests beyond their slots.
 async fn open(groups: usize) -> Fleet {
     let fleet = Fleet::open_sharing_groups(groups, &ZONES).await;
@@ -307,3 +311,34 @@
     tokio::time::sleep(MAX_WAIT_TIME).await;
     check_slots(fleet).await;
 }
+
+/// Guards against a node whose requests a coordinator ignores for seconds, since it goes on to send the incarnation of
+/// its start after it has taken a later one.
+#[gtest]
+#[tokio::test(flavor = "multi_thread")]
+async fn messages_for_queues_have_the_incarnation_that_their_node_has_taken() {
+    let fleet = open(GROUPS).await;
+    let peer = fleet
+        .add_peer(|update| QueueResponse::Reply(Duration::ZERO, grant_all(update)))
+        .await;
+    let nodes: Vec<usize> = (0..ZONES.len()).collect();
+    let first = &fleet.nodes[0].link.node;
+    let has_sent = |incarnation: Incarnation| {
+        let mut updates = peer.updates().into_iter().map(|update| update.requests);
+        updates.any(|sent| sent.node == *first && sent.incarnation > incarnation)
+    };
+    fleet
+        .wait_until("the node sends messages", || async {
+            send(&fleet, &nodes, RAMP_TIME).await;
+            has_sent(0)
+        })
+        .await;
+    expect_false!(has_sent(LATER_INCARNATION));
+    fleet.register_as(0, LATER_INCARNATION).await;
+    fleet
+        .wait_until("the node sends the later incarnation", || async {
+            send(&fleet, &nodes, RAMP_TIME).await;
+            has_sent(LATER_INCARNATION)
+        })
+        .await;
+}
--- a/crates/fleet/tests/support/mod.rs
+++ b/crates/fleet/tests/support/mod.rs
@@ -484,6 +484,25 @@
         peer
     }
 
+    /// Registers a node under another incarnation, as an earlier process of it whose clock was ahead would have.
+    pub async fn register_as(&self, index: usize, incarnation: Incarnation) {
+        let platform = self.nodes[index].link.platform();
+        let entry = {
+            let node = self.nodes[index].lock();
+            let settings = node.as_ref().map(FleetNode::settings);
+            let settings = settings.expect("the node runs");
+            NodeEntry {
+                node: settings.node.clone(),
+                zone: settings.zone.clone(),
+                address: settings.peers.clone(),
+                incarnation,
+                link_mbps: settings.link_mbps,
+            }
+        };
+        let registered = platform.nodes.register(entry).await;
+        registered.expect("the registry is open");
+    }
+
     /// Changes what passes between a node and all targets.
     pub fn set_paths(&self, node: usize, state: PathState) {
         self.nodes[node].link.set_paths(state);
