Answers of nodes without an end are tried as those of servers are

Operators saw: a faulty server sent bytes that were no answer, without end, and the machine that had called it ran out of memory. The same had not been tried with another node, to which a node that reaches no server forwards requests.

What is held is bounded there already, by the same pieces: heads and chunk extensions by the connection's buffer, whole bodies and refusals by 64 MiB each and the account of the callers' listener together, an event by its limit and that account. No code is changed. The tests guard each of these cases; a front that the test puts before a node answers forwarded requests with the bytes.

--- a/crates/fleet/tests/support/mod.rs
+++ b/crates/fleet/tests/support/mod.rs
@@ -2,6 +2,7 @@
 #![allow(dead_code)]
 
 pub mod load;
+pub mod noisy_front;
 pub mod path;
 pub mod peer;
 pub mod platform;
--- a/crates/fleet/tests/support/peer.rs
+++ b/crates/fleet/tests/support/peer.rs
@@ -18,6 +18,8 @@
 use tokio::runtime::Runtime;
 use tokio::sync::watch;
 
+use super::noisy_front::NoisyFront;
+
 /// Bandwidth with which the node ranks before all others.
 const LINK_MBPS: u32 = 100_000;
 /// Interval between checks for messages that are due.
@@ -48,6 +50,8 @@
 /// A node that is stopped when it is dropped.
 pub struct PeerStub {
     pub entry: NodeEntry,
+    /// What other nodes reach it through.
+    pub front: NoisyFront,
     state: Arc<PeerState>,
     /// Runs the node, so that nothing of it is left when it is dropped; `None` from then on.
     runtime: Option<Runtime>,
@@ -65,10 +69,12 @@
         let entered = runtime.handle().clone();
         let bound = entered.spawn(HttpServer::bind("127.0.0.1:0")).await;
         let server = bound.expect("the runtime runs").expect("free port");
+        let front = NoisyFront::open(server.address().to_string());
+        let front = entered.spawn(front).await.expect("the runtime runs");
         let entry = NodeEntry {
             node: "stub".to_owned(),
             zone: zone.to_owned(),
-            address: server.address().to_string(),
+            address: front.address().to_owned(),
             incarnation: 1,
             link_mbps: LINK_MBPS,
         };
@@ -83,6 +89,7 @@
         tokio::spawn(send_gossip(Arc::clone(&state)));
         Self {
             entry,
+            front,
             runtime: Some(runtime),
             state,
             _server: server.spawn(handler, stopped),
