A call ends when bytes without an end arrive that are no answer

Operators saw: a faulty server sent bytes that were no answer, without end. For requests to servers such bytes are counted and their connection is closed. Calls that a process makes for itself (to the store, to other nodes, and in one way of running to servers for reports and orders) read interim answers and the size of a chunk for as long as the call may take. What was held was bounded, by the library's buffer of some 400 KB a connection and what the system receives; a processor was busy.

Cause: those calls went over the client of the HTTP library, which takes no stream of ours. The library's connection counts neither kind of bytes. The client of servers carried calls only where the library's could not be created.

Now it carries all of them, with its limits of heads, read buffers and bytes that are no answer. Bodies are read as before: one that finds no room is given up. Connections are kept idle for 20 s as by the library; up to 16 an address. URLs that are not plain HTTP are refused as before. The choice between clients, its log line client_replaced, and the library's client with its resolver go. A connection for calls now has the receive buffer of one to a server.

--- a/crates/http/src/client.rs
+++ b/crates/http/src/client.rs
@@ -1,27 +1,30 @@
 //! Client for idempotent calls to the platform, to peers and to operator listeners.
 
-use std::sync::Arc;
 use std::time::Duration;
 
 use bytes::Bytes;
 use http::header::{AUTHORIZATION, CONTENT_TYPE, HOST};
 use http::response::Parts;
+use http::uri::Scheme;
 use http::{HeaderMap, Method, StatusCode, Uri};
 use serde::de::DeserializeOwned;
 use serde::Serialize;
-use volo_http::body::Body;
-use volo_http::client::Client;
 
 use crate::body_error::BodyError;
-use crate::held_body::read_for_process;
 use crate::idle_pool::TargetAddress;
-use crate::lazy_client::{CallTransport, LazyClient};
 use crate::response_account::max_response_bytes;
-use crate::target::{full_body, is_final_status, TargetClient, TargetResponse};
+use crate::target::{full_body, TargetClient, TargetLimits, TargetResponse};
 use crate::target_body::BodyEnd;
 
 /// Port of a URL that names none.
 const HTTP_PORT: u16 = 80;
+/// Limits of the connections for calls.
+const LIMITS: TargetLimits = TargetLimits {
+    connect_timeout: Duration::from_secs(2),
+    max_idle: 16,
+};
+/// Time for which a connection for calls is kept idle; called processes come and go.
+const IDLE_TIME: Duration = Duration::from_secs(20);
 
 /// Encoding of request and response bodies.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
@@ -54,7 +57,7 @@
 /// HTTP client with typed request and response bodies.
 #[derive(Clone)]
 pub struct ApiClient {
-    client: Arc<LazyClient>,
+    client: TargetClient,
     codec: Codec,
     token: Option<String>,
 }
@@ -63,7 +66,7 @@
     /// Creates a client that encodes bodies with `codec` and sends `token` as a bearer token.
     pub fn new(codec: Codec, token: Option<String>) -> Self {
         Self {
-            client: Arc::default(),
+            client: TargetClient::new(LIMITS).with_idle_time(IDLE_TIME),
             codec,
             token,
         }
@@ -149,10 +152,7 @@
         url: &str,
         body: Bytes,
     ) -> Result<(HeaderMap, Bytes), CallError> {
-        let (head, bytes) = match self.client.get() {
-            CallTransport::Library(client) => self.call_over(client, method, url, body).await?,
-            CallTransport::Direct(client) => self.call_direct(client, method, url, body).await?,
-        };
+        let (head, bytes) = self.send(method, url, body).await?;
         if head.status == StatusCode::OK {
             return Ok((head.headers, bytes));
         }
@@ -162,37 +162,16 @@
         })
     }
 
-    async fn call_over(
-        &self,
-        client: &Client,
-        method: Method,
-        url: &str,
-        body: Bytes,
-    ) -> Result<(Parts, Bytes), CallError> {
-        let mut request = client
-            .request(method, url)
-            .header(CONTENT_TYPE, self.content_type());
-        if let Some(token) = &self.token {
-            request = request.header(AUTHORIZATION, format!("Bearer {token}"));
-        }
-        let sent = request.body(Body::from(body)).send().await;
-        let (head, body) = sent.map_err(no_response)?.into_parts();
-        if !is_final_status(head.status) {
-            let text = format!("status {} is not final", head.status);
-            return Err(CallError::NoResponse(text));
-        }
-        let bytes = read_for_process(body, max_response_bytes()).await;
-        Ok((head, bytes.map_err(no_response)?))
-    }
-
-    async fn call_direct(
+    async fn send(
         &self,
-        client: &TargetClient,
         method: Method,
         url: &str,
         body: Bytes,
     ) -> Result<(Parts, Bytes), CallError> {
         let url: Uri = url.parse().map_err(no_response)?;
+        if url.scheme() != Some(&Scheme::HTTP) {
+            return Err(no_response("the URL is none of HTTP without encryption"));
+        }
         let authority = url.authority().map_or("", |authority| authority.as_str());
         let path = url.path_and_query().map_or("/", |path| path.as_str());
         let mut request = http::Request::builder()
@@ -209,9 +188,9 @@
             address: format!("{}:{port}", url.host().unwrap_or_default()),
             incarnation: 0,
         };
-        let response = client.send(&target, request, false).await;
+        let response = self.client.send(&target, request, false).await;
         let TargetResponse { head, body } = response.map_err(no_response)?;
-        let whole = body.read_all(max_response_bytes()).await;
+        let whole = body.read_for_process(max_response_bytes()).await;
         Ok((head, whole.map_err(no_response)?.bytes))
     }
 
--- a/crates/http/src/idle_pool.rs
+++ b/crates/http/src/idle_pool.rs
@@ -2,6 +2,7 @@
 
 use std::collections::HashMap;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::{Duration, Instant};
 
 use bytes::Bytes;
 use http_body_util::Full;
@@ -29,13 +30,37 @@
     pub(crate) overhead: OverheadCount,
 }
 
+/// A connection that is kept.
+struct IdleSender {
+    sender: Sender,
+    since: Instant,
+}
+
 /// Idle connections by target; clones share them.
 #[derive(Clone, Default)]
 pub(crate) struct IdlePool {
-    senders: Arc<Mutex<HashMap<TargetAddress, Vec<Sender>>>>,
+    senders: Arc<Mutex<HashMap<TargetAddress, Vec<IdleSender>>>>,
+    /// Time for which a connection is kept; `None` keeps it until its target closes it.
+    idle_time: Option<Duration>,
+}
+
+impl IdleSender {
+    fn is_usable(&self, idle_time: Option<Duration>) -> bool {
+        let requests = &self.sender.requests;
+        let is_overdue = idle_time.is_some_and(|time| self.since.elapsed() >= time);
+        requests.is_ready() && !requests.is_closed() && !is_overdue
+    }
 }
 
 impl IdlePool {
+    /// Returns a pool that keeps a connection only for so long.
+    pub(crate) fn with_idle_time(idle_time: Duration) -> Self {
+        Self {
+            idle_time: Some(idle_time),
+            ..Self::default()
+        }
+    }
+
     /// Returns the number of idle connections to a target.
     pub(crate) fn count(&self, target: &TargetAddress) -> usize {
         self.lock().get(target).map_or(0, Vec::len)
@@ -45,9 +70,9 @@
     pub(crate) fn take(&self, target: &TargetAddress) -> Option<Sender> {
         let mut pool = self.lock();
         let senders = pool.get_mut(target)?;
-        while let Some(sender) = senders.pop() {
-            if sender.requests.is_ready() && !sender.requests.is_closed() {
-                return Some(sender);
+        while let Some(idle) = senders.pop() {
+            if idle.is_usable(self.idle_time) {
+                return Some(idle.sender);
             }
         }
         None
@@ -60,9 +85,13 @@
             return;
         }
         let mut pool = self.lock();
+        if self.idle_time.is_some() {
+            self.drop_unusable(&mut pool);
+        }
         let senders = pool.entry(target).or_default();
         if senders.len() < max_idle {
-            senders.push(sender);
+            let since = Instant::now();
+            senders.push(IdleSender { sender, since });
         }
     }
 
@@ -71,7 +100,14 @@
         self.lock().retain(|target, _| keep(target));
     }
 
-    fn lock(&self) -> MutexGuard<'_, HashMap<TargetAddress, Vec<Sender>>> {
+    fn drop_unusable(&self, pool: &mut HashMap<TargetAddress, Vec<IdleSender>>) {
+        pool.retain(|_, senders| {
+            senders.retain(|idle| idle.is_usable(self.idle_time));
+            !senders.is_empty()
+        });
+    }
+
+    fn lock(&self) -> MutexGuard<'_, HashMap<TargetAddress, Vec<IdleSender>>> {
         self.senders.lock().unwrap_or_else(PoisonError::into_inner)
     }
 }
--- a/crates/http/src/lib.rs
+++ b/crates/http/src/lib.rs
@@ -1,9 +1,10 @@
 //! HTTP server, client for idempotent calls, and client for requests to targets.
 //!
-//! Idempotent calls and the bodies of handlers use `volo-http`. Connections of callers are served by
-//! the underlying `hyper` directly, which lets a server limit what one connection buffers. Requests
-//! to targets use it as well: a caller may get the outcome "not run" only if no byte of its request can have been
-//! sent, and the connection pool of `volo-http` does not tell whether one was.
+//! The bodies of handlers are those of `volo-http`. Connections of callers are served by the underlying `hyper`
+//! directly, which lets a server limit what one connection buffers. Requests to targets use it as well: a caller may
+//! get the outcome "not run" only if no byte of its request can have been sent, and the connection pool of `volo-http`
+//! does not tell whether one was. Idempotent calls go the same way, since the client of `volo-http` takes no stream
+//! that ends when bytes without an end arrive which are no answer.
 //!
 //! ```
 //! use briarswitch_http::reply_text;
@@ -22,7 +23,6 @@
 mod guarded_stream;
 mod held_body;
 mod idle_pool;
-mod lazy_client;
 mod limits;
 mod listener_socket;
 mod message;
--- a/crates/http/src/target.rs
+++ b/crates/http/src/target.rs
@@ -118,6 +118,15 @@
         }
     }
 
+    /// Returns a client without connections that closes those which have been idle for `idle_time` when it keeps another.
+    #[must_use]
+    pub fn with_idle_time(&self, idle_time: Duration) -> Self {
+        Self {
+            limits: self.limits,
+            idle: IdlePool::with_idle_time(idle_time),
+        }
+    }
+
     /// Sends a request and waits for the head of the response.
     ///
     /// A request that must not be retried should use a `fresh` connection: the target may close a
--- a/crates/http/src/target_body.rs
+++ b/crates/http/src/target_body.rs
@@ -12,7 +12,7 @@
 
 use crate::body_error::BodyError;
 use crate::guarded_stream::OverheadCount;
-use crate::held_body::read_answer;
+use crate::held_body::{read_answer, read_for_process};
 use crate::idle_pool::{IdlePool, Sender, TargetAddress};
 
 /// How the end of a body was recognised.
@@ -176,6 +176,21 @@
         })
     }
 
+    /// Like [`TargetBody::read_all`], for what the process reads for itself: a body that finds no room is given up.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`BodyError`] if the body is larger than `limit` or incomplete, or if there is no room for it.
+    pub(crate) async fn read_for_process(mut self, limit: usize) -> Result<WholeBody, BodyError> {
+        let incoming = self.incoming.as_mut().ok_or(BodyError::Incomplete)?;
+        let bytes = read_for_process(incoming, limit).await?;
+        self.release_connection();
+        Ok(WholeBody {
+            bytes,
+            end: self.end,
+        })
+    }
+
     /// Closes the connection now, with the bytes that it has read ahead; [`TargetBody::next`] fails from then on.
     pub fn close(&mut self) {
         self.incoming = None;
--- a/crates/http/tests/statuses.rs
+++ b/crates/http/tests/statuses.rs
@@ -1,4 +1,4 @@
-//! Responses whose status is not that of a final response.
+//! Calls and requests that get no response: its status is not that of a final one, or the URL can't be called.
 
 use std::time::Duration;
 
@@ -72,3 +72,19 @@
         );
     }
 }
+
+/// Guards against a call that is sent in the clear although its URL says that it must be encrypted.
+#[gtest]
+#[tokio::test]
+async fn a_call_that_must_be_encrypted_is_not_sent() {
+    let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port");
+    let url = format!("https://{}/", listener.local_addr().expect("an address"));
+    let client = ApiClient::new(Codec::Json, None);
+    let called = client.call::<(), String>(Method::GET, &url, None, TIMEOUT);
+    let error = called.await.expect_err("no response");
+    expect_that!(error, pat!(CallError::NoResponse(_)));
+    listener.into_std().map_or_else(
+        |error| panic!("{error}"),
+        |listener| expect_true!(listener.accept().is_err(), "a connection"),
+    );
+}
--- a/crates/http/tests/target.rs
+++ b/crates/http/tests/target.rs
@@ -69,3 +69,38 @@
     // The pool is shared: the client with the higher limit sees the same connections.
     expect_that!(client.idle_connections(&target), eq(MAX_IDLE));
 }
+
+/// Guards against connections to processes that are gone and are kept for as long as the client lives.
+#[gtest]
+#[tokio::test(flavor = "multi_thread")]
+async fn connections_that_are_idle_for_long_are_closed_when_another_is_kept() {
+    let (_stop, stopped) = watch::channel(false);
+    let mut targets = Vec::new();
+    for _ in 0..2 {
+        let server = HttpServer::bind("127.0.0.1:0").await.expect("a port");
+        let target = TargetAddress {
+            address: server.address().to_string(),
+            incarnation: 0,
+        };
+        let guard = server.spawn(Arc::new(SlowHandler), stopped.clone());
+        targets.push((target, guard));
+    }
+    let client = TargetClient::new(TargetLimits {
+        connect_timeout: Duration::from_secs(2),
+        max_idle: MAX_IDLE,
+    });
+    for (idle_time, kept) in [(Duration::ZERO, 0), (Duration::MAX, 1)] {
+        let client = client.with_idle_time(idle_time);
+        for (target, _) in &targets {
+            send(&client, target).await;
+            for _ in 0..MAX_POLLS {
+                if client.idle_connections(target) == 1 {
+                    break;
+                }
+                tokio::time::sleep(Duration::from_millis(10)).await;
+            }
+            expect_that!(client.idle_connections(target), eq(1));
+        }
+        expect_that!(client.idle_connections(&targets[0].0), eq(kept));
+    }
+}
