--- a/crates/http/src/target_body.rs
+++ b/crates/http/src/target_body.rs
@@ -181,7 +181,7 @@
     /// # Errors
     ///
     /// Returns [`BodyError`] if the body is larger than `limit` or incomplete, or if there is no room for it.
-    pub(crate) async fn read_for_process(mut self, limit: usize) -> Result<WholeBody, BodyError> {
+    pub async fn read_for_process(mut self, limit: usize) -> Result<WholeBody, BodyError> {
         let incoming = self.incoming.as_mut().ok_or(BodyError::Incomplete)?;
         let bytes = read_for_process(incoming, limit).await?;
         self.release_connection();
