An unreadable entry of the log leads to all entities

A running node of the own way of running that met an entry of the log without a known form, or none at all, kept its configuration from before: edits accepted after it were not in force there until the head was more than 16 versions ahead. There was no line on an entry without a known form.

Entries are applied only in the order of their versions, so one that is left out stops all later ones, and every read fetched the same rows again. The node now asks whether the entries lead from its version to the head, and reads all entities when they do not, whatever the reason; being too far behind and having no configuration yet are cases of this. All rows come from one consistent read, so an entry that is not there does not come later.

unreadable_log_entry_does_not_stop_later_ones failed before: the edit after the entry never came into force. All tests of the file pass.

--- a/crates/node/src/config.rs
+++ b/crates/node/src/config.rs
@@ -201,7 +201,7 @@
     floor.map_or("none", FloorSource::name)
 }
 
-/// Reads the log entries that follow `version`, or a snapshot when there are too many.
+/// Reads the log entries that follow `version`, or a snapshot when they do not lead to the head.
 async fn read_table(shared: &NodeShared, version: ConfigVersion) -> Result<TableState, StoreError> {
     let mut keys = vec![HEAD_KEY.to_owned()];
     if version > 0 {
@@ -213,19 +213,32 @@
     };
     let reply = shared.platform.table.read(request).await?;
     let head = head_version(&reply);
-    if head > version && (version == 0 || head > version + MAX_ENTRIES_PER_POLL) {
+    let rows = reply.rows.iter().filter(|row| row.key != HEAD_KEY);
+    let entries: Vec<EntryDoc> = rows.filter_map(read_log_entry).collect();
+    if !leads_to_head(&entries, version, head) {
         return read_snapshot(shared).await.map(TableState::Snapshot);
     }
-    let entries = reply
-        .rows
-        .iter()
-        .filter(|row| row.key != HEAD_KEY)
-        .filter_map(|row| parse_row::<LogDoc>(&row.value))
-        .map(|log| log.entry)
-        .collect();
     Ok(TableState::Log { head, entries })
 }
 
+/// Reads one row of the log. An unreadable one leads to a snapshot, so that it is not read again.
+fn read_log_entry(row: &RowDoc) -> Option<EntryDoc> {
+    let log = parse_row::<LogDoc>(&row.value);
+    let entry = log.map(|log| log.entry).filter(is_consistent);
+    if entry.is_none() {
+        log::warn!(row = row.key.as_str(); "config_entry_unreadable");
+    }
+    entry
+}
+
+/// Returns whether a configuration at `version` is at the head once it has applied the entries.
+///
+/// An entry that is missing, unreadable or too far ahead to have been read stops all later ones.
+fn leads_to_head(entries: &[EntryDoc], version: ConfigVersion, head: ConfigVersion) -> bool {
+    let versions = entries.iter().map(|entry| entry.version);
+    head <= version || versions.eq(version + 1..=head)
+}
+
 /// Reads all readable entities and the head in one consistent read.
 ///
 /// # Errors
--- a/crates/node/tests/config.rs
+++ b/crates/node/tests/config.rs
@@ -370,3 +370,35 @@
         })
         .await;
 }
+
+/// Guards against a node that passes over all edits that follow a log entry that it can't read.
+///
+/// The log has an entry of no known form, and an edit is accepted after it. The node reads all
+/// entities instead of the log.
+#[tokio::test(flavor = "multi_thread")]
+async fn unreadable_log_entry_does_not_stop_later_ones() {
+    let cluster = Cluster::start(ClusterSpec {
+        engines_per_zone: 0,
+        ..ClusterSpec::default()
+    })
+    .await;
+    let rows = [
+        (
+            "config/log/000000000005",
+            serde_json::json!({"entry": "five"}),
+        ),
+        ("config/head", serde_json::json!({"version": 5})),
+    ];
+    put_rows(&cluster, &rows).await;
+    let version = cluster
+        .must_edit(KindDoc::Organisation, "later", organisation("later"))
+        .await;
+    assert_that!(version, eq(6));
+    cluster
+        .wait("the later edit is in force", async |cluster| {
+            cluster.version(0).await == Some(version)
+        })
+        .await;
+    let dump = cluster.dump(0, "config").await;
+    assert_that!(dump["organisations"].as_u64(), some(eq(2)));
+}
