--- a/crates/node/src/config.rs
+++ b/crates/node/src/config.rs
@@ -6,7 +6,7 @@
 use briarswitch_kernel::{Service, ServiceLink};
 use briarswitch_platform::StoreError;
 use briarswitch_wire::config::{EntryDoc, SnapshotDoc};
-use briarswitch_wire::platform::{HeadDoc, LogDoc, ReadReply, ReadRequest};
+use briarswitch_wire::platform::{HeadDoc, LogDoc, ReadReply, ReadRequest, RowDoc};
 use serde::de::DeserializeOwned;
 use serde_json::{json, Value};
 
@@ -83,10 +83,7 @@
                 self.apply_entries(entries);
                 self.view.config.version() >= head
             }
-            TableState::Snapshot(snapshot) => {
-                self.apply_snapshot(snapshot);
-                true
-            }
+            TableState::Snapshot(snapshot) => self.apply_snapshot(snapshot),
         };
         let is_floor_new = is_complete && self.view.floor != Some(FloorSource::Platform);
         if is_floor_new {
@@ -109,14 +106,17 @@
         self.view.log.drain(..excess);
     }
 
-    fn apply_snapshot(&mut self, snapshot: SnapshotDoc) {
+    /// Adopts a snapshot that is newer; returns whether the configuration is now at least as new.
+    fn apply_snapshot(&mut self, snapshot: SnapshotDoc) -> bool {
+        let version = snapshot.version;
         let Ok(book) = VersionedConfig::try_from(snapshot) else {
-            log::error!("config_snapshot_unreadable");
-            return;
+            log::error!(version = version; "config_snapshot_unreadable");
+            return false;
         };
         if self.view.config.adopt(book) {
             self.view.log.clear();
         }
+        self.view.config.version() >= version
     }
 
     fn publish_if_changed(&mut self, before: ConfigVersion, is_forced: bool) {
@@ -201,7 +201,7 @@
     floor.map_or("none", FloorSource::name)
 }
 
-/// Reads the log entries that follow `version`, or a snapshot when there are too many.
+/// Reads the log entries that follow `version`, or a snapshot when they do not lead to the head.
 async fn read_table(shared: &NodeShared, version: ConfigVersion) -> Result<TableState, StoreError> {
     let mut keys = vec![HEAD_KEY.to_owned()];
     if version > 0 {
@@ -213,20 +213,33 @@
     };
     let reply = shared.platform.table.read(request).await?;
     let head = head_version(&reply);
-    if head > version && (version == 0 || head > version + MAX_ENTRIES_PER_POLL) {
+    let rows = reply.rows.iter().filter(|row| row.key != HEAD_KEY);
+    let entries: Vec<EntryDoc> = rows.filter_map(read_log_entry).collect();
+    if !leads_to_head(&entries, version, head) {
         return read_snapshot(shared).await.map(TableState::Snapshot);
     }
-    let entries = reply
-        .rows
-        .iter()
-        .filter(|row| row.key != HEAD_KEY)
-        .filter_map(|row| parse_row::<LogDoc>(&row.value))
-        .map(|log| log.entry)
-        .collect();
     Ok(TableState::Log { head, entries })
 }
 
-/// Reads all entities and the head in one consistent read.
+/// Reads one row of the log. An unreadable one leads to a snapshot, so that it is not read again.
+fn read_log_entry(row: &RowDoc) -> Option<EntryDoc> {
+    let log = parse_row::<LogDoc>(&row.value);
+    let entry = log.map(|log| log.entry).filter(is_consistent);
+    if entry.is_none() {
+        log::warn!(row = row.key.as_str(); "config_entry_unreadable");
+    }
+    entry
+}
+
+/// Returns whether a configuration at `version` is at the head once it has applied the entries.
+///
+/// An entry that is missing, unreadable or too far ahead to have been read stops all later ones.
+fn leads_to_head(entries: &[EntryDoc], version: ConfigVersion, head: ConfigVersion) -> bool {
+    let versions = entries.iter().map(|entry| entry.version);
+    head <= version || versions.eq(version + 1..=head)
+}
+
+/// Reads all readable entities and the head in one consistent read.
 ///
 /// # Errors
 ///
@@ -241,13 +254,30 @@
         .rows
         .iter()
         .filter(|row| row.key != HEAD_KEY)
-        .filter_map(|row| parse_row::<EntryDoc>(&row.value));
+        .filter_map(read_entity);
     Ok(SnapshotDoc {
         version: head_version(&reply),
         entries: entries.collect(),
     })
 }
 
+/// Reads one entity's row. An unreadable row takes only its own entity out of use.
+///
+/// A snapshot brings the node to the head's version, so that the row is not read and logged again
+/// until there is a reason for another snapshot.
+fn read_entity(row: &RowDoc) -> Option<EntryDoc> {
+    let entry = parse_row::<EntryDoc>(&row.value).filter(is_consistent);
+    if entry.is_none() {
+        log::warn!(row = row.key.as_str(); "config_entity_unreadable");
+    }
+    entry
+}
+
+/// Returns whether an entry's value is of its entity's kind.
+fn is_consistent(entry: &EntryDoc) -> bool {
+    ConfigEntry::try_from(entry.clone()).is_ok()
+}
+
 /// Returns the version in the head row; zero when there is no such row.
 pub fn head_version(reply: &ReadReply) -> ConfigVersion {
     reply
