Messages of other nodes are unpacked within the room for responses

Seen: a compressed message of another node (gossip between zones, rows of a reader) is unpacked up to 64 MiB at once, however little memory the process has and whatever else it holds; some tens of kilobytes on the wire are enough, and several at a time add up. A message that is larger is cut off there and reported as one of another type.

Cause: the unpacked bytes had a limit of their own and belonged to no account.

Mend: bytes are unpacked in chunks of 8 KiB into a buffer that grows only after its room has been claimed from the account of what the process reads for itself, and never past the limit of one response. Both refusals are errors of their own; the room is given back once the message is decoded.

Why it holds: there is one function that unpacks, and it takes no memory for the message that it has not claimed. The decoded values are not counted, as before.

--- a/crates/fleet/src/feed_doc.rs
+++ b/crates/fleet/src/feed_doc.rs
@@ -71,7 +71,7 @@
     ///
     /// # Errors
     ///
-    /// Returns [`PackError`] if the data is damaged.
+    /// Returns [`PackError`] if the data is damaged, or if there is no room for the rows.
     pub fn unpack(&self) -> Result<Vec<FeedRow>, PackError> {
         let docs: Vec<RowDoc> = unpack(&self.0)?;
         let rows = docs.into_iter().map(|(key, value)| FeedRow {
--- a/crates/fleet/src/packed.rs
+++ b/crates/fleet/src/packed.rs
@@ -2,15 +2,17 @@
 
 use std::io::{self, Read};
 
-use briarswitch_http::{decode_msgpack, encode_msgpack};
+use briarswitch_http::{decode_msgpack, encode_msgpack, max_response_bytes, AccountFull, HeldRoom};
 use bytes::Bytes;
 use flate2::read::{DeflateDecoder, DeflateEncoder};
 use flate2::Compression;
 use serde::de::DeserializeOwned;
 use serde::Serialize;
 
-/// Maximum size of a message when unpacked, in bytes.
-const MAX_UNPACKED_BYTES: u64 = 64 << 20;
+/// Bytes that are unpacked before it is seen whether there is room for them.
+const CHUNK_BYTES: usize = 8 << 10;
+/// Part by which the room for a message grows at least, as one in so many.
+const GROWTH_SHARE: usize = 4;
 
 /// Why a message could not be packed or unpacked.
 #[derive(Debug, thiserror::Error)]
@@ -21,6 +23,52 @@
     /// The message cannot be encoded, or is none of the expected type.
     #[error("not a message of this type: {0}")]
     OtherType(String),
+    /// The message is larger than any that the process reads for itself.
+    #[error("larger than {0} bytes when unpacked")]
+    TooLarge(usize),
+    /// The process holds as much as it may of what it reads for itself.
+    #[error("no room to unpack: {0}")]
+    NoRoom(#[from] AccountFull),
+}
+
+/// Unpacked bytes with the room that is claimed for them.
+struct UnpackedBytes {
+    bytes: Vec<u8>,
+    room: HeldRoom,
+}
+
+impl UnpackedBytes {
+    fn read(mut source: impl Read) -> Result<Self, PackError> {
+        let mut unpacked = Self {
+            bytes: Vec::new(),
+            room: HeldRoom::for_process(),
+        };
+        let mut chunk = [0; CHUNK_BYTES];
+        loop {
+            let count = source.read(&mut chunk)?;
+            if count == 0 {
+                return Ok(unpacked);
+            }
+            unpacked.reserve(count)?;
+            unpacked.bytes.extend_from_slice(&chunk[..count]);
+        }
+    }
+
+    /// Claims room for `additional` bytes, and only then takes the memory.
+    fn reserve(&mut self, additional: usize) -> Result<(), PackError> {
+        let (needed, limit) = (self.bytes.len() + additional, max_response_bytes());
+        if needed > limit {
+            return Err(PackError::TooLarge(limit));
+        }
+        let capacity = self.bytes.capacity();
+        if needed > capacity {
+            let grown = (capacity + capacity / GROWTH_SHARE).min(limit);
+            let grown = needed.max(grown);
+            self.room.resize(grown)?;
+            self.bytes.reserve_exact(grown - self.bytes.len());
+        }
+        Ok(())
+    }
 }
 
 /// Packs a message.
@@ -48,10 +96,8 @@
 ///
 /// # Errors
 ///
-/// Returns [`PackError`] if the data is damaged or no message of this type.
+/// Returns [`PackError`] if the data is damaged or no message of this type, or if there is no room for it.
 pub fn unpack<T: DeserializeOwned>(packed: &[u8]) -> Result<T, PackError> {
-    let mut bytes = Vec::new();
-    let decoder = DeflateDecoder::new(packed);
-    decoder.take(MAX_UNPACKED_BYTES).read_to_end(&mut bytes)?;
-    decode_msgpack(&bytes).map_err(|error| PackError::OtherType(error.to_string()))
+    let unpacked = UnpackedBytes::read(DeflateDecoder::new(packed))?;
+    decode_msgpack(&unpacked.bytes).map_err(|error| PackError::OtherType(error.to_string()))
 }
