The largest configuration version is followed by none

With a damaged head row of the largest version, the service that keeps the configuration failed and was restarted again and again in a build with checks of overflow, and an edit got no answer. By reading only: without these checks the edit would have been written as version 0.

The versions after the known one were computed without regard to the end of their range. Only versions that exist are read from the log now, an entry follows only where there is a next version, and an edit is refused, with a finding that says so, before its version is computed.

largest_version_is_followed_by_none failed before at both places, the one in the read of the log also alone. All tests of the file and of the core pass.

--- a/crates/core/src/config.rs
+++ b/crates/core/src/config.rs
@@ -143,7 +143,7 @@
     /// assert!(!VersionedConfig::default().apply(entry));
     /// ```
     pub fn apply(&mut self, entry: ConfigEntry) -> bool {
-        if entry.version != self.version + 1 {
+        if self.version.checked_add(1) != Some(entry.version) {
             return false;
         }
         self.version = entry.version;
@@ -164,7 +164,7 @@
     pub fn check_edit(&self, key: &EntityKey, value: &ConfigValue) -> Vec<Finding> {
         let mut next = self.clone();
         next.insert(ConfigEntry {
-            version: self.version + 1,
+            version: self.version.saturating_add(1),
             key: key.clone(),
             value: value.clone(),
         });
--- a/crates/node/src/config.rs
+++ b/crates/node/src/config.rs
@@ -205,7 +205,8 @@
 async fn read_table(shared: &NodeShared, version: ConfigVersion) -> Result<TableState, StoreError> {
     let mut keys = vec![HEAD_KEY.to_owned()];
     if version > 0 {
-        keys.extend((1..=MAX_ENTRIES_PER_POLL).map(|step| log_key(version + step)));
+        let last = version.saturating_add(MAX_ENTRIES_PER_POLL);
+        keys.extend((version..last).map(|known| log_key(known + 1)));
     }
     let request = ReadRequest {
         keys,
--- a/crates/node/src/editor.rs
+++ b/crates/node/src/editor.rs
@@ -232,10 +232,12 @@
 
 fn reject(request: &EditRequest, context: &EditContext) -> Option<EditReply> {
     if context.is_void {
-        let finding = Finding::new("write", "this write was settled as void; send it anew");
-        return Some(EditReply::Refused {
-            findings: vec![finding.into()],
-        });
+        let text = "this write was settled as void; send it anew";
+        return Some(refusal("write", text));
+    }
+    if context.head == ConfigVersion::MAX {
+        let text = "no version is left after the configuration's";
+        return Some(refusal("version", text));
     }
     let version = context.entity.as_ref().map_or(0, |entry| entry.version);
     if version != request.base {
@@ -249,6 +251,13 @@
     None
 }
 
+fn refusal(place: &str, text: &str) -> EditReply {
+    let finding = Finding::new(place, text);
+    EditReply::Refused {
+        findings: vec![finding.into()],
+    }
+}
+
 fn find_row<'a>(reply: &'a ReadReply, key: &str) -> Option<&'a RowDoc> {
     reply.rows.iter().find(|row| row.key == key)
 }
--- a/crates/node/tests/config.rs
+++ b/crates/node/tests/config.rs
@@ -402,3 +402,40 @@
     let dump = cluster.dump(0, "config").await;
     assert_that!(dump["organisations"].as_u64(), some(eq(2)));
 }
+
+/// Guards against a node that fails when the head's version is the largest one.
+///
+/// A damaged head row has the largest version. The versions that would follow do not exist, so
+/// there is nothing more to read, and an edit is refused.
+#[tokio::test(flavor = "multi_thread")]
+async fn largest_version_is_followed_by_none() {
+    let cluster = Cluster::start(ClusterSpec {
+        engines_per_zone: 0,
+        ..ClusterSpec::default()
+    })
+    .await;
+    let head = ("config/head", serde_json::json!({"version": u64::MAX}));
+    put_rows(&cluster, &[head]).await;
+    cluster
+        .wait("the head's version is in force", async |cluster| {
+            cluster.version(0).await == Some(u64::MAX)
+        })
+        .await;
+    let value = organisation("later");
+    let reply = cluster
+        .edit(0, KindDoc::Organisation, "later", 0, value)
+        .await;
+    let is_refused = matches!(reply, Some(EditReply::Refused { .. }));
+    // A node notices that the table is gone only when it reads it.
+    cluster
+        .platform
+        .update_faults(|faults| faults.is_down = true);
+    cluster
+        .wait("the table is still read", async |cluster| {
+            cluster.dump(0, "config").await["platform_lost"] == true
+        })
+        .await;
+    assert_that!(cluster.version(0).await, some(eq(u64::MAX)));
+    assert_that!(cluster.nodes[0].lines_of("service_failed"), eq(0));
+    assert_that!(is_refused, eq(true));
+}
