A lease that cannot be read is one of the last holder, not a free one

What callers saw: a zone whose groups were not repaired any more after its lease row had been replaced by one that does not parse, or had been deleted. Engines refused all orders of the next controller, and nodes showed no controller while its holder had the lease.

Cause: a lease row that did not parse counted as no lease. So it was taken without a wait, and in epoch 1; fencing numbers are the epoch and a count, so that engines had seen higher ones.

Now a node reads the lease row together with the epoch row, which each change of holder writes in the same transaction. A lease row that does not tell the lease, or is missing beside an epoch row, is the lease of the epoch row's holder. A renewal that the holder had confirmed was of an earlier version, so its lease ends before. A write still in transit conflicts with the new version. The lease has no process's incarnation, so the last holder does not take it for its own either: it stops and waits as others do. - The next epoch is above the epoch row's, so engines accept the orders. If the epoch row cannot be read either, or is missing beside a lease row that cannot be read, the read counts as failed: no safe epoch is known. The lease is not taken, and `lease_unreadable` is logged once. Without both rows, a zone is new.

--- a/crates/node/src/lease.rs
+++ b/crates/node/src/lease.rs
@@ -7,7 +7,7 @@
     EpochDoc, LeaseDoc, ReadReply, ReadRequest, TransactReply, TransactRequest,
 };
 
-use crate::config::parse_row;
+use crate::lease_rows::read_lease;
 use crate::row_keys::{epoch_key, lease_key};
 use crate::settings::NodeSettings;
 
@@ -17,7 +17,7 @@
 /// A table call for the lease row.
 #[derive(Clone, Debug, PartialEq)]
 pub enum LeaseCall {
-    /// Reads the lease row.
+    /// Reads the lease row and the epoch row.
     Read(ReadRequest),
     /// Writes the lease row.
     Write(TransactRequest),
@@ -34,6 +34,7 @@
     is_call_pending: bool,
     is_leaving: bool,
     last_read: Moment,
+    is_unreadable: bool,
     writes: u64,
 }
 
@@ -49,6 +50,7 @@
             is_call_pending: false,
             is_leaving: false,
             last_read: Moment::ZERO,
+            is_unreadable: false,
             writes: 0,
         }
     }
@@ -97,23 +99,22 @@
         self.is_call_pending = true;
         self.last_read = now;
         Some(LeaseCall::Read(ReadRequest {
-            keys: vec![lease_key(&self.zone)],
+            keys: vec![lease_key(&self.zone), epoch_key(&self.zone)],
             prefixes: Vec::new(),
         }))
     }
 
-    /// Handles the result of a read.
+    /// Handles the result of a read. Rows that do not tell the epoch count as no result.
     pub fn handle_read(&mut self, result: Result<ReadReply, StoreError>, now: Moment) {
         self.is_call_pending = false;
         let Ok(reply) = result else {
             return;
         };
-        let row = reply.rows.first();
-        let record = row
-            .and_then(|row| parse_row::<LeaseDoc>(&row.value))
-            .map(LeaseRecord::from);
-        let version = row.map_or(0, |row| row.version);
-        self.client.observe(record, version, now);
+        let lease = read_lease(&self.zone, &reply);
+        self.note_readable(lease.is_ok());
+        if let Ok((record, version)) = lease {
+            self.client.observe(record, version, now);
+        }
     }
 
     /// Handles the result of a write.
@@ -138,6 +139,14 @@
         Some(self.transaction(&write))
     }
 
+    /// Logs when the lease becomes unreadable.
+    fn note_readable(&mut self, is_readable: bool) {
+        if !is_readable && !self.is_unreadable {
+            log::error!(zone = self.zone.as_str(); "lease_unreadable");
+        }
+        self.is_unreadable = !is_readable;
+    }
+
     fn write_id(&mut self) -> WriteId {
         self.writes += 1;
         format!("{}-{}-{}", self.node, self.incarnation, self.writes)
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -32,6 +32,7 @@
 pub mod in_flight;
 pub mod layers;
 pub mod lease;
+pub mod lease_rows;
 pub mod log_writer;
 pub mod logging;
 pub mod metrics;
--- a/crates/node/tests/odd_rows.rs
+++ b/crates/node/tests/odd_rows.rs
@@ -83,6 +83,45 @@
     check_history(&cluster.platform);
 }
 
+/// Guards against a zone whose next controller gets an earlier epoch because the lease cannot be read.
+#[gtest]
+#[tokio::test(flavor = "multi_thread")]
+async fn a_zone_with_an_unreadable_lease_gets_a_controller_in_a_later_epoch() {
+    let mut cluster = Cluster::start(ClusterSpec {
+        nodes_per_zone: 2,
+        engines_per_zone: 3,
+        ..ClusterSpec::default()
+    })
+    .await;
+    let group = groups(&cluster).await.remove(0);
+    let key = format!("lease/{}", ZONES[0]);
+    let odd_row = json!({"of": "another version"});
+    cluster.platform.put_row(&key, odd_row.clone());
+    cluster
+        .wait("the lease is taken", async |cluster| {
+            cluster.platform.rows(&key)[0].value != odd_row
+        })
+        .await;
+    let lost = &group.members[0];
+    cluster.engines.get_mut(lost).expect("a member").kill();
+    wait_repaired(&cluster, &group.group).await;
+
+    let key = format!("epoch/{}", ZONES[0]);
+    let writes = cluster.platform.history();
+    let rows = writes.iter().flat_map(|write| &write.rows);
+    let epochs = rows.filter(|row| row.key == key);
+    let epochs: Vec<u64> = epochs
+        .filter_map(|row| row.value["epoch"].as_u64())
+        .collect();
+    expect_that!(epochs.len(), ge(2));
+    expect_that!(
+        epochs.is_sorted_by(|left, right| left < right),
+        eq(true),
+        "{epochs:?}"
+    );
+    check_history(&cluster.platform);
+}
+
 async fn groups(cluster: &Cluster) -> Vec<GroupStatus> {
     cluster.status(0).await.expect("a status").groups
 }
