An unreadable head row is not an empty configuration

With a head row that can't be read, a node of the own way of running that started was ready at version 0 without any organisation, and an edit was accepted as if it were the first one, which set the head back to version 1.

An unreadable head row counted as no row, which stands for a configuration without any edit. Such a read fails now, like one without an answer: the floor is not set from it, a running node keeps its configuration, and an edit is not written, as its version is not known. A read that fails after one that succeeded has one line.

unreadable_head_is_not_an_empty_configuration failed before at the edit, and also at the readiness of the restarted node when the edit was not checked. All tests of the file pass.

--- a/crates/node/src/config.rs
+++ b/crates/node/src/config.rs
@@ -152,9 +152,12 @@
         match message {
             ConfigMessage::Poll => self.poll(link),
             ConfigMessage::Polled(result) => {
+                let was_lost = self.is_platform_lost;
                 self.is_platform_lost = result.is_err();
-                if let Ok(state) = result {
-                    self.apply_table(state);
+                match result {
+                    Ok(state) => self.apply_table(state),
+                    Err(error) if !was_lost => log::warn!(error:% = error; "config_unread"),
+                    Err(_) => {}
                 }
                 link.send_after(
                     self.shared.settings.control.config_poll,
@@ -213,7 +216,7 @@
         prefixes: Vec::new(),
     };
     let reply = shared.platform.table.read(request).await?;
-    let head = head_version(&reply);
+    let head = head_version(&reply)?;
     let rows = reply.rows.iter().filter(|row| row.key != HEAD_KEY);
     let entries: Vec<EntryDoc> = rows.filter_map(read_log_entry).collect();
     if !leads_to_head(&entries, version, head) {
@@ -244,7 +247,7 @@
 ///
 /// # Errors
 ///
-/// Returns [`StoreError`] when the table does not answer.
+/// Returns [`StoreError`] when the table does not answer, or the head row cannot be read.
 pub async fn read_snapshot(shared: &NodeShared) -> Result<SnapshotDoc, StoreError> {
     let request = ReadRequest {
         keys: vec![HEAD_KEY.to_owned()],
@@ -257,7 +260,7 @@
         .filter(|row| row.key != HEAD_KEY)
         .filter_map(read_entity);
     Ok(SnapshotDoc {
-        version: head_version(&reply),
+        version: head_version(&reply)?,
         entries: entries.collect(),
     })
 }
@@ -280,13 +283,18 @@
 }
 
 /// Returns the version in the head row; zero when there is no such row.
-pub fn head_version(reply: &ReadReply) -> ConfigVersion {
-    reply
-        .rows
-        .iter()
-        .find(|row| row.key == HEAD_KEY)
-        .and_then(|row| parse_row::<HeadDoc>(&row.value))
-        .map_or(0, |head| head.version)
+///
+/// # Errors
+///
+/// Returns [`StoreError`] when the row cannot be read: nothing is known of the table's version.
+pub fn head_version(reply: &ReadReply) -> Result<ConfigVersion, StoreError> {
+    let Some(row) = reply.rows.iter().find(|row| row.key == HEAD_KEY) else {
+        return Ok(0);
+    };
+    match parse_row::<HeadDoc>(&row.value) {
+        Some(head) => Ok(head.version),
+        None => Err(StoreError::Refused("the head row is unreadable".to_owned())),
+    }
 }
 
 /// Parses a row's value; `None` when it does not have the form of `T`.
--- a/crates/node/src/editor.rs
+++ b/crates/node/src/editor.rs
@@ -131,7 +131,7 @@
         let reply = self.shared.platform.table.read(read).await?;
         let entity = find_row(&reply, &key);
         Ok(EditContext {
-            head: head_version(&reply),
+            head: head_version(&reply)?,
             head_row: find_row(&reply, HEAD_KEY).map_or(0, |row| row.version),
             entity: entity.and_then(|row| parse_row(&row.value)),
             entity_row: entity.map_or(0, |row| row.version),
--- a/crates/node/tests/config.rs
+++ b/crates/node/tests/config.rs
@@ -439,3 +439,39 @@
     assert_that!(cluster.nodes[0].lines_of("service_failed"), eq(0));
     assert_that!(is_refused, eq(true));
 }
+
+/// Guards against an unreadable head row that is taken for a configuration without any edit.
+///
+/// With such a row, an edit must not be accepted as the first one, and a node that starts is not
+/// ready before it can read the head.
+#[tokio::test(flavor = "multi_thread")]
+async fn unreadable_head_is_not_an_empty_configuration() {
+    let mut cluster = Cluster::start(ClusterSpec {
+        engines_per_zone: 0,
+        ..ClusterSpec::default()
+    })
+    .await;
+    let odd = ("config/head", serde_json::json!({"version": "four"}));
+    put_rows(&cluster, &[odd]).await;
+    let value = organisation("later");
+    let reply = cluster
+        .edit(0, KindDoc::Organisation, "later", 0, value)
+        .await;
+    assert_that!(matches!(reply, Some(EditReply::Accepted { .. })), eq(false));
+    cluster.nodes[0].restart();
+    cluster
+        .wait("the table is read", async |cluster| {
+            let dump = cluster.dump(0, "config").await;
+            dump["platform_lost"] == true || dump["floor"] == "platform"
+        })
+        .await;
+    assert_that!(cluster.is_ready(0).await, eq(false));
+    let head = ("config/head", serde_json::json!({"version": 4}));
+    put_rows(&cluster, &[head]).await;
+    cluster
+        .wait("the node is ready", async |cluster| {
+            cluster.is_ready(0).await
+        })
+        .await;
+    assert_that!(cluster.version(0).await, some(eq(4)));
+}
