A load that an engine reports out of range counts as the largest one

What callers saw: with one engine that reports numbers of requests near the end of their range, a node in a debug build had a panic in each round that builds its routes or places a request. A release build wraps, by the language's rules: the loaded engine would look idle and get the requests.

Cause: the numbers of running and queued requests were added unchecked where routes are built and where a report is compared with the last one, and so was the number sent since the report where a target is chosen.

Now a report has one `load`, which saturates and is used in both places, and the choice saturates too. So a sum out of range costs as much as any load can, and sums in range are as before.

--- a/crates/core/src/choice.rs
+++ b/crates/core/src/choice.rs
@@ -103,7 +103,8 @@
     }
 
     fn cost(&self, load: &TargetLoad, fastest: Duration) -> f64 {
-        let ahead = (load.reported + load.sent_since_report).max(load.in_flight);
+        let expected = load.reported.saturating_add(load.sent_since_report);
+        let ahead = expected.max(load.in_flight);
         let slowness = if fastest.is_zero() || load.latency.is_zero() {
             0.0
         } else {
--- a/crates/core/src/evidence.rs
+++ b/crates/core/src/evidence.rs
@@ -55,6 +55,11 @@
 }
 
 impl MemberReport {
+    /// Returns the number of requests running and queued, at most the largest that can be counted.
+    pub fn load(&self) -> u32 {
+        self.running.saturating_add(self.queued)
+    }
+
     /// Returns whether two reports differ at most in load and fencing token.
     pub fn has_same_state(&self, other: &Self) -> bool {
         self.incarnation == other.incarnation
--- a/crates/node/src/evidence_feed.rs
+++ b/crates/node/src/evidence_feed.rs
@@ -159,6 +159,6 @@
 /// Returns whether two reports have the same state and the same order of magnitude of load, so that
 /// the difference need not be sent.
 fn is_equivalent(left: &MemberReport, right: &MemberReport) -> bool {
-    let bucket = |report: &MemberReport| (report.running + report.queued).max(1).ilog2();
+    let bucket = |report: &MemberReport| report.load().max(1).ilog2();
     left.has_same_state(right) && bucket(left) == bucket(right)
 }
--- a/crates/node/src/routes.rs
+++ b/crates/node/src/routes.rs
@@ -111,7 +111,7 @@
         };
         let reported = evidence
             .fresh(&leader.vm, now)
-            .map_or(0, |member| member.report.running + member.report.queued);
+            .map_or(0, |member| member.report.load());
         let is_leaving = group
             .members
             .iter()
@@ -162,7 +162,7 @@
                 },
                 vm: vm.id.clone(),
                 fresh_until: evidence.expires_at(member),
-                reported: member.report.running + member.report.queued,
+                reported: member.report.load(),
                 is_leaving,
             };
             let targets = self.targets.entry(deployment.id.clone()).or_default();
